Split the control task into a pure core and its socket loop

Cause: scenarios must drive the same decisions as a running node, but the decisions were mixed with zmq polling. The demo also failed once in three runs because an outgoing connection had taken a port that was found free.

Change: node/core.py holds all decisions and returns messages to send; node/control.py only polls; node/cores.py wires the cores for the daemon and for scenarios. Each node of a test fleet listens on a loopback address of its own.

--- a/src/citronrack/bench/fleet.py
+++ b/src/citronrack/bench/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,11 +26,20 @@
 STOP_LIMIT_S = 40.0
 
 
-def free_address() -> str:
-    """Return a loopback ``ip:port`` that was free a moment ago."""
+def loopback_host() -> str:
+    """Return a random address of 127.0.0.0/8.
+
+    Outgoing connections take 127.0.0.1 as source, so they cannot occupy a port that was found free
+    on another loopback address before the node binds it.
+    """
+    return f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.{random.randint(1, 254)}"
+
+
+def free_address(host: str) -> str:
+    """Return an ``ip:port`` of ``host`` that was free a moment ago."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 @define
@@ -101,7 +111,8 @@
         """Prepare a node; it does not run yet."""
         stand_in = target or TargetStandIn(service_version=service_version)
         stand_in.start()
-        addresses = {key: free_address() for key in ("peer", "call", "deliver", "api")}
+        host = loopback_host()
+        addresses = {key: free_address(host) for key in ("peer", "call", "deliver", "api")}
         path = Path(self._folder.name) / f"{name}.yaml"
         node = FleetNode(name, zone, stand_in, addresses, path)
         self.nodes[name] = node
--- a/src/citronrack/node/append_task.py
+++ b/src/citronrack/node/append_task.py
@@ -10,6 +10,7 @@
 
 from ..errors import CitronrackError
 from ..log.appender import Appended, Appender
+from .mail import AppendDone, Mailbox
 
 
 @frozen
@@ -35,6 +36,18 @@
         self._jobs.put(_Job(body, answer))
         return answer
 
+    def submit_and_post(self, body: Any, mailbox: Mailbox) -> None:
+        """Queue a record body and post the result to ``mailbox`` as `AppendDone`."""
+
+        def post(answer: Future[Appended]) -> None:
+            error = answer.exception()
+            if error is None:
+                mailbox.put(AppendDone(body, answer.result().offset))
+            else:
+                mailbox.put(AppendDone(body, None, str(error)))
+
+        self.submit(body).add_done_callback(post)
+
     def run(self) -> None:
         """Append until `stop` is called."""
         while True:
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -15,18 +15,17 @@
 from ..calls.server import CallServer
 from ..calls.view import ViewHolder
 from ..clock import SystemClock
-from ..distribution import DistributionCore
-from ..log import LogFold
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
 from ..log.http import HttpLogClient
-from ..membership import FailureDetector, Member, MemberTable
+from ..membership import Member
 from ..settings import Settings
 from ..settings.checks import split_address
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.zmq_transport import ZmqTransport
 from .append_task import AppendTask
-from .control import ControlParts, ControlTask
+from .control import ControlTask
+from .cores import compose_core
 from .mail import (
     CallReported,
     DrainAsked,
@@ -157,47 +156,37 @@
     )
     views = ViewHolder()
     mailbox = Mailbox()
-    table = MemberTable(_own_member(settings, clock.wall_ms()))
-    parts = ControlParts(
+    append_task = AppendTask(
+        Appender(
+            client=HttpLogClient(settings.log_service.url),
+            clock=clock,
+            random=random,
+            writer=f"{settings.node.name}/{secrets.token_hex(6)}",
+        )
+    )
+    core = compose_core(
+        own=_own_member(settings, clock.wall_ms()),
+        seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
         clock=clock,
+        random=random,
         events=events,
         metrics=metrics,
+        views=views,
+        append=lambda body: append_task.submit_and_post(body, mailbox),
+    )
+    control = ControlTask(
+        core=core,
         transport=ZmqTransport(
             address=f"tcp://{settings.node.peer_address}",
             mesh_id=settings.mesh.mesh_id,
             key=bytes.fromhex(settings.mesh.key),
         ),
         mailbox=mailbox,
-        table=table,
-        views=views,
-    )
-    control = ControlTask(parts, fold=LogFold())
-    parts.distribution = DistributionCore(
-        own=settings.node.name,
         clock=clock,
-        random=random,
-        members=table.members,
-        next_offset=0,
-        deliver=control.deliver,
-    )
-    parts.detector = FailureDetector(
-        table=table,
-        clock=clock,
-        random=random,
-        seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
-        observer=parts.distribution,
-    )
-    append_task = AppendTask(
-        Appender(
-            client=HttpLogClient(settings.log_service.url),
-            clock=clock,
-            random=random,
-            writer=f"{settings.node.name}/{secrets.token_hex(6)}",
-        )
     )
     reader = ReaderTask(
         client=HttpLogClient(settings.log_service.url),
-        state=control,
+        state=core,
         mailbox=mailbox,
         random=random,
     )
--- /dev/null
+++ b/src/citronrack/node/core.py
@@ -0,0 +1,316 @@
+"""All decisions of a node's control task, without sockets, threads or real time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from ..calls import ViewHolder
+from ..clock import Clock
+from ..config import ActiveConfig
+from ..distribution import DistributionCore, ReaderRole
+from ..errors import MessageRejected
+from ..log import FoldResult, LogFold
+from ..log.fold import PlanState
+from ..membership import FailureDetector, MemberTable
+from ..telemetry import Event, EventLog, Metrics
+from ..transport.send import Core, Send
+from .mail import (
+    AppendDone,
+    CallReported,
+    DrainAsked,
+    LoadReported,
+    LogRead,
+    LogReadFailed,
+    PlanAwaited,
+    RecordAwaited,
+    SnapshotRead,
+    StateAsked,
+    StatusAsked,
+)
+from .readiness import Readiness, ReadinessGate, ReadinessInputs
+from .status import MeshStatus, TransportStatus
+from .views import build_view, node_status, zone_status
+
+Handler = Callable[[Any], list[Send]]
+
+
+@define
+class CoreParts:
+    """What the core works with; wired by the composition root.
+
+    Attributes:
+        clock: Source of time.
+        events: Where log events go.
+        metrics: Where metrics go.
+        table: Members of the own zone.
+        views: Receives the routing view.
+        append: Queues a record body for the log; its result comes back as `AppendDone`.
+        detector: Failure detection.
+        distribution: Distribution of records.
+    """
+
+    clock: Clock
+    events: EventLog
+    metrics: Metrics
+    table: MemberTable
+    views: ViewHolder
+    append: Callable[[Any], None]
+    detector: FailureDetector = field(init=False)
+    distribution: DistributionCore = field(init=False)
+
+
+class NodeCore:
+    """Folds the log, keeps membership and decides what is in force.
+
+    Args:
+        parts: Cores and outputs.
+        fold: The folded log, empty at the start.
+    """
+
+    def __init__(self, parts: CoreParts, *, fold: LogFold) -> None:
+        self._parts = parts
+        self._fold = fold
+        self._active = ActiveConfig()
+        self._gate = ReadinessGate()
+        self._log_end: int | None = None
+        self._log_failing_since: float | None = None
+        self._plan_waiters: list[PlanAwaited] = []
+        self._record_waiters: list[RecordAwaited] = []
+        self._role = ReaderRole.NONE
+        self.transport_status = TransportStatus()
+        self._handlers: dict[type[Any], Handler] = {
+            LogRead: self._log_read,
+            LogReadFailed: self._log_read_failed,
+            SnapshotRead: self._snapshot_read,
+            AppendDone: self._append_done,
+            CallReported: self._call_reported,
+            LoadReported: self._load_reported,
+            StatusAsked: self._status_asked,
+            StateAsked: self._state_asked,
+            PlanAwaited: self._plan_awaited,
+            RecordAwaited: self._record_awaited,
+            DrainAsked: self._drain,
+        }
+
+    @property
+    def next_offset(self) -> int:
+        """Next offset that this node folds; safe to read from any thread."""
+        return self._fold.next_offset
+
+    @property
+    def reads_log(self) -> bool:
+        """Whether the reader task should poll the log; safe to read from any thread."""
+        return self._role is not ReaderRole.NONE or self._gate.state is not Readiness.READY
+
+    @property
+    def active(self) -> ActiveConfig:
+        """The configuration in force."""
+        return self._active
+
+    @property
+    def fold(self) -> LogFold:
+        """The folded log."""
+        return self._fold
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether calls are served."""
+        return self._gate.state
+
+    @property
+    def parts(self) -> CoreParts:
+        """The cores and outputs."""
+        return self._parts
+
+    def handle(self, mail: Any) -> list[Send]:
+        """Handle a message of another task and return what to send."""
+        effects = self._handlers[type(mail)](mail)
+        self._answer_waiters()
+        return effects
+
+    def on_message(self, sender: str, message: Any) -> list[Send]:
+        """Pass a message of another node to the core that owns it."""
+        effects: list[Send] = []
+        for core in self._cores():
+            if isinstance(message, core.MESSAGES):  # type: ignore[attr-defined]
+                effects.extend(core.on_message(sender, message))
+        self._answer_waiters()
+        return effects
+
+    def on_tick(self) -> list[Send]:
+        """Do what is due and return what to send."""
+        effects = [effect for core in self._cores() for effect in core.on_tick()]
+        role = self._parts.distribution.role
+        if role is not self._role:
+            self._role = role
+            self._parts.events.write(Event.READER_ROLE, role=role.value)
+        self._refresh()
+        return effects
+
+    def deliver(self, offset: int, data: bytes) -> None:
+        """Fold one record; called by the distribution core in offset order."""
+        result = self._fold.apply(offset, data)
+        if not result.accepted and result.reason != "duplicate":
+            self._parts.events.write(Event.RECORD_REFUSED, offset=offset, reason=result.reason)
+        self._after_fold(result)
+
+    def status(self) -> MeshStatus:
+        """Return what operators may know."""
+        table = self._parts.table
+        version = self._active.version
+        own_zone = table.own.availability_zone
+        state = self._fold.state
+        return MeshStatus(
+            node=table.own.name,
+            availability_zone=own_zone,
+            readiness=self._gate.state.value,
+            reason=self._gate.reason,
+            version=version,
+            offset=state.next_offset,
+            digest=f"{state.digest:016x}",
+            log_reachable=self._log_reachable(),
+            reader_role=self._role.value,
+            zones=(zone_status(own_zone, table.members(), version=version, age_s=0.0),),
+            nodes=tuple(node_status(member) for member in table.all_members()),
+            duties={duty: lease.holder for duty, lease in state.leases.items()},
+            transport=self.transport_status,
+        )
+
+    def write_metrics(self) -> None:
+        """Send the gauges."""
+        metrics, transport = self._parts.metrics, self.transport_status
+        metrics.gauge("control.bytes_sent", transport.bytes_sent)
+        metrics.gauge("control.messages_sent", transport.messages_sent)
+        metrics.gauge("control.messages_rejected", sum(transport.rejected.values()))
+        metrics.gauge("config.version", self._active.version)
+        metrics.gauge("members.alive", len(self._parts.table.members()))
+
+    def _cores(self) -> tuple[Core, ...]:
+        return self._parts.detector, self._parts.distribution
+
+    def _log_read(self, mail: LogRead) -> list[Send]:
+        if self._log_failing_since is not None:
+            self._parts.events.write(Event.LOG_RECOVERED, end=mail.page.end)
+        self._log_failing_since = None
+        self._log_end = mail.page.end
+        effects = self._parts.distribution.on_log_records(mail.page.records)
+        self._refresh()
+        return effects
+
+    def _log_read_failed(self, mail: LogReadFailed) -> list[Send]:
+        self._parts.metrics.count("log.failures")
+        if self._log_failing_since is None:
+            self._log_failing_since = self._parts.clock.monotonic()
+            self._parts.events.write(Event.LOG_UNAVAILABLE, reason=mail.reason)
+        self._refresh()
+        return []
+
+    def _snapshot_read(self, mail: SnapshotRead) -> list[Send]:
+        self.load_snapshot(mail.data)
+        return []
+
+    def load_snapshot(self, data: bytes) -> bool:
+        """Continue from a snapshot and return whether it was newer than the folded records."""
+        try:
+            fold = LogFold.from_snapshot(data)
+        except MessageRejected as error:
+            self._parts.events.write(Event.RECORD_REFUSED, offset=-1, reason=str(error))
+            return False
+        if fold.next_offset <= self._fold.next_offset:
+            return False
+        self._fold = fold
+        self._parts.distribution.jump_to(fold.next_offset)
+        self._parts.events.write(Event.SNAPSHOT_LOADED, offset=fold.next_offset)
+        self._activate()
+        return True
+
+    def _append_done(self, mail: AppendDone) -> list[Send]:
+        if mail.offset is None:
+            self._parts.events.write(Event.APPEND_UNKNOWN, reason=mail.reason)
+        return []
+
+    def _call_reported(self, mail: CallReported) -> list[Send]:
+        self._parts.metrics.count("calls.served")
+        return []
+
+    def _load_reported(self, mail: LoadReported) -> list[Send]:
+        self._parts.table.update_own(load=mail.load)
+        return []
+
+    def _drain(self, _: DrainAsked) -> list[Send]:
+        self._parts.table.update_own(draining=True)
+        self._parts.events.write(Event.DRAIN_STARTED)
+        self._refresh()
+        return []
+
+    def _status_asked(self, mail: StatusAsked) -> list[Send]:
+        mail.answer.set_result(self.status())
+        return []
+
+    def _state_asked(self, mail: StateAsked) -> list[Send]:
+        mail.answer.set_result(self._fold.state)
+        return []
+
+    def _plan_awaited(self, mail: PlanAwaited) -> list[Send]:
+        self._plan_waiters.append(mail)
+        return []
+
+    def _record_awaited(self, mail: RecordAwaited) -> list[Send]:
+        self._record_waiters.append(mail)
+        return []
+
+    def _after_fold(self, result: FoldResult) -> None:
+        if result.accepted:
+            self._activate()
+
+    def _activate(self) -> None:
+        """Put the folded configuration in force when it is newer."""
+        if self._active.swap(self._fold.config):
+            version = self._active.version
+            self._parts.table.update_own(version=version)
+            self._parts.events.write(Event.CONFIG_IN_FORCE, version=version)
+
+    def _refresh(self) -> None:
+        """Decide readiness anew and replace the routing view."""
+        now = self._parts.clock.monotonic()
+        failing = 0.0 if self._log_failing_since is None else now - self._log_failing_since
+        before = self._gate.state
+        state = self._gate.update(
+            ReadinessInputs(
+                offset=self._fold.next_offset,
+                version=self._active.version,
+                log_end=self._log_end if self._log_failing_since is None else None,
+                log_failing_s=failing,
+                peer_offsets=self._parts.distribution.peer_offsets(),
+            )
+        )
+        ready = state is not Readiness.NOT_READY
+        if state is not before:
+            self._parts.events.write(Event.NODE_READY, state=state.value, reason=self._gate.reason)
+        self._parts.table.update_own(ready=ready)
+        self._parts.views.current = build_view(
+            ready=ready,
+            reason=self._gate.reason,
+            config=self._active.current,
+            members=self._parts.table.members(),
+            shares={},
+        )
+
+    def _answer_waiters(self) -> None:
+        folded = self._fold.next_offset
+        for plan_waiter in [w for w in self._plan_waiters if w.offset < folded]:
+            self._plan_waiters.remove(plan_waiter)
+            plan = self._fold.state.plans.get(plan_waiter.plan_id)
+            lost = PlanState(False, plan_waiter.offset, "the record could not be read")
+            plan_waiter.answer.set_result(plan if plan is not None else lost)
+        for waiter in [w for w in self._record_waiters if w.offset < folded]:
+            self._record_waiters.remove(waiter)
+            waiter.answer.set_result(self._fold.state)
+
+    def _log_reachable(self) -> bool | None:
+        if self._log_failing_since is not None:
+            return False
+        return True if self._role is not ReaderRole.NONE else None
--- /dev/null
+++ b/src/citronrack/node/cores.py
@@ -0,0 +1,57 @@
+"""Wires the pure cores of a node; used by the composition root and by scenarios."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from ..calls import ViewHolder
+from ..clock import Clock
+from ..distribution import DistributionCore
+from ..log import LogFold
+from ..membership import FailureDetector, Member, MemberTable
+from ..telemetry import EventLog, Metrics
+from .core import CoreParts, NodeCore
+
+
+def compose_core(
+    *,
+    own: Member,
+    seeds: Sequence[str],
+    clock: Clock,
+    random: Random,
+    events: EventLog,
+    metrics: Metrics,
+    views: ViewHolder,
+    append: Callable[[Any], None],
+) -> NodeCore:
+    """Return the decisions of a node with all their cores.
+
+    Args:
+        own: Description of the node.
+        seeds: Addresses of nodes of the own zone, ``tcp://ip:port``.
+        clock: Source of time.
+        random: Source of random numbers.
+        events: Where log events go.
+        metrics: Where metrics go.
+        views: Receives the routing view.
+        append: Queues a record body for the log.
+    """
+    table = MemberTable(own)
+    parts = CoreParts(
+        clock=clock, events=events, metrics=metrics, table=table, views=views, append=append
+    )
+    core = NodeCore(parts, fold=LogFold())
+    parts.distribution = DistributionCore(
+        own=own.name,
+        clock=clock,
+        random=random,
+        members=table.members,
+        next_offset=0,
+        deliver=core.deliver,
+    )
+    parts.detector = FailureDetector(
+        table=table, clock=clock, random=random, seeds=seeds, observer=parts.distribution
+    )
+    return core
--- a/src/citronrack/node/mail.py
+++ b/src/citronrack/node/mail.py
@@ -36,6 +36,21 @@
     data: bytes
 
 
+@frozen
+class AppendDone:
+    """The append task has finished a record that the core asked for.
+
+    Attributes:
+        body: The record body.
+        offset: Where it stands in the log, None when it was refused or is unknown.
+        reason: Why it has no offset.
+    """
+
+    body: Any
+    offset: int | None
+    reason: str = ""
+
+
 @frozen
 class CallReported:
     """The call path finished an attempt."""
--- a/src/citronrack/node/status.py
+++ b/src/citronrack/node/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import field, frozen
 
 
 @frozen
@@ -56,6 +56,21 @@
         return self.nodes > 0 and self.in_force == self.nodes
 
 
+@frozen
+class TransportStatus:
+    """Counters of the messages between nodes since the start.
+
+    Attributes:
+        bytes_sent: Bytes of frames sent.
+        messages_sent: Frames sent.
+        rejected: Dropped frames by reason.
+    """
+
+    bytes_sent: int = 0
+    messages_sent: int = 0
+    rejected: dict[str, int] = field(factory=dict)
+
+
 @frozen
 class MeshStatus:
     """Answer of the status query.
@@ -73,9 +88,7 @@
         zones: Per zone, how far the nodes are.
         nodes: The known nodes.
         duties: Holder by duty.
-        control_bytes_sent: Bytes of frames sent to other nodes since start.
-        control_messages_sent: Frames sent to other nodes since start.
-        rejected_messages: Dropped frames by reason.
+        transport: Counters of the messages between nodes.
     """
 
     node: str
@@ -90,6 +103,4 @@
     zones: tuple[ZoneStatus, ...]
     nodes: tuple[NodeStatus, ...]
     duties: dict[str, str]
-    control_bytes_sent: int
-    control_messages_sent: int
-    rejected_messages: dict[str, int]
+    transport: TransportStatus
