--- a/src/citronrack/bench/fleet.py
+++ b/src/citronrack/bench/fleet.py
@@ -88,6 +88,7 @@
     log: LogServiceStandIn = field(factory=LogServiceStandIn)
     nodes: dict[str, FleetNode] = field(factory=dict)
     executable: list[str] = field(factory=lambda: [sys.executable, "-m", "citronrack"])
+    _targets: list[TargetStandIn] = field(factory=list)
     _folder: tempfile.TemporaryDirectory[str] = field(factory=tempfile.TemporaryDirectory)
 
     def __enter__(self) -> Fleet:
@@ -100,8 +101,8 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
-        for node in self.nodes.values():
-            node.target.stop()
+        for target in self._targets:
+            target.stop()
         self.log.stop()
         self._folder.cleanup()
 
@@ -110,7 +111,9 @@
     ) -> FleetNode:
         """Prepare a node; it does not run yet."""
         stand_in = target or TargetStandIn(service_version=service_version)
-        stand_in.start()
+        if stand_in not in self._targets:
+            self._targets.append(stand_in)
+            stand_in.start()
         host = loopback_host()
         addresses = {key: free_address(host) for key in ("peer", "call", "deliver", "api")}
         path = Path(self._folder.name) / f"{name}.yaml"
--- a/src/citronrack/cli/commands/node.py
+++ b/src/citronrack/cli/commands/node.py
@@ -15,7 +15,7 @@
     name = "node"
     description = "Runs a node beside a target until SIGTERM, then stops gracefully"
     arguments = [argument("settings", "Path of the settings file")]
-    help = "Example: <info>citronrack node examples/spoorhout/lowlands-a-1.yaml</info>"
+    help = "Example: <info>citronrack node examples/spoorhout/lowlands-a-catalogue-1.yaml</info>"
 
     def run_command(self) -> int:
         """Serve until the process is told to stop."""
--- a/src/citronrack/cli/queries/check_config.py
+++ b/src/citronrack/cli/queries/check_config.py
@@ -15,7 +15,9 @@
     name = "check-config"
     description = "Checks a settings file; prints one line per fault"
     arguments = [argument("settings", "Path of the settings file")]
-    help = "Example: <info>citronrack check-config examples/spoorhout/lowlands-a-1.yaml</info>"
+    help = (
+        "Example: <info>citronrack check-config examples/spoorhout/lowlands-a-media-2.yaml</info>"
+    )
 
     def run_command(self) -> int:
         """Load the settings and say that they are usable."""
--- /dev/null
+++ b/tests/api/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `citronrack.api`."""
--- /dev/null
+++ b/tests/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shipped examples and the one-file program."""
