--- a/src/citronrack/distribution/__init__.py
+++ b/src/citronrack/distribution/__init__.py
@@ -1,8 +1,21 @@
-"""Which node reads the log, and how records reach all others."""
+"""Which node reads the log, and how records and facts reach all others."""
 
 from __future__ import annotations
 
-from .core import DistributionCore, ReaderRole
+from .core import DistributionCore, FoldView
+from .facts import Fact, FactStore
+from .progress import ZoneProgress
 from .ranking import ranking
+from .reading import ReaderRole
+from .store import RecordStore
 
-__all__ = ["DistributionCore", "ReaderRole", "ranking"]
+__all__ = [
+    "DistributionCore",
+    "Fact",
+    "FactStore",
+    "FoldView",
+    "ReaderRole",
+    "RecordStore",
+    "ZoneProgress",
+    "ranking",
+]
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -1,28 +1,45 @@
-"""Carries log records to all nodes of an availability zone."""
+"""Carries log records and facts to all nodes of an availability zone."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from enum import StrEnum
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from ..clock import Clock
 from ..membership.member import Member
 from ..transport.send import Send
-from .messages import PullRecords, PushRecords, RecordsPage
-from .ranking import ranking
+from .facts import Fact, FactStore
+from .messages import (
+    FactsDelta,
+    PullFacts,
+    PullRecords,
+    PullSnapshot,
+    PushRecords,
+    RecordsPage,
+    SnapshotPage,
+)
+from .progress import Progress, ProgressReporter, ZoneProgress
+from .reading import LogAccess, ReaderRole, StandbyPushes
+from .repair import Repair
+from .snapshots import SnapshotSink, SnapshotSource
+from .spread import FactSpreader
+from .store import PAGE_BYTES, RecordStore
+from .tree import Tree
 
-PAGE_BYTES = 64 * 1024
-KEPT_RECORDS = 5_000
+REMEMBERED_PUSHES = 256
 
 
-class ReaderRole(StrEnum):
-    """This node's part in reading the platform's log."""
+class FoldView(Protocol):
+    """What this core reads of the folded log."""
 
-    NONE = "none"
-    STANDBY = "standby"
-    PRIMARY = "primary"
+    @property
+    def next_offset(self) -> int:
+        """Next offset that this node folds."""
+
+    @property
+    def version(self) -> int:
+        """Configuration version in force, -1 for none."""
 
 
 class DistributionCore:
@@ -32,12 +49,24 @@
         own: Name of this node.
         clock: Source of time.
         random: Source of random numbers.
-        members: Returns the members of the own zone.
-        next_offset: First offset that is missing.
+        members: Returns the members of the own zone; the same tuple while nothing has changed.
+        fold: Where to start, and the version in force.
         deliver: Applies one record; called in offset order without gaps.
+        relays: Returns the address of one relay of each other zone.
+        make_snapshot: Returns the snapshot that ends at `next_offset`.
+        load_snapshot: Takes a snapshot over; returns whether it was usable.
     """
 
-    MESSAGES: tuple[type[Any], ...] = (PushRecords, PullRecords, RecordsPage)
+    MESSAGES: tuple[type[Any], ...] = (
+        PushRecords,
+        PullRecords,
+        RecordsPage,
+        PullSnapshot,
+        SnapshotPage,
+        PullFacts,
+        FactsDelta,
+        Progress,
+    )
 
     def __init__(
         self,
@@ -46,100 +75,248 @@
         clock: Clock,
         random: Random,
         members: Callable[[], Sequence[Member]],
-        next_offset: int,
+        fold: FoldView,
         deliver: Callable[[int, bytes], None],
+        relays: Callable[[], Sequence[str]] = tuple,
+        make_snapshot: Callable[[], bytes] | None = None,
+        load_snapshot: Callable[[bytes], bool] | None = None,
     ) -> None:
         self._own = own
-        self._clock = clock
-        self._random = random
-        self._members = members
-        self._next_offset = next_offset
         self._deliver = deliver
-        self._first_kept = next_offset
-        self._kept: list[bytes] = []
-        self._peer_offsets: dict[str, int] = {}
+        self._load_snapshot = load_snapshot
+        self._tree = Tree(own, members)
+        self._store = RecordStore(fold.next_offset)
+        self._repair = Repair(clock=clock, random=random)
+        self._log = LogAccess(clock=clock, random=random)
+        self._standby = StandbyPushes(clock)
+        self._facts = FactStore()
+        self._spreader = FactSpreader(
+            own=own, store=self._facts, clock=clock, tree=self._tree, relays=relays
+        )
+        self._progress = ProgressReporter(
+            own=own, clock=clock, tree=self._tree, version=lambda: fold.version
+        )
+        self._source = (
+            None if make_snapshot is None else SnapshotSource(clock=clock, make=make_snapshot)
+        )
+        self._sink = SnapshotSink()
+        self._forwarded: dict[tuple[int, int], None] = {}
+        self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
+            PushRecords: self._on_push,
+            PullRecords: self._on_pull,
+            RecordsPage: self._on_page,
+            PullSnapshot: self._on_snapshot_pull,
+            SnapshotPage: self._on_snapshot_page,
+            PullFacts: self._spreader.answer,
+            FactsDelta: self._spreader.take,
+            Progress: self._on_progress,
+        }
 
     @property
     def offset(self) -> int:
         """Next offset that this node folds."""
-        return self._next_offset
+        return self._store.next
+
+    @property
+    def next_offset(self) -> int:
+        """Next offset that this node folds."""
+        return self._store.next
+
+    @property
+    def facts(self) -> FactStore:
+        """Facts that spread without the log; add own ones with `put_fact`."""
+        return self._facts
 
     @property
     def facts_digest(self) -> int:
         """Digest of this node's facts."""
-        return 0
+        return self._facts.digest
+
+    @property
+    def tree(self) -> Tree:
+        """Positions in the own zone."""
+        return self._tree
+
+    @property
+    def reading(self) -> bool:
+        """Whether this node can read the log; belongs into its member description."""
+        return self._log.reading
 
     @property
     def role(self) -> ReaderRole:
         """This node's part in reading the log."""
-        names = [member.name for member in ranking(self._members())]
-        rank = names.index(self._own) if self._own in names else len(names)
-        roles = (ReaderRole.PRIMARY, ReaderRole.STANDBY)
-        return roles[rank] if rank < len(roles) else ReaderRole.NONE
+        readers = self._tree.readers()
+        if self._own not in readers:
+            return ReaderRole.NONE
+        return (ReaderRole.PRIMARY, ReaderRole.STANDBY)[readers.index(self._own)]
+
+    def put_fact(self, key: str, rank: int, payload: bytes, *, urgent: bool = False) -> list[Send]:
+        """Add a fact of this node; an urgent one is pushed down the tree at once."""
+        return self._spreader.put(Fact(key, rank, payload), urgent=urgent)
+
+    def own_zone_progress(self, availability_zone: str) -> ZoneProgress:
+        """Return what this node has heard of its zone; exact only at the root of the tree."""
+        return self._progress.zone(availability_zone)
 
     def peer_observed(self, address: str, *, offset: int, facts_digest: int) -> list[Send]:
-        """Ask a peer that is ahead for what is missing."""
-        self._peer_offsets[address] = offset
-        if offset > self._next_offset:
-            return [Send(address, PullRecords(self._next_offset))]
-        return []
+        """Compare with a peer, and ask for what is missing here."""
+        self._repair.observe(address, offset)
+        return [*self._pull_if_due(), *self._spreader.peer_observed(address, facts_digest)]
 
     def peer_offsets(self) -> dict[str, int | None]:
         """Return the next offset of each other live member by name, None when not yet heard."""
-        others = (member for member in self._members() if member.name != self._own)
-        return {member.name: self._peer_offsets.get(member.address) for member in others}
+        others = (member for member in self._tree.ranking if member.name != self._own)
+        return {member.name: self._repair.offset_of(member.address) for member in others}
 
     def jump_to(self, offset: int) -> None:
         """Continue at ``offset`` after a snapshot was loaded."""
-        self._next_offset = offset
-        self._first_kept = offset
-        self._kept.clear()
+        self._store.jump_to(offset)
 
     def on_log_records(self, records: Sequence[tuple[int, bytes]]) -> list[Send]:
         """Deliver records that this node read from the log, and push the new ones."""
-        fresh = [data for offset, data in records if self._accept(offset, data)]
-        return self._push(fresh)
+        self._log.succeeded()
+        first = self._store.next
+        fresh = [data for offset, data in records for data in self._accept(offset, data)]
+        if not fresh:
+            return []
+        role = self.role
+        if role is ReaderRole.PRIMARY:
+            return self._push(first, fresh, self._own)
+        if role is ReaderRole.STANDBY:
+            self._standby.hold(first, fresh)
+        return []
+
+    def on_log_failure(self) -> None:
+        """Note a poll of the log that got no answer."""
+        self._log.failed()
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Handle pushed, requested and wanted records."""
-        if isinstance(message, PullRecords):
-            return self._answer(sender, message.from_offset)
-        offsets = range(message.first_offset, message.first_offset + len(message.records))
-        for offset, data in zip(offsets, message.records, strict=True):
-            self._accept(offset, data)
-        if message.first_offset > self._next_offset:
-            return [Send(sender, PullRecords(self._next_offset))]
-        return []
+        """Handle a message of this core."""
+        return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
-        """Nothing is due; repair follows from the pings."""
+        """Push what the primary reader did not, repair, and report progress."""
+        effects: list[Send] = []
+        for first, records in self._standby.take_due():
+            effects += self._push(first, records, self._own)
+        if self._source is not None:
+            self._source.drop_old()
+        return [*effects, *self._pull_if_due(), *self._progress.on_tick()]
+
+    def _on_push(self, sender: str, message: PushRecords) -> list[Send]:
+        end = message.first_offset + len(message.records)
+        before = self._store.next
+        gap = message.first_offset > before
+        new = self._standby.pushed_by_peer(end) or end > before
+        new = new and self._first_receipt(message.first_offset, end)
+        for offset, data in enumerate(message.records, message.first_offset):
+            self._accept(offset, data)
+        effects = self._forward(message, sender) if new else []
+        if gap:
+            self._repair.observe(sender, end)
+            effects += self._pull_if_due()
+        return effects
+
+    def _on_pull(self, sender: str, message: PullRecords) -> list[Send]:
+        start = message.from_offset
+        if start >= self._store.next or start < 0:
+            return [Send(sender, RecordsPage(self._store.next, (), self._store.next))]
+        if start >= self._store.first:
+            return [Send(sender, RecordsPage(start, self._store.page(start), self._store.next))]
+        if self._source is None:
+            return []
+        page = self._source.first_part(self._store.next, at_least=self._store.first)
+        return [Send(sender, page)] if page is not None else []
+
+    def _on_page(self, sender: str, message: RecordsPage) -> list[Send]:
+        self._repair.answered(sender)
+        self._repair.observe(sender, message.end)
+        first = self._store.next
+        fresh: list[bytes] = []
+        for offset, data in enumerate(message.records, message.first_offset):
+            fresh += self._accept(offset, data)
+        effects: list[Send] = []
+        if fresh and not self._tree.is_member(sender):
+            # The zone gets these records through this node, as from a reader.
+            effects += self._push(first, fresh, self._own)
+        if fresh and self._store.next < message.end:
+            self._repair.continue_with(sender)
+            effects.append(Send(sender, PullRecords(self._store.next)))
+        return effects
+
+    def _on_snapshot_pull(self, sender: str, message: PullSnapshot) -> list[Send]:
+        page = None if self._source is None else self._source.part(message)
+        return [Send(sender, page)] if page is not None else []
+
+    def _on_snapshot_page(self, sender: str, message: SnapshotPage) -> list[Send]:
+        if not self._repair.answered(sender) or message.through <= self._store.next:
+            return []
+        data = self._sink.take(message)
+        if data is not None:
+            self._take_snapshot(sender, message.through, data)
+            return self._pull_if_due()
+        wanted = self._sink.next_wanted()
+        if wanted is None:
+            return []
+        self._repair.continue_with(sender)
+        return [Send(sender, wanted)]
+
+    def _take_snapshot(self, sender: str, through: int, data: bytes) -> None:
+        if self._load_snapshot is None or not self._load_snapshot(data):
+            self._repair.refused(sender)
+        elif self._store.next < through:
+            self._store.jump_to(through)
+
+    def _on_progress(self, _: str, message: Progress) -> list[Send]:
+        self._progress.take(message)
         return []
 
-    def _accept(self, offset: int, data: bytes) -> bool:
-        if offset != self._next_offset:
+    def _accept(self, offset: int, data: bytes) -> list[bytes]:
+        """Deliver a record and those that waited for it; returns what was delivered."""
+        ready = self._store.offer(offset, data)
+        for number, content in ready:
+            self._deliver(number, content)
+        return [content for _, content in ready]
+
+    def _push(self, first: int, records: Sequence[bytes], origin: str) -> list[Send]:
+        """Send records down the tree of ``origin`` in messages of at most a page."""
+        children = self._tree.children(origin)
+        effects: list[Send] = []
+        for start, page in _pages(first, records):
+            message = PushRecords(start, page, origin)
+            effects += [Send(child.address, message) for child in children]
+        return effects
+
+    def _forward(self, message: PushRecords, sender: str) -> list[Send]:
+        children = self._tree.children(message.origin)
+        return [Send(child.address, message) for child in children if child.address != sender]
+
+    def _first_receipt(self, first: int, end: int) -> bool:
+        """Remember a push; forwarding each once ends loops between trees of differing tables."""
+        if (first, end) in self._forwarded:
             return False
-        self._next_offset += 1
-        self._kept.append(data)
-        if len(self._kept) > KEPT_RECORDS:
-            del self._kept[0]
-            self._first_kept += 1
-        self._deliver(offset, data)
+        self._forwarded[first, end] = None
+        if len(self._forwarded) > REMEMBERED_PUSHES:
+            del self._forwarded[next(iter(self._forwarded))]
         return True
 
-    def _push(self, fresh: Sequence[bytes]) -> list[Send]:
-        if not fresh:
-            return []
-        message = PushRecords(self._next_offset - len(fresh), tuple(fresh), self._own)
-        return [Send(m.address, message) for m in self._members() if m.name != self._own]
+    def _pull_if_due(self) -> list[Send]:
+        address = self._repair.peer_to_ask(self._store.next)
+        return [] if address is None else [Send(address, PullRecords(self._store.next))]
 
-    def _answer(self, sender: str, start: int) -> list[Send]:
-        if not self._first_kept <= start < self._next_offset:
-            return []
-        page: list[bytes] = []
-        size = 0
-        for data in self._kept[start - self._first_kept :]:
-            size += len(data)
-            if page and size > PAGE_BYTES:
-                break
-            page.append(data)
-        return [Send(sender, RecordsPage(start, tuple(page), self._next_offset))]
+
+def _pages(first: int, records: Sequence[bytes]) -> list[tuple[int, tuple[bytes, ...]]]:
+    """Split records into pages of at most `PAGE_BYTES`, each with at least one record."""
+    pages: list[tuple[int, tuple[bytes, ...]]] = []
+    page: list[bytes] = []
+    size = 0
+    start = first
+    for index, data in enumerate(records):
+        if page and size + len(data) > PAGE_BYTES:
+            pages.append((start, tuple(page)))
+            page, size, start = [], 0, first + index
+        page.append(data)
+        size += len(data)
+    if page:
+        pages.append((start, tuple(page)))
+    return pages
--- a/src/citronrack/distribution/messages.py
+++ b/src/citronrack/distribution/messages.py
@@ -1,10 +1,11 @@
-"""Messages that carry log records between nodes."""
+"""Messages that carry log records and facts between nodes."""
 
 from __future__ import annotations
 
 from attrs import frozen
 
 from ..transport.messages import message_codec
+from .facts import Fact
 
 
 @message_codec.register("push")
@@ -15,7 +16,7 @@
     Attributes:
         first_offset: Offset of the first record; the others follow without gaps.
         records: Bytes of the records.
-        origin: Name of the reader at the root of the tree.
+        origin: Name of the node at the root of the tree.
     """
 
     first_offset: int
@@ -45,3 +46,61 @@
     first_offset: int
     records: tuple[bytes, ...]
     end: int
+
+
+@message_codec.register("snapshot-pull")
+@frozen
+class PullSnapshot:
+    """Asks for one part of a snapshot.
+
+    Attributes:
+        through: Offset at which the snapshot ends.
+        index: Number of the part.
+    """
+
+    through: int
+    index: int
+
+
+@message_codec.register("snapshot")
+@frozen
+class SnapshotPage:
+    """One part of a snapshot; answers `PullSnapshot`, or `PullRecords` for trimmed records.
+
+    Attributes:
+        through: Next offset after the snapshot.
+        index: Number of this part.
+        count: Number of parts.
+        data: Bytes of this part.
+    """
+
+    through: int
+    index: int
+    count: int
+    data: bytes
+
+
+@message_codec.register("facts-pull")
+@frozen
+class PullFacts:
+    """Asks for the facts in which two stores differ.
+
+    Attributes:
+        buckets: Digests of the sender's store.
+    """
+
+    buckets: tuple[int, ...]
+
+
+@message_codec.register("facts")
+@frozen
+class FactsDelta:
+    """Facts that the receiver may lack.
+
+    Attributes:
+        facts: The facts.
+        origin: Root of the tree for urgent facts, empty for answers to `PullFacts`.
+    """
+
+    facts: tuple[Fact, ...]
+    origin: str = ""
--- a/src/citronrack/distribution/ranking.py
+++ b/src/citronrack/distribution/ranking.py
@@ -3,17 +3,49 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
+from typing import Protocol, TypeVar
 
 import xxhash
 
-from ..membership.member import Member
 
+class Ranked(Protocol):
+    """What the order depends on; `Member` and `KnownMember` have it."""
 
-def ranking(members: Iterable[Member]) -> list[Member]:
-    """Return the members in rendezvous-hash order; the first ones read the log."""
-    return sorted(members, key=_rank, reverse=True)
+    @property
+    def name(self) -> str:
+        """Name of the node."""
 
+    @property
+    def availability_zone(self) -> str:
+        """Zone of the node."""
 
-def _rank(member: Member) -> tuple[int, str]:
-    text = f"{member.availability_zone}/{member.name}"
-    return xxhash.xxh64_intdigest(text.encode()), member.name
+    @property
+    def state(self) -> int:
+        """A value of `MemberState`."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node serves calls."""
+
+
+R = TypeVar("R", bound=Ranked)
+
+
+def ranking(members: Iterable[R]) -> list[R]:
+    """Return the members in rendezvous-hash order, those that are alive and ready first.
+
+    The others follow, because they need the records too. When nobody is ready, as after a mass
+    restart, the order still names readers and relays.
+    """
+    return sorted(members, key=_key, reverse=True)
+
+
+def _key(member: Ranked) -> tuple[bool, bool, int, str]:
+    score = _score(member.availability_zone, member.name)
+    return member.state == 0, member.ready, score, member.name
+
+
+@lru_cache(maxsize=8192)
+def _score(availability_zone: str, name: str) -> int:
+    return int(xxhash.xxh64_intdigest(f"{availability_zone}/{name}".encode()))
--- /dev/null
+++ b/src/citronrack/distribution/reading.py
@@ -0,0 +1,98 @@
+"""Which part this node has in reading the log, and whether it can."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import StrEnum
+from random import Random
+
+from attrs import frozen
+
+from ..clock import Clock
+
+STANDBY_DELAY_S = 0.5
+FAILURES_ALLOWED = 3
+RETRY_S = 30.0
+RETRY_JITTER_S = 30.0
+
+
+class ReaderRole(StrEnum):
+    """This node's part in reading the platform's log."""
+
+    NONE = "none"
+    STANDBY = "standby"
+    PRIMARY = "primary"
+
+
+class LogAccess:
+    """Counts failed polls; a node that cannot read gives way to the next rank for a while.
+
+    Args:
+        clock: Source of time.
+        random: Source of random numbers.
+    """
+
+    def __init__(self, *, clock: Clock, random: Random) -> None:
+        self._clock = clock
+        self._random = random
+        self._failures = 0
+        self._retry_at: float | None = None
+
+    @property
+    def reading(self) -> bool:
+        """Whether this node counts as able to read the log."""
+        if self._retry_at is not None and self._clock.monotonic() >= self._retry_at:
+            self._retry_at = None
+            self._failures = FAILURES_ALLOWED - 1  # a single failure is enough next time
+        return self._retry_at is None
+
+    def succeeded(self) -> None:
+        """Note a poll that was answered."""
+        self._failures = 0
+        self._retry_at = None
+
+    def failed(self) -> None:
+        """Note a poll that was not answered."""
+        self._failures += 1
+        if self._failures >= FAILURES_ALLOWED and self._retry_at is None:
+            wait = RETRY_S + self._random.uniform(0, RETRY_JITTER_S)
+            self._retry_at = self._clock.monotonic() + wait
+
+
+@frozen
+class _Held:
+    due: float
+    first: int
+    records: tuple[bytes, ...]
+
+
+class StandbyPushes:
+    """Records that the standby reader pushes unless a peer does so first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held: list[_Held] = []
+        self._pushed_through = 0
+
+    def hold(self, first: int, records: Sequence[bytes]) -> None:
+        """Keep records for `STANDBY_DELAY_S`."""
+        due = self._clock.monotonic() + STANDBY_DELAY_S
+        self._held.append(_Held(due, first, tuple(records)))
+
+    def pushed_by_peer(self, end: int) -> bool:
+        """Note that a peer has pushed the records below ``end``.
+
+        Returns:
+            Whether such records were held; then the nodes below this one in the peer's tree still
+            need the push, although this node had read the records itself.
+        """
+        self._pushed_through = max(self._pushed_through, end)
+        return any(held.first < end for held in self._held)
+
+    def take_due(self) -> list[tuple[int, tuple[bytes, ...]]]:
+        """Remove and return first offset and records of what no peer has pushed in time."""
+        now = self._clock.monotonic()
+        due = [held for held in self._held if now >= held.due]
+        self._held = [held for held in self._held if now < held.due]
+        late = [held for held in due if held.first + len(held.records) > self._pushed_through]
+        return [(held.first, held.records) for held in late]
--- /dev/null
+++ b/src/citronrack/distribution/tree.py
@@ -0,0 +1,85 @@
+"""Trees over the ranking of a zone's members."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from ..membership.member import Member, MemberState
+from .ranking import ranking
+
+FANOUT = 4
+READERS = 2
+RELAYS = 2
+
+
+class Tree:
+    """Positions of this node and of others; follows changes of the members.
+
+    Index i has the children 4i+1 to 4i+4. Each node can be the root: the tree of an origin is the
+    ranking with the origin moved to the front.
+
+    Args:
+        own: Name of this node.
+        members: Returns the members of the own zone; the same tuple while nothing has changed.
+    """
+
+    def __init__(self, own: str, members: Callable[[], Sequence[Member]]) -> None:
+        self._own = own
+        self._source = members
+        self._seen: Sequence[Member] | None = None
+        self._ranking: list[Member] = []
+        self._by_address: dict[str, Member] = {}
+
+    @property
+    def ranking(self) -> list[Member]:
+        """The members in the order of the ranking."""
+        members = self._source()
+        if members is not self._seen:
+            self._seen = members
+            self._ranking = ranking(members)
+            self._by_address = {member.address: member for member in members}
+        return self._ranking
+
+    @property
+    def index(self) -> int:
+        """Position of this node in the ranking; the number of members when it is not in it."""
+        return self._index_in(self.ranking)
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node talks with other zones."""
+        return self.index < RELAYS
+
+    def readers(self) -> list[str]:
+        """Return the names of the nodes that read the log, the primary reader first."""
+        able = [m.name for m in self.ranking if m.reading and m.state == MemberState.ALIVE]
+        return (able or [member.name for member in self.ranking])[:READERS]
+
+    def is_member(self, address: str) -> bool:
+        """Return whether a member of the own zone has this address."""
+        self.ranking  # noqa: B018 - refreshes the addresses
+        return address in self._by_address
+
+    def children(self, origin: str | None = None) -> list[Member]:
+        """Return the members to which this node passes on what ``origin`` sent."""
+        order = self._order(origin)
+        index = self._index_in(order)
+        return order[FANOUT * index + 1 : FANOUT * index + 1 + FANOUT]
+
+    def parent(self) -> Member | None:
+        """Return the member above this node in the tree of rank 0."""
+        index = self._index_in(self.ranking)
+        return self.ranking[(index - 1) // FANOUT] if 0 < index < len(self.ranking) else None
+
+    def _order(self, origin: str | None) -> list[Member]:
+        order = self.ranking
+        if origin is None or (order and order[0].name == origin):
+            return order
+        root = [member for member in order if member.name == origin]
+        return root + [member for member in order if member.name != origin]
+
+    def _index_in(self, order: Sequence[Member]) -> int:
+        for index, member in enumerate(order):
+            if member.name == self._own:
+                return index
+        return len(order)
--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -1,34 +1,43 @@
-"""Finds out which members answer."""
+"""Finds out which members answer (SWIM with witnesses)."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from ..clock import Clock
+from ..errors import MessageRejected
 from ..transport.send import Send
-from .member import Member
-from .messages import Ack, Ping
+from .gossip import Gossip, PeerObserver
+from .joining import Joining
+from .member import Member, MemberState
+from .messages import (
+    Ack,
+    DrainNotice,
+    IndirectAck,
+    Join,
+    MemberPage,
+    Ping,
+    PingRequest,
+    Suspicion,
+    TablePage,
+    TablePull,
+)
+from .packing import unpack_all
+from .probes import Errand, Probe, Probes
+from .suspicions import Suspicions
 from .table import MemberTable
 
 PING_INTERVAL_S = 1.0
-MAX_UPDATES = 8
-
-
-class PeerObserver(Protocol):
-    """Learns how far other nodes are."""
-
-    @property
-    def offset(self) -> int:
-        """Next offset that this node folds."""
-
-    @property
-    def facts_digest(self) -> int:
-        """Digest of this node's facts."""
-
-    def peer_observed(self, address: str, *, offset: int, facts_digest: int) -> list[Send]:
-        """Compare with another node and return what to send."""
+INDIRECT_PINGS = 3
+NOTICE_PEERS = 8
+NOTICE_FORWARDS = 2  # each receiver passes a notice on once
+DOUBTED_PINGS = 8
+PAUSE_S = 1.5  # ticks come four times a second; a longer gap means that this node did not run
+TOMBSTONE_S = 120.0  # longer than any update is on its way; afterwards the incarnation is kept
+MAX_SPREAD = 16  # larger differences are left to the repair of tables, which compresses them
+SETTLE_S = 5.0  # an update reaches a zone of 233 members in less time
 
 
 class FailureDetector:
@@ -38,11 +47,22 @@
         table: Members of the own zone.
         clock: Source of time.
         random: Source of random numbers.
-        seeds: Addresses of nodes to ask at the start, ``tcp://ip:port``.
+        seeds: Addresses of nodes to ask, ``tcp://ip:port``.
         observer: Told about the offsets of other nodes.
+        changed: Told about each member whose description or state has changed.
     """
 
-    MESSAGES: tuple[type[Any], ...] = (Ping, Ack)
+    MESSAGES: tuple[type[Any], ...] = (
+        Ping,
+        Ack,
+        PingRequest,
+        IndirectAck,
+        Join,
+        MemberPage,
+        TablePull,
+        TablePage,
+        DrainNotice,
+    )
 
     def __init__(
         self,
@@ -52,40 +72,287 @@
         random: Random,
         seeds: Sequence[str],
         observer: PeerObserver,
+        changed: Callable[[Member], None] = lambda member: None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._random = random
-        self._seeds = tuple(seeds)
         self._observer = observer
-        self._sequence = 0
-        self._next_ping = 0.0
+        self._changed = changed
+        self._joining = Joining(table=table, clock=clock, random=random, seeds=seeds)
+        self._suspicions = Suspicions(table.own.name)
+        self._gossip = Gossip(table=table, suspicions=self._suspicions, observer=observer)
+        self._probes = Probes()
+        self._announced = table.own
+        self._gossip.spread(table.own)
+        self._round: list[str] = []
+        self._gone_at: dict[str, float] = {}
+        now = clock.monotonic()
+        self._last_run = now
+        self._last_change = now
+        self._next_ping = now + random.uniform(0, PING_INTERVAL_S)
+        self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
+            Ping: self._on_ping,
+            Ack: self._on_ack,
+            PingRequest: self._on_ping_request,
+            IndirectAck: self._on_indirect_ack,
+            Join: self._on_join,
+            MemberPage: self._on_member_page,
+            TablePull: self._on_table_pull,
+            TablePage: self._on_table_page,
+            DrainNotice: self._on_notice,
+        }
+
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Add addresses to contact while they are not in the table."""
+        self._joining.add_seeds(addresses)
+
+    def leave(self) -> list[Send]:
+        """Leave for good; returns the notices to send."""
+        self._table.update_own(state=int(MemberState.GONE), draining=True, ready=False)
+        return self._notices(self._table.own, NOTICE_PEERS)
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Merge what a ping or an answer says, and answer pings."""
-        self._table.merge((message.member, *message.updates))
-        effects = self._observer.peer_observed(
+        """Handle a message of this core."""
+        self._check_pause()
+        return self._handlers[type(message)](sender, message)
+
+    def on_tick(self) -> list[Send]:
+        """Ping a member, follow up on silent ones, and spread changes of this node."""
+        self._check_pause()
+        if self._table.own.state == MemberState.GONE:
+            return []
+        now = self._clock.monotonic()
+        effects = self._announce_own()
+        effects += self._follow_up(now)
+        effects += self._close_cases(now)
+        effects += self._joining.on_tick()
+        self._bury(now)
+        if now >= self._next_ping:
+            self._next_ping = now + PING_INTERVAL_S
+            effects += self._ping_next(now)
+        return effects
+
+    # Messages
+
+    def _on_ping(self, sender: str, message: Ping) -> list[Send]:
+        effects = self._take_content(sender, message)
+        answer = self._gossip.content(message.sequence, about=message.member)
+        return [*effects, Send(sender, answer.into(Ack))]
+
+    def _on_ack(self, sender: str, message: Ack) -> list[Send]:
+        errand = self._probes.answered(message.sequence)
+        effects = self._take_content(sender, message)
+        if errand is not None:
+            answer = IndirectAck(errand.sequence, self._table.own.name, True)
+            effects.append(Send(errand.requester, answer))
+        return effects
+
+    def _on_ping_request(self, sender: str, message: PingRequest) -> list[Send]:
+        target = self._table.get(message.target)
+        if target is None or target.address != message.address:
+            return []
+        now = self._clock.monotonic()
+        sequence = self._probes.start(Errand(sender, message.sequence, now))
+        content = self._gossip.content(sequence, about=target)
+        return [Send(target.address, content.into(Ping))]
+
+    def _on_indirect_ack(self, _: str, message: IndirectAck) -> list[Send]:
+        if message.reached:
+            self._probes.answered(message.sequence)
+        else:
+            self._probes.silence_reported(message.sequence, message.witness)
+        return []
+
+    def _on_join(self, sender: str, message: Join) -> list[Send]:
+        self._hear(message.member)
+        return self._joining.page_for(sender, message)
+
+    def _on_member_page(self, _: str, message: MemberPage) -> list[Send]:
+        members = self._unpack(message.packed)
+        effects = self._take_updates((message.member, *members))
+        return [*effects, *self._joining.next_page(members, last=message.last)]
+
+    def _on_table_pull(self, sender: str, message: TablePull) -> list[Send]:
+        self._hear(message.member)
+        return self._joining.answer_pull(sender, message)
+
+    def _on_table_page(self, _: str, message: TablePage) -> list[Send]:
+        return self._take_updates(self._unpack(message.packed))
+
+    @staticmethod
+    def _unpack(packed: bytes) -> tuple[Member, ...]:
+        try:
+            return unpack_all(packed, Member)
+        except MessageRejected:  # authentic but damaged, as from a faulty release
+            return ()
+
+    def _on_notice(self, _: str, message: DrainNotice) -> list[Send]:
+        if not self._table.merge((message.member,)):
+            return []
+        self._took_over(message.member)
+        return self._notices(message.member, NOTICE_FORWARDS)
+
+    # Taking over what others say
+
+    def _take_content(self, sender: str, message: Ping | Ack) -> list[Send]:
+        self._hear(message.member)
+        effects = self._take_updates(message.updates)
+        for claim in message.suspicions:
+            self._take_claim(claim)
+        settled = self._clock.monotonic() - self._last_change >= SETTLE_S
+        effects += self._joining.compare(sender, message.table_digest, settled=settled)
+        effects += self._observer.peer_observed(
             sender, offset=message.offset, facts_digest=message.facts_digest
         )
-        if isinstance(message, Ping):
-            effects.append(Send(sender, Ack(*self._content(message.sequence))))
         return effects
 
-    def on_tick(self) -> list[Send]:
-        """Ping one member when it is time."""
+    def _hear(self, member: Member) -> None:
+        """Take over what a member says about itself."""
+        if self._table.heard(member):
+            self._took_over(member)
+
+    def _take_updates(self, updates: Sequence[Member]) -> list[Send]:
+        """Merge; members that others see alive and this node holds gone are pinged."""
+        changed = self._table.merge(updates)
+        for member in changed:
+            self._took_over(member, spread=len(changed) <= MAX_SPREAD)
+        doubted = [
+            member
+            for member in updates
+            if member.state != MemberState.GONE
+            and member.name != self._table.own.name
+            and self._table.tombstone_of(member) is not None
+        ]
+        chosen = self._random.sample(doubted, min(DOUBTED_PINGS, len(doubted)))
+        return [self._plain_ping(member) for member in chosen]
+
+    def _took_over(self, member: Member, *, spread: bool = True) -> None:
         now = self._clock.monotonic()
-        if now < self._next_ping:
+        self._last_change = now
+        if member.state == MemberState.GONE:
+            self._suspicions.drop(member.name)
+            self._gone_at[member.name] = now
+            self._joining.remember(member)
+        elif member.state == MemberState.SUSPECT:
+            self._suspicions.add(Suspicion(member.name, member.incarnation, ""), now)
+        else:
+            self._suspicions.clear(member.name, member.incarnation)
+            self._gone_at.pop(member.name, None)
+        if spread:
+            self._gossip.spread(member)
+        self._changed(member)
+
+    def _take_claim(self, claim: Suspicion) -> None:
+        if claim.name == self._table.own.name:
+            self._table.refute(claim.incarnation)
+            return
+        member = self._table.get(claim.name)
+        if member is None or member.state == MemberState.GONE:
+            return
+        if claim.incarnation < member.incarnation:
+            return
+        if self._suspicions.add(claim, self._clock.monotonic()):
+            self._gossip.claim(claim)
+        changed = self._table.set_state(claim.name, claim.incarnation, MemberState.SUSPECT)
+        if changed is not None:
+            self._changed(changed)
+
+    # Work of each tick
+
+    def _check_pause(self) -> None:
+        """Drop what is outstanding when this node itself was paused.
+
+        The answers may have come and gone meanwhile, so silence proves nothing.
+        """
+        now = self._clock.monotonic()
+        gap = now - self._last_run
+        self._last_run = now
+        if gap > PAUSE_S:
+            self._probes.forget_all()
+            self._suspicions.shift(gap)
+            self._next_ping = now + PING_INTERVAL_S
+
+    def _announce_own(self) -> list[Send]:
+        """Queue the own description after a change; a drain is told to some peers at once."""
+        own, before = self._table.own, self._announced
+        if own.incarnation == before.incarnation:
             return []
-        self._next_ping = now + PING_INTERVAL_S
-        addresses = [m.address for m in self._table.members() if m.name != self._table.own.name]
-        choices = addresses or [seed for seed in self._seeds if seed != self._table.own.address]
-        if not choices:
+        self._announced = own
+        self._gossip.spread(own)
+        if own.draining and not before.draining:
+            return self._notices(own, NOTICE_PEERS)
+        return []
+
+    def _notices(self, member: Member, count: int) -> list[Send]:
+        peers = [peer for peer in self._peers() if peer.name != member.name]
+        chosen = self._random.sample(peers, min(count, len(peers)))
+        return [Send(peer.address, DrainNotice(member)) for peer in chosen]
+
+    def _ping_next(self, now: float) -> list[Send]:
+        """Ping the next member of a shuffled round, so that each is pinged once a round."""
+        if not self._round:
+            self._round = [member.name for member in self._peers()]
+            self._random.shuffle(self._round)
+        while self._round:
+            member = self._table.get(self._round.pop())
+            if member is not None and member.state != MemberState.GONE:
+                sequence = self._probes.start(Probe(member.name, member.incarnation, now))
+                content = self._gossip.content(sequence, about=member)
+                return [Send(member.address, content.into(Ping))]
+        return []
+
+    def _plain_ping(self, member: Member) -> Send:
+        """Return a ping whose answer is not waited for; sequence numbers start at 1."""
+        return Send(member.address, self._gossip.content(0, about=member).into(Ping))
+
+    def _follow_up(self, now: float) -> list[Send]:
+        effects: list[Send] = []
+        for errand in self._probes.take_failed_errands(now):
+            answer = IndirectAck(errand.sequence, self._table.own.name, False)
+            effects.append(Send(errand.requester, answer))
+        for sequence, probe in self._probes.to_ask(now):
+            effects += self._ask_others(sequence, probe)
+        for probe in self._probes.take_failed(now):
+            effects += self._suspect(probe)
+        return effects
+
+    def _ask_others(self, sequence: int, probe: Probe) -> list[Send]:
+        target = self._table.get(probe.name)
+        if target is None:
+            return []
+        able = [m for m in self._peers() if m.state == MemberState.ALIVE and m.name != probe.name]
+        chosen = self._random.sample(able, min(INDIRECT_PINGS, len(able)))
+        request = PingRequest(sequence, target.name, target.address)
+        return [Send(helper.address, request) for helper in chosen]
+
+    def _suspect(self, probe: Probe) -> list[Send]:
+        """Claim that a member is silent, and tell it so that it can refute."""
+        member = self._table.get(probe.name)
+        if member is None or member.state == MemberState.GONE:
+            return []
+        if member.incarnation != probe.incarnation:
             return []
-        self._sequence += 1
-        return [Send(self._random.choice(choices), Ping(*self._content(self._sequence)))]
-
-    def _content(self, sequence: int) -> tuple[int, Member, tuple[Member, ...], int, int]:
-        others = [m for m in self._table.all_members() if m.name != self._table.own.name]
-        updates = tuple(self._random.sample(others, min(MAX_UPDATES, len(others))))
-        observer = self._observer
-        return sequence, self._table.own, updates, observer.offset, observer.facts_digest
+        for witness in (self._table.own.name, *probe.silent_for):
+            self._take_claim(Suspicion(member.name, member.incarnation, witness))
+        return [self._plain_ping(member)]
+
+    def _close_cases(self, now: float) -> list[Send]:
+        effects: list[Send] = []
+        for name, incarnation in self._suspicions.take_due(now):
+            member = self._table.set_state(name, incarnation, MemberState.GONE)
+            if member is not None:
+                self._took_over(member)
+                effects += self._notices(member, NOTICE_PEERS)
+        return effects
+
+    def _bury(self, now: float) -> None:
+        """Drop tombstones after their time."""
+        due = [name for name, since in self._gone_at.items() if now >= since + TOMBSTONE_S]
+        for name in due:
+            del self._gone_at[name]
+            self._table.bury(name)
+
+    def _peers(self) -> list[Member]:
+        own = self._table.own.name
+        return [member for member in self._table.members() if member.name != own]
--- /dev/null
+++ b/src/citronrack/membership/directory.py
@@ -0,0 +1,330 @@
+"""Members of other zones."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from random import Random
+from typing import Any
+
+from ..clock import Clock
+from ..distribution.progress import ZoneProgress
+from ..distribution.ranking import ranking
+from ..distribution.tree import RELAYS, Tree
+from ..errors import MessageRejected
+from ..transport.send import Send
+from .digests import BUCKETS, differing
+from .gossip import PeerObserver
+from .known import (
+    KnownMember,
+    MemberSummary,
+    summary_of,
+)
+from .messages import DrainNotice
+from .packing import pack_all, unpack_all
+from .table import MemberTable
+from .zones import ZoneHeard, ZonePull, ZoneReport, ZoneState, ZoneSummary, ZoneView
+
+EXCHANGE_INTERVAL_S = 2.0
+PASS_ON_INTERVAL_S = 4.0
+UNKNOWN_AFTER_S = 30.0
+FORGET_AFTER_S = 3_600.0
+PULL_INTERVAL_S = 1.0  # one page of 64 members a second bounds the bytes after a mass restart
+PAGE_MEMBERS = 64
+OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that try a seed or any member instead of a relay
+MAX_ZONES = 64
+
+
+class ZoneDirectory:
+    """Exchanges compact descriptions of zones between relays and passes them on in the own zone.
+
+    Args:
+        table: Members of the own zone.
+        clock: Source of time.
+        random: Source of random numbers.
+        seeds: Addresses of nodes of other zones by zone.
+        observer: Told about offsets; knows those of this node.
+        own_progress: Returns the progress of the own zone, for its name.
+    """
+
+    MESSAGES: tuple[type[Any], ...] = (ZoneHeard, ZonePull, ZoneSummary, DrainNotice)
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        clock: Clock,
+        random: Random,
+        seeds: Mapping[str, Sequence[str]],
+        observer: PeerObserver,
+        own_progress: Callable[[str], ZoneProgress],
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._random = random
+        self._own_zone = table.own.availability_zone
+        self._seeds = {zone: tuple(some) for zone, some in seeds.items() if zone != self._own_zone}
+        self._observer = observer
+        self._own_progress = own_progress
+        self._tree = Tree(table.own.name, table.members)
+        self._views: dict[str, ZoneView] = {}
+        self._own_view = ZoneView()
+        self._was_draining = table.own.draining
+        self._round: list[str] = []
+        now = clock.monotonic()
+        self._next_exchange = now + random.uniform(0, EXCHANGE_INTERVAL_S)
+        self._next_pass_on = now + random.uniform(0, PASS_ON_INTERVAL_S)
+        self._next_pull = now
+        self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
+            ZoneHeard: self._on_heard,
+            ZonePull: self._on_pull,
+            ZoneSummary: self._on_summary,
+            DrainNotice: self._on_notice,
+        }
+
+    # What others ask
+
+    def zones(self) -> tuple[str, ...]:
+        """Return the names of the other zones."""
+        return tuple(sorted({*self._seeds, *self._views}))
+
+    def members(self, availability_zone: str) -> tuple[KnownMember, ...]:
+        """Return the members of another zone that are not gone; old entries are not `known`."""
+        view = self._views.get(availability_zone)
+        if view is None:
+            return ()
+        now = self._clock.monotonic()
+        return tuple(
+            KnownMember(availability_zone, summary, now - as_of, now - as_of <= UNKNOWN_AFTER_S)
+            for summary, as_of in view.entries()
+            if not summary.gone
+        )
+
+    def zone_progress(self) -> tuple[ZoneProgress, ...]:
+        """Return the progress of each zone, the own one first.
+
+        A zone that was not heard for 30 s counts as unknown as a whole.
+        """
+        own_total = len(self._table.members())
+        if self._tree.index == 0:
+            own = self._own_progress(self._own_zone)
+        else:
+            own = self._progress_of(self._own_zone, self._own_view, own_total)
+        others = []
+        for zone in self.zones():
+            view = self._views.get(zone, ZoneView())
+            total = sum(not summary.gone for summary, _ in view.entries())
+            others.append(self._progress_of(zone, view, total))
+        return (own, *others)
+
+    def relay_addresses(self) -> tuple[str, ...]:
+        """Return the address of one relay of each other zone."""
+        addresses = (self._address_in(zone) for zone in self.zones())
+        return tuple(address for address in addresses if address is not None)
+
+    # Core
+
+    def on_message(self, sender: str, message: Any) -> list[Send]:
+        """Handle a message of this core."""
+        return self._handlers[type(message)](sender, message)
+
+    def on_tick(self) -> list[Send]:
+        """Exchange with another zone, pass on, and tell other zones of an own drain."""
+        now = self._clock.monotonic()
+        effects = self._tell_drain()
+        if now >= self._next_exchange:
+            self._next_exchange = now + EXCHANGE_INTERVAL_S * self._random.uniform(0.9, 1.1)
+            effects += self._exchange()
+        if now >= self._next_pass_on:
+            self._next_pass_on = now + PASS_ON_INTERVAL_S
+            for view in self._views.values():
+                view.drop_older(now - FORGET_AFTER_S)
+            effects += self._tell_zone()
+        return effects
+
+    def _tell_zone(self) -> list[Send]:
+        """Rank 0 tells its children, who pass it on; rank 1 tells rank 0."""
+        index = self._tree.index
+        if index >= RELAYS:
+            return []
+        targets = self._tree.ranking[:1] if index else self._tree.children()
+        heard = self._heard(answer=False)
+        return [Send(member.address, heard) for member in targets]
+
+    def _exchange(self) -> list[Send]:
+        """Send what is known to a relay of the next zone of a shuffled round."""
+        if not self._tree.is_relay:
+            return []
+        if not self._round:
+            self._round = list(self.zones())
+            self._random.shuffle(self._round)
+        address = self._address_in(self._round.pop()) if self._round else None
+        return [] if address is None else [Send(address, self._heard(answer=True))]
+
+    def _tell_drain(self) -> list[Send]:
+        own = self._table.own
+        starts = own.draining and not self._was_draining
+        self._was_draining = own.draining
+        return [Send(a, DrainNotice(own)) for a in self.relay_addresses()] if starts else []
+
+    def _on_heard(self, sender: str, message: ZoneHeard) -> list[Send]:
+        effects: list[Send] = []
+        for state in message.states:
+            effects += self._take_state(sender, state)
+        effects += self._observer.peer_observed(
+            sender, offset=message.offset, facts_digest=message.facts_digest
+        )
+        if message.answer:
+            effects.append(Send(sender, self._heard(answer=False)))
+        parent = self._tree.parent()
+        if parent is not None and parent.address == sender:
+            heard = self._heard(answer=False)
+            targets = (child.address for child in self._tree.children())
+            effects += [Send(address, heard) for address in targets if address != sender]
+        return effects
+
+    def _take_state(self, sender: str, state: ZoneState) -> list[Send]:
+        now = self._clock.monotonic()
+        own = state.availability_zone == self._own_zone
+        view = self._own_view if own else self._view(state.availability_zone)
+        if view is None:
+            return []
+        report_as_of = now - state.report_age_ms / 1000
+        if state.report is not None and report_as_of > view.report_as_of:
+            view.report, view.report_as_of = state.report, report_as_of
+        as_of = now - state.age_ms / 1000
+        if own or as_of <= view.as_of:
+            return []
+        if state.digest == view.book.whole:
+            view.as_of = as_of
+            return []
+        if now < self._next_pull:
+            return []
+        self._next_pull = now + PULL_INTERVAL_S
+        return [Send(sender, ZonePull(state.availability_zone, view.book.buckets))]
+
+    def _on_pull(self, sender: str, message: ZonePull) -> list[Send]:
+        zone = message.availability_zone
+        now = self._clock.monotonic()
+        own = zone == self._own_zone
+        view = self._views.get(zone)
+        if not own and (view is None or now - view.as_of > UNKNOWN_AFTER_S):
+            return []
+        book = self._table.digest if own or view is None else view.book
+        different = differing(book.buckets, message.buckets)
+        sent: list[MemberSummary] = []
+        complete: list[int] = []
+        for bucket in sorted(different):
+            entries = self._summaries(zone, frozenset((bucket,)))
+            if sent and len(sent) + len(entries) > PAGE_MEMBERS:
+                break
+            sent += entries
+            complete.append(bucket)
+        equal = tuple(sorted(frozenset(range(BUCKETS)) - different))
+        age_ms = 0 if own or view is None else self._age_ms(view.as_of)
+        page = ZoneSummary(zone, age_ms, tuple(complete), equal, pack_all(sent))
+        return [Send(sender, page)]
+
+    def _summaries(self, zone: str, buckets: frozenset[int]) -> list[MemberSummary]:
+        if zone == self._own_zone:
+            return [summary_of(member) for member in self._table.in_buckets(buckets)]
+        return self._views[zone].in_buckets(buckets)
+
+    def _on_summary(self, sender: str, message: ZoneSummary) -> list[Send]:
+        view = self._view(message.availability_zone)
+        if view is None:
+            return []
+        try:
+            summaries = unpack_all(message.packed, MemberSummary)
+        except MessageRejected:
+            return []
+        as_of = self._clock.monotonic() - message.age_ms / 1000
+        changed = view.merge(summaries, as_of)
+        if message.buckets:
+            names = frozenset(summary.name for summary in summaries)
+            view.drop_missing(frozenset(message.buckets), names, as_of)
+            view.confirm(frozenset(message.equal), as_of)
+        return self._pass_on_changes(message.availability_zone, changed, as_of, sender)
+
+    def _on_notice(self, sender: str, message: DrainNotice) -> list[Send]:
+        member = message.member
+        if member.availability_zone == self._own_zone:
+            return []  # the failure detector spreads it
+        view = self._view(member.availability_zone)
+        if view is None:
+            return []
+        now = self._clock.monotonic()
+        changed = view.merge((summary_of(member),), now)
+        return self._pass_on_changes(member.availability_zone, changed, now, sender)
+
+    def _pass_on_changes(
+        self, zone: str, changed: Sequence[MemberSummary], as_of: float, sender: str
+    ) -> list[Send]:
+        if not changed:
+            return []
+        age_ms = self._age_ms(as_of)
+        return self._pass_on(
+            ZoneSummary(zone, age_ms, (), (), pack_all(changed)), except_for=sender
+        )
+
+    def _pass_on(self, message: Any, *, except_for: str) -> list[Send]:
+        """Send down the tree; a node that learned something elsewhere also tells the root."""
+        targets = [child.address for child in self._tree.children()]
+        if self._tree.index > 0 and not self._tree.is_member(except_for):
+            targets.append(self._tree.ranking[0].address)
+        return [Send(address, message) for address in targets if address != except_for]
+
+    def _heard(self, *, answer: bool) -> ZoneHeard:
+        states = [self._own_state()]
+        now = self._clock.monotonic()
+        for zone, view in self._views.items():
+            if now - view.as_of <= UNKNOWN_AFTER_S:
+                age = self._age_ms(view.report_as_of) if view.report is not None else 0
+                states.append(
+                    ZoneState(zone, view.book.whole, self._age_ms(view.as_of), view.report, age)
+                )
+        observer = self._observer
+        return ZoneHeard(
+            self._own_zone, tuple(states), observer.offset, observer.facts_digest, answer
+        )
+
+    def _own_state(self) -> ZoneState:
+        digest = self._table.digest.whole
+        if self._tree.index == 0:
+            progress = self._own_progress(self._own_zone)
+            report = ZoneReport(
+                progress.lowest, progress.covered, progress.total, progress.behind, progress.exact
+            )
+            return ZoneState(self._own_zone, digest, 0, report, 0)
+        view = self._own_view
+        age = self._age_ms(view.report_as_of) if view.report is not None else 0
+        return ZoneState(self._own_zone, digest, 0, view.report, age)
+
+    def _progress_of(self, zone: str, view: ZoneView, total: int) -> ZoneProgress:
+        report = view.report
+        age = self._clock.monotonic() - view.report_as_of
+        if report is None or age > UNKNOWN_AFTER_S:
+            return ZoneProgress(zone, -1, 0, total, (), False, age)
+        exact = report.exact and report.total >= total
+        return ZoneProgress(
+            zone, report.lowest, report.covered, max(total, report.total), report.behind, exact, age
+        )
+
+    def _address_in(self, zone: str) -> str | None:
+        """Return the address of a relay, or now and then of another node, of a zone."""
+        members = [member for member in self.members(zone) if member.known]
+        relays = [member.summary.address for member in ranking(members)[:RELAYS]]
+        others: Iterable[str] = self._seeds.get(zone, ())
+        if not relays or self._random.random() < OTHER_ADDRESS_SHARE:
+            old = [member.summary.address for member in self.members(zone)]
+            relays = [*relays, *others, *old]
+        return self._random.choice(relays) if relays else None
+
+    def _view(self, zone: str) -> ZoneView | None:
+        if zone == self._own_zone:
+            return None
+        if zone not in self._views and len(self._views) < MAX_ZONES:
+            self._views[zone] = ZoneView()
+        return self._views.get(zone)
+
+    def _age_ms(self, as_of: float) -> int:
+        return max(0, round((self._clock.monotonic() - as_of) * 1000))
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -20,7 +20,7 @@
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
 from ..log.http import HttpLogClient
-from ..membership import FailureDetector, Member, MemberTable
+from ..membership import FailureDetector, Member, MemberTable, ZoneDirectory
 from ..settings import Settings
 from ..settings.checks import split_address
 from ..telemetry import Event, EventLog, Metrics
@@ -166,6 +166,10 @@
             address=f"tcp://{settings.node.peer_address}",
             mesh_id=settings.mesh.mesh_id,
             key=bytes.fromhex(settings.mesh.key),
+            clock=clock,
+            on_rejected=lambda reason, count: events.write(
+                Event.MESSAGE_REJECTED, reason=reason, count=count
+            ),
         ),
         mailbox=mailbox,
         table=table,
@@ -177,8 +181,11 @@
         clock=clock,
         random=random,
         members=table.members,
-        next_offset=0,
+        fold=control,
         deliver=control.deliver,
+        relays=lambda: parts.directory.relay_addresses(),
+        make_snapshot=control.make_snapshot,
+        load_snapshot=control.load_snapshot,
     )
     parts.detector = FailureDetector(
         table=table,
@@ -187,6 +194,17 @@
         seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
         observer=parts.distribution,
     )
+    parts.directory = ZoneDirectory(
+        table=table,
+        clock=clock,
+        random=random,
+        seeds={
+            zone: tuple(f"tcp://{seed}" for seed in some)
+            for zone, some in settings.mesh.remote_seeds.items()
+        },
+        observer=parts.distribution,
+        own_progress=parts.distribution.own_zone_progress,
+    )
     append_task = AppendTask(
         Appender(
             client=HttpLogClient(settings.log_service.url),
--- a/src/citronrack/node/control.py
+++ b/src/citronrack/node/control.py
@@ -15,7 +15,7 @@
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
 from ..log.fold import PlanState
-from ..membership import FailureDetector, MemberTable
+from ..membership import FailureDetector, MemberTable, ZoneDirectory
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
 from ..transport.zmq_transport import ZmqTransport
@@ -55,6 +55,7 @@
     views: ViewHolder
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
+    directory: ZoneDirectory = field(init=False)
 
 
 class ControlTask:
@@ -101,6 +102,11 @@
         """Next offset that this node folds; safe to read from any thread."""
         return self._fold.next_offset
 
+    @property
+    def version(self) -> int:
+        """Configuration version in force, -1 for none."""
+        return self._active.version
+
     @property
     def reads_log(self) -> bool:
         """Whether the reader task should poll the log; safe to read from any thread."""
@@ -134,6 +140,7 @@
         self._ticks += 1
         for core in self._cores():
             self._send(core.on_tick())
+        self._parts.table.update_own(reading=self._parts.distribution.reading)
         role = self._parts.distribution.role
         if role is not self._role:
             self._role = role
@@ -143,7 +150,7 @@
             self._write_metrics()
 
     def _cores(self) -> tuple[Core, ...]:
-        return self._parts.detector, self._parts.distribution
+        return self._parts.detector, self._parts.distribution, self._parts.directory
 
     def _take_mail(self) -> None:
         for mail in self.mailbox.take_all():
@@ -172,23 +179,33 @@
 
     def _log_read_failed(self, mail: LogReadFailed) -> None:
         self._parts.metrics.count("log.failures")
+        self._parts.distribution.on_log_failure()
         if self._log_failing_since is None:
             self._log_failing_since = self._parts.clock.monotonic()
             self._parts.events.write(Event.LOG_UNAVAILABLE, reason=mail.reason)
         self._refresh()
 
     def _snapshot_read(self, mail: SnapshotRead) -> None:
+        self.load_snapshot(mail.data)
+
+    def make_snapshot(self) -> bytes:
+        """Return the folded state for a peer that lacks trimmed records."""
+        return self._fold.to_snapshot()
+
+    def load_snapshot(self, data: bytes) -> bool:
+        """Continue from a snapshot of the log or of a peer; returns whether it was newer."""
         try:
-            fold = LogFold.from_snapshot(mail.data)
+            fold = LogFold.from_snapshot(data)
         except MessageRejected as error:
             self._parts.events.write(Event.RECORD_REFUSED, offset=-1, reason=str(error))
-            return
+            return False
         if fold.next_offset <= self._fold.next_offset:
-            return
+            return False
         self._fold = fold
         self._parts.distribution.jump_to(fold.next_offset)
         self._parts.events.write(Event.SNAPSHOT_LOADED, offset=fold.next_offset)
         self._activate()
+        return True
 
     def _call_reported(self, mail: CallReported) -> None:
         self._parts.metrics.count("calls.served")
@@ -202,6 +219,7 @@
         self._refresh()
 
     def _stop(self, _: StopAsked) -> None:
+        self._send(self._parts.detector.leave())
         self._stopping = True
 
     def _after_fold(self, result: FoldResult) -> None:
--- a/src/citronrack/transport/framing.py
+++ b/src/citronrack/transport/framing.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import hmac
+from functools import lru_cache
 from typing import Any
 
 import msgpack
@@ -33,10 +34,16 @@
 
 
 def _mac(key: bytes, mesh_id: str, body: bytes) -> bytes:
-    digest = hashlib.blake2b(body, key=key, digest_size=MAC_BYTES, person=mesh_id.encode()[:16])
+    digest = hashlib.blake2b(body, key=key, digest_size=MAC_BYTES, person=_person(mesh_id))
     return digest.digest()
 
 
+@lru_cache(maxsize=16)
+def _person(mesh_id: str) -> bytes:
+    """Return 16 bytes that stand for the whole mesh id, whatever its length."""
+    return hashlib.blake2b(mesh_id.encode(), digest_size=hashlib.blake2b.PERSON_SIZE).digest()
+
+
 def pack(message: Any, *, sender: str, mesh_id: str, key: bytes) -> bytes:
     """Return the frame of ``message``.
 
--- /dev/null
+++ b/tests/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the distribution of records and facts."""
--- /dev/null
+++ b/tests/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of frames and sockets."""
