--- a/src/citronrack/bench/distribution_net.py
+++ b/src/citronrack/bench/distribution_net.py
@@ -14,6 +14,7 @@
 from attrs import define, field, frozen
 
 from ..clock import ManualClock
+from ..codec import MAX_MESSAGE_BYTES
 from ..distribution import DistributionCore, ReaderRole
 from ..membership import FailureDetector, Member, MemberTable, ZoneDirectory
 from ..transport.framing import pack, unpack
@@ -330,6 +331,8 @@
             frame = pack(message, sender=source.address, mesh_id="bench", key=_KEY)
             self._frame = message, source.address, frame
         frame = self._frame[2]
+        if len(frame) > MAX_MESSAGE_BYTES:
+            raise AssertionError(f"{kind} of {len(frame)} bytes is over the frame limit")
         self.counts.codec_s += time.perf_counter() - begin
         counts = self.counts
         counts.messages[kind] += 1
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -24,7 +24,7 @@
 from .repair import Repair
 from .snapshots import SnapshotSink, SnapshotSource
 from .spread import FactSpreader
-from .store import PAGE_BYTES, RecordStore
+from .store import RecordStore, pages
 from .tree import Tree
 
 REMEMBERED_PUSHES = 256
@@ -282,7 +282,7 @@
         """Send records down the tree of ``origin`` in messages of at most a page."""
         children = self._tree.children(origin)
         effects: list[Send] = []
-        for start, page in _pages(first, records):
+        for start, page in pages(first, records):
             message = PushRecords(start, page, origin)
             effects += [Send(child.address, message) for child in children]
         return effects
@@ -303,20 +303,3 @@
     def _pull_if_due(self) -> list[Send]:
         address = self._repair.peer_to_ask(self._store.next)
         return [] if address is None else [Send(address, PullRecords(self._store.next))]
-
-
-def _pages(first: int, records: Sequence[bytes]) -> list[tuple[int, tuple[bytes, ...]]]:
-    """Split records into pages of at most `PAGE_BYTES`, each with at least one record."""
-    pages: list[tuple[int, tuple[bytes, ...]]] = []
-    page: list[bytes] = []
-    size = 0
-    start = first
-    for index, data in enumerate(records):
-        if page and size + len(data) > PAGE_BYTES:
-            pages.append((start, tuple(page)))
-            page, size, start = [], 0, first + index
-        page.append(data)
-        size += len(data)
-    if page:
-        pages.append((start, tuple(page)))
-    return pages
--- a/src/citronrack/distribution/store.py
+++ b/src/citronrack/distribution/store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 KEPT_RECORDS = 5_000
 KEPT_BYTES = 4 * 1024 * 1024  # an eighth of the node's 32 MB
 EARLY_RECORDS = 512
@@ -93,3 +95,20 @@
     def _drop_passed_early(self) -> None:
         for offset in [number for number in self._early if number < self._next]:
             self._early_bytes -= len(self._early.pop(offset))
+
+
+def pages(first: int, records: Sequence[bytes]) -> list[tuple[int, tuple[bytes, ...]]]:
+    """Split records into pages of at most `PAGE_BYTES`, each with at least one record."""
+    result: list[tuple[int, tuple[bytes, ...]]] = []
+    page: list[bytes] = []
+    size = 0
+    start = first
+    for index, data in enumerate(records):
+        if page and size + len(data) > PAGE_BYTES:
+            result.append((start, tuple(page)))
+            page, size, start = [], 0, first + index
+        page.append(data)
+        size += len(data)
+    if page:
+        result.append((start, tuple(page)))
+    return result
