--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 import threading
+from collections.abc import Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
@@ -167,7 +168,10 @@
     )
     core = compose_core(
         own=_own_member(settings, clock.wall_ms()),
-        seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
+        seeds=_peer_addresses(settings.mesh.seeds),
+        remote_seeds={
+            zone: _peer_addresses(seeds) for zone, seeds in settings.mesh.remote_seeds.items()
+        },
         clock=clock,
         random=random,
         events=events,
@@ -181,6 +185,10 @@
             address=f"tcp://{settings.node.peer_address}",
             mesh_id=settings.mesh.mesh_id,
             key=bytes.fromhex(settings.mesh.key),
+            clock=clock,
+            on_rejected=lambda reason, count: events.write(
+                Event.MESSAGE_REJECTED, reason=reason, count=count
+            ),
         ),
         mailbox=mailbox,
         clock=clock,
@@ -223,6 +231,10 @@
     )
 
 
+def _peer_addresses(addresses: Sequence[str]) -> tuple[str, ...]:
+    return tuple(f"tcp://{address}" for address in addresses)
+
+
 def _own_member(settings: Settings, incarnation: int) -> Member:
     """Return the description of this node; wall time makes a restart's incarnation greater."""
     return Member(
--- a/src/citronrack/node/control.py
+++ b/src/citronrack/node/control.py
@@ -73,6 +73,7 @@
     def _take_mail(self) -> None:
         for mail in self._mailbox.take_all():
             if isinstance(mail, StopAsked):
+                self._send(self._core.leave())
                 self._stopping = True
             else:
                 self._send(self._core.handle(mail))
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -14,7 +14,7 @@
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
 from ..log.fold import PlanState
-from ..membership import FailureDetector, MemberTable
+from ..membership import FailureDetector, KnownMember, MemberTable, ZoneDirectory
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
 from .mail import (
@@ -50,6 +50,7 @@
         append: Queues a record body for the log; its result comes back as `AppendDone`.
         detector: Failure detection.
         distribution: Distribution of records.
+        directory: Members of other zones.
     """
 
     clock: Clock
@@ -60,6 +61,7 @@
     append: Callable[[Any], None]
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
+    directory: ZoneDirectory = field(init=False)
 
 
 class NodeCore:
@@ -105,6 +107,11 @@
         """Whether the reader task should poll the log; safe to read from any thread."""
         return self._role is not ReaderRole.NONE or self._gate.state is not Readiness.READY
 
+    @property
+    def version(self) -> int:
+        """Configuration version in force, -1 for none."""
+        return self._active.version
+
     @property
     def active(self) -> ActiveConfig:
         """The configuration in force."""
@@ -143,6 +150,7 @@
     def on_tick(self) -> list[Send]:
         """Do what is due and return what to send."""
         effects = [effect for core in self._cores() for effect in core.on_tick()]
+        self._parts.table.update_own(reading=self._parts.distribution.reading)
         role = self._parts.distribution.role
         if role is not self._role:
             self._role = role
@@ -173,12 +181,19 @@
             digest=f"{state.digest:016x}",
             log_reachable=self._log_reachable(),
             reader_role=self._role.value,
-            zones=(zone_status(own_zone, table.members(), version=version, age_s=0.0),),
+            zones=tuple(
+                zone_status(progress, version=version)
+                for progress in self._parts.directory.zone_progress()
+            ),
             nodes=tuple(node_status(member) for member in table.all_members()),
             duties={duty: lease.holder for duty, lease in state.leases.items()},
             transport=self.transport_status,
         )
 
+    def leave(self) -> list[Send]:
+        """Return what tells the peers that this node stops."""
+        return self._parts.detector.leave()
+
     def write_metrics(self) -> None:
         """Send the gauges."""
         metrics, transport = self._parts.metrics, self.transport_status
@@ -189,7 +204,7 @@
         metrics.gauge("members.alive", len(self._parts.table.members()))
 
     def _cores(self) -> tuple[Core, ...]:
-        return self._parts.detector, self._parts.distribution
+        return self._parts.detector, self._parts.distribution, self._parts.directory
 
     def _log_read(self, mail: LogRead) -> list[Send]:
         if self._log_failing_since is not None:
@@ -202,6 +217,7 @@
 
     def _log_read_failed(self, mail: LogReadFailed) -> list[Send]:
         self._parts.metrics.count("log.failures")
+        self._parts.distribution.on_log_failure()
         if self._log_failing_since is None:
             self._log_failing_since = self._parts.clock.monotonic()
             self._parts.events.write(Event.LOG_UNAVAILABLE, reason=mail.reason)
@@ -212,6 +228,10 @@
         self.load_snapshot(mail.data)
         return []
 
+    def make_snapshot(self) -> bytes:
+        """Return the folded state for a peer that lacks trimmed records."""
+        return self._fold.to_snapshot()
+
     def load_snapshot(self, data: bytes) -> bool:
         """Continue from a snapshot and return whether it was newer than the folded records."""
         try:
@@ -296,9 +316,14 @@
             reason=self._gate.reason,
             config=self._active.current,
             members=self._parts.table.members(),
+            remote=self._remote_members(),
             shares={},
         )
 
+    def _remote_members(self) -> list[KnownMember]:
+        directory = self._parts.directory
+        return [member for zone in directory.zones() for member in directory.members(zone)]
+
     def _answer_waiters(self) -> None:
         folded = self._fold.next_offset
         for plan_waiter in [w for w in self._plan_waiters if w.offset < folded]:
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..distribution import DistributionCore
 from ..log import LogFold
-from ..membership import FailureDetector, Member, MemberTable
+from ..membership import FailureDetector, Member, MemberTable, ZoneDirectory
 from ..telemetry import EventLog, Metrics
 from .core import CoreParts, NodeCore
 
@@ -19,6 +19,7 @@
     *,
     own: Member,
     seeds: Sequence[str],
+    remote_seeds: Mapping[str, Sequence[str]],
     clock: Clock,
     random: Random,
     events: EventLog,
@@ -31,6 +32,7 @@
     Args:
         own: Description of the node.
         seeds: Addresses of nodes of the own zone, ``tcp://ip:port``.
+        remote_seeds: Addresses of nodes of other zones by zone.
         clock: Source of time.
         random: Source of random numbers.
         events: Where log events go.
@@ -48,10 +50,21 @@
         clock=clock,
         random=random,
         members=table.members,
-        next_offset=0,
+        fold=core,
         deliver=core.deliver,
+        relays=lambda: parts.directory.relay_addresses(),
+        make_snapshot=core.make_snapshot,
+        load_snapshot=core.load_snapshot,
     )
     parts.detector = FailureDetector(
         table=table, clock=clock, random=random, seeds=seeds, observer=parts.distribution
     )
+    parts.directory = ZoneDirectory(
+        table=table,
+        clock=clock,
+        random=random,
+        seeds=remote_seeds,
+        observer=parts.distribution,
+        own_progress=parts.distribution.own_zone_progress,
+    )
     return core
