Pace the changes of the process bench

Cause: changes published in a burst showed up as 13.6 KB/s at the worst node, a rate that no deployment has.

Change: one change each 2 s; the target is one each 10 s.

--- a/src/citronrack/bench/processes.py
+++ b/src/citronrack/bench/processes.py
@@ -21,6 +21,7 @@
 
 START_LIMIT_S = 120.0
 CONVERGENCE_LIMIT_S = 30.0
+CHANGE_INTERVAL_S = 2.0  # 8,700 changes a day are one each 10 s
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 MB = 1024 * 1024
 
@@ -119,7 +120,11 @@
         idle = _idle_window(fleet, running, window_s)
         bytes_before = _bytes_sent(running)
         started = time.monotonic()
-        times = [_convergence(fleet, first, timeout_ms=1_000 + i) for i in range(changes)]
+        times = []
+        for index in range(changes):
+            times.append(_convergence(fleet, first, timeout_ms=1_000 + index))
+            # Bursts would show the bytes of a change as a rate that no deployment has.
+            time.sleep(max(0.0, started + (index + 1) * CHANGE_INTERVAL_S - time.monotonic()))
         elapsed = time.monotonic() - started
         rates = [
             (after - before) / elapsed
