--- /dev/null
+++ b/src/citronrack/log/_snapshot_format.py
@@ -0,0 +1,43 @@
+"""Bytes of a snapshot: an 8-byte xxhash64 followed by the compressed MessagePack state."""
+
+from __future__ import annotations
+
+import zlib
+
+import xxhash
+
+from ..codec import decode, encode
+from ..errors import MessageRejected
+from .state import FoldState
+
+MAX_STATE_BYTES = 8 * 1024 * 1024  # before compression; bounds what a damaged record can expand to
+MAX_SNAPSHOT_BYTES = 4 * 1024 * 1024  # as stored; below the log client's largest page
+_DIGEST_BYTES = 8
+_COMPRESSION_LEVEL = 6
+
+
+def pack_state(state: FoldState) -> bytes:
+    """Return the snapshot that holds ``state``."""
+    content = zlib.compress(encode(state), _COMPRESSION_LEVEL)
+    return xxhash.xxh64_digest(content) + content
+
+
+def unpack_state(data: bytes) -> FoldState:
+    """Return the state that a snapshot holds.
+
+    Raises:
+        MessageRejected: When the bytes are oversized, damaged or not a snapshot.
+    """
+    if len(data) > MAX_SNAPSHOT_BYTES:
+        raise MessageRejected("oversized")
+    content = data[_DIGEST_BYTES:]
+    if len(data) <= _DIGEST_BYTES or xxhash.xxh64_digest(content) != data[:_DIGEST_BYTES]:
+        raise MessageRejected("damaged")
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(content, MAX_STATE_BYTES)
+    except zlib.error as error:
+        raise MessageRejected("damaged") from error
+    if not inflater.eof:
+        raise MessageRejected("oversized")
+    return decode(plain, FoldState, limit=MAX_STATE_BYTES)
--- a/src/citronrack/log/fold.py
+++ b/src/citronrack/log/fold.py
@@ -6,17 +6,21 @@
 from typing import Any
 
 import xxhash
-from attrs import define, field, frozen
+from attrs import frozen
 
-from ..codec import decode, encode
 from ..config import ConfigSet, apply_change, withdraw_move
 from ..errors import ConfigInvalid, MessageRejected
+from . import marks
+from ._conflicts import move_conflict
+from ._limits import limit_fault
+from ._snapshot_format import pack_state, unpack_state
+from ._writers import Arrival, note_arrival
+from .marks import mark_key
 from .records import (
     Cancelled,
     Claim,
     Confirmed,
     Duty,
-    Envelope,
     Marked,
     MoveOutcome,
     MoveResult,
@@ -24,11 +28,31 @@
     SnapshotTaken,
     decode_record,
 )
+from .state import FoldState, LeaseState, PlanState, WriterState
+
+__all__ = [
+    "FoldResult",
+    "FoldState",
+    "LeaseState",
+    "LogFold",
+    "PlanState",
+    "WriterState",
+    "mark_key",
+]
 
-MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024
-WRITER_MEMORY_OFFSETS = 50_000  # a retry gives up long before this many records have passed
 KEPT_PLANS = 1_000
 KEPT_OUTCOMES = 1_000
+KEPT_SEED_ZONES = 64
+MAX_REASON = 500  # characters; a change of many faults would otherwise fill the snapshot
+MAX_CONFIG_ENTRIES = 20_000  # services, routes and moves; 50 times the two-year target
+
+SUPERSEDED = "a newer record of the same writer was folded before this one"
+
+_KEEPS_NEW_VERSION = {
+    MoveResult.FINISHED_IN_TIME.value: True,
+    MoveResult.FINISHED_LATE.value: True,
+    MoveResult.TAKEN_BACK.value: False,
+}
 
 
 @frozen
@@ -48,75 +72,6 @@
     body: Any = None
 
 
-@define
-class WriterState:
-    """Highest sequence number of a writer and where it stood."""
-
-    sequence: int
-    offset: int
-
-
-@define
-class PlanState:
-    """What became of a confirmed plan.
-
-    Attributes:
-        accepted: Whether the plan took effect.
-        offset: Offset of the record that decided it.
-        reason: Why it was refused, empty otherwise.
-    """
-
-    accepted: bool
-    offset: int
-    reason: str = ""
-
-
-@define
-class LeaseState:
-    """Present term of a duty."""
-
-    term: int
-    holder: str
-    lease_ms: int
-    offset: int
-
-
-@define
-class FoldState:
-    """Everything that the log says; this is what a snapshot contains.
-
-    Attributes:
-        next_offset: Offset of the next record to fold.
-        digest: Chained hash over all accepted records.
-        config: Configuration in force.
-        writers: Highest sequence number by writer.
-        plans: Decided plans by id, oldest first, bounded.
-        leases: Present holder by duty.
-        marks: Bad service versions by ``service/service_version/epoch``.
-        outcomes: Decided moves by id, oldest first, bounded.
-        seeds: Addresses of nodes by availability zone.
-        snapshot_through: Offset below which the newest snapshot covers everything.
-        snapshot_offset: Where the newest snapshot stands in the snapshots stream, -1 for none.
-    """
-
-    next_offset: int = 0
-    digest: int = 0
-    config: ConfigSet = field(factory=ConfigSet)
-    writers: dict[str, WriterState] = field(factory=dict)
-    plans: dict[str, PlanState] = field(factory=dict)
-    leases: dict[str, LeaseState] = field(factory=dict)
-    marks: dict[str, Marked] = field(factory=dict)
-    outcomes: dict[str, MoveOutcome] = field(factory=dict)
-    seeds: dict[str, tuple[str, ...]] = field(factory=dict)
-    snapshot_through: int = 0
-    snapshot_offset: int = -1
-
-
-def mark_key(service: str, service_version: str, epoch: int) -> str:
-    """Return the key of a mark in `FoldState.marks`."""
-    return f"{service}/{service_version}/{epoch}"
-
-
 def _drop_oldest(entries: dict[str, Any], keep: int) -> None:
     while len(entries) > keep:
         del entries[next(iter(entries))]
@@ -159,17 +114,17 @@
         return self._state.config
 
     def to_snapshot(self) -> bytes:
-        """Return the whole state as bytes."""
-        return encode(self._state)
+        """Return the whole state as bytes with a checksum."""
+        return pack_state(self._state)
 
     @classmethod
     def from_snapshot(cls, data: bytes) -> LogFold:
         """Return a fold that continues from a snapshot.
 
         Raises:
-            MessageRejected: When the bytes are not a snapshot.
+            MessageRejected: When the bytes are damaged or not a snapshot.
         """
-        return cls(decode(data, FoldState, limit=MAX_SNAPSHOT_BYTES))
+        return cls(unpack_state(data))
 
     def apply(self, offset: int, data: bytes) -> FoldResult:
         """Apply the record at ``offset``.
@@ -188,34 +143,41 @@
             envelope = decode_record(data)
         except MessageRejected as error:
             return FoldResult(offset, accepted=False, reason=error.reason)
-        if not self._is_first(envelope, offset):
-            return FoldResult(offset, accepted=False, reason="duplicate", body=envelope.body)
-        reason = self._handlers[type(envelope.body)](offset, envelope.body)
+        body = envelope.body
+        reason = limit_fault(offset, envelope)
+        if reason:
+            return FoldResult(offset, accepted=False, reason=reason, body=body)
+        arrival = note_arrival(self._state.writers, envelope.writer, envelope.sequence, offset)
+        if arrival is Arrival.DUPLICATE:
+            return FoldResult(offset, accepted=False, reason="duplicate", body=body)
+        if arrival is Arrival.SUPERSEDED:
+            self._note_superseded(offset, body)
+            return FoldResult(offset, accepted=False, reason=SUPERSEDED, body=body)
+        reason = self._handlers[type(body)](offset, body)
         if not reason:
             self._state.digest = xxhash.xxh64_intdigest(data, seed=self._state.digest)
-        return FoldResult(offset, accepted=not reason, reason=reason, body=envelope.body)
-
-    def _is_first(self, envelope: Envelope, offset: int) -> bool:
-        writers = self._state.writers
-        known = writers.pop(envelope.writer, None)
-        if known is not None and envelope.sequence <= known.sequence:
-            writers[envelope.writer] = WriterState(known.sequence, offset)
-            return False
-        writers[envelope.writer] = WriterState(envelope.sequence, offset)
-        oldest = next(iter(writers))
-        if writers[oldest].offset < offset - WRITER_MEMORY_OFFSETS:
-            del writers[oldest]
-        return True
+        return FoldResult(offset, accepted=not reason, reason=reason, body=body)
+
+    def _note_superseded(self, offset: int, body: Any) -> None:
+        """Let an operator see why a plan whose append had no answer did not take effect."""
+        if isinstance(body, Confirmed) and body.plan_id not in self._state.plans:
+            self._keep_plan(body.plan_id, PlanState(False, offset, SUPERSEDED))
+
+    def _keep_plan(self, plan_id: str, plan: PlanState) -> None:
+        self._state.plans.pop(plan_id, None)
+        self._state.plans[plan_id] = plan
+        _drop_oldest(self._state.plans, KEPT_PLANS)
 
     def _confirmed(self, offset: int, body: Confirmed) -> str:
         known = self._state.plans.get(body.plan_id)
         if known is not None and known.accepted:
             return f"plan is already in force since version {known.offset}"
-        reason = self._confirmed_reason(offset, body)
-        plans = self._state.plans
-        plans.pop(body.plan_id, None)
-        plans[body.plan_id] = PlanState(not reason, offset, reason)
-        _drop_oldest(plans, KEPT_PLANS)
+        before = self._state.config
+        reason = self._confirmed_reason(offset, body)[:MAX_REASON]
+        self._keep_plan(body.plan_id, PlanState(not reason, offset, reason))
+        if not reason:
+            self._record_removed_moves(before, body)
+            marks.drop_unneeded(self._state)
         return reason
 
     def _confirmed_reason(self, offset: int, body: Confirmed) -> str:
@@ -227,28 +189,44 @@
             )
         if body.confirmed_ms > body.expires_ms:
             return "plan had expired when it was confirmed"
+        conflict = move_conflict(present, body.change)
+        if conflict:
+            return conflict
         try:
-            self._state.config = apply_change(present, body.change, version=offset)
+            result = apply_change(present, body.change, version=offset)
         except ConfigInvalid as error:
             return f"configuration would be invalid: {error}"
+        if len(result.services) + len(result.routes) + len(result.moves) > MAX_CONFIG_ENTRIES:
+            return f"configuration would have more than {MAX_CONFIG_ENTRIES} entries"
+        self._state.config = result
         return ""
 
+    def _record_removed_moves(self, before: ConfigSet, body: Confirmed) -> None:
+        """Keep an outcome for each open move that the plan removed by name."""
+        for move_id in body.change.remove_moves:
+            move = before.moves.get(move_id)
+            if move is not None:
+                self._keep_cancelled(move_id, move.epoch, body.operator)
+
     def _cancelled(self, offset: int, body: Cancelled) -> str:
-        move = self._state.config.moves.get(body.move_id)
-        if move is None or move.epoch != body.epoch:
+        if not self._is_open(body.move_id, body.epoch):
             return "move is not open"
         self._close_move(offset, body.move_id, finished=False)
-        outcome = MoveOutcome(
-            duty_term=0,
-            move_id=body.move_id,
-            epoch=body.epoch,
-            result=MoveResult.CANCELLED.value,
-            detail=f"cancelled by {body.operator}",
-            ended_ms=0,
-        )
-        self._keep_outcome(outcome)
+        self._keep_cancelled(body.move_id, body.epoch, body.operator)
         return ""
 
+    def _keep_cancelled(self, move_id: str, epoch: int, operator: str) -> None:
+        self._keep_outcome(
+            MoveOutcome(
+                duty_term=0,
+                move_id=move_id,
+                epoch=epoch,
+                result=MoveResult.CANCELLED.value,
+                detail=f"cancelled by {operator}",
+                ended_ms=0,
+            )
+        )
+
     def _claim(self, offset: int, body: Claim) -> str:
         present = self._state.leases.get(body.duty)
         term = present.term if present is not None else 0
@@ -258,28 +236,38 @@
         return ""
 
     def _marked(self, offset: int, body: Marked) -> str:
-        key = mark_key(body.service, body.service_version, body.epoch)
-        if key in self._state.marks:
-            return "service version is already marked"
-        self._state.marks[key] = body
-        return ""
+        reason, _ = marks.reason_against(self._state, body)
+        if not reason:
+            self._state.marks[mark_key(body.service, body.service_version, body.epoch)] = body
+            marks.drop_unneeded(self._state)
+        return reason
 
     def _outcome(self, offset: int, body: MoveOutcome) -> str:
         if not self._term_holds(Duty.OUTCOMES, body.duty_term):
             return "lease term has passed"
-        move = self._state.config.moves.get(body.move_id)
-        if move is None or move.epoch != body.epoch:
+        if not self._is_open(body.move_id, body.epoch):
             return "move is not open"
         if body.result == MoveResult.UNKNOWN:
             self._keep_outcome(body)
             return ""
-        finished = body.result in (MoveResult.FINISHED_IN_TIME, MoveResult.FINISHED_LATE)
+        finished = _KEEPS_NEW_VERSION.get(body.result)
+        if finished is None:
+            return f"result {body.result[:40]!r} cannot be decided"
+        if finished and self._is_marked(body):
+            return "service version is marked as bad and cannot finish its move"
         self._close_move(offset, body.move_id, finished=finished)
         self._keep_outcome(body)
         return ""
 
+    def _is_marked(self, body: MoveOutcome) -> bool:
+        move = self._state.config.moves[body.move_id]
+        service = self._state.config.routes[move.route].service
+        return mark_key(service, move.to_version, move.epoch) in self._state.marks
+
     def _seeds(self, offset: int, body: SeedList) -> str:
+        self._state.seeds.pop(body.availability_zone, None)
         self._state.seeds[body.availability_zone] = body.addresses
+        _drop_oldest(self._state.seeds, KEPT_SEED_ZONES)
         return ""
 
     def _snapshot_taken(self, offset: int, body: SnapshotTaken) -> str:
@@ -289,16 +277,22 @@
             return "an equal or newer snapshot exists"
         self._state.snapshot_through = body.through
         self._state.snapshot_offset = body.snapshot_offset
+        self._state.snapshot_announced = offset
         return ""
 
     def _term_holds(self, duty: Duty, term: int) -> bool:
         lease = self._state.leases.get(duty.value)
         return lease is not None and lease.term == term
 
+    def _is_open(self, move_id: str, epoch: int) -> bool:
+        move = self._state.config.moves.get(move_id)
+        return move is not None and move.epoch == epoch
+
     def _close_move(self, offset: int, move_id: str, *, finished: bool) -> None:
         self._state.config = withdraw_move(
             self._state.config, move_id, version=offset, finished=finished
         )
+        marks.drop_unneeded(self._state)
 
     def _keep_outcome(self, outcome: MoveOutcome) -> None:
         self._state.outcomes.pop(outcome.move_id, None)
