--- a/src/citronrack/errors.py
+++ b/src/citronrack/errors.py
@@ -55,6 +55,10 @@
         self.first = first
 
 
+class SnapshotMissing(LogError):
+    """Records that are needed are trimmed, and no usable snapshot replaces them."""
+
+
 class AppendUnknown(LogError):
     """No answer to an append arrived; the record may be in the log."""
 
--- a/src/citronrack/log/client.py
+++ b/src/citronrack/log/client.py
@@ -6,6 +6,12 @@
 
 from attrs import frozen
 
+from ..errors import LogUnavailable
+
+
+class LogPageTooLarge(LogUnavailable):
+    """A page exceeds what the client accepts; fewer records per page may fit."""
+
 
 @frozen
 class LogPage:
--- a/src/citronrack/node/append_task.py
+++ b/src/citronrack/node/append_task.py
@@ -2,50 +2,141 @@
 
 from __future__ import annotations
 
-import queue
+import threading
+from collections import deque
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import Any
 
 from attrs import frozen
 
-from ..errors import CitronrackError
+from ..clock import Clock, SystemClock
+from ..errors import AppendRefused, AppendUnknown, CitronrackError
 from ..log.appender import Appended, Appender
 
+MAX_QUEUED = 64
+
 
 @frozen
 class _Job:
-    body: Any
+    write: Callable[[float], Appended]
+    deadline: float
     answer: Future[Appended]
 
 
 class AppendTask:
     """Appends bodies one after the other, so that a writer has one append outstanding.
 
+    Each future is done within the appender's limit after it was submitted, whatever the log does:
+    a job that waited too long in the queue is refused without being sent. Appends of operators go
+    before those of the node itself.
+
     Args:
         appender: Owned by this task.
+        clock: Source of time for the limit.
+        stopping: Set when the process stops; the appender's ``sleep`` should be its ``wait``.
+
+    Example:
+        >>> from random import Random
+        >>> from citronrack.clock import ManualClock
+        >>> from citronrack.log import Claim
+        >>> from citronrack.standins.log_store import LogStore, MemoryLogClient
+        >>> clock = ManualClock()
+        >>> client = MemoryLogClient(LogStore(clock=clock))
+        >>> appender = Appender(client=client, clock=clock, random=Random(1), writer="a/1")
+        >>> task = AppendTask(appender, clock=clock)
+        >>> answer = task.submit(Claim("compactor", 1, "a/1", 60_000))
+        >>> task.run_once()
+        True
+        >>> answer.result()
+        Appended(offset=0)
     """
 
-    def __init__(self, appender: Appender) -> None:
+    def __init__(
+        self,
+        appender: Appender,
+        *,
+        clock: Clock | None = None,
+        stopping: threading.Event | None = None,
+    ) -> None:
         self._appender = appender
-        self._jobs: queue.SimpleQueue[_Job | None] = queue.SimpleQueue()
+        self._clock = clock if clock is not None else SystemClock()
+        self._stopping = stopping if stopping is not None else threading.Event()
+        self._changed = threading.Condition()
+        self._urgent: deque[_Job] = deque()
+        self._background: deque[_Job] = deque()
 
-    def submit(self, body: Any) -> Future[Appended]:
-        """Queue a record body; the future raises `AppendUnknown` or `AppendRefused`."""
-        answer: Future[Appended] = Future()
-        self._jobs.put(_Job(body, answer))
-        return answer
+    def submit(self, body: Any, *, urgent: bool = True) -> Future[Appended]:
+        """Queue a record body; the future raises `AppendUnknown` or `AppendRefused`.
+
+        Args:
+            body: One of the record classes.
+            urgent: Whether an operator waits for it.
+        """
+        return self._put(lambda limit_s: self._appender.append(body, limit_s=limit_s), urgent)
+
+    def submit_snapshot(self, data: bytes) -> Future[Appended]:
+        """Queue a snapshot; the future raises `AppendUnknown` or `AppendRefused`."""
+        return self._put(
+            lambda limit_s: self._appender.append_snapshot(data, limit_s=limit_s), False
+        )
 
     def run(self) -> None:
-        """Append until `stop` is called."""
+        """Append until `stop` is called, then refuse what is still queued."""
         while True:
-            job = self._jobs.get()
-            if job is None:
+            with self._changed:
+                self._changed.wait_for(lambda: self._stopping.is_set() or self._has_jobs())
+            if not self.run_once():
                 return
-            try:
-                job.answer.set_result(self._appender.append(job.body))
-            except CitronrackError as error:
-                job.answer.set_exception(error)
+
+    def run_once(self) -> bool:
+        """Append the next queued job; return False when there is none."""
+        with self._changed:
+            job = self._next_job()
+        if job is None:
+            return False
+        if job.answer.set_running_or_notify_cancel():
+            self._finish(job)
+        return True
 
     def stop(self) -> None:
-        """Let `run` return after the queued jobs."""
-        self._jobs.put(None)
+        """Let `run` return; queued jobs are refused, as they were never sent."""
+        with self._changed:
+            self._stopping.set()
+            self._changed.notify_all()
+
+    def _put(self, write: Callable[[float], Appended], urgent: bool) -> Future[Appended]:
+        answer: Future[Appended] = Future()
+        deadline = self._clock.monotonic() + self._appender.limit_s
+        with self._changed:
+            jobs = self._urgent if urgent else self._background
+            full = len(jobs) >= MAX_QUEUED
+            if not full and not self._stopping.is_set():
+                jobs.append(_Job(write, deadline, answer))
+                self._changed.notify_all()
+                return answer
+        reason = "too many appends are waiting" if full else "the node is stopping"
+        answer.set_exception(AppendRefused(f"the record is not in the log: {reason}"))
+        return answer
+
+    def _has_jobs(self) -> bool:
+        return bool(self._urgent or self._background)
+
+    def _next_job(self) -> _Job | None:
+        for jobs in (self._urgent, self._background):
+            if jobs:
+                return jobs.popleft()
+        return None
+
+    def _finish(self, job: _Job) -> None:
+        try:
+            job.answer.set_result(self._write(job))
+        except CitronrackError as error:
+            job.answer.set_exception(error)
+        except Exception as error:  # A fault of one record must not end the only writer.
+            job.answer.set_exception(AppendUnknown(f"the append failed: {error!r}"))
+
+    def _write(self, job: _Job) -> Appended:
+        if self._stopping.is_set():
+            raise AppendRefused("the record is not in the log: the node is stopping")
+        return job.write(job.deadline - self._clock.monotonic())
--- a/src/citronrack/standins/log_service.py
+++ b/src/citronrack/standins/log_service.py
@@ -7,37 +7,16 @@
 from typing import Any
 
 import msgpack
-from attrs import define, field
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler, make_server
 from werkzeug.wrappers import Request, Response
 
-MAX_RECORD_BYTES = 8 * 1024 * 1024
-MAX_WAIT_MS = 30_000
-
+from ..errors import AppendUnknown, LogTrimmed, LogUnavailable
+from .log_store import LogFaults, LogStore
 
-@define
-class LogFaults:
-    """Switches for faults of the service.
-
-    Attributes:
-        outage: Refuse every request with status 503.
-        lose_answers: Number of coming appends that take effect without an answer.
-        delay_ms: Extra time before each answer.
-    """
+__all__ = ["LogFaults", "LogServiceStandIn"]
 
-    outage: bool = False
-    lose_answers: int = 0
-    delay_ms: int = 0
-
-
-@define
-class _Stream:
-    first: int = 0
-    records: list[bytes] = field(factory=list)
-
-    @property
-    def end(self) -> int:
-        return self.first + len(self.records)
+MAX_RECORD_BYTES = 8 * 1024 * 1024
+MAX_WAIT_MS = 30_000
 
 
 class _QuietHandler(WSGIRequestHandler):
@@ -54,15 +33,19 @@
         host: Address to listen on.
         port: Port to listen on, 0 for a free one.
         retention: Number of records that each stream keeps.
+        retention_s: Seconds for which a record is kept, None for no limit.
     """
 
-    def __init__(self, *, host: str = "127.0.0.1", port: int = 0, retention: int = 100_000) -> None:
-        self.faults = LogFaults()
-        self._retention = retention
-        self._streams: dict[str, _Stream] = {}
-        self._changed = threading.Condition()
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        retention: int = 100_000,
+        retention_s: float | None = None,
+    ) -> None:
+        self._store = LogStore(retention=retention, retention_s=retention_s)
         self._stopping = threading.Event()
-        self._requests: dict[str, int] = {"append": 0, "read": 0}
         self._server: BaseWSGIServer = make_server(
             host, port, self._application, threaded=True, request_handler=_QuietHandler
         )
@@ -73,15 +56,25 @@
         """Base address of the service."""
         return f"http://{self._server.host}:{self._server.port}"
 
+    @property
+    def store(self) -> LogStore:
+        """The streams behind the service."""
+        return self._store
+
+    @property
+    def faults(self) -> LogFaults:
+        """Switches for faults."""
+        return self._store.faults
+
     @property
     def appends(self) -> int:
-        """Number of appends that took effect."""
-        return self._requests["append"]
+        """Number of requests to append, failed ones included."""
+        return self._store.appends
 
     @property
     def reads(self) -> int:
-        """Number of read requests."""
-        return self._requests["read"]
+        """Number of requests to read, failed ones included."""
+        return self._store.reads
 
     def start(self) -> None:
         """Serve in the background."""
@@ -90,19 +83,15 @@
     def stop(self) -> None:
         """Stop serving and release the port."""
         self._stopping.set()
-        with self._changed:
-            self._changed.notify_all()
+        with self._store.changed:
+            self._store.changed.notify_all()
         self._server.shutdown()
         self._server.server_close()
         self._executor.shutdown()
 
     def trim(self, stream: str, first: int) -> None:
         """Drop all records of ``stream`` below offset ``first``."""
-        with self._changed:
-            kept = self._streams[stream]
-            dropped = min(max(first - kept.first, 0), len(kept.records))
-            del kept.records[:dropped]
-            kept.first += dropped
+        self._store.trim(stream, first)
 
     def _application(self, environ: Any, start_response: Any) -> Any:
         response = self._answer(Request(environ))
@@ -115,8 +104,6 @@
         body = request.get_data() if request.method == "POST" else b""
         if self.faults.delay_ms:
             self._stopping.wait(self.faults.delay_ms / 1000)
-        if self.faults.outage:
-            return Response(status=503)
         if request.method == "POST":
             return self._append(parts[1], body)
         return self._read(parts[1], request)
@@ -124,40 +111,29 @@
     def _append(self, name: str, body: bytes) -> Response:
         if not 0 < len(body) <= MAX_RECORD_BYTES:
             return Response(status=400)
-        with self._changed:
-            stream = self._streams.setdefault(name, _Stream())
-            offset = stream.end
-            stream.records.append(body)
-            surplus = len(stream.records) - self._retention
-            if surplus > 0:
-                del stream.records[:surplus]
-                stream.first += surplus
-            self._requests["append"] += 1
-            lost = self.faults.lose_answers > 0
-            self.faults.lose_answers -= int(lost)
-            self._changed.notify_all()
-        if lost:
-            return Response(status=504)
+        try:
+            offset = self._store.append(name, body)
+        except AppendUnknown:
+            return Response(status=503 if self.faults.outage else 504)
         return Response(msgpack.packb({"offset": offset}), status=200)
 
     def _read(self, name: str, request: Request) -> Response:
         start = request.args.get("from", 0, type=int)
         limit = request.args.get("max", 100, type=int)
         wait_ms = min(request.args.get("wait_ms", 0, type=int), MAX_WAIT_MS)
-        with self._changed:
-            self._requests["read"] += 1
-            stream = self._streams.setdefault(name, _Stream())
-            self._changed.wait_for(
-                lambda: stream.end > start or self._stopping.is_set(), wait_ms / 1000
+        with self._store.changed:
+            self._store.changed.wait_for(
+                lambda: self._ends_wait(name, start), timeout=wait_ms / 1000
             )
-            if start < stream.first:
-                return Response(msgpack.packb({"first": stream.first}), status=410)
-            chosen = stream.records[start - stream.first : start - stream.first + limit]
-            page = {
-                "first": stream.first,
-                "end": stream.end,
-                "records": [(start + index, data) for index, data in enumerate(chosen)],
-            }
-        if self.faults.outage:
+        try:
+            page = self._store.read(name, start, limit=limit)
+        except LogTrimmed as error:
+            return Response(msgpack.packb({"first": error.first}), status=410)
+        except LogUnavailable:
             return Response(status=503)
-        return Response(msgpack.packb(page, use_bin_type=True), status=200)
+        content = {"first": page.first, "end": page.end, "records": page.records}
+        return Response(msgpack.packb(content, use_bin_type=True), status=200)
+
+    def _ends_wait(self, name: str, start: int) -> bool:
+        down = self.faults.outage or self._stopping.is_set()
+        return down or self._store.end(name) > start
