--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -144,8 +144,9 @@
         if state.snapshot_offset < 0:
             return True
         age_s = self._clock.monotonic() - self._folded_at
-        # Offsets of the window tell nothing about retention before anything was trimmed.
-        in_older_half = first > 0 and state.snapshot_announced < first + (end - first) // 2
+        # Also before anything was trimmed: a burst may trim the first records at any moment, and
+        # doubling costs only about ten small snapshots until `every_records` takes over.
+        in_older_half = state.snapshot_announced < first + (end - first) // 2
         grown = state.next_offset - state.snapshot_through
         return grown >= self._every_records or in_older_half or age_s >= self._max_age_s
 
--- /dev/null
+++ b/tests/log/test_fold_machine.py
@@ -0,0 +1,224 @@
+"""Random histories of good, duplicate, reordered, foreign and damaged records."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from citronrack.config import Change, Move, Route, Service, ServiceVersion, Step, find_faults
+from citronrack.log import (
+    Cancelled,
+    Claim,
+    Confirmed,
+    Envelope,
+    LogFold,
+    Marked,
+    MoveOutcome,
+    SeedList,
+    SnapshotTaken,
+    encode_record,
+)
+from citronrack.log.records import Duty, MoveResult, record_codec
+
+VERSIONS = ("1", "2", "3")
+ROUTES = ("r1", "r2")
+DECIDED = {MoveResult.FINISHED_IN_TIME, MoveResult.TAKEN_BACK, MoveResult.CANCELLED}
+
+versions = st.sampled_from(VERSIONS)
+routes = st.sampled_from(ROUTES)
+small = st.integers(0, 4)
+anything = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 2**63) | st.floats() | st.text(max_size=3),
+    lambda inner: st.lists(inner, max_size=8) | st.dictionaries(st.text(max_size=2), inner),
+    max_leaves=12,
+)
+
+
+def start_change() -> Change:
+    """Return a service with three versions and two routes."""
+    service = Service("s", {name: ServiceVersion(name) for name in VERSIONS})
+    return Change((service,), tuple(Route(name, f"/{name}", "s", "1") for name in ROUTES))
+
+
+def move(route: str, old: str, new: str) -> Move:
+    """Return a move of one step."""
+    return Move(f"{route}-{new}", route, old, new, 0, 10, (Step(1.0, 0),), 0.1, "spoorhout")
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Feeds one history to a fold and to a copy that keeps starting from snapshots."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fold = LogFold()
+        self.copy = LogFold()
+        self.sent: list[bytes] = []
+        self.sequences = dict.fromkeys("abc", 0)
+        self.taken: set[tuple[str, int]] = set()
+        self.terms: set[tuple[str, int]] = set()
+        self.decided: dict[tuple[str, int], str] = {}
+        self.ended: dict[str, str] = {}
+
+    def feed(self, data: bytes) -> str:
+        """Apply bytes to both folds and check what must hold for every record."""
+        before = self.fold.config
+        was_open = {(m.move_id, m.epoch) for m in before.moves.values()}
+        result = self.fold.apply(self.fold.next_offset, data)
+        assert self.copy.apply(self.copy.next_offset, data) == result
+        assert result.accepted or self.fold.config is before
+        assert self.fold.config.version >= before.version
+        if result.accepted:
+            envelope_key = tuple(msgpack.unpackb(data)[:2])
+            assert envelope_key not in self.taken, "a record took effect twice"
+            self.taken.add(envelope_key)
+        if result.accepted and isinstance(result.body, Claim):
+            key = (result.body.duty, result.body.term)
+            assert key not in self.terms, "two holders of one term"
+            self.terms.add(key)
+        still_open = {(m.move_id, m.epoch) for m in self.fold.config.moves.values()}
+        assert not still_open & self.decided.keys(), "a decided move is open again"
+        for closed in was_open - still_open:
+            outcome = self.fold.state.outcomes[closed[0]]
+            assert outcome.result in DECIDED and outcome.epoch == closed[1]
+            self.decided[closed] = outcome.result
+            ended = before.moves[closed[0]]
+            finished = outcome.result == MoveResult.FINISHED_IN_TIME
+            kept = ended.to_version if finished else ended.from_version
+            assert self.fold.config.routes[ended.route].service_version == kept
+        return result.reason
+
+    def write(self, writer: str, body: Any) -> str:
+        """Append a body with the writer's next number."""
+        self.sequences[writer] += 1
+        data = encode_record(Envelope(writer, self.sequences[writer], 0, body))
+        self.sent.append(data)
+        return self.feed(data)
+
+    @initialize()
+    def start(self) -> None:
+        """Put services and routes in force."""
+        assert self.write("a", Confirmed("p0", -1, start_change(), 0, 1, "o")) == ""
+
+    @rule(writer=st.sampled_from("abc"), route=routes, new=versions, lag=st.sampled_from((0, 0, 1)))
+    def begin_move(self, writer: str, route: str, new: str, lag: int) -> None:
+        """Confirm a move, sometimes from an old version."""
+        config = self.fold.config
+        old, busy = config.routes[route].service_version, config.move_of_route(route)
+        change = Change(put_moves=(move(route, old, new),))
+        plan = f"p{self.fold.next_offset}"
+        reason = self.write(writer, Confirmed(plan, config.version - lag, change, 0, 1, "o"))
+        assert not (busy and not reason), "a second move began on a route"
+
+    @rule(writer=st.sampled_from("abc"), version=versions, epoch=st.integers(0, 60))
+    def mark(self, writer: str, version: str, epoch: int) -> None:
+        """Mark a version for any epoch."""
+        self.write(writer, Marked("s", version, epoch, "slow", "", 9, 0, "z"))
+
+    @rule(
+        writer=st.sampled_from("abc"),
+        route=routes,
+        new=versions,
+        kind=st.sampled_from(list(MoveResult)),
+        term_lag=st.sampled_from((0, 0, 0, 1)),
+        old_epoch=st.sampled_from((False, False, True)),
+    )
+    def end_move(
+        self, writer: str, route: str, new: str, kind: str, term_lag: int, old_epoch: bool
+    ) -> None:
+        """Decide or cancel a move, sometimes one of an older epoch or under an older term."""
+        move_id = f"{route}-{new}"
+        known = self.fold.config.moves.get(move_id)
+        epoch = 0 if known is None or old_epoch else known.epoch
+        lease = self.fold.state.leases.get("outcomes")
+        term = (lease.term if lease else 0) - term_lag
+        if kind == MoveResult.CANCELLED:
+            self.write(writer, Cancelled(move_id, epoch, "o"))
+            return
+        reason = self.write(writer, MoveOutcome(term, move_id, epoch, kind, "", 1))
+        assert reason or (term_lag == 0 and lease is not None)
+
+    @rule(writer=st.sampled_from("abc"), duty=st.sampled_from(list(Duty)), step=st.integers(0, 2))
+    def claim(self, writer: str, duty: str, step: int) -> None:
+        """Claim the present, next or a later term."""
+        lease = self.fold.state.leases.get(duty)
+        term = (lease.term if lease else 0) + step
+        self.write(writer, Claim(duty, term, writer, 60_000))
+
+    @rule(writer=st.sampled_from("abc"), through=st.integers(-1, 80), term=small)
+    def announce(self, writer: str, through: int, term: int) -> None:
+        """Announce a snapshot and a seed list."""
+        self.write(writer, SnapshotTaken(term, through, through))
+        self.write(writer, SeedList(f"z{term}", ("tcp://127.0.0.1:1",)))
+
+    @rule(index=st.integers(0, 1_000))
+    def deliver_again(self, index: int) -> None:
+        """Deliver an earlier record once more, as a retry or a duplicated append does."""
+        reason = self.feed(self.sent[index % len(self.sent)])
+        assert reason, "a duplicate took effect"
+
+    @rule(writer=st.sampled_from("abc"))
+    def lose_append(self, writer: str) -> None:
+        """Use up a number whose record lands after a newer one."""
+        late = self.sequences[writer] + 1
+        self.sequences[writer] = late
+        self.write(writer, SeedList("z", ()))
+        config = self.fold.config
+        body = Confirmed(f"late{late}", config.version, Change(), 0, 1, "o")
+        data = encode_record(Envelope(writer, late, 0, body))
+        self.sent.append(data)
+        assert "newer record" in self.feed(data)
+
+    @rule(content=anything, tag=st.sampled_from(sorted(record_codec._by_tag)))
+    def foreign(self, content: Any, tag: str) -> None:
+        """Deliver a record whose content has other types or sizes."""
+        self.feed(msgpack.packb(("x", len(self.sent) + 1, 0, (tag, content))))
+
+    @rule(index=st.integers(0, 1_000), at=st.integers(0, 1_000), value=st.integers(0, 255))
+    def damaged(self, index: int, at: int, value: int) -> None:
+        """Deliver a record with one changed byte, from a writer that nobody else uses."""
+        plain = msgpack.unpackb(self.sent[index % len(self.sent)], use_list=False)
+        data = bytearray(msgpack.packb(("x", len(self.sent) + 1, *plain[2:])))
+        data[at % len(data)] = value
+        self.fold.apply(self.fold.next_offset, bytes(data))
+        self.copy.apply(self.copy.next_offset, bytes(data))
+
+    @rule()
+    def restart_copy(self) -> None:
+        """Start the copy from the other fold's snapshot."""
+        self.copy = LogFold.from_snapshot(self.fold.to_snapshot())
+
+    @invariant()
+    def same_valid_bounded(self) -> None:
+        """Both folds agree, the set is closed, and marks stay bounded."""
+        state = self.fold.state
+        assert state == self.copy.state
+        assert list(state.writers) == list(self.copy.state.writers)
+        assert not find_faults(state.config)
+        services = state.config.services.values()
+        kept = sum(len(s.versions) for s in services) + len(state.config.moves)
+        assert len(state.marks) <= kept, "marks pile up"
+
+
+class FoldMachineTest(FoldMachine.TestCase):  # type: ignore[name-defined,misc]
+    """Guards against nodes that differ, double effects, reopened moves and unbounded state."""
+
+    settings = settings(
+        max_examples=60, stateful_step_count=40, derandomize=True, deadline=None, database=None
+    )
+
+
+class ForeignRecordTest(unittest.TestCase):
+    """Guards against a record that stops the fold on every node."""
+
+    @settings(max_examples=200, derandomize=True, deadline=None, database=None)
+    @given(st.binary(max_size=60) | anything.map(lambda value: msgpack.packb(value)))
+    def test_any_bytes_are_skipped(self, data: bytes) -> None:
+        """Fails if some bytes made the fold raise or take effect."""
+        fold = LogFold()
+        self.assertFalse(fold.apply(0, data).accepted)
+        self.assertEqual(fold.next_offset, 1)
--- /dev/null
+++ b/tests/log/test_lease.py
@@ -0,0 +1,121 @@
+"""One node at a time acts under a duty, whatever fails."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from citronrack.bench.log_fleet import LogFleet
+from citronrack.log import LogFold, SnapshotTaken, decode_record
+from citronrack.log.lease import CANDIDATE_RANKS, LEASE_MS, RANK_STEP_S
+from citronrack.log.records import RECORDS_STREAM, Duty
+
+ZONES = 3
+TAKEOVER_S = LEASE_MS / 1000 + CANDIDATE_RANKS * RANK_STEP_S + 30
+"""Lease, jitter, and time for a retry of the claim with its backoff and limit."""
+
+
+class LeaseTest(unittest.TestCase):
+    """Guards against two holders, a stuck duty, and floods of claims."""
+
+    def make(self, seed: int) -> LogFleet:
+        """Return a fleet whose first holders act."""
+        fleet = LogFleet(ZONES, 3, seed)
+        fleet.run(25, check=lambda: self.check(fleet))
+        self.assertTrue(all(fleet.acting(duty) for duty in Duty))
+        return fleet
+
+    def check(self, fleet: LogFleet) -> None:
+        """Fail if two nodes would act under the same duty at this moment."""
+        for duty in Duty:
+            self.assertLessEqual(len(fleet.acting(duty)), 1, fleet.seed)
+
+    def check_log(self, fleet: LogFleet) -> None:
+        """Fail if a record was accepted whose writer did not hold its term."""
+        fold = LogFold()
+        for offset, data in fleet.store.read(RECORDS_STREAM, 0, limit=100_000).records:
+            result = fold.apply(offset, data)
+            if result.accepted and isinstance(result.body, SnapshotTaken):
+                holder = fold.state.leases[Duty.COMPACTOR].holder
+                self.assertEqual(decode_record(data).writer, holder)
+
+    def run_until_held(self, fleet: LogFleet) -> None:
+        """Fail if a duty has no acting holder after a takeover's time."""
+        fleet.run(TAKEOVER_S, check=lambda: self.check(fleet))
+        for duty in Duty:
+            held = bool(fleet.acting(duty))
+            for _ in range(40):  # A renewal in flight leaves a short gap.
+                if not held:
+                    fleet.run(0.25)
+                    held = bool(fleet.acting(duty))
+            self.assertTrue(held, (fleet.seed, duty))
+
+    def test_random_pauses_restarts_outages_and_lost_answers(self) -> None:
+        """Fails if any mix of faults let two nodes act, or progress did not return."""
+        for seed in range(16):
+            self.disturbed_run(seed)
+
+    def disturbed_run(self, seed: int) -> None:
+        """Run one fleet through random faults and check it throughout."""
+        fleet = self.make(seed)
+        random = Random(seed)
+        fleet.every_records = 10
+        for _ in range(8):
+            self.disturb(fleet, random)
+            fleet.run(random.choice((5, 20, 80)), check=lambda: self.check(fleet))
+        for node in fleet.nodes:
+            node.paused = False
+        fleet.store.faults.outage = False
+        fleet.store.release_held()
+        self.run_until_held(fleet)
+        self.check_log(fleet)
+        self.assertLessEqual(max(fleet.appends_by_s), 4 * ZONES * CANDIDATE_RANKS)
+
+    def disturb(self, fleet: LogFleet, random: Random) -> None:
+        """Apply one random fault."""
+        faults = fleet.store.faults
+        holders = [node for duty in Duty for node in fleet.acting(duty)]
+        what = random.choice(("pause", "wake", "outage", "back", "lose", "hold", "release", "all"))
+        if what == "pause" and holders:
+            random.choice(holders).paused = True
+        elif what == "wake":
+            for node in fleet.nodes:
+                node.paused = False
+        elif what in ("outage", "back"):
+            faults.outage = what == "outage"
+        elif what == "lose":
+            faults.lose_answers = random.randint(1, 3)
+        elif what == "hold":
+            faults.hold_appends = random.randint(1, 3)
+        elif what == "release":
+            fleet.store.release_held()
+        elif what == "all":
+            fleet.start_all()
+
+    def test_paused_holder_stops_and_its_late_record_is_ignored(self) -> None:
+        """Fails if a holder acted after its lease, or its delayed announcement took effect."""
+        fleet = self.make(1)
+        (holder,) = fleet.acting(Duty.COMPACTOR)
+        term = holder.keepers[Duty.COMPACTOR].term
+        fleet.store.faults.hold_appends = 1
+        holder.submit(SnapshotTaken(term or 0, holder.next_offset, 7))
+        fleet.run(0.25)
+        holder.paused = True
+        self.run_until_held(fleet)
+        holder.paused = False
+        self.assertIsNone(holder.keepers[Duty.COMPACTOR].term)
+        fleet.store.release_held()
+        self.run_until_held(fleet)
+        self.check_log(fleet)
+        state = fleet.nodes[0].fold.state
+        self.assertNotEqual(state.snapshot_offset, 7)
+        self.assertNotEqual(state.leases[Duty.COMPACTOR].holder, holder.writer)
+
+    def test_restarted_node_does_not_take_itself_for_the_holder(self) -> None:
+        """Fails if a new process acted under the lease of the one before it."""
+        fleet = self.make(2)
+        fleet.start_all()
+        fleet.run(
+            LEASE_MS / 1000 - 30, check=lambda: self.assertEqual(fleet.acting(Duty.OUTCOMES), [])
+        )
+        self.run_until_held(fleet)
--- /dev/null
+++ b/tests/log/test_snapshot.py
@@ -0,0 +1,96 @@
+"""A usable snapshot always exists, is found, and is not written too often."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from citronrack.bench.log_fleet import LogFleet
+from citronrack.clock import ManualClock
+from citronrack.errors import MessageRejected, SnapshotMissing
+from citronrack.log import Claim, Envelope, LogFold, SeedList, SnapshotTaken, encode_record
+from citronrack.log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
+from citronrack.log.snapshot import SnapshotKeeper, WriteSnapshot, load_snapshot
+from citronrack.standins.log_store import LogStore, MemoryLogClient
+
+RETENTION = 240  # records; half of it lasts longer than a takeover of the duty
+
+
+class SnapshotTest(unittest.TestCase):
+    """Guards against a log that cannot be folded any more, and against floods of snapshots."""
+
+    def test_new_node_can_always_start(self) -> None:
+        """Fails if the log ever held neither all records nor a snapshot that replaces them."""
+        for seed in range(5):
+            random = Random(seed)
+            fleet = LogFleet(2, 2, seed, retention=RETENTION)
+            checked: list[tuple[int, int]] = []
+
+            def check(fleet: LogFleet = fleet, checked: list[tuple[int, int]] = checked) -> None:
+                end = fleet.store.end(RECORDS_STREAM)
+                first = fleet.store.read(RECORDS_STREAM, end, limit=1).first
+                position = (first, fleet.store.end(SNAPSHOTS_STREAM))
+                if first > 0 and position not in checked[-1:]:
+                    loaded = load_snapshot(MemoryLogClient(fleet.store), first=first)
+                    self.assertGreaterEqual(loaded.through, first)
+                    checked.append(position)
+
+            written = 0
+            fleet.run(30)
+            for round_number in range(30):
+                for index in range(random.choice((0, 5, 20))):
+                    body = SeedList(f"z{index}", ())
+                    data = encode_record(Envelope("w/1", written + 1, 0, body))
+                    fleet.store.append(RECORDS_STREAM, data)
+                    written += 1
+                if round_number == 10:
+                    fleet.start_all()
+                fleet.run(30, check=check)
+            self.assertTrue(checked)
+            total = fleet.store.end(RECORDS_STREAM)
+            # One for each half of the window, and one for each doubling before that.
+            doublings = RETENTION.bit_length()
+            self.assertLessEqual(fleet.snapshots_written, 2 * total // RETENTION + doublings)
+
+    def test_old_snapshot_is_written_again_without_accepted_records(self) -> None:
+        """Fails if a quiet log let the only snapshot grow older than half of its retention."""
+        clock, fold = ManualClock(), LogFold()
+        keeper = SnapshotKeeper(clock=clock, random=Random(1))
+        bodies: list[object] = [Claim("compactor", 1, "a/1", 60_000)]
+        written: list[float] = []
+        while clock.monotonic() < 13 * 3600:
+            for body in bodies:
+                number = fold.next_offset
+                fold.apply(number, encode_record(Envelope("a/1", number + 1, 0, body)))
+                keeper.on_announced(number)
+            due = keeper.on_tick(fold, term=1, first=0, end=fold.next_offset)
+            bodies = [due] if isinstance(due, SnapshotTaken) else []
+            if isinstance(due, WriteSnapshot):
+                written.append(clock.monotonic())
+                keeper.on_written(len(written))
+            clock.advance(60)
+        self.assertEqual([round(at / 3600) for at in written], [0, 6, 12])
+
+    def test_damaged_or_trimmed_snapshots(self) -> None:
+        """Fails if a damaged snapshot was used, or a start without any gave no clear reason."""
+        store = LogStore(clock=ManualClock())
+        client = MemoryLogClient(store)
+        fold = LogFold()
+        for offset in range(3):
+            fold.apply(offset, encode_record(Envelope("a/1", offset + 1, 0, SeedList("z", ()))))
+            store.append(SNAPSHOTS_STREAM, fold.to_snapshot())
+        self.assertEqual(load_snapshot(client, first=2).through, 3)
+        for seed in range(300):
+            damaged = bytearray(fold.to_snapshot())
+            random = Random(seed)
+            damaged[random.randrange(len(damaged))] ^= random.randint(1, 255)
+            with self.assertRaises(MessageRejected):
+                LogFold.from_snapshot(bytes(damaged[: random.choice((None, seed % 40))]))
+        store.append(SNAPSHOTS_STREAM, bytes(damaged))
+        store.append(SNAPSHOTS_STREAM, b"")
+        store.trim(SNAPSHOTS_STREAM, 1)
+        self.assertEqual(load_snapshot(client, first=2).through, 3)
+        with self.assertRaisesRegex(SnapshotMissing, "snapshot 3: damaged"):
+            load_snapshot(client, first=9)
+        with self.assertRaisesRegex(SnapshotMissing, "stream is empty"):
+            load_snapshot(MemoryLogClient(LogStore()), first=9)
