--- a/src/citronrack/log/__init__.py
+++ b/src/citronrack/log/__init__.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from .appender import Appended, Appender
 from .client import LogClient, LogPage
 from .fold import FoldResult, LogFold
+from .lease import LeaseKeeper
 from .records import (
     Cancelled,
     Claim,
@@ -16,20 +18,26 @@
     decode_record,
     encode_record,
 )
+from .snapshot import SnapshotKeeper, load_snapshot
 
 __all__ = [
+    "Appended",
+    "Appender",
     "Cancelled",
     "Claim",
     "Confirmed",
     "Envelope",
     "FoldResult",
+    "LeaseKeeper",
     "LogClient",
     "LogFold",
     "LogPage",
     "Marked",
     "MoveOutcome",
     "SeedList",
+    "SnapshotKeeper",
     "SnapshotTaken",
     "decode_record",
     "encode_record",
+    "load_snapshot",
 ]
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -187,19 +187,24 @@
         seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
         observer=parts.distribution,
     )
+    append_stopping = threading.Event()
     append_task = AppendTask(
         Appender(
             client=HttpLogClient(settings.log_service.url),
             clock=clock,
             random=random,
             writer=f"{settings.node.name}/{secrets.token_hex(6)}",
-        )
+            sleep=append_stopping.wait,
+        ),
+        clock=clock,
+        stopping=append_stopping,
     )
     reader = ReaderTask(
         client=HttpLogClient(settings.log_service.url),
         state=control,
         mailbox=mailbox,
         random=random,
+        clock=clock,
     )
     threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
     executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
