--- a/src/citronrack/bench/fleet.py
+++ b/src/citronrack/bench/fleet.py
@@ -35,7 +35,7 @@
     return f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.{random.randint(1, 254)}"
 
 
-def free_address(host: str) -> str:
+def free_address(host: str = "127.0.0.1") -> str:
     """Return an ``ip:port`` of ``host`` that was free a moment ago."""
     with socket.socket() as probe:
         probe.bind((host, 0))
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -158,13 +158,17 @@
     )
     views = ViewHolder()
     mailbox = Mailbox()
+    append_stopping = threading.Event()
     append_task = AppendTask(
         Appender(
             client=HttpLogClient(settings.log_service.url),
             clock=clock,
             random=random,
             writer=f"{settings.node.name}/{secrets.token_hex(6)}",
-        )
+            sleep=append_stopping.wait,
+        ),
+        clock=clock,
+        stopping=append_stopping,
     )
     core = compose_core(
         own=_own_member(settings, clock.wall_ms()),
@@ -198,6 +202,7 @@
         state=core,
         mailbox=mailbox,
         random=random,
+        clock=clock,
     )
     threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
     executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
