--- a/src/citronrack/node/append_task.py
+++ b/src/citronrack/node/append_task.py
@@ -13,7 +13,7 @@
 from ..clock import Clock, SystemClock
 from ..errors import AppendRefused, AppendUnknown, CitronrackError
 from ..log.appender import Appended, Appender
-from .mail import AppendDone, Mailbox
+from .mail import AppendDone, AppendFate, Mailbox, SnapshotDone
 
 MAX_QUEUED = 64
 
@@ -88,11 +88,22 @@
         def post(answer: Future[Appended]) -> None:
             error = answer.exception()
             if error is None:
-                mailbox.put(AppendDone(body, answer.result().offset))
-            else:
-                mailbox.put(AppendDone(body, None, str(error)))
+                mailbox.put(AppendDone(body, AppendFate.APPENDED, answer.result().offset))
+                return
+            refused = isinstance(error, AppendRefused)
+            fate = AppendFate.REFUSED if refused else AppendFate.UNKNOWN
+            mailbox.put(AppendDone(body, fate, None, str(error)))
+
+        self.submit(body, urgent=False).add_done_callback(post)
+
+    def submit_snapshot_and_post(self, data: bytes, mailbox: Mailbox) -> None:
+        """Queue a snapshot and post the result to ``mailbox`` as `SnapshotDone`."""
+
+        def post(answer: Future[Appended]) -> None:
+            failed = answer.exception() is not None
+            mailbox.put(SnapshotDone(None if failed else answer.result().offset))
 
-        self.submit(body).add_done_callback(post)
+        self.submit_snapshot(data).add_done_callback(post)
 
     def run(self) -> None:
         """Append until `stop` is called, then refuse what is still queued."""
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -44,6 +44,7 @@
 
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
+BOOT_ID_BYTES = 6
 DRAIN_NOTICE_S = 1.0
 
 
@@ -158,13 +159,14 @@
     )
     views = ViewHolder()
     mailbox = Mailbox()
+    writer = f"{settings.node.name}/{secrets.token_hex(BOOT_ID_BYTES)}"
     append_stopping = threading.Event()
     append_task = AppendTask(
         Appender(
             client=HttpLogClient(settings.log_service.url),
             clock=clock,
             random=random,
-            writer=f"{settings.node.name}/{secrets.token_hex(6)}",
+            writer=writer,
             sleep=append_stopping.wait,
         ),
         clock=clock,
@@ -181,7 +183,9 @@
         events=events,
         metrics=metrics,
         views=views,
+        writer=writer,
         append=lambda body: append_task.submit_and_post(body, mailbox),
+        append_snapshot=lambda data: append_task.submit_snapshot_and_post(data, mailbox),
     )
     control = ControlTask(
         core=core,
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -17,8 +17,10 @@
 from ..membership import FailureDetector, KnownMember, MemberTable, ZoneDirectory
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
+from .duties import Duties
 from .mail import (
     AppendDone,
+    AppendFate,
     CallReported,
     DrainAsked,
     LoadReported,
@@ -26,6 +28,7 @@
     LogReadFailed,
     PlanAwaited,
     RecordAwaited,
+    SnapshotDone,
     SnapshotRead,
     StateAsked,
     StatusAsked,
@@ -34,6 +37,13 @@
 from .status import MeshStatus, TransportStatus
 from .views import build_view, node_status, zone_status
 
+_APPEND_EVENTS = {
+    AppendFate.REFUSED: Event.APPEND_REFUSED,
+    AppendFate.UNKNOWN: Event.APPEND_UNKNOWN,
+}
+
+_DUTY_RANKS = {ReaderRole.PRIMARY: 0, ReaderRole.STANDBY: 1}
+
 Handler = Callable[[Any], list[Send]]
 
 
@@ -47,7 +57,7 @@
         metrics: Where metrics go.
         table: Members of the own zone.
         views: Receives the routing view.
-        append: Queues a record body for the log; its result comes back as `AppendDone`.
+        duties: Leases and snapshots.
         detector: Failure detection.
         distribution: Distribution of records.
         directory: Members of other zones.
@@ -58,7 +68,7 @@
     metrics: Metrics
     table: MemberTable
     views: ViewHolder
-    append: Callable[[Any], None]
+    duties: Duties
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
     directory: ZoneDirectory = field(init=False)
@@ -77,6 +87,7 @@
         self._fold = fold
         self._active = ActiveConfig()
         self._gate = ReadinessGate()
+        self._log_first = 0
         self._log_end: int | None = None
         self._log_failing_since: float | None = None
         self._plan_waiters: list[PlanAwaited] = []
@@ -88,6 +99,7 @@
             LogReadFailed: self._log_read_failed,
             SnapshotRead: self._snapshot_read,
             AppendDone: self._append_done,
+            SnapshotDone: self._snapshot_done,
             CallReported: self._call_reported,
             LoadReported: self._load_reported,
             StatusAsked: self._status_asked,
@@ -107,6 +119,11 @@
         """Whether the reader task should poll the log; safe to read from any thread."""
         return self._role is not ReaderRole.NONE or self._gate.state is not Readiness.READY
 
+    @property
+    def duties(self) -> Duties:
+        """Leases and snapshots of this node."""
+        return self._parts.duties
+
     @property
     def version(self) -> int:
         """Configuration version in force, -1 for none."""
@@ -156,6 +173,7 @@
             self._role = role
             self._parts.events.write(Event.READER_ROLE, role=role.value)
         self._refresh()
+        self._do_duties()
         return effects
 
     def deliver(self, offset: int, data: bytes) -> None:
@@ -210,6 +228,7 @@
         if self._log_failing_since is not None:
             self._parts.events.write(Event.LOG_RECOVERED, end=mail.page.end)
         self._log_failing_since = None
+        self._log_first = mail.page.first
         self._log_end = mail.page.end
         effects = self._parts.distribution.on_log_records(mail.page.records)
         self._refresh()
@@ -248,8 +267,14 @@
         return True
 
     def _append_done(self, mail: AppendDone) -> list[Send]:
-        if mail.offset is None:
-            self._parts.events.write(Event.APPEND_UNKNOWN, reason=mail.reason)
+        event = _APPEND_EVENTS.get(mail.fate)
+        if event is not None:
+            self._parts.events.write(event, kind=type(mail.body).__name__, reason=mail.reason)
+        self._parts.duties.on_append_done(mail)
+        return []
+
+    def _snapshot_done(self, mail: SnapshotDone) -> list[Send]:
+        self._parts.duties.on_snapshot_done(mail)
         return []
 
     def _call_reported(self, mail: CallReported) -> list[Send]:
@@ -293,6 +318,24 @@
             self._parts.table.update_own(version=version)
             self._parts.events.write(Event.CONFIG_IN_FORCE, version=version)
 
+    def _do_duties(self) -> None:
+        duties = self._parts.duties
+        duties.on_state(self._fold.state)
+        duties.on_tick(
+            self._fold,
+            rank=self._duty_rank(),
+            first=self._log_first,
+            end=self._log_end or 0,
+        )
+
+    def _duty_rank(self) -> int | None:
+        """Return the rank among the zone's readers, None while this node should hold no duty."""
+        current = self._log_end is not None and self._fold.next_offset >= self._log_end
+        able = self._gate.state is Readiness.READY and self._log_failing_since is None
+        if not current or not able or self._parts.table.own.draining:
+            return None
+        return _DUTY_RANKS.get(self._role)
+
     def _refresh(self) -> None:
         """Decide readiness anew and replace the routing view."""
         now = self._parts.clock.monotonic()
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -13,6 +13,7 @@
 from ..membership import FailureDetector, Member, MemberTable, ZoneDirectory
 from ..telemetry import EventLog, Metrics
 from .core import CoreParts, NodeCore
+from .duties import Duties
 
 
 def compose_core(
@@ -25,7 +26,9 @@
     events: EventLog,
     metrics: Metrics,
     views: ViewHolder,
+    writer: str,
     append: Callable[[Any], None],
+    append_snapshot: Callable[[bytes], None],
 ) -> NodeCore:
     """Return the decisions of a node with all their cores.
 
@@ -38,11 +41,21 @@
         events: Where log events go.
         metrics: Where metrics go.
         views: Receives the routing view.
-        append: Queues a record body for the log.
+        writer: ``node name/boot id`` of this process.
+        append: Queues a record body for the log; the result comes back as `AppendDone`.
+        append_snapshot: Queues a snapshot; the result comes back as `SnapshotDone`.
     """
     table = MemberTable(own)
+    duties = Duties(
+        writer=writer,
+        clock=clock,
+        random=random,
+        events=events,
+        append=append,
+        append_snapshot=append_snapshot,
+    )
     parts = CoreParts(
-        clock=clock, events=events, metrics=metrics, table=table, views=views, append=append
+        clock=clock, events=events, metrics=metrics, table=table, views=views, duties=duties
     )
     core = NodeCore(parts, fold=LogFold())
     parts.distribution = DistributionCore(
--- a/src/citronrack/node/mail.py
+++ b/src/citronrack/node/mail.py
@@ -5,6 +5,7 @@
 import queue
 import socket
 from concurrent.futures import Future
+from enum import StrEnum
 from typing import Any
 
 from attrs import frozen
@@ -36,21 +37,42 @@
     data: bytes
 
 
+class AppendFate(StrEnum):
+    """What became of an append."""
+
+    APPENDED = "appended"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @frozen
 class AppendDone:
     """The append task has finished a record that the core asked for.
 
     Attributes:
         body: The record body.
+        fate: What became of it.
         offset: Where it stands in the log, None when it was refused or is unknown.
         reason: Why it has no offset.
     """
 
     body: Any
+    fate: AppendFate
     offset: int | None
     reason: str = ""
 
 
+@frozen
+class SnapshotDone:
+    """The append task has finished a snapshot.
+
+    Attributes:
+        offset: Where it stands in the snapshots stream, None when that is not certain.
+    """
+
+    offset: int | None
+
+
 @frozen
 class CallReported:
     """The call path finished an attempt."""
