--- /dev/null
+++ b/src/citronrack/moves/board.py
@@ -0,0 +1,156 @@
+"""What is known about moves from facts and from the folded log."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from attrs import define
+
+from ..clock import Clock
+from ..codec import decode, encode
+from ..config import Move
+from ..errors import MessageRejected
+from ..log.fold import FoldState, mark_key
+from ..log.records import Marked
+from .facts import (
+    MARK_PREFIX,
+    REFERENCE_PREFIX,
+    ZONE_PREFIX,
+    Facts,
+    SlowReference,
+    ZoneProgress,
+    mark_fact_key,
+    mark_rank,
+)
+
+T = TypeVar("T")
+
+_KINDS: dict[str, type[Any]] = {
+    MARK_PREFIX: Marked,
+    ZONE_PREFIX: ZoneProgress,
+    REFERENCE_PREFIX: SlowReference,
+}
+
+
+@define
+class KnownMark:
+    """A mark and when this node learned of it, on its monotonic clock."""
+
+    mark: Marked
+    since_s: float
+
+
+class MoveBoard:
+    """Reads and writes the facts about moves.
+
+    Args:
+        facts: Spreads facts between nodes.
+        clock: Source of time.
+    """
+
+    def __init__(self, facts: Facts, clock: Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+        self._ranks: dict[str, int] = {}
+        self._marks: dict[str, KnownMark] = {}
+        self._progress: dict[str, ZoneProgress] = {}
+        self._references: dict[str, SlowReference] = {}
+
+    @property
+    def marks(self) -> tuple[Marked, ...]:
+        """All known marks."""
+        return tuple(known.mark for known in self._marks.values())
+
+    def refresh(self) -> None:
+        """Take in new facts; one that cannot be decoded is ignored."""
+        for fact in self._facts.items():
+            if self._ranks.get(fact.key, -1) >= fact.rank:
+                continue
+            prefix = fact.key.split("/", 1)[0] + "/"
+            if prefix not in _KINDS:
+                continue
+            self._ranks[fact.key] = fact.rank
+            try:
+                self._take(decode(fact.payload, _KINDS[prefix]))
+            except MessageRejected:
+                continue
+
+    def on_state(self, state: FoldState) -> None:
+        """Take in the marks of the folded log, and forget what belongs to decided moves."""
+        for mark in state.marks.values():
+            self._take(mark)
+        open_moves = {(move.move_id, move.epoch) for move in state.config.moves.values()}
+        # A fact may arrive before the record that opens its move, so only older ones are dropped.
+        newest = state.config.version
+        self._progress = {
+            key: p
+            for key, p in self._progress.items()
+            if (p.move_id, p.epoch) in open_moves or p.epoch > newest
+        }
+        self._references = {
+            key: r
+            for key, r in self._references.items()
+            if (r.move_id, r.epoch) in open_moves or r.epoch > newest
+        }
+
+    def put_mark(self, mark: Marked) -> None:
+        """Publish a mark."""
+        self._take(mark)
+        self._facts.put(mark_fact_key(mark), mark_rank(mark), encode(mark))
+
+    def put_progress(self, progress: ZoneProgress) -> None:
+        """Publish the own zone's progress."""
+        self._take(progress)
+        self._facts.put(progress.key, progress.rank, encode(progress))
+
+    def put_reference(self, reference: SlowReference) -> None:
+        """Publish the own zone's reference for slow calls."""
+        self._take(reference)
+        self._facts.put(reference.key, reference.rank, encode(reference))
+
+    def mark_of(self, move: Move, service: str) -> KnownMark | None:
+        """Return the mark that ends a move, if there is one.
+
+        A mark counts for moves of the same epoch and of earlier ones; a later intent is a new try.
+        """
+        for known in self._marks.values():
+            mark = known.mark
+            same = (mark.service, mark.service_version) == (service, move.to_version)
+            if same and mark.epoch >= move.epoch:
+                return known
+        return None
+
+    def progress_of(self, move: Move) -> dict[str, ZoneProgress]:
+        """Return the last report of each zone on a move."""
+        return {
+            p.availability_zone: p
+            for p in self._progress.values()
+            if (p.move_id, p.epoch) == (move.move_id, move.epoch)
+        }
+
+    def reference_of(self, move: Move, availability_zone: str) -> SlowReference | None:
+        """Return a zone's reference for slow calls, if it has one."""
+        for known in self._references.values():
+            wanted = (move.move_id, move.epoch, availability_zone)
+            if (known.move_id, known.epoch, known.availability_zone) == wanted:
+                return known
+        return None
+
+    def _take(self, body: Any) -> None:
+        if isinstance(body, Marked):
+            key = mark_key(body.service, body.service_version, body.epoch)
+            known = self._marks.get(key)
+            if known is None:
+                self._marks[key] = KnownMark(body, self._clock.monotonic())
+            elif mark_rank(body) > mark_rank(known.mark):
+                known.mark = body
+        elif isinstance(body, ZoneProgress):
+            self._keep_greater(self._progress, body)
+        elif isinstance(body, SlowReference):
+            self._keep_greater(self._references, body)
+
+    @staticmethod
+    def _keep_greater(entries: dict[str, Any], body: Any) -> None:
+        known = entries.get(body.key)
+        if known is None or body.rank > known.rank:
+            entries[body.key] = body
--- /dev/null
+++ b/src/citronrack/moves/sequential.py
@@ -0,0 +1,145 @@
+"""A sequential test of whether the new side of a move is hit more often than the old one."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import Protocol
+
+from attrs import define, frozen
+
+BASELINE_MIN_CALLS = 200
+BASELINE_SIGMAS = 3.0  # a true rate above the bound has a chance of about 1 in 1,000
+MAX_BASELINE_RATE = 0.5
+SHARED_FAULT_RISE = 3.0  # other routes hit this many times as often show a shared fault
+_START_CAPITAL = 0.5
+
+
+@frozen
+class Compared:
+    """Calls and how many of them were hits (failures, or slow answers)."""
+
+    calls: int = 0
+    hits: int = 0
+
+
+class Stratum(Protocol):
+    """Calls of one route in one bucket, with what they are compared with."""
+
+    def log_factor(self, odds: float) -> float:
+        """Return the log likelihood ratio of ``odds`` against equal sides."""
+
+
+@frozen
+class SideBySide:
+    """Both sides in the same bucket.
+
+    Given the number of hits, each one lies on the new side with the probability of that side's
+    part of the calls when the sides are equal.
+    """
+
+    new: Compared
+    old: Compared
+
+    def log_factor(self, odds: float) -> float:
+        """Return the log likelihood ratio of ``odds`` against equal sides."""
+        hits = self.new.hits + self.old.hits
+        if not hits or not self.new.calls or not self.old.calls:
+            return 0.0
+        part = self.new.calls / (self.new.calls + self.old.calls)
+        return self.new.hits * math.log(odds) - hits * math.log(part * odds + 1 - part)
+
+
+@frozen
+class AgainstRate:
+    """The new side alone, against an upper bound of the old side's rate."""
+
+    new: Compared
+    rate: float
+
+    def log_factor(self, odds: float) -> float:
+        """Return the log likelihood ratio of a rate raised by ``odds`` against the bound."""
+        raised = min(self.rate * odds, (1 + self.rate) / 2)
+        gain = math.log(raised / self.rate)
+        loss = math.log((1 - raised) / (1 - self.rate))
+        return self.new.hits * gain + (self.new.calls - self.new.hits) * loss
+
+
+class SequentialTest:
+    """An e-process: under the null hypothesis its expectation is at most 1 at any stopping time.
+
+    The value is a mixture over the odds that a bad version may have and over the bucket in which
+    it may have become bad. Half of the weight lies on the first bucket, the rest is spread evenly
+    over ``buckets``, so that a fault that begins late is not outweighed by a long good time.
+
+    Args:
+        odds: Odds of a hit on the new side, equally weighted.
+        buckets: Number of buckets over which the start of a fault is spread.
+        max_factor: Largest factor of one bucket. A capped factor has a smaller expectation, so
+            the bound holds, and one bucket at the edge of a shared fault cannot decide alone.
+    """
+
+    def __init__(self, *, odds: Sequence[float], buckets: int, max_factor: float) -> None:
+        self._odds = tuple(odds)
+        self._max_log = math.log(max_factor)
+        self._late_capital = (1 - _START_CAPITAL) / max(buckets, 1)
+        self._capital_left = 1 - _START_CAPITAL
+        self._values = [_START_CAPITAL] * len(self._odds)
+
+    @property
+    def value(self) -> float:
+        """Present value; equal sides ever reach ``x`` with probability at most ``1 / x``."""
+        return math.fsum(self._values) / len(self._values)
+
+    def add(self, strata: Sequence[Stratum]) -> None:
+        """Take in one bucket.
+
+        Routes are strata and not summed: two routes with different shares and failure rates
+        would look like different sides.
+        """
+        logs = [math.fsum(s.log_factor(odds) for s in strata) for odds in self._odds]
+        if not any(logs):
+            return
+        added = min(self._late_capital, self._capital_left)
+        self._capital_left -= added
+        for index, log_factor in enumerate(logs):
+            factor = math.exp(min(log_factor, self._max_log))
+            self._values[index] = (self._values[index] + added) * factor
+
+
+@define
+class Baseline:
+    """Rates of the old version and of other routes, learned while both sides had calls."""
+
+    old_calls: int = 0
+    old_hits: int = 0
+    other_calls: int = 0
+    other_hits: int = 0
+
+    def learn(self, old: Compared, other: Compared) -> None:
+        """Add a bucket in which the old version had calls."""
+        self.old_calls += old.calls
+        self.old_hits += old.hits
+        self.other_calls += other.calls
+        self.other_hits += other.hits
+
+    def bound(self, other: Compared) -> float | None:
+        """Return an upper bound of the old version's rate under the present conditions.
+
+        Args:
+            other: Calls of other routes in the same bucket. When they are hit more often than
+                before, the fault is taken as shared and the bound rises by the same factor.
+
+        Returns:
+            The bound, or None when the old version was seen too little.
+        """
+        if self.old_calls < BASELINE_MIN_CALLS:
+            return None
+        sigma = math.sqrt(self.old_hits + 1)
+        rate = (self.old_hits + BASELINE_SIGMAS * sigma + 1) / self.old_calls
+        usual = self.other_hits / self.other_calls if self.other_calls else 0.0
+        rise = (other.hits + 1) / (other.calls * usual + 1)
+        rate *= max(rise, 1.0)
+        if rise > SHARED_FAULT_RISE and other.calls:
+            rate = max(rate, (other.hits + math.sqrt(other.hits) + 1) / other.calls)
+        return min(rate, MAX_BASELINE_RATE)
