Tell shared faults from bad versions after the end of a move

Change: a bucket in which the other routes are hit unusually often, and the one after it, say nothing about the new version alone, and the gain of the bucket before is given up.

--- /dev/null
+++ b/src/citronrack/bench/moves_alarm.py
@@ -0,0 +1,111 @@
+"""Measures the false-alarm rate of the sequential test on two equal sides."""
+
+from __future__ import annotations
+
+import argparse
+import math
+import sys
+from collections.abc import Iterator
+from random import Random
+
+from attrs import frozen
+
+from ..moves.baseline import Baseline, Rise
+from ..moves.sequential import AgainstRate, Compared, SequentialTest, SideBySide
+
+BUCKETS = 150
+CALLS_PER_BUCKET = 200
+ODDS = (2.0, 4.0, 16.0)
+MAX_FACTOR = 1000.0
+RAMP = (0.05, 0.25, 0.5)
+WATCH_BUCKETS = 30
+ALPHAS = (0.1, 0.05, 0.01)
+
+
+@frozen
+class Setting:
+    """Conditions of equal sides.
+
+    Attributes:
+        name: What to call them.
+        rate: Part of failed calls on both sides.
+        burst: Part of failed calls on both sides in the middle third.
+        is_watched: Whether `WATCH_BUCKETS` without old calls follow.
+    """
+
+    name: str
+    rate: float
+    burst: float
+    is_watched: bool = False
+
+
+SETTINGS = (
+    Setting("0.2% fail", 0.002, 0.002),
+    Setting("5% fail", 0.05, 0.05),
+    Setting("0.2% fail, 20% in a shared fault", 0.002, 0.2),
+    Setting("0.2% fail, watched without the old version", 0.002, 0.002, is_watched=True),
+    Setting("5% fail, watched without the old version", 0.05, 0.05, is_watched=True),
+)
+
+
+def highest_value(setting: Setting, random: Random) -> float:
+    """Return the highest value of the test during one move with equal sides."""
+    test = SequentialTest(odds=ODDS, buckets=BUCKETS + WATCH_BUCKETS, max_factor=MAX_FACTOR)
+    baseline = Baseline()
+    highest = test.value
+    for bucket in range(BUCKETS):
+        in_burst = BUCKETS // 3 <= bucket < 2 * BUCKETS // 3
+        rate = setting.burst if in_burst else setting.rate
+        share = RAMP[bucket * len(RAMP) // BUCKETS]
+        new_calls = _binomial(random, CALLS_PER_BUCKET, share)
+        new = Compared(new_calls, _binomial(random, new_calls, rate))
+        old_calls = CALLS_PER_BUCKET - new_calls
+        old = Compared(old_calls, _binomial(random, old_calls, rate))
+        test.add([SideBySide(new, old)])
+        baseline.learn(old)
+        highest = max(highest, test.value)
+    for _ in range(WATCH_BUCKETS if setting.is_watched else 0):
+        hits = _binomial(random, CALLS_PER_BUCKET, setting.rate)
+        bound = baseline.bound(Rise())
+        if bound is not None:
+            test.add([AgainstRate(Compared(CALLS_PER_BUCKET, hits), bound)])
+        highest = max(highest, test.value)
+    return highest
+
+
+def _binomial(random: Random, number: int, part: float) -> int:
+    """Return a binomial number by skipping to the next hit."""
+    if part <= 0:
+        return 0
+    hits, place = 0, -1
+    scale = math.log1p(-part)
+    while True:
+        place += 1 + int(math.log(1.0 - random.random()) / scale)
+        if place >= number:
+            return hits
+        hits += 1
+
+
+def report(runs: int) -> Iterator[str]:
+    """Yield the lines of a Markdown table."""
+    head = ["equal sides", "runs", *(f"reached 1/{alpha:g}" for alpha in ALPHAS)]
+    yield "| " + " | ".join(head) + " |"
+    yield "|" + "---|" * len(head)
+    for setting in SETTINGS:
+        random = Random(setting.name)
+        values = [highest_value(setting, random) for _ in range(runs)]
+        parts = [sum(value >= 1 / alpha for value in values) / runs for alpha in ALPHAS]
+        yield f"| {setting.name} | {runs} | " + " | ".join(f"{part:.4f}" for part in parts) + " |"
+
+
+def main() -> int:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=10_000)
+    for line in report(parser.parse_args().runs):
+        print(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Collection, Iterable
 from functools import partial
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import define, frozen
 
@@ -123,6 +123,7 @@
         new_calls: Calls of the new version.
         new_after_fault: Calls of the new version since its fault began.
         all_after_fault: All calls since the fault began.
+        all_until_last_new: Of these, the calls until the last one of the new version.
         first_fault_s: First call of the faulty version, seconds since the start of the move.
         last_new_s: Last call of the new version.
     """
@@ -131,10 +132,21 @@
     new_calls: int = 0
     new_after_fault: int = 0
     all_after_fault: int = 0
+    all_until_last_new: int = 0
     first_fault_s: float | None = None
     last_new_s: float | None = None
 
 
+class Controller(Protocol):
+    """Another way to decide the share of the new version, without nodes."""
+
+    def share(self, age_s: float) -> float:
+        """Return the share, ``age_s`` seconds after the start of the move."""
+
+    def observe(self, age_s: float, calls: int, failures: int) -> None:
+        """Take in calls of the new version."""
+
+
 class MoveFleet:
     """Runs all nodes on one manual clock.
 
@@ -145,6 +157,8 @@
         seed: Seed of all random numbers.
         deadline_s: Time from the start of the moves to their deadline.
         skew_ms: Largest error of a node's wall clock.
+        tick_s: Time between two ticks; all that happens is rounded up to it.
+        controller: Decides the shares in place of the nodes, for comparison.
     """
 
     def __init__(
@@ -156,22 +170,28 @@
         seed: int,
         deadline_s: float = 300.0,
         skew_ms: int = 50,
+        tick_s: float = TICK_S,
+        controller: Controller | None = None,
     ) -> None:
         self.deployment = deployment
         self.random = Random(seed)
         self.clock = ManualClock()
         self.answer = answer
+        self._tick_s = tick_s
+        self._controller = controller
         self.tally = Tally()
         self.cut: set[str] = set()
         self.log_down = False
-        self.lose_answers = False
-        self.bad_from_s: float | None = None
+        self.counts_bytes = True
         self._log: list[bytes] = []
         self._written_s: list[float] = []
         self._folds = {zone: LogFold() for zone in deployment.zones}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_number = 0
         self.nodes: list[FleetNode] = []
+        self._by_address: dict[str, FleetNode] = {}
+        self._reachable: dict[tuple[str, str, str], list[FleetNode]] = {}
+        self._alive: dict[str, list[FleetNode]] = {}
         self._make_nodes(skew_ms)
         self.start_s = 2.0
         self._open_moves(profile, deadline_s)
@@ -205,18 +225,20 @@
         self.append(node, Claim(Duty.OUTCOMES.value, term, node.member.name, 10_000))
 
     def step(self) -> None:
-        """Run one tick of all nodes and of the traffic."""
+        """Run one tick of all nodes and of the traffic; faults are set between two ticks."""
+        self._reachable.clear()
+        self._alive.clear()
         for clock in (self.clock, *(node.clock for node in self.nodes)):
-            clock.advance(TICK_S)
+            clock.advance(self._tick_s)
         self._run_events()
         self._read_log()
         if int(self.clock.monotonic() / SYNC_EVERY_S) != int(
-            (self.clock.monotonic() - TICK_S) / SYNC_EVERY_S
+            (self.clock.monotonic() - self._tick_s) / SYNC_EVERY_S
         ):
             self._sync()
         self._traffic()
         for node in self.nodes:
-            if node.is_alive and not node.is_paused:
+            if node.is_alive and not node.is_paused and self._controller is None:
                 self._tick(node)
 
     def run_until(self, condition: Callable[[], bool], *, limit_s: float) -> bool:
@@ -240,7 +262,11 @@
         return max(values)
 
     def _live(self, zone: str) -> list[FleetNode]:
-        return [n for n in self.nodes if n.zone == zone and n.is_alive and not n.is_paused]
+        if zone not in self._alive:
+            self._alive[zone] = [
+                n for n in self.nodes if n.zone == zone and n.is_alive and not n.is_paused
+            ]
+        return self._alive[zone]
 
     def _make_nodes(self, skew_ms: int) -> None:
         zones = self.deployment.zones
@@ -268,6 +294,7 @@
             own_name=name, boot_id="1", availability_zone=zone, clock=clock, around=around
         )
         self.nodes.append(FleetNode(member, core, facts, clock))
+        self._by_address[member.address] = self.nodes[-1]
 
     def _unheard(self, zone: str) -> Collection[str]:
         return {z for z in self.deployment.zones if z != zone and self._parted(z, zone)}
@@ -275,15 +302,22 @@
     def _parted(self, one: str, other: str) -> bool:
         return one != other and bool({one, other} & self.cut)
 
+    def _targets(self, zone: str, service: str, version: str) -> list[FleetNode]:
+        """Return the live targets of a version that can be reached from a zone."""
+        key = (zone, service, version)
+        if key not in self._reachable:
+            self._reachable[key] = [
+                node
+                for node in self.nodes
+                if node.is_alive
+                and (node.member.service, node.member.service_version) == (service, version)
+                and not self._parted(node.zone, zone)
+            ]
+        return self._reachable[key]
+
     def _capacity(self, zone: str, service: str, version: str) -> Capacity:
-        targets = [
-            node
-            for node in self.nodes
-            if node.is_alive
-            and (node.member.service, node.member.service_version) == (service, version)
-            and not self._parted(node.zone, zone)
-        ]
-        return Capacity(len(targets), slots=6 * len(targets))
+        targets = len(self._targets(zone, service, version))
+        return Capacity(targets, slots=6 * targets)
 
     def _open_moves(self, profile: str, deadline_s: float) -> None:
         service = Service(SERVICE, {name: ServiceVersion(name) for name in (OLD, NEW)})
@@ -368,16 +402,17 @@
 
     def _tick(self, node: FleetNode) -> None:
         for send in node.core.on_tick():
-            node.bytes_sent += len(message_codec.encode(send.message)) + FRAME_BYTES
-            receiver = next((n for n in self.nodes if n.member.address == send.to), None)
-            if receiver is not None and receiver.is_alive and not receiver.is_paused:
+            if self.counts_bytes:
+                node.bytes_sent += len(message_codec.encode(send.message)) + FRAME_BYTES
+            receiver = self._by_address[send.to]
+            if receiver.is_alive and not receiver.is_paused:
                 receiver.core.on_message(node.member.address, send.message)
         for body in node.core.due_records():
             self.append(node, body)
 
     def _traffic(self) -> None:
         rates = {"lookups": 0.7, "orders": 0.3}
-        per_zone = TICK_S / len(self.deployment.zones)
+        per_zone = self._tick_s / len(self.deployment.zones)
         for zone in self.deployment.zones:
             for route, part in rates.items():
                 mean = self.deployment.calls_per_second * part * per_zone
@@ -392,14 +427,19 @@
         if not calls or not live:
             return
         entry = live[self.random.randrange(len(live))]
-        shares = entry.core.shares().get(route)
-        served = self._folds[zone].config.routes[route].service_version
-        share = shares.share if shares is not None else float(served == NEW)
+        share = self._share_at(entry, route)
         new = self._binomial(calls, share)
         self._count(calls, new, Moment(self.age_s, True, route, share))
         self._deliver(zone, SERVICE, NEW, Moment(self.age_s, True, route, share), new)
         self._deliver(zone, SERVICE, OLD, Moment(self.age_s, False, route, 1 - share), calls - new)
 
+    def _share_at(self, entry: FleetNode, route: str) -> float:
+        if self._controller is not None:
+            return self._controller.share(self.age_s)
+        division = entry.core.shares().get(route)
+        served = self._folds[entry.zone].config.routes[route].service_version
+        return division.share if division is not None else float(served == NEW)
+
     def _count(self, calls: int, new: int, moment: Moment) -> None:
         tally = self.tally
         tally.calls += calls
@@ -413,18 +453,14 @@
         if tally.first_fault_s is not None:
             tally.new_after_fault += new
             tally.all_after_fault += calls
+            if new:
+                tally.all_until_last_new = tally.all_after_fault
 
     def _deliver(self, zone: str, service: str, version: str, moment: Moment, calls: int) -> None:
         """Split calls over the targets of the zone, or of other zones when it has none."""
         if not calls:
             return
-        targets = [
-            node
-            for node in self.nodes
-            if node.is_alive
-            and (node.member.service, node.member.service_version) == (service, version)
-            and not self._parted(node.zone, zone)
-        ]
+        targets = self._targets(zone, service, version)
         near = [node for node in targets if node.zone == zone]
         chosen = near or targets
         for index, node in enumerate(chosen):
@@ -435,6 +471,10 @@
     def _answer_calls(self, node: FleetNode, moment: Moment, number: int) -> None:
         behaviour = self.answer(moment)
         failed = self._binomial(number, behaviour.failures)
+        if self._controller is not None:
+            if moment.is_new:
+                self._controller.observe(self.age_s, number, failed)
+            return
         counted = Counter(self.random.choices(LATENCIES_S, LATENCY_WEIGHTS, k=number - failed))
         results = [(500, 0.01, failed), *((200, level, n) for level, n in counted.items())]
         for status, latency_s, count in results:
--- a/src/citronrack/bench/moves_versions.py
+++ b/src/citronrack/bench/moves_versions.py
@@ -9,8 +9,10 @@
 from ..registry import Registry
 
 BACKGROUND_FAILURES = 0.002
+AT_ONCE_FAILURES = 0.2
 LATE_S = 100.0
 SHARED_FROM_S, SHARED_TO_S = 60.0, 120.0
+WATCH_FAULT_FROM_S, WATCH_FAULT_TO_S = 180.0, 210.0  # within the watch of both profiles
 DECLINE_S = 200.0
 LOAD_LIMIT = 0.4  # part of the route's calls above which the version that fails under load fails
 COLD_S = 20.0
@@ -86,8 +88,8 @@
 
 @scripted("bad at once", bad_from_s=0.0)
 def bad_at_once(moment: Moment) -> Behaviour:
-    """Fails in 20% of calls from the start."""
-    return Behaviour(failures=0.2) if moment.is_new else USUAL
+    """Fails in `AT_ONCE_FAILURES` of calls from the start."""
+    return Behaviour(failures=AT_ONCE_FAILURES) if moment.is_new else USUAL
 
 
 @scripted("bad later", bad_from_s=LATE_S)
@@ -131,6 +133,14 @@
     return USUAL
 
 
+@scripted("good, shared fault after the end")
+def shared_fault_after_the_end(moment: Moment) -> Behaviour:
+    """All versions and services fail in 20% of calls while the new version gets all calls."""
+    if WATCH_FAULT_FROM_S <= moment.age_s < WATCH_FAULT_TO_S:
+        return Behaviour(failures=0.2, slowdown=2.0)
+    return USUAL
+
+
 @scripted("good, cold start")
 def cold_start(moment: Moment) -> Behaviour:
     """Is slow and fails in 5% of calls while its targets are cold."""
--- a/src/citronrack/moves/core.py
+++ b/src/citronrack/moves/core.py
@@ -26,6 +26,7 @@
 from .zone import ZoneMoves
 
 OTHER_ROUTE_NODES = 16  # nodes of a zone that tell about routes without a move
+JUDGE_MESSAGES_PER_S = 30.0  # received by a judging node; about 6 KB/s
 _SIDES = frozenset(int(side) for side in Side)
 
 
@@ -123,9 +124,10 @@
             if reference is not None:
                 self._counter.set_reference(reference)
         ranked = self._around.ranked()
-        sends = self._tell(ranked)
+        interval_s = self._interval_s(ranked)
+        sends = self._tell(ranked, interval_s)
         if self._own_name in (member.name for member in ranked[:JUDGING_NODES]):
-            self._judge()
+            self._judge(interval_s)
         return sends
 
     def shares(self) -> dict[str, RouteShare]:
@@ -155,19 +157,31 @@
         self._notices = []
         return notices
 
-    def _judge(self) -> None:
+    def _interval_s(self, ranked: Sequence[Member]) -> float:
+        """Return the time between two messages, longer when many nodes of the zone send them."""
+        config = self._state.config
+        moving = {config.routes[move.route].service for move in config.moves.values()}
+        telling = sum(member.service in moving for member in ranked)
+        policies = (self._policy_of(move.profile) for move in config.moves.values())
+        return max(
+            min(policy.evidence_interval_s for policy in policies),
+            telling / JUDGE_MESSAGES_PER_S,
+        )
+
+    def _judge(self, interval_s: float) -> None:
         for move in self._state.config.moves.values():
+            if self._board.reference_of(move, self._zone) is not None:
+                continue
             calls, latency_us = self._counter.reference_estimate(move.move_id)
             estimate = MoveEvidence(move.move_id, (), calls, latency_us)
             self._zone_moves.take_estimate(self._own_name, estimate)
-        self._zone_moves.advance(self._state.config)
+        self._zone_moves.advance(self._state.config, interval_s=interval_s)
 
-    def _tell(self, ranked: Sequence[Member]) -> list[Send]:
+    def _tell(self, ranked: Sequence[Member], interval_s: float) -> list[Send]:
         now = self._clock.monotonic()
         if now < self._next_send_s:
             return []
-        policies = [self._policy_of(m.profile) for m in self._state.config.moves.values()]
-        self._next_send_s = now + min(policy.evidence_interval_s for policy in policies)
+        self._next_send_s = now + interval_s
         others = (member.name for member in ranked[:OTHER_ROUTE_NODES])
         update = self._counter.update(with_other=self._own_name in others)
         if update is None:
--- a/src/citronrack/moves/evidence.py
+++ b/src/citronrack/moves/evidence.py
@@ -11,7 +11,7 @@
 
 BUCKET_MS = 2_000
 KEPT_BUCKETS = 30  # closed buckets are tested after one or two; the rest absorbs a long pause
-MAX_CELLS = 4_096  # about 1 MB
+MAX_CELLS = 8_192  # about 2 MB
 MAX_FUTURE_BUCKETS = 2  # a sender whose clock is further ahead is not comparable
 OTHER_ROUTES = ""  # move id of the cells that count routes without a move
 
--- a/src/citronrack/moves/judge.py
+++ b/src/citronrack/moves/judge.py
@@ -7,11 +7,11 @@
 from attrs import define, field, frozen
 
 from ..config import Move
+from .baseline import KINDS, Baseline, OtherRoutes, Rise, compared
 from .evidence import BUCKET_MS, KEPT_BUCKETS, OTHER_ROUTES, Counts, EvidenceStore, Side
 from .policy import Policy
-from .sequential import AgainstRate, Baseline, Compared, SequentialTest, SideBySide, Stratum
+from .sequential import AgainstRate, SequentialTest, SideBySide, Stratum
 
-KINDS = ("failures", "slow")
 REFUSED_PART = 0.1  # more refused attempts than this keep a step from being cleared
 REFUSED_RATIO = 2.0  # when they are also this many times the old version's part
 JUDGING_NODES = 2  # per zone; each runs its own tests
@@ -63,15 +63,25 @@
     step_new: Counts = field(factory=Counts, init=False)
     step_old: Counts = field(factory=Counts, init=False)
 
-    def add(self, bucket: int, new: Counts, old: Counts, other: Counts) -> dict[str, Stratum]:
-        """Take in one bucket and return what it says per kind of hit."""
+    def add(
+        self, bucket: int, new: Counts, old: Counts, rises: dict[str, Rise] | None
+    ) -> dict[str, Stratum]:
+        """Take in one bucket and return what it says per kind of hit.
+
+        Args:
+            bucket: Number of the bucket.
+            new: Calls of the new version.
+            old: Calls of the old version.
+            rises: What other routes show per kind, None during a shared fault. The new version
+                alone then says nothing.
+        """
         self.new.add(new)
         self.old.add(old)
         if bucket >= self.step_from_bucket:
             self.step_new.add(new)
             self.step_old.add(old)
             self.step_calls += new.calls if old.calls else 0
-        strata = {kind: self._stratum(kind, new, old, other) for kind in KINDS}
+        strata = {kind: self._stratum(kind, new, old, rises) for kind in KINDS}
         known = {kind: stratum for kind, stratum in strata.items() if stratum is not None}
         for kind, stratum in known.items():
             self.tests[kind].add([stratum])
@@ -90,15 +100,15 @@
         self.step_new = Counts()
         self.step_old = Counts()
 
-    def _stratum(self, kind: str, new: Counts, old: Counts, other: Counts) -> Stratum | None:
-        compared = Compared(new.calls, getattr(new, kind))
-        others = Compared(other.calls, getattr(other, kind))
+    def _stratum(
+        self, kind: str, new: Counts, old: Counts, rises: dict[str, Rise] | None
+    ) -> Stratum | None:
         if old.calls:
-            olds = Compared(old.calls, getattr(old, kind))
-            self.baselines[kind].learn(olds, others)
-            return SideBySide(compared, olds)
-        rate = self.baselines[kind].bound(others)
-        return AgainstRate(compared, rate) if rate is not None else None
+            if rises is not None:
+                self.baselines[kind].learn(compared(old, kind))
+            return SideBySide(compared(new, kind), compared(old, kind))
+        rate = self.baselines[kind].bound(rises[kind]) if rises is not None else None
+        return AgainstRate(compared(new, kind), rate) if rate is not None else None
 
 
 def _refused_part(counts: Counts) -> float:
@@ -126,6 +136,8 @@
         span_ms = max(m.deadline_ms - m.start_ms for m in moves) + policy.watch_ms
         self._buckets = span_ms // BUCKET_MS + 1
         self.routes = {move.move_id: RouteJudge(move, self._make_tests()) for move in moves}
+        self._others = OtherRoutes()
+        self._others_hit = False
         self._total = self._make_tests() if len(moves) > 1 else {}
 
     @property
@@ -193,16 +205,30 @@
         return Conviction(reason, route, calls)
 
     def _add(self, store: EvidenceStore, bucket: int) -> None:
-        other = store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER)
+        rises = self._rises(store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER))
         strata: dict[str, list[Stratum]] = {kind: [] for kind in KINDS}
         for move_id, judge in self.routes.items():
             new = store.in_bucket(bucket, move_id, Side.NEW)
             old = store.in_bucket(bucket, move_id, Side.OLD)
-            for kind, stratum in judge.add(bucket, new, old, other).items():
+            for kind, stratum in judge.add(bucket, new, old, rises).items():
                 strata[kind].append(stratum)
         for kind, test in self._total.items():
             test.add(strata[kind])
 
+    def _rises(self, other: Counts) -> dict[str, Rise] | None:
+        """Return what other routes show, or None in and right after a shared fault.
+
+        The bucket in which a fault began may have looked like a fault of the new version alone,
+        and the one in which it ends may do so.
+        """
+        was_hit, self._others_hit = self._others_hit, self._others.is_hit(other)
+        if self._others_hit and not was_hit:
+            for _, _, test in self._tests():
+                test.discard_last()
+        if self._others_hit or was_hit:
+            return None
+        return {kind: self._others.rise(other, kind) for kind in KINDS}
+
     def _make_tests(self) -> dict[str, SequentialTest]:
         return {
             kind: SequentialTest(
--- a/src/citronrack/moves/outcome.py
+++ b/src/citronrack/moves/outcome.py
@@ -66,10 +66,20 @@
             return None
         if self._missing():
             return self._unknown()
-        if not inputs.old_is_gone and all(self._is_short(zone) for zone in inputs.zones):
-            return self._record(
-                MoveResult.TAKEN_BACK, "too little evidence by the deadline", inputs.now_ms
-            )
+        return None if inputs.old_is_gone else self._given_up()
+
+    def _given_up(self) -> MoveOutcome | None:
+        """End a move that cannot go on, so that it does not stay between two versions."""
+        inputs = self._inputs
+        if all(self._is_short(zone) for zone in inputs.zones):
+            detail = "too little evidence by the deadline"
+            return self._record(MoveResult.TAKEN_BACK, detail, inputs.now_ms)
+        move = inputs.move
+        extra_ms = max(inputs.policy.watch_ms, move.deadline_ms - move.start_ms)
+        held = sorted(set(inputs.zones) - self._in_phase(Phase.FULL))
+        if held and inputs.now_ms >= move.deadline_ms + extra_ms:
+            detail = "the evidence did not clear the next step in " + ", ".join(held)
+            return self._record(MoveResult.TAKEN_BACK, detail, inputs.now_ms)
         return None
 
     def _taken_back(self, mark: Marked) -> MoveOutcome | None:
--- a/src/citronrack/moves/sequential.py
+++ b/src/citronrack/moves/sequential.py
@@ -6,12 +6,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import define, frozen
+from attrs import frozen
 
-BASELINE_MIN_CALLS = 200
-BASELINE_SIGMAS = 3.0  # a true rate above the bound has a chance of about 1 in 1,000
-MAX_BASELINE_RATE = 0.5
-SHARED_FAULT_RISE = 3.0  # other routes hit this many times as often show a shared fault
 _START_CAPITAL = 0.5
 
 
@@ -85,6 +81,7 @@
         self._late_capital = (1 - _START_CAPITAL) / max(buckets, 1)
         self._capital_left = 1 - _START_CAPITAL
         self._values = [_START_CAPITAL] * len(self._odds)
+        self._before = list(self._values)
 
     @property
     def value(self) -> float:
@@ -100,46 +97,15 @@
         logs = [math.fsum(s.log_factor(odds) for s in strata) for odds in self._odds]
         if not any(logs):
             return
+        self._before = list(self._values)
         added = min(self._late_capital, self._capital_left)
         self._capital_left -= added
         for index, log_factor in enumerate(logs):
             factor = math.exp(min(log_factor, self._max_log))
             self._values[index] = (self._values[index] + added) * factor
 
-
-@define
-class Baseline:
-    """Rates of the old version and of other routes, learned while both sides had calls."""
-
-    old_calls: int = 0
-    old_hits: int = 0
-    other_calls: int = 0
-    other_hits: int = 0
-
-    def learn(self, old: Compared, other: Compared) -> None:
-        """Add a bucket in which the old version had calls."""
-        self.old_calls += old.calls
-        self.old_hits += old.hits
-        self.other_calls += other.calls
-        self.other_hits += other.hits
-
-    def bound(self, other: Compared) -> float | None:
-        """Return an upper bound of the old version's rate under the present conditions.
-
-        Args:
-            other: Calls of other routes in the same bucket. When they are hit more often than
-                before, the fault is taken as shared and the bound rises by the same factor.
-
-        Returns:
-            The bound, or None when the old version was seen too little.
-        """
-        if self.old_calls < BASELINE_MIN_CALLS:
-            return None
-        sigma = math.sqrt(self.old_hits + 1)
-        rate = (self.old_hits + BASELINE_SIGMAS * sigma + 1) / self.old_calls
-        usual = self.other_hits / self.other_calls if self.other_calls else 0.0
-        rise = (other.hits + 1) / (other.calls * usual + 1)
-        rate *= max(rise, 1.0)
-        if rise > SHARED_FAULT_RISE and other.calls:
-            rate = max(rate, (other.hits + math.sqrt(other.hits) + 1) / other.calls)
-        return min(rate, MAX_BASELINE_RATE)
+    def discard_last(self) -> None:
+        """Give up what the last bucket has gained; a smaller value keeps the bound."""
+        self._values = [
+            min(now, then) for now, then in zip(self._values, self._before, strict=True)
+        ]
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -87,15 +87,21 @@
         """Return the judge of a move, None when this node does not judge it."""
         return self._judges.get(self._key(move, config))
 
-    def advance(self, config: ConfigSet) -> None:
-        """Take in closed buckets and act on what they show."""
+    def advance(self, config: ConfigSet, *, interval_s: float) -> None:
+        """Take in closed buckets and act on what they show.
+
+        Args:
+            config: Configuration in force.
+            interval_s: Time between two evidence messages of a node.
+        """
+        settle_ms = SETTLE_MS + int(interval_s * 1000)
         groups = self._groups(config)
         self._judges = {key: judge for key, judge in self._judges.items() if key in groups}
         self._estimates = {m: e for m, e in self._estimates.items() if m in config.moves}
         for key, moves in groups.items():
-            self._advance_version(key, moves)
+            self._advance_version(key, moves, settle_ms)
 
-    def _advance_version(self, key: VersionKey, moves: list[Move]) -> None:
+    def _advance_version(self, key: VersionKey, moves: list[Move], settle_ms: int) -> None:
         now_ms = self._clock.wall_ms()
         policy = self._policy_of(moves[0].profile)
         judge = self._judges.get(key)
@@ -106,7 +112,6 @@
                 zones=len(self._zones()),
                 first_bucket=bucket_of(now_ms),
             )
-        settle_ms = SETTLE_MS + int(policy.evidence_interval_s * 1000)
         judge.advance(self._store, through=bucket_of(now_ms - settle_ms) - 1)
         service = key[0]
         if self._board.mark_of(moves[0], service) is None:
@@ -240,11 +245,16 @@
             self._notices.append(MoveNotice(Event.MOVE_STEP, present.move_id, text))
 
     def _groups(self, config: ConfigSet) -> dict[VersionKey, list[Move]]:
+        """Return the moves of each new version of which one has started or is about to."""
         groups: dict[VersionKey, list[Move]] = {}
         for move in config.moves.values():
-            if self._clock.wall_ms() >= move.start_ms - BUCKET_MS:
-                groups.setdefault(self._key(move, config), []).append(move)
-        return groups
+            groups.setdefault(self._key(move, config), []).append(move)
+        soon_ms = self._clock.wall_ms() + BUCKET_MS
+        return {
+            key: moves
+            for key, moves in groups.items()
+            if any(move.start_ms <= soon_ms for move in moves)
+        }
 
     @staticmethod
     def _key(move: Move, config: ConfigSet) -> VersionKey:
