Test the decisions about moves in one process; finish short moves by their deadline

Change: the shortage rule comes first and begins 2 s before the deadline; references of equal age have one order; folded cells are not sent.

--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -183,6 +183,8 @@
         self.cut: set[str] = set()
         self.log_down = False
         self.counts_bytes = True
+        self.calls_factor = 1.0  # on the calls of the moving service
+        self.lose_answers = False  # each append takes effect, is answered by nobody and retried
         self._log: list[bytes] = []
         self._written_s: list[float] = []
         self._folds = {zone: LogFold() for zone in deployment.zones}
@@ -216,8 +218,9 @@
             return False
         node.sequence += 1
         envelope = Envelope(f"{node.member.name}/1", node.sequence, 0, body)
-        self._log.append(encode_record(envelope))
-        self._written_s.append(self.clock.monotonic())
+        for _ in range(2 if self.lose_answers else 1):
+            self._log.append(encode_record(envelope))
+            self._written_s.append(self.clock.monotonic())
         return True
 
     def claim(self, node: FleetNode, term: int) -> None:
@@ -415,7 +418,7 @@
         per_zone = self._tick_s / len(self.deployment.zones)
         for zone in self.deployment.zones:
             for route, part in rates.items():
-                mean = self.deployment.calls_per_second * part * per_zone
+                mean = self.deployment.calls_per_second * part * per_zone * self.calls_factor
                 self._route_calls(zone, route, self._poisson(mean))
             mean = self.deployment.other_calls_per_second * per_zone
             share = 1.0
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -96,7 +96,10 @@
         """
         by_move: dict[str, list[CellCounts]] = {}
         for (source, bucket), sends in list(self._unsent.items()):
-            counts = self._store.cell(source, bucket)
+            counts = self._store.find(source, bucket)
+            if counts is None:
+                del self._unsent[source, bucket]
+                continue
             by_move.setdefault(source.move, []).append(
                 CellCounts(
                     int(source.side),
--- a/src/citronrack/moves/evidence.py
+++ b/src/citronrack/moves/evidence.py
@@ -45,10 +45,13 @@
 
     def grow_to(self, other: Counts) -> bool:
         """Take the maximum of each counter and return whether one has grown."""
-        before = attrs.astuple(self)
-        merged = tuple(map(max, before, attrs.astuple(other)))
-        self.calls, self.failures, self.slow, self.refused, self.cold = merged
-        return merged != before
+        grown = False
+        for name in COUNTERS:
+            theirs = getattr(other, name)
+            if theirs > getattr(self, name):
+                setattr(self, name, theirs)
+                grown = True
+        return grown
 
     def add(self, other: Counts) -> None:
         """Add the counters of another cell."""
@@ -59,6 +62,9 @@
         self.cold += other.cold
 
 
+COUNTERS = ("calls", "failures", "slow", "refused", "cold")
+
+
 @frozen
 class Source:
     """A series of cells of one process.
@@ -124,6 +130,10 @@
             self._cells += 1
         return counts
 
+    def find(self, source: Source, bucket: int) -> Counts | None:
+        """Return the counters of a cell, None when it has been folded or dropped."""
+        return self._buckets[bucket].get(source) if bucket in self._buckets else None
+
     def merge(self, cells: Iterable[EvidenceCell], *, now_bucket: int) -> None:
         """Take over the greater counters; folded and far future buckets are ignored."""
         for cell in cells:
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -14,6 +14,8 @@
 ZONE_PREFIX = "zone/"
 REFERENCE_PREFIX = "slow/"
 _STEP_RANGE = 100  # more than a move has steps
+_BUCKET_RANGE = 1 << 36  # buckets of 2 s
+_LATENCY_RANGE = 1 << 26  # microseconds; 67 s
 _TIME_RANGE = 1 << 44  # milliseconds; until the year 2527
 
 
@@ -114,8 +116,9 @@
 
     @property
     def rank(self) -> int:
-        """Order of two references; the one that holds from an earlier bucket wins."""
-        return _earliest(self.from_bucket)
+        """Order of two references: the one that holds from an earlier bucket, then the higher."""
+        latency = min(self.latency_us, _LATENCY_RANGE - 1)
+        return (_BUCKET_RANGE - 1 - self.from_bucket) * _LATENCY_RANGE + latency
 
 
 def mark_fact_key(mark: Marked) -> str:
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -23,6 +23,7 @@
 COUNT_SETTLE_S = 3.0  # calls to a marked version have ended and are counted after this
 REFERENCE_MIN_CALLS = 50
 REFERENCE_LEAD_BUCKETS = 2  # all nodes of the zone know the reference by then
+SHORTAGE_LEAD_MS = 2_000  # the last steps are taken one by one and must end by the deadline
 SHORTAGE_MIN_JUDGED_MS = 10_000  # a node that has just begun to judge has no evidence yet
 FOLLOW_PART = 0.25  # part of the way to the next step after which a zone follows another one
 
@@ -165,14 +166,14 @@
             if begun:
                 self._publish(turn, phase=Phase.FULL)
             return
-        if begun and (turn.judge.clears(turn.move.move_id) or self._follows(turn)):
+        has_shortage = self._has_shortage(turn)
+        finishes = turn.policy.shortage is Shortage.FINISH and not turn.route.refuses()
+        if has_shortage and finishes:
+            self._publish(turn, cleared=last)
+        elif begun and (turn.judge.clears(turn.move.move_id) or self._follows(turn)):
             self._publish(turn, cleared=cleared + 1)
-        elif self._has_shortage(turn):
-            finishes = turn.policy.shortage is Shortage.FINISH and not turn.route.refuses()
-            if finishes:
-                self._publish(turn, cleared=last)
-            elif not turn.present.short:
-                self._publish(turn, short=True)
+        elif has_shortage and not turn.present.short:
+            self._publish(turn, short=True)
 
     def _follows(self, turn: _Turn) -> bool:
         """Whether this zone has too few calls to judge and another zone has cleared the step."""
@@ -185,7 +186,7 @@
         return wait_over and few and cleared_elsewhere and sound
 
     def _has_shortage(self, turn: _Turn) -> bool:
-        late = self._clock.wall_ms() >= turn.move.deadline_ms
+        late = self._clock.wall_ms() >= turn.move.deadline_ms - SHORTAGE_LEAD_MS
         few = turn.route.step_calls < turn.policy.min_calls
         judged = turn.judge.judged_ms >= SHORTAGE_MIN_JUDGED_MS
         return late and few and judged and not turn.judge.suspicious()
