--- a/src/citronrack/bench/moves.py
+++ b/src/citronrack/bench/moves.py
@@ -18,7 +18,8 @@
 from ..moves.judge import JUDGING_NODES
 from ..moves.zone import SETTLE_MS
 from .moves_compared import ThresholdRamp, TimedRamp
-from .moves_fleet import HARBOR_LANTERN, SPOORHOUT, ZONE_FACT_DELAY_S, Deployment, MoveFleet
+from .moves_fleet import ZONE_FACT_DELAY_S, MoveFleet
+from .moves_parts import HARBOR_LANTERN, SPOORHOUT, Deployment
 from .moves_versions import AT_ONCE_FAILURES, versions
 
 DEADLINE_S = 240.0
--- a/src/citronrack/bench/moves_bytes.py
+++ b/src/citronrack/bench/moves_bytes.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterator
 
 from ..moves import profiles
-from .moves_fleet import HARBOR_LANTERN, SPOORHOUT, Deployment, MoveFleet
+from .moves_fleet import MoveFleet
+from .moves_parts import HARBOR_LANTERN, SPOORHOUT, Deployment
 from .moves_versions import versions
 
 TICK_S = 0.25
--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -4,12 +4,10 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from functools import partial
 from random import Random
-from typing import Any, Protocol
-
-from attrs import define, frozen
+from typing import Any
 
 from ..calls.record import CallRecord
 from ..clock import ManualClock
@@ -20,6 +18,7 @@
 from ..moves import Capacity, Intent, MoveCore, MoveIntent, MoveSurroundings, make_plan
 from ..transport.messages import message_codec
 from ..verdict import Verdict
+from .moves_parts import Controller, Deployment, FactsFake, FleetFact, FleetNode, Tally
 from .moves_versions import Behaviour, Moment
 
 TICK_S = 0.5
@@ -27,7 +26,6 @@
 ZONE_FACT_DELAY_S = 1.0
 SYNC_EVERY_S = 2.0
 FOLD_DELAY_S = 0.5
-MESSAGE_DELAY_S = 0.005
 FRAME_BYTES = 64  # magic, versions, mesh id, authentication and the TCP/IP header of one frame
 OLD, NEW = "1.0.0", "2.0.0"
 SERVICE, OTHER_SERVICE = "catalogue", "media"
@@ -37,128 +35,6 @@
 Answer = Callable[[Moment], Behaviour]
 
 
-@frozen
-class FleetFact:
-    """A fact on its way or in a store."""
-
-    key: str
-    rank: int
-    payload: bytes
-
-
-class FactsFake:
-    """A node's facts; new ones are handed to the fleet, which spreads them.
-
-    Args:
-        spread: Receives each fact that was new to this node.
-    """
-
-    def __init__(self, spread: Callable[[FleetFact], None]) -> None:
-        self._spread = spread
-        self._facts: dict[str, FleetFact] = {}
-
-    def put(self, key: str, rank: int, payload: bytes) -> None:
-        """Keep the fact when its rank is greater than that of the known one."""
-        known = self._facts.get(key)
-        if known is None or (rank, payload) > (known.rank, known.payload):
-            fact = FleetFact(key, rank, payload)
-            self._facts[key] = fact
-            self._spread(fact)
-
-    def items(self) -> Iterable[FleetFact]:
-        """Return all facts."""
-        return self._facts.values()
-
-
-@frozen
-class Deployment:
-    """Sizes of a fleet.
-
-    Attributes:
-        zones: Names of the availability zones.
-        workers: Targets of the service whose traffic moves; half of them run the new version.
-        other_workers: Targets of the other service.
-        calls_per_second: Calls of the moving service, fleet-wide.
-        other_calls_per_second: Calls of the other service.
-    """
-
-    zones: tuple[str, ...]
-    workers: int
-    other_workers: int
-    calls_per_second: float
-    other_calls_per_second: float
-
-
-SPOORHOUT = Deployment(("lowlands-a", "lowlands-b", "lowlands-c"), 8, 3, 300.0, 60.0)
-HARBOR_LANTERN = Deployment(
-    ("wharf-row", "mill-square", "chapel-lane", "depot-yard"), 8, 4, 300.0, 60.0
-)
-
-
-@define
-class FleetNode:
-    """One node with its target.
-
-    Attributes:
-        member: Description of the node.
-        core: Its decisions.
-        facts: Its facts.
-        clock: Its clock, with an error of its own.
-        is_alive: Whether node and target exist.
-        is_paused: Whether the node does nothing while its target still answers.
-        is_demoted: Whether the node has lost its rank in the zone.
-    """
-
-    member: Member
-    core: MoveCore
-    facts: FactsFake
-    clock: ManualClock
-    is_alive: bool = True
-    is_paused: bool = False
-    is_demoted: bool = False
-    sequence: int = 0
-    bytes_sent: int = 0
-    bytes_received: int = 0
-
-    @property
-    def zone(self) -> str:
-        """Zone of the node."""
-        return self.member.availability_zone
-
-
-@define
-class Tally:
-    """What the callers of the moving service saw.
-
-    Attributes:
-        calls: All calls.
-        new_calls: Calls of the new version.
-        new_after_fault: Calls of the new version since its fault began.
-        all_after_fault: All calls since the fault began.
-        all_until_last_new: Of these, the calls until the last one of the new version.
-        first_fault_s: First call of the faulty version, seconds since the start of the move.
-        last_new_s: Last call of the new version.
-    """
-
-    calls: int = 0
-    new_calls: int = 0
-    new_after_fault: int = 0
-    all_after_fault: int = 0
-    all_until_last_new: int = 0
-    first_fault_s: float | None = None
-    last_new_s: float | None = None
-
-
-class Controller(Protocol):
-    """Another way to decide the share of the new version, without nodes."""
-
-    def share(self, age_s: float) -> float:
-        """Return the share, ``age_s`` seconds after the start of the move."""
-
-    def observe(self, age_s: float, calls: int, failures: int) -> None:
-        """Take in calls of the new version."""
-
-
 class MoveFleet:
     """Runs all nodes on one manual clock.
 
--- a/src/citronrack/moves/board.py
+++ b/src/citronrack/moves/board.py
@@ -63,7 +63,9 @@
 
     def refresh(self) -> None:
         """Take in new facts; one that cannot be decoded is ignored."""
+        present = set()
         for fact in self._facts.items():
+            present.add(fact.key)
             if self._ranks.get(fact.key, -1) >= fact.rank:
                 continue
             prefix = fact.key.split("/", 1)[0] + "/"
@@ -74,6 +76,8 @@
                 self._take(decode(fact.payload, _KINDS[prefix]))
             except MessageRejected:
                 continue
+        if len(self._ranks) > len(present):
+            self._ranks = {key: rank for key, rank in self._ranks.items() if key in present}
 
     def on_state(self, state: FoldState) -> None:
         """Take in the marks of the folded log, and forget what belongs to decided moves."""
--- a/src/citronrack/moves/due.py
+++ b/src/citronrack/moves/due.py
@@ -16,6 +16,8 @@
 from .policy import Policy
 
 RECORD_RETRY_S = 15.0  # by then an append has been folded, or its answer is lost
+KEPT_QUESTIONS = 200
+KEPT_QUESTIONS_S = 600.0  # far longer than a record takes to be folded
 SECOND_JUDGE_DELAY_S = 5.0
 OTHER_ZONE_DELAY_S = 10.0
 
@@ -52,6 +54,7 @@
 
     def collect(self, state: FoldState) -> list[Any]:
         """Return the record bodies to append now."""
+        self._forget_old()
         records: list[Any] = [m for m in self._board.marks if self._is_mark_due(m, state)]
         term = self._duty_term(state)
         if term > 0:
@@ -103,6 +106,11 @@
         self._due_s[key] = now + RECORD_RETRY_S
         return True
 
+    def _forget_old(self) -> None:
+        if len(self._due_s) > KEPT_QUESTIONS:
+            oldest = self._clock.monotonic() - KEPT_QUESTIONS_S
+            self._due_s = {key: due for key, due in self._due_s.items() if due >= oldest}
+
     def _inputs(self, move: Move, state: FoldState) -> OutcomeInputs:
         service = state.config.routes[move.route].service
         known = self._board.mark_of(move, service)
--- a/src/citronrack/moves/judge.py
+++ b/src/citronrack/moves/judge.py
@@ -177,10 +177,13 @@
         A suspicious value asks for more calls, in proportion.
         """
         judge = self.routes[move_id]
-        worst = max(test.value for _, _, test in self._tests())
-        wanted = self._policy.min_calls * max(1.0, worst / self._policy.clear_bound)
+        wanted = self._policy.min_calls * max(1.0, self._worst() / self._policy.clear_bound)
         return judge.step_calls >= wanted and not self.suspicious() and not judge.refuses()
 
+    def is_clean(self) -> bool:
+        """Whether no test speaks against the version, however little evidence there is."""
+        return self._worst() < self._policy.clear_bound
+
     def suspicious(self) -> bool:
         """Whether the tests are on their way to a mark."""
         return self.value >= SUSPICION * self._threshold
@@ -229,6 +232,9 @@
             return None
         return {kind: self._others.rise(other, kind) for kind in KINDS}
 
+    def _worst(self) -> float:
+        return max(test.value for _, _, test in self._tests())
+
     def _make_tests(self) -> dict[str, SequentialTest]:
         return {
             kind: SequentialTest(
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -84,10 +84,6 @@
         if evidence.reference_calls > 0:
             self._estimates.setdefault(evidence.move, {})[node] = evidence
 
-    def judge_of(self, move: Move, config: ConfigSet) -> VersionJudge | None:
-        """Return the judge of a move, None when this node does not judge it."""
-        return self._judges.get(self._key(move, config))
-
     def advance(self, config: ConfigSet, *, interval_s: float) -> None:
         """Take in closed buckets and act on what they show.
 
@@ -167,7 +163,11 @@
                 self._publish(turn, phase=Phase.FULL)
             return
         has_shortage = self._has_shortage(turn)
-        finishes = turn.policy.shortage is Shortage.FINISH and not turn.route.refuses()
+        finishes = (
+            turn.policy.shortage is Shortage.FINISH
+            and turn.judge.is_clean()
+            and not turn.route.refuses()
+        )
         if has_shortage and finishes:
             self._publish(turn, cleared=last)
         elif begun and (turn.judge.clears(turn.move.move_id) or self._follows(turn)):
--- a/tests/moves/test_fleet.py
+++ b/tests/moves/test_fleet.py
@@ -5,7 +5,8 @@
 import unittest
 from collections.abc import Callable
 
-from citronrack.bench.moves_fleet import HARBOR_LANTERN, NEW, OLD, SPOORHOUT, Deployment, MoveFleet
+from citronrack.bench.moves_fleet import NEW, OLD, MoveFleet
+from citronrack.bench.moves_parts import HARBOR_LANTERN, SPOORHOUT, Deployment
 from citronrack.bench.moves_versions import versions
 from citronrack.log.records import MoveOutcome, MoveResult
 from citronrack.moves import profiles
