Shorten the facts about moves and do not judge a version by an overload

Facts repeated the id of the move and the zone in key and payload, so that 20 open moves in 15 zones would have filled the 64 KB store. Change: a bucket with more than 1.5 times the usual calls says nothing about the new version alone; facts name a move by its epoch and a hash; stale_facts() names those that can be removed.

--- a/src/citronrack/bench/moves_bytes.py
+++ b/src/citronrack/bench/moves_bytes.py
@@ -30,7 +30,7 @@
             fleet = MoveFleet(
                 sizes,
                 profile=profile,
-                answer=versions.get("good").answer,
+                version=versions.get("good"),
                 seed=1,
                 tick_s=TICK_S,
             )
--- a/src/citronrack/bench/moves_versions.py
+++ b/src/citronrack/bench/moves_versions.py
@@ -9,10 +9,12 @@
 from ..registry import Registry
 
 BACKGROUND_FAILURES = 0.002
+OTHER_ROUTE = "photos"  # of another service, which takes part in no move
 AT_ONCE_FAILURES = 0.2
 LATE_S = 100.0
 SHARED_FROM_S, SHARED_TO_S = 60.0, 120.0
 WATCH_FAULT_FROM_S, WATCH_FAULT_TO_S = 180.0, 210.0  # within the watch of both profiles
+OVERLOAD = 2.5
 DECLINE_S = 200.0
 LOAD_LIMIT = 0.4  # part of the route's calls above which the version that fails under load fails
 COLD_S = 20.0
@@ -50,6 +52,17 @@
     cold: bool = False
 
 
+def usual_load(age_s: float) -> float:
+    """Return 1."""
+    return 1.0
+
+
+def overload(age_s: float) -> float:
+    """Return the factor during two overloads, one in the ramp and one in the watch."""
+    in_ramp = SHARED_FROM_S <= age_s < SHARED_TO_S
+    return OVERLOAD if in_ramp or WATCH_FAULT_FROM_S <= age_s < WATCH_FAULT_TO_S else 1.0
+
+
 @frozen
 class Version:
     """A scripted version.
@@ -58,10 +71,12 @@
         bad_from_s: Seconds after the start of the move at which its fault begins, None for good
             versions.
         answer: Returns the behaviour at a moment.
+        load: Returns the factor on the calls of the moving service at an age in seconds.
     """
 
     bad_from_s: float | None
     answer: Callable[[Moment], Behaviour]
+    load: Callable[[float], float] = usual_load
 
 
 versions: Registry[Version] = Registry("scripted version")
@@ -69,12 +84,12 @@
 
 
 def scripted(
-    name: str, *, bad_from_s: float | None = None
+    name: str, *, bad_from_s: float | None = None, load: Callable[[float], float] = usual_load
 ) -> Callable[[Callable[[Moment], Behaviour]], Callable[[Moment], Behaviour]]:
     """Return a decorator that registers a behaviour of the new version under ``name``."""
 
     def decorator(answer: Callable[[Moment], Behaviour]) -> Callable[[Moment], Behaviour]:
-        versions.register(name)(Version(bad_from_s, answer))
+        versions.register(name)(Version(bad_from_s, answer, load))
         return answer
 
     return decorator
@@ -141,6 +156,14 @@
     return USUAL
 
 
+@scripted("good, overload", load=overload)
+def overloaded(moment: Moment) -> Behaviour:
+    """Both versions are slow and fail in 3% of calls while too many calls arrive."""
+    if overload(moment.age_s) > 1 and moment.route != OTHER_ROUTE:
+        return Behaviour(failures=0.03, slowdown=4.0)
+    return USUAL
+
+
 @scripted("good, cold start")
 def cold_start(moment: Moment) -> Behaviour:
     """Is slow and fails in 5% of calls while its targets are cold."""
--- a/src/citronrack/moves/baseline.py
+++ b/src/citronrack/moves/baseline.py
@@ -13,6 +13,8 @@
 BASELINE_MIN_CALLS = 200
 BASELINE_SIGMAS = 3.0  # a true rate above the bound has a chance of about 1 in 1,000
 MAX_BASELINE_RATE = 0.5
+OVERLOAD_FACTOR = 1.5
+ARRIVALS_MIN_BUCKETS = 5
 SHARED_SIGMAS = 2.5
 SHARED_MIN_EXCESS = 1.0  # hits; a single failure in a quiet bucket is no shared fault
 
@@ -93,3 +95,20 @@
             return False
         expected = now.calls * (usual.hits + 1) / usual.calls
         return now.hits > expected + SHARED_SIGMAS * math.sqrt(expected) + SHARED_MIN_EXCESS
+
+
+@define
+class Arrivals:
+    """Watches the number of calls of the moving routes, to tell an overload."""
+
+    _calls: int = field(default=0, init=False)
+    _buckets: int = field(default=0, init=False)
+
+    def is_overload(self, calls: int) -> bool:
+        """Whether a bucket has far more calls than usual; learns from it when it has not."""
+        known = self._buckets >= ARRIVALS_MIN_BUCKETS
+        if known and calls > OVERLOAD_FACTOR * self._calls / self._buckets:
+            return True
+        self._calls += calls
+        self._buckets += 1
+        return False
--- a/src/citronrack/moves/board.py
+++ b/src/citronrack/moves/board.py
@@ -19,8 +19,10 @@
     Facts,
     SlowReference,
     ZoneProgress,
+    epoch_of,
     mark_fact_key,
     mark_rank,
+    move_tag,
 )
 
 T = TypeVar("T")
@@ -55,6 +57,9 @@
         self._marks: dict[str, KnownMark] = {}
         self._progress: dict[str, ZoneProgress] = {}
         self._references: dict[str, SlowReference] = {}
+        self._open: frozenset[str] = frozenset()
+        self._newest = -1
+        self._folded_marks: frozenset[str] = frozenset()
 
     @property
     def marks(self) -> tuple[Marked, ...]:
@@ -83,19 +88,18 @@
         """Take in the marks of the folded log, and forget what belongs to decided moves."""
         for mark in state.marks.values():
             self._take(mark)
-        open_moves = {(move.move_id, move.epoch) for move in state.config.moves.values()}
-        # A fact may arrive before the record that opens its move, so only older ones are dropped.
-        newest = state.config.version
-        self._progress = {
-            key: p
-            for key, p in self._progress.items()
-            if (p.move_id, p.epoch) in open_moves or p.epoch > newest
-        }
-        self._references = {
-            key: r
-            for key, r in self._references.items()
-            if (r.move_id, r.epoch) in open_moves or r.epoch > newest
-        }
+        self._open = frozenset(move_tag(move) for move in state.config.moves.values())
+        self._newest = state.config.version
+        self._folded_marks = frozenset(MARK_PREFIX + key for key in state.marks)
+        self._progress = {k: p for k, p in self._progress.items() if self._is_current(p.tag)}
+        self._references = {k: r for k, r in self._references.items() if self._is_current(r.tag)}
+
+    def stale_facts(self) -> list[str]:
+        """Return the keys of facts that nobody needs any more.
+
+        These are marks that the folded log contains, and what belongs to decided moves.
+        """
+        return [fact.key for fact in self._facts.items() if self._is_stale(fact.key)]
 
     def put_mark(self, mark: Marked) -> None:
         """Publish a mark."""
@@ -126,19 +130,24 @@
 
     def progress_of(self, move: Move) -> dict[str, ZoneProgress]:
         """Return the last report of each zone on a move."""
-        return {
-            p.availability_zone: p
-            for p in self._progress.values()
-            if (p.move_id, p.epoch) == (move.move_id, move.epoch)
-        }
+        tag = move_tag(move)
+        return {p.availability_zone: p for p in self._progress.values() if p.tag == tag}
 
     def reference_of(self, move: Move, availability_zone: str) -> SlowReference | None:
         """Return a zone's reference for slow calls, if it has one."""
-        for known in self._references.values():
-            wanted = (move.move_id, move.epoch, availability_zone)
-            if (known.move_id, known.epoch, known.availability_zone) == wanted:
-                return known
-        return None
+        return self._references.get(f"{REFERENCE_PREFIX}{move_tag(move)}/{availability_zone}")
+
+    def _is_current(self, tag: str) -> bool:
+        """Whether a move is open; a fact may arrive before the record that opens its move."""
+        return tag in self._open or epoch_of(tag) > self._newest
+
+    def _is_stale(self, key: str) -> bool:
+        if key.startswith(MARK_PREFIX):
+            return key in self._folded_marks
+        if key.startswith((ZONE_PREFIX, REFERENCE_PREFIX)):
+            tag = key.split("/", 1)[1].rpartition("/")[0]
+            return not self._is_current(tag)
+        return False
 
     def _take(self, body: Any) -> None:
         if isinstance(body, Marked):
--- a/src/citronrack/moves/core.py
+++ b/src/citronrack/moves/core.py
@@ -122,7 +122,7 @@
         for move in moves:
             reference = self._board.reference_of(move, self._zone)
             if reference is not None:
-                self._counter.set_reference(reference)
+                self._counter.set_reference(move.move_id, reference)
         ranked = self._around.ranked()
         interval_s = self._interval_s(ranked)
         sends = self._tell(ranked, interval_s)
@@ -151,6 +151,10 @@
         """Return the open moves for operators."""
         return tuple(self._standing.status(move) for move in self._state.config.moves.values())
 
+    def stale_facts(self) -> list[str]:
+        """Return the keys of facts about moves that can be removed."""
+        return self._board.stale_facts()
+
     def take_notices(self) -> list[MoveNotice]:
         """Return what is to be logged since the last call."""
         notices = [*self._notices, *self._zone_moves.take_notices()]
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -60,9 +60,9 @@
         self._references = {m: r for m, r in self._references.items() if m in kept}
         self._unsent = {cell: n for cell, n in self._unsent.items() if cell[0].move in kept}
 
-    def set_reference(self, reference: SlowReference) -> None:
+    def set_reference(self, move_id: str, reference: SlowReference) -> None:
         """Count answers as slow from the reference's bucket on."""
-        own = self._reference(reference.move_id)
+        own = self._reference(move_id)
         own.limit_s = reference.latency_us / 1e6
         own.from_bucket = reference.from_bucket
 
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
+import xxhash
 from attrs import frozen
 
+from ..config import Move
 from ..log.fold import mark_key
 from ..log.records import Marked
 
@@ -51,13 +53,17 @@
     TAKEN_BACK = 3
 
 
+def move_tag(move: Move) -> str:
+    """Return a short name of a move and its epoch; ids of moves would fill the store of facts."""
+    return f"{move.epoch}/{xxhash.xxh64_intdigest(move.move_id.encode()) >> 16:012x}"
+
+
 @frozen
 class ZoneProgress:
     """What a zone says about a move.
 
     Attributes:
-        move_id: The move.
-        epoch: Configuration version of its confirmation.
+        tag: The move, see `move_tag`.
         availability_zone: The zone.
         phase: A value of `Phase`.
         cleared: Number of cleared steps.
@@ -66,8 +72,7 @@
         short: Whether the deadline passed with too little evidence.
     """
 
-    move_id: str
-    epoch: int
+    tag: str
     availability_zone: str
     phase: int
     cleared: int
@@ -78,7 +83,7 @@
     @property
     def key(self) -> str:
         """Key of the fact."""
-        return f"{ZONE_PREFIX}{self.move_id}/{self.epoch}/{self.availability_zone}"
+        return f"{ZONE_PREFIX}{self.tag}/{self.availability_zone}"
 
     @property
     def order(self) -> int:
@@ -96,15 +101,13 @@
     """Latency above which a call of a move counts as slow in a zone.
 
     Attributes:
-        move_id: The move.
-        epoch: Configuration version of its confirmation.
+        tag: The move, see `move_tag`.
         availability_zone: The zone.
         latency_us: The limit in microseconds.
         from_bucket: First bucket in which slow calls are counted, the same on all nodes.
     """
 
-    move_id: str
-    epoch: int
+    tag: str
     availability_zone: str
     latency_us: int
     from_bucket: int
@@ -112,7 +115,7 @@
     @property
     def key(self) -> str:
         """Key of the fact."""
-        return f"{REFERENCE_PREFIX}{self.move_id}/{self.epoch}/{self.availability_zone}"
+        return f"{REFERENCE_PREFIX}{self.tag}/{self.availability_zone}"
 
     @property
     def rank(self) -> int:
@@ -121,6 +124,12 @@
         return (_BUCKET_RANGE - 1 - self.from_bucket) * _LATENCY_RANGE + latency
 
 
+def epoch_of(tag: str) -> int:
+    """Return the epoch of a move by its tag, -1 when the tag is malformed."""
+    text = tag.split("/", 1)[0]
+    return int(text) if text.isascii() and text.isdigit() else -1
+
+
 def mark_fact_key(mark: Marked) -> str:
     """Return the key of a mark's fact; facts under `MARK_PREFIX` are urgent."""
     return MARK_PREFIX + mark_key(mark.service, mark.service_version, mark.epoch)
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -13,7 +13,7 @@
 from ..telemetry.events import Event
 from .board import MoveBoard
 from .evidence import BUCKET_MS, EvidenceStore, bucket_of
-from .facts import Phase, SlowReference, ZoneProgress
+from .facts import Phase, SlowReference, ZoneProgress, move_tag
 from .judge import RouteJudge, VersionJudge
 from .messages import MoveEvidence
 from .policy import Policy, Shortage
@@ -200,8 +200,7 @@
         ordered = sorted(estimate.reference_us for estimate in known)
         self._board.put_reference(
             SlowReference(
-                move.move_id,
-                move.epoch,
+                move_tag(move),
                 self._zone,
                 int(ordered[len(ordered) // 2] * policy.slow_margin),
                 bucket_of(self._clock.wall_ms()) + REFERENCE_LEAD_BUCKETS,
@@ -210,8 +209,7 @@
 
     def _first_report(self, move: Move) -> ZoneProgress:
         return ZoneProgress(
-            move_id=move.move_id,
-            epoch=move.epoch,
+            tag=move_tag(move),
             availability_zone=self._zone,
             phase=Phase.RUNNING,
             cleared=0,
@@ -243,7 +241,7 @@
         self._board.put_progress(progress)
         if progress.cleared != present.cleared:
             text = f"zone {self._zone} has cleared {progress.cleared} steps"
-            self._notices.append(MoveNotice(Event.MOVE_STEP, present.move_id, text))
+            self._notices.append(MoveNotice(Event.MOVE_STEP, turn.move.move_id, text))
 
     def _groups(self, config: ConfigSet) -> dict[VersionKey, list[Move]]:
         """Return the moves of each new version of which one has started or is about to."""
