--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -33,6 +33,7 @@
     StateAsked,
     StatusAsked,
 )
+from .moving import MoveWork
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
 from .status import MeshStatus, TransportStatus
 from .views import build_view, node_status, zone_status
@@ -61,6 +62,7 @@
         detector: Failure detection.
         distribution: Distribution of records.
         directory: Members of other zones.
+        moving: Decisions about moves.
     """
 
     clock: Clock
@@ -72,6 +74,7 @@
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
     directory: ZoneDirectory = field(init=False)
+    moving: MoveWork = field(init=False)
 
 
 class NodeCore:
@@ -166,7 +169,11 @@
 
     def on_tick(self) -> list[Send]:
         """Do what is due and return what to send."""
-        effects = [effect for core in self._cores() for effect in core.on_tick()]
+        parts = self._parts
+        effects = parts.detector.on_tick()
+        effects += parts.distribution.on_tick()
+        effects += parts.directory.on_tick()
+        effects += parts.moving.on_tick()
         self._parts.table.update_own(reading=self._parts.distribution.reading)
         role = self._parts.distribution.role
         if role is not self._role:
@@ -204,6 +211,7 @@
                 for progress in self._parts.directory.zone_progress()
             ),
             nodes=tuple(node_status(member) for member in table.all_members()),
+            moves=self._parts.moving.statuses(),
             duties={duty: lease.holder for duty, lease in state.leases.items()},
             transport=self.transport_status,
         )
@@ -222,7 +230,8 @@
         metrics.gauge("members.alive", len(self._parts.table.members()))
 
     def _cores(self) -> tuple[Core, ...]:
-        return self._parts.detector, self._parts.distribution, self._parts.directory
+        parts = self._parts
+        return parts.detector, parts.distribution, parts.directory, parts.moving.core
 
     def _log_read(self, mail: LogRead) -> list[Send]:
         if self._log_failing_since is not None:
@@ -264,6 +273,7 @@
         self._parts.distribution.jump_to(fold.next_offset)
         self._parts.events.write(Event.SNAPSHOT_LOADED, offset=fold.next_offset)
         self._activate()
+        self._parts.moving.on_fold(fold)
         return True
 
     def _append_done(self, mail: AppendDone) -> list[Send]:
@@ -279,6 +289,7 @@
 
     def _call_reported(self, mail: CallReported) -> list[Send]:
         self._parts.metrics.count("calls.served")
+        self._parts.moving.observe(mail.record)
         return []
 
     def _load_reported(self, mail: LoadReported) -> list[Send]:
@@ -310,6 +321,7 @@
     def _after_fold(self, result: FoldResult) -> None:
         if result.accepted:
             self._activate()
+            self._parts.moving.on_fold(self._fold)
 
     def _activate(self) -> None:
         """Put the folded configuration in force when it is newer."""
@@ -360,7 +372,7 @@
             config=self._active.current,
             members=self._parts.table.members(),
             remote=self._remote_members(),
-            shares={},
+            shares=self._parts.moving.shares(),
         )
 
     def _remote_members(self) -> list[KnownMember]:
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -14,6 +14,7 @@
 from ..telemetry import EventLog, Metrics
 from .core import CoreParts, NodeCore
 from .duties import Duties
+from .moving import MoveWork
 
 
 def compose_core(
@@ -80,4 +81,14 @@
         observer=parts.distribution,
         own_progress=parts.distribution.own_zone_progress,
     )
+    parts.moving = MoveWork(
+        table=table,
+        directory=parts.directory,
+        distribution=parts.distribution,
+        duties=duties,
+        clock=clock,
+        events=events,
+        boot_id=writer.rpartition("/")[2],
+        append=append,
+    )
     return core
--- a/src/citronrack/node/status.py
+++ b/src/citronrack/node/status.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from ..moves.status import MoveStatus
+
 
 @frozen
 class NodeStatus:
@@ -87,6 +89,7 @@
         reader_role: Its part in reading the log.
         zones: Per zone, how far the nodes are.
         nodes: The known nodes.
+        moves: Open moves as this node sees them.
         duties: Holder by duty.
         transport: Counters of the messages between nodes.
     """
@@ -102,5 +105,6 @@
     reader_role: str
     zones: tuple[ZoneStatus, ...]
     nodes: tuple[NodeStatus, ...]
+    moves: tuple[MoveStatus, ...]
     duties: dict[str, str]
     transport: TransportStatus
--- a/tests/api/test_app.py
+++ b/tests/api/test_app.py
@@ -63,6 +63,7 @@
             reader_role="primary",
             zones=(),
             nodes=(),
+            moves=(),
             duties={},
             transport=TransportStatus(),
         )
