--- a/src/citronrack/calls/__init__.py
+++ b/src/citronrack/calls/__init__.py
@@ -2,7 +2,39 @@
 
 from __future__ import annotations
 
+from .admission import Admission
+from .balancer import Balancer
+from .budget import RetryBudget
+from .context import CallContext, ContextCodec
+from .delivery import TargetDelivery
+from .drain import Drainer
+from .message import Answer, IterableBody, Request, WholeBody
 from .record import CallRecord
+from .router import Router
+from .server import CallServer
+from .split import picks_new
+from .upstream import Upstream
 from .view import PoolTarget, RouteShare, RoutingView, ViewHolder
 
-__all__ = ["CallRecord", "PoolTarget", "RouteShare", "RoutingView", "ViewHolder"]
+__all__ = [
+    "Admission",
+    "Answer",
+    "Balancer",
+    "CallContext",
+    "CallRecord",
+    "CallServer",
+    "ContextCodec",
+    "Drainer",
+    "IterableBody",
+    "PoolTarget",
+    "Request",
+    "RetryBudget",
+    "RouteShare",
+    "Router",
+    "RoutingView",
+    "TargetDelivery",
+    "Upstream",
+    "ViewHolder",
+    "WholeBody",
+    "picks_new",
+]
--- /dev/null
+++ b/src/citronrack/calls/_response.py
@@ -0,0 +1,110 @@
+"""Parses one response and says whether its connection may be used again."""
+
+from __future__ import annotations
+
+import httptools
+
+from .headers import Headers, first
+
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class ResponseReader:
+    """Callbacks of the response parser for one exchange.
+
+    Args:
+        head_only: Whether the request was HEAD, whose response has no body.
+    """
+
+    def __init__(self, *, head_only: bool) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._head_only = head_only
+        self._interim = False
+        self._done_parsing = False
+        self.headers: Headers = []
+        self.reason = b""
+        self.status = 0
+        self.continued = False
+        self.head_done = False
+        self.complete = False
+        self.reusable = False
+        self.broken = False
+        self.parts: list[bytes] = []
+
+    def on_message_begin(self) -> None:
+        if self.head_done:
+            self.reusable = False  # A second response that nobody asked for.
+            self._done_parsing = True
+            return
+        self.headers = []
+        self.reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        if not self._done_parsing:
+            self.reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.head_done:  # Trailers are dropped.
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        if self._done_parsing:
+            return
+        status = self._parser.get_status_code()
+        if 100 <= status < 200:
+            self._interim = True
+            self.continued = self.continued or status == 100
+            return
+        self.status = status
+        self.head_done = True
+        if self._head_only:
+            self.complete = True
+            self.reusable = self._parser.should_keep_alive() or self._keeps_by_header()
+            self._done_parsing = True
+
+    def on_body(self, data: bytes) -> None:
+        if self._done_parsing:
+            self.reusable = False
+        else:
+            self.parts.append(data)
+
+    def on_message_complete(self) -> None:
+        if self._interim:
+            self._interim = False
+            return
+        if not self._done_parsing:
+            self.complete = True
+            self.reusable = self._parser.should_keep_alive()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes from the connection."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.reusable = False
+            self.broken = not self.complete
+
+    def end(self) -> None:
+        """Take the end of the connection, which completes a body without a declared length."""
+        self.reusable = False
+        if self.head_done and not self.framed and not self.broken:
+            self.complete = True
+
+    @property
+    def framed(self) -> bool:
+        """Whether the response says where its body ends."""
+        return (
+            self.declared_length is not None
+            or first(self.headers, b"transfer-encoding") is not None
+        )
+
+    @property
+    def declared_length(self) -> int | None:
+        """Value of Content-Length, which the parser has checked."""
+        value = first(self.headers, b"content-length")
+        return int(value) if value is not None else None
+
+    def _keeps_by_header(self) -> bool:
+        """Return whether a response to HEAD keeps its connection; it needs no length for that."""
+        connection = first(self.headers, b"connection") or b""
+        return self._parser.get_http_version() == "1.1" and b"close" not in connection.lower()
--- /dev/null
+++ b/src/citronrack/calls/_sockets.py
@@ -0,0 +1,58 @@
+"""Socket helpers shared by both sides of the call path."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+
+_ABORT = struct.pack("ii", 1, 0)
+
+
+def set_timeouts(connection: socket.socket, *, receive_s: float, send_s: float) -> None:
+    """Let the kernel limit each read and write; `BlockingIOError` reports a timeout.
+
+    `socket.settimeout` would add a `poll` system call to each read and write.
+    """
+    connection.settimeout(None)
+    set_receive_timeout(connection, receive_s)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_s))
+
+
+def set_receive_timeout(connection: socket.socket, receive_s: float) -> None:
+    """Limit each read; `BlockingIOError` reports a timeout."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
+
+
+def _timeval(seconds: float) -> bytes:
+    # Zero would mean no limit.
+    microseconds = max(1_000, int(seconds * 1_000_000))
+    return struct.pack("ll", *divmod(microseconds, 1_000_000))
+
+
+def has_input(connection: socket.socket) -> bool:
+    """Return whether a read would return at once: with data, with the end or with an error."""
+    try:
+        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def at_end(connection: socket.socket) -> bool:
+    """Return whether the peer has closed the connection and no data waits."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def abort(connection: socket.socket) -> None:
+    """Close with a reset, so that the peer cannot take what it got for complete."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+    connection.close()
--- /dev/null
+++ b/src/citronrack/calls/admission.py
@@ -0,0 +1,132 @@
+"""Concurrency limit of the own target with a bounded queue."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ..clock import Clock
+from ._queue import AdmissionQueue, Waiting
+
+CANCEL_CHECK_S = 0.1
+"""How often a waiting call checks whether its caller has gone away."""
+
+
+class Refused(Exception):
+    """A call that got no slot; it was not run.
+
+    Args:
+        reason: Why.
+    """
+
+
+@define(eq=False)
+class Slot:
+    """A slot of the target, held by one call.
+
+    Attributes:
+        cold: Whether the target had just started.
+        waited_s: Seconds that the call waited.
+    """
+
+    cold: bool
+    waited_s: float
+    _call: Waiting
+    _release: Callable[[Waiting, bool], None]
+
+    def release(self, *, ran: bool = True) -> None:
+        """Give the slot back; ``ran`` is false when the target did not work on the call."""
+        self._release(self._call, ran)
+
+
+@define(eq=False)
+class _Waiter:
+    """Wakes the thread of a waiting call."""
+
+    ready: threading.Event = field(factory=threading.Event)
+
+
+class Admission:
+    """Gives the slots of a target to calls.
+
+    Args:
+        slots: Calls that the target runs at once.
+        clock: Source of time.
+        ramp_s: Time in which a cold target gets all of its slots.
+    """
+
+    def __init__(self, *, slots: int, clock: Clock, ramp_s: float = 10.0) -> None:
+        self._clock = clock
+        self._queue = AdmissionQueue(slots=slots, ramp_s=ramp_s)
+        self._lock = threading.Lock()
+        self._waiters: dict[Waiting, _Waiter] = {}
+
+    @property
+    def load(self) -> int:
+        """Calls that run or wait."""
+        return self._queue.load
+
+    def mark_cold(self) -> None:
+        """Start a slow ramp, because the target has just started."""
+        with self._lock:
+            self._queue.cold_since = self._clock.monotonic()
+
+    def acquire(
+        self,
+        *,
+        route: str,
+        deadline: float,
+        weight: float = 1.0,
+        cancelled: Callable[[], bool] = lambda: False,
+    ) -> Slot:
+        """Wait for a slot.
+
+        Args:
+            route: Name of the route, for fairness.
+            deadline: Monotonic time by which the call must have ended.
+            weight: Share of slots relative to other routes.
+            cancelled: Returns whether the caller has gone away.
+
+        Raises:
+            Refused: When the call gets no slot; it was not run.
+        """
+        asked = self._clock.monotonic()
+        call = Waiting(route, deadline)
+        waiter: _Waiter | None = None
+        with self._lock:
+            reason = self._queue.offer(call, weight=weight, now=asked)
+            if not reason and call.started is None:
+                waiter = self._waiters[call] = _Waiter()
+        if reason:
+            raise Refused(reason)
+        if waiter is not None:
+            self._wait(call, waiter, cancelled)
+        now = self._clock.monotonic()
+        if now >= deadline:
+            self._free(call, False)
+            raise Refused("the deadline has passed")
+        return Slot(self._queue.is_cold(now), now - asked, call, self._free)
+
+    def _wait(self, call: Waiting, waiter: _Waiter, cancelled: Callable[[], bool]) -> None:
+        while True:
+            left_s = call.deadline - self._clock.monotonic()
+            if waiter.ready.wait(min(CANCEL_CHECK_S, max(0.0, left_s))):
+                return
+            gone = cancelled()
+            if not gone and left_s > 0:
+                continue
+            with self._lock:
+                if call.started is not None:
+                    return  # A slot was given while this thread decided to leave.
+                self._queue.withdraw(call)
+                del self._waiters[call]
+            raise Refused("the caller has gone away" if gone else "the deadline has passed")
+
+    def _free(self, call: Waiting, ran: bool) -> None:
+        with self._lock:
+            started = self._queue.release(call, now=self._clock.monotonic(), ran=ran)
+            woken = [self._waiters.pop(other) for other in started]
+        for waiter in woken:
+            waiter.ready.set()
--- /dev/null
+++ b/src/citronrack/calls/budget.py
@@ -0,0 +1,38 @@
+"""Limits retries to a part of recent calls."""
+
+from __future__ import annotations
+
+import threading
+
+RETRY_RATIO = 0.1
+MAX_TOKENS = 10.0  # retries saved up by the last 100 calls
+INITIAL_TOKENS = 1.0
+
+
+class RetryBudget:
+    """Tokens that calls earn and retries spend; one budget serves all threads of a node.
+
+    Over any period, retries are at most ``ratio`` times the calls plus `MAX_TOKENS`, so a fault
+    that fails every call raises the load of the targets by a tenth only.
+
+    Args:
+        ratio: Tokens that one call earns.
+    """
+
+    def __init__(self, *, ratio: float = RETRY_RATIO) -> None:
+        self._ratio = ratio
+        self._tokens = INITIAL_TOKENS
+        self._lock = threading.Lock()
+
+    def earn(self) -> None:
+        """Count one call."""
+        with self._lock:
+            self._tokens = min(MAX_TOKENS, self._tokens + self._ratio)
+
+    def spend(self) -> bool:
+        """Take the token for one retry and return whether there was one."""
+        with self._lock:
+            if self._tokens < 1.0:
+                return False
+            self._tokens -= 1.0
+            return True
--- /dev/null
+++ b/src/citronrack/calls/message.py
@@ -0,0 +1,246 @@
+"""Requests and answers between the parts of the call path."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from enum import Enum, auto
+from typing import Protocol
+
+from attrs import define, field
+
+from ..errors import CallFailed
+from ..verdict import Verdict
+from .headers import Headers
+
+
+class Body(Protocol):
+    """The body of a request."""
+
+    @property
+    def whole(self) -> bytes | None:
+        """All bytes, None when they are streamed."""
+
+    @property
+    def length(self) -> int | None:
+        """Number of bytes, None when it is not known in advance."""
+
+    @property
+    def unread(self) -> bool:
+        """Whether the request can still be sent from its first byte."""
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the parts; may be called once.
+
+        Raises:
+            BodyFailed: When the sender stopped before the end.
+        """
+
+
+class CallerGone(CallFailed):
+    """The caller closed its connection or stopped in the middle of its body."""
+
+
+class DeadlinePassed(CallFailed):
+    """No complete answer arrived before the deadline."""
+
+
+class End(Enum):
+    """How the body of an answer ended."""
+
+    COMPLETE = auto()
+    BROKEN = auto()
+    ABANDONED = auto()
+
+
+class BodyFailed(Exception):
+    """The sender of a streamed body stopped, was too slow or sent bad framing."""
+
+
+@define(eq=False)
+class WholeBody:
+    """A body that is held in memory and can be sent again."""
+
+    whole: bytes = b""
+
+    @property
+    def length(self) -> int:
+        """Number of bytes."""
+        return len(self.whole)
+
+    @property
+    def unread(self) -> bool:
+        """Always true: the bytes are kept."""
+        return True
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the bytes."""
+        yield self.whole
+
+
+class IterableBody:
+    """A streamed body of a caller that embeds `Router`.
+
+    Args:
+        parts: The bytes, read once and never kept.
+        length: Number of bytes, None to send the body in chunks.
+    """
+
+    whole = None
+
+    def __init__(self, parts: Iterable[bytes], *, length: int | None = None) -> None:
+        self.length = length
+        self.unread = True
+        self._parts = parts
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the parts."""
+        self.unread = False
+        yield from self._parts
+
+
+def _never() -> bool:
+    return False
+
+
+@define(eq=False)
+class Request:
+    """A request of a caller.
+
+    Attributes:
+        method: Method in upper case.
+        target: Path and query as sent.
+        headers: End-to-end headers with lower-case names.
+        body: The body.
+        context: Value of the context header, not yet verified.
+        timeout_ms: The caller's own limit for the call, None for none.
+        cancelled: Returns whether the caller has gone away; called a few times a second.
+    """
+
+    method: str
+    target: bytes
+    headers: Headers = field(factory=list)
+    body: Body = field(factory=WholeBody)
+    context: bytes | None = None
+    timeout_ms: int | None = None
+    cancelled: Callable[[], bool] = _never
+
+    @property
+    def path(self) -> str:
+        """The target as text, for matching routes."""
+        return self.target.decode("latin-1")
+
+
+@define(eq=False)
+class Answer:
+    """An answer, whole or streamed.
+
+    Whoever gets an answer reads `stream` to its end or calls `finish`; until then the exchange
+    holds its connection and its slot.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers with lower-case names.
+        verdict: Whether the request may have run.
+        whole: All bytes of the body, None when it is streamed.
+        stream: The body in parts; raises `CallFailed` when it ends too early.
+        length: Number of bytes, None when it is not known in advance.
+        reason: Reason phrase.
+        load: Calls in flight or waiting at the target's node, None when it did not say.
+        from_node: Whether a node made this answer, not the target.
+    """
+
+    status: int
+    headers: Headers = field(factory=list)
+    verdict: Verdict = Verdict.RAN
+    whole: bytes | None = b""
+    stream: Iterator[bytes] | None = None
+    length: int | None = 0
+    reason: bytes = b""
+    load: int | None = None
+    from_node: bool = False
+    _callbacks: list[Callable[[End], None]] = field(factory=list, init=False)
+    _ended: bool = field(default=False, init=False)
+
+    @property
+    def refused(self) -> bool:
+        """Whether a node refused the call before it ran."""
+        return self.from_node and self.verdict is Verdict.NOT_RUN
+
+    def when_done(self, callback: Callable[[End], None]) -> None:
+        """Call ``callback(end)`` once, when the body has ended or was given up."""
+        if self.stream is None:
+            callback(End.COMPLETE)
+        else:
+            self._callbacks.append(callback)
+
+    def parts(self) -> Iterator[bytes]:
+        """Yield the body and finish the exchange."""
+        end = End.ABANDONED
+        try:
+            if self.stream is None:
+                yield self.whole or b""
+            else:
+                yield from self.stream
+            end = End.COMPLETE
+        except CallFailed:
+            end = End.BROKEN
+            raise
+        finally:
+            self.finish(end)
+
+    def read(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            CallFailed: When the answer was cut short.
+        """
+        return b"".join(self.parts())
+
+    def finish(self, end: End = End.ABANDONED) -> None:
+        """Release everything that the exchange holds."""
+        if self._ended or self.stream is None:
+            return
+        self._ended = True
+        close = getattr(self.stream, "close", None)
+        if close is not None:
+            close()
+        for callback in self._callbacks:
+            callback(end)
+
+
+def own_answer(status: int, reason: str, verdict: Verdict, *, load: int | None = None) -> Answer:
+    """Return an answer that this node makes itself.
+
+    Args:
+        status: HTTP status.
+        reason: One line that says what happened.
+        verdict: Whether the request may have run.
+        load: Calls in flight or waiting here.
+    """
+    body = reason.encode() + b"\n"
+    return Answer(
+        status=status,
+        headers=[(b"content-type", b"text/plain; charset=utf-8")],
+        verdict=verdict,
+        whole=body,
+        length=len(body),
+        load=load,
+        from_node=True,
+    )
+
+
+_FAILURE_STATUS = {
+    (Verdict.NOT_RUN, False): 503,
+    (Verdict.NOT_RUN, True): 503,
+    (Verdict.MAY_HAVE_RUN, False): 502,
+    (Verdict.MAY_HAVE_RUN, True): 504,
+}
+
+
+def failure_answer(error: CallFailed, *, load: int | None = None) -> Answer:
+    """Return the answer to a call that got none; only 503 states that it was not run."""
+    if isinstance(error, CallerGone) and error.verdict is not Verdict.NOT_RUN:
+        status = 408
+    else:
+        status = _FAILURE_STATUS[error.verdict, isinstance(error, DeadlinePassed)]
+    return own_answer(status, str(error), error.verdict, load=load)
--- /dev/null
+++ b/src/citronrack/calls/path.py
@@ -0,0 +1,221 @@
+"""Wires the parts of the call path for one node or for an embedding caller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Executor
+from random import Random
+
+from attrs import define, frozen
+
+from ..clock import Clock, SystemClock
+from ..telemetry import Event, EventLog
+from .admission import Admission
+from .balancer import Balancer
+from .budget import RetryBudget
+from .context import ContextCodec
+from .delivery import TargetDelivery
+from .drain import Drainer
+from .limits import MAX_HEAD_BYTES, WireLimits
+from .record import CallRecord
+from .router import LocalDelivery, Router
+from .server import CallServer
+from .upstream import Address, Upstream
+from .view import ViewHolder
+
+ADDED_HEAD_BYTES = 1024
+"""Room for the headers that a node adds, so that what one node accepts the next one accepts."""
+
+
+@frozen
+class PathSettings:
+    """Settings of the call path.
+
+    Attributes:
+        name: Name of the node, empty for an embedding caller.
+        availability_zone: Zone of the node.
+        key: Shared key of the mesh.
+        balancer: Name of the policy that chooses a target.
+        link_one_way_s: Delay of a link to another zone.
+        connections: Connections served at once by each listener.
+    """
+
+    name: str
+    availability_zone: str
+    key: bytes
+    balancer: str = "adaptive"
+    link_one_way_s: float = 0.004
+    connections: int = 120
+
+
+@frozen
+class OwnTarget:
+    """The target beside a node.
+
+    Attributes:
+        address: ``(ip, port)`` of its HTTP server.
+        service: Service that it belongs to.
+        service_version: Its release.
+        slots: Calls that it runs at once.
+        ramp_s: Time in which it gets all of its slots after a start.
+    """
+
+    address: Address
+    service: str
+    service_version: str
+    slots: int
+    ramp_s: float = 10.0
+
+
+@define(eq=False)
+class CallPath:
+    """The call path of one node.
+
+    Attributes:
+        calls: Listener for callers and the own target.
+        deliveries: Listener for other nodes.
+        drainer: State of the stop, shared by both.
+        admission: Slots of the own target.
+        upstream: Connections to targets and nodes.
+    """
+
+    calls: CallServer
+    deliveries: CallServer
+    drainer: Drainer
+    admission: Admission
+    upstream: Upstream
+
+    def stop(self, limit_s: float) -> bool:
+        """Refuse new work, wait for calls in flight and close everything.
+
+        Returns:
+            Whether all calls had ended within the limit.
+        """
+        self.drainer.begin()
+        idle = self.drainer.wait_idle(limit_s)
+        for server in (self.deliveries, self.calls):
+            idle = server.stop(0.0 if not idle else 1.0) and idle
+        self.upstream.close()
+        return idle
+
+
+def make_router(
+    settings: PathSettings,
+    *,
+    views: ViewHolder,
+    events: EventLog,
+    report: Callable[[CallRecord], None],
+    random: Random,
+    clock: Clock | None = None,
+    upstream: Upstream | None = None,
+    local: LocalDelivery | None = None,
+) -> Router:
+    """Return a router, for a node or for a caller that embeds it.
+
+    Args:
+        settings: Identity and policy.
+        views: Present routing view.
+        events: Log lines.
+        report: Receives a record of each attempt.
+        random: Source of random numbers.
+        clock: Source of time.
+        upstream: Connections, a new pool if None.
+        local: Delivers to the own target.
+    """
+    clock = clock if clock is not None else SystemClock()
+
+    def ejected(name: str, seconds: float) -> None:
+        event = Event.TARGET_EJECTED if seconds else Event.TARGET_RESTORED
+        events.write(event, target=name, seconds=seconds)
+
+    return Router(
+        views=views,
+        upstream=upstream if upstream is not None else Upstream(),
+        balancer=Balancer(
+            policy=settings.balancer,
+            availability_zone=settings.availability_zone,
+            link_rtt_s=2 * settings.link_one_way_s,
+            clock=clock,
+            random=random,
+            observer=ejected,
+        ),
+        budget=RetryBudget(),
+        contexts=ContextCodec(key=settings.key, clock=clock, random=random),
+        report=report,
+        events=events,
+        own_name=settings.name,
+        local=local,
+    )
+
+
+def make_call_path(
+    settings: PathSettings,
+    *,
+    call_address: Address,
+    deliver_address: Address,
+    target: OwnTarget,
+    views: ViewHolder,
+    events: EventLog,
+    report: Callable[[CallRecord], None],
+    executor: Executor,
+    random: Random,
+    clock: Clock | None = None,
+    limits: WireLimits | None = None,
+) -> CallPath:
+    """Return both listeners of a node; they are bound, and served once their `run` is called."""
+    clock = clock if clock is not None else SystemClock()
+    limits = limits if limits is not None else WireLimits(connections=settings.connections)
+    upstream = Upstream()
+    drainer = Drainer()
+    admission = Admission(slots=target.slots, clock=clock, ramp_s=target.ramp_s)
+    admission.mark_cold()
+    delivery = TargetDelivery(
+        address=target.address,
+        service=target.service,
+        service_version=target.service_version,
+        views=views,
+        upstream=upstream,
+        admission=admission,
+        contexts=ContextCodec(key=settings.key, clock=clock, random=random),
+        drainer=drainer,
+        report=report,
+        events=events,
+    )
+    router = make_router(
+        settings,
+        views=views,
+        events=events,
+        report=report,
+        random=random,
+        clock=clock,
+        upstream=upstream,
+        local=delivery.deliver,
+    )
+    peer_limits = WireLimits(
+        idle_s=limits.idle_s,
+        head_s=limits.head_s,
+        body_idle_s=limits.body_idle_s,
+        max_head_bytes=max(limits.max_head_bytes, MAX_HEAD_BYTES) + ADDED_HEAD_BYTES,
+        connections=limits.connections,
+    )
+    return CallPath(
+        calls=CallServer(
+            address=call_address,
+            handler=router.handle,
+            executor=executor,
+            drainer=drainer,
+            limits=limits,
+            nested=router.is_nested,
+        ),
+        deliveries=CallServer(
+            address=deliver_address,
+            handler=delivery.handle,
+            executor=executor,
+            drainer=drainer,
+            limits=peer_limits,
+            tells_load=True,
+        ),
+        drainer=drainer,
+        admission=admission,
+        upstream=upstream,
+    )
--- /dev/null
+++ b/src/citronrack/calls/upstream.py
@@ -0,0 +1,345 @@
+"""Sends requests over kept connections and knows whether a request may have run."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+
+from ..errors import CallFailed
+from ..verdict import Verdict
+from ._response import ResponseReader
+from ._sockets import has_input, set_receive_timeout, set_timeouts
+from .headers import LOAD, VERDICT, Headers, end_to_end, first, request_head
+from .limits import READ_BYTES
+from .message import Answer, Body, BodyFailed, CallerGone, DeadlinePassed
+
+Address = tuple[str, int]
+
+TICK_S = 0.25
+"""How often a waiting exchange checks whether its caller has gone away."""
+
+SEND_TIMEOUT_S = 10.0
+MAX_IDLE_PER_ADDRESS = 32
+MAX_IDLE_S = 15.0
+MAX_IDLE_UNSAFE_S = 1.0
+"""Idle time after which a connection gets no non-idempotent request.
+
+The peer may close an idle connection while the request is on its way; whether the request ran is
+unknown then. Servers keep connections for at least a few seconds, so a young one is safe.
+"""
+
+
+@define(eq=False)
+class Outgoing:
+    """A request as it is sent to the next hop.
+
+    Attributes:
+        method: Method in upper case.
+        target: Path and query.
+        headers: All headers but those that frame the body.
+        body: The body.
+        idempotent: Whether the request may be sent again after a failure.
+        deadline: Monotonic time in seconds at which the answer must be complete.
+        cancelled: Returns whether the caller has gone away.
+        to_node: Whether the next hop is a node, which can refuse before it gets the body.
+    """
+
+    method: str
+    target: bytes
+    headers: Headers
+    body: Body
+    idempotent: bool
+    deadline: float
+    cancelled: Callable[[], bool]
+    to_node: bool = False
+
+
+@define(eq=False)
+class _Link:
+    """A connection to a server."""
+
+    socket: socket.socket
+    address: Address
+    idle_since: float = 0.0
+    receive_s: float = TICK_S
+    written: bool = False
+    sent_all: bool = False
+
+    def limit_receive(self, seconds: float) -> None:
+        """Set the receive timeout, with a system call only when it changes."""
+        if seconds != self.receive_s:
+            set_receive_timeout(self.socket, seconds)
+            self.receive_s = seconds
+
+
+@define(eq=False)
+class _Pool:
+    """Idle connections by address, the last used one first."""
+
+    idle: dict[Address, deque[_Link]] = field(factory=lambda: defaultdict(deque))
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def take(self, address: Address) -> _Link | None:
+        """Return an idle connection."""
+        with self.lock:
+            links = self.idle.get(address)
+            return links.pop() if links else None
+
+    def put(self, link: _Link) -> None:
+        """Keep a connection; the oldest one is closed when there are too many."""
+        link.idle_since = time.monotonic()
+        dropped: list[_Link] = []
+        with self.lock:
+            links = self.idle[link.address]
+            links.append(link)
+            while links and (
+                len(links) > MAX_IDLE_PER_ADDRESS
+                or link.idle_since - links[0].idle_since > MAX_IDLE_S
+            ):
+                dropped.append(links.popleft())
+        for old in dropped:
+            old.socket.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self.lock:
+            links = [link for group in self.idle.values() for link in group]
+            self.idle.clear()
+        for link in links:
+            link.socket.close()
+
+
+class Upstream:
+    """A pool of blocking connections.
+
+    A connection returns to the pool only after a request that was sent completely and a response
+    that was read completely; any other end closes it, so no exchange can get an answer that
+    belongs to another one.
+    """
+
+    def __init__(self) -> None:
+        self._pool = _Pool()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.close()
+
+    def send(self, address: Address, request: Outgoing, *, connect_timeout_s: float) -> Answer:
+        """Send a request and return its answer, whose body may still be arriving.
+
+        Raises:
+            CallFailed: When there is no answer; the verdict says whether the request may have run.
+        """
+        link = self._connection(address, request, connect_timeout_s)
+        try:
+            response = self._exchange(link, request)
+        except CallFailed:
+            link.socket.close()
+            raise
+        except Exception as error:
+            link.socket.close()
+            raise _failed(link, f"the connection failed: {error!r}") from error
+        return self._answer(link, request, response)
+
+    def _connection(self, address: Address, request: Outgoing, connect_timeout_s: float) -> _Link:
+        longest = MAX_IDLE_S if request.idempotent else MAX_IDLE_UNSAFE_S
+        now = time.monotonic()
+        while (link := self._pool.take(address)) is not None:
+            fresh = now - link.idle_since <= longest and not has_input(link.socket)
+            if fresh and self._write_head(link, request):
+                return link
+            link.socket.close()
+        link = self._connect(address, min(connect_timeout_s, request.deadline - now))
+        if not self._write_head(link, request):
+            link.socket.close()
+            raise CallFailed("the new connection was closed", verdict=Verdict.NOT_RUN)
+        return link
+
+    @staticmethod
+    def _connect(address: Address, timeout_s: float) -> _Link:
+        if timeout_s <= 0:
+            raise DeadlinePassed("the deadline has passed", verdict=Verdict.NOT_RUN)
+        try:
+            connection = socket.create_connection(address, timeout=timeout_s)
+        except OSError as error:
+            raise CallFailed(f"no connection: {error}", verdict=Verdict.NOT_RUN) from error
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        set_timeouts(connection, receive_s=TICK_S, send_s=SEND_TIMEOUT_S)
+        return _Link(connection, address)
+
+    @staticmethod
+    def _write_head(link: _Link, request: Outgoing) -> bool:
+        """Write the head and a whole body; False when no byte was written.
+
+        The first `send` either fails without having taken a byte or takes at least one.
+        """
+        body = request.body.whole
+        framing = _framing(request, body)
+        data = request_head(request.method.encode(), request.target, request.headers + framing)
+        if body:
+            data += body
+        link.written = False
+        link.sent_all = False
+        try:
+            sent = link.socket.send(data)
+        except OSError:
+            return False
+        link.written = True
+        if sent < len(data):
+            try:
+                link.socket.sendall(memoryview(data)[sent:])
+            except OSError as error:
+                link.socket.close()
+                raise _failed(link, "the connection broke while the request was sent") from error
+        link.sent_all = body is not None
+        return True
+
+    def _exchange(self, link: _Link, request: Outgoing) -> ResponseReader:
+        response = ResponseReader(head_only=request.method == "HEAD")
+        if request.body.whole is None:
+            if request.to_node:
+                self._receive_until(
+                    link, request, response, lambda: response.continued or response.head_done
+                )
+            if not response.head_done:
+                self._upload(link, request)
+        self._receive_until(link, request, response, lambda: response.head_done)
+        return response
+
+    @staticmethod
+    def _upload(link: _Link, request: Outgoing) -> None:
+        """Send a streamed body; stop early when the server answers before the end."""
+        length = request.body.length
+        chunked = length is None
+        sent = 0
+        try:
+            for part in request.body.chunks():
+                if not part:
+                    continue  # An empty chunk would end the body.
+                sent += len(part)
+                if length is not None and sent > length:
+                    raise BodyFailed("the body is longer than declared")
+                if time.monotonic() > request.deadline:
+                    raise DeadlinePassed("the deadline has passed", verdict=_verdict(link))
+                if has_input(link.socket):
+                    return
+                link.socket.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+            if chunked:
+                link.socket.sendall(b"0\r\n\r\n")
+            elif sent != length:
+                raise BodyFailed("the body is shorter than declared")
+        except BodyFailed as error:
+            raise CallerGone(
+                f"the upload was cut short: {error}", verdict=_verdict(link)
+            ) from error
+        except OSError:
+            # The server may have answered and closed; the answer, if there is one, is read next.
+            return
+        link.sent_all = True
+
+    def _receive_until(
+        self,
+        link: _Link,
+        request: Outgoing,
+        response: ResponseReader,
+        done: Callable[[], bool],
+    ) -> None:
+        while not done():
+            self._receive(link, request, response)
+            if response.broken:
+                raise _failed(link, "the answer is malformed")
+            if response.complete and not done():
+                raise _failed(link, "the answer is incomplete")
+
+    @staticmethod
+    def _receive(link: _Link, request: Outgoing, response: ResponseReader) -> None:
+        """Read once; checks the deadline and the caller while nothing arrives."""
+        while True:
+            left_s = request.deadline - time.monotonic()
+            if left_s <= 0:
+                raise DeadlinePassed("the deadline has passed", verdict=_verdict(link))
+            link.limit_receive(TICK_S if left_s > TICK_S else left_s)
+            try:
+                data = link.socket.recv(READ_BYTES)
+                break
+            except BlockingIOError:
+                if request.cancelled():
+                    raise CallerGone("the caller has gone away", verdict=_verdict(link)) from None
+            except OSError as error:
+                raise _failed(link, f"the connection broke: {error}") from error
+        if data:
+            response.feed(data)
+            return
+        response.end()
+        if not response.complete:
+            raise _failed(link, "the connection ended before the answer was complete")
+
+    def _answer(self, link: _Link, request: Outgoing, response: ResponseReader) -> Answer:
+        verdict_value = first(response.headers, VERDICT) if request.to_node else None
+        answer = Answer(
+            status=response.status,
+            reason=response.reason,
+            headers=end_to_end(response.headers),
+            length=response.declared_length,
+            load=_load(response.headers) if request.to_node else None,
+            from_node=verdict_value is not None and verdict_value != b"ran",
+            verdict=_VERDICTS.get(verdict_value or b"", Verdict.RAN),
+        )
+        if response.complete:
+            answer.whole = b"".join(response.parts)
+            if request.method != "HEAD" and response.status != 304:
+                answer.length = len(answer.whole)
+            self._release(link, response)
+        else:
+            answer.whole = None
+            answer.stream = self._stream(link, request, response)
+            answer.when_done(lambda _: self._release(link, response))
+        return answer
+
+    def _stream(self, link: _Link, request: Outgoing, response: ResponseReader) -> Iterator[bytes]:
+        while True:
+            parts, response.parts = response.parts, []
+            yield from parts
+            if response.complete:
+                return
+            self._receive(link, request, response)
+            if response.broken:
+                raise _failed(link, "the answer is malformed")
+
+    def _release(self, link: _Link, response: ResponseReader) -> None:
+        if response.complete and response.reusable and link.sent_all:
+            self._pool.put(link)
+        else:
+            link.socket.close()
+
+
+_VERDICTS = {verdict.value.encode(): verdict for verdict in Verdict}
+
+
+def _framing(request: Outgoing, body: bytes | None) -> Headers:
+    if body is not None:
+        if not body and request.method in ("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"):
+            return []
+        return [(b"content-length", b"%d" % len(body))]
+    framing: Headers = [(b"expect", b"100-continue")] if request.to_node else []
+    if request.body.length is None:
+        return [*framing, (b"transfer-encoding", b"chunked")]
+    return [*framing, (b"content-length", b"%d" % request.body.length)]
+
+
+def _load(headers: Headers) -> int | None:
+    value = first(headers, LOAD)
+    return int(value) if value is not None and value.isdigit() and len(value) < 8 else None
+
+
+def _failed(link: _Link, reason: str) -> CallFailed:
+    return CallFailed(reason, verdict=_verdict(link))
+
+
+def _verdict(link: _Link) -> Verdict:
+    return Verdict.MAY_HAVE_RUN if link.written else Verdict.NOT_RUN
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -11,8 +11,7 @@
 
 from ..api.app import create_app
 from ..api.server import ApiServer
-from ..calls.proxy import CallRouter, Forwarder, TargetDelivery
-from ..calls.server import CallServer
+from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
 from ..clock import SystemClock
 from ..distribution import DistributionCore
@@ -92,7 +91,7 @@
         events: EventLog,
         control: ControlTask,
         tasks: dict[str, Any],
-        listeners: tuple[CallServer, ...],
+        call_path: CallPath,
         api: ApiServer,
     ) -> None:
         self._settings = settings
@@ -100,7 +99,7 @@
         self._events = events
         self._control = control
         self._tasks = tasks
-        self._listeners = listeners
+        self._call_path = call_path
         self._api = api
         self._stop_asked = threading.Event()
         self._futures: list[Future[Any]] = []
@@ -117,7 +116,7 @@
         """Start all tasks."""
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
-        runners.extend(listener.run for listener in self._listeners)
+        runners += [self._call_path.calls.run, self._call_path.deliveries.run]
         self._futures = [self._executor.submit(self._guarded, runner) for runner in runners]
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
@@ -125,9 +124,11 @@
         """Drain, then end all tasks."""
         self._events.write(Event.NODE_STOPPING)
         self._control.mailbox.put(DrainAsked())
+        self._events.write(Event.DRAIN_STARTED)
+        self._call_path.drainer.begin()
         threading.Event().wait(DRAIN_NOTICE_S)
-        for listener in self._listeners:
-            listener.stop()
+        limit_s = self._settings.calls.drain_limit_s
+        self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
             task.stop()
         self._api.shutdown()
@@ -220,7 +221,7 @@
         events=events,
         control=control,
         tasks={"reader": reader, "append": append_task},
-        listeners=_listeners(settings, views, mailbox, executor),
+        call_path=_call_path(settings, views, mailbox, executor, events),
         api=api,
     )
 
@@ -240,25 +241,33 @@
     )
 
 
-def _listeners(
-    settings: Settings, views: ViewHolder, mailbox: Mailbox, executor: ThreadPoolExecutor
-) -> tuple[CallServer, ...]:
-    forwarder = Forwarder()
-    router = CallRouter(
-        views=views,
-        forwarder=forwarder,
-        report=lambda record: mailbox.put(CallReported(record), wake=False),
-    )
-    delivery = TargetDelivery(address=split_address(settings.target.address), forwarder=forwarder)
-    return (
-        CallServer(
-            address=split_address(settings.node.call_address),
-            handler=router.handle,
-            executor=executor,
+def _call_path(
+    settings: Settings,
+    views: ViewHolder,
+    mailbox: Mailbox,
+    executor: ThreadPoolExecutor,
+    events: EventLog,
+) -> CallPath:
+    return make_call_path(
+        PathSettings(
+            name=settings.node.name,
+            availability_zone=settings.node.availability_zone,
+            key=bytes.fromhex(settings.mesh.key),
+            balancer=settings.calls.balancer,
+            link_one_way_s=settings.calls.link_one_way_ms / 1000,
+            connections=settings.calls.connections,
         ),
-        CallServer(
-            address=split_address(settings.node.deliver_address),
-            handler=delivery.handle,
-            executor=executor,
+        call_address=split_address(settings.node.call_address),
+        deliver_address=split_address(settings.node.deliver_address),
+        target=OwnTarget(
+            address=split_address(settings.target.address),
+            service=settings.target.service,
+            service_version=settings.target.service_version,
+            slots=settings.target.slots,
         ),
+        views=views,
+        events=events,
+        report=lambda record: mailbox.put(CallReported(record), wake=False),
+        executor=executor,
+        random=SystemRandom(),
     )
