--- a/src/citronrack/calls/incoming.py
+++ b/src/citronrack/calls/incoming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import time
 from collections import deque
@@ -10,7 +11,7 @@
 import httptools
 from attrs import define, field
 
-from ._sockets import at_end
+from ._sockets import at_end, has_input
 from .headers import CONTEXT, TIMEOUT, Headers, end_to_end, first
 from .limits import READ_BYTES, WHOLE_BODY_BYTES, WireLimits
 from .message import Body, BodyFailed, Request, WholeBody
@@ -88,6 +89,12 @@
         self._incoming = incoming
         self._expects = expects
 
+    def ready(self, other: socket.socket, limit_s: float) -> bool:
+        """Wait for the caller's next part, or for input on ``other``."""
+        if self._incoming.parts or self._incoming.complete or self.unread:
+            return not has_input(other)
+        return self._reader.wait_body(other, limit_s)
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts as they arrive."""
         self.unread = False
@@ -208,6 +215,17 @@
             if not incoming.parts:
                 self._fill_body()
 
+    def wait_body(self, other: socket.socket, limit_s: float) -> bool:
+        """Return False when ``other`` has input before the caller has sent more."""
+        poller = select.poll()
+        poller.register(self._connection, select.POLLIN)
+        poller.register(other, select.POLLIN)
+        wait_s = max(0.0, min(limit_s, self._limits.body_idle_s))
+        readable = {descriptor for descriptor, _ in poller.poll(wait_s * 1000)}
+        if not readable:
+            raise BodyFailed("the body stalled")
+        return other.fileno() not in readable
+
     def _read_whole(self, incoming: _Incoming) -> None:
         try:
             while not incoming.complete:
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable, Iterable, Iterator
 from enum import Enum, auto
 from typing import Protocol
@@ -10,6 +11,7 @@
 
 from ..errors import CallFailed
 from ..verdict import Verdict
+from ._sockets import has_input
 from .headers import Headers
 
 
@@ -28,6 +30,9 @@
     def unread(self) -> bool:
         """Whether the request can still be sent from its first byte."""
 
+    def ready(self, other: socket.socket, limit_s: float) -> bool:
+        """Wait until a part may be read; False when ``other`` has input before that."""
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts; may be called once.
 
@@ -72,6 +77,10 @@
         """Always true: the bytes are kept."""
         return True
 
+    def ready(self, other: socket.socket, limit_s: float) -> bool:
+        """Return whether ``other`` has no input."""
+        return not has_input(other)
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the bytes."""
         yield self.whole
@@ -92,6 +101,10 @@
         self.unread = True
         self._parts = parts
 
+    def ready(self, other: socket.socket, limit_s: float) -> bool:
+        """Return whether ``other`` has no input; the caller's own source is not waited for."""
+        return not has_input(other)
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts."""
         self.unread = False
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -26,6 +26,13 @@
 SEND_TIMEOUT_S = 10.0
 MAX_IDLE_PER_ADDRESS = 32
 MAX_IDLE_S = 15.0
+MIN_IDLE_S = 0.002
+"""Rest of a connection between two requests.
+
+A server that answers a request twice sends the second answer right after the first. An answer that
+arrives during the rest is noticed before the next request is written.
+"""
+
 MAX_IDLE_UNSAFE_S = 1.0
 """Idle time after which a connection gets no non-idempotent request.
 
@@ -85,10 +92,15 @@
     lock: threading.Lock = field(factory=threading.Lock)
 
     def take(self, address: Address) -> _Link | None:
-        """Return an idle connection."""
+        """Return the idle connection that was used last and has rested."""
+        newest = time.monotonic() - MIN_IDLE_S
         with self.lock:
-            links = self.idle.get(address)
-            return links.pop() if links else None
+            links = self.idle[address]
+            for link in reversed(links):
+                if link.idle_since <= newest:
+                    links.remove(link)
+                    return link
+        return None
 
     def put(self, link: _Link) -> None:
         """Keep a connection; the oldest one is closed when there are too many."""
@@ -218,7 +230,11 @@
         chunked = length is None
         sent = 0
         try:
-            for part in request.body.chunks():
+            parts = request.body.chunks()
+            while request.body.ready(link.socket, request.deadline - time.monotonic()):
+                part = next(parts, None)
+                if part is None:
+                    break
                 if not part:
                     continue  # An empty chunk would end the body.
                 sent += len(part)
@@ -226,9 +242,9 @@
                     raise BodyFailed("the body is longer than declared")
                 if time.monotonic() > request.deadline:
                     raise DeadlinePassed("the deadline has passed", verdict=_verdict(link))
-                if has_input(link.socket):
-                    return
                 link.socket.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+            else:
+                return  # The server has answered before the end of the body.
             if chunked:
                 link.socket.sendall(b"0\r\n\r\n")
             elif sent != length:
--- /dev/null
+++ b/tests/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the call path."""
--- /dev/null
+++ b/tests/calls/test_cores.py
@@ -0,0 +1,238 @@
+"""The cores of the call path, with a manual clock and many seeds."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from citronrack.calls import Balancer, CallContext, ContextCodec, PoolTarget, picks_new
+from citronrack.calls._queue import AdmissionQueue, Waiting
+from citronrack.calls.observed import Observed
+from citronrack.calls.policies import policies
+from citronrack.clock import ManualClock
+
+
+class AdmissionQueueTest(unittest.TestCase):
+    """Slots, order and fairness."""
+
+    def test_random_histories(self) -> None:
+        """Guards against more calls than slots, lost slots and calls that nobody starts."""
+        for seed in range(200):
+            random = Random(seed)
+            queue = AdmissionQueue(slots=random.randint(1, 8), ramp_s=1.0, cold_since=0.0)
+            now, running, waiting = 0.0, [], []
+            for _ in range(300):
+                now += random.expovariate(100)
+                action = random.random()
+                if action < 0.55:
+                    call = Waiting(random.choice("abc"), now + random.uniform(0, 0.5))
+                    reason = queue.offer(call, weight=random.choice((1, 3)), now=now)
+                    if call.started is not None:
+                        running.append(call)
+                    elif not reason:
+                        waiting.append(call)
+                elif action < 0.9 and running:
+                    call = running.pop(random.randrange(len(running)))
+                    started = queue.release(call, now=now, ran=random.random() < 0.9)
+                    for other in started:
+                        waiting.remove(other)
+                    running += started
+                elif waiting:
+                    queue.withdraw(waiting.pop(random.randrange(len(waiting))))
+                self.assertEqual(queue.running, len(running), seed)
+                self.assertLessEqual(len(running), queue.slots, seed)
+                self.assertEqual(queue.load, len(running) + len(waiting), seed)
+            while running:
+                for other in queue.release(running.pop(), now=now + 100, ran=True):
+                    waiting.remove(other)
+                    running.append(other)
+            self.assertEqual((queue.load, waiting), (0, []), seed)
+
+    def test_lookups_survive_a_flood_of_uploads(self) -> None:
+        """Guards against short calls that wait behind long ones."""
+        for seed in range(20):
+            random = Random(seed)
+            queue = AdmissionQueue(slots=6)
+            now, ends, refused = 0.0, [], 0
+            waits = []
+            arrivals = sorted(
+                [(random.uniform(0, 30), "photos") for _ in range(600)]
+                + [(random.uniform(5, 30), "parts") for _ in range(400)]
+            )
+            asked: dict[int, float] = {}
+            service = {"photos": 1.0, "parts": 0.01}
+            for now, route in arrivals:
+                while ends and ends[0][0] <= now:
+                    at, _, call = ends.pop(0)
+                    for other in queue.release(call, now=at, ran=True):
+                        ends.append((at + service[other.route], id(other), other))
+                        waits.append((other.route, at - asked[id(other)]))
+                    ends.sort(key=lambda end: end[:2])
+                call = Waiting(route, now + 5)
+                asked[id(call)] = now
+                reason = queue.offer(call, weight=1, now=now)
+                if reason:
+                    refused += route == "parts"
+                elif call.started is not None:
+                    ends.append((now + service[route], id(call), call))
+                    ends.sort(key=lambda end: end[:2])
+            lookups = [wait for route, wait in waits if route == "parts"]
+            self.assertLessEqual(refused, 4, seed)
+            self.assertLess(max(lookups, default=0), 1.0, seed)
+            self.assertLess(len(lookups), 200, seed)
+
+    def test_calls_that_cannot_end_in_time_are_refused(self) -> None:
+        """Guards against queueing work whose caller will have gone."""
+        queue = AdmissionQueue(slots=1)
+        first = Waiting("a", 10.0)
+        queue.offer(first, weight=1, now=0.0)
+        queue.release(first, now=1.0, ran=True)  # service time 1 s
+        queue.offer(Waiting("a", 10.0), weight=1, now=1.0)
+        self.assertEqual(queue.offer(Waiting("a", 4.0), weight=1, now=1.0), "")
+        self.assertIn("deadline", queue.offer(Waiting("a", 3.0), weight=1, now=1.0))
+        self.assertEqual(queue.load, 2)
+
+
+def pool(count: int, *, other_zone: int = 0) -> tuple[PoolTarget, ...]:
+    """Return targets of zone a, and of zone b."""
+    zones = ["a"] * count + ["b"] * other_zone
+    return tuple(PoolTarget(f"t{i}", ("10.0.0.1", i), zone, 6) for i, zone in enumerate(zones))
+
+
+class BalancerTest(unittest.TestCase):
+    """Choice, ejection and zones."""
+
+    def make(self, policy: str, seed: int = 1) -> tuple[Balancer, ManualClock]:
+        """Return a balancer and its clock."""
+        clock = ManualClock()
+        balancer = Balancer(
+            policy=policy,
+            availability_zone="a",
+            link_rtt_s=0.008,
+            clock=clock,
+            random=Random(seed),
+        )
+        return balancer, clock
+
+    def test_ejection_is_bounded(self) -> None:
+        """Guards against a shared fault that empties the pool, and calls to bad targets."""
+        for policy in policies:
+            for bad in (1, 3, 9):
+                balancer, clock = self.make(policy)
+                targets = pool(9)
+                counts = dict.fromkeys((target.name for target in targets), 0)
+                for _ in range(3000):
+                    entry = balancer.choose(("s", "1"), targets)
+                    assert entry is not None
+                    counts[entry.target.name] += 1
+                    failed = int(entry.target.name[1:]) < bad
+                    balancer.ended(entry, latency_s=0.001, failed=failed)
+                    clock.advance(0.001)
+                    ejected = sum(e.ejected_until > clock.monotonic() for e in self.known(balancer))
+                    self.assertLessEqual(ejected, 3)
+                if bad <= 3:
+                    self.assertLess(sum(counts[f"t{i}"] for i in range(bad)), 40 * bad, policy)
+
+    @staticmethod
+    def known(balancer: Balancer) -> list[Observed]:
+        """Return the observations."""
+        return list(balancer._known.values())
+
+    def test_ejected_targets_return(self) -> None:
+        """Guards against a recovered target that never gets calls again."""
+        balancer, clock = self.make("round-robin")
+        targets = pool(3)
+        healthy = False
+        late = 0
+        for step in range(4000):
+            healthy = step > 1000
+            entry = balancer.choose(("s", "1"), targets)
+            assert entry is not None
+            balancer.ended(entry, latency_s=0.001, failed=entry.target.name == "t0" and not healthy)
+            late += step > 3000 and entry.target.name == "t0"
+            clock.advance(0.01)
+        self.assertGreater(late, 200)
+
+    def test_own_zone_first(self) -> None:
+        """Guards against links between zones that carry calls without need."""
+        balancer, clock = self.make("adaptive")
+        targets = pool(3, other_zone=6)
+        for _ in range(500):
+            entry = balancer.choose(("s", "1"), targets)
+            assert entry is not None
+            self.assertEqual(entry.target.availability_zone, "a")
+            balancer.ended(entry, latency_s=0.02)
+            clock.advance(0.01)
+        busy = [balancer.choose(("s", "1"), targets) for _ in range(100)]
+        zones = {entry.target.availability_zone for entry in busy if entry is not None}
+        self.assertEqual(zones, {"a", "b"})
+
+    def test_excluded_targets_are_not_chosen(self) -> None:
+        """Guards against a retry that goes to the target that has just failed."""
+        balancer, _ = self.make("adaptive")
+        targets = pool(2)
+        for _ in range(50):
+            entry = balancer.choose(("s", "1"), targets, excluded={"t0"})
+            assert entry is not None
+            self.assertEqual(entry.target.name, "t1")
+        self.assertIsNone(balancer.choose(("s", "1"), targets, excluded={"t0", "t1"}))
+
+
+class SplitTest(unittest.TestCase):
+    """Division of calls during a move."""
+
+    def test_share_and_stability(self) -> None:
+        """Guards against a share that is missed and callers that switch sides back and forth."""
+        keys = [f"{number:016x}" for number in range(20_000)]
+        before: set[str] = set()
+        for share in (0.0, 0.01, 0.1, 0.5, 1.0):
+            new = {key for key in keys if picks_new(key, "move-1", share)}
+            self.assertAlmostEqual(len(new) / len(keys), share, delta=0.01)
+            self.assertLessEqual(before, new)
+            before = new
+        one = {key for key in keys if picks_new(key, "move-1", 0.1)}
+        other = {key for key in keys if picks_new(key, "move-2", 0.1)}
+        self.assertLess(len(one & other), len(one) // 2)
+
+
+class ContextTest(unittest.TestCase):
+    """The context header."""
+
+    def codec(self, clock: ManualClock, key: bytes = b"0123456789abcdef") -> ContextCodec:
+        """Return a codec."""
+        return ContextCodec(key=key, clock=clock, random=Random(1))
+
+    def test_deadline_with_skewed_clocks(self) -> None:
+        """Guards against calls that fail, or never time out, because two clocks differ."""
+        for skew_ms in (-60_000, 0, 60_000):
+            sender, receiver = ManualClock(), ManualClock(skew_ms=skew_ms)
+            receiver.advance(1000)
+            value = self.codec(sender).encode(CallContext(sender.monotonic() + 2, 1, 4, "k"))
+            context = self.codec(receiver).received(value)
+            assert context is not None
+            self.assertAlmostEqual(context.deadline - receiver.monotonic(), 2.0, delta=0.01)
+            self.assertEqual((context.retries_left, context.depth, context.call_key), (1, 4, "k"))
+
+    def test_nested_calls_keep_the_deadline(self) -> None:
+        """Guards against nested calls that outlive the call that made them."""
+        clock = ManualClock()
+        codec = self.codec(clock)
+        value = codec.encode(CallContext(clock.monotonic() + 2, 1, 4, "k"))
+        clock.advance(1.5)
+        context = codec.nested(value)
+        assert context is not None
+        self.assertLess(context.deadline - clock.monotonic(), 0.76)
+        self.assertEqual(context.depth, 5)
+
+    def test_forged_contexts_are_dropped(self) -> None:
+        """Guards against callers that give themselves deadlines or retries."""
+        clock = ManualClock()
+        codec = self.codec(clock)
+        value = codec.encode(codec.fresh())
+        other = self.codec(clock, b"another key of the mesh")
+        self.assertIsNone(other.received(value))
+        for index in range(len(value)):
+            changed = value[:index] + bytes([value[index] ^ 1]) + value[index + 1 :]
+            self.assertIsNone(codec.received(changed))
+        for junk in (None, b"", b".", b"1.2.3.4.5", b"\xff" * 100, b"1" * 10_000):
+            self.assertIsNone(codec.nested(junk))
