--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -37,11 +37,19 @@
     body_bytes: int = 0
     body: bytes = b""
     header_names: list[str] = field(factory=list)
+    ended: Callable[[], None] | None = None
+
+    def end(self) -> None:
+        """Give the slot back; before the answer, because the next request may follow at once."""
+        ended, self.ended = self.ended, None
+        if ended is not None:
+            ended()
 
     def answer(
         self, status: int, body: bytes, *, headers: bytes = b"", length: int | None = None
     ) -> None:
         """Send a whole answer; ``length`` overrides the declared one."""
+        self.end()
         size = len(body) if length is None else length
         head = b"HTTP/1.1 %d -\r\n%bcontent-length: %d\r\n\r\n" % (status, headers, size)
         self.connection.sendall(head if self.method == "HEAD" else head + body)
@@ -327,13 +335,17 @@
         if shed:
             request.answer(503, b"the target sheds load\n")
             return parser.keep_alive
+        request.ended = self._ended
         try:
             self._run(request)
         finally:
-            with self._lock:
-                self.running -= 1
+            request.end()
         return parser.keep_alive and connection.fileno() >= 0
 
+    def _ended(self) -> None:
+        with self._lock:
+            self.running -= 1
+
     def _run(self, request: StandInRequest) -> None:
         path, _, query = request.path.partition("?")
         if path == "/healthz":
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -81,6 +81,33 @@
             self.assertLess(max(lookups, default=0), 1.0, seed)
             self.assertLess(len(lookups), 200, seed)
 
+    def test_weighted_fairness(self) -> None:
+        """Guards against a route that gets the slots of the others by sending more calls."""
+        queue = AdmissionQueue(slots=2)
+        random = Random(1)
+        running: list[Waiting] = []
+        served = {"flood": 0, "heavy": 0, "rare": 0}
+        rare_since: dict[int, int] = {}
+        longest = 0
+        for step in range(3000):
+            offers = ["flood"] * 3 + ["heavy"] * 2 + ["rare"] * (step % 20 == 0)
+            for route in offers:
+                call = Waiting(route, 1e9)
+                weight = 3 if route == "heavy" else 1
+                queue.offer(call, weight=weight, now=step * 0.01)
+                if call.started is not None:
+                    running.append(call)
+                if route == "rare":
+                    rare_since[id(call)] = step
+            ended = running.pop(random.randrange(len(running)))
+            served[ended.route] += 1
+            running += queue.release(ended, now=step * 0.01 + 0.009, ran=True)
+            for call in running:
+                longest = max(longest, step - rare_since.pop(id(call), step))
+        self.assertAlmostEqual(served["heavy"] / served["flood"], 3.0, delta=0.3)
+        self.assertGreaterEqual(served["rare"], 148)
+        self.assertLess(longest, 8)
+
     def test_calls_that_cannot_end_in_time_are_refused(self) -> None:
         """Guards against queueing work whose caller will have gone."""
         queue = AdmissionQueue(slots=1)
