--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -225,6 +225,7 @@
         bad: Whether every answer is a failure.
         delay_s: Time that each request takes.
         slots: Requests that run at once; more are shed with status 503. None for no limit.
+        workers: Requests that it works on at once; others wait in it. None for no limit.
         faults: Chance of each behaviour, by name with an optional ``:argument``.
         random: Source of random numbers for ``faults``.
         cold_s: Time after the start in which each request takes ten times as long.
@@ -241,6 +242,7 @@
     bad: bool = False
     delay_s: float = 0.0
     slots: int | None = None
+    workers: int | None = None
     faults: Mapping[str, float] = field(factory=dict)
     random: Random = field(factory=lambda: Random(1))
     cold_s: float = 0.0
@@ -254,6 +256,7 @@
     _listener: socket.socket = field(init=False)
     _executor: ThreadPoolExecutor = field(init=False)
     _open: set[socket.socket] = field(factory=set, init=False)
+    _work: threading.Semaphore = field(init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _started: float = field(default=0.0, init=False)
     _stopping: bool = field(default=False, init=False)
@@ -261,6 +264,7 @@
     def __attrs_post_init__(self) -> None:
         self._listener = socket.create_server((self.host, self.port), backlog=128)
         self.host, self.port = self._listener.getsockname()[:2]
+        self._work = threading.Semaphore(self.workers or MAX_CONNECTIONS)
         self._executor = ThreadPoolExecutor(MAX_CONNECTIONS, thread_name_prefix="target-stand-in")
 
     @property
@@ -353,7 +357,8 @@
             return
         if self.delay_s:
             cold = time.monotonic() - self._started < self.cold_s
-            time.sleep(self.delay_s * (10 if cold else 1))
+            with self._work:
+                time.sleep(self.delay_s * (10 if cold else 1))
         for name, argument in self._chosen(query):
             if behaviours.get(name)(self, request, argument):
                 return
