--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -101,7 +101,10 @@
 
     def open_slots(self, now: float) -> int:
         """Return the number of slots in use at most; it grows while the target is cold."""
-        if self.cold_since is None or not self.is_cold(now):
+        if self.cold_since is None:
+            return self.slots
+        if not self.is_cold(now):
+            self.cold_since = None
             return self.slots
         part = COLD_PART + (1 - COLD_PART) * (now - self.cold_since) / self.ramp_s
         return max(1, math.ceil(self.slots * part))
@@ -146,7 +149,7 @@
         route.served += (held_s - route.service_s) / route.weight  # corrects the estimate
         if ran:
             self._learn(route, held_s)
-        return list(self._fill(now))
+        return list(self._fill(now)) if self._queued else []
 
     def _learn(self, route: _RouteQueue, held_s: float) -> None:
         if route.known:
--- a/src/citronrack/calls/_response.py
+++ b/src/citronrack/calls/_response.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from .headers import Headers, first
+from .headers import Headers
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -30,6 +30,7 @@
         self.reusable = False
         self.broken = False
         self.parts: list[bytes] = []
+        self.fields: dict[bytes, bytes] = {}
 
     def on_message_begin(self) -> None:
         if self.head_done:
@@ -57,6 +58,7 @@
             return
         self.status = status
         self.head_done = True
+        self.fields = dict(self.headers)
         if self._head_only:
             self.complete = True
             self.reusable = self._parser.should_keep_alive() or self._keeps_by_header()
@@ -93,18 +95,15 @@
     @property
     def framed(self) -> bool:
         """Whether the response says where its body ends."""
-        return (
-            self.declared_length is not None
-            or first(self.headers, b"transfer-encoding") is not None
-        )
+        return b"content-length" in self.fields or b"transfer-encoding" in self.fields
 
     @property
     def declared_length(self) -> int | None:
         """Value of Content-Length, which the parser has checked."""
-        value = first(self.headers, b"content-length")
+        value = self.fields.get(b"content-length")
         return int(value) if value is not None else None
 
     def _keeps_by_header(self) -> bool:
         """Return whether a response to HEAD keeps its connection; it needs no length for that."""
-        connection = first(self.headers, b"connection") or b""
+        connection = self.fields.get(b"connection", b"")
         return self._parser.get_http_version() == "1.1" and b"close" not in connection.lower()
--- a/src/citronrack/calls/_sockets.py
+++ b/src/citronrack/calls/_sockets.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 
+# Plain integers: combining the enum members costs more than the system call.
+_PEEK = int(socket.MSG_PEEK) | int(socket.MSG_DONTWAIT)
 _ABORT = struct.pack("ii", 1, 0)
 
 
@@ -33,7 +35,7 @@
 def has_input(connection: socket.socket) -> bool:
     """Return whether a read would return at once: with data, with the end or with an error."""
     try:
-        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        connection.recv(1, _PEEK)
     except BlockingIOError:
         return False
     except OSError:
@@ -44,7 +46,7 @@
 def at_end(connection: socket.socket) -> bool:
     """Return whether the peer has closed the connection and no data waits."""
     try:
-        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not connection.recv(1, _PEEK)
     except BlockingIOError:
         return False
     except OSError:
--- a/src/citronrack/calls/context.py
+++ b/src/citronrack/calls/context.py
@@ -6,7 +6,7 @@
 import hmac
 from random import Random
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 from ..clock import Clock
 from .limits import MAX_CALL_S
@@ -43,11 +43,13 @@
 
     def limited(self, deadline: float) -> CallContext:
         """Return the context with an earlier deadline, if ``deadline`` is earlier."""
-        return evolve(self, deadline=deadline) if deadline < self.deadline else self
+        if deadline >= self.deadline:
+            return self
+        return CallContext(deadline, self.retries_left, self.depth, self.call_key)
 
     def after_retry(self) -> CallContext:
         """Return the context with one retry less."""
-        return evolve(self, retries_left=self.retries_left - 1)
+        return CallContext(self.deadline, self.retries_left - 1, self.depth, self.call_key)
 
 
 class ContextCodec:
--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -10,7 +10,8 @@
     """The state of one node's stop; shared by its listeners."""
 
     def __init__(self) -> None:
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
         self._in_flight = 0
         self._draining = False
 
@@ -31,7 +32,7 @@
             nested: Whether the call belongs to one that is in flight at the own target; refusing
                 it would break a call that was accepted before the drain.
         """
-        with self._changed:
+        with self._lock:
             if self._draining and not nested:
                 return False
             self._in_flight += 1
@@ -39,18 +40,21 @@
 
     def leave(self) -> None:
         """Count the end of a call."""
-        with self._changed:
+        with self._lock:
             self._in_flight -= 1
-            if not self._in_flight:
+            if self._draining and not self._in_flight:
                 self._changed.notify_all()
 
     def begin(self) -> None:
         """Refuse new work from now on."""
-        with self._changed:
+        with self._lock:
             self._draining = True
 
     def wait_idle(self, limit_s: float) -> bool:
-        """Return whether no call is in flight, after at most ``limit_s`` seconds."""
+        """Return whether no call is in flight, after at most ``limit_s`` seconds.
+
+        Returns early only once the drain has begun.
+        """
         end = time.monotonic() + limit_s
         with self._changed:
             while self._in_flight:
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -53,25 +53,11 @@
 
 def request_head(method: bytes, target: bytes, headers: Headers) -> bytes:
     """Return the bytes of a request line and headers."""
-    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
-    for name, value in headers:
-        parts += (name, b": ", value, b"\r\n")
-    parts.append(b"\r\n")
-    return b"".join(parts)
+    fields = b"".join([b"%b: %b\r\n" % header for header in headers])
+    return b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, fields)
 
 
 def answer_head(status: int, reason: bytes, headers: Headers) -> bytes:
     """Return the bytes of a status line and headers."""
-    parts = [b"HTTP/1.1 %d " % status, reason or _REASONS.get(status, b""), b"\r\n"]
-    for name, value in headers:
-        parts += (name, b": ", value, b"\r\n")
-    parts.append(b"\r\n")
-    return b"".join(parts)
-
-
-def first(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, None when it is absent."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
+    fields = b"".join([b"%b: %b\r\n" % header for header in headers])
+    return b"HTTP/1.1 %d %b\r\n%b\r\n" % (status, reason or _REASONS.get(status, b""), fields)
--- a/src/citronrack/calls/incoming.py
+++ b/src/citronrack/calls/incoming.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from ._sockets import at_end, has_input
-from .headers import CONTEXT, TIMEOUT, Headers, end_to_end, first
+from .headers import CONTEXT, TIMEOUT, Headers, end_to_end
 from .limits import READ_BYTES, WHOLE_BODY_BYTES, WireLimits
 from .message import Body, BodyFailed, Request, WholeBody
 
@@ -169,11 +169,12 @@
         if not self._ready:
             self._await_head()
         incoming = self._ready.popleft()
-        _check_head(incoming)
+        fields = dict(incoming.headers)
+        _check_head(incoming, fields)
         if len(incoming.target) > self._limits.max_head_bytes:
             raise BadRequest(414, "the request target is too long")
-        length = _declared_length(incoming.headers)
-        expects = first(incoming.headers, b"expect") is not None
+        length = _declared_length(fields)
+        expects = b"expect" in fields
         small = length is not None and length <= WHOLE_BODY_BYTES
         if small and not incoming.complete and not expects:
             self._read_whole(incoming)
@@ -187,8 +188,8 @@
             target=incoming.target,
             headers=end_to_end(incoming.headers),
             body=body,
-            context=first(incoming.headers, CONTEXT),
-            timeout_ms=_timeout_ms(incoming.headers),
+            context=fields.get(CONTEXT),
+            timeout_ms=_timeout_ms(fields.get(TIMEOUT)),
             cancelled=self._caller_gone,
         )
         return Exchange(
@@ -313,7 +314,7 @@
         return at_end(self._connection)
 
 
-def _check_head(incoming: _Incoming) -> None:
+def _check_head(incoming: _Incoming, fields: dict[bytes, bytes]) -> None:
     """Refuse what the parser accepts and this node does not serve."""
     if incoming.version not in ("1.0", "1.1"):
         raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are served")
@@ -321,29 +322,35 @@
         raise BadRequest(501, "CONNECT is not served")
     if not incoming.target.startswith(b"/") and incoming.target != b"*":
         raise BadRequest(400, "the request target must be a path")
-    hosts = [value for name, value in incoming.headers if name == b"host"]
-    if len(hosts) > 1 or (not hosts and incoming.version == "1.1"):
-        raise BadRequest(400, "exactly one Host header is needed")
-    coding = first(incoming.headers, b"transfer-encoding")
+    if b"host" not in fields and incoming.version == "1.1":
+        raise BadRequest(400, "a Host header is needed")
+    if len(fields) < len(incoming.headers):
+        _check_repeated(incoming.headers)
+    coding = fields.get(b"transfer-encoding")
     if coding is not None and coding.strip().lower() != b"chunked":
         raise BadRequest(501, "only the transfer coding chunked is served")
     if coding is not None and incoming.version == "1.0":
         raise BadRequest(400, "HTTP/1.0 has no transfer codings")
-    expectation = first(incoming.headers, b"expect")
+    expectation = fields.get(b"expect")
     if expectation is not None and expectation.lower() != b"100-continue":
         raise BadRequest(417, "the expectation is unknown")
 
 
-def _declared_length(headers: Headers) -> int | None:
+def _check_repeated(headers: Headers) -> None:
+    for name in (b"host", b"transfer-encoding", b"expect"):
+        if sum(key == name for key, _ in headers) > 1:
+            raise BadRequest(400, f"more than one {name.decode()} header")
+
+
+def _declared_length(fields: dict[bytes, bytes]) -> int | None:
     """Return the length of the body, None for a chunked one; the parser has checked the value."""
-    value = first(headers, b"content-length")
+    value = fields.get(b"content-length")
     if value is not None:
         return int(value)
-    return None if first(headers, b"transfer-encoding") is not None else 0
+    return None if b"transfer-encoding" in fields else 0
 
 
-def _timeout_ms(headers: Headers) -> int | None:
-    value = first(headers, TIMEOUT)
+def _timeout_ms(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > _MAX_TIMEOUT_DIGITS:
         return None
     return int(value)
--- a/src/citronrack/calls/policies.py
+++ b/src/citronrack/calls/policies.py
@@ -40,6 +40,8 @@
 @policies.register("adaptive")
 def adaptive(entries: Sequence[Observed], random: Random, _turn: int, now: float) -> Observed:
     """Take the one of two random targets where the call is expected to end first."""
+    if len(entries) == 1:
+        return entries[0]
     one, other = _two(entries, random)
     return one if one.expected_s(now) <= other.expected_s(now) else other
 
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -14,7 +14,7 @@
 from ..verdict import Verdict
 from ._response import ResponseReader
 from ._sockets import has_input, set_receive_timeout, set_timeouts
-from .headers import LOAD, VERDICT, Headers, end_to_end, first, request_head
+from .headers import LOAD, VERDICT, Headers, end_to_end, request_head
 from .limits import READ_BYTES
 from .message import Answer, Body, BodyFailed, CallerGone, DeadlinePassed
 
@@ -296,13 +296,13 @@
             raise _failed(link, "the connection ended before the answer was complete")
 
     def _answer(self, link: _Link, request: Outgoing, response: ResponseReader) -> Answer:
-        verdict_value = first(response.headers, VERDICT) if request.to_node else None
+        verdict_value = response.fields.get(VERDICT) if request.to_node else None
         answer = Answer(
             status=response.status,
             reason=response.reason,
             headers=end_to_end(response.headers),
             length=response.declared_length,
-            load=_load(response.headers) if request.to_node else None,
+            load=_load(response.fields.get(LOAD)) if request.to_node else None,
             from_node=verdict_value is not None and verdict_value != b"ran",
             verdict=_VERDICTS.get(verdict_value or b"", Verdict.RAN),
         )
@@ -348,8 +348,7 @@
     return [*framing, (b"content-length", b"%d" % request.body.length)]
 
 
-def _load(headers: Headers) -> int | None:
-    value = first(headers, LOAD)
+def _load(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() and len(value) < 8 else None
 
 
