--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -87,6 +87,10 @@
         self._own_name = own_name
         self._local = local
 
+    def close(self) -> None:
+        """Close idle connections; for an embedding process that ends."""
+        self._upstream.close()
+
     def is_nested(self, request: Request) -> bool:
         """Return whether the request was made by a target while it ran another call."""
         return self._contexts.nested(request.context) is not None
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -4,6 +4,7 @@
 
 import secrets
 import signal
+import sys
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 from random import Random, SystemRandom
@@ -42,6 +43,11 @@
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
 DRAIN_NOTICE_S = 1.0
+SWITCH_INTERVAL_S = 0.0005
+"""Longest time that another task keeps a call thread waiting for the interpreter lock.
+
+With Python's default of 5 ms, the slowest calls waited for whole intervals.
+"""
 
 
 class Gateway:
@@ -114,6 +120,7 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
         runners += [self._call_path.calls.run, self._call_path.deliveries.run]
