Merge the full call path

Cause: the first call path held whole bodies, had no limits or retries and reported every call as run.

--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -4,6 +4,7 @@
 
 import secrets
 import signal
+import sys
 import threading
 from collections.abc import Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -11,8 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..api.server import ApiListener
-from ..calls.proxy import CallRouter, Forwarder, TargetDelivery
-from ..calls.server import CallServer
+from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
 from ..clock import SystemClock
 from ..log.appender import Appended, Appender
@@ -48,6 +48,11 @@
 API_THREADS = 4
 BOOT_ID_BYTES = 6
 DRAIN_NOTICE_S = 1.0
+SWITCH_INTERVAL_S = 0.0005
+"""Longest time that another task keeps a call thread waiting for the interpreter lock.
+
+With Python's default of 5 ms, the slowest calls waited for whole intervals.
+"""
 
 
 class Gateway:
@@ -103,7 +108,7 @@
         events: EventLog,
         control: ControlTask,
         tasks: dict[str, Any],
-        listeners: tuple[CallServer, ...],
+        call_path: CallPath,
         api: ApiListener,
     ) -> None:
         self._settings = settings
@@ -111,7 +116,7 @@
         self._events = events
         self._control = control
         self._tasks = tasks
-        self._listeners = listeners
+        self._call_path = call_path
         self._api = api
         self._stop_asked = threading.Event()
         self._futures: list[Future[Any]] = []
@@ -126,9 +131,10 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
-        runners.extend(listener.run for listener in self._listeners)
+        runners += [self._call_path.calls.run, self._call_path.deliveries.run]
         self._futures = [self._executor.submit(self._guarded, runner) for runner in runners]
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
@@ -136,9 +142,11 @@
         """Drain, then end all tasks."""
         self._events.write(Event.NODE_STOPPING)
         self._control.mailbox.put(DrainAsked())
+        self._events.write(Event.DRAIN_STARTED)
+        self._call_path.drainer.begin()
         threading.Event().wait(DRAIN_NOTICE_S)
-        for listener in self._listeners:
-            listener.stop()
+        limit_s = self._settings.calls.drain_limit_s
+        self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
             task.stop()
         self._api.stop()
@@ -180,6 +188,9 @@
         clock=clock,
         stopping=append_stopping,
     )
+    threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
+    executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
+    call_path = _call_path(settings, views, mailbox, executor, events)
     core = compose_core(
         own=_own_member(settings, clock.wall_ms()),
         seeds=_peer_addresses(settings.mesh.seeds),
@@ -191,6 +202,7 @@
         events=events,
         metrics=metrics,
         views=views,
+        own_load=lambda: call_path.admission.load,
         writer=writer,
         append=lambda body: append_task.submit_and_post(body, mailbox),
         append_snapshot=lambda data: append_task.submit_snapshot_and_post(data, mailbox),
@@ -216,8 +228,6 @@
         random=random,
         clock=clock,
     )
-    threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
-    executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
     gateway = Gateway(mailbox, append_task)
     api = ApiListener(
         split_address(settings.api.address),
@@ -230,7 +240,7 @@
         events=events,
         control=control,
         tasks={"reader": reader, "append": append_task},
-        listeners=_listeners(settings, views, mailbox, executor),
+        call_path=call_path,
         api=api,
     )
 
@@ -267,25 +277,33 @@
     )
 
 
-def _listeners(
-    settings: Settings, views: ViewHolder, mailbox: Mailbox, executor: ThreadPoolExecutor
-) -> tuple[CallServer, ...]:
-    forwarder = Forwarder()
-    router = CallRouter(
-        views=views,
-        forwarder=forwarder,
-        report=lambda record: mailbox.put(CallReported(record), wake=False),
-    )
-    delivery = TargetDelivery(address=split_address(settings.target.address), forwarder=forwarder)
-    return (
-        CallServer(
-            address=split_address(settings.node.call_address),
-            handler=router.handle,
-            executor=executor,
+def _call_path(
+    settings: Settings,
+    views: ViewHolder,
+    mailbox: Mailbox,
+    executor: ThreadPoolExecutor,
+    events: EventLog,
+) -> CallPath:
+    return make_call_path(
+        PathSettings(
+            name=settings.node.name,
+            availability_zone=settings.node.availability_zone,
+            key=bytes.fromhex(settings.mesh.key),
+            balancer=settings.calls.balancer,
+            link_one_way_s=settings.calls.link_one_way_ms / 1000,
+            connections=settings.calls.connections,
         ),
-        CallServer(
-            address=split_address(settings.node.deliver_address),
-            handler=delivery.handle,
-            executor=executor,
+        call_address=split_address(settings.node.call_address),
+        deliver_address=split_address(settings.node.deliver_address),
+        target=OwnTarget(
+            address=split_address(settings.target.address),
+            service=settings.target.service,
+            service_version=settings.target.service_version,
+            slots=settings.target.slots,
         ),
+        views=views,
+        events=events,
+        report=lambda record: mailbox.put(CallReported(record), wake=False),
+        executor=executor,
+        random=SystemRandom(),
     )
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -24,7 +24,6 @@
     CallReported,
     CapacityAsked,
     DrainAsked,
-    LoadReported,
     LogRead,
     LogReadFailed,
     PlanAwaited,
@@ -59,6 +58,7 @@
         metrics: Where metrics go.
         table: Members of the own zone.
         views: Receives the routing view.
+        own_load: Returns the number of calls in flight or waiting at the own target.
         duties: Leases and snapshots.
         detector: Failure detection.
         distribution: Distribution of records.
@@ -71,6 +71,7 @@
     metrics: Metrics
     table: MemberTable
     views: ViewHolder
+    own_load: Callable[[], int]
     duties: Duties
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
@@ -105,7 +106,6 @@
             AppendDone: self._append_done,
             SnapshotDone: self._snapshot_done,
             CallReported: self._call_reported,
-            LoadReported: self._load_reported,
             StatusAsked: self._status_asked,
             StateAsked: self._state_asked,
             CapacityAsked: self._capacity_asked,
@@ -176,7 +176,7 @@
         effects += parts.distribution.on_tick()
         effects += parts.directory.on_tick()
         effects += parts.moving.on_tick()
-        self._parts.table.update_own(reading=self._parts.distribution.reading)
+        parts.table.update_own(reading=parts.distribution.reading, load=parts.own_load())
         role = self._parts.distribution.role
         if role is not self._role:
             self._role = role
@@ -290,14 +290,12 @@
         return []
 
     def _call_reported(self, mail: CallReported) -> list[Send]:
-        self._parts.metrics.count("calls.served")
+        name = "calls.refused" if mail.record.refused else "calls.served"
+        if not mail.record.delivered_here:
+            self._parts.metrics.count(name)
         self._parts.moving.observe(mail.record)
         return []
 
-    def _load_reported(self, mail: LoadReported) -> list[Send]:
-        self._parts.table.update_own(load=mail.load)
-        return []
-
     def _drain(self, _: DrainAsked) -> list[Send]:
         self._parts.table.update_own(draining=True)
         self._parts.events.write(Event.DRAIN_STARTED)
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -27,6 +27,7 @@
     events: EventLog,
     metrics: Metrics,
     views: ViewHolder,
+    own_load: Callable[[], int],
     writer: str,
     append: Callable[[Any], None],
     append_snapshot: Callable[[bytes], None],
@@ -42,6 +43,7 @@
         events: Where log events go.
         metrics: Where metrics go.
         views: Receives the routing view.
+        own_load: Returns the number of calls in flight or waiting at the own target.
         writer: ``node name/boot id`` of this process.
         append: Queues a record body for the log; the result comes back as `AppendDone`.
         append_snapshot: Queues a snapshot; the result comes back as `SnapshotDone`.
@@ -56,7 +58,13 @@
         append_snapshot=append_snapshot,
     )
     parts = CoreParts(
-        clock=clock, events=events, metrics=metrics, table=table, views=views, duties=duties
+        clock=clock,
+        events=events,
+        metrics=metrics,
+        table=table,
+        views=views,
+        own_load=own_load,
+        duties=duties,
     )
     core = NodeCore(parts, fold=LogFold())
     parts.distribution = DistributionCore(
--- a/src/citronrack/node/mail.py
+++ b/src/citronrack/node/mail.py
@@ -81,13 +81,6 @@
     record: CallRecord
 
 
-@frozen
-class LoadReported:
-    """The number of calls in flight or waiting at the own target has changed."""
-
-    load: int
-
-
 @frozen
 class StatusAsked:
     """Somebody wants the status."""
