Bound the bytes after a mass restart

Cause: each starting node took itself for a relay and pulled other zones, asked three seeds at once, and pulled one page of another zone per heartbeat only. Change: relays act 5 s after start, one seed at a time, wanted zones are pulled one page a second.

--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -34,6 +34,7 @@
 NOTICE_PEERS = 8
 NOTICE_FORWARDS = 2  # each receiver passes a notice on once
 DOUBTED_PINGS = 8
+UNHEARD_AFTER_S = 3.0  # a node that reads the log is ready before and needs no peer's offset
 UNHEARD_PINGS = 4  # per tick; a node that is not ready hears 233 members within about 15 s
 PAUSE_S = 1.5  # ticks come four times a second; a longer gap means that this node did not run
 TOMBSTONE_S = 120.0  # longer than any update is on its way; afterwards the incarnation is kept
@@ -89,6 +90,7 @@
         self._round: list[str] = []
         self._gone_at: dict[str, float] = {}
         now = clock.monotonic()
+        self._started = now
         self._last_run = now
         self._last_change = now
         self._next_ping = now + random.uniform(0, PING_INTERVAL_S)
@@ -132,7 +134,7 @@
         if now >= self._next_ping:
             self._next_ping = now + PING_INTERVAL_S
             effects += self._ping_next(now)
-        if not self._table.own.ready:
+        if not self._table.own.ready and now >= self._started + UNHEARD_AFTER_S:
             effects += self._ping_unheard()
         return effects
 
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -32,6 +32,7 @@
 PAGE_MEMBERS = 64
 OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that try a seed or any member instead of a relay
 MAX_ZONES = 64
+RELAY_DELAY_S = 5.0  # a starting node takes itself for rank 0 until it knows its zone
 
 
 class ZoneDirectory:
@@ -74,6 +75,8 @@
         self._next_exchange = now + random.uniform(0, EXCHANGE_INTERVAL_S)
         self._next_pass_on = now + random.uniform(0, PASS_ON_INTERVAL_S)
         self._next_pull = now
+        self._wanted: dict[str, str] = {}
+        self._relay_from = now + RELAY_DELAY_S
         self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
             ZoneHeard: self._on_heard,
             ZonePull: self._on_pull,
@@ -130,7 +133,7 @@
     def on_tick(self) -> list[Send]:
         """Exchange with another zone, pass on, and tell other zones of an own drain."""
         now = self._clock.monotonic()
-        effects = self._tell_drain()
+        effects = [*self._tell_drain(), *self._pull_next()]
         if now >= self._next_exchange:
             self._next_exchange = now + EXCHANGE_INTERVAL_S * self._random.uniform(0.9, 1.1)
             effects += self._exchange()
@@ -143,16 +146,19 @@
 
     def _tell_zone(self) -> list[Send]:
         """Rank 0 tells its children, who pass it on; rank 1 tells rank 0."""
-        index = self._tree.index
-        if index >= RELAYS:
+        if not self._acts_as_relay:
             return []
-        targets = self._tree.ranking[:1] if index else self._tree.children()
+        targets = self._tree.ranking[:1] if self._tree.index else self._tree.children()
         heard = self._heard(answer=False)
         return [Send(member.address, heard) for member in targets]
 
+    @property
+    def _acts_as_relay(self) -> bool:
+        return self._tree.is_relay and self._clock.monotonic() >= self._relay_from
+
     def _exchange(self) -> list[Send]:
         """Send what is known to a relay of the next zone of a shuffled round."""
-        if not self._tree.is_relay:
+        if not self._acts_as_relay:
             return []
         if not self._round:
             self._round = list(self.zones())
@@ -196,11 +202,23 @@
             return []
         if state.digest == view.book.whole:
             view.as_of = as_of
+            self._wanted.pop(state.availability_zone, None)
             return []
-        if now < self._next_pull:
+        self._wanted[state.availability_zone] = sender
+        return self._pull_next()
+
+    def _pull_next(self) -> list[Send]:
+        """Ask for a page of the next zone that differs, one zone after the other."""
+        now = self._clock.monotonic()
+        if now < self._next_pull or not self._wanted:
+            return []
+        zone = next(iter(self._wanted))
+        sender = self._wanted.pop(zone)
+        view = self._view(zone)
+        if view is None:
             return []
         self._next_pull = now + PULL_INTERVAL_S
-        return [Send(sender, ZonePull(state.availability_zone, view.book.buckets))]
+        return [Send(sender, ZonePull(zone, view.book.buckets))]
 
     def _on_pull(self, sender: str, message: ZonePull) -> list[Send]:
         zone = message.availability_zone
@@ -243,6 +261,8 @@
             names = frozenset(summary.name for summary in summaries)
             view.drop_missing(frozenset(message.buckets), names, as_of)
             view.confirm(frozenset(message.equal), as_of)
+            if len(message.buckets) + len(message.equal) < BUCKETS:  # the page was full
+                self._wanted[message.availability_zone] = sender
         return self._pass_on_changes(message.availability_zone, changed, as_of, sender)
 
     def _on_notice(self, sender: str, message: DrainNotice) -> list[Send]:
--- a/src/citronrack/membership/joining.py
+++ b/src/citronrack/membership/joining.py
@@ -15,7 +15,6 @@
 
 PAGE_MEMBERS = 64
 ALONE_RETRY_S = 1.0
-ALONE_FANOUT = 3
 SEED_RETRY_S = 10.0  # two halves of a zone that lost each other meet again within about this time
 REPAIR_INTERVAL_S = 10.0
 REPAIR_SPREAD = 1.5
@@ -67,7 +66,7 @@
         live = {member.address for member in self._table.members()}
         known = dict.fromkeys((*self._seeds, *self._former.values()))
         outside = [address for address in known if address not in live]
-        wanted = min(len(outside), 1 if peers else ALONE_FANOUT)
+        wanted = min(len(outside), 1)  # three seeds at once tripled the load on a seed
         join = Join(self._table.own)
         return [Send(address, join) for address in self._random.sample(outside, wanted)]
 
--- a/src/citronrack/membership/zones.py
+++ b/src/citronrack/membership/zones.py
@@ -11,6 +11,7 @@
 from .digests import DigestBook, bucket_of
 from .known import MemberSummary
 
+REPORTED_NAMES = 4  # these travel for all zones in each message
 UNCONFIRMED_S = 10.0  # two relays of a zone may differ for some seconds
 
 
@@ -45,11 +46,11 @@
         progress.lowest,
         progress.covered,
         progress.total,
-        progress.behind,
+        progress.behind[:REPORTED_NAMES],
         progress.exact,
         progress.highest,
         progress.at_highest,
-        progress.unheard,
+        progress.unheard[:REPORTED_NAMES],
     )
 
 
