Bound how many nodes give up reading in an outage of the log

Cause: in an outage each node in turn became reader, failed, and spread reading=false. Change: at most 8 nodes of a zone give up; the retry interval doubles up to 8 minutes. The test failed before the change, and with the limit taken out.

--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -139,7 +139,7 @@
 
     @property
     def reading(self) -> bool:
-        """Whether this node can read the log; belongs into its member description."""
+        """Whether this node counts as able to read the log; belongs into its member description."""
         return self._log.reading
 
     @property
@@ -188,7 +188,8 @@
 
     def on_log_failure(self) -> None:
         """Note a poll of the log that got no answer."""
-        self._log.failed()
+        others = (member for member in self._tree.ranking if member.name != self._own)
+        self._log.failed(given_up=sum(not member.reading for member in others))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of this core."""
--- a/src/citronrack/distribution/reading.py
+++ b/src/citronrack/distribution/reading.py
@@ -12,8 +12,9 @@
 
 STANDBY_DELAY_S = 0.5
 FAILURES_ALLOWED = 3
-RETRY_S = 30.0
-RETRY_JITTER_S = 30.0
+MAX_GIVEN_UP = 8  # more nodes than this without the log mean an outage; they need not all say so
+RETRY_S = 30.0  # doubled after each vain retry
+MAX_RETRY_S = 480.0
 
 
 class ReaderRole(StrEnum):
@@ -37,6 +38,7 @@
         self._random = random
         self._failures = 0
         self._retry_at: float | None = None
+        self._wait_s = RETRY_S
 
     @property
     def reading(self) -> bool:
@@ -50,13 +52,24 @@
         """Note a poll that was answered."""
         self._failures = 0
         self._retry_at = None
+        self._wait_s = RETRY_S
 
-    def failed(self) -> None:
-        """Note a poll that was not answered."""
+    def failed(self, *, given_up: int) -> None:
+        """Note a poll that was not answered.
+
+        In an outage of the log nobody can take over, so only some nodes give up. Otherwise each
+        node in turn would change its description, and all zones would spread these changes.
+
+        Args:
+            given_up: Number of other nodes of the zone that cannot read.
+        """
         self._failures += 1
-        if self._failures >= FAILURES_ALLOWED and self._retry_at is None:
-            wait = RETRY_S + self._random.uniform(0, RETRY_JITTER_S)
-            self._retry_at = self._clock.monotonic() + wait
+        if self._failures < FAILURES_ALLOWED or self._retry_at is not None:
+            return
+        if given_up >= MAX_GIVEN_UP:
+            return
+        self._retry_at = self._clock.monotonic() + self._wait_s * self._random.uniform(1, 2)
+        self._wait_s = min(MAX_RETRY_S, 2 * self._wait_s)
 
 
 @frozen
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -7,6 +7,8 @@
 from unittest import mock
 
 from citronrack.distribution.messages import PushRecords
+from citronrack.distribution.reading import MAX_GIVEN_UP
+from citronrack.distribution.tree import READERS
 
 from .fleet import SEEDS, ZONES, FleetUnderTest
 
@@ -135,6 +137,23 @@
             for other in fleet.net.live():
                 self.assertIsNotNone(other.distribution.facts.get("mark/x"), other.name)
 
+    def test_log_outage_does_not_make_all_nodes_give_up(self) -> None:
+        """Fails if an outage makes each node in turn change and spread its description."""
+        fleet = FleetUnderTest(self, 1, zones={"north": 24})
+        before = {node.name: node.table.own.incarnation for node in fleet.net.live()}
+        fleet.cut_log(fleet.net.live())
+        for _ in range(90):
+            fleet.run(1)
+            given_up = sum(not node.table.own.reading for node in fleet.net.live())
+            # Three polls take 3 s and an update about 5 s to reach all: two pairs are on the way.
+            self.assertLessEqual(given_up, MAX_GIVEN_UP + 2 * READERS)
+        # Each gives up, retries after 30 to 60 s, and gives up again, as does its substitute.
+        raised = sum(n.table.own.incarnation - before[n.name] for n in fleet.net.live())
+        self.assertLessEqual(raised, 4 * (MAX_GIVEN_UP + READERS))
+        fleet.net.faults.log_cut.clear()
+        fleet.net.append()
+        fleet.converges()
+
     def test_push_is_forwarded_once(self) -> None:
         """Fails if nodes that take each other for children send a push to and fro."""
         net = FleetUnderTest(self, 1).net
