Leave catch-up of a reader to repair instead of pushing it

Cause: after a mass restart a reader pushed all 500 records that it had just read. Change: more than 100 records at once are not pushed.

--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -28,6 +28,7 @@
 from .tree import Tree
 
 REMEMBERED_PUSHES = 256
+MAX_PUSHED = 100  # a reader that catches up reads more at once; repair spreads those over peers
 
 
 class FoldView(Protocol):
@@ -177,7 +178,7 @@
         self._log.succeeded()
         first = self._store.next
         fresh = [data for offset, data in records for data in self._accept(offset, data)]
-        if not fresh:
+        if not fresh or len(fresh) > MAX_PUSHED:
             return []
         role = self.role
         if role is ReaderRole.PRIMARY:
