--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -146,7 +146,7 @@
 
     def _tell_zone(self) -> list[Send]:
         """Rank 0 tells its children, who pass it on; rank 1 tells rank 0."""
-        if not self._acts_as_relay:
+        if not self._tree.is_relay:
             return []
         targets = self._tree.ranking[:1] if self._tree.index else self._tree.children()
         heard = self._heard(answer=False)
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -193,6 +193,7 @@
         random=random,
         seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
         observer=parts.distribution,
+        changed=control.member_changed,
     )
     parts.directory = ZoneDirectory(
         table=table,
--- a/src/citronrack/node/control.py
+++ b/src/citronrack/node/control.py
@@ -15,7 +15,7 @@
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
 from ..log.fold import PlanState
-from ..membership import FailureDetector, MemberTable, ZoneDirectory
+from ..membership import FailureDetector, Member, MemberState, MemberTable, ZoneDirectory
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
 from ..transport.zmq_transport import ZmqTransport
@@ -40,6 +40,11 @@
 TICK_MS = 250
 MAX_FRAMES_PER_TURN = 200
 METRICS_EVERY_TICKS = 40
+MEMBER_EVENTS = {
+    MemberState.ALIVE: Event.MEMBER_ALIVE,
+    MemberState.SUSPECT: Event.MEMBER_SUSPECT,
+    MemberState.GONE: Event.MEMBER_GONE,
+}
 
 
 @define
@@ -119,6 +124,13 @@
             self._parts.events.write(Event.RECORD_REFUSED, offset=offset, reason=result.reason)
         self._after_fold(result)
 
+    def member_changed(self, member: Member) -> None:
+        """Write an event; called by the failure detector."""
+        event = MEMBER_EVENTS[MemberState(member.state)]
+        if member.draining and event is Event.MEMBER_ALIVE:
+            event = Event.MEMBER_DRAINING
+        self._parts.events.write(event, member=member.name, incarnation=member.incarnation)
+
     def run(self) -> None:
         """Handle frames, messages and ticks until a stop is asked for."""
         poller = zmq.Poller()
