--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -28,6 +28,7 @@
 from .tree import Tree
 
 REMEMBERED_PUSHES = 256
+MAX_PUSHED = 100  # a reader that catches up reads more at once; repair spreads those over peers
 
 
 class FoldView(Protocol):
@@ -139,7 +140,7 @@
 
     @property
     def reading(self) -> bool:
-        """Whether this node can read the log; belongs into its member description."""
+        """Whether this node counts as able to read the log; belongs into its member description."""
         return self._log.reading
 
     @property
@@ -177,7 +178,7 @@
         self._log.succeeded()
         first = self._store.next
         fresh = [data for offset, data in records for data in self._accept(offset, data)]
-        if not fresh:
+        if not fresh or len(fresh) > MAX_PUSHED:
             return []
         role = self.role
         if role is ReaderRole.PRIMARY:
@@ -188,7 +189,8 @@
 
     def on_log_failure(self) -> None:
         """Note a poll of the log that got no answer."""
-        self._log.failed()
+        others = (member for member in self._tree.ranking if member.name != self._own)
+        self._log.failed(given_up=sum(not member.reading for member in others))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of this core."""
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -14,7 +14,14 @@
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
 from ..log.fold import PlanState
-from ..membership import FailureDetector, KnownMember, MemberTable, ZoneDirectory
+from ..membership import (
+    FailureDetector,
+    KnownMember,
+    Member,
+    MemberState,
+    MemberTable,
+    ZoneDirectory,
+)
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
 from .duties import Duties
@@ -45,6 +52,12 @@
 
 _DUTY_RANKS = {ReaderRole.PRIMARY: 0, ReaderRole.STANDBY: 1}
 
+_MEMBER_EVENTS = {
+    MemberState.ALIVE: Event.MEMBER_ALIVE,
+    MemberState.SUSPECT: Event.MEMBER_SUSPECT,
+    MemberState.GONE: Event.MEMBER_GONE,
+}
+
 Handler = Callable[[Any], list[Send]]
 
 
@@ -218,6 +231,13 @@
             transport=self.transport_status,
         )
 
+    def member_changed(self, member: Member) -> None:
+        """Write an event; called by the failure detector."""
+        event = _MEMBER_EVENTS[MemberState(member.state)]
+        if member.draining and event is Event.MEMBER_ALIVE:
+            event = Event.MEMBER_DRAINING
+        self._parts.events.write(event, member=member.name, incarnation=member.incarnation)
+
     def leave(self) -> list[Send]:
         """Return what tells the peers that this node stops."""
         return self._parts.detector.leave()
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -79,7 +79,12 @@
         load_snapshot=core.load_snapshot,
     )
     parts.detector = FailureDetector(
-        table=table, clock=clock, random=random, seeds=seeds, observer=parts.distribution
+        table=table,
+        clock=clock,
+        random=random,
+        seeds=seeds,
+        observer=parts.distribution,
+        changed=core.member_changed,
     )
     parts.directory = ZoneDirectory(
         table=table,
