--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -51,6 +51,18 @@
         zone: Its availability zone.
         rank: Its position in the zone.
         boot: Number of its start, so that a restart is another writer.
+
+    Attributes:
+        writer: Name and boot.
+        paused: Whether the process stands still.
+        deaf: Whether its reads of the log hang while its appends get through.
+        draining: Whether it is about to stop.
+        fold: What it has folded.
+        caught_up_at: When it first held the whole log.
+        log_first: Oldest retained offset that it knows.
+        log_end: End of the log that it knows.
+        keepers: One for each duty.
+        compactor: Its keeper of snapshots.
     """
 
     def __init__(self, fleet: LogFleet, *, name: str, zone: str, rank: int, boot: int) -> None:
@@ -59,6 +71,7 @@
         self._rank = rank
         self.writer = f"{name}/{boot}"
         self.paused = False
+        self.deaf = False
         self.draining = False
         self.fold = LogFold()
         self.caught_up_at: float | None = None
@@ -121,7 +134,7 @@
         if self.paused:
             return
         now = self._fleet.clock.monotonic()
-        if now >= self._read_at and not self._is_polling(now):
+        if now >= self._read_at and not self.deaf and not self._is_polling(now):
             self._reader.step()
         if self._rank >= READING_RANKS and self.caught_up_at is not None:
             return
--- a/tests/log/test_appender.py
+++ b/tests/log/test_appender.py
@@ -126,6 +126,22 @@
         self.assertTrue(state.plans["p2"].accepted)
         self.assertEqual(state.plans["p1"].reason, SUPERSEDED)
 
+    def test_append_waits_for_the_budget_within_its_limit(self) -> None:
+        """Fails if an append was refused although a token came in time."""
+        appender = Appender(
+            client=MemoryLogClient(self.store),
+            clock=self.clock,
+            random=Random(4),
+            writer="a/1",
+            sleep=self.clock.advance,
+        )
+        for number in range(APPEND_BURST):
+            appender.append(plan(number, -1))
+        self.clock.advance(2)
+        appender.append(plan(APPEND_BURST, -1))
+        with self.assertRaises(AppendRefused):
+            appender.append(plan(APPEND_BURST + 1, -1))
+
     def test_task_answers_each_job_within_the_limit(self) -> None:
         """Fails if an operator behind many stuck appends waited longer than the limit."""
         client, appender = self.make(2)
--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -5,11 +5,23 @@
 import unittest
 from typing import Any
 
-from citronrack.config import Change, Route, Service, ServiceVersion
-from citronrack.log import Claim, Confirmed, Envelope, LogFold, MoveOutcome, encode_record
+import attrs
+
+from citronrack.config import Change, Move, Route, Service, ServiceVersion, Step
+from citronrack.log import (
+    Cancelled,
+    Claim,
+    Confirmed,
+    Envelope,
+    LogFold,
+    Marked,
+    MoveOutcome,
+    encode_record,
+)
+from citronrack.log.marks import is_settled
 from citronrack.log.records import Duty, MoveResult
 
-CATALOGUE = Service("catalogue", {"1.0": ServiceVersion("1.0")})
+CATALOGUE = Service("catalogue", {v: ServiceVersion(v) for v in ("1.0", "2.0")})
 FIRST = Change(put_services=(CATALOGUE,), put_routes=(Route("r", "/", "catalogue", "1.0"),))
 
 
@@ -59,6 +71,62 @@
         late = MoveOutcome(1, "m", 0, MoveResult.FINISHED_IN_TIME, "", 0)
         self.assertEqual(self.apply(late), "lease term has passed")
 
+    def start_move(self, to_version: str) -> int:
+        """Confirm a move of route ``r`` and return its epoch."""
+        config = self.fold.config
+        old = config.routes["r"].service_version
+        step = Step(1.0, 0)
+        move = Move("m", "r", old, to_version, 0, 10, (step,), 0.1, "spoorhout")
+        plan = confirmed(f"m{self.fold.next_offset}", config.version, Change(put_moves=(move,)))
+        self.assertEqual(self.apply(plan), "")
+        return self.fold.config.version
+
+    def test_only_a_duty_holder_decides_and_a_decision_stays(self) -> None:
+        """Fails if a bad version kept a route, or a decided move was undone or decided again."""
+        self.apply(confirmed("p1", -1))
+        self.apply(Claim(Duty.OUTCOMES, 1, "a", 60_000))
+        first = self.start_move("2.0")
+        self.apply(Marked("catalogue", "2.0", first, "slow", "r", 9, 0, "z"))
+        finished = MoveOutcome(1, "m", first, MoveResult.FINISHED_IN_TIME, "", 0)
+        self.assertIn("marked as bad", self.apply(finished))
+        self.assertEqual(self.apply(attrs.evolve(finished, result=MoveResult.TAKEN_BACK)), "")
+        self.assertEqual(self.fold.config.routes["r"].service_version, "1.0")
+        second = self.start_move("2.0")
+        self.assertEqual(self.apply(Cancelled("m", first, "o")), "move is not open")
+        self.assertEqual(self.apply(attrs.evolve(finished, epoch=second)), "")
+        self.assertEqual(self.fold.config.routes["r"].service_version, "2.0")
+        self.assertEqual(self.apply(Cancelled("m", second, "o")), "move is not open")
+        self.assertEqual(self.fold.config.routes["r"].service_version, "2.0")
+
+    def test_change_of_a_route_with_an_open_move_is_a_conflict(self) -> None:
+        """Fails if a plan could pull a route away from under its move, or gave no reason."""
+        self.apply(confirmed("p1", -1))
+        epoch = self.start_move("2.0")
+        route = Route("r", "/", "catalogue", "2.0")
+        for change in (Change(remove_routes=("r",)), Change(put_routes=(route,))):
+            reason = self.apply(confirmed(f"c{self.fold.next_offset}", epoch, change))
+            self.assertRegex(reason, "route 'r' cannot .* its move 'm' is open")
+        both = Change(remove_routes=("r",), remove_moves=("m",))
+        self.assertEqual(self.apply(confirmed("last", epoch, both)), "")
+        self.assertEqual(self.fold.state.outcomes["m"].result, "cancelled")
+
+    def test_marks_do_not_pile_up(self) -> None:
+        """Fails if marks outlived their version, or a foreign epoch shadowed later marks."""
+        self.apply(confirmed("p1", -1))
+        for _ in range(20):
+            epoch = self.start_move("2.0")
+            mark = Marked("catalogue", "2.0", epoch, "slow", "r", 9, 0, "z")
+            self.assertIn("epoch", self.apply(attrs.evolve(mark, epoch=10**9)))
+            self.assertEqual(self.apply(mark), "")
+            self.assertTrue(is_settled(self.fold.state, mark))
+            self.apply(Cancelled("m", epoch, "o"))
+            self.assertEqual([m.epoch for m in self.fold.state.marks.values()], [epoch])
+        without = Change(put_services=(Service("catalogue", {"1.0": ServiceVersion("1.0")}),))
+        self.apply(confirmed("last", self.fold.config.version, without))
+        self.assertEqual(self.fold.state.marks, {})
+        self.assertIn("not configured", self.apply(mark))
+        self.assertTrue(is_settled(self.fold.state, mark))
+
     def test_undecodable_record_is_skipped_by_all(self) -> None:
         """Fails if one damaged record stopped the fold."""
         self.assertFalse(self.fold.apply(0, b"\xff\x00").accepted)
--- a/tests/log/test_fold_machine.py
+++ b/tests/log/test_fold_machine.py
@@ -104,6 +104,13 @@
     def start(self) -> None:
         """Put services and routes in force."""
         assert self.write("a", Confirmed("p0", -1, start_change(), 0, 1, "o")) == ""
+        assert self.write("a", Claim(Duty.OUTCOMES, 1, "a", 60_000)) == ""
+        assert (
+            self.write(
+                "b", Confirmed("p1", 0, Change(put_moves=(move("r1", "1", "2"),)), 0, 1, "o")
+            )
+            == ""
+        )
 
     @rule(writer=st.sampled_from("abc"), route=routes, new=versions, lag=st.sampled_from((0, 0, 1)))
     def begin_move(self, writer: str, route: str, new: str, lag: int) -> None:
--- a/tests/log/test_lease.py
+++ b/tests/log/test_lease.py
@@ -6,11 +6,21 @@
 from random import Random
 
 from citronrack.bench.log_fleet import LogFleet
-from citronrack.log import LogFold, SnapshotTaken, decode_record
+from citronrack.clock import ManualClock
+from citronrack.log import (
+    Claim,
+    Envelope,
+    LeaseKeeper,
+    LogFold,
+    SnapshotTaken,
+    decode_record,
+    encode_record,
+)
 from citronrack.log.lease import CANDIDATE_RANKS, LEASE_MS, RANK_STEP_S
 from citronrack.log.records import RECORDS_STREAM, Duty
 
 ZONES = 3
+FAULTS = ("pause", "deafen", "wake", "outage", "back", "lose", "hold", "release", "all")
 TAKEOVER_S = LEASE_MS / 1000 + CANDIDATE_RANKS * RANK_STEP_S + 30
 """Lease, jitter, and time for a retry of the claim with its backoff and limit."""
 
@@ -63,24 +73,29 @@
         for _ in range(8):
             self.disturb(fleet, random)
             fleet.run(random.choice((5, 20, 80)), check=lambda: self.check(fleet))
-        for node in fleet.nodes:
-            node.paused = False
+        self.wake(fleet)
         fleet.store.faults.outage = False
         fleet.store.release_held()
         self.run_until_held(fleet)
         self.check_log(fleet)
         self.assertLessEqual(max(fleet.appends_by_s), 4 * ZONES * CANDIDATE_RANKS)
 
+    def wake(self, fleet: LogFleet) -> None:
+        """Let all nodes run and read."""
+        for node in fleet.nodes:
+            node.paused = node.deaf = False
+
     def disturb(self, fleet: LogFleet, random: Random) -> None:
         """Apply one random fault."""
         faults = fleet.store.faults
         holders = [node for duty in Duty for node in fleet.acting(duty)]
-        what = random.choice(("pause", "wake", "outage", "back", "lose", "hold", "release", "all"))
+        what = random.choice(FAULTS)
         if what == "pause" and holders:
             random.choice(holders).paused = True
+        elif what == "deafen" and holders:
+            random.choice(holders).deaf = True
         elif what == "wake":
-            for node in fleet.nodes:
-                node.paused = False
+            self.wake(fleet)
         elif what in ("outage", "back"):
             faults.outage = what == "outage"
         elif what == "lose":
@@ -111,6 +126,44 @@
         self.assertNotEqual(state.snapshot_offset, 7)
         self.assertNotEqual(state.leases[Duty.COMPACTOR].holder, holder.writer)
 
+    def test_few_of_many_candidates_claim(self) -> None:
+        """Fails if all candidates of a large fleet claimed when a holder was lost."""
+        for seed in range(4):
+            fleet = LogFleet(15, CANDIDATE_RANKS, seed)
+            fleet.run(25)
+            for holder in {node for duty in Duty for node in fleet.acting(duty)}:
+                holder.paused = True
+            before = fleet.store.appends
+            self.run_until_held(fleet)
+            claims = fleet.store.appends - before
+            self.assertLessEqual(claims, len(Duty) * 15 * CANDIDATE_RANKS // 3)
+
+    def test_lease_counts_from_the_first_claim_of_its_term(self) -> None:
+        """Fails if a repeated claim lengthened the lease of an earlier one that had landed."""
+        clock, fold = ManualClock(), LogFold()
+        keepers = [
+            LeaseKeeper(duty=Duty.OUTCOMES, own=own, clock=clock, random=Random(1))
+            for own in ("a/1", "b/1")
+        ]
+        holder, other = keepers
+        claims: list[Claim] = []
+        while len(claims) < 2:
+            clock.advance(0.25)
+            claim = holder.on_tick(rank=0)
+            other.on_tick(rank=None)
+            if claim is not None:
+                claims.append(claim)
+                holder.on_claim_unknown()
+            if len(claims) == 1 and fold.next_offset == 0:
+                fold.apply(0, encode_record(Envelope("a/1", 1, 0, claims[0])))
+                other.on_state(fold.state)
+        holder.on_state(fold.state)
+        self.assertEqual((holder.term, claims[1].term), (1, 1))
+        while other.on_tick(rank=0) is None:
+            clock.advance(0.25)
+            self.assertLess(clock.monotonic(), TAKEOVER_S)
+        self.assertIsNone(holder.term)
+
     def test_restarted_node_does_not_take_itself_for_the_holder(self) -> None:
         """Fails if a new process acted under the lease of the one before it."""
         fleet = self.make(2)
--- a/tests/log/test_reader.py
+++ b/tests/log/test_reader.py
@@ -101,8 +101,10 @@
                 self.assertLessEqual(self.clock.monotonic() - before, BACKOFF_CAP_S)
             self.store.faults.outage = False
             ends = self.clock.monotonic() + 30
+            reads = self.store.reads
             while self.clock.monotonic() < ends:
                 reader.step()
+                self.assertLess(self.store.reads - reads, 1_000)
             self.assertEqual(control.fold.state, self.whole.state)
 
     def test_no_busy_loop_when_nothing_comes(self) -> None:
@@ -124,9 +126,8 @@
         control, reader = self.make(2)
         reader.step()
         self.assertIn("no usable snapshot", control.failures[-1])
-        control.fold = LogFold(self.whole.state)
         self.store = LogStore(clock=self.clock)
-        _, other = self.make(2)
-        other._state = control
-        other.step()
-        self.assertTrue(control.failures)
+        other, reader = self.make(2)
+        other.fold = LogFold(self.whole.state)
+        reader.step()
+        self.assertIn("before the wanted 5", other.failures[-1])
