--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -20,6 +21,7 @@
 from ..standins.log_store import LogStore, MemoryLogClient
 
 STEP_S = 0.25
+ANSWER_DELAY_S = 0.5  # from an append until the answer to a long poll has reached a node
 READING_RANKS = 2
 
 
@@ -151,9 +153,8 @@
 
     def _is_polling(self, now: float) -> bool:
         """Return whether a long poll is still held by the service."""
-        store = self._fleet.store
-        nothing_new = store.end(RECORDS_STREAM) <= self.next_offset
-        return now < self._poll_until and nothing_new and not store.faults.outage
+        nothing_new = self._fleet.delayed_end <= self.next_offset
+        return now < self._poll_until and nothing_new and not self._fleet.store.faults.outage
 
     def _wait_to_read(self, seconds: float) -> None:
         self._read_at = self._fleet.clock.monotonic() + seconds
@@ -228,6 +229,7 @@
         reads_by_s: Requests to read, likewise.
         failed_reads: Reads without an answer.
         snapshots_written: Snapshots that keepers asked for.
+        delayed_end: End of the records stream `ANSWER_DELAY_S` ago.
     """
 
     zones: int
@@ -242,6 +244,8 @@
     reads_by_s: list[int] = field(factory=list)
     failed_reads: int = 0
     snapshots_written: int = 0
+    delayed_end: int = 0
+    _ends: deque[int] = field(factory=lambda: deque(maxlen=round(ANSWER_DELAY_S / STEP_S) + 1))
     _boots: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -270,6 +274,8 @@
             if index % round(1 / STEP_S) == 0:
                 self.appends_by_s.append(0)
                 self.reads_by_s.append(0)
+            self._ends.append(self.store.end(RECORDS_STREAM))
+            self.delayed_end = self._ends[0]
             appends, reads = self.store.appends, self.store.reads
             for node in self.nodes:
                 node.step()
--- a/src/citronrack/log/fold.py
+++ b/src/citronrack/log/fold.py
@@ -236,7 +236,7 @@
         return ""
 
     def _marked(self, offset: int, body: Marked) -> str:
-        reason, _ = marks.reason_against(self._state, body)
+        reason = marks.reason_against(self._state, body)
         if not reason:
             self._state.marks[mark_key(body.service, body.service_version, body.epoch)] = body
             marks.drop_unneeded(self._state)
--- a/src/citronrack/log/marks.py
+++ b/src/citronrack/log/marks.py
@@ -24,31 +24,20 @@
         >>> is_settled(FoldState(), Marked("catalogue", "2.0", 7, "slow", "", 9, 0, "a"))
         True
     """
-    return not reason_against(state, mark)[1]
+    return bool(reason_against(state, mark))
 
 
-def reason_against(state: FoldState, mark: Marked) -> tuple[str, bool]:
-    """Return why ``mark`` would have no effect, and whether it is still needed.
-
-    Returns:
-        An empty reason and True for a mark that should be kept.
-    """
-    key = mark_key(mark.service, mark.service_version, mark.epoch)
-    if key in state.marks:
-        return "service version is already marked", False
-    service = state.config.services.get(mark.service)
-    if service is None or mark.service_version not in service.versions:
-        return "marked service version is not configured", False
-    if _open_epoch(state.config, mark) or mark.epoch > newest_epoch(state, mark):
-        return "", True
-    return "a newer mark of the service version exists", False
-
-
-def newest_epoch(state: FoldState, mark: Marked) -> int:
-    """Return the greatest epoch with which the mark's service version is marked, -1 for none."""
-    wanted = (mark.service, mark.service_version)
-    epochs = (m.epoch for m in state.marks.values() if (m.service, m.service_version) == wanted)
-    return max(epochs, default=-1)
+def reason_against(state: FoldState, mark: Marked) -> str:
+    """Return why ``mark`` would have no effect, empty when it should be kept."""
+    if mark_key(mark.service, mark.service_version, mark.epoch) in state.marks:
+        return "service version is already marked"
+    if not _is_configured(state.config, mark):
+        return "marked service version is not configured"
+    version = _version_of(mark)
+    newest = max((m.epoch for m in state.marks.values() if _version_of(m) == version), default=-1)
+    if mark.epoch > newest or (*version, mark.epoch) in _open_targets(state.config):
+        return ""
+    return "a newer mark of the service version exists"
 
 
 def drop_unneeded(state: FoldState) -> None:
@@ -57,21 +46,28 @@
         return
     newest: dict[tuple[str, str], int] = {}
     for mark in state.marks.values():
-        version = (mark.service, mark.service_version)
+        version = _version_of(mark)
         newest[version] = max(newest.get(version, -1), mark.epoch)
+    targets = _open_targets(state.config)
     for key, mark in list(state.marks.items()):
-        service = state.config.services.get(mark.service)
-        configured = service is not None and mark.service_version in service.versions
-        is_newest = newest[(mark.service, mark.service_version)] == mark.epoch
-        if not configured or not (is_newest or _open_epoch(state.config, mark)):
+        version = _version_of(mark)
+        needed = newest[version] == mark.epoch or (*version, mark.epoch) in targets
+        if not needed or not _is_configured(state.config, mark):
             del state.marks[key]
 
 
-def _open_epoch(config: ConfigSet, mark: Marked) -> bool:
-    """Return whether an open move of the mark's epoch leads to the marked version."""
-    return any(
-        move.epoch == mark.epoch
-        and move.to_version == mark.service_version
-        and config.routes[move.route].service == mark.service
+def _version_of(mark: Marked) -> tuple[str, str]:
+    return mark.service, mark.service_version
+
+
+def _is_configured(config: ConfigSet, mark: Marked) -> bool:
+    service = config.services.get(mark.service)
+    return service is not None and mark.service_version in service.versions
+
+
+def _open_targets(config: ConfigSet) -> set[tuple[str, str, int]]:
+    """Return service, service version and epoch of the versions that open moves lead to."""
+    return {
+        (config.routes[move.route].service, move.to_version, move.epoch)
         for move in config.moves.values()
-    )
+    }
--- a/src/citronrack/node/reader.py
+++ b/src/citronrack/node/reader.py
@@ -122,7 +122,7 @@
         except LogTrimmed as error:
             self._read_snapshot(error.first)
             return
-        _check(page, start)
+        check_page(page, start)
         self._backoff.reset()
         self._posted = start + len(page.records)
         self._mailbox.put(LogRead(page))
@@ -147,7 +147,7 @@
         self._wait(self._backoff.next_s())
 
 
-def _check(page: LogPage, start: int) -> None:
+def check_page(page: LogPage, start: int) -> None:
     """Refuse a page that does not continue at ``start``.
 
     Raises:
--- a/tests/log/test_fold_machine.py
+++ b/tests/log/test_fold_machine.py
@@ -23,6 +23,7 @@
     SnapshotTaken,
     encode_record,
 )
+from citronrack.log.marks import mark_key
 from citronrack.log.records import Duty, MoveResult, record_codec
 
 PHASES = (Phase.generate,)  # Shrinking a failure of this size takes minutes.
@@ -162,6 +163,23 @@
             marked = {(m.service_version, m.epoch) for m in self.fold.state.marks.values()}
             assert (known.to_version, known.epoch) not in marked, "a bad version finished"
 
+    @rule(kind=st.sampled_from(list(MoveResult)), marked=st.booleans(), version=versions)
+    def whole_move(self, kind: str, marked: bool, version: str) -> None:
+        """Begin a move, sometimes mark its new version, and end it as the holder of the duty."""
+        lease = self.fold.state.leases["outcomes"]
+        self.begin_move("a", "r2", version, 0)
+        known = self.fold.config.move_of_route("r2")
+        if known is None:
+            return
+        if marked:
+            self.write("b", Marked("s", known.to_version, known.epoch, "slow", "", 9, 0, "z"))
+        is_bad = mark_key("s", known.to_version, known.epoch) in self.fold.state.marks
+        self.end_move("c", known.move_id, False, kind, 0, False)
+        still_open = self.fold.config.move_of_route("r2") is not None
+        assert still_open == (kind == MoveResult.UNKNOWN or (is_bad and kind in FINISHED))
+        assert is_bad or not marked
+        assert self.fold.state.leases["outcomes"] == lease
+
     @rule(writer=st.sampled_from("abc"), duty=st.sampled_from(list(Duty)), step=st.integers(0, 2))
     def claim(self, writer: str, duty: str, step: int) -> None:
         """Claim the present, next or a later term."""
@@ -228,7 +246,7 @@
     """Guards against nodes that differ, double effects, reopened moves and unbounded state."""
 
     settings = settings(
-        max_examples=40,
+        max_examples=60,
         stateful_step_count=40,
         derandomize=True,
         deadline=None,
--- a/tests/log/test_reader.py
+++ b/tests/log/test_reader.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 from citronrack.clock import ManualClock
+from citronrack.errors import LogUnavailable
 from citronrack.log import Envelope, LogFold, LogPage, SeedList, encode_record
 from citronrack.log.client import LogPageTooLarge
 from citronrack.log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
 from citronrack.node.mail import LogRead, LogReadFailed, SnapshotRead
-from citronrack.node.reader import BACKOFF_CAP_S, MIN_EMPTY_POLL_S, ReaderTask
+from citronrack.node.reader import BACKOFF_CAP_S, MIN_EMPTY_POLL_S, ReaderTask, check_page
 from citronrack.standins.log_store import LogStore, MemoryLogClient
 
 
@@ -126,6 +127,8 @@
         control, reader = self.make(2)
         reader.step()
         self.assertIn("no usable snapshot", control.failures[-1])
+        with self.assertRaisesRegex(LogUnavailable, "does not continue"):
+            check_page(LogPage(0, 9, ((4, b"a"), (6, b"b"))), 4)
         self.store = LogStore(clock=self.clock)
         other, reader = self.make(2)
         other.fold = LogFold(self.whole.state)
