--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -10,7 +10,7 @@
 from ..errors import LogTrimmed, MessageRejected, SnapshotMissing
 from ._snapshot_format import unpack_state
 from .backoff import Backoff
-from .client import LogClient
+from .client import LogClient, LogPage
 from .fold import LogFold
 from .records import SNAPSHOTS_STREAM, SnapshotTaken
 from .state import FoldState
@@ -176,15 +176,11 @@
         LogUnavailable: When the log did not answer.
     """
     faults: list[str] = []
-    start, end = _bounds(client)
-    for offset in range(end - 1, max(start, end - MAX_TRIED) - 1, -1):
-        try:
-            page = client.read(SNAPSHOTS_STREAM, offset, limit=1, wait_ms=0)
-        except LogTrimmed:
+    oldest = _first_page(client)
+    for offset in range(oldest.end - 1, max(oldest.first, oldest.end - MAX_TRIED) - 1, -1):
+        data = _read_one(client, offset, oldest)
+        if data is None:
             break
-        if not page.records:
-            break
-        data = page.records[0][1]
         try:
             through = unpack_state(data).next_offset
         except MessageRejected as error:
@@ -199,10 +195,20 @@
     )
 
 
-def _bounds(client: LogClient) -> tuple[int, int]:
-    """Return the first and the end offset of the snapshots stream."""
+def _first_page(client: LogClient) -> LogPage:
+    """Return the first retained snapshot; its page also tells the end of the stream."""
     try:
-        page = client.read(SNAPSHOTS_STREAM, 0, limit=1, wait_ms=0)
+        return client.read(SNAPSHOTS_STREAM, 0, limit=1, wait_ms=0)
     except LogTrimmed as error:
-        page = client.read(SNAPSHOTS_STREAM, error.first, limit=1, wait_ms=0)
-    return page.first, page.end
+        return client.read(SNAPSHOTS_STREAM, error.first, limit=1, wait_ms=0)
+
+
+def _read_one(client: LogClient, offset: int, oldest: LogPage) -> bytes | None:
+    """Return the snapshot at ``offset``, None when it was trimmed meanwhile."""
+    try:
+        page = oldest
+        if offset > oldest.first:
+            page = client.read(SNAPSHOTS_STREAM, offset, limit=1, wait_ms=0)
+    except LogTrimmed:
+        return None
+    return page.records[0][1] if page.records else None
