--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -15,7 +15,7 @@
 from ..log.appender import Appended, Appender, AppendSteps
 from ..log.lease import LeaseKeeper
 from ..log.records import RECORDS_STREAM, Duty
-from ..log.snapshot import SnapshotKeeper, WriteSnapshot
+from ..log.snapshot import MAX_AGE_S, SnapshotKeeper, WriteSnapshot
 from ..node.mail import LogRead, LogReadFailed, SnapshotRead
 from ..node.reader import LONG_POLL_MS, START_JITTER_S, ReaderTask
 from ..standins.log_store import LogStore, MemoryLogClient
@@ -101,7 +101,10 @@
             for duty in Duty
         }
         self.compactor = SnapshotKeeper(
-            clock=fleet.clock, random=random, every_records=fleet.every_records
+            clock=fleet.clock,
+            random=random,
+            every_records=fleet.every_records,
+            max_age_s=fleet.max_age_s,
         )
         self._seeds_due = rank == 0
 
@@ -224,6 +227,9 @@
         clock: Shared by all nodes.
         store: The log.
         every_records: Records after which a snapshot is due.
+        max_age_s: Age after which a snapshot is due before the retention is known.
+        retention: Records that the log keeps.
+        retention_s: Seconds for which the log keeps a record, None for no limit.
         nodes: All nodes.
         appends_by_s: Requests to append, by second since the fleet was made.
         reads_by_s: Requests to read, likewise.
@@ -238,7 +244,9 @@
     clock: ManualClock = field(factory=ManualClock)
     store: LogStore = field(init=False)
     every_records: int = 2_000
+    max_age_s: float = MAX_AGE_S
     retention: int = 100_000
+    retention_s: float | None = None
     nodes: list[SimulatedNode] = field(factory=list)
     appends_by_s: list[int] = field(factory=list)
     reads_by_s: list[int] = field(factory=list)
@@ -249,7 +257,9 @@
     _boots: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.store = LogStore(clock=self.clock, retention=self.retention)
+        self.store = LogStore(
+            clock=self.clock, retention=self.retention, retention_s=self.retention_s
+        )
         self.start_all()
 
     def start_all(self) -> None:
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..errors import LogTrimmed, MessageRejected, SnapshotMissing
+from ._retention import RetentionGauge
 from ._snapshot_format import unpack_state
 from .backoff import Backoff
 from .client import LogClient, LogPage
@@ -16,7 +17,8 @@
 from .state import FoldState
 
 EVERY_RECORDS = 2_000
-MAX_AGE_S = 6 * 3600.0  # must be at most half of the log's retention time
+MAX_AGE_S = 3600.0  # at most half of the shortest retention time that a log may have
+MAX_KNOWN_AGE_S = 6 * 3600.0  # once the retention was seen to be longer
 RETRY_CAP_S = 60.0  # a snapshot is large and nothing waits for it
 MAX_TRIED = 8  # snapshots that a start reads before it reports that none is usable
 
@@ -47,14 +49,15 @@
 
     Pure: it returns what to append and is told the result. A snapshot is due when there is none,
     when ``every_records`` records follow it, when its announcement has come into the older half of
-    the retained records, or when it is older than ``max_age_s``. The last two keep a snapshot in
-    the log even when no record is accepted any more.
+    the retained records, or when half of the retention time has passed since. The last two keep a
+    snapshot in the log even when no record is accepted any more.
 
     Args:
         clock: Source of time.
         random: Source of random numbers for backoff.
         every_records: Records after which a new snapshot is due.
-        max_age_s: Age after which a new snapshot is due, at most half of the retention time.
+        max_age_s: Age after which a new snapshot is due as long as the retention is not known, at
+            most half of the shortest that is possible.
 
     Example:
         >>> from citronrack.clock import ManualClock
@@ -80,6 +83,7 @@
         self._clock = clock
         self._every_records = every_records
         self._max_age_s = max_age_s
+        self._retention = RetentionGauge()
         self._backoff = Backoff(random=random, cap_s=RETRY_CAP_S)
         self._announced = -1
         self._folded_at = clock.monotonic()
@@ -99,7 +103,7 @@
     def on_tick(
         self, fold: LogFold, *, term: int | None, first: int, end: int
     ) -> WriteSnapshot | SnapshotTaken | None:
-        """Return what to append now, if anything.
+        """Return what to append now, if anything; call it on every node that reads the log.
 
         Args:
             fold: The folded log.
@@ -108,6 +112,8 @@
             end: Offset that its next record will get.
         """
         self.on_state(fold.state)
+        if end > 0:
+            self._retention.observe(self._clock.monotonic(), first=first, end=end)
         waits = self._outstanding is not None or fold.next_offset <= self._awaited_offset
         if term is None or waits or self._clock.monotonic() < self._not_before:
             return None
@@ -148,7 +154,13 @@
         # doubling costs only about ten small snapshots until `every_records` takes over.
         in_older_half = state.snapshot_announced < first + (end - first) // 2
         grown = state.next_offset - state.snapshot_through
-        return grown >= self._every_records or in_older_half or age_s >= self._max_age_s
+        return grown >= self._every_records or in_older_half or age_s >= self._longest_age_s()
+
+    def _longest_age_s(self) -> float:
+        retention_s = self._retention.retention_s
+        if retention_s is None:
+            return self._max_age_s
+        return min(MAX_KNOWN_AGE_S, retention_s / 2)
 
 
 @frozen
