--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -14,12 +15,13 @@
 from ..log.appender import Appended, Appender, AppendSteps
 from ..log.lease import LeaseKeeper
 from ..log.records import RECORDS_STREAM, Duty
-from ..log.snapshot import SnapshotKeeper, WriteSnapshot
+from ..log.snapshot import MAX_AGE_S, SnapshotKeeper, WriteSnapshot
 from ..node.mail import LogRead, LogReadFailed, SnapshotRead
 from ..node.reader import LONG_POLL_MS, START_JITTER_S, ReaderTask
 from ..standins.log_store import LogStore, MemoryLogClient
 
 STEP_S = 0.25
+ANSWER_DELAY_S = 0.5  # from an append until the answer to a long poll has reached a node
 READING_RANKS = 2
 
 
@@ -51,6 +53,18 @@
         zone: Its availability zone.
         rank: Its position in the zone.
         boot: Number of its start, so that a restart is another writer.
+
+    Attributes:
+        writer: Name and boot.
+        paused: Whether the process stands still.
+        deaf: Whether its reads of the log hang while its appends get through.
+        draining: Whether it is about to stop.
+        fold: What it has folded.
+        caught_up_at: When it first held the whole log.
+        log_first: Oldest retained offset that it knows.
+        log_end: End of the log that it knows.
+        keepers: One for each duty.
+        compactor: Its keeper of snapshots.
     """
 
     def __init__(self, fleet: LogFleet, *, name: str, zone: str, rank: int, boot: int) -> None:
@@ -59,6 +73,7 @@
         self._rank = rank
         self.writer = f"{name}/{boot}"
         self.paused = False
+        self.deaf = False
         self.draining = False
         self.fold = LogFold()
         self.caught_up_at: float | None = None
@@ -86,7 +101,10 @@
             for duty in Duty
         }
         self.compactor = SnapshotKeeper(
-            clock=fleet.clock, random=random, every_records=fleet.every_records
+            clock=fleet.clock,
+            random=random,
+            every_records=fleet.every_records,
+            max_age_s=fleet.max_age_s,
         )
         self._seeds_due = rank == 0
 
@@ -121,7 +139,7 @@
         if self.paused:
             return
         now = self._fleet.clock.monotonic()
-        if now >= self._read_at and not self._is_polling(now):
+        if now >= self._read_at and not self.deaf and not self._is_polling(now):
             self._reader.step()
         if self._rank >= READING_RANKS and self.caught_up_at is not None:
             return
@@ -138,9 +156,8 @@
 
     def _is_polling(self, now: float) -> bool:
         """Return whether a long poll is still held by the service."""
-        store = self._fleet.store
-        nothing_new = store.end(RECORDS_STREAM) <= self.next_offset
-        return now < self._poll_until and nothing_new and not store.faults.outage
+        nothing_new = self._fleet.delayed_end <= self.next_offset
+        return now < self._poll_until and nothing_new and not self._fleet.store.faults.outage
 
     def _wait_to_read(self, seconds: float) -> None:
         self._read_at = self._fleet.clock.monotonic() + seconds
@@ -210,11 +227,15 @@
         clock: Shared by all nodes.
         store: The log.
         every_records: Records after which a snapshot is due.
+        max_age_s: Age after which a snapshot is due before the retention is known.
+        retention: Records that the log keeps.
+        retention_s: Seconds for which the log keeps a record, None for no limit.
         nodes: All nodes.
         appends_by_s: Requests to append, by second since the fleet was made.
         reads_by_s: Requests to read, likewise.
         failed_reads: Reads without an answer.
         snapshots_written: Snapshots that keepers asked for.
+        delayed_end: End of the records stream `ANSWER_DELAY_S` ago.
     """
 
     zones: int
@@ -223,16 +244,22 @@
     clock: ManualClock = field(factory=ManualClock)
     store: LogStore = field(init=False)
     every_records: int = 2_000
+    max_age_s: float = MAX_AGE_S
     retention: int = 100_000
+    retention_s: float | None = None
     nodes: list[SimulatedNode] = field(factory=list)
     appends_by_s: list[int] = field(factory=list)
     reads_by_s: list[int] = field(factory=list)
     failed_reads: int = 0
     snapshots_written: int = 0
+    delayed_end: int = 0
+    _ends: deque[int] = field(factory=lambda: deque(maxlen=round(ANSWER_DELAY_S / STEP_S) + 1))
     _boots: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self.store = LogStore(clock=self.clock, retention=self.retention)
+        self.store = LogStore(
+            clock=self.clock, retention=self.retention, retention_s=self.retention_s
+        )
         self.start_all()
 
     def start_all(self) -> None:
@@ -257,6 +284,8 @@
             if index % round(1 / STEP_S) == 0:
                 self.appends_by_s.append(0)
                 self.reads_by_s.append(0)
+            self._ends.append(self.store.end(RECORDS_STREAM))
+            self.delayed_end = self._ends[0]
             appends, reads = self.store.appends, self.store.reads
             for node in self.nodes:
                 node.step()
--- a/tests/log/test_reader.py
+++ b/tests/log/test_reader.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 from citronrack.clock import ManualClock
+from citronrack.errors import LogUnavailable
 from citronrack.log import Envelope, LogFold, LogPage, SeedList, encode_record
 from citronrack.log.client import LogPageTooLarge
 from citronrack.log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
 from citronrack.node.mail import LogRead, LogReadFailed, SnapshotRead
-from citronrack.node.reader import BACKOFF_CAP_S, MIN_EMPTY_POLL_S, ReaderTask
+from citronrack.node.reader import BACKOFF_CAP_S, MIN_EMPTY_POLL_S, ReaderTask, check_page
 from citronrack.standins.log_store import LogStore, MemoryLogClient
 
 
@@ -101,8 +102,10 @@
                 self.assertLessEqual(self.clock.monotonic() - before, BACKOFF_CAP_S)
             self.store.faults.outage = False
             ends = self.clock.monotonic() + 30
+            reads = self.store.reads
             while self.clock.monotonic() < ends:
                 reader.step()
+                self.assertLess(self.store.reads - reads, 1_000)
             self.assertEqual(control.fold.state, self.whole.state)
 
     def test_no_busy_loop_when_nothing_comes(self) -> None:
@@ -124,9 +127,10 @@
         control, reader = self.make(2)
         reader.step()
         self.assertIn("no usable snapshot", control.failures[-1])
-        control.fold = LogFold(self.whole.state)
+        with self.assertRaisesRegex(LogUnavailable, "does not continue"):
+            check_page(LogPage(0, 9, ((4, b"a"), (6, b"b"))), 4)
         self.store = LogStore(clock=self.clock)
-        _, other = self.make(2)
-        other._state = control
-        other.step()
-        self.assertTrue(control.failures)
+        other, reader = self.make(2)
+        other.fold = LogFold(self.whole.state)
+        reader.step()
+        self.assertIn("before the wanted 5", other.failures[-1])
