Check that facts of open moves stay and those of decided ones go

Cause: nothing tested which facts about moves may be removed. Change: one test asks before and after the decision; seen failing with no fact of a decided move named.

--- a/tests/moves/test_fleet.py
+++ b/tests/moves/test_fleet.py
@@ -86,13 +86,14 @@
                 self.assertEqual(results(fleet), IN_TIME)
 
     def test_outcome_is_unknown_while_a_zone_is_cut_off_and_decided_after(self) -> None:
-        """Fails if a move were called finished while a zone was unheard."""
+        """Fails if a move were called finished while a zone was unheard, or its facts removed."""
         fleet = make_fleet("good")
         zone = fleet.deployment.zones[-1]
         seen: list[tuple[str, tuple[str, ...]]] = []
 
         def cut() -> None:
             fleet.cut = {zone} if 20 <= fleet.age_s < 300 else set()
+            self.assertEqual(fleet.nodes[0].core.stale_facts(), [])
             for outcome in fleet.newest.state.outcomes.values():
                 entry = (outcome.result, outcome.missing_zones)
                 if entry not in seen:
@@ -100,6 +101,8 @@
 
         self.run_to_end(fleet, cut)
         self.assertEqual(seen, [(MoveResult.UNKNOWN.value, (zone,))])
+        facts = {fact.key for fact in fleet.nodes[0].facts.items()}
+        self.assertEqual(set(fleet.nodes[0].core.stale_facts()), facts)
         self.assertEqual(results(fleet), IN_TIME)
 
     def test_cut_off_zone_takes_back_on_its_own_evidence(self) -> None:
