Look up a move's zones by its tag

Cause: each question about a move looked at the reports of all moves and zones. Change: reports are kept by tag and zone.

--- a/src/citronrack/moves/board.py
+++ b/src/citronrack/moves/board.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from collections.abc import Mapping
+from typing import Any
 
 from attrs import define
 
@@ -25,8 +26,6 @@
     move_tag,
 )
 
-T = TypeVar("T")
-
 _KINDS: dict[str, type[Any]] = {
     MARK_PREFIX: Marked,
     ZONE_PREFIX: ZoneProgress,
@@ -55,7 +54,7 @@
         self._clock = clock
         self._ranks: dict[str, int] = {}
         self._marks: dict[str, KnownMark] = {}
-        self._progress: dict[str, ZoneProgress] = {}
+        self._progress: dict[str, dict[str, ZoneProgress]] = {}  # by tag and zone
         self._references: dict[str, SlowReference] = {}
         self._open: frozenset[str] = frozenset()
         self._newest = -1
@@ -91,7 +90,7 @@
         self._open = frozenset(move_tag(move) for move in state.config.moves.values())
         self._newest = state.config.version
         self._folded_marks = frozenset(MARK_PREFIX + key for key in state.marks)
-        self._progress = {k: p for k, p in self._progress.items() if self._is_current(p.tag)}
+        self._progress = {t: p for t, p in self._progress.items() if self._is_current(t)}
         self._references = {k: r for k, r in self._references.items() if self._is_current(r.tag)}
 
     def stale_facts(self) -> list[str]:
@@ -128,10 +127,9 @@
                 return known
         return None
 
-    def progress_of(self, move: Move) -> dict[str, ZoneProgress]:
+    def progress_of(self, move: Move) -> Mapping[str, ZoneProgress]:
         """Return the last report of each zone on a move."""
-        tag = move_tag(move)
-        return {p.availability_zone: p for p in self._progress.values() if p.tag == tag}
+        return self._progress.get(move_tag(move), {})
 
     def reference_of(self, move: Move, availability_zone: str) -> SlowReference | None:
         """Return a zone's reference for slow calls, if it has one."""
@@ -158,12 +156,14 @@
             elif mark_rank(body) > mark_rank(known.mark):
                 known.mark = body
         elif isinstance(body, ZoneProgress):
-            self._keep_greater(self._progress, body)
+            self._keep_greater(
+                self._progress.setdefault(body.tag, {}), body.availability_zone, body
+            )
         elif isinstance(body, SlowReference):
-            self._keep_greater(self._references, body)
+            self._keep_greater(self._references, body.key, body)
 
     @staticmethod
-    def _keep_greater(entries: dict[str, Any], body: Any) -> None:
-        known = entries.get(body.key)
+    def _keep_greater(entries: dict[str, Any], key: str, body: Any) -> None:
+        known = entries.get(key)
         if known is None or body.rank > known.rank:
-            entries[body.key] = body
+            entries[key] = body
