Do not let nodes with bad links declare others gone

Cause: a node that was isolated, or reached one peer only, told the zone that its members were gone. Seen failing first: test_isolated_node_holds_nothing_against_others (7 raised incarnations, 4 allowed) and test_node_with_a_single_link_does_not_kill (members seen gone) before the change.

--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import Any
 
+import attrs
+
 from ..clock import Clock
 from ..errors import MessageRejected
 from ..transport.send import Send
@@ -37,6 +39,7 @@
 UNHEARD_AFTER_S = 3.0  # a node that reads the log is ready before and needs no peer's offset
 UNHEARD_PINGS = 4  # per tick; a node that is not ready hears 233 members within about 15 s
 PAUSE_S = 1.5  # ticks come four times a second; a longer gap means that this node did not run
+ISOLATED_S = 3.0  # in a zone with two peers or more, some ping or ack arrives each second
 TOMBSTONE_S = 120.0  # longer than any update is on its way; afterwards the incarnation is kept
 MAX_SPREAD = 16  # larger differences are left to the repair of tables, which compresses them
 SETTLE_S = 5.0  # an update reaches a zone of 233 members in less time
@@ -93,6 +96,8 @@
         self._started = now
         self._last_run = now
         self._last_change = now
+        self._last_heard = now
+        self._members_heard = 1
         self._next_ping = now + random.uniform(0, PING_INTERVAL_S)
         self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
             Ping: self._on_ping,
@@ -118,6 +123,8 @@
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of this core."""
         self._check_pause()
+        self._last_heard = self._clock.monotonic()
+        self._members_heard = len(self._table.members())
         return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
@@ -248,7 +255,7 @@
             self._gossip.spread(member)
         self._changed(member)
 
-    def _take_claim(self, claim: Suspicion) -> None:
+    def _take_claim(self, claim: Suspicion, *, spread: bool = True) -> None:
         if claim.name == self._table.own.name:
             self._table.refute(claim.incarnation)
             return
@@ -257,7 +264,7 @@
             return
         if claim.incarnation < member.incarnation:
             return
-        if self._suspicions.add(claim, self._clock.monotonic()):
+        if self._suspicions.add(claim, self._clock.monotonic()) and spread:
             self._gossip.claim(claim)
         changed = self._table.set_state(claim.name, claim.incarnation, MemberState.SUSPECT)
         if changed is not None:
@@ -278,6 +285,11 @@
             self._suspicions.shift(gap)
             self._next_ping = now + PING_INTERVAL_S
 
+    def _is_isolated(self) -> bool:
+        """Return whether this node hears nobody, so that its own links are the likely cause."""
+        silent_s = self._clock.monotonic() - self._last_heard
+        return silent_s > ISOLATED_S and self._members_heard > 2
+
     def _announce_own(self) -> list[Send]:
         """Queue the own description after a change; a drain is told to some peers at once."""
         own, before = self._table.own, self._announced
@@ -330,11 +342,13 @@
         return effects
 
     def _ask_others(self, sequence: int, probe: Probe) -> list[Send]:
+        probe.asked = 0
         target = self._table.get(probe.name)
         if target is None:
             return []
         able = [m for m in self._peers() if m.state == MemberState.ALIVE and m.name != probe.name]
         chosen = self._random.sample(able, min(INDIRECT_PINGS, len(able)))
+        probe.asked = len(chosen)
         request = PingRequest(sequence, target.name, target.address)
         return [Send(helper.address, request) for helper in chosen]
 
@@ -345,19 +359,35 @@
             return []
         if member.incarnation != probe.incarnation:
             return []
-        for witness in (self._table.own.name, *probe.silent_for):
-            self._take_claim(Suspicion(member.name, member.incarnation, witness))
+        for witness in (self._table.own.name, *probe.witnesses):
+            claim = Suspicion(member.name, member.incarnation, witness)
+            self._take_claim(claim, spread=not self._is_isolated())
         return [self._plain_ping(member)]
 
     def _close_cases(self, now: float) -> list[Send]:
+        """Declare members gone; what a single witness says is not spread.
+
+        A node with bad links is the only witness against many members that are well.
+        """
         effects: list[Send] = []
-        for name, incarnation in self._suspicions.take_due(now):
-            member = self._table.set_state(name, incarnation, MemberState.GONE)
+        for case in self._suspicions.take_due(now):
+            if not case.agreed:
+                self._forget(case.name)
+                continue
+            member = self._table.set_state(case.name, case.incarnation, MemberState.GONE)
             if member is not None:
                 self._took_over(member)
                 effects += self._notices(member, NOTICE_PEERS)
         return effects
 
+    def _forget(self, name: str) -> None:
+        """Drop a silent member; its address is contacted again, and others may still know it."""
+        member = self._table.get(name)
+        if member is not None:
+            self._joining.remember(member)
+            self._table.forget(name)
+            self._changed(attrs.evolve(member, state=int(MemberState.GONE)))
+
     def _bury(self, now: float) -> None:
         """Drop tombstones after their time."""
         due = [name for name, since in self._gone_at.items() if now >= since + TOMBSTONE_S]
--- a/src/citronrack/membership/probes.py
+++ b/src/citronrack/membership/probes.py
@@ -17,16 +17,25 @@
         name: The member that should answer.
         incarnation: Its incarnation when it was pinged.
         sent_at: Time of the direct ping.
-        asked: Whether other members were asked to ping it.
+        asked: Number of members that were asked to ping it, None before that.
         silent_for: Members that got no answer from it either.
     """
 
     name: str
     incarnation: int
     sent_at: float
-    asked: bool = False
+    asked: int | None = None
     silent_for: list[str] = field(factory=list)
 
+    @property
+    def witnesses(self) -> tuple[str, ...]:
+        """Members whose report counts.
+
+        When most of those that were asked do not report at all, the links of this node itself are
+        the likelier cause, and it stays the only witness.
+        """
+        return tuple(self.silent_for) if 2 * len(self.silent_for) > (self.asked or 0) else ()
+
 
 @define
 class Errand:
@@ -78,14 +87,11 @@
 
     def to_ask(self, now: float) -> list[tuple[int, Probe]]:
         """Return the probes for which other members should be asked now."""
-        late = [
+        return [
             (sequence, probe)
             for sequence, probe in self._probes.items()
-            if not probe.asked and now >= probe.sent_at + ACK_TIMEOUT_S
+            if probe.asked is None and now >= probe.sent_at + ACK_TIMEOUT_S
         ]
-        for _, probe in late:
-            probe.asked = True
-        return late
 
     def take_failed(self, now: float) -> list[Probe]:
         """Remove and return the probes without any answer."""
--- a/src/citronrack/membership/suspicions.py
+++ b/src/citronrack/membership/suspicions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .messages import Suspicion
 
@@ -12,6 +12,21 @@
 MAX_WITNESSES = 4
 
 
+@frozen
+class Verdict:
+    """A case that is decided.
+
+    Attributes:
+        name: The silent member.
+        incarnation: Its incarnation.
+        agreed: Whether two witnesses agree.
+    """
+
+    name: str
+    incarnation: int
+    agreed: bool
+
+
 @define
 class _Case:
     incarnation: int
@@ -75,10 +90,11 @@
             if case.agreed_at is not None:
                 case.agreed_at += seconds
 
-    def take_due(self, now: float) -> list[tuple[str, int]]:
-        """Remove and return name and incarnation of the members that are gone."""
+    def take_due(self, now: float) -> list[Verdict]:
+        """Remove and return the cases that are decided."""
         due = [name for name, case in self._cases.items() if self._is_due(case, now)]
-        return [(name, self._cases.pop(name).incarnation) for name in due]
+        cases = [(name, self._cases.pop(name)) for name in due]
+        return [Verdict(name, c.incarnation, c.agreed_at is not None) for name, c in cases]
 
     def _is_due(self, case: _Case, now: float) -> bool:
         if now >= case.since + FULL_TIMEOUT_S:
--- a/src/citronrack/membership/table.py
+++ b/src/citronrack/membership/table.py
@@ -121,6 +121,16 @@
         self._own = attrs.evolve(self._own, incarnation=incarnation + 1)
         self._store(self._own)
 
+    def forget(self, name: str) -> None:
+        """Drop a member without holding anything against it."""
+        known = self._members.get(name)
+        if known is None or name == self._own.name:
+            return
+        if known.state != MemberState.GONE:
+            self._digest.toggle(known.name, known.incarnation)
+        del self._members[name]
+        self._live = None
+
     def bury(self, name: str) -> None:
         """Drop a gone member; only a greater incarnation brings it back."""
         known = self._members.get(name)
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -72,6 +72,37 @@
                     self.assertNotIn(MemberState.GONE, states, node.name)
             self.assertEqual(self.state_of(deaf.name, others), {MemberState.GONE})
 
+    def test_node_with_a_single_link_does_not_kill(self) -> None:
+        """Fails if a node that reaches one peer only makes others see each other as gone."""
+        for fleet in self.fleets():
+            lonely, _, *others = fleet.net.live("north")
+            cuts = {frozenset((lonely.name, node.name)) for node in others}
+            fleet.net.faults.cut_nodes = cuts
+            fleet.net.faults.loss = 0.0  # a lost ack would be a second witness
+            for _ in range(80):
+                fleet.run(0.5)
+                for node in others:
+                    states = self.state_of(node.name, others)
+                    self.assertNotIn(MemberState.GONE, states, node.name)
+
+    def test_isolated_node_holds_nothing_against_others(self) -> None:
+        """Fails if a node that was alone tells the others, once healed, that they are gone."""
+        for fleet in self.fleets():
+            alone, *others = fleet.net.live("north")
+            everyone = [node.name for node in fleet.net.live()]
+            fleet.net.faults.cut_nodes = {frozenset((alone.name, name)) for name in everyone}
+            before = {n.name: n.table.own.incarnation for n in others}
+            fleet.run(60)
+            fleet.net.faults.cut_nodes = set()
+            for _ in range(60):
+                fleet.run(0.5)
+                for node in others:
+                    self.assertNotIn(MemberState.GONE, self.state_of(node.name, others))
+            sizes = {len(node.table.members()) for node in (alone, *others)}
+            self.assertEqual(sizes, {ZONES["north"]})
+            raised = sum(n.table.own.incarnation - before[n.name] for n in others)
+            self.assertLessEqual(raised, 4)
+
     def test_short_pause_is_no_death(self) -> None:
         """Fails if a member that answers late is declared gone."""
         for fleet in self.fleets():
