--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -9,7 +9,6 @@
 import attrs
 
 from ..clock import Clock
-from ..errors import MessageRejected
 from ..transport.send import Send
 from .gossip import Gossip, PeerObserver
 from .joining import Joining
@@ -181,7 +180,7 @@
         return self._joining.page_for(sender, message)
 
     def _on_member_page(self, _: str, message: MemberPage) -> list[Send]:
-        members = self._unpack(message.packed)
+        members = unpack_all(message.packed, Member)
         effects = self._take_updates((message.member, *members))
         return [*effects, *self._joining.next_page(members, last=message.last)]
 
@@ -190,14 +189,7 @@
         return self._joining.answer_pull(sender, message)
 
     def _on_table_page(self, _: str, message: TablePage) -> list[Send]:
-        return self._take_updates(self._unpack(message.packed))
-
-    @staticmethod
-    def _unpack(packed: bytes) -> tuple[Member, ...]:
-        try:
-            return unpack_all(packed, Member)
-        except MessageRejected:  # authentic but damaged, as from a faulty release
-            return ()
+        return self._take_updates(unpack_all(message.packed, Member))
 
     def _on_notice(self, _: str, message: DrainNotice) -> list[Send]:
         if not self._table.merge((message.member,)):
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -10,7 +10,6 @@
 from ..distribution.progress import MAX_NAMES, ZoneProgress
 from ..distribution.ranking import ranking
 from ..distribution.tree import RELAYS, Tree
-from ..errors import MessageRejected
 from ..transport.send import Send
 from .digests import BUCKETS, differing
 from .gossip import PeerObserver
@@ -251,10 +250,7 @@
         view = self._view(message.availability_zone)
         if view is None:
             return []
-        try:
-            summaries = unpack_all(message.packed, MemberSummary)
-        except MessageRejected:
-            return []
+        summaries = unpack_all(message.packed, MemberSummary)
         as_of = self._clock.monotonic() - max(0, message.age_ms) / 1000
         changed = view.merge(summaries, as_of)
         if message.buckets:
--- a/src/citronrack/membership/packing.py
+++ b/src/citronrack/membership/packing.py
@@ -22,9 +22,16 @@
 def unpack_all(data: bytes, kind: type[T]) -> tuple[T, ...]:
     """Return the instances of ``kind`` that ``data`` holds.
 
-    Raises:
-        MessageRejected: When the bytes are malformed or expand beyond the limit of a message.
+    The frame was authentic, so damage means a faulty release: nothing is returned then, as when
+    the bytes expand beyond the limit of a message.
     """
+    try:
+        return _unpack(data, kind)
+    except MessageRejected:
+        return ()
+
+
+def _unpack(data: bytes, kind: type[T]) -> tuple[T, ...]:
     inflater = zlib.decompressobj()
     try:
         plain = inflater.decompress(data, MAX_MESSAGE_BYTES)
