--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -16,8 +16,11 @@
     LogFold,
     Marked,
     MoveOutcome,
+    SeedList,
     encode_record,
 )
+from citronrack.log._writers import KEPT_WRITERS
+from citronrack.log.fold import KEPT_PLANS, KEPT_SEED_ZONES
 from citronrack.log.marks import is_settled
 from citronrack.log.records import Duty, MoveResult
 
@@ -127,6 +130,19 @@
         self.assertIn("not configured", self.apply(mark))
         self.assertTrue(is_settled(self.fold.state, mark))
 
+    def test_state_stays_bounded(self) -> None:
+        """Fails if writers, seeds, duties or plans of a long history filled the snapshot."""
+        self.assertIn("does not exist", self.apply(Claim("foreign", 1, "a", 60_000)))
+        for number in range(KEPT_WRITERS + 100):
+            self.apply(SeedList(f"z{number}", ("a",)), writer=f"w{number}/1", sequence=1)
+            self.apply(confirmed(f"p{number}", 7), writer="b/1")
+        state = self.fold.state
+        self.assertLessEqual(len(state.writers), KEPT_WRITERS)
+        self.assertLessEqual(len(state.seeds), KEPT_SEED_ZONES)
+        self.assertLessEqual(len(state.plans), KEPT_PLANS)
+        too_long = Cancelled("m" * 2_000, 0, "o")
+        self.assertIn("longer than", self.apply(too_long))
+
     def test_undecodable_record_is_skipped_by_all(self) -> None:
         """Fails if one damaged record stopped the fold."""
         self.assertFalse(self.fold.apply(0, b"\xff\x00").accepted)
--- a/tests/log/test_snapshot.py
+++ b/tests/log/test_snapshot.py
@@ -6,6 +6,8 @@
 from itertools import pairwise
 from random import Random
 
+from attrs import define, field
+
 from citronrack.bench.log_fleet import LogFleet
 from citronrack.clock import ManualClock
 from citronrack.errors import MessageRejected, SnapshotMissing
@@ -17,6 +19,24 @@
 RETENTION = 240  # records; half of it lasts longer than a takeover of the duty
 
 
+@define
+class StartChecker:
+    """Loads a snapshot whenever the bounds of the log have changed; raises when none is usable."""
+
+    fleet: LogFleet
+    checked: list[tuple[int, int]] = field(factory=list)
+
+    def __call__(self) -> None:
+        """Check the present moment."""
+        store = self.fleet.store
+        first = store.read(RECORDS_STREAM, store.end(RECORDS_STREAM), limit=1).first
+        position = (first, store.end(SNAPSHOTS_STREAM))
+        if first > 0 and position not in self.checked[-1:]:
+            loaded = load_snapshot(MemoryLogClient(store), first=first)
+            assert loaded.through >= first
+            self.checked.append(position)
+
+
 class SnapshotTest(unittest.TestCase):
     """Guards against a log that cannot be folded any more, and against floods of snapshots."""
 
@@ -25,17 +45,7 @@
         for seed in range(3):
             random = Random(seed)
             fleet = LogFleet(2, 2, seed, retention=RETENTION)
-            checked: list[tuple[int, int]] = []
-
-            def check(fleet: LogFleet = fleet, checked: list[tuple[int, int]] = checked) -> None:
-                end = fleet.store.end(RECORDS_STREAM)
-                first = fleet.store.read(RECORDS_STREAM, end, limit=1).first
-                position = (first, fleet.store.end(SNAPSHOTS_STREAM))
-                if first > 0 and position not in checked[-1:]:
-                    loaded = load_snapshot(MemoryLogClient(fleet.store), first=first)
-                    self.assertGreaterEqual(loaded.through, first)
-                    checked.append(position)
-
+            checker = StartChecker(fleet)
             written = 0
             fleet.run(30)
             for round_number in range(60):
@@ -46,8 +56,8 @@
                     written += 1
                 if round_number == 10:
                     fleet.start_all()
-                fleet.run(30, check=check)
-            self.assertTrue(checked)
+                fleet.run(30, check=checker)
+            self.assertTrue(checker.checked)
             total = fleet.store.end(RECORDS_STREAM)
             # One for each half of the window, and one for each doubling before that.
             doublings = RETENTION.bit_length()
@@ -55,19 +65,15 @@
 
     def test_burst_is_trimmed_at_once(self) -> None:
         """Fails if the only snapshot was trimmed together with a burst before it."""
-        for seed in range(3):
+        for seed in range(8):
             fleet = LogFleet(1, 2, seed, retention_s=600, max_age_s=250)
-            fleet.run(120)
+            fleet.run(60 + seed)
             for number in range(500):
                 data = encode_record(Envelope("w/1", number + 1, 0, SeedList("z", ())))
                 fleet.store.append(RECORDS_STREAM, data)
-            for _ in range(150):
-                fleet.run(10)
-                first = fleet.nodes[0].log_first
-                if first > 0:
-                    loaded = load_snapshot(MemoryLogClient(fleet.store), first=first)
-                    self.assertGreaterEqual(loaded.through, first)
-            self.assertGreater(first, 500)
+            checker = StartChecker(fleet)
+            fleet.run(700, check=checker)
+            self.assertGreater(checker.checked[-1][0], 500)
 
     def test_quiet_log_keeps_a_snapshot_at_half_of_the_measured_retention(self) -> None:
         """Fails if no snapshot was left in a quiet log, or the retention was not measured."""
