Test that a lease holder waits for its own claim and after a pause

Cause: two faults put into the lease keeper had not made a test fail. Change: one test of both rules.

--- a/tests/log/test_lease.py
+++ b/tests/log/test_lease.py
@@ -164,6 +164,24 @@
             self.assertLess(clock.monotonic(), TAKEOVER_S)
         self.assertIsNone(holder.term)
 
+    def test_no_action_while_a_claim_is_outstanding_and_no_claim_right_after_a_pause(self) -> None:
+        """Fails if records could land behind the own claim, or a stale fold led to claims."""
+        clock, fold = ManualClock(), LogFold()
+        keeper = LeaseKeeper(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
+        for term in (1, 2, 3):
+            claim = None
+            while claim is None:
+                clock.advance(0.25)
+                claim = keeper.on_tick(rank=0)
+            self.assertIsNone(keeper.term)
+            keeper.on_claim_appended(fold.next_offset)
+            self.assertIsNone(keeper.term)
+            fold.apply(term - 1, encode_record(Envelope("a/1", term, 0, claim)))
+            keeper.on_state(fold.state)
+            self.assertEqual(keeper.term, term)
+        clock.advance(LEASE_MS)
+        self.assertIsNone(keeper.on_tick(rank=0))
+
     def test_restarted_node_does_not_take_itself_for_the_holder(self) -> None:
         """Fails if a new process acted under the lease of the one before it."""
         fleet = self.make(2)
