--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from enum import Enum, auto
 from typing import Protocol
 
@@ -147,8 +147,9 @@
 class Answer:
     """An answer, whole or streamed.
 
-    Whoever gets an answer reads `stream` to its end or calls `finish`; until then the exchange
-    holds its connection and its slot.
+    Whoever gets an answer calls `read`, reads `parts` to the end or calls `finish`; until then the
+    exchange holds its connection and its slot. The server does so after it has written the answer,
+    so that no caller waits for bookkeeping.
 
     Attributes:
         status: HTTP status.
@@ -180,11 +181,8 @@
         return self.from_node and self.verdict is Verdict.NOT_RUN
 
     def when_done(self, callback: Callable[[End], None]) -> None:
-        """Call ``callback(end)`` once, when the body has ended or was given up."""
-        if self.stream is None:
-            callback(End.COMPLETE)
-        else:
-            self._callbacks.append(callback)
+        """Call ``callback(end)`` once, when the body was handed on or given up."""
+        self._callbacks.append(callback)
 
     def parts(self) -> Iterator[bytes]:
         """Yield the body and finish the exchange."""
@@ -211,12 +209,13 @@
 
     def finish(self, end: End = End.ABANDONED) -> None:
         """Release everything that the exchange holds."""
-        if self._ended or self.stream is None:
+        if self._ended:
             return
         self._ended = True
-        close = getattr(self.stream, "close", None)
-        if close is not None:
-            close()
+        if self.stream is None:
+            end = End.COMPLETE  # The whole answer had arrived.
+        elif isinstance(self.stream, Generator):
+            self.stream.close()
         for callback in self._callbacks:
             callback(end)
 
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -84,6 +84,7 @@
         self._contexts = contexts
         self._report = report
         self._events = events
+        self._logs_routing = events.writes(Event.CALL_ROUTED)
         self._own_name = own_name
         self._local = local
 
@@ -157,14 +158,15 @@
         if entry is None:
             return self._refuse(503, "the route has no target", call.route.name), None
         target = entry.target
-        self._events.write(
-            Event.CALL_ROUTED,
-            route=call.route.name,
-            target=target.name,
-            service_version=call.service_version,
-            call_key=call.context.call_key,
-            depth=call.context.depth,
-        )
+        if self._logs_routing:
+            self._events.write(
+                Event.CALL_ROUTED,
+                route=call.route.name,
+                target=target.name,
+                service_version=call.service_version,
+                call_key=call.context.call_key,
+                depth=call.context.depth,
+            )
         started = time.monotonic()
         blameless = False
         try:
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -310,11 +310,10 @@
             answer.whole = b"".join(response.parts)
             if request.method != "HEAD" and response.status != 304:
                 answer.length = len(answer.whole)
-            self._release(link, response)
         else:
             answer.whole = None
             answer.stream = self._stream(link, request, response)
-            answer.when_done(lambda _: self._release(link, response))
+        answer.when_done(lambda _: self._release(link, response))
         return answer
 
     def _stream(self, link: _Link, request: Outgoing, response: ResponseReader) -> Iterator[bytes]:
--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -43,6 +43,10 @@
         """Number of lines lost because the queue was full."""
         return self._dropped
 
+    def writes(self, event: Event) -> bool:
+        """Return whether lines of an event are written at the present level."""
+        return _LEVELS[EVENTS[event].level] >= self._threshold
+
     def write(self, event: Event, **fields: Any) -> None:
         """Queue one line; never blocks.
 
@@ -50,7 +54,7 @@
             event: Number from the catalogue.
             fields: Values that JSON can hold.
         """
-        if _LEVELS[EVENTS[event].level] < self._threshold:
+        if not self.writes(event):
             return
         if self._queue.qsize() >= MAX_QUEUED_LINES:
             self._dropped += 1
