--- a/src/citronrack/bench/calls.py
+++ b/src/citronrack/bench/calls.py
@@ -17,6 +17,7 @@
 from ..standins.target import TargetStandIn
 from .calls_load import Address, Caller, Rate, closed_loop, cpu_s, open_loop, percentile, split
 from .calls_parts import print_parts
+from .calls_relay import RelayProcess
 from .calls_target import TargetProcess
 from .fleet import Fleet, wait_until
 
@@ -88,6 +89,17 @@
         yield bed
 
 
+@contextmanager
+def running_relay(bed: Bed) -> Iterator[RelayProcess]:
+    """Start a relay to the first target."""
+    relay = RelayProcess(split(bed.targets[0].address))
+    relay.start()
+    try:
+        yield relay
+    finally:
+        relay.stop()
+
+
 def _publish(fleet: Fleet, timeout_ms: int) -> None:
     first = next(iter(fleet.nodes.values()))
     if not wait_until(lambda: first.client.get("/healthz").status == 200, limit_s=10):
@@ -113,12 +125,13 @@
 
 @measurements.register("latency")
 def latency() -> None:
-    """Print what nodes add to a call at 50 calls a second per node."""
+    """Print what nodes, and a bare relay, add to a call at 50 calls a second per node."""
     print(f"latency: {ROUNDS} rounds of {CALLS_PER_ROUND} calls each way, real node processes")
     random = Random(1)
-    added: dict[str, list[list[float]]] = {"one node": [], "two nodes": []}
-    with running_bed() as bed:
+    added: dict[str, list[list[float]]] = {"relay": [], "one node": [], "two nodes": []}
+    with running_bed() as bed, running_relay(bed) as relay:
         callers = {name: Caller(*target) for name, target in bed.addresses.items()}
+        callers["relay"] = Caller(relay.address, "/one/x")
         for number in range(ROUNDS):
             seen = _latency_round(callers, random)
             for name, values in seen.items():
