--- a/tests/calls/test_faults.py
+++ b/tests/calls/test_faults.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from citronrack.calls import CallContext, ContextCodec
+from citronrack.calls import CallContext, ContextCodec, RouteShare
 from citronrack.clock import SystemClock
 
 from .support import KEY, Client, Mesh, Reply, call, wait_for
@@ -179,6 +179,25 @@
                 call(mesh.nodes[0].call_address, "/parts", headers=header)
             self.assertEqual(sum(node.target.calls for node in mesh.nodes), 30)
 
+    def test_moves_divide_calls(self) -> None:
+        """Guards against a new version with more than its share, and nested calls that switch."""
+        codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
+        with Mesh(slots=50) as mesh:
+            old, new = mesh.add(), mesh.add(service_version="2")
+            for share, least, most in ((0.0, 0, 0), (0.2, 40, 110), (1.0, 400, 400)):
+                mesh.publish(shares={"parts": RouteShare("move", "1", "2", share)})
+                before = new.target.calls
+                with Client(old.call_address) as client:
+                    for _ in range(400):
+                        client.call("/parts")
+                self.assertTrue(least <= new.target.calls - before <= most, share)
+            mesh.publish(shares={"parts": RouteShare("move", "1", "2", 0.5)})
+            for key in ("a", "b", "c", "d"):
+                context = codec.encode(CallContext(SystemClock().monotonic() + 5, 0, 1, key))
+                header = f"x-citronrack-context: {context.decode()}\r\n"
+                bodies = {call(old.call_address, "/parts", headers=header).body for _ in range(5)}
+                self.assertEqual(len(bodies), 1)
+
     def test_depth_limit(self) -> None:
         """Guards against calls that go round in circles."""
         codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
