--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -91,8 +91,6 @@
         News of readiness take a second or two to reach all nodes, and an unheard node may work.
         """
         pools: dict[_PoolKey, _Pool] = defaultdict(_Pool)
-        for key, pool in self._remote_pools.items():
-            pools[key] = _Pool(list(pool.preferred), list(pool.fallback))
         for member in self._members:
             if member.draining:
                 continue
@@ -100,6 +98,9 @@
             good = member.ready and member.state == MemberState.ALIVE
             target = self._target(member, member.availability_zone, load=member.load)
             (pool.preferred if good else pool.fallback).append(target)
+        for key, remote in self._remote_pools.items():
+            pools[key].preferred += remote.preferred
+            pools[key].fallback += remote.fallback
         return {key: tuple(pool.preferred or pool.fallback) for key, pool in pools.items()}
 
     def _make_remote_pools(self) -> dict[_PoolKey, _Pool]:
