--- a/src/citronrack/cli/main.py
+++ b/src/citronrack/cli/main.py
@@ -23,6 +23,7 @@
     "intent list": ("queries.intent_list", "IntentListCommand"),
     "status": ("queries.status", "StatusCommand"),
     "check-config": ("queries.check_config", "CheckConfigCommand"),
+    "scenario run": ("commands.scenario_run", "ScenarioRunCommand"),
     "version": ("queries.version", "VersionCommand"),
 }
 
--- /dev/null
+++ b/src/citronrack/proof/events.py
@@ -0,0 +1,379 @@
+"""Events of the platform, the links, the nodes and the targets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import field, frozen
+
+from ..settings import checks
+from .fake_target import FAULT_KINDS, Fault
+from .language import EVENT_KINDS, TimedEvent, number, ref
+from .network import PLATFORM
+from .sim_node import SimNode
+from .world import World
+
+
+def starter(world: World, node: SimNode) -> Callable[[], None]:
+    """Return an action that starts ``node``."""
+    return lambda: world.start(node)
+
+
+@EVENT_KINDS.register("drain")
+@frozen(kw_only=True)
+class Drain(TimedEvent):
+    """A target leaves gracefully and does not come back.
+
+    Attributes:
+        node: Node beside the target.
+    """
+
+    node: str = ref("node")
+
+    def apply(self, world: World) -> None:
+        """Begin the drain."""
+        world.drain(world.node(self.node))
+
+
+@EVENT_KINDS.register("crash")
+@frozen(kw_only=True)
+class Crash(TimedEvent):
+    """An instance ends without notice, its node and target with it.
+
+    Attributes:
+        node: Node on the instance.
+    """
+
+    node: str = ref("node")
+
+    def apply(self, world: World) -> None:
+        """End the instance."""
+        world.crash(world.node(self.node))
+
+
+@EVENT_KINDS.register("start")
+@frozen(kw_only=True)
+class Start(TimedEvent):
+    """An instance that crashed or left starts again without state.
+
+    Attributes:
+        node: Node on the instance.
+    """
+
+    node: str = ref("node")
+
+    def apply(self, world: World) -> None:
+        """Start the instance."""
+        world.start(world.node(self.node))
+
+
+@EVENT_KINDS.register("restart")
+@frozen(kw_only=True)
+class Restart(TimedEvent):
+    """A node stops gracefully and starts again.
+
+    Attributes:
+        node: The node.
+        down_s: Seconds between the end and the start.
+    """
+
+    node: str = ref("node")
+    down_s: float = number(0, 3_600, default=1.0)
+
+    def apply(self, world: World) -> None:
+        """Drain, stop and start again."""
+        node = world.node(self.node)
+        world.drain(node, lambda: world.timeline.after(self.down_s, starter(world, node)))
+
+
+@EVENT_KINDS.register("herd_restart")
+@frozen(kw_only=True)
+class HerdRestart(TimedEvent):
+    """Many instances end at once without notice and come back together.
+
+    Attributes:
+        zone: Zone of the instances, empty for all zones.
+        down_s: Seconds until the first one comes back.
+        spread_s: Seconds in which all come back.
+        spare: Number of nodes in each zone that keep running.
+    """
+
+    zone: str = ref("zone", default="")
+    down_s: float = number(0, 3_600, default=2.0)
+    spread_s: float = number(0, 600, default=1.0)
+    spare: int = field(default=0, validator=checks.between(0, 100))
+
+    def apply(self, world: World) -> None:
+        """End the instances and plan their return."""
+        spared: dict[str, int] = {}
+        falling = []
+        for node in world.nodes.values():
+            if not node.up or (self.zone and node.zone != self.zone):
+                continue
+            if spared.get(node.zone, 0) < self.spare:
+                spared[node.zone] = spared.get(node.zone, 0) + 1
+            else:
+                falling.append(node)
+        for index, node in enumerate(falling):
+            world.crash(node)
+            back = self.down_s + self.spread_s * index / len(falling)
+            world.timeline.after(back, starter(world, node))
+
+
+@EVENT_KINDS.register("pause")
+@frozen(kw_only=True)
+class Pause(TimedEvent):
+    """A node's process stands still while its clock goes on.
+
+    Attributes:
+        node: The node.
+        holder_of: Duty whose present holder is paused instead.
+        for_s: Seconds until it goes on, 0 for until `resume`.
+    """
+
+    node: str = ref("node", default="")
+    holder_of: str = field(default="", validator=checks.one_of("", "outcomes", "compactor"))
+    for_s: float = number(0, 3_600, default=0.0)
+
+    def apply(self, world: World) -> None:
+        """Pause the node."""
+        node = world.holder(self.holder_of) if self.holder_of else world.live_node(self.node)
+        if node is None:
+            return
+        node.pause()
+        world.check_reachability()
+        if self.for_s:
+            world.timeline.after(self.for_s, lambda: Resume.let_go_on(world, node))
+
+
+@EVENT_KINDS.register("resume")
+@frozen(kw_only=True)
+class Resume(TimedEvent):
+    """A paused node goes on with what has arrived since.
+
+    Attributes:
+        node: The node.
+    """
+
+    node: str = ref("node")
+
+    def apply(self, world: World) -> None:
+        """Resume the node."""
+        self.let_go_on(world, world.node(self.node))
+
+    @staticmethod
+    def let_go_on(world: World, node: SimNode) -> None:
+        """Resume ``node`` if it still runs."""
+        if node.up and node.paused:
+            node.resume()
+            world.check_reachability()
+
+
+@EVENT_KINDS.register("log_outage")
+@frozen(kw_only=True)
+class LogOutage(TimedEvent):
+    """The platform's log answers every request with an error.
+
+    Attributes:
+        for_s: Seconds until it recovers, 0 for until `log_recovery`.
+    """
+
+    for_s: float = number(0, 3_600, default=0.0)
+
+    def apply(self, world: World) -> None:
+        """Begin the outage."""
+        world.log.set_up(False)
+        if self.for_s:
+            world.timeline.after(self.for_s, lambda: world.log.set_up(True))
+
+
+@EVENT_KINDS.register("log_recovery")
+@frozen(kw_only=True)
+class LogRecovery(TimedEvent):
+    """The platform's log answers again."""
+
+    def apply(self, world: World) -> None:
+        """End the outage."""
+        world.log.set_up(True)
+
+
+@EVENT_KINDS.register("slow_log")
+@frozen(kw_only=True)
+class SlowLog(TimedEvent):
+    """The platform's log takes longer for each answer.
+
+    Attributes:
+        delay_ms: Time for an answer.
+    """
+
+    delay_ms: float = number(0, 60_000, default=1_000.0)
+
+    def apply(self, world: World) -> None:
+        """Change the delay."""
+        world.log.delay_s = self.delay_ms / 1000
+
+
+@EVENT_KINDS.register("lose_append_answers")
+@frozen(kw_only=True)
+class LoseAppendAnswers(TimedEvent):
+    """The next appends take effect, but their answers are lost.
+
+    Attributes:
+        count: Number of appends.
+    """
+
+    count: int = field(default=1, validator=checks.between(1, 1_000))
+
+    def apply(self, world: World) -> None:
+        """Arm the fault."""
+        world.log.answers_to_lose += self.count
+
+
+@EVENT_KINDS.register("write_snapshot")
+@frozen(kw_only=True)
+class WriteSnapshot(TimedEvent):
+    """A snapshot of all records is put into the log, as the holder of the compactor duty does."""
+
+    def apply(self, world: World) -> None:
+        """Write the snapshot."""
+        world.write_snapshot()
+
+
+@EVENT_KINDS.register("trim_log")
+@frozen(kw_only=True)
+class TrimLog(TimedEvent):
+    """The platform drops old records.
+
+    Attributes:
+        keep: Number of records that stay.
+    """
+
+    keep: int = field(default=0, validator=checks.between(0, 1_000_000))
+
+    def apply(self, world: World) -> None:
+        """Trim the records."""
+        world.log.trim(self.keep)
+
+
+@EVENT_KINDS.register("partition")
+@frozen(kw_only=True)
+class Partition(TimedEvent):
+    """Nothing passes between two zones, or between a zone and the platform.
+
+    Attributes:
+        one: A zone.
+        other: Another zone, or ``platform``.
+    """
+
+    one: str = ref("zone")
+    other: str = ref("side")
+
+    def apply(self, world: World) -> None:
+        """Cut the link."""
+        world.network.cut(self.one, self.other)
+        world.check_reachability()
+
+
+@EVENT_KINDS.register("isolate")
+@frozen(kw_only=True)
+class Isolate(TimedEvent):
+    """A zone is cut off from all other zones and from the platform.
+
+    Attributes:
+        zone: The zone.
+    """
+
+    zone: str = ref("zone")
+
+    def apply(self, world: World) -> None:
+        """Cut all links of the zone."""
+        world.network.isolate(self.zone)
+        world.check_reachability()
+
+
+@EVENT_KINDS.register("cut_platform")
+@frozen(kw_only=True)
+class CutPlatform(TimedEvent):
+    """No zone reaches the platform, while the zones reach each other."""
+
+    def apply(self, world: World) -> None:
+        """Cut all links to the platform."""
+        for zone in world.deployment.zones:
+            world.network.cut(zone, PLATFORM)
+        world.check_reachability()
+
+
+@EVENT_KINDS.register("heal")
+@frozen(kw_only=True)
+class Heal(TimedEvent):
+    """All links work again."""
+
+    def apply(self, world: World) -> None:
+        """Restore all links."""
+        world.network.heal()
+        world.check_reachability()
+
+
+@EVENT_KINDS.register("bad_version")
+@frozen(kw_only=True)
+class BadVersion(TimedEvent):
+    """A service version becomes bad; at 0 s it is bad at once, at a later time it turns bad.
+
+    Attributes:
+        service: Name of the service.
+        service_version: The release.
+        kind: ``failing``, ``slow``, ``one-route`` or ``under-load``.
+        rate: Part of the affected calls that fail.
+        slow_factor: How many times longer a call takes, for ``slow``.
+        route: Affected route, for ``one-route``.
+        busy_share: Part of the slots in use from which on calls fail, for ``under-load``.
+    """
+
+    service: str = ref("service")
+    service_version: str = field(validator=checks.name)
+    kind: str = field(default="failing", validator=checks.one_of(*FAULT_KINDS))
+    rate: float = number(0, 1, default=0.5)
+    slow_factor: float = number(1, 1_000, default=6.0)
+    route: str = ref("route", default="")
+    busy_share: float = number(0, 1, default=0.5)
+
+    def apply(self, world: World) -> None:
+        """Make the release bad."""
+        fault = Fault(self.kind, self.rate, self.slow_factor, self.route, self.busy_share)
+        world.set_fault(self.service, self.service_version, fault)
+
+
+@EVENT_KINDS.register("load")
+@frozen(kw_only=True)
+class Load(TimedEvent):
+    """The rate of calls changes.
+
+    Attributes:
+        calls_per_s: Mean number of calls a second over all zones.
+    """
+
+    calls_per_s: float = number(0, 2_000, default=20.0)
+
+    def apply(self, world: World) -> None:
+        """Change the rate."""
+        world.calls.set_rate(self.calls_per_s)
+
+
+@EVENT_KINDS.register("start_targets")
+@frozen(kw_only=True)
+class StartTargets(TimedEvent):
+    """New instances with targets start.
+
+    Attributes:
+        service: Name of the service.
+        service_version: Release that they run.
+        count: Number of instances, spread over the zones.
+    """
+
+    service: str = ref("service")
+    service_version: str = field(validator=checks.name)
+    count: int = field(default=1, validator=checks.between(1, 100))
+
+    def apply(self, world: World) -> None:
+        """Start the instances."""
+        world.add_targets(self.service, self.service_version, self.count)
--- /dev/null
+++ b/src/citronrack/proof/expectations.py
@@ -0,0 +1,352 @@
+"""Expected outcomes of a scenario."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+from ..settings import checks
+from .language import EXPECTATION_KINDS, Expectation, number, ref
+from .observations import (
+    CallAnswered,
+    CallStarted,
+    ConfigInForce,
+    DrainStarted,
+    VersionTurnedBad,
+    WorkOffered,
+    WorkStarted,
+)
+from .sim_node import SimNode
+from .world import World
+
+
+@EXPECTATION_KINDS.register("version_in_force")
+@frozen(kw_only=True)
+class VersionInForce(Expectation):
+    """All nodes that can be reached hold the newest version of the log.
+
+    Attributes:
+        zone: Only nodes of this zone, empty for all.
+        changes: Least number of versions after the first that the log must hold.
+        cut_off: Whether nodes without a path to the platform must hold it too.
+    """
+
+    zone: str = ref("zone", default="")
+    changes: int = field(default=0, validator=checks.between(0, 1_000_000))
+    cut_off: bool = False
+
+    def fault(self, world: World) -> str:
+        """Name the nodes that are behind."""
+        version = world.log.fold.config.version
+        made = {seen.config.version for seen in world.journal.of(ConfigInForce)}
+        if len(made) - 1 < self.changes:
+            return f"expected {self.changes} changes in force, saw {len(made) - 1}"
+        zones = set(world.deployment.zones) if self.cut_off else world.network.connected_zones()
+        behind = [
+            f"{node.name} at {node.core.active.version}"
+            for node in world.nodes.values()
+            if node.up
+            and not node.paused
+            and node.zone in zones
+            and self.zone in ("", node.zone)
+            and node.core.active.version != version
+        ]
+        return f"version {version} is not in force: {', '.join(behind)}" if behind else ""
+
+
+@EXPECTATION_KINDS.register("plan_result")
+@frozen(kw_only=True)
+class PlanResult(Expectation):
+    """A plan had the named result.
+
+    Attributes:
+        plan: Label of the plan.
+        result: ``planned``, ``accepted``, ``refused`` or ``unknown``.
+        reason: Text that the reason must contain.
+    """
+
+    plan: str = ref("plan")
+    result: str = field(validator=checks.one_of("planned", "accepted", "refused", "unknown"))
+    reason: str = ""
+
+    def fault(self, world: World) -> str:
+        """Compare with what the operator was told."""
+        track = world.operators.plans.get(self.plan)
+        if track is None:
+            return f"plan {self.plan!r} was never made"
+        if track.result != self.result:
+            return f"plan {self.plan!r} is {track.result} ({track.reason}), not {self.result}"
+        if self.reason not in track.reason:
+            return f"plan {self.plan!r} has the reason {track.reason!r}"
+        return ""
+
+
+@EXPECTATION_KINDS.register("one_accepted")
+@frozen(kw_only=True)
+class OneAccepted(Expectation):
+    """Of two racing plans one was accepted and the other refused with the conflict.
+
+    Attributes:
+        left: Label of one plan.
+        right: Label of the other plan.
+    """
+
+    left: str = ref("plan", default="left")
+    right: str = ref("plan", default="right")
+
+    def fault(self, world: World) -> str:
+        """Compare both results."""
+        tracks = [world.operators.plans.get(label) for label in (self.left, self.right)]
+        results = sorted(track.result if track is not None else "missing" for track in tracks)
+        return "" if results == ["accepted", "refused"] else f"the plans are {results}"
+
+
+@EXPECTATION_KINDS.register("move_result")
+@frozen(kw_only=True)
+class MoveResultIs(Expectation):
+    """The move of a route ended in the named way.
+
+    Attributes:
+        route: The route.
+        result: ``open`` or a result of the outcome record.
+        service_version: Release that must serve the route now, empty for any.
+    """
+
+    route: str = ref("route")
+    result: str = field(
+        validator=checks.one_of(
+            "open", "finished in time", "finished late", "taken back", "cancelled", "unknown"
+        )
+    )
+    service_version: str = ""
+
+    def fault(self, world: World) -> str:
+        """Compare with the outcome in the log."""
+        state = world.log.fold.state
+        move_id = world.operators.moves.get(self.route, "")
+        outcome = state.outcomes.get(move_id)
+        found = outcome.result if outcome is not None else "open"
+        if found == "open" and move_id not in state.config.moves:
+            return f"route {self.route!r} has no move"
+        if found != self.result:
+            return f"the move is {found!r}, not {self.result!r}"
+        serving = state.config.routes[self.route].service_version
+        if self.service_version not in ("", serving):
+            return f"route {self.route!r} is served by {serving!r}"
+        return ""
+
+
+@EXPECTATION_KINDS.register("bad_version_got")
+@frozen(kw_only=True)
+class BadVersionGot(Expectation):
+    """A bad service version ran few calls after it turned bad, and none after a time.
+
+    Attributes:
+        service: Name of the service.
+        service_version: The release.
+        max_share: Largest part of the service's calls from then on.
+        max_calls: Largest number of calls from then on.
+        none_after_s: Seconds after it turned bad from which on it must run none.
+    """
+
+    service: str = ref("service")
+    service_version: str = field(validator=checks.name)
+    max_share: float = number(0, 1, default=1.0)
+    max_calls: int = field(default=1_000_000, validator=checks.between(0, 1_000_000))
+    none_after_s: float = number(0, 3_600, default=3_600.0)
+
+    def fault(self, world: World) -> str:
+        """Count the calls that it ran."""
+        key = (self.service, self.service_version)
+        turned = [
+            seen.at
+            for seen in world.journal.of(VersionTurnedBad)
+            if (seen.service, seen.service_version) == key
+        ]
+        if not turned:
+            return f"{self.service} {self.service_version} never turned bad"
+        work = [
+            seen
+            for seen in world.journal.of(WorkStarted)
+            if seen.service == self.service and seen.at >= turned[0]
+        ]
+        bad = [seen.at for seen in work if seen.service_version == self.service_version]
+        if len(bad) > self.max_calls:
+            return f"it ran {len(bad)} calls, more than {self.max_calls}"
+        if len(bad) > self.max_share * len(work):
+            return f"it ran {len(bad)} of {len(work)} calls, more than {self.max_share:.1%}"
+        if bad and bad[-1] > turned[0] + self.none_after_s:
+            return f"it still ran a call {bad[-1] - turned[0]:.1f} s after it turned bad"
+        return ""
+
+
+@EXPECTATION_KINDS.register("service_version_ran")
+@frozen(kw_only=True)
+class ServiceVersionRan(Expectation):
+    """A service version ran at least some calls.
+
+    Attributes:
+        service: Name of the service.
+        service_version: The release.
+        min_calls: Least number of calls.
+    """
+
+    service: str = ref("service")
+    service_version: str = field(validator=checks.name)
+    min_calls: int = field(default=1, validator=checks.between(1, 1_000_000))
+
+    def fault(self, world: World) -> str:
+        """Count the calls that it ran."""
+        key = (self.service, self.service_version)
+        ran = sum(
+            (seen.service, seen.service_version) == key for seen in world.journal.of(WorkStarted)
+        )
+        return "" if ran >= self.min_calls else f"it ran {ran} calls, fewer than {self.min_calls}"
+
+
+@EXPECTATION_KINDS.register("no_new_work")
+@frozen(kw_only=True)
+class NoNewWork(Expectation):
+    """No call reached a leaving target after some time.
+
+    Attributes:
+        node: Node beside the target.
+        after_s: Seconds after the drain began.
+    """
+
+    node: str = ref("node")
+    after_s: float = number(0, 600, default=3.0)
+
+    def fault(self, world: World) -> str:
+        """Look for calls that arrived too late."""
+        drains = [seen.at for seen in world.journal.of(DrainStarted) if seen.node == self.node]
+        if not drains:
+            return f"{self.node} was never drained"
+        limit = drains[-1] + self.after_s
+        restarts = [
+            seen.at
+            for seen in world.journal.of(ConfigInForce)
+            if seen.node == self.node and seen.at > drains[-1]
+        ]
+        end = restarts[0] if restarts else world.timeline.now
+        late = [
+            seen.at
+            for seen in world.journal.of(WorkOffered)
+            if seen.target == self.node and limit < seen.at < end
+        ]
+        return f"a call arrived {late[-1] - drains[-1]:.1f} s after the drain began" if late else ""
+
+
+@EXPECTATION_KINDS.register("readiness")
+@frozen(kw_only=True)
+class ReadinessIs(Expectation):
+    """Nodes have the named readiness.
+
+    Attributes:
+        state: ``ready``, ``ready (unproven)``, ``not ready``, or ``serving`` for both first ones.
+        node: The node, empty for all running nodes.
+        zone: Only nodes of this zone, empty for all.
+        reason: Text that the reason must contain.
+    """
+
+    state: str = field(validator=checks.one_of("ready", "ready (unproven)", "not ready", "serving"))
+    node: str = ref("node", default="")
+    zone: str = ref("zone", default="")
+    reason: str = ""
+
+    def fault(self, world: World) -> str:
+        """Name the nodes with another readiness."""
+        wrong = []
+        for node in world.nodes.values():
+            if not node.up or self.node not in ("", node.name) or self.zone not in ("", node.zone):
+                continue
+            status = node.core.status()
+            right = status.readiness == self.state or (
+                self.state == "serving" and status.readiness != "not ready"
+            )
+            if not right or self.reason not in status.reason:
+                wrong.append(f"{node.name} is {status.readiness} ({status.reason})")
+        return "; ".join(wrong)
+
+
+@EXPECTATION_KINDS.register("status")
+@frozen(kw_only=True)
+class StatusLists(Expectation):
+    """A node's status lists exactly these nodes of its zone as behind and as unknown.
+
+    Attributes:
+        node: Node that is asked.
+        zone: Zone whose lists are read, empty for the own zone.
+        behind: Names of nodes with an older version.
+        unknown: Names of nodes that are not heard.
+        missing: Names that must not be listed as members at all.
+    """
+
+    node: str = ref("node")
+    zone: str = ref("zone", default="")
+    behind: tuple[str, ...] = ()
+    unknown: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
+
+    def fault(self, world: World) -> str:
+        """Compare the lists."""
+        status = self._node(world).core.status()
+        zone = self.zone or status.availability_zone
+        found = [entry for entry in status.zones if entry.availability_zone == zone]
+        if not found:
+            return f"the status of {self.node} has no zone {zone!r}"
+        if set(found[0].behind) != set(self.behind):
+            return f"behind are {list(found[0].behind)}"
+        if set(found[0].unknown) != set(self.unknown):
+            return f"unknown are {list(found[0].unknown)}"
+        alive = {entry.name for entry in status.nodes if entry.state == "alive"}
+        listed = sorted(alive.intersection(self.missing))
+        return f"still listed as alive: {listed}" if listed else ""
+
+    def _node(self, world: World) -> SimNode:
+        return world.node(self.node)
+
+
+@EXPECTATION_KINDS.register("digests_equal")
+@frozen(kw_only=True)
+class DigestsEqual(Expectation):
+    """All running nodes that are level with the log have the same digest of folded records."""
+
+    def fault(self, world: World) -> str:
+        """Compare the digests."""
+        end, digest = world.log.fold.next_offset, world.log.fold.state.digest
+        other = [
+            node.name
+            for node in world.nodes.values()
+            if node.up
+            and node.core.fold.next_offset == end
+            and node.core.fold.state.digest != digest
+        ]
+        return f"other digests: {', '.join(other)}" if other else ""
+
+
+@EXPECTATION_KINDS.register("calls_answered")
+@frozen(kw_only=True)
+class CallsAnswered(Expectation):
+    """Callers got answers.
+
+    Attributes:
+        min_share: Least part of all calls that were answered without a server error.
+        after_s: Only calls that were sent after this time.
+        before_s: Only calls that were sent before this time.
+    """
+
+    min_share: float = number(0, 1, default=0.99)
+    after_s: float = number(0, 3_600, default=0.0)
+    before_s: float = number(0, 3_600, default=3_600.0)
+
+    def fault(self, world: World) -> str:
+        """Compare the share."""
+        limit = min(self.before_s, world.timeline.now - 6.0)  # later calls may still be open
+        sent = [
+            seen.call for seen in world.journal.of(CallStarted) if self.after_s <= seen.at < limit
+        ]
+        if not sent:
+            return "no call was sent"
+        answered = {seen.call for seen in world.journal.of(CallAnswered)}
+        share = sum(call in answered for call in sent) / len(sent)
+        return "" if share >= self.min_share else f"{share:.2%} of {len(sent)} calls were answered"
--- /dev/null
+++ b/src/citronrack/proof/fake_calls.py
@@ -0,0 +1,310 @@
+"""Fake call flow: callers, the choice of a target, delivery, answers and retries."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+from typing import Protocol
+
+import xxhash
+from attrs import define, field
+
+from ..calls import CallRecord, PoolTarget, RoutingView
+from ..config import Route
+from ..node.mail import CallReported
+from ..verdict import Verdict
+from .deployments import RouteLoad
+from .fake_target import Job
+from .network import FakeNetwork
+from .observations import (
+    AttemptEnded,
+    CallAnswered,
+    CallRefused,
+    CallStarted,
+    Dispatch,
+    WorkOffered,
+    WorkStarted,
+)
+from .sim_node import SimNode
+from .timeline import Timeline
+
+MAX_ATTEMPTS = 3
+CONNECT_TIMEOUT_S = 0.25
+CALL_TIMEOUT_S = 5.0
+
+
+class ChoiceRules:
+    """The pure choices of the call path; the real ones replace these method by method."""
+
+    def side(self, view: RoutingView, route: Route, call_key: str) -> str:
+        """Return the service version that serves the call."""
+        share = view.shares.get(route.name)
+        if share is None:
+            return route.service_version
+        point = xxhash.xxh64_intdigest(f"{share.move_id}/{call_key}".encode()) / 2**64
+        return share.to_version if point < share.share else share.from_version
+
+    def target(
+        self, pool: Sequence[PoolTarget], zone: str, tried: Sequence[str], random: Random
+    ) -> PoolTarget | None:
+        """Return a target, the own zone first, never one that was tried."""
+        fresh = [target for target in pool if target.name not in tried]
+        near = [target for target in fresh if target.availability_zone == zone]
+        choices = near or fresh
+        return random.choice(choices) if choices else None
+
+    def admits(self, node: SimNode) -> bool:
+        """Return whether the node hands the call to its target."""
+        return not node.draining and not node.target.full
+
+    def verdict(self, status: int) -> Verdict:
+        """Return what a caller may be told after the target's side ended an attempt."""
+        return Verdict.RAN if status else Verdict.MAY_HAVE_RUN
+
+    def repeats(self, call: Call, verdict: Verdict) -> bool:
+        """Return whether another attempt is allowed."""
+        if call.attempt >= MAX_ATTEMPTS:
+            return False
+        return verdict.safe_to_repeat or call.load.method != "POST"
+
+
+@define
+class Call:
+    """One call of a caller.
+
+    Attributes:
+        number: Unique number.
+        load: Route and method.
+        entry: Node that took the call from the caller.
+        started: Simulated seconds.
+        attempt: Number of the present attempt.
+        tried: Names of targets that were tried.
+        boot: Process of the entry node that took it.
+        closed: Whether the present attempt is over.
+        may_have_run: Whether an earlier attempt may have run.
+    """
+
+    number: int
+    load: RouteLoad
+    entry: SimNode
+    started: float
+    boot: int
+    attempt: int = 0
+    tried: list[str] = field(factory=list)
+    closed: bool = True
+    may_have_run: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may be repeated."""
+        return self.load.method != "POST"
+
+
+class CallWorld(Protocol):
+    """What the call flow needs of the world."""
+
+    timeline: Timeline
+    network: FakeNetwork
+    nodes: dict[str, SimNode]
+    rules: ChoiceRules
+
+    emit: Dispatch
+
+
+class FakeCalls:
+    """Sends calls at a mean rate into the nodes' routing views.
+
+    Args:
+        world: Nodes, links and rules.
+        random: Source of random numbers.
+        loads: Routes with their weights.
+        caller_ms: One-way delay between callers and nodes.
+    """
+
+    def __init__(
+        self, world: CallWorld, *, random: Random, loads: Sequence[RouteLoad], caller_ms: float
+    ) -> None:
+        self._world = world
+        self._random = random
+        self._loads = tuple(loads)
+        self._weights = [load.weight for load in loads]
+        self._caller_s = caller_ms / 1000
+        self._number = 0
+        self._stream = 0
+        self.calls_per_s = 0.0
+
+    def set_rate(self, calls_per_s: float) -> None:
+        """Change the mean number of calls a second."""
+        self.calls_per_s = calls_per_s
+        self._stream += 1
+        self._schedule(self._stream)
+
+    def _schedule(self, stream: int) -> None:
+        if self.calls_per_s > 0 and stream == self._stream:
+            wait = self._random.expovariate(self.calls_per_s)
+            self._world.timeline.after(wait, lambda: self._arrive(stream))
+
+    def _arrive(self, stream: int) -> None:
+        if stream != self._stream:
+            return
+        self._schedule(stream)
+        entries = [n for n in self._world.nodes.values() if n.serving and not n.draining]
+        if not entries:
+            return
+        self._number += 1
+        load = self._random.choices(self._loads, self._weights)[0]
+        entry = self._random.choice(entries)
+        call = Call(self._number, load, entry, self._world.timeline.now, entry.boot)
+        entry.calls_open += 1
+        self._world.emit(CallStarted(call.started, call.number, load.name, call.idempotent))
+        self._world.timeline.after(self._caller_s, lambda: self._attempt(call))
+
+    def _attempt(self, call: Call) -> None:
+        world, view = self._world, call.entry.views.current
+        route = view.route_of(call.load.prefix)
+        if call.boot != call.entry.boot or not view.ready or route is None:
+            self._give_up(call, Verdict.NOT_RUN)
+            return
+        version = world.rules.side(view, route, str(call.number))
+        pool = view.pools.get((route.service, version), ())
+        chosen = world.rules.target(pool, call.entry.zone, call.tried, self._random)
+        if chosen is None:
+            self._give_up(call, Verdict.NOT_RUN)
+            return
+        call.attempt += 1
+        call.closed = False
+        call.tried.append(chosen.name)
+        self._connect(call, route, version, world.nodes[chosen.name])
+
+    def _connect(self, call: Call, route: Route, version: str, node: SimNode) -> None:
+        network, timeline = self._world.network, self._world.timeline
+        attempt = call.attempt
+        record = self._recorder(call, route, version)
+        if network.is_cut(call.entry.zone, node.zone):
+            timeline.after(
+                CONNECT_TIMEOUT_S, lambda: self._ended(call, attempt, Verdict.NOT_RUN, record, 0)
+            )
+            return
+        timeline.after(
+            CALL_TIMEOUT_S, lambda: self._ended(call, attempt, Verdict.MAY_HAVE_RUN, record, 0)
+        )
+        delay = network.delay_s(call.entry.zone, node.zone)
+        timeline.after(delay, lambda: self._reach(call, attempt, route, version, node, record))
+
+    def _reach(
+        self, call: Call, attempt: int, route: Route, version: str, node: SimNode, record: Recorder
+    ) -> None:
+        world = self._world
+        if node.paused:
+            return  # The kernel accepts the bytes, nobody answers; the timeout ends the attempt.
+        if not node.up or (node.place.service, node.place.service_version) != (
+            route.service,
+            version,
+        ):
+            self._back(call, attempt, node, Verdict.NOT_RUN, record, 0)
+            return
+        world.emit(WorkOffered(world.timeline.now, call.number, node.name))
+        if not world.rules.admits(node):
+            self._back(call, attempt, node, Verdict.NOT_RUN, record, 503)
+            return
+        cold = node.target.cold
+
+        def done(status: int, answer_to: int) -> None:
+            verdict = world.rules.verdict(status)
+            record.answer_to = answer_to
+            node.post(CallReported(record.make(status, verdict, delivered_here=True, cold=cold)))
+            self._back(call, attempt, node, verdict, record, status)
+
+        def started() -> None:
+            world.emit(
+                WorkStarted(
+                    world.timeline.now,
+                    call.number,
+                    attempt,
+                    node.name,
+                    route.name,
+                    route.service,
+                    version,
+                    call.idempotent,
+                )
+            )
+
+        node.target.take(Job(call.number, attempt, route.name, call.idempotent, started, done))
+
+    def _back(
+        self,
+        call: Call,
+        attempt: int,
+        node: SimNode,
+        verdict: Verdict,
+        record: Recorder,
+        status: int,
+    ) -> None:
+        network = self._world.network
+        if network.is_cut(call.entry.zone, node.zone):
+            return  # The answer is lost; the timeout ends the attempt.
+        delay = network.delay_s(call.entry.zone, node.zone)
+        self._world.timeline.after(
+            delay, lambda: self._ended(call, attempt, verdict, record, status)
+        )
+
+    def _ended(
+        self, call: Call, attempt: int, verdict: Verdict, record: Recorder, status: int
+    ) -> None:
+        if call.closed or call.attempt != attempt:
+            return  # A late answer or the timeout of an attempt that is over.
+        call.closed = True
+        call.may_have_run |= verdict is not Verdict.NOT_RUN
+        now = self._world.timeline.now
+        self._world.emit(AttemptEnded(now, call.number, attempt, verdict))
+        call.entry.post(CallReported(record.make(status, verdict)))
+        if verdict is Verdict.RAN and status < 500:
+            self._world.emit(CallAnswered(now, call.number, record.answer_to, True, status))
+            self._close(call)
+        elif self._world.rules.repeats(call, verdict):
+            self._attempt(call)
+        else:
+            self._give_up(call, verdict)
+
+    def _give_up(self, call: Call, verdict: Verdict) -> None:
+        told = verdict
+        if call.may_have_run and verdict is Verdict.NOT_RUN:
+            told = Verdict.MAY_HAVE_RUN  # The last attempt says nothing about earlier ones.
+        self._world.emit(CallRefused(self._world.timeline.now, call.number, told))
+        self._close(call)
+
+    @staticmethod
+    def _close(call: Call) -> None:
+        call.entry.calls_open -= 1
+
+    def _recorder(self, call: Call, route: Route, version: str) -> Recorder:
+        return Recorder(call, route, version, self._world.timeline, self._world.timeline.now)
+
+
+@define
+class Recorder:
+    """Makes the records of one attempt."""
+
+    call: Call
+    route: Route
+    version: str
+    timeline: Timeline
+    began: float
+    answer_to: int = -1
+
+    def make(
+        self, status: int, verdict: Verdict, *, delivered_here: bool = False, cold: bool = False
+    ) -> CallRecord:
+        """Return the record at the present time."""
+        return CallRecord(
+            route=self.route.name,
+            service=self.route.service,
+            service_version=self.version,
+            method=self.call.load.method,
+            status=status,
+            latency_s=self.timeline.now - self.began,
+            verdict=verdict,
+            refused=verdict is Verdict.NOT_RUN,
+            cold=cold,
+            delivered_here=delivered_here,
+        )
--- /dev/null
+++ b/src/citronrack/proof/fake_log.py
@@ -0,0 +1,124 @@
+"""Fake of the platform's log service, without a socket."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from ..errors import LogTrimmed, LogUnavailable
+from ..log import LogFold, LogPage
+from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM, Confirmed
+from .observations import ConfigAccepted, ConfigRefused, LogState, Observation
+from .schema import LogSpec
+from .timeline import Timeline
+
+OnPage = Callable[[LogPage], None]
+
+
+@define
+class _Stream:
+    first: int = 0
+    records: list[bytes] = field(factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+
+class FakeLog:
+    """An append-only log with outages, slow answers, lost answers and limited retention.
+
+    It folds its own records, so that the run knows which version should be in force.
+
+    Args:
+        spec: Delay and retention.
+        timeline: Simulated time.
+        emit: Takes observations.
+    """
+
+    def __init__(
+        self, spec: LogSpec, *, timeline: Timeline, emit: Callable[[Observation], None]
+    ) -> None:
+        self._timeline = timeline
+        self._emit = emit
+        self._retention = spec.retention
+        self._streams = {RECORDS_STREAM: _Stream(), SNAPSHOTS_STREAM: _Stream()}
+        self._waiting: list[Callable[[], None]] = []
+        self.delay_s = spec.delay_ms / 1000
+        self.up = True
+        self.answers_to_lose = 0
+        self.fold = LogFold()
+
+    def set_up(self, up: bool) -> None:
+        """Begin or end an outage."""
+        self.up = up
+        self._emit(LogState(self._timeline.now, up))
+
+    def append(self, stream: str, data: bytes) -> int:
+        """Add a record and return its offset.
+
+        Raises:
+            LogUnavailable: During an outage; the record is not in the log.
+        """
+        if not self.up:
+            raise LogUnavailable("status 503")
+        target = self._streams[stream]
+        offset = target.end
+        target.records.append(data)
+        self._trim(target, target.end - self._retention)
+        if stream == RECORDS_STREAM:
+            self._fold(offset, data)
+            waiting, self._waiting = self._waiting, []
+            for wake in waiting:
+                wake()
+        return offset
+
+    def loses_answer(self) -> bool:
+        """Return whether the answer to the append that just took effect is lost."""
+        lost = self.answers_to_lose > 0
+        self.answers_to_lose -= int(lost)
+        return lost
+
+    def read(self, stream: str, start: int, *, limit: int) -> LogPage:
+        """Return what is there, without waiting.
+
+        Raises:
+            LogUnavailable: During an outage.
+            LogTrimmed: When ``start`` is no longer retained.
+        """
+        if not self.up:
+            raise LogUnavailable("status 503")
+        source = self._streams[stream]
+        if start < source.first:
+            raise LogTrimmed(source.first)
+        chosen = source.records[start - source.first : start - source.first + limit]
+        return LogPage(source.first, source.end, tuple(enumerate(chosen, start)))
+
+    def when_changed(self, wake: Callable[[], None]) -> None:
+        """Call ``wake`` once after the next record."""
+        self._waiting.append(wake)
+
+    def end(self, stream: str) -> int:
+        """Return the offset of the next append."""
+        return self._streams[stream].end
+
+    def trim(self, keep: int) -> None:
+        """Drop all records but the newest ``keep``."""
+        stream = self._streams[RECORDS_STREAM]
+        self._trim(stream, stream.end - keep)
+
+    @staticmethod
+    def _trim(stream: _Stream, first: int) -> None:
+        dropped = min(max(first - stream.first, 0), len(stream.records))
+        del stream.records[:dropped]
+        stream.first += dropped
+
+    def _fold(self, offset: int, data: bytes) -> None:
+        before = self.fold.config
+        result = self.fold.apply(offset, data)
+        now = self._timeline.now
+        if self.fold.config is not before:
+            self._emit(ConfigAccepted(now, self.fold.config))
+        elif isinstance(result.body, Confirmed) and result.reason != "duplicate":
+            self._emit(ConfigRefused(now, offset, result.reason))
--- /dev/null
+++ b/src/citronrack/proof/log_access.py
@@ -0,0 +1,229 @@
+"""Fakes of the reader and append tasks of one node."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from attrs import frozen
+
+from ..errors import LogTrimmed, LogUnavailable
+from ..log import Envelope, encode_record
+from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
+from ..node.mail import AppendDone, LogRead, LogReadFailed, SnapshotRead
+from ..node.reader import (
+    BACKOFF_BASE_S,
+    BACKOFF_CAP_S,
+    IDLE_S,
+    LONG_POLL_MS,
+    PAGE_RECORDS,
+    ReadingState,
+)
+from .fake_log import FakeLog
+from .network import PLATFORM, FakeNetwork
+from .timeline import Timeline
+
+ANSWER_TIMEOUT_S = 5.0
+MAX_APPEND_TRIES = 6
+
+
+@frozen
+class LogPath:
+    """How one node reaches the log.
+
+    Attributes:
+        timeline: Simulated time.
+        log: The log service.
+        network: Links.
+        zone: Zone of the node.
+        random: Source of random numbers.
+    """
+
+    timeline: Timeline
+    log: FakeLog
+    network: FakeNetwork
+    zone: str
+    random: Random
+
+    @property
+    def open(self) -> bool:
+        """Whether packets pass between the node and the platform."""
+        return not self.network.is_cut(self.zone, PLATFORM)
+
+    @property
+    def trip_s(self) -> float:
+        """Time of a request and its answer, service time included."""
+        return 2 * self.network.delay_s(self.zone, PLATFORM) + self.log.delay_s
+
+    def backoff_s(self, failures: int) -> float:
+        """Return a full-jitter delay."""
+        return self.random.uniform(0, min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**failures))
+
+
+class FakeReader:
+    """Polls like `ReaderTask` and posts the same mail.
+
+    Args:
+        path: Access to the log.
+        state: What to read.
+        post: Takes mail for the core; returns False when the process has ended.
+    """
+
+    def __init__(self, path: LogPath, *, state: ReadingState, post: Callable[[Any], bool]) -> None:
+        self._path = path
+        self._state = state
+        self._post = post
+        self._posted = 0
+        self._failures = 0
+        self._stopped = False
+
+    def stop(self) -> None:
+        """End with the process."""
+        self._stopped = True
+
+    def poll(self) -> None:
+        """Send one request, or wait until the core wants one."""
+        if self._stopped:
+            return
+        if not self._state.reads_log:
+            self._path.timeline.after(IDLE_S, self.poll)
+            return
+        start = max(self._posted, self._state.next_offset)
+        if not self._path.open:
+            self._path.timeline.after(ANSWER_TIMEOUT_S, lambda: self._failed("no answer"))
+            return
+        deadline = self._path.timeline.now + LONG_POLL_MS / 1000
+        self._path.timeline.after(self._path.trip_s / 2, lambda: self._serve(start, deadline))
+
+    def _serve(self, start: int, deadline: float) -> None:
+        """Answer at the service, or hold the request until a record arrives."""
+        log, timeline = self._path.log, self._path.timeline
+        try:
+            page = log.read(RECORDS_STREAM, start, limit=PAGE_RECORDS)
+        except LogTrimmed:
+            timeline.after(self._path.trip_s, self._snapshot)
+            return
+        except LogUnavailable as error:
+            reason = str(error)
+            timeline.after(self._path.trip_s / 2, lambda: self._failed(reason))
+            return
+        if not page.records and timeline.now < deadline:
+            self._hold(start, deadline)
+            return
+        timeline.after(self._path.trip_s / 2, lambda: self._arrive(start, LogRead(page)))
+
+    def _hold(self, start: int, deadline: float) -> None:
+        served = False
+
+        def serve() -> None:
+            nonlocal served
+            if not served:
+                served = True
+                self._serve(start, deadline)
+
+        self._path.log.when_changed(serve)
+        self._path.timeline.at(deadline, serve)
+
+    def _arrive(self, start: int, mail: LogRead) -> None:
+        if not self._path.open:
+            self._failed("no answer")
+            return
+        self._failures = 0
+        self._posted = start + len(mail.page.records)
+        if not self._stopped and self._post(mail):
+            self.poll()
+
+    def _snapshot(self) -> None:
+        log = self._path.log
+        try:
+            page = log.read(SNAPSHOTS_STREAM, max(log.end(SNAPSHOTS_STREAM) - 1, 0), limit=1)
+        except (LogUnavailable, LogTrimmed) as error:
+            self._failed(str(error))
+            return
+        if not page.records:
+            self._failed("the wanted offset is trimmed and no snapshot exists")
+            return
+        if not self._stopped and self._post(SnapshotRead(page.records[0][1])):
+            self._path.timeline.after(IDLE_S, self.poll)
+
+    def _failed(self, reason: str) -> None:
+        self._failures += 1
+        if not self._stopped and self._post(LogReadFailed(reason)):
+            self._path.timeline.after(self._path.backoff_s(self._failures), self.poll)
+
+
+@frozen
+class _Job:
+    body: Any
+    done: Callable[[AppendDone], Any]
+
+
+class FakeAppender:
+    """Appends one record after the other; a retry keeps writer and sequence.
+
+    Args:
+        path: Access to the log.
+        writer: ``node name/boot id``.
+        wall_ms: The node's wall clock.
+    """
+
+    def __init__(self, path: LogPath, *, writer: str, wall_ms: Callable[[], int]) -> None:
+        self._path = path
+        self._writer = writer
+        self._wall_ms = wall_ms
+        self._jobs: deque[_Job] = deque()
+        self._sequence = 0
+        self._stopped = False
+
+    def stop(self) -> None:
+        """End with the process; queued records are lost."""
+        self._stopped = True
+
+    def submit(self, body: Any, done: Callable[[AppendDone], Any]) -> None:
+        """Queue a record body."""
+        self._jobs.append(_Job(body, done))
+        if len(self._jobs) == 1:
+            self._next()
+
+    def _next(self) -> None:
+        self._sequence += 1
+        body = self._jobs[0].body
+        data = encode_record(Envelope(self._writer, self._sequence, self._wall_ms(), body))
+        self._send(data, 1)
+
+    def _send(self, data: bytes, attempt: int) -> None:
+        if self._stopped:
+            return
+        if not self._path.open:
+            self._path.timeline.after(ANSWER_TIMEOUT_S, lambda: self._retry(data, attempt))
+            return
+        self._path.timeline.after(self._path.trip_s / 2, lambda: self._serve(data, attempt))
+
+    def _serve(self, data: bytes, attempt: int) -> None:
+        timeline, log = self._path.timeline, self._path.log
+        try:
+            offset = log.append(RECORDS_STREAM, data)
+        except LogUnavailable:
+            timeline.after(self._path.trip_s / 2, lambda: self._retry(data, attempt))
+            return
+        if log.loses_answer() or not self._path.open:
+            timeline.after(ANSWER_TIMEOUT_S, lambda: self._retry(data, attempt))
+            return
+        timeline.after(self._path.trip_s / 2, lambda: self._finish(offset, ""))
+
+    def _retry(self, data: bytes, attempt: int) -> None:
+        if attempt >= MAX_APPEND_TRIES:
+            self._finish(None, "no answer")
+            return
+        wait = self._path.backoff_s(attempt)
+        self._path.timeline.after(wait, lambda: self._send(data, attempt + 1))
+
+    def _finish(self, offset: int | None, reason: str) -> None:
+        if self._stopped:
+            return
+        job = self._jobs.popleft()
+        job.done(AppendDone(job.body, offset, reason))
+        if self._jobs:
+            self._next()
--- /dev/null
+++ b/src/citronrack/proof/operators.py
@@ -0,0 +1,119 @@
+"""Operators that plan, confirm and cancel through a node, as the API does."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, Protocol
+
+from attrs import define
+
+from ..errors import ConfigInvalid
+from ..log import Cancelled, Confirmed
+from ..log.fold import PlanState
+from ..moves import Intent, Plan, make_plan
+from ..node.mail import AppendDone, PlanAwaited
+from .sim_node import SimNode
+from .timeline import Timeline
+
+
+@define
+class PlanTrack:
+    """What an operator knows about a plan.
+
+    Attributes:
+        plan: The plan, None when it could not be made.
+        result: ``planned``, ``refused``, ``waiting``, ``accepted`` or ``unknown``.
+        reason: Why it was refused.
+        version: Version that it made, -1 for none.
+    """
+
+    plan: Plan | None = None
+    result: str = "refused"
+    reason: str = ""
+    version: int = -1
+
+
+class OperatorWorld(Protocol):
+    """What operators need of the world."""
+
+    timeline: Timeline
+
+
+class Operators:
+    """Keeps the plans of a scenario by label.
+
+    Args:
+        world: The simulated mesh.
+        profile: Default policy for moves.
+    """
+
+    def __init__(self, world: OperatorWorld, *, profile: str) -> None:
+        self._world = world
+        self._profile = profile
+        self.plans: dict[str, PlanTrack] = {}
+        self.moves: dict[str, str] = {}
+
+    def plan(self, label: str, intent: Intent, node: SimNode) -> PlanTrack:
+        """Let a node compute a plan from the version that it holds."""
+        track = self.plans[label] = PlanTrack()
+        base = node.core.fold.config
+        if not node.serving:
+            track.reason = "the node does not answer"
+            return track
+        now_ms = node.clock.wall_ms()
+        try:
+            track.plan = make_plan(intent, base, now_ms=now_ms, default_profile=self._profile)
+        except ConfigInvalid as error:
+            track.reason = str(error)
+            return track
+        track.result = "planned"
+        for move in track.plan.change.put_moves:
+            self.moves[move.route] = move.move_id
+        return track
+
+    def confirm(self, label: str, node: SimNode) -> None:
+        """Confirm a plan through a node; its track gets the result later."""
+        track = self.plans[label]
+        plan = track.plan
+        if plan is None:
+            return
+        if not node.serving:
+            track.result, track.reason = "unknown", "the node does not answer"
+            return
+        track.result = "waiting"
+        body = Confirmed(
+            plan_id=plan.plan_id,
+            base_version=plan.base_version,
+            change=plan.change,
+            confirmed_ms=node.clock.wall_ms(),
+            expires_ms=plan.expires_ms,
+            operator=label,
+        )
+        node.appender.submit(body, self._after_append(track, plan, node))
+
+    def cancel(self, route: str, node: SimNode) -> None:
+        """Cancel the open move of a route, if the node knows one."""
+        move = node.core.fold.config.move_of_route(route)
+        if move is not None:
+            body = Cancelled(move.move_id, move.epoch, "operator")
+            node.appender.submit(body, lambda done: None)
+
+    def _after_append(
+        self, track: PlanTrack, plan: Plan, node: SimNode
+    ) -> Callable[[AppendDone], None]:
+        def appended(done: AppendDone) -> None:
+            if done.offset is None:
+                track.result, track.reason = "unknown", done.reason
+                return
+            answer: Future[PlanState] = Future()
+            answer.add_done_callback(decided)
+            node.post(PlanAwaited(plan.plan_id, done.offset, answer))
+
+        def decided(answer: Future[Any]) -> None:
+            state: PlanState = answer.result()
+            track.result = "accepted" if state.accepted else "refused"
+            track.reason = state.reason
+            track.version = state.offset if state.accepted else -1
+
+        return appended
--- /dev/null
+++ b/src/citronrack/proof/runner.py
@@ -0,0 +1,187 @@
+"""Runs scenarios and collects what broke."""
+
+from __future__ import annotations
+
+import hashlib
+from enum import StrEnum
+from functools import partial
+from pathlib import Path
+
+from attrs import frozen
+
+from ..errors import CitronrackError
+from .checker import CheckResult, CheckState
+from .checkers import CHECKERS
+from .fake_calls import ChoiceRules
+from .language import END_OF_RUN, Expectation
+from .observations import Dispatch, Observation
+from .parts import missing_parts
+from .source import Scenario, ScenarioError, load_scenario
+from .world import World
+
+DEFAULT_SEED = 1
+
+
+class RunState(StrEnum):
+    """How a scenario ended."""
+
+    PASSED = "passed"
+    FAILED = "failed"
+    SKIPPED = "skipped"
+
+
+@frozen
+class ScenarioResult:
+    """Result of one scenario.
+
+    Attributes:
+        path: Its file.
+        name: Its name.
+        seed: Seed of the run.
+        state: How it ended.
+        faults: Broken expectations, each with its line, and broken invariants.
+        checks: Result of each invariant checker.
+        fingerprint: Digest over all observations; equal for equal runs.
+        missing: Parts that it needs and that are not there.
+    """
+
+    path: str
+    name: str
+    seed: int
+    state: RunState
+    faults: tuple[str, ...] = ()
+    checks: tuple[CheckResult, ...] = ()
+    fingerprint: str = ""
+    missing: tuple[str, ...] = ()
+
+
+class Fingerprint:
+    """Hashes kind and exact time of all observations; the times depend on all random numbers."""
+
+    def __init__(self) -> None:
+        self._hash = hashlib.blake2b(digest_size=8)
+
+    def observe(self, observation: Observation) -> None:
+        """Add an observation."""
+        self._hash.update(f"{type(observation).__name__} {observation.at!r}".encode())
+
+    def text(self) -> str:
+        """Return the digest."""
+        return self._hash.hexdigest()
+
+
+class _Expectations:
+    """Checks expectations at their times."""
+
+    def __init__(self, scenario: Scenario, world: World) -> None:
+        self._scenario = scenario
+        self._world = world
+        self.faults: list[str] = []
+
+    def plan(self) -> None:
+        """Plan the checks that have a time."""
+        for entry, line in self._entries():
+            if entry.at != END_OF_RUN:
+                self._world.timeline.at(entry.at, partial(self._check, entry, line))
+
+    def finish(self) -> None:
+        """Check the others."""
+        for entry, line in self._entries():
+            if entry.at == END_OF_RUN:
+                self._check(entry, line)
+
+    def _entries(self) -> list[tuple[Expectation, int]]:
+        return list(zip(self._scenario.expect, self._scenario.lines, strict=True))
+
+    def _check(self, entry: Expectation, line: int) -> None:
+        try:
+            fault = entry.fault(self._world)
+        except LookupError as error:
+            fault = str(error.args[0])
+        if fault:
+            at = self._world.timeline.now
+            self.faults.append(f"{self._scenario.path}:{line}: at {at:.1f} s: {fault}")
+
+
+def run_scenario(
+    scenario: Scenario, *, seed: int = DEFAULT_SEED, rules: ChoiceRules | None = None
+) -> ScenarioResult:
+    """Run one scenario; the same seed gives the same result.
+
+    Args:
+        scenario: A checked scenario.
+        seed: Seed of all random numbers.
+        rules: Choices of the call path, for tests.
+    """
+    missing = missing_parts(scenario.head.needs)
+    if missing:
+        return ScenarioResult(scenario.path, scenario.name, seed, RunState.SKIPPED, missing=missing)
+    checkers = {name: CHECKERS.get(name)() for name in CHECKERS}
+    fingerprint = Fingerprint()
+    emit = Dispatch()
+    emit.add(fingerprint.observe)
+    for checker in checkers.values():
+        checker.join(emit)
+    world = World(scenario.head.world, seed=seed, emit=emit, rules=rules)
+    for event in scenario.events:
+        world.timeline.at(event.at, partial(event.apply, world))
+    expectations = _Expectations(scenario, world)
+    expectations.plan()
+    world.begin()
+    world.timeline.run_until(scenario.head.seconds)
+    expectations.finish()
+    for checker in checkers.values():
+        checker.finish(scenario.head.seconds)
+    checks = tuple(
+        checkers[name].result(name) for name in sorted(checkers, key=lambda name: int(name[1:]))
+    )
+    faults = [*expectations.faults, *_broken(checks)]
+    state = RunState.FAILED if faults else RunState.PASSED
+    return ScenarioResult(
+        scenario.path, scenario.name, seed, state, tuple(faults), checks, fingerprint.text()
+    )
+
+
+def _broken(checks: tuple[CheckResult, ...]) -> list[str]:
+    return [
+        f"{check.name} ({check.title}) at {violation.at:.1f} s: {violation.text}"
+        for check in checks
+        if check.state is CheckState.BROKEN
+        for violation in check.violations
+    ]
+
+
+def find_scenarios(paths: list[str]) -> list[Path]:
+    """Return the scenario files that the paths name; folders are searched.
+
+    Raises:
+        ScenarioError: When a path does not exist or holds no scenario.
+    """
+    found: list[Path] = []
+    for text in paths:
+        path = Path(text)
+        files = sorted(path.rglob("*.yaml")) if path.is_dir() else [path]
+        if not files or not path.exists():
+            raise ScenarioError([f"{text}: holds no scenario"])
+        found.extend(files)
+    return found
+
+
+def run_files(paths: list[str], *, seed: int) -> list[ScenarioResult]:
+    """Load and run all named scenarios; a wrong file is a failed result.
+
+    Raises:
+        ScenarioError: When a path does not exist or holds no scenario.
+    """
+    results = []
+    for path in find_scenarios(paths):
+        try:
+            results.append(run_scenario(load_scenario(path), seed=seed))
+        except ScenarioError as error:
+            results.append(
+                ScenarioResult(str(path), path.stem, seed, RunState.FAILED, error.faults)
+            )
+        except CitronrackError as error:
+            text = f"{path}:1: {type(error).__name__}: {error}"
+            results.append(ScenarioResult(str(path), path.stem, seed, RunState.FAILED, (text,)))
+    return results
--- /dev/null
+++ b/src/citronrack/proof/world.py
@@ -0,0 +1,288 @@
+"""The simulated mesh of one scenario."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from ..config import Change, Route, Service, ServiceVersion
+from ..log import Confirmed, Envelope, encode_record
+from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM, SnapshotTaken
+from ..node.mail import DrainAsked
+from .deployments import DEPLOYMENTS, Deployment, ServiceSize
+from .fake_calls import ChoiceRules, FakeCalls
+from .fake_log import FakeLog
+from .fake_target import FakeTarget, Fault
+from .log_access import LogPath
+from .network import FakeNetwork
+from .observations import (
+    Dispatch,
+    DrainStarted,
+    Journal,
+    LogState,
+    Moment,
+    NodeStopped,
+    Reachability,
+    VersionTurnedBad,
+)
+from .operators import Operators
+from .schema import WorldSpec
+from .sim_node import SEEDS_PER_ZONE, NodePlace, SimNode
+from .timeline import NodeClock, Timeline
+
+DRAIN_NOTICE_S = 1.0  # time between the notice to peers and the end of the process
+DRAIN_LIMIT_S = 30.0
+SETUP_WRITER = "setup/1"
+
+
+class World:
+    """Wires the fakes around the nodes of a deployment.
+
+    Args:
+        spec: What the scenario starts with.
+        seed: Seed of all random numbers.
+        emit: Passes each observation to those who watch.
+        rules: Choices of the call path.
+    """
+
+    def __init__(
+        self,
+        spec: WorldSpec,
+        *,
+        seed: int,
+        emit: Dispatch | None = None,
+        rules: ChoiceRules | None = None,
+    ) -> None:
+        self.spec = spec
+        self.deployment: Deployment = DEPLOYMENTS.get(spec.deployment)
+        self.journal = Journal()
+        self.emit = emit if emit is not None else Dispatch()
+        self.emit.add(self.journal.observe)
+        self.timeline = Timeline()
+        self._random = Random(seed)
+        self.rules = rules if rules is not None else ChoiceRules()
+        self.log = FakeLog(spec.log, timeline=self.timeline, emit=self.emit)
+        self.nodes: dict[str, SimNode] = {}
+        self._by_address: dict[str, SimNode] = {}
+        self._faults: dict[tuple[str, str], Fault] = {}
+        self._reachable: dict[str, bool] = {}
+        self._setup_sequence = 0
+        self.network = FakeNetwork(
+            timeline=self.timeline,
+            random=self._branch(),
+            spec=spec.links,
+            zones=self.deployment.zones,
+            link_ms=self.deployment.link_ms,
+            deliver=self._deliver,
+        )
+        self.operators = Operators(self, profile=self.deployment.profile)
+        self.calls = FakeCalls(
+            self,
+            random=self._branch(),
+            loads=[load for service in self.deployment.services for load in service.routes],
+            caller_ms=self.deployment.caller_ms,
+        )
+
+    def begin(self) -> None:
+        """Put the first configuration into the log and start all nodes."""
+        self.emit(LogState(0.0, True))
+        self._append_setup(self._first_change())
+        for service in self.deployment.services:
+            self._add_targets(service, service.service_version, service.workers)
+        for extra in self.spec.targets:
+            self._add_targets(self.service(extra.service), extra.service_version, extra.count)
+        for node in self.nodes.values():
+            self.timeline.at(self._random.uniform(0, self.spec.start_spread_s), self._starter(node))
+        self.calls.set_rate(self.spec.load.calls_per_s)
+        self._each_second()
+
+    def service(self, name: str) -> ServiceSize:
+        """Return a service of the deployment."""
+        for service in self.deployment.services:
+            if service.name == name:
+                return service
+        raise LookupError(f"deployment {self.spec.deployment!r} has no service {name!r}")
+
+    def node(self, name: str) -> SimNode:
+        """Return the node called ``name``."""
+        try:
+            return self.nodes[name]
+        except KeyError:
+            known = ", ".join(self.nodes)
+            raise LookupError(f"unknown node {name!r}; known: {known}") from None
+
+    def live_node(self, name: str = "") -> SimNode:
+        """Return the named node, or the first one that serves."""
+        if name:
+            return self.node(name)
+        for node in self.nodes.values():
+            if node.serving and not node.draining:
+                return node
+        return next(iter(self.nodes.values()))
+
+    def holder(self, duty: str) -> SimNode | None:
+        """Return the node that holds a duty by the log, if one does."""
+        lease = self.log.fold.state.leases.get(duty)
+        return self.nodes.get(lease.holder) if lease is not None else None
+
+    def crash(self, node: SimNode) -> None:
+        """End a node's instance without notice."""
+        if node.up:
+            cut = node.target.in_flight
+            node.end()
+            self.emit(NodeStopped(self.timeline.now, node.name, False, cut))
+            self.check_reachability()
+
+    def start(self, node: SimNode) -> None:
+        """Start a node that does not run."""
+        if not node.up:
+            node.start()
+            self.check_reachability()
+
+    def drain(self, node: SimNode, then: Callable[[], None] | None = None) -> None:
+        """Let a node leave gracefully; ``then`` runs when its process has ended."""
+        if not node.up:
+            return
+        node.draining = True
+        self.emit(DrainStarted(self.timeline.now, node.name))
+        node.post(DrainAsked())
+        boot, limit = node.boot, self.timeline.now + DRAIN_LIMIT_S
+        self.timeline.after(DRAIN_NOTICE_S, lambda: self._finish_drain(node, boot, limit, then))
+
+    def set_fault(self, service: str, service_version: str, fault: Fault) -> None:
+        """Make a service version bad."""
+        self._faults[service, service_version] = fault
+        self.emit(VersionTurnedBad(self.timeline.now, service, service_version))
+
+    def add_targets(self, service: str, service_version: str, count: int) -> None:
+        """Start further targets now."""
+        for node in self._add_targets(self.service(service), service_version, count):
+            self.start(node)
+
+    def write_snapshot(self) -> None:
+        """Let the platform hold a snapshot of all present records."""
+        state = self.log.fold
+        offset = self.log.append(SNAPSHOTS_STREAM, state.to_snapshot())
+        self.append_body(SnapshotTaken(0, state.next_offset, offset))
+
+    def append_body(self, body: Any) -> int:
+        """Append a record that no node wrote, and return its offset."""
+        self._setup_sequence += 1
+        envelope = Envelope(SETUP_WRITER, self._setup_sequence, 0, body)
+        return self.log.append(RECORDS_STREAM, encode_record(envelope))
+
+    def check_reachability(self) -> None:
+        """Report nodes that have become reachable or unreachable."""
+        zones = self.network.connected_zones()
+        for node in self.nodes.values():
+            reachable = node.up and not node.paused and node.zone in zones
+            if self._reachable.get(node.name) != reachable:
+                self._reachable[node.name] = reachable
+                self.emit(Reachability(self.timeline.now, node.name, reachable))
+
+    def _branch(self) -> Random:
+        """Return an independent source of random numbers."""
+        return Random(self._random.getrandbits(64))
+
+    def _starter(self, node: SimNode) -> Callable[[], None]:
+        return lambda: self.start(node)
+
+    def _each_second(self) -> None:
+        self.emit(Moment(self.timeline.now))
+        self.timeline.after(1.0, self._each_second)
+
+    def _deliver(self, to: str, sender: str, message: Any) -> None:
+        self._by_address[to].receive(sender, message)
+
+    def _finish_drain(
+        self, node: SimNode, boot: int, limit: float, then: Callable[[], None] | None
+    ) -> None:
+        if not node.up or node.boot != boot:
+            return
+        open_calls = node.target.in_flight + node.calls_open
+        if open_calls and self.timeline.now < limit:
+            self.timeline.after(0.1, lambda: self._finish_drain(node, boot, limit, then))
+            return
+        node.end()
+        self.emit(NodeStopped(self.timeline.now, node.name, True, open_calls))
+        self.check_reachability()
+        if then is not None:
+            then()
+
+    def _first_change(self) -> Change:
+        extra: dict[str, list[str]] = {}
+        for target in self.spec.targets:
+            extra.setdefault(target.service, []).append(target.service_version)
+        slots = self.deployment.slots
+        services: list[Service] = []
+        routes: list[Route] = []
+        for size in self.deployment.services:
+            names = [size.service_version, *extra.get(size.name, ())]
+            versions = {name: ServiceVersion(name, slots) for name in names}
+            services.append(Service(size.name, versions))
+            routes.extend(
+                Route(load.name, load.prefix, size.name, size.service_version)
+                for load in size.routes
+            )
+        return Change(put_services=tuple(services), put_routes=tuple(routes))
+
+    def _append_setup(self, change: Change) -> None:
+        self.append_body(Confirmed("setup", -1, change, 0, 1, "setup"))
+
+    def _add_targets(self, size: ServiceSize, version: str, count: int) -> list[SimNode]:
+        zones = self.deployment.zones
+        added = []
+        for _ in range(count):
+            number = len(self.nodes) + 1
+            index = sum(node.place.service == size.name for node in self.nodes.values()) + 1
+            place = NodePlace(
+                f"{size.name}-{index}",
+                number,
+                zones[(number - 1) % len(zones)],
+                size.name,
+                version,
+                self.deployment.slots,
+            )
+            added.append(self._make_node(place, size))
+        return added
+
+    def _make_node(self, place: NodePlace, size: ServiceSize) -> SimNode:
+        skew = self.spec.clock_skew_ms
+        key = (place.service, place.service_version)
+        self.network.zone_of[place.address] = place.availability_zone
+        node = SimNode(
+            place,
+            target=FakeTarget(
+                timeline=self.timeline,
+                random=self._branch(),
+                slots=place.slots,
+                work_ms=size.work_ms,
+                fault=lambda: self._faults.get(key),
+            ),
+            timeline=self.timeline,
+            clock=NodeClock(self.timeline, skew_ms=self._random.randint(-skew, skew)),
+            path=LogPath(
+                self.timeline, self.log, self.network, place.availability_zone, self._branch()
+            ),
+            seeds=self._seeds(),
+            profile=self.deployment.profile,
+            send=self.network.send,
+            emit=self.emit,
+        )
+        self.nodes[node.name] = node
+        self._by_address[place.address] = node
+        return node
+
+    def _seeds(self) -> dict[str, tuple[str, ...]]:
+        """Return addresses by zone; node numbers are given to zones in turn."""
+        zones = self.deployment.zones
+        total = math.ceil(sum(size.workers for size in self.deployment.services) / len(zones))
+        per_zone = range(min(SEEDS_PER_ZONE, total))
+        return {
+            zone: tuple(
+                f"tcp://127.0.0.1:{10_000 + 1 + position + turn * len(zones)}" for turn in per_zone
+            )
+            for position, zone in enumerate(zones)
+        }
