--- a/src/citronrack/cli/commands/node.py
+++ b/src/citronrack/cli/commands/node.py
@@ -4,9 +4,8 @@
 
 from cleo.helpers import argument
 
-from ...settings import load_settings
 from ..base import BaseCommand
-from ..exits import Exit
+from ..run_node import run_node
 
 
 class NodeCommand(BaseCommand):
@@ -15,12 +14,8 @@
     name = "node"
     description = "Runs a node beside a target until SIGTERM, then stops gracefully"
     arguments = [argument("settings", "Path of the settings file")]
-    help = "Example: <info>citronrack node examples/spoorhout/lowlands-a-1.yaml</info>"
+    help = "Example: <info>citronrack node examples/spoorhout/lowlands-a-catalogue-1.yaml</info>"
 
     def run_command(self) -> int:
         """Serve until the process is told to stop."""
-        settings = load_settings(self.argument("settings"))
-        from ...node.compose import compose
-
-        compose(settings).run()
-        return Exit.OK
+        return run_node(self.argument("settings"), write_error=self.line_error)
