Add trace, replay and fuzzing of the composed core

A recorded node can be run again and the first different decision is named by its line; fuzzing found that a member with an unusable deliver address ends the control task.

--- a/src/citronrack/cli/commands/scenario_run.py
+++ b/src/citronrack/cli/commands/scenario_run.py
@@ -23,6 +23,7 @@
     options = [
         option("seed", None, "Seed of all random numbers", flag=False, default="1"),
         option("checks", None, "Also print the result of each invariant checker"),
+        option("trace", None, "NODE=FILE: record the node; FILE.1, FILE.2, ...", flag=False),
         FORMAT_OPTION,
     ]
     help = "Example: <info>citronrack scenario run scenarios --seed 7</info>"
@@ -31,7 +32,7 @@
         """Run all scenarios; a broken expectation or invariant makes the exit code 1."""
         from ...proof.runner import RunState, run_files
 
-        results = run_files(self.argument("paths"), seed=self._seed())
+        results = run_files(self.argument("paths"), seed=self._seed(), traces=self._traces())
         if self.wants_json:
             self.write_json([to_plain(result) for result in results])
         else:
@@ -47,6 +48,15 @@
         except ValueError:
             raise UsageError(f"--seed must be a number, not {self.option('seed')!r}") from None
 
+    def _traces(self) -> dict[str, str]:
+        named = self.option("trace")
+        if not named:
+            return {}
+        node, separator, path = named.partition("=")
+        if not separator or not path:
+            raise UsageError(f"--trace must be NODE=FILE, not {named!r}")
+        return {node: path}
+
     def _print(self, result: ScenarioResult) -> None:
         detail = f" (needs {', '.join(result.missing)})" if result.missing else ""
         self.line(f"{result.state.value:8} {result.name} seed {result.seed}{detail}")
--- a/src/citronrack/cli/main.py
+++ b/src/citronrack/cli/main.py
@@ -23,6 +23,7 @@
     "intent list": ("queries.intent_list", "IntentListCommand"),
     "status": ("queries.status", "StatusCommand"),
     "check-config": ("queries.check_config", "CheckConfigCommand"),
+    "replay": ("queries.replay", "ReplayCommand"),
     "scenario run": ("commands.scenario_run", "ScenarioRunCommand"),
     "version": ("queries.version", "VersionCommand"),
 }
--- /dev/null
+++ b/src/citronrack/proof/_mail_codec.py
@@ -0,0 +1,64 @@
+"""Text form of the messages between a node's tasks, for traces."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+from attrs import frozen
+
+from ..codec import TaggedCodec
+from ..errors import MessageRejected
+from ..log.fold import MAX_SNAPSHOT_BYTES
+from ..log.records import record_codec
+from ..node import mail as mails
+from ..node.mail import AppendDone, StopAsked
+
+mail_codec = TaggedCodec()
+
+
+@mail_codec.register("AppendDone")
+@frozen
+class _AppendDone:
+    """An `AppendDone` whose record body is encoded."""
+
+    body: bytes
+    offset: int | None
+    reason: str
+
+
+def _is_plain(kind: type[Any]) -> bool:
+    """Return whether no field holds a future, which only the asking thread could answer."""
+    return not any("Future" in str(attribute.type) for attribute in attrs.fields(kind))
+
+
+for _name, _kind in sorted(vars(mails).items()):
+    _owned = isinstance(_kind, type) and _kind.__module__ == mails.__name__
+    if _owned and attrs.has(_kind) and _kind not in (AppendDone, StopAsked) and _is_plain(_kind):
+        mail_codec.register(_name)(_kind)
+
+
+def encode_mail(mail: Any) -> str | None:
+    """Return the text form, or None for questions, which change no decision."""
+    if isinstance(mail, AppendDone):
+        mail = _AppendDone(record_codec.encode(mail.body), mail.offset, mail.reason)
+    try:
+        return mail_codec.encode(mail).hex()
+    except KeyError:
+        return None
+
+
+def decode_mail(text: str) -> Any:
+    """Return the message that ``text`` holds.
+
+    Raises:
+        MessageRejected: When the text is damaged or of an unknown kind.
+    """
+    try:
+        data = bytes.fromhex(text)
+    except ValueError as error:
+        raise MessageRejected("malformed") from error
+    mail = mail_codec.decode(data, limit=MAX_SNAPSHOT_BYTES)
+    if isinstance(mail, _AppendDone):
+        return AppendDone(record_codec.decode(mail.body), mail.offset, mail.reason)
+    return mail
--- /dev/null
+++ b/src/citronrack/proof/_strategies.py
@@ -0,0 +1,178 @@
+"""Generators of messages, records and broken files for fuzzing."""
+
+from __future__ import annotations
+
+import types
+from typing import Any, Union, get_args, get_origin
+
+import attrs
+from hypothesis import strategies as st
+
+from ..calls import CallRecord
+from ..config import Change, Route, Service, ServiceVersion
+from ..log import Envelope, encode_record
+from ..log.records import Confirmed, Duty, MoveResult, record_codec
+from ..membership import Member
+from ..node.mail import CallReported, DrainAsked, LoadReported, LogReadFailed
+from ..transport.messages import message_codec
+from ..verdict import Verdict
+
+NAMES = ("a-1", "a-2", "a-3", "own")
+ZONES = ("zone-a", "zone-b")
+SERVICES = ("catalogue", "media")
+VERSIONS = ("1.0", "2.0")
+ROUTES = ("lookups", "orders")
+
+# Likely values first, so that generated messages refer to each other.
+_TEXTS = st.one_of(
+    st.sampled_from((*NAMES, *ZONES, *SERVICES, *VERSIONS, *ROUTES, *Duty, *MoveResult)),
+    st.text(max_size=6),
+)
+_NUMBERS = st.one_of(st.integers(-2, 12), st.integers(-(2**31), 2**31))
+_FLOATS = st.one_of(st.floats(0, 2, allow_nan=False), st.floats(allow_nan=False, width=32))
+_LEAVES: dict[Any, st.SearchStrategy[Any]] = {
+    int: _NUMBERS,
+    float: _FLOATS,
+    str: _TEXTS,
+    bool: st.booleans(),
+    bytes: st.binary(max_size=40),
+    Verdict: st.sampled_from(Verdict),
+    types.NoneType: st.none(),
+}
+
+
+def member(name: str, number: int, *, zone: str = ZONES[0]) -> Member:
+    """Return a member with usable addresses."""
+    return Member(
+        name=name,
+        address=f"tcp://127.0.0.1:{10_000 + number}",
+        call_address=f"127.0.0.1:{20_000 + number}",
+        deliver_address=f"127.0.0.1:{30_000 + number}",
+        availability_zone=zone,
+        service="catalogue",
+        service_version="1.0",
+        incarnation=number,
+    )
+
+
+def members() -> st.SearchStrategy[Member]:
+    """Generate members; those with unusable addresses stand for a peer with a fault."""
+    return st.builds(
+        lambda base, **fields: attrs.evolve(base, **fields),
+        st.builds(member, st.sampled_from(NAMES), st.integers(0, 3), zone=st.sampled_from(ZONES)),
+        incarnation=st.integers(0, 9),
+        state=st.sampled_from((0, 0, 0, 1, 2)),
+        draining=st.sampled_from((False, False, False, True)),
+        ready=st.sampled_from((True, True, False)),
+        version=st.integers(-1, 9),
+        load=st.integers(0, 9),
+        deliver_address=st.sampled_from(("127.0.0.1:30001", "127.0.0.1:30002", "", "host:1")),
+    )
+
+
+def of_type(kind: Any) -> st.SearchStrategy[Any]:
+    """Generate values of an annotation as the codec accepts it."""
+    if kind is Member:
+        return members()
+    if kind in _LEAVES:
+        return _LEAVES[kind]
+    origin, args = get_origin(kind), get_args(kind)
+    if origin in (Union, types.UnionType):
+        return st.one_of([of_type(part) for part in args])
+    if origin is tuple and args[-1] is Ellipsis:
+        return st.lists(of_type(args[0]), max_size=3).map(tuple)
+    if origin is tuple:
+        return st.tuples(*(of_type(part) for part in args))
+    if origin is dict:
+        return st.dictionaries(of_type(args[0]), of_type(args[1]), max_size=3)
+    if attrs.has(kind):
+        attrs.resolve_types(kind)
+        return st.builds(kind, **{a.name: of_type(a.type) for a in attrs.fields(kind)})
+    return st.none()
+
+
+def messages() -> st.SearchStrategy[Any]:
+    """Generate instances of all registered messages between nodes."""
+    kinds = sorted(message_codec._by_tag.items())
+    return st.one_of([of_type(kind) for _, kind in kinds])
+
+
+def _confirmed() -> st.SearchStrategy[Any]:
+    """Generate confirmations that often are valid."""
+    service = st.builds(
+        lambda name, versions: Service(name, {v: ServiceVersion(v) for v in versions}),
+        st.sampled_from(SERVICES),
+        st.lists(st.sampled_from(VERSIONS), min_size=1, max_size=2),
+    )
+    route = st.builds(
+        lambda name, service, version: Route(name, f"/{name}", service, version),
+        st.sampled_from(ROUTES),
+        st.sampled_from(SERVICES),
+        st.sampled_from(VERSIONS),
+    )
+    change = st.builds(
+        Change,
+        put_services=st.lists(service, max_size=2).map(tuple),
+        put_routes=st.lists(route, max_size=2).map(tuple),
+        remove_routes=st.lists(st.sampled_from(ROUTES), max_size=1).map(tuple),
+        remove_services=st.lists(st.sampled_from(SERVICES), max_size=1).map(tuple),
+    )
+    return st.builds(
+        Confirmed,
+        plan_id=st.text("pq", min_size=1, max_size=3),
+        base_version=st.integers(-1, 8),
+        change=change,
+        confirmed_ms=st.integers(0, 3),
+        expires_ms=st.integers(0, 3),
+        operator=st.just("operator"),
+    )
+
+
+def _body() -> st.SearchStrategy[Any]:
+    kinds = sorted(record_codec._by_tag.items())
+    return st.one_of(_confirmed(), _confirmed(), *(of_type(kind) for _, kind in kinds))
+
+
+def records() -> st.SearchStrategy[bytes]:
+    """Generate log records: valid ones, retried ones and garbage."""
+    envelope = st.builds(
+        Envelope,
+        writer=st.sampled_from(("a-1/x", "a-2/y")),
+        sequence=st.integers(0, 12),
+        written_ms=st.integers(0, 9),
+        body=_body(),
+    )
+    return st.one_of(
+        envelope.map(encode_record), envelope.map(encode_record), st.binary(max_size=30)
+    )
+
+
+def small_mail() -> st.SearchStrategy[Any]:
+    """Generate mail that does not concern the log's content."""
+    call = of_type(CallRecord).map(CallReported)
+    return st.one_of(
+        st.just(LogReadFailed("down")),
+        call,
+        st.integers(0, 50).map(LoadReported),
+        st.just(DrainAsked()),
+    )
+
+
+def mutated(original: bytes) -> st.SearchStrategy[bytes]:
+    """Generate damaged variants of a file."""
+
+    def replace(parts: list[tuple[int, int, bytes]]) -> bytes:
+        data = original
+        for start, length, text in parts:
+            start %= max(len(data), 1)
+            data = data[:start] + text + data[start + length :]
+        return data
+
+    snippets = st.one_of(
+        st.binary(max_size=4),
+        st.sampled_from(
+            (b"null", b"[", b"{", b"-1", b": ", b"\n  ", b"&a *a", b"1e999", b"~", b"'")
+        ),
+    )
+    part = st.tuples(st.integers(0, len(original)), st.integers(0, 30), snippets)
+    return st.lists(part, min_size=1, max_size=4).map(replace)
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from ..config import ConfigSet
+from ..config import ConfigSet, find_faults
 from ..verdict import Verdict
 from ._convergence import ConvergenceChecker
 from .checker import CHECKERS, Checker
@@ -113,7 +113,10 @@
 
 @CHECKERS.register("R3")
 class WholeVersions(Checker):
-    """Each version in force equals the one that the log's records lead to."""
+    """Each version in force is valid and equals the one that the log's records lead to.
+
+    A replay does not know the log's records; there only the validity is checked.
+    """
 
     title = "an invalid version is never applied in part"
 
@@ -138,6 +141,10 @@
 
     def _config(self, seen: ConfigInForce) -> None:
         version = seen.config.version
+        for text in find_faults(seen.config):
+            self._fail(seen.at, f"{seen.node} holds an invalid version {version}: {text}")
+        if not self._accepted:
+            return
         if version in self._refused:
             reason = self._refused[version]
             self._fail(seen.at, f"{seen.node} has refused version {version} in force: {reason}")
--- /dev/null
+++ b/src/citronrack/proof/replay.py
@@ -0,0 +1,273 @@
+"""Runs the inputs of a trace again and compares the decisions."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from attrs import define, frozen
+
+from ..calls import ViewHolder
+from ..errors import CitronrackError, MessageRejected
+from ..membership import Member
+from ..plain import PlainFaults, from_plain
+from ..transport.messages import message_codec
+from ..transport.send import Send
+from ._mail_codec import decode_mail
+from .checker import CheckResult
+from .checkers import CHECKERS
+from .core_factory import CoreOptions, make_core
+from .decisions import DecisionWatcher
+from .observations import Dispatch, NodeStarted
+from .trace import TRACE_FORMAT, Decisions, TraceWriter, dump, seeded
+
+MAX_LINE_BYTES = 64 * 1024 * 1024
+
+
+class TraceError(CitronrackError):
+    """A trace cannot be read; the message names file, line and byte."""
+
+
+@frozen
+class TraceLine:
+    """One checked line.
+
+    Attributes:
+        number: Line number, from 1.
+        content: What it says.
+    """
+
+    number: int
+    content: dict[str, Any]
+
+
+@frozen
+class Difference:
+    """The first decision that differs.
+
+    Attributes:
+        line: Line of the trace.
+        step: Number of the input.
+        name: What differs.
+        expected: Recorded value.
+        found: Value of this run.
+    """
+
+    line: int
+    step: int
+    name: str
+    expected: str
+    found: str
+
+
+@frozen
+class ReplayResult:
+    """Result of a replay.
+
+    Attributes:
+        node: Name of the recorded node.
+        steps: Number of inputs that were run.
+        end: Why the recording ended.
+        difference: First difference, None when all decisions are equal.
+        checks: Results of the invariant checkers.
+    """
+
+    node: str
+    steps: int
+    end: str
+    difference: Difference | None
+    checks: tuple[CheckResult, ...]
+
+
+@define
+class _ReplayClock:
+    """Shows the times of the trace."""
+
+    now: float = 0.0
+    wall: int = 0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall_ms(self) -> int:
+        return self.wall
+
+
+def read_trace(path: str | Path) -> Iterator[TraceLine]:
+    """Yield the checked lines of a trace, the marker line last.
+
+    Raises:
+        TraceError: At the first damaged line, or when the marker line is missing.
+    """
+    checksum, offset, number, ended = 0, 0, 0, False
+    try:
+        with open(path, "rb") as file:
+            while data := file.readline(MAX_LINE_BYTES):
+                number += 1
+                where = f"{path}:{number}: byte {offset}"
+                if ended:
+                    raise TraceError(f"{where}: the trace goes on after its end")
+                content, checksum = _check_line(data, checksum, where)
+                ended = "end" in content
+                yield TraceLine(number, content)
+                offset += len(data)
+    except OSError as error:
+        raise TraceError(f"{path}: cannot be read: {error.strerror}") from error
+    if not ended:
+        raise TraceError(f"{path}:{number + 1}: byte {offset}: the trace ends without its end line")
+
+
+def _check_line(data: bytes, checksum: int, where: str) -> tuple[dict[str, Any], int]:
+    if not data.endswith(b"\n"):
+        raise TraceError(f"{where}: the line is cut off")
+    try:
+        line = json.loads(data)
+        recorded, content = line["crc"], line["line"]
+        checksum = zlib.crc32(dump(content).encode(), checksum)
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise TraceError(f"{where}: the line is damaged") from error
+    if recorded != f"{checksum:08x}" or not isinstance(content, dict):
+        raise TraceError(f"{where}: the checksum does not match")
+    return content, checksum
+
+
+class _Player:
+    """A core that is fed from a trace."""
+
+    def __init__(self, line: TraceLine, path: str | Path, writer: TraceWriter | None) -> None:
+        head = line.content
+        if head.get("trace") != TRACE_FORMAT:
+            raise TraceError(f"{path}:{line.number}: is not a trace of format {TRACE_FORMAT}")
+        try:
+            self.own = from_plain(head.get("own"), Member, name="own")
+            options = from_plain(head.get("options"), CoreOptions, name="options")
+            seed = int(head["seed"])
+        except (PlainFaults, KeyError, TypeError, ValueError) as error:
+            raise TraceError(f"{path}:{line.number}: wrong first line: {error}") from error
+        self._clock = _ReplayClock()
+        self._views = ViewHolder()
+        self._core = make_core(
+            own=self.own,
+            options=options,
+            clock=self._clock,
+            random=seeded(seed),
+            views=self._views,
+            append=lambda body: None,  # Results of appends are part of the trace.
+        )
+        self._emit = Dispatch()
+        self.checkers = {name: CHECKERS.get(name)() for name in CHECKERS}
+        for checker in self.checkers.values():
+            checker.join(self._emit)
+        self._watcher = DecisionWatcher(
+            self._core, self._views, node=self.own.name, boot=1, emit=self._emit
+        )
+        self._start: float | None = None
+        self._writer = writer
+        if writer is not None:
+            writer.begin(own=self.own, options=options, seed=seed)
+
+    def run(self, content: dict[str, Any]) -> Decisions:
+        """Feed one input and return what was decided."""
+        self._clock.now, self._clock.wall = content["monotonic"], content["wall_ms"]
+        if self._start is None:
+            self._start = self._clock.now
+            zone = self.own.availability_zone
+            self._emit(NodeStarted(0.0, self.own.name, zone, 1))
+        entry, effects = self._feed(content)
+        decisions = Decisions.of(self._core, self._views, effects)
+        self._watcher.look(self._clock.now - self._start)
+        if self._writer is not None:
+            self._writer.step(self._clock, entry, decisions)
+        return decisions
+
+    def _feed(self, content: dict[str, Any]) -> tuple[dict[str, Any], list[Send]]:
+        if "tick" in content:
+            return {"tick": True}, self._core.on_tick()
+        if "message" in content:
+            message = message_codec.decode(bytes.fromhex(content["message"]))
+            entry = {"from": content["from"], "message": content["message"]}
+            return entry, self._core.on_message(content["from"], message)
+        mail = decode_mail(content["mail"])
+        return {"mail": content["mail"], "kind": content["kind"]}, self._core.handle(mail)
+
+
+@define
+class _Expected:
+    """The recorded decisions, rebuilt from their changes."""
+
+    values: dict[str, Any]
+
+    def compare(self, line: TraceLine, found: Decisions) -> Difference | None:
+        """Return the first field that differs after the input of ``line``."""
+        self.values.update(line.content.get("decided", {}))
+        for name, expected in self.values.items():
+            value = getattr(found, name, None)
+            if value != expected:
+                step = line.content["step"]
+                return Difference(line.number, step, name, str(expected), str(value))
+        return None
+
+
+def replay(
+    path: str | Path, *, expect: str | Path | None = None, write: str | Path | None = None
+) -> ReplayResult:
+    """Run the inputs of a trace again.
+
+    Args:
+        path: The trace.
+        expect: Another trace of the same inputs whose decisions are compared instead.
+        write: File that gets a trace with the decisions of this run.
+
+    Raises:
+        TraceError: When a trace is damaged or truncated, or a step cannot be repeated.
+    """
+    lines = read_trace(path)
+    expected_lines = read_trace(expect) if expect is not None else None
+    first = next(lines)
+    if expected_lines is not None:
+        next(expected_lines)
+    writer = TraceWriter(write) if write is not None else None
+    player = _Player(first, path, writer)
+    expected = _Expected({})
+    steps, end, difference = 0, "", None
+    try:
+        for line in lines:
+            other = _other(line, expected_lines, expect)
+            if "end" in line.content:
+                end = str(line.content["end"])
+                break
+            found = _play(player, line, path)
+            steps += 1
+            difference = difference or expected.compare(other, found)
+            if difference is not None and writer is None:
+                break
+    finally:
+        if writer is not None:
+            writer.close(end or "broken off")
+    for checker in player.checkers.values():
+        checker.finish(0.0)
+    names = sorted(player.checkers, key=lambda name: int(name[1:]))
+    checks = tuple(player.checkers[name].result(name) for name in names)
+    return ReplayResult(player.own.name, steps, end, difference, checks)
+
+
+def _other(
+    line: TraceLine, expected: Iterator[TraceLine] | None, path: str | Path | None
+) -> TraceLine:
+    if expected is None:
+        return line
+    other = next(expected, None)
+    if other is None or other.content.get("step") != line.content.get("step"):
+        raise TraceError(f"{path}:{line.number}: is not a trace of the same inputs")
+    return other
+
+
+def _play(player: _Player, line: TraceLine, path: str | Path) -> Decisions:
+    try:
+        return player.run(line.content)
+    except (KeyError, TypeError, MessageRejected) as error:
+        text = f"{path}:{line.number}: the input cannot be repeated: {error!r}"
+        raise TraceError(text) from error
--- a/src/citronrack/proof/runner.py
+++ b/src/citronrack/proof/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Mapping
 from enum import StrEnum
 from functools import partial
 from pathlib import Path
@@ -104,7 +105,11 @@
 
 
 def run_scenario(
-    scenario: Scenario, *, seed: int = DEFAULT_SEED, rules: ChoiceRules | None = None
+    scenario: Scenario,
+    *,
+    seed: int = DEFAULT_SEED,
+    rules: ChoiceRules | None = None,
+    traces: Mapping[str, str] | None = None,
 ) -> ScenarioResult:
     """Run one scenario; the same seed gives the same result.
 
@@ -112,6 +117,7 @@
         scenario: A checked scenario.
         seed: Seed of all random numbers.
         rules: Choices of the call path, for tests.
+        traces: Trace files by node; each process writes one, with its number at the end.
     """
     missing = missing_parts(scenario.head.needs)
     if missing:
@@ -122,7 +128,7 @@
     emit.add(fingerprint.observe)
     for checker in checkers.values():
         checker.join(emit)
-    world = World(scenario.head.world, seed=seed, emit=emit, rules=rules)
+    world = World(scenario.head.world, seed=seed, emit=emit, rules=rules, traces=traces)
     for event in scenario.events:
         world.timeline.at(event.at, partial(event.apply, world))
     expectations = _Expectations(scenario, world)
@@ -130,6 +136,7 @@
     world.begin()
     world.timeline.run_until(scenario.head.seconds)
     expectations.finish()
+    world.end_traces()
     for checker in checkers.values():
         checker.finish(scenario.head.seconds)
     checks = tuple(
@@ -167,7 +174,9 @@
     return found
 
 
-def run_files(paths: list[str], *, seed: int) -> list[ScenarioResult]:
+def run_files(
+    paths: list[str], *, seed: int, traces: Mapping[str, str] | None = None
+) -> list[ScenarioResult]:
     """Load and run all named scenarios; a wrong file is a failed result.
 
     Raises:
@@ -176,7 +185,7 @@
     results = []
     for path in find_scenarios(paths):
         try:
-            results.append(run_scenario(load_scenario(path), seed=seed))
+            results.append(run_scenario(load_scenario(path), seed=seed, traces=traces))
         except ScenarioError as error:
             results.append(
                 ScenarioResult(str(path), path.stem, seed, RunState.FAILED, error.faults)
--- a/src/citronrack/proof/sim_node.py
+++ b/src/citronrack/proof/sim_node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import inspect
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -10,38 +9,26 @@
 from attrs import frozen
 
 from ..calls import ViewHolder
-from ..clock import Clock
 from ..membership import Member
 from ..node.control import TICK_MS
 from ..node.core import NodeCore
-from ..node.cores import compose_core
 from ..node.mail import LoadReported
-from ..node.readiness import Readiness
-from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Send
+from .core_factory import CoreOptions, make_core
+from .decisions import DecisionWatcher
 from .fake_target import FakeTarget
 from .log_access import FakeAppender, FakeReader, LogPath
 from .observations import (
-    ConfigInForce,
-    MarkSeen,
     NodeStarted,
     Observation,
-    ReadinessChanged,
-    ShareGiven,
 )
 from .timeline import NodeClock, Timeline
+from .trace import SteppedClock, TraceWriter, seeded, trace_core
 
 MAX_PAUSED_INBOX = 1_000  # the transport's high-water mark
 SEEDS_PER_ZONE = 3
 
 
-class QuietEvents(EventLog):
-    """Drops log lines; scenarios observe state instead."""
-
-    def write(self, event: Event, **fields: Any) -> None:
-        """Drop the line."""
-
-
 @frozen
 class NodePlace:
     """Where a node stands and what it serves.
@@ -82,48 +69,6 @@
         )
 
 
-def make_core(
-    *,
-    own: Member,
-    seeds: dict[str, tuple[str, ...]],
-    clock: Clock,
-    random: Random,
-    views: ViewHolder,
-    append: Callable[[Any], None],
-    profile: str,
-    link_ms: float = 4.0,
-) -> NodeCore:
-    """Return a core; passes on what the present `compose_core` takes.
-
-    Args:
-        own: Description of the node.
-        seeds: Addresses of nodes by zone.
-        clock: Source of time.
-        random: Source of random numbers.
-        views: Receives the routing view.
-        append: Queues a record body.
-        profile: Default policy for moves.
-        link_ms: One-way delay between zones.
-    """
-    zone = own.availability_zone
-    offered: dict[str, Any] = {
-        "own": own,
-        "seeds": seeds.get(zone, ()),
-        "remote_seeds": {name: found for name, found in seeds.items() if name != zone},
-        "clock": clock,
-        "random": random,
-        "events": QuietEvents(node=own.name, level="error"),
-        "metrics": Metrics(None, prefix=""),
-        "views": views,
-        "append": append,
-        "profile": profile,
-        "default_profile": profile,
-        "link_one_way_ms": link_ms,
-    }
-    wanted = inspect.signature(compose_core).parameters
-    return compose_core(**{name: value for name, value in offered.items() if name in wanted})
-
-
 class SimNode:
     """Starts, feeds, pauses and ends one node.
 
@@ -160,6 +105,8 @@
         self.paused = False
         self.draining = False
         self.calls_open = 0
+        self.trace_path = ""
+        self.trace: TraceWriter | None = None
         self.views = ViewHolder()
         self._timeline = timeline
         self._path = path
@@ -204,22 +151,14 @@
         self.up, self.paused, self.draining = True, False, False
         self._inbox.clear()
         self.views = ViewHolder()
-        self._seen_version, self._seen_state = -1, Readiness.NOT_READY
-        self._seen_shares: Any = {}
-        self._seen_marks: set[str] = set()
         self._seen_load = 0
         self.appender = FakeAppender(
             self._path, writer=f"{self.name}/{self.boot}", wall_ms=self.clock.wall_ms
         )
         appender = self.appender
-        self._core = make_core(
-            own=self.place.member(self.clock.wall_ms()),
-            seeds=self._seeds,
-            clock=self.clock,
-            random=self._random,
-            views=self.views,
-            append=lambda body: appender.submit(body, self.post),
-            profile=self._profile,
+        self._core = self._make_core(lambda body: appender.submit(body, self.post))
+        self._watcher = DecisionWatcher(
+            self._core, self.views, node=self.name, boot=self.boot, emit=self._emit
         )
         self.target.start()
         self._emit(NodeStarted(self.now, self.name, self.zone, self.boot))
@@ -233,10 +172,16 @@
     def end(self) -> None:
         """End the process and its target at once."""
         self.up = False
+        self.end_trace()
         self._reader.stop()
         self.appender.stop()
         self.target.kill()
 
+    def end_trace(self) -> None:
+        """Close the trace of the process, if there is one."""
+        if self.trace is not None:
+            self.trace.close()
+
     def pause(self) -> None:
         """Stop the process without ending it, as a hypervisor does."""
         self.paused = True
@@ -259,6 +204,34 @@
         if self.up:
             self._run(lambda: self.core.on_message(sender, message))
 
+    def _make_core(self, append: Callable[[Any], None]) -> NodeCore:
+        """Return the core of a new process, traced when a trace file is named."""
+        seed = self._random.getrandbits(64)
+        options = self._options()
+        own = self.place.member(self.clock.wall_ms())
+        clock = SteppedClock(self.clock) if self.trace_path else self.clock
+        core = make_core(
+            own=own,
+            options=options,
+            clock=clock,
+            random=seeded(seed),
+            views=self.views,
+            append=append,
+        )
+        if not isinstance(clock, SteppedClock):
+            return core
+        self.trace = TraceWriter(f"{self.trace_path}.{self.boot}")
+        self.trace.begin(own=own, options=options, seed=seed)
+        return trace_core(core, views=self.views, clock=clock, writer=self.trace)
+
+    def _options(self) -> CoreOptions:
+        return CoreOptions(
+            seeds=self._seeds.get(self.zone, ()),
+            remote_seeds={zone: found for zone, found in self._seeds.items() if zone != self.zone},
+            profile=self._profile,
+            boot=f"{self.name}/{self.boot}",
+        )
+
     def _tick(self, boot: int) -> None:
         if not self.up or boot != self.boot:
             return
@@ -278,37 +251,4 @@
             return
         for effect in step():
             self._send(self.place.address, effect)
-        self._look()
-
-    def _look(self) -> None:
-        """Report what changed in the core's decisions."""
-        core, now = self.core, self.now
-        if core.active.version != self._seen_version:
-            self._seen_version = core.active.version
-            self._emit(ConfigInForce(now, self.name, self.boot, core.active.current))
-        if core.readiness is not self._seen_state:
-            state = self._seen_state = core.readiness
-            serving = state is not Readiness.NOT_READY
-            version = core.active.version
-            self._emit(ReadinessChanged(now, self.name, self.boot, state.value, serving, version))
-        shares = self.views.current.shares
-        if shares != self._seen_shares:
-            self._seen_shares = shares
-            self._report_shares()
-        marks = core.fold.state.marks
-        if len(marks) != len(self._seen_marks):
-            for key in [key for key in marks if key not in self._seen_marks]:
-                mark = marks[key]
-                self._seen_marks.add(key)
-                self._emit(MarkSeen(now, self.name, mark.service, mark.service_version, mark.epoch))
-
-    def _report_shares(self) -> None:
-        view = self.views.current
-        for name, share in view.shares.items():
-            route = view.config.routes.get(name)
-            if route is not None:
-                self._emit(
-                    ShareGiven(
-                        self.now, self.name, name, route.service, share.to_version, share.share
-                    )
-                )
+        self._watcher.look(self.now)
--- /dev/null
+++ b/src/citronrack/proof/trace.py
@@ -0,0 +1,242 @@
+"""Records what a node's core received and decided, as JSON lines."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import zlib
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
+
+from attrs import frozen
+
+from .. import __version__
+from ..calls import ViewHolder
+from ..clock import Clock
+from ..membership import Member
+from ..node.core import NodeCore
+from ..plain import to_plain
+from ..transport.messages import message_codec
+from ..transport.send import Send
+from ._mail_codec import encode_mail
+from .core_factory import CoreOptions
+
+TRACE_FORMAT = 1
+DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
+MARKER_RESERVE_BYTES = 256  # room for the last line
+
+
+class SteppedClock:
+    """A clock that stands still while the core handles one input, so that a replay can repeat it.
+
+    Args:
+        clock: The real clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.step()
+
+    def step(self) -> None:
+        """Take over the time of the real clock."""
+        self._monotonic = self._clock.monotonic()
+        self._wall_ms = self._clock.wall_ms()
+
+    def monotonic(self) -> float:
+        """Return seconds at the last step."""
+        return self._monotonic
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch at the last step."""
+        return self._wall_ms
+
+
+@frozen
+class Decisions:
+    """What can be observed of a core after one input.
+
+    Attributes:
+        version: Version in force.
+        readiness: Value of `Readiness`.
+        digest: Digest of the folded records.
+        shares: Share of the new service version by route.
+        sends: Number and digest of the messages that were sent.
+    """
+
+    version: int
+    readiness: str
+    digest: str
+    shares: dict[str, float]
+    sends: str
+
+    @classmethod
+    def of(cls, core: NodeCore, views: ViewHolder, sends: Iterable[Send]) -> Decisions:
+        """Return the decisions of ``core`` after an input that led to ``sends``."""
+        return cls(
+            version=core.active.version,
+            readiness=core.readiness.value,
+            digest=f"{core.fold.state.digest:016x}",
+            shares={name: share.share for name, share in views.current.shares.items()},
+            sends=digest_sends(sends),
+        )
+
+    def changes(self, before: Decisions | None) -> dict[str, Any]:
+        """Return the fields that differ from ``before``."""
+        content = cast("dict[str, Any]", to_plain(self))
+        if before is None:
+            return content
+        return {name: value for name, value in content.items() if value != getattr(before, name)}
+
+
+def digest_sends(sends: Iterable[Send]) -> str:
+    """Return number and digest of messages with their receivers, empty for none."""
+    digest = hashlib.blake2b(digest_size=8)
+    count = 0
+    for effect in sends:
+        count += 1
+        digest.update(effect.to.encode())
+        digest.update(message_codec.encode(effect.message))
+    return f"{count}:{digest.hexdigest()}" if count else ""
+
+
+def dump(content: Mapping[str, Any]) -> str:
+    """Return the one form of a line's content that the checksum covers."""
+    return json.dumps(content, separators=(",", ":"))
+
+
+class TraceWriter:
+    """Writes one trace file; stops with a marker line at its limit.
+
+    Each line carries a checksum over itself and all lines before it, so that a replay finds
+    damaged, missing and exchanged lines.
+
+    Args:
+        path: File to write; an existing one is replaced.
+        limit_bytes: Largest size of the file.
+    """
+
+    def __init__(self, path: str | Path, *, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
+        self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115  (closed by `close`)
+        self._left = limit_bytes
+        self._checksum = 0
+        self._steps = 0
+        self._before: Decisions | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more is written."""
+        return self._file.closed
+
+    def begin(self, *, own: Member, options: CoreOptions, seed: int) -> None:
+        """Write the first line, with everything that a core is made from."""
+        self._write(
+            {
+                "trace": TRACE_FORMAT,
+                "program": __version__,
+                "own": to_plain(own),
+                "options": to_plain(options),
+                "seed": seed,
+            }
+        )
+
+    def step(self, clock: Clock, entry: Mapping[str, Any], decisions: Decisions) -> None:
+        """Write one input and what it changed."""
+        if self.closed:
+            return
+        self._steps += 1
+        content = {
+            "step": self._steps,
+            "monotonic": clock.monotonic(),
+            "wall_ms": clock.wall_ms(),
+            **entry,
+            "decided": decisions.changes(self._before),
+        }
+        self._before = decisions
+        if len(dump(content)) + 2 * MARKER_RESERVE_BYTES > self._left:
+            self.close("limit")
+        else:
+            self._write(content)
+
+    def close(self, reason: str = "stopped") -> None:
+        """Write the marker line and close the file."""
+        if not self.closed:
+            self._write({"end": reason, "steps": self._steps})
+            self._file.close()
+
+    def _write(self, content: Mapping[str, Any]) -> None:
+        text = dump(content)
+        self._checksum = zlib.crc32(text.encode(), self._checksum)
+        line = f'{{"crc":"{self._checksum:08x}","line":{text}}}\n'
+        self._left -= len(line.encode())
+        self._file.write(line)
+
+
+class TracingCore:
+    """Records all inputs of a core and its decisions; other members are those of the core.
+
+    Args:
+        core: A core whose clock is ``clock`` and whose random numbers come from ``Random(seed)``,
+            used by nobody else.
+        views: Its routing view.
+        clock: Stands still during each input.
+        writer: Where the trace goes; its first line has been written.
+    """
+
+    def __init__(
+        self, core: NodeCore, *, views: ViewHolder, clock: SteppedClock, writer: TraceWriter
+    ) -> None:
+        self.__dict__.update(_core=core, _views=views, _clock=clock, _writer=writer)
+
+    if TYPE_CHECKING:
+        _core: NodeCore
+        _views: ViewHolder
+        _clock: SteppedClock
+        _writer: TraceWriter
+
+    def handle(self, mail: Any) -> list[Send]:
+        """Record and handle a message of another task."""
+        self._clock.step()
+        effects = self._core.handle(mail)
+        body = encode_mail(mail)
+        if body is not None or effects:
+            self._record({"mail": body, "kind": type(mail).__name__}, effects)
+        return effects
+
+    def on_message(self, sender: str, message: Any) -> list[Send]:
+        """Record and handle a message of another node."""
+        self._clock.step()
+        effects = self._core.on_message(sender, message)
+        self._record({"from": sender, "message": message_codec.encode(message).hex()}, effects)
+        return effects
+
+    def on_tick(self) -> list[Send]:
+        """Record and do what is due."""
+        self._clock.step()
+        effects = self._core.on_tick()
+        self._record({"tick": True}, effects)
+        return effects
+
+    def _record(self, entry: Mapping[str, Any], effects: list[Send]) -> None:
+        if not self._writer.closed:
+            decisions = Decisions.of(self._core, self._views, effects)
+            self._writer.step(self._clock, entry, decisions)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.__dict__["_core"], name)
+
+    def __setattr__(self, name: str, value: Any) -> None:
+        setattr(self._core, name, value)
+
+
+def trace_core(
+    core: NodeCore, *, views: ViewHolder, clock: SteppedClock, writer: TraceWriter
+) -> NodeCore:
+    """Return ``core`` wrapped by `TracingCore`; it can stand wherever a `NodeCore` is driven."""
+    return cast("NodeCore", TracingCore(core, views=views, clock=clock, writer=writer))
+
+
+def seeded(seed: int) -> Random:
+    """Return the source of random numbers of a traced core."""
+    return Random(seed)
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -45,6 +45,7 @@
         seed: Seed of all random numbers.
         emit: Passes each observation to those who watch.
         rules: Choices of the call path.
+        traces: Trace files by node.
     """
 
     def __init__(
@@ -54,8 +55,10 @@
         seed: int,
         emit: Dispatch | None = None,
         rules: ChoiceRules | None = None,
+        traces: Mapping[str, str] | None = None,
     ) -> None:
         self.spec = spec
+        self._traces = dict(traces or {})
         self.deployment: Deployment = DEPLOYMENTS.get(spec.deployment)
         self.journal = Journal()
         self.emit = emit if emit is not None else Dispatch()
@@ -182,6 +185,11 @@
                 self._reachable[node.name] = reachable
                 self.emit(Reachability(self.timeline.now, node.name, reachable))
 
+    def end_traces(self) -> None:
+        """Close all traces."""
+        for node in self.nodes.values():
+            node.end_trace()
+
     def _branch(self) -> Random:
         """Return an independent source of random numbers."""
         return Random(self._random.getrandbits(64))
@@ -271,6 +279,7 @@
             send=self.network.send,
             emit=self.emit,
         )
+        node.trace_path = self._traces.get(node.name, "")
         self.nodes[node.name] = node
         self._by_address[place.address] = node
         return node
