--- a/src/citronrack/codec.py
+++ b/src/citronrack/codec.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, TypeVar, get_args
+from typing import Any, TypeVar, get_args, get_origin
 
 import attrs
 import msgpack
@@ -41,9 +41,47 @@
     converter.register_structure_hook(str, _strict(str))
     converter.register_structure_hook(bytes, _strict(bytes))
     converter.register_structure_hook(bool, _strict(bool))
+    converter.register_structure_hook_func(attrs.has, _array_hook(converter))
+    converter.register_structure_hook_func(_is_tuple, _tuple_hook(converter))
     return converter
 
 
+def _is_tuple(kind: Any) -> bool:
+    return get_origin(kind) is tuple
+
+
+def _require_array(value: Any, kind: Any) -> None:
+    # cattrs would take any iterable, and the keys of a map or the characters of a text with it.
+    if not isinstance(value, (list, tuple)):
+        raise TypeError(f"expected an array for {kind}, got {type(value).__name__}")
+
+
+def _array_hook(converter: BaseConverter) -> Callable[[Any, Any], Any]:
+    """Return a structure hook for attrs classes in positional form."""
+
+    def hook(value: Any, kind: Any) -> Any:
+        _require_array(value, kind)
+        return converter.structure_attrs_fromtuple(value, kind)
+
+    return hook
+
+
+def _tuple_hook(converter: BaseConverter) -> Callable[[Any, Any], Any]:
+    """Return a structure hook for ``tuple[T, ...]`` and ``tuple[A, B]``."""
+
+    def hook(value: Any, kind: Any) -> Any:
+        _require_array(value, kind)
+        parts = get_args(kind)
+        if len(parts) == 2 and parts[1] is Ellipsis:
+            return tuple(converter.structure(entry, parts[0]) for entry in value)
+        if len(parts) != len(value):
+            raise TypeError(f"expected {len(parts)} entries, got {len(value)}")
+        pairs = zip(value, parts, strict=True)
+        return tuple(converter.structure(entry, part) for entry, part in pairs)
+
+    return hook
+
+
 _converter = _make_converter()
 _resolved: set[type[Any]] = set()
 
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -4,14 +4,15 @@
 
 import secrets
 import signal
+import sys
 import threading
+from collections.abc import Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
 from ..api.server import ApiListener
-from ..calls.proxy import CallRouter, Forwarder, TargetDelivery
-from ..calls.server import CallServer
+from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
 from ..clock import SystemClock
 from ..log.appender import Appended, Appender
@@ -23,10 +24,12 @@
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.zmq_transport import ZmqTransport
 from .append_task import AppendTask
+from .capacity import CapacityTable
 from .control import ControlTask
 from .cores import compose_core
 from .mail import (
     CallReported,
+    CapacityAsked,
     DrainAsked,
     Mailbox,
     PlanAwaited,
@@ -43,7 +46,13 @@
 
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
+BOOT_ID_BYTES = 6
 DRAIN_NOTICE_S = 1.0
+SWITCH_INTERVAL_S = 0.0005
+"""Longest time that another task keeps a call thread waiting for the interpreter lock.
+
+With Python's default of 5 ms, the slowest calls waited for whole intervals.
+"""
 
 
 class Gateway:
@@ -65,6 +74,12 @@
         self._mailbox.put(StateAsked(answer))
         return answer
 
+    def capacity(self) -> Future[CapacityTable]:
+        """Ask which targets are announced."""
+        answer: Future[CapacityTable] = Future()
+        self._mailbox.put(CapacityAsked(answer))
+        return answer
+
     def append(self, body: Any) -> Future[Appended]:
         """Append a record."""
         return self._append_task.submit(body)
@@ -93,7 +108,7 @@
         events: EventLog,
         control: ControlTask,
         tasks: dict[str, Any],
-        listeners: tuple[CallServer, ...],
+        call_path: CallPath,
         api: ApiListener,
     ) -> None:
         self._settings = settings
@@ -101,7 +116,7 @@
         self._events = events
         self._control = control
         self._tasks = tasks
-        self._listeners = listeners
+        self._call_path = call_path
         self._api = api
         self._stop_asked = threading.Event()
         self._futures: list[Future[Any]] = []
@@ -116,9 +131,10 @@
 
     def start(self) -> None:
         """Start all tasks."""
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
-        runners.extend(listener.run for listener in self._listeners)
+        runners += [self._call_path.calls.run, self._call_path.deliveries.run]
         self._futures = [self._executor.submit(self._guarded, runner) for runner in runners]
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
@@ -126,9 +142,11 @@
         """Drain, then end all tasks."""
         self._events.write(Event.NODE_STOPPING)
         self._control.mailbox.put(DrainAsked())
+        self._events.write(Event.DRAIN_STARTED)
+        self._call_path.drainer.begin()
         threading.Event().wait(DRAIN_NOTICE_S)
-        for listener in self._listeners:
-            listener.stop()
+        limit_s = self._settings.calls.drain_limit_s
+        self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
             task.stop()
         self._api.stop()
@@ -157,23 +175,37 @@
     )
     views = ViewHolder()
     mailbox = Mailbox()
+    writer = f"{settings.node.name}/{secrets.token_hex(BOOT_ID_BYTES)}"
+    append_stopping = threading.Event()
     append_task = AppendTask(
         Appender(
             client=HttpLogClient(settings.log_service.url),
             clock=clock,
             random=random,
-            writer=f"{settings.node.name}/{secrets.token_hex(6)}",
-        )
+            writer=writer,
+            sleep=append_stopping.wait,
+        ),
+        clock=clock,
+        stopping=append_stopping,
     )
+    threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
+    executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
+    call_path = _call_path(settings, views, mailbox, executor, events)
     core = compose_core(
         own=_own_member(settings, clock.wall_ms()),
-        seeds=tuple(f"tcp://{seed}" for seed in settings.mesh.seeds),
+        seeds=_peer_addresses(settings.mesh.seeds),
+        remote_seeds={
+            zone: _peer_addresses(seeds) for zone, seeds in settings.mesh.remote_seeds.items()
+        },
         clock=clock,
         random=random,
         events=events,
         metrics=metrics,
         views=views,
+        own_load=lambda: call_path.admission.load,
+        writer=writer,
         append=lambda body: append_task.submit_and_post(body, mailbox),
+        append_snapshot=lambda data: append_task.submit_snapshot_and_post(data, mailbox),
     )
     control = ControlTask(
         core=core,
@@ -181,6 +213,10 @@
             address=f"tcp://{settings.node.peer_address}",
             mesh_id=settings.mesh.mesh_id,
             key=bytes.fromhex(settings.mesh.key),
+            clock=clock,
+            on_rejected=lambda reason, count: events.write(
+                Event.MESSAGE_REJECTED, reason=reason, count=count
+            ),
         ),
         mailbox=mailbox,
         clock=clock,
@@ -190,9 +226,8 @@
         state=core,
         mailbox=mailbox,
         random=random,
+        clock=clock,
     )
-    threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
-    executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
     gateway = Gateway(mailbox, append_task)
     api = ApiListener(
         split_address(settings.api.address),
@@ -205,7 +240,7 @@
         events=events,
         control=control,
         tasks={"reader": reader, "append": append_task},
-        listeners=_listeners(settings, views, mailbox, executor),
+        call_path=call_path,
         api=api,
     )
 
@@ -223,6 +258,10 @@
     )
 
 
+def _peer_addresses(addresses: Sequence[str]) -> tuple[str, ...]:
+    return tuple(f"tcp://{address}" for address in addresses)
+
+
 def _own_member(settings: Settings, incarnation: int) -> Member:
     """Return the description of this node; wall time makes a restart's incarnation greater."""
     return Member(
@@ -238,25 +277,33 @@
     )
 
 
-def _listeners(
-    settings: Settings, views: ViewHolder, mailbox: Mailbox, executor: ThreadPoolExecutor
-) -> tuple[CallServer, ...]:
-    forwarder = Forwarder()
-    router = CallRouter(
-        views=views,
-        forwarder=forwarder,
-        report=lambda record: mailbox.put(CallReported(record), wake=False),
-    )
-    delivery = TargetDelivery(address=split_address(settings.target.address), forwarder=forwarder)
-    return (
-        CallServer(
-            address=split_address(settings.node.call_address),
-            handler=router.handle,
-            executor=executor,
+def _call_path(
+    settings: Settings,
+    views: ViewHolder,
+    mailbox: Mailbox,
+    executor: ThreadPoolExecutor,
+    events: EventLog,
+) -> CallPath:
+    return make_call_path(
+        PathSettings(
+            name=settings.node.name,
+            availability_zone=settings.node.availability_zone,
+            key=bytes.fromhex(settings.mesh.key),
+            balancer=settings.calls.balancer,
+            link_one_way_s=settings.calls.link_one_way_ms / 1000,
+            connections=settings.calls.connections,
         ),
-        CallServer(
-            address=split_address(settings.node.deliver_address),
-            handler=delivery.handle,
-            executor=executor,
+        call_address=split_address(settings.node.call_address),
+        deliver_address=split_address(settings.node.deliver_address),
+        target=OwnTarget(
+            address=split_address(settings.target.address),
+            service=settings.target.service,
+            service_version=settings.target.service_version,
+            slots=settings.target.slots,
         ),
+        views=views,
+        events=events,
+        report=lambda record: mailbox.put(CallReported(record), wake=False),
+        executor=executor,
+        random=SystemRandom(),
     )
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -14,26 +14,50 @@
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
 from ..log.fold import PlanState
-from ..membership import FailureDetector, MemberTable
+from ..membership import (
+    FailureDetector,
+    KnownMember,
+    Member,
+    MemberState,
+    MemberTable,
+    ZoneDirectory,
+)
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
+from .duties import Duties
 from .mail import (
     AppendDone,
+    AppendFate,
     CallReported,
+    CapacityAsked,
     DrainAsked,
-    LoadReported,
     LogRead,
     LogReadFailed,
     PlanAwaited,
     RecordAwaited,
+    SnapshotDone,
     SnapshotRead,
     StateAsked,
     StatusAsked,
 )
+from .moving import MoveWork
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
 from .status import MeshStatus, TransportStatus
 from .views import build_view, node_status, zone_status
 
+_APPEND_EVENTS = {
+    AppendFate.REFUSED: Event.APPEND_REFUSED,
+    AppendFate.UNKNOWN: Event.APPEND_UNKNOWN,
+}
+
+_DUTY_RANKS = {ReaderRole.PRIMARY: 0, ReaderRole.STANDBY: 1}
+
+_MEMBER_EVENTS = {
+    MemberState.ALIVE: Event.MEMBER_ALIVE,
+    MemberState.SUSPECT: Event.MEMBER_SUSPECT,
+    MemberState.GONE: Event.MEMBER_GONE,
+}
+
 Handler = Callable[[Any], list[Send]]
 
 
@@ -47,9 +71,12 @@
         metrics: Where metrics go.
         table: Members of the own zone.
         views: Receives the routing view.
-        append: Queues a record body for the log; its result comes back as `AppendDone`.
+        own_load: Returns the number of calls in flight or waiting at the own target.
+        duties: Leases and snapshots.
         detector: Failure detection.
         distribution: Distribution of records.
+        directory: Members of other zones.
+        moving: Decisions about moves.
     """
 
     clock: Clock
@@ -57,9 +84,12 @@
     metrics: Metrics
     table: MemberTable
     views: ViewHolder
-    append: Callable[[Any], None]
+    own_load: Callable[[], int]
+    duties: Duties
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
+    directory: ZoneDirectory = field(init=False)
+    moving: MoveWork = field(init=False)
 
 
 class NodeCore:
@@ -75,6 +105,7 @@
         self._fold = fold
         self._active = ActiveConfig()
         self._gate = ReadinessGate()
+        self._log_first = 0
         self._log_end: int | None = None
         self._log_failing_since: float | None = None
         self._plan_waiters: list[PlanAwaited] = []
@@ -86,10 +117,11 @@
             LogReadFailed: self._log_read_failed,
             SnapshotRead: self._snapshot_read,
             AppendDone: self._append_done,
+            SnapshotDone: self._snapshot_done,
             CallReported: self._call_reported,
-            LoadReported: self._load_reported,
             StatusAsked: self._status_asked,
             StateAsked: self._state_asked,
+            CapacityAsked: self._capacity_asked,
             PlanAwaited: self._plan_awaited,
             RecordAwaited: self._record_awaited,
             DrainAsked: self._drain,
@@ -105,6 +137,16 @@
         """Whether the reader task should poll the log; safe to read from any thread."""
         return self._role is not ReaderRole.NONE or self._gate.state is not Readiness.READY
 
+    @property
+    def duties(self) -> Duties:
+        """Leases and snapshots of this node."""
+        return self._parts.duties
+
+    @property
+    def version(self) -> int:
+        """Configuration version in force, -1 for none."""
+        return self._active.version
+
     @property
     def active(self) -> ActiveConfig:
         """The configuration in force."""
@@ -142,12 +184,18 @@
 
     def on_tick(self) -> list[Send]:
         """Do what is due and return what to send."""
-        effects = [effect for core in self._cores() for effect in core.on_tick()]
+        parts = self._parts
+        effects = parts.detector.on_tick()
+        effects += parts.distribution.on_tick()
+        effects += parts.directory.on_tick()
+        effects += parts.moving.on_tick()
+        parts.table.update_own(reading=parts.distribution.reading, load=parts.own_load())
         role = self._parts.distribution.role
         if role is not self._role:
             self._role = role
             self._parts.events.write(Event.READER_ROLE, role=role.value)
         self._refresh()
+        self._do_duties()
         return effects
 
     def deliver(self, offset: int, data: bytes) -> None:
@@ -173,12 +221,27 @@
             digest=f"{state.digest:016x}",
             log_reachable=self._log_reachable(),
             reader_role=self._role.value,
-            zones=(zone_status(own_zone, table.members(), version=version, age_s=0.0),),
+            zones=tuple(
+                zone_status(progress, version=version)
+                for progress in self._parts.directory.zone_progress()
+            ),
             nodes=tuple(node_status(member) for member in table.all_members()),
+            moves=self._parts.moving.statuses(),
             duties={duty: lease.holder for duty, lease in state.leases.items()},
             transport=self.transport_status,
         )
 
+    def member_changed(self, member: Member) -> None:
+        """Write an event; called by the failure detector."""
+        event = _MEMBER_EVENTS[MemberState(member.state)]
+        if member.draining and event is Event.MEMBER_ALIVE:
+            event = Event.MEMBER_DRAINING
+        self._parts.events.write(event, member=member.name, incarnation=member.incarnation)
+
+    def leave(self) -> list[Send]:
+        """Return what tells the peers that this node stops."""
+        return self._parts.detector.leave()
+
     def write_metrics(self) -> None:
         """Send the gauges."""
         metrics, transport = self._parts.metrics, self.transport_status
@@ -189,12 +252,14 @@
         metrics.gauge("members.alive", len(self._parts.table.members()))
 
     def _cores(self) -> tuple[Core, ...]:
-        return self._parts.detector, self._parts.distribution
+        parts = self._parts
+        return parts.detector, parts.distribution, parts.directory, parts.moving.core
 
     def _log_read(self, mail: LogRead) -> list[Send]:
         if self._log_failing_since is not None:
             self._parts.events.write(Event.LOG_RECOVERED, end=mail.page.end)
         self._log_failing_since = None
+        self._log_first = mail.page.first
         self._log_end = mail.page.end
         effects = self._parts.distribution.on_log_records(mail.page.records)
         self._refresh()
@@ -202,6 +267,7 @@
 
     def _log_read_failed(self, mail: LogReadFailed) -> list[Send]:
         self._parts.metrics.count("log.failures")
+        self._parts.distribution.on_log_failure()
         if self._log_failing_since is None:
             self._log_failing_since = self._parts.clock.monotonic()
             self._parts.events.write(Event.LOG_UNAVAILABLE, reason=mail.reason)
@@ -212,6 +278,10 @@
         self.load_snapshot(mail.data)
         return []
 
+    def make_snapshot(self) -> bytes:
+        """Return the folded state for a peer that lacks trimmed records."""
+        return self._fold.to_snapshot()
+
     def load_snapshot(self, data: bytes) -> bool:
         """Continue from a snapshot and return whether it was newer than the folded records."""
         try:
@@ -225,19 +295,25 @@
         self._parts.distribution.jump_to(fold.next_offset)
         self._parts.events.write(Event.SNAPSHOT_LOADED, offset=fold.next_offset)
         self._activate()
+        self._parts.moving.on_fold(fold)
         return True
 
     def _append_done(self, mail: AppendDone) -> list[Send]:
-        if mail.offset is None:
-            self._parts.events.write(Event.APPEND_UNKNOWN, reason=mail.reason)
+        event = _APPEND_EVENTS.get(mail.fate)
+        if event is not None:
+            self._parts.events.write(event, kind=type(mail.body).__name__, reason=mail.reason)
+        self._parts.duties.on_append_done(mail)
         return []
 
-    def _call_reported(self, mail: CallReported) -> list[Send]:
-        self._parts.metrics.count("calls.served")
+    def _snapshot_done(self, mail: SnapshotDone) -> list[Send]:
+        self._parts.duties.on_snapshot_done(mail)
         return []
 
-    def _load_reported(self, mail: LoadReported) -> list[Send]:
-        self._parts.table.update_own(load=mail.load)
+    def _call_reported(self, mail: CallReported) -> list[Send]:
+        name = "calls.refused" if mail.record.refused else "calls.served"
+        if not mail.record.delivered_here:
+            self._parts.metrics.count(name)
+        self._parts.moving.observe(mail.record)
         return []
 
     def _drain(self, _: DrainAsked) -> list[Send]:
@@ -254,6 +330,10 @@
         mail.answer.set_result(self._fold.state)
         return []
 
+    def _capacity_asked(self, mail: CapacityAsked) -> list[Send]:
+        mail.answer.set_result(self._parts.moving.capacity.table())
+        return []
+
     def _plan_awaited(self, mail: PlanAwaited) -> list[Send]:
         self._plan_waiters.append(mail)
         return []
@@ -265,6 +345,7 @@
     def _after_fold(self, result: FoldResult) -> None:
         if result.accepted:
             self._activate()
+            self._parts.moving.on_fold(self._fold)
 
     def _activate(self) -> None:
         """Put the folded configuration in force when it is newer."""
@@ -273,6 +354,24 @@
             self._parts.table.update_own(version=version)
             self._parts.events.write(Event.CONFIG_IN_FORCE, version=version)
 
+    def _do_duties(self) -> None:
+        duties = self._parts.duties
+        duties.on_state(self._fold.state)
+        duties.on_tick(
+            self._fold,
+            rank=self._duty_rank(),
+            first=self._log_first,
+            end=self._log_end or 0,
+        )
+
+    def _duty_rank(self) -> int | None:
+        """Return the rank among the zone's readers, None while this node should hold no duty."""
+        current = self._log_end is not None and self._fold.next_offset >= self._log_end
+        able = self._gate.state is Readiness.READY and self._log_failing_since is None
+        if not current or not able or self._parts.table.own.draining:
+            return None
+        return _DUTY_RANKS.get(self._role)
+
     def _refresh(self) -> None:
         """Decide readiness anew and replace the routing view."""
         now = self._parts.clock.monotonic()
@@ -296,9 +395,14 @@
             reason=self._gate.reason,
             config=self._active.current,
             members=self._parts.table.members(),
-            shares={},
+            remote=self._remote_members(),
+            shares=self._parts.moving.shares(),
         )
 
+    def _remote_members(self) -> list[KnownMember]:
+        directory = self._parts.directory
+        return [member for zone in directory.zones() for member in directory.members(zone)]
+
     def _answer_waiters(self) -> None:
         folded = self._fold.next_offset
         for plan_waiter in [w for w in self._plan_waiters if w.offset < folded]:
--- a/src/citronrack/node/mail.py
+++ b/src/citronrack/node/mail.py
@@ -5,6 +5,7 @@
 import queue
 import socket
 from concurrent.futures import Future
+from enum import StrEnum
 from typing import Any
 
 from attrs import frozen
@@ -12,6 +13,7 @@
 from ..calls import CallRecord
 from ..log import LogPage
 from ..log.fold import FoldState, PlanState
+from .capacity import CapacityTable
 from .status import MeshStatus
 
 
@@ -36,33 +38,47 @@
     data: bytes
 
 
+class AppendFate(StrEnum):
+    """What became of an append."""
+
+    APPENDED = "appended"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 @frozen
 class AppendDone:
     """The append task has finished a record that the core asked for.
 
     Attributes:
         body: The record body.
+        fate: What became of it.
         offset: Where it stands in the log, None when it was refused or is unknown.
         reason: Why it has no offset.
     """
 
     body: Any
+    fate: AppendFate
     offset: int | None
     reason: str = ""
 
 
 @frozen
-class CallReported:
-    """The call path finished an attempt."""
+class SnapshotDone:
+    """The append task has finished a snapshot.
 
-    record: CallRecord
+    Attributes:
+        offset: Where it stands in the snapshots stream, None when that is not certain.
+    """
+
+    offset: int | None
 
 
 @frozen
-class LoadReported:
-    """The number of calls in flight or waiting at the own target has changed."""
+class CallReported:
+    """The call path finished an attempt."""
 
-    load: int
+    record: CallRecord
 
 
 @frozen
@@ -79,6 +95,13 @@
     answer: Future[FoldState]
 
 
+@frozen
+class CapacityAsked:
+    """Somebody wants to know which targets are announced."""
+
+    answer: Future[CapacityTable]
+
+
 @frozen
 class PlanAwaited:
     """Somebody waits until the record of a plan at ``offset`` is folded."""
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
 from ..calls import PoolTarget, RouteShare, RoutingView
 from ..config import ConfigSet
-from ..membership import Member, MemberState
+from ..distribution import ZoneProgress
+from ..membership import KnownMember, Member, MemberState
 from ..settings.checks import split_address
 from .status import NodeStatus, ZoneStatus
 
@@ -18,6 +20,7 @@
     reason: str,
     config: ConfigSet,
     members: Iterable[Member],
+    remote: Iterable[KnownMember],
     shares: Mapping[str, RouteShare],
 ) -> RoutingView:
     """Return the routing view that follows from the present state.
@@ -26,7 +29,8 @@
         ready: Whether calls are served.
         reason: Why not.
         config: Configuration in force.
-        members: Known nodes of all zones that are not gone.
+        members: Known nodes of the own zone that are not gone.
+        remote: Known nodes of other zones.
         shares: Division of calls by route name.
     """
     pools: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
@@ -42,6 +46,18 @@
                 load=member.load,
             )
         )
+    for known in remote:
+        summary = known.summary
+        if not known.known or summary.gone or summary.draining or not summary.ready:
+            continue
+        pools[summary.service, summary.service_version].append(
+            PoolTarget(
+                name=summary.name,
+                deliver_address=split_address(summary.deliver_address),
+                availability_zone=known.availability_zone,
+                slots=summary.slots,
+            )
+        )
     return RoutingView(
         ready=ready,
         reason=reason,
@@ -68,17 +84,13 @@
     )
 
 
-def zone_status(
-    availability_zone: str, members: Iterable[Member], *, version: int, age_s: float
-) -> ZoneStatus:
-    """Return how far the members of a zone are; a member that is not alive counts as unknown."""
-    known = list(members)
-    alive = [member for member in known if member.state == MemberState.ALIVE]
+def zone_status(progress: ZoneProgress, *, version: int) -> ZoneStatus:
+    """Return how far a zone is; a member that has not reported counts as unknown."""
     return ZoneStatus(
-        availability_zone=availability_zone,
-        nodes=len(known),
-        in_force=sum(member.version >= version for member in alive),
-        behind=tuple(sorted(m.name for m in alive if m.version < version)),
-        unknown=tuple(sorted(m.name for m in known if m.state != MemberState.ALIVE)),
-        age_s=age_s,
+        availability_zone=progress.availability_zone,
+        nodes=progress.total,
+        in_force=min(progress.count_in_force(version), progress.total - progress.unknown),
+        behind=progress.behind,
+        unknown=progress.unheard,
+        age_s=-1.0 if math.isinf(progress.age_s) else round(progress.age_s, 3),
     )
