--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -5,6 +5,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from functools import lru_cache
 
 from ..calls import PoolTarget, RouteShare, RoutingView
 from ..config import ConfigSet
@@ -13,6 +14,17 @@
 from ..settings.checks import split_address
 from .status import NodeStatus, ZoneStatus
 
+KEPT_ADDRESSES = 8_192  # twice the two-year fleet
+
+
+@lru_cache(maxsize=KEPT_ADDRESSES)
+def _usable_address(text: str) -> tuple[str, int] | None:
+    """Return ``(ip, port)``, None for an address that a peer with a fault has announced."""
+    try:
+        return split_address(text)
+    except ValueError:
+        return None
+
 
 def build_view(
     *,
@@ -37,10 +49,13 @@
     for member in members:
         if member.draining or not member.ready or member.state != MemberState.ALIVE:
             continue
+        address = _usable_address(member.deliver_address)
+        if address is None:
+            continue
         pools[member.service, member.service_version].append(
             PoolTarget(
                 name=member.name,
-                deliver_address=split_address(member.deliver_address),
+                deliver_address=address,
                 availability_zone=member.availability_zone,
                 slots=member.slots,
                 load=member.load,
@@ -50,10 +65,13 @@
         summary = known.summary
         if not known.known or summary.gone or summary.draining or not summary.ready:
             continue
+        address = _usable_address(summary.deliver_address)
+        if address is None:
+            continue
         pools[summary.service, summary.service_version].append(
             PoolTarget(
                 name=summary.name,
-                deliver_address=split_address(summary.deliver_address),
+                deliver_address=address,
                 availability_zone=known.availability_zone,
                 slots=summary.slots,
             )
--- a/src/citronrack/proof/_mail_codec.py
+++ b/src/citronrack/proof/_mail_codec.py
@@ -9,10 +9,11 @@
 
 from ..codec import TaggedCodec
 from ..errors import MessageRejected
-from ..log.fold import MAX_SNAPSHOT_BYTES
 from ..log.records import record_codec
 from ..node import mail as mails
-from ..node.mail import AppendDone, StopAsked
+from ..node.mail import AppendDone, AppendFate, StopAsked
+
+MAX_MAIL_BYTES = 16 * 1024 * 1024  # a page of the log or a snapshot
 
 mail_codec = TaggedCodec()
 
@@ -23,6 +24,7 @@
     """An `AppendDone` whose record body is encoded."""
 
     body: bytes
+    fate: str
     offset: int | None
     reason: str
 
@@ -41,7 +43,9 @@
 def encode_mail(mail: Any) -> str | None:
     """Return the text form, or None for questions, which change no decision."""
     if isinstance(mail, AppendDone):
-        mail = _AppendDone(record_codec.encode(mail.body), mail.offset, mail.reason)
+        mail = _AppendDone(
+            record_codec.encode(mail.body), mail.fate.value, mail.offset, mail.reason
+        )
     try:
         return mail_codec.encode(mail).hex()
     except KeyError:
@@ -58,7 +62,9 @@
         data = bytes.fromhex(text)
     except ValueError as error:
         raise MessageRejected("malformed") from error
-    mail = mail_codec.decode(data, limit=MAX_SNAPSHOT_BYTES)
+    mail = mail_codec.decode(data, limit=MAX_MAIL_BYTES)
     if isinstance(mail, _AppendDone):
-        return AppendDone(record_codec.decode(mail.body), mail.offset, mail.reason)
+        return AppendDone(
+            record_codec.decode(mail.body), AppendFate(mail.fate), mail.offset, mail.reason
+        )
     return mail
--- a/src/citronrack/proof/_strategies.py
+++ b/src/citronrack/proof/_strategies.py
@@ -13,7 +13,7 @@
 from ..log import Envelope, encode_record
 from ..log.records import Confirmed, Duty, MoveResult, record_codec
 from ..membership import Member
-from ..node.mail import CallReported, DrainAsked, LoadReported, LogReadFailed
+from ..node.mail import CallReported, DrainAsked, LogReadFailed
 from ..transport.messages import message_codec
 from ..verdict import Verdict
 
@@ -153,7 +153,6 @@
     return st.one_of(
         st.just(LogReadFailed("down")),
         call,
-        st.integers(0, 50).map(LoadReported),
         st.just(DrainAsked()),
     )
 
--- a/src/citronrack/proof/core_factory.py
+++ b/src/citronrack/proof/core_factory.py
@@ -51,6 +51,8 @@
     random: Random,
     views: ViewHolder,
     append: Callable[[Any], None],
+    append_snapshot: Callable[[bytes], None],
+    own_load: Callable[[], int],
 ) -> NodeCore:
     """Return a core; passes on those options that `compose_core` takes.
 
@@ -61,6 +63,8 @@
         random: Source of random numbers.
         views: Receives the routing view.
         append: Queues a record body.
+        append_snapshot: Queues a snapshot.
+        own_load: Returns the number of calls at the own target.
     """
     offered: dict[str, Any] = {
         "own": own,
@@ -72,9 +76,11 @@
         "metrics": Metrics(None, prefix=""),
         "views": views,
         "append": append,
+        "append_snapshot": append_snapshot,
+        "own_load": own_load,
+        "writer": f"{own.name}/{options.boot}",
         "profile": options.profile,
         "link_one_way_ms": options.link_one_way_ms,
-        "boot": options.boot,
     }
     wanted = inspect.signature(compose_core).parameters
     return compose_core(**{name: value for name, value in offered.items() if name in wanted})
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -6,11 +6,11 @@
 from random import Random
 from typing import Protocol
 
-import xxhash
 from attrs import define, field
 
 from ..calls import CallRecord, PoolTarget, RoutingView
 from ..config import Route
+from ..moves.share import picks_new
 from ..node.mail import CallReported
 from ..verdict import Verdict
 from .deployments import RouteLoad
@@ -41,8 +41,8 @@
         share = view.shares.get(route.name)
         if share is None:
             return route.service_version
-        point = xxhash.xxh64_intdigest(f"{share.move_id}/{call_key}".encode()) / 2**64
-        return share.to_version if point < share.share else share.from_version
+        new = picks_new(call_key, share, share.share)
+        return share.to_version if new else share.from_version
 
     def target(
         self, pool: Sequence[PoolTarget], zone: str, tried: Sequence[str], random: Random
--- a/src/citronrack/proof/fuzz.py
+++ b/src/citronrack/proof/fuzz.py
@@ -90,6 +90,8 @@
             random=Random(number),
             views=self.views,
             append=lambda body: None,
+            append_snapshot=lambda data: None,
+            own_load=lambda: 0,
         )
         self._version = -1
 
@@ -241,7 +243,11 @@
 
 def _short_trace(path: Path) -> bytes:
     """Return the bytes of a trace with a few steps."""
-    own, options, clock = given_values.member("own", 3), CoreOptions(), SteppedClock(ManualClock())
+    own, options, clock = (
+        given_values.member("own", 3),
+        CoreOptions(),
+        SteppedClock(ManualClock(), lambda: 0),
+    )
     views, writer = ViewHolder(), TraceWriter(path)
     writer.begin(own=own, options=options, seed=1)
     core = make_core(
@@ -251,6 +257,8 @@
         random=seeded(1),
         views=views,
         append=lambda body: None,
+        append_snapshot=lambda data: None,
+        own_load=clock.own_load,
     )
     traced = trace_core(core, views=views, clock=clock, writer=writer)
     traced.on_tick()
--- a/src/citronrack/proof/log_access.py
+++ b/src/citronrack/proof/log_access.py
@@ -12,13 +12,13 @@
 from ..errors import LogTrimmed, LogUnavailable
 from ..log import Envelope, encode_record
 from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
-from ..node.mail import AppendDone, LogRead, LogReadFailed, SnapshotRead
+from ..node.mail import AppendDone, AppendFate, LogRead, LogReadFailed, SnapshotDone, SnapshotRead
 from ..node.reader import (
-    BACKOFF_BASE_S,
     BACKOFF_CAP_S,
     IDLE_S,
     LONG_POLL_MS,
     PAGE_RECORDS,
+    START_JITTER_S,
     ReadingState,
 )
 from .fake_log import FakeLog
@@ -26,6 +26,7 @@
 from .timeline import Timeline
 
 ANSWER_TIMEOUT_S = 5.0
+BACKOFF_BASE_S = 0.2
 MAX_APPEND_TRIES = 6
 
 
@@ -83,6 +84,10 @@
         """End with the process."""
         self._stopped = True
 
+    def begin(self) -> None:
+        """Poll for the first time, after the same jitter as the real task."""
+        self._path.timeline.after(self._path.random.uniform(0, START_JITTER_S), self.poll)
+
     def poll(self) -> None:
         """Send one request, or wait until the core wants one."""
         if self._stopped:
@@ -187,6 +192,17 @@
         if len(self._jobs) == 1:
             self._next()
 
+    def submit_snapshot(self, data: bytes, done: Callable[[SnapshotDone], Any]) -> None:
+        """Write a snapshot; one try, the core asks again."""
+        self._path.timeline.after(self._path.trip_s / 2, lambda: self._snapshot(data, done))
+
+    def _snapshot(self, data: bytes, done: Callable[[SnapshotDone], Any]) -> None:
+        offset = None
+        if self._path.open and self._path.log.up:
+            offset = self._path.log.append(SNAPSHOTS_STREAM, data)
+        wait = self._path.trip_s / 2 if offset is not None else ANSWER_TIMEOUT_S
+        self._path.timeline.after(wait, lambda: done(SnapshotDone(offset)))
+
     def _next(self) -> None:
         self._sequence += 1
         body = self._jobs[0].body
@@ -224,6 +240,7 @@
         if self._stopped:
             return
         job = self._jobs.popleft()
-        job.done(AppendDone(job.body, offset, reason))
+        fate = AppendFate.UNKNOWN if offset is None else AppendFate.APPENDED
+        job.done(AppendDone(job.body, fate, offset, reason))
         if self._jobs:
             self._next()
--- a/src/citronrack/proof/parts.py
+++ b/src/citronrack/proof/parts.py
@@ -4,7 +4,8 @@
 
 from attrs import frozen
 
-from ..node import core, cores
+from ..distribution import core as distribution
+from ..node import core, cores, duties, moving
 from ..registry import Registry
 
 
@@ -23,7 +24,10 @@
     @property
     def present(self) -> bool:
         """Whether the cores of the node use the class."""
-        return hasattr(cores, self.class_name) or hasattr(core, self.class_name)
+        return any(
+            hasattr(module, self.class_name)
+            for module in (core, cores, duties, moving, distribution)
+        )
 
 
 PARTS: Registry[Part] = Registry("part")
--- a/src/citronrack/proof/replay.py
+++ b/src/citronrack/proof/replay.py
@@ -88,6 +88,7 @@
 
     now: float = 0.0
     wall: int = 0
+    load: int = 0
 
     def monotonic(self) -> float:
         return self.now
@@ -95,6 +96,9 @@
     def wall_ms(self) -> int:
         return self.wall
 
+    def own_load(self) -> int:
+        return self.load
+
 
 def read_trace(path: str | Path) -> Iterator[TraceLine]:
     """Yield the checked lines of a trace, the marker line last.
@@ -156,6 +160,8 @@
             random=seeded(seed),
             views=self._views,
             append=lambda body: None,  # Results of appends are part of the trace.
+            append_snapshot=lambda data: None,
+            own_load=self._clock.own_load,
         )
         self._emit = Dispatch()
         self.checkers = {name: CHECKERS.get(name)() for name in CHECKERS}
@@ -172,6 +178,7 @@
     def run(self, content: dict[str, Any]) -> Decisions:
         """Feed one input and return what was decided."""
         self._clock.now, self._clock.wall = content["monotonic"], content["wall_ms"]
+        self._clock.load = content["load"]
         if self._start is None:
             self._start = self._clock.now
             zone = self.own.availability_zone
--- a/src/citronrack/proof/sim_node.py
+++ b/src/citronrack/proof/sim_node.py
@@ -12,7 +12,6 @@
 from ..membership import Member
 from ..node.control import TICK_MS
 from ..node.core import NodeCore
-from ..node.mail import LoadReported
 from ..transport.send import Send
 from .core_factory import CoreOptions, make_core
 from .decisions import DecisionWatcher
@@ -151,7 +150,6 @@
         self.up, self.paused, self.draining = True, False, False
         self._inbox.clear()
         self.views = ViewHolder()
-        self._seen_load = 0
         self.appender = FakeAppender(
             self._path, writer=f"{self.name}/{self.boot}", wall_ms=self.clock.wall_ms
         )
@@ -166,7 +164,7 @@
         self._reader = FakeReader(
             self._path, state=self._core, post=lambda mail: self.boot == boot and self.post(mail)
         )
-        self._reader.poll()
+        self._reader.begin()
         self._timeline.after(self._random.uniform(0, TICK_MS / 1000), lambda: self._tick(boot))
 
     def end(self) -> None:
@@ -209,7 +207,7 @@
         seed = self._random.getrandbits(64)
         options = self._options()
         own = self.place.member(self.clock.wall_ms())
-        clock = SteppedClock(self.clock) if self.trace_path else self.clock
+        clock = SteppedClock(self.clock, self._own_load) if self.trace_path else self.clock
         core = make_core(
             own=own,
             options=options,
@@ -217,6 +215,8 @@
             random=seeded(seed),
             views=self.views,
             append=append,
+            append_snapshot=lambda data: self.appender.submit_snapshot(data, self.post),
+            own_load=clock.own_load if isinstance(clock, SteppedClock) else self._own_load,
         )
         if not isinstance(clock, SteppedClock):
             return core
@@ -224,12 +224,15 @@
         self.trace.begin(own=own, options=options, seed=seed)
         return trace_core(core, views=self.views, clock=clock, writer=self.trace)
 
+    def _own_load(self) -> int:
+        return self.target.in_flight
+
     def _options(self) -> CoreOptions:
         return CoreOptions(
             seeds=self._seeds.get(self.zone, ()),
             remote_seeds={zone: found for zone, found in self._seeds.items() if zone != self.zone},
             profile=self._profile,
-            boot=f"{self.name}/{self.boot}",
+            boot=str(self.boot),
         )
 
     def _tick(self, boot: int) -> None:
@@ -238,10 +241,6 @@
         self._timeline.after(TICK_MS / 1000, lambda: self._tick(boot))
         if self.paused:
             return
-        load = self.target.in_flight
-        if load != self._seen_load:
-            self._seen_load = load
-            self._run(lambda: self.core.handle(LoadReported(load)))
         self._run(self.core.on_tick)
 
     def _run(self, step: Callable[[], list[Send]]) -> None:
--- a/src/citronrack/proof/trace.py
+++ b/src/citronrack/proof/trace.py
@@ -5,10 +5,10 @@
 import hashlib
 import json
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from attrs import frozen
 
@@ -33,16 +33,19 @@
 
     Args:
         clock: The real clock.
+        own_load: Returns the number of calls at the own target.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, own_load: Callable[[], int]) -> None:
         self._clock = clock
+        self._own_load = own_load
         self.step()
 
     def step(self) -> None:
-        """Take over the time of the real clock."""
+        """Take over the time of the real clock and the load."""
         self._monotonic = self._clock.monotonic()
         self._wall_ms = self._clock.wall_ms()
+        self._load = self._own_load()
 
     def monotonic(self) -> float:
         """Return seconds at the last step."""
@@ -52,6 +55,17 @@
         """Return milliseconds since the Unix epoch at the last step."""
         return self._wall_ms
 
+    def own_load(self) -> int:
+        """Return the number of calls at the last step."""
+        return self._load
+
+
+class StepTimes(Clock, Protocol):
+    """The clocks and the load that one input was handled with."""
+
+    def own_load(self) -> int:
+        """Return the number of calls at the own target."""
+
 
 @frozen
 class Decisions:
@@ -141,7 +155,7 @@
             }
         )
 
-    def step(self, clock: Clock, entry: Mapping[str, Any], decisions: Decisions) -> None:
+    def step(self, clock: StepTimes, entry: Mapping[str, Any], decisions: Decisions) -> None:
         """Write one input and what it changed."""
         if self.closed:
             return
@@ -150,6 +164,7 @@
             "step": self._steps,
             "monotonic": clock.monotonic(),
             "wall_ms": clock.wall_ms(),
+            "load": clock.own_load(),
             **entry,
             "decided": decisions.changes(self._before),
         }
