--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -5,6 +5,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
+from functools import lru_cache
 
 from attrs import define, field
 
@@ -15,7 +16,16 @@
 from ..settings.checks import split_address
 from .status import NodeStatus, ZoneStatus
 
-MAX_KEPT_ADDRESSES = 10_000
+KEPT_ADDRESSES = 8_192  # twice the two-year fleet
+
+
+@lru_cache(maxsize=KEPT_ADDRESSES)
+def _usable_address(text: str) -> tuple[str, int] | None:
+    """Return ``(ip, port)``, None for an address that a peer with a fault has announced."""
+    try:
+        return split_address(text)
+    except ValueError:
+        return None
 
 
 _PoolKey = tuple[str, str]
@@ -28,6 +38,22 @@
     preferred: list[PoolTarget] = field(factory=list)
     fallback: list[PoolTarget] = field(factory=list)
 
+    def add(
+        self, node: Member | MemberSummary, availability_zone: str, *, good: bool, load: int
+    ) -> None:
+        """Add the target beside a node, unless its address cannot be used."""
+        address = _usable_address(node.deliver_address)
+        if address is None:
+            return
+        target = PoolTarget(
+            name=node.name,
+            deliver_address=address,
+            availability_zone=availability_zone,
+            slots=node.slots,
+            load=load,
+        )
+        (self.preferred if good else self.fallback).append(target)
+
 
 class ViewBuilder:
     """Builds routing views, and reuses what has not changed since the last one.
@@ -41,7 +67,6 @@
         self._remote: Sequence[KnownMember] = ()
         self._remote_pools: Mapping[_PoolKey, _Pool] = {}
         self._pools: Mapping[_PoolKey, tuple[PoolTarget, ...]] = {}
-        self._addresses: dict[str, tuple[str, int]] = {}
         self._view = RoutingView()
 
     def build(
@@ -96,8 +121,7 @@
                 continue
             pool = pools[member.service, member.service_version]
             good = member.ready and member.state == MemberState.ALIVE
-            target = self._target(member, member.availability_zone, load=member.load)
-            (pool.preferred if good else pool.fallback).append(target)
+            pool.add(member, member.availability_zone, good=good, load=member.load)
         for key, remote in self._remote_pools.items():
             pools[key].preferred += remote.preferred
             pools[key].fallback += remote.fallback
@@ -110,27 +134,10 @@
             if summary.gone or summary.draining:
                 continue
             pool = pools[summary.service, summary.service_version]
-            target = self._target(summary, known.availability_zone, load=0)
             good = known.known and summary.ready
-            (pool.preferred if good else pool.fallback).append(target)
+            pool.add(summary, known.availability_zone, good=good, load=0)
         return pools
 
-    def _target(
-        self, node: Member | MemberSummary, availability_zone: str, *, load: int
-    ) -> PoolTarget:
-        address = self._addresses.get(node.deliver_address)
-        if address is None:
-            if len(self._addresses) >= MAX_KEPT_ADDRESSES:
-                self._addresses.clear()
-            address = self._addresses[node.deliver_address] = split_address(node.deliver_address)
-        return PoolTarget(
-            name=node.name,
-            deliver_address=address,
-            availability_zone=availability_zone,
-            slots=node.slots,
-            load=load,
-        )
-
 
 def node_status(member: Member) -> NodeStatus:
     """Return what is known about one member."""
