--- a/src/citronrack/cli/main.py
+++ b/src/citronrack/cli/main.py
@@ -21,6 +21,7 @@
     "intent cancel": ("commands.intent_cancel", "IntentCancelCommand"),
     "intent show": ("queries.intent_show", "IntentShowCommand"),
     "intent list": ("queries.intent_list", "IntentListCommand"),
+    "bench": ("queries.bench", "BenchCommand"),
     "status": ("queries.status", "StatusCommand"),
     "check-config": ("queries.check_config", "CheckConfigCommand"),
     "replay": ("queries.replay", "ReplayCommand"),
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -14,7 +14,7 @@
 from ..api.server import ApiListener
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
-from ..clock import SystemClock
+from ..clock import Clock, SystemClock
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
 from ..log.http import HttpLogClient
@@ -43,6 +43,8 @@
 
 if TYPE_CHECKING:
     from ..api.app import IntentApi
+    from ..proof.core_factory import CoreOptions
+    from .tracing import NodeTrace
 
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
@@ -112,6 +114,7 @@
         tasks: dict[str, Any],
         call_path: CallPath,
         api: ApiListener,
+        trace: NodeTrace | None,
     ) -> None:
         self._settings = settings
         self._executor = executor
@@ -120,6 +123,7 @@
         self._tasks = tasks
         self._call_path = call_path
         self._api = api
+        self._trace = trace
         self._stop_asked = threading.Event()
         self._futures: list[Future[Any]] = []
 
@@ -156,6 +160,8 @@
         self._events.write(Event.NODE_STOPPED)
         self._events.stop()
         self._executor.shutdown()
+        if self._trace is not None:
+            self._trace.close()
 
     def _guarded(self, runner: Any) -> None:
         try:
@@ -193,22 +199,30 @@
     threads = FIXED_THREADS + API_THREADS + 2 * settings.calls.connections
     executor = ThreadPoolExecutor(threads, thread_name_prefix="citronrack")
     call_path = _call_path(settings, views, mailbox, executor, events)
+    own = _own_member(settings, clock.wall_ms())
+    seeds = _peer_addresses(settings.mesh.seeds)
+    remote_seeds = {
+        zone: _peer_addresses(addresses) for zone, addresses in settings.mesh.remote_seeds.items()
+    }
+    trace = _open_trace(settings, clock, call_path)
+    if trace is not None:
+        trace.begin(own, _core_options(settings, seeds, remote_seeds, writer))
     core = compose_core(
-        own=_own_member(settings, clock.wall_ms()),
-        seeds=_peer_addresses(settings.mesh.seeds),
-        remote_seeds={
-            zone: _peer_addresses(seeds) for zone, seeds in settings.mesh.remote_seeds.items()
-        },
-        clock=clock,
-        random=random,
+        own=own,
+        seeds=seeds,
+        remote_seeds=remote_seeds,
+        clock=trace.clock if trace is not None else clock,
+        random=trace.random if trace is not None else random,
         events=events,
         metrics=metrics,
         views=views,
-        own_load=lambda: call_path.admission.load,
+        own_load=trace.clock.own_load if trace is not None else lambda: call_path.admission.load,
         writer=writer,
         append=lambda body: append_task.submit_and_post(body, mailbox),
         append_snapshot=lambda data: append_task.submit_snapshot_and_post(data, mailbox),
     )
+    if trace is not None:
+        core = trace.wrap(core, views=views)
     control = ControlTask(
         core=core,
         transport=ZmqTransport(
@@ -244,6 +258,37 @@
         tasks={"reader": reader, "append": append_task},
         call_path=call_path,
         api=api,
+        trace=trace,
+    )
+
+
+def _open_trace(settings: Settings, clock: Clock, call_path: CallPath) -> NodeTrace | None:
+    if not settings.telemetry.trace:
+        return None
+    from .tracing import NodeTrace
+
+    return NodeTrace(
+        settings.telemetry.trace,
+        limit_bytes=settings.telemetry.trace_limit_mb * 1024 * 1024,
+        clock=clock,
+        own_load=lambda: call_path.admission.load,
+    )
+
+
+def _core_options(
+    settings: Settings,
+    seeds: tuple[str, ...],
+    remote_seeds: dict[str, tuple[str, ...]],
+    writer: str,
+) -> CoreOptions:
+    from ..proof.core_factory import CoreOptions
+
+    return CoreOptions(
+        seeds=seeds,
+        remote_seeds=remote_seeds,
+        profile=settings.profile,
+        link_one_way_ms=settings.calls.link_one_way_ms,
+        boot=writer.rpartition("/")[2],
     )
 
 
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from ..calls import ViewHolder
+from ..calls import CallRecord, ViewHolder
 from ..clock import Clock
 from ..config import ActiveConfig
 from ..distribution import DistributionCore, ReaderRole
@@ -24,6 +24,7 @@
 )
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
+from ..verdict import Verdict
 from .duties import Duties
 from .mail import (
     AppendDone,
@@ -42,6 +43,7 @@
 )
 from .moving import MoveWork
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
+from .seeds import SeedKeeper
 from .status import MeshStatus, TransportStatus
 from .views import ViewBuilder, node_status, zone_status
 
@@ -114,6 +116,10 @@
         self._record_waiters: list[RecordAwaited] = []
         self._role = ReaderRole.NONE
         self._view_builder = ViewBuilder()
+        self._seeds = SeedKeeper(
+            availability_zone=parts.table.own.availability_zone, clock=parts.clock
+        )
+        self._listed_seeds: tuple[str, ...] = ()
         self._remote: list[KnownMember] = []
         self._next_remote_look = 0.0
         self.transport_status = TransportStatus()
@@ -280,6 +286,7 @@
         return []
 
     def _snapshot_read(self, mail: SnapshotRead) -> list[Send]:
+        self._parts.events.write(Event.LOG_TRIMMED, offset=self._fold.next_offset)
         self.load_snapshot(mail.data)
         return []
 
@@ -315,9 +322,8 @@
         return []
 
     def _call_reported(self, mail: CallReported) -> list[Send]:
-        name = "calls.refused" if mail.record.refused else "calls.served"
         if not mail.record.delivered_here:
-            self._parts.metrics.count(name)
+            self._parts.metrics.count(_metric_of(mail.record))
         self._parts.moving.observe(mail.record)
         return []
 
@@ -362,13 +368,26 @@
     def _do_duties(self) -> None:
         duties = self._parts.duties
         duties.on_state(self._fold.state)
+        rank = self._duty_rank()
+        self._keep_seeds(rank)
         duties.on_tick(
             self._fold,
-            rank=self._duty_rank(),
+            rank=rank,
             first=self._log_first,
             end=self._log_end or 0,
         )
 
+    def _keep_seeds(self, rank: int | None) -> None:
+        """Use the addresses that the log lists, and renew the list as its primary reader."""
+        zone = self._parts.table.own.availability_zone
+        listed = self._fold.state.seeds.get(zone, ())
+        if listed != self._listed_seeds:
+            self._listed_seeds = listed
+            self._parts.detector.add_seeds(listed)
+        due = self._seeds.due(listed, self._parts.distribution.tree.ranking) if rank == 0 else None
+        if due is not None:
+            self._parts.duties.append(due)
+
     def _duty_rank(self) -> int | None:
         """Return the rank among the zone's readers, None while this node should hold no duty."""
         current = self._log_end is not None and self._fold.next_offset >= self._log_end
@@ -435,6 +454,12 @@
         return True if self._role is not ReaderRole.NONE else None
 
 
+def _metric_of(record: CallRecord) -> str:
+    if record.refused:
+        return "calls.refused"
+    return "calls.served" if record.verdict is Verdict.RAN else "calls.failed"
+
+
 def _same_nodes(first: Sequence[KnownMember], second: Sequence[KnownMember]) -> bool:
     """Return whether two looks found the same descriptions; only the ages may differ."""
     if len(first) != len(second):
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -47,6 +47,10 @@
         }
         self._held: set[str] = set()
 
+    def append(self, body: Any) -> None:
+        """Queue a record body on behalf of this node."""
+        self._append(body)
+
     def term(self, duty: Duty) -> int:
         """Return the term under which this node may do a duty now, 0 when it may not."""
         return self._keepers[duty.value].term or 0
--- a/src/citronrack/node/moving.py
+++ b/src/citronrack/node/moving.py
@@ -9,7 +9,9 @@
 from ..clock import Clock
 from ..distribution import DistributionCore
 from ..log.fold import LogFold
-from ..log.records import Duty
+from ..log.marks import is_settled
+from ..log.records import Duty, Marked
+from ..log.state import FoldState
 from ..membership import Member, MemberState, MemberTable, ZoneDirectory
 from ..moves import MoveCore, MoveStatus, MoveSurroundings
 from ..moves.facts import MARK_PREFIX, FactEntry
@@ -72,6 +74,7 @@
         self._distribution = distribution
         self._events = events
         self._append = append
+        self._state = FoldState()
         self._facts = NodeFacts(distribution)
         self.capacity = MeshCapacity(table=table, directory=directory)
         self.core = MoveCore(
@@ -91,6 +94,7 @@
 
     def on_fold(self, fold: LogFold) -> None:
         """Take over the folded log."""
+        self._state = fold.state
         self.core.on_state(fold.state)
 
     def observe(self, record: CallRecord) -> None:
@@ -101,7 +105,8 @@
         """Judge, append due records, write notices, and return what to send."""
         effects = self.core.on_tick()
         for body in self.core.due_records():
-            self._append(body)
+            if not (isinstance(body, Marked) and is_settled(self._state, body)):
+                self._append(body)
         for notice in self.core.take_notices():
             self._events.write(notice.event, move=notice.move_id, text=notice.text)
         stale = frozenset(self.core.stale_facts())
--- a/src/citronrack/settings/model.py
+++ b/src/citronrack/settings/model.py
@@ -114,10 +114,14 @@
     Attributes:
         level: Lowest level that is written: debug, info, warning or error.
         statsd: ``ip:port`` of a statsd server, empty for none.
+        trace: File in which to record the core's inputs for a replay, empty for none.
+        trace_limit_mb: Largest size of that file.
     """
 
     level: str = field(default="info", validator=checks.one_of("debug", "info", "warning", "error"))
     statsd: str = field(default="", validator=checks.optional_address)
+    trace: str = ""
+    trace_limit_mb: int = field(default=64, validator=checks.between(1, 10_000))
 
 
 @frozen
--- a/src/citronrack/telemetry/metrics.py
+++ b/src/citronrack/telemetry/metrics.py
@@ -14,8 +14,6 @@
     "calls.served": "counter, calls answered",
     "calls.refused": "counter, calls refused before they ran",
     "calls.failed": "counter, calls without a complete answer",
-    "calls.retried": "counter, calls sent to another target",
-    "calls.added_ms": "timing, milliseconds spent in this node outside of waiting for the target",
 }
 
 
