--- a/src/citronrack/cli/queries/status.py
+++ b/src/citronrack/cli/queries/status.py
@@ -31,10 +31,20 @@
         reason = f" ({status['reason']})" if status["reason"] else ""
         self.line(f"node {status['node']}: {status['readiness']}{reason}")
         self.line(f"version {status['version']} in force, log offset {status['offset']}")
+        if status["log_reachable"] is False:
+            self.line("the platform's log does not answer")
         for zone in status["zones"]:
+            missing = zone["nodes"] - zone["in_force"] - len(zone["behind"])
+            told = f", {missing} unknown" if missing > 0 else ""
             self.line(
-                f"zone {zone['availability_zone']}: {zone['in_force']} of {zone['nodes']} nodes"
+                f"zone {zone['availability_zone']}: "
+                f"{zone['in_force']} of {zone['nodes']} nodes{told}"
             )
             for kind in ("behind", "unknown"):
                 if zone[kind]:
                     self.line(f"  {kind}: {', '.join(zone[kind])}")
+        for move in status["moves"]:
+            self.line(
+                f"move {move['move_id']}: share {move['share']:.2f}, "
+                f"{move['cleared']} of {move['steps']} steps cleared; {move['reason']}"
+            )
