--- a/src/citronrack/cli/queries/bench.py
+++ b/src/citronrack/cli/queries/bench.py
@@ -12,6 +12,7 @@
 BENCHES = {
     "balancing": "policies of target choice, in one process",
     "calls": "latency that a node adds, calls per second, overload; real processes",
+    "directory": "memory and time of what a node knows about other zones, at the target's size",
     "distribution": "ways of distributing, in one process",
     "log_load": "appends and reads of a herd restart, in one process",
     "moves": "good and bad versions under all faults, in one process",
