Use one drain notice time in the daemon and in scenarios

Cause: scenarios ended a drained node after 1 s, the daemon serves for 2 s.

Change: both take NOTICE_S of calls/drain.py.

--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -5,6 +5,9 @@
 import threading
 import time
 
+NOTICE_S = 2.0
+"""Time between telling other nodes of a stop and refusing calls."""
+
 
 class Drainer:
     """The state of one node's stop; shared by its listeners."""
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..api.server import ApiListener
+from ..calls.drain import NOTICE_S
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
 from ..clock import Clock, SystemClock
@@ -49,9 +50,6 @@
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
 BOOT_ID_BYTES = 6
-DRAIN_NOTICE_S = 2.0
-"""Time between telling other nodes of a stop and refusing calls."""
-
 SWITCH_INTERVAL_S = 0.0005
 """Longest time that another task keeps a call thread waiting for the interpreter lock.
 
@@ -150,7 +148,7 @@
         self._control.mailbox.put(DrainAsked())
         # Calls go on being served until all routers can know: refusing half of the calls of a
         # two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
-        threading.Event().wait(DRAIN_NOTICE_S)
+        threading.Event().wait(NOTICE_S)
         limit_s = self._settings.calls.drain_limit_s
         self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any
 
+from ..calls.drain import NOTICE_S
 from ..config import Change, Route, Service, ServiceVersion
 from ..log import Confirmed, Envelope, encode_record
 from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM, SnapshotTaken
@@ -32,7 +33,6 @@
 from .sim_node import SEEDS_PER_ZONE, NodePlace, SimNode
 from .timeline import NodeClock, Timeline
 
-DRAIN_NOTICE_S = 1.0  # time between the notice to peers and the end of the process
 DRAIN_LIMIT_S = 30.0
 SETUP_WRITER = "setup/1"
 
@@ -152,7 +152,7 @@
         self.emit(DrainStarted(self.timeline.now, node.name))
         node.post(DrainAsked())
         boot, limit = node.boot, self.timeline.now + DRAIN_LIMIT_S
-        self.timeline.after(DRAIN_NOTICE_S, lambda: self._finish_drain(node, boot, limit, then))
+        self.timeline.after(NOTICE_S, lambda: self._finish_drain(node, boot, limit, then))
 
     def set_fault(self, service: str, service_version: str, fault: Fault) -> None:
         """Make a service version bad."""
