Write the events that the catalogue promises

Cause: seven numbered events (102, 500 to 503, 512, 513) stood in the catalogue, but nothing wrote them.

Change: the API writes what became of plans, the core writes decided and cancelled moves and why it is not ready; node/notes.py holds the log lines of the core.

--- a/src/citronrack/api/app.py
+++ b/src/citronrack/api/app.py
@@ -16,6 +16,7 @@
 from ..errors import ConfigInvalid, PlanConflict, PlanExpired, Unauthorized
 from ..moves import Intent, Plan
 from ..plain import PlainFaults, from_plain, to_plain
+from ..telemetry import Event, EventLog
 from . import commands, queries
 from .gateway import NodeGateway
 
@@ -87,6 +88,7 @@
         token: Bearer token of operators.
         default_profile: Policy for moves when an intent names none.
         requests_per_second: Largest mean rate of requests.
+        events: Where log events go.
     """
 
     def __init__(
@@ -97,8 +99,10 @@
         token: str,
         default_profile: str,
         requests_per_second: float,
+        events: EventLog,
     ) -> None:
         self._gateway = gateway
+        self._events = events
         self._clock = clock
         self._token = token
         self._default_profile = default_profile
@@ -169,12 +173,21 @@
         plan = commands.make(
             self._gateway, intent, clock=self._clock, default_profile=self._default_profile
         )
+        self._events.write(Event.PLAN_MADE, plan=plan.plan_id, base_version=plan.base_version)
         return _json(to_plain(plan))
 
     def _confirm_plan(self, request: Request) -> Response:
         plan = from_plain(self._body(request), Plan, name="plan")
         operator = self._operator(request)
-        result = commands.confirm(self._gateway, plan, operator=operator, clock=self._clock)
+        try:
+            result = commands.confirm(self._gateway, plan, operator=operator, clock=self._clock)
+        except (PlanConflict, PlanExpired) as error:
+            self._events.write(
+                Event.PLAN_REFUSED, plan=plan.plan_id, operator=operator, reason=str(error)
+            )
+            raise
+        event = Event.PLAN_UNKNOWN if result.result == "unknown" else Event.PLAN_CONFIRMED
+        self._events.write(event, plan=plan.plan_id, operator=operator, version=result.version)
         return _json(to_plain(result), 202 if result.result == "unknown" else 200)
 
     def _plan(self, _: Request, plan_id: str) -> Response:
@@ -201,6 +214,7 @@
     token: str,
     default_profile: str,
     requests_per_second: float,
+    events: EventLog,
 ) -> IntentApi:
     """Return the WSGI application of the intent API."""
     return IntentApi(
@@ -209,4 +223,5 @@
         token=token,
         default_profile=default_profile,
         requests_per_second=requests_per_second,
+        events=events,
     )
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -245,7 +245,7 @@
     gateway = Gateway(mailbox, append_task)
     api = ApiListener(
         split_address(settings.api.address),
-        make_application=lambda: _make_application(settings, gateway),
+        make_application=lambda: _make_application(settings, gateway, events),
         executor=executor,
     )
     return Node(
@@ -290,7 +290,7 @@
     )
 
 
-def _make_application(settings: Settings, gateway: Gateway) -> IntentApi:
+def _make_application(settings: Settings, gateway: Gateway, events: EventLog) -> IntentApi:
     """Return the intent API; imported late because most nodes never serve a request of it."""
     from ..api.app import create_app
 
@@ -300,6 +300,7 @@
         token=settings.api.token,
         default_profile=settings.profile,
         requests_per_second=settings.api.requests_per_second,
+        events=events,
     )
 
 
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -15,8 +15,6 @@
 from ..log import FoldResult, LogFold
 from ..membership import (
     FailureDetector,
-    Member,
-    MemberState,
     MemberTable,
     ZoneDirectory,
 )
@@ -27,7 +25,6 @@
 from .log_state import LogState
 from .mail import (
     AppendDone,
-    AppendFate,
     CallReported,
     CapacityAsked,
     DrainAsked,
@@ -41,6 +38,7 @@
     StatusAsked,
 )
 from .moving import MoveWork
+from .notes import Notes
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
 from .remote import RemoteLook
 from .reporting import mesh_status
@@ -49,19 +47,8 @@
 from .views import ViewBuilder
 from .waiters import Waiters
 
-_APPEND_EVENTS = {
-    AppendFate.REFUSED: Event.APPEND_REFUSED,
-    AppendFate.UNKNOWN: Event.APPEND_UNKNOWN,
-}
-
 _DUTY_RANKS = {ReaderRole.PRIMARY: 0, ReaderRole.STANDBY: 1}
 
-_MEMBER_EVENTS = {
-    MemberState.ALIVE: Event.MEMBER_ALIVE,
-    MemberState.SUSPECT: Event.MEMBER_SUSPECT,
-    MemberState.GONE: Event.MEMBER_GONE,
-}
-
 Handler = Callable[[Any], list[Send]]
 
 
@@ -113,6 +100,7 @@
         self._waiters = Waiters()
         self._role = ReaderRole.NONE
         self._view_builder = ViewBuilder()
+        self.notes = Notes(events=parts.events, clock=parts.clock)
         self._seeds = SeedKeeper(
             availability_zone=parts.table.own.availability_zone, clock=parts.clock
         )
@@ -228,13 +216,6 @@
             transport=self.transport_status,
         )
 
-    def member_changed(self, member: Member) -> None:
-        """Write an event; called by the failure detector."""
-        event = _MEMBER_EVENTS[MemberState(member.state)]
-        if member.draining and event is Event.MEMBER_ALIVE:
-            event = Event.MEMBER_DRAINING
-        self._parts.events.write(event, member=member.name, incarnation=member.incarnation)
-
     def leave(self) -> list[Send]:
         """Return what tells the peers that this node stops."""
         return self._parts.detector.leave()
@@ -293,9 +274,7 @@
         return True
 
     def _append_done(self, mail: AppendDone) -> list[Send]:
-        event = _APPEND_EVENTS.get(mail.fate)
-        if event is not None:
-            self._parts.events.write(event, kind=type(mail.body).__name__, reason=mail.reason)
+        self.notes.append_done(mail)
         self._parts.duties.on_append_done(mail)
         return []
 
@@ -333,6 +312,7 @@
 
     def _after_fold(self, result: FoldResult) -> None:
         if result.accepted:
+            self.notes.decided(result.body)
             self._activate()
             self._parts.moving.on_fold(self._fold)
 
@@ -388,6 +368,8 @@
             )
         )
         ready = state is not Readiness.NOT_READY
+        if not ready:
+            self.notes.not_ready(self._gate.reason)
         if state is not before:
             self._parts.events.write(Event.NODE_READY, state=state.value, reason=self._gate.reason)
         self._parts.table.update_own(ready=ready)
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -84,7 +84,7 @@
         random=random,
         seeds=seeds,
         observer=parts.distribution,
-        changed=core.member_changed,
+        changed=core.notes.member_changed,
     )
     parts.directory = ZoneDirectory(
         table=table,
--- a/tests/api/test_app.py
+++ b/tests/api/test_app.py
@@ -19,6 +19,7 @@
 from citronrack.moves import Capacity
 from citronrack.node.capacity import CapacityTable
 from citronrack.node.status import MeshStatus, TransportStatus
+from citronrack.telemetry import EventLog
 
 TOKEN = "an-operator-token-of-a-test"
 INTENT = {
@@ -116,6 +117,7 @@
             token=TOKEN,
             default_profile="spoorhout",
             requests_per_second=1000,
+            events=EventLog(node="a", level="error"),
         )
         self.client = Client(self.app)
 
@@ -234,6 +236,7 @@
             token=TOKEN,
             default_profile="spoorhout",
             requests_per_second=1,
+            events=EventLog(node="a", level="error"),
         )
         codes = [Client(app).get("/healthz").status_code for _ in range(5)]
         self.assertEqual(codes, [200, 200, 429, 429, 429])
