Remove an unused property of the node's core

Cause: nothing reads NodeCore.duties; the core uses its parts directly.

Change: the property is gone; behaviour stays as it is.

--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -132,11 +132,6 @@
         """Whether the reader task should poll the log; safe to read from any thread."""
         return self._role is not ReaderRole.NONE or self._gate.state is not Readiness.READY
 
-    @property
-    def duties(self) -> Duties:
-        """Leases and snapshots of this node."""
-        return self._parts.duties
-
     @property
     def version(self) -> int:
         """Configuration version in force, -1 for none."""
