--- a/src/citronrack/bench/calls_parts.py
+++ b/src/citronrack/bench/calls_parts.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from random import Random
 
 from ..calls import PoolTarget, RoutingView, ViewHolder
@@ -20,6 +21,7 @@
 CALLS = 3_000
 LINES = 20_000
 SHOWN = 22
+SOURCE_FOLDER = Path(__file__).resolve().parent.parent
 
 
 def print_parts() -> None:
@@ -43,7 +45,7 @@
     pstats.Stats(profile, stream=text).sort_stats("tottime").print_stats(SHOWN)
     for line in text.getvalue().splitlines():
         if line.strip():
-            print("  " + line.replace("/work/", ".../"))
+            print("  " + line.replace(str(SOURCE_FOLDER), "..."))
     _print_lines()
 
 
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -13,10 +13,8 @@
 from ..distribution import DistributionCore, ReaderRole
 from ..errors import MessageRejected
 from ..log import FoldResult, LogFold
-from ..log.fold import PlanState
 from ..membership import (
     FailureDetector,
-    KnownMember,
     Member,
     MemberState,
     MemberTable,
@@ -26,6 +24,7 @@
 from ..transport.send import Core, Send
 from ..verdict import Verdict
 from .duties import Duties
+from .log_state import LogState
 from .mail import (
     AppendDone,
     AppendFate,
@@ -43,11 +42,12 @@
 )
 from .moving import MoveWork
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
+from .remote import RemoteLook
+from .reporting import mesh_status
 from .seeds import SeedKeeper
 from .status import MeshStatus, TransportStatus
-from .views import ViewBuilder, node_status, zone_status
-
-REMOTE_LOOK_S = 1.0
+from .views import ViewBuilder
+from .waiters import Waiters
 
 _APPEND_EVENTS = {
     AppendFate.REFUSED: Event.APPEND_REFUSED,
@@ -109,19 +109,15 @@
         self._fold = fold
         self._active = ActiveConfig()
         self._gate = ReadinessGate()
-        self._log_first = 0
-        self._log_end: int | None = None
-        self._log_failing_since: float | None = None
-        self._plan_waiters: list[PlanAwaited] = []
-        self._record_waiters: list[RecordAwaited] = []
+        self._log = LogState(parts.clock)
+        self._waiters = Waiters()
         self._role = ReaderRole.NONE
         self._view_builder = ViewBuilder()
         self._seeds = SeedKeeper(
             availability_zone=parts.table.own.availability_zone, clock=parts.clock
         )
         self._listed_seeds: tuple[str, ...] = ()
-        self._remote: list[KnownMember] = []
-        self._next_remote_look = 0.0
+        self._remote = RemoteLook(parts.clock)
         self.transport_status = TransportStatus()
         self._handlers: dict[type[Any], Handler] = {
             LogRead: self._log_read,
@@ -133,8 +129,8 @@
             StatusAsked: self._status_asked,
             StateAsked: self._state_asked,
             CapacityAsked: self._capacity_asked,
-            PlanAwaited: self._plan_awaited,
-            RecordAwaited: self._record_awaited,
+            PlanAwaited: self._awaited,
+            RecordAwaited: self._awaited,
             DrainAsked: self._drain,
         }
 
@@ -181,7 +177,7 @@
     def handle(self, mail: Any) -> list[Send]:
         """Handle a message of another task and return what to send."""
         effects = self._handlers[type(mail)](mail)
-        self._answer_waiters()
+        self._waiters.answer(self._fold)
         return effects
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
@@ -190,7 +186,7 @@
         for core in self._cores():
             if isinstance(message, core.MESSAGES):  # type: ignore[attr-defined]
                 effects.extend(core.on_message(sender, message))
-        self._answer_waiters()
+        self._waiters.answer(self._fold)
         return effects
 
     def on_tick(self) -> list[Send]:
@@ -218,27 +214,17 @@
 
     def status(self) -> MeshStatus:
         """Return what operators may know."""
-        table = self._parts.table
-        version = self._active.version
-        own_zone = table.own.availability_zone
-        state = self._fold.state
-        return MeshStatus(
-            node=table.own.name,
-            availability_zone=own_zone,
+        reads = self._role is not ReaderRole.NONE
+        return mesh_status(
+            table=self._parts.table,
+            state=self._fold.state,
+            version=self._active.version,
             readiness=self._gate.state.value,
             reason=self._gate.reason,
-            version=version,
-            offset=state.next_offset,
-            digest=f"{state.digest:016x}",
-            log_reachable=self._log_reachable(),
+            log_reachable=False if self._log.failing else (True if reads else None),
             reader_role=self._role.value,
-            zones=tuple(
-                zone_status(progress, version=version)
-                for progress in self._parts.directory.zone_progress()
-            ),
-            nodes=tuple(node_status(member) for member in table.all_members()),
+            progress=self._parts.directory.zone_progress(),
             moves=self._parts.moving.statuses(),
-            duties={duty: lease.holder for duty, lease in state.leases.items()},
             transport=self.transport_status,
         )
 
@@ -267,11 +253,8 @@
         return parts.detector, parts.distribution, parts.directory, parts.moving.core
 
     def _log_read(self, mail: LogRead) -> list[Send]:
-        if self._log_failing_since is not None:
+        if self._log.succeeded(mail.page):
             self._parts.events.write(Event.LOG_RECOVERED, end=mail.page.end)
-        self._log_failing_since = None
-        self._log_first = mail.page.first
-        self._log_end = mail.page.end
         effects = self._parts.distribution.on_log_records(mail.page.records)
         self._refresh()
         return effects
@@ -279,8 +262,7 @@
     def _log_read_failed(self, mail: LogReadFailed) -> list[Send]:
         self._parts.metrics.count("log.failures")
         self._parts.distribution.on_log_failure()
-        if self._log_failing_since is None:
-            self._log_failing_since = self._parts.clock.monotonic()
+        if self._log.failed():
             self._parts.events.write(Event.LOG_UNAVAILABLE, reason=mail.reason)
         self._refresh()
         return []
@@ -345,12 +327,8 @@
         mail.answer.set_result(self._parts.moving.capacity.table())
         return []
 
-    def _plan_awaited(self, mail: PlanAwaited) -> list[Send]:
-        self._plan_waiters.append(mail)
-        return []
-
-    def _record_awaited(self, mail: RecordAwaited) -> list[Send]:
-        self._record_waiters.append(mail)
+    def _awaited(self, mail: PlanAwaited | RecordAwaited) -> list[Send]:
+        self._waiters.add(mail)
         return []
 
     def _after_fold(self, result: FoldResult) -> None:
@@ -373,8 +351,8 @@
         duties.on_tick(
             self._fold,
             rank=rank,
-            first=self._log_first,
-            end=self._log_end or 0,
+            first=self._log.first,
+            end=self._log.end or 0,
         )
 
     def _keep_seeds(self, rank: int | None) -> None:
@@ -390,23 +368,22 @@
 
     def _duty_rank(self) -> int | None:
         """Return the rank among the zone's readers, None while this node should hold no duty."""
-        current = self._log_end is not None and self._fold.next_offset >= self._log_end
-        able = self._gate.state is Readiness.READY and self._log_failing_since is None
-        if not current or not able or self._parts.table.own.draining:
+        end = self._log.end
+        current = end is not None and self._fold.next_offset >= end
+        able = self._gate.state is Readiness.READY and not self._parts.table.own.draining
+        if not current or not able:
             return None
         return _DUTY_RANKS.get(self._role)
 
     def _refresh(self) -> None:
         """Decide readiness anew and replace the routing view."""
-        now = self._parts.clock.monotonic()
-        failing = 0.0 if self._log_failing_since is None else now - self._log_failing_since
         before = self._gate.state
         state = self._gate.update(
             ReadinessInputs(
                 offset=self._fold.next_offset,
                 version=self._active.version,
-                log_end=self._log_end if self._log_failing_since is None else None,
-                log_failing_s=failing,
+                log_end=self._log.end,
+                log_failing_s=self._log.failing_s,
                 peer_offsets=self._parts.distribution.peer_offsets(),
             )
         )
@@ -419,50 +396,12 @@
             reason=self._gate.reason,
             config=self._active.current,
             members=self._parts.table.members(),
-            remote=self._remote_members(),
+            remote=self._remote.members(self._parts.directory),
             shares=self._parts.moving.shares(),
         )
 
-    def _remote_members(self) -> list[KnownMember]:
-        """Return the nodes of other zones; the same object until one has changed.
-
-        A pass over 3,267 nodes takes some milliseconds, so it is made once a second.
-        """
-        now = self._parts.clock.monotonic()
-        if now >= self._next_remote_look:
-            self._next_remote_look = now + REMOTE_LOOK_S
-            directory = self._parts.directory
-            found = [m for zone in directory.zones() for m in directory.members(zone)]
-            if not _same_nodes(found, self._remote):
-                self._remote = found
-        return self._remote
-
-    def _answer_waiters(self) -> None:
-        folded = self._fold.next_offset
-        for plan_waiter in [w for w in self._plan_waiters if w.offset < folded]:
-            self._plan_waiters.remove(plan_waiter)
-            plan = self._fold.state.plans.get(plan_waiter.plan_id)
-            lost = PlanState(False, plan_waiter.offset, "the record could not be read")
-            plan_waiter.answer.set_result(plan if plan is not None else lost)
-        for waiter in [w for w in self._record_waiters if w.offset < folded]:
-            self._record_waiters.remove(waiter)
-            waiter.answer.set_result(self._fold.state)
-
-    def _log_reachable(self) -> bool | None:
-        if self._log_failing_since is not None:
-            return False
-        return True if self._role is not ReaderRole.NONE else None
-
 
 def _metric_of(record: CallRecord) -> str:
     if record.refused:
         return "calls.refused"
     return "calls.served" if record.verdict is Verdict.RAN else "calls.failed"
-
-
-def _same_nodes(first: Sequence[KnownMember], second: Sequence[KnownMember]) -> bool:
-    """Return whether two looks found the same descriptions; only the ages may differ."""
-    if len(first) != len(second):
-        return False
-    pairs = zip(first, second, strict=True)
-    return all(a.summary is b.summary and a.known == b.known for a, b in pairs)
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -1,8 +1,7 @@
-"""Builds the input of the call path and the status from folded state and membership."""
+"""Builds the input of the call path from folded state and membership."""
 
 from __future__ import annotations
 
-import math
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from functools import lru_cache
@@ -11,10 +10,8 @@
 
 from ..calls import PoolTarget, RouteShare, RoutingView
 from ..config import ConfigSet
-from ..distribution import ZoneProgress
 from ..membership import KnownMember, Member, MemberState, MemberSummary
 from ..settings.checks import split_address
-from .status import NodeStatus, ZoneStatus
 
 KEPT_ADDRESSES = 8_192  # twice the two-year fleet
 
@@ -137,29 +134,3 @@
             good = known.known and summary.ready
             pool.add(summary, known.availability_zone, good=good, load=0)
         return pools
-
-
-def node_status(member: Member) -> NodeStatus:
-    """Return what is known about one member."""
-    return NodeStatus(
-        name=member.name,
-        availability_zone=member.availability_zone,
-        state=MemberState(member.state).name.lower(),
-        version=member.version,
-        ready=member.ready,
-        draining=member.draining,
-        service=member.service,
-        service_version=member.service_version,
-    )
-
-
-def zone_status(progress: ZoneProgress, *, version: int) -> ZoneStatus:
-    """Return how far a zone is; a member that has not reported counts as unknown."""
-    return ZoneStatus(
-        availability_zone=progress.availability_zone,
-        nodes=progress.total,
-        in_force=min(progress.count_in_force(version), progress.total - progress.unknown),
-        behind=progress.behind,
-        unknown=progress.unheard,
-        age_s=-1.0 if math.isinf(progress.age_s) else round(progress.age_s, 3),
-    )
