Log unreadable rollout records; order names by one hash

Cause: a record under rollout/ in the nodes' topic that cannot be decoded was passed over without a line, while one under node/ was logged. Three places ordered names by a hash of their own. Change: RECORD_REFUSED also for rollout records; rendezvous.weight replaces the three hashes.

--- a/src/citronrack/distribution/ranking.py
+++ b/src/citronrack/distribution/ranking.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from functools import lru_cache
 from typing import Protocol, TypeVar
 
-import xxhash
+from ..rendezvous import weight
 
 
 class Ranked(Protocol):
@@ -42,10 +41,5 @@
 
 
 def _key(member: Ranked) -> tuple[bool, bool, int, str]:
-    score = _score(member.availability_zone, member.name)
+    score = weight(member.availability_zone, member.name)
     return member.state == 0, member.ready, score, member.name
-
-
-@lru_cache(maxsize=8192)
-def _score(availability_zone: str, name: str) -> int:
-    return int(xxhash.xxh64_intdigest(f"{availability_zone}/{name}".encode()))
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -298,6 +298,8 @@
                 rollout = decode_record(record.value)
                 if rollout is not None:
                     self._take_rollout(rollout)
+                elif record.value is not None:
+                    self._refuse_record(record)
 
     def _on_node_record(self, record: KeyedRecord) -> None:
         entry = read_entry(record.value)
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Iterable
 
-import xxhash
 from attrs import define, field, frozen
 
 from ..clock import Clock
+from ..rendezvous import weight
 from ..transport.messages import message_codec
 
 BEAT_S = 0.4
@@ -17,6 +17,9 @@
 """Time without a reader after which a node reads itself: two beats may be lost, and a change has
 to be in force within two seconds."""
 
+READERS = "readers"
+"""Scope of the order in which the nodes of a zone read."""
+
 RANK_DELAY_S = 0.1
 MAX_RANK_DELAY_S = 0.8
 """Further silence for each node of a better rank, so that few nodes begin at once."""
@@ -73,7 +76,7 @@
             position: First offset that this node does not cover.
             store_answers: Whether this node reaches the store itself.
         """
-        better = _rank(beat.name) < _rank(self.own_name)
+        better = weight(READERS, beat.name) < weight(READERS, self.own_name)
         if better:
             self._better_at = self.clock.monotonic()
         if beat.position != position:
@@ -89,7 +92,8 @@
             names: Names of the other nodes of the zone.
         """
         now = self.clock.monotonic()
-        better = sum(_rank(name) < _rank(self.own_name) for name in names)
+        own = weight(READERS, self.own_name)
+        better = sum(weight(READERS, name) < own for name in names)
         delay_s = min(better * RANK_DELAY_S, MAX_RANK_DELAY_S)
         if now - self._heard_at > SILENCE_S + delay_s:
             self.reading = True
@@ -97,7 +101,3 @@
             return False
         self._next_beat = now + BEAT_S
         return True
-
-
-def _rank(name: str) -> int:
-    return int(xxhash.xxh64_intdigest(name.encode()))
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable, Sequence
 from enum import StrEnum
 
-import xxhash
 from attrs import define, evolve, field, frozen
 
 from ..clock import Clock
 from ..codec import decode, encode
 from ..errors import MessageRejected
+from ..rendezvous import weight
 from ..telemetry import Event, EventLog
 from ..transport.messages import message_codec
 from .evidence import Evidence, EvidenceBoard
@@ -290,12 +290,9 @@
 
     def _delay(self, rollout: _Rollout, names: Sequence[str]) -> float:
         """Return how long this node leaves a rollout to nodes of a better rank."""
-
-        def weight(name: str) -> int:
-            return int(xxhash.xxh64_intdigest(f"{rollout.order.order_id}\0{name}".encode()))
-
-        own = weight(self._own_name)
-        return RANK_DELAY_S * sum(weight(name) < own for name in names)
+        scope = f"rollout/{rollout.order.order_id}"
+        own = weight(scope, self._own_name)
+        return RANK_DELAY_S * sum(weight(scope, name) < own for name in names)
 
     def _begin(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
         if rollout.elapsed_s(now) < self._delay(rollout, names):
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -30,7 +30,7 @@
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
 from citronrack.hosted.target import OwnTargetState, TargetLeave, TargetReport
 from citronrack.platform.operator import operator_topic
-from citronrack.telemetry import EventLog
+from citronrack.telemetry import Event, EventLog
 from citronrack.transport.send import Send
 from citronrack.verdict import Verdict
 
@@ -51,6 +51,18 @@
     return KeyedRecord("config", json.dumps(value).encode(), offset)
 
 
+class KeptLog(EventLog):
+    """Keeps the written events instead of printing them."""
+
+    def __init__(self) -> None:
+        super().__init__(node="n", level="debug")
+        self.written: list[tuple[Event, dict[str, Any]]] = []
+
+    def write(self, event: Event, **fields: Any) -> None:
+        """Keep one event."""
+        self.written.append((event, fields))
+
+
 @define(eq=False)
 class Store:
     """Topics in memory; nodes that are cut off see nothing."""
@@ -76,6 +88,7 @@
         self.clock = ManualClock()
         self.store = Store()
         self.cores: dict[str, HostedCore] = {}
+        self.logs: dict[str, KeptLog] = {}
         self.views: dict[str, ViewHolder] = {}
         self.cut: set[str] = set()
         self.unreachable: set[str] = set()
@@ -87,6 +100,7 @@
         """Add a node, in place of one of the same name."""
         address = f"10.0.0.{int(name[1:]) + 1}"
         self.views[name] = ViewHolder()
+        self.logs[name] = KeptLog()
         target = OwnTargetState(
             address=f"{address}:80", service=SERVICE, report_interval_s=1.5, clock=self.clock
         )
@@ -94,7 +108,7 @@
             HostedParts(
                 clock=self.clock,
                 random=Random(name),
-                events=EventLog(node=name, level="error"),
+                events=self.logs[name],
                 views=self.views[name],
                 target=target,
                 operator=operator_topic(),
@@ -325,3 +339,16 @@
         mesh.store.put(operator_topic().name, "rollout/s", b'{"service": 3}')
         mesh.read()
         self.assertEqual(mesh.pool("n0"), {"n0", "n1", "n2"})
+
+    def test_unreadable_records_are_logged(self) -> None:
+        """Guards against a damaged record in the nodes' topic that leaves no trace."""
+        mesh = self.start()
+        mesh.store.put(MESH_TOPIC, NODE_PREFIX + "x", b"\xff")
+        mesh.store.put(MESH_TOPIC, "rollout/s", b"\xff")
+        mesh.read()
+        refused = [
+            fields["key"]
+            for event, fields in mesh.logs["n0"].written
+            if event is Event.RECORD_REFUSED
+        ]
+        self.assertEqual(sorted(refused), [NODE_PREFIX + "x", "rollout/s"])
