Keep connections to all nodes of a large deployment; encode a broadcast once

Cause: a node held 64 connections to peers at most. A deployment of 82 to 123 machines tells each change of a node to all others, so every such message closed and opened all connections, and the message was encoded and signed once for each receiver. Change: 256 connections; the frame of the last message is kept while it is sent to further peers. The new tests see 369 connections and 4 encodings before, 123 and 2 after. The two-year size (3,500 nodes) needs zone summaries in place of broadcasts.

--- a/src/citronrack/transport/zmq_transport.py
+++ b/src/citronrack/transport/zmq_transport.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from typing import Any
 
 import zmq
 from attrs import define
@@ -14,7 +15,10 @@
 from .framing import Received, pack, unpack
 from .send import Send
 
-MAX_PEER_SOCKETS = 64
+MAX_PEER_SOCKETS = 256
+"""A node on a platform tells its own changes to all others, 123 of them in the largest deployment.
+With 64 sockets each such message opened a connection to every node again."""
+
 SEND_QUEUE_MESSAGES = 200
 RECEIVE_QUEUE_MESSAGES = 2_000
 RECONNECT_MS = 100
@@ -65,6 +69,7 @@
         self._inbox.setsockopt(zmq.LINGER, 0)
         self._inbox.bind(address)
         self._peers: OrderedDict[str, _Peer] = OrderedDict()
+        self._last_packed: tuple[Any, bytes] | None = None
         self._next_sweep = 0.0
         self._bytes_sent = 0
         self._messages_sent = 0
@@ -110,7 +115,7 @@
     def send(self, effect: Send) -> None:
         """Queue one message; drops it when it is too big or the peer's queue is full."""
         try:
-            frame = pack(effect.message, sender=self._address, mesh_id=self._mesh_id, key=self._key)
+            frame = self._frame(effect.message)
         except (OverflowError, ValueError):  # a number of another node that grew beyond 64 bits
             self._count("send-unencodable")
             return
@@ -154,6 +159,13 @@
         self._inbox.close(linger=0)
         self._context.term()
 
+    def _frame(self, message: Any) -> bytes:
+        """Return the frame of a message; one that goes to many peers is packed once."""
+        if self._last_packed is None or self._last_packed[0] is not message:
+            frame = pack(message, sender=self._address, mesh_id=self._mesh_id, key=self._key)
+            self._last_packed = message, frame
+        return self._last_packed[1]
+
     def _peer(self, address: str) -> zmq.Socket[bytes]:
         now = self._clock.monotonic()
         peer = self._peers.pop(address, None)
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -4,6 +4,7 @@
 
 import unittest
 from typing import Any, get_args, get_origin
+from unittest.mock import patch
 
 import attrs
 import msgpack
@@ -21,6 +22,9 @@
 from citronrack.transport.zmq_transport import ZmqTransport
 
 KEY = bytes(range(32))
+LARGEST_DEPLOYMENT = 123
+"""Machines of the largest deployment on a platform, with those that are added during a day."""
+
 SENDER = "tcp://127.0.0.1:1"
 MESSAGES: tuple[type[Any], ...] = tuple(
     dict.fromkeys(
@@ -189,6 +193,27 @@
         self.transport.send(Send(self.address, PullRecords(1)))
         self.assertEqual(self.transport.open_peers, 1)
 
+    def test_connections_to_a_large_deployment_stay_open(self) -> None:
+        """Fails if a message to all nodes opens a connection to each of them every time."""
+        opened: list[str] = []
+        connect = self.transport._connect
+        with patch.object(
+            self.transport, "_connect", side_effect=lambda to: opened.append(to) or connect(to)
+        ):
+            for _ in range(3):
+                for port in range(1, LARGEST_DEPLOYMENT + 1):
+                    self.transport.send(Send(f"tcp://127.0.0.1:{port}", PullRecords(1)))
+        self.assertEqual(len(opened), LARGEST_DEPLOYMENT)
+
+    def test_message_to_many_nodes_is_encoded_once(self) -> None:
+        """Fails if telling all nodes a change encodes it for each of them."""
+        message = PullRecords(1)
+        with patch("citronrack.transport.zmq_transport.pack", side_effect=pack) as packed:
+            for port in (1, 2, 3):
+                self.transport.send(Send(f"tcp://127.0.0.1:{port}", message))
+            self.transport.send(Send("tcp://127.0.0.1:1", PullRecords(2)))
+        self.assertEqual(packed.call_count, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
