Start a hosted node without the modules of the own log and settings

Cause: hosted/ imported log.backoff and settings.checks, whose packages import the product's log client, its fold and its settings files, 15 modules that a node on the platform never uses. Change: backoff.py and checks.py stand at the top of the package.

--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -19,10 +19,10 @@
 from ..calls.message import Answer, Request
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.record import AnswerRecord
+from ..checks import split_address
 from ..clock import Clock, SystemClock
 from ..errors import SettingsError
 from ..mailbox import Mailbox
-from ..settings.checks import split_address
 from ..telemetry import Event, EventLog
 from ..telemetry.exposition import Exposition
 from ..telemetry.logs import LINES_PER_SECOND
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -9,8 +9,8 @@
 
 from attrs import frozen
 
+from ..backoff import Backoff
 from ..errors import AppendRefused, AppendUnknown, LogUnavailable
-from ..log.backoff import Backoff
 from ..telemetry import Event, EventLog
 from .messages import Mail, PageRead, Written
 from .store import AppendConflict, KeyedRecord, KeyedStore
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from ..settings import checks
+from .. import checks
 
 
 @frozen
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from random import Random
 
+from ..backoff import Backoff
 from ..errors import LogTrimmed, LogUnavailable
-from ..log.backoff import Backoff
 from .messages import Mail, PageRead, WatchFailed
 from .store import KeyedStore
 
--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -9,10 +9,10 @@
 
 from attrs import frozen
 
+from ..backoff import Backoff
 from ..clock import Clock
 from ..codec import MAX_MESSAGE_BYTES
 from ..errors import AppendRefused, AppendUnknown
-from .backoff import Backoff
 from .budget import AppendBudget
 from .client import LogClient
 from .records import RECORDS_STREAM, SNAPSHOTS_STREAM, Envelope, encode_record
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -6,11 +6,11 @@
 
 from attrs import frozen
 
+from ..backoff import Backoff
 from ..clock import Clock
 from ..errors import LogTrimmed, MessageRejected, SnapshotMissing
 from ._retention import RetentionGauge
 from ._snapshot_format import unpack_state
-from .backoff import Backoff
 from .client import LogClient, LogPage
 from .fold import LogFold
 from .records import SNAPSHOTS_STREAM, SnapshotTaken
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -15,6 +15,7 @@
 from ..calls.drain import NOTICE_S
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
+from ..checks import split_address
 from ..clock import Clock, SystemClock
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
@@ -22,7 +23,6 @@
 from ..mailbox import Mailbox
 from ..membership import Member
 from ..settings import Settings
-from ..settings.checks import split_address
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.zmq_transport import ZmqTransport
 from .append_task import AppendTask
--- a/src/citronrack/node/reader.py
+++ b/src/citronrack/node/reader.py
@@ -7,10 +7,10 @@
 from random import Random
 from typing import Protocol
 
+from ..backoff import Backoff
 from ..clock import Clock, SystemClock
 from ..errors import LogError, LogTrimmed, LogUnavailable
 from ..log import LogClient, LogPage
-from ..log.backoff import Backoff
 from ..log.client import LogPageTooLarge
 from ..log.records import RECORDS_STREAM
 from ..log.snapshot import load_snapshot
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from ..settings import checks
+from .. import checks
 from .fake_target import FAULT_KINDS, Fault
 from .language import EVENT_KINDS, TimedEvent, number, ref
 from .network import PLATFORM
--- a/src/citronrack/proof/language.py
+++ b/src/citronrack/proof/language.py
@@ -6,8 +6,8 @@
 
 from attrs import field, frozen
 
+from .. import checks
 from ..registry import Registry
-from ..settings import checks
 from .world import World
 
 REFERENCE = "citronrack.reference"
--- a/src/citronrack/proof/operator_events.py
+++ b/src/citronrack/proof/operator_events.py
@@ -7,11 +7,11 @@
 import attrs
 from attrs import field, frozen
 
+from .. import checks
 from ..config import Change, Route
 from ..log import Confirmed
 from ..moves import Intent
 from ..moves.intent import MoveIntent
-from ..settings import checks
 from .language import EVENT_KINDS, TimedEvent, number, ref
 from .sim_node import SimNode
 from .world import World
--- a/src/citronrack/proof/schema.py
+++ b/src/citronrack/proof/schema.py
@@ -7,7 +7,7 @@
 import attrs
 from attrs import Attribute, field, frozen
 
-from ..settings import checks
+from .. import checks
 
 
 def _each(_: Any, attribute: Attribute[Any], value: Any) -> None:
