Never answer "not run" for a call that an earlier attempt may have run

Cause: the router returned the answer of the last attempt. An idempotent call whose first target lost it, and whose next target refused it, was answered 503 "not run". Change: a refusal after an attempt that may have run becomes 502 "may have run". Whether a call may be repeated is decided in one place, RoutingView.may_repeat.

--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -43,6 +43,7 @@
         tried: Targets that it went to, in order.
         reached: How many of them it has loaded.
         reroutes: How many others refused it or could not be reached.
+        may_have_run: Whether one of them may have run it.
     """
 
     request: Request
@@ -58,6 +59,7 @@
     tried: dict[str, None] = field(factory=dict)
     reached: int = 0
     reroutes: int = 0
+    may_have_run: bool = False
 
 
 class Router:
@@ -147,9 +149,6 @@
         if not pool:
             return self._refuse(request, 503, "the route has no target", route.name)
         service = view.config.services[service_name]
-        idempotent = route.idempotent
-        if idempotent is None:
-            idempotent = request.method in service.idempotent_methods
         self._budget.earn()
         call = _Call(
             request=request,
@@ -159,7 +158,7 @@
             service=service_name,
             service_version=service_version,
             pool=pool,
-            idempotent=idempotent,
+            idempotent=view.may_repeat(route, service_name, request.method),
             connect_timeout_s=service.connect_timeout_ms / 1000,
         )
         answer = self._route(call)
@@ -195,9 +194,10 @@
             if target is not None:
                 call.tried[target.name] = None
             if target is None or not self._may_retry(call, answer):
-                return answer
+                return _last(call, answer)
             if len(call.tried) >= len(call.pool):
-                return answer
+                return _last(call, answer)
+            call.may_have_run |= answer.verdict is not Verdict.NOT_RUN
             answer.finish()
             if answer.arrived:
                 call.context = call.context.after_retry()
@@ -352,6 +352,15 @@
         return own_answer(status, reason, Verdict.NOT_RUN)
 
 
+def _last(call: _Call, answer: Answer) -> Answer:
+    """Return what the caller gets; a refusal says nothing of the attempts before it."""
+    if answer.verdict is not Verdict.NOT_RUN or not call.may_have_run:
+        return answer
+    answer.finish()
+    reason = f"an attempt before may have run, the last one was refused: {answer.own_reason}"
+    return own_answer(502, reason, Verdict.MAY_HAVE_RUN)
+
+
 def _part(route: Route, call_key: str) -> str:
     """Return the service that gets the call; the same for all retries of a call."""
     if not route.split:
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -123,6 +123,19 @@
         """
         return self.index.find(path, host)
 
+    def may_repeat(self, route: Route | None, service: str, method: str) -> bool:
+        """Return whether a request may run more than once.
+
+        Args:
+            route: Route of the request; what it says goes before the methods of its service.
+            service: Service that gets the request.
+            method: Method in upper case.
+        """
+        if route is not None and route.idempotent is not None:
+            return route.idempotent
+        known = self.config.services.get(service)
+        return known is not None and method in known.idempotent_methods
+
     def share_of(self, route: Route, service: str) -> RouteShare | None:
         """Return how the calls of a route to a service are divided during a move."""
         return self.shares.get(route.name) or self.service_shares.get(service)
