Learn how long connections may rest; keep unsafe calls from targets that lose requests

A target that forgets idle connections resets what comes next on them. Change: the node beside a target refuses unsafe calls (not run, so they go to another target) after a lost request until the target has answered, and paces the trials by calls that may be repeated. A connection that breaks before the answer teaches how long connections to that address may rest.

--- a/src/citronrack/calls/_links.py
+++ b/src/citronrack/calls/_links.py
@@ -25,14 +25,40 @@
 arrives during the rest is noticed before the next request is written.
 """
 
+MIN_LEARNED_REST_S = 0.02
+"""Shortest rest that is taken for the reason of a lost connection; a server that crashes breaks
+connections of any age."""
+
+RESET_WITHIN_S = 0.1
+"""Time in which a server resets a connection that it has forgotten: a round trip and some work."""
+
+LEARNED_PART = 0.5
+"""Part of the rest that lost a connection which is allowed afterwards."""
+
+LEARNED_FOR_S = 10.0
+"""How long a server that lost a connection gets no request on others that rested as long."""
+
 
 @define(eq=False)
 class Link:
-    """A connection to a server."""
+    """A connection to a server.
+
+    Attributes:
+        socket: The connection.
+        address: Address of the server.
+        idle_since: Monotonic time at which it was put into the pool.
+        rested_s: How long it was idle before its present request, 0 for a new connection.
+        receive_s: Receive timeout in force.
+        written: Whether bytes of the present request were written.
+        written_at: Monotonic time of its first bytes.
+        sent_all: Whether the whole request was written.
+    """
 
     socket: socket.socket
     address: Address
     idle_since: float = 0.0
+    rested_s: float = 0.0
+    written_at: float = 0.0
     receive_s: float = TICK_S
     written: bool = False
     sent_all: bool = False
@@ -50,6 +76,23 @@
 
     idle: dict[Address, deque[Link]] = field(factory=lambda: defaultdict(deque))
     lock: threading.Lock = field(factory=threading.Lock)
+    learned: dict[Address, tuple[float, float]] = field(factory=dict)
+
+    def longest_rest_s(self, address: Address) -> float:
+        """Return the idle time after which a connection to a server is not used again."""
+        limit_s, until = self.learned.get(address, (MAX_IDLE_S, 0.0))
+        return limit_s if time.monotonic() < until else MAX_IDLE_S
+
+    def lost(self, link: Link) -> None:
+        """Learn from a connection that broke before a byte of the answer.
+
+        Servers may forget idle connections without notice, and reset what comes next.
+        """
+        now = time.monotonic()
+        if link.rested_s < MIN_LEARNED_REST_S or now - link.written_at > RESET_WITHIN_S:
+            return
+        limit_s = min(self.longest_rest_s(link.address), LEARNED_PART * link.rested_s)
+        self.learned[link.address] = limit_s, now + LEARNED_FOR_S
 
     def take(self, address: Address) -> Link | None:
         """Return the idle connection that was used last and has rested."""
@@ -59,6 +102,7 @@
             for link in reversed(links):
                 if link.idle_since <= newest:
                     links.remove(link)
+                    link.rested_s = time.monotonic() - link.idle_since
                     return link
         return None
 
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -17,7 +17,16 @@
 from .context import CallContext, ContextCodec
 from .drain import Drainer
 from .headers import CONTEXT, PRODUCT_HEADERS, HeaderNames, Headers
-from .message import Answer, End, Request, failure_answer, own_answer
+from .health import LOST_REQUESTS, TargetHealth
+from .message import (
+    Answer,
+    CallerGone,
+    DeadlinePassed,
+    End,
+    Request,
+    failure_answer,
+    own_answer,
+)
 from .record import CallRecord
 from .upstream import Outgoing, Upstream
 from .view import ViewHolder
@@ -27,6 +36,10 @@
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 
+LOSING_LOAD = 20
+"""Load that is told for a target that loses requests. It looks idle, and other nodes would choose
+it first; this is the load of a target of four slots with a queue of four times as many calls."""
+
 
 @frozen
 class TargetIdentity:
@@ -64,6 +77,7 @@
         request: The request.
         context: Its limits.
         route: Name of its route.
+        idempotent: Whether it may run more than once.
         identity: Who the target was when the call arrived.
         started: Monotonic time of the arrival.
     """
@@ -71,6 +85,7 @@
     request: Request
     context: CallContext
     route: str
+    idempotent: bool
     identity: TargetIdentity
     started: float
 
@@ -84,6 +99,7 @@
         views: Present routing view.
         upstream: Connections.
         admission: Slots of the target.
+        health: Requests that the target has lost.
         contexts: Writes the context header.
         drainer: State of the node's stop.
         report: Receives a record of each call.
@@ -99,6 +115,7 @@
         views: ViewHolder,
         upstream: Upstream,
         admission: Admission,
+        health: TargetHealth,
         contexts: ContextCodec,
         drainer: Drainer,
         report: Callable[[CallRecord], None],
@@ -107,6 +124,7 @@
     ) -> None:
         self._address = address
         self._identity = identity
+        self._health = health
         self._names = names
         self._views = views
         self._upstream = upstream
@@ -128,8 +146,9 @@
         route = view.route_of(request.path, request.host)
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
-        delivered = _Delivered(request, context, name, identity, started)
-        reason = self._reason_to_refuse(request, context, identity)
+        idempotent = view.may_repeat(route, identity.service, request.method)
+        delivered = _Delivered(request, context, name, idempotent, identity, started)
+        reason = self._reason_to_refuse(delivered)
         if reason:
             return self._refuse(delivered, reason)
         try:
@@ -139,42 +158,52 @@
                 weight=route.weight if route is not None else 1,
                 priority=route.priority if route is not None else 0,
                 wanted_by=_wanted_by(route, started),
-                withdrawn=lambda: self._reason_to_withdraw(request, identity),
+                withdrawn=lambda: self._reason_to_withdraw(delivered),
             )
         except Refused as refusal:
             return self._refuse(delivered, str(refusal))
-        reason = self._reason_to_withdraw(request, identity)
+        reason = self._reason_to_withdraw(delivered)
+        if not reason and not self._health.admit(identity.target_id, idempotent=idempotent):
+            reason = LOST_REQUESTS
         if reason:
             slot.release(ran=False)
             return self._refuse(delivered, reason)
         return self._run(delivered, slot)
 
-    def _reason_to_refuse(
-        self, request: Request, context: CallContext, identity: TargetIdentity
-    ) -> str:
+    def _reason_to_refuse(self, delivered: _Delivered) -> str:
         """Return why a new call is refused, empty when it is not."""
         if self._drainer.draining:
             return "the node is stopping"
-        if context.too_deep:
+        if delivered.context.too_deep:
             return "the call is nested too deeply"
-        if request.service not in ("", identity.service):
+        if delivered.request.service not in ("", delivered.identity.service):
             return "the target belongs to another service"
-        return identity.refusal
+        if self._loses(delivered):
+            return LOST_REQUESTS
+        return delivered.identity.refusal
 
-    def _reason_to_withdraw(self, request: Request, identity: TargetIdentity) -> str:
+    def _reason_to_withdraw(self, delivered: _Delivered) -> str:
         """Return why a call that waits is refused, empty when it is not."""
-        if request.cancelled():
+        if delivered.request.cancelled():
             return "the caller has gone away"
         now = self._identity()
-        if now.target_id != identity.target_id:
+        if now.target_id != delivered.identity.target_id:
             return "the target was replaced"
+        if self._loses(delivered):
+            return LOST_REQUESTS
         return now.refusal
 
+    def _loses(self, delivered: _Delivered) -> bool:
+        target_id = delivered.identity.target_id
+        return self._health.refuses(target_id, idempotent=delivered.idempotent)
+
     def _run(self, delivered: _Delivered, slot: Slot) -> Answer:
         started = time.monotonic()
         try:
             answer = self._send(delivered, settled=slot.release)
         except CallFailed as error:
+            if not isinstance(error, (CallerGone, DeadlinePassed)):
+                self._health.lost(delivered.identity.target_id)
             ran = error.verdict is not Verdict.NOT_RUN
             if not ran:
                 slot.release(ran=False)
@@ -187,6 +216,8 @@
             slot.release(ran=False)
             raise
 
+        self._health.answered()
+
         def done(end: End) -> None:
             slot.release()
             if end is not End.COMPLETE:
@@ -211,7 +242,7 @@
                 target=request.target,
                 headers=[*request.headers, *self._headers(delivered)],
                 body=request.body,
-                idempotent=service is not None and request.method in service.idempotent_methods,
+                idempotent=delivered.idempotent,
                 deadline=context.deadline,
                 cancelled=request.cancelled,
                 hold_answer=bool(self._names.signature),
@@ -253,14 +284,17 @@
         return fault_of
 
     def _refuse(self, delivered: _Delivered, reason: str, *, arrived: bool = False) -> Answer:
-        answer = own_answer(503, reason, Verdict.NOT_RUN, load=self._admission.load)
+        load = self._admission.load
+        if reason == LOST_REQUESTS:
+            load = max(load, LOSING_LOAD)
+        answer = own_answer(503, reason, Verdict.NOT_RUN, load=load)
         answer.arrived = arrived
         self._events.write(
             Event.CALL_REFUSED,
             route=delivered.route,
             request_id=delivered.request.request_id,
             reason=reason,
-            load=self._admission.load,
+            load=load,
         )
         self._record(delivered, answer, cold=False)
         return answer
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -18,6 +18,7 @@
 from .delivery import TargetDelivery, TargetIdentity
 from .drain import Drainer
 from .headers import PRODUCT_HEADERS, HeaderNames
+from .health import TargetHealth
 from .limits import MAX_HEAD_BYTES, WireLimits
 from .record import AnswerRecord, CallRecord
 from .router import RETRY_STATUSES, LocalDelivery, Router
@@ -196,6 +197,7 @@
         views=views,
         upstream=upstream,
         admission=admission,
+        health=TargetHealth(clock),
         contexts=ContextCodec(key=settings.key, clock=clock, random=random),
         drainer=drainer,
         report=report,
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -11,7 +11,7 @@
 from ..errors import CallFailed
 from ..verdict import Verdict
 from ._abandoned import AbandonedRequests
-from ._links import MAX_IDLE_S, TICK_S, Address, Link, LinkPool
+from ._links import TICK_S, Address, Link, LinkPool
 from ._response import ResponseReader
 from ._sockets import has_input, set_timeouts
 from .headers import ARRIVED, LOAD, VERDICT, Headers, end_to_end, request_head
@@ -118,10 +118,11 @@
         request.settled()
 
     def _connection(self, address: Address, request: Outgoing, connect_timeout_s: float) -> Link:
-        longest = MAX_IDLE_S if request.idempotent else MAX_IDLE_UNSAFE_S
-        now = time.monotonic()
+        longest_s = self._pool.longest_rest_s(address)
+        if not request.idempotent:
+            longest_s = min(longest_s, MAX_IDLE_UNSAFE_S)
         while (link := self._pool.take(address)) is not None:
-            fresh = now - link.idle_since <= longest and not has_input(link.socket)
+            fresh = link.rested_s <= longest_s and not has_input(link.socket)
             if fresh and self._write_head(link, request):
                 return link
             link.socket.close()
@@ -165,6 +166,7 @@
         except OSError:
             return False
         link.written = True
+        link.written_at = time.monotonic()
         if sent < len(data):
             try:
                 link.socket.sendall(memoryview(data)[sent:])
@@ -250,8 +252,7 @@
             if response.complete and not done():
                 raise _failed(link, "the answer is incomplete")
 
-    @staticmethod
-    def _receive(link: Link, request: Outgoing, response: ResponseReader) -> None:
+    def _receive(self, link: Link, request: Outgoing, response: ResponseReader) -> None:
         """Read once; checks the deadline and the caller while nothing arrives."""
         while True:
             left_s = request.deadline - time.monotonic()
@@ -265,14 +266,20 @@
                 if request.cancelled():
                     raise CallerGone("the caller has gone away", verdict=_verdict(link)) from None
             except OSError as error:
+                self._lost(link, response)
                 raise _failed(link, f"the connection broke: {error}") from error
         if data:
             response.feed(data)
             return
+        self._lost(link, response)
         response.end()
         if not response.complete:
             raise _failed(link, "the connection ended before the answer was complete")
 
+    def _lost(self, link: Link, response: ResponseReader) -> None:
+        if not response.status:
+            self._pool.lost(link)
+
     def _answer(self, link: Link, request: Outgoing, response: ResponseReader) -> Answer:
         verdict_value = response.fields.get(VERDICT) if request.to_node else None
         answer = Answer(
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -13,7 +13,8 @@
 
 from citronrack.calls import Admission, Drainer, Request, Upstream, ViewHolder
 from citronrack.calls.context import CallContext, ContextCodec
-from citronrack.calls.delivery import TargetDelivery, TargetIdentity
+from citronrack.calls.delivery import LOSING_LOAD, TargetDelivery, TargetIdentity
+from citronrack.calls.health import TargetHealth
 from citronrack.calls.message import Answer
 from citronrack.clock import SystemClock
 from citronrack.platform.names import HEADERS
@@ -74,6 +75,7 @@
             views=ViewHolder(),
             upstream=Upstream(),
             admission=self.admission,
+            health=TargetHealth(clock),
             contexts=ContextCodec(key=b"", clock=clock, random=Random(1)),
             drainer=Drainer(),
             report=lambda record: None,
@@ -126,6 +128,22 @@
             self.assertTrue(0 < left_ms <= 2000)
             self.assertNotIn(b"x-citronrack", head)
 
+    def test_target_that_loses_requests_gets_no_unsafe_one(self) -> None:
+        """Guards against work that is lost at a target which ends every connection.
+
+        Other targets could have run it; only a request that was not run may go there.
+        """
+        with Beside(b"") as beside:
+            lost = beside.call()
+            self.assertEqual((lost.status, lost.verdict), (502, Verdict.MAY_HAVE_RUN))
+            refused = beside.call()
+            self.assertEqual((refused.status, refused.verdict), (503, Verdict.NOT_RUN))
+            self.assertFalse(refused.arrived)
+            self.assertEqual(refused.load, LOSING_LOAD)
+            self.assertEqual(len(beside.target.requests), 1)
+            beside.identity = TargetIdentity("catalogue", "v1", "i-2")
+            self.assertEqual(beside.call().status, 502)
+
     def test_refusal_of_the_target(self) -> None:
         """Guards against a refusal that is taken for a run, or that costs no retry."""
         for status in (421, 429, 503):
