--- a/src/citronrack/calls/limits.py
+++ b/src/citronrack/calls/limits.py
@@ -12,6 +12,12 @@
 MAX_CALL_S = 30.0
 """Longest deadline of a call; equals the longest drain, so that drain cuts off no call."""
 
+SWITCH_INTERVAL_S = 0.0005
+"""Longest time that another task keeps a call thread waiting for the interpreter lock.
+
+With Python's default of 5 ms, the slowest calls waited for whole intervals.
+"""
+
 
 @frozen
 class WireLimits:
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -15,7 +15,7 @@
 from ..calls import CallRecord, CallServer, ViewHolder
 from ..calls.budget import RetryBudget
 from ..calls.headers import HeaderNames
-from ..calls.limits import WireLimits
+from ..calls.limits import SWITCH_INTERVAL_S, WireLimits
 from ..calls.message import Answer, Request
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.record import AnswerRecord
@@ -43,8 +43,6 @@
 
 FIXED_THREADS = 12  # core, watches, writer, log lines, five listeners, two spare
 CONTROL_CONNECTIONS = 16
-SWITCH_INTERVAL_S = 0.0005
-"""Longest time that another task keeps a call thread waiting for the interpreter lock."""
 
 MESH_ID = "hosted"
 """Frames of other programs on the ports between nodes are dropped by this name."""
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -13,9 +13,7 @@
 from ..errors import AppendRefused, AppendUnknown, LogUnavailable
 from ..telemetry import Event, EventLog
 from .messages import Mail, PageRead, Written
-from .store import AppendConflict, KeyedRecord, KeyedStore
-
-BACKOFF_CAP_S = 1.0
+from .store import BACKOFF_CAP_S, AppendConflict, KeyedRecord, KeyedStore
 
 
 @frozen
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -11,6 +11,9 @@
 MESH_TOPIC = "keyed.mesh"
 """Topic of the nodes' own records."""
 
+BACKOFF_CAP_S = 1.0
+"""Longest pause after failures: the store must be found again well within two seconds."""
+
 
 class AppendConflict(LogError):
     """The topic does not end where the writer expected; nothing was written.
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -9,15 +9,12 @@
 from ..backoff import Backoff
 from ..errors import LogTrimmed, LogUnavailable
 from .messages import Mail, PageRead, WatchFailed
-from .store import KeyedStore
+from .store import BACKOFF_CAP_S, KeyedStore
 
 WAIT_MS = 1_200
 """Time for which the store holds a read. A read that hears nothing of a change must end well within
 the two seconds in which the change has to be in force; each call has a price."""
 
-BACKOFF_CAP_S = 1.0
-"""Longest pause after failures: the store must be found again well within two seconds."""
-
 
 class WatchTask:
     """Reads a topic from its newest records on, and sends each page to the core.
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -13,6 +13,7 @@
 
 from ..api.server import ApiListener
 from ..calls.drain import NOTICE_S
+from ..calls.limits import SWITCH_INTERVAL_S
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
 from ..checks import split_address
@@ -50,11 +51,6 @@
 FIXED_THREADS = 8  # control, reader, append, log lines, two call listeners, API, one spare
 API_THREADS = 4
 BOOT_ID_BYTES = 6
-SWITCH_INTERVAL_S = 0.0005
-"""Longest time that another task keeps a call thread waiting for the interpreter lock.
-
-With Python's default of 5 ms, the slowest calls waited for whole intervals.
-"""
 
 
 class Gateway:
--- a/tests/log/test_examples.py
+++ b/tests/log/test_examples.py
@@ -6,7 +6,7 @@
 import importlib
 import unittest
 
-MODULES = ("log.appender", "log.backoff", "log.budget", "log.fold", "log.lease", "log.marks")
+MODULES = ("log.appender", "backoff", "log.budget", "log.fold", "log.lease", "log.marks")
 MODULES += ("log.snapshot", "node.append_task")
 
 
