Withhold bodies that must not be sent twice until a node asks for them

Cause: a call that must not run twice counted as perhaps run as soon as its head was on the way to another node. Change: the body of such a call follows when the node asks for it, which it does when it has a slot; before that a lost connection or deadline means "not run". A target gets nothing of a request before the first part of its body has come. A kept connection that ends before the body is replaced by a new one. A node whose caller went away no longer counts its target as cold.

--- a/src/citronrack/calls/_links.py
+++ b/src/citronrack/calls/_links.py
@@ -49,7 +49,7 @@
         idle_since: Monotonic time at which it was put into the pool.
         rested_s: How long it was idle before its present request, 0 for a new connection.
         receive_s: Receive timeout in force.
-        written: Whether bytes of the present request were written.
+        written: Whether the server may act on what was written of the present request.
         written_at: Monotonic time of its first bytes.
         sent_all: Whether the whole request was written.
     """
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -202,12 +202,14 @@
         try:
             answer = self._send(delivered, settled=slot.release)
         except CallFailed as error:
-            if not isinstance(error, (CallerGone, DeadlinePassed)):
+            lost = not isinstance(error, (CallerGone, DeadlinePassed))
+            if lost:
                 self._health.lost(delivered.identity.target_id)
             ran = error.verdict is not Verdict.NOT_RUN
             if not ran:
                 slot.release(ran=False)
-                self._admission.mark_cold()
+                if lost:
+                    self._admission.mark_cold()
             # A refusal carries the load; an answer without one says that the target failed.
             answer = failure_answer(error, load=self._admission.load if ran else None)
             self._record(delivered, answer, cold=slot.cold)
--- a/src/citronrack/calls/incoming.py
+++ b/src/citronrack/calls/incoming.py
@@ -89,6 +89,13 @@
         self._incoming = incoming
         self._expects = expects
 
+    def arrives(self, limit_s: float) -> bool:
+        """Ask the caller for the body, if it waits for that, and wait for the first part."""
+        if self._expects and not self._incoming.parts:
+            self._expects = False
+            self._reader.send_continue()
+        return self._reader.fill(self._incoming, limit_s)
+
     def ready(self, other: socket.socket, limit_s: float) -> bool:
         """Wait for the caller's next part, or for input on ``other``."""
         if self._incoming.parts or self._incoming.complete or self.unread:
@@ -233,6 +240,17 @@
             if not incoming.parts:
                 self._fill_body()
 
+    def fill(self, incoming: _Incoming, limit_s: float) -> bool:
+        """Read until there is a part of a body; False when none came within the limit."""
+        end = time.monotonic() + limit_s
+        poller = select.poll()
+        poller.register(self._connection, select.POLLIN)
+        while not (incoming.parts or incoming.complete):
+            if not poller.poll(max(0.0, end - time.monotonic()) * 1000):
+                return False
+            self._fill_body()
+        return True
+
     def wait_body(self, other: socket.socket, limit_s: float) -> bool:
         """Return False when ``other`` has input before the caller has sent more."""
         poller = select.poll()
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -34,6 +34,13 @@
     def unread(self) -> bool:
         """Whether the request can still be sent from its first byte."""
 
+    def arrives(self, limit_s: float) -> bool:
+        """Ask for the body and wait for its first part; False when none came within the limit.
+
+        Raises:
+            BodyFailed: When the sender stopped.
+        """
+
     def ready(self, other: socket.socket, limit_s: float) -> bool:
         """Wait until a part may be read; False when ``other`` has input before that."""
 
@@ -81,6 +88,10 @@
         """Always true: the bytes are kept."""
         return True
 
+    def arrives(self, limit_s: float) -> bool:
+        """Return true: the bytes are here."""
+        return True
+
     def ready(self, other: socket.socket, limit_s: float) -> bool:
         """Return whether ``other`` has no input."""
         return not has_input(other)
@@ -105,6 +116,10 @@
         self.unread = True
         self._parts = parts
 
+    def arrives(self, limit_s: float) -> bool:
+        """Return true; the caller's own source is not waited for."""
+        return True
+
     def ready(self, other: socket.socket, limit_s: float) -> bool:
         """Return whether ``other`` has no input; the caller's own source is not waited for."""
         return not has_input(other)
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -32,6 +32,10 @@
 unknown then. Servers keep connections for at least a few seconds, so a young one is safe.
 """
 
+FIRST_PART_S = 1.0
+"""Longest wait for the first part of a body that was asked for. The sender is another node, or a
+caller that sends without being asked; the target's slot is taken meanwhile."""
+
 
 def _do_nothing() -> None:
     return None
@@ -68,6 +72,16 @@
     fault_of: Callable[[int, Mapping[bytes, bytes]], str] | None = None
     settled: Callable[[], None] = _do_nothing
 
+    @property
+    def body_follows(self) -> bool:
+        """Whether the body waits until a node asks for it.
+
+        The node asks when it is about to give the request to its target. A request whose body it
+        never got has not run, whatever happens to the connection or the node.
+        """
+        body = self.body.whole
+        return self.to_node and (body is None or (bool(body) and not self.idempotent))
+
 
 class Upstream:
     """A pool of blocking connections.
@@ -98,8 +112,10 @@
         except (DeadlinePassed, CallerGone):
             self._give_up(link, request)
             raise
-        except CallFailed:
+        except CallFailed as error:
             link.socket.close()
+            if link.rested_s and error.verdict is Verdict.NOT_RUN:
+                return self.send(address, request, connect_timeout_s=connect_timeout_s)
             request.settled()
             raise
         except Exception as error:
@@ -123,15 +139,33 @@
             longest_s = min(longest_s, MAX_IDLE_UNSAFE_S)
         while (link := self._pool.take(address)) is not None:
             fresh = link.rested_s <= longest_s and not has_input(link.socket)
-            if fresh and self._write_head(link, request):
-                return link
+            if fresh:
+                self._await_body(link, request)
+                if self._write_head(link, request):
+                    return link
             link.socket.close()
         link = self._connect(address, connect_timeout_s, deadline=request.deadline)
+        self._await_body(link, request)
         if not self._write_head(link, request):
             link.socket.close()
             raise CallFailed("the new connection was closed", verdict=Verdict.NOT_RUN)
         return link
 
+    @staticmethod
+    def _await_body(link: Link, request: Outgoing) -> None:
+        """Wait for the first part of a body before a target gets anything of its request."""
+        if request.to_node or request.body.whole is not None:
+            return
+        limit_s = min(FIRST_PART_S, request.deadline - time.monotonic())
+        try:
+            if request.body.arrives(limit_s):
+                return
+            reason = "the body did not arrive"
+        except BodyFailed as error:
+            reason = f"the body did not arrive: {error}"
+        link.socket.close()
+        raise CallerGone(reason, verdict=Verdict.NOT_RUN)
+
     @staticmethod
     def _connect(address: Address, timeout_s: float, *, deadline: float) -> Link:
         left_s = deadline - time.monotonic()
@@ -157,7 +191,7 @@
         body = request.body.whole
         framing = _framing(request, body)
         data = request_head(request.method.encode(), request.target, request.headers + framing)
-        if body:
+        if body and not request.body_follows:
             data += body
         link.written = False
         link.sent_all = False
@@ -165,7 +199,7 @@
             sent = link.socket.send(data)
         except OSError:
             return False
-        link.written = True
+        link.written = not request.body_follows
         link.written_at = time.monotonic()
         if sent < len(data):
             try:
@@ -173,18 +207,17 @@
             except OSError as error:
                 link.socket.close()
                 raise _failed(link, "the connection broke while the request was sent") from error
-        link.sent_all = body is not None
+        link.sent_all = body is not None and not request.body_follows
         return True
 
     def _exchange(self, link: Link, request: Outgoing) -> ResponseReader:
         response = ResponseReader(head_only=request.method == "HEAD")
-        if request.body.whole is None:
-            if request.to_node:
-                self._receive_until(
-                    link, request, response, lambda: response.continued or response.head_done
-                )
-            if not response.head_done:
-                self._upload(link, request)
+        if request.body_follows:
+            self._receive_until(
+                link, request, response, lambda: response.continued or response.head_done
+            )
+        if not link.sent_all and not response.head_done:
+            self._upload(link, request)
         self._receive_until(link, request, response, lambda: response.head_done)
         fault = request.fault_of(response.status, response.fields) if request.fault_of else ""
         if fault:
@@ -222,9 +255,11 @@
                     raise BodyFailed("the body is longer than declared")
                 if time.monotonic() > request.deadline:
                     raise DeadlinePassed("the deadline has passed", verdict=_verdict(link))
+                link.written = True
                 link.socket.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
             else:
-                return  # The server has answered before the end of the body.
+                if sent != length:
+                    return  # The server has answered before the end of the body.
             if chunked:
                 link.socket.sendall(b"0\r\n\r\n")
             elif sent != length:
@@ -323,11 +358,11 @@
 
 
 def _framing(request: Outgoing, body: bytes | None) -> Headers:
-    if body is not None:
+    if body is not None and not request.body_follows:
         if not body and request.method in ("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"):
             return []
         return [(b"content-length", b"%d" % len(body))]
-    framing: Headers = [(b"expect", b"100-continue")] if request.to_node else []
+    framing: Headers = [(b"expect", b"100-continue")] if request.body_follows else []
     if request.body.length is None:
         return [*framing, (b"transfer-encoding", b"chunked")]
     return [*framing, (b"content-length", b"%d" % request.body.length)]
