--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -8,7 +8,6 @@
 import time
 from typing import Any, TextIO
 
-import structlog
 from attrs import define
 
 from .events import EVENTS, Event
@@ -63,10 +62,8 @@
         self._stopping = threading.Event()
         self._limits = lines_per_second
         self._budgets = {event: _Budget() for event in EVENTS}
-        self._logger = structlog.wrap_logger(
-            structlog.PrintLogger(stream if stream is not None else sys.stderr),
-            processors=[structlog.processors.JSONRenderer()],
-        ).bind(node=node)
+        self._node = node
+        self._stream = stream if stream is not None else sys.stderr
 
     @property
     def dropped(self) -> int:
@@ -94,9 +91,10 @@
 
     def run(self) -> None:
         """Write lines until `stop` is called."""
+        logger = self._make_logger()
         while (entry := self._queue.get()) is not None:
             event, written, fields = entry
-            self._logger.msg(
+            logger.msg(
                 event.name.lower(),
                 number=event.value,
                 level=EVENTS[event].level,
@@ -113,6 +111,15 @@
         self._stopping.set()
         self._queue.put(None)
 
+    def _make_logger(self) -> Any:
+        # The library takes a sixth of a node's start, in which calls are refused; here it is
+        # loaded by the task that writes lines, while others serve already.
+        import structlog
+
+        return structlog.wrap_logger(
+            structlog.PrintLogger(self._stream), processors=[structlog.processors.JSONRenderer()]
+        ).bind(node=self._node)
+
     def _within_budget(self, event: Event, now: float) -> bool:
         """Count a line; two threads may miscount by one, which only moves the limit a little."""
         if self._limits is None:
