Take back the later load of the log library and the rest of the collector

Ruled out: the stop (59 stops of real processes at random moments gave code 0). Change: structlog is imported at the start again, before any task runs; the collector runs as before. What goes wrong inside the libraries is not traced. Conclusion: reverted. Libraries are imported before the tasks start.

--- a/src/citronrack/platform/__main__.py
+++ b/src/citronrack/platform/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import signal
 import sys
@@ -14,13 +13,8 @@
     """Return the exit code of the node."""
     # A change of the settings during the imports would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # What is imported stays for good; looking through it for garbage only delays the start.
-    gc.disable()
     from .run import run_hosted
 
-    gc.freeze()
-    gc.enable()
-
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         print(f"{SETTINGS_VARIABLE} does not name a settings file", file=sys.stderr)
--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any, TextIO
 
+import structlog
 from attrs import define
 
 from .events import EVENTS, Event
@@ -62,8 +63,10 @@
         self._stopping = threading.Event()
         self._limits = lines_per_second
         self._budgets = {event: _Budget() for event in EVENTS}
-        self._node = node
-        self._stream = stream if stream is not None else sys.stderr
+        self._logger = structlog.wrap_logger(
+            structlog.PrintLogger(stream if stream is not None else sys.stderr),
+            processors=[structlog.processors.JSONRenderer()],
+        ).bind(node=node)
 
     @property
     def dropped(self) -> int:
@@ -91,10 +94,9 @@
 
     def run(self) -> None:
         """Write lines until `stop` is called."""
-        logger = self._make_logger()
         while (entry := self._queue.get()) is not None:
             event, written, fields = entry
-            logger.msg(
+            self._logger.msg(
                 event.name.lower(),
                 number=event.value,
                 level=EVENTS[event].level,
@@ -111,15 +113,6 @@
         self._stopping.set()
         self._queue.put(None)
 
-    def _make_logger(self) -> Any:
-        # The library takes a sixth of a node's start, in which calls are refused; here it is
-        # loaded by the task that writes lines, while others serve already.
-        import structlog
-
-        return structlog.wrap_logger(
-            structlog.PrintLogger(self._stream), processors=[structlog.processors.JSONRenderer()]
-        ).bind(node=self._node)
-
     def _within_budget(self, event: Event, now: float) -> bool:
         """Count a line; two threads may miscount by one, which only moves the limit a little."""
         if self._limits is None:
