Give the slot back when a request breaks off while it is written

Cause: a connection that broke after the first bytes of a request ended the call without telling that nothing is at work any more, so the target's slot stayed taken until the node's end. Found by reading; no run showed it. Change: the sending side settles such a request as it does after later failures. Measured: tests/calls/test_abandoned.py: not settled before, settled after.

--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -106,7 +106,12 @@
         Raises:
             CallFailed: When there is no answer; the verdict says whether the request may have run.
         """
-        link = self._connection(address, request, connect_timeout_s)
+        try:
+            link = self._connection(address, request, connect_timeout_s)
+        except CallFailed as error:
+            if error.verdict is not Verdict.NOT_RUN:
+                request.settled()
+            raise
         try:
             response = self._exchange(link, request)
         except (DeadlinePassed, CallerGone):
--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -2,11 +2,27 @@
 
 from __future__ import annotations
 
+import socket
+import time
 import unittest
 
+from citronrack.calls._links import Link
+from citronrack.calls.message import WholeBody
+from citronrack.calls.upstream import Outgoing, Upstream
+from citronrack.errors import CallFailed
+from citronrack.verdict import Verdict
+
 from .support import Mesh, call
 
 
+class HalfSent(Upstream):
+    """Connections that break while a request is written."""
+
+    @staticmethod
+    def _write_head(link: Link, request: Outgoing) -> bool:
+        raise CallFailed("the connection broke", verdict=Verdict.MAY_HAVE_RUN)
+
+
 class AbandonedRequestTest(unittest.TestCase):
     """A target that goes on working after its caller's deadline."""
 
@@ -22,3 +38,25 @@
             ]
             self.assertEqual(replies[0].status, 504)
             self.assertEqual(node.target.most_running, 1)
+
+    def test_request_that_was_sent_in_part_is_settled(self) -> None:
+        """Guards against a slot that stays taken for good.
+
+        A connection that breaks after the first bytes of a request leaves nothing at work.
+        """
+        settled: list[bool] = []
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        request = Outgoing(
+            method="POST",
+            target=b"/",
+            headers=[],
+            body=WholeBody(b"order"),
+            idempotent=False,
+            deadline=time.monotonic() + 5,
+            cancelled=lambda: False,
+            settled=lambda: settled.append(True),
+        )
+        with self.assertRaises(CallFailed):
+            HalfSent().send(listener.getsockname(), request, connect_timeout_s=2.0)
+        self.assertEqual(settled, [True])
