Remember a notice of leaving that comes before the first report

The node had started again while its target left; it acknowledged the notice without knowing the target, and then took a report that had been on its way for serving. Change: the last notice is kept and holds for reports of its start that come later. Measured: tests/hosted/test_target.py: serving before, leaving after.

--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -66,6 +66,11 @@
     target_id: str
     born_ms: int | None
 
+    def covers(self, report: TargetReport) -> bool:
+        """Return whether a report is of the start that leaves."""
+        same_start = self.born_ms is None or self.born_ms == report.born_ms
+        return report.target_id == self.target_id and same_start
+
 
 @frozen
 class OwnTargetView:
@@ -116,6 +121,7 @@
         self._clock = clock
         self._view = OwnTargetView()
         self._heard_at = 0.0
+        self._leave: TargetLeave | None = None
         self._identity = TargetIdentity(service, "", refusal=NO_TARGET)
 
     @property
@@ -141,20 +147,32 @@
         if known is not None and not self._is_newer(report, known, now):
             return False
         self._heard_at = now
-        state = TargetState.LEAVING if report.draining else TargetState.SERVING
+        left = report.draining or self._has_left(report)
         if known is not None and self._same_start(report, known) and self._left:
-            state = TargetState.LEAVING
+            left = True
+        state = TargetState.LEAVING if left else TargetState.SERVING
         return self._set(OwnTargetView(state, report, now + report.cold_s))
 
     def on_leave(self, leave: TargetLeave) -> bool:
-        """Take a notice of leaving and return whether it changed what is known."""
+        """Take a notice of leaving and return whether it changed what is known.
+
+        The notice holds for later reports too: a node that has just started hears of the leaving
+        first, and then gets reports that were on their way before.
+        """
+        self._leave = leave
         known = self._view.report
-        if known is None or known.target_id != leave.target_id:
-            return False
-        if leave.born_ms is not None and leave.born_ms != known.born_ms:
+        if known is None or not self._has_left(known):
             return False
         return self._set(OwnTargetView(TargetState.LEAVING, known, self._view.cold_until))
 
+    def _has_left(self, report: TargetReport) -> bool:
+        """Return whether the last notice of leaving is of a report's start."""
+        if self._leave is None or not self._leave.covers(report):
+            return False
+        # The id alone may come back with a later start.
+        self._leave = TargetLeave(report.target_id, report.born_ms)
+        return True
+
     def on_tick(self) -> bool:
         """Notice a target that has stopped reporting; return whether that is new."""
         view = self._view
--- a/tests/hosted/test_target.py
+++ b/tests/hosted/test_target.py
@@ -67,6 +67,22 @@
         self.target.on_report(report(sequence=2))
         self.assertTrue(self.target.identity.refusal)
 
+    def test_leave_before_the_first_report(self) -> None:
+        """Guards against a late report that opens a target whose leaving was acknowledged.
+
+        A node that starts again while its target leaves hears of the leaving before any report.
+        """
+        for born_ms in (None, REPORT["born_ms"]):
+            with self.subTest(born_ms):
+                self.setUp()
+                self.assertFalse(self.target.on_leave(TargetLeave("i-1", born_ms)))
+                self.target.on_report(report())
+                self.assertIs(self.target.view.state, TargetState.LEAVING)
+                self.target.on_report(report(sequence=2))
+                self.assertTrue(self.target.identity.refusal)
+                self.target.on_report(report(born_ms=2_000))
+                self.assertEqual(self.target.identity.refusal, "")
+
     def test_new_start_under_the_same_id(self) -> None:
         """Guards against a new process that is taken for the one that left."""
         self.target.on_report(report(sequence=9))
