Expand compressed bytes in one place

Change: codec.inflate serves all three, with the reasons that each of them gave; TopicReplica.value uses record.

--- a/src/citronrack/codec.py
+++ b/src/citronrack/codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
 from typing import Any, TypeVar, get_args, get_origin
 
@@ -130,6 +131,30 @@
         raise MessageRejected("malformed") from error
 
 
+def inflate(
+    data: bytes, *, limit: int, damaged: str = "damaged", oversized: str = "oversized"
+) -> bytes:
+    """Return the bytes that zlib has compressed.
+
+    Args:
+        data: The compressed bytes.
+        limit: Largest accepted size of the result; damaged bytes may expand without end.
+        damaged: Reason for bytes that are not of zlib.
+        oversized: Reason for bytes that are cut short or expand beyond the limit.
+
+    Raises:
+        MessageRejected: With one of the reasons.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        plain = inflater.decompress(data, limit)
+    except zlib.error as error:
+        raise MessageRejected(damaged) from error
+    if not inflater.eof:
+        raise MessageRejected(oversized)
+    return plain
+
+
 class TaggedCodec:
     """Encodes a closed family of attrs classes, each under a short tag."""
 
--- a/src/citronrack/hosted/delta.py
+++ b/src/citronrack/hosted/delta.py
@@ -8,6 +8,7 @@
 import msgpack
 import xxhash
 
+from ..codec import inflate
 from ..errors import MessageRejected
 
 _ROW_END = b"],"
@@ -21,6 +22,9 @@
 MIN_DELTA_BYTES = 1024
 """Values that compress to less are sent whole."""
 
+DAMAGED = "damaged-records"
+"""Reason for refusing what another node has sent."""
+
 _Part = tuple[int, int, bytes]
 """First row and number of rows of the older value, or other bytes where the number is 0."""
 
@@ -38,14 +42,7 @@
     """
     if not short:
         return None
-    reader = zlib.decompressobj()
-    try:
-        value = reader.decompress(short, MAX_VALUE_BYTES)
-    except zlib.error as error:
-        raise MessageRejected("damaged-records") from error
-    if not reader.eof:
-        raise MessageRejected("damaged-records")
-    return value
+    return inflate(short, limit=MAX_VALUE_BYTES, damaged=DAMAGED, oversized=DAMAGED)
 
 
 def make_delta(old: bytes, new: bytes) -> bytes:
@@ -71,7 +68,7 @@
     except MessageRejected:
         raise
     except Exception as error:  # msgpack raises several unrelated error classes.
-        raise MessageRejected("damaged-records") from error
+        raise MessageRejected(DAMAGED) from error
     return new if xxhash.xxh64_intdigest(new) == digest else None
 
 
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -12,7 +12,7 @@
 from ..errors import MessageRejected
 from ..transport.messages import message_codec
 from ..transport.send import Send
-from .delta import MIN_DELTA_BYTES, apply_delta, compress, expand, make_delta
+from .delta import DAMAGED, MIN_DELTA_BYTES, apply_delta, compress, expand, make_delta
 from .entry import NodeEntry, NodeTable
 from .replica import TopicReplica
 from .rollout import RolloutRecord
@@ -250,7 +250,7 @@
             return []
         bases = message.bases or (WHOLE,) * len(message.records)
         if len(bases) != len(message.records):
-            raise MessageRejected("damaged-records")
+            raise MessageRejected(DAMAGED)
         records = []
         for (key, short, offset), base in zip(message.records, bases, strict=True):
             known = replica.record(key)
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -41,7 +41,7 @@
 
     def value(self, key: str) -> bytes | None:
         """Return the value of a key, None when there is none."""
-        record = self._records.get(key)
+        record = self.record(key)
         return record.value if record is not None else None
 
     def apply(self, page: KeyedPage) -> list[KeyedRecord]:
--- a/src/citronrack/log/_snapshot_format.py
+++ b/src/citronrack/log/_snapshot_format.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from ..codec import decode, encode
+from ..codec import decode, encode, inflate
 from ..errors import MessageRejected
 from .state import FoldState
 
@@ -33,11 +33,5 @@
     content = data[_DIGEST_BYTES:]
     if len(data) <= _DIGEST_BYTES or xxhash.xxh64_digest(content) != data[:_DIGEST_BYTES]:
         raise MessageRejected("damaged")
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(content, MAX_STATE_BYTES)
-    except zlib.error as error:
-        raise MessageRejected("damaged") from error
-    if not inflater.eof:
-        raise MessageRejected("oversized")
+    plain = inflate(content, limit=MAX_STATE_BYTES)
     return decode(plain, FoldState, limit=MAX_STATE_BYTES)
--- a/src/citronrack/membership/packing.py
+++ b/src/citronrack/membership/packing.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from ..codec import MAX_MESSAGE_BYTES, decode, encode
+from ..codec import MAX_MESSAGE_BYTES, decode, encode, inflate
 from ..errors import MessageRejected
 
 T = TypeVar("T")
@@ -32,11 +32,5 @@
 
 
 def _unpack(data: bytes, kind: type[T]) -> tuple[T, ...]:
-    inflater = zlib.decompressobj()
-    try:
-        plain = inflater.decompress(data, MAX_MESSAGE_BYTES)
-    except zlib.error as error:
-        raise MessageRejected("malformed") from error
-    if inflater.unconsumed_tail or not inflater.eof:
-        raise MessageRejected("oversized")
+    plain = inflate(data, limit=MAX_MESSAGE_BYTES, damaged="malformed")
     return decode(plain, tuple[kind, ...])  # type: ignore[valid-type]
