Make HTTP exchanges of both store clients with one function

Cause: platform/store.py set up libcurl line by line as log/http.py does. Change: exchange.exchange; the clients keep their own limits, sockets and collection of bodies.

--- /dev/null
+++ b/src/citronrack/exchange.py
@@ -0,0 +1,48 @@
+"""HTTP exchanges over a kept connection of libcurl."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pycurl
+
+
+def exchange(
+    curl: pycurl.Curl,
+    url: str,
+    *,
+    data: bytes | None,
+    connect_timeout_ms: int,
+    timeout_ms: int,
+    collect: Callable[[bytes], int | None],
+    open_socket: Callable[[int, Any], Any] | None = None,
+) -> int:
+    """Send a GET, or a POST of bytes, and return the status of the answer.
+
+    Args:
+        curl: The handle, used by one thread; its connection is used again.
+        url: What is asked for.
+        data: Body of a POST, None for a GET.
+        connect_timeout_ms: Longest time for a new connection.
+        timeout_ms: Longest time of the whole exchange.
+        collect: Gets the parts of the answer's body; -1 ends the exchange.
+        open_socket: Returns the socket of a new connection, None for libcurl's own.
+
+    Raises:
+        pycurl.error: When there is no complete answer.
+    """
+    curl.reset()
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms)
+    curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+    curl.setopt(pycurl.WRITEFUNCTION, collect)
+    if open_socket is not None:
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
+    if data is not None:
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDS, data)
+        curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/octet-stream", "Expect:"])
+    curl.perform()
+    return int(curl.getinfo(pycurl.RESPONSE_CODE))
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -8,6 +8,7 @@
 import pycurl
 
 from ..errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
+from ..exchange import exchange
 from .client import LogPage, LogPageTooLarge
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -90,8 +91,6 @@
         self._curl.close()
 
     def _exchange(self, url: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
-        curl = self._curl
-        curl.reset()
         body = io.BytesIO()
 
         def collect(chunk: bytes) -> int | None:
@@ -100,14 +99,12 @@
             body.write(chunk)
             return None
 
-        curl.setopt(pycurl.URL, url)
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-        curl.setopt(pycurl.WRITEFUNCTION, collect)
-        if data is not None:
-            curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.POSTFIELDS, data)
-            curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/octet-stream", "Expect:"])
-        curl.perform()
-        return curl.getinfo(pycurl.RESPONSE_CODE), body.getvalue()
+        status = exchange(
+            self._curl,
+            url,
+            data=data,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
+            collect=collect,
+        )
+        return status, body.getvalue()
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -13,6 +13,7 @@
 import pycurl
 
 from ..errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
+from ..exchange import exchange
 from ..hosted.store import AppendConflict, KeyedPage, KeyedRecord
 
 CONNECT_TIMEOUT_MS = 800
@@ -126,21 +127,17 @@
             raise LogUnavailable(f"the store did not answer: {error}") from error
 
     def _exchange(self, call: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
-        curl = self._curl
-        curl.reset()
         body = io.BytesIO()
-        curl.setopt(pycurl.URL, f"http://{self._address()}/api/{call}")
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-        curl.setopt(pycurl.OPENSOCKETFUNCTION, _open_socket)
-        curl.setopt(pycurl.WRITEFUNCTION, body.write)
-        if data is not None:
-            curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.POSTFIELDS, data)
-            curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/octet-stream", "Expect:"])
-        curl.perform()
-        return curl.getinfo(pycurl.RESPONSE_CODE), body.getvalue()
+        status = exchange(
+            self._curl,
+            f"http://{self._address()}/api/{call}",
+            data=data,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=timeout_ms,
+            collect=body.write,
+            open_socket=_open_socket,
+        )
+        return status, body.getvalue()
 
 
 def _open_socket(purpose: int, address: Any) -> socket.socket:
