Let one scripted server serve the tests of connections

Cause: three tests had a listener of their own with the same accept loop and close; one of them reset connections by hand although calls/_sockets.abort does. The router returned its last answer at two places, a head asked three times whether its body follows, and a taken connection read the clock twice. Change: tests/calls/support.ScriptedServer; the three places are written once. Assertions are as before. Conclusion: no behaviour changes.

--- a/src/citronrack/calls/_links.py
+++ b/src/citronrack/calls/_links.py
@@ -96,13 +96,13 @@
 
     def take(self, address: Address) -> Link | None:
         """Return the idle connection that was used last and has rested."""
-        newest = time.monotonic() - MIN_IDLE_S
+        now = time.monotonic()
         with self.lock:
             links = self.idle[address]
             for link in reversed(links):
-                if link.idle_since <= newest:
+                if link.idle_since <= now - MIN_IDLE_S:
                     links.remove(link)
-                    link.rested_s = time.monotonic() - link.idle_since
+                    link.rested_s = now - link.idle_since
                     return link
         return None
 
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -193,9 +193,11 @@
             answer, target = self._attempt(call)
             if target is not None:
                 call.tried[target.name] = None
-            if target is None or not self._may_retry(call, answer):
-                return _last(call, answer)
-            if len(call.tried) >= len(call.pool):
+            if (
+                target is None
+                or not self._may_retry(call, answer)
+                or len(call.tried) >= len(call.pool)
+            ):
                 return _last(call, answer)
             call.may_have_run |= answer.verdict is not Verdict.NOT_RUN
             answer.finish()
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -194,9 +194,10 @@
         The first `send` either fails without having taken a byte or takes at least one.
         """
         body = request.body.whole
+        follows = request.body_follows
         framing = _framing(request, body)
         data = request_head(request.method.encode(), request.target, request.headers + framing)
-        if body and not request.body_follows:
+        if body and not follows:
             data += body
         link.written = False
         link.sent_all = False
@@ -204,7 +205,7 @@
             sent = link.socket.send(data)
         except OSError:
             return False
-        link.written = not request.body_follows
+        link.written = not follows
         link.written_at = time.monotonic()
         if sent < len(data):
             try:
@@ -212,7 +213,7 @@
             except OSError as error:
                 link.socket.close()
                 raise _failed(link, "the connection broke while the request was sent") from error
-        link.sent_all = body is not None and not request.body_follows
+        link.sent_all = body is not None and not follows
         return True
 
     def _exchange(self, link: Link, request: Outgoing) -> ResponseReader:
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 from typing import Any
@@ -250,3 +251,45 @@
             return True
         pause.wait(0.01)
     return bool(condition())
+
+
+class ScriptedServer:
+    """Plays one script for each connection, in turn; the last one serves all that follow.
+
+    Args:
+        scripts: What to do with a connection, which is closed afterwards.
+    """
+
+    def __init__(self, *scripts: Callable[[socket.socket], object]) -> None:
+        self.connections = 0
+        self._scripts = scripts
+        self._listener = socket.create_server(LOCALHOST)
+        self._executor = ThreadPoolExecutor()
+        self._executor.submit(self._accept)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """``(ip, port)`` of the listener."""
+        host, port = self._listener.getsockname()
+        return host, port
+
+    def close(self) -> None:
+        """Stop listening and wait for the scripts."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._executor.shutdown()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                script = self._scripts[min(self.connections, len(self._scripts) - 1)]
+                self.connections += 1
+                self._executor.submit(self._play, connection, script)
+
+    @staticmethod
+    def _play(connection: socket.socket, script: Callable[[socket.socket], object]) -> None:
+        with connection:
+            connection.settimeout(5.0)
+            script(connection)
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -2,70 +2,39 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
-import struct
-import threading
 import time
 import unittest
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
 
+from citronrack.calls._sockets import abort
 from citronrack.calls.message import Answer, WholeBody
 from citronrack.calls.upstream import Outgoing, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
+from .support import ScriptedServer
+
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-
-class ForgetfulServer:
-    """Answers requests, and resets a connection that rested before its next request."""
-
-    def __init__(self, rest_s: float) -> None:
-        self._rest_s = rest_s
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._executor = ThreadPoolExecutor()
-        self._ended = threading.Event()
-        self.connections = 0
-        self._executor.submit(self._accept)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """``(ip, port)`` of the listener."""
-        host, port = self._listener.getsockname()
-        return host, port
-
-    def close(self) -> None:
-        """End all connections."""
-        self._ended.set()
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._executor.shutdown()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                self.connections += 1
-                self._executor.submit(self._serve, connection)
-
-    def _serve(self, connection: socket.socket) -> None:
-        connection.settimeout(0.05)
+
+
+def forgetful(rest_s: float) -> Callable[[socket.socket], None]:
+    """Return a script that answers requests, and resets a connection that rested before its next.
+
+    Args:
+        rest_s: Rest after which the connection is forgotten, in seconds.
+    """
+
+    def script(connection: socket.socket) -> None:
         began = time.monotonic()
-        with connection:
-            while not self._ended.is_set():
-                try:
-                    if not connection.recv(65536):
-                        return
-                except TimeoutError:
-                    continue
-                if time.monotonic() - began > self._rest_s:
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                    return
-                connection.sendall(ANSWER)
-                began = time.monotonic()
+        while connection.recv(65_536):
+            if time.monotonic() - began > rest_s:
+                abort(connection)
+                return
+            connection.sendall(ANSWER)
+            began = time.monotonic()
+
+    return script
 
 
 class RestedConnectionTest(unittest.TestCase):
@@ -73,7 +42,7 @@
 
     def setUp(self) -> None:
         """Start a server and connections to it."""
-        self.server = ForgetfulServer(0.2)
+        self.server = ScriptedServer(forgetful(0.2))
         self.addCleanup(self.server.close)
         self.upstream = Upstream()
         self.addCleanup(self.upstream.close)
--- a/tests/calls/test_withheld.py
+++ b/tests/calls/test_withheld.py
@@ -2,58 +2,24 @@
 
 from __future__ import annotations
 
-import contextlib
 import queue
 import socket
 import threading
 import time
 import unittest
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 from citronrack.calls.message import Answer, IterableBody, WholeBody
 from citronrack.calls.upstream import Outgoing, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
+from .support import ScriptedServer
+
 BODY = b"order"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
-Script = Callable[[socket.socket], None]
-
-
-class ScriptedNode:
-    """Plays one script for each connection, in turn."""
-
-    def __init__(self, *scripts: Script) -> None:
-        self._scripts = scripts
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._executor = ThreadPoolExecutor()
-        self._executor.submit(self._accept)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """``(ip, port)`` of the listener."""
-        host, port = self._listener.getsockname()
-        return host, port
-
-    def close(self) -> None:
-        """Stop listening and wait for the scripts."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._executor.shutdown()
-
-    def _accept(self) -> None:
-        for script in self._scripts:
-            connection, _ = self._listener.accept()
-            self._executor.submit(self._play, connection, script)
-
-    @staticmethod
-    def _play(connection: socket.socket, script: Script) -> None:
-        with connection:
-            connection.settimeout(5.0)
-            script(connection)
+Script = Callable[[socket.socket], object]
 
 
 def take_head(connection: socket.socket) -> bytes:
@@ -89,7 +55,7 @@
         self, *scripts: Script, method: str = "POST", limit_s: float = 5.0, times: int = 1
     ) -> Answer:
         """Send a request to a node; several one after the other over kept connections."""
-        node = ScriptedNode(*scripts)
+        node = ScriptedServer(*scripts)
         self.addCleanup(node.close)
         upstream = Upstream()
         self.addCleanup(upstream.close)
@@ -117,7 +83,7 @@
 
     def test_node_is_lost_before_it_asks(self) -> None:
         """Guards against work that counts as perhaps done although no target had it."""
-        self.assertIs(self.failure(lambda c: take_head(c) and None), Verdict.NOT_RUN)
+        self.assertIs(self.failure(take_head), Verdict.NOT_RUN)
 
     def test_node_is_lost_after_it_asked(self) -> None:
         """Guards against "not run" for a request that a target may have."""
@@ -132,7 +98,7 @@
         """Guards against an unknown outcome for a request that waited until its deadline."""
         ended = threading.Event()
         self.addCleanup(ended.set)
-        verdict = self.failure(lambda _: ended.wait(2.0) and None, limit_s=0.2)
+        verdict = self.failure(lambda _: ended.wait(2.0), limit_s=0.2)
         self.assertIs(verdict, Verdict.NOT_RUN)
 
     def test_kept_connection_that_ends(self) -> None:
@@ -169,7 +135,7 @@
     def test_target_gets_nothing_before_the_body(self) -> None:
         """Guards against a target that has the head of a request which counts as not run."""
         seen: queue.Queue[bytes] = queue.Queue()
-        target = ScriptedNode(lambda connection: seen.put(connection.recv(100)))
+        target = ScriptedServer(lambda connection: seen.put(connection.recv(100)))
         self.addCleanup(target.close)
         upstream = Upstream()
         self.addCleanup(upstream.close)
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -21,37 +21,7 @@
 from citronrack.telemetry import EventLog
 from citronrack.verdict import Verdict
 
-
-class ScriptedTarget:
-    """A target that answers every request with the same bytes and keeps what it was sent."""
-
-    def __init__(self, answer: bytes) -> None:
-        self.requests: list[bytes] = []
-        self._answer = answer
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._executor = ThreadPoolExecutor(1)
-        self._executor.submit(self._serve)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Where it listens."""
-        return "127.0.0.1", self._listener.getsockname()[1]
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._executor.shutdown()
-
-    def _serve(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            with connection:
-                self.requests.append(connection.recv(65_536))
-                connection.sendall(self._answer)
+from ..calls.support import ScriptedServer
 
 
 @define(eq=False)
@@ -61,13 +31,14 @@
     answer: bytes = b""
     identity: TargetIdentity = field(factory=lambda: TargetIdentity("catalogue", "v1", "i-1"))
     slots: int = 2
-    target: ScriptedTarget = field(init=False)
+    requests: list[bytes] = field(factory=list)
+    target: ScriptedServer = field(init=False)
     delivery: TargetDelivery = field(init=False)
     admission: Admission = field(init=False)
 
     def __enter__(self) -> Beside:
         clock = SystemClock()
-        self.target = ScriptedTarget(self.answer)
+        self.target = ScriptedServer(self._answer_once)
         self.admission = Admission(slots=self.slots, clock=clock)
         self.delivery = TargetDelivery(
             address=self.target.address,
@@ -87,6 +58,10 @@
     def __exit__(self, *_: object) -> None:
         self.target.close()
 
+    def _answer_once(self, connection: socket.socket) -> None:
+        self.requests.append(connection.recv(65_536))
+        connection.sendall(self.answer)
+
     def call(
         self, *, service: str = "catalogue", cancelled: Callable[[], bool] = lambda: False
     ) -> Answer:
@@ -116,13 +91,13 @@
             answer = beside.call(service="media")
             self.assertIs(answer.verdict, Verdict.NOT_RUN)
             self.assertFalse(answer.arrived)
-            self.assertEqual(beside.target.requests, [])
+            self.assertEqual(beside.requests, [])
 
     def test_expected_target_and_remaining_time_are_sent(self) -> None:
         """Guards against a request that runs at another start, or for longer than is left."""
         with Beside(http_answer(200, "Instance-Signature: s")) as beside:
             self.assertEqual(beside.call().status, 200)
-            head = beside.target.requests[0].lower()
+            head = beside.requests[0].lower()
             self.assertIn(b"expected-instance: i-1\r\n", head)
             left_ms = int(head.split(b"deadline-ms: ")[1].split(b"\r\n")[0])
             self.assertTrue(0 < left_ms <= 2000)
@@ -140,7 +115,7 @@
             self.assertEqual((refused.status, refused.verdict), (503, Verdict.NOT_RUN))
             self.assertFalse(refused.arrived)
             self.assertEqual(refused.load, LOSING_LOAD)
-            self.assertEqual(len(beside.target.requests), 1)
+            self.assertEqual(len(beside.requests), 1)
             beside.identity = TargetIdentity("catalogue", "v1", "i-2")
             self.assertEqual(beside.call().status, 502)
 
@@ -182,4 +157,4 @@
             beside.identity = TargetIdentity("catalogue", "v1", "i-1", refusal="leaving")
             self.assertIs(waiting.result(1.0).verdict, Verdict.NOT_RUN)
             slot.release()
-            self.assertEqual(beside.target.requests, [])
+            self.assertEqual(beside.requests, [])
