Log the way of each configuration and the silence before a read

Cause: the lines of a late version tell neither from where it came nor up to which offset the node takes the topic for complete, so a hanging reader, a lost record and a reader that keeps records to itself look the same.

Change: config_in_force has `source` and `position`, topic_reader has `silent_s`. No decision changes.

--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -85,4 +85,6 @@
         if not self.reading:
             self._failing.clear()
         self._steering.read_topics(self.reading)
-        self._events.write(Event.TOPIC_READER, reading=self.reading)
+        self._events.write(
+            Event.TOPIC_READER, reading=self.reading, silent_s=round(self._role.silent_s, 2)
+        )
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -40,6 +40,9 @@
 from .trial import VersionTrial
 from .views import build_view
 
+STORE = "store"
+"""Source of records that this node has read itself; otherwise it is the address of a node."""
+
 
 class HostedCore:
     """Keeps configuration, nodes, the own target and rollouts, and builds the routing view.
@@ -174,7 +177,7 @@
             return
         before = replica.records()
         changed = replica.replace(mail.page) if mail.whole else replica.apply(mail.page)
-        self._on_records(mail.topic, changed)
+        self._on_records(mail.topic, changed, STORE)
         if mail.topic == MESH_TOPIC and mail.whole:
             self._check_own_record()
             self._announce(self._presence.entry)
@@ -287,10 +290,10 @@
             self._parts.events.write(Event.NODE_EXPIRED, peer=entry.name)
         self._presence.remove_records(expired)
 
-    def _on_records(self, topic: str, records: list[KeyedRecord]) -> None:
+    def _on_records(self, topic: str, records: list[KeyedRecord], source: str) -> None:
         if topic == self._parts.operator.name:
             for record in records:
-                self._on_operator_record(record)
+                self._on_operator_record(record, source)
             return
         for record in records:
             if record.key.startswith(NODE_PREFIX):
@@ -314,11 +317,15 @@
     def _refuse_record(self, record: KeyedRecord) -> None:
         self._parts.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
 
-    def _on_operator_record(self, record: KeyedRecord) -> None:
+    def _on_operator_record(self, record: KeyedRecord, source: str) -> None:
         config = self._parts.operator.config(record)
         if config is not None and self._active.swap(config):
             self._parts.events.write(
-                Event.CONFIG_IN_FORCE, version=config.version, offset=record.offset
+                Event.CONFIG_IN_FORCE,
+                version=config.version,
+                offset=record.offset,
+                position=self.position(self._parts.operator.name),
+                source=source,
             )
             self._stale = True
         order = self._parts.operator.order(record)
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -110,7 +110,7 @@
         table: Entries of nodes.
         clock: Source of time.
         random: Source of random numbers.
-        on_records: Gets the topic and the records that are new here.
+        on_records: Gets the topic, the records that are new here, and the address they came from.
         on_entries: Gets entries that others have told.
         rollouts: Returns the newest record of each rollout.
     """
@@ -122,7 +122,7 @@
         table: NodeTable,
         clock: Clock,
         random: Random,
-        on_records: Callable[[str, list[KeyedRecord]], None],
+        on_records: Callable[[str, list[KeyedRecord], str], None],
         on_entries: Callable[[list[NodeEntry]], None],
         rollouts: Callable[[], tuple[RolloutRecord, ...]],
     ) -> None:
@@ -262,7 +262,7 @@
             records.append(KeyedRecord(key, value, offset))
         changed = replica.apply(KeyedPage(tuple(records), message.position))
         if changed:
-            self._on_records(message.topic, changed)
+            self._on_records(message.topic, changed, sender)
         return []
 
     def _on_entries_asked(self, sender: str, message: EntriesAsked) -> list[Send]:
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -77,6 +77,11 @@
         """Whether this node passes records on: of several readers only the best one does."""
         return self.reading and self.clock.monotonic() - self._better_at >= SILENCE_S
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since a reader was heard that was as far as this node."""
+        return self.clock.monotonic() - self._heard_at
+
     def on_beat(self, beat: ReaderBeat, *, position: int, store_answers: bool) -> None:
         """Take another node's beat.
 
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -352,3 +352,18 @@
             if event is Event.RECORD_REFUSED
         ]
         self.assertEqual(sorted(refused), [NODE_PREFIX + "x", "rollout/s"])
+
+    def test_line_of_a_configuration_tells_its_way(self) -> None:
+        """Guards against a late configuration of which nobody can say how it came."""
+        mesh = self.start()
+        mesh.cut.add("n0")
+        mesh.store.topics[operator_topic().name].append(config_record(2, 1, "b"))
+        mesh.read()
+        mesh.run(2.0)
+        told = {
+            name: [fields for event, fields in log.written if event is Event.CONFIG_IN_FORCE][-1]
+            for name, log in mesh.logs.items()
+        }
+        self.assertEqual(told["n1"]["source"], "store")
+        self.assertTrue(told["n0"]["source"].startswith("tcp://"))
+        self.assertEqual({fields["position"] for fields in told.values()}, {2})
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -79,7 +79,7 @@
             table=table,
             clock=clock,
             random=Random(1),
-            on_records=lambda topic, records: None,
+            on_records=lambda topic, records, source: None,
             on_entries=lambda entries: None,
             rollouts=tuple,
         )
