--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -5,190 +5,19 @@
 import json
 import unittest
 from concurrent.futures import Future
-from random import Random
-from typing import Any
 
-from attrs import define, field
-
-from citronrack.calls import CallRecord, ViewHolder
-from citronrack.clock import ManualClock
+from citronrack.calls import CallRecord
 from citronrack.codec import encode
-from citronrack.hosted.core import HostedCore
 from citronrack.hosted.entry import EXPIRE_S, RENEW_S, NodeEntry
-from citronrack.hosted.messages import (
-    CallReported,
-    Left,
-    PageRead,
-    Reported,
-    StopAsked,
-    WatchFailed,
-    Written,
-)
-from citronrack.hosted.parts import HostedParts
+from citronrack.hosted.messages import CallReported, Left, StopAsked
 from citronrack.hosted.presence import NODE_PREFIX
-from citronrack.hosted.publish import Write
-from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
-from citronrack.hosted.target import OwnTargetState, TargetLeave, TargetReport
+from citronrack.hosted.store import MESH_TOPIC, KeyedRecord
+from citronrack.hosted.target import TargetLeave
 from citronrack.platform.operator import operator_topic
-from citronrack.telemetry import Event, EventLog
-from citronrack.transport.send import Send
+from citronrack.telemetry import Event
 from citronrack.verdict import Verdict
 
-TICK_S = 0.25
-SERVICE = "catalogue"
-
-
-def config_record(version: int, offset: int, *prefixes: str) -> KeyedRecord:
-    """Return an operator's configuration with one route per prefix."""
-    columns = ["name", "host", "prefix", "kind", "timeout", "service", "max_attempts"]
-    rows = [[p, "h", f"/{p}/", "idempotent", "1s", SERVICE, 2] for p in prefixes]
-    value = {
-        "version": version,
-        "routes": {"columns": columns, "rows": rows},
-        "services": {"columns": ["name"], "rows": [[SERVICE]]},
-        "limits": {},
-    }
-    return KeyedRecord("config", json.dumps(value).encode(), offset)
-
-
-class KeptLog(EventLog):
-    """Keeps the written events instead of printing them."""
-
-    def __init__(self) -> None:
-        super().__init__(node="n", level="debug")
-        self.written: list[tuple[Event, dict[str, Any]]] = []
-
-    def write(self, event: Event, **fields: Any) -> None:
-        """Keep one event."""
-        self.written.append((event, fields))
-
-
-@define(eq=False)
-class Store:
-    """Topics in memory; nodes that are cut off see nothing."""
-
-    topics: dict[str, list[KeyedRecord]] = field(factory=dict)
-
-    def put(self, topic: str, key: str, value: bytes | None) -> None:
-        """Append a record."""
-        records = self.topics.setdefault(topic, [])
-        records.append(KeyedRecord(key, value, len(records)))
-
-    def newest(self, topic: str) -> KeyedPage:
-        """Return the newest record of each key."""
-        records = self.topics.get(topic, [])
-        newest = {record.key: record for record in records}
-        return KeyedPage(tuple(newest.values()), len(records))
-
-
-class Mesh:
-    """Cores whose messages arrive at once; time moves only when told to."""
-
-    def __init__(self, size: int) -> None:
-        self.clock = ManualClock()
-        self.store = Store()
-        self.cores: dict[str, HostedCore] = {}
-        self.logs: dict[str, KeptLog] = {}
-        self.views: dict[str, ViewHolder] = {}
-        self.cut: set[str] = set()
-        self.unreachable: set[str] = set()
-        self._writes: list[tuple[str, Write]] = []
-        for index in range(size):
-            self.add(f"n{index}")
-
-    def add(self, name: str, *, boot: int = 1) -> HostedCore:
-        """Add a node, in place of one of the same name."""
-        address = f"10.0.0.{int(name[1:]) + 1}"
-        self.views[name] = ViewHolder()
-        self.logs[name] = KeptLog()
-        target = OwnTargetState(
-            address=f"{address}:80", service=SERVICE, report_interval_s=1.5, clock=self.clock
-        )
-        core = HostedCore(
-            HostedParts(
-                clock=self.clock,
-                random=Random(name),
-                events=self.logs[name],
-                views=self.views[name],
-                target=target,
-                operator=operator_topic(),
-                submit=lambda write, n=name: self._writes.append((n, write)),
-            ),
-            own=NodeEntry(name, boot, 0, "z", f"{address}:7000", f"{address}:8000"),
-        )
-        self.cores[name] = core
-        core.start()
-        return core
-
-    def read(self, *names: str) -> None:
-        """Let nodes read all topics from the store, if they reach it."""
-        self._store_writes()
-        for name in names or tuple(self.cores):
-            for topic in (operator_topic().name, MESH_TOPIC):
-                message: Any = PageRead(topic, self.store.newest(topic), whole=True)
-                if name in self.cut:
-                    message = WatchFailed(topic, "cut off")
-                self.deliver(name, self.cores[name].handle(message))
-        self._store_writes()
-
-    def run(self, seconds: float) -> None:
-        """Let time pass."""
-        for _ in range(round(seconds / TICK_S)):
-            self.clock.advance(TICK_S)
-            for name, core in self.cores.items():
-                self.deliver(name, core.on_tick())
-            self._store_writes()
-
-    def report(self, name: str, **fields: Any) -> str:
-        """Send a report of the target beside a node; return the fault it was answered with."""
-        answer: Future[str] = Future()
-        usual = {
-            "target_id": f"i-{name}",
-            "service": SERVICE,
-            "service_version": "v1",
-            "address": f"10.0.0.{int(name[1:]) + 1}:80",
-            "slots": 6,
-            "draining": False,
-            "sequence": 1,
-            "born_ms": 1,
-            "cold_s": 0.0,
-        }
-        report = TargetReport(**{**usual, **fields})
-        self.deliver(name, self.cores[name].handle(Reported(report, answer)))
-        return answer.result(0)
-
-    def deliver(self, sender: str, effects: list[Send]) -> None:
-        """Hand messages to their nodes, and the answers to these."""
-        for effect in effects:
-            name = f"n{int(effect.to.removeprefix('tcp://10.0.0.').split(':')[0]) - 1}"
-            if name in self.cores and not {name, sender} & self.unreachable:
-                address = f"tcp://10.0.0.{int(sender[1:]) + 1}:7000"
-                self.deliver(name, self.cores[name].on_message(address, effect.message))
-
-    def pool(self, name: str) -> set[str]:
-        """Return the names of the targets that a node routes to."""
-        return {target.name for target in self.views[name].current.pools.get((SERVICE, ""), ())}
-
-    def states(self) -> list[str]:
-        """Return the states of rollouts that the operator has read, in order."""
-        records = self.store.topics.get("keyed.status", [])
-        return [json.loads(record.value or b"")["state"] for record in records]
-
-    def _store_writes(self) -> None:
-        """Store what nodes have written that reach the store."""
-        waiting = []
-        for name, write in self._writes:
-            if name in self.cut:
-                waiting.append((name, write))
-                continue
-            records = self.store.newest(write.topic).records
-            present = {record.key: record.value for record in records}
-            if write.may_replace is None or write.may_replace(present.get(write.key)):
-                self.store.put(write.topic, write.key, write.value)
-                record = self.store.topics[write.topic][-1]
-                if name in self.cores:
-                    self.cores[name].handle(Written(write.topic, record))
-        self._writes = waiting
+from .mesh import SERVICE, Mesh, config_record
 
 
 class HostedCoreTest(unittest.TestCase):
