Reproduce late configurations in tests that fail

Change: tests/hosted/watched.py gives the nodes of the test mesh long polls of the store, which may hang or be refused. tests/hosted/test_late_changes.py asks for each version on every node within the 2 s of the contract.

--- /dev/null
+++ b/tests/hosted/test_late_changes.py
@@ -0,0 +1,102 @@
+"""Confirmed configurations that have to be in force on every node in time."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+from citronrack.hosted.gossip import TopicRecords
+from citronrack.hosted.readers import ReaderBeat
+
+from .watched import WatchedMesh
+
+CONFIG_APPLY_S = 2.0
+ZONES = ("za", "zb", "zc")
+SIZE = 12
+DELAYS_S = (0.0, 0.3, 0.6, 0.9, 1.2)
+"""Times between the start of a fault and the change."""
+
+
+class LateChangeTest(unittest.TestCase):
+    """Faults of the store that do not excuse nodes which reach it."""
+
+    def calm(self) -> WatchedMesh:
+        """Return a mesh in which one node of each zone reads."""
+        mesh = WatchedMesh(SIZE, zones=ZONES)
+        mesh.run(5.0)
+        for zone in ZONES:
+            self.assertEqual(len(mesh.readers(zone)), 1)
+        return mesh
+
+    def assert_in_time(self, mesh: WatchedMesh, version: int, nodes: Iterable[str]) -> None:
+        """Check that nodes have a version that is changed to now within the bound."""
+        mesh.change(version)
+        mesh.run(CONFIG_APPLY_S)
+        versions = mesh.versions()
+        self.assertEqual({name: versions[name] for name in nodes}, dict.fromkeys(nodes, version))
+
+    def test_reader_whose_read_hangs(self) -> None:
+        """Guards against a zone that waits for the time-out of its reader's read."""
+        for delay_s in DELAYS_S:
+            for zone in ZONES:
+                with self.subTest(delay_s=delay_s, zone=zone):
+                    mesh = self.calm()
+                    mesh.silent.update(mesh.readers(zone))
+                    mesh.run(delay_s)
+                    self.assert_in_time(mesh, 2, mesh.cores)
+
+    def test_next_reader_hangs_as_well(self) -> None:
+        """Guards against a zone that waits for one reader after the other."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                mesh = self.calm()
+                mesh.silent.update(random.sample(sorted(mesh.cores), 6), mesh.readers("za"))
+                mesh.run(random.uniform(0, 1.5))
+                self.assert_in_time(mesh, 2, mesh.cores)
+
+    def test_reader_that_is_refused(self) -> None:
+        """Guards against a node that is taken for a reader before the store has answered it."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                mesh = self.calm()
+                mesh.refused.update(random.sample(sorted(mesh.cores), 6), mesh.readers("za"))
+                mesh.run(random.uniform(0, 1.5))
+                self.assert_in_time(mesh, 2, mesh.cores)
+
+    def test_zone_without_the_store(self) -> None:
+        """Guards against a zone that gets changes only from its own readers."""
+        for kind in ("silent", "refused"):
+            for delay_s in DELAYS_S:
+                with self.subTest(kind=kind, delay_s=delay_s):
+                    mesh = self.calm()
+                    zone = [name for name in mesh.cores if mesh.zone_of(name) == "za"]
+                    getattr(mesh, kind).update(zone)
+                    mesh.run(delay_s)
+                    self.assert_in_time(mesh, 2, mesh.cores)
+
+    def test_message_is_lost(self) -> None:
+        """Guards against a change that depends on each single message, beside a hanging read."""
+        for number in range(3):
+            for kind in (TopicRecords, ReaderBeat):
+                with self.subTest(kind=kind.__name__, number=number):
+                    mesh = self.calm()
+                    mesh.silent.update(mesh.readers("za"))
+                    mesh.lost = self.lose(kind, number)
+                    self.assert_in_time(mesh, 2, mesh.cores)
+
+    @staticmethod
+    def lose(kind: type[Any], number: int) -> Any:
+        """Return a rule that loses one message of a kind on its way to each node."""
+        seen: dict[str, int] = {}
+
+        def lost(_: str, to: str, message: Any) -> bool:
+            if not isinstance(message, kind):
+                return False
+            seen[to] = seen.get(to, -1) + 1
+            return seen[to] == number
+
+        return lost
--- /dev/null
+++ b/tests/hosted/watched.py
@@ -0,0 +1,120 @@
+"""A mesh whose nodes follow the operator's topic by long polls."""
+
+from __future__ import annotations
+
+from attrs import define
+
+from citronrack.hosted.core import HostedCore
+from citronrack.hosted.messages import PageRead, WatchFailed
+from citronrack.hosted.store import BACKOFF_CAP_S, KeyedPage
+from citronrack.hosted.watch import WAIT_MS
+from citronrack.platform.operator import operator_topic
+from citronrack.platform.store import ANSWER_TIMEOUT_MS
+
+from .mesh import TICK_S, Mesh, config_record
+
+STEP_S = 0.05
+TOPIC = operator_topic().name
+
+
+@define(eq=False)
+class Poll:
+    """The watch of one node.
+
+    Attributes:
+        needed: Whether the node wants the topic to be read.
+        position: First offset that is asked for.
+        began_at: When the read that is open began, None while there is none.
+        hangs: Whether the open read gets no answer.
+        next_at: When the next read may begin.
+    """
+
+    needed: bool = True
+    position: int = 0
+    began_at: float | None = None
+    hangs: bool = False
+    next_at: float = 0.0
+
+
+class WatchedMesh(Mesh):
+    """Nodes with long polls; ticks of nodes come one after the other.
+
+    Attributes:
+        silent: Nodes that get no answer of the store.
+        refused: Nodes that the store refuses.
+    """
+
+    def __init__(self, size: int, *, zones: tuple[str, ...]) -> None:
+        self.polls: dict[str, Poll] = {}
+        self.silent: set[str] = set()
+        self.refused: set[str] = set()
+        self._steps = 0
+        super().__init__(size, zones=zones)
+        self.store.topics[TOPIC] = [config_record(1, 0, "a")]
+        self.read()
+        self.read()
+        for poll in self.polls.values():
+            poll.position = 1
+
+    def add(self, name: str, *, boot: int = 1) -> HostedCore:
+        """Add a node, in place of one of the same name."""
+        core = super().add(name, boot=boot)
+        poll = self.polls[name] = Poll()
+
+        def need(needed: bool) -> None:
+            if needed and not poll.needed:
+                poll.position = max(poll.position, core.position(TOPIC))
+            poll.needed = needed
+
+        core.steering.read_topics = need
+        return core
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            self._steps += 1
+            for index, name in enumerate(self.cores):
+                self._poll(name, self.polls[name])
+                if (self._steps + index) % round(TICK_S / STEP_S) == 0:
+                    self.deliver(name, self.cores[name].on_tick())
+            self._store_writes()
+
+    def change(self, version: int) -> None:
+        """Let the operator write a configuration."""
+        records = self.store.topics[TOPIC]
+        records.append(config_record(version, len(records), f"p{version}"))
+
+    def readers(self, zone: str) -> list[str]:
+        """Return the nodes of a zone that read the topic."""
+        return [n for n, poll in self.polls.items() if poll.needed and self.zone_of(n) == zone]
+
+    def versions(self) -> dict[str, int]:
+        """Return the version in force on each node."""
+        return {name: core.config_version for name, core in self.cores.items()}
+
+    def _poll(self, name: str, poll: Poll) -> None:
+        now = self.clock.monotonic()
+        if poll.began_at is None:
+            if not poll.needed or now < poll.next_at:
+                return
+            poll.began_at = now
+        poll.hangs = poll.hangs or name in self.silent
+        waited_s = now - poll.began_at
+        if name in self.refused:
+            self._fail(name, poll, "refused")
+        elif poll.hangs:
+            if waited_s >= (WAIT_MS + ANSWER_TIMEOUT_MS) / 1000:
+                self._fail(name, poll, "timed out")
+        else:
+            records = tuple(self.store.topics[TOPIC][poll.position :])
+            if records or waited_s >= WAIT_MS / 1000:
+                poll.position += len(records)
+                poll.began_at = None
+                page = KeyedPage(records, poll.position)
+                self.deliver(name, self.cores[name].handle(PageRead(TOPIC, page, whole=False)))
+
+    def _fail(self, name: str, poll: Poll, reason: str) -> None:
+        poll.began_at, poll.hangs = None, False
+        poll.next_at = self.clock.monotonic() + BACKOFF_CAP_S
+        self.deliver(name, self.cores[name].handle(WatchFailed(TOPIC, reason)))
