Let readers vouch for the topic only when the store has answered

Cause: a beat said that a reader lives. A reader whose read hangs, or that has not read anything yet, was taken for a current one; its zone waited for the time-out of that read (4.2 s), the silence (1.0 s) and the delay by rank (0.8 s). The class: a belief that is refreshed by something else than what it is about.

Change: a reader sends a beat for each read that the store has answered, and none otherwise. A node that hears none for the silence knows that its copy is stale: it asks two nodes four times a second and reads itself when its rank is due. The first read after a pause does not wait.

Why it works: no wait begins at a time-out any more; each is counted from the last answer of the store.

--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -8,7 +8,7 @@
 from ..telemetry import Event, EventLog
 from .entry import NodeEntry
 from .parts import Steering
-from .readers import ReaderBeat, ReaderRole
+from .readers import ReaderBeat, ReaderRole, ReaderTimings
 
 
 class StoreAccess:
@@ -19,15 +19,23 @@
         clock: Source of time.
         events: Log lines.
         steering: Is told when this node has to read and when not.
+        timings: Times by which the nodes of a zone read in turn.
     """
 
     def __init__(
-        self, own: NodeEntry, *, clock: Clock, events: EventLog, steering: Steering
+        self,
+        own: NodeEntry,
+        *,
+        clock: Clock,
+        events: EventLog,
+        steering: Steering,
+        timings: ReaderTimings,
     ) -> None:
-        self._role = ReaderRole(own, clock)
+        self._role = ReaderRole(own, clock, timings)
         self._events = events
         self._steering = steering
         self._failing: dict[str, str] = {}
+        self._was_current = False
 
     @property
     def reading(self) -> bool:
@@ -39,6 +47,16 @@
         """Whether this node passes on what it reads."""
         return self._role.leading
 
+    @property
+    def current(self) -> bool:
+        """Whether the own copy of the operator's topic was known to be complete lately."""
+        return self._role.current
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the own copy of the operator's topic was known to be complete."""
+        return self._role.age_s
+
     @property
     def answers(self) -> bool:
         """Whether all topics could be read lately; true for a node that does not read."""
@@ -57,16 +75,27 @@
             self._events.write(Event.LOG_UNAVAILABLE, topic=topic, reason=reason)
         self._failing[topic] = reason
 
-    def on_tick(self, zone: Iterable[NodeEntry]) -> bool:
-        """Begin to read when no reader is heard; return whether the zone is to be told.
+    def confirmed(self) -> bool:
+        """Note that the store has told where the operator's topic ends.
+
+        Returns:
+            Whether the zone is to be told.
+        """
+        return self._role.on_read()
+
+    def on_tick(self, zone: Iterable[NodeEntry]) -> None:
+        """Begin to read when nobody vouches for the own copy.
 
         Args:
             zone: Entries of the other nodes of the zone.
         """
         before = self.reading
-        beat_due = self._role.on_tick(zone)
+        self._role.on_tick(zone)
         self._follow(before)
-        return beat_due and self.answers
+        if self.current is not self._was_current:
+            self._was_current = self.current
+            event = Event.TOPIC_CURRENT if self.current else Event.TOPIC_STALE
+            self._events.write(event, reading=self.reading, age_s=round(self.age_s, 2))
 
     def on_beat(self, beat: ReaderBeat, *, position: int) -> None:
         """Take the beat of another reader.
@@ -85,6 +114,4 @@
         if not self.reading:
             self._failing.clear()
         self._steering.read_topics(self.reading)
-        self._events.write(
-            Event.TOPIC_READER, reading=self.reading, silent_s=round(self._role.silent_s, 2)
-        )
+        self._events.write(Event.TOPIC_READER, reading=self.reading, age_s=round(self.age_s, 2))
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -35,6 +35,7 @@
 from .messages import CallReported, EndAsked, StopAsked
 from .parts import HostedParts, OperatorTopic
 from .publish import PublishTask
+from .readers import ReaderTimings
 from .settings import HostedSettings
 from .signals import SignalInbox
 from .store import MESH_TOPIC, KeyedStore
@@ -206,6 +207,7 @@
         report_interval_s=settings.bounds.report_interval_s,
         clock=clock,
     )
+    timings = ReaderTimings.within(settings.bounds.config_apply_s)
     core = HostedCore(
         HostedParts(
             clock=clock,
@@ -216,6 +218,7 @@
             operator=adapter.operator,
             submit=publisher.submit,
             retry_slack=RETRY_SHARE * settings.bounds.retry_slack,
+            timings=timings,
         ),
         own=_own_entry(settings, clock),
     )
@@ -234,7 +237,11 @@
         reconnect_max_ms=RECONNECT_MAX_MS,
     )
     operator_watch = WatchTask(
-        adapter.operator.name, store=adapter.make_store(), post=mailbox.put, random=random
+        adapter.operator.name,
+        store=adapter.make_store(),
+        post=mailbox.put,
+        random=random,
+        wait_s=timings.wait_s,
     )
     mesh_watch = WatchTask(
         MESH_TOPIC,
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -84,7 +84,11 @@
         )
         self._steering = Steering()
         self._access = StoreAccess(
-            own, clock=parts.clock, events=parts.events, steering=self._steering
+            own,
+            clock=parts.clock,
+            events=parts.events,
+            steering=self._steering,
+            timings=parts.timings,
         )
         self._stopping = False
         self._stale = True
@@ -115,6 +119,11 @@
         """Whether all topics could be read lately."""
         return self._access.answers
 
+    @property
+    def config_age_s(self) -> float:
+        """Seconds since the configuration in force was known to be the newest."""
+        return self._access.age_s
+
     def identity(self) -> TargetIdentity:
         """Return who the own target is, for the call path; called from any thread."""
         return self._trial.restrict(self._parts.target.identity)
@@ -152,11 +161,11 @@
             self._update_own()
         self._presence.renew()
         self._drop_expired()
-        self._keep_role()
+        self._access.on_tick(self._zone())
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
         self._send_evidence()
-        self._outbox += self._gossip.on_tick(store_answers=self.store_answers)
+        self._outbox += self._gossip.on_tick(current=self._access.current)
         return self._finish()
 
     def leave(self) -> list[Send]:
@@ -187,6 +196,8 @@
         elif changed and self._access.leading:
             push = self._gossip.push(mail.topic, changed, replica.position, before=before)
             self._outbox += self._gossip.tell(push, self._zone())
+        if mail.topic == self._parts.operator.name and mail.page.complete:
+            self._vouch()
 
     def _watch_failed(self, mail: WatchFailed) -> None:
         self._access.failed(mail.topic, mail.reason)
@@ -255,14 +266,12 @@
         """Return the entries of the other nodes of the own zone."""
         return self._table.others_in(self._presence.entry.availability_zone)
 
-    def _keep_role(self) -> None:
-        """Read the topics if no better node of the zone does, and tell the zone."""
-        zone = self._zone()
-        beat_due = self._access.on_tick(zone)
-        if beat_due and self._active.version >= 0:
+    def _vouch(self) -> None:
+        """Tell the zone where the store has just said that the operator's topic ends."""
+        if self._access.confirmed() and self._active.version >= 0:
             position = self.position(self._parts.operator.name)
             beat = ReaderBeat.of(self._presence.entry, position)
-            self._outbox += self._gossip.tell(beat, zone)
+            self._outbox += self._gossip.tell(beat, self._zone())
 
     def _on_beat(self, sender: str, beat: ReaderBeat) -> None:
         position = self.position(self._parts.operator.name)
--- a/src/citronrack/hosted/exposed.py
+++ b/src/citronrack/hosted/exposed.py
@@ -34,6 +34,7 @@
     """Let the gauges read the parts that know their values."""
     metrics.read_from("target_load", lambda: call_path.admission.load)
     metrics.read_from("config_version", lambda: core.config_version)
+    metrics.read_from("config_age_seconds", lambda: core.config_age_s)
     metrics.read_from("nodes_known", lambda: core.nodes_known)
     metrics.read_from("store_answers", lambda: core.store_answers)
     metrics.read_from("log_lines_left_out", lambda: events.dropped)
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -19,13 +19,14 @@
 from .store import KeyedPage, KeyedRecord
 
 CALM_INTERVAL_S = 1.0
-"""Time between exchanges of a node that reads the store."""
+"""Time between exchanges of a node whose records are known to be complete."""
 
-CUT_INTERVAL_S = 0.25
-"""Time between exchanges while the store does not answer: a change must arrive within 2 s."""
+STALE_INTERVAL_S = 0.25
+"""Time between exchanges of a node for whose records nobody vouches: a change must arrive within
+2 s, and one exchange may be lost."""
 
-CUT_PEERS = 2
-"""Nodes asked at each exchange while the store does not answer."""
+STALE_PEERS = 2
+"""Nodes that such a node asks at each exchange."""
 
 JOIN_PEERS = 3
 """Nodes asked after a start; one of them answers even if others have just been killed."""
@@ -45,14 +46,14 @@
     Attributes:
         topics: Pairs of topic and the first offset that is not covered.
         digest: Digest of the sender's node entries.
-        cut: Whether the sender cannot read the store and needs records from the receiver.
+        stale: Whether nobody vouches for the sender's records, so that it needs the receiver's.
         rollouts: Service, order and revision of the rollouts that the sender knows.
         asks: Whether the receiver should say what it holds in its turn when digests differ.
     """
 
     topics: tuple[tuple[str, int], ...]
     digest: int
-    cut: bool
+    stale: bool
     asks: bool
     rollouts: tuple[tuple[str, int, int], ...] = ()
 
@@ -134,21 +135,21 @@
         self._on_entries = on_entries
         self._rollouts = rollouts
         self._next = 0.0
-        self._cut = False
+        self._stale = True
 
-    def on_tick(self, *, store_answers: bool) -> list[Send]:
+    def on_tick(self, *, current: bool) -> list[Send]:
         """Start an exchange when one is due.
 
         Args:
-            store_answers: Whether this node reads the store at present.
+            current: Whether this node's records are known to be complete.
         """
-        self._cut = not store_answers
+        self._stale = not current
         now = self._clock.monotonic()
         if now < self._next:
             return []
-        self._next = now + (CALM_INTERVAL_S if store_answers else CUT_INTERVAL_S)
+        self._next = now + (CALM_INTERVAL_S if current else STALE_INTERVAL_S)
         peers = list(self._table.others())
-        count = min(len(peers), 1 if store_answers else CUT_PEERS)
+        count = min(len(peers), 1 if current else STALE_PEERS)
         chosen = self._random.sample(peers, count)
         return [Send(_address(peer), self._positions(asks=True)) for peer in chosen]
 
@@ -193,7 +194,7 @@
 
     def ask(self, sender: str) -> Send:
         """Return the message that asks a node for the records that this one lacks."""
-        return Send(sender, evolve(self._positions(asks=False), cut=True))
+        return Send(sender, evolve(self._positions(asks=False), stale=True))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of another node.
@@ -209,11 +210,11 @@
         rollouts = tuple(
             (record.service, record.order_id, record.revision) for record in self._rollouts()
         )
-        return Positions(topics, self._table.digest, self._cut, asks, rollouts)
+        return Positions(topics, self._table.digest, self._stale, asks, rollouts)
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
         effects: list[Send] = []
-        for topic, position in message.topics if message.cut else ():
+        for topic, position in message.topics if message.stale else ():
             replica = self._replicas.get(topic)
             if replica is not None and replica.position > position:
                 effects += self._records(sender, replica, position)
--- a/src/citronrack/hosted/parts.py
+++ b/src/citronrack/hosted/parts.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from ..calls import ViewHolder
 from ..clock import Clock
 from ..config import ConfigSet
 from ..telemetry import EventLog
 from .publish import Write
+from .readers import ReaderTimings
 from .rollout import Phase, RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetState
@@ -48,6 +49,7 @@
         operator: The operator's records.
         submit: Writes a record to the store.
         retry_slack: Retries of all nodes together that no call has earned.
+        timings: Times by which the nodes of a zone read the operator's topic in turn.
     """
 
     clock: Clock
@@ -58,6 +60,7 @@
     operator: OperatorTopic
     submit: Callable[[Write], None]
     retry_slack: float = 0.0
+    timings: ReaderTimings = field(factory=ReaderTimings.within)
 
 
 def _ignore(_: object) -> None:
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -11,29 +11,63 @@
 from ..transport.messages import message_codec
 from .entry import NodeEntry
 
-BEAT_S = 0.4
-"""How often a reader tells its zone that it reads."""
-
-SILENCE_S = 1.0
-"""Time without a reader after which a node reads itself: two beats may be lost, and a change has
-to be in force within two seconds."""
-
 READERS = "readers"
 """Scope of the order in which the nodes of a zone read."""
 
-RANK_DELAY_S = 0.1
-MAX_RANK_DELAY_S = 0.8
-"""Further silence for each node of a better rank, so that few nodes begin at once."""
+CONFIG_APPLY_S = 2.0
+"""Time in which a change has to be in force where the platform states none."""
+
+_WAIT = 0.35
+_SILENCE = 0.45
+_BEAT_PAUSE = 0.05
+_RANK_DELAY = 0.05
+_MAX_RANK_DELAY = 0.15
+"""Parts of the time in which a change has to be in force. Silence and the longest delay by rank add
+up to 0.6; what is left covers two ticks of the core and a read."""
+
+
+@frozen
+class ReaderTimings:
+    """Times by which the nodes of a zone read in turn.
+
+    Attributes:
+        wait_s: How long the store may hold a read in which nothing changes.
+        silence_s: Time without word on the end of the topic after which a node takes its copy for
+            stale; longer than a wait and a pause of the beats, so that one slow read costs nothing.
+        beat_pause_s: Shortest time between two beats.
+        rank_delay_s: Further silence for each node of a better rank, so that few begin at once.
+        max_rank_delay_s: Longest further silence.
+    """
+
+    wait_s: float
+    silence_s: float
+    beat_pause_s: float
+    rank_delay_s: float
+    max_rank_delay_s: float
+
+    @classmethod
+    def within(cls, config_apply_s: float = CONFIG_APPLY_S) -> ReaderTimings:
+        """Return the times for changes that have to be in force within ``config_apply_s``."""
+        return cls(
+            wait_s=_WAIT * config_apply_s,
+            silence_s=_SILENCE * config_apply_s,
+            beat_pause_s=_BEAT_PAUSE * config_apply_s,
+            rank_delay_s=_RANK_DELAY * config_apply_s,
+            max_rank_delay_s=_MAX_RANK_DELAY * config_apply_s,
+        )
 
 
 @message_codec.register("h-beat")
 @frozen
 class ReaderBeat:
-    """A node reads the operator's topic for its zone.
+    """The store has just told a reader that the operator's topic ends here.
+
+    A reader whose reads are not answered sends none, so a beat vouches for the topic and not only
+    for the reader's process.
 
     Attributes:
         name: Name of the node.
-        position: First offset that it does not cover.
+        position: First offset that it does not cover; the topic ended there.
         link_mbps: Rate of its instance's link, in Mbit/s.
     """
 
@@ -49,38 +83,54 @@
 
 @define(eq=False)
 class ReaderRole:
-    """Whether this node reads, by the beats of the other nodes of its zone.
+    """Whether this node reads, and whether its copy of the topic is known to be complete.
 
-    The node with the best rank that reaches the store reads. Others begin when no reader is heard,
-    and stop when one of a better rank is as far as they are. Fast links rank first: a reader gets
+    The node with the best rank that reaches the store reads. Others begin when nobody has vouched
+    for their copy, and stop when one of a better rank does. Fast links rank first: a reader gets
     each change whole and passes it on to all nodes of its zone.
 
     Attributes:
         own: Entry of this node.
         clock: Source of time.
+        timings: Times by which the nodes read in turn.
         reading: Whether this node reads.
     """
 
     own: NodeEntry
     clock: Clock
+    timings: ReaderTimings = field(factory=ReaderTimings.within)
     reading: bool = True
-    _heard_at: float = field(init=False)
+    _current_at: float = field(init=False)
     _better_at: float = field(init=False)
     _next_beat: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        self._heard_at = self.clock.monotonic()
-        self._better_at = self._heard_at - SILENCE_S
+        self._current_at = self._better_at = self.clock.monotonic() - self.timings.silence_s
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since this node's copy of the topic was last known to be complete."""
+        return self.clock.monotonic() - self._current_at
+
+    @property
+    def current(self) -> bool:
+        """Whether somebody has vouched for this node's copy lately."""
+        return self.age_s < self.timings.silence_s
 
     @property
     def leading(self) -> bool:
         """Whether this node passes records on: of several readers only the best one does."""
-        return self.reading and self.clock.monotonic() - self._better_at >= SILENCE_S
+        since_better_s = self.clock.monotonic() - self._better_at
+        return self.reading and since_better_s >= self.timings.silence_s
 
-    @property
-    def silent_s(self) -> float:
-        """Seconds since a reader was heard that was as far as this node."""
-        return self.clock.monotonic() - self._heard_at
+    def on_read(self) -> bool:
+        """Note that the store has told where the topic ends; return whether a beat is due."""
+        now = self.clock.monotonic()
+        self._current_at = now
+        if not self.reading or now < self._next_beat:
+            return False
+        self._next_beat = now + self.timings.beat_pause_s
+        return True
 
     def on_beat(self, beat: ReaderBeat, *, position: int, store_answers: bool) -> None:
         """Take another node's beat.
@@ -93,28 +143,24 @@
         better = _rank(beat) < _rank(self.own)
         if better:
             self._better_at = self.clock.monotonic()
-        if beat.position != position:
-            return  # One of both lacks records; as long as that lasts, both read.
-        self._heard_at = self.clock.monotonic()
+        if beat.position > position:
+            return  # This node lacks records, and reads itself as long as that lasts.
+        self._current_at = self.clock.monotonic()
         if better or not store_answers:
             self.reading = False
 
-    def on_tick(self, zone: Iterable[NodeEntry]) -> bool:
-        """Begin to read when no reader is heard; return whether a beat is due.
+    def on_tick(self, zone: Iterable[NodeEntry]) -> None:
+        """Begin to read when nobody has vouched for this node's copy.
 
         Args:
             zone: Entries of the other nodes of the zone.
         """
-        now = self.clock.monotonic()
         own = _rank(self.own)
         better = sum(_rank(entry) < own for entry in zone)
-        delay_s = min(better * RANK_DELAY_S, MAX_RANK_DELAY_S)
-        if now - self._heard_at > SILENCE_S + delay_s:
+        times = self.timings
+        delay_s = min(better * times.rank_delay_s, times.max_rank_delay_s)
+        if self.age_s > times.silence_s + delay_s:
             self.reading = True
-        if not self.reading or now < self._next_beat:
-            return False
-        self._next_beat = now + BEAT_S
-        return True
 
 
 def _rank(node: NodeEntry | ReaderBeat) -> tuple[int, int]:
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from .. import checks
+from .readers import CONFIG_APPLY_S
 
 
 @frozen
@@ -38,12 +39,14 @@
 
     Attributes:
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
+        config_apply_s: Time in which a confirmed configuration has to be in force, in seconds.
         report_interval_s: Usual time between status reports of a target, in seconds.
         retry_ratio: Retries of all nodes together, as a part of the calls.
         retry_slack: Retries of all nodes together that are allowed beyond that part.
     """
 
     grace_s: float = field(default=6.0, validator=checks.between(0.5, 600))
+    config_apply_s: float = field(default=CONFIG_APPLY_S, validator=checks.between(0.5, 600))
     report_interval_s: float = field(default=1.5, validator=checks.between(0.01, 60))
     retry_ratio: float = field(default=0.2, validator=checks.between(0, 1))
     retry_slack: float = field(default=60.0, validator=checks.between(0, 1e6))
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -49,10 +49,12 @@
     Attributes:
         records: By offset.
         position: First offset that is not covered.
+        complete: Whether the topic ended at ``position`` when the store made the page.
     """
 
     records: tuple[KeyedRecord, ...]
     position: int
+    complete: bool = True
 
 
 class KeyedStore(Protocol):
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -11,10 +11,6 @@
 from .messages import Mail, PageRead, WatchFailed
 from .store import BACKOFF_CAP_S, KeyedStore
 
-WAIT_MS = 1_200
-"""Time for which the store holds a read. A read that hears nothing of a change must end well within
-the two seconds in which the change has to be in force; each call has a price."""
-
 
 class WatchTask:
     """Reads a topic from its newest records on, and sends each page to the core.
@@ -24,7 +20,8 @@
         store: Connection to the store, owned by this task.
         post: Takes messages for the core.
         random: Source of random numbers.
-        pause_s: Pause between reads that do not wait for new records; 0 to wait for them.
+        wait_s: How long the store may hold a read in which nothing changes.
+        pause_s: Pause between reads.
         needed: Whether to read from the start on.
     """
 
@@ -35,12 +32,14 @@
         store: KeyedStore,
         post: Callable[[Mail], None],
         random: Random,
+        wait_s: float = 0.0,
         pause_s: float = 0.0,
         needed: bool = True,
     ) -> None:
         self._topic = topic
         self._store = store
         self._post = post
+        self._wait_ms = round(wait_s * 1000)
         self._pause_s = pause_s
         self._backoff = Backoff(random=random, cap_s=BACKOFF_CAP_S)
         self._stopping = threading.Event()
@@ -48,6 +47,7 @@
         if needed:
             self._needed.set()
         self._position: int | None = None
+        self._waits = False
 
     def run(self) -> None:
         """Follow the topic until `stop` is called."""
@@ -58,6 +58,7 @@
             except LogTrimmed:
                 self._position = None  # History was dropped; the newest records replace it.
             except LogUnavailable as error:
+                self._waits = False
                 self._post(WatchFailed(self._topic, str(error)))
                 self._stopping.wait(self._backoff.next_s())
             else:
@@ -74,6 +75,7 @@
         """
         if needed and not self._needed.is_set() and self._position is not None:
             self._position = max(self._position, position)
+            self._waits = False
         (self._needed.set if needed else self._needed.clear)()
 
     def stop(self) -> None:
@@ -82,11 +84,13 @@
         self._needed.set()
 
     def _read_once(self) -> None:
+        """Read once; the first read is answered at once, so that the node can vouch for it."""
         if self._position is None:
             page = self._store.newest(self._topic)
             self._post(PageRead(self._topic, page, whole=True))
         else:
-            wait_ms = 0 if self._pause_s else WAIT_MS
+            wait_ms = self._wait_ms if self._waits else 0
             page = self._store.read(self._topic, self._position, wait_ms=wait_ms)
             self._post(PageRead(self._topic, page, whole=False))
         self._position = page.position
+        self._waits = True
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..errors import SettingsError
+from ..hosted.readers import CONFIG_APPLY_S
 from ..hosted.settings import HostedAddresses, HostedBounds, HostedSettings
 from .fields import FieldError, need, seconds
 
@@ -71,6 +72,9 @@
     parameters = need(constraints, "parameters", dict)
     return HostedBounds(
         grace_s=seconds(parameters, "grace"),
+        config_apply_s=(
+            seconds(parameters, "config_apply") if "config_apply" in parameters else CONFIG_APPLY_S
+        ),
         report_interval_s=seconds(platform, "heartbeat"),
         retry_ratio=float(parameters.get("retry_budget_ratio", 0.0)),
         retry_slack=float(parameters.get("retry_slack", 0.0)),
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -27,8 +27,9 @@
 """A connection that went silent is given up after this time, also during a long poll."""
 
 LENGTH_BYTES = 4
-HEAD_BYTES = 16
-"""A page of raw records begins with its end and its first kept offset, 8 bytes each."""
+OFFSET_BYTES = 8
+HEAD_BYTES = 2 * OFFSET_BYTES
+"""A page of raw records begins with the topic's end and its first kept offset."""
 
 PAGE_KB = 1_024
 
@@ -92,7 +93,8 @@
             raise LogUnavailable(f"the store answered with status {status}")
         records = tuple(_raw_records(body, start))
         position = records[-1].offset + 1 if records else start
-        return KeyedPage(records, position)
+        end = int.from_bytes(body[:OFFSET_BYTES], "big")
+        return KeyedPage(records, position, complete=position >= end)
 
     def put(
         self, topic: str, key: str, value: bytes | None, *, expected_end: int | None = None
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -53,6 +53,8 @@
     SETTINGS_CHANGED = 107
     SETTINGS_REFUSED = 108
     TOPIC_READER = 311
+    TOPIC_STALE = 312
+    TOPIC_CURRENT = 313
     STORE_WRITTEN = 230
     STORE_CONFLICT = 231
     NODE_ENTRY = 330
@@ -125,6 +127,12 @@
     Event.TOPIC_READER: EventInfo(
         "info", "Whether the node reads the operator's topic for its zone has changed."
     ),
+    Event.TOPIC_STALE: EventInfo(
+        "warning", "Nobody has vouched for the operator's records of this node for `age_s`."
+    ),
+    Event.TOPIC_CURRENT: EventInfo(
+        "info", "The operator's records of this node are known to be complete again."
+    ),
     Event.SETTINGS_REFUSED: EventInfo(
         "warning", "Changed settings cannot be used; those before stay in force."
     ),
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -14,6 +14,11 @@
     "delivered": ("counter", ("route", "status", "verdict"), "Calls given to the own target."),
     "target_load": ("gauge", (), "Calls that run at the own target or wait for it."),
     "config_version": ("gauge", (), "Version in force, -1 for none."),
+    "config_age_seconds": (
+        "gauge",
+        (),
+        "Time since the configuration in force was known to be the newest.",
+    ),
     "nodes_known": ("gauge", (), "Other nodes that have not expired."),
     "store_answers": ("gauge", (), "Whether the platform's store could be read lately."),
     "log_lines_left_out": ("gauge", (), "Log lines that exceeded their budget."),
--- a/tests/hosted/test_readers.py
+++ b/tests/hosted/test_readers.py
@@ -6,8 +6,7 @@
 
 from citronrack.clock import ManualClock
 from citronrack.hosted.entry import NodeEntry
-from citronrack.hosted.readers import ReaderBeat, ReaderRole
-from citronrack.hosted.watch import WAIT_MS
+from citronrack.hosted.readers import ReaderBeat, ReaderRole, ReaderTimings
 
 NAMES = [f"n{index}" for index in range(8)]
 FAST = "n5"
@@ -15,6 +14,10 @@
 
 TICK_S = 0.25
 CONFIG_APPLY_S = 2.0
+READ_S = 0.2
+"""Longest time of a read that begins on a new connection of an undisturbed link."""
+
+TIMINGS = ReaderTimings.within(CONFIG_APPLY_S)
 
 
 def entry(name: str) -> NodeEntry:
@@ -33,6 +36,7 @@
         self.cut: set[str] = set()
         self.dead: set[str] = set()
         self.behind: set[str] = set()
+        self.answer_at = dict.fromkeys(NAMES, 0.0)
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -52,8 +56,13 @@
         ]
 
     def _tick(self, name: str) -> None:
-        due = self.roles[name].on_tick([entry(other) for other in NAMES if other != name])
-        if not due or name in self.cut:
+        role, now = self.roles[name], self.clock.monotonic()
+        before = role.reading
+        role.on_tick([entry(other) for other in NAMES if other != name])
+        if not role.reading or name in self.cut or (before and now < self.answer_at[name]):
+            return
+        self.answer_at[name] = now + TIMINGS.wait_s
+        if not role.on_read():
             return
         for other, role in self.roles.items():
             if other not in {name} | self.dead:
@@ -65,12 +74,20 @@
 class ReaderRoleTest(unittest.TestCase):
     """One reader a zone, and another one in time."""
 
-    def test_wait_for_changes_is_short(self) -> None:
-        """Guards against a zone that relies on one read which hears nothing of a change.
+    def test_longest_way_of_a_change(self) -> None:
+        """Guards against waits that add up to more than the time in which a change applies.
 
         A store that drops its history keeps reads waiting that began before.
         """
-        self.assertLess(WAIT_MS / 1000 + TICK_S, CONFIG_APPLY_S)
+        for bound_s in (CONFIG_APPLY_S, 2.5, 9.0):
+            times = ReaderTimings.within(bound_s)
+            self.assertLess(times.wait_s + TICK_S, bound_s)
+            way_s = times.silence_s + times.max_rank_delay_s + 2 * TICK_S + READ_S
+            self.assertLess(way_s, bound_s)
+
+    def test_calm_reader_is_heard_in_time(self) -> None:
+        """Guards against nodes that read although their reader gets all its answers."""
+        self.assertLess(TIMINGS.wait_s + TIMINGS.beat_pause_s, TIMINGS.silence_s)
 
     def test_one_node_reads(self) -> None:
         """Guards against a call to the store by every node for every change."""
--- a/tests/hosted/watched.py
+++ b/tests/hosted/watched.py
@@ -6,14 +6,15 @@
 
 from citronrack.hosted.core import HostedCore
 from citronrack.hosted.messages import PageRead, WatchFailed
+from citronrack.hosted.readers import ReaderTimings
 from citronrack.hosted.store import BACKOFF_CAP_S, KeyedPage
-from citronrack.hosted.watch import WAIT_MS
 from citronrack.platform.operator import operator_topic
 from citronrack.platform.store import ANSWER_TIMEOUT_MS
 
 from .mesh import TICK_S, Mesh, config_record
 
 STEP_S = 0.05
+WAIT_S = ReaderTimings.within().wait_s
 TOPIC = operator_topic().name
 
 
@@ -27,6 +28,7 @@
         began_at: When the read that is open began, None while there is none.
         hangs: Whether the open read gets no answer.
         next_at: When the next read may begin.
+        waits: Whether the store holds the read while nothing changes.
     """
 
     needed: bool = True
@@ -34,6 +36,7 @@
     began_at: float | None = None
     hangs: bool = False
     next_at: float = 0.0
+    waits: bool = False
 
 
 class WatchedMesh(Mesh):
@@ -64,6 +67,7 @@
         def need(needed: bool) -> None:
             if needed and not poll.needed:
                 poll.position = max(poll.position, core.position(TOPIC))
+                poll.waits = False
             poll.needed = needed
 
         core.steering.read_topics = need
@@ -101,20 +105,21 @@
             poll.began_at = now
         poll.hangs = poll.hangs or name in self.silent
         waited_s = now - poll.began_at
+        wait_s = WAIT_S if poll.waits else 0.0
         if name in self.refused:
             self._fail(name, poll, "refused")
         elif poll.hangs:
-            if waited_s >= (WAIT_MS + ANSWER_TIMEOUT_MS) / 1000:
+            if waited_s >= wait_s + ANSWER_TIMEOUT_MS / 1000:
                 self._fail(name, poll, "timed out")
         else:
             records = tuple(self.store.topics[TOPIC][poll.position :])
-            if records or waited_s >= WAIT_MS / 1000:
+            if records or waited_s >= wait_s:
                 poll.position += len(records)
-                poll.began_at = None
+                poll.began_at, poll.waits = None, True
                 page = KeyedPage(records, poll.position)
                 self.deliver(name, self.cores[name].handle(PageRead(TOPIC, page, whole=False)))
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
-        poll.began_at, poll.hangs = None, False
+        poll.began_at, poll.hangs, poll.waits = None, False, False
         poll.next_at = self.clock.monotonic() + BACKOFF_CAP_S
         self.deliver(name, self.cores[name].handle(WatchFailed(TOPIC, reason)))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -150,7 +150,9 @@
 
     def test_watch_goes_on_after_outage_and_dropped_history(self) -> None:
         """Guards against a watch that misses what was written while it could not read."""
-        watch = WatchTask(TOPIC, store=self.client(), post=self.mail.put, random=Random(1))
+        watch = WatchTask(
+            TOPIC, store=self.client(), post=self.mail.put, random=Random(1), wait_s=1.2
+        )
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
         self.addCleanup(watch.stop)
@@ -171,7 +173,12 @@
     def test_watch_that_is_not_needed_reads_nothing(self) -> None:
         """Guards against calls to the store by nodes whose zone has a reader."""
         watch = WatchTask(
-            TOPIC, store=self.client(), post=self.mail.put, random=Random(1), needed=False
+            TOPIC,
+            store=self.client(),
+            post=self.mail.put,
+            random=Random(1),
+            wait_s=1.2,
+            needed=False,
         )
         self.executor.submit(watch.run)
         self.addCleanup(watch.stop)
