Move a position only over records that have arrived

What callers could see: one node that answers by an old configuration without end (404 for an added route), while it says that it is as far as its zone's reader.

Cause: a message told up to where it reaches, not where it begins, and TopicReplica.apply took the end. After a lost push, or a lost first part of an answer, the next message moved the position over the gap, and nobody asked again. A push also held only what was new to the reader, not all that lay between the two positions.

Change: pages and messages say at which offset they begin. A position moves only over a page that begins at or before it; the receiver of a later one asks its sender. A push is what the replica holds from the old position on. Each part of an answer says what it covers. Records of a node of the release before, which does not tell the start, move nothing.

Why it works: a position is now derived from contiguous pages alone, so a beat with a greater one always leads to a question.

Evidence: test_lost_first_part_of_an_answer fails on the commit before; with the old rule in apply test_lost_change_behind_an_order, test_position_stays_before_a_gap and it fail.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -184,7 +184,7 @@
         replica = self._replicas.get(mail.topic)
         if replica is None:
             return
-        before = replica.records()
+        before, start = replica.records(), replica.position
         changed = replica.replace(mail.page) if mail.whole else replica.apply(mail.page)
         self._on_records(mail.topic, changed, STORE)
         if mail.topic == MESH_TOPIC and mail.whole:
@@ -194,7 +194,7 @@
             if not self._access.reading:
                 self._steering.read_topics(False)
         elif changed and self._access.leading:
-            push = self._gossip.push(mail.topic, changed, replica.position, before=before)
+            push = self._gossip.push(mail.topic, replica.since(start), before=before)
             self._outbox += self._gossip.tell(push, self._zone())
         if mail.topic == self._parts.operator.name and mail.page.complete:
             self._vouch()
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -37,6 +37,9 @@
 
 WHOLE = -1
 
+UNSTATED = -1
+"""Start of records whose sender is of the release before and does not tell it."""
+
 
 @message_codec.register("h-pos")
 @frozen
@@ -67,16 +70,18 @@
         topic: Name of the topic.
         records: Triples of key, compressed value and offset; an empty value stands for a removed
             key. A configuration of 70 KB to each node of a zone filled a link of 14.5 Mbit/s.
-        position: First offset that the sender does not cover; 0 when more records follow.
+        position: First offset that the message does not cover.
         bases: For each record the offset of the older one whose delta it carries, `WHOLE` for a
             whole value; empty when all are whole. Compressed values, each to 30 nodes, still
             filled a link of 10 Mbit/s at four changes a second.
+        start: First offset that the message covers; a receiver that has less lacks a message.
     """
 
     topic: str
     records: tuple[tuple[str, bytes, int], ...]
     position: int
     bases: tuple[int, ...] = ()
+    start: int = UNSTATED
 
 
 @message_codec.register("h-ask")
@@ -168,29 +173,21 @@
         chosen = self._random.sample(peers, min(len(peers), JOIN_PEERS))
         return self.tell(self._positions(asks=True), chosen)
 
-    def push(
-        self,
-        topic: str,
-        records: Iterable[KeyedRecord],
-        position: int,
-        *,
-        before: Mapping[str, KeyedRecord],
-    ) -> TopicRecords:
+    @staticmethod
+    def push(topic: str, page: KeyedPage, *, before: Mapping[str, KeyedRecord]) -> TopicRecords:
         """Return the message that passes records on to nodes that do not read the topic.
 
         Args:
             topic: Name of the topic.
-            records: Records that this node has just taken in.
-            position: First offset that this node does not cover.
+            page: What this node has just taken in.
             before: What this node held before; the other nodes hold it most likely.
         """
-        newest = {record.key: record for record in records}
         triples, bases = [], []
-        for record in newest.values():
+        for record in page.records:
             short, base = _short(record, before.get(record.key))
             triples.append((record.key, short, record.offset))
             bases.append(base)
-        return TopicRecords(topic, tuple(triples), position, tuple(bases))
+        return TopicRecords(topic, tuple(triples), page.position, tuple(bases), page.start)
 
     def ask(self, sender: str) -> Send:
         """Return the message that asks a node for the records that this one lacks."""
@@ -231,18 +228,25 @@
 
     @staticmethod
     def _records(to: str, replica: TopicReplica, position: int) -> list[Send]:
+        """Return messages that each cover what lies behind the one before."""
         page = replica.since(position)
         effects: list[Send] = []
         batch: list[tuple[str, bytes, int]] = []
-        size = 0
+        start, size = position, 0
+
+        def flush(end: int) -> None:
+            nonlocal batch, start, size
+            records = TopicRecords(replica.topic, tuple(batch), end, start=start)
+            effects.append(Send(to, records))
+            batch, start, size = [], end, 0
+
         for record in page.records:
             value = compress(record.value)
             if batch and size + len(value) > MAX_RECORDS_BYTES:
-                effects.append(Send(to, TopicRecords(replica.topic, tuple(batch), 0)))
-                batch, size = [], 0
+                flush(min(batch[-1][2] + 1, page.position))
             batch.append((record.key, value, record.offset))
             size += len(value)
-        effects.append(Send(to, TopicRecords(replica.topic, tuple(batch), page.position)))
+        flush(page.position)
         return effects
 
     def _on_topic_records(self, sender: str, message: TopicRecords) -> list[Send]:
@@ -261,9 +265,13 @@
             if base != WHOLE and value is None:
                 return [self.ask(sender)]  # This node lacks the record that the delta needs.
             records.append(KeyedRecord(key, value, offset))
-        changed = replica.apply(KeyedPage(tuple(records), message.position))
+        stated = message.start != UNSTATED
+        start = message.start if stated else message.position
+        changed = replica.apply(KeyedPage(tuple(records), message.position, start=start))
         if changed:
             self._on_records(message.topic, changed, sender)
+        if stated and replica.position < message.position:
+            return [self.ask(sender)]  # A message before this one was lost.
         return []
 
     def _on_entries_asked(self, sender: str, message: EntriesAsked) -> list[Send]:
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -45,9 +45,14 @@
         return record.value if record is not None else None
 
     def apply(self, page: KeyedPage) -> list[KeyedRecord]:
-        """Take in records and return those that are newer than what was known."""
+        """Take in records and return those that are newer than what was known.
+
+        The position moves only over a page that begins at or before it: between the position and a
+        later start lie records that may have been lost on their way.
+        """
         changed = self._merge(page.records)
-        self._position = max(self._position, page.position)
+        if page.start <= self._position:
+            self._position = max(self._position, page.position)
         return changed
 
     def replace(self, page: KeyedPage) -> list[KeyedRecord]:
@@ -69,7 +74,8 @@
     def since(self, position: int) -> KeyedPage:
         """Return what another replica lacks that covers offsets below ``position``."""
         newer = [record for record in self._records.values() if record.offset >= position]
-        return KeyedPage(tuple(sorted(newer, key=lambda record: record.offset)), self._position)
+        newer.sort(key=lambda record: record.offset)
+        return KeyedPage(tuple(newer), self._position, start=position)
 
     def _merge(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
         changed = []
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -50,11 +50,13 @@
         records: By offset.
         position: First offset that is not covered.
         complete: Whether the topic ended at ``position`` when the store made the page.
+        start: First offset that is covered; what lies before it may be missing.
     """
 
     records: tuple[KeyedRecord, ...]
     position: int
     complete: bool = True
+    start: int = 0
 
 
 class KeyedStore(Protocol):
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -88,13 +88,13 @@
         if status == 410:
             raise LogTrimmed(start)
         if status == 404:
-            return KeyedPage((), start)
+            return KeyedPage((), start, start=start)
         if status != 200:
             raise LogUnavailable(f"the store answered with status {status}")
         records = tuple(_raw_records(body, start))
         position = records[-1].offset + 1 if records else start
         end = int.from_bytes(body[:OFFSET_BYTES], "big")
-        return KeyedPage(records, position, complete=position >= end)
+        return KeyedPage(records, position, complete=position >= end, start=start)
 
     def put(
         self, topic: str, key: str, value: bytes | None, *, expected_end: int | None = None
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -13,10 +13,12 @@
 from citronrack.calls import ViewHolder
 from citronrack.clock import ManualClock
 from citronrack.hosted.core import HostedCore
-from citronrack.hosted.entry import NodeEntry
+from citronrack.hosted.entry import NodeEntry, NodeTable
+from citronrack.hosted.gossip import GossipCore
 from citronrack.hosted.messages import PageRead, Reported, WatchFailed, Written
 from citronrack.hosted.parts import HostedParts
 from citronrack.hosted.publish import Write
+from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
 from citronrack.hosted.target import OwnTargetState, TargetReport
 from citronrack.platform.operator import operator_topic
@@ -186,3 +188,18 @@
                 if name in self.cores:
                     self.cores[name].handle(Written(write.topic, record))
         self._writes = waiting
+
+
+def exchange_of(replica: TopicReplica, clock: ManualClock) -> GossipCore:
+    """Return the exchange of a node that knows nobody."""
+    table = NodeTable(own_name="n", clock=clock)
+    table.put(NodeEntry("n", 1, 0, "z", "10.0.0.1:1", "10.0.0.1:2"))
+    return GossipCore(
+        replicas={replica.topic: replica},
+        table=table,
+        clock=clock,
+        random=Random(1),
+        on_records=lambda topic, records, source: None,
+        on_entries=lambda entries: None,
+        rollouts=tuple,
+    )
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -4,7 +4,6 @@
 
 import json
 import unittest
-from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,11 +11,12 @@
 from citronrack.clock import ManualClock
 from citronrack.errors import MessageRejected
 from citronrack.hosted.delta import apply_delta, compress, expand, make_delta
-from citronrack.hosted.entry import NodeEntry, NodeTable
 from citronrack.hosted.gossip import GossipCore, Positions, TopicRecords
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import KeyedPage, KeyedRecord
 
+from .mesh import exchange_of
+
 TOPIC = "operator"
 ROWS = 800
 ZONE_NODES = 30
@@ -66,30 +66,14 @@
         self.reader, self.other = TopicReplica(TOPIC), TopicReplica(TOPIC)
         for replica in (self.reader, self.other):
             replica.apply(KeyedPage((KeyedRecord("config", value(1), 1),), 2))
-        self.gossip = self.node(self.other)
-
-    @staticmethod
-    def node(replica: TopicReplica) -> GossipCore:
-        """Return the exchange of a node that knows nobody."""
-        clock = ManualClock()
-        table = NodeTable(own_name="n", clock=clock)
-        table.put(NodeEntry("n", 1, 0, "z", "10.0.0.1:1", "10.0.0.1:2"))
-        return GossipCore(
-            replicas={TOPIC: replica},
-            table=table,
-            clock=clock,
-            random=Random(1),
-            on_records=lambda topic, records, source: None,
-            on_entries=lambda entries: None,
-            rollouts=tuple,
-        )
+        self.gossip = exchange_of(self.other, ManualClock())
 
     def push(self, version: int) -> TopicRecords:
         """Return what the reader sends after a change."""
-        before = self.reader.records()
+        before, start = self.reader.records(), self.reader.position
         record = KeyedRecord("config", value(version, changed=version), version)
-        changed = self.reader.apply(KeyedPage((record,), version + 1))
-        return self.node(self.reader).push(TOPIC, changed, version + 1, before=before)
+        self.reader.apply(KeyedPage((record,), version + 1, start=start))
+        return GossipCore.push(TOPIC, self.reader.since(start), before=before)
 
     def test_changes_fit_a_slow_link(self) -> None:
         """Guards against a reader's link that is full with changes of one row.
@@ -112,7 +96,7 @@
         self.assertEqual([send.to for send in asked], ["tcp://r"])
         question = asked[0].message
         assert isinstance(question, Positions)
-        for send in self.node(self.reader).on_message("tcp://n", question):
+        for send in exchange_of(self.reader, ManualClock()).on_message("tcp://n", question):
             self.gossip.on_message("tcp://r", send.message)
         self.assertEqual(self.other.value("config"), value(3, changed=3))
         self.assertEqual(self.other.position, 4)
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -7,10 +7,14 @@
 from random import Random
 from typing import Any
 
-from citronrack.hosted.gossip import TopicRecords
+from citronrack.clock import ManualClock
+from citronrack.hosted.gossip import MAX_RECORDS_BYTES, TopicRecords
 from citronrack.hosted.readers import ReaderBeat
+from citronrack.hosted.replica import TopicReplica
+from citronrack.hosted.store import KeyedPage, KeyedRecord
 
-from .watched import WatchedMesh
+from .mesh import exchange_of
+from .watched import STEP_S, WatchedMesh
 
 CONFIG_APPLY_S = 2.0
 ZONES = ("za", "zb", "zc")
@@ -88,6 +92,34 @@
                     mesh.lost = self.lose(kind, number)
                     self.assert_in_time(mesh, 2, mesh.cores)
 
+    def test_lost_change_behind_an_order(self) -> None:
+        """Guards against a position that covers a record which never arrived."""
+        mesh = self.calm()
+        mesh.lost = lambda sender, to, message: isinstance(message, TopicRecords | ReaderBeat)
+        mesh.change(2)
+        mesh.run(STEP_S)
+        mesh.lost = lambda sender, to, message: False
+        mesh.order("v2")
+        mesh.run(CONFIG_APPLY_S)
+        self.assertEqual(set(mesh.versions().values()), {2})
+
+    def test_lost_first_part_of_an_answer(self) -> None:
+        """Guards against the same after an answer of several messages."""
+        clock = ManualClock()
+        full, empty = TopicReplica("t"), TopicReplica("t")
+        values = {key: Random(key).randbytes(MAX_RECORDS_BYTES * 2 // 3) for key in "abc"}
+        records = [KeyedRecord(key, values[key], offset) for offset, key in enumerate(values)]
+        full.apply(KeyedPage(tuple(records), len(records)))
+        nodes = [exchange_of(replica, clock) for replica in (full, empty)]
+        waiting = nodes[0].on_message("tcp://e", nodes[1].ask("tcp://f").message)[1:]
+        self.assertEqual(len(waiting), len(records) - 1)
+        while waiting:
+            send = waiting.pop(0)
+            node = nodes[send.to == "tcp://e"]
+            waiting += node.on_message("tcp://f" if node is nodes[1] else "tcp://e", send.message)
+        self.assertEqual({key: empty.value(key) for key in values}, values)
+        self.assertEqual(empty.position, full.position)
+
     @staticmethod
     def lose(kind: type[Any], number: int) -> Any:
         """Return a rule that loses one message of a kind on its way to each node."""
--- a/tests/hosted/test_replica.py
+++ b/tests/hosted/test_replica.py
@@ -46,3 +46,13 @@
         cut.apply(source.since(cut.position))
         self.assertEqual((cut.value("a"), cut.value("b")), (None, b"2"))
         self.assertEqual(cut.position, source.position)
+
+    def test_position_stays_before_a_gap(self) -> None:
+        """Guards against a replica that takes itself for complete beyond a lost record."""
+        replica = TopicReplica("t")
+        replica.apply(page(("a", b"1", 0), position=1))
+        late = KeyedPage((KeyedRecord("b", b"2", 2),), 3, start=2)
+        self.assertEqual([record.key for record in replica.apply(late)], ["b"])
+        self.assertEqual((replica.value("b"), replica.position), (b"2", 1))
+        replica.apply(KeyedPage((KeyedRecord("a", b"3", 1),), 3, start=1))
+        self.assertEqual((replica.value("a"), replica.position), (b"3", 3))
--- a/tests/hosted/watched.py
+++ b/tests/hosted/watched.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from attrs import define
 
 from citronrack.hosted.core import HostedCore
@@ -11,7 +13,7 @@
 from citronrack.platform.operator import operator_topic
 from citronrack.platform.store import ANSWER_TIMEOUT_MS
 
-from .mesh import TICK_S, Mesh, config_record
+from .mesh import SERVICE, TICK_S, Mesh, config_record
 
 STEP_S = 0.05
 WAIT_S = ReaderTimings.within().wait_s
@@ -89,6 +91,11 @@
         records = self.store.topics[TOPIC]
         records.append(config_record(version, len(records), f"p{version}"))
 
+    def order(self, version: str) -> None:
+        """Let the operator order a rollout."""
+        fields = {"service": SERVICE, "target_version": version, "duration": "16s"}
+        self.store.put(TOPIC, f"rollout/{SERVICE}", json.dumps(fields).encode())
+
     def readers(self, zone: str) -> list[str]:
         """Return the nodes of a zone that read the topic."""
         return [n for n, poll in self.polls.items() if poll.needed and self.zone_of(n) == zone]
@@ -116,7 +123,7 @@
             if records or waited_s >= wait_s:
                 poll.position += len(records)
                 poll.began_at, poll.waits = None, True
-                page = KeyedPage(records, poll.position)
+                page = KeyedPage(records, poll.position, start=poll.position - len(records))
                 self.deliver(name, self.cores[name].handle(PageRead(TOPIC, page, whole=False)))
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
