Count the time in which an instance stood still

What callers could see: after a wake from suspension a node answers by its old configuration for the silence longer than it should, and its beats call the nodes of its zone current.

Cause: the age of what a node knows was counted by CLOCK_MONOTONIC, which does not count suspended time, and an answer or a beat that waited in a socket meanwhile counted as new.

Change: BootClock (CLOCK_BOOTTIME) counts the age of the copy of the operator's topic. A page tells when the store may have made it, which is the start of the read plus the wait at most, and a beat tells the age of its word.

Why it works: word on the topic is dated by the one clock that goes on, at the place where the read began.

--- a/src/citronrack/clock.py
+++ b/src/citronrack/clock.py
@@ -28,6 +28,17 @@
         return time.time_ns() // 1_000_000
 
 
+class BootClock(SystemClock):
+    """The clocks of the operating system, where time also passes while the instance is suspended.
+
+    What a node knows of others grows old in that time; its own waits and limits do not.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds of ``CLOCK_BOOTTIME``."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that moves only when told to, for tests and replays.
 
--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -16,7 +16,7 @@
 
     Args:
         own: Entry of this node.
-        clock: Source of time.
+        clock: Source of time that goes on while the instance is suspended.
         events: Log lines.
         steering: Is told when this node has to read and when not.
         timings: Times by which the nodes of a zone read in turn.
@@ -75,13 +75,16 @@
             self._events.write(Event.LOG_UNAVAILABLE, topic=topic, reason=reason)
         self._failing[topic] = reason
 
-    def confirmed(self) -> bool:
+    def confirmed(self, told_at: float) -> bool:
         """Note that the store has told where the operator's topic ends.
 
+        Args:
+            told_at: When the store may have told it.
+
         Returns:
             Whether the zone is to be told.
         """
-        return self._role.on_read()
+        return self._role.on_read(told_at)
 
     def on_tick(self, zone: Iterable[NodeEntry]) -> None:
         """Begin to read when nobody vouches for the own copy.
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -20,7 +20,7 @@
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.record import AnswerRecord
 from ..checks import split_address
-from ..clock import Clock, SystemClock
+from ..clock import BootClock, Clock, SystemClock
 from ..errors import SettingsError
 from ..mailbox import Mailbox
 from ..telemetry import Event, EventLog
@@ -189,6 +189,7 @@
     """Return a node with all its parts; sockets are open, no task runs yet."""
     settings = adapter.settings
     clock = SystemClock()
+    boot_clock = BootClock()
     random: Random = SystemRandom()
     events = EventLog(node=settings.name, stream=sys.stdout, lines_per_second=LINES_PER_SECOND)
     mailbox = Mailbox()
@@ -219,6 +220,7 @@
             submit=publisher.submit,
             retry_slack=RETRY_SHARE * settings.bounds.retry_slack,
             timings=timings,
+            boot_clock=boot_clock,
         ),
         own=_own_entry(settings, clock),
     )
@@ -241,6 +243,7 @@
         store=adapter.make_store(),
         post=mailbox.put,
         random=random,
+        clock=boot_clock,
         wait_s=timings.wait_s,
     )
     mesh_watch = WatchTask(
@@ -248,6 +251,7 @@
         store=adapter.make_store(),
         post=mailbox.put,
         random=random,
+        clock=boot_clock,
         pause_s=MESH_PAUSE_S,
         needed=False,
     )
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -85,7 +85,7 @@
         self._steering = Steering()
         self._access = StoreAccess(
             own,
-            clock=parts.clock,
+            clock=parts.boot_clock,
             events=parts.events,
             steering=self._steering,
             timings=parts.timings,
@@ -197,7 +197,7 @@
             push = self._gossip.push(mail.topic, replica.since(start), before=before)
             self._outbox += self._gossip.tell(push, self._zone())
         if mail.topic == self._parts.operator.name and mail.page.complete:
-            self._vouch()
+            self._vouch(mail.made_at)
 
     def _watch_failed(self, mail: WatchFailed) -> None:
         self._access.failed(mail.topic, mail.reason)
@@ -266,11 +266,12 @@
         """Return the entries of the other nodes of the own zone."""
         return self._table.others_in(self._presence.entry.availability_zone)
 
-    def _vouch(self) -> None:
-        """Tell the zone where the store has just said that the operator's topic ends."""
-        if self._access.confirmed() and self._active.version >= 0:
+    def _vouch(self, made_at: float) -> None:
+        """Tell the zone where the operator's topic ended at a time of the boot clock."""
+        if self._access.confirmed(made_at) and self._active.version >= 0:
             position = self.position(self._parts.operator.name)
-            beat = ReaderBeat.of(self._presence.entry, position)
+            age_s = self._parts.boot_clock.monotonic() - made_at
+            beat = ReaderBeat.of(self._presence.entry, position, age_s=age_s)
             self._outbox += self._gossip.tell(beat, self._zone())
 
     def _on_beat(self, sender: str, beat: ReaderBeat) -> None:
--- a/src/citronrack/hosted/parts.py
+++ b/src/citronrack/hosted/parts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import Factory, define, field, frozen
 
 from ..calls import ViewHolder
 from ..clock import Clock
@@ -50,6 +50,7 @@
         submit: Writes a record to the store.
         retry_slack: Retries of all nodes together that no call has earned.
         timings: Times by which the nodes of a zone read the operator's topic in turn.
+        boot_clock: Source of time that goes on while the instance is suspended.
     """
 
     clock: Clock
@@ -61,6 +62,7 @@
     submit: Callable[[Write], None]
     retry_slack: float = 0.0
     timings: ReaderTimings = field(factory=ReaderTimings.within)
+    boot_clock: Clock = field(default=Factory(lambda self: self.clock, takes_self=True))
 
 
 def _ignore(_: object) -> None:
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -69,16 +69,18 @@
         name: Name of the node.
         position: First offset that it does not cover; the topic ended there.
         link_mbps: Rate of its instance's link, in Mbit/s.
+        age_ms: How long ago the store may have told it, in milliseconds.
     """
 
     name: str
     position: int
     link_mbps: int = 0
+    age_ms: int = 0
 
     @classmethod
-    def of(cls, entry: NodeEntry, position: int) -> ReaderBeat:
+    def of(cls, entry: NodeEntry, position: int, *, age_s: float) -> ReaderBeat:
         """Return the beat of a node that reads."""
-        return cls(entry.name, position, entry.link_mbps)
+        return cls(entry.name, position, entry.link_mbps, round(age_s * 1000))
 
 
 @define(eq=False)
@@ -91,7 +93,7 @@
 
     Attributes:
         own: Entry of this node.
-        clock: Source of time.
+        clock: Source of time that goes on while the instance is suspended.
         timings: Times by which the nodes read in turn.
         reading: Whether this node reads.
     """
@@ -123,10 +125,14 @@
         since_better_s = self.clock.monotonic() - self._better_at
         return self.reading and since_better_s >= self.timings.silence_s
 
-    def on_read(self) -> bool:
-        """Note that the store has told where the topic ends; return whether a beat is due."""
+    def on_read(self, told_at: float) -> bool:
+        """Note that the store has told where the topic ends; return whether a beat is due.
+
+        Args:
+            told_at: When the store may have told it.
+        """
         now = self.clock.monotonic()
-        self._current_at = now
+        self._current_at = max(self._current_at, told_at)
         if not self.reading or now < self._next_beat:
             return False
         self._next_beat = now + self.timings.beat_pause_s
@@ -145,7 +151,8 @@
             self._better_at = self.clock.monotonic()
         if beat.position > position:
             return  # This node lacks records, and reads itself as long as that lasts.
-        self._current_at = self.clock.monotonic()
+        told_at = self.clock.monotonic() - beat.age_ms / 1000
+        self._current_at = max(self._current_at, told_at)
         if better or not store_answers:
             self.reading = False
 
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from ..backoff import Backoff
+from ..clock import Clock
 from ..errors import LogTrimmed, LogUnavailable
 from .messages import Mail, PageRead, WatchFailed
 from .store import BACKOFF_CAP_S, KeyedStore
@@ -27,6 +28,7 @@
         store: Connection to the store, owned by this task.
         post: Takes messages for the core.
         random: Source of random numbers.
+        clock: Source of time that goes on while the instance is suspended.
         wait_s: How long the store may hold a read in which nothing changes.
         pause_s: Pause between reads.
         needed: Whether to read from the start on.
@@ -39,6 +41,7 @@
         store: KeyedStore,
         post: Callable[[Mail], None],
         random: Random,
+        clock: Clock,
         wait_s: float = 0.0,
         pause_s: float = 0.0,
         needed: bool = True,
@@ -46,6 +49,7 @@
         self._topic = topic
         self._store = store
         self._post = post
+        self._clock = clock
         self._wait_ms = round(wait_s * 1000)
         self._pause_s = pause_s
         self._backoff = Backoff(random=random, cap_s=BACKOFF_CAP_S)
@@ -92,15 +96,17 @@
 
     def _read_once(self) -> None:
         """Read once; the first read is answered at once, so that the node can vouch for it."""
+        began_at, wait_ms = self._clock.monotonic(), 0
+        whole = self._position is None
         if self._position is None:
             page = self._store.newest(self._topic)
-            self._post(PageRead(self._topic, page, whole=True))
         else:
             answer_ms = MAX_READ_ANSWER_MS if self._backoff.failures else READ_ANSWER_MS
             wait_ms = self._wait_ms if self._waits else 0
             page = self._store.read(
                 self._topic, self._position, wait_ms=wait_ms, answer_ms=answer_ms
             )
-            self._post(PageRead(self._topic, page, whole=False))
+        made_at = min(self._clock.monotonic(), began_at + wait_ms / 1000)
+        self._post(PageRead(self._topic, page, whole=whole, made_at=made_at))
         self._position = page.position
         self._waits = True
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -122,7 +122,9 @@
         self._store_writes()
         for name in names or tuple(self.cores):
             for topic in (operator_topic().name, MESH_TOPIC):
-                message: Any = PageRead(topic, self.store.newest(topic), whole=True)
+                message: Any = PageRead(
+                    topic, self.store.newest(topic), whole=True, made_at=self.clock.monotonic()
+                )
                 if name in self.cut:
                     message = WatchFailed(topic, "cut off")
                 self.deliver(name, self.cores[name].handle(message))
--- a/tests/hosted/test_readers.py
+++ b/tests/hosted/test_readers.py
@@ -62,7 +62,7 @@
         if not role.reading or name in self.cut or (before and now < self.answer_at[name]):
             return
         self.answer_at[name] = now + TIMINGS.wait_s
-        if not role.on_read():
+        if not role.on_read(now):
             return
         for other, role in self.roles.items():
             if other not in {name} | self.dead:
@@ -138,3 +138,20 @@
         zone.behind.add(behind)
         zone.run(CONFIG_APPLY_S - TICK_S)
         self.assertIn(behind, zone.readers)
+
+    def test_word_that_waited_is_old(self) -> None:
+        """Guards against a node that takes itself for current after its instance stood still.
+
+        The answer of a read and the beats of readers wait in the sockets meanwhile.
+        """
+        clock = ManualClock()
+        clock.advance(100.0)
+        role = ReaderRole(entry(FAST), clock, TIMINGS)
+        role.on_read(100.0)
+        clock.advance(5.0)
+        self.assertFalse(role.current)
+        role.on_read(100.0)
+        role.on_beat(ReaderBeat("n1", 5, 10, 5_000), position=5, store_answers=True)
+        self.assertFalse(role.current)
+        role.on_read(104.9)
+        self.assertTrue(role.current)
--- /dev/null
+++ b/tests/hosted/test_watch.py
@@ -0,0 +1,74 @@
+"""Reads of a topic by a watch."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from attrs import define, field
+
+from citronrack.clock import ManualClock
+from citronrack.errors import LogUnavailable
+from citronrack.hosted.messages import Mail, PageRead
+from citronrack.hosted.store import KeyedPage
+from citronrack.hosted.watch import MAX_READ_ANSWER_MS, READ_ANSWER_MS, WatchTask
+
+WAIT_S = 0.7
+
+
+@define(eq=False)
+class SlowStore:
+    """A store whose reads take a given time, or get no answer where that is None."""
+
+    clock: ManualClock
+    takes_s: list[float | None]
+    asked: list[tuple[int, int]] = field(factory=list)
+    on_end: list[WatchTask] = field(factory=list)
+
+    def newest(self, topic: str) -> KeyedPage:
+        """Return an empty topic."""
+        return KeyedPage((), 0)
+
+    def read(self, topic: str, start: int, *, wait_ms: int, answer_ms: int) -> KeyedPage:
+        """Let time pass; stop the watch after the last read."""
+        self.asked.append((wait_ms, answer_ms))
+        took_s = self.takes_s.pop(0)
+        if not self.takes_s:
+            self.on_end[0].stop()
+        if took_s is None:
+            raise LogUnavailable("no answer")
+        self.clock.advance(took_s)
+        return KeyedPage((), start, start=start)
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class WatchTaskTest(unittest.TestCase):
+    """How a watch reads, and how old its pages are."""
+
+    def run_watch(self, *takes_s: float | None) -> tuple[SlowStore, list[Mail]]:
+        """Return the store and the messages of a watch after the given reads."""
+        mail: list[Mail] = []
+        clock = ManualClock()
+        store = SlowStore(clock, list(takes_s))
+        watch = WatchTask(
+            "t", store=store, post=mail.append, random=Random(1), clock=clock, wait_s=WAIT_S
+        )
+        store.on_end.append(watch)
+        watch.run()
+        return store, [message for message in mail if isinstance(message, PageRead)]
+
+    def test_answer_that_waited_is_old(self) -> None:
+        """Guards against an old answer that vouches for the topic after an instance stood still."""
+        _, pages = self.run_watch(WAIT_S, 5.0 + WAIT_S, 0.3)
+        made_at = [round(page.made_at, 3) for page in pages]
+        self.assertEqual(made_at, [0.0, WAIT_S, 2 * WAIT_S, 5.0 + 2 * WAIT_S + 0.3])
+
+    def test_read_after_a_failure_does_not_wait(self) -> None:
+        """Guards against a node that cannot vouch for a whole wait after the store is back."""
+        store, _ = self.run_watch(WAIT_S, None, 0.0, 0.0)
+        wait_ms = round(WAIT_S * 1000)
+        patient = (0, MAX_READ_ANSWER_MS)
+        usual = (wait_ms, READ_ANSWER_MS)
+        self.assertEqual(store.asked, [usual, usual, patient, usual])
--- a/tests/hosted/watched.py
+++ b/tests/hosted/watched.py
@@ -129,7 +129,9 @@
                 poll.position += len(records)
                 poll.began_at, poll.waits, poll.connected = None, True, True
                 page = KeyedPage(records, poll.position, start=poll.position - len(records))
-                self.deliver(name, self.cores[name].handle(PageRead(TOPIC, page, whole=False)))
+                self.deliver(
+                    name, self.cores[name].handle(PageRead(TOPIC, page, whole=False, made_at=now))
+                )
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
         poll.began_at, poll.hangs, poll.waits = None, False, False
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from random import Random
 from typing import Any
 
+from citronrack.clock import SystemClock
 from citronrack.errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
 from citronrack.hosted.messages import PageRead, WatchFailed, Written
 from citronrack.hosted.publish import PublishTask, Write
@@ -152,7 +153,12 @@
     def test_watch_goes_on_after_outage_and_dropped_history(self) -> None:
         """Guards against a watch that misses what was written while it could not read."""
         watch = WatchTask(
-            TOPIC, store=self.client(), post=self.mail.put, random=Random(1), wait_s=1.2
+            TOPIC,
+            store=self.client(),
+            post=self.mail.put,
+            random=Random(1),
+            clock=SystemClock(),
+            wait_s=1.2,
         )
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
@@ -178,6 +184,7 @@
             store=self.client(),
             post=self.mail.put,
             random=Random(1),
+            clock=SystemClock(),
             wait_s=1.2,
             needed=False,
         )
