--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -20,8 +20,8 @@
         topic: Name of the topic.
         page: The records.
         whole: Whether the page holds the newest record of every key.
-        made_at: When the store may have made the page, by the boot clock; 0 where nobody asks. It lies
-            back if the store is slow, or if the process stood still while the answer waited.
+        made_at: When the store may have made the page, by the boot clock; 0 where nobody asks. It
+            lies back if the store is slow, or if the process stood still while the answer waited.
     """
 
     topic: str
