Answer 404 only by a configuration that is known to be the newest

Cause: the same class as the late configuration itself. A 404 says that no configuration has the route, but a node said it by a copy of which it could not know whether it was complete.

Change: the routing view tells whether the configuration was known to be the newest. Without that an unknown route is refused with 503 and a time to come back; known routes are served as before.

Why it works: callers repeat after 503, so a node without word costs them a moment and not the call. It does not make a configuration come sooner; that is measured apart (topic_stale, config_in_force).

--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -62,6 +62,12 @@
     may_have_run: bool = False
 
 
+_NO_ROUTE = {
+    True: "no route has a prefix of this path",
+    False: "no route has a prefix of this path in a configuration that may be old",
+}
+
+
 class Router:
     """Answers requests with the targets of the mesh.
 
@@ -136,7 +142,9 @@
             return self._refuse(request, 503, view.reason)
         route = view.route_of(request.path, request.host)
         if route is None:
-            return self._refuse(request, 404, "no route has a prefix of this path")
+            # Only a node that knows the newest configuration can say that there is no route.
+            status = 404 if view.complete else 503
+            return self._refuse(request, status, _NO_ROUTE[view.complete])
         context = self._contexts.nested(request.context) or self._contexts.fresh()
         if context.too_deep:
             return self._refuse(request, 508, "the call is nested too deeply", route.name)
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -104,6 +104,7 @@
         pools: Targets by service and service version.
         index: Finds the route of a path.
         service_shares: Division of calls by service, for services whose routes all move together.
+        complete: Whether ``config`` was known to be the newest when the view was made.
     """
 
     ready: bool = False
@@ -113,6 +114,7 @@
     pools: Mapping[tuple[str, str], tuple[PoolTarget, ...]] = field(factory=dict)
     index: RouteIndex = field(factory=RouteIndex)
     service_shares: Mapping[str, RouteShare] = field(factory=dict)
+    complete: bool = True
 
     def route_of(self, path: str, host: str = "") -> Route | None:
         """Return the route with the longest prefix of ``path``, if there is one.
--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -86,19 +86,24 @@
         """
         return self._role.on_read(told_at)
 
-    def on_tick(self, zone: Iterable[NodeEntry]) -> None:
+    def on_tick(self, zone: Iterable[NodeEntry]) -> bool:
         """Begin to read when nobody vouches for the own copy.
 
         Args:
             zone: Entries of the other nodes of the zone.
+
+        Returns:
+            Whether `current` has changed since the last tick.
         """
         before = self.reading
         self._role.on_tick(zone)
         self._follow(before)
-        if self.current is not self._was_current:
-            self._was_current = self.current
-            event = Event.TOPIC_CURRENT if self.current else Event.TOPIC_STALE
-            self._events.write(event, reading=self.reading, age_s=round(self.age_s, 2))
+        if self.current is self._was_current:
+            return False
+        self._was_current = self.current
+        event = Event.TOPIC_CURRENT if self.current else Event.TOPIC_STALE
+        self._events.write(event, reading=self.reading, age_s=round(self.age_s, 2))
+        return True
 
     def on_beat(self, beat: ReaderBeat, *, position: int) -> None:
         """Take the beat of another reader.
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -161,7 +161,8 @@
             self._update_own()
         self._presence.renew()
         self._drop_expired()
-        self._access.on_tick(self._zone())
+        if self._access.on_tick(self._zone()):
+            self._stale = True
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
         self._send_evidence()
@@ -394,6 +395,7 @@
                 self._active.current,
                 self._table.entries(),
                 self._rollouts.shares(),
+                complete=self._access.current,
                 before=self._parts.views.current,
             )
         effects, self._outbox = self._outbox, []
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -24,6 +24,7 @@
     entries: Iterable[NodeEntry],
     rollouts: Mapping[str, tuple[str, float, int]],
     *,
+    complete: bool,
     before: RoutingView,
 ) -> RoutingView:
     """Return the view by which calls are routed.
@@ -32,12 +33,14 @@
         config: Configuration in force; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
         rollouts: Target version, share and order id by service.
+        complete: Whether the configuration is known to be the newest.
         before: The view that this one replaces.
     """
     ready = config.version >= 0
     index = before.index if config is before.config else RouteIndex(config.routes.values())
     return RoutingView(
         ready=ready,
+        complete=complete,
         reason="" if ready else "the node holds no configuration yet",
         config=config,
         pools=_pools(entries, {service: to for service, (to, _, _) in rollouts.items()}),
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -112,6 +112,7 @@
         without: tuple[str, ...] = (),
         shares: Mapping[str, RouteShare] | None = None,
         ready: bool = True,
+        complete: bool = True,
         only: tuple[str, ...] | None = None,
     ) -> None:
         """Give all nodes a view of the present targets."""
@@ -129,6 +130,7 @@
             shares=shares or {},
             pools=pools,
             index=RouteIndex(ROUTES.values()),
+            complete=complete,
         )
         for holder in self._holders:
             holder.current = view
--- a/tests/calls/test_wire.py
+++ b/tests/calls/test_wire.py
@@ -86,6 +86,21 @@
             self.assertEqual(node.target.calls, 0)
             self.assertEqual(call(node.call_address, "/parts/wheel").status, 200)
 
+    def test_unknown_route_of_an_old_configuration(self) -> None:
+        """Guards against a 404 for a route that a newer configuration has added.
+
+        A 404 is final for callers, a 503 is not.
+        """
+        with Mesh() as mesh:
+            node = mesh.add()
+            mesh.publish(complete=False)
+            reply = call(node.call_address, "/nowhere")
+            self.assertEqual((reply.status, reply.verdict), (503, "not-run"))
+            self.assertIn("retry-after", reply.headers)
+            self.assertEqual(call(node.call_address, "/parts/wheel").status, 200)
+            mesh.publish()
+            self.assertEqual(call(node.call_address, "/nowhere").status, 404)
+
     def test_connection_limit(self) -> None:
         """Guards against one caller using up all threads of a node."""
         with Mesh(limits=QUICK) as mesh:
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -106,6 +106,19 @@
         mesh.run(STABLE_S)
         self.assertEqual(mesh.cores["n4"].config_version, 1)
 
+    def test_node_without_word_is_not_sure(self) -> None:
+        """Guards against a final 404 by a node that may lack the newest configuration."""
+        mesh = self.calm()
+        self.assertTrue(all(holder.current.complete for holder in mesh.views.values()))
+        mesh.silent.add("n4")
+        mesh.unreachable.add("n4")
+        mesh.run(CONFIG_APPLY_S)
+        unsure = [name for name, holder in mesh.views.items() if not holder.current.complete]
+        self.assertEqual(unsure, ["n4"])
+        mesh.unreachable.clear()
+        mesh.run(CONFIG_APPLY_S)
+        self.assertTrue(mesh.views["n4"].current.complete)
+
     def test_message_is_lost(self) -> None:
         """Guards against a change that depends on each single message, beside a hanging read."""
         for number in range(3):
