Bound what a node reads of an answer that never ends

What callers could see: a node that is killed for its memory while its target sends a head, interim responses, a chunk extension or trailers without end, and a call that is held to its deadline.

Cause: the reader of responses had no limit for bytes that are not part of the body, and the parser keeps them. The store's client of the platform had none for bodies.

Change: more than 32 KB without a byte of the body break the answer, the same limit as for heads of callers. `exchange` bounds the body for both clients of stores, which did it in one place of two before. Bodies that go on are passed on as they come and end at the deadline, as before.

--- a/src/citronrack/calls/_response.py
+++ b/src/citronrack/calls/_response.py
@@ -5,6 +5,7 @@
 import httptools
 
 from .headers import Headers
+from .limits import MAX_HEAD_BYTES
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -21,6 +22,7 @@
         self._head_only = head_only
         self._interim = False
         self._done_parsing = False
+        self._bytes_without_body = 0
         self.headers: Headers = []
         self.reason = b""
         self.status = 0
@@ -58,6 +60,7 @@
             return
         self.status = status
         self.head_done = True
+        self._bytes_without_body = 0
         self.fields = dict(self.headers)
         if self._head_only:
             self.complete = True
@@ -65,6 +68,7 @@
             self._done_parsing = True
 
     def on_body(self, data: bytes) -> None:
+        self._bytes_without_body = 0
         if self._done_parsing:
             self.reusable = False
         else:
@@ -79,12 +83,22 @@
             self.reusable = self._parser.should_keep_alive()
 
     def feed(self, data: bytes) -> None:
-        """Take bytes from the connection."""
+        """Take bytes from the connection.
+
+        Heads, interim responses, chunk extensions and trailers may come without end, and the parser
+        keeps what it reads of them.
+        """
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
-            self.broken = not self.complete
+            self._break()
+        if self._bytes_without_body > MAX_HEAD_BYTES:
+            self._break()
+
+    def _break(self) -> None:
+        self.reusable = False
+        self.broken = not self.complete
 
     def end(self) -> None:
         """Take the end of the connection, which completes a body without a declared length."""
--- a/src/citronrack/exchange.py
+++ b/src/citronrack/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 from collections.abc import Callable
 from typing import Any
 
@@ -15,10 +16,10 @@
     data: bytes | None,
     connect_timeout_ms: int,
     timeout_ms: int,
-    collect: Callable[[bytes], int | None],
+    max_bytes: int,
     open_socket: Callable[[int, Any], Any] | None = None,
-) -> int:
-    """Send a GET, or a POST of bytes, and return the status of the answer.
+) -> tuple[int, bytes]:
+    """Send a GET, or a POST of bytes, and return the status and the body of the answer.
 
     Args:
         curl: The handle, used by one thread; its connection is used again.
@@ -26,12 +27,20 @@
         data: Body of a POST, None for a GET.
         connect_timeout_ms: Longest time for a new connection.
         timeout_ms: Longest time of the whole exchange.
-        collect: Gets the parts of the answer's body; -1 ends the exchange.
+        max_bytes: Largest body; the exchange ends with an error when more arrives.
         open_socket: Returns the socket of a new connection, None for libcurl's own.
 
     Raises:
         pycurl.error: When there is no complete answer.
     """
+    body = io.BytesIO()
+
+    def collect(part: bytes) -> int | None:
+        if body.tell() + len(part) > max_bytes:
+            return -1
+        body.write(part)
+        return None
+
     curl.reset()
     curl.setopt(pycurl.URL, url)
     curl.setopt(pycurl.NOSIGNAL, 1)
@@ -45,4 +54,4 @@
         curl.setopt(pycurl.POSTFIELDS, data)
         curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/octet-stream", "Expect:"])
     curl.perform()
-    return int(curl.getinfo(pycurl.RESPONSE_CODE))
+    return int(curl.getinfo(pycurl.RESPONSE_CODE)), body.getvalue()
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import io
-
 import msgpack
 import pycurl
 
@@ -91,20 +89,11 @@
         self._curl.close()
 
     def _exchange(self, url: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
-        body = io.BytesIO()
-
-        def collect(chunk: bytes) -> int | None:
-            if body.tell() + len(chunk) > MAX_PAGE_BYTES:
-                return -1
-            body.write(chunk)
-            return None
-
-        status = exchange(
+        return exchange(
             self._curl,
             url,
             data=data,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             timeout_ms=timeout_ms,
-            collect=collect,
+            max_bytes=MAX_PAGE_BYTES,
         )
-        return status, body.getvalue()
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import io
 import json
 import socket
 from collections.abc import Callable
@@ -32,6 +31,8 @@
 """A page of raw records begins with the topic's end and its first kept offset."""
 
 PAGE_KB = 1_024
+MAX_BODY_BYTES = 4 * 1024 * PAGE_KB
+"""Largest body of an answer; a page of newest records is 1 MB before it is written in base64."""
 
 _NOT_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 _PARTITION = 0
@@ -127,17 +128,15 @@
             raise LogUnavailable(f"the store did not answer: {error}") from error
 
     def _exchange(self, call: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
-        body = io.BytesIO()
-        status = exchange(
+        return exchange(
             self._curl,
             f"http://{self._address()}/api/{call}",
             data=data,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             timeout_ms=timeout_ms,
-            collect=body.write,
+            max_bytes=MAX_BODY_BYTES,
             open_socket=_open_socket,
         )
-        return status, body.getvalue()
 
 
 def _open_socket(purpose: int, address: Any) -> socket.socket:
