Draw which reads wait long for a store without an answer

Reads of the newest records waited 3 s, and so did each read after a failed one.

Change: reads of both kinds wait 1 s. After a failure a quarter of them wait 3 s, for a store that is slow and not away; each node draws for itself, so that its zone's other nodes do not wait at the same time.

--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -14,6 +14,7 @@
 from ..telemetry import Event, EventLog
 from .messages import Mail, PageRead, Written
 from .store import BACKOFF_CAP_S, AppendConflict, KeyedRecord, KeyedStore
+from .watch import PATIENT_READ_ANSWER_MS
 
 
 @frozen
@@ -100,7 +101,7 @@
         try:
             end = None
             if write.may_replace is not None:
-                page = self._store.newest(write.topic)
+                page = self._store.newest(write.topic, answer_ms=PATIENT_READ_ANSWER_MS)
                 self._post(PageRead(write.topic, page, whole=True))
                 end = page.position
                 present = {record.key: record.value for record in page.records}
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -62,9 +62,13 @@
 class KeyedStore(Protocol):
     """Access to topics that keep the newest record of each key; used by one thread."""
 
-    def newest(self, topic: str) -> KeyedPage:
+    def newest(self, topic: str, *, answer_ms: int) -> KeyedPage:
         """Return the newest record of each key.
 
+        Args:
+            topic: Name of the topic.
+            answer_ms: Longest time of each call; a large topic takes several.
+
         Raises:
             LogUnavailable: When no answer arrived.
         """
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -13,11 +13,24 @@
 from .store import BACKOFF_CAP_S, KeyedStore
 
 READ_ANSWER_MS = 1_000
-"""Longest time of the first read beyond its wait. A read that hangs keeps its node from finding the
-store when it serves again."""
+"""Longest time of a read beyond its wait. A read that hangs keeps its node from finding the store
+when it serves again."""
 
-MAX_READ_ANSWER_MS = 3_000
-"""Longest time of a read after one that had no answer: the store may be slow and not away."""
+PATIENT_READ_ANSWER_MS = 3_000
+PATIENT_SHARE = 0.25
+"""Longest time of some reads after one without an answer: the store may be slow and not away. Nodes
+draw which ones, so that they don't all wait for it at the same time."""
+
+
+def answer_limit_ms(failures: int, random: Random) -> int:
+    """Return the longest time of a read beyond its wait.
+
+    Args:
+        failures: Reads before it that had no answer.
+        random: Source of random numbers.
+    """
+    patient = failures > 0 and random.random() < PATIENT_SHARE
+    return PATIENT_READ_ANSWER_MS if patient else READ_ANSWER_MS
 
 
 class WatchTask:
@@ -52,6 +65,7 @@
         self._clock = clock
         self._wait_ms = round(wait_s * 1000)
         self._pause_s = pause_s
+        self._random = random
         self._backoff = Backoff(random=random, cap_s=BACKOFF_CAP_S)
         self._stopping = threading.Event()
         self._needed = threading.Event()
@@ -97,11 +111,11 @@
     def _read_once(self) -> None:
         """Read once; the first read is answered at once, so that the node can vouch for it."""
         began_at, wait_ms = self._clock.monotonic(), 0
+        answer_ms = answer_limit_ms(self._backoff.failures, self._random)
         whole = self._position is None
         if self._position is None:
-            page = self._store.newest(self._topic)
+            page = self._store.newest(self._topic, answer_ms=answer_ms)
         else:
-            answer_ms = MAX_READ_ANSWER_MS if self._backoff.failures else READ_ANSWER_MS
             wait_ms = self._wait_ms if self._waits else 0
             page = self._store.read(
                 self._topic, self._position, wait_ms=wait_ms, answer_ms=answer_ms
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -19,7 +19,7 @@
 """A connection within one region takes milliseconds; the store must be found again quickly."""
 
 ANSWER_TIMEOUT_MS = 3_000
-"""Longest time of an append or of a page of newest records; a slow store takes over 300 ms."""
+"""Longest time of an append; a slow store takes over 300 ms."""
 
 KEEP_ALIVE_S = 1
 UNACKNOWLEDGED_MS = 2_500
@@ -50,14 +50,14 @@
         self._address = address
         self._curl = pycurl.Curl()
 
-    def newest(self, topic: str) -> KeyedPage:
+    def newest(self, topic: str, *, answer_ms: int) -> KeyedPage:
         """Return the newest record of each key; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
         position: int | None = None
         after: dict[str, str] = {}
         while True:
             query = {"topic": topic, "part": _PARTITION, **after}
-            status, body = self._read("log-newest", query, timeout_ms=ANSWER_TIMEOUT_MS)
+            status, body = self._read("log-newest", query, timeout_ms=answer_ms)
             if status == 404:
                 return KeyedPage((), 0)
             if status != 200:
