--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -91,7 +91,7 @@
             timings=parts.timings,
         )
         self._stopping = False
-        self._stale = True
+        self._view_due = True
         self._outbox: list[Send] = []
 
     @property
@@ -162,7 +162,7 @@
         self._presence.renew()
         self._drop_expired()
         if self._access.on_tick(self._zone()):
-            self._stale = True
+            self._view_due = True
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
         self._send_evidence()
@@ -254,7 +254,7 @@
         """Tell other nodes whether the own target takes calls, if that has changed."""
         takes_calls = not self._stopping and not self.identity().refusal
         if self._presence.update(self._parts.target.view, takes_calls=takes_calls):
-            self._stale = True
+            self._view_due = True
 
     def _announce(self, entry: NodeEntry) -> None:
         self._outbox += self._gossip.announce(entry)
@@ -297,7 +297,7 @@
         """Forget nodes that are gone."""
         expired = self._table.expire()
         for entry in expired:
-            self._stale = True
+            self._view_due = True
             self._parts.events.write(Event.NODE_EXPIRED, peer=entry.name)
         self._presence.remove_records(expired)
 
@@ -338,7 +338,7 @@
                 position=self.position(self._parts.operator.name),
                 source=source,
             )
-            self._stale = True
+            self._view_due = True
         order = self._parts.operator.order(record)
         if order is None:
             if config is None and record.value is not None:
@@ -349,11 +349,11 @@
         if stored is not None:
             self._rollouts.on_record(stored)
         self._trial.begin()
-        self._stale = True
+        self._view_due = True
 
     def _take_rollout(self, rollout: RolloutRecord) -> None:
         self._rollouts.on_record(rollout)
-        self._stale = True
+        self._view_due = True
         if rollout.phase != Phase.RUNNING:
             self._trial.begin()
         self._update_own()
@@ -363,13 +363,13 @@
             if entry.name == self._presence.entry.name:
                 self._refute(entry)
             elif self._table.put(entry):
-                self._stale = True
+                self._view_due = True
                 self._parts.events.write(Event.NODE_ENTRY, **entry.log_fields)
 
     def _refute(self, entry: NodeEntry) -> None:
         if not self._stopping:
             self._presence.refute(entry)
-            self._stale = True
+            self._view_due = True
 
     def _tell_rollout(self, record: RolloutRecord) -> None:
         self._outbox += self._gossip.tell(record, self._table.others())
@@ -387,8 +387,8 @@
 
     def _finish(self) -> list[Send]:
         """Rebuild the routing view if something it shows has changed; return what to send."""
-        if self._stale:
-            self._stale = False
+        if self._view_due:
+            self._view_due = False
             share = self._parts.retry_slack / (1 + self.nodes_known)
             self._steering.set_saved_retries(max(1.0, share))
             self._parts.views.current = build_view(
