--- a/tools/version_delays.py
+++ b/tools/version_delays.py
@@ -68,7 +68,9 @@
 
 def main() -> int:
     """Read the files named on the command line, or standard input."""
-    for version, (first, *late) in delays(arrivals(fileinput.input())).items():
+    with fileinput.input() as lines:
+        found = delays(arrivals(lines))
+    for version, (first, *late) in found.items():
         print(f"version {version}: first on {first.node} at {first.time_s:.2f} s")
         for arrival in late:
             after_s = arrival.time_s - first.time_s
