--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from ..calls.delivery import TargetIdentity
@@ -11,6 +11,7 @@
 from ..telemetry import Event
 from ..transport.send import Send
 from .access import StoreAccess
+from .copies import STORE, TopicCopies
 from .entry import NodeEntry, NodeTable
 from .evidence import Evidence
 from .gossip import GossipCore
@@ -40,9 +41,6 @@
 from .trial import VersionTrial
 from .views import build_view
 
-STORE = "store"
-"""Source of records that this node has read itself; otherwise it is the address of a node."""
-
 
 class HostedCore:
     """Keeps configuration, nodes, the own target and rollouts, and builds the routing view.
@@ -90,6 +88,14 @@
             steering=self._steering,
             timings=parts.timings,
         )
+        self._copies = TopicCopies(
+            self._replicas,
+            operator=parts.operator.name,
+            table=self._table,
+            access=self._access,
+            gossip=self._gossip,
+            clock=parts.boot_clock,
+        )
         self._stopping = False
         self._view_due = True
         self._outbox: list[Send] = []
@@ -161,7 +167,8 @@
             self._update_own()
         self._presence.renew()
         self._drop_expired()
-        if self._access.on_tick(self._zone()):
+        zone = self._table.others_in(self._presence.entry.availability_zone)
+        if self._access.on_tick(zone):
             self._view_due = True
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
@@ -181,24 +188,15 @@
     # Messages of other tasks.
 
     def _page_read(self, mail: PageRead) -> None:
-        self._access.answered(mail.topic)
-        replica = self._replicas.get(mail.topic)
-        if replica is None:
-            return
-        before, start = replica.records(), replica.position
-        changed = replica.replace(mail.page) if mail.whole else replica.apply(mail.page)
-        self._on_records(mail.topic, changed, STORE)
+        taken = self._copies.take(mail, own=self._presence.entry)
+        self._on_records(mail.topic, taken.changed, STORE)
         if mail.topic == MESH_TOPIC and mail.whole:
             self._check_own_record()
             self._announce(self._presence.entry)
             self._outbox += self._gossip.join()
             if not self._access.reading:
                 self._steering.read_topics(False)
-        elif changed and self._access.leading:
-            push = self._gossip.push(mail.topic, replica.since(start), before=before)
-            self._outbox += self._gossip.tell(push, self._zone())
-        if mail.topic == self._parts.operator.name and mail.page.complete:
-            self._vouch(mail.made_at)
+        self._outbox += taken.sends
 
     def _watch_failed(self, mail: WatchFailed) -> None:
         self._access.failed(mail.topic, mail.reason)
@@ -263,23 +261,8 @@
         if not self._stopping:
             self._presence.check(self._replicas[MESH_TOPIC].value(self._presence.key))
 
-    def _zone(self) -> list[NodeEntry]:
-        """Return the entries of the other nodes of the own zone."""
-        return self._table.others_in(self._presence.entry.availability_zone)
-
-    def _vouch(self, made_at: float) -> None:
-        """Tell the zone where the operator's topic ended at a time of the boot clock."""
-        if self._access.confirmed(made_at) and self._active.version >= 0:
-            position = self.position(self._parts.operator.name)
-            age_s = self._parts.boot_clock.monotonic() - made_at
-            beat = ReaderBeat.of(self._presence.entry, position, age_s=age_s)
-            self._outbox += self._gossip.tell(beat, self._zone())
-
     def _on_beat(self, sender: str, beat: ReaderBeat) -> None:
-        position = self.position(self._parts.operator.name)
-        self._access.on_beat(beat, position=position)
-        if beat.position > position:
-            self._outbox.append(self._gossip.ask(sender))
+        self._outbox += self._copies.on_beat(sender, beat)
 
     def _gossiped(self, sender: str, message: Any) -> None:
         try:
@@ -301,7 +284,7 @@
             self._parts.events.write(Event.NODE_EXPIRED, peer=entry.name)
         self._presence.remove_records(expired)
 
-    def _on_records(self, topic: str, records: list[KeyedRecord], source: str) -> None:
+    def _on_records(self, topic: str, records: Iterable[KeyedRecord], source: str) -> None:
         if topic == self._parts.operator.name:
             for record in records:
                 self._on_operator_record(record, source)
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -128,7 +128,7 @@
         table: NodeTable,
         clock: Clock,
         random: Random,
-        on_records: Callable[[str, list[KeyedRecord], str], None],
+        on_records: Callable[[str, Iterable[KeyedRecord], str], None],
         on_entries: Callable[[list[NodeEntry]], None],
         rollouts: Callable[[], tuple[RolloutRecord, ...]],
     ) -> None:
