Share the set-up of two tests of late changes and of two watches; test the time of changes

Change: one method for each; test_time_of_changes reads the setting and its default. No check changes.

Conclusion: none for the product.

--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -42,6 +42,17 @@
         versions = mesh.versions()
         self.assertEqual({name: versions[name] for name in nodes}, dict.fromkeys(nodes, version))
 
+    def check_random_nodes(self, kind: str) -> None:
+        """Check a change while some nodes, a reader among them, do not get at the store."""
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                mesh = self.calm()
+                without = random.sample(sorted(mesh.cores), 6)
+                getattr(mesh, kind).update(without, mesh.readers("za"))
+                mesh.run(random.uniform(0, 1.5))
+                self.assert_in_time(mesh, 2, mesh.cores)
+
     def test_reader_whose_read_hangs(self) -> None:
         """Guards against a zone that waits for the time-out of its reader's read."""
         for delay_s in DELAYS_S:
@@ -54,23 +65,11 @@
 
     def test_next_reader_hangs_as_well(self) -> None:
         """Guards against a zone that waits for one reader after the other."""
-        for seed in range(20):
-            with self.subTest(seed=seed):
-                random = Random(seed)
-                mesh = self.calm()
-                mesh.silent.update(random.sample(sorted(mesh.cores), 6), mesh.readers("za"))
-                mesh.run(random.uniform(0, 1.5))
-                self.assert_in_time(mesh, 2, mesh.cores)
+        self.check_random_nodes("silent")
 
     def test_reader_that_is_refused(self) -> None:
         """Guards against a node that is taken for a reader before the store has answered it."""
-        for seed in range(20):
-            with self.subTest(seed=seed):
-                random = Random(seed)
-                mesh = self.calm()
-                mesh.refused.update(random.sample(sorted(mesh.cores), 6), mesh.readers("za"))
-                mesh.run(random.uniform(0, 1.5))
-                self.assert_in_time(mesh, 2, mesh.cores)
+        self.check_random_nodes("refused")
 
     def test_zone_without_the_store(self) -> None:
         """Guards against a zone that gets changes only from its own readers."""
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -8,6 +8,7 @@
 
 from citronrack.errors import SettingsError
 from citronrack.hosted.control import ReportInvalid
+from citronrack.hosted.readers import CONFIG_APPLY_S
 from citronrack.hosted.rollout import Phase
 from citronrack.hosted.store import KeyedRecord
 from citronrack.hosted.target import TargetLeave, TargetReport
@@ -181,6 +182,13 @@
         self.assertEqual((settings.bounds.grace_s, settings.bounds.report_interval_s), (6.0, 1.5))
         self.assertEqual(settings.link_mbps, 14)
 
+    def test_time_of_changes(self) -> None:
+        """Guards against nodes that read by times of another deployment's contract."""
+        stated = SETTINGS + 'config_apply = "2500ms"\n'
+        for text, expected_s in ((SETTINGS, CONFIG_APPLY_S), (stated, 2.5)):
+            settings = parse_settings(text.encode(), source="node.toml")
+            self.assertEqual(settings.bounds.config_apply_s, expected_s)
+
     def test_damaged_settings(self) -> None:
         """Guards against a node that starts with half of its settings."""
         for old, new in (
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -150,16 +150,21 @@
         self.assertEqual(self.await_mail(Written).record.key, "b")
         self.assertEqual(self.standin.value(TOPIC, "a"), b"9")
 
-    def test_watch_goes_on_after_outage_and_dropped_history(self) -> None:
-        """Guards against a watch that misses what was written while it could not read."""
-        watch = WatchTask(
+    def watch(self, *, needed: bool) -> WatchTask:
+        """Return a watch of the topic."""
+        return WatchTask(
             TOPIC,
             store=self.client(),
             post=self.mail.put,
             random=Random(1),
             clock=SystemClock(),
             wait_s=1.2,
+            needed=needed,
         )
+
+    def test_watch_goes_on_after_outage_and_dropped_history(self) -> None:
+        """Guards against a watch that misses what was written while it could not read."""
+        watch = self.watch(needed=True)
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
         self.addCleanup(watch.stop)
@@ -179,15 +184,7 @@
 
     def test_watch_that_is_not_needed_reads_nothing(self) -> None:
         """Guards against calls to the store by nodes whose zone has a reader."""
-        watch = WatchTask(
-            TOPIC,
-            store=self.client(),
-            post=self.mail.put,
-            random=Random(1),
-            clock=SystemClock(),
-            wait_s=1.2,
-            needed=False,
-        )
+        watch = self.watch(needed=False)
         self.executor.submit(watch.run)
         self.addCleanup(watch.stop)
         threading.Event().wait(0.2)
