--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -62,9 +62,10 @@
     may_have_run: bool = False
 
 
+# Only a node that knows the newest configuration can say that there is no route.
 _NO_ROUTE = {
-    True: "no route has a prefix of this path",
-    False: "no route has a prefix of this path in a configuration that may be old",
+    True: (404, "no route has a prefix of this path"),
+    False: (503, "no route has a prefix of this path in a configuration that may be old"),
 }
 
 
@@ -142,9 +143,7 @@
             return self._refuse(request, 503, view.reason)
         route = view.route_of(request.path, request.host)
         if route is None:
-            # Only a node that knows the newest configuration can say that there is no route.
-            status = 404 if view.complete else 503
-            return self._refuse(request, status, _NO_ROUTE[view.complete])
+            return self._refuse(request, *_NO_ROUTE[view.complete])
         context = self._contexts.nested(request.context) or self._contexts.fresh()
         if context.too_deep:
             return self._refuse(request, 508, "the call is nested too deeply", route.name)
