Rename figurative and vague identifiers of the call path, transport and base modules

Cause: names such as Link, Waiting, settled, gone, tell and watch hide what the code does from readers who know HTTP proxies.

Change: terms of the field: Response, ConnectionPool, SlotRequest, TargetStats, OutgoingRequest, DeadlineExceeded, soft_deadline, retry budget deposit/try_withdraw, record_success/record_failure. The modules calls._links, calls.incoming, calls.observed and checks become calls._connections, calls.request_reader, calls.target_stats and validators. No behaviour changes.

--- a/src/citronrack/hosted/exposed.py
+++ b/src/citronrack/hosted/exposed.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from ..calls.message import Answer, Request, own_answer, own_page
+from ..calls.message import Request, Response, local_page, local_response
 from ..calls.path import CallPath
 from ..telemetry import EventLog
 from ..telemetry.exposition import Exposition
@@ -13,13 +13,13 @@
 from .core import HostedCore
 
 
-def metrics_handler(path: str, metrics: Exposition) -> Callable[[Request], Answer]:
+def metrics_handler(path: str, metrics: Exposition) -> Callable[[Request], Response]:
     """Return the handler of the metrics address, which serves one path."""
 
-    def handle(request: Request) -> Answer:
+    def handle(request: Request) -> Response:
         if request.path.partition("?")[0] != path:
-            return own_answer(404, "no such page", Verdict.NOT_RUN)
-        return own_page(b"text/plain; version=0.0.4; charset=utf-8", metrics.render())
+            return local_response(404, "no such page", Verdict.NOT_RUN)
+        return local_page(b"text/plain; version=0.0.4; charset=utf-8", metrics.render())
 
     return handle
 
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -9,9 +9,9 @@
 from attrs import define, field
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
-from ..checks import split_address
 from ..config import ConfigSet
 from ..membership import KnownMember, Member, MemberState, MemberSummary
+from ..validators import split_address
 
 KEPT_ADDRESSES = 8_192  # twice the two-year fleet
 
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -65,7 +65,7 @@
         """Return whether another attempt is allowed."""
         if call.attempt >= MAX_ATTEMPTS:
             return False
-        return verdict.safe_to_repeat or call.load.method != "POST"
+        return verdict.safe_to_retry or call.load.method != "POST"
 
 
 @define
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -163,7 +163,7 @@
 @contextlib.contextmanager
 def long_notice(seconds: float) -> Iterator[None]:
     """Let draining nodes run on for ``seconds`` before they may stop."""
-    with mock.patch("citronrack.proof.world.NOTICE_S", seconds):
+    with mock.patch("citronrack.proof.world.DRAIN_NOTICE_S", seconds):
         yield
 
 
