--- a/src/citronrack/calls/__init__.py
+++ b/src/citronrack/calls/__init__.py
@@ -1,4 +1,4 @@
-"""The call path: HTTP in and out, choice of target, limits, retries and drain."""
+"""The call path: HTTP server and client, load balancing, admission, retries and drain."""
 
 from __future__ import annotations
 
--- a/src/citronrack/calls/_abandoned.py
+++ b/src/citronrack/calls/_abandoned.py
@@ -1,4 +1,4 @@
-"""Requests that were given up while their target may still work on them."""
+"""Abandoned requests that their target may still be processing."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 from ._sockets import has_input
 
 ABANDONED_TIMEOUT_S = 0.5
-"""Longest time that an abandoned request counts as running.
+"""Longest time for which an abandoned request counts as running.
 
-A target that reads nothing while it works notices the end of its connection only at its answer;
-most requests end within this time, and a target that never ends must not keep its slot for long.
+A target that does not read while it works notices the closed connection only when it responds. Most
+requests end within this time, and a target that never closes must not hold its slot for long.
 """
 
 POLL_S = 0.05
@@ -27,22 +27,22 @@
 
 @frozen
 class _AbandonedRequest:
-    """A connection whose request nobody waits for."""
+    """A connection whose request was abandoned."""
 
     connection: socket.socket
     on_target_done: DoneCallback
     expiry: float
 
     def is_done(self, now: float) -> bool:
-        """Return whether the request can no longer be at work, or has had its time."""
+        """Return whether the target has finished or the timeout has passed."""
         return now >= self.expiry or has_input(self.connection)
 
 
 class AbandonedRequests:
-    """Waits until targets have dropped or answered requests that nobody waits for any more.
+    """Waits until targets have dropped or answered abandoned requests.
 
-    The sending side of each connection is closed at once, which tells the target to stop; the
-    target's own close or answer shows that it has.
+    The sending side of each connection is shut down at once, which signals the target to stop. The
+    target has stopped when it closes the connection or responds.
     """
 
     def __init__(self) -> None:
@@ -53,11 +53,12 @@
         self._closed = False
 
     def add(self, connection: socket.socket, on_target_done: DoneCallback) -> None:
-        """Take over a connection.
+        """Add the connection of an abandoned request.
 
         Args:
-            connection: The connection; it is closed here.
-            settled: Called once, from another thread, when the request can no longer be at work.
+            connection: The connection; it is closed when the target is done.
+            on_target_done: Called once, on another thread, when the target is done or the timeout
+                has passed.
         """
         with contextlib.suppress(OSError):  # The peer may have closed it already.
             connection.shutdown(socket.SHUT_WR)
@@ -70,7 +71,7 @@
             self._executor.submit(self._run)
 
     def close(self) -> None:
-        """End all waits."""
+        """Stop waiting for all requests."""
         self._closed = True
         self._executor.shutdown(wait=False)
 
@@ -87,10 +88,10 @@
 
     def _pop_done(self) -> list[_AbandonedRequest]:
         now = time.monotonic()
-        ended: list[_AbandonedRequest] = []
+        ended_requests: list[_AbandonedRequest] = []
         left: list[_AbandonedRequest] = []
         with self._lock:
             for request in self._waiting:
-                (ended if self._closed or request.is_done(now) else left).append(request)
+                (ended_requests if self._closed or request.is_done(now) else left).append(request)
             self._waiting = left
-        return ended
+        return ended_requests
--- a/src/citronrack/calls/_connections.py
+++ b/src/citronrack/calls/_connections.py
@@ -1,4 +1,4 @@
-"""Connections to servers, and those that are idle."""
+"""Connections to servers, and the pool of idle ones."""
 
 from __future__ import annotations
 
@@ -14,29 +14,29 @@
 Address = tuple[str, int]
 
 CANCEL_POLL_S = 0.25
-"""How often a waiting exchange checks whether its caller has gone away."""
+"""How often a pending request checks whether its caller has disconnected."""
 
 MAX_IDLE_PER_ADDRESS = 32
 MAX_IDLE_S = 15.0
 MIN_REUSE_DELAY_S = 0.002
-"""Rest of a connection between two requests.
+"""Minimum idle time before a connection is used again.
 
-A server that answers a request twice sends the second answer right after the first. An answer that
-arrives during the rest is noticed before the next request is written.
+A faulty server may send two responses to one request, the second right after the first. A response
+that arrives during this time is noticed before the next request is written.
 """
 
 MIN_LEARNED_IDLE_S = 0.02
-"""Shortest rest that is taken for the reason of a lost connection; a server that crashes breaks
+"""Shortest idle time that counts as the cause of a broken connection. A server that crashes breaks
 connections of any age."""
 
 RESET_WITHIN_S = 0.1
-"""Time in which a server resets a connection that it has forgotten: a round trip and some work."""
+"""Time in which a server resets a connection that it has dropped: a round trip plus processing."""
 
 LEARNED_IDLE_FACTOR = 0.5
-"""Part of the rest that lost a connection which is allowed afterwards."""
+"""Factor on the idle time of a broken connection that gives the new idle limit of its server."""
 
 LEARNED_IDLE_TTL_S = 10.0
-"""How long a server that lost a connection gets no request on others that rested as long."""
+"""How long a reduced idle limit applies to a server."""
 
 
 @define(eq=False)
@@ -47,10 +47,10 @@
         socket: The connection.
         address: Address of the server.
         idle_since: Monotonic time at which it was put into the pool.
-        idle_s: How long it was idle before its present request, 0 for a new connection.
-        receive_s: Receive timeout in force.
-        written: Whether the server may act on what was written of the present request.
-        written_at: Monotonic time of its first bytes.
+        idle_s: How long it was idle before its current request, 0 for a new connection.
+        receive_s: Current receive timeout.
+        written: Whether the server may act on the written part of the current request.
+        written_at: Monotonic time at which the first bytes of the request were written.
         sent_all: Whether the whole request was written.
     """
 
@@ -64,7 +64,7 @@
     sent_all: bool = False
 
     def limit_receive(self, seconds: float) -> None:
-        """Set the receive timeout, with a system call only when it changes."""
+        """Set the receive timeout; makes a system call only when it changes."""
         if seconds != self.receive_s:
             set_receive_timeout(self.socket, seconds)
             self.receive_s = seconds
@@ -72,59 +72,59 @@
 
 @define(eq=False)
 class ConnectionPool:
-    """Idle connections by address, the last used one first."""
+    """Idle connections by address; the most recently used one is taken first."""
 
     idle: dict[Address, deque[Connection]] = field(factory=lambda: defaultdict(deque))
     lock: threading.Lock = field(factory=threading.Lock)
     idle_limits: dict[Address, tuple[float, float]] = field(factory=dict)
 
     def max_idle_s(self, address: Address) -> float:
-        """Return the idle time after which a connection to a server is not used again."""
+        """Return the idle time after which a connection to the server is not used again."""
         limit_s, until = self.idle_limits.get(address, (MAX_IDLE_S, 0.0))
         return limit_s if time.monotonic() < until else MAX_IDLE_S
 
-    def record_loss(self, link: Connection) -> None:
-        """Learn from a connection that broke before a byte of the answer.
+    def record_loss(self, connection: Connection) -> None:
+        """Reduce the server's idle limit after a connection broke before any response byte.
 
-        Servers may forget idle connections without notice, and reset what comes next.
+        Servers may drop idle connections without notice and reset them at the next request.
         """
         now = time.monotonic()
-        if link.idle_s < MIN_LEARNED_IDLE_S or now - link.written_at > RESET_WITHIN_S:
+        if connection.idle_s < MIN_LEARNED_IDLE_S or now - connection.written_at > RESET_WITHIN_S:
             return
-        limit_s = min(self.max_idle_s(link.address), LEARNED_IDLE_FACTOR * link.idle_s)
-        self.idle_limits[link.address] = limit_s, now + LEARNED_IDLE_TTL_S
+        limit_s = min(self.max_idle_s(connection.address), LEARNED_IDLE_FACTOR * connection.idle_s)
+        self.idle_limits[connection.address] = limit_s, now + LEARNED_IDLE_TTL_S
 
     def take(self, address: Address) -> Connection | None:
-        """Return the idle connection that was used last and has rested."""
+        """Return the most recently used connection that was idle for `MIN_REUSE_DELAY_S`."""
         now = time.monotonic()
         with self.lock:
-            links = self.idle[address]
-            for link in reversed(links):
-                if link.idle_since <= now - MIN_REUSE_DELAY_S:
-                    links.remove(link)
-                    link.idle_s = now - link.idle_since
-                    return link
+            connections = self.idle[address]
+            for connection in reversed(connections):
+                if connection.idle_since <= now - MIN_REUSE_DELAY_S:
+                    connections.remove(connection)
+                    connection.idle_s = now - connection.idle_since
+                    return connection
         return None
 
-    def put(self, link: Connection) -> None:
-        """Keep a connection; the oldest one is closed when there are too many."""
-        link.idle_since = time.monotonic()
+    def put(self, connection: Connection) -> None:
+        """Add an idle connection; closes the oldest ones beyond the limits."""
+        connection.idle_since = time.monotonic()
         dropped: list[Connection] = []
         with self.lock:
-            links = self.idle[link.address]
-            links.append(link)
-            while links and (
-                len(links) > MAX_IDLE_PER_ADDRESS
-                or link.idle_since - links[0].idle_since > MAX_IDLE_S
+            connections = self.idle[connection.address]
+            connections.append(connection)
+            while connections and (
+                len(connections) > MAX_IDLE_PER_ADDRESS
+                or connection.idle_since - connections[0].idle_since > MAX_IDLE_S
             ):
-                dropped.append(links.popleft())
+                dropped.append(connections.popleft())
         for old in dropped:
             old.socket.close()
 
     def close(self) -> None:
         """Close all idle connections."""
         with self.lock:
-            links = [link for group in self.idle.values() for link in group]
+            connections = [connection for group in self.idle.values() for connection in group]
             self.idle.clear()
-        for link in links:
-            link.socket.close()
+        for connection in connections:
+            connection.socket.close()
--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -1,4 +1,4 @@
-"""The decisions of admission: who runs, who waits, who is refused; no threads, no clock."""
+"""Admission decisions: which calls run, wait or are refused; without threads or a clock."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 from attrs import define, field
 
 QUEUE_PER_SLOT = 8
-"""Waiting calls per slot and route; more would wait longer than callers usually do."""
+"""Queue limit of a route per slot; more calls would wait longer than typical timeouts."""
 
 WAIT_MARGIN = 1.15
-"""Factor on the expected time; without it, 108 of 1,214 admitted calls missed their deadline."""
+"""Safety factor on the expected time; without it, 108 of 1,214 admitted calls missed their
+deadline."""
 
 INITIAL_SERVICE_S = 0.02
 SERVICE_SMOOTHING = 0.1
@@ -24,15 +25,16 @@
 
 @define(eq=False)
 class SlotRequest:
-    """A call that holds or wants a slot.
+    """A call that waits for a slot or holds one.
 
     Attributes:
         route: Name of its route.
         deadline: Monotonic time by which it must have ended.
         priority: Rank among waiting calls; 0 goes first.
-        soft_deadline: Monotonic time by which it should have ended to be of full use; a call that
-            would end later is refused at once, so that others end in time.
-        started: When it got its slot, None while it waits.
+        soft_deadline: Monotonic time by which it should have ended; a call that is expected to end
+            later is refused at once, so that others end in time.
+        started: Monotonic time at which it got its slot, None while it waits.
+        withdrawn: Whether the caller gave up its place in the queue.
     """
 
     route: str
@@ -45,15 +47,16 @@
 
 @define(eq=False)
 class _RouteQueue:
-    """Waiting calls of one route, the earliest deadline first.
+    """Waiting calls of one route, ordered by deadline.
 
     Attributes:
         weight: Share of slots relative to other routes.
         priority: Rank of its calls; 0 goes first.
-        service_s: Recent mean time that a call holds its slot.
-        served: Slot time that the route has used, divided by its weight.
-        running: Slots that it holds.
-        seen: When it last got a call.
+        service_s: Recent mean time for which a call holds its slot.
+        measured: Whether ``service_s`` has been measured.
+        virtual_time: Slot time that the route has used, divided by its weight.
+        running: Number of slots that it holds.
+        last_offer_at: Monotonic time of its last call.
     """
 
     weight: float = 1.0
@@ -67,7 +70,7 @@
     heap: list[tuple[float, int, SlotRequest]] = field(factory=list)
 
     def pop(self) -> SlotRequest | None:
-        """Return the most urgent call."""
+        """Remove and return the call with the earliest deadline."""
         while self.heap:
             _, _, call = heapq.heappop(self.heap)
             if not call.withdrawn:
@@ -80,15 +83,15 @@
 class AdmissionQueue:
     """Slots of one target and the calls that wait for them.
 
-    The route that has used the least slot time for its weight goes first, so a flood on one route
-    delays the others by at most the rest of one running call. When a route's calls run much longer
-    than those of another recent route, it leaves one slot free: short calls need not wait for a
-    long one to end.
+    Routes of equal priority share the slots by weighted fair queueing: the route with the least
+    virtual time goes first, so a burst on one route delays the others by at most the rest of one
+    running call. A route whose calls run much longer than those of another active route leaves one
+    slot free, so that short calls do not wait for a long one to end.
 
     Attributes:
-        slots: Calls that the target runs at once when it is warm.
-        ramp_s: Time in which a cold target gets all of its slots.
-        cold_since: When the target started, None for a warm one.
+        slots: Number of calls that the target runs at once when it is warm.
+        ramp_s: Time over which a cold target gets all of its slots.
+        cold_since: Monotonic time at which the target started, None for a warm one.
     """
 
     slots: int
@@ -106,11 +109,11 @@
         return self.running + self._queued
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the target gets fewer calls than it has slots."""
+        """Return whether the target is in its slow start."""
         return self.cold_since is not None and now - self.cold_since < self.ramp_s
 
     def slot_limit(self, now: float) -> int:
-        """Return the number of slots in use at most; it grows while the target is cold."""
+        """Return the current limit on slots in use; it grows while the target is cold."""
         if self.cold_since is None:
             return self.slots
         if not self.is_cold(now):
@@ -138,9 +141,9 @@
         if ends_at > call.deadline:
             return "the deadline cannot be met"
         if ends_at > call.soft_deadline:
-            return "the answer would be late"
+            return "the response would be late"
         if not route.waiting:
-            # An idle route must not save up claims for the time in which it had no calls.
+            # A route must not accumulate credit while it has no calls.
             route.virtual_time = max(route.virtual_time, self._virtual_time)
         self._sequence += 1
         heapq.heappush(route.heap, (call.deadline, self._sequence, call))
@@ -149,7 +152,7 @@
         return ""
 
     def withdraw(self, call: SlotRequest) -> None:
-        """Remove a call that waits."""
+        """Remove a waiting call."""
         call.withdrawn = True
         self._routes[call.route].waiting -= 1
         self._queued -= 1
@@ -160,7 +163,9 @@
         self.running -= 1
         route.running -= 1
         held_s = now - (call.started if call.started is not None else now)
-        route.virtual_time += (held_s - route.service_s) / route.weight  # corrects the estimate
+        route.virtual_time += (
+            held_s - route.service_s
+        ) / route.weight  # replaces the estimate charged at the start
         if ran:
             self._update_service_time(route, held_s)
         return self.start_waiting(now)
@@ -214,7 +219,7 @@
         )
 
     def _expected_s(self, route: _RouteQueue, now: float) -> float:
-        """Return the likely time until a new call of the route has ended."""
+        """Return the expected time until a new call of the route has ended."""
         busy = [r for r in self._routes.values() if r.waiting or r.running or r is route]
         part = route.weight / sum(r.weight for r in busy)
         own_slots = max(1.0, self.slot_limit(now) * part)
--- a/src/citronrack/calls/_response.py
+++ b/src/citronrack/calls/_response.py
@@ -1,4 +1,4 @@
-"""Parses one response and says whether its connection may be used again."""
+"""Parses one response and determines whether its connection can be used again."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class ResponseReader:
-    """Callbacks of the response parser for one exchange.
+    """Parses one response; its ``on_`` methods are callbacks of httptools.
 
     Args:
         head_only: Whether the request was HEAD, whose response has no body.
@@ -36,7 +36,7 @@
 
     def on_message_begin(self) -> None:
         if self.head_done:
-            self.reusable = False  # A second response that nobody asked for.
+            self.reusable = False  # An unsolicited second response.
             self._done_parsing = True
             return
         self.headers = []
@@ -83,10 +83,10 @@
             self.reusable = self._parser.should_keep_alive()
 
     def feed(self, data: bytes) -> None:
-        """Take bytes from the connection.
+        """Parse bytes from the connection.
 
-        Heads, interim responses, chunk extensions and trailers may come without end, and the parser
-        keeps what it reads of them.
+        The parser buffers heads, interim responses, chunk extensions and trailers without a limit,
+        so a response with more than `MAX_HEAD_BYTES` of these is broken.
         """
         self._bytes_without_body += len(data)
         try:
@@ -101,23 +101,23 @@
         self.broken = not self.complete
 
     def end(self) -> None:
-        """Take the end of the connection, which completes a body without a declared length."""
+        """Handle the end of the connection, which completes a body without a declared length."""
         self.reusable = False
         if self.head_done and not self.framed and not self.broken:
             self.complete = True
 
     @property
     def framed(self) -> bool:
-        """Whether the response says where its body ends."""
+        """Whether the response declares where its body ends."""
         return b"content-length" in self.fields or b"transfer-encoding" in self.fields
 
     @property
     def declared_length(self) -> int | None:
-        """Value of Content-Length, which the parser has checked."""
+        """Value of Content-Length, which the parser validated."""
         value = self.fields.get(b"content-length")
         return int(value) if value is not None else None
 
     def _keeps_by_header(self) -> bool:
-        """Return whether a response to HEAD keeps its connection; it needs no length for that."""
+        """Return whether a response to HEAD keeps its connection, even without a length."""
         connection = self.fields.get(b"connection", b"")
         return self._parser.get_http_version() == "1.1" and b"close" not in connection.lower()
--- a/src/citronrack/calls/_sockets.py
+++ b/src/citronrack/calls/_sockets.py
@@ -1,4 +1,4 @@
-"""Socket helpers shared by both sides of the call path."""
+"""Socket helpers shared by the server and the client."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def set_timeouts(connection: socket.socket, *, receive_s: float, send_s: float) -> None:
-    """Let the kernel limit each read and write; `BlockingIOError` reports a timeout.
+    """Set the kernel's timeouts for reads and writes; a timeout raises `BlockingIOError`.
 
     `socket.settimeout` would add a `poll` system call to each read and write.
     """
@@ -22,18 +22,18 @@
 
 
 def set_receive_timeout(connection: socket.socket, receive_s: float) -> None:
-    """Limit each read; `BlockingIOError` reports a timeout."""
+    """Set the kernel's timeout for reads; a timeout raises `BlockingIOError`."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
 
 
 def _timeval(seconds: float) -> bytes:
-    # Zero would mean no limit.
+    # Zero would disable the timeout.
     microseconds = max(1_000, int(seconds * 1_000_000))
     return struct.pack("ll", *divmod(microseconds, 1_000_000))
 
 
 def has_input(connection: socket.socket) -> bool:
-    """Return whether a read would return at once: with data, with the end or with an error."""
+    """Return whether a read would return at once, with data, end of stream or an error."""
     try:
         connection.recv(1, _PEEK)
     except BlockingIOError:
@@ -44,7 +44,7 @@
 
 
 def at_end(connection: socket.socket) -> bool:
-    """Return whether the peer has closed the connection and no data waits."""
+    """Return whether the peer has closed the connection and no data is pending."""
     try:
         return not connection.recv(1, _PEEK)
     except BlockingIOError:
@@ -54,7 +54,7 @@
 
 
 def abort(connection: socket.socket) -> None:
-    """Close with a reset, so that the peer cannot take what it got for complete."""
+    """Close with a reset, so that the peer does not take truncated data for complete."""
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
     connection.close()
--- a/src/citronrack/calls/admission.py
+++ b/src/citronrack/calls/admission.py
@@ -1,4 +1,4 @@
-"""Concurrency limit of the own target with a bounded queue."""
+"""Concurrency limit of the local target with a bounded queue."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 from ._queue import AdmissionQueue, SlotRequest
 
 CANCEL_CHECK_S = 0.1
-"""How often a waiting call checks whether it still wants a slot."""
+"""How often a waiting call checks whether it was cancelled."""
 
 
 class Refused(Exception):
-    """A call that got no slot; it was not run.
+    """A call got no slot and was not run.
 
     Args:
-        reason: Why.
+        reason: Reason for the refusal.
     """
 
 
@@ -28,8 +28,8 @@
     """A slot of the target, held by one call.
 
     Attributes:
-        cold: Whether the target had just started.
-        waited_s: Seconds that the call waited.
+        cold: Whether the target was in its slow start.
+        waited_s: Time that the call waited, in seconds.
     """
 
     cold: bool
@@ -39,7 +39,11 @@
     _released: bool = field(default=False, init=False)
 
     def release(self, *, ran: bool = True) -> None:
-        """Give the slot back once; ``ran`` is false when the target did not work on the call."""
+        """Release the slot; repeated calls do nothing.
+
+        Args:
+            ran: Whether the target ran the call, so that its duration counts.
+        """
         if not self._released:
             self._released = True
             self._release(self._call, ran)
@@ -53,12 +57,12 @@
 
 
 class Admission:
-    """Gives the slots of a target to calls.
+    """Assigns the slots of a target to calls.
 
     Args:
-        slots: Calls that the target runs at once.
+        slots: Number of calls that the target runs at once.
         clock: Source of time.
-        ramp_s: Time in which a cold target gets all of its slots.
+        ramp_s: Time over which a cold target gets all of its slots.
     """
 
     def __init__(self, *, slots: int, clock: Clock, ramp_s: float = 10.0) -> None:
@@ -82,7 +86,7 @@
             waiter.ready.set()
 
     def mark_cold(self) -> None:
-        """Start a slow ramp, because the target has just started."""
+        """Begin a slow start, after the target has started."""
         with self._lock:
             self._queue.cold_since = self._clock.monotonic()
 
@@ -103,17 +107,17 @@
             deadline: Monotonic time by which the call must have ended.
             weight: Share of slots relative to other routes.
             priority: Rank among waiting calls; 0 goes first.
-            soft_deadline: Monotonic time after which an answer is of less use.
-            withdrawn: Returns why the call no longer wants a slot, empty while it does.
+            soft_deadline: Monotonic time by which the call should have ended.
+            cancel_reason: Returns why the call was cancelled, empty while it was not.
 
         Raises:
-            Refused: When the call gets no slot; it was not run.
+            Refused: When the call gets no slot.
         """
-        asked = self._clock.monotonic()
+        requested_at = self._clock.monotonic()
         call = SlotRequest(route, deadline, priority=priority, soft_deadline=soft_deadline)
         waiter: _Waiter | None = None
         with self._lock:
-            reason = self._queue.offer(call, weight=weight, now=asked)
+            reason = self._queue.offer(call, weight=weight, now=requested_at)
             if not reason and call.started is None:
                 waiter = self._waiters[call] = _Waiter()
         if reason:
@@ -124,7 +128,7 @@
         if now >= deadline:
             self._free(call, False)
             raise Refused("the deadline has passed")
-        return Slot(self._queue.is_cold(now), now - asked, call, self._free)
+        return Slot(self._queue.is_cold(now), now - requested_at, call, self._free)
 
     def _wait(self, call: SlotRequest, waiter: _Waiter, cancel_reason: Callable[[], str]) -> None:
         while True:
@@ -136,7 +140,7 @@
                 continue
             with self._lock:
                 if call.started is not None:
-                    return  # A slot was given while this thread decided to leave.
+                    return  # A slot was assigned in the meantime.
                 self._queue.withdraw(call)
                 del self._waiters[call]
             raise Refused(reason or "the deadline has passed")
--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -1,4 +1,4 @@
-"""Chooses a target for each call from what this node has observed."""
+"""Load balancing and outlier ejection, from this node's observations of the targets."""
 
 from __future__ import annotations
 
@@ -20,20 +20,21 @@
 from .view import PoolTarget
 
 MAX_KNOWN_TARGETS = 4_096
-"""Targets whose observations are kept; a pool has 35 on average in the largest fleet."""
+"""Number of targets above which the statistics of absent ones are dropped; a pool of the largest
+fleet has 35 targets on average."""
 
 CROSS_ZONE_S_PER_BYTE = 5e-6
-"""Wait in the own zone that is preferred to sending a byte to another one: 0.3 s for 60 KB. Links
-between zones are paid by the byte, and an upload of that size is worth about what its crossing
-costs."""
+"""Extra wait in the local zone, per body byte, that is preferred to another zone: 0.3 s for 60 KB.
+Traffic between zones is charged by the byte, and an upload of that size is worth about as much as
+its transfer costs."""
 
 EjectionObserver = Callable[[str, float], None]
-"""Gets the name of a target and for how many seconds it is ejected, 0 when it is restored."""
+"""Receives the name of a target and the seconds of its ejection, 0 when it is restored."""
 
 
 @define(eq=False)
 class _Pool:
-    """Observations of one pool, divided by zone."""
+    """Target statistics of one pool, by zone and state."""
 
     source: Sequence[PoolTarget]
     entries: list[TargetStats]
@@ -44,15 +45,15 @@
 
 
 class Balancer:
-    """Chooses targets; one lock protects the observations.
+    """Chooses targets; one lock protects all statistics.
 
     Args:
         policy: Name of a policy.
         availability_zone: Zone of this node, whose targets are preferred.
-        link_rtt_s: Round trip of a link to another zone.
+        link_rtt_s: Round-trip time to another zone, in seconds.
         clock: Source of time.
         random: Source of random numbers.
-        observer: Is told of ejections.
+        observer: Called at each ejection and restoration.
     """
 
     def __init__(
@@ -100,8 +101,8 @@
             own: Sequence[TargetStats] = pool.own
             others: Sequence[TargetStats] = pool.others
             if excluded:
-                own = [entry for entry in own if entry.target.name not in excluded]
-                others = [entry for entry in others if entry.target.name not in excluded]
+                own = [stats for stats in own if stats.target.name not in excluded]
+                others = [stats for stats in others if stats.target.name not in excluded]
             link_s = self._link_rtt_s + body_bytes * CROSS_ZONE_S_PER_BYTE
             chosen = self._choose_by_zone(own, others, now, link_s)
             if chosen is None:
@@ -115,71 +116,75 @@
 
     def record_end(
         self,
-        entry: TargetStats,
+        stats: TargetStats,
         *,
         latency_s: float | None = None,
         failed: bool = False,
         unreachable: bool = False,
         load: int | None = None,
     ) -> None:
-        """Take the result of a call into account.
+        """Record the result of a call.
 
         Args:
-            entry: What `choose` returned.
-            latency_s: Time to the head of the answer, None when there was none.
+            stats: The target, as returned by `choose`.
+            latency_s: Time to the head of the response, None when there was none.
             failed: Whether the target failed.
             unreachable: Whether it could not be reached, so that the call was not run.
-            load: Load that the answer carried.
+            load: Load that the response carried.
         """
         with self._lock:
             now = self._clock.monotonic()
-            was_ejected = bool(entry.ejected_until)
-            entry.record_end(latency_s=latency_s, failed=failed)
+            was_ejected = bool(stats.ejected_until)
+            stats.record_end(latency_s=latency_s, failed=failed)
             if load is not None:
-                entry.record_load(load, now)
+                stats.record_load(load, now)
             if unreachable:
-                self._eject(entry, now, unreachable=True)
-            elif failed and (was_ejected or entry.failing):
-                self._eject(entry, now)
+                self._eject(stats, now, unreachable=True)
+            elif failed and (was_ejected or stats.failing):
+                self._eject(stats, now)
             elif was_ejected:
-                # A refusal says nothing about health; the next call tries the target again.
-                self._end_probe(entry, now, healthy=latency_s is not None)
+                # A refusal says nothing about health; the next call probes the target again.
+                self._end_probe(stats, now, healthy=latency_s is not None)
 
     def expected_latency_s(self, name: str) -> float | None:
-        """Return the expected time of a call to a target, None for an unknown one."""
-        entry = self._known.get(name)
-        return entry.expected_latency_s(self._clock.monotonic()) if entry is not None else None
+        """Return the expected time of a call to a target, None for an unknown target."""
+        stats = self._known.get(name)
+        return stats.expected_latency_s(self._clock.monotonic()) if stats is not None else None
 
     def _choose_by_zone(
         self, own: Sequence[TargetStats], others: Sequence[TargetStats], now: float, link_s: float
     ) -> TargetStats | None:
-        """Choose from the own zone, unless another one is faster in spite of the link.
+        """Choose from the local zone unless another one is faster despite the link.
 
         Args:
-            own: Targets of the own zone.
+            own: Targets of the local zone.
             others: Targets of other zones.
             now: Monotonic time in seconds.
-            link_s: Time that crossing to another zone counts as.
+            link_s: Penalty for another zone, in seconds.
         """
         turn = next(self._turn)
-        near = self._policy(own, self._random, turn, now) if own else None
+        local = self._policy(own, self._random, turn, now) if own else None
         if not others:
-            return near
-        if near is not None and near.in_flight + near.load < near.target.slots:
-            return near  # A free slot here is never slower than a link.
-        far = self._policy(others, self._random, turn, now)
-        if near is None:
-            return far
-        # The latency of a far target includes the link already; the link is added once more so
-        # that calls do not cross zones for a small gain.
-        return far if near.expected_latency_s(now) > far.expected_latency_s(now) + link_s else near
+            return local
+        if local is not None and local.in_flight + local.load < local.target.slots:
+            return local  # A free slot in the local zone is always preferred.
+        remote = self._policy(others, self._random, turn, now)
+        if local is None:
+            return remote
+        # The latency of a remote target already includes the link. The penalty is added so that
+        # calls do not cross zones for a small gain.
+        return (
+            remote
+            if local.expected_latency_s(now) > remote.expected_latency_s(now) + link_s
+            else local
+        )
 
     def _last_resort(
         self, pool: _Pool, excluded: Collection[str], now: float
     ) -> TargetStats | None:
-        """Choose among ejected targets when no other one is left."""
-        left = [entry for entry in pool.ejected if entry.target.name not in excluded]
-        return min(left, key=lambda entry: entry.ejected_until) if left else None
+        """Return the ejected target whose ejection ends first, for a pool without other targets."""
+        left = [stats for stats in pool.ejected if stats.target.name not in excluded]
+        return min(left, key=lambda stats: stats.ejected_until) if left else None
 
     def _pool(self, key: tuple[str, str], targets: Sequence[PoolTarget]) -> _Pool:
         pool = self._pools.get(key)
@@ -187,11 +192,11 @@
             return pool
         entries = []
         for target in targets:
-            entry = self._known.get(target.name)
-            if entry is None or _is_restarted(entry.target, target):
-                entry = self._known[target.name] = TargetStats(target)
-            entry.target = target
-            entries.append(entry)
+            stats = self._known.get(target.name)
+            if stats is None or _is_restarted(stats.target, target):
+                stats = self._known[target.name] = TargetStats(target)
+            stats.target = target
+            entries.append(stats)
         _assume_latency(entries)
         pool = self._pools[key] = _Pool(targets, entries)
         self._classify(pool, self._clock.monotonic())
@@ -200,64 +205,64 @@
         return pool
 
     def _forget(self) -> None:
-        present = {entry.target.name for pool in self._pools.values() for entry in pool.entries}
-        self._known = {name: entry for name, entry in self._known.items() if name in present}
+        present = {stats.target.name for pool in self._pools.values() for stats in pool.entries}
+        self._known = {name: stats for name, stats in self._known.items() if name in present}
 
     def _classify(self, pool: _Pool, now: float) -> None:
-        """Divide the pool into targets that get calls, by zone, and ejected ones."""
+        """Divide the pool into local, remote and ejected targets."""
         pool.own, pool.others, pool.ejected = [], [], []
-        for entry in pool.entries:
-            if entry.ejected_until and (entry.probing or now < entry.ejected_until):
-                pool.ejected.append(entry)
-            elif entry.target.availability_zone == self._availability_zone:
-                pool.own.append(entry)
+        for stats in pool.entries:
+            if stats.ejected_until and (stats.probing or now < stats.ejected_until):
+                pool.ejected.append(stats)
+            elif stats.target.availability_zone == self._availability_zone:
+                pool.own.append(stats)
             else:
-                pool.others.append(entry)
-        waiting = [entry.ejected_until for entry in pool.ejected if not entry.probing]
+                pool.others.append(stats)
+        waiting = [stats.ejected_until for stats in pool.ejected if not stats.probing]
         pool.next_check = min(waiting, default=float("inf"))
 
-    def _eject(self, entry: TargetStats, now: float, *, unreachable: bool = False) -> None:
-        """Eject a target; the limit of the pool does not hold for one that cannot be reached."""
+    def _eject(self, stats: TargetStats, now: float, *, unreachable: bool = False) -> None:
+        """Eject a target; the pool's limit does not apply to an unreachable one."""
         for pool in self._pools.values():
-            if entry not in pool.entries:
+            if stats not in pool.entries:
                 continue
             ejected = sum(bool(other.ejected_until) for other in pool.entries)
             within = ejected + 1 <= len(pool.entries) // MAX_EJECTED_DIVISOR
-            if not (within or unreachable or entry.ejected_until):
+            if not (within or unreachable or stats.ejected_until):
                 return
-            if unreachable and now < entry.ejected_until and not entry.probing:
-                return  # Another call was on its way when the target was ejected.
-            seconds = eject(entry, now, unreachable=unreachable)
+            if unreachable and now < stats.ejected_until and not stats.probing:
+                return  # This call was in flight when the target was ejected.
+            seconds = eject(stats, now, unreachable=unreachable)
             self._classify(pool, now)
             if self._observer is not None:
-                self._observer(entry.target.name, seconds)
+                self._observer(stats.target.name, seconds)
             return
 
-    def _end_probe(self, entry: TargetStats, now: float, *, healthy: bool) -> None:
+    def _end_probe(self, stats: TargetStats, now: float, *, healthy: bool) -> None:
         if healthy:
-            restore(entry, now)
+            restore(stats, now)
             if self._observer is not None:
-                self._observer(entry.target.name, 0.0)
+                self._observer(stats.target.name, 0.0)
         for pool in self._pools.values():
-            if entry in pool.entries:
+            if stats in pool.entries:
                 self._classify(pool, now)
 
 
 def _assume_latency(entries: Sequence[TargetStats]) -> None:
-    """Let targets without an answer count as slow as the others of their pool.
+    """Assume the mean latency of the pool for targets without a measurement.
 
-    A low first guess sends all calls to a target that has just started.
+    A low initial estimate would send all calls to a target that has just started.
     """
-    has_latency = [entry.latency_s for entry in entries if entry.has_latency]
-    if has_latency:
-        mean = sum(has_latency) / len(has_latency)
-        for entry in entries:
-            entry.assumed_latency_s = mean
+    known = [stats.latency_s for stats in entries if stats.has_latency]
+    if known:
+        mean = sum(known) / len(known)
+        for stats in entries:
+            stats.assumed_latency_s = mean
 
 
-def _is_restarted(has_latency: PoolTarget, target: PoolTarget) -> bool:
-    """Return whether ``target`` is another process than the one that was observed."""
-    return (has_latency.deliver_address, has_latency.target_id) != (
+def _is_restarted(observed: PoolTarget, target: PoolTarget) -> bool:
+    """Return whether ``target`` is another process than the observed one."""
+    return (observed.deliver_address, observed.target_id) != (
         target.deliver_address,
         target.target_id,
     )
--- a/src/citronrack/calls/budget.py
+++ b/src/citronrack/calls/budget.py
@@ -1,23 +1,23 @@
-"""Limits retries to a part of recent calls."""
+"""Limits retries to a fraction of recent calls."""
 
 from __future__ import annotations
 
 import threading
 
 RETRY_RATIO = 0.1
-MAX_TOKENS = 10.0  # retries saved up by the last 100 calls
+MAX_TOKENS = 10.0  # the balance that 100 calls deposit
 INITIAL_TOKENS = 1.0
 
 
 class RetryBudget:
-    """Tokens that calls earn and retries spend; one budget serves all threads of a node.
+    """A token balance to which calls deposit and from which retries withdraw; thread-safe.
 
-    Over any period, retries are at most ``ratio`` times the calls plus `MAX_TOKENS`, so a fault
-    that fails every call raises the load of the targets by a tenth only.
+    Over any period, the number of retries is at most ``ratio`` times the calls plus `MAX_TOKENS`.
+    With the default ratio, a failure of every call raises the load of the targets by a tenth.
 
     Args:
-        ratio: Tokens that one call earns.
-        tokens: Tokens at the start.
+        ratio: Tokens that one call deposits.
+        tokens: Initial balance.
     """
 
     def __init__(self, *, ratio: float = RETRY_RATIO, tokens: float = INITIAL_TOKENS) -> None:
@@ -27,18 +27,18 @@
         self._lock = threading.Lock()
 
     def set_max_tokens(self, tokens: float) -> None:
-        """Change how many retries can be saved up."""
+        """Set the largest balance."""
         with self._lock:
             self._max_tokens = tokens
             self._tokens = min(tokens, self._tokens)
 
     def deposit(self) -> None:
-        """Count one call."""
+        """Add the tokens of one call."""
         with self._lock:
             self._tokens = min(self._max_tokens, self._tokens + self._ratio)
 
     def try_withdraw(self) -> bool:
-        """Take the token for one retry and return whether there was one."""
+        """Withdraw the token for one retry; return whether there was one."""
         with self._lock:
             if self._tokens < 1.0:
                 return False
--- a/src/citronrack/calls/context.py
+++ b/src/citronrack/calls/context.py
@@ -1,4 +1,4 @@
-"""What travels with a call from node to node and through targets."""
+"""The call context, which is propagated between nodes and through targets."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 MAX_HEADER_BYTES = 160
 MAX_KEY_CHARACTERS = 32
 SKEW_TOLERANCE_MS = 250
-"""Largest step of the wall clock, between a call and its nested call, that fails no call."""
+"""Tolerated step of the wall clock between a call and its nested call."""
 
 
 @frozen
 class CallContext:
-    """The state of a call on the present node.
+    """Context of a call on the current node.
 
     Attributes:
         deadline: Monotonic time of this process at which the caller stops waiting, in seconds.
-        retries_left: Retries that this call and everything it causes may still use.
-        depth: Number of calls in the chain, 1 for a call from outside.
-        call_key: Same for a call and all its nested calls.
+        retries_left: Retries left for this call and all its nested calls together.
+        depth: Number of calls in the chain, 1 for an external call.
+        call_key: Random key that a call shares with all its nested calls.
     """
 
     deadline: float
@@ -42,23 +42,23 @@
         return self.depth > MAX_DEPTH
 
     def with_deadline(self, deadline: float) -> CallContext:
-        """Return the context with an earlier deadline, if ``deadline`` is earlier."""
+        """Return the context with the earlier one of both deadlines."""
         if deadline >= self.deadline:
             return self
         return CallContext(deadline, self.retries_left, self.depth, self.call_key)
 
     def after_retry(self) -> CallContext:
-        """Return the context with one retry less."""
+        """Return the context with one retry fewer."""
         return CallContext(self.deadline, self.retries_left - 1, self.depth, self.call_key)
 
 
 class ContextCodec:
-    """Writes and reads the context header.
+    """Encodes and decodes the context header, which is authenticated with the key of the mesh.
 
-    The header holds the remaining time and the sender's wall time at the deadline. Between nodes
+    The header holds the remaining time and the sender's wall time at the deadline. Between nodes,
     only the remaining time counts, so the clocks of two instances may differ by any amount. A
-    target copies the header into its nested calls some time later; these reach the node that
-    wrote it, so there the wall time counts as well.
+    target copies the header into its nested calls some time later. These reach the node that wrote
+    the header, so the wall time counts there as well.
 
     Args:
         key: Shared key of the mesh.
@@ -72,7 +72,7 @@
         self._random = random
 
     def new_context(self) -> CallContext:
-        """Return the context of a call from outside."""
+        """Return the context of an external call."""
         return CallContext(
             deadline=self._clock.monotonic() + MAX_CALL_S,
             retries_left=DEFAULT_RETRIES,
@@ -81,7 +81,7 @@
         )
 
     def encode(self, context: CallContext) -> bytes:
-        """Return the header's value."""
+        """Return the value of the header."""
         remaining_ms = max(0, int((context.deadline - self._clock.monotonic()) * 1000))
         text = (
             f"{remaining_ms}.{self._clock.wall_ms() + remaining_ms}"
@@ -90,7 +90,7 @@
         return text + b"." + self._digest(text)
 
     def decode(self, value: bytes | None) -> CallContext | None:
-        """Return the context that another node sent, None without a valid one."""
+        """Return the context that another node sent, None when the header is missing or invalid."""
         fields = self._verified(value)
         if fields is None:
             return None
@@ -98,7 +98,7 @@
         return self._make(int(remaining_ms), int(retries), int(depth), call_key)
 
     def decode_nested(self, value: bytes | None) -> CallContext | None:
-        """Return the context of a call that a target made while it ran another call."""
+        """Return the context of a call that a target made while it handled another call."""
         fields = self._verified(value)
         if fields is None:
             return None
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -1,4 +1,4 @@
-"""Hands calls to the own target."""
+"""Delivers calls to the local target."""
 
 from __future__ import annotations
 
@@ -32,24 +32,24 @@
 from .view import ViewHolder
 
 UNROUTED = ""
-"""Route name of calls whose route this node does not know yet."""
+"""Route name of calls whose route is not in this node's configuration yet."""
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 
 FAILING_TARGET_LOAD = 20
-"""Load that is told for a target that loses requests. It looks idle, and other nodes would choose
-it first; this is the load of a target of four slots with a queue of four times as many calls."""
+"""Load reported for a target that fails requests. Such a target looks idle, and other nodes would
+prefer it. The value equals four busy slots and a queue of 16 calls."""
 
 
 @frozen
 class TargetIdentity:
-    """Who the own target is at present.
+    """Current identity of the local target.
 
     Attributes:
         service: Service of the target.
-        service_version: Its release.
-        target_id: Id of this start of the target, empty when it has none.
-        refusal: Why it gets no calls, empty while it does.
+        service_version: Its service version.
+        target_id: Id of the target's process, new after each start; empty when it has none.
+        refusal: Reason to refuse calls for it, empty while it accepts them.
     """
 
     service: str
@@ -59,10 +59,10 @@
 
 
 def _soft_deadline(route: Route | None, now: float) -> float:
-    """Return until when an answer is of full use.
+    """Return the monotonic time by which the response should have ended.
 
-    Calls of the highest rank wait until their deadline: other work that has been done already
-    depends on them.
+    Calls of the highest priority have no soft deadline, because work that is already done depends
+    on them; they wait until their deadline.
     """
     if route is None or not route.target_latency_ms or not route.priority:
         return math.inf
@@ -71,14 +71,14 @@
 
 @frozen
 class _InboundCall:
-    """A call that another node, or this one, hands to the own target.
+    """A call for the local target, from another node or from this one.
 
     Attributes:
         request: The request.
-        context: Its limits.
+        context: Its deadline and retry state.
         route: Name of its route.
         idempotent: Whether it may run more than once.
-        identity: Who the target was when the call arrived.
+        identity: Identity of the target when the call arrived.
         started: Monotonic time of the arrival.
     """
 
@@ -91,19 +91,19 @@
 
 
 class TargetDelivery:
-    """Answers calls of other nodes, and of this one, with the own target.
+    """Handles calls for the local target, from other nodes and from this one.
 
     Args:
         address: Address of the target.
-        identity: Returns who the target is at present.
-        views: Present routing view.
+        identity: Returns the current identity of the target.
+        views: Holder of the current routing view.
         upstream: Connections.
         admission: Slots of the target.
-        health: Requests that the target has lost.
+        health: Recent failures of the target.
         contexts: Writes the context header.
-        drainer: State of the node's stop.
+        drainer: Drain state of the node.
         report: Receives a record of each call.
-        events: Log lines.
+        events: Event log.
         names: Names of the headers that callers and targets use.
     """
 
@@ -135,22 +135,22 @@
         self._events = events
 
     def handle(self, request: Request) -> Response:
-        """Answer a request of another node."""
+        """Handle a request of another node."""
         context = self._contexts.decode(request.context) or self._contexts.new_context()
         return self.deliver(request, context)
 
     def deliver(self, request: Request, context: CallContext) -> Response:
-        """Answer a request; the answer says whether the request may have run."""
+        """Handle a request; the response's verdict says whether it may have run."""
         view = self._views.current
         identity = self._identity()
         route = view.route_of(request.path, request.host)
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
         idempotent = view.is_idempotent(route, identity.service, request.method)
-        delivered = _InboundCall(request, context, name, idempotent, identity, started)
-        reason = self._reason_to_refuse(delivered)
+        call = _InboundCall(request, context, name, idempotent, identity, started)
+        reason = self._reason_to_refuse(call)
         if reason:
-            return self._refuse(delivered, reason)
+            return self._refuse(call, reason)
         try:
             slot = self._admission.acquire(
                 route=name,
@@ -158,62 +158,62 @@
                 weight=route.weight if route is not None else 1,
                 priority=route.priority if route is not None else 0,
                 soft_deadline=_soft_deadline(route, started),
-                cancel_reason=lambda: self._reason_to_withdraw(delivered),
+                cancel_reason=lambda: self._reason_to_withdraw(call),
             )
         except Refused as refusal:
-            return self._refuse(delivered, str(refusal))
-        reason = self._reason_to_withdraw(delivered)
+            return self._refuse(call, str(refusal))
+        reason = self._reason_to_withdraw(call)
         if not reason and not self._health.admit(identity.target_id, idempotent=idempotent):
             reason = LOST_REQUEST_REASON
         if reason:
             slot.release(ran=False)
-            return self._refuse(delivered, reason)
-        return self._run(delivered, slot)
+            return self._refuse(call, reason)
+        return self._run(call, slot)
 
-    def _reason_to_refuse(self, delivered: _InboundCall) -> str:
-        """Return why a new call is refused, empty when it is not."""
+    def _reason_to_refuse(self, call: _InboundCall) -> str:
+        """Return the reason to refuse a new call, empty for none."""
         if self._drainer.draining:
             return "the node is stopping"
-        if delivered.context.too_deep:
+        if call.context.too_deep:
             return "the call is nested too deeply"
-        if delivered.request.service not in ("", delivered.identity.service):
+        if call.request.service not in ("", call.identity.service):
             return "the target belongs to another service"
-        if self._is_failing(delivered):
+        if self._is_failing(call):
             return LOST_REQUEST_REASON
-        return delivered.identity.refusal
+        return call.identity.refusal
 
-    def _reason_to_withdraw(self, delivered: _InboundCall) -> str:
-        """Return why a call that waits is refused, empty when it is not."""
-        if delivered.request.cancelled():
-            return "the caller has gone away"
+    def _reason_to_withdraw(self, call: _InboundCall) -> str:
+        """Return the reason to refuse a queued call, empty for none."""
+        if call.request.cancelled():
+            return "the caller disconnected"
         now = self._identity()
-        if now.target_id != delivered.identity.target_id:
+        if now.target_id != call.identity.target_id:
             return "the target was replaced"
-        if self._is_failing(delivered):
+        if self._is_failing(call):
             return LOST_REQUEST_REASON
         return now.refusal
 
-    def _is_failing(self, delivered: _InboundCall) -> bool:
-        target_id = delivered.identity.target_id
-        return self._health.should_refuse(target_id, idempotent=delivered.idempotent)
+    def _is_failing(self, call: _InboundCall) -> bool:
+        target_id = call.identity.target_id
+        return self._health.should_refuse(target_id, idempotent=call.idempotent)
 
-    def _run(self, delivered: _InboundCall, slot: Slot) -> Response:
+    def _run(self, call: _InboundCall, slot: Slot) -> Response:
         started = time.monotonic()
         try:
-            answer = self._send(delivered, on_target_done=slot.release)
+            response = self._send(call, on_target_done=slot.release)
         except CallFailed as error:
-            record_failure = not isinstance(error, (CallerDisconnected, DeadlineExceeded))
-            if record_failure:
-                self._health.record_failure(delivered.identity.target_id)
+            target_failed = not isinstance(error, (CallerDisconnected, DeadlineExceeded))
+            if target_failed:
+                self._health.record_failure(call.identity.target_id)
             ran = error.verdict is not Verdict.NOT_RUN
             if not ran:
                 slot.release(ran=False)
-                if record_failure:
+                if target_failed:
                     self._admission.mark_cold()
-            # A refusal carries the load; an answer without one says that the target failed.
-            answer = failure_response(error, load=self._admission.load if ran else None)
-            self._record(delivered, answer, cold=slot.cold)
-            return answer
+            # Other nodes count a refusal with a load as a refusal, one without as a failure.
+            response = failure_response(error, load=self._admission.load if ran else None)
+            self._record(call, response, cold=slot.cold)
+            return response
         except BaseException:
             slot.release(ran=False)
             raise
@@ -223,30 +223,28 @@
         def done(end: BodyEnd) -> None:
             slot.release()
             if end is not BodyEnd.COMPLETE:
-                answer.verdict = Verdict.MAY_HAVE_RUN
-            self._record(delivered, answer, cold=slot.cold, started=started)
+                response.verdict = Verdict.MAY_HAVE_RUN
+            self._record(call, response, cold=slot.cold, started=started)
 
-        if self._names.not_run and any(name == self._names.not_run for name, _ in answer.headers):
-            answer.finish()
+        if self._names.not_run and any(name == self._names.not_run for name, _ in response.headers):
+            response.finish()
             slot.release(ran=False)
-            return self._refuse(
-                delivered, "the target did not run the request", reached_target=True
-            )
-        answer.add_done_callback(done)
-        answer.load = self._admission.load
-        return answer
-
-    def _send(self, delivered: _InboundCall, *, on_target_done: Callable[[], None]) -> Response:
-        request, context = delivered.request, delivered.context
-        service = self._views.current.config.services.get(delivered.identity.service)
+            return self._refuse(call, "the target did not run the request", reached_target=True)
+        response.add_done_callback(done)
+        response.load = self._admission.load
+        return response
+
+    def _send(self, call: _InboundCall, *, on_target_done: Callable[[], None]) -> Response:
+        request, context = call.request, call.context
+        service = self._views.current.config.services.get(call.identity.service)
         return self._upstream.send(
             self._address,
             OutgoingRequest(
                 method=request.method,
                 target=request.target,
-                headers=[*request.headers, *self._headers(delivered)],
+                headers=[*request.headers, *self._headers(call)],
                 body=request.body,
-                idempotent=delivered.idempotent,
+                idempotent=call.idempotent,
                 deadline=context.deadline,
                 cancelled=request.cancelled,
                 buffer_response=bool(self._names.signature),
@@ -258,21 +256,21 @@
             ),
         )
 
-    def _headers(self, delivered: _InboundCall) -> Headers:
-        """Return the headers that the target gets beside those of the request."""
+    def _headers(self, call: _InboundCall) -> Headers:
+        """Return the headers that are added to those of the request."""
         names = self._names
         if not names.expected_target:
-            return [(CONTEXT, self._contexts.encode(delivered.context))]
-        left_ms = max(1, int((delivered.context.deadline - time.monotonic()) * 1000))
+            return [(CONTEXT, self._contexts.encode(call.context))]
+        left_ms = max(1, int((call.context.deadline - time.monotonic()) * 1000))
         headers = [(names.timeout, b"%d" % left_ms)]
-        if delivered.identity.target_id:
-            headers.append((names.expected_target, delivered.identity.target_id.encode("latin-1")))
+        if call.identity.target_id:
+            headers.append((names.expected_target, call.identity.target_id.encode("latin-1")))
         return headers
 
     def _response_check(
         self, request: Request
     ) -> Callable[[int, Mapping[bytes, bytes]], str] | None:
-        """Return the check that an answer is the target's own answer to the request."""
+        """Return the check that a response is the target's genuine response to the request."""
         names = self._names
         if not names.signature:
             return None
@@ -280,66 +278,64 @@
 
         def check_response(status: int, fields: Mapping[bytes, bytes]) -> str:
             if fields.get(names.request_id, request_id) != request_id:
-                return "the answer belongs to another request"
+                return "the response belongs to another request"
             if 200 <= status < 300 and names.signature not in fields:
-                return "the answer is not signed by the target"
+                return "the response is not signed by the target"
             if b"content-encoding" in fields:
-                return "the answer has a content coding"
+                return "the response has a content coding"
             return ""
 
         return check_response
 
-    def _refuse(
-        self, delivered: _InboundCall, reason: str, *, reached_target: bool = False
-    ) -> Response:
+    def _refuse(self, call: _InboundCall, reason: str, *, reached_target: bool = False) -> Response:
         load = self._admission.load
         if reason == LOST_REQUEST_REASON:
             load = max(load, FAILING_TARGET_LOAD)
-        answer = local_response(503, reason, Verdict.NOT_RUN, load=load)
-        answer.reached_target = reached_target
+        response = local_response(503, reason, Verdict.NOT_RUN, load=load)
+        response.reached_target = reached_target
         self._events.write(
             Event.CALL_REFUSED,
-            route=delivered.route,
-            request_id=delivered.request.request_id,
+            route=call.route,
+            request_id=call.request.request_id,
             reason=reason,
             load=load,
         )
-        self._record(delivered, answer, cold=False)
-        return answer
+        self._record(call, response, cold=False)
+        return response
 
     def _record(
         self,
-        delivered: _InboundCall,
-        answer: Response,
+        call: _InboundCall,
+        response: Response,
         *,
         cold: bool,
         started: float | None = None,
     ) -> None:
-        began = started if started is not None else delivered.started
-        if started is not None or not answer.refused:
+        began = started if started is not None else call.started
+        if started is not None or not response.refused:
             self._events.write(
                 Event.CALL_DELIVERED,
-                route=delivered.route,
-                request_id=delivered.request.request_id,
-                target_id=delivered.identity.target_id,
-                service_version=delivered.identity.service_version,
-                status=answer.status,
-                verdict=answer.verdict.value,
-                waited_ms=round((began - delivered.started) * 1000, 1),
+                route=call.route,
+                request_id=call.request.request_id,
+                target_id=call.identity.target_id,
+                service_version=call.identity.service_version,
+                status=response.status,
+                verdict=response.verdict.value,
+                waited_ms=round((began - call.started) * 1000, 1),
                 ms=round((time.monotonic() - began) * 1000, 1),
                 load=self._admission.load,
-                reason=answer.local_reason,
+                reason=response.local_reason,
             )
         self._report(
             CallRecord(
-                route=delivered.route,
-                service=delivered.identity.service,
-                service_version=delivered.identity.service_version,
-                method=delivered.request.method,
-                status=answer.status,
+                route=call.route,
+                service=call.identity.service,
+                service_version=call.identity.service_version,
+                method=call.request.method,
+                status=response.status,
                 latency_s=time.monotonic() - began,
-                verdict=answer.verdict,
-                refused=answer.refused,
+                verdict=response.verdict,
+                refused=response.refused,
                 cold=cold,
                 delivered_here=True,
             )
--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -6,11 +6,11 @@
 import time
 
 DRAIN_NOTICE_S = 2.0
-"""Time between telling other nodes of a stop and refusing calls."""
+"""Time between announcing a stop to other nodes and refusing calls."""
 
 
 class Drainer:
-    """The state of one node's stop; shared by its listeners."""
+    """Drain state of a node, shared by its listeners."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
@@ -20,20 +20,20 @@
 
     @property
     def draining(self) -> bool:
-        """Whether new work is refused."""
+        """Whether new calls are refused."""
         return self._draining
 
     @property
     def in_flight(self) -> int:
-        """Calls whose answer has not been sent completely."""
+        """Calls whose response has not been sent completely."""
         return self._in_flight
 
     def enter(self, *, nested: bool = False) -> bool:
-        """Count a call, or return False when it must be refused.
+        """Count a call as in flight; return False when it must be refused.
 
         Args:
-            nested: Whether the call belongs to one that is in flight at the own target; refusing
-                it would break a call that was accepted before the drain.
+            nested: Whether the call was made by the local target for a call in flight; refusing it
+                would break a call that was accepted before the drain.
         """
         with self._lock:
             if self._draining and not nested:
@@ -49,14 +49,14 @@
                 self._changed.notify_all()
 
     def begin(self) -> None:
-        """Refuse new work from now on."""
+        """Begin the drain: new calls are refused from now on."""
         with self._lock:
             self._draining = True
 
     def wait_idle(self, limit_s: float) -> bool:
-        """Return whether no call is in flight, after at most ``limit_s`` seconds.
+        """Wait until no call is in flight; return False after ``limit_s`` seconds.
 
-        Returns early only once the drain has begun.
+        The end of the last call is signalled only while draining.
         """
         end = time.monotonic() + limit_s
         with self._changed:
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -1,4 +1,4 @@
-"""Header rules of RFC 9110 and the rendering of heads."""
+"""Header names, the header rules of RFC 9110, and serialisation of message heads."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 VERDICT = b"x-citronrack-verdict"
 LOAD = b"x-citronrack-load"
 SERVICE = b"x-citronrack-service"
-"""Service that a call between nodes is for; an address may belong to another service by now."""
+"""Service that a call between nodes is for; its address may have been reused by another service."""
 
 ARRIVED = b"x-citronrack-arrived"
-"""Present in a refusal when the target itself refused, so that the call has loaded a target."""
+"""Present in a refusal by the target itself, which means that the call has loaded a target."""
 
 TIMEOUT = b"x-request-timeout-ms"
 REQUEST_ID = b"x-request-id"
@@ -27,15 +27,14 @@
 class HeaderNames:
     """Names of the headers that callers and targets exchange with a node, in lower case.
 
-    A platform that uses other names passes its own set; an empty name stands for a header that is
-    not used.
+    A platform may use other names than the defaults. An empty name disables the header.
 
     Attributes:
-        timeout: Milliseconds that the caller waits, and that the target may work.
-        request_id: Identifies one request; a target that echoes it shows whose answer it is.
+        timeout: Milliseconds that the caller waits and that the target may use.
+        request_id: Identifies one request; a target echoes it in the response.
         caller_service: Service of the instance where the call began.
         expected_target: Id of the target that a request is for.
-        signature: Proof that the target made the answer; without it a success is not genuine.
+        signature: Proof that the target made the response; a success without it is not genuine.
         not_run: Present when the target states that it did not run the request.
         target_load: ``running,waiting,slots`` of the target.
     """
@@ -48,7 +47,7 @@
     not_run: bytes = b""
     target_load: bytes = b""
     reserved: frozenset[bytes] = field(init=False)
-    """Headers that the node sets itself; what a caller sends under these names is dropped."""
+    """Headers that only the node may set; they are dropped from requests of callers."""
 
     @reserved.default
     def _reserved(self) -> frozenset[bytes]:
@@ -60,8 +59,8 @@
 
 DEFAULT_HEADER_NAMES = HeaderNames()
 
-# RFC 9110, 7.6.1. `content-length` and `expect` belong to one connection here too, because each
-# hop frames the body anew and answers expectations itself.
+# Hop-by-hop headers of RFC 9110, 7.6.1. `content-length` and `expect` are included because each hop
+# frames the body itself and responds to expectations itself.
 _PER_CONNECTION = frozenset(
     {
         b"connection",
@@ -77,14 +76,14 @@
         b"expect",
     }
 )
-# A caller must not be able to make a node remove the header that every request needs.
+# A caller must not be able to remove this mandatory header through `connection`.
 _NEVER_REMOVED = frozenset({b"host"})
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Return the headers that the next hop gets; names must be in lower case."""
+    """Return the headers to forward to the next hop; names must be in lower case."""
     kept: Headers = []
     named: set[bytes] = set()
     for name, value in headers:
@@ -100,12 +99,12 @@
 
 
 def request_head(method: bytes, target: bytes, headers: Headers) -> bytes:
-    """Return the bytes of a request line and headers."""
+    """Return the encoded request line and headers."""
     fields = b"".join([b"%b: %b\r\n" % header for header in headers])
     return b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, fields)
 
 
 def response_head(status: int, reason: bytes, headers: Headers) -> bytes:
-    """Return the bytes of a status line and headers."""
+    """Return the encoded status line and headers."""
     fields = b"".join([b"%b: %b\r\n" % header for header in headers])
     return b"HTTP/1.1 %d %b\r\n%b\r\n" % (status, reason or _REASONS.get(status, b""), fields)
--- a/src/citronrack/calls/health.py
+++ b/src/citronrack/calls/health.py
@@ -1,4 +1,4 @@
-"""Whether the own target has just lost requests, and which ones try it out."""
+"""Circuit breaker for the local target: refuses requests after failures and admits probes."""
 
 from __future__ import annotations
 
@@ -7,24 +7,26 @@
 from ..clock import Clock
 
 PROBE_INTERVAL_S = 0.2
-"""Time between requests that try out a target which loses all of them. A target that is up again
-has to be found within a part of a second; each trial that fails costs a retry."""
+"""Time between probes of a failing target. It is a fraction of a second, because a recovered target
+should be found quickly, while each failed probe costs a retry."""
 
 NON_IDEMPOTENT_PROBE_INTERVAL_S = 1.0
-"""Time after a lost request in which the target gets none that must not run twice. Requests that
-may be repeated try it out meanwhile; where there are none, one of the others has to."""
+"""Time after a failure during which no non-idempotent request is sent. Idempotent requests probe
+the target meanwhile; if there are none, a non-idempotent one probes it afterwards."""
 
 FAILURES_BEFORE_PACING = 2
-"""Lost requests in a row after which trials are paced; a single answer may get lost anywhere."""
+"""Consecutive failures after which idempotent requests are limited to probes. A single response may
+get lost on any target."""
 
 LOST_REQUEST_REASON = "the target has just lost a request"
 
 
 class TargetHealth:
-    """Requests that the own target has lost since its last answer.
+    """Consecutive failures of the local target.
 
-    A target that crashes, or that takes connections and ends them, loses every request for a while.
-    One that may not run twice fails then for good, although other targets could have run it.
+    A target that crashes, or that accepts and closes connections, fails every request for a while.
+    A non-idempotent request cannot be retried after that, although another target could have run
+    it.
 
     Args:
         clock: Source of time.
@@ -39,16 +41,16 @@
         self._next_non_idempotent = 0.0
 
     def record_success(self) -> None:
-        """Note an answer of the target."""
+        """Record a response of the target."""
         if self._failures:
             with self._lock:
                 self._failures = 0
 
     def record_failure(self, target_id: str) -> None:
-        """Note a request that ended without an answer, or that could not be sent.
+        """Record a request that got no response or could not be sent.
 
         Args:
-            target_id: Id of the start of the target that the request was for.
+            target_id: Id of the target's process that the request was for.
         """
         with self._lock:
             now = self._clock.monotonic()
@@ -61,7 +63,7 @@
         """Return whether a request should go to another target.
 
         Args:
-            target_id: Id of the present start of the target.
+            target_id: Id of the target's current process.
             idempotent: Whether the request may run more than once.
         """
         if not self._failures or target_id != self._target_id:
@@ -72,10 +74,10 @@
         return self._failures >= FAILURES_BEFORE_PACING and now < self._next_probe
 
     def admit(self, target_id: str, *, idempotent: bool) -> bool:
-        """Return whether a request may be sent now; of those that wait one tries the target out.
+        """Return whether a request may be sent now; one of several waiting requests is the probe.
 
         Args:
-            target_id: Id of the present start of the target.
+            target_id: Id of the target's current process.
             idempotent: Whether the request may run more than once.
         """
         if not self._failures:
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -1,4 +1,4 @@
-"""Requests and answers between the parts of the call path."""
+"""Requests and responses of the call path."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 from .headers import RETRY_AFTER, Headers
 
 RETRY_AFTER_S = b"0.3"
-"""Seconds after which a refused caller may come back: about the time in which a full queue of
-short calls is worked off, and short against the time that callers have left."""
+"""Value of Retry-After in refusals, in seconds. A full queue of short calls drains in about this
+time, which is short compared with the callers' deadlines."""
 
 
 class Body(Protocol):
@@ -24,7 +24,7 @@
 
     @property
     def whole(self) -> bytes | None:
-        """All bytes, None when they are streamed."""
+        """The complete body, None when it is streamed."""
 
     @property
     def length(self) -> int | None:
@@ -32,20 +32,20 @@
 
     @property
     def replayable(self) -> bool:
-        """Whether the request can still be sent from its first byte."""
+        """Whether the body can still be sent from its first byte."""
 
     def wait_first_part(self, limit_s: float) -> bool:
-        """Ask for the body and wait for its first part; False when none came within the limit.
+        """Request the body and wait for its first part; return False when none came in time.
 
         Raises:
             BodyReadError: When the sender stopped.
         """
 
     def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
-        """Wait until a part may be read; False when ``other`` has input before that."""
+        """Wait until a part can be read; return False when ``other`` has input before that."""
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the parts; may be called once.
+        """Yield the parts; can be called only once.
 
         Raises:
             BodyReadError: When the sender stopped before the end.
@@ -53,15 +53,15 @@
 
 
 class CallerDisconnected(CallFailed):
-    """The caller closed its connection or stopped in the middle of its body."""
+    """The caller closed its connection or sent an incomplete body."""
 
 
 class DeadlineExceeded(CallFailed):
-    """No complete answer arrived before the deadline."""
+    """No complete response arrived before the deadline."""
 
 
 class BodyEnd(Enum):
-    """How the body of an answer ended."""
+    """How the body of a response ended."""
 
     COMPLETE = auto()
     BROKEN = auto()
@@ -69,12 +69,12 @@
 
 
 class BodyReadError(Exception):
-    """The sender of a streamed body stopped, was too slow or sent bad framing."""
+    """The sender of a streamed body stopped, was too slow or sent invalid framing."""
 
 
 @define(eq=False)
 class WholeBody:
-    """A body that is held in memory and can be sent again."""
+    """A body in memory, which can be sent again."""
 
     whole: bytes = b""
 
@@ -85,11 +85,11 @@
 
     @property
     def replayable(self) -> bool:
-        """Always true: the bytes are kept."""
+        """Always true."""
         return True
 
     def wait_first_part(self, limit_s: float) -> bool:
-        """Return true: the bytes are here."""
+        """Return true; the body is in memory."""
         return True
 
     def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
@@ -97,7 +97,7 @@
         return not has_input(other)
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the bytes."""
+        """Yield the body as one part."""
         yield self.whole
 
 
@@ -105,8 +105,8 @@
     """A streamed body of a caller that embeds `Router`.
 
     Args:
-        parts: The bytes, read once and never kept.
-        length: Number of bytes, None to send the body in chunks.
+        parts: Parts of the body; iterated once and not retained.
+        length: Number of bytes, None to send the body with chunked coding.
     """
 
     whole = None
@@ -117,11 +117,11 @@
         self._parts = parts
 
     def wait_first_part(self, limit_s: float) -> bool:
-        """Return true; the caller's own source is not waited for."""
+        """Return true; there is no wait for the caller's iterable."""
         return True
 
     def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
-        """Return whether ``other`` has no input; the caller's own source is not waited for."""
+        """Return whether ``other`` has no input; there is no wait for the caller's iterable."""
         return not has_input(other)
 
     def chunks(self) -> Iterator[bytes]:
@@ -144,11 +144,11 @@
         headers: End-to-end headers with lower-case names.
         body: The body.
         context: Value of the context header, not yet verified.
-        service: Service that another node wants, empty when it was not said.
+        service: Service that another node calls, empty when it was not given.
         host: Value of the Host header without a port, in lower case.
         request_id: The caller's id of the request, empty for none.
-        timeout_ms: The caller's own limit for the call, None for none.
-        cancelled: Returns whether the caller has gone away; called a few times a second.
+        timeout_ms: The caller's timeout for the call, None for none.
+        cancelled: Returns whether the caller has disconnected; called a few times a second.
     """
 
     method: str
@@ -170,23 +170,23 @@
 
 @define(eq=False)
 class Response:
-    """An answer, whole or streamed.
+    """A response with a complete or a streamed body.
 
-    Whoever gets an answer calls `read`, reads `parts` to the end or calls `finish`; until then the
-    exchange holds its connection and its slot. The server does so after it has written the answer,
-    so that no caller waits for bookkeeping.
+    The receiver must call `read`, iterate over `parts` to the end or call `finish`; until then, the
+    call holds its connection and its slot. The server does so after it has written the response, so
+    that the caller does not wait for the callbacks.
 
     Attributes:
         status: HTTP status.
         headers: End-to-end headers with lower-case names.
         verdict: Whether the request may have run.
-        whole: All bytes of the body, None when it is streamed.
-        stream: The body in parts; raises `CallFailed` when it ends too early.
+        whole: The complete body, None when it is streamed.
+        stream: The body in parts; raises `CallFailed` when it is truncated.
         length: Number of bytes, None when it is not known in advance.
         reason: Reason phrase.
-        load: Calls in flight or waiting at the target's node, None when it did not say.
-        from_node: Whether a node made this answer, not the target.
-        arrived: Whether the request reached the target, which may have refused it.
+        load: Calls in flight or waiting at the target's node, None when it was not reported.
+        from_node: Whether a node made this response, not the target.
+        reached_target: Whether the request reached the target, which may have refused it.
     """
 
     status: int
@@ -204,7 +204,7 @@
 
     @property
     def local_reason(self) -> str:
-        """What the node itself gave as the reason, empty for an answer of a target."""
+        """The node's reason, empty for a response of a target."""
         return (self.whole or b"").decode().strip() if self.from_node else ""
 
     @property
@@ -213,11 +213,11 @@
         return self.from_node and self.verdict is Verdict.NOT_RUN
 
     def add_done_callback(self, callback: Callable[[BodyEnd], None]) -> None:
-        """Call ``callback(end)`` once, when the body was handed on or given up."""
+        """Call ``callback(end)`` once, when the body was passed on or abandoned."""
         self._callbacks.append(callback)
 
     def parts(self) -> Iterator[bytes]:
-        """Yield the body and finish the exchange."""
+        """Yield the body, then call `finish`."""
         end = BodyEnd.ABANDONED
         try:
             if self.stream is None:
@@ -232,20 +232,20 @@
             self.finish(end)
 
     def read(self) -> bytes:
-        """Return the whole body.
+        """Return the complete body.
 
         Raises:
-            CallFailed: When the answer was cut short.
+            CallFailed: When the response was truncated.
         """
         return b"".join(self.parts())
 
     def finish(self, end: BodyEnd = BodyEnd.ABANDONED) -> None:
-        """Release everything that the exchange holds."""
+        """Release the connection and the slot of the call; repeated calls do nothing."""
         if self._ended:
             return
         self._ended = True
         if self.stream is None:
-            end = BodyEnd.COMPLETE  # The whole answer had arrived.
+            end = BodyEnd.COMPLETE  # The body had arrived completely.
         elif isinstance(self.stream, Generator):
             self.stream.close()
         for callback in self._callbacks:
@@ -255,13 +255,13 @@
 def local_response(
     status: int, reason: str, verdict: Verdict, *, load: int | None = None
 ) -> Response:
-    """Return an answer that this node makes itself.
+    """Return a response made by this node.
 
     Args:
         status: HTTP status.
-        reason: One line that says what happened.
+        reason: One line of text, sent as the body.
         verdict: Whether the request may have run.
-        load: Calls in flight or waiting here.
+        load: Calls in flight or waiting at this node.
     """
     body = reason.encode() + b"\n"
     headers = [(b"content-type", b"text/plain; charset=utf-8")]
@@ -280,7 +280,7 @@
 
 
 def local_page(content_type: bytes, body: bytes) -> Response:
-    """Return a successful answer that this node makes itself."""
+    """Return a successful response made by this node."""
     headers = [(b"content-type", content_type)]
     return Response(200, headers=headers, whole=body, length=len(body), from_node=True)
 
@@ -294,6 +294,6 @@
 
 
 def failure_response(error: CallFailed, *, load: int | None = None) -> Response:
-    """Return the answer to a call that got none; only 503 states that it was not run."""
+    """Return the response to a failed call; only 503 means that the call was not run."""
     status = _FAILURE_STATUS[error.verdict, isinstance(error, DeadlineExceeded)]
     return local_response(status, str(error), error.verdict, load=load)
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -1,4 +1,4 @@
-"""Wires the parts of the call path for one node or for an embedding caller."""
+"""Factories that assemble the call path for a node or for an embedding caller."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 from .view import ViewHolder
 
 ADDED_HEAD_BYTES = 1024
-"""Room for the headers that a node adds, so that what one node accepts the next one accepts."""
+"""Allowance for headers that a node adds, so that the next node accepts what one node accepted."""
 
 
 @frozen
@@ -38,12 +38,12 @@
         name: Name of the node, empty for an embedding caller.
         availability_zone: Zone of the node.
         key: Shared key of the mesh.
-        balancer: Name of the policy that chooses a target.
-        link_one_way_s: Delay of a link to another zone.
+        balancer: Name of the load-balancing policy.
+        link_one_way_s: One-way latency to another zone, in seconds.
         connections: Connections served at once by each listener.
         names: Names of the headers that callers and targets use.
-        service: Service of the own instance, told to targets where ``names`` says how.
-        retry_statuses: Answers after which an idempotent call may go to another target.
+        service: Service of this instance, sent to targets if ``names`` has a header for it.
+        retry_statuses: Response statuses after which an idempotent call may be retried.
     """
 
     name: str
@@ -59,14 +59,14 @@
 
 @frozen
 class OwnTarget:
-    """The target beside a node.
+    """The local target of a node.
 
     Attributes:
         address: ``(ip, port)`` of its HTTP server.
         service: Service that it belongs to.
-        service_version: Its release.
-        slots: Calls that it runs at once.
-        ramp_s: Time in which it gets all of its slots after a start.
+        service_version: Its service version.
+        slots: Number of calls that it runs at once.
+        ramp_s: Time over which it gets all of its slots after a start.
     """
 
     address: Address
@@ -81,10 +81,10 @@
     """The call path of one node.
 
     Attributes:
-        calls: Listener for callers and the own target.
+        calls: Listener for callers and the local target.
         deliveries: Listener for other nodes.
-        drainer: State of the stop, shared by both.
-        admission: Slots of the own target.
+        drainer: Drain state, shared by both listeners.
+        admission: Slots of the local target.
         upstream: Connections to targets and nodes.
     """
 
@@ -95,7 +95,7 @@
     upstream: Upstream
 
     def stop(self, limit_s: float) -> bool:
-        """Refuse new work, wait for calls in flight and close everything.
+        """Refuse new calls, wait for calls in flight and close all connections.
 
         Returns:
             Whether all calls had ended within the limit.
@@ -121,19 +121,19 @@
     on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudget | None = None,
 ) -> Router:
-    """Return a router, for a node or for a caller that embeds it.
+    """Return a router for a node or for a caller that embeds it.
 
     Args:
         settings: Identity and policy.
-        views: Present routing view.
-        events: Log lines.
+        views: Holder of the current routing view.
+        events: Event log.
         report: Receives a record of each attempt.
         random: Source of random numbers.
         clock: Source of time.
         upstream: Connections, a new pool if None.
-        local: Delivers to the own target.
-        answered: Receives a record of each routed call when its answer has ended.
-        budget: Limits retries, the product's usual limits if None.
+        local: Delivers to the local target.
+        on_response: Receives a record of each routed call when its response has ended.
+        budget: Limits retries, the default limits if None.
     """
     clock = clock if clock is not None else SystemClock()
 
@@ -182,7 +182,7 @@
     on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudget | None = None,
 ) -> CallPath:
-    """Return both listeners of a node; they are bound, and served once their `run` is called."""
+    """Return the call path of a node; its listeners are bound and accept once `run` is called."""
     clock = clock if clock is not None else SystemClock()
     limits = limits if limits is not None else WireLimits(connections=settings.connections)
     own_identity = TargetIdentity(target.service, target.service_version)
--- a/src/citronrack/calls/policies.py
+++ b/src/citronrack/calls/policies.py
@@ -1,4 +1,4 @@
-"""Policies that choose one of several targets."""
+"""Load-balancing policies."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from .target_stats import TargetStats
 
 Policy = Callable[[Sequence[TargetStats], Random, int, float], TargetStats]
-"""Chooses from a non-empty sequence; also gets a random source, a turn number and the time."""
+"""Chooses from a non-empty sequence; also receives a random source, a call counter and the time."""
 
 policies: Registry[Policy] = Registry("balancer")
 
@@ -18,7 +18,7 @@
 def round_robin(
     entries: Sequence[TargetStats], _random: Random, turn: int, _now: float
 ) -> TargetStats:
-    """Take the targets in turn."""
+    """Choose the targets in turn."""
     return entries[turn % len(entries)]
 
 
@@ -26,11 +26,11 @@
 def least_loaded(
     entries: Sequence[TargetStats], _random: Random, turn: int, now: float
 ) -> TargetStats:
-    """Take the target with the smallest load, by what it last reported."""
+    """Choose the target with the smallest last reported load per slot."""
     start = turn % len(entries)
     return min(
         (*entries[start:], *entries[:start]),
-        key=lambda entry: max(entry.in_flight, entry.load) / max(1, entry.target.slots),
+        key=lambda stats: max(stats.in_flight, stats.load) / max(1, stats.target.slots),
     )
 
 
@@ -38,14 +38,14 @@
 def two_choices(
     entries: Sequence[TargetStats], random: Random, _turn: int, _now: float
 ) -> TargetStats:
-    """Take the one of two random targets that has fewer calls of this node in flight."""
+    """Choose the one of two random targets that has fewer calls of this node in flight."""
     one, other = _two(entries, random)
     return one if one.in_flight <= other.in_flight else other
 
 
 @policies.register("adaptive")
 def adaptive(entries: Sequence[TargetStats], random: Random, _turn: int, now: float) -> TargetStats:
-    """Take the one of two random targets where the call is expected to end first."""
+    """Choose the one of two random targets where the call is expected to end first."""
     if len(entries) == 1:
         return entries[0]
     one, other = _two(entries, random)
--- a/src/citronrack/calls/record.py
+++ b/src/citronrack/calls/record.py
@@ -1,4 +1,4 @@
-"""What the call path reports about one call."""
+"""Records that the call path reports for each call."""
 
 from __future__ import annotations
 
@@ -9,19 +9,19 @@
 
 @frozen
 class ResponseRecord:
-    """What a caller got, and what decided it.
+    """Response of a routed call and how it was routed.
 
     Attributes:
         request_id: The caller's id of the request.
         route: Name of the route, empty when there was none.
-        service: Service that was asked.
-        service_version: Its release, or the pool that was asked.
+        service: Service that was called.
+        service_version: Service version that was called.
         status: HTTP status.
         verdict: Whether the request may have run.
-        seconds: Time from the arrival to the end of the answer.
-        targets: Names of the nodes that were asked, in order.
+        seconds: Time from the arrival to the end of the response.
+        targets: Names of the nodes that were tried, in order.
         config_version: Version of the configuration that was used.
-        reason: The node's own reason, empty for an answer of a target.
+        reason: The node's reason, empty for a response of a target.
     """
 
     request_id: str
@@ -38,19 +38,19 @@
 
 @frozen
 class CallRecord:
-    """Result of one attempt to have a call answered.
+    """Result of one attempt of a call.
 
     Attributes:
         route: Name of the route.
         service: Service that was called.
-        service_version: Release that was called.
+        service_version: Service version that was called.
         method: HTTP method.
-        status: HTTP status of the answer, 0 for none.
-        latency_s: Seconds from choosing the target to the end of the answer.
+        status: HTTP status of the response, 0 for none.
+        latency_s: Time from choosing the target to the end of the response, in seconds.
         verdict: Whether the request may have run.
-        refused: Whether the target's side refused the call before it ran.
-        cold: Whether the target had just started.
-        delivered_here: Whether this node handed the call to its own target.
+        refused: Whether a node refused the call before it ran.
+        cold: Whether the target was in its slow start.
+        delivered_here: Whether this node delivered the call to its local target.
     """
 
     route: str
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -1,4 +1,4 @@
-"""Reads requests from a caller's connection."""
+"""Reads and parses requests from a caller's connection."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 
 class BadRequest(Exception):
-    """A request that is answered with an error and ends its connection.
+    """A request that is rejected, after which its connection is closed.
 
     Args:
-        status: HTTP status of the answer.
+        status: HTTP status of the response.
         reason: What is wrong.
     """
 
@@ -35,12 +35,12 @@
 
 
 class ConnectionEnded(Exception):
-    """The caller closed the connection, or it was idle for too long."""
+    """The caller closed the connection, or it exceeded the idle timeout."""
 
 
 @define(eq=False)
 class _IncomingRequest:
-    """A request while it is parsed."""
+    """State of the parser for one request."""
 
     target: bytes = b""
     method: bytes = b""
@@ -55,12 +55,12 @@
 
 @define(eq=False)
 class ReceivedRequest:
-    """One request and what the server needs to answer it.
+    """A request with the connection options for its response.
 
     Attributes:
         request: The request.
-        keep_alive: Whether the caller wants to use the connection again.
-        chunks_allowed: Whether the caller understands a chunked answer.
+        keep_alive: Whether the caller asks for a persistent connection.
+        chunks_allowed: Whether the caller supports chunked coding.
         incoming: State of the parser for this request.
     """
 
@@ -76,7 +76,7 @@
 
 
 class _StreamedBody:
-    """The body of a request, read from the connection when it is wanted."""
+    """A request body that is read from the connection on demand."""
 
     whole = None
 
@@ -95,14 +95,14 @@
         self._expects = expects
 
     def wait_first_part(self, limit_s: float) -> bool:
-        """Ask the caller for the body, if it waits for that, and wait for the first part."""
+        """Send 100 Continue if the caller expects it, and wait for the first part."""
         if self._expects and not self._incoming.parts:
             self._expects = False
             self._reader.send_continue()
         return self._reader.fill(self._incoming, limit_s)
 
     def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
-        """Wait for the caller's next part, or for input on ``other``."""
+        """Wait for the caller's next part or for input on ``other``."""
         if self._incoming.parts or self._incoming.complete or self.replayable:
             return not has_input(other)
         return self._reader.wait_body(other, limit_s)
@@ -116,13 +116,13 @@
 
 
 class RequestReader:
-    """Parses the requests of one connection, also when several arrive at once.
+    """Parses the requests of one connection, including pipelined ones.
 
     Args:
         connection: Blocking socket with receive timeout `poll_s`.
         limits: Limits for time and size.
         names: Names of the headers that callers use.
-        dropped: Names of headers that are not passed on.
+        dropped_headers: Names of headers that are not passed on.
     """
 
     def __init__(
@@ -138,47 +138,50 @@
         self._names = names
         self._dropped_headers = dropped_headers
         self._parser = httptools.HttpRequestParser(self)
-        self._present = _IncomingRequest()
+        self._current = _IncomingRequest()
         self._ready: deque[_IncomingRequest] = deque()
         self._fault: BadRequest | None = None
         self._upgrade = False
 
     @staticmethod
     def poll_s(limits: WireLimits) -> float:
-        """Return the receive timeout that keeps the limits to within a third."""
+        """Return the receive timeout, a third of the shortest time limit.
+
+        The limits are checked after each timeout, so they are exceeded by a third at most.
+        """
         return min(limits.idle_s, limits.head_s, limits.body_idle_s) / 3
 
-    # Callbacks of the parser.
+    # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
-        self._present = _IncomingRequest()
+        self._current = _IncomingRequest()
 
     def on_url(self, url: bytes) -> None:
-        self._present.target += url
+        self._current.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        present = self._present
-        if present.head_done:
-            return  # Trailers are dropped: nothing may be added to a request after its routing.
-        present.size += len(name) + len(value) + 4
-        if present.size > self._limits.max_head_bytes:
+        current = self._current
+        if current.head_done:
+            return  # Trailers are dropped, so that nothing is added to a request after its routing.
+        current.size += len(name) + len(value) + 4
+        if current.size > self._limits.max_head_bytes:
             self._fault = BadRequest(431, "the headers are too large")
             raise self._fault
-        present.headers.append((name.lower(), value))
+        current.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        present = self._present
-        present.head_done = True
-        present.method = self._parser.get_method()
-        present.version = self._parser.get_http_version()
-        present.keep_alive = self._parser.should_keep_alive()
-        self._ready.append(present)
+        current = self._current
+        current.head_done = True
+        current.method = self._parser.get_method()
+        current.version = self._parser.get_http_version()
+        current.keep_alive = self._parser.should_keep_alive()
+        self._ready.append(current)
 
     def on_body(self, data: bytes) -> None:
-        self._present.parts.append(data)
+        self._current.parts.append(data)
 
     def on_message_complete(self) -> None:
-        self._present.complete = True
+        self._current.complete = True
 
     # Reading.
 
@@ -186,7 +189,7 @@
         """Return the next request.
 
         Raises:
-            BadRequest: When the connection cannot be used any more.
+            BadRequest: When the request is invalid; the connection must be closed.
             ConnectionEnded: When no request follows.
         """
         if not self._ready:
@@ -229,7 +232,7 @@
         )
 
     def send_continue(self) -> None:
-        """Tell the caller to send the body."""
+        """Send 100 Continue."""
         try:
             self._connection.sendall(CONTINUE)
         except OSError as error:
@@ -246,7 +249,7 @@
                 self._fill_body()
 
     def fill(self, incoming: _IncomingRequest, limit_s: float) -> bool:
-        """Read until there is a part of a body; False when none came within the limit."""
+        """Read until a part of a body arrives; return False when none came within the limit."""
         end = time.monotonic() + limit_s
         poller = select.poll()
         poller.register(self._connection, select.POLLIN)
@@ -257,7 +260,7 @@
         return True
 
     def wait_body(self, other: socket.socket, limit_s: float) -> bool:
-        """Return False when ``other`` has input before the caller has sent more."""
+        """Wait for the caller; return False when ``other`` has input before that."""
         poller = select.poll()
         poller.register(self._connection, select.POLLIN)
         poller.register(other, select.POLLIN)
@@ -305,13 +308,13 @@
     def _count_head(self, size: int) -> None:
         if self._fault is not None:
             raise self._fault
-        # The parser reports a header when it is complete; one endless header shows only here.
-        self._present.size = max(self._present.size, len(self._present.target)) + size
-        if self._present.size > 2 * self._limits.max_head_bytes:
+        # The parser reports only complete headers, so a single endless header is limited here.
+        self._current.size = max(self._current.size, len(self._current.target)) + size
+        if self._current.size > 2 * self._limits.max_head_bytes:
             raise BadRequest(431, "the headers are too large")
 
     def _receive(self) -> bytes | None:
-        """Return data, nothing at the end of the connection, None after the receive timeout."""
+        """Return data, empty bytes at the end of the stream, None after the receive timeout."""
         try:
             return self._connection.recv(READ_BYTES)
         except BlockingIOError:
@@ -341,8 +344,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # No other protocol is offered: the request is answered as it stands, and what follows
-            # it on the connection is not HTTP.
+            # Upgrades are not supported. The request is handled as plain HTTP, and what follows it
+            # on the connection is not HTTP.
             self._upgrade = True
             self._fault = BadRequest(400, "no request may follow an upgrade")
         except httptools.HttpParserError as error:
@@ -355,7 +358,7 @@
 
 
 def _check_head(incoming: _IncomingRequest, fields: dict[bytes, bytes]) -> None:
-    """Refuse what the parser accepts and this node does not serve."""
+    """Reject requests that the parser accepts and this server does not support."""
     if incoming.version not in ("1.0", "1.1"):
         raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are served")
     if incoming.method == b"CONNECT":
@@ -383,7 +386,7 @@
 
 
 def _declared_length(fields: dict[bytes, bytes]) -> int | None:
-    """Return the length of the body, None for a chunked one; the parser has checked the value."""
+    """Return the length of the body, None for a chunked one; the parser validated the value."""
     value = fields.get(b"content-length")
     if value is not None:
         return int(value)
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -1,4 +1,4 @@
-"""Chooses targets for calls, sends them and retries where that is safe."""
+"""Routes calls to targets and retries them where that is safe."""
 
 from __future__ import annotations
 
@@ -31,27 +31,27 @@
 from .view import PoolTarget, RoutingView, ViewHolder
 
 RETRY_STATUSES = frozenset({502, 503, 504})
-"""Answers after which a call may be sent to another target."""
+"""Response statuses after which a call may be sent to another target."""
 
 MIN_RETRY_TIME_S = 0.002
-"""A retry needs at least this much time before the deadline."""
+"""Least remaining time before the deadline for which a retry is started."""
 
 MAX_REROUTES = 2
-"""Further targets that a call tries after refusals; under overload each one costs a round trip."""
+"""Maximum further targets tried after refusals; under overload each one costs a round trip."""
 
 LocalDelivery = Callable[[Request, CallContext], Response]
 
 
 @define(eq=False)
 class _Call:
-    """A call while it is routed.
+    """State of a call that is being routed.
 
     Attributes:
         started: Monotonic time of its arrival.
-        tried: Targets that it went to, in order.
-        reached: How many of them it has loaded.
-        reroutes: How many others refused it or could not be reached.
-        may_have_run: Whether one of them may have run it.
+        tried: Names of the targets it was sent to, in order.
+        reached: Number of attempts that reached a target.
+        reroutes: Number of attempts that a node refused or that could not connect.
+        may_have_run: Whether a previous attempt may have run.
     """
 
     request: Request
@@ -70,7 +70,7 @@
     may_have_run: bool = False
 
 
-# Only a node that knows the newest configuration can say that there is no route.
+# 404 is final for callers, so only a node that has the newest configuration returns it.
 _NO_ROUTE = {
     True: (404, "no route has a prefix of this path"),
     False: (503, "no route has a prefix of this path in a configuration that may be old"),
@@ -78,25 +78,25 @@
 
 
 class Router:
-    """Answers requests with the targets of the mesh.
+    """Sends each request to a target of the mesh and returns the response.
 
-    A node uses it behind its call listener. A caller that embeds it in its own process saves the
-    hop to a node: the call goes to the target's node directly.
+    A node runs it behind its call listener. A caller that embeds it in its own process saves the
+    hop through its node: calls go to the target's node directly.
 
     Args:
-        views: Present routing view.
+        views: Holder of the current routing view.
         upstream: Connections to other nodes.
         balancer: Chooses targets.
         budget: Limits retries.
         contexts: Reads and writes the context header.
         report: Receives a record of each attempt.
-        events: Log lines.
-        own_name: Name of the node beside the own target, empty for none.
-        own_service: Service of the own instance, told to targets where ``names`` says how.
+        events: Event log.
+        own_name: Name of this node, empty for an embedding caller.
+        own_service: Service of this instance, sent to targets if ``names`` has a header for it.
         names: Names of the headers that callers and targets use.
-        retry_statuses: Answers after which an idempotent call may go to another target.
-        local: Delivers to the own target without a connection to the own node.
-        answered: Receives a record of each routed call when its answer has ended.
+        retry_statuses: Response statuses after which an idempotent call may be retried.
+        local: Delivers to the local target without a connection to this node.
+        on_response: Receives a record of each routed call when its response has ended.
     """
 
     def __init__(
@@ -134,17 +134,17 @@
         self._local = local
 
     def close(self) -> None:
-        """Close idle connections; for an embedding process that ends."""
+        """Close idle connections; an embedding process calls it when it exits."""
         self._upstream.close()
 
     def is_nested(self, request: Request) -> bool:
-        """Return whether the request was made by a target while it ran another call."""
+        """Return whether the request was sent by a target while it handled another call."""
         return self._contexts.decode_nested(request.context) is not None
 
     def handle(self, request: Request) -> Response:
-        """Return the answer to a request; never raises `CallFailed`.
+        """Route a request and return the response; never raises `CallFailed`.
 
-        The answer's verdict says whether the request may have run.
+        The response's verdict says whether the request may have run.
         """
         view = self._views.current
         if not view.ready:
@@ -176,16 +176,16 @@
             idempotent=view.is_idempotent(route, service_name, request.method),
             connect_timeout_s=service.connect_timeout_ms / 1000,
         )
-        answer = self._route(call)
+        response = self._route(call)
         if self._on_response is not None:
-            self._report_response(self._on_response, call, answer)
-        return answer
+            self._report_response(self._on_response, call, response)
+        return response
 
     @staticmethod
     def _report_response(
-        on_response: Callable[[ResponseRecord], None], call: _Call, answer: Response
+        on_response: Callable[[ResponseRecord], None], call: _Call, response: Response
     ) -> None:
-        """Report the call when its answer has ended."""
+        """Report the call when its response has ended."""
 
         def done(end: BodyEnd) -> None:
             on_response(
@@ -194,53 +194,53 @@
                     route=call.route.name,
                     service=call.service,
                     service_version=call.service_version,
-                    status=answer.status,
-                    verdict=answer.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
+                    status=response.status,
+                    verdict=response.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
                     seconds=time.monotonic() - call.started,
                     targets=tuple(call.tried),
                     config_version=call.view.config.version,
-                    reason=answer.local_reason,
+                    reason=response.local_reason,
                 )
             )
 
-        answer.add_done_callback(done)
+        response.add_done_callback(done)
 
     def _route(self, call: _Call) -> Response:
         while True:
-            answer, target = self._attempt(call)
+            response, target = self._attempt(call)
             if target is not None:
                 call.tried[target.name] = None
             if (
                 target is None
-                or not self._may_retry(call, answer)
+                or not self._may_retry(call, response)
                 or len(call.tried) >= len(call.pool)
             ):
-                return _final_response(call, answer)
-            call.may_have_run |= answer.verdict is not Verdict.NOT_RUN
-            answer.finish()
-            if answer.reached_target:
+                return _final_response(call, response)
+            call.may_have_run |= response.verdict is not Verdict.NOT_RUN
+            response.finish()
+            if response.reached_target:
                 call.context = call.context.after_retry()
             self._events.write(
                 Event.CALL_RETRIED,
                 route=call.route.name,
                 request_id=call.request.request_id,
                 target=target.name,
-                status=answer.status,
-                verdict=answer.verdict.value,
+                status=response.status,
+                verdict=response.verdict.value,
             )
 
     def _attempt(self, call: _Call) -> tuple[Response, PoolTarget | None]:
-        """Send the call to one target; None stands for no target."""
-        entry = self._balancer.choose(
+        """Send the call to one target; the target is None when there is none to choose."""
+        stats = self._balancer.choose(
             (call.service, call.service_version),
             call.pool,
             excluded=call.tried,
             body_bytes=call.request.body.length or 0,
         )
-        if entry is None:
+        if stats is None:
             refusal = self._refuse(call.request, 503, "the route has no target", call.route.name)
             return refusal, None
-        target = entry.target
+        target = stats.target
         if self._logs_routing:
             self._events.write(
                 Event.CALL_ROUTED,
@@ -255,20 +255,20 @@
         started = time.monotonic()
         ignore_failure = False
         try:
-            answer = self._send(call, target)
+            response = self._send(call, target)
         except CallFailed as error:
-            answer = failure_response(error)
+            response = failure_response(error)
             too_late = isinstance(error, DeadlineExceeded) and error.verdict is Verdict.NOT_RUN
             ignore_failure = too_late or isinstance(error, CallerDisconnected)
         except BaseException:
-            self._balancer.record_end(entry)
+            self._balancer.record_end(stats)
             raise
-        if not answer.reached_target:
+        if not response.reached_target:
             call.reroutes += 1
         else:
             call.reached += 1
-        self._report_attempt(call, entry, answer, started, ignore_failure=ignore_failure)
-        return answer, target
+        self._report_attempt(call, stats, response, started, ignore_failure=ignore_failure)
+        return response, target
 
     def _send(self, call: _Call, target: PoolTarget) -> Response:
         request = call.request
@@ -300,35 +300,35 @@
     def _report_attempt(
         self,
         call: _Call,
-        entry: TargetStats,
-        answer: Response,
+        stats: TargetStats,
+        response: Response,
         started: float,
         *,
         ignore_failure: bool,
     ) -> None:
-        """Report the attempt when its answer has ended."""
+        """Report the attempt when its response has ended."""
         head_s = time.monotonic() - started
-        # A refusal carries the load of the node that refused; without one there was no connection.
-        refused = answer.refused and answer.load is not None
-        failed = answer.status >= 500 and not refused and not ignore_failure
-        unreachable = failed and not answer.reached_target
+        # Refusals carry the load of the refusing node; without a load there was no connection.
+        refused = response.refused and response.load is not None
+        failed = response.status >= 500 and not refused and not ignore_failure
+        unreachable = failed and not response.reached_target
         if failed:
             self._events.write(
                 Event.CALL_FAILED,
                 route=call.route.name,
                 request_id=call.request.request_id,
-                target=entry.target.name,
-                status=answer.status,
-                verdict=answer.verdict.value,
+                target=stats.target.name,
+                status=response.status,
+                verdict=response.verdict.value,
             )
 
         def done(end: BodyEnd) -> None:
             self._balancer.record_end(
-                entry,
-                latency_s=None if answer.from_node else head_s,
+                stats,
+                latency_s=None if response.from_node else head_s,
                 failed=failed or end is BodyEnd.BROKEN,
                 unreachable=unreachable,
-                load=answer.load,
+                load=response.load,
             )
             self._report(
                 CallRecord(
@@ -336,31 +336,31 @@
                     service=call.service,
                     service_version=call.service_version,
                     method=call.request.method,
-                    status=answer.status,
+                    status=response.status,
                     latency_s=time.monotonic() - started,
-                    verdict=answer.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
-                    refused=answer.refused,
+                    verdict=response.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
+                    refused=response.refused,
                 )
             )
 
-        answer.add_done_callback(done)
+        response.add_done_callback(done)
 
-    def _may_retry(self, call: _Call, answer: Response) -> bool:
+    def _may_retry(self, call: _Call, response: Response) -> bool:
         """Return whether the call is sent to another target.
 
-        A call that a node refused has not loaded any target, so only its number of targets is
-        limited; sending a call once more that has reached a target takes a token.
+        A call that a node refused has not loaded a target, so only the number of reroutes is
+        limited. A call that reached a target needs a token of the retry budget.
         """
-        if answer.status not in self._retry_statuses or not call.request.body.replayable:
+        if response.status not in self._retry_statuses or not call.request.body.replayable:
             return False
         if time.monotonic() + MIN_RETRY_TIME_S > call.context.deadline:
             return False
         if call.request.cancelled():
             return False
-        if not answer.reached_target:
+        if not response.reached_target:
             return call.reroutes <= MAX_REROUTES
-        is_idempotent = call.idempotent or answer.verdict is Verdict.NOT_RUN
-        if not is_idempotent or call.context.retries_left <= 0:
+        safe_to_retry = call.idempotent or response.verdict is Verdict.NOT_RUN
+        if not safe_to_retry or call.context.retries_left <= 0:
             return False
         if call.route.max_attempts and call.reached >= call.route.max_attempts:
             return False
@@ -377,17 +377,20 @@
         return local_response(status, reason, Verdict.NOT_RUN)
 
 
-def _final_response(call: _Call, answer: Response) -> Response:
-    """Return what the caller gets; a refusal says nothing of the attempts before it."""
-    if answer.verdict is not Verdict.NOT_RUN or not call.may_have_run:
-        return answer
-    answer.finish()
-    reason = f"an attempt before may have run, the last one was refused: {answer.local_reason}"
+def _final_response(call: _Call, response: Response) -> Response:
+    """Return the response for the caller.
+
+    A refusal covers only the last attempt, so it is replaced when an earlier one may have run.
+    """
+    if response.verdict is not Verdict.NOT_RUN or not call.may_have_run:
+        return response
+    response.finish()
+    reason = f"an earlier attempt may have run; the last one was refused: {response.local_reason}"
     return local_response(502, reason, Verdict.MAY_HAVE_RUN)
 
 
 def _choose_service(route: Route, call_key: str) -> str:
-    """Return the service that gets the call; the same for all retries of a call."""
+    """Return the service that gets the call; it is the same for all retries of a call."""
     if not route.split:
         return route.service
     total = sum(part.weight for part in route.split)
@@ -402,7 +405,7 @@
 def _choose_version(
     view: RoutingView, route: Route, service: str, call_key: str
 ) -> tuple[str, tuple[PoolTarget, ...]]:
-    """Return the service version that gets the call and its targets."""
+    """Return the service version that gets the call, and its targets."""
     share = view.share_of(route, service)
     if share is None:
         version = route.service_version
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -1,4 +1,4 @@
-"""Accepts connections and serves each one on a thread of its own."""
+"""HTTP server with one thread per connection."""
 
 from __future__ import annotations
 
@@ -26,25 +26,25 @@
 REFUSED_OPEN_S = 0.5
 MAX_REFUSED_OPEN = 64
 KEEP_ALIVE_GRACE_S = 1.0
-"""During drain, kept connections stay open this long, so that requests already on their way get a
+"""Time for which keep-alive connections stay open during drain, so that requests in flight get a
 refusal instead of a closed connection."""
 
 Handler = Callable[[Request], Response]
 
 
 class CallServer:
-    """A listener whose connections are served by ``handler``.
+    """A listener whose requests are handled by ``handler``.
 
     Args:
         address: ``(ip, port)`` to listen on.
-        handler: Returns the answer to one request.
+        handler: Returns the response to one request.
         executor: Runs one thread per connection.
-        drainer: State of the node's stop.
+        drainer: Drain state of the node.
         limits: Limits for connections.
-        nested: Whether a request belongs to a call in flight and is served during drain.
-        sends_load: Whether answers carry the load; only between nodes.
+        nested: Returns whether a request belongs to a call in flight; it is served during drain.
+        sends_load: Whether responses carry the load, which is for other nodes only.
         names: Names of the headers that callers use.
-        dropped: Names of headers of callers that are not passed on.
+        dropped_headers: Names of request headers that are not passed on.
     """
 
     def __init__(
@@ -95,7 +95,9 @@
                 except OSError:
                     if self._stopping:
                         return
-                    time.sleep(REFUSED_OPEN_S)  # No descriptor is free; others end meanwhile.
+                    time.sleep(
+                        REFUSED_OPEN_S
+                    )  # Out of file descriptors until other connections end.
                     continue
                 self._handle_accepted(connection)
         finally:
@@ -103,10 +105,10 @@
             self._close_refused(everything=True)
 
     def stop(self, limit_s: float = 0.0) -> bool:
-        """Refuse new calls, wait for those in flight and close everything.
+        """Refuse new calls, wait for those in flight and close all connections.
 
         Args:
-            limit_s: Longest wait.
+            limit_s: Longest wait, in seconds.
 
         Returns:
             Whether all calls had ended.
@@ -147,13 +149,13 @@
             self._executor.submit(self._serve, connection)
 
     def _refuse_connection(self, connection: socket.socket) -> None:
-        """Answer without reading; the connection is closed a little later.
+        """Send a refusal without reading; the connection is closed after `REFUSED_OPEN_S`.
 
-        Closing at once would reset the connection and could destroy the answer on its way.
+        Closing at once would reset the connection, and the refusal could be lost.
         """
-        answer = local_response(503, "the node has too many connections", Verdict.NOT_RUN)
+        response = local_response(503, "the node has too many connections", Verdict.NOT_RUN)
         with contextlib.suppress(OSError):
-            connection.send(self._render(answer, keep=False, chunked=False), socket.MSG_DONTWAIT)
+            connection.send(self._render(response, keep=False, chunked=False), socket.MSG_DONTWAIT)
             connection.shutdown(socket.SHUT_WR)
         self._refused.append((time.monotonic() + REFUSED_OPEN_S, connection))
         self._close_refused()
@@ -174,91 +176,91 @@
                 continue
             _linger(connection)
         except OSError:
-            return  # The caller has gone away.
+            return  # The caller disconnected.
         finally:
             with self._lock:
                 self._connections.pop(connection, None)
             connection.close()
 
     def _serve_next(self, connection: socket.socket, reader: RequestReader) -> bool:
-        """Serve one request and return whether another one may follow."""
+        """Serve one request; return whether another one may follow."""
         try:
             exchange = reader.next()
         except ConnectionEnded:
             return False
         except BadRequest as error:
-            answer = local_response(error.status, error.reason, Verdict.NOT_RUN)
-            connection.sendall(self._render(answer, keep=False, chunked=False))
+            response = local_response(error.status, error.reason, Verdict.NOT_RUN)
+            connection.sendall(self._render(response, keep=False, chunked=False))
             return False
         request = exchange.request
         nested = self._drainer.draining and self._nested is not None and self._nested(request)
         if not self._drainer.enter(nested=nested):
-            answer = local_response(503, "the node is stopping", Verdict.NOT_RUN)
-            return self._send_answer(connection, exchange, answer)
+            response = local_response(503, "the node is stopping", Verdict.NOT_RUN)
+            return self._send_response(connection, exchange, response)
         try:
-            return self._send_answer(connection, exchange, self._handler(request))
+            return self._send_response(connection, exchange, self._handler(request))
         except BodyReadError:
             return False
         finally:
             self._drainer.leave()
 
-    def _send_answer(
-        self, connection: socket.socket, exchange: ReceivedRequest, answer: Response
+    def _send_response(
+        self, connection: socket.socket, exchange: ReceivedRequest, response: Response
     ) -> bool:
-        """Write an answer and return whether the connection may be used again."""
+        """Write a response; return whether the connection may be used again."""
         keep = exchange.keep_alive and exchange.body_complete and not self._drainer.draining
         head_only = exchange.request.method == "HEAD"
-        bodiless = head_only or answer.status in NO_BODY_STATUSES
-        chunked = answer.whole is None and answer.length is None and exchange.chunks_allowed
-        if answer.whole is None and answer.length is None and not chunked:
-            keep = False  # HTTP/1.0: the end of the connection ends the body.
-        head = self._render(answer, keep=keep, chunked=chunked, head_only=bodiless)
+        bodiless = head_only or response.status in NO_BODY_STATUSES
+        chunked = response.whole is None and response.length is None and exchange.chunks_allowed
+        if response.whole is None and response.length is None and not chunked:
+            keep = False  # HTTP/1.0: the body ends with the connection.
+        head = self._render(response, keep=keep, chunked=chunked, head_only=bodiless)
         try:
-            if answer.whole is not None:
-                connection.sendall(head if bodiless else head + answer.whole)
+            if response.whole is not None:
+                connection.sendall(head if bodiless else head + response.whole)
             else:
-                self._send_stream(connection, head, answer, chunked=chunked)
+                self._send_stream(connection, head, response, chunked=chunked)
         except (CallFailed, OSError):
-            # Without its end, the body must not look complete to the caller.
+            # A truncated body must not look complete to the caller.
             abort(connection)
             return False
         finally:
-            answer.finish()
+            response.finish()
         return keep
 
     @staticmethod
     def _send_stream(
-        connection: socket.socket, head: bytes, answer: Response, *, chunked: bool
+        connection: socket.socket, head: bytes, response: Response, *, chunked: bool
     ) -> None:
         connection.sendall(head)
-        for part in answer.parts():
+        for part in response.parts():
             if part:
                 connection.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
         if chunked:
             connection.sendall(b"0\r\n\r\n")
 
     def _render(
-        self, answer: Response, *, keep: bool, chunked: bool, head_only: bool = False
+        self, response: Response, *, keep: bool, chunked: bool, head_only: bool = False
     ) -> bytes:
-        """Return the head of an answer, and the body of a whole one unless ``head_only``."""
-        headers = [*answer.headers, (VERDICT, answer.verdict.value.encode())]
-        if self._sends_load and answer.load is not None:
-            headers.append((LOAD, b"%d" % answer.load))
-        if self._sends_load and answer.refused and answer.reached_target:
+        """Return the head of a response, and a complete body unless ``head_only``."""
+        headers = [*response.headers, (VERDICT, response.verdict.value.encode())]
+        if self._sends_load and response.load is not None:
+            headers.append((LOAD, b"%d" % response.load))
+        if self._sends_load and response.refused and response.reached_target:
             headers.append((ARRIVED, b"1"))
         if chunked:
             headers.append((b"transfer-encoding", b"chunked"))
-        elif answer.length is not None and answer.status != 204:
-            headers.append((b"content-length", b"%d" % answer.length))
+        elif response.length is not None and response.status != 204:
+            headers.append((b"content-length", b"%d" % response.length))
         if not keep:
             headers.append((b"connection", b"close"))
-        return response_head(answer.status, answer.reason, headers)
+        return response_head(response.status, response.reason, headers)
 
 
 def _linger(connection: socket.socket) -> None:
-    """Close in both directions without destroying an answer that is on its way.
+    """Shut down sending and read until the peer closes, within limits.
 
-    Closing with unread input resets the connection, and the peer may lose what it has not read.
+    Closing with unread input would reset the connection, and the peer could lose the response.
     """
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_WR)
--- a/src/citronrack/calls/target_stats.py
+++ b/src/citronrack/calls/target_stats.py
@@ -1,4 +1,4 @@
-"""What this node has observed of each target."""
+"""Statistics of each target, from the calls of this node."""
 
 from __future__ import annotations
 
@@ -16,29 +16,30 @@
 EJECTION_CAP_S = 60.0
 UNREACHABLE_BASE_S = 1.0
 UNREACHABLE_CAP_S = 4.0
-"""Longest ejection of a target that could not be reached: a cut ends within seconds, and a trial
-costs one call the time of a connection attempt."""
+"""Longest ejection of an unreachable target: partitions end within seconds, and a probe costs one
+call the time of a connection attempt."""
 
-MAX_EJECTED_DIVISOR = 3  # at most one in three targets of a pool is ejected
+MAX_EJECTED_DIVISOR = 3  # at most a third of a pool is ejected
 
 
 @define(eq=False)
 class TargetStats:
-    """One target as this node sees it.
+    """Observed state of one target.
 
     Attributes:
         target: Entry of the routing view.
-        in_flight: Calls of this node that wait for its answer.
-        latency_s: Recent mean time to the head of an answer.
-        assumed_latency_s: Latency that is assumed while none is known.
-        load: Calls in flight or waiting at the target's node when it last said so.
+        in_flight: Calls of this node that wait for a response.
+        latency_s: Moving average of the time to the head of a response.
+        has_latency: Whether ``latency_s`` has been measured.
+        assumed_latency_s: Latency that is assumed while none is measured.
+        load: Calls in flight or waiting at the target's node, as last reported.
         load_at: Monotonic time of that report.
-        failures: Failures since the last success.
-        failure_rate: Recent part of calls that failed.
+        failures: Consecutive failures.
+        failure_rate: Moving average of the fraction of failed calls.
         ejections: Ejections since the target was last healthy for `EJECTION_CAP_S`.
         restored_at: Monotonic time of the last restoration.
         ejected_until: Monotonic time until which it gets no calls, 0 for not ejected.
-        probing: Whether one call tries out a target whose ejection has passed.
+        probing: Whether a call is probing the target after its ejection.
     """
 
     target: PoolTarget
@@ -61,10 +62,10 @@
         return self.failures >= FAILURES_TO_EJECT or self.failure_rate >= FAILURE_RATE_TO_EJECT
 
     def expected_latency_s(self, now: float) -> float:
-        """Return the likely time that a new call would take.
+        """Return the expected time of a new call.
 
-        Calls of this node count in full. A reported load counts less the older it is, and the
-        load that membership carries only while there is no report.
+        Calls of this node count in full. The weight of a reported load decreases with its age. The
+        load from membership counts only while there is no recent report.
         """
         busy = float(self.in_flight)
         age = now - self.load_at
@@ -74,21 +75,21 @@
         elif self.target.load_age_s < LOAD_MAX_AGE_S:
             busy = max(busy, self.target.load * (1.0 - self.target.load_age_s / LOAD_MAX_AGE_S))
         slots = max(1, self.target.slots)
-        # Failures are often fast; without this factor a failing target would attract calls.
+        # Failures are often fast; without this factor, a failing target would attract calls.
         succeeding = 1.0 - min(self.failure_rate, 0.9)
         latency_s = self.latency_s if self.has_latency else self.assumed_latency_s
         return latency_s * (1.0 + busy / slots) / succeeding
 
     def record_start(self) -> None:
-        """Count a call that was sent."""
+        """Record that a call was sent."""
         self.in_flight += 1
 
     def record_end(self, *, latency_s: float | None, failed: bool) -> None:
-        """Count the end of a call.
+        """Record the end of a call.
 
         Args:
-            latency_s: Time to the head of the answer, None when there was none.
-            failed: Whether the target failed; a refusal is no failure.
+            latency_s: Time to the head of the response, None when there was none.
+            failed: Whether the target failed; a refusal is not a failure.
         """
         self.in_flight -= 1
         self.probing = False
@@ -101,33 +102,33 @@
         self.failure_rate += FAILURE_SMOOTHING * (failed - self.failure_rate)
 
     def record_load(self, load: int, now: float) -> None:
-        """Take the load that an answer carried."""
+        """Record the load that a response carried."""
         self.load, self.load_at = load, now
 
 
-def eject(entry: TargetStats, now: float, *, unreachable: bool = False) -> float:
-    """Take a target out for a time that doubles with each ejection; return the seconds.
+def eject(stats: TargetStats, now: float, *, unreachable: bool = False) -> float:
+    """Eject a target and return the duration, which doubles with each ejection.
 
     Args:
-        entry: The target.
+        stats: The target.
         now: Monotonic time in seconds.
-        unreachable: Whether there was no connection, rather than a failure.
+        unreachable: Whether the connection failed, rather than the call.
     """
-    if now - entry.restored_at > EJECTION_CAP_S:
-        entry.ejections = 0
+    if now - stats.restored_at > EJECTION_CAP_S:
+        stats.ejections = 0
     base_s, cap_s = EJECTION_BASE_S, EJECTION_CAP_S
     if unreachable:
         base_s, cap_s = UNREACHABLE_BASE_S, UNREACHABLE_CAP_S
-    duration = min(cap_s, base_s * 2.0 ** min(entry.ejections, 10))
-    entry.ejections += 1
-    entry.ejected_until = now + duration
+    duration = min(cap_s, base_s * 2.0 ** min(stats.ejections, 10))
+    stats.ejections += 1
+    stats.ejected_until = now + duration
     return duration
 
 
-def restore(entry: TargetStats, now: float) -> None:
-    """Let an ejected target get calls again."""
-    entry.ejected_until = 0.0
-    entry.restored_at = now
-    entry.failures = 0
-    entry.failure_rate = 0.0
-    entry.probing = False
+def restore(stats: TargetStats, now: float) -> None:
+    """Return an ejected target to the pool."""
+    stats.ejected_until = 0.0
+    stats.restored_at = now
+    stats.failures = 0
+    stats.failure_rate = 0.0
+    stats.probing = False
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -1,4 +1,4 @@
-"""What the call path needs to know; replaced as a whole by the control task."""
+"""Immutable routing state of the call path, replaced as a whole by the control task."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
     """A target that may be chosen.
 
     Attributes:
-        name: Name of the node beside the target.
+        name: Name of the target's node.
         deliver_address: ``(ip, port)`` of that node's deliver listener.
         availability_zone: Zone of the target.
-        slots: Calls that it runs at once.
+        slots: Number of calls that it runs at once.
         load: Last reported number of calls in flight or waiting.
-        load_age_s: Age of that report in seconds when the view was made.
-        target_id: Id of this start of the target; what was observed of another start is forgotten.
+        load_age_s: Age of that report when the view was made, in seconds.
+        target_id: Id of the target's process; statistics of an earlier process are discarded.
     """
 
     name: str
@@ -34,13 +34,13 @@
 
 @frozen
 class RouteShare:
-    """How a route's calls are divided during a move.
+    """Division of a route's calls between two service versions during a move.
 
     Attributes:
         move_id: The move, empty outside of moves.
-        from_version: Release that gets the calls that the new one does not get.
-        to_version: Release that gets ``share`` of the calls.
-        share: Part of the calls, 0 to 1.
+        from_version: Old version, which gets the remaining calls.
+        to_version: New version, which gets ``share`` of the calls.
+        share: Fraction of the calls, 0 to 1.
     """
 
     move_id: str
@@ -50,10 +50,10 @@
 
 
 class RouteIndex:
-    """Finds the route of a path among many.
+    """Index for longest-prefix matching of routes.
 
-    Routes are kept by host and by the first segment of their prefix, so a lookup looks at few of
-    the thousand routes that a configuration may have.
+    Routes are indexed by host and by the first segment of their prefix, so a lookup compares only a
+    few of the thousand routes that a configuration may have.
 
     Args:
         routes: All routes.
@@ -66,9 +66,9 @@
             self._routes.setdefault(key, []).append(route)
 
     def find(self, path: str, host: str) -> Route | None:
-        """Return the route with the longest prefix of ``path``, if there is one.
+        """Return the route with the longest prefix of ``path``, None when there is none.
 
-        A route of the host goes before one that serves all hosts.
+        A route for the host takes precedence over one for all hosts.
         """
         for key in _lookup_keys(path, host):
             for route in self._routes.get(key, ()):
@@ -78,7 +78,7 @@
 
 
 def _first_segment(prefix: str) -> str:
-    """Return the first segment if the prefix holds all of it, empty otherwise."""
+    """Return the first segment if the prefix contains it completely, empty otherwise."""
     head, slash, _ = prefix[1:].partition("/")
     return head if slash else ""
 
@@ -94,15 +94,15 @@
 
 @frozen
 class RoutingView:
-    """An immutable input of the call path.
+    """An immutable snapshot of the routing state.
 
     Attributes:
         ready: Whether calls are served.
-        reason: Why not, empty otherwise.
+        reason: Why calls are not served, empty if they are.
         config: The configuration in force.
         shares: Division of calls by route name, for routes with a move.
         pools: Targets by service and service version.
-        index: Finds the route of a path.
+        index: Index of the routes.
         service_shares: Division of calls by service, for services whose routes all move together.
         complete: Whether ``config`` was known to be the newest when the view was made.
     """
@@ -117,7 +117,7 @@
     complete: bool = True
 
     def route_of(self, path: str, host: str = "") -> Route | None:
-        """Return the route with the longest prefix of ``path``, if there is one.
+        """Return the route with the longest prefix of ``path``, None when there is none.
 
         Args:
             path: Path of the request.
@@ -129,7 +129,7 @@
         """Return whether a request may run more than once.
 
         Args:
-            route: Route of the request; what it says goes before the methods of its service.
+            route: Route of the request; its setting overrides the methods of the service.
             service: Service that gets the request.
             method: Method in upper case.
         """
@@ -139,12 +139,12 @@
         return known is not None and method in known.idempotent_methods
 
     def share_of(self, route: Route, service: str) -> RouteShare | None:
-        """Return how the calls of a route to a service are divided during a move."""
+        """Return the division of a route's calls to a service, None without a move."""
         return self.shares.get(route.name) or self.service_shares.get(service)
 
 
 class ViewHolder:
-    """One reference to the present view; assignment is atomic."""
+    """Reference to the current view; assignment is atomic."""
 
     def __init__(self) -> None:
         self.current = RoutingView()
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -50,7 +50,7 @@
 class LastAnswerTest(unittest.TestCase):
     """Verdicts of calls that went to several targets."""
 
-    def answer(self, *answers: Response) -> Response:
+    def response(self, *answers: Response) -> Response:
         """Return the answer to an idempotent call whose attempts get these answers."""
         route = Route("r", "/", SERVICE, "", idempotent=True)
         config = ConfigSet(1, {SERVICE: Service(SERVICE)}, {"r": route})
@@ -75,15 +75,15 @@
 
     def test_refusal_after_a_lost_attempt(self) -> None:
         """Guards against an answer "not run" for a call that another target may have run."""
-        answer = self.answer(lost(), refused(), refused(), refused())
-        self.assertEqual((answer.status, answer.verdict), (502, Verdict.MAY_HAVE_RUN))
+        response = self.response(lost(), refused(), refused(), refused())
+        self.assertEqual((response.status, response.verdict), (502, Verdict.MAY_HAVE_RUN))
 
     def test_refusals_alone(self) -> None:
         """Guards against an unknown outcome where no target has had the call."""
-        answer = self.answer(refused(), refused(), refused())
-        self.assertEqual((answer.status, answer.verdict), (503, Verdict.NOT_RUN))
+        response = self.response(refused(), refused(), refused())
+        self.assertEqual((response.status, response.verdict), (503, Verdict.NOT_RUN))
 
     def test_answer_after_a_lost_attempt(self) -> None:
         """Guards against a good answer that is dropped for what happened before it."""
-        answer = self.answer(lost(), Response(200))
-        self.assertEqual((answer.status, answer.verdict), (200, Verdict.RAN))
+        response = self.response(lost(), Response(200))
+        self.assertEqual((response.status, response.verdict), (200, Verdict.RAN))
--- a/tests/calls/test_endless.py
+++ b/tests/calls/test_endless.py
@@ -72,8 +72,8 @@
             buffer_response=True,
         )
         with self.assertRaises(CallFailed) as failed:
-            answer = upstream.send(server.address, request, connect_timeout_s=2.0)
-            for _ in answer.stream or ():
+            response = upstream.send(server.address, request, connect_timeout_s=2.0)
+            for _ in response.stream or ():
                 continue
         return failed.exception
 
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -58,9 +58,9 @@
             deadline=time.monotonic() + 5,
             cancelled=lambda: False,
         )
-        answer = self.upstream.send(self.server.address, request, connect_timeout_s=2.0)
-        answer.finish()
-        return answer
+        response = self.upstream.send(self.server.address, request, connect_timeout_s=2.0)
+        response.finish()
+        return response
 
     def test_request_after_a_lost_one_gets_a_young_connection(self) -> None:
         """Guards against work that is lost again and again on connections a target has forgotten.
--- a/tests/calls/test_withheld.py
+++ b/tests/calls/test_withheld.py
@@ -70,10 +70,10 @@
                 cancelled=lambda: False,
                 to_node=True,
             )
-            answer = upstream.send(node.address, request, connect_timeout_s=2.0)
-            answer.finish()
+            response = upstream.send(node.address, request, connect_timeout_s=2.0)
+            response.finish()
             time.sleep(0.05)
-        return answer
+        return response
 
     def failure(self, script: Script, *, limit_s: float = 5.0) -> Verdict:
         """Return the verdict on a request that gets no answer."""
