--- a/src/citronrack/backoff.py
+++ b/src/citronrack/backoff.py
@@ -6,18 +6,18 @@
 
 BACKOFF_BASE_S = 0.2
 BACKOFF_CAP_S = 10.0
-_MAX_DOUBLINGS = 16  # the cap is reached after 6; bounds the power
+_MAX_DOUBLINGS = 16  # bounds the exponent; the cap is reached after 6 doublings
 
 
 class Backoff:
-    """Chooses how long to wait after a failure.
+    """Computes the delay before each retry.
 
-    Each wait is uniform between 0 and a ceiling that doubles, which spreads the retries of many
-    nodes that failed at the same moment.
+    Each delay is uniform between 0 and a ceiling that doubles with each failure. This spreads the
+    retries of many nodes that failed at the same moment.
 
     Args:
         random: Source of random numbers.
-        cap_s: Largest ceiling.
+        cap_s: Largest ceiling, in seconds.
 
     Example:
         >>> backoff = Backoff(random=Random(1))
@@ -36,11 +36,11 @@
         return self._failures
 
     def next_s(self) -> float:
-        """Return the seconds to wait after one more failure."""
+        """Count a failure and return the delay before the next attempt, in seconds."""
         doublings = min(self._failures, _MAX_DOUBLINGS)
         self._failures += 1
         return self._random.uniform(0.0, min(self._cap_s, BACKOFF_BASE_S * 2.0**doublings))
 
     def reset(self) -> None:
-        """Start again from the shortest wait after a success."""
+        """Reset the delay after a success."""
         self._failures = 0
--- a/src/citronrack/clock.py
+++ b/src/citronrack/clock.py
@@ -1,4 +1,4 @@
-"""Sources of time, handed to every component that measures it."""
+"""Clocks, injected into every component that measures time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     """A monotonic clock and a wall clock."""
 
     def monotonic(self) -> float:
-        """Return seconds since an arbitrary point; never goes back."""
+        """Return seconds since an arbitrary point; never decreases."""
 
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch; may jump."""
@@ -29,9 +29,10 @@
 
 
 class BootClock(SystemClock):
-    """The clocks of the operating system, where time also passes while the instance is suspended.
+    """The clocks of the operating system; the monotonic one includes time in suspend.
 
-    What a node knows of others grows old in that time; its own waits and limits do not.
+    State received from other nodes ages while the instance is suspended; the node's own timeouts,
+    which use `SystemClock`, do not.
     """
 
     def monotonic(self) -> float:
@@ -40,11 +41,11 @@
 
 
 class ManualClock:
-    """A clock that moves only when told to, for tests and replays.
+    """A clock that is advanced explicitly, for tests and replays.
 
     Args:
         start_ms: Wall time at the start, in milliseconds.
-        skew_ms: Constant error added to the wall time, in milliseconds.
+        skew_ms: Constant offset of the wall time, in milliseconds.
     """
 
     def __init__(self, *, start_ms: int = 1_800_000_000_000, skew_ms: int = 0) -> None:
@@ -57,7 +58,7 @@
         self._elapsed += seconds
 
     def monotonic(self) -> float:
-        """Return seconds since the clock was made."""
+        """Return seconds since the clock was created."""
         return self._elapsed
 
     def wall_ms(self) -> int:
--- a/src/citronrack/codec.py
+++ b/src/citronrack/codec.py
@@ -1,8 +1,8 @@
-"""Compact binary form of attrs classes.
+"""Compact binary encoding of attrs classes.
 
-Classes become positional MessagePack arrays: field names are not sent, which halves the size of
-small control messages. Fields may only be added at the end, with a default, so that older and newer
-nodes understand each other.
+Instances are encoded as positional MessagePack arrays without field names, which halves the size of
+small control messages. New fields must be added at the end and have a default, so that nodes of
+older and newer releases can exchange messages.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 def _strict(expected: type, *also: type) -> Callable[[Any, Any], Any]:
-    """Return a structure hook that refuses values of other types instead of converting them."""
+    """Return a structure hook that rejects values of other types instead of converting them."""
 
     def hook(value: Any, _: Any) -> Any:
         if isinstance(value, bool) and expected is not bool:
@@ -52,13 +52,13 @@
 
 
 def _require_array(value: Any, kind: Any) -> None:
-    # cattrs would take any iterable, and the keys of a map or the characters of a text with it.
+    # cattrs accepts any iterable, including the keys of a map or the characters of a string.
     if not isinstance(value, (list, tuple)):
         raise TypeError(f"expected an array for {kind}, got {type(value).__name__}")
 
 
 def _array_hook(converter: BaseConverter) -> Callable[[Any, Any], Any]:
-    """Return a structure hook for attrs classes in positional form."""
+    """Return a structure hook for attrs classes that are encoded as arrays."""
 
     def hook(value: Any, kind: Any) -> Any:
         _require_array(value, kind)
@@ -88,9 +88,9 @@
 
 
 def _resolve(kind: Any) -> None:
-    """Replace the textual annotations of ``kind`` and of all classes below it by types.
+    """Resolve the annotations of ``kind`` and of all classes nested in it.
 
-    cattrs reads the types that attrs recorded, which are texts under postponed annotations.
+    cattrs reads the types that attrs recorded, which are strings under postponed annotations.
     """
     for part in get_args(kind):
         _resolve(part)
@@ -103,13 +103,13 @@
 
 
 def encode(value: Any) -> bytes:
-    """Return the MessagePack form of an attrs instance or of built-in containers of them."""
+    """Encode an attrs instance, or a built-in container of instances, as MessagePack."""
     _resolve(type(value))
     return msgpack.packb(_converter.unstructure(value), use_bin_type=True)  # type: ignore[no-any-return]
 
 
 def decode(data: bytes, kind: type[T], *, limit: int = MAX_MESSAGE_BYTES) -> T:
-    """Return the instance of ``kind`` that ``data`` holds.
+    """Decode an instance of ``kind``.
 
     Args:
         data: MessagePack bytes made by `encode`.
@@ -117,7 +117,7 @@
         limit: Largest accepted size in bytes.
 
     Raises:
-        MessageRejected: When the bytes are oversized, malformed or of another shape.
+        MessageRejected: When the bytes are oversized, malformed or do not match ``kind``.
     """
     if len(data) > limit:
         raise MessageRejected("oversized")
@@ -127,23 +127,23 @@
         return _converter.structure(plain, kind)
     except MessageRejected:
         raise
-    except Exception as error:  # Untrusted bytes make the libraries raise many kinds of errors.
+    except Exception as error:  # Untrusted bytes make the libraries raise unrelated errors.
         raise MessageRejected("malformed") from error
 
 
 def inflate(
     data: bytes, *, limit: int, damaged: str = "damaged", oversized: str = "oversized"
 ) -> bytes:
-    """Return the bytes that zlib has compressed.
+    """Decompress zlib data.
 
     Args:
         data: The compressed bytes.
-        limit: Largest accepted size of the result; damaged bytes may expand without end.
-        damaged: Reason for bytes that are not of zlib.
-        oversized: Reason for bytes that are cut short or expand beyond the limit.
+        limit: Largest accepted size of the result; corrupt data may expand without bound.
+        damaged: Rejection reason for data that is not in zlib format.
+        oversized: Rejection reason for data that is truncated or expands beyond the limit.
 
     Raises:
-        MessageRejected: With one of the reasons.
+        MessageRejected: With one of the two reasons.
     """
     inflater = zlib.decompressobj()
     try:
@@ -156,14 +156,14 @@
 
 
 class TaggedCodec:
-    """Encodes a closed family of attrs classes, each under a short tag."""
+    """Encodes instances of registered attrs classes, each with a short tag."""
 
     def __init__(self) -> None:
         self._by_tag: dict[str, type[Any]] = {}
         self._tags: dict[type[Any], str] = {}
 
     def register(self, tag: str) -> Callable[[type[T]], type[T]]:
-        """Return a class decorator that adds the class under ``tag``."""
+        """Return a class decorator that registers the class under ``tag``."""
 
         def decorator(kind: type[T]) -> type[T]:
             if tag in self._by_tag:
@@ -175,15 +175,15 @@
         return decorator
 
     def to_plain(self, value: Any) -> tuple[str, Any]:
-        """Return ``(tag, positional content)`` of a registered instance."""
+        """Convert an instance of a registered class to ``(tag, positional content)``."""
         _resolve(type(value))
         return self._tags[type(value)], _converter.unstructure(value)
 
     def from_plain(self, plain: Any) -> Any:
-        """Return the instance for ``(tag, positional content)``.
+        """Convert ``(tag, positional content)`` to an instance.
 
         Raises:
-            MessageRejected: When the tag is unknown or the content has another shape.
+            MessageRejected: When the tag is unknown or the content does not match its class.
         """
         try:
             tag, content = plain
@@ -195,15 +195,15 @@
         _resolve(kind)
         try:
             return _converter.structure(content, kind)
-        except Exception as error:  # Untrusted content makes cattrs raise many kinds of errors.
+        except Exception as error:  # Untrusted content makes cattrs raise unrelated errors.
             raise MessageRejected("malformed") from error
 
     def encode(self, value: Any) -> bytes:
-        """Return the MessagePack form of a registered instance, tag included."""
+        """Encode an instance of a registered class, with its tag, as MessagePack."""
         return msgpack.packb(self.to_plain(value), use_bin_type=True)  # type: ignore[no-any-return]
 
     def decode(self, data: bytes, *, limit: int = MAX_MESSAGE_BYTES) -> Any:
-        """Return the registered instance that ``data`` holds.
+        """Decode an instance of a registered class.
 
         Raises:
             MessageRejected: When the bytes are oversized, malformed or carry an unknown tag.
--- a/src/citronrack/errors.py
+++ b/src/citronrack/errors.py
@@ -1,4 +1,4 @@
-"""The exception tree of citronrack."""
+"""Exception classes of citronrack."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 
 
 class SettingsError(CitronrackError):
-    """The settings cannot be used.
+    """The settings are invalid.
 
     Args:
-        faults: One line per fault, each with file, key path and what was expected.
+        faults: One line per error, each with file, key path and what was expected.
     """
 
     def __init__(self, faults: Sequence[str]) -> None:
@@ -24,10 +24,10 @@
 
 
 class ConfigInvalid(CitronrackError):
-    """A configuration change would lead to an invalid or incomplete set.
+    """A configuration change would result in an invalid or incomplete configuration.
 
     Args:
-        faults: One line per fault.
+        faults: One line per error.
     """
 
     def __init__(self, faults: Sequence[str]) -> None:
@@ -40,14 +40,14 @@
 
 
 class LogUnavailable(LogError):
-    """The log service did not answer; a read changed nothing."""
+    """The log service did not respond; a failed read has no effect."""
 
 
 class LogTrimmed(LogError):
     """The requested offset is older than the oldest retained record.
 
     Args:
-        first: Oldest offset that the log still holds.
+        first: Oldest retained offset.
     """
 
     def __init__(self, first: int) -> None:
@@ -56,11 +56,11 @@
 
 
 class SnapshotMissing(LogError):
-    """Records that are needed are trimmed, and no usable snapshot replaces them."""
+    """Required records were trimmed, and there is no usable snapshot of them."""
 
 
 class AppendUnknown(LogError):
-    """No answer to an append arrived; the record may be in the log."""
+    """An append got no response; the record may be in the log."""
 
 
 class AppendRefused(LogError):
@@ -80,22 +80,22 @@
 
 
 class PlanConflict(CitronrackError):
-    """A plan rests on a version that is no longer in force."""
+    """A plan is based on a configuration version that is no longer in force."""
 
 
 class PlanExpired(CitronrackError):
-    """A plan was confirmed after its expiry."""
+    """A plan was confirmed after it had expired."""
 
 
 class Unauthorized(CitronrackError):
-    """The operator's token is missing or wrong."""
+    """The operator's token is missing or invalid."""
 
 
 class CallFailed(CitronrackError):
-    """A call got no complete answer.
+    """A call got no complete response.
 
     Args:
-        message: What happened.
+        message: Description of the failure.
         verdict: Whether the request may have run.
     """
 
--- a/src/citronrack/exchange.py
+++ b/src/citronrack/exchange.py
@@ -1,4 +1,4 @@
-"""HTTP exchanges over a kept connection of libcurl."""
+"""HTTP requests over a persistent libcurl connection."""
 
 from __future__ import annotations
 
@@ -19,19 +19,19 @@
     max_bytes: int,
     open_socket: Callable[[int, Any], Any] | None = None,
 ) -> tuple[int, bytes]:
-    """Send a GET, or a POST of bytes, and return the status and the body of the answer.
+    """Send a GET or a POST and return the status and the body of the response.
 
     Args:
-        curl: The handle, used by one thread; its connection is used again.
-        url: What is asked for.
+        curl: The handle, used by one thread; its connection is reused.
+        url: URL of the request.
         data: Body of a POST, None for a GET.
-        connect_timeout_ms: Longest time for a new connection.
-        timeout_ms: Longest time of the whole exchange.
-        max_bytes: Largest body; the exchange ends with an error when more arrives.
-        open_socket: Returns the socket of a new connection, None for libcurl's own.
+        connect_timeout_ms: Timeout for a new connection.
+        timeout_ms: Timeout of the whole request.
+        max_bytes: Largest response body; a larger one is an error.
+        open_socket: Creates the socket of a new connection, None for libcurl's default.
 
     Raises:
-        pycurl.error: When there is no complete answer.
+        pycurl.error: When there is no complete response.
     """
     body = io.BytesIO()
 
--- a/src/citronrack/mailbox.py
+++ b/src/citronrack/mailbox.py
@@ -1,4 +1,4 @@
-"""A queue between tasks that a poller can wait for."""
+"""A message queue between tasks that can be polled."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 
 
 class Mailbox:
-    """A queue that a poller can wait for.
+    """A message queue with a file descriptor for polling.
 
-    Any thread may put; only the owner takes. A byte on a socket pair wakes the owner's poller.
+    Any thread may put messages; only the owner takes them. A byte on a socket pair wakes the
+    owner's poller.
     """
 
     def __init__(self) -> None:
@@ -20,21 +21,21 @@
         self._writer.setblocking(False)
 
     def fileno(self) -> int:
-        """Return the descriptor that becomes readable when a message waits."""
+        """Return the descriptor that becomes readable when a message is put."""
         return self._reader.fileno()
 
     def put(self, message: Any, *, wake: bool = True) -> None:
-        """Add a message; ``wake=False`` leaves it until the owner's next turn."""
+        """Add a message; with ``wake=False``, the owner sees it at its next regular wake-up."""
         self._queue.put(message)
         if not wake:
             return
         try:
             self._writer.send(b"\0")
         except BlockingIOError:
-            return  # The owner has many wake-ups pending already.
+            return  # The buffer is full of pending wake-ups.
 
     def take_all(self) -> list[Any]:
-        """Return all waiting messages."""
+        """Remove and return all pending messages."""
         try:
             while self._reader.recv(4096):
                 continue
@@ -48,6 +49,6 @@
                 return messages
 
     def close(self) -> None:
-        """Release the socket pair."""
+        """Close the socket pair."""
         self._reader.close()
         self._writer.close()
--- a/src/citronrack/plain.py
+++ b/src/citronrack/plain.py
@@ -1,4 +1,4 @@
-"""Strict conversion between attrs classes and the plain maps of YAML and JSON."""
+"""Strict conversion between attrs classes and built-in types, as read from YAML and JSON."""
 
 from __future__ import annotations
 
@@ -36,10 +36,10 @@
 
 
 class PlainFormatError(ValueError):
-    """A plain map does not fit its class.
+    """A map does not match its class.
 
     Args:
-        lines: One line per fault, each with key path and what was expected.
+        lines: One line per error, each with key path and what was expected.
     """
 
     def __init__(self, lines: list[str]) -> None:
@@ -48,27 +48,27 @@
 
 
 def to_plain(value: Any) -> Any:
-    """Return maps, lists, texts and numbers for an attrs instance."""
+    """Convert an attrs instance to maps, lists, strings and numbers."""
     return _converter.unstructure(value)
 
 
 def from_plain(content: Any, kind: type[T], *, name: str) -> T:
-    """Return the instance of ``kind`` that ``content`` describes.
+    """Convert maps and lists to an instance of ``kind``.
 
     Args:
         content: Maps and lists as read from YAML or JSON.
         kind: An attrs class.
-        name: What to call the whole in messages.
+        name: Name of the document in messages.
 
     Raises:
-        PlainFormatError: With one line per unknown key, missing key, wrong type or refused value.
+        PlainFormatError: With one line per unknown key, missing key, wrong type or invalid value.
     """
     if not isinstance(content, dict):
         raise PlainFormatError([f"{name}: expected a map of keys, got {type(content).__name__}"])
     try:
         with attrs.validators.disabled():
             result = _converter.structure(content, kind)
-    except Exception as error:  # cattrs groups whatever the hooks raise.
+    except Exception as error:  # cattrs groups all errors of the hooks.
         raise PlainFormatError(list(_error_lines(error, "", name))) from error
     faults = list(_value_errors(result, ""))
     if faults:
@@ -81,7 +81,7 @@
 
 
 def _error_lines(error: BaseException, path: str, name: str) -> Iterator[str]:
-    """Yield one ``key path: expectation`` line for each leaf of an error tree."""
+    """Yield a ``key path: message`` line for each leaf of an exception group."""
     if isinstance(error, ClassValidationError):
         named, others = error.group_exceptions()
         for inner, note in named:
@@ -101,9 +101,9 @@
 
 
 def _value_errors(part: Any, path: str) -> Iterator[str]:
-    """Yield one line for each value that its validator refuses, in all sections.
+    """Yield a line for each value that its validator rejects, including nested classes.
 
-    Validators are disabled while cattrs builds the classes, because attrs stops at the first fault.
+    Validators are disabled while cattrs builds the classes, because attrs stops at the first error.
     """
     for attribute in attrs.fields(type(part)):
         value = getattr(part, attribute.name)
--- a/src/citronrack/registry.py
+++ b/src/citronrack/registry.py
@@ -1,4 +1,4 @@
-"""Registries of named implementations that decorators fill."""
+"""Registries of named implementations, filled by decorators."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
     """A map from name to implementation.
 
     Args:
-        kind: What the registry holds, used in error messages.
+        kind: Description of the entries for error messages.
     """
 
     def __init__(self, kind: str) -> None:
@@ -23,7 +23,7 @@
         """Return a decorator that registers its argument under ``name``.
 
         Raises:
-            ValueError: When the name is taken.
+            ValueError: When the name is already registered.
         """
 
         def decorator(entry: T) -> T:
@@ -35,10 +35,10 @@
         return decorator
 
     def get(self, name: str) -> T:
-        """Return the entry called ``name``.
+        """Return the entry registered under ``name``.
 
         Raises:
-            LookupError: When no such entry exists; the message lists the known names.
+            LookupError: When there is none; the message lists the registered names.
         """
         try:
             return self._entries[name]
--- a/src/citronrack/rendezvous.py
+++ b/src/citronrack/rendezvous.py
@@ -1,4 +1,4 @@
-"""A hash by which all nodes order names in the same way without an exchange."""
+"""Rendezvous hashing: all nodes order names in the same way without communication."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
     """Return the rendezvous hash of a name, the same on all nodes.
 
     Args:
-        scope: What the order is for; orders of different scopes are independent of each other.
+        scope: Purpose of the order; the orders of different scopes are independent.
         name: Name of a node.
     """
     return int(xxhash.xxh64_intdigest(f"{scope}/{name}".encode()))
--- a/src/citronrack/transport/__init__.py
+++ b/src/citronrack/transport/__init__.py
@@ -1,4 +1,4 @@
-"""Messages between nodes: codec, framing, sockets."""
+"""Messages between nodes: codec, framing and sockets."""
 
 from __future__ import annotations
 
--- a/src/citronrack/transport/framing.py
+++ b/src/citronrack/transport/framing.py
@@ -1,4 +1,4 @@
-"""Frames: a versioned, authenticated envelope around one encoded message."""
+"""Frames: versioned, authenticated envelopes, each with one encoded message."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 @frozen
 class Received:
-    """An accepted message.
+    """A received and authenticated message.
 
     Attributes:
         sender: Address at which the sending node can be reached, ``tcp://ip:port``.
@@ -40,17 +40,17 @@
 
 @lru_cache(maxsize=16)
 def _personalization(mesh_id: str) -> bytes:
-    """Return 16 bytes that stand for the whole mesh id, whatever its length."""
+    """Return a hash of the mesh id with the length of a BLAKE2b personalization."""
     return hashlib.blake2b(mesh_id.encode(), digest_size=hashlib.blake2b.PERSON_SIZE).digest()
 
 
 def pack(message: Any, *, sender: str, mesh_id: str, key: bytes) -> bytes:
-    """Return the frame of ``message``.
+    """Encode and authenticate a message.
 
     Args:
         message: Instance of a registered message class.
         sender: Address at which this node can be reached.
-        mesh_id: Name of the mesh; frames of other meshes are refused.
+        mesh_id: Name of the mesh; frames of other meshes are rejected.
         key: Shared key of the mesh, 16 to 64 bytes.
     """
     body: bytes = msgpack.packb((sender, message_codec.to_plain(message)), use_bin_type=True)
@@ -58,11 +58,11 @@
 
 
 def unpack(frame: bytes, *, mesh_id: str, key: bytes) -> Received:
-    """Return the message of ``frame``.
+    """Verify and decode a frame.
 
     Raises:
         MessageRejected: When the frame is oversized, malformed, of another protocol version, or not
-            made with the key of this mesh.
+            authenticated with the key of this mesh.
     """
     if len(frame) > MAX_MESSAGE_BYTES:
         raise MessageRejected("oversized")
--- a/src/citronrack/transport/loop.py
+++ b/src/citronrack/transport/loop.py
@@ -1,4 +1,4 @@
-"""The task that owns the sockets to other nodes and runs a core."""
+"""The event loop of a core, which owns the sockets to other nodes."""
 
 from __future__ import annotations
 
@@ -17,24 +17,24 @@
 
 
 class LoopCore(Core, Protocol):
-    """A core that also takes messages of other tasks of its process."""
+    """A core that also handles messages of other tasks of its process."""
 
     def handle(self, mail: Any) -> list[Send]:
         """Handle a message of another task and return what to send."""
 
     def leave(self) -> list[Send]:
-        """Return what to send before the end."""
+        """Return what to send before the task ends."""
 
 
 class CoreTask:
-    """Feeds frames, messages and ticks to a core on one thread.
+    """Passes frames, messages and ticks to a core on one thread.
 
     Args:
-        core: The decisions.
+        core: The state machine.
         transport: Sockets to other nodes.
         mailbox: Messages of other tasks.
         clock: Source of time.
-        stop_message: Class of the message that ends the task.
+        stop_message: Class of the message that stops the task.
     """
 
     def __init__(
@@ -55,11 +55,11 @@
 
     @property
     def mailbox(self) -> Mailbox:
-        """Where other tasks put messages for this one."""
+        """Mailbox for messages to this task."""
         return self._mailbox
 
     def run(self) -> None:
-        """Handle frames, messages and ticks until a stop is asked for."""
+        """Handle frames, messages and ticks until a stop message arrives."""
         poller = zmq.Poller()
         poller.register(self._transport.inbox, zmq.POLLIN)
         poller.register(self._mailbox.fileno(), zmq.POLLIN)
--- a/src/citronrack/transport/messages.py
+++ b/src/citronrack/transport/messages.py
@@ -1,4 +1,4 @@
-"""The codec with which every message class between nodes is registered."""
+"""The codec with which all classes of messages between nodes are registered."""
 
 from __future__ import annotations
 
--- a/src/citronrack/transport/send.py
+++ b/src/citronrack/transport/send.py
@@ -1,4 +1,4 @@
-"""What a core asks the transport to do."""
+"""The interface between cores and the transport."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 @frozen
 class Send:
-    """A message for one node.
+    """An outgoing message for one node.
 
     Attributes:
         to: Address of the receiving node, ``tcp://ip:port``.
-        message: Instance of a class that is registered with the message codec.
+        message: Instance of a class registered with the message codec.
     """
 
     to: str
@@ -32,4 +32,4 @@
         """
 
     def on_tick(self) -> list[Send]:
-        """Do what is due and return what to send; called about four times a second."""
+        """Handle expired timers and return what to send; called about four times a second."""
--- a/src/citronrack/transport/zmq_transport.py
+++ b/src/citronrack/transport/zmq_transport.py
@@ -1,4 +1,4 @@
-"""pyzmq sockets of one node, owned by the control task."""
+"""ZeroMQ sockets of one node, owned by the control task."""
 
 from __future__ import annotations
 
@@ -16,8 +16,8 @@
 from .send import Send
 
 MAX_PEER_SOCKETS = 256
-"""A node on a platform tells its own changes to all others, 123 of them in the largest deployment.
-With 64 sockets each such message opened a connection to every node again."""
+"""A node on a platform sends its own changes to all others, 123 of them in the largest deployment.
+With a limit of 64 sockets, each such message reopened the connections to all nodes."""
 
 SEND_QUEUE_MESSAGES = 200
 RECEIVE_QUEUE_MESSAGES = 2_000
@@ -25,7 +25,7 @@
 RECONNECT_MAX_MS = 5_000
 IDLE_CLOSE_S = 60.0
 MAX_REJECTED_PER_RECEIVE = (
-    100  # a flood of bad frames must not keep the control task from its ticks
+    100  # a flood of invalid frames must not delay the ticks of the control task
 )
 REPORT_INTERVAL_S = 10.0
 
@@ -43,9 +43,10 @@
         address: Address to bind, ``tcp://ip:port``.
         mesh_id: Name of the mesh.
         key: Shared key of the mesh.
-        clock: Source of time, for closing idle peers.
-        reconnect_max_ms: Longest pause between attempts to reach a peer, in milliseconds.
-        on_rejected: Told reason and count of dropped frames, at most every 10 s per reason.
+        clock: Source of time, for closing idle sockets.
+        on_rejected: Called with the reason and the total count of dropped frames, at most every
+            10 s per reason.
+        reconnect_max_ms: Longest delay between connection attempts to a peer, in milliseconds.
     """
 
     def __init__(
@@ -86,22 +87,22 @@
 
     @property
     def context(self) -> zmq.Context[zmq.Socket[bytes]]:
-        """The zmq context, for in-process wake-up sockets."""
+        """The ZeroMQ context, for in-process wake-up sockets."""
         return self._context
 
     @property
     def bytes_sent(self) -> int:
-        """Bytes of all frames handed to the sockets."""
+        """Bytes of all frames passed to the sockets."""
         return self._bytes_sent
 
     @property
     def messages_sent(self) -> int:
-        """Number of frames handed to the sockets."""
+        """Number of frames passed to the sockets."""
         return self._messages_sent
 
     @property
     def bytes_received(self) -> int:
-        """Bytes of all frames taken from the socket."""
+        """Bytes of all frames received."""
         return self._bytes_received
 
     @property
@@ -115,10 +116,10 @@
         return len(self._peers)
 
     def send(self, effect: Send) -> None:
-        """Queue one message; drops it when it is too big or the peer's queue is full."""
+        """Queue a message; it is dropped when it is too large or the peer's queue is full."""
         try:
             frame = self._frame(effect.message)
-        except (OverflowError, ValueError):  # a number of another node that grew beyond 64 bits
+        except (OverflowError, ValueError):  # an integer of another node beyond 64 bits
             self._count_rejected("send-unencodable")
             return
         if len(frame) > MAX_MESSAGE_BYTES:
@@ -136,7 +137,7 @@
         self._messages_sent += 1
 
     def receive(self) -> Received | None:
-        """Return the next accepted message, or None when there is none now; never raises."""
+        """Return the next valid message, None when none is pending; never raises."""
         for _ in range(MAX_REJECTED_PER_RECEIVE):
             try:
                 parts = self._inbox.recv_multipart(zmq.DONTWAIT)
@@ -162,7 +163,7 @@
         self._context.term()
 
     def _frame(self, message: Any) -> bytes:
-        """Return the frame of a message; one that goes to many peers is packed once."""
+        """Return the frame of a message; the last one is cached for messages to many peers."""
         if self._last_packed is None or self._last_packed[0] is not message:
             frame = pack(message, sender=self._address, mesh_id=self._mesh_id, key=self._key)
             self._last_packed = message, frame
@@ -192,7 +193,7 @@
         return socket
 
     def _close_idle(self, now: float) -> None:
-        """Close the peers beyond the limit and those that were not used lately."""
+        """Close the least recently used sockets beyond the limit, and all idle ones."""
         while len(self._peers) > MAX_PEER_SOCKETS:
             _, oldest = self._peers.popitem(last=False)
             oldest.socket.close(linger=100)
--- a/src/citronrack/validators.py
+++ b/src/citronrack/validators.py
@@ -1,4 +1,4 @@
-"""Validators of single settings; each names what was expected."""
+"""attrs validators for settings; each error says what was expected."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     """Return ``(ip, port)`` of ``ip:port``.
 
     Raises:
-        ValueError: When the text has another form.
+        ValueError: When the text has another format.
     """
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
@@ -54,20 +54,20 @@
 
 
 def optional_address(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept ``ip:port`` or an empty text."""
+    """Accept ``ip:port`` or an empty string."""
     if value:
         split_address(value)
 
 
 def addresses_by_name(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept lists of ``ip:port`` by name."""
+    """Accept a map from names to lists of ``ip:port``."""
     for entries in value.values():
         for entry in entries:
             split_address(entry)
 
 
 def url(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept an HTTP base address with an IP number."""
+    """Accept an HTTP base URL whose host is an IP address."""
     parts = urlsplit(value)
     if parts.scheme not in ("http", "https") or not parts.hostname:
         raise ValueError(f"expected http://IP:PORT, got {value!r}")
@@ -78,7 +78,7 @@
 
 
 def hex_key(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept a key as hexadecimal digits."""
+    """Accept a key in hexadecimal digits."""
     try:
         size = len(bytes.fromhex(value))
     except ValueError:
@@ -88,7 +88,7 @@
 
 
 def token(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept a token that is long enough not to be guessed."""
+    """Accept a token of at least `MIN_TOKEN_LENGTH` characters."""
     if len(value) < MIN_TOKEN_LENGTH:
         raise ValueError(f"expected at least {MIN_TOKEN_LENGTH} characters, got {len(value)}")
 
--- a/src/citronrack/verdict.py
+++ b/src/citronrack/verdict.py
@@ -1,4 +1,4 @@
-"""Whether a request may have run at its target."""
+"""Whether a request may have run on its target."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
     """What is known about the execution of one request."""
 
     NOT_RUN = "not-run"
-    """Proven: no part of the request reached the target."""
+    """It is proven that no part of the request reached the target."""
 
     MAY_HAVE_RUN = "may-have-run"
-    """Some part of the request may have reached the target."""
+    """Part of the request may have reached the target."""
 
     RAN = "ran"
-    """A complete answer arrived from the target."""
+    """A complete response arrived from the target."""
 
     @property
     def safe_to_retry(self) -> bool:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,6 +1,6 @@
 """Runs all tests and prints the counts.
 
-Tests listed in ``KNOWN-RED.txt`` are passed over and printed. Unlike ``python -m unittest`` of
+Tests listed in ``KNOWN-RED.txt`` are skipped and printed. Unlike ``python -m unittest`` of
 Python 3.11, the exit code is 1 when no test ran.
 """
 
@@ -16,7 +16,7 @@
 
 
 def known_red() -> set[str]:
-    """Return the ids on the ``test:`` lines of the list of known failures."""
+    """Return the test ids on the ``test:`` lines of ``KNOWN-RED.txt``."""
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
@@ -33,11 +33,11 @@
 
 
 def main() -> int:
-    """Run the tests whose ids start with one of the arguments, or all."""
+    """Run the tests whose ids start with one of the arguments, or all tests."""
     wanted = tuple(f"tests.{name.removeprefix('tests.')}" for name in sys.argv[1:])
     loaded = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
     red = known_red()
-    # A module that cannot be imported has an id of the loader, so it is always kept.
+    # A module that cannot be imported is a test case of the loader and always selected.
     always = ("unittest.loader.", *wanted)
     chosen = [case for case in flatten(loaded) if not wanted or case.id().startswith(always)]
     skipped = [case.id() for case in chosen if case.id() in red]
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -1,4 +1,4 @@
-"""A small mesh in one process: real sockets on loopback, stand-in targets, a plain client."""
+"""A small mesh in one process: sockets on loopback, stand-in targets and a minimal client."""
 
 from __future__ import annotations
 
@@ -115,7 +115,7 @@
         complete: bool = True,
         only: tuple[str, ...] | None = None,
     ) -> None:
-        """Give all nodes a view of the present targets."""
+        """Publish a view of the current targets to all nodes."""
         pools: dict[tuple[str, str], tuple[PoolTarget, ...]] = {}
         for node in self.nodes:
             if node.name in without or (only is not None and node.name not in only):
@@ -148,7 +148,7 @@
 
 
 class Reply:
-    """A parsed answer; ``complete`` is false when the connection ended in its middle."""
+    """A parsed response; ``complete`` is false when it was truncated."""
 
     def __init__(self, *, head_only: bool) -> None:
         self._parser = httptools.HttpResponseParser(self)
@@ -178,7 +178,7 @@
             self.complete = True
 
     def feed(self, data: bytes) -> None:
-        """Take bytes from the connection."""
+        """Parse bytes from the connection."""
         self._parser.feed_data(data)
 
     @property
@@ -205,7 +205,7 @@
         self.socket.sendall(data)
 
     def reply(self, *, head_only: bool = False) -> Reply:
-        """Read one answer, or what there is of it."""
+        """Read one response, or what arrives of it."""
         reply = Reply(head_only=head_only)
         while not reply.complete:
             try:
@@ -220,13 +220,13 @@
     def call(
         self, path: str, *, method: str = "GET", body: bytes = b"", headers: str = ""
     ) -> Reply:
-        """Send a request with a whole body and read its answer."""
+        """Send a request with a complete body and read the response."""
         self.send(request(path, method=method, body=body, headers=headers))
         return self.reply(head_only=method == "HEAD")
 
     @property
     def closed(self) -> bool:
-        """Whether the server has closed the connection; waits for it."""
+        """Whether the server closed the connection; waits for the next byte or the end."""
         try:
             return not self.socket.recv(1)
         except ConnectionError:
@@ -240,13 +240,13 @@
 
 
 def call(address: tuple[str, int], path: str, **options: Any) -> Reply:
-    """Send one request over a connection of its own."""
+    """Send one request over a new connection."""
     with Client(address) as client:
         return client.call(path, **options)
 
 
 def wait_for(condition: Any, *, limit_s: float = 5.0) -> bool:
-    """Return whether a condition became true."""
+    """Wait until a condition is true; return whether it became true."""
     pause = threading.Event()
     for _ in range(int(limit_s / 0.01)):
         if condition():
@@ -256,10 +256,10 @@
 
 
 class ScriptedServer:
-    """Plays one script for each connection, in turn; the last one serves all that follow.
+    """A server that runs one script per connection, in order; the last one is repeated.
 
     Args:
-        scripts: What to do with a connection, which is closed afterwards.
+        scripts: Functions that handle a connection, which is closed afterwards.
     """
 
     def __init__(self, *scripts: Callable[[socket.socket], object]) -> None:
@@ -276,7 +276,7 @@
         return host, port
 
     def close(self) -> None:
-        """Stop listening and wait for the scripts."""
+        """Close the listener and wait for the scripts."""
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -1,4 +1,4 @@
-"""Slots of requests that were given up."""
+"""Slots of abandoned requests."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 from .support import Mesh, call
 
 
-class HalfSent(Upstream):
-    """Connections that break while a request is written."""
+class BrokenWriteUpstream(Upstream):
+    """An upstream whose connections break while a request is written."""
 
     @staticmethod
     def _write_head(link: Connection, request: OutgoingRequest) -> bool:
@@ -24,12 +24,13 @@
 
 
 class AbandonedRequestTest(unittest.TestCase):
-    """A target that goes on working after its caller's deadline."""
+    """A target that keeps working after its caller's deadline."""
 
     def test_slot_stays_taken_while_the_target_works(self) -> None:
         """Guards against a target that runs more requests than it has slots.
 
-        The slot came back at the deadline, while the target was still at work on the request.
+        This happened when the slot was released at the deadline while the target was still
+        processing the request.
         """
         with Mesh(slots=1) as mesh:
             node = mesh.add(delay_s=0.5)
@@ -40,9 +41,9 @@
             self.assertEqual(node.target.most_running, 1)
 
     def test_request_that_was_sent_in_part_is_settled(self) -> None:
-        """Guards against a slot that stays taken for good.
+        """Guards against a slot that is never released.
 
-        A connection that breaks after the first bytes of a request leaves nothing at work.
+        A connection that breaks while the request is written leaves nothing running.
         """
         on_target_done: list[bool] = []
         listener = socket.create_server(("127.0.0.1", 0))
@@ -58,5 +59,5 @@
             on_target_done=lambda: on_target_done.append(True),
         )
         with self.assertRaises(CallFailed):
-            HalfSent().send(listener.getsockname(), request, connect_timeout_s=2.0)
+            BrokenWriteUpstream().send(listener.getsockname(), request, connect_timeout_s=2.0)
         self.assertEqual(on_target_done, [True])
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -1,4 +1,4 @@
-"""What the answer to a call says after several attempts."""
+"""The response to a call after several attempts."""
 
 from __future__ import annotations
 
@@ -24,34 +24,34 @@
 
 
 class ScriptedUpstream(Upstream):
-    """Gives prepared answers, one for each attempt."""
+    """Returns prepared responses, one for each attempt."""
 
-    def __init__(self, answers: Iterable[Response]) -> None:
+    def __init__(self, responses: Iterable[Response]) -> None:
         super().__init__()
-        self._answers = iter(answers)
+        self._responses = iter(responses)
 
     def send(
         self, address: Address, request: OutgoingRequest, *, connect_timeout_s: float
     ) -> Response:
-        """Return the next answer."""
-        return next(self._answers)
+        """Return the next response."""
+        return next(self._responses)
 
 
-def lost() -> Response:
-    """Return the answer of a node whose target has lost the request."""
+def lost_response() -> Response:
+    """Return the response of a node whose target failed the request."""
     return local_response(502, "the connection broke", Verdict.MAY_HAVE_RUN, load=1)
 
 
-def refused() -> Response:
-    """Return the answer of a node that did not give the request to its target."""
+def refusal() -> Response:
+    """Return the response of a node that did not send the request to its target."""
     return local_response(503, "the queue is full", Verdict.NOT_RUN, load=9)
 
 
 class LastAnswerTest(unittest.TestCase):
-    """Verdicts of calls that went to several targets."""
+    """Verdicts of calls with several attempts."""
 
-    def response(self, *answers: Response) -> Response:
-        """Return the answer to an idempotent call whose attempts get these answers."""
+    def route_call(self, *responses: Response) -> Response:
+        """Route an idempotent call whose attempts get these responses."""
         route = Route("r", "/", SERVICE, "", idempotent=True)
         config = ConfigSet(1, {SERVICE: Service(SERVICE)}, {"r": route})
         views = ViewHolder()
@@ -64,7 +64,7 @@
         clock = ManualClock()
         router = Router(
             views=views,
-            upstream=ScriptedUpstream(answers),
+            upstream=ScriptedUpstream(responses),
             balancer=Balancer(availability_zone="z", link_rtt_s=0.0, clock=clock, random=Random(1)),
             budget=RetryBudget(ratio=1.0),
             contexts=ContextCodec(key=b"", clock=SystemClock(), random=Random(1)),
@@ -74,16 +74,16 @@
         return router.handle(Request("GET", b"/x", host="h"))
 
     def test_refusal_after_a_lost_attempt(self) -> None:
-        """Guards against an answer "not run" for a call that another target may have run."""
-        response = self.response(lost(), refused(), refused(), refused())
+        """Guards against the verdict "not run" for a call that another target may have run."""
+        response = self.route_call(lost_response(), refusal(), refusal(), refusal())
         self.assertEqual((response.status, response.verdict), (502, Verdict.MAY_HAVE_RUN))
 
     def test_refusals_alone(self) -> None:
-        """Guards against an unknown outcome where no target has had the call."""
-        response = self.response(refused(), refused(), refused())
+        """Guards against an unknown outcome when the call reached no target."""
+        response = self.route_call(refusal(), refusal(), refusal())
         self.assertEqual((response.status, response.verdict), (503, Verdict.NOT_RUN))
 
     def test_answer_after_a_lost_attempt(self) -> None:
-        """Guards against a good answer that is dropped for what happened before it."""
-        response = self.response(lost(), Response(200))
+        """Guards against a valid response that is replaced because an earlier attempt failed."""
+        response = self.route_call(lost_response(), Response(200))
         self.assertEqual((response.status, response.verdict), (200, Verdict.RAN))
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -1,4 +1,4 @@
-"""The cores of the call path, with a manual clock and many seeds."""
+"""Admission, balancing, splitting and context, with a manual clock and many seeds."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     """Slots, order and fairness."""
 
     def test_random_histories(self) -> None:
-        """Guards against more calls than slots, lost slots and calls that nobody starts."""
+        """Guards against more calls than slots, leaked slots and calls that never start."""
         for seed in range(200):
             random = Random(seed)
             queue = AdmissionQueue(slots=random.randint(1, 8), ramp_s=1.0, cold_since=0.0)
@@ -82,7 +82,7 @@
             self.assertLess(len(lookups), 200, seed)
 
     def test_weighted_fairness(self) -> None:
-        """Guards against a route that gets the slots of the others by sending more calls."""
+        """Guards against a route that takes the slots of others by sending more calls."""
         queue = AdmissionQueue(slots=2)
         random = Random(1)
         running: list[SlotRequest] = []
@@ -99,9 +99,9 @@
                     running.append(call)
                 if route == "rare":
                     rare_since[id(call)] = step
-            record_end = running.pop(random.randrange(len(running)))
-            served[record_end.route] += 1
-            running += queue.release(record_end, now=step * 0.01 + 0.009, ran=True)
+            ended = running.pop(random.randrange(len(running)))
+            served[ended.route] += 1
+            running += queue.release(ended, now=step * 0.01 + 0.009, ran=True)
             for call in running:
                 longest = max(longest, step - rare_since.pop(id(call), step))
         self.assertAlmostEqual(served["heavy"] / served["flood"], 3.0, delta=0.3)
@@ -109,7 +109,7 @@
         self.assertLess(longest, 8)
 
     def test_calls_that_cannot_end_in_time_are_refused(self) -> None:
-        """Guards against queueing work whose caller will have gone."""
+        """Guards against queueing calls that cannot end before their deadline."""
         queue = AdmissionQueue(slots=1)
         first = SlotRequest("a", 10.0)
         queue.offer(first, weight=1, now=0.0)
@@ -120,7 +120,7 @@
         self.assertEqual(queue.load, 2)
 
     def test_overload_leaves_answers_in_time(self) -> None:
-        """Guards against a queue in which every call of an overload is answered late."""
+        """Guards against a queue in which all calls of an overload end late."""
         queue = AdmissionQueue(slots=1)
         first = SlotRequest("a", 10.0)
         queue.offer(first, weight=1, now=0.0)
@@ -136,7 +136,7 @@
         self.assertLessEqual(1.1 + 0.1 * len(accepted), 1.5)
 
     def test_higher_rank_goes_first(self) -> None:
-        """Guards against work that others wait for behind work that nobody waits for."""
+        """Guards against urgent calls that wait behind less urgent ones."""
         queue = AdmissionQueue(slots=1)
         running = SlotRequest("a", 10.0)
         queue.offer(running, weight=1, now=0.0)
@@ -147,7 +147,7 @@
 
 
 def pool(count: int, *, other_zone: int = 0) -> tuple[PoolTarget, ...]:
-    """Return targets of zone a, and of zone b."""
+    """Return targets in zone a, and others in zone b."""
     zones = ["a"] * count + ["b"] * other_zone
     return tuple(PoolTarget(f"t{i}", ("10.0.0.1", i), zone, 6) for i, zone in enumerate(zones))
 
@@ -168,7 +168,7 @@
         return balancer, clock
 
     def test_ejection_is_bounded(self) -> None:
-        """Guards against a shared fault that empties the pool, and calls to bad targets."""
+        """Guards against a common fault that ejects the whole pool, and calls to bad targets."""
         for policy in policies:
             for bad in (1, 3, 9):
                 balancer, clock = self.make(policy)
@@ -188,7 +188,7 @@
 
     @staticmethod
     def known(balancer: Balancer) -> list[TargetStats]:
-        """Return the observations."""
+        """Return the statistics of all targets."""
         return list(balancer._known.values())
 
     def test_ejected_targets_return(self) -> None:
@@ -209,7 +209,7 @@
         self.assertGreater(late, 200)
 
     def test_own_zone_first(self) -> None:
-        """Guards against links between zones that carry calls without need."""
+        """Guards against unnecessary calls to other zones."""
         balancer, clock = self.make("adaptive")
         targets = pool(3, other_zone=6)
         for _ in range(500):
@@ -223,7 +223,7 @@
         self.assertEqual(zones, {"a", "b"})
 
     def test_large_bodies_stay_in_the_zone(self) -> None:
-        """Guards against uploads that cross zones to save a wait that costs less."""
+        """Guards against uploads to another zone when waiting is cheaper than the transfer."""
         zones = {}
         for body_bytes in (0, 60_000):
             balancer, clock = self.make("adaptive")
@@ -241,7 +241,7 @@
         self.assertEqual(zones, {0: "b", 60_000: "a"})
 
     def test_unreachable_targets_are_left_out_at_once(self) -> None:
-        """Guards against one lost connection attempt after the other to a zone that is cut off."""
+        """Guards against repeated connection attempts to a partitioned zone."""
         balancer, clock = self.make("adaptive")
         targets = pool(4)
         for number in (1, 2, 3):
@@ -250,14 +250,14 @@
             )
             assert entry is not None
             balancer.record_end(entry, failed=True, unreachable=True)
-        chosen = {self.name_of(balancer, targets) for _ in range(50)}
+        chosen = {self.choose_name(balancer, targets) for _ in range(50)}
         self.assertEqual(chosen, {"t0"})
         clock.advance(1.1)
-        self.assertGreater(len({self.name_of(balancer, targets) for _ in range(50)}), 1)
+        self.assertGreater(len({self.choose_name(balancer, targets) for _ in range(50)}), 1)
 
     @staticmethod
-    def name_of(balancer: Balancer, targets: tuple[PoolTarget, ...]) -> str:
-        """Return the name of the target of a call that ends well at once."""
+    def choose_name(balancer: Balancer, targets: tuple[PoolTarget, ...]) -> str:
+        """Choose a target for a call that succeeds at once, and return its name."""
         entry = balancer.choose(("s", "1"), targets)
         assert entry is not None
         balancer.record_end(entry, latency_s=0.1)
@@ -278,7 +278,7 @@
     """Division of calls during a move."""
 
     def test_share_and_stability(self) -> None:
-        """Guards against a share that is missed and callers that switch sides back and forth."""
+        """Guards against a wrong share and against calls that switch versions repeatedly."""
         keys = [f"{number:016x}" for number in range(20_000)]
         before: set[str] = set()
         for share in (0.0, 0.01, 0.1, 0.5, 1.0):
@@ -299,7 +299,7 @@
         return ContextCodec(key=key, clock=clock, random=Random(1))
 
     def test_deadline_with_skewed_clocks(self) -> None:
-        """Guards against calls that fail, or never time out, because two clocks differ."""
+        """Guards against calls that fail or never time out because of clock skew."""
         for skew_ms in (-60_000, 0, 60_000):
             sender, receiver = ManualClock(), ManualClock(skew_ms=skew_ms)
             receiver.advance(1000)
@@ -310,7 +310,7 @@
             self.assertEqual((context.retries_left, context.depth, context.call_key), (1, 4, "k"))
 
     def test_nested_calls_keep_the_deadline(self) -> None:
-        """Guards against nested calls that outlive the call that made them."""
+        """Guards against nested calls that outlive the call that caused them."""
         clock = ManualClock()
         codec = self.codec(clock)
         value = codec.encode(CallContext(clock.monotonic() + 2, 1, 4, "k"))
@@ -321,7 +321,7 @@
         self.assertEqual(context.depth, 5)
 
     def test_forged_contexts_are_dropped(self) -> None:
-        """Guards against callers that give themselves deadlines or retries."""
+        """Guards against callers that forge deadlines or retries."""
         clock = ManualClock()
         codec = self.codec(clock)
         value = codec.encode(codec.new_context())
--- a/tests/calls/test_drain.py
+++ b/tests/calls/test_drain.py
@@ -12,7 +12,7 @@
     """A stop with calls, uploads and idle connections."""
 
     def test_stop_completes_what_is_in_flight(self) -> None:
-        """Guards against a planned stop that cuts off a call, an upload or a crossing request."""
+        """Guards against a drain that interrupts a call or an upload, or drops a new request."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             mesh.publish(only=(second.name,))
@@ -40,7 +40,7 @@
             self.assertEqual(second.target.uploaded, 100_000)
 
     def test_stop_ends_at_its_limit(self) -> None:
-        """Guards against a stop that waits forever for a slow call."""
+        """Guards against a stop that waits for a slow call beyond its limit."""
         with Mesh() as mesh:
             node = mesh.add()
             with Client(node.call_address) as client:
--- a/tests/calls/test_endless.py
+++ b/tests/calls/test_endless.py
@@ -1,4 +1,4 @@
-"""Targets that send bytes without end."""
+"""Targets that send endless responses."""
 
 from __future__ import annotations
 
@@ -26,17 +26,17 @@
     "chunk extension": (CHUNKED + b"1;", b"y"),
     "trailers": (CHUNKED + b"1\r\nz\r\n0\r\n", b"x: y\r\n"),
 }
-"""Beginning of a response and what is repeated after it."""
+"""Start of a response and the bytes that are repeated after it."""
 
 DEADLINE_S = 20.0
-SENT_AT_MOST = 64 * 1024 * 1024
-"""Bytes of a head after which a stand-in gives up; far more than the buffers of two sockets."""
+MAX_SENT_BYTES = 64 * 1024 * 1024
+"""Bytes after which the script stops; far more than the buffers of two sockets hold."""
 
 
 def endless(
-    start: bytes, repeated: bytes, sent: list[int], *, limit: float = SENT_AT_MOST
+    start: bytes, repeated: bytes, sent: list[int], *, limit: float = MAX_SENT_BYTES
 ) -> Callable[[socket.socket], None]:
-    """Return a script that sends until the caller closes, and notes how many bytes it sent."""
+    """Return a script that sends until the caller closes and records the number of bytes."""
 
     def script(connection: socket.socket) -> None:
         connection.recv(READ_BYTES)
@@ -55,10 +55,10 @@
 
 
 class EndlessResponseTest(unittest.TestCase):
-    """Bytes that are no answer and do not end."""
+    """Endless heads and bodies."""
 
     def send(self, server: ScriptedServer, *, deadline_s: float) -> CallFailed:
-        """Return how a call to a server failed."""
+        """Send a request that must fail and return the error."""
         upstream = Upstream()
         self.addCleanup(upstream.close)
         request = OutgoingRequest(
@@ -78,7 +78,7 @@
         return failed.exception
 
     def test_head_without_end(self) -> None:
-        """Guards against a node whose memory fills with a head until the deadline of the call."""
+        """Guards against buffering an endless head in memory until the deadline of the call."""
         for name, (start, repeated) in ENDLESS.items():
             with self.subTest(name):
                 sent: list[int] = []
@@ -86,10 +86,10 @@
                 error = self.send(server, deadline_s=DEADLINE_S)
                 self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
                 server.close()
-                self.assertLess(sent[0], SENT_AT_MOST)
+                self.assertLess(sent[0], MAX_SENT_BYTES)
 
     def test_body_without_end(self) -> None:
-        """Guards against a node that holds a body without end; it passes it on as it comes."""
+        """Guards against buffering an endless body, which must be streamed."""
         reader = ResponseReader(head_only=False)
         reader.feed(CHUNKED)
         for _ in range(100):
@@ -102,7 +102,7 @@
         self.send(server, deadline_s=0.5)
 
     def test_large_head_is_taken(self) -> None:
-        """Guards against a limit that refuses heads of the size that callers may send."""
+        """Guards against a limit on response heads that is below the one on request heads."""
         reader = ResponseReader(head_only=False)
         line = b"x: " + b"y" * 95 + b"\r\n"
         reader.feed(STATUS + line * (MAX_HEAD_BYTES // len(line) - 1))
--- a/tests/calls/test_faults.py
+++ b/tests/calls/test_faults.py
@@ -1,4 +1,4 @@
-"""Whether requests ran, compared with what the targets executed."""
+"""Verdicts, retries and shares under faults, compared with what the targets executed."""
 
 from __future__ import annotations
 
@@ -32,18 +32,18 @@
 
 
 @frozen
-class Sent:
-    """A call and its answer."""
+class SentCall:
+    """A call and its response."""
 
     request_id: str
     method: str
     reply: Reply
 
 
-def drive(mesh: Mesh, seed: int, caller: int) -> list[Sent]:
-    """Send calls one after the other over a connection that is kept where possible."""
+def send_calls(mesh: Mesh, seed: int, caller: int) -> list[SentCall]:
+    """Send calls one after the other, over a persistent connection where possible."""
     random = Random(f"{seed}/{caller}")
-    sent: list[Sent] = []
+    sent: list[SentCall] = []
     client: Client | None = None
     for index in range(CALLS_PER_CALLER):
         node = random.choice(mesh.nodes)
@@ -59,7 +59,7 @@
             body=body,
             headers=f"x-request-id: {request_id}\r\n",
         )
-        sent.append(Sent(request_id, method, reply))
+        sent.append(SentCall(request_id, method, reply))
         if not reply.complete or reply.headers.get("connection") == "close":
             client.socket.close()
             client = None
@@ -72,7 +72,7 @@
     """Random faults of targets and restarts, with several seeds."""
 
     def test_verdicts_against_executed_requests(self) -> None:
-        """Guards against orders that run twice, refusals that ran and answers of other requests."""
+        """Guards against orders that run twice, refusals that ran and swapped responses."""
         for seed in SEEDS:
             with self.subTest(seed=seed), Mesh(slots=4) as mesh:
                 for index in range(3):
@@ -81,7 +81,7 @@
                     )
                 with ThreadPoolExecutor(CALLERS) as callers:
                     futures = [
-                        callers.submit(drive, mesh, seed, caller) for caller in range(CALLERS)
+                        callers.submit(send_calls, mesh, seed, caller) for caller in range(CALLERS)
                     ]
                     for round_ in range(4):
                         wait_for(lambda count=round_ + 1: len(self._executed(mesh)) > 40 * count)
@@ -93,7 +93,7 @@
     def _executed(mesh: Mesh) -> list[str]:
         return [request_id for node in mesh.nodes for request_id in list(node.target.executed)]
 
-    def _check(self, sent: list[Sent], executed: Counter[str]) -> None:
+    def _check(self, sent: list[SentCall], executed: Counter[str]) -> None:
         verdicts = Counter(entry.reply.verdict for entry in sent)
         self.assertGreater(verdicts["ran"], 100)
         self.assertGreater(verdicts["may-have-run"], 5)
@@ -110,7 +110,7 @@
                 self.assertIn(entry.request_id.encode() + b"\n", entry.reply.body)
 
     def test_refusals_under_overload(self) -> None:
-        """Guards against refusals that ran, at the limit, at the deadline and during a stop."""
+        """Guards against refused calls that ran: at the queue limit, the deadline or in a drain."""
         with Mesh(slots=2) as mesh:
             nodes = [mesh.add(delay_s=0.02), mesh.add(delay_s=0.02)]
             with ThreadPoolExecutor(40) as callers:
@@ -137,7 +137,7 @@
 
 
 class RetryTest(unittest.TestCase):
-    """What is retried, and how often."""
+    """Which calls are retried, and how often."""
 
     def test_refused_orders_go_to_another_target(self) -> None:
         """Guards against an order that fails although another target would have taken it."""
@@ -145,7 +145,7 @@
             first, second, third = mesh.add(), mesh.add(), mesh.add()
             second.path.drainer.begin()
             third.target.stop()
-            for _ in range(30):  # earns tokens for retries
+            for _ in range(30):  # fills the retry budget
                 call(first.call_address, "/parts", method="POST")
             replies = [
                 call(first.call_address, "/parts", method="POST", body=b"x" * size)
@@ -156,7 +156,7 @@
             self.assertEqual(ran[1:], [0, 0])
 
     def test_retries_stay_within_the_budget(self) -> None:
-        """Guards against retries that multiply the load when every target fails."""
+        """Guards against retries that multiply the load when all targets fail."""
         with Mesh() as mesh:
             for _ in range(3):
                 mesh.add(faults={"fail:503": 1.0})
@@ -168,7 +168,7 @@
             self.assertGreater(ran, 205)
 
     def test_layers_share_one_allowance(self) -> None:
-        """Guards against nested calls that retry again what their caller retries already."""
+        """Guards against retries at each level of nested calls, which would multiply."""
         codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
         spent = codec.encode(CallContext(SystemClock().monotonic() + 5, 0, 3, "k"))
         with Mesh() as mesh:
@@ -180,7 +180,7 @@
             self.assertEqual(sum(node.target.calls for node in mesh.nodes), 30)
 
     def test_moves_divide_calls(self) -> None:
-        """Guards against a new version with more than its share, and nested calls that switch."""
+        """Guards against a new version that exceeds its share, and nested calls that switch."""
         codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
         with Mesh(slots=50) as mesh:
             old, new = mesh.add(), mesh.add(service_version="2")
@@ -199,7 +199,7 @@
                 self.assertEqual(len(bodies), 1)
 
     def test_depth_limit(self) -> None:
-        """Guards against calls that go round in circles."""
+        """Guards against cycles of nested calls."""
         codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
         with Mesh() as mesh:
             node = mesh.add()
--- a/tests/calls/test_health.py
+++ b/tests/calls/test_health.py
@@ -1,4 +1,4 @@
-"""Targets that lose requests."""
+"""Targets that fail requests."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 
 
 class TargetHealthTest(unittest.TestCase):
-    """Which requests a target gets after it has lost some."""
+    """Which requests a target gets after failures."""
 
     def setUp(self) -> None:
-        """Make the health of a target that has answered so far."""
+        """Create the health of a target without failures."""
         self.clock = ManualClock()
         self.health = TargetHealth(self.clock)
 
-    def admitted(self, *, idempotent: bool, seconds: float, every_s: float) -> int:
-        """Return how many requests get to the target, all of which it loses."""
+    def count_admitted(self, *, idempotent: bool, seconds: float, every_s: float) -> int:
+        """Return how many requests are sent to the target, which fails all of them."""
         count = 0
         for _ in range(round(seconds / every_s)):
             self.clock.advance(every_s)
@@ -34,7 +34,7 @@
         return count
 
     def test_target_that_answers_gets_all(self) -> None:
-        """Guards against a target that keeps being refused after one lost answer."""
+        """Guards against refusals that continue after a single lost response."""
         self.health.record_failure(TARGET)
         self.assertFalse(self.health.admit(TARGET, idempotent=False))
         self.assertTrue(self.health.admit(TARGET, idempotent=True))
@@ -43,26 +43,26 @@
             self.assertTrue(self.health.admit(TARGET, idempotent=idempotent))
 
     def test_trials_are_paced(self) -> None:
-        """Guards against a retry for each of the many requests that a crashed target loses."""
-        record_failure = self.admitted(idempotent=True, seconds=2.0, every_s=0.01)
-        self.assertLessEqual(record_failure, FAILURES_BEFORE_PACING + 2.0 / PROBE_INTERVAL_S)
-        self.assertGreater(record_failure, 1.0 / PROBE_INTERVAL_S)
+        """Guards against a retry of every request while the target is down."""
+        sent = self.count_admitted(idempotent=True, seconds=2.0, every_s=0.01)
+        self.assertLessEqual(sent, FAILURES_BEFORE_PACING + 2.0 / PROBE_INTERVAL_S)
+        self.assertGreater(sent, 1.0 / PROBE_INTERVAL_S)
 
     def test_target_without_repeatable_requests_is_tried_out(self) -> None:
-        """Guards against a target of uploads only that gets nothing after its first lost one."""
-        record_failure = self.admitted(
+        """Guards against a target of uploads only that gets none after its first failure."""
+        sent = self.count_admitted(
             idempotent=False, seconds=5 * NON_IDEMPOTENT_PROBE_INTERVAL_S, every_s=0.1
         )
-        self.assertTrue(2 <= record_failure <= 6, record_failure)
+        self.assertTrue(2 <= sent <= 6, sent)
 
     def test_one_of_many_that_wait_tries_it_out(self) -> None:
-        """Guards against all waiting requests being sent at once to a target that is still down."""
+        """Guards against sending all waiting requests at once to a target that is still down."""
         self.health.record_failure(TARGET)
         self.clock.advance(NON_IDEMPOTENT_PROBE_INTERVAL_S)
         sent = sum(self.health.admit(TARGET, idempotent=False) for _ in range(10))
         self.assertEqual(sent, 1)
 
     def test_other_start_begins_anew(self) -> None:
-        """Guards against a replaced target that is refused for what the one before has lost."""
+        """Guards against a replaced target that is refused for failures of its predecessor."""
         self.health.record_failure(TARGET)
         self.assertTrue(self.health.admit("i-2", idempotent=False))
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -1,4 +1,4 @@
-"""Connections that were idle."""
+"""Reuse of idle connections."""
 
 from __future__ import annotations
 
@@ -15,40 +15,40 @@
 
 from .support import ScriptedServer
 
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 
 
-def forgetful(rest_s: float) -> Callable[[socket.socket], None]:
-    """Return a script that answers requests, and resets a connection that rested before its next.
+def resetting_script(max_idle_s: float) -> Callable[[socket.socket], None]:
+    """Return a script that answers requests and resets connections that were idle for too long.
 
     Args:
-        rest_s: Rest after which the connection is forgotten, in seconds.
+        max_idle_s: Idle time after which the next request is reset, in seconds.
     """
 
     def script(connection: socket.socket) -> None:
         began = time.monotonic()
         while connection.recv(65_536):
-            if time.monotonic() - began > rest_s:
+            if time.monotonic() - began > max_idle_s:
                 abort(connection)
                 return
-            connection.sendall(ANSWER)
+            connection.sendall(RESPONSE)
             began = time.monotonic()
 
     return script
 
 
 class RestedConnectionTest(unittest.TestCase):
-    """Targets that forget idle connections without notice."""
+    """Targets that drop idle connections without notice."""
 
     def setUp(self) -> None:
-        """Start a server and connections to it."""
-        self.server = ScriptedServer(forgetful(0.2))
+        """Start a server and an upstream."""
+        self.server = ScriptedServer(resetting_script(0.2))
         self.addCleanup(self.server.close)
         self.upstream = Upstream()
         self.addCleanup(self.upstream.close)
 
     def send(self, method: str) -> Response:
-        """Send a request whose answer is read completely."""
+        """Send a request and release its response."""
         request = OutgoingRequest(
             method=method,
             target=b"/",
@@ -63,9 +63,10 @@
         return response
 
     def test_request_after_a_lost_one_gets_a_young_connection(self) -> None:
-        """Guards against work that is lost again and again on connections a target has forgotten.
+        """Guards against repeated failures on idle connections that the target has dropped.
 
-        A read that is lost can be sent again; what it shows protects the requests that cannot.
+        A failed idempotent request can be retried. It also reduces the idle limit, which protects
+        the requests that cannot be retried.
         """
         self.send("GET")
         time.sleep(0.3)
@@ -78,7 +79,7 @@
         self.assertEqual(self.server.connections, 3)
 
     def test_young_connections_are_used_again(self) -> None:
-        """Guards against a new connection for each request once one was lost."""
+        """Guards against a new connection for every request after one connection was reset."""
         self.send("GET")
         time.sleep(0.3)
         with self.assertRaises(CallFailed):
--- a/tests/calls/test_wire.py
+++ b/tests/calls/test_wire.py
@@ -1,4 +1,4 @@
-"""Connections of callers: framing, limits and bad input, over real sockets."""
+"""Connections of callers over real sockets: framing, limits and invalid input."""
 
 from __future__ import annotations
 
@@ -76,7 +76,7 @@
             node = mesh.add()
             for name, (data, status) in BAD_REQUESTS.items():
                 with self.subTest(name), Client(node.call_address) as client:
-                    # The node may have answered and closed before it read everything.
+                    # The node may have responded and closed before it read everything.
                     with contextlib.suppress(ConnectionError):
                         client.send(data)
                     reply = client.reply()
@@ -87,9 +87,9 @@
             self.assertEqual(call(node.call_address, "/parts/wheel").status, 200)
 
     def test_unknown_route_of_an_old_configuration(self) -> None:
-        """Guards against a 404 for a route that a newer configuration has added.
+        """Guards against a 404 for a route that a newer configuration adds.
 
-        A 404 is final for callers, a 503 is not.
+        A 404 is final for callers; a 503 is not.
         """
         with Mesh() as mesh:
             node = mesh.add()
@@ -137,10 +137,10 @@
 
 
 class FramingTest(unittest.TestCase):
-    """Whole answers to the right request."""
+    """Complete responses to the right request."""
 
     def test_answers_of_all_framings(self) -> None:
-        """Guards against answers that lose their end or their length, on one or two nodes."""
+        """Guards against truncated responses and lost lengths, over one node and over two."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             for only in (first.name, second.name):
@@ -158,7 +158,7 @@
                     self.assertEqual(reply.body, b"1 /parts/x\norder")
 
     def test_cut_short_answers(self) -> None:
-        """Guards against a truncated answer that looks complete to the caller."""
+        """Guards against a truncated response that looks complete to the caller."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             for only in (first.name, second.name):
@@ -169,7 +169,7 @@
                         self.assertFalse(reply.complete and reply.status == 200)
 
     def test_pipelined_requests(self) -> None:
-        """Guards against answers in the wrong order."""
+        """Guards against responses in the wrong order."""
         with Mesh() as mesh:
             node = mesh.add()
             with Client(node.call_address) as client:
@@ -182,18 +182,21 @@
                 self.assertEqual(positions, sorted(positions))
 
     def test_surplus_answers(self) -> None:
-        """Guards against an answer that reaches the next request on a kept connection."""
+        """Guards against an unsolicited response that is taken for the next request's."""
         with Mesh() as mesh:
             node = mesh.add()
             for pause_ms in ("", "20"):
                 with self.subTest(pause_ms), Client(node.call_address) as client:
                     self.assertEqual(client.call(f"/parts?do=surplus:{pause_ms}").body, b"first\n")
-                    # Before it arrives, a surplus answer cannot be told from the right one.
+                    # A surplus response can only be detected if it arrives before the request.
                     threading.Event().wait(2 * float(pause_ms or 0) / 1000)
                     self.assertEqual(client.call("/parts/own").body, b"1 /parts/own\n")
 
     def test_late_answers(self) -> None:
-        """Guards against a late answer that reaches another request (connection not closed)."""
+        """Guards against a late response that is taken for another request's.
+
+        This would happen if the connection were not closed after the timeout.
+        """
         with Mesh() as mesh:
             node = mesh.add()
             reply = call(node.call_address, "/hasty?do=delay:450", method="POST")
@@ -203,7 +206,7 @@
                 self.assertEqual(call(node.call_address, path).body, f"1 {path}\n".encode())
 
     def test_malformed_answer(self) -> None:
-        """Guards against bytes that are not HTTP being handed on."""
+        """Guards against passing on bytes that are not HTTP."""
         with Mesh() as mesh:
             node = mesh.add()
             reply = call(node.call_address, "/parts?do=malformed", method="POST")
@@ -211,10 +214,10 @@
 
 
 class StreamingTest(unittest.TestCase):
-    """Bodies that are larger than what a node holds."""
+    """Bodies that are too large to be buffered."""
 
     def test_large_bodies_in_bounded_memory(self) -> None:
-        """Guards against a node that holds a photo bundle of 100 MB."""
+        """Guards against buffering a body of 100 MB in a node."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             mesh.publish(only=(second.name,))
@@ -235,7 +238,7 @@
             self.assertLess(grown_kb, 30_000)
 
     def test_chunked_upload(self) -> None:
-        """Guards against an upload without a length that loses its framing between nodes."""
+        """Guards against a chunked upload that loses its framing between nodes."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             mesh.publish(only=(second.name,))
@@ -251,7 +254,7 @@
             self.assertEqual(second.target.uploaded, 500_000)
 
     def test_expectations(self) -> None:
-        """Guards against a caller that waits for 100 forever, or sends a body in vain."""
+        """Guards against a missing 100 Continue, and one before a refusal."""
         with Mesh() as mesh:
             node = mesh.add()
             head = (
@@ -271,7 +274,7 @@
                 self.assertTrue(client.closed)
 
     def test_early_answer(self) -> None:
-        """Guards against an upload that goes on after the target has refused it."""
+        """Guards against an upload that continues after the target has rejected it."""
         with Mesh() as mesh:
             node = mesh.add()
             with Client(node.call_address) as client:
@@ -283,7 +286,7 @@
                 self.assertTrue(client.closed)
 
     def test_upload_cut_short(self) -> None:
-        """Guards against a target that takes half an upload for a whole one."""
+        """Guards against a target that takes a truncated upload for a complete one."""
         with Mesh(limits=QUICK) as mesh:
             node = mesh.add()
             for end in ("closes", "stalls"):
@@ -299,7 +302,7 @@
             self.assertEqual(node.path.admission.load, 0)
 
     def test_caller_goes_away(self) -> None:
-        """Guards against slots and connections held for callers that have gone."""
+        """Guards against slots and connections held for disconnected callers."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
             mesh.publish(only=(second.name,))
--- a/tests/calls/test_withheld.py
+++ b/tests/calls/test_withheld.py
@@ -1,4 +1,4 @@
-"""Bodies that wait until a node asks for them."""
+"""Bodies that are sent only after 100 Continue."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
 
 BODY = b"order"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 Script = Callable[[socket.socket], object]
 
 
-def take_head(connection: socket.socket) -> bytes:
-    """Return what arrives up to the end of a head."""
+def receive_head(connection: socket.socket) -> bytes:
+    """Receive and return a message head."""
     data = b""
     while not data.endswith(b"\r\n\r\n"):
         byte = connection.recv(1)
@@ -33,28 +33,28 @@
     return data
 
 
-def take_body(connection: socket.socket) -> None:
-    """Ask for the body and read it."""
+def request_body(connection: socket.socket) -> None:
+    """Send 100 Continue and read the body."""
     connection.sendall(CONTINUE)
     left = len(BODY)
     while left:
         left -= len(connection.recv(left))
 
 
-def answer_once(connection: socket.socket) -> None:
-    """Answer one request as a node does."""
-    take_head(connection)
-    take_body(connection)
-    connection.sendall(ANSWER)
+def respond_once(connection: socket.socket) -> None:
+    """Respond to one request as a node does."""
+    receive_head(connection)
+    request_body(connection)
+    connection.sendall(RESPONSE)
 
 
 class WithheldBodyTest(unittest.TestCase):
-    """What is known of a request that must not run twice when its node is lost."""
+    """Verdicts on non-idempotent requests whose node fails."""
 
     def send(
         self, *scripts: Script, method: str = "POST", limit_s: float = 5.0, times: int = 1
     ) -> Response:
-        """Send a request to a node; several one after the other over kept connections."""
+        """Send requests to a node, one after the other, over persistent connections."""
         node = ScriptedServer(*scripts)
         self.addCleanup(node.close)
         upstream = Upstream()
@@ -76,64 +76,64 @@
         return response
 
     def failure(self, script: Script, *, limit_s: float = 5.0) -> Verdict:
-        """Return the verdict on a request that gets no answer."""
+        """Return the verdict on a request that gets no response."""
         with self.assertRaises(CallFailed) as failed:
             self.send(script, limit_s=limit_s)
         return failed.exception.verdict
 
     def test_node_is_lost_before_it_asks(self) -> None:
-        """Guards against work that counts as perhaps done although no target had it."""
-        self.assertIs(self.failure(take_head), Verdict.NOT_RUN)
+        """Guards against the verdict "may have run" for a request that reached no target."""
+        self.assertIs(self.failure(receive_head), Verdict.NOT_RUN)
 
     def test_node_is_lost_after_it_asked(self) -> None:
-        """Guards against "not run" for a request that a target may have."""
+        """Guards against the verdict "not run" for a request that a target may have received."""
 
         def script(connection: socket.socket) -> None:
-            take_head(connection)
-            take_body(connection)
+            receive_head(connection)
+            request_body(connection)
 
         self.assertIs(self.failure(script), Verdict.MAY_HAVE_RUN)
 
     def test_deadline_passes_in_the_queue(self) -> None:
-        """Guards against an unknown outcome for a request that waited until its deadline."""
+        """Guards against an unknown outcome for a request that waited in the queue only."""
         ended = threading.Event()
         self.addCleanup(ended.set)
         verdict = self.failure(lambda _: ended.wait(2.0), limit_s=0.2)
         self.assertIs(verdict, Verdict.NOT_RUN)
 
     def test_kept_connection_that_ends(self) -> None:
-        """Guards against a refused request where a new connection to the node would do."""
+        """Guards against a failed request when a new connection to the node would work."""
 
         def script(connection: socket.socket) -> None:
-            answer_once(connection)
-            take_head(connection)
+            respond_once(connection)
+            receive_head(connection)
 
-        self.assertEqual(self.send(script, answer_once, times=2).status, 200)
+        self.assertEqual(self.send(script, respond_once, times=2).status, 200)
 
     def test_requests_that_may_be_repeated_do_not_wait(self) -> None:
-        """Guards against a round trip more for requests that gain nothing by it."""
+        """Guards against an additional round trip for requests that do not need it."""
 
         def script(connection: socket.socket) -> None:
-            self.assertNotIn(b"expect", take_head(connection))
+            self.assertNotIn(b"expect", receive_head(connection))
             connection.recv(len(BODY))
-            connection.sendall(ANSWER)
+            connection.sendall(RESPONSE)
 
         self.assertEqual(self.send(script, method="PUT").status, 200)
 
 
 class LateBody(IterableBody):
-    """A body whose sender never sends it."""
+    """A body that never arrives."""
 
     def wait_first_part(self, limit_s: float) -> bool:
-        """Return that nothing came."""
+        """Return false."""
         return False
 
 
 class FirstPartTest(unittest.TestCase):
-    """The node beside the target."""
+    """Requests from a node to its target."""
 
     def test_target_gets_nothing_before_the_body(self) -> None:
-        """Guards against a target that has the head of a request which counts as not run."""
+        """Guards against a target that received the head of a request reported as not run."""
         seen: queue.Queue[bytes] = queue.Queue()
         target = ScriptedServer(lambda connection: seen.put(connection.recv(100)))
         self.addCleanup(target.close)
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -1,4 +1,4 @@
-"""Frames and messages that other nodes, faults or attackers may send."""
+"""Frames and messages from other nodes, including faulty and malicious ones."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 KEY = bytes(range(32))
 LARGEST_DEPLOYMENT = 123
-"""Machines of the largest deployment on a platform, with those that are added during a day."""
+"""Instances of the largest deployment on a platform, including those added during a day."""
 
 SENDER = "tcp://127.0.0.1:1"
 MESSAGES: tuple[type[Any], ...] = tuple(
@@ -72,10 +72,10 @@
 
 
 class FrameTest(unittest.TestCase):
-    """Guards against frames that end a task, and against frames of others."""
+    """Guards against frames that crash a task, and against unauthenticated frames."""
 
     def reason(self, frame: bytes) -> str:
-        """Return why a frame is refused; any other error fails the test."""
+        """Return the rejection reason of a frame; any other error fails the test."""
         with self.assertRaises(MessageRejected) as caught:
             unpack(frame, mesh_id="m", key=KEY)
         return caught.exception.reason
@@ -100,7 +100,7 @@
         self.assertEqual(self.reason(frame_of(message, mesh_id="other")), "not-authentic")
 
     def test_any_well_formed_message_is_survived(self) -> None:
-        """Fails if odd numbers or names in an authentic message end the control task."""
+        """Fails if unusual numbers or names in an authentic message crash the control task."""
         net = make_fleet(1, {"north": 3, "east": 2})
         net.append()
         net.run(6.0)
@@ -127,7 +127,7 @@
     @derandomized
     @given(tags, plain)
     def test_authentic_frames_of_other_shapes_are_rejected(self, tag: str, content: Any) -> None:
-        """Fails if a message of a faulty or newer release ends the task."""
+        """Fails if a message of a faulty or newer release crashes the task."""
         try:
             message_codec.from_plain((tag, content))
         except MessageRejected:
@@ -135,7 +135,7 @@
         self.assertEqual(type(content), list)
 
     def test_limits_of_size_and_prefix(self) -> None:
-        """Fails if an oversized frame is read, or long mesh ids count by their prefix only."""
+        """Fails if an oversized frame is read or only a prefix of a long mesh id is compared."""
         self.assertEqual(self.reason(bytes(MAX_MESSAGE_BYTES + 1)), "oversized")
         frame = frame_of(PullRecords(1), mesh_id="a-long-mesh-name-1")
         with self.assertRaises(MessageRejected):
@@ -145,7 +145,7 @@
 
 
 class ZmqTransportTest(unittest.TestCase):
-    """Guards against unbounded queues and sockets, and errors that end the control task."""
+    """Guards against unbounded queues and sockets, and errors that crash the control task."""
 
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -161,7 +161,7 @@
         self.address = self.transport.inbox.last_endpoint.decode()
 
     def test_bad_frames_are_counted_and_good_ones_arrive(self) -> None:
-        """Fails if a bad frame raises, stops the good ones, or floods the log."""
+        """Fails if an invalid frame raises, blocks valid ones or floods the log."""
         other = ZmqTransport(address="tcp://127.0.0.1:*", mesh_id="x", key=KEY)
         self.addCleanup(other.close)
         for _ in range(3):
@@ -206,7 +206,7 @@
         self.assertEqual(len(opened), LARGEST_DEPLOYMENT)
 
     def test_message_to_many_nodes_is_encoded_once(self) -> None:
-        """Fails if telling all nodes a change encodes it for each of them."""
+        """Fails if a message to several nodes is encoded once for each of them."""
         message = PullRecords(1)
         with patch("citronrack.transport.zmq_transport.pack", side_effect=pack) as packed:
             for port in (1, 2, 3):
