Reword the rejections of malformed requests and the remaining local names of the call path

Change: local and private names and six error texts of the request reader; the tests check their statuses only.

--- a/src/citronrack/calls/_abandoned.py
+++ b/src/citronrack/calls/_abandoned.py
@@ -88,10 +88,10 @@
 
     def _pop_done(self) -> list[_AbandonedRequest]:
         now = time.monotonic()
-        ended_requests: list[_AbandonedRequest] = []
-        left: list[_AbandonedRequest] = []
+        done: list[_AbandonedRequest] = []
+        pending: list[_AbandonedRequest] = []
         with self._lock:
             for request in self._waiting:
-                (ended_requests if self._closed or request.is_done(now) else left).append(request)
-            self._waiting = left
-        return ended_requests
+                (done if self._closed or request.is_done(now) else pending).append(request)
+            self._waiting = pending
+        return done
--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -137,7 +137,7 @@
             return ""
         if route.waiting >= QUEUE_PER_SLOT * self.slots:
             return "the queue of the route is full"
-        ends_at = now + self._expected_s(route, now)
+        ends_at = now + self._expected_duration_s(route, now)
         if ends_at > call.deadline:
             return "the deadline cannot be met"
         if ends_at > call.soft_deadline:
@@ -218,8 +218,8 @@
             for other in self._routes.values()
         )
 
-    def _expected_s(self, route: _RouteQueue, now: float) -> float:
-        """Return the expected time until a new call of the route has ended."""
+    def _expected_duration_s(self, route: _RouteQueue, now: float) -> float:
+        """Return the expected time in the queue and on the target for a new call of the route."""
         busy = [r for r in self._routes.values() if r.waiting or r.running or r is route]
         part = route.weight / sum(r.weight for r in busy)
         own_slots = max(1.0, self.slot_limit(now) * part)
--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -37,9 +37,9 @@
     """Target statistics of one pool, by zone and state."""
 
     source: Sequence[PoolTarget]
-    entries: list[TargetStats]
-    own: list[TargetStats] = field(factory=list)
-    others: list[TargetStats] = field(factory=list)
+    members: list[TargetStats]
+    local_zone: list[TargetStats] = field(factory=list)
+    other_zones: list[TargetStats] = field(factory=list)
     ejected: list[TargetStats] = field(factory=list)
     next_check: float = 0.0
 
@@ -74,7 +74,7 @@
         self._observer = observer
         self._known: dict[str, TargetStats] = {}
         self._pools: dict[tuple[str, str], _Pool] = {}
-        self._turn = itertools.count()
+        self._call_numbers = itertools.count()
         self._lock = threading.Lock()
 
     def choose(
@@ -98,15 +98,15 @@
             pool = self._pool(key, targets)
             if pool.ejected and now >= pool.next_check:
                 self._classify(pool, now)
-            own: Sequence[TargetStats] = pool.own
-            others: Sequence[TargetStats] = pool.others
+            local_zone: Sequence[TargetStats] = pool.local_zone
+            other_zones: Sequence[TargetStats] = pool.other_zones
             if excluded:
-                own = [stats for stats in own if stats.target.name not in excluded]
-                others = [stats for stats in others if stats.target.name not in excluded]
+                local_zone = [stats for stats in local_zone if stats.target.name not in excluded]
+                other_zones = [stats for stats in other_zones if stats.target.name not in excluded]
             link_s = self._link_rtt_s + body_bytes * CROSS_ZONE_S_PER_BYTE
-            chosen = self._choose_by_zone(own, others, now, link_s)
+            chosen = self._choose_by_zone(local_zone, other_zones, now, link_s)
             if chosen is None:
-                chosen = self._last_resort(pool, excluded, now)
+                chosen = self._choose_ejected(pool, excluded, now)
             if chosen is not None:
                 chosen.record_start()
                 if chosen.ejected_until:
@@ -152,23 +152,27 @@
         return stats.expected_latency_s(self._clock.monotonic()) if stats is not None else None
 
     def _choose_by_zone(
-        self, own: Sequence[TargetStats], others: Sequence[TargetStats], now: float, link_s: float
+        self,
+        local_zone: Sequence[TargetStats],
+        other_zones: Sequence[TargetStats],
+        now: float,
+        link_s: float,
     ) -> TargetStats | None:
         """Choose from the local zone unless another one is faster despite the link.
 
         Args:
-            own: Targets of the local zone.
-            others: Targets of other zones.
+            local_zone: Targets of the local zone.
+            other_zones: Targets of other zones.
             now: Monotonic time in seconds.
             link_s: Penalty for another zone, in seconds.
         """
-        turn = next(self._turn)
-        local = self._policy(own, self._random, turn, now) if own else None
-        if not others:
+        call_number = next(self._call_numbers)
+        local = self._policy(local_zone, self._random, call_number, now) if local_zone else None
+        if not other_zones:
             return local
         if local is not None and local.in_flight + local.load < local.target.slots:
             return local  # A free slot in the local zone is always preferred.
-        remote = self._policy(others, self._random, turn, now)
+        remote = self._policy(other_zones, self._random, call_number, now)
         if local is None:
             return remote
         # The latency of a remote target already includes the link. The penalty is added so that
@@ -179,7 +183,7 @@
             else local
         )
 
-    def _last_resort(
+    def _choose_ejected(
         self, pool: _Pool, excluded: Collection[str], now: float
     ) -> TargetStats | None:
         """Return the ejected target whose ejection ends first, for a pool without other targets."""
@@ -190,44 +194,44 @@
         pool = self._pools.get(key)
         if pool is not None and pool.source is targets:
             return pool
-        entries = []
+        members = []
         for target in targets:
             stats = self._known.get(target.name)
             if stats is None or _is_restarted(stats.target, target):
                 stats = self._known[target.name] = TargetStats(target)
             stats.target = target
-            entries.append(stats)
-        _assume_latency(entries)
-        pool = self._pools[key] = _Pool(targets, entries)
+            members.append(stats)
+        _assume_latency(members)
+        pool = self._pools[key] = _Pool(targets, members)
         self._classify(pool, self._clock.monotonic())
         if len(self._known) > MAX_KNOWN_TARGETS:
-            self._forget()
+            self._drop_absent()
         return pool
 
-    def _forget(self) -> None:
-        present = {stats.target.name for pool in self._pools.values() for stats in pool.entries}
+    def _drop_absent(self) -> None:
+        present = {stats.target.name for pool in self._pools.values() for stats in pool.members}
         self._known = {name: stats for name, stats in self._known.items() if name in present}
 
     def _classify(self, pool: _Pool, now: float) -> None:
-        """Divide the pool into local, remote and ejected targets."""
-        pool.own, pool.others, pool.ejected = [], [], []
-        for stats in pool.entries:
+        """Divide the pool into targets of the local zone, of other zones, and ejected ones."""
+        pool.local_zone, pool.other_zones, pool.ejected = [], [], []
+        for stats in pool.members:
             if stats.ejected_until and (stats.probing or now < stats.ejected_until):
                 pool.ejected.append(stats)
             elif stats.target.availability_zone == self._availability_zone:
-                pool.own.append(stats)
+                pool.local_zone.append(stats)
             else:
-                pool.others.append(stats)
+                pool.other_zones.append(stats)
         waiting = [stats.ejected_until for stats in pool.ejected if not stats.probing]
         pool.next_check = min(waiting, default=float("inf"))
 
     def _eject(self, stats: TargetStats, now: float, *, unreachable: bool = False) -> None:
         """Eject a target; the pool's limit does not apply to an unreachable one."""
         for pool in self._pools.values():
-            if stats not in pool.entries:
+            if stats not in pool.members:
                 continue
-            ejected = sum(bool(other.ejected_until) for other in pool.entries)
-            within = ejected + 1 <= len(pool.entries) // MAX_EJECTED_DIVISOR
+            ejected = sum(bool(other.ejected_until) for other in pool.members)
+            within = ejected + 1 <= len(pool.members) // MAX_EJECTED_DIVISOR
             if not (within or unreachable or stats.ejected_until):
                 return
             if unreachable and now < stats.ejected_until and not stats.probing:
@@ -244,19 +248,19 @@
             if self._observer is not None:
                 self._observer(stats.target.name, 0.0)
         for pool in self._pools.values():
-            if stats in pool.entries:
+            if stats in pool.members:
                 self._classify(pool, now)
 
 
-def _assume_latency(entries: Sequence[TargetStats]) -> None:
+def _assume_latency(members: Sequence[TargetStats]) -> None:
     """Assume the mean latency of the pool for targets without a measurement.
 
     A low initial estimate would send all calls to a target that has just started.
     """
-    known = [stats.latency_s for stats in entries if stats.has_latency]
+    known = [stats.latency_s for stats in members if stats.has_latency]
     if known:
         mean = sum(known) / len(known)
-        for stats in entries:
+        for stats in members:
             stats.assumed_latency_s = mean
 
 
--- a/src/citronrack/calls/policies.py
+++ b/src/citronrack/calls/policies.py
@@ -16,18 +16,18 @@
 
 @policies.register("round-robin")
 def round_robin(
-    entries: Sequence[TargetStats], _random: Random, turn: int, _now: float
+    entries: Sequence[TargetStats], _random: Random, call_number: int, _now: float
 ) -> TargetStats:
     """Choose the targets in turn."""
-    return entries[turn % len(entries)]
+    return entries[call_number % len(entries)]
 
 
 @policies.register("least-loaded")
 def least_loaded(
-    entries: Sequence[TargetStats], _random: Random, turn: int, now: float
+    entries: Sequence[TargetStats], _random: Random, call_number: int, now: float
 ) -> TargetStats:
     """Choose the target with the smallest last reported load per slot."""
-    start = turn % len(entries)
+    start = call_number % len(entries)
     return min(
         (*entries[start:], *entries[:start]),
         key=lambda stats: max(stats.in_flight, stats.load) / max(1, stats.target.slots),
@@ -36,7 +36,7 @@
 
 @policies.register("two-choices")
 def two_choices(
-    entries: Sequence[TargetStats], random: Random, _turn: int, _now: float
+    entries: Sequence[TargetStats], random: Random, _call_number: int, _now: float
 ) -> TargetStats:
     """Choose the one of two random targets that has fewer calls of this node in flight."""
     one, other = _two(entries, random)
@@ -44,7 +44,9 @@
 
 
 @policies.register("adaptive")
-def adaptive(entries: Sequence[TargetStats], random: Random, _turn: int, now: float) -> TargetStats:
+def adaptive(
+    entries: Sequence[TargetStats], random: Random, _call_number: int, now: float
+) -> TargetStats:
     """Choose the one of two random targets where the call is expected to end first."""
     if len(entries) == 1:
         return entries[0]
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -99,13 +99,13 @@
         if self._expects and not self._incoming.parts:
             self._expects = False
             self._reader.send_continue()
-        return self._reader.fill(self._incoming, limit_s)
+        return self._reader.wait_part(self._incoming, limit_s)
 
     def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
         """Wait for the caller's next part or for input on ``other``."""
         if self._incoming.parts or self._incoming.complete or self.replayable:
             return not has_input(other)
-        return self._reader.wait_body(other, limit_s)
+        return self._reader.wait_body_or_input(other, limit_s)
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts as they arrive."""
@@ -140,7 +140,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._current = _IncomingRequest()
         self._ready: deque[_IncomingRequest] = deque()
-        self._fault: BadRequest | None = None
+        self._error: BadRequest | None = None
         self._upgrade = False
 
     @staticmethod
@@ -165,8 +165,8 @@
             return  # Trailers are dropped, so that nothing is added to a request after its routing.
         current.size += len(name) + len(value) + 4
         if current.size > self._limits.max_head_bytes:
-            self._fault = BadRequest(431, "the headers are too large")
-            raise self._fault
+            self._error = BadRequest(431, "the headers are too large")
+            raise self._error
         current.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -193,7 +193,7 @@
             ConnectionEnded: When no request follows.
         """
         if not self._ready:
-            self._await_head()
+            self._read_head()
         incoming = self._ready.popleft()
         fields = dict(incoming.headers)
         _check_head(incoming, fields)
@@ -222,7 +222,7 @@
             host=_host_name(fields.get(b"host", b"")),
             request_id=fields.get(self._names.request_id, b"").decode("latin-1"),
             timeout_ms=_timeout_ms(fields.get(self._names.timeout)),
-            cancelled=self._caller_gone,
+            cancelled=self._caller_disconnected,
         )
         return ReceivedRequest(
             request=request,
@@ -246,9 +246,9 @@
             if incoming.complete:
                 return
             if not incoming.parts:
-                self._fill_body()
+                self._read_body()
 
-    def fill(self, incoming: _IncomingRequest, limit_s: float) -> bool:
+    def wait_part(self, incoming: _IncomingRequest, limit_s: float) -> bool:
         """Read until a part of a body arrives; return False when none came within the limit."""
         end = time.monotonic() + limit_s
         poller = select.poll()
@@ -256,10 +256,10 @@
         while not (incoming.parts or incoming.complete):
             if not poller.poll(max(0.0, end - time.monotonic()) * 1000):
                 return False
-            self._fill_body()
+            self._read_body()
         return True
 
-    def wait_body(self, other: socket.socket, limit_s: float) -> bool:
+    def wait_body_or_input(self, other: socket.socket, limit_s: float) -> bool:
         """Wait for the caller; return False when ``other`` has input before that."""
         poller = select.poll()
         poller.register(self._connection, select.POLLIN)
@@ -273,41 +273,43 @@
     def _read_whole(self, incoming: _IncomingRequest) -> None:
         try:
             while not incoming.complete:
-                self._fill_body()
+                self._read_body()
         except BodyReadError as error:
-            if self._fault is not None:
-                raise self._fault from error
+            if self._error is not None:
+                raise self._error from error
             raise BadRequest(408, "the body did not arrive") from error
 
-    def _await_head(self) -> None:
+    def _read_head(self) -> None:
         """Read until a head is complete."""
-        if self._fault is not None:
-            raise self._fault
-        began = 0.0
+        if self._error is not None:
+            raise self._error
+        started_at = 0.0
         idle_since = 0.0
         while not self._ready:
             data = self._receive()
-            if self._stalled(data, began=began):
+            if self._head_timed_out(data, started_at=started_at):
                 raise BadRequest(408, "the headers did not arrive in time")
             if data is None:
                 now = time.monotonic()
                 idle_since = idle_since or now - self.poll_s(self._limits)
-                if not began and now - idle_since >= self._limits.idle_s:
+                if not started_at and now - idle_since >= self._limits.idle_s:
                     raise ConnectionEnded("idle")
                 continue
             if not data:
                 raise ConnectionEnded("closed by the caller")
             self._feed(data)
             if not self._ready:
-                began = began or time.monotonic()
-                self._count_head(len(data))
+                started_at = started_at or time.monotonic()
+                self._check_head_size(len(data))
 
-    def _stalled(self, data: bytes | None, *, began: float) -> bool:
-        return bool(began) and data != b"" and time.monotonic() - began > self._limits.head_s
+    def _head_timed_out(self, data: bytes | None, *, started_at: float) -> bool:
+        return (
+            bool(started_at) and data != b"" and time.monotonic() - started_at > self._limits.head_s
+        )
 
-    def _count_head(self, size: int) -> None:
-        if self._fault is not None:
-            raise self._fault
+    def _check_head_size(self, size: int) -> None:
+        if self._error is not None:
+            raise self._error
         # The parser reports only complete headers, so a single endless header is limited here.
         self._current.size = max(self._current.size, len(self._current.target)) + size
         if self._current.size > 2 * self._limits.max_head_bytes:
@@ -320,7 +322,7 @@
         except BlockingIOError:
             return None
 
-    def _fill_body(self) -> None:
+    def _read_body(self) -> None:
         waited_s = 0.0
         while (data := self._receive_body()) is None:
             waited_s += self.poll_s(self._limits)
@@ -329,12 +331,12 @@
         if not data:
             raise BodyReadError("the caller closed the connection")
         self._feed(data)
-        if self._fault is not None:
-            raise BodyReadError(str(self._fault)) from self._fault
+        if self._error is not None:
+            raise BodyReadError(str(self._error)) from self._error
 
     def _receive_body(self) -> bytes | None:
-        if self._fault is not None:
-            raise BodyReadError(str(self._fault)) from self._fault
+        if self._error is not None:
+            raise BodyReadError(str(self._error)) from self._error
         try:
             return self._receive()
         except OSError as error:
@@ -347,36 +349,36 @@
             # Upgrades are not supported. The request is handled as plain HTTP, and what follows it
             # on the connection is not HTTP.
             self._upgrade = True
-            self._fault = BadRequest(400, "no request may follow an upgrade")
+            self._error = BadRequest(400, "no request may follow an upgrade")
         except httptools.HttpParserError as error:
-            self._fault = self._fault or BadRequest(400, str(error))
+            self._error = self._error or BadRequest(400, str(error))
             if self._ready and not self._ready[-1].complete:
                 self._ready.pop()
 
-    def _caller_gone(self) -> bool:
+    def _caller_disconnected(self) -> bool:
         return at_end(self._connection)
 
 
 def _check_head(incoming: _IncomingRequest, fields: dict[bytes, bytes]) -> None:
     """Reject requests that the parser accepts and this server does not support."""
     if incoming.version not in ("1.0", "1.1"):
-        raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are served")
+        raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are supported")
     if incoming.method == b"CONNECT":
-        raise BadRequest(501, "CONNECT is not served")
+        raise BadRequest(501, "CONNECT is not supported")
     if not incoming.target.startswith(b"/") and incoming.target != b"*":
         raise BadRequest(400, "the request target must be a path")
     if b"host" not in fields and incoming.version == "1.1":
-        raise BadRequest(400, "a Host header is needed")
+        raise BadRequest(400, "the Host header is missing")
     if len(fields) < len(incoming.headers):
         _check_duplicates(incoming.headers)
     coding = fields.get(b"transfer-encoding")
     if coding is not None and coding.strip().lower() != b"chunked":
-        raise BadRequest(501, "only the transfer coding chunked is served")
+        raise BadRequest(501, "only the transfer coding chunked is supported")
     if coding is not None and incoming.version == "1.0":
-        raise BadRequest(400, "HTTP/1.0 has no transfer codings")
+        raise BadRequest(400, "HTTP/1.0 does not support transfer codings")
     expectation = fields.get(b"expect")
     if expectation is not None and expectation.lower() != b"100-continue":
-        raise BadRequest(417, "the expectation is unknown")
+        raise BadRequest(417, "the expectation is not supported")
 
 
 def _check_duplicates(headers: Headers) -> None:
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -274,8 +274,8 @@
         request = call.request
         if self._local is not None and target.name == self._own_name:
             headers = [*request.headers, *self._caller_headers]
-            own = evolve(request, headers=headers, service=call.service)
-            return self._local(own, call.context)
+            local_request = evolve(request, headers=headers, service=call.service)
+            return self._local(local_request, call.context)
         return self._upstream.send(
             target.deliver_address,
             OutgoingRequest(
@@ -411,11 +411,11 @@
         version = route.service_version
         return version, view.pools.get((service, version), ())
     new = picks_new(call_key, share.move_id, share.share)
-    sides = [share.to_version, share.from_version] if new else [share.from_version]
+    versions = [share.to_version, share.from_version] if new else [share.from_version]
     if not new and share.share > 0:
-        sides.append(share.to_version)
-    for version in sides:
+        versions.append(share.to_version)
+    for version in versions:
         pool = view.pools.get((service, version), ())
         if pool:
             return version, pool
-    return sides[0], ()
+    return versions[0], ()
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -95,9 +95,8 @@
                 except OSError:
                     if self._stopping:
                         return
-                    time.sleep(
-                        REFUSED_OPEN_S
-                    )  # Out of file descriptors until other connections end.
+                    # Out of file descriptors; other connections end in the meantime.
+                    time.sleep(REFUSED_OPEN_S)
                     continue
                 self._handle_accepted(connection)
         finally:
@@ -140,10 +139,10 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_timeouts(connection, receive_s=self._poll_s, send_s=self._limits.body_idle_s)
         with self._lock:
-            surplus = len(self._connections) >= self._limits.connections
-            if not surplus:
+            over_limit = len(self._connections) >= self._limits.connections
+            if not over_limit:
                 self._connections[connection] = False
-        if surplus:
+        if over_limit:
             self._refuse_connection(connection)
         else:
             self._executor.submit(self._serve, connection)
@@ -185,33 +184,33 @@
     def _serve_next(self, connection: socket.socket, reader: RequestReader) -> bool:
         """Serve one request; return whether another one may follow."""
         try:
-            exchange = reader.next()
+            received = reader.next()
         except ConnectionEnded:
             return False
         except BadRequest as error:
             response = local_response(error.status, error.reason, Verdict.NOT_RUN)
             connection.sendall(self._render(response, keep=False, chunked=False))
             return False
-        request = exchange.request
+        request = received.request
         nested = self._drainer.draining and self._nested is not None and self._nested(request)
         if not self._drainer.enter(nested=nested):
             response = local_response(503, "the node is stopping", Verdict.NOT_RUN)
-            return self._send_response(connection, exchange, response)
+            return self._send_response(connection, received, response)
         try:
-            return self._send_response(connection, exchange, self._handler(request))
+            return self._send_response(connection, received, self._handler(request))
         except BodyReadError:
             return False
         finally:
             self._drainer.leave()
 
     def _send_response(
-        self, connection: socket.socket, exchange: ReceivedRequest, response: Response
+        self, connection: socket.socket, received: ReceivedRequest, response: Response
     ) -> bool:
         """Write a response; return whether the connection may be used again."""
-        keep = exchange.keep_alive and exchange.body_complete and not self._drainer.draining
-        head_only = exchange.request.method == "HEAD"
+        keep = received.keep_alive and received.body_complete and not self._drainer.draining
+        head_only = received.request.method == "HEAD"
         bodiless = head_only or response.status in NO_BODY_STATUSES
-        chunked = response.whole is None and response.length is None and exchange.chunks_allowed
+        chunked = response.whole is None and response.length is None and received.chunks_allowed
         if response.whole is None and response.length is None and not chunked:
             keep = False  # HTTP/1.0: the body ends with the connection.
         head = self._render(response, keep=keep, chunked=chunked, head_only=bodiless)
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -26,13 +26,13 @@
     """
 
     def script(connection: socket.socket) -> None:
-        began = time.monotonic()
+        started_at = time.monotonic()
         while connection.recv(65_536):
-            if time.monotonic() - began > max_idle_s:
+            if time.monotonic() - started_at > max_idle_s:
                 abort(connection)
                 return
             connection.sendall(RESPONSE)
-            began = time.monotonic()
+            started_at = time.monotonic()
 
     return script
 
