Reword two texts of the admission queue

Cause: a comment was torn from its line by the formatter, and a docstring named the result but not the effect.

Change: texts only.

Run: python -m tests calls.test_cores: passed.

--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -163,15 +163,14 @@
         self.running -= 1
         route.running -= 1
         held_s = now - (call.started if call.started is not None else now)
-        route.virtual_time += (
-            held_s - route.service_s
-        ) / route.weight  # replaces the estimate charged at the start
+        # Replaces the estimate that was charged at the start.
+        route.virtual_time += (held_s - route.service_s) / route.weight
         if ran:
             self._update_service_time(route, held_s)
         return self.start_waiting(now)
 
     def start_waiting(self, now: float) -> list[SlotRequest]:
-        """Return the waiting calls that start now."""
+        """Start waiting calls while slots are free, and return them."""
         return list(self._start_waiting(now)) if self._queued else []
 
     def _update_service_time(self, route: _RouteQueue, held_s: float) -> None:
