--- a/src/citronrack/bench/directory.py
+++ b/src/citronrack/bench/directory.py
@@ -11,8 +11,8 @@
 import tracemalloc
 
 from ..config import ConfigSet
-from ..membership import KnownMember, Member, MemberSummary
-from ..membership.known import summary_of
+from ..membership import Member, MemberSummary, RemoteMember
+from ..membership.remote import summary_of
 from ..membership.zones import ZoneView
 from ..node.views import ViewBuilder
 
@@ -48,15 +48,15 @@
     return views
 
 
-def _look(views: list[ZoneView]) -> list[KnownMember]:
+def _list_members(views: list[ZoneView]) -> list[RemoteMember]:
     return [
-        KnownMember(f"zone-{number}", summary, 0.0, True)
+        RemoteMember(f"zone-{number}", summary, 0.0, True)
         for number, view in enumerate(views, 1)
         for summary, _ in view.entries()
     ]
 
 
-def _build_ms(builder: ViewBuilder, own: list[Member], remote: list[KnownMember]) -> float:
+def _build_ms(builder: ViewBuilder, own: list[Member], remote: list[RemoteMember]) -> float:
     started = time.perf_counter()
     builder.build(ready=True, reason="", config=ConfigSet(), members=own, remote=remote, shares={})
     return (time.perf_counter() - started) * 1000
@@ -71,7 +71,7 @@
     held = tracemalloc.get_traced_memory()[0]
     builder = ViewBuilder()
     own = [_member(0, i, 1) for i in range(MEMBERS_PER_ZONE)]
-    remote = _look(views)
+    remote = _list_members(views)
     _build_ms(builder, own, remote)
     gc.collect()
     with_view = tracemalloc.get_traced_memory()[0]
@@ -81,7 +81,7 @@
     print(f"members of other zones: {len(summaries)}")
     print(f"their directory: {held / 1e6:.2f} MB, {held / known:.0f} B a member")
     print(f"directory, routing view and {len(own)} own members: {with_view / 1e6:.2f} MB")
-    looks = sorted(_timed_look(views) for _ in range(ROUNDS))
+    looks = sorted(_time_listing(views) for _ in range(ROUNDS))
     near = sorted(_build_ms(builder, list(own), remote) for _ in range(ROUNDS))
     far = sorted(_build_ms(builder, own, list(remote)) for _ in range(ROUNDS))
     for name, values in (("look", looks), ("own zone changed", near), ("other zone changed", far)):
@@ -89,9 +89,9 @@
     return 0
 
 
-def _timed_look(views: list[ZoneView]) -> float:
+def _time_listing(views: list[ZoneView]) -> float:
     started = time.perf_counter()
-    _look(views)
+    _list_members(views)
     return (time.perf_counter() - started) * 1000
 
 
--- a/src/citronrack/calls/__init__.py
+++ b/src/citronrack/calls/__init__.py
@@ -8,7 +8,7 @@
 from .context import CallContext, ContextCodec
 from .delivery import TargetDelivery
 from .drain import Drainer
-from .message import Answer, IterableBody, Request, WholeBody
+from .message import IterableBody, Request, Response, WholeBody
 from .record import CallRecord
 from .router import Router
 from .server import CallServer
@@ -18,7 +18,6 @@
 
 __all__ = [
     "Admission",
-    "Answer",
     "Balancer",
     "CallContext",
     "CallRecord",
@@ -28,6 +27,7 @@
     "IterableBody",
     "PoolTarget",
     "Request",
+    "Response",
     "RetryBudget",
     "RouteIndex",
     "RouteShare",
--- a/src/citronrack/calls/_abandoned.py
+++ b/src/citronrack/calls/_abandoned.py
@@ -13,7 +13,7 @@
 
 from ._sockets import has_input
 
-SETTLE_LIMIT_S = 0.5
+ABANDONED_TIMEOUT_S = 0.5
 """Longest time that an abandoned request counts as running.
 
 A target that reads nothing while it works notices the end of its connection only at its answer;
@@ -22,18 +22,18 @@
 
 POLL_S = 0.05
 
-Settled = Callable[[], None]
+DoneCallback = Callable[[], None]
 
 
 @frozen
-class _Abandoned:
+class _AbandonedRequest:
     """A connection whose request nobody waits for."""
 
     connection: socket.socket
-    settled: Settled
+    on_target_done: DoneCallback
     expiry: float
 
-    def has_settled(self, now: float) -> bool:
+    def is_done(self, now: float) -> bool:
         """Return whether the request can no longer be at work, or has had its time."""
         return now >= self.expiry or has_input(self.connection)
 
@@ -47,12 +47,12 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._waiting: list[_Abandoned] = []
+        self._waiting: list[_AbandonedRequest] = []
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="abandoned-requests")
         self._running = False
         self._closed = False
 
-    def add(self, connection: socket.socket, settled: Settled) -> None:
+    def add(self, connection: socket.socket, on_target_done: DoneCallback) -> None:
         """Take over a connection.
 
         Args:
@@ -61,9 +61,9 @@
         """
         with contextlib.suppress(OSError):  # The peer may have closed it already.
             connection.shutdown(socket.SHUT_WR)
-        expiry = time.monotonic() + SETTLE_LIMIT_S
+        expiry = time.monotonic() + ABANDONED_TIMEOUT_S
         with self._lock:
-            self._waiting.append(_Abandoned(connection, settled, expiry))
+            self._waiting.append(_AbandonedRequest(connection, on_target_done, expiry))
             start = not self._running
             self._running = True
         if start:
@@ -77,20 +77,20 @@
     def _run(self) -> None:
         while True:
             time.sleep(POLL_S)
-            for request in self._take_settled():
+            for request in self._pop_done():
                 request.connection.close()
-                request.settled()
+                request.on_target_done()
             with self._lock:
                 if not self._waiting:
                     self._running = False
                     return
 
-    def _take_settled(self) -> list[_Abandoned]:
+    def _pop_done(self) -> list[_AbandonedRequest]:
         now = time.monotonic()
-        ended: list[_Abandoned] = []
-        left: list[_Abandoned] = []
+        ended: list[_AbandonedRequest] = []
+        left: list[_AbandonedRequest] = []
         with self._lock:
             for request in self._waiting:
-                (ended if self._closed or request.has_settled(now) else left).append(request)
+                (ended if self._closed or request.is_done(now) else left).append(request)
             self._waiting = left
         return ended
--- a/src/citronrack/calls/admission.py
+++ b/src/citronrack/calls/admission.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from ..clock import Clock
-from ._queue import AdmissionQueue, Waiting
+from ._queue import AdmissionQueue, SlotRequest
 
 CANCEL_CHECK_S = 0.1
 """How often a waiting call checks whether it still wants a slot."""
@@ -34,8 +34,8 @@
 
     cold: bool
     waited_s: float
-    _call: Waiting
-    _release: Callable[[Waiting, bool], None]
+    _call: SlotRequest
+    _release: Callable[[SlotRequest, bool], None]
     _released: bool = field(default=False, init=False)
 
     def release(self, *, ran: bool = True) -> None:
@@ -65,7 +65,7 @@
         self._clock = clock
         self._queue = AdmissionQueue(slots=slots, ramp_s=ramp_s)
         self._lock = threading.Lock()
-        self._waiters: dict[Waiting, _Waiter] = {}
+        self._waiters: dict[SlotRequest, _Waiter] = {}
 
     @property
     def load(self) -> int:
@@ -76,7 +76,7 @@
         """Change the number of calls that the target runs at once."""
         with self._lock:
             self._queue.slots = slots
-            started = self._queue.fill(self._clock.monotonic())
+            started = self._queue.start_waiting(self._clock.monotonic())
             woken = [self._waiters.pop(call) for call in started]
         for waiter in woken:
             waiter.ready.set()
@@ -93,8 +93,8 @@
         deadline: float,
         weight: float = 1.0,
         priority: int = 0,
-        wanted_by: float = math.inf,
-        withdrawn: Callable[[], str] = lambda: "",
+        soft_deadline: float = math.inf,
+        cancel_reason: Callable[[], str] = lambda: "",
     ) -> Slot:
         """Wait for a slot.
 
@@ -103,14 +103,14 @@
             deadline: Monotonic time by which the call must have ended.
             weight: Share of slots relative to other routes.
             priority: Rank among waiting calls; 0 goes first.
-            wanted_by: Monotonic time after which an answer is of less use.
+            soft_deadline: Monotonic time after which an answer is of less use.
             withdrawn: Returns why the call no longer wants a slot, empty while it does.
 
         Raises:
             Refused: When the call gets no slot; it was not run.
         """
         asked = self._clock.monotonic()
-        call = Waiting(route, deadline, priority=priority, wanted_by=wanted_by)
+        call = SlotRequest(route, deadline, priority=priority, soft_deadline=soft_deadline)
         waiter: _Waiter | None = None
         with self._lock:
             reason = self._queue.offer(call, weight=weight, now=asked)
@@ -119,19 +119,19 @@
         if reason:
             raise Refused(reason)
         if waiter is not None:
-            self._wait(call, waiter, withdrawn)
+            self._wait(call, waiter, cancel_reason)
         now = self._clock.monotonic()
         if now >= deadline:
             self._free(call, False)
             raise Refused("the deadline has passed")
         return Slot(self._queue.is_cold(now), now - asked, call, self._free)
 
-    def _wait(self, call: Waiting, waiter: _Waiter, withdrawn: Callable[[], str]) -> None:
+    def _wait(self, call: SlotRequest, waiter: _Waiter, cancel_reason: Callable[[], str]) -> None:
         while True:
             left_s = call.deadline - self._clock.monotonic()
             if waiter.ready.wait(min(CANCEL_CHECK_S, max(0.0, left_s))):
                 return
-            reason = withdrawn()
+            reason = cancel_reason()
             if not reason and left_s > 0:
                 continue
             with self._lock:
@@ -141,7 +141,7 @@
                 del self._waiters[call]
             raise Refused(reason or "the deadline has passed")
 
-    def _free(self, call: Waiting, ran: bool) -> None:
+    def _free(self, call: SlotRequest, ran: bool) -> None:
         with self._lock:
             started = self._queue.release(call, now=self._clock.monotonic(), ran=ran)
             woken = [self._waiters.pop(other) for other in started]
--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -10,19 +10,19 @@
 from attrs import define, field
 
 from ..clock import Clock
-from .observed import (
-    EJECTED_PART,
-    Observed,
+from .policies import Policy, policies
+from .target_stats import (
+    MAX_EJECTED_DIVISOR,
+    TargetStats,
     eject,
     restore,
 )
-from .policies import Policy, policies
 from .view import PoolTarget
 
-KNOWN_LIMIT = 4_096
+MAX_KNOWN_TARGETS = 4_096
 """Targets whose observations are kept; a pool has 35 on average in the largest fleet."""
 
-CROSSING_S_PER_BYTE = 5e-6
+CROSS_ZONE_S_PER_BYTE = 5e-6
 """Wait in the own zone that is preferred to sending a byte to another one: 0.3 s for 60 KB. Links
 between zones are paid by the byte, and an upload of that size is worth about what its crossing
 costs."""
@@ -36,10 +36,10 @@
     """Observations of one pool, divided by zone."""
 
     source: Sequence[PoolTarget]
-    entries: list[Observed]
-    own: list[Observed] = field(factory=list)
-    others: list[Observed] = field(factory=list)
-    ejected: list[Observed] = field(factory=list)
+    entries: list[TargetStats]
+    own: list[TargetStats] = field(factory=list)
+    others: list[TargetStats] = field(factory=list)
+    ejected: list[TargetStats] = field(factory=list)
     next_check: float = 0.0
 
 
@@ -71,7 +71,7 @@
         self._clock = clock
         self._random = random
         self._observer = observer
-        self._known: dict[str, Observed] = {}
+        self._known: dict[str, TargetStats] = {}
         self._pools: dict[tuple[str, str], _Pool] = {}
         self._turn = itertools.count()
         self._lock = threading.Lock()
@@ -83,7 +83,7 @@
         *,
         excluded: Collection[str] = (),
         body_bytes: int = 0,
-    ) -> Observed | None:
+    ) -> TargetStats | None:
         """Return the target for a call and count the call as in flight.
 
         Args:
@@ -96,26 +96,26 @@
             now = self._clock.monotonic()
             pool = self._pool(key, targets)
             if pool.ejected and now >= pool.next_check:
-                self._sort(pool, now)
-            own: Sequence[Observed] = pool.own
-            others: Sequence[Observed] = pool.others
+                self._classify(pool, now)
+            own: Sequence[TargetStats] = pool.own
+            others: Sequence[TargetStats] = pool.others
             if excluded:
                 own = [entry for entry in own if entry.target.name not in excluded]
                 others = [entry for entry in others if entry.target.name not in excluded]
-            link_s = self._link_rtt_s + body_bytes * CROSSING_S_PER_BYTE
-            chosen = self._between(own, others, now, link_s)
+            link_s = self._link_rtt_s + body_bytes * CROSS_ZONE_S_PER_BYTE
+            chosen = self._choose_by_zone(own, others, now, link_s)
             if chosen is None:
                 chosen = self._last_resort(pool, excluded, now)
             if chosen is not None:
-                chosen.started()
+                chosen.record_start()
                 if chosen.ejected_until:
                     chosen.probing = True
-                    self._sort(pool, now)
+                    self._classify(pool, now)
             return chosen
 
-    def ended(
+    def record_end(
         self,
-        entry: Observed,
+        entry: TargetStats,
         *,
         latency_s: float | None = None,
         failed: bool = False,
@@ -134,9 +134,9 @@
         with self._lock:
             now = self._clock.monotonic()
             was_ejected = bool(entry.ejected_until)
-            entry.ended(latency_s=latency_s, failed=failed)
+            entry.record_end(latency_s=latency_s, failed=failed)
             if load is not None:
-                entry.reported(load, now)
+                entry.record_load(load, now)
             if unreachable:
                 self._eject(entry, now, unreachable=True)
             elif failed and (was_ejected or entry.failing):
@@ -145,14 +145,14 @@
                 # A refusal says nothing about health; the next call tries the target again.
                 self._end_probe(entry, now, healthy=latency_s is not None)
 
-    def expected_s(self, name: str) -> float | None:
+    def expected_latency_s(self, name: str) -> float | None:
         """Return the expected time of a call to a target, None for an unknown one."""
         entry = self._known.get(name)
-        return entry.expected_s(self._clock.monotonic()) if entry is not None else None
+        return entry.expected_latency_s(self._clock.monotonic()) if entry is not None else None
 
-    def _between(
-        self, own: Sequence[Observed], others: Sequence[Observed], now: float, link_s: float
-    ) -> Observed | None:
+    def _choose_by_zone(
+        self, own: Sequence[TargetStats], others: Sequence[TargetStats], now: float, link_s: float
+    ) -> TargetStats | None:
         """Choose from the own zone, unless another one is faster in spite of the link.
 
         Args:
@@ -172,9 +172,11 @@
             return far
         # The latency of a far target includes the link already; the link is added once more so
         # that calls do not cross zones for a small gain.
-        return far if near.expected_s(now) > far.expected_s(now) + link_s else near
+        return far if near.expected_latency_s(now) > far.expected_latency_s(now) + link_s else near
 
-    def _last_resort(self, pool: _Pool, excluded: Collection[str], now: float) -> Observed | None:
+    def _last_resort(
+        self, pool: _Pool, excluded: Collection[str], now: float
+    ) -> TargetStats | None:
         """Choose among ejected targets when no other one is left."""
         left = [entry for entry in pool.ejected if entry.target.name not in excluded]
         return min(left, key=lambda entry: entry.ejected_until) if left else None
@@ -186,14 +188,14 @@
         entries = []
         for target in targets:
             entry = self._known.get(target.name)
-            if entry is None or _other_start(entry.target, target):
-                entry = self._known[target.name] = Observed(target)
+            if entry is None or _is_restarted(entry.target, target):
+                entry = self._known[target.name] = TargetStats(target)
             entry.target = target
             entries.append(entry)
         _assume_latency(entries)
         pool = self._pools[key] = _Pool(targets, entries)
-        self._sort(pool, self._clock.monotonic())
-        if len(self._known) > KNOWN_LIMIT:
+        self._classify(pool, self._clock.monotonic())
+        if len(self._known) > MAX_KNOWN_TARGETS:
             self._forget()
         return pool
 
@@ -201,7 +203,7 @@
         present = {entry.target.name for pool in self._pools.values() for entry in pool.entries}
         self._known = {name: entry for name, entry in self._known.items() if name in present}
 
-    def _sort(self, pool: _Pool, now: float) -> None:
+    def _classify(self, pool: _Pool, now: float) -> None:
         """Divide the pool into targets that get calls, by zone, and ejected ones."""
         pool.own, pool.others, pool.ejected = [], [], []
         for entry in pool.entries:
@@ -214,45 +216,48 @@
         waiting = [entry.ejected_until for entry in pool.ejected if not entry.probing]
         pool.next_check = min(waiting, default=float("inf"))
 
-    def _eject(self, entry: Observed, now: float, *, unreachable: bool = False) -> None:
+    def _eject(self, entry: TargetStats, now: float, *, unreachable: bool = False) -> None:
         """Eject a target; the limit of the pool does not hold for one that cannot be reached."""
         for pool in self._pools.values():
             if entry not in pool.entries:
                 continue
             ejected = sum(bool(other.ejected_until) for other in pool.entries)
-            within = ejected + 1 <= len(pool.entries) // EJECTED_PART
+            within = ejected + 1 <= len(pool.entries) // MAX_EJECTED_DIVISOR
             if not (within or unreachable or entry.ejected_until):
                 return
             if unreachable and now < entry.ejected_until and not entry.probing:
                 return  # Another call was on its way when the target was ejected.
             seconds = eject(entry, now, unreachable=unreachable)
-            self._sort(pool, now)
+            self._classify(pool, now)
             if self._observer is not None:
                 self._observer(entry.target.name, seconds)
             return
 
-    def _end_probe(self, entry: Observed, now: float, *, healthy: bool) -> None:
+    def _end_probe(self, entry: TargetStats, now: float, *, healthy: bool) -> None:
         if healthy:
             restore(entry, now)
             if self._observer is not None:
                 self._observer(entry.target.name, 0.0)
         for pool in self._pools.values():
             if entry in pool.entries:
-                self._sort(pool, now)
+                self._classify(pool, now)
 
 
-def _assume_latency(entries: Sequence[Observed]) -> None:
+def _assume_latency(entries: Sequence[TargetStats]) -> None:
     """Let targets without an answer count as slow as the others of their pool.
 
     A low first guess sends all calls to a target that has just started.
     """
-    known = [entry.latency_s for entry in entries if entry.known]
-    if known:
-        mean = sum(known) / len(known)
+    has_latency = [entry.latency_s for entry in entries if entry.has_latency]
+    if has_latency:
+        mean = sum(has_latency) / len(has_latency)
         for entry in entries:
-            entry.prior_s = mean
+            entry.assumed_latency_s = mean
 
 
-def _other_start(known: PoolTarget, target: PoolTarget) -> bool:
+def _is_restarted(has_latency: PoolTarget, target: PoolTarget) -> bool:
     """Return whether ``target`` is another process than the one that was observed."""
-    return (known.deliver_address, known.target_id) != (target.deliver_address, target.target_id)
+    return (has_latency.deliver_address, has_latency.target_id) != (
+        target.deliver_address,
+        target.target_id,
+    )
--- a/src/citronrack/calls/budget.py
+++ b/src/citronrack/calls/budget.py
@@ -23,21 +23,21 @@
     def __init__(self, *, ratio: float = RETRY_RATIO, tokens: float = INITIAL_TOKENS) -> None:
         self._ratio = ratio
         self._tokens = tokens
-        self._most = MAX_TOKENS
+        self._max_tokens = MAX_TOKENS
         self._lock = threading.Lock()
 
-    def limit(self, tokens: float) -> None:
+    def set_max_tokens(self, tokens: float) -> None:
         """Change how many retries can be saved up."""
         with self._lock:
-            self._most = tokens
+            self._max_tokens = tokens
             self._tokens = min(tokens, self._tokens)
 
-    def earn(self) -> None:
+    def deposit(self) -> None:
         """Count one call."""
         with self._lock:
-            self._tokens = min(self._most, self._tokens + self._ratio)
+            self._tokens = min(self._max_tokens, self._tokens + self._ratio)
 
-    def spend(self) -> bool:
+    def try_withdraw(self) -> bool:
         """Take the token for one retry and return whether there was one."""
         with self._lock:
             if self._tokens < 1.0:
--- a/src/citronrack/calls/context.py
+++ b/src/citronrack/calls/context.py
@@ -41,7 +41,7 @@
         """Whether the chain of nested calls is longer than allowed."""
         return self.depth > MAX_DEPTH
 
-    def limited(self, deadline: float) -> CallContext:
+    def with_deadline(self, deadline: float) -> CallContext:
         """Return the context with an earlier deadline, if ``deadline`` is earlier."""
         if deadline >= self.deadline:
             return self
@@ -71,7 +71,7 @@
         self._clock = clock
         self._random = random
 
-    def fresh(self) -> CallContext:
+    def new_context(self) -> CallContext:
         """Return the context of a call from outside."""
         return CallContext(
             deadline=self._clock.monotonic() + MAX_CALL_S,
@@ -89,7 +89,7 @@
         ).encode()
         return text + b"." + self._digest(text)
 
-    def received(self, value: bytes | None) -> CallContext | None:
+    def decode(self, value: bytes | None) -> CallContext | None:
         """Return the context that another node sent, None without a valid one."""
         fields = self._verified(value)
         if fields is None:
@@ -97,7 +97,7 @@
         remaining_ms, _, retries, depth, call_key = fields
         return self._make(int(remaining_ms), int(retries), int(depth), call_key)
 
-    def nested(self, value: bytes | None) -> CallContext | None:
+    def decode_nested(self, value: bytes | None) -> CallContext | None:
         """Return the context of a call that a target made while it ran another call."""
         fields = self._verified(value)
         if fields is None:
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -12,23 +12,23 @@
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
-from ._links import Address
+from ._connections import Address
 from .admission import Admission, Refused, Slot
 from .context import CallContext, ContextCodec
 from .drain import Drainer
-from .headers import CONTEXT, PRODUCT_HEADERS, HeaderNames, Headers
-from .health import LOST_REQUESTS, TargetHealth
+from .headers import CONTEXT, DEFAULT_HEADER_NAMES, HeaderNames, Headers
+from .health import LOST_REQUEST_REASON, TargetHealth
 from .message import (
-    Answer,
-    CallerGone,
-    DeadlinePassed,
-    End,
+    BodyEnd,
+    CallerDisconnected,
+    DeadlineExceeded,
     Request,
-    failure_answer,
-    own_answer,
+    Response,
+    failure_response,
+    local_response,
 )
 from .record import CallRecord
-from .upstream import Outgoing, Upstream
+from .upstream import OutgoingRequest, Upstream
 from .view import ViewHolder
 
 UNROUTED = ""
@@ -36,7 +36,7 @@
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 
-LOSING_LOAD = 20
+FAILING_TARGET_LOAD = 20
 """Load that is told for a target that loses requests. It looks idle, and other nodes would choose
 it first; this is the load of a target of four slots with a queue of four times as many calls."""
 
@@ -58,7 +58,7 @@
     refusal: str = ""
 
 
-def _wanted_by(route: Route | None, now: float) -> float:
+def _soft_deadline(route: Route | None, now: float) -> float:
     """Return until when an answer is of full use.
 
     Calls of the highest rank wait until their deadline: other work that has been done already
@@ -70,7 +70,7 @@
 
 
 @frozen
-class _Delivered:
+class _InboundCall:
     """A call that another node, or this one, hands to the own target.
 
     Attributes:
@@ -120,7 +120,7 @@
         drainer: Drainer,
         report: Callable[[CallRecord], None],
         events: EventLog,
-        names: HeaderNames = PRODUCT_HEADERS,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
         self._address = address
         self._identity = identity
@@ -134,20 +134,20 @@
         self._report = report
         self._events = events
 
-    def handle(self, request: Request) -> Answer:
+    def handle(self, request: Request) -> Response:
         """Answer a request of another node."""
-        context = self._contexts.received(request.context) or self._contexts.fresh()
+        context = self._contexts.decode(request.context) or self._contexts.new_context()
         return self.deliver(request, context)
 
-    def deliver(self, request: Request, context: CallContext) -> Answer:
+    def deliver(self, request: Request, context: CallContext) -> Response:
         """Answer a request; the answer says whether the request may have run."""
         view = self._views.current
         identity = self._identity()
         route = view.route_of(request.path, request.host)
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
-        idempotent = view.may_repeat(route, identity.service, request.method)
-        delivered = _Delivered(request, context, name, idempotent, identity, started)
+        idempotent = view.is_idempotent(route, identity.service, request.method)
+        delivered = _InboundCall(request, context, name, idempotent, identity, started)
         reason = self._reason_to_refuse(delivered)
         if reason:
             return self._refuse(delivered, reason)
@@ -157,20 +157,20 @@
                 deadline=context.deadline,
                 weight=route.weight if route is not None else 1,
                 priority=route.priority if route is not None else 0,
-                wanted_by=_wanted_by(route, started),
-                withdrawn=lambda: self._reason_to_withdraw(delivered),
+                soft_deadline=_soft_deadline(route, started),
+                cancel_reason=lambda: self._reason_to_withdraw(delivered),
             )
         except Refused as refusal:
             return self._refuse(delivered, str(refusal))
         reason = self._reason_to_withdraw(delivered)
         if not reason and not self._health.admit(identity.target_id, idempotent=idempotent):
-            reason = LOST_REQUESTS
+            reason = LOST_REQUEST_REASON
         if reason:
             slot.release(ran=False)
             return self._refuse(delivered, reason)
         return self._run(delivered, slot)
 
-    def _reason_to_refuse(self, delivered: _Delivered) -> str:
+    def _reason_to_refuse(self, delivered: _InboundCall) -> str:
         """Return why a new call is refused, empty when it is not."""
         if self._drainer.draining:
             return "the node is stopping"
@@ -178,68 +178,70 @@
             return "the call is nested too deeply"
         if delivered.request.service not in ("", delivered.identity.service):
             return "the target belongs to another service"
-        if self._loses(delivered):
-            return LOST_REQUESTS
+        if self._is_failing(delivered):
+            return LOST_REQUEST_REASON
         return delivered.identity.refusal
 
-    def _reason_to_withdraw(self, delivered: _Delivered) -> str:
+    def _reason_to_withdraw(self, delivered: _InboundCall) -> str:
         """Return why a call that waits is refused, empty when it is not."""
         if delivered.request.cancelled():
             return "the caller has gone away"
         now = self._identity()
         if now.target_id != delivered.identity.target_id:
             return "the target was replaced"
-        if self._loses(delivered):
-            return LOST_REQUESTS
+        if self._is_failing(delivered):
+            return LOST_REQUEST_REASON
         return now.refusal
 
-    def _loses(self, delivered: _Delivered) -> bool:
+    def _is_failing(self, delivered: _InboundCall) -> bool:
         target_id = delivered.identity.target_id
-        return self._health.refuses(target_id, idempotent=delivered.idempotent)
+        return self._health.should_refuse(target_id, idempotent=delivered.idempotent)
 
-    def _run(self, delivered: _Delivered, slot: Slot) -> Answer:
+    def _run(self, delivered: _InboundCall, slot: Slot) -> Response:
         started = time.monotonic()
         try:
-            answer = self._send(delivered, settled=slot.release)
+            answer = self._send(delivered, on_target_done=slot.release)
         except CallFailed as error:
-            lost = not isinstance(error, (CallerGone, DeadlinePassed))
-            if lost:
-                self._health.lost(delivered.identity.target_id)
+            record_failure = not isinstance(error, (CallerDisconnected, DeadlineExceeded))
+            if record_failure:
+                self._health.record_failure(delivered.identity.target_id)
             ran = error.verdict is not Verdict.NOT_RUN
             if not ran:
                 slot.release(ran=False)
-                if lost:
+                if record_failure:
                     self._admission.mark_cold()
             # A refusal carries the load; an answer without one says that the target failed.
-            answer = failure_answer(error, load=self._admission.load if ran else None)
+            answer = failure_response(error, load=self._admission.load if ran else None)
             self._record(delivered, answer, cold=slot.cold)
             return answer
         except BaseException:
             slot.release(ran=False)
             raise
 
-        self._health.answered()
+        self._health.record_success()
 
-        def done(end: End) -> None:
+        def done(end: BodyEnd) -> None:
             slot.release()
-            if end is not End.COMPLETE:
+            if end is not BodyEnd.COMPLETE:
                 answer.verdict = Verdict.MAY_HAVE_RUN
             self._record(delivered, answer, cold=slot.cold, started=started)
 
         if self._names.not_run and any(name == self._names.not_run for name, _ in answer.headers):
             answer.finish()
             slot.release(ran=False)
-            return self._refuse(delivered, "the target did not run the request", arrived=True)
-        answer.when_done(done)
+            return self._refuse(
+                delivered, "the target did not run the request", reached_target=True
+            )
+        answer.add_done_callback(done)
         answer.load = self._admission.load
         return answer
 
-    def _send(self, delivered: _Delivered, *, settled: Callable[[], None]) -> Answer:
+    def _send(self, delivered: _InboundCall, *, on_target_done: Callable[[], None]) -> Response:
         request, context = delivered.request, delivered.context
         service = self._views.current.config.services.get(delivered.identity.service)
         return self._upstream.send(
             self._address,
-            Outgoing(
+            OutgoingRequest(
                 method=request.method,
                 target=request.target,
                 headers=[*request.headers, *self._headers(delivered)],
@@ -247,16 +249,16 @@
                 idempotent=delivered.idempotent,
                 deadline=context.deadline,
                 cancelled=request.cancelled,
-                hold_answer=bool(self._names.signature),
-                fault_of=self._fault_check(request),
-                settled=settled,
+                buffer_response=bool(self._names.signature),
+                check_response=self._response_check(request),
+                on_target_done=on_target_done,
             ),
             connect_timeout_s=(
                 service.connect_timeout_ms / 1000 if service else DEFAULT_CONNECT_TIMEOUT_S
             ),
         )
 
-    def _headers(self, delivered: _Delivered) -> Headers:
+    def _headers(self, delivered: _InboundCall) -> Headers:
         """Return the headers that the target gets beside those of the request."""
         names = self._names
         if not names.expected_target:
@@ -267,14 +269,16 @@
             headers.append((names.expected_target, delivered.identity.target_id.encode("latin-1")))
         return headers
 
-    def _fault_check(self, request: Request) -> Callable[[int, Mapping[bytes, bytes]], str] | None:
+    def _response_check(
+        self, request: Request
+    ) -> Callable[[int, Mapping[bytes, bytes]], str] | None:
         """Return the check that an answer is the target's own answer to the request."""
         names = self._names
         if not names.signature:
             return None
         request_id = request.request_id.encode("latin-1")
 
-        def fault_of(status: int, fields: Mapping[bytes, bytes]) -> str:
+        def check_response(status: int, fields: Mapping[bytes, bytes]) -> str:
             if fields.get(names.request_id, request_id) != request_id:
                 return "the answer belongs to another request"
             if 200 <= status < 300 and names.signature not in fields:
@@ -283,14 +287,16 @@
                 return "the answer has a content coding"
             return ""
 
-        return fault_of
+        return check_response
 
-    def _refuse(self, delivered: _Delivered, reason: str, *, arrived: bool = False) -> Answer:
+    def _refuse(
+        self, delivered: _InboundCall, reason: str, *, reached_target: bool = False
+    ) -> Response:
         load = self._admission.load
-        if reason == LOST_REQUESTS:
-            load = max(load, LOSING_LOAD)
-        answer = own_answer(503, reason, Verdict.NOT_RUN, load=load)
-        answer.arrived = arrived
+        if reason == LOST_REQUEST_REASON:
+            load = max(load, FAILING_TARGET_LOAD)
+        answer = local_response(503, reason, Verdict.NOT_RUN, load=load)
+        answer.reached_target = reached_target
         self._events.write(
             Event.CALL_REFUSED,
             route=delivered.route,
@@ -303,8 +309,8 @@
 
     def _record(
         self,
-        delivered: _Delivered,
-        answer: Answer,
+        delivered: _InboundCall,
+        answer: Response,
         *,
         cold: bool,
         started: float | None = None,
@@ -322,7 +328,7 @@
                 waited_ms=round((began - delivered.started) * 1000, 1),
                 ms=round((time.monotonic() - began) * 1000, 1),
                 load=self._admission.load,
-                reason=answer.own_reason,
+                reason=answer.local_reason,
             )
         self._report(
             CallRecord(
--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-NOTICE_S = 2.0
+DRAIN_NOTICE_S = 2.0
 """Time between telling other nodes of a stop and refusing calls."""
 
 
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -47,18 +47,18 @@
     signature: bytes = b""
     not_run: bytes = b""
     target_load: bytes = b""
-    owned: frozenset[bytes] = field(init=False)
+    reserved: frozenset[bytes] = field(init=False)
     """Headers that the node sets itself; what a caller sends under these names is dropped."""
 
-    @owned.default
-    def _owned(self) -> frozenset[bytes]:
+    @reserved.default
+    def _reserved(self) -> frozenset[bytes]:
         names = {self.caller_service, self.expected_target}
         if self.expected_target:
             names.add(self.timeout)
         return frozenset(names - {b""})
 
 
-PRODUCT_HEADERS = HeaderNames()
+DEFAULT_HEADER_NAMES = HeaderNames()
 
 # RFC 9110, 7.6.1. `content-length` and `expect` belong to one connection here too, because each
 # hop frames the body anew and answers expectations itself.
@@ -105,7 +105,7 @@
     return b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, fields)
 
 
-def answer_head(status: int, reason: bytes, headers: Headers) -> bytes:
+def response_head(status: int, reason: bytes, headers: Headers) -> bytes:
     """Return the bytes of a status line and headers."""
     fields = b"".join([b"%b: %b\r\n" % header for header in headers])
     return b"HTTP/1.1 %d %b\r\n%b\r\n" % (status, reason or _REASONS.get(status, b""), fields)
--- a/src/citronrack/calls/health.py
+++ b/src/citronrack/calls/health.py
@@ -6,18 +6,18 @@
 
 from ..clock import Clock
 
-TRIAL_S = 0.2
+PROBE_INTERVAL_S = 0.2
 """Time between requests that try out a target which loses all of them. A target that is up again
 has to be found within a part of a second; each trial that fails costs a retry."""
 
-UNSAFE_TRIAL_S = 1.0
+NON_IDEMPOTENT_PROBE_INTERVAL_S = 1.0
 """Time after a lost request in which the target gets none that must not run twice. Requests that
 may be repeated try it out meanwhile; where there are none, one of the others has to."""
 
-LOSSES_TO_PACE = 2
+FAILURES_BEFORE_PACING = 2
 """Lost requests in a row after which trials are paced; a single answer may get lost anywhere."""
 
-LOST_REQUESTS = "the target has just lost a request"
+LOST_REQUEST_REASON = "the target has just lost a request"
 
 
 class TargetHealth:
@@ -34,17 +34,17 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._target_id = ""
-        self._losses = 0
-        self._next_trial = 0.0
-        self._next_unsafe = 0.0
+        self._failures = 0
+        self._next_probe = 0.0
+        self._next_non_idempotent = 0.0
 
-    def answered(self) -> None:
+    def record_success(self) -> None:
         """Note an answer of the target."""
-        if self._losses:
+        if self._failures:
             with self._lock:
-                self._losses = 0
+                self._failures = 0
 
-    def lost(self, target_id: str) -> None:
+    def record_failure(self, target_id: str) -> None:
         """Note a request that ended without an answer, or that could not be sent.
 
         Args:
@@ -52,24 +52,24 @@
         """
         with self._lock:
             now = self._clock.monotonic()
-            self._losses = self._losses + 1 if target_id == self._target_id else 1
+            self._failures = self._failures + 1 if target_id == self._target_id else 1
             self._target_id = target_id
-            self._next_trial = now + TRIAL_S
-            self._next_unsafe = now + UNSAFE_TRIAL_S
+            self._next_probe = now + PROBE_INTERVAL_S
+            self._next_non_idempotent = now + NON_IDEMPOTENT_PROBE_INTERVAL_S
 
-    def refuses(self, target_id: str, *, idempotent: bool) -> bool:
+    def should_refuse(self, target_id: str, *, idempotent: bool) -> bool:
         """Return whether a request should go to another target.
 
         Args:
             target_id: Id of the present start of the target.
             idempotent: Whether the request may run more than once.
         """
-        if not self._losses or target_id != self._target_id:
+        if not self._failures or target_id != self._target_id:
             return False
         now = self._clock.monotonic()
         if not idempotent:
-            return now < self._next_unsafe
-        return self._losses >= LOSSES_TO_PACE and now < self._next_trial
+            return now < self._next_non_idempotent
+        return self._failures >= FAILURES_BEFORE_PACING and now < self._next_probe
 
     def admit(self, target_id: str, *, idempotent: bool) -> bool:
         """Return whether a request may be sent now; of those that wait one tries the target out.
@@ -78,12 +78,12 @@
             target_id: Id of the present start of the target.
             idempotent: Whether the request may run more than once.
         """
-        if not self._losses:
+        if not self._failures:
             return True
         with self._lock:
-            if self.refuses(target_id, idempotent=idempotent):
+            if self.should_refuse(target_id, idempotent=idempotent):
                 return False
             now = self._clock.monotonic()
-            self._next_trial = now + TRIAL_S
-            self._next_unsafe = max(self._next_unsafe, now + TRIAL_S)
+            self._next_probe = now + PROBE_INTERVAL_S
+            self._next_non_idempotent = max(self._next_non_idempotent, now + PROBE_INTERVAL_S)
             return True
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -31,36 +31,36 @@
         """Number of bytes, None when it is not known in advance."""
 
     @property
-    def unread(self) -> bool:
+    def replayable(self) -> bool:
         """Whether the request can still be sent from its first byte."""
 
-    def arrives(self, limit_s: float) -> bool:
+    def wait_first_part(self, limit_s: float) -> bool:
         """Ask for the body and wait for its first part; False when none came within the limit.
 
         Raises:
-            BodyFailed: When the sender stopped.
+            BodyReadError: When the sender stopped.
         """
 
-    def ready(self, other: socket.socket, limit_s: float) -> bool:
+    def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
         """Wait until a part may be read; False when ``other`` has input before that."""
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts; may be called once.
 
         Raises:
-            BodyFailed: When the sender stopped before the end.
+            BodyReadError: When the sender stopped before the end.
         """
 
 
-class CallerGone(CallFailed):
+class CallerDisconnected(CallFailed):
     """The caller closed its connection or stopped in the middle of its body."""
 
 
-class DeadlinePassed(CallFailed):
+class DeadlineExceeded(CallFailed):
     """No complete answer arrived before the deadline."""
 
 
-class End(Enum):
+class BodyEnd(Enum):
     """How the body of an answer ended."""
 
     COMPLETE = auto()
@@ -68,7 +68,7 @@
     ABANDONED = auto()
 
 
-class BodyFailed(Exception):
+class BodyReadError(Exception):
     """The sender of a streamed body stopped, was too slow or sent bad framing."""
 
 
@@ -84,15 +84,15 @@
         return len(self.whole)
 
     @property
-    def unread(self) -> bool:
+    def replayable(self) -> bool:
         """Always true: the bytes are kept."""
         return True
 
-    def arrives(self, limit_s: float) -> bool:
+    def wait_first_part(self, limit_s: float) -> bool:
         """Return true: the bytes are here."""
         return True
 
-    def ready(self, other: socket.socket, limit_s: float) -> bool:
+    def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
         """Return whether ``other`` has no input."""
         return not has_input(other)
 
@@ -113,20 +113,20 @@
 
     def __init__(self, parts: Iterable[bytes], *, length: int | None = None) -> None:
         self.length = length
-        self.unread = True
+        self.replayable = True
         self._parts = parts
 
-    def arrives(self, limit_s: float) -> bool:
+    def wait_first_part(self, limit_s: float) -> bool:
         """Return true; the caller's own source is not waited for."""
         return True
 
-    def ready(self, other: socket.socket, limit_s: float) -> bool:
+    def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
         """Return whether ``other`` has no input; the caller's own source is not waited for."""
         return not has_input(other)
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts."""
-        self.unread = False
+        self.replayable = False
         yield from self._parts
 
 
@@ -169,7 +169,7 @@
 
 
 @define(eq=False)
-class Answer:
+class Response:
     """An answer, whole or streamed.
 
     Whoever gets an answer calls `read`, reads `parts` to the end or calls `finish`; until then the
@@ -198,12 +198,12 @@
     reason: bytes = b""
     load: int | None = None
     from_node: bool = False
-    arrived: bool = True
-    _callbacks: list[Callable[[End], None]] = field(factory=list, init=False)
+    reached_target: bool = True
+    _callbacks: list[Callable[[BodyEnd], None]] = field(factory=list, init=False)
     _ended: bool = field(default=False, init=False)
 
     @property
-    def own_reason(self) -> str:
+    def local_reason(self) -> str:
         """What the node itself gave as the reason, empty for an answer of a target."""
         return (self.whole or b"").decode().strip() if self.from_node else ""
 
@@ -212,21 +212,21 @@
         """Whether a node refused the call before it ran."""
         return self.from_node and self.verdict is Verdict.NOT_RUN
 
-    def when_done(self, callback: Callable[[End], None]) -> None:
+    def add_done_callback(self, callback: Callable[[BodyEnd], None]) -> None:
         """Call ``callback(end)`` once, when the body was handed on or given up."""
         self._callbacks.append(callback)
 
     def parts(self) -> Iterator[bytes]:
         """Yield the body and finish the exchange."""
-        end = End.ABANDONED
+        end = BodyEnd.ABANDONED
         try:
             if self.stream is None:
                 yield self.whole or b""
             else:
                 yield from self.stream
-            end = End.COMPLETE
+            end = BodyEnd.COMPLETE
         except CallFailed:
-            end = End.BROKEN
+            end = BodyEnd.BROKEN
             raise
         finally:
             self.finish(end)
@@ -239,20 +239,22 @@
         """
         return b"".join(self.parts())
 
-    def finish(self, end: End = End.ABANDONED) -> None:
+    def finish(self, end: BodyEnd = BodyEnd.ABANDONED) -> None:
         """Release everything that the exchange holds."""
         if self._ended:
             return
         self._ended = True
         if self.stream is None:
-            end = End.COMPLETE  # The whole answer had arrived.
+            end = BodyEnd.COMPLETE  # The whole answer had arrived.
         elif isinstance(self.stream, Generator):
             self.stream.close()
         for callback in self._callbacks:
             callback(end)
 
 
-def own_answer(status: int, reason: str, verdict: Verdict, *, load: int | None = None) -> Answer:
+def local_response(
+    status: int, reason: str, verdict: Verdict, *, load: int | None = None
+) -> Response:
     """Return an answer that this node makes itself.
 
     Args:
@@ -265,7 +267,7 @@
     headers = [(b"content-type", b"text/plain; charset=utf-8")]
     if status == 503:
         headers.append((RETRY_AFTER, RETRY_AFTER_S))
-    return Answer(
+    return Response(
         status=status,
         headers=headers,
         verdict=verdict,
@@ -273,14 +275,14 @@
         length=len(body),
         load=load,
         from_node=True,
-        arrived=verdict is not Verdict.NOT_RUN,
+        reached_target=verdict is not Verdict.NOT_RUN,
     )
 
 
-def own_page(content_type: bytes, body: bytes) -> Answer:
+def local_page(content_type: bytes, body: bytes) -> Response:
     """Return a successful answer that this node makes itself."""
     headers = [(b"content-type", content_type)]
-    return Answer(200, headers=headers, whole=body, length=len(body), from_node=True)
+    return Response(200, headers=headers, whole=body, length=len(body), from_node=True)
 
 
 _FAILURE_STATUS = {
@@ -291,7 +293,7 @@
 }
 
 
-def failure_answer(error: CallFailed, *, load: int | None = None) -> Answer:
+def failure_response(error: CallFailed, *, load: int | None = None) -> Response:
     """Return the answer to a call that got none; only 503 states that it was not run."""
-    status = _FAILURE_STATUS[error.verdict, isinstance(error, DeadlinePassed)]
-    return own_answer(status, str(error), error.verdict, load=load)
+    status = _FAILURE_STATUS[error.verdict, isinstance(error, DeadlineExceeded)]
+    return local_response(status, str(error), error.verdict, load=load)
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -10,17 +10,17 @@
 
 from ..clock import Clock, SystemClock
 from ..telemetry import Event, EventLog
-from ._links import Address
+from ._connections import Address
 from .admission import Admission
 from .balancer import Balancer
 from .budget import RetryBudget
 from .context import ContextCodec
 from .delivery import TargetDelivery, TargetIdentity
 from .drain import Drainer
-from .headers import PRODUCT_HEADERS, HeaderNames
+from .headers import DEFAULT_HEADER_NAMES, HeaderNames
 from .health import TargetHealth
 from .limits import MAX_HEAD_BYTES, WireLimits
-from .record import AnswerRecord, CallRecord
+from .record import CallRecord, ResponseRecord
 from .router import RETRY_STATUSES, LocalDelivery, Router
 from .server import CallServer
 from .upstream import Upstream
@@ -52,7 +52,7 @@
     balancer: str = "adaptive"
     link_one_way_s: float = 0.004
     connections: int = 120
-    names: HeaderNames = PRODUCT_HEADERS
+    names: HeaderNames = DEFAULT_HEADER_NAMES
     service: str = ""
     retry_statuses: frozenset[int] = RETRY_STATUSES
 
@@ -118,7 +118,7 @@
     clock: Clock | None = None,
     upstream: Upstream | None = None,
     local: LocalDelivery | None = None,
-    answered: Callable[[AnswerRecord], None] | None = None,
+    on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudget | None = None,
 ) -> Router:
     """Return a router, for a node or for a caller that embeds it.
@@ -161,7 +161,7 @@
         names=settings.names,
         retry_statuses=settings.retry_statuses,
         local=local,
-        answered=answered,
+        on_response=on_response,
     )
 
 
@@ -179,7 +179,7 @@
     clock: Clock | None = None,
     limits: WireLimits | None = None,
     identity: Callable[[], TargetIdentity] | None = None,
-    answered: Callable[[AnswerRecord], None] | None = None,
+    on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudget | None = None,
 ) -> CallPath:
     """Return both listeners of a node; they are bound, and served once their `run` is called."""
@@ -213,7 +213,7 @@
         clock=clock,
         upstream=upstream,
         local=delivery.deliver,
-        answered=answered,
+        on_response=on_response,
         budget=budget,
     )
     peer_limits = WireLimits(
@@ -232,7 +232,7 @@
             limits=limits,
             nested=router.is_nested,
             names=settings.names,
-            dropped=settings.names.owned,
+            dropped_headers=settings.names.reserved,
         ),
         deliveries=CallServer(
             address=deliver_address,
@@ -240,7 +240,7 @@
             executor=executor,
             drainer=drainer,
             limits=peer_limits,
-            tells_load=True,
+            sends_load=True,
             names=settings.names,
         ),
         drainer=drainer,
--- a/src/citronrack/calls/policies.py
+++ b/src/citronrack/calls/policies.py
@@ -6,22 +6,26 @@
 from random import Random
 
 from ..registry import Registry
-from .observed import Observed
+from .target_stats import TargetStats
 
-Policy = Callable[[Sequence[Observed], Random, int, float], Observed]
+Policy = Callable[[Sequence[TargetStats], Random, int, float], TargetStats]
 """Chooses from a non-empty sequence; also gets a random source, a turn number and the time."""
 
 policies: Registry[Policy] = Registry("balancer")
 
 
 @policies.register("round-robin")
-def round_robin(entries: Sequence[Observed], _random: Random, turn: int, _now: float) -> Observed:
+def round_robin(
+    entries: Sequence[TargetStats], _random: Random, turn: int, _now: float
+) -> TargetStats:
     """Take the targets in turn."""
     return entries[turn % len(entries)]
 
 
 @policies.register("least-loaded")
-def least_loaded(entries: Sequence[Observed], _random: Random, turn: int, now: float) -> Observed:
+def least_loaded(
+    entries: Sequence[TargetStats], _random: Random, turn: int, now: float
+) -> TargetStats:
     """Take the target with the smallest load, by what it last reported."""
     start = turn % len(entries)
     return min(
@@ -31,22 +35,24 @@
 
 
 @policies.register("two-choices")
-def two_choices(entries: Sequence[Observed], random: Random, _turn: int, _now: float) -> Observed:
+def two_choices(
+    entries: Sequence[TargetStats], random: Random, _turn: int, _now: float
+) -> TargetStats:
     """Take the one of two random targets that has fewer calls of this node in flight."""
     one, other = _two(entries, random)
     return one if one.in_flight <= other.in_flight else other
 
 
 @policies.register("adaptive")
-def adaptive(entries: Sequence[Observed], random: Random, _turn: int, now: float) -> Observed:
+def adaptive(entries: Sequence[TargetStats], random: Random, _turn: int, now: float) -> TargetStats:
     """Take the one of two random targets where the call is expected to end first."""
     if len(entries) == 1:
         return entries[0]
     one, other = _two(entries, random)
-    return one if one.expected_s(now) <= other.expected_s(now) else other
+    return one if one.expected_latency_s(now) <= other.expected_latency_s(now) else other
 
 
-def _two(entries: Sequence[Observed], random: Random) -> tuple[Observed, Observed]:
+def _two(entries: Sequence[TargetStats], random: Random) -> tuple[TargetStats, TargetStats]:
     count = len(entries)
     if count == 1:
         return entries[0], entries[0]
--- a/src/citronrack/calls/record.py
+++ b/src/citronrack/calls/record.py
@@ -8,7 +8,7 @@
 
 
 @frozen
-class AnswerRecord:
+class ResponseRecord:
     """What a caller got, and what decided it.
 
     Attributes:
--- a/src/citronrack/calls/incoming.py
+++ b/src/citronrack/calls/request_reader.py
@@ -12,9 +12,9 @@
 from attrs import define, field
 
 from ._sockets import at_end, has_input
-from .headers import CONTEXT, PRODUCT_HEADERS, SERVICE, HeaderNames, Headers, end_to_end
+from .headers import CONTEXT, DEFAULT_HEADER_NAMES, SERVICE, HeaderNames, Headers, end_to_end
 from .limits import READ_BYTES, WHOLE_BODY_BYTES, WireLimits
-from .message import Body, BodyFailed, Request, WholeBody
+from .message import Body, BodyReadError, Request, WholeBody
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_TIMEOUT_DIGITS = 9
@@ -39,7 +39,7 @@
 
 
 @define(eq=False)
-class _Incoming:
+class _IncomingRequest:
     """A request while it is parsed."""
 
     target: bytes = b""
@@ -54,7 +54,7 @@
 
 
 @define(eq=False)
-class Exchange:
+class ReceivedRequest:
     """One request and what the server needs to answer it.
 
     Attributes:
@@ -67,7 +67,7 @@
     request: Request
     keep_alive: bool
     chunks_allowed: bool
-    incoming: _Incoming
+    incoming: _IncomingRequest
 
     @property
     def body_complete(self) -> bool:
@@ -81,30 +81,35 @@
     whole = None
 
     def __init__(
-        self, reader: RequestReader, incoming: _Incoming, *, length: int | None, expects: bool
+        self,
+        reader: RequestReader,
+        incoming: _IncomingRequest,
+        *,
+        length: int | None,
+        expects: bool,
     ) -> None:
         self.length = length
-        self.unread = True
+        self.replayable = True
         self._reader = reader
         self._incoming = incoming
         self._expects = expects
 
-    def arrives(self, limit_s: float) -> bool:
+    def wait_first_part(self, limit_s: float) -> bool:
         """Ask the caller for the body, if it waits for that, and wait for the first part."""
         if self._expects and not self._incoming.parts:
             self._expects = False
             self._reader.send_continue()
         return self._reader.fill(self._incoming, limit_s)
 
-    def ready(self, other: socket.socket, limit_s: float) -> bool:
+    def wait_readable(self, other: socket.socket, limit_s: float) -> bool:
         """Wait for the caller's next part, or for input on ``other``."""
-        if self._incoming.parts or self._incoming.complete or self.unread:
+        if self._incoming.parts or self._incoming.complete or self.replayable:
             return not has_input(other)
         return self._reader.wait_body(other, limit_s)
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the parts as they arrive."""
-        self.unread = False
+        self.replayable = False
         if self._expects and not self._incoming.parts:
             self._reader.send_continue()
         yield from self._reader.body_parts(self._incoming)
@@ -125,16 +130,16 @@
         connection: socket.socket,
         limits: WireLimits,
         *,
-        names: HeaderNames = PRODUCT_HEADERS,
-        dropped: frozenset[bytes] = frozenset(),
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
+        dropped_headers: frozenset[bytes] = frozenset(),
     ) -> None:
         self._connection = connection
         self._limits = limits
         self._names = names
-        self._dropped = dropped
+        self._dropped_headers = dropped_headers
         self._parser = httptools.HttpRequestParser(self)
-        self._present = _Incoming()
-        self._ready: deque[_Incoming] = deque()
+        self._present = _IncomingRequest()
+        self._ready: deque[_IncomingRequest] = deque()
         self._fault: BadRequest | None = None
         self._upgrade = False
 
@@ -146,7 +151,7 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        self._present = _Incoming()
+        self._present = _IncomingRequest()
 
     def on_url(self, url: bytes) -> None:
         self._present.target += url
@@ -177,7 +182,7 @@
 
     # Reading.
 
-    def next(self) -> Exchange:
+    def next(self) -> ReceivedRequest:
         """Return the next request.
 
         Raises:
@@ -202,8 +207,8 @@
         else:
             body = _StreamedBody(self, incoming, length=length, expects=expects)
         headers = end_to_end(incoming.headers)
-        if self._dropped:
-            headers = [header for header in headers if header[0] not in self._dropped]
+        if self._dropped_headers:
+            headers = [header for header in headers if header[0] not in self._dropped_headers]
         request = Request(
             method=incoming.method.decode("ascii"),
             target=incoming.target,
@@ -216,7 +221,7 @@
             timeout_ms=_timeout_ms(fields.get(self._names.timeout)),
             cancelled=self._caller_gone,
         )
-        return Exchange(
+        return ReceivedRequest(
             request=request,
             keep_alive=incoming.keep_alive and not self._upgrade,
             chunks_allowed=incoming.version != "1.0",
@@ -228,9 +233,9 @@
         try:
             self._connection.sendall(CONTINUE)
         except OSError as error:
-            raise BodyFailed("the caller closed the connection") from error
+            raise BodyReadError("the caller closed the connection") from error
 
-    def body_parts(self, incoming: _Incoming) -> Iterator[bytes]:
+    def body_parts(self, incoming: _IncomingRequest) -> Iterator[bytes]:
         """Yield the parts of a body as they arrive."""
         while True:
             parts, incoming.parts = incoming.parts, []
@@ -240,7 +245,7 @@
             if not incoming.parts:
                 self._fill_body()
 
-    def fill(self, incoming: _Incoming, limit_s: float) -> bool:
+    def fill(self, incoming: _IncomingRequest, limit_s: float) -> bool:
         """Read until there is a part of a body; False when none came within the limit."""
         end = time.monotonic() + limit_s
         poller = select.poll()
@@ -259,14 +264,14 @@
         wait_s = max(0.0, min(limit_s, self._limits.body_idle_s))
         readable = {descriptor for descriptor, _ in poller.poll(wait_s * 1000)}
         if not readable:
-            raise BodyFailed("the body stalled")
+            raise BodyReadError("the body stalled")
         return other.fileno() not in readable
 
-    def _read_whole(self, incoming: _Incoming) -> None:
+    def _read_whole(self, incoming: _IncomingRequest) -> None:
         try:
             while not incoming.complete:
                 self._fill_body()
-        except BodyFailed as error:
+        except BodyReadError as error:
             if self._fault is not None:
                 raise self._fault from error
             raise BadRequest(408, "the body did not arrive") from error
@@ -317,20 +322,20 @@
         while (data := self._receive_body()) is None:
             waited_s += self.poll_s(self._limits)
             if waited_s >= self._limits.body_idle_s:
-                raise BodyFailed("the body stalled")
+                raise BodyReadError("the body stalled")
         if not data:
-            raise BodyFailed("the caller closed the connection")
+            raise BodyReadError("the caller closed the connection")
         self._feed(data)
         if self._fault is not None:
-            raise BodyFailed(str(self._fault)) from self._fault
+            raise BodyReadError(str(self._fault)) from self._fault
 
     def _receive_body(self) -> bytes | None:
         if self._fault is not None:
-            raise BodyFailed(str(self._fault)) from self._fault
+            raise BodyReadError(str(self._fault)) from self._fault
         try:
             return self._receive()
         except OSError as error:
-            raise BodyFailed("the connection failed") from error
+            raise BodyReadError("the connection failed") from error
 
     def _feed(self, data: bytes) -> None:
         try:
@@ -349,7 +354,7 @@
         return at_end(self._connection)
 
 
-def _check_head(incoming: _Incoming, fields: dict[bytes, bytes]) -> None:
+def _check_head(incoming: _IncomingRequest, fields: dict[bytes, bytes]) -> None:
     """Refuse what the parser accepts and this node does not serve."""
     if incoming.version not in ("1.0", "1.1"):
         raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are served")
@@ -360,7 +365,7 @@
     if b"host" not in fields and incoming.version == "1.1":
         raise BadRequest(400, "a Host header is needed")
     if len(fields) < len(incoming.headers):
-        _check_repeated(incoming.headers)
+        _check_duplicates(incoming.headers)
     coding = fields.get(b"transfer-encoding")
     if coding is not None and coding.strip().lower() != b"chunked":
         raise BadRequest(501, "only the transfer coding chunked is served")
@@ -371,7 +376,7 @@
         raise BadRequest(417, "the expectation is unknown")
 
 
-def _check_repeated(headers: Headers) -> None:
+def _check_duplicates(headers: Headers) -> None:
     for name in (b"host", b"transfer-encoding", b"expect"):
         if sum(key == name for key, _ in headers) > 1:
             raise BadRequest(400, f"more than one {name.decode()} header")
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -14,12 +14,20 @@
 from .balancer import Balancer
 from .budget import RetryBudget
 from .context import CallContext, ContextCodec
-from .headers import CONTEXT, PRODUCT_HEADERS, SERVICE, HeaderNames
-from .message import Answer, CallerGone, DeadlinePassed, End, Request, failure_answer, own_answer
-from .observed import Observed
-from .record import AnswerRecord, CallRecord
-from .split import draw, picks_new
-from .upstream import Outgoing, Upstream
+from .headers import CONTEXT, DEFAULT_HEADER_NAMES, SERVICE, HeaderNames
+from .message import (
+    BodyEnd,
+    CallerDisconnected,
+    DeadlineExceeded,
+    Request,
+    Response,
+    failure_response,
+    local_response,
+)
+from .record import CallRecord, ResponseRecord
+from .split import hash_fraction, picks_new
+from .target_stats import TargetStats
+from .upstream import OutgoingRequest, Upstream
 from .view import PoolTarget, RoutingView, ViewHolder
 
 RETRY_STATUSES = frozenset({502, 503, 504})
@@ -31,7 +39,7 @@
 MAX_REROUTES = 2
 """Further targets that a call tries after refusals; under overload each one costs a round trip."""
 
-LocalDelivery = Callable[[Request, CallContext], Answer]
+LocalDelivery = Callable[[Request, CallContext], Response]
 
 
 @define(eq=False)
@@ -103,12 +111,12 @@
         events: EventLog,
         own_name: str = "",
         own_service: str = "",
-        names: HeaderNames = PRODUCT_HEADERS,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
         retry_statuses: frozenset[int] = RETRY_STATUSES,
         local: LocalDelivery | None = None,
-        answered: Callable[[AnswerRecord], None] | None = None,
+        on_response: Callable[[ResponseRecord], None] | None = None,
     ) -> None:
-        self._answered = answered
+        self._on_response = on_response
         self._views = views
         self._upstream = upstream
         self._balancer = balancer
@@ -116,7 +124,7 @@
         self._contexts = contexts
         self._report = report
         self._events = events
-        self._logs_routing = events.writes(Event.CALL_ROUTED)
+        self._logs_routing = events.is_enabled(Event.CALL_ROUTED)
         self._own_name = own_name
         self._names = names
         self._retry_statuses = retry_statuses
@@ -131,9 +139,9 @@
 
     def is_nested(self, request: Request) -> bool:
         """Return whether the request was made by a target while it ran another call."""
-        return self._contexts.nested(request.context) is not None
+        return self._contexts.decode_nested(request.context) is not None
 
-    def handle(self, request: Request) -> Answer:
+    def handle(self, request: Request) -> Response:
         """Return the answer to a request; never raises `CallFailed`.
 
         The answer's verdict says whether the request may have run.
@@ -144,19 +152,19 @@
         route = view.route_of(request.path, request.host)
         if route is None:
             return self._refuse(request, *_NO_ROUTE[view.complete])
-        context = self._contexts.nested(request.context) or self._contexts.fresh()
+        context = self._contexts.decode_nested(request.context) or self._contexts.new_context()
         if context.too_deep:
             return self._refuse(request, 508, "the call is nested too deeply", route.name)
         timeout_ms = route.timeout_ms
         if request.timeout_ms is not None:
             timeout_ms = min(timeout_ms, request.timeout_ms)
-        context = context.limited(time.monotonic() + timeout_ms / 1000)
-        service_name = _part(route, context.call_key)
-        service_version, pool = _side(view, route, service_name, context.call_key)
+        context = context.with_deadline(time.monotonic() + timeout_ms / 1000)
+        service_name = _choose_service(route, context.call_key)
+        service_version, pool = _choose_version(view, route, service_name, context.call_key)
         if not pool:
             return self._refuse(request, 503, "the route has no target", route.name)
         service = view.config.services[service_name]
-        self._budget.earn()
+        self._budget.deposit()
         call = _Call(
             request=request,
             context=context,
@@ -165,37 +173,39 @@
             service=service_name,
             service_version=service_version,
             pool=pool,
-            idempotent=view.may_repeat(route, service_name, request.method),
+            idempotent=view.is_idempotent(route, service_name, request.method),
             connect_timeout_s=service.connect_timeout_ms / 1000,
         )
         answer = self._route(call)
-        if self._answered is not None:
-            self._tell(self._answered, call, answer)
+        if self._on_response is not None:
+            self._report_response(self._on_response, call, answer)
         return answer
 
     @staticmethod
-    def _tell(answered: Callable[[AnswerRecord], None], call: _Call, answer: Answer) -> None:
+    def _report_response(
+        on_response: Callable[[ResponseRecord], None], call: _Call, answer: Response
+    ) -> None:
         """Report the call when its answer has ended."""
 
-        def done(end: End) -> None:
-            answered(
-                AnswerRecord(
+        def done(end: BodyEnd) -> None:
+            on_response(
+                ResponseRecord(
                     request_id=call.request.request_id,
                     route=call.route.name,
                     service=call.service,
                     service_version=call.service_version,
                     status=answer.status,
-                    verdict=answer.verdict if end is End.COMPLETE else Verdict.MAY_HAVE_RUN,
+                    verdict=answer.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
                     seconds=time.monotonic() - call.started,
                     targets=tuple(call.tried),
                     config_version=call.view.config.version,
-                    reason=answer.own_reason,
+                    reason=answer.local_reason,
                 )
             )
 
-        answer.when_done(done)
+        answer.add_done_callback(done)
 
-    def _route(self, call: _Call) -> Answer:
+    def _route(self, call: _Call) -> Response:
         while True:
             answer, target = self._attempt(call)
             if target is not None:
@@ -205,10 +215,10 @@
                 or not self._may_retry(call, answer)
                 or len(call.tried) >= len(call.pool)
             ):
-                return _last(call, answer)
+                return _final_response(call, answer)
             call.may_have_run |= answer.verdict is not Verdict.NOT_RUN
             answer.finish()
-            if answer.arrived:
+            if answer.reached_target:
                 call.context = call.context.after_retry()
             self._events.write(
                 Event.CALL_RETRIED,
@@ -219,7 +229,7 @@
                 verdict=answer.verdict.value,
             )
 
-    def _attempt(self, call: _Call) -> tuple[Answer, PoolTarget | None]:
+    def _attempt(self, call: _Call) -> tuple[Response, PoolTarget | None]:
         """Send the call to one target; None stands for no target."""
         entry = self._balancer.choose(
             (call.service, call.service_version),
@@ -243,24 +253,24 @@
                 depth=call.context.depth,
             )
         started = time.monotonic()
-        blameless = False
+        ignore_failure = False
         try:
             answer = self._send(call, target)
         except CallFailed as error:
-            answer = failure_answer(error)
-            too_late = isinstance(error, DeadlinePassed) and error.verdict is Verdict.NOT_RUN
-            blameless = too_late or isinstance(error, CallerGone)
+            answer = failure_response(error)
+            too_late = isinstance(error, DeadlineExceeded) and error.verdict is Verdict.NOT_RUN
+            ignore_failure = too_late or isinstance(error, CallerDisconnected)
         except BaseException:
-            self._balancer.ended(entry)
+            self._balancer.record_end(entry)
             raise
-        if not answer.arrived:
+        if not answer.reached_target:
             call.reroutes += 1
         else:
             call.reached += 1
-        self._watch(call, entry, answer, started, blameless=blameless)
+        self._report_attempt(call, entry, answer, started, ignore_failure=ignore_failure)
         return answer, target
 
-    def _send(self, call: _Call, target: PoolTarget) -> Answer:
+    def _send(self, call: _Call, target: PoolTarget) -> Response:
         request = call.request
         if self._local is not None and target.name == self._own_name:
             headers = [*request.headers, *self._caller_headers]
@@ -268,7 +278,7 @@
             return self._local(own, call.context)
         return self._upstream.send(
             target.deliver_address,
-            Outgoing(
+            OutgoingRequest(
                 method=request.method,
                 target=request.target,
                 headers=[
@@ -282,20 +292,26 @@
                 deadline=call.context.deadline,
                 cancelled=request.cancelled,
                 to_node=True,
-                hold_answer=bool(self._names.signature),
+                buffer_response=bool(self._names.signature),
             ),
             connect_timeout_s=call.connect_timeout_s,
         )
 
-    def _watch(
-        self, call: _Call, entry: Observed, answer: Answer, started: float, *, blameless: bool
+    def _report_attempt(
+        self,
+        call: _Call,
+        entry: TargetStats,
+        answer: Response,
+        started: float,
+        *,
+        ignore_failure: bool,
     ) -> None:
         """Report the attempt when its answer has ended."""
         head_s = time.monotonic() - started
         # A refusal carries the load of the node that refused; without one there was no connection.
         refused = answer.refused and answer.load is not None
-        failed = answer.status >= 500 and not refused and not blameless
-        unreachable = failed and not answer.arrived
+        failed = answer.status >= 500 and not refused and not ignore_failure
+        unreachable = failed and not answer.reached_target
         if failed:
             self._events.write(
                 Event.CALL_FAILED,
@@ -306,11 +322,11 @@
                 verdict=answer.verdict.value,
             )
 
-        def done(end: End) -> None:
-            self._balancer.ended(
+        def done(end: BodyEnd) -> None:
+            self._balancer.record_end(
                 entry,
                 latency_s=None if answer.from_node else head_s,
-                failed=failed or end is End.BROKEN,
+                failed=failed or end is BodyEnd.BROKEN,
                 unreachable=unreachable,
                 load=answer.load,
             )
@@ -322,35 +338,35 @@
                     method=call.request.method,
                     status=answer.status,
                     latency_s=time.monotonic() - started,
-                    verdict=answer.verdict if end is End.COMPLETE else Verdict.MAY_HAVE_RUN,
+                    verdict=answer.verdict if end is BodyEnd.COMPLETE else Verdict.MAY_HAVE_RUN,
                     refused=answer.refused,
                 )
             )
 
-        answer.when_done(done)
+        answer.add_done_callback(done)
 
-    def _may_retry(self, call: _Call, answer: Answer) -> bool:
+    def _may_retry(self, call: _Call, answer: Response) -> bool:
         """Return whether the call is sent to another target.
 
         A call that a node refused has not loaded any target, so only its number of targets is
         limited; sending a call once more that has reached a target takes a token.
         """
-        if answer.status not in self._retry_statuses or not call.request.body.unread:
+        if answer.status not in self._retry_statuses or not call.request.body.replayable:
             return False
         if time.monotonic() + MIN_RETRY_TIME_S > call.context.deadline:
             return False
         if call.request.cancelled():
             return False
-        if not answer.arrived:
+        if not answer.reached_target:
             return call.reroutes <= MAX_REROUTES
-        may_repeat = call.idempotent or answer.verdict is Verdict.NOT_RUN
-        if not may_repeat or call.context.retries_left <= 0:
+        is_idempotent = call.idempotent or answer.verdict is Verdict.NOT_RUN
+        if not is_idempotent or call.context.retries_left <= 0:
             return False
         if call.route.max_attempts and call.reached >= call.route.max_attempts:
             return False
-        return self._budget.spend()
+        return self._budget.try_withdraw()
 
-    def _refuse(self, request: Request, status: int, reason: str, route: str = "") -> Answer:
+    def _refuse(self, request: Request, status: int, reason: str, route: str = "") -> Response:
         self._events.write(
             Event.CALL_REFUSED,
             route=route,
@@ -358,24 +374,24 @@
             reason=reason,
             config_version=self._views.current.config.version,
         )
-        return own_answer(status, reason, Verdict.NOT_RUN)
+        return local_response(status, reason, Verdict.NOT_RUN)
 
 
-def _last(call: _Call, answer: Answer) -> Answer:
+def _final_response(call: _Call, answer: Response) -> Response:
     """Return what the caller gets; a refusal says nothing of the attempts before it."""
     if answer.verdict is not Verdict.NOT_RUN or not call.may_have_run:
         return answer
     answer.finish()
-    reason = f"an attempt before may have run, the last one was refused: {answer.own_reason}"
-    return own_answer(502, reason, Verdict.MAY_HAVE_RUN)
+    reason = f"an attempt before may have run, the last one was refused: {answer.local_reason}"
+    return local_response(502, reason, Verdict.MAY_HAVE_RUN)
 
 
-def _part(route: Route, call_key: str) -> str:
+def _choose_service(route: Route, call_key: str) -> str:
     """Return the service that gets the call; the same for all retries of a call."""
     if not route.split:
         return route.service
     total = sum(part.weight for part in route.split)
-    point = draw(call_key, route.name) * total
+    point = hash_fraction(call_key, route.name) * total
     for part in route.split:
         point -= part.weight
         if point < 0:
@@ -383,7 +399,7 @@
     return route.split[-1].service
 
 
-def _side(
+def _choose_version(
     view: RoutingView, route: Route, service: str, call_key: str
 ) -> tuple[str, tuple[PoolTarget, ...]]:
     """Return the service version that gets the call and its targets."""
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -15,21 +15,21 @@
 from ._response import NO_BODY_STATUSES
 from ._sockets import abort, set_receive_timeout, set_timeouts
 from .drain import Drainer
-from .headers import ARRIVED, LOAD, PRODUCT_HEADERS, VERDICT, HeaderNames, answer_head
-from .incoming import BadRequest, ConnectionEnded, Exchange, RequestReader
+from .headers import ARRIVED, DEFAULT_HEADER_NAMES, LOAD, VERDICT, HeaderNames, response_head
 from .limits import READ_BYTES, WireLimits
-from .message import Answer, BodyFailed, Request, own_answer
+from .message import BodyReadError, Request, Response, local_response
+from .request_reader import BadRequest, ConnectionEnded, ReceivedRequest, RequestReader
 
 BACKLOG = 128
 LINGER_S = 1.0
 LINGER_BYTES = 1024 * 1024
-SURPLUS_OPEN_S = 0.5
-MAX_SURPLUS = 64
-IDLE_GRACE_S = 1.0
+REFUSED_OPEN_S = 0.5
+MAX_REFUSED_OPEN = 64
+KEEP_ALIVE_GRACE_S = 1.0
 """During drain, kept connections stay open this long, so that requests already on their way get a
 refusal instead of a closed connection."""
 
-Handler = Callable[[Request], Answer]
+Handler = Callable[[Request], Response]
 
 
 class CallServer:
@@ -42,7 +42,7 @@
         drainer: State of the node's stop.
         limits: Limits for connections.
         nested: Whether a request belongs to a call in flight and is served during drain.
-        tells_load: Whether answers carry the load; only between nodes.
+        sends_load: Whether answers carry the load; only between nodes.
         names: Names of the headers that callers use.
         dropped: Names of headers of callers that are not passed on.
     """
@@ -56,24 +56,24 @@
         drainer: Drainer | None = None,
         limits: WireLimits | None = None,
         nested: Callable[[Request], bool] | None = None,
-        tells_load: bool = False,
-        names: HeaderNames = PRODUCT_HEADERS,
-        dropped: frozenset[bytes] = frozenset(),
+        sends_load: bool = False,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
+        dropped_headers: frozenset[bytes] = frozenset(),
     ) -> None:
         self._handler = handler
         self._executor = executor
         self._drainer = drainer if drainer is not None else Drainer()
         self._limits = limits if limits is not None else WireLimits()
         self._nested = nested
-        self._tells_load = tells_load
+        self._sends_load = sends_load
         self._names = names
-        self._dropped = dropped
+        self._dropped_headers = dropped_headers
         self._poll_s = RequestReader.poll_s(self._limits)
         self._listener = socket.create_server(address, backlog=BACKLOG)
-        self._listener.settimeout(SURPLUS_OPEN_S)
+        self._listener.settimeout(REFUSED_OPEN_S)
         self._lock = threading.Lock()
         self._connections: dict[socket.socket, bool] = {}  # value: whether it serves a request
-        self._surplus: deque[tuple[float, socket.socket]] = deque()
+        self._refused: deque[tuple[float, socket.socket]] = deque()
         self._stopping = False
         self._stopped = threading.Event()
 
@@ -90,17 +90,17 @@
                 try:
                     connection, _ = self._listener.accept()
                 except TimeoutError:
-                    self._close_surplus()
+                    self._close_refused()
                     continue
                 except OSError:
                     if self._stopping:
                         return
-                    time.sleep(SURPLUS_OPEN_S)  # No descriptor is free; others end meanwhile.
+                    time.sleep(REFUSED_OPEN_S)  # No descriptor is free; others end meanwhile.
                     continue
-                self._accepted(connection)
+                self._handle_accepted(connection)
         finally:
             self._listener.close()
-            self._close_surplus(everything=True)
+            self._close_refused(everything=True)
 
     def stop(self, limit_s: float = 0.0) -> bool:
         """Refuse new calls, wait for those in flight and close everything.
@@ -115,7 +115,7 @@
         self._drainer.begin()
         idle = self._drainer.wait_idle(limit_s)
         if idle:
-            self._await_kept(min(end, time.monotonic() + IDLE_GRACE_S))
+            self._wait_keep_alive(min(end, time.monotonic() + KEEP_ALIVE_GRACE_S))
         self._stopping = True
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
@@ -126,7 +126,7 @@
                 connection.shutdown(socket.SHUT_RD)
         return idle
 
-    def _await_kept(self, end: float) -> None:
+    def _wait_keep_alive(self, end: float) -> None:
         """Wait until callers have closed their connections, or until ``end``."""
         while time.monotonic() < end:
             with self._lock:
@@ -134,7 +134,7 @@
                     return
             time.sleep(0.02)
 
-    def _accepted(self, connection: socket.socket) -> None:
+    def _handle_accepted(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_timeouts(connection, receive_s=self._poll_s, send_s=self._limits.body_idle_s)
         with self._lock:
@@ -151,22 +151,24 @@
 
         Closing at once would reset the connection and could destroy the answer on its way.
         """
-        answer = own_answer(503, "the node has too many connections", Verdict.NOT_RUN)
+        answer = local_response(503, "the node has too many connections", Verdict.NOT_RUN)
         with contextlib.suppress(OSError):
             connection.send(self._render(answer, keep=False, chunked=False), socket.MSG_DONTWAIT)
             connection.shutdown(socket.SHUT_WR)
-        self._surplus.append((time.monotonic() + SURPLUS_OPEN_S, connection))
-        self._close_surplus()
+        self._refused.append((time.monotonic() + REFUSED_OPEN_S, connection))
+        self._close_refused()
 
-    def _close_surplus(self, *, everything: bool = False) -> None:
+    def _close_refused(self, *, everything: bool = False) -> None:
         now = time.monotonic()
-        while self._surplus and (
-            everything or len(self._surplus) > MAX_SURPLUS or self._surplus[0][0] <= now
+        while self._refused and (
+            everything or len(self._refused) > MAX_REFUSED_OPEN or self._refused[0][0] <= now
         ):
-            self._surplus.popleft()[1].close()
+            self._refused.popleft()[1].close()
 
     def _serve(self, connection: socket.socket) -> None:
-        reader = RequestReader(connection, self._limits, names=self._names, dropped=self._dropped)
+        reader = RequestReader(
+            connection, self._limits, names=self._names, dropped_headers=self._dropped_headers
+        )
         try:
             while self._serve_next(connection, reader):
                 continue
@@ -185,22 +187,24 @@
         except ConnectionEnded:
             return False
         except BadRequest as error:
-            answer = own_answer(error.status, error.reason, Verdict.NOT_RUN)
+            answer = local_response(error.status, error.reason, Verdict.NOT_RUN)
             connection.sendall(self._render(answer, keep=False, chunked=False))
             return False
         request = exchange.request
         nested = self._drainer.draining and self._nested is not None and self._nested(request)
         if not self._drainer.enter(nested=nested):
-            answer = own_answer(503, "the node is stopping", Verdict.NOT_RUN)
+            answer = local_response(503, "the node is stopping", Verdict.NOT_RUN)
             return self._send_answer(connection, exchange, answer)
         try:
             return self._send_answer(connection, exchange, self._handler(request))
-        except BodyFailed:
+        except BodyReadError:
             return False
         finally:
             self._drainer.leave()
 
-    def _send_answer(self, connection: socket.socket, exchange: Exchange, answer: Answer) -> bool:
+    def _send_answer(
+        self, connection: socket.socket, exchange: ReceivedRequest, answer: Response
+    ) -> bool:
         """Write an answer and return whether the connection may be used again."""
         keep = exchange.keep_alive and exchange.body_complete and not self._drainer.draining
         head_only = exchange.request.method == "HEAD"
@@ -224,7 +228,7 @@
 
     @staticmethod
     def _send_stream(
-        connection: socket.socket, head: bytes, answer: Answer, *, chunked: bool
+        connection: socket.socket, head: bytes, answer: Response, *, chunked: bool
     ) -> None:
         connection.sendall(head)
         for part in answer.parts():
@@ -234,13 +238,13 @@
             connection.sendall(b"0\r\n\r\n")
 
     def _render(
-        self, answer: Answer, *, keep: bool, chunked: bool, head_only: bool = False
+        self, answer: Response, *, keep: bool, chunked: bool, head_only: bool = False
     ) -> bytes:
         """Return the head of an answer, and the body of a whole one unless ``head_only``."""
         headers = [*answer.headers, (VERDICT, answer.verdict.value.encode())]
-        if self._tells_load and answer.load is not None:
+        if self._sends_load and answer.load is not None:
             headers.append((LOAD, b"%d" % answer.load))
-        if self._tells_load and answer.refused and answer.arrived:
+        if self._sends_load and answer.refused and answer.reached_target:
             headers.append((ARRIVED, b"1"))
         if chunked:
             headers.append((b"transfer-encoding", b"chunked"))
@@ -248,7 +252,7 @@
             headers.append((b"content-length", b"%d" % answer.length))
         if not keep:
             headers.append((b"connection", b"close"))
-        return answer_head(answer.status, answer.reason, headers)
+        return response_head(answer.status, answer.reason, headers)
 
 
 def _linger(connection: socket.socket) -> None:
--- a/src/citronrack/calls/split.py
+++ b/src/citronrack/calls/split.py
@@ -18,10 +18,10 @@
         move_id: The move; two moves divide the same keys differently.
         share: Part of the calls that the new side gets, 0 to 1.
     """
-    return share > 0.0 and draw(call_key, move_id) < share
+    return share > 0.0 and hash_fraction(call_key, move_id) < share
 
 
-def draw(call_key: str, purpose: str) -> float:
+def hash_fraction(call_key: str, purpose: str) -> float:
     """Return a number from 0 to 1 that depends on the arguments only.
 
     Args:
--- a/src/citronrack/calls/observed.py
+++ b/src/citronrack/calls/target_stats.py
@@ -7,7 +7,7 @@
 from .view import PoolTarget
 
 LATENCY_SMOOTHING = 0.2
-FIRST_LATENCY_S = 0.005
+INITIAL_LATENCY_S = 0.005
 LOAD_MAX_AGE_S = 5.0
 FAILURES_TO_EJECT = 5
 FAILURE_SMOOTHING = 0.1
@@ -19,18 +19,18 @@
 """Longest ejection of a target that could not be reached: a cut ends within seconds, and a trial
 costs one call the time of a connection attempt."""
 
-EJECTED_PART = 3  # at most one in three targets of a pool is ejected
+MAX_EJECTED_DIVISOR = 3  # at most one in three targets of a pool is ejected
 
 
 @define(eq=False)
-class Observed:
+class TargetStats:
     """One target as this node sees it.
 
     Attributes:
         target: Entry of the routing view.
         in_flight: Calls of this node that wait for its answer.
         latency_s: Recent mean time to the head of an answer.
-        prior_s: Latency that is assumed while none is known.
+        assumed_latency_s: Latency that is assumed while none is known.
         load: Calls in flight or waiting at the target's node when it last said so.
         load_at: Monotonic time of that report.
         failures: Failures since the last success.
@@ -43,9 +43,9 @@
 
     target: PoolTarget
     in_flight: int = 0
-    latency_s: float = FIRST_LATENCY_S
-    known: bool = False
-    prior_s: float = FIRST_LATENCY_S
+    latency_s: float = INITIAL_LATENCY_S
+    has_latency: bool = False
+    assumed_latency_s: float = INITIAL_LATENCY_S
     load: int = 0
     load_at: float = -LOAD_MAX_AGE_S
     failures: int = 0
@@ -60,7 +60,7 @@
         """Whether the target should be ejected."""
         return self.failures >= FAILURES_TO_EJECT or self.failure_rate >= FAILURE_RATE_TO_EJECT
 
-    def expected_s(self, now: float) -> float:
+    def expected_latency_s(self, now: float) -> float:
         """Return the likely time that a new call would take.
 
         Calls of this node count in full. A reported load counts less the older it is, and the
@@ -76,14 +76,14 @@
         slots = max(1, self.target.slots)
         # Failures are often fast; without this factor a failing target would attract calls.
         succeeding = 1.0 - min(self.failure_rate, 0.9)
-        latency_s = self.latency_s if self.known else self.prior_s
+        latency_s = self.latency_s if self.has_latency else self.assumed_latency_s
         return latency_s * (1.0 + busy / slots) / succeeding
 
-    def started(self) -> None:
+    def record_start(self) -> None:
         """Count a call that was sent."""
         self.in_flight += 1
 
-    def ended(self, *, latency_s: float | None, failed: bool) -> None:
+    def record_end(self, *, latency_s: float | None, failed: bool) -> None:
         """Count the end of a call.
 
         Args:
@@ -93,19 +93,19 @@
         self.in_flight -= 1
         self.probing = False
         if latency_s is not None:
-            if self.known:
+            if self.has_latency:
                 self.latency_s += LATENCY_SMOOTHING * (latency_s - self.latency_s)
             else:
-                self.latency_s, self.known = latency_s, True
+                self.latency_s, self.has_latency = latency_s, True
         self.failures = self.failures + 1 if failed else 0
         self.failure_rate += FAILURE_SMOOTHING * (failed - self.failure_rate)
 
-    def reported(self, load: int, now: float) -> None:
+    def record_load(self, load: int, now: float) -> None:
         """Take the load that an answer carried."""
         self.load, self.load_at = load, now
 
 
-def eject(entry: Observed, now: float, *, unreachable: bool = False) -> float:
+def eject(entry: TargetStats, now: float, *, unreachable: bool = False) -> float:
     """Take a target out for a time that doubles with each ejection; return the seconds.
 
     Args:
@@ -124,7 +124,7 @@
     return duration
 
 
-def restore(entry: Observed, now: float) -> None:
+def restore(entry: TargetStats, now: float) -> None:
     """Let an ejected target get calls again."""
     entry.ejected_until = 0.0
     entry.restored_at = now
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -125,7 +125,7 @@
         """
         return self.index.find(path, host)
 
-    def may_repeat(self, route: Route | None, service: str, method: str) -> bool:
+    def is_idempotent(self, route: Route | None, service: str, method: str) -> bool:
         """Return whether a request may run more than once.
 
         Args:
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -12,11 +12,10 @@
 from typing import TYPE_CHECKING, Any
 
 from ..api.server import ApiListener
-from ..calls.drain import NOTICE_S
+from ..calls.drain import DRAIN_NOTICE_S
 from ..calls.limits import SWITCH_INTERVAL_S
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
-from ..checks import split_address
 from ..clock import Clock, SystemClock
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
@@ -26,6 +25,7 @@
 from ..settings import Settings
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.zmq_transport import ZmqTransport
+from ..validators import split_address
 from .append_task import AppendTask
 from .capacity import CapacityTable
 from .control import ControlTask
@@ -118,15 +118,15 @@
         self._call_path = call_path
         self._api = api
         self._trace = trace
-        self._stop_asked = threading.Event()
+        self._stop_requested = threading.Event()
         self._futures: list[Future[Any]] = []
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_asked.set())
+            signal.signal(number, lambda *_: self._stop_requested.set())
         self.start()
-        self._stop_asked.wait()
+        self._stop_requested.wait()
         self.stop()
 
     def start(self) -> None:
@@ -135,7 +135,7 @@
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
         runners += [self._call_path.calls.run, self._call_path.deliveries.run]
-        self._futures = [self._executor.submit(self._guarded, runner) for runner in runners]
+        self._futures = [self._executor.submit(self._run_task, runner) for runner in runners]
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
     def stop(self) -> None:
@@ -144,7 +144,7 @@
         self._control.mailbox.put(DrainAsked())
         # Calls go on being served until all routers can know: refusing half of the calls of a
         # two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
-        threading.Event().wait(NOTICE_S)
+        threading.Event().wait(DRAIN_NOTICE_S)
         limit_s = self._settings.calls.drain_limit_s
         self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
@@ -157,12 +157,12 @@
         if self._trace is not None:
             self._trace.close()
 
-    def _guarded(self, runner: Any) -> None:
+    def _run_task(self, runner: Any) -> None:
         try:
             runner()
         except Exception as error:
             self._events.write(Event.TASK_FAILED, task=runner.__qualname__, error=repr(error))
-            self._stop_asked.set()
+            self._stop_requested.set()
             raise
 
 
--- a/src/citronrack/plain.py
+++ b/src/citronrack/plain.py
@@ -35,7 +35,7 @@
 _converter = _make_converter()
 
 
-class PlainFaults(ValueError):
+class PlainFormatError(ValueError):
     """A plain map does not fit its class.
 
     Args:
@@ -61,18 +61,18 @@
         name: What to call the whole in messages.
 
     Raises:
-        PlainFaults: With one line per unknown key, missing key, wrong type or refused value.
+        PlainFormatError: With one line per unknown key, missing key, wrong type or refused value.
     """
     if not isinstance(content, dict):
-        raise PlainFaults([f"{name}: expected a map of keys, got {type(content).__name__}"])
+        raise PlainFormatError([f"{name}: expected a map of keys, got {type(content).__name__}"])
     try:
         with attrs.validators.disabled():
             result = _converter.structure(content, kind)
     except Exception as error:  # cattrs groups whatever the hooks raise.
-        raise PlainFaults(list(_error_lines(error, "", name))) from error
-    faults = list(_value_faults(result, ""))
+        raise PlainFormatError(list(_error_lines(error, "", name))) from error
+    faults = list(_value_errors(result, ""))
     if faults:
-        raise PlainFaults(faults)
+        raise PlainFormatError(faults)
     return result
 
 
@@ -100,7 +100,7 @@
         yield f"{path or name}: {error}"
 
 
-def _value_faults(part: Any, path: str) -> Iterator[str]:
+def _value_errors(part: Any, path: str) -> Iterator[str]:
     """Yield one line for each value that its validator refuses, in all sections.
 
     Validators are disabled while cattrs builds the classes, because attrs stops at the first fault.
@@ -109,7 +109,7 @@
         value = getattr(part, attribute.name)
         where = _join(path, attribute.name)
         if attrs.has(type(value)):
-            yield from _value_faults(value, where)
+            yield from _value_errors(value, where)
         elif attribute.validator is not None:
             try:
                 attribute.validator(part, attribute, value)
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from .fake_target import FAULT_KINDS, Fault
 from .language import EVENT_KINDS, TimedEvent, number, ref
 from .network import PLATFORM
@@ -14,7 +14,7 @@
 from .world import World
 
 
-def starter(world: World, node: SimNode) -> Callable[[], None]:
+def start_action(world: World, node: SimNode) -> Callable[[], None]:
     """Return an action that starts ``node``."""
     return lambda: world.start(node)
 
@@ -83,7 +83,7 @@
     def apply(self, world: World) -> None:
         """Drain, stop and start again."""
         node = world.node(self.node)
-        world.drain(node, lambda: world.timeline.after(self.down_s, starter(world, node)))
+        world.drain(node, lambda: world.timeline.after(self.down_s, start_action(world, node)))
 
 
 @EVENT_KINDS.register("herd_restart")
@@ -101,23 +101,23 @@
     zone: str = ref("zone", default="")
     down_s: float = number(0, 3_600, default=2.0)
     spread_s: float = number(0, 600, default=1.0)
-    spare: int = field(default=0, validator=checks.between(0, 100))
+    spare: int = field(default=0, validator=validators.between(0, 100))
 
     def apply(self, world: World) -> None:
         """End the instances and plan their return."""
-        spared: dict[str, int] = {}
-        falling = []
+        kept_running: dict[str, int] = {}
+        crashing = []
         for node in world.nodes.values():
             if not node.up or (self.zone and node.zone != self.zone):
                 continue
-            if spared.get(node.zone, 0) < self.spare:
-                spared[node.zone] = spared.get(node.zone, 0) + 1
+            if kept_running.get(node.zone, 0) < self.spare:
+                kept_running[node.zone] = kept_running.get(node.zone, 0) + 1
             else:
-                falling.append(node)
-        for index, node in enumerate(falling):
+                crashing.append(node)
+        for index, node in enumerate(crashing):
             world.crash(node)
-            back = self.down_s + self.spread_s * index / len(falling)
-            world.timeline.after(back, starter(world, node))
+            restart_after_s = self.down_s + self.spread_s * index / len(crashing)
+            world.timeline.after(restart_after_s, start_action(world, node))
 
 
 @EVENT_KINDS.register("pause")
@@ -132,18 +132,18 @@
     """
 
     node: str = ref("node", default="")
-    holder_of: str = field(default="", validator=checks.one_of("", "outcomes", "compactor"))
+    holder_of: str = field(default="", validator=validators.one_of("", "outcomes", "compactor"))
     for_s: float = number(0, 3_600, default=0.0)
 
     def apply(self, world: World) -> None:
         """Pause the node."""
-        node = world.holder(self.holder_of) if self.holder_of else world.live_node(self.node)
+        node = world.holder(self.holder_of) if self.holder_of else world.resolve_node(self.node)
         if node is None:
             return
         node.pause()
         world.check_reachability()
         if self.for_s:
-            world.timeline.after(self.for_s, lambda: Resume.let_go_on(world, node))
+            world.timeline.after(self.for_s, lambda: Resume.resume_if_paused(world, node))
 
 
 @EVENT_KINDS.register("resume")
@@ -159,10 +159,10 @@
 
     def apply(self, world: World) -> None:
         """Resume the node."""
-        self.let_go_on(world, world.node(self.node))
+        self.resume_if_paused(world, world.node(self.node))
 
     @staticmethod
-    def let_go_on(world: World, node: SimNode) -> None:
+    def resume_if_paused(world: World, node: SimNode) -> None:
         """Resume ``node`` if it still runs."""
         if node.up and node.paused:
             node.resume()
@@ -182,9 +182,9 @@
 
     def apply(self, world: World) -> None:
         """Begin the outage."""
-        world.log.set_up(False)
+        world.log.set_available(False)
         if self.for_s:
-            world.timeline.after(self.for_s, lambda: world.log.set_up(True))
+            world.timeline.after(self.for_s, lambda: world.log.set_available(True))
 
 
 @EVENT_KINDS.register("log_recovery")
@@ -194,7 +194,7 @@
 
     def apply(self, world: World) -> None:
         """End the outage."""
-        world.log.set_up(True)
+        world.log.set_available(True)
 
 
 @EVENT_KINDS.register("slow_log")
@@ -222,7 +222,7 @@
         count: Number of appends.
     """
 
-    count: int = field(default=1, validator=checks.between(1, 1_000))
+    count: int = field(default=1, validator=validators.between(1, 1_000))
 
     def apply(self, world: World) -> None:
         """Arm the fault."""
@@ -248,7 +248,7 @@
         keep: Number of records that stay.
     """
 
-    keep: int = field(default=0, validator=checks.between(0, 1_000_000))
+    keep: int = field(default=0, validator=validators.between(0, 1_000_000))
 
     def apply(self, world: World) -> None:
         """Trim the records."""
@@ -270,7 +270,7 @@
 
     def apply(self, world: World) -> None:
         """Cut the link."""
-        world.network.cut(self.one, self.other)
+        world.network.block_link(self.one, self.other)
         world.check_reachability()
 
 
@@ -299,7 +299,7 @@
     def apply(self, world: World) -> None:
         """Cut all links to the platform."""
         for zone in world.deployment.zones:
-            world.network.cut(zone, PLATFORM)
+            world.network.block_link(zone, PLATFORM)
         world.check_reachability()
 
 
@@ -330,8 +330,8 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    kind: str = field(default="failing", validator=checks.one_of(*FAULT_KINDS))
+    service_version: str = field(validator=validators.name)
+    kind: str = field(default="failing", validator=validators.one_of(*FAULT_KINDS))
     rate: float = number(0, 1, default=0.5)
     slow_factor: float = number(1, 1_000, default=6.0)
     route: str = ref("route", default="")
@@ -371,8 +371,8 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    count: int = field(default=1, validator=checks.between(1, 100))
+    service_version: str = field(validator=validators.name)
+    count: int = field(default=1, validator=validators.between(1, 100))
 
     def apply(self, world: World) -> None:
         """Start the instances."""
--- a/src/citronrack/proof/expectations.py
+++ b/src/citronrack/proof/expectations.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from .language import EXPECTATION_KINDS, Expectation, number, ref
 from .observations import (
     CallAnswered,
@@ -31,13 +31,13 @@
     """
 
     zone: str = ref("zone", default="")
-    changes: int = field(default=0, validator=checks.between(0, 1_000_000))
+    changes: int = field(default=0, validator=validators.between(0, 1_000_000))
     cut_off: bool = False
 
     def fault(self, world: World) -> str:
         """Name the nodes that are behind."""
         version = world.log.fold.config.version
-        made = {seen.config.version for seen in world.journal.of(ConfigInForce)}
+        made = {observed.config.version for observed in world.observations.of_kind(ConfigInForce)}
         if len(made) - 1 < self.changes:
             return f"expected {self.changes} changes in force, saw {len(made) - 1}"
         zones = set(world.deployment.zones) if self.cut_off else world.network.connected_zones()
@@ -65,18 +65,18 @@
     """
 
     plan: str = ref("plan")
-    result: str = field(validator=checks.one_of("planned", "accepted", "refused", "unknown"))
+    result: str = field(validator=validators.one_of("planned", "accepted", "refused", "unknown"))
     reason: str = ""
 
     def fault(self, world: World) -> str:
         """Compare with what the operator was told."""
-        track = world.operators.plans.get(self.plan)
-        if track is None:
+        tracked = world.operators.plans.get(self.plan)
+        if tracked is None:
             return f"plan {self.plan!r} was never made"
-        if track.result != self.result:
-            return f"plan {self.plan!r} is {track.result} ({track.reason}), not {self.result}"
-        if self.reason not in track.reason:
-            return f"plan {self.plan!r} has the reason {track.reason!r}"
+        if tracked.result != self.result:
+            return f"plan {self.plan!r} is {tracked.result} ({tracked.reason}), not {self.result}"
+        if self.reason not in tracked.reason:
+            return f"plan {self.plan!r} has the reason {tracked.reason!r}"
         return ""
 
 
@@ -95,8 +95,10 @@
 
     def fault(self, world: World) -> str:
         """Compare both results."""
-        tracks = [world.operators.plans.get(label) for label in (self.left, self.right)]
-        results = sorted(track.result if track is not None else "missing" for track in tracks)
+        tracked_plans = [world.operators.plans.get(label) for label in (self.left, self.right)]
+        results = sorted(
+            tracked.result if tracked is not None else "missing" for tracked in tracked_plans
+        )
         return "" if results == ["accepted", "refused"] else f"the plans are {results}"
 
 
@@ -113,7 +115,7 @@
 
     route: str = ref("route")
     result: str = field(
-        validator=checks.one_of(
+        validator=validators.one_of(
             "open", "finished in time", "finished late", "taken back", "cancelled", "unknown"
         )
     )
@@ -149,27 +151,27 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
+    service_version: str = field(validator=validators.name)
     max_share: float = number(0, 1, default=1.0)
-    max_calls: int = field(default=1_000_000, validator=checks.between(0, 1_000_000))
+    max_calls: int = field(default=1_000_000, validator=validators.between(0, 1_000_000))
     none_after_s: float = number(0, 3_600, default=3_600.0)
 
     def fault(self, world: World) -> str:
         """Count the calls that it ran."""
         key = (self.service, self.service_version)
         turned = [
-            seen.at
-            for seen in world.journal.of(VersionTurnedBad)
-            if (seen.service, seen.service_version) == key
+            observed.at
+            for observed in world.observations.of_kind(VersionTurnedBad)
+            if (observed.service, observed.service_version) == key
         ]
         if not turned:
             return f"{self.service} {self.service_version} never turned bad"
         work = [
-            seen
-            for seen in world.journal.of(WorkStarted)
-            if seen.service == self.service and seen.at >= turned[0]
+            observed
+            for observed in world.observations.of_kind(WorkStarted)
+            if observed.service == self.service and observed.at >= turned[0]
         ]
-        bad = [seen.at for seen in work if seen.service_version == self.service_version]
+        bad = [observed.at for observed in work if observed.service_version == self.service_version]
         if len(bad) > self.max_calls:
             return f"it ran {len(bad)} calls, more than {self.max_calls}"
         if len(bad) > self.max_share * len(work):
@@ -191,14 +193,15 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    min_calls: int = field(default=1, validator=checks.between(1, 1_000_000))
+    service_version: str = field(validator=validators.name)
+    min_calls: int = field(default=1, validator=validators.between(1, 1_000_000))
 
     def fault(self, world: World) -> str:
         """Count the calls that it ran."""
         key = (self.service, self.service_version)
         ran = sum(
-            (seen.service, seen.service_version) == key for seen in world.journal.of(WorkStarted)
+            (observed.service, observed.service_version) == key
+            for observed in world.observations.of_kind(WorkStarted)
         )
         return "" if ran >= self.min_calls else f"it ran {ran} calls, fewer than {self.min_calls}"
 
@@ -218,20 +221,24 @@
 
     def fault(self, world: World) -> str:
         """Look for calls that arrived too late."""
-        drains = [seen.at for seen in world.journal.of(DrainStarted) if seen.node == self.node]
+        drains = [
+            observed.at
+            for observed in world.observations.of_kind(DrainStarted)
+            if observed.node == self.node
+        ]
         if not drains:
             return f"{self.node} was never drained"
         limit = drains[-1] + self.after_s
         restarts = [
-            seen.at
-            for seen in world.journal.of(ConfigInForce)
-            if seen.node == self.node and seen.at > drains[-1]
+            observed.at
+            for observed in world.observations.of_kind(ConfigInForce)
+            if observed.node == self.node and observed.at > drains[-1]
         ]
         end = restarts[0] if restarts else world.timeline.now
         late = [
-            seen.at
-            for seen in world.journal.of(WorkOffered)
-            if seen.target == self.node and limit < seen.at < end
+            observed.at
+            for observed in world.observations.of_kind(WorkOffered)
+            if observed.target == self.node and limit < observed.at < end
         ]
         return f"a call arrived {late[-1] - drains[-1]:.1f} s after the drain began" if late else ""
 
@@ -248,7 +255,9 @@
         reason: Text that the reason must contain.
     """
 
-    state: str = field(validator=checks.one_of("ready", "ready (unproven)", "not ready", "serving"))
+    state: str = field(
+        validator=validators.one_of("ready", "ready (unproven)", "not ready", "serving")
+    )
     node: str = ref("node", default="")
     zone: str = ref("zone", default="")
     reason: str = ""
@@ -343,10 +352,12 @@
         """Compare the share."""
         limit = min(self.before_s, world.timeline.now - 6.0)  # later calls may still be open
         sent = [
-            seen.call for seen in world.journal.of(CallStarted) if self.after_s <= seen.at < limit
+            observed.call
+            for observed in world.observations.of_kind(CallStarted)
+            if self.after_s <= observed.at < limit
         ]
         if not sent:
             return "no call was sent"
-        answered = {seen.call for seen in world.journal.of(CallAnswered)}
+        answered = {observed.call for observed in world.observations.of_kind(CallAnswered)}
         share = sum(call in answered for call in sent) / len(sent)
         return "" if share >= self.min_share else f"{share:.2%} of {len(sent)} calls were answered"
--- a/src/citronrack/proof/operator_events.py
+++ b/src/citronrack/proof/operator_events.py
@@ -7,7 +7,7 @@
 import attrs
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from ..config import Change, Route
 from ..log import Confirmed
 from ..moves import Intent
@@ -46,10 +46,10 @@
     """
 
     route: str = ref("route")
-    timeout_ms: int = field(default=4_000, validator=checks.between(1, 500_000))
+    timeout_ms: int = field(default=4_000, validator=validators.between(1, 500_000))
     node: str = ref("node", default="")
     plan: str = ref("new-plan", default="publish")
-    repeat: int = field(default=1, validator=checks.between(1, 1_000))
+    repeat: int = field(default=1, validator=validators.between(1, 1_000))
     every_s: float = number(0, 600, default=1.0)
 
     def apply(self, world: World) -> None:
@@ -58,7 +58,7 @@
             world.timeline.after(turn * self.every_s, partial(self._once, world, turn))
 
     def _once(self, world: World, turn: int) -> None:
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = timeout_intent(node, self.route, self.timeout_ms + turn)
         world.operators.plan(self.plan, intent, node)
         world.operators.confirm(self.plan, node)
@@ -99,12 +99,12 @@
 
     plan: str = ref("new-plan")
     route: str = ref("route")
-    timeout_ms: int = field(default=4_000, validator=checks.between(1, 500_000))
+    timeout_ms: int = field(default=4_000, validator=validators.between(1, 500_000))
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
         """Plan."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         world.operators.plan(self.plan, timeout_intent(node, self.route, self.timeout_ms), node)
 
 
@@ -123,13 +123,13 @@
 
     plan: str = ref("new-plan")
     route: str = ref("route")
-    to_version: str = field(validator=checks.name)
+    to_version: str = field(validator=validators.name)
     deadline_s: float = number(1, 3_600, default=60.0)
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
         """Plan."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
 
@@ -149,7 +149,7 @@
 
     def apply(self, world: World) -> None:
         """Confirm."""
-        world.operators.confirm(self.plan, world.live_node(self.node))
+        world.operators.confirm(self.plan, world.resolve_node(self.node))
 
 
 @EVENT_KINDS.register("move")
@@ -166,14 +166,14 @@
     """
 
     route: str = ref("route")
-    to_version: str = field(validator=checks.name)
+    to_version: str = field(validator=validators.name)
     deadline_s: float = number(1, 3_600, default=60.0)
     node: str = ref("node", default="")
     plan: str = ref("new-plan", default="move")
 
     def apply(self, world: World) -> None:
         """Plan and confirm."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
         world.operators.confirm(self.plan, node)
@@ -218,4 +218,4 @@
 
     def apply(self, world: World) -> None:
         """Cancel."""
-        world.operators.cancel(self.route, world.live_node(self.node))
+        world.operators.cancel(self.route, world.resolve_node(self.node))
--- a/src/citronrack/transport/framing.py
+++ b/src/citronrack/transport/framing.py
@@ -34,12 +34,12 @@
 
 
 def _mac(key: bytes, mesh_id: str, body: bytes) -> bytes:
-    digest = hashlib.blake2b(body, key=key, digest_size=MAC_BYTES, person=_person(mesh_id))
+    digest = hashlib.blake2b(body, key=key, digest_size=MAC_BYTES, person=_personalization(mesh_id))
     return digest.digest()
 
 
 @lru_cache(maxsize=16)
-def _person(mesh_id: str) -> bytes:
+def _personalization(mesh_id: str) -> bytes:
     """Return 16 bytes that stand for the whole mesh id, whatever its length."""
     return hashlib.blake2b(mesh_id.encode(), digest_size=hashlib.blake2b.PERSON_SIZE).digest()
 
--- a/src/citronrack/transport/loop.py
+++ b/src/citronrack/transport/loop.py
@@ -70,14 +70,14 @@
                 next_tick = now + TICK_MS / 1000
                 self._tick()
             poller.poll(max(0, int((next_tick - now) * 1000)))
-            self._take_mail()
-            self._take_frames()
+            self._handle_mailbox()
+            self._handle_frames()
         self._transport.close()
 
     def _tick(self) -> None:
         self._send(self._core.on_tick())
 
-    def _take_mail(self) -> None:
+    def _handle_mailbox(self) -> None:
         for mail in self._mailbox.take_all():
             if isinstance(mail, self._stop_message):
                 self._send(self._core.leave())
@@ -85,7 +85,7 @@
             else:
                 self._send(self._core.handle(mail))
 
-    def _take_frames(self) -> None:
+    def _handle_frames(self) -> None:
         for _ in range(MAX_FRAMES_PER_TURN):
             received = self._transport.receive()
             if received is None:
--- a/src/citronrack/transport/zmq_transport.py
+++ b/src/citronrack/transport/zmq_transport.py
@@ -24,7 +24,9 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 5_000
 IDLE_CLOSE_S = 60.0
-REJECTED_PER_RECEIVE = 100  # a flood of bad frames must not keep the control task from its ticks
+MAX_REJECTED_PER_RECEIVE = (
+    100  # a flood of bad frames must not keep the control task from its ticks
+)
 REPORT_INTERVAL_S = 10.0
 
 
@@ -117,31 +119,31 @@
         try:
             frame = self._frame(effect.message)
         except (OverflowError, ValueError):  # a number of another node that grew beyond 64 bits
-            self._count("send-unencodable")
+            self._count_rejected("send-unencodable")
             return
         if len(frame) > MAX_MESSAGE_BYTES:
-            self._count("send-oversized")
+            self._count_rejected("send-oversized")
             return
         try:
             self._peer(effect.to).send(frame, zmq.DONTWAIT)
         except zmq.Again:
-            self._count("send-queue-full")
+            self._count_rejected("send-queue-full")
             return
         except (zmq.ZMQError, OSError):
-            self._count("send-failed")
+            self._count_rejected("send-failed")
             return
         self._bytes_sent += len(frame)
         self._messages_sent += 1
 
     def receive(self) -> Received | None:
         """Return the next accepted message, or None when there is none now; never raises."""
-        for _ in range(REJECTED_PER_RECEIVE):
+        for _ in range(MAX_REJECTED_PER_RECEIVE):
             try:
                 parts = self._inbox.recv_multipart(zmq.DONTWAIT)
             except zmq.Again:
                 return None
             except zmq.ZMQError:
-                self._count("receive-failed")
+                self._count_rejected("receive-failed")
                 return None
             self._bytes_received += sum(map(len, parts))
             try:
@@ -149,7 +151,7 @@
                     raise MessageRejected("malformed")
                 return unpack(parts[1], mesh_id=self._mesh_id, key=self._key)
             except MessageRejected as error:
-                self._count(error.reason)
+                self._count_rejected(error.reason)
         return None
 
     def close(self) -> None:
@@ -201,7 +203,7 @@
         for address in idle:
             self._peers.pop(address).socket.close(linger=100)
 
-    def _count(self, reason: str) -> None:
+    def _count_rejected(self, reason: str) -> None:
         self._rejected[reason] = self._rejected.get(reason, 0) + 1
         now = self._clock.monotonic()
         if now - self._reported_at.get(reason, float("-inf")) >= REPORT_INTERVAL_S:
--- a/src/citronrack/verdict.py
+++ b/src/citronrack/verdict.py
@@ -18,6 +18,6 @@
     """A complete answer arrived from the target."""
 
     @property
-    def safe_to_repeat(self) -> bool:
+    def safe_to_retry(self) -> bool:
         """Whether any request, idempotent or not, may be sent again."""
         return self is Verdict.NOT_RUN
--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -6,9 +6,9 @@
 import time
 import unittest
 
-from citronrack.calls._links import Link
+from citronrack.calls._connections import Connection
 from citronrack.calls.message import WholeBody
-from citronrack.calls.upstream import Outgoing, Upstream
+from citronrack.calls.upstream import OutgoingRequest, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
@@ -19,7 +19,7 @@
     """Connections that break while a request is written."""
 
     @staticmethod
-    def _write_head(link: Link, request: Outgoing) -> bool:
+    def _write_head(link: Connection, request: OutgoingRequest) -> bool:
         raise CallFailed("the connection broke", verdict=Verdict.MAY_HAVE_RUN)
 
 
@@ -37,17 +37,17 @@
                 call(node.call_address, f"/hasty/{index}", method="POST") for index in range(2)
             ]
             self.assertEqual(replies[0].status, 504)
-            self.assertEqual(node.target.most_running, 1)
+            self.assertEqual(node.target.peak_running, 1)
 
     def test_request_that_was_sent_in_part_is_settled(self) -> None:
         """Guards against a slot that stays taken for good.
 
         A connection that breaks after the first bytes of a request leaves nothing at work.
         """
-        settled: list[bool] = []
+        on_target_done: list[bool] = []
         listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(listener.close)
-        request = Outgoing(
+        request = OutgoingRequest(
             method="POST",
             target=b"/",
             headers=[],
@@ -55,8 +55,8 @@
             idempotent=False,
             deadline=time.monotonic() + 5,
             cancelled=lambda: False,
-            settled=lambda: settled.append(True),
+            on_target_done=lambda: on_target_done.append(True),
         )
         with self.assertRaises(CallFailed):
             HalfSent().send(listener.getsockname(), request, connect_timeout_s=2.0)
-        self.assertEqual(settled, [True])
+        self.assertEqual(on_target_done, [True])
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -7,13 +7,13 @@
 from random import Random
 
 from citronrack.calls import PoolTarget, Request, RouteIndex, RoutingView, Upstream, ViewHolder
-from citronrack.calls._links import Address
+from citronrack.calls._connections import Address
 from citronrack.calls.balancer import Balancer
 from citronrack.calls.budget import RetryBudget
 from citronrack.calls.context import ContextCodec
-from citronrack.calls.message import Answer, own_answer
+from citronrack.calls.message import Response, local_response
 from citronrack.calls.router import Router
-from citronrack.calls.upstream import Outgoing
+from citronrack.calls.upstream import OutgoingRequest
 from citronrack.clock import ManualClock, SystemClock
 from citronrack.config import ConfigSet, Route, Service
 from citronrack.telemetry import EventLog
@@ -26,29 +26,31 @@
 class ScriptedUpstream(Upstream):
     """Gives prepared answers, one for each attempt."""
 
-    def __init__(self, answers: Iterable[Answer]) -> None:
+    def __init__(self, answers: Iterable[Response]) -> None:
         super().__init__()
         self._answers = iter(answers)
 
-    def send(self, address: Address, request: Outgoing, *, connect_timeout_s: float) -> Answer:
+    def send(
+        self, address: Address, request: OutgoingRequest, *, connect_timeout_s: float
+    ) -> Response:
         """Return the next answer."""
         return next(self._answers)
 
 
-def lost() -> Answer:
+def lost() -> Response:
     """Return the answer of a node whose target has lost the request."""
-    return own_answer(502, "the connection broke", Verdict.MAY_HAVE_RUN, load=1)
+    return local_response(502, "the connection broke", Verdict.MAY_HAVE_RUN, load=1)
 
 
-def refused() -> Answer:
+def refused() -> Response:
     """Return the answer of a node that did not give the request to its target."""
-    return own_answer(503, "the queue is full", Verdict.NOT_RUN, load=9)
+    return local_response(503, "the queue is full", Verdict.NOT_RUN, load=9)
 
 
 class LastAnswerTest(unittest.TestCase):
     """Verdicts of calls that went to several targets."""
 
-    def answer(self, *answers: Answer) -> Answer:
+    def answer(self, *answers: Response) -> Response:
         """Return the answer to an idempotent call whose attempts get these answers."""
         route = Route("r", "/", SERVICE, "", idempotent=True)
         config = ConfigSet(1, {SERVICE: Service(SERVICE)}, {"r": route})
@@ -83,5 +85,5 @@
 
     def test_answer_after_a_lost_attempt(self) -> None:
         """Guards against a good answer that is dropped for what happened before it."""
-        answer = self.answer(lost(), Answer(200))
+        answer = self.answer(lost(), Response(200))
         self.assertEqual((answer.status, answer.verdict), (200, Verdict.RAN))
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -6,9 +6,9 @@
 from random import Random
 
 from citronrack.calls import Balancer, CallContext, ContextCodec, PoolTarget, picks_new
-from citronrack.calls._queue import AdmissionQueue, Waiting
-from citronrack.calls.observed import Observed
+from citronrack.calls._queue import AdmissionQueue, SlotRequest
 from citronrack.calls.policies import policies
+from citronrack.calls.target_stats import TargetStats
 from citronrack.clock import ManualClock
 
 
@@ -25,7 +25,7 @@
                 now += random.expovariate(100)
                 action = random.random()
                 if action < 0.55:
-                    call = Waiting(random.choice("abc"), now + random.uniform(0, 0.5))
+                    call = SlotRequest(random.choice("abc"), now + random.uniform(0, 0.5))
                     reason = queue.offer(call, weight=random.choice((1, 3)), now=now)
                     if call.started is not None:
                         running.append(call)
@@ -68,7 +68,7 @@
                         ends.append((at + service[other.route], id(other), other))
                         waits.append((other.route, at - asked[id(other)]))
                     ends.sort(key=lambda end: end[:2])
-                call = Waiting(route, now + 5)
+                call = SlotRequest(route, now + 5)
                 asked[id(call)] = now
                 reason = queue.offer(call, weight=1, now=now)
                 if reason:
@@ -85,23 +85,23 @@
         """Guards against a route that gets the slots of the others by sending more calls."""
         queue = AdmissionQueue(slots=2)
         random = Random(1)
-        running: list[Waiting] = []
+        running: list[SlotRequest] = []
         served = {"flood": 0, "heavy": 0, "rare": 0}
         rare_since: dict[int, int] = {}
         longest = 0
         for step in range(3000):
             offers = ["flood"] * 3 + ["heavy"] * 2 + ["rare"] * (step % 20 == 0)
             for route in offers:
-                call = Waiting(route, 1e9)
+                call = SlotRequest(route, 1e9)
                 weight = 3 if route == "heavy" else 1
                 queue.offer(call, weight=weight, now=step * 0.01)
                 if call.started is not None:
                     running.append(call)
                 if route == "rare":
                     rare_since[id(call)] = step
-            ended = running.pop(random.randrange(len(running)))
-            served[ended.route] += 1
-            running += queue.release(ended, now=step * 0.01 + 0.009, ran=True)
+            record_end = running.pop(random.randrange(len(running)))
+            served[record_end.route] += 1
+            running += queue.release(record_end, now=step * 0.01 + 0.009, ran=True)
             for call in running:
                 longest = max(longest, step - rare_since.pop(id(call), step))
         self.assertAlmostEqual(served["heavy"] / served["flood"], 3.0, delta=0.3)
@@ -111,25 +111,25 @@
     def test_calls_that_cannot_end_in_time_are_refused(self) -> None:
         """Guards against queueing work whose caller will have gone."""
         queue = AdmissionQueue(slots=1)
-        first = Waiting("a", 10.0)
+        first = SlotRequest("a", 10.0)
         queue.offer(first, weight=1, now=0.0)
         queue.release(first, now=1.0, ran=True)  # service time 1 s
-        queue.offer(Waiting("a", 10.0), weight=1, now=1.0)
-        self.assertEqual(queue.offer(Waiting("a", 4.0), weight=1, now=1.0), "")
-        self.assertIn("deadline", queue.offer(Waiting("a", 3.0), weight=1, now=1.0))
+        queue.offer(SlotRequest("a", 10.0), weight=1, now=1.0)
+        self.assertEqual(queue.offer(SlotRequest("a", 4.0), weight=1, now=1.0), "")
+        self.assertIn("deadline", queue.offer(SlotRequest("a", 3.0), weight=1, now=1.0))
         self.assertEqual(queue.load, 2)
 
     def test_overload_leaves_answers_in_time(self) -> None:
         """Guards against a queue in which every call of an overload is answered late."""
         queue = AdmissionQueue(slots=1)
-        first = Waiting("a", 10.0)
+        first = SlotRequest("a", 10.0)
         queue.offer(first, weight=1, now=0.0)
         queue.release(first, now=0.1, ran=True)  # service time 0.1 s
-        running = Waiting("a", 10.0)
+        running = SlotRequest("a", 10.0)
         queue.offer(running, weight=1, now=1.0)
         accepted = []
         for _ in range(20):
-            call = Waiting("a", 3.0, wanted_by=1.5)
+            call = SlotRequest("a", 3.0, soft_deadline=1.5)
             if not queue.offer(call, weight=1, now=1.0):
                 accepted.append(call)
         self.assertGreaterEqual(len(accepted), 2)
@@ -138,9 +138,9 @@
     def test_higher_rank_goes_first(self) -> None:
         """Guards against work that others wait for behind work that nobody waits for."""
         queue = AdmissionQueue(slots=1)
-        running = Waiting("a", 10.0)
+        running = SlotRequest("a", 10.0)
         queue.offer(running, weight=1, now=0.0)
-        low, high = Waiting("b", 9.0, priority=2), Waiting("c", 10.0, priority=0)
+        low, high = SlotRequest("b", 9.0, priority=2), SlotRequest("c", 10.0, priority=0)
         for call in (low, high):
             self.assertEqual(queue.offer(call, weight=1, now=0.0), "")
         self.assertEqual(queue.release(running, now=0.1, ran=True), [high])
@@ -179,7 +179,7 @@
                     assert entry is not None
                     counts[entry.target.name] += 1
                     failed = int(entry.target.name[1:]) < bad
-                    balancer.ended(entry, latency_s=0.001, failed=failed)
+                    balancer.record_end(entry, latency_s=0.001, failed=failed)
                     clock.advance(0.001)
                     ejected = sum(e.ejected_until > clock.monotonic() for e in self.known(balancer))
                     self.assertLessEqual(ejected, 3)
@@ -187,7 +187,7 @@
                     self.assertLess(sum(counts[f"t{i}"] for i in range(bad)), 40 * bad, policy)
 
     @staticmethod
-    def known(balancer: Balancer) -> list[Observed]:
+    def known(balancer: Balancer) -> list[TargetStats]:
         """Return the observations."""
         return list(balancer._known.values())
 
@@ -201,7 +201,9 @@
             healthy = step > 1000
             entry = balancer.choose(("s", "1"), targets)
             assert entry is not None
-            balancer.ended(entry, latency_s=0.001, failed=entry.target.name == "t0" and not healthy)
+            balancer.record_end(
+                entry, latency_s=0.001, failed=entry.target.name == "t0" and not healthy
+            )
             late += step > 3000 and entry.target.name == "t0"
             clock.advance(0.01)
         self.assertGreater(late, 200)
@@ -214,7 +216,7 @@
             entry = balancer.choose(("s", "1"), targets)
             assert entry is not None
             self.assertEqual(entry.target.availability_zone, "a")
-            balancer.ended(entry, latency_s=0.02)
+            balancer.record_end(entry, latency_s=0.02)
             clock.advance(0.01)
         busy = [balancer.choose(("s", "1"), targets) for _ in range(100)]
         zones = {entry.target.availability_zone for entry in busy if entry is not None}
@@ -229,7 +231,7 @@
             for _ in range(12):
                 entry = balancer.choose(("s", "1"), targets[:1])
                 assert entry is not None
-                balancer.ended(entry, latency_s=0.1)
+                balancer.record_end(entry, latency_s=0.1)
             running = [balancer.choose(("s", "1"), targets[:1]) for _ in range(9)]
             self.assertEqual(len(running), 9)
             entry = balancer.choose(("s", "1"), targets, body_bytes=body_bytes)
@@ -247,7 +249,7 @@
                 ("s", "1"), targets, excluded={t.name for t in targets} - {f"t{number}"}
             )
             assert entry is not None
-            balancer.ended(entry, failed=True, unreachable=True)
+            balancer.record_end(entry, failed=True, unreachable=True)
         chosen = {self.name_of(balancer, targets) for _ in range(50)}
         self.assertEqual(chosen, {"t0"})
         clock.advance(1.1)
@@ -258,7 +260,7 @@
         """Return the name of the target of a call that ends well at once."""
         entry = balancer.choose(("s", "1"), targets)
         assert entry is not None
-        balancer.ended(entry, latency_s=0.1)
+        balancer.record_end(entry, latency_s=0.1)
         return entry.target.name
 
     def test_excluded_targets_are_not_chosen(self) -> None:
@@ -302,7 +304,7 @@
             sender, receiver = ManualClock(), ManualClock(skew_ms=skew_ms)
             receiver.advance(1000)
             value = self.codec(sender).encode(CallContext(sender.monotonic() + 2, 1, 4, "k"))
-            context = self.codec(receiver).received(value)
+            context = self.codec(receiver).decode(value)
             assert context is not None
             self.assertAlmostEqual(context.deadline - receiver.monotonic(), 2.0, delta=0.01)
             self.assertEqual((context.retries_left, context.depth, context.call_key), (1, 4, "k"))
@@ -313,7 +315,7 @@
         codec = self.codec(clock)
         value = codec.encode(CallContext(clock.monotonic() + 2, 1, 4, "k"))
         clock.advance(1.5)
-        context = codec.nested(value)
+        context = codec.decode_nested(value)
         assert context is not None
         self.assertLess(context.deadline - clock.monotonic(), 0.76)
         self.assertEqual(context.depth, 5)
@@ -322,11 +324,11 @@
         """Guards against callers that give themselves deadlines or retries."""
         clock = ManualClock()
         codec = self.codec(clock)
-        value = codec.encode(codec.fresh())
+        value = codec.encode(codec.new_context())
         other = self.codec(clock, b"another key of the mesh")
-        self.assertIsNone(other.received(value))
+        self.assertIsNone(other.decode(value))
         for index in range(len(value)):
             changed = value[:index] + bytes([value[index] ^ 1]) + value[index + 1 :]
-            self.assertIsNone(codec.received(changed))
+            self.assertIsNone(codec.decode(changed))
         for junk in (None, b"", b".", b"1.2.3.4.5", b"\xff" * 100, b"1" * 10_000):
-            self.assertIsNone(codec.nested(junk))
+            self.assertIsNone(codec.decode_nested(junk))
--- a/tests/calls/test_endless.py
+++ b/tests/calls/test_endless.py
@@ -10,7 +10,7 @@
 from citronrack.calls._response import ResponseReader
 from citronrack.calls.limits import MAX_HEAD_BYTES, READ_BYTES, WHOLE_BODY_BYTES
 from citronrack.calls.message import WholeBody
-from citronrack.calls.upstream import Outgoing, Upstream
+from citronrack.calls.upstream import OutgoingRequest, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
@@ -61,7 +61,7 @@
         """Return how a call to a server failed."""
         upstream = Upstream()
         self.addCleanup(upstream.close)
-        request = Outgoing(
+        request = OutgoingRequest(
             method="GET",
             target=b"/",
             headers=[(b"host", b"h")],
@@ -69,7 +69,7 @@
             idempotent=True,
             deadline=time.monotonic() + deadline_s,
             cancelled=lambda: False,
-            hold_answer=True,
+            buffer_response=True,
         )
         with self.assertRaises(CallFailed) as failed:
             answer = upstream.send(server.address, request, connect_timeout_s=2.0)
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 from citronrack.calls._sockets import abort
-from citronrack.calls.message import Answer, WholeBody
-from citronrack.calls.upstream import Outgoing, Upstream
+from citronrack.calls.message import Response, WholeBody
+from citronrack.calls.upstream import OutgoingRequest, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
@@ -47,9 +47,9 @@
         self.upstream = Upstream()
         self.addCleanup(self.upstream.close)
 
-    def send(self, method: str) -> Answer:
+    def send(self, method: str) -> Response:
         """Send a request whose answer is read completely."""
-        request = Outgoing(
+        request = OutgoingRequest(
             method=method,
             target=b"/",
             headers=[(b"host", b"h")],
--- a/tests/calls/test_withheld.py
+++ b/tests/calls/test_withheld.py
@@ -9,8 +9,8 @@
 import unittest
 from collections.abc import Callable
 
-from citronrack.calls.message import Answer, IterableBody, WholeBody
-from citronrack.calls.upstream import Outgoing, Upstream
+from citronrack.calls.message import IterableBody, Response, WholeBody
+from citronrack.calls.upstream import OutgoingRequest, Upstream
 from citronrack.errors import CallFailed
 from citronrack.verdict import Verdict
 
@@ -53,14 +53,14 @@
 
     def send(
         self, *scripts: Script, method: str = "POST", limit_s: float = 5.0, times: int = 1
-    ) -> Answer:
+    ) -> Response:
         """Send a request to a node; several one after the other over kept connections."""
         node = ScriptedServer(*scripts)
         self.addCleanup(node.close)
         upstream = Upstream()
         self.addCleanup(upstream.close)
         for _ in range(times):
-            request = Outgoing(
+            request = OutgoingRequest(
                 method=method,
                 target=b"/",
                 headers=[(b"host", b"h")],
@@ -124,7 +124,7 @@
 class LateBody(IterableBody):
     """A body whose sender never sends it."""
 
-    def arrives(self, limit_s: float) -> bool:
+    def wait_first_part(self, limit_s: float) -> bool:
         """Return that nothing came."""
         return False
 
@@ -139,7 +139,7 @@
         self.addCleanup(target.close)
         upstream = Upstream()
         self.addCleanup(upstream.close)
-        request = Outgoing(
+        request = OutgoingRequest(
             method="POST",
             target=b"/",
             headers=[(b"host", b"h")],
