--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -116,7 +116,7 @@
         self._contexts = contexts
         self._report = report
         self._events = events
-        self._logs_routing = events.writes(Event.CALL_ROUTED)
+        self._logs_routing = events.is_enabled(Event.CALL_ROUTED)
         self._own_name = own_name
         self._names = names
         self._retry_statuses = retry_statuses
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -22,12 +22,12 @@
 from .progress import Progress, ProgressReporter, ZoneProgress
 from .reading import LogAccess, ReaderRole, StandbyPushes
 from .repair import Repair
-from .snapshots import SnapshotSink, SnapshotSource
+from .snapshots import SnapshotAssembler, SnapshotSource
 from .spread import FactSpreader
 from .store import RecordStore, pages
 from .tree import Tree
 
-REMEMBERED_PUSHES = 256
+MAX_FORWARDED_PUSHES = 256
 MAX_PUSHED = 100  # a reader that catches up reads more at once; repair spreads those over peers
 
 
@@ -100,7 +100,7 @@
         self._source = (
             None if make_snapshot is None else SnapshotSource(clock=clock, make=make_snapshot)
         )
-        self._sink = SnapshotSink()
+        self._assembler = SnapshotAssembler()
         self._forwarded: dict[tuple[int, int], None] = {}
         self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
             PushRecords: self._on_push,
@@ -184,13 +184,13 @@
         if role is ReaderRole.PRIMARY:
             return self._push(first, fresh, self._own)
         if role is ReaderRole.STANDBY:
-            self._standby.hold(first, fresh)
+            self._standby.defer(first, fresh)
         return []
 
     def on_log_failure(self) -> None:
         """Note a poll of the log that got no answer."""
         others = (member for member in self._tree.ranking if member.name != self._own)
-        self._log.failed(given_up=sum(not member.reading for member in others))
+        self._log.failed(non_readers=sum(not member.reading for member in others))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of this core."""
@@ -231,7 +231,7 @@
         return [Send(sender, page)] if page is not None else []
 
     def _on_page(self, sender: str, message: RecordsPage) -> list[Send]:
-        self._repair.answered(sender)
+        self._repair.record_answer(sender)
         self._repair.observe(sender, message.end)
         first = self._store.next
         fresh: list[bytes] = []
@@ -242,7 +242,7 @@
             # The zone gets these records through this node, as from a reader.
             effects += self._push(first, fresh, self._own)
         if fresh and self._store.next < message.end:
-            self._repair.continue_with(sender)
+            self._repair.record_request(sender)
             effects.append(Send(sender, PullRecords(self._store.next)))
         return effects
 
@@ -251,21 +251,21 @@
         return [Send(sender, page)] if page is not None else []
 
     def _on_snapshot_page(self, sender: str, message: SnapshotPage) -> list[Send]:
-        if not self._repair.answered(sender) or message.through <= self._store.next:
+        if not self._repair.record_answer(sender) or message.through <= self._store.next:
             return []
-        data = self._sink.take(message)
+        data = self._assembler.take(message)
         if data is not None:
             self._take_snapshot(sender, message.through, data)
             return self._pull_if_due()
-        wanted = self._sink.next_wanted()
+        wanted = self._assembler.next_request()
         if wanted is None:
             return []
-        self._repair.continue_with(sender)
+        self._repair.record_request(sender)
         return [Send(sender, wanted)]
 
     def _take_snapshot(self, sender: str, through: int, data: bytes) -> None:
         if self._load_snapshot is None or not self._load_snapshot(data):
-            self._repair.refused(sender)
+            self._repair.mark_failed(sender)
         elif self._store.next < through:
             self._store.jump_to(through)
 
@@ -298,10 +298,10 @@
         if (first, end) in self._forwarded:
             return False
         self._forwarded[first, end] = None
-        if len(self._forwarded) > REMEMBERED_PUSHES:
+        if len(self._forwarded) > MAX_FORWARDED_PUSHES:
             del self._forwarded[next(iter(self._forwarded))]
         return True
 
     def _pull_if_due(self) -> list[Send]:
-        address = self._repair.peer_to_ask(self._store.next)
+        address = self._repair.next_peer(self._store.next)
         return [] if address is None else [Send(address, PullRecords(self._store.next))]
--- a/src/citronrack/distribution/facts.py
+++ b/src/citronrack/distribution/facts.py
@@ -7,7 +7,7 @@
 import xxhash
 from attrs import frozen
 
-from ..membership.digests import DigestBook, bucket_of
+from ..membership.digests import BucketDigests, bucket_of
 
 MAX_BYTES = 64 * 1024
 MARK_RESERVE_BYTES = 16 * 1024  # only marks may use this part
@@ -50,12 +50,12 @@
         self._facts: dict[str, Fact] = {}
         self._pruned: dict[str, int] = {}
         self._bytes = 0
-        self._digest = DigestBook()
+        self._digest = BucketDigests()
 
     @property
     def digest(self) -> int:
         """Digest of all facts."""
-        return self._digest.whole
+        return self._digest.combined
 
     @property
     def buckets(self) -> tuple[int, ...]:
@@ -63,7 +63,7 @@
         return self._digest.buckets
 
     @property
-    def held_bytes(self) -> int:
+    def size_bytes(self) -> int:
         """Size of all facts."""
         return self._bytes
 
--- a/src/citronrack/distribution/progress.py
+++ b/src/citronrack/distribution/progress.py
@@ -42,7 +42,7 @@
     covers: int
     behind: tuple[str, ...]
     at_highest: int = 0
-    unheard: tuple[str, ...] = ()
+    unreported: tuple[str, ...] = ()
 
 
 @frozen
@@ -71,7 +71,7 @@
     age_s: float = 0.0
     highest: int = -1
     at_highest: int = 0
-    unheard: tuple[str, ...] = ()
+    unreported: tuple[str, ...] = ()
 
     @property
     def unknown(self) -> int:
@@ -157,7 +157,7 @@
             exact,
             highest=report.highest,
             at_highest=report.at_highest,
-            unheard=report.unheard,
+            unreported=report.unreported,
         )
 
     def _drop_old(self, now: float) -> None:
@@ -169,14 +169,14 @@
 
     def _collect(self) -> Progress:
         children = [child.name for child in self._tree.children()]
-        unheard = [name for name in children if name not in self._reports]
+        unreported = [name for name in children if name not in self._reports]
         reports = [self._reports[name][0] for name in children if name in self._reports]
         own = self._version()
         highest = max([own, *(report.highest for report in reports)])
         behind = [self._own] if own < highest else []
         at_highest = 1 if own == highest else 0
         for report in reports:
-            unheard += report.unheard
+            unreported += report.unreported
             at_highest += report.at_highest if report.highest == highest else 0
             behind += report.behind
             if report.highest < highest:
@@ -192,5 +192,5 @@
             covers,
             tuple(dict.fromkeys(behind))[:MAX_NAMES],
             at_highest,
-            tuple(dict.fromkeys(unheard))[:MAX_NAMES],
+            tuple(dict.fromkeys(unreported))[:MAX_NAMES],
         )
--- a/src/citronrack/distribution/ranking.py
+++ b/src/citronrack/distribution/ranking.py
@@ -9,7 +9,7 @@
 
 
 class Ranked(Protocol):
-    """What the order depends on; `Member` and `KnownMember` have it."""
+    """What the order depends on; `Member` and `RemoteMember` have it."""
 
     @property
     def name(self) -> str:
--- a/src/citronrack/distribution/repair.py
+++ b/src/citronrack/distribution/repair.py
@@ -26,8 +26,8 @@
         self._offsets: dict[str, tuple[int, float]] = {}
         self._highest = 0
         self._due: float | None = None
-        self._asked = ""
-        self._asked_at: float | None = None
+        self._pending_peer = ""
+        self._pending_since: float | None = None
         self._failed: set[str] = set()
 
     def observe(self, address: str, offset: int) -> None:
@@ -43,18 +43,18 @@
         entry = self._offsets.get(address)
         return None if entry is None else entry[0]
 
-    def peer_to_ask(self, next_offset: int) -> str | None:
+    def next_peer(self, next_offset: int) -> str | None:
         """Return the peer to ask now, None when nothing is missing or it is not yet time.
 
         The first request waits for a random time, because a push is often under way, and because
         many nodes learn at the same time that they are behind.
         """
         now = self._clock.monotonic()
-        if self._asked_at is not None:
-            if now < self._asked_at + REQUEST_TIMEOUT_S:
+        if self._pending_since is not None:
+            if now < self._pending_since + REQUEST_TIMEOUT_S:
                 return None
-            self._failed.add(self._asked)
-            self._asked_at = None
+            self._failed.add(self._pending_peer)
+            self._pending_since = None
         # The quick check matters: this runs with each ping, and the search takes 40 us for a zone.
         ahead = [] if self._highest <= next_offset else self._ahead_of(next_offset, now)
         if not ahead:
@@ -70,9 +70,9 @@
             self._failed.clear()
         # The peers heard last are the likeliest to answer.
         choices = (fresh or ahead)[-4:]
-        self._asked = self._random.choice(choices)
-        self._asked_at = now
-        return self._asked
+        self._pending_peer = self._random.choice(choices)
+        self._pending_since = now
+        return self._pending_peer
 
     def _ahead_of(self, next_offset: int, now: float) -> list[str]:
         return [
@@ -81,18 +81,18 @@
             if offset > next_offset and now - heard_at < OFFSET_LIFETIME_S
         ]
 
-    def answered(self, address: str) -> bool:
+    def record_answer(self, address: str) -> bool:
         """Note an answer; returns whether it is the one that was waited for."""
-        expected = self._asked_at is not None and address == self._asked
+        expected = self._pending_since is not None and address == self._pending_peer
         if expected:
-            self._asked_at = None
+            self._pending_since = None
             self._failed.clear()
         return expected
 
-    def continue_with(self, address: str) -> None:
+    def record_request(self, address: str) -> None:
         """Note that the next request went to the same peer at once."""
-        self._asked, self._asked_at = address, self._clock.monotonic()
+        self._pending_peer, self._pending_since = address, self._clock.monotonic()
 
-    def refused(self, address: str) -> None:
+    def mark_failed(self, address: str) -> None:
         """Note that a peer's answer was of no use."""
         self._failed.add(address)
--- a/src/citronrack/distribution/snapshots.py
+++ b/src/citronrack/distribution/snapshots.py
@@ -57,7 +57,7 @@
         return SnapshotPage(self._through, index, len(self._parts), self._parts[index])
 
 
-class SnapshotSink:
+class SnapshotAssembler:
     """Puts the parts of one snapshot together."""
 
     def __init__(self) -> None:
@@ -79,6 +79,6 @@
         self._through, self._parts = -1, []
         return data
 
-    def next_wanted(self) -> PullSnapshot | None:
+    def next_request(self) -> PullSnapshot | None:
         """Return the request for the next part, None when no snapshot is under way."""
         return PullSnapshot(self._through, len(self._parts)) if self._parts else None
--- a/src/citronrack/distribution/store.py
+++ b/src/citronrack/distribution/store.py
@@ -37,7 +37,7 @@
         return self._next
 
     @property
-    def held_bytes(self) -> int:
+    def size_bytes(self) -> int:
         """Size of all records held."""
         return self._kept_bytes + self._early_bytes
 
--- a/src/citronrack/hosted/exposed.py
+++ b/src/citronrack/hosted/exposed.py
@@ -32,11 +32,11 @@
     transport: ZmqTransport,
 ) -> None:
     """Let the gauges read the parts that know their values."""
-    metrics.read_from("target_load", lambda: call_path.admission.load)
-    metrics.read_from("config_version", lambda: core.config_version)
-    metrics.read_from("config_age_seconds", lambda: core.config_age_s)
-    metrics.read_from("nodes_known", lambda: core.nodes_known)
-    metrics.read_from("store_answers", lambda: core.store_answers)
-    metrics.read_from("log_lines_left_out", lambda: events.dropped)
-    metrics.read_from("messages_sent", lambda: transport.messages_sent)
-    metrics.read_from("message_bytes_sent", lambda: transport.bytes_sent)
+    metrics.set_source("target_load", lambda: call_path.admission.load)
+    metrics.set_source("config_version", lambda: core.config_version)
+    metrics.set_source("config_age_seconds", lambda: core.config_age_s)
+    metrics.set_source("nodes_known", lambda: core.nodes_known)
+    metrics.set_source("store_answers", lambda: core.store_answers)
+    metrics.set_source("log_lines_left_out", lambda: events.dropped)
+    metrics.set_source("messages_sent", lambda: transport.messages_sent)
+    metrics.set_source("message_bytes_sent", lambda: transport.bytes_sent)
--- a/src/citronrack/membership/__init__.py
+++ b/src/citronrack/membership/__init__.py
@@ -4,16 +4,16 @@
 
 from .detector import FailureDetector
 from .directory import ZoneDirectory
-from .known import KnownMember, MemberSummary
 from .member import Member, MemberState
+from .remote import MemberSummary, RemoteMember
 from .table import MemberTable
 
 __all__ = [
     "FailureDetector",
-    "KnownMember",
     "Member",
     "MemberState",
     "MemberSummary",
     "MemberTable",
+    "RemoteMember",
     "ZoneDirectory",
 ]
--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -26,7 +26,7 @@
     TablePull,
 )
 from .packing import unpack_all
-from .probes import Errand, Probe, Probes
+from .probes import Probe, Probes, RelayedPing
 from .suspicions import Suspicions
 from .table import MemberTable
 
@@ -34,9 +34,9 @@
 INDIRECT_PINGS = 3
 NOTICE_PEERS = 8
 NOTICE_FORWARDS = 2  # each receiver passes a notice on once
-DOUBTED_PINGS = 8
-UNHEARD_AFTER_S = 3.0  # a node that reads the log is ready before and needs no peer's offset
-UNHEARD_PINGS = 4  # per tick; a node that is not ready hears 233 members within about 15 s
+MAX_RECHECK_PINGS = 8
+OFFSET_QUERY_DELAY_S = 3.0  # a node that reads the log is ready before and needs no peer's offset
+OFFSET_QUERY_PINGS = 4  # per tick; a node that is not ready hears 233 members within about 15 s
 PAUSE_S = 1.5  # ticks come four times a second; a longer gap means that this node did not run
 ISOLATED_S = 3.0  # in a zone with two peers or more, some ping or ack arrives each second
 TOMBSTONE_S = 120.0  # longer than any update is on its way; afterwards the incarnation is kept
@@ -95,8 +95,8 @@
         self._started = now
         self._last_run = now
         self._last_change = now
-        self._last_heard = now
-        self._members_heard = 1
+        self._last_received = now
+        self._members_at_last_message = 1
         self._next_ping = now + random.uniform(0, PING_INTERVAL_S)
         self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
             Ping: self._on_ping,
@@ -122,8 +122,8 @@
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of this core."""
         self._check_pause()
-        self._last_heard = self._clock.monotonic()
-        self._members_heard = len(self._table.members())
+        self._last_received = self._clock.monotonic()
+        self._members_at_last_message = len(self._table.members())
         return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
@@ -133,30 +133,30 @@
             return []
         now = self._clock.monotonic()
         effects = self._announce_own()
-        effects += self._follow_up(now)
-        effects += self._close_cases(now)
+        effects += self._process_timeouts(now)
+        effects += self._resolve_suspicions(now)
         effects += self._joining.on_tick()
-        self._bury(now)
+        self._expire_tombstones(now)
         if now >= self._next_ping:
             self._next_ping = now + PING_INTERVAL_S
             effects += self._ping_next(now)
-        if not self._table.own.ready and now >= self._started + UNHEARD_AFTER_S:
-            effects += self._ping_unheard()
+        if not self._table.own.ready and now >= self._started + OFFSET_QUERY_DELAY_S:
+            effects += self._query_offsets()
         return effects
 
     # Messages
 
     def _on_ping(self, sender: str, message: Ping) -> list[Send]:
-        effects = self._take_content(sender, message)
-        answer = self._gossip.content(message.sequence, about=message.member)
-        return [*effects, Send(sender, answer.into(Ack))]
+        effects = self._process_payload(sender, message)
+        answer = self._gossip.payload(message.sequence, about=message.member)
+        return [*effects, Send(sender, answer.to_message(Ack))]
 
     def _on_ack(self, sender: str, message: Ack) -> list[Send]:
-        errand = self._probes.answered(message.sequence)
-        effects = self._take_content(sender, message)
-        if errand is not None:
-            answer = IndirectAck(errand.sequence, self._table.own.name, True)
-            effects.append(Send(errand.requester, answer))
+        relayed_ping = self._probes.acknowledge(message.sequence)
+        effects = self._process_payload(sender, message)
+        if relayed_ping is not None:
+            answer = IndirectAck(relayed_ping.sequence, self._table.own.name, True)
+            effects.append(Send(relayed_ping.requester, answer))
         return effects
 
     def _on_ping_request(self, sender: str, message: PingRequest) -> list[Send]:
@@ -164,46 +164,46 @@
         if target is None or target.address != message.address:
             return []
         now = self._clock.monotonic()
-        sequence = self._probes.start(Errand(sender, message.sequence, now))
-        content = self._gossip.content(sequence, about=target)
-        return [Send(target.address, content.into(Ping))]
+        sequence = self._probes.start(RelayedPing(sender, message.sequence, now))
+        payload = self._gossip.payload(sequence, about=target)
+        return [Send(target.address, payload.to_message(Ping))]
 
     def _on_indirect_ack(self, _: str, message: IndirectAck) -> list[Send]:
         if message.reached:
-            self._probes.answered(message.sequence)
+            self._probes.acknowledge(message.sequence)
         else:
-            self._probes.silence_reported(message.sequence, message.witness)
+            self._probes.record_helper_failure(message.sequence, message.witness)
         return []
 
     def _on_join(self, sender: str, message: Join) -> list[Send]:
-        self._hear(message.member)
-        return self._joining.page_for(sender, message)
+        self._merge_self_reported(message.member)
+        return self._joining.answer_join(sender, message)
 
     def _on_member_page(self, _: str, message: MemberPage) -> list[Send]:
         members = unpack_all(message.packed, Member)
-        effects = self._take_updates((message.member, *members))
+        effects = self._merge_updates((message.member, *members))
         return [*effects, *self._joining.next_page(members, last=message.last)]
 
     def _on_table_pull(self, sender: str, message: TablePull) -> list[Send]:
-        self._hear(message.member)
+        self._merge_self_reported(message.member)
         return self._joining.answer_pull(sender, message)
 
     def _on_table_page(self, _: str, message: TablePage) -> list[Send]:
-        return self._take_updates(unpack_all(message.packed, Member))
+        return self._merge_updates(unpack_all(message.packed, Member))
 
     def _on_notice(self, _: str, message: DrainNotice) -> list[Send]:
         if not self._table.merge((message.member,)):
             return []
-        self._took_over(message.member)
+        self._on_member_changed(message.member)
         return self._notices(message.member, NOTICE_FORWARDS)
 
     # Taking over what others say
 
-    def _take_content(self, sender: str, message: Ping | Ack) -> list[Send]:
-        self._hear(message.member)
-        effects = self._take_updates(message.updates)
+    def _process_payload(self, sender: str, message: Ping | Ack) -> list[Send]:
+        self._merge_self_reported(message.member)
+        effects = self._merge_updates(message.updates)
         for claim in message.suspicions:
-            self._take_claim(claim)
+            self._process_suspicion(claim)
         settled = self._clock.monotonic() - self._last_change >= SETTLE_S
         effects += self._joining.compare(sender, message.table_digest, settled=settled)
         effects += self._observer.peer_observed(
@@ -211,16 +211,16 @@
         )
         return effects
 
-    def _hear(self, member: Member) -> None:
+    def _merge_self_reported(self, member: Member) -> None:
         """Take over what a member says about itself."""
-        if self._table.heard(member):
-            self._took_over(member)
+        if self._table.merge_self_reported(member):
+            self._on_member_changed(member)
 
-    def _take_updates(self, updates: Sequence[Member]) -> list[Send]:
+    def _merge_updates(self, updates: Sequence[Member]) -> list[Send]:
         """Merge; members that others see alive and this node holds gone are pinged."""
         changed = self._table.merge(updates)
         for member in changed:
-            self._took_over(member, spread=len(changed) <= MAX_SPREAD)
+            self._on_member_changed(member, spread=len(changed) <= MAX_SPREAD)
         doubted = [
             member
             for member in updates
@@ -228,16 +228,16 @@
             and member.name != self._table.own.name
             and self._table.tombstone_of(member) is not None
         ]
-        chosen = self._random.sample(doubted, min(DOUBTED_PINGS, len(doubted)))
-        return [self._plain_ping(member) for member in chosen]
+        chosen = self._random.sample(doubted, min(MAX_RECHECK_PINGS, len(doubted)))
+        return [self._untracked_ping(member) for member in chosen]
 
-    def _took_over(self, member: Member, *, spread: bool = True) -> None:
+    def _on_member_changed(self, member: Member, *, spread: bool = True) -> None:
         now = self._clock.monotonic()
         self._last_change = now
         if member.state == MemberState.GONE:
             self._suspicions.drop(member.name)
             self._gone_at[member.name] = now
-            self._joining.remember(member)
+            self._joining.keep_address(member)
         elif member.state == MemberState.SUSPECT:
             self._suspicions.add(Suspicion(member.name, member.incarnation, ""), now)
         else:
@@ -247,7 +247,7 @@
             self._gossip.spread(member)
         self._changed(member)
 
-    def _take_claim(self, claim: Suspicion, *, spread: bool = True) -> None:
+    def _process_suspicion(self, claim: Suspicion, *, spread: bool = True) -> None:
         if claim.name == self._table.own.name:
             self._table.refute(claim.incarnation)
             return
@@ -273,14 +273,14 @@
         gap = now - self._last_run
         self._last_run = now
         if gap > PAUSE_S:
-            self._probes.forget_all()
+            self._probes.clear()
             self._suspicions.shift(gap)
             self._next_ping = now + PING_INTERVAL_S
 
     def _is_isolated(self) -> bool:
         """Return whether this node hears nobody, so that its own links are the likely cause."""
-        silent_s = self._clock.monotonic() - self._last_heard
-        return silent_s > ISOLATED_S and self._members_heard > 2
+        silent_s = self._clock.monotonic() - self._last_received
+        return silent_s > ISOLATED_S and self._members_at_last_message > 2
 
     def _announce_own(self) -> list[Send]:
         """Queue the own description after a change; a drain is told to some peers at once."""
@@ -307,40 +307,40 @@
             member = self._table.get(self._round.pop())
             if member is not None and member.state != MemberState.GONE:
                 sequence = self._probes.start(Probe(member.name, member.incarnation, now))
-                content = self._gossip.content(sequence, about=member)
-                return [Send(member.address, content.into(Ping))]
+                payload = self._gossip.payload(sequence, about=member)
+                return [Send(member.address, payload.to_message(Ping))]
         return []
 
-    def _ping_unheard(self) -> list[Send]:
+    def _query_offsets(self) -> list[Send]:
         """Ask members for their offsets; without the log, readiness depends on all of them."""
         offsets = self._observer.peer_offsets()
         unheard = [peer for peer in self._peers() if offsets.get(peer.name, 0) is None]
-        chosen = self._random.sample(unheard, min(UNHEARD_PINGS, len(unheard)))
-        return [self._plain_ping(member) for member in chosen]
+        chosen = self._random.sample(unheard, min(OFFSET_QUERY_PINGS, len(unheard)))
+        return [self._untracked_ping(member) for member in chosen]
 
-    def _plain_ping(self, member: Member) -> Send:
+    def _untracked_ping(self, member: Member) -> Send:
         """Return a ping whose answer is not waited for; sequence numbers start at 1."""
-        return Send(member.address, self._gossip.content(0, about=member).into(Ping))
+        return Send(member.address, self._gossip.payload(0, about=member).to_message(Ping))
 
-    def _follow_up(self, now: float) -> list[Send]:
+    def _process_timeouts(self, now: float) -> list[Send]:
         effects: list[Send] = []
-        for errand in self._probes.take_failed_errands(now):
-            answer = IndirectAck(errand.sequence, self._table.own.name, False)
-            effects.append(Send(errand.requester, answer))
-        for sequence, probe in self._probes.to_ask(now):
-            effects += self._ask_others(sequence, probe)
+        for relayed_ping in self._probes.take_failed_relayed_pings(now):
+            answer = IndirectAck(relayed_ping.sequence, self._table.own.name, False)
+            effects.append(Send(relayed_ping.requester, answer))
+        for sequence, probe in self._probes.need_indirect_pings(now):
+            effects += self._send_ping_requests(sequence, probe)
         for probe in self._probes.take_failed(now):
             effects += self._suspect(probe)
         return effects
 
-    def _ask_others(self, sequence: int, probe: Probe) -> list[Send]:
-        probe.asked = 0
+    def _send_ping_requests(self, sequence: int, probe: Probe) -> list[Send]:
+        probe.helpers_asked = 0
         target = self._table.get(probe.name)
         if target is None:
             return []
         able = [m for m in self._peers() if m.state == MemberState.ALIVE and m.name != probe.name]
         chosen = self._random.sample(able, min(INDIRECT_PINGS, len(able)))
-        probe.asked = len(chosen)
+        probe.helpers_asked = len(chosen)
         request = PingRequest(sequence, target.name, target.address)
         return [Send(helper.address, request) for helper in chosen]
 
@@ -353,22 +353,22 @@
             return []
         for witness in (self._table.own.name, *probe.witnesses):
             claim = Suspicion(member.name, member.incarnation, witness)
-            self._take_claim(claim, spread=not self._is_isolated())
-        return [self._plain_ping(member)]
+            self._process_suspicion(claim, spread=not self._is_isolated())
+        return [self._untracked_ping(member)]
 
-    def _close_cases(self, now: float) -> list[Send]:
+    def _resolve_suspicions(self, now: float) -> list[Send]:
         """Declare members gone; what a single witness says is not spread.
 
         A node with bad links is the only witness against many members that are well.
         """
         effects: list[Send] = []
         for case in self._suspicions.take_due(now):
-            if not case.agreed:
+            if not case.confirmed:
                 self._forget(case.name)
                 continue
             member = self._table.set_state(case.name, case.incarnation, MemberState.GONE)
             if member is not None:
-                self._took_over(member)
+                self._on_member_changed(member)
                 effects += self._notices(member, NOTICE_PEERS)
         return effects
 
@@ -376,16 +376,16 @@
         """Drop a silent member; its address is contacted again, and others may still know it."""
         member = self._table.get(name)
         if member is not None:
-            self._joining.remember(member)
+            self._joining.keep_address(member)
             self._table.forget(name)
             self._changed(attrs.evolve(member, state=int(MemberState.GONE)))
 
-    def _bury(self, now: float) -> None:
+    def _expire_tombstones(self, now: float) -> None:
         """Drop tombstones after their time."""
         due = [name for name, since in self._gone_at.items() if now >= since + TOMBSTONE_S]
         for name in due:
             del self._gone_at[name]
-            self._table.bury(name)
+            self._table.drop_tombstone(name)
 
     def _peers(self) -> list[Member]:
         own = self._table.own.name
--- a/src/citronrack/membership/digests.py
+++ b/src/citronrack/membership/digests.py
@@ -29,7 +29,7 @@
     return frozenset(index for index, (left, right) in enumerate(pairs) if left != right)
 
 
-class DigestBook:
+class BucketDigests:
     """Exclusive-or of entry hashes per bucket, kept up to date with each change."""
 
     def __init__(self) -> None:
@@ -37,7 +37,7 @@
         self._whole = 0
 
     @property
-    def whole(self) -> int:
+    def combined(self) -> int:
         """Digest of all entries."""
         return self._whole
 
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -13,18 +13,18 @@
 from ..transport.send import Send
 from .digests import BUCKETS, differing
 from .gossip import PeerObserver
-from .known import (
-    KnownMember,
+from .messages import DrainNotice
+from .packing import pack_all, unpack_all
+from .remote import (
     MemberSummary,
+    RemoteMember,
     summary_of,
 )
-from .messages import DrainNotice
-from .packing import pack_all, unpack_all
 from .table import MemberTable
-from .zones import ZoneHeard, ZonePull, ZoneState, ZoneSummary, ZoneView, progress_of, report_of
+from .zones import ZoneGossip, ZonePull, ZoneState, ZoneSummary, ZoneView, progress_of, report_of
 
 EXCHANGE_INTERVAL_S = 2.0
-PASS_ON_INTERVAL_S = 4.0
+FORWARD_INTERVAL_S = 4.0
 UNKNOWN_AFTER_S = 30.0
 FORGET_AFTER_S = 3_600.0
 PULL_INTERVAL_S = 1.0  # one page of 64 members a second bounds the bytes after a mass restart
@@ -46,7 +46,7 @@
         own_progress: Returns the progress of the own zone, for its name.
     """
 
-    MESSAGES: tuple[type[Any], ...] = (ZoneHeard, ZonePull, ZoneSummary, DrainNotice)
+    MESSAGES: tuple[type[Any], ...] = (ZoneGossip, ZonePull, ZoneSummary, DrainNotice)
 
     def __init__(
         self,
@@ -72,12 +72,12 @@
         self._round: list[str] = []
         now = clock.monotonic()
         self._next_exchange = now + random.uniform(0, EXCHANGE_INTERVAL_S)
-        self._next_pass_on = now + random.uniform(0, PASS_ON_INTERVAL_S)
+        self._next_forward = now + random.uniform(0, FORWARD_INTERVAL_S)
         self._next_pull = now
-        self._wanted: dict[str, str] = {}
+        self._pending_pulls: dict[str, str] = {}
         self._relay_from = now + RELAY_DELAY_S
         self._handlers: dict[type[Any], Callable[[str, Any], list[Send]]] = {
-            ZoneHeard: self._on_heard,
+            ZoneGossip: self._on_gossip,
             ZonePull: self._on_pull,
             ZoneSummary: self._on_summary,
             DrainNotice: self._on_notice,
@@ -89,14 +89,14 @@
         """Return the names of the other zones."""
         return tuple(sorted({*self._seeds, *self._views}))
 
-    def members(self, availability_zone: str) -> tuple[KnownMember, ...]:
+    def members(self, availability_zone: str) -> tuple[RemoteMember, ...]:
         """Return the members of another zone that are not gone; old entries are not `known`."""
         view = self._views.get(availability_zone)
         if view is None:
             return ()
         now = self._clock.monotonic()
         return tuple(
-            KnownMember(availability_zone, summary, now - as_of, now - as_of <= UNKNOWN_AFTER_S)
+            RemoteMember(availability_zone, summary, now - as_of, now - as_of <= UNKNOWN_AFTER_S)
             for summary, as_of in view.entries()
             if not summary.gone
         )
@@ -132,23 +132,23 @@
     def on_tick(self) -> list[Send]:
         """Exchange with another zone, pass on, and tell other zones of an own drain."""
         now = self._clock.monotonic()
-        effects = [*self._tell_drain(), *self._pull_next()]
+        effects = [*self._send_drain_notice(), *self._pull_next()]
         if now >= self._next_exchange:
             self._next_exchange = now + EXCHANGE_INTERVAL_S * self._random.uniform(0.9, 1.1)
             effects += self._exchange()
-        if now >= self._next_pass_on:
-            self._next_pass_on = now + PASS_ON_INTERVAL_S
+        if now >= self._next_forward:
+            self._next_forward = now + FORWARD_INTERVAL_S
             for view in self._views.values():
                 view.drop_older(now - FORGET_AFTER_S)
-            effects += self._tell_zone()
+            effects += self._send_to_zone()
         return effects
 
-    def _tell_zone(self) -> list[Send]:
+    def _send_to_zone(self) -> list[Send]:
         """Rank 0 tells its children, who pass it on; rank 1 tells rank 0."""
         if not self._tree.is_relay:
             return []
         targets = self._tree.ranking[:1] if self._tree.index else self._tree.children()
-        heard = self._heard(answer=False)
+        heard = self._gossip(answer=False)
         return [Send(member.address, heard) for member in targets]
 
     @property
@@ -163,31 +163,31 @@
             self._round = list(self.zones())
             self._random.shuffle(self._round)
         address = self._address_in(self._round.pop()) if self._round else None
-        return [] if address is None else [Send(address, self._heard(answer=True))]
+        return [] if address is None else [Send(address, self._gossip(answer=True))]
 
-    def _tell_drain(self) -> list[Send]:
+    def _send_drain_notice(self) -> list[Send]:
         own = self._table.own
         starts = own.draining and not self._was_draining
         self._was_draining = own.draining
         return [Send(a, DrainNotice(own)) for a in self.relay_addresses()] if starts else []
 
-    def _on_heard(self, sender: str, message: ZoneHeard) -> list[Send]:
+    def _on_gossip(self, sender: str, message: ZoneGossip) -> list[Send]:
         effects: list[Send] = []
         for state in message.states:
-            effects += self._take_state(sender, state)
+            effects += self._merge_state(sender, state)
         effects += self._observer.peer_observed(
             sender, offset=message.offset, facts_digest=message.facts_digest
         )
         if message.answer:
-            effects.append(Send(sender, self._heard(answer=False)))
+            effects.append(Send(sender, self._gossip(answer=False)))
         parent = self._tree.parent()
         if parent is not None and parent.address == sender:
-            heard = self._heard(answer=False)
+            heard = self._gossip(answer=False)
             targets = (child.address for child in self._tree.children())
             effects += [Send(address, heard) for address in targets if address != sender]
         return effects
 
-    def _take_state(self, sender: str, state: ZoneState) -> list[Send]:
+    def _merge_state(self, sender: str, state: ZoneState) -> list[Send]:
         now = self._clock.monotonic()
         own = state.availability_zone == self._own_zone
         view = self._own_view if own else self._view(state.availability_zone)
@@ -199,25 +199,25 @@
         as_of = now - max(0, state.age_ms) / 1000
         if own or as_of <= view.as_of:
             return []
-        if state.digest == view.book.whole:
+        if state.digest == view.digests.combined:
             view.as_of = as_of
-            self._wanted.pop(state.availability_zone, None)
+            self._pending_pulls.pop(state.availability_zone, None)
             return []
-        self._wanted[state.availability_zone] = sender
+        self._pending_pulls[state.availability_zone] = sender
         return self._pull_next()
 
     def _pull_next(self) -> list[Send]:
         """Ask for a page of the next zone that differs, one zone after the other."""
         now = self._clock.monotonic()
-        if now < self._next_pull or not self._wanted:
+        if now < self._next_pull or not self._pending_pulls:
             return []
-        zone = next(iter(self._wanted))
-        sender = self._wanted.pop(zone)
+        zone = next(iter(self._pending_pulls))
+        sender = self._pending_pulls.pop(zone)
         view = self._view(zone)
         if view is None:
             return []
         self._next_pull = now + PULL_INTERVAL_S
-        return [Send(sender, ZonePull(zone, view.book.buckets))]
+        return [Send(sender, ZonePull(zone, view.digests.buckets))]
 
     def _on_pull(self, sender: str, message: ZonePull) -> list[Send]:
         zone = message.availability_zone
@@ -226,8 +226,8 @@
         view = self._views.get(zone)
         if not own and (view is None or now - view.as_of > UNKNOWN_AFTER_S):
             return []
-        book = self._table.digest if own or view is None else view.book
-        different = differing(book.buckets, message.buckets)
+        digests = self._table.digest if own or view is None else view.digests
+        different = differing(digests.buckets, message.buckets)
         sent: list[MemberSummary] = []
         complete: list[int] = []
         for bucket in sorted(different):
@@ -258,8 +258,8 @@
             view.drop_missing(frozenset(message.buckets), names, as_of)
             view.confirm(frozenset(message.equal), as_of)
             if len(message.buckets) + len(message.equal) < BUCKETS:  # the page was full
-                self._wanted[message.availability_zone] = sender
-        return self._pass_on_changes(message.availability_zone, changed, as_of, sender)
+                self._pending_pulls[message.availability_zone] = sender
+        return self._forward_changes(message.availability_zone, changed, as_of, sender)
 
     def _on_notice(self, sender: str, message: DrainNotice) -> list[Send]:
         member = message.member
@@ -270,41 +270,43 @@
             return []
         now = self._clock.monotonic()
         changed = view.merge((summary_of(member),), now)
-        return self._pass_on_changes(member.availability_zone, changed, now, sender)
+        return self._forward_changes(member.availability_zone, changed, now, sender)
 
-    def _pass_on_changes(
+    def _forward_changes(
         self, zone: str, changed: Sequence[MemberSummary], as_of: float, sender: str
     ) -> list[Send]:
         if not changed:
             return []
         age_ms = self._age_ms(as_of)
-        return self._pass_on(
+        return self._forward(
             ZoneSummary(zone, age_ms, (), (), pack_all(changed)), except_for=sender
         )
 
-    def _pass_on(self, message: Any, *, except_for: str) -> list[Send]:
+    def _forward(self, message: Any, *, except_for: str) -> list[Send]:
         """Send down the tree; a node that learned something elsewhere also tells the root."""
         targets = [child.address for child in self._tree.children()]
         if self._tree.index > 0 and not self._tree.is_member(except_for):
             targets.append(self._tree.ranking[0].address)
         return [Send(address, message) for address in targets if address != except_for]
 
-    def _heard(self, *, answer: bool) -> ZoneHeard:
+    def _gossip(self, *, answer: bool) -> ZoneGossip:
         states = [self._own_state()]
         now = self._clock.monotonic()
         for zone, view in self._views.items():
             if now - view.as_of <= UNKNOWN_AFTER_S:
                 age = self._age_ms(view.report_as_of) if view.report is not None else 0
                 states.append(
-                    ZoneState(zone, view.book.whole, self._age_ms(view.as_of), view.report, age)
+                    ZoneState(
+                        zone, view.digests.combined, self._age_ms(view.as_of), view.report, age
+                    )
                 )
         observer = self._observer
-        return ZoneHeard(
+        return ZoneGossip(
             self._own_zone, tuple(states), observer.offset, observer.facts_digest, answer
         )
 
     def _own_state(self) -> ZoneState:
-        digest = self._table.digest.whole
+        digest = self._table.digest.combined
         if self._tree.index == 0:
             report = report_of(self._own_progress(self._own_zone))
             return ZoneState(self._own_zone, digest, 0, report, 0)
@@ -315,8 +317,8 @@
     def _progress_of(self, zone: str, view: ZoneView, names: Sequence[str]) -> ZoneProgress:
         age_s = self._clock.monotonic() - view.report_as_of
         if view.report is None or age_s > UNKNOWN_AFTER_S:
-            unheard = tuple(names[:MAX_NAMES])
-            return ZoneProgress(zone, -1, 0, len(names), (), False, age_s, unheard=unheard)
+            unreported = tuple(names[:MAX_NAMES])
+            return ZoneProgress(zone, -1, 0, len(names), (), False, age_s, unreported=unreported)
         return progress_of(zone, view.report, names, age_s)
 
     def _address_in(self, zone: str) -> str | None:
--- a/src/citronrack/membership/gossip.py
+++ b/src/citronrack/membership/gossip.py
@@ -15,7 +15,7 @@
 from .table import MemberTable
 
 MAX_UPDATES = 8
-MAX_CLAIMS = 8
+MAX_SUSPICIONS = 8
 
 
 class PeerObserver(Protocol):
@@ -37,7 +37,7 @@
 
 
 @frozen
-class Content:
+class GossipPayload:
     """The common fields of `Ping` and `Ack`."""
 
     sequence: int
@@ -48,7 +48,7 @@
     suspicions: tuple[Suspicion, ...]
     table_digest: int
 
-    def into(self, kind: Callable[..., Any]) -> Any:
+    def to_message(self, kind: Callable[..., Any]) -> Any:
         """Return a message of class ``kind`` with these fields."""
         return kind(
             self.sequence,
@@ -77,7 +77,7 @@
         self._suspicions = suspicions
         self._observer = observer
         self._updates: PiggybackQueue[Member] = PiggybackQueue()
-        self._claims: PiggybackQueue[Suspicion] = PiggybackQueue()
+        self._suspicion_queue: PiggybackQueue[Suspicion] = PiggybackQueue()
 
     def spread(self, member: Member) -> None:
         """Queue the description of a member."""
@@ -85,9 +85,9 @@
 
     def claim(self, suspicion: Suspicion) -> None:
         """Queue a claim."""
-        self._claims.add(f"{suspicion.name}/{suspicion.witness}", suspicion)
+        self._suspicion_queue.add(f"{suspicion.name}/{suspicion.witness}", suspicion)
 
-    def content(self, sequence: int, *, about: Member) -> Content:
+    def payload(self, sequence: int, *, about: Member) -> GossipPayload:
         """Return the fields of a message to the member ``about``.
 
         What is held against the receiver itself goes first, so that it can refute.
@@ -97,15 +97,15 @@
         updates = self._updates.take(MAX_UPDATES, members=size)
         if tombstone is not None:
             updates = (tombstone, *updates[: MAX_UPDATES - 1])
-        claims = self._claims.take(MAX_CLAIMS, members=size)
+        claims = self._suspicion_queue.take(MAX_SUSPICIONS, members=size)
         if about.name in self._suspicions:
-            claims = (*self._suspicions.claims_about(about.name), *claims)[:MAX_CLAIMS]
-        return Content(
+            claims = (*self._suspicions.suspicions_about(about.name), *claims)[:MAX_SUSPICIONS]
+        return GossipPayload(
             sequence,
             self._table.own,
             tuple(m for m in updates if m.state != MemberState.SUSPECT),
             self._observer.offset,
             self._observer.facts_digest,
             claims,
-            self._table.digest.whole,
+            self._table.digest.combined,
         )
--- a/src/citronrack/membership/joining.py
+++ b/src/citronrack/membership/joining.py
@@ -14,13 +14,13 @@
 from .table import MemberTable
 
 PAGE_MEMBERS = 64
-ALONE_RETRY_S = 1.0
+NO_PEERS_RETRY_S = 1.0
 SEED_RETRY_S = 10.0  # two halves of a zone that lost each other meet again within about this time
 REPAIR_INTERVAL_S = 10.0
 REPAIR_SPREAD = 1.5
-YOUNG_S = 30.0
-YOUNG_REPAIR_S = 2.0  # after a mass restart the first pages hold few members
-MAX_FORMER = 64
+STARTUP_S = 30.0
+STARTUP_REPAIR_INTERVAL_S = 2.0  # after a mass restart the first pages hold few members
+MAX_ADDRESSES = 64
 
 
 class Joining:
@@ -40,20 +40,20 @@
         self._clock = clock
         self._random = random
         self._seeds = tuple(seeds)
-        self._former: dict[str, str] = {}
+        self._gone_addresses: dict[str, str] = {}
         self._next_contact = 0.0
-        self._next_repair = clock.monotonic() + random.uniform(0, YOUNG_REPAIR_S)
-        self._young_until = clock.monotonic() + YOUNG_S
+        self._next_repair = clock.monotonic() + random.uniform(0, STARTUP_REPAIR_INTERVAL_S)
+        self._startup_until = clock.monotonic() + STARTUP_S
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
         """Add addresses, for example those that the log lists."""
-        self._seeds = tuple(dict.fromkeys((*self._seeds, *addresses)))[:MAX_FORMER]
+        self._seeds = tuple(dict.fromkeys((*self._seeds, *addresses)))[:MAX_ADDRESSES]
 
-    def remember(self, member: Member) -> None:
+    def keep_address(self, member: Member) -> None:
         """Keep the address of a member that is gone; it may only be out of reach."""
-        self._former[member.name] = member.address
-        while len(self._former) > MAX_FORMER:
-            del self._former[next(iter(self._former))]
+        self._gone_addresses[member.name] = member.address
+        while len(self._gone_addresses) > MAX_ADDRESSES:
+            del self._gone_addresses[next(iter(self._gone_addresses))]
 
     def on_tick(self) -> list[Send]:
         """Contact addresses outside the table when it is time."""
@@ -61,16 +61,16 @@
         if now < self._next_contact:
             return []
         peers = self._peers()
-        interval = SEED_RETRY_S if peers else ALONE_RETRY_S
+        interval = SEED_RETRY_S if peers else NO_PEERS_RETRY_S
         self._next_contact = now + interval * self._random.uniform(0.75, 1.25)
         live = {member.address for member in self._table.members()}
-        known = dict.fromkeys((*self._seeds, *self._former.values()))
+        known = dict.fromkeys((*self._seeds, *self._gone_addresses.values()))
         outside = [address for address in known if address not in live]
         wanted = min(len(outside), 1)  # three seeds at once tripled the load on a seed
         join = Join(self._table.own)
         return [Send(address, join) for address in self._random.sample(outside, wanted)]
 
-    def page_for(self, sender: str, message: Join) -> list[Send]:
+    def answer_join(self, sender: str, message: Join) -> list[Send]:
         """Answer a member that wants the table."""
         members = sorted(
             (m for m in self._table.members() if m.name > message.after), key=lambda m: m.name
@@ -98,12 +98,12 @@
             settled: Whether no updates are on their way that would explain the difference.
         """
         now = self._clock.monotonic()
-        young = now < self._young_until
-        if table_digest == self._table.digest.whole or now < self._next_repair:
+        in_startup = now < self._startup_until
+        if table_digest == self._table.digest.combined or now < self._next_repair:
             return []
-        if not settled and not young:
+        if not settled and not in_startup:
             return []
-        interval = YOUNG_REPAIR_S if young else REPAIR_INTERVAL_S
+        interval = STARTUP_REPAIR_INTERVAL_S if in_startup else REPAIR_INTERVAL_S
         self._next_repair = now + interval * self._random.uniform(1, REPAIR_SPREAD)
         return [Send(sender, TablePull(self._table.own, self._table.digest.buckets))]
 
--- a/src/citronrack/membership/known.py
+++ b/src/citronrack/membership/remote.py
@@ -29,7 +29,7 @@
 
 
 @frozen
-class KnownMember:
+class RemoteMember:
     """A member of another zone.
 
     Attributes:
--- a/src/citronrack/membership/suspicions.py
+++ b/src/citronrack/membership/suspicions.py
@@ -6,14 +6,14 @@
 
 from .messages import Suspicion
 
-WITNESSES_NEEDED = 2
+WITNESS_QUORUM = 2
 CONFIRM_S = 1.0  # time that a suspected member has to refute once two witnesses agree
-FULL_TIMEOUT_S = 8.0  # with a single witness
+SINGLE_WITNESS_TIMEOUT_S = 8.0  # with a single witness
 MAX_WITNESSES = 4
 
 
 @frozen
-class Verdict:
+class ResolvedSuspicion:
     """A case that is decided.
 
     Attributes:
@@ -24,15 +24,15 @@
 
     name: str
     incarnation: int
-    agreed: bool
+    confirmed: bool
 
 
 @define
-class _Case:
+class _PendingSuspicion:
     incarnation: int
     since: float
     witnesses: dict[str, None] = field(factory=dict)
-    agreed_at: float | None = None
+    confirmed_at: float | None = None
 
 
 class Suspicions:
@@ -47,57 +47,59 @@
 
     def __init__(self, own: str) -> None:
         self._own = own
-        self._cases: dict[str, _Case] = {}
+        self._pending: dict[str, _PendingSuspicion] = {}
 
     def __contains__(self, name: object) -> bool:
-        return name in self._cases
+        return name in self._pending
 
     def add(self, claim: Suspicion, now: float) -> bool:
         """Count a claim; returns whether it was new."""
-        case = self._cases.get(claim.name)
+        case = self._pending.get(claim.name)
         if case is None or case.incarnation < claim.incarnation:
-            case = self._cases[claim.name] = _Case(claim.incarnation, now)
+            case = self._pending[claim.name] = _PendingSuspicion(claim.incarnation, now)
         outdated = case.incarnation > claim.incarnation
         if outdated or claim.witness in case.witnesses or len(case.witnesses) >= MAX_WITNESSES:
             return False
         if claim.witness:
             case.witnesses[claim.witness] = None
-        if len(case.witnesses) >= WITNESSES_NEEDED and case.agreed_at is None:
-            case.agreed_at = now
+        if len(case.witnesses) >= WITNESS_QUORUM and case.confirmed_at is None:
+            case.confirmed_at = now
         return True
 
-    def claims_about(self, name: str) -> tuple[Suspicion, ...]:
+    def suspicions_about(self, name: str) -> tuple[Suspicion, ...]:
         """Return the claims about one member."""
-        case = self._cases.get(name)
+        case = self._pending.get(name)
         if case is None:
             return ()
         return tuple(Suspicion(name, case.incarnation, witness) for witness in case.witnesses)
 
     def clear(self, name: str, incarnation: int) -> None:
         """Drop a case that a greater incarnation refuted."""
-        case = self._cases.get(name)
+        case = self._pending.get(name)
         if case is not None and incarnation > case.incarnation:
-            del self._cases[name]
+            del self._pending[name]
 
     def drop(self, name: str) -> None:
         """Drop a case in any event."""
-        self._cases.pop(name, None)
+        self._pending.pop(name, None)
 
     def shift(self, seconds: float) -> None:
         """Extend all cases by the time during which this node itself did not run."""
-        for case in self._cases.values():
+        for case in self._pending.values():
             case.since += seconds
-            if case.agreed_at is not None:
-                case.agreed_at += seconds
+            if case.confirmed_at is not None:
+                case.confirmed_at += seconds
 
-    def take_due(self, now: float) -> list[Verdict]:
+    def take_due(self, now: float) -> list[ResolvedSuspicion]:
         """Remove and return the cases that are decided."""
-        due = [name for name, case in self._cases.items() if self._is_due(case, now)]
-        cases = [(name, self._cases.pop(name)) for name in due]
-        return [Verdict(name, c.incarnation, c.agreed_at is not None) for name, c in cases]
-
-    def _is_due(self, case: _Case, now: float) -> bool:
-        if now >= case.since + FULL_TIMEOUT_S:
+        due = [name for name, case in self._pending.items() if self._is_due(case, now)]
+        cases = [(name, self._pending.pop(name)) for name in due]
+        return [
+            ResolvedSuspicion(name, c.incarnation, c.confirmed_at is not None) for name, c in cases
+        ]
+
+    def _is_due(self, case: _PendingSuspicion, now: float) -> bool:
+        if now >= case.since + SINGLE_WITNESS_TIMEOUT_S:
             return True
-        agreed = case.agreed_at is not None and now >= case.agreed_at + CONFIRM_S
-        return agreed and self._own in case.witnesses
+        confirmed = case.confirmed_at is not None and now >= case.confirmed_at + CONFIRM_S
+        return confirmed and self._own in case.witnesses
--- a/src/citronrack/membership/table.py
+++ b/src/citronrack/membership/table.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from .digests import DigestBook, bucket_of
+from .digests import BucketDigests, bucket_of
 from .member import Member, MemberState
 
 VOLATILE_FIELDS = frozenset({"load", "version"})
-MAX_BURIED = 4_096
+MAX_DROPPED_INCARNATIONS = 4_096
 
 
 class MemberTable:
@@ -24,8 +24,8 @@
     def __init__(self, own: Member) -> None:
         self._own = own
         self._members: dict[str, Member] = {}
-        self._buried: dict[str, int] = {}
-        self._digest = DigestBook()
+        self._dropped_incarnations: dict[str, int] = {}
+        self._digest = BucketDigests()
         self._live: tuple[Member, ...] | None = None
         self._store(own)
 
@@ -35,7 +35,7 @@
         return self._own
 
     @property
-    def digest(self) -> DigestBook:
+    def digest(self) -> BucketDigests:
         """Digests over name and incarnation of the members that are not gone."""
         return self._digest
 
@@ -80,7 +80,7 @@
         """Take over newer descriptions and return those that changed something."""
         return [update for update in updates if self._merge_one(update)]
 
-    def heard(self, member: Member) -> bool:
+    def merge_self_reported(self, member: Member) -> bool:
         """Take over what a member says about itself, volatile fields included.
 
         Returns:
@@ -109,7 +109,7 @@
         known = self._members.get(member.name)
         if known is not None and known.state == MemberState.GONE:
             return known if known.incarnation >= member.incarnation else None
-        buried = self._buried.get(member.name, -1)
+        buried = self._dropped_incarnations.get(member.name, -1)
         if known is not None or buried < member.incarnation:
             return None
         return attrs.evolve(member, state=int(MemberState.GONE), incarnation=buried)
@@ -131,15 +131,15 @@
         del self._members[name]
         self._live = None
 
-    def bury(self, name: str) -> None:
+    def drop_tombstone(self, name: str) -> None:
         """Drop a gone member; only a greater incarnation brings it back."""
         known = self._members.get(name)
         if known is None or known.state != MemberState.GONE:
             return
         del self._members[name]
-        self._buried[name] = known.incarnation
-        while len(self._buried) > MAX_BURIED:
-            del self._buried[next(iter(self._buried))]
+        self._dropped_incarnations[name] = known.incarnation
+        while len(self._dropped_incarnations) > MAX_DROPPED_INCARNATIONS:
+            del self._dropped_incarnations[next(iter(self._dropped_incarnations))]
 
     def _value(self, name: str) -> Any:
         return getattr(self._own, name)
@@ -154,7 +154,7 @@
                 self.refute(update.incarnation)
             return False
         known = self._members.get(update.name)
-        if known is None and update.incarnation <= self._buried.get(update.name, -1):
+        if known is None and update.incarnation <= self._dropped_incarnations.get(update.name, -1):
             return False
         if known is not None and update.precedence <= known.precedence:
             return False
--- a/src/citronrack/membership/zones.py
+++ b/src/citronrack/membership/zones.py
@@ -8,8 +8,8 @@
 
 from ..distribution.progress import ZoneProgress
 from ..transport.messages import message_codec
-from .digests import DigestBook, bucket_of
-from .known import MemberSummary
+from .digests import BucketDigests, bucket_of
+from .remote import MemberSummary
 
 REPORTED_NAMES = 4  # these travel for all zones in each message
 UNCONFIRMED_S = 10.0  # two relays of a zone may differ for some seconds
@@ -37,7 +37,7 @@
     exact: bool
     highest: int = -1
     at_highest: int = 0
-    unheard: tuple[str, ...] = ()
+    unreported: tuple[str, ...] = ()
 
 
 def report_of(progress: ZoneProgress) -> ZoneReport:
@@ -50,7 +50,7 @@
         progress.exact,
         progress.highest,
         progress.at_highest,
-        progress.unheard[:REPORTED_NAMES],
+        progress.unreported[:REPORTED_NAMES],
     )
 
 
@@ -75,7 +75,7 @@
         age_s,
         report.highest,
         report.at_highest,
-        report.unheard,
+        report.unreported,
     )
 
 
@@ -100,7 +100,7 @@
 
 @message_codec.register("zone-heard")
 @frozen
-class ZoneHeard:
+class ZoneGossip:
     """What a node knows of all zones; sent between relays and down the tree.
 
     Attributes:
@@ -166,7 +166,7 @@
     as_of: float = float("-inf")
     report: ZoneReport | None = None
     report_as_of: float = float("-inf")
-    book: DigestBook = field(factory=DigestBook)
+    digests: BucketDigests = field(factory=BucketDigests)
     _entries: dict[str, _Entry] = field(factory=dict)
 
     def __len__(self) -> int:
@@ -216,9 +216,9 @@
         self._remove(summary.name)
         self._entries[summary.name] = _Entry(summary, as_of)
         if not summary.gone:
-            self.book.toggle(summary.name, summary.incarnation)
+            self.digests.toggle(summary.name, summary.incarnation)
 
     def _remove(self, name: str) -> None:
         entry = self._entries.pop(name, None)
         if entry is not None and not entry.summary.gone:
-            self.book.toggle(name, entry.summary.incarnation)
+            self.digests.toggle(name, entry.summary.incarnation)
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -118,15 +118,15 @@
         self._call_path = call_path
         self._api = api
         self._trace = trace
-        self._stop_asked = threading.Event()
+        self._stop_requested = threading.Event()
         self._futures: list[Future[Any]] = []
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: self._stop_asked.set())
+            signal.signal(number, lambda *_: self._stop_requested.set())
         self.start()
-        self._stop_asked.wait()
+        self._stop_requested.wait()
         self.stop()
 
     def start(self) -> None:
@@ -135,7 +135,7 @@
         runners = [self._control.run, self._events.run, self._api.run]
         runners.extend(task.run for task in self._tasks.values())
         runners += [self._call_path.calls.run, self._call_path.deliveries.run]
-        self._futures = [self._executor.submit(self._guarded, runner) for runner in runners]
+        self._futures = [self._executor.submit(self._run_task, runner) for runner in runners]
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
     def stop(self) -> None:
@@ -157,12 +157,12 @@
         if self._trace is not None:
             self._trace.close()
 
-    def _guarded(self, runner: Any) -> None:
+    def _run_task(self, runner: Any) -> None:
         try:
             runner()
         except Exception as error:
             self._events.write(Event.TASK_FAILED, task=runner.__qualname__, error=repr(error))
-            self._stop_asked.set()
+            self._stop_requested.set()
             raise
 
 
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -21,6 +21,7 @@
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.send import Core, Send
 from ..verdict import Verdict
+from .core_events import CoreEvents
 from .duties import Duties
 from .log_state import LogState
 from .mail import (
@@ -37,13 +38,12 @@
     StateAsked,
     StatusAsked,
 )
-from .moving import MoveWork
-from .notes import Notes
+from .move_runner import MoveRunner
 from .readiness import Readiness, ReadinessGate, ReadinessInputs
-from .remote import RemoteLook
-from .reporting import mesh_status
-from .seeds import SeedKeeper
+from .remote_members import RemoteMemberCache
+from .seeds import SeedListWriter
 from .status import MeshStatus, TransportStatus
+from .status_builder import mesh_status
 from .views import ViewBuilder
 from .waiters import Waiters
 
@@ -80,7 +80,7 @@
     detector: FailureDetector = field(init=False)
     distribution: DistributionCore = field(init=False)
     directory: ZoneDirectory = field(init=False)
-    moving: MoveWork = field(init=False)
+    move_runner: MoveRunner = field(init=False)
 
 
 class NodeCore:
@@ -100,12 +100,12 @@
         self._waiters = Waiters()
         self._role = ReaderRole.NONE
         self._view_builder = ViewBuilder()
-        self.notes = Notes(events=parts.events, clock=parts.clock)
-        self._seeds = SeedKeeper(
+        self.core_events = CoreEvents(events=parts.events, clock=parts.clock)
+        self._seeds = SeedListWriter(
             availability_zone=parts.table.own.availability_zone, clock=parts.clock
         )
         self._listed_seeds: tuple[str, ...] = ()
-        self._remote = RemoteLook(parts.clock)
+        self._remote = RemoteMemberCache(parts.clock)
         self.transport_status = TransportStatus()
         self._handlers: dict[type[Any], Handler] = {
             LogRead: self._log_read,
@@ -178,7 +178,7 @@
         effects = parts.detector.on_tick()
         effects += parts.distribution.on_tick()
         effects += parts.directory.on_tick()
-        effects += parts.moving.on_tick()
+        effects += parts.move_runner.on_tick()
         parts.table.update_own(reading=parts.distribution.reading, load=parts.own_load())
         role = self._parts.distribution.role
         if role is not self._role:
@@ -207,7 +207,7 @@
             log_reachable=False if self._log.failing else (True if reads else None),
             reader_role=self._role.value,
             progress=self._parts.directory.zone_progress(),
-            moves=self._parts.moving.statuses(),
+            moves=self._parts.move_runner.statuses(),
             transport=self.transport_status,
         )
 
@@ -226,7 +226,7 @@
 
     def _cores(self) -> tuple[Core, ...]:
         parts = self._parts
-        return parts.detector, parts.distribution, parts.directory, parts.moving.core
+        return parts.detector, parts.distribution, parts.directory, parts.move_runner.core
 
     def _log_read(self, mail: LogRead) -> list[Send]:
         if self._log.succeeded(mail.page):
@@ -265,11 +265,11 @@
         self._parts.distribution.jump_to(fold.next_offset)
         self._parts.events.write(Event.SNAPSHOT_LOADED, offset=fold.next_offset)
         self._activate()
-        self._parts.moving.on_fold(fold)
+        self._parts.move_runner.on_fold(fold)
         return True
 
     def _append_done(self, mail: AppendDone) -> list[Send]:
-        self.notes.append_done(mail)
+        self.core_events.append_done(mail)
         self._parts.duties.on_append_done(mail)
         return []
 
@@ -280,7 +280,7 @@
     def _call_reported(self, mail: CallReported) -> list[Send]:
         if not mail.record.delivered_here:
             self._parts.metrics.count(_metric_of(mail.record))
-        self._parts.moving.observe(mail.record)
+        self._parts.move_runner.observe(mail.record)
         return []
 
     def _drain(self, _: DrainAsked) -> list[Send]:
@@ -298,7 +298,7 @@
         return []
 
     def _capacity_asked(self, mail: CapacityAsked) -> list[Send]:
-        mail.answer.set_result(self._parts.moving.capacity.table())
+        mail.answer.set_result(self._parts.move_runner.capacity.table())
         return []
 
     def _awaited(self, mail: PlanAwaited | RecordAwaited) -> list[Send]:
@@ -307,9 +307,9 @@
 
     def _after_fold(self, result: FoldResult) -> None:
         if result.accepted:
-            self.notes.decided(result.body)
+            self.core_events.move_decided(result.body)
             self._activate()
-            self._parts.moving.on_fold(self._fold)
+            self._parts.move_runner.on_fold(self._fold)
 
     def _activate(self) -> None:
         """Put the folded configuration in force when it is newer."""
@@ -322,7 +322,7 @@
         duties = self._parts.duties
         duties.on_state(self._fold.state)
         rank = self._duty_rank()
-        self._keep_seeds(rank)
+        self._update_seeds(rank)
         duties.on_tick(
             self._fold,
             rank=rank,
@@ -330,7 +330,7 @@
             end=self._log.end or 0,
         )
 
-    def _keep_seeds(self, rank: int | None) -> None:
+    def _update_seeds(self, rank: int | None) -> None:
         """Use the addresses that the log lists, and renew the list as its primary reader."""
         zone = self._parts.table.own.availability_zone
         listed = self._fold.state.seeds.get(zone, ())
@@ -364,7 +364,7 @@
         )
         ready = state is not Readiness.NOT_READY
         if not ready:
-            self.notes.not_ready(self._gate.reason)
+            self.core_events.not_ready(self._gate.reason)
         if state is not before:
             self._parts.events.write(Event.NODE_READY, state=state.value, reason=self._gate.reason)
         self._parts.table.update_own(ready=ready)
@@ -374,7 +374,7 @@
             config=self._active.current,
             members=self._parts.table.members(),
             remote=self._remote.members(self._parts.directory),
-            shares=self._parts.moving.shares(),
+            shares=self._parts.move_runner.shares(),
         )
 
 
--- a/src/citronrack/node/notes.py
+++ b/src/citronrack/node/core_events.py
@@ -23,7 +23,7 @@
 }
 
 
-class Notes:
+class CoreEvents:
     """Turns what happened into numbered events.
 
     Args:
@@ -49,7 +49,7 @@
         if event is not None:
             self._events.write(event, kind=type(mail.body).__name__, reason=mail.reason)
 
-    def decided(self, body: Any) -> None:
+    def move_decided(self, body: Any) -> None:
         """Write that an accepted record decided a move; says nothing of others."""
         if isinstance(body, MoveOutcome):
             self._events.write(
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -14,7 +14,7 @@
 from ..telemetry import EventLog, Metrics
 from .core import CoreParts, NodeCore
 from .duties import Duties
-from .moving import MoveWork
+from .move_runner import MoveRunner
 
 
 def compose_core(
@@ -84,7 +84,7 @@
         random=random,
         seeds=seeds,
         observer=parts.distribution,
-        changed=core.notes.member_changed,
+        changed=core.core_events.member_changed,
     )
     parts.directory = ZoneDirectory(
         table=table,
@@ -94,7 +94,7 @@
         observer=parts.distribution,
         own_progress=parts.distribution.own_zone_progress,
     )
-    parts.moving = MoveWork(
+    parts.move_runner = MoveRunner(
         table=table,
         directory=parts.directory,
         distribution=parts.distribution,
--- a/src/citronrack/node/moving.py
+++ b/src/citronrack/node/move_runner.py
@@ -43,7 +43,7 @@
         return effects
 
 
-class MoveWork:
+class MoveRunner:
     """Runs the core of moves on behalf of the node's core.
 
     Args:
--- a/src/citronrack/node/reader.py
+++ b/src/citronrack/node/reader.py
@@ -19,7 +19,7 @@
 
 LONG_POLL_MS = 2_000
 PAGE_RECORDS = 1_000
-IDLE_S = 0.25
+IDLE_INTERVAL_S = 0.25
 START_JITTER_S = 3.0  # 3,500 nodes that start together; leaves 6 s of the 9 s for reading
 BACKOFF_CAP_S = 4.0  # a reader must find a change within 9 s after the log has come back
 MIN_POLL_S = 0.05  # between polls that return records, so that bursts come in pages
@@ -88,7 +88,7 @@
     def step(self) -> None:
         """Make at most one poll, then wait as long as the result asks for."""
         if not self._state.reads_log:
-            self._wait(IDLE_S)
+            self._wait(IDLE_INTERVAL_S)
             return
         start = self._start()
         if start - self._state.next_offset >= MAX_AHEAD_RECORDS:
--- a/src/citronrack/node/readiness.py
+++ b/src/citronrack/node/readiness.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-LOG_PATIENCE_S = 3.0
+LOG_FAILURE_GRACE_S = 3.0
 
 
 class Readiness(StrEnum):
@@ -75,7 +75,7 @@
     def _blocked_by(inputs: ReadinessInputs) -> str:
         if inputs.log_end is not None:
             return f"at offset {inputs.offset} of {inputs.log_end}"
-        if inputs.log_failing_s < LOG_PATIENCE_S:
+        if inputs.log_failing_s < LOG_FAILURE_GRACE_S:
             return "the log has not been read yet"
         if not inputs.peer_offsets:
             return "the log cannot be read and no peer answers"
--- a/src/citronrack/node/remote.py
+++ b/src/citronrack/node/remote_members.py
@@ -5,12 +5,12 @@
 from collections.abc import Sequence
 
 from ..clock import Clock
-from ..membership import KnownMember, ZoneDirectory
+from ..membership import RemoteMember, ZoneDirectory
 
-LOOK_INTERVAL_S = 1.0  # a pass over 3,267 nodes takes some milliseconds
+REFRESH_INTERVAL_S = 1.0  # a pass over 3,267 nodes takes some milliseconds
 
 
-class RemoteLook:
+class RemoteMemberCache:
     """Returns the same object until a node of another zone has changed.
 
     Args:
@@ -19,21 +19,21 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._next_look = clock.monotonic()
-        self._found: Sequence[KnownMember] = ()
+        self._next_refresh = clock.monotonic()
+        self._cached: Sequence[RemoteMember] = ()
 
-    def members(self, directory: ZoneDirectory) -> Sequence[KnownMember]:
+    def members(self, directory: ZoneDirectory) -> Sequence[RemoteMember]:
         """Return the nodes of other zones."""
         now = self._clock.monotonic()
-        if now >= self._next_look:
-            self._next_look = now + LOOK_INTERVAL_S
+        if now >= self._next_refresh:
+            self._next_refresh = now + REFRESH_INTERVAL_S
             found = [m for zone in directory.zones() for m in directory.members(zone)]
-            if not _same_nodes(found, self._found):
-                self._found = found
-        return self._found
+            if not _same_nodes(found, self._cached):
+                self._cached = found
+        return self._cached
 
 
-def _same_nodes(first: Sequence[KnownMember], second: Sequence[KnownMember]) -> bool:
+def _same_nodes(first: Sequence[RemoteMember], second: Sequence[RemoteMember]) -> bool:
     """Return whether two looks found the same descriptions; only the ages may differ."""
     if len(first) != len(second):
         return False
--- a/src/citronrack/node/seeds.py
+++ b/src/citronrack/node/seeds.py
@@ -9,11 +9,11 @@
 from ..membership import Member
 
 LISTED_ADDRESSES = 5
-ENOUGH_ADDRESSES = 2  # a list is replaced once fewer of its addresses belong to live members
+MIN_LIVE_ADDRESSES = 2  # a list is replaced once fewer of its addresses belong to live members
 WRITE_INTERVAL_S = 60.0
 
 
-class SeedKeeper:
+class SeedListWriter:
     """Decides when the primary reader of a zone writes a new list.
 
     Args:
@@ -24,7 +24,7 @@
     def __init__(self, *, availability_zone: str, clock: Clock) -> None:
         self._zone = availability_zone
         self._clock = clock
-        self._not_before = clock.monotonic() + WRITE_INTERVAL_S
+        self._next_write = clock.monotonic() + WRITE_INTERVAL_S
 
     def due(self, listed: Sequence[str], ranking: Sequence[Member]) -> SeedList | None:
         """Return a list to append when the present one is of little use.
@@ -36,7 +36,7 @@
         now = self._clock.monotonic()
         alive = [member.address for member in ranking]
         useful = len(frozenset(listed).intersection(alive))
-        if now < self._not_before or useful >= min(ENOUGH_ADDRESSES, len(alive)):
+        if now < self._next_write or useful >= min(MIN_LIVE_ADDRESSES, len(alive)):
             return None
-        self._not_before = now + WRITE_INTERVAL_S
+        self._next_write = now + WRITE_INTERVAL_S
         return SeedList(self._zone, tuple(alive[:LISTED_ADDRESSES]))
--- a/src/citronrack/node/reporting.py
+++ b/src/citronrack/node/status_builder.py
@@ -33,7 +33,7 @@
         nodes=progress.total,
         in_force=min(progress.count_in_force(version), progress.total - progress.unknown),
         behind=progress.behind,
-        unknown=progress.unheard,
+        unknown=progress.unreported,
         age_s=-1.0 if math.isinf(progress.age_s) else round(progress.age_s, 3),
     )
 
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -11,12 +11,12 @@
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
 from ..checks import split_address
 from ..config import ConfigSet
-from ..membership import KnownMember, Member, MemberState, MemberSummary
+from ..membership import Member, MemberState, MemberSummary, RemoteMember
 
-KEPT_ADDRESSES = 8_192  # twice the two-year fleet
+ADDRESS_CACHE_SIZE = 8_192  # twice the two-year fleet
 
 
-@lru_cache(maxsize=KEPT_ADDRESSES)
+@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
 def _usable_address(text: str) -> tuple[str, int] | None:
     """Return ``(ip, port)``, None for an address that a peer with a fault has announced."""
     try:
@@ -61,7 +61,7 @@
 
     def __init__(self) -> None:
         self._members: Sequence[Member] = ()
-        self._remote: Sequence[KnownMember] = ()
+        self._remote: Sequence[RemoteMember] = ()
         self._remote_pools: Mapping[_PoolKey, _Pool] = {}
         self._pools: Mapping[_PoolKey, tuple[PoolTarget, ...]] = {}
         self._view = RoutingView()
@@ -73,7 +73,7 @@
         reason: str,
         config: ConfigSet,
         members: Sequence[Member],
-        remote: Sequence[KnownMember],
+        remote: Sequence[RemoteMember],
         shares: Mapping[str, RouteShare],
     ) -> RoutingView:
         """Return the routing view that follows from the present state.
--- a/src/citronrack/proof/parts.py
+++ b/src/citronrack/proof/parts.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from ..distribution import core as distribution
-from ..node import core, cores, duties, moving
+from ..node import core, cores, duties, move_runner
 from ..registry import Registry
 
 
@@ -26,7 +26,7 @@
         """Whether the cores of the node use the class."""
         return any(
             hasattr(module, self.class_name)
-            for module in (core, cores, duties, moving, distribution)
+            for module in (core, cores, duties, move_runner, distribution)
         )
 
 
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -36,17 +36,17 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._counters = {
-            name: Counter(_full(name), meaning, labels, registry=self._registry)
+            name: Counter(_full_name(name), meaning, labels, registry=self._registry)
             for name, labels, meaning in _of_kind("counter")
         }
         self._histograms = {
             name: Histogram(
-                _full(name), meaning, labels, buckets=BUCKETS_S, registry=self._registry
+                _full_name(name), meaning, labels, buckets=BUCKETS_S, registry=self._registry
             )
             for name, labels, meaning in _of_kind("histogram")
         }
         self._gauges = {
-            name: Gauge(_full(name), meaning, labels, registry=self._registry)
+            name: Gauge(_full_name(name), meaning, labels, registry=self._registry)
             for name, labels, meaning in _of_kind("gauge")
         }
 
@@ -58,7 +58,7 @@
         """Add a duration to a histogram."""
         self._histograms[name].labels(*labels).observe(seconds)
 
-    def read_from(self, name: str, source: Callable[[], float]) -> None:
+    def set_source(self, name: str, source: Callable[[], float]) -> None:
         """Let a gauge ask ``source`` whenever it is rendered."""
         self._gauges[name].set_function(source)
 
@@ -67,7 +67,7 @@
         return bytes(generate_latest(self._registry))
 
 
-def _full(name: str) -> str:
+def _full_name(name: str) -> str:
     return f"citronrack_{name}"
 
 
--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -18,7 +18,7 @@
 """Lines of one event that are written in a second. Failures have more room than successes, so that
 a flood of calls leaves out successes first."""
 
-PAUSE_S = 0.1
+FLUSH_INTERVAL_S = 0.1
 """Longest delay of a line."""
 
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
@@ -73,7 +73,7 @@
         """Number of lines lost because the queue was full or a budget was used up."""
         return self._dropped
 
-    def writes(self, event: Event) -> bool:
+    def is_enabled(self, event: Event) -> bool:
         """Return whether lines of an event are written at the present level."""
         return _LEVELS[EVENTS[event].level] >= self._threshold
 
@@ -84,7 +84,7 @@
             event: Number from the catalogue.
             fields: Values that JSON can hold.
         """
-        if not self.writes(event):
+        if not self.is_enabled(event):
             return
         now = time.time()
         if self._queue.qsize() >= MAX_QUEUED_LINES or not self._within_budget(event, now):
@@ -106,7 +106,7 @@
             if self._queue.empty():
                 # Lines that follow soon are written in one turn: each turn of this task takes the
                 # interpreter from a call.
-                self._stopping.wait(PAUSE_S)
+                self._stopping.wait(FLUSH_INTERVAL_S)
 
     def stop(self) -> None:
         """Let `run` return after the lines that are already queued."""
--- a/tests/distribution/test_facts.py
+++ b/tests/distribution/test_facts.py
@@ -38,9 +38,9 @@
         store = FactStore()
         accepted = [store.put(f"step/{number}", 1, bytes(1000)) for number in range(100)]
         self.assertFalse(accepted[-1])
-        self.assertLessEqual(store.held_bytes, MAX_BYTES - MARK_RESERVE_BYTES)
+        self.assertLessEqual(store.size_bytes, MAX_BYTES - MARK_RESERVE_BYTES)
         self.assertTrue(all(store.put(f"mark/{n}", 1, bytes(100)) for n in range(100)))
-        self.assertLessEqual(store.held_bytes, MAX_BYTES)
+        self.assertLessEqual(store.size_bytes, MAX_BYTES)
 
     def test_pruned_facts_do_not_come_back(self) -> None:
         """Fails if a peer that has not pruned yet brings a decided entry back."""
@@ -63,7 +63,7 @@
         for offset in range(100):
             store.offer(offset, big)
             store.offer(offset + 300, big)
-        self.assertLessEqual(store.held_bytes, KEPT_BYTES + EARLY_BYTES)
+        self.assertLessEqual(store.size_bytes, KEPT_BYTES + EARLY_BYTES)
         self.assertEqual(store.next, 100)
         self.assertEqual(len(store.page(store.first)), 1)
 
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from citronrack.distribution.messages import PushRecords
-from citronrack.distribution.reading import MAX_GIVEN_UP
+from citronrack.distribution.reading import MAX_NON_READERS
 from citronrack.distribution.tree import READERS
 
 from .fleet import SEEDS, ZONES, FleetUnderTest
@@ -144,12 +144,12 @@
         fleet.cut_log(fleet.net.live())
         for _ in range(90):
             fleet.run(1)
-            given_up = sum(not node.table.own.reading for node in fleet.net.live())
+            non_readers = sum(not node.table.own.reading for node in fleet.net.live())
             # Three polls take 3 s and an update about 5 s to reach all: two pairs are on the way.
-            self.assertLessEqual(given_up, MAX_GIVEN_UP + 2 * READERS)
+            self.assertLessEqual(non_readers, MAX_NON_READERS + 2 * READERS)
         # Each gives up, retries after 30 to 60 s, and gives up again, as does its substitute.
         raised = sum(n.table.own.incarnation - before[n.name] for n in fleet.net.live())
-        self.assertLessEqual(raised, 4 * (MAX_GIVEN_UP + READERS))
+        self.assertLessEqual(raised, 4 * (MAX_NON_READERS + READERS))
         fleet.net.faults.log_cut.clear()
         fleet.net.append()
         fleet.converges()
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -185,7 +185,7 @@
         self.assertEqual(table.own.incarnation, 6)
         other = make_member("b", "north", 1)
         table.merge((other,))
-        self.assertFalse(table.heard(attrs.evolve(other, load=9)))
+        self.assertFalse(table.merge_self_reported(attrs.evolve(other, load=9)))
         self.assertEqual([m.load for m in table.members()], [4, 9])
 
 
--- a/tests/node/test_views.py
+++ b/tests/node/test_views.py
@@ -8,8 +8,8 @@
 import attrs
 
 from citronrack.config import ConfigSet
-from citronrack.membership import KnownMember, Member, MemberState
-from citronrack.membership.known import summary_of
+from citronrack.membership import Member, MemberState, RemoteMember
+from citronrack.membership.remote import summary_of
 from citronrack.node.views import ViewBuilder
 
 MEMBER = Member(
@@ -28,7 +28,7 @@
 class ViewBuilderTest(unittest.TestCase):
     """Guards against calls to leaving targets and against pools that empty without need."""
 
-    def names(self, members: list[Member], remote: list[KnownMember]) -> list[str]:
+    def names(self, members: list[Member], remote: list[RemoteMember]) -> list[str]:
         """Return the names in the pool of the service version."""
         view = ViewBuilder().build(
             ready=True,
@@ -44,16 +44,16 @@
         """Return the member with some fields changed."""
         return attrs.evolve(MEMBER, **changes)
 
-    def remote(self, *, known: bool = True, **changes: Any) -> KnownMember:
+    def remote(self, *, known: bool = True, **changes: Any) -> RemoteMember:
         """Return a member of another zone."""
         member = self.variant(name="b-1", **changes)
-        return KnownMember("b", summary_of(member), 0.0 if known else 60.0, known)
+        return RemoteMember("b", summary_of(member), 0.0 if known else 60.0, known)
 
     def test_pools(self) -> None:
         """Fails if a draining or gone target is offered, or the last usable one is not."""
         unready = self.variant(name="a-2", ready=False)
         suspect = self.variant(name="a-3", state=int(MemberState.SUSPECT))
-        cases: list[tuple[str, list[Member], list[KnownMember], list[str]]] = [
+        cases: list[tuple[str, list[Member], list[RemoteMember], list[str]]] = [
             ("draining", [self.variant(draining=True)], [], []),
             ("remote draining", [], [self.remote(draining=True)], []),
             ("remote gone", [], [self.remote(state=int(MemberState.GONE))], []),
