--- a/src/citronrack/distribution/__init__.py
+++ b/src/citronrack/distribution/__init__.py
@@ -1,4 +1,4 @@
-"""Which node reads the log, and how records and facts reach all others."""
+"""Distribution of log records and facts to all nodes, and the choice of log readers."""
 
 from __future__ import annotations
 
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -1,4 +1,4 @@
-"""Carries log records and facts to all nodes of an availability zone."""
+"""Distributes log records and facts to all nodes of an availability zone."""
 
 from __future__ import annotations
 
@@ -28,11 +28,11 @@
 from .tree import Tree
 
 MAX_FORWARDED_PUSHES = 256
-MAX_PUSHED = 100  # a reader that catches up reads more at once; repair spreads those over peers
+MAX_PUSHED = 100  # a reader that catches up reads more; peers pull those through repair
 
 
 class FoldView(Protocol):
-    """What this core reads of the folded log."""
+    """The part of the folded log that this core reads."""
 
     @property
     def next_offset(self) -> int:
@@ -44,18 +44,18 @@
 
 
 class DistributionCore:
-    """Delivers each record once and in order, and passes it on.
+    """Delivers each record once and in order, and forwards it.
 
     Args:
         own: Name of this node.
         clock: Source of time.
         random: Source of random numbers.
-        members: Returns the members of the own zone; the same tuple while nothing has changed.
-        fold: Where to start, and the version in force.
+        members: Returns the members of the own zone; the same tuple until one changes.
+        fold: Provides the first offset and the version in force.
         deliver: Applies one record; called in offset order without gaps.
         relays: Returns the address of one relay of each other zone.
         make_snapshot: Returns the snapshot that ends at `next_offset`.
-        load_snapshot: Takes a snapshot over; returns whether it was usable.
+        load_snapshot: Loads a snapshot; returns whether it was usable.
     """
 
     MESSAGES: tuple[type[Any], ...] = (
@@ -125,7 +125,7 @@
 
     @property
     def facts(self) -> FactStore:
-        """Facts that spread without the log; add own ones with `put_fact`."""
+        """Facts that are replicated without the log; `put_fact` adds own ones."""
         return self._facts
 
     @property
@@ -140,12 +140,12 @@
 
     @property
     def reading(self) -> bool:
-        """Whether this node counts as able to read the log; belongs into its member description."""
+        """Whether this node is considered able to read the log; part of its member description."""
         return self._log.reading
 
     @property
     def role(self) -> ReaderRole:
-        """This node's part in reading the log."""
+        """Reader role of this node."""
         readers = self._tree.readers()
         if self._own not in readers:
             return ReaderRole.NONE
@@ -156,16 +156,16 @@
         return self._spreader.put(Fact(key, rank, payload), urgent=urgent)
 
     def own_zone_progress(self, availability_zone: str) -> ZoneProgress:
-        """Return what this node has heard of its zone; exact only at the root of the tree."""
+        """Return the progress reported to this node; exact only at the root of the tree."""
         return self._progress.zone(availability_zone)
 
     def peer_observed(self, address: str, *, offset: int, facts_digest: int) -> list[Send]:
-        """Compare with a peer, and ask for what is missing here."""
+        """Compare the state of a peer, and request records and facts that are missing here."""
         self._repair.observe(address, offset)
         return [*self._pull_if_due(), *self._spreader.peer_observed(address, facts_digest)]
 
     def peer_offsets(self) -> dict[str, int | None]:
-        """Return the next offset of each other live member by name, None when not yet heard."""
+        """Return the next offset of each other live member by name, None while it is unknown."""
         others = (member for member in self._tree.ranking if member.name != self._own)
         return {member.name: self._repair.offset_of(member.address) for member in others}
 
@@ -174,30 +174,30 @@
         self._store.jump_to(offset)
 
     def on_log_records(self, records: Sequence[tuple[int, bytes]]) -> list[Send]:
-        """Deliver records that this node read from the log, and push the new ones."""
+        """Deliver records read from the log, and push the new ones."""
         self._log.succeeded()
         first = self._store.next
-        fresh = [data for offset, data in records for data in self._accept(offset, data)]
-        if not fresh or len(fresh) > MAX_PUSHED:
+        delivered = [data for offset, data in records for data in self._accept(offset, data)]
+        if not delivered or len(delivered) > MAX_PUSHED:
             return []
         role = self.role
         if role is ReaderRole.PRIMARY:
-            return self._push(first, fresh, self._own)
+            return self._push(first, delivered, self._own)
         if role is ReaderRole.STANDBY:
-            self._standby.defer(first, fresh)
+            self._standby.defer(first, delivered)
         return []
 
     def on_log_failure(self) -> None:
-        """Note a poll of the log that got no answer."""
+        """Record a failed poll of the log."""
         others = (member for member in self._tree.ranking if member.name != self._own)
         self._log.failed(non_readers=sum(not member.reading for member in others))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Handle a message of this core."""
+        """Handle a message of one of `MESSAGES`."""
         return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
-        """Push what the primary reader did not, repair, and report progress."""
+        """Push records that the primary reader did not, request repair and report progress."""
         effects: list[Send] = []
         for first, records in self._standby.take_due():
             effects += self._push(first, records, self._own)
@@ -234,14 +234,14 @@
         self._repair.record_answer(sender)
         self._repair.observe(sender, message.end)
         first = self._store.next
-        fresh: list[bytes] = []
+        delivered: list[bytes] = []
         for offset, data in enumerate(message.records, message.first_offset):
-            fresh += self._accept(offset, data)
+            delivered += self._accept(offset, data)
         effects: list[Send] = []
-        if fresh and not self._tree.is_member(sender):
-            # The zone gets these records through this node, as from a reader.
-            effects += self._push(first, fresh, self._own)
-        if fresh and self._store.next < message.end:
+        if delivered and not self._tree.is_member(sender):
+            # Records from another zone are pushed here, as a reader would.
+            effects += self._push(first, delivered, self._own)
+        if delivered and self._store.next < message.end:
             self._repair.record_request(sender)
             effects.append(Send(sender, PullRecords(self._store.next)))
         return effects
@@ -274,14 +274,14 @@
         return []
 
     def _accept(self, offset: int, data: bytes) -> list[bytes]:
-        """Deliver a record and those that waited for it; returns what was delivered."""
+        """Deliver a record and those buffered behind it; returns what was delivered."""
         ready = self._store.offer(offset, data)
         for number, content in ready:
             self._deliver(number, content)
         return [content for _, content in ready]
 
     def _push(self, first: int, records: Sequence[bytes], origin: str) -> list[Send]:
-        """Send records down the tree of ``origin`` in messages of at most a page."""
+        """Push records down the tree of ``origin``, one page per message."""
         children = self._tree.children(origin)
         effects: list[Send] = []
         for start, page in pages(first, records):
@@ -294,7 +294,7 @@
         return [Send(child.address, message) for child in children if child.address != sender]
 
     def _first_receipt(self, first: int, end: int) -> bool:
-        """Remember a push; forwarding each once ends loops between trees of differing tables."""
+        """Record a push; forwarding each once prevents loops between nodes with differing trees."""
         if (first, end) in self._forwarded:
             return False
         self._forwarded[first, end] = None
--- a/src/citronrack/distribution/facts.py
+++ b/src/citronrack/distribution/facts.py
@@ -1,4 +1,4 @@
-"""Small facts that spread without the log."""
+"""Facts: small key-value entries that are replicated without the log."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from ..membership.digests import BucketDigests, bucket_of
 
 MAX_BYTES = 64 * 1024
-MARK_RESERVE_BYTES = 16 * 1024  # only marks may use this part
+MARK_RESERVE_BYTES = 16 * 1024  # reserved for marks
 MARK_PREFIX = "mark/"
 MAX_KEY_BYTES = 256
 MAX_PAYLOAD_BYTES = 4 * 1024
@@ -20,12 +20,12 @@
 
 @frozen
 class Fact:
-    """One entry of the map.
+    """A key-value entry with a rank.
 
     Attributes:
-        key: Path-like name; marks begin with ``mark/`` and are never refused for lack of space.
-        rank: The greater rank wins.
-        payload: Content.
+        key: Path-like name; marks begin with ``mark/`` and are never rejected for lack of space.
+        rank: Of two facts with the same key, the greater rank wins.
+        payload: Encoded value.
     """
 
     key: str
@@ -34,17 +34,17 @@
 
     @property
     def size(self) -> int:
-        """Bytes that count against the bound."""
+        """Bytes that count towards `MAX_BYTES`."""
         return len(self.key.encode()) + len(self.payload) + ENTRY_OVERHEAD_BYTES
 
     @property
     def precedence(self) -> tuple[int, bytes]:
-        """Order of two facts under one key; the payload decides between equal ranks."""
+        """Order of two facts with the same key; the payload decides between equal ranks."""
         return self.rank, self.payload
 
 
 class FactStore:
-    """A map that only grows until entries are pruned; a merge is idempotent and needs no order."""
+    """A grow-only map with pruning; merges are idempotent and commutative."""
 
     def __init__(self) -> None:
         self._facts: dict[str, Fact] = {}
@@ -59,7 +59,7 @@
 
     @property
     def buckets(self) -> tuple[int, ...]:
-        """Digests of parts, by which two stores find their differences."""
+        """Digest per bucket, which two stores compare to find differences."""
         return self._digest.buckets
 
     @property
@@ -68,11 +68,11 @@
         return self._bytes
 
     def put(self, key: str, rank: int, payload: bytes) -> bool:
-        """Add a fact; returns whether the store has changed."""
+        """Add a fact and return whether the store has changed."""
         return self._merge_one(Fact(key, rank, payload))
 
     def get(self, key: str) -> Fact | None:
-        """Return the fact under ``key``."""
+        """Return the fact with ``key``."""
         return self._facts.get(key)
 
     def items(self, prefix: str = "") -> tuple[Fact, ...]:
@@ -80,19 +80,19 @@
         return tuple(fact for key, fact in self._facts.items() if key.startswith(prefix))
 
     def in_buckets(self, buckets: frozenset[int]) -> tuple[Fact, ...]:
-        """Return the facts of some parts."""
+        """Return the facts in some buckets."""
         return tuple(fact for key, fact in self._facts.items() if bucket_of(key) in buckets)
 
     def merge(self, facts: Iterable[Fact]) -> list[Fact]:
-        """Take over greater ranks and return the facts that changed something."""
+        """Merge facts and return those that changed the store."""
         return [fact for fact in facts if self._merge_one(fact)]
 
     def prune(self, decided: Callable[[Fact], bool]) -> int:
-        """Remove facts for good and return how many.
+        """Remove facts permanently and return their number.
 
         Args:
-            decided: Whether a fact is no longer needed: the log holds the mark, or the move is
-                decided. The same fact is not taken over again from a peer.
+            decided: Whether a fact is obsolete: its mark is in the log, or its move is decided.
+                A pruned fact is not merged again from a peer.
         """
         due = [fact for fact in self._facts.values() if decided(fact)]
         for fact in due:
@@ -132,6 +132,6 @@
         self._toggle(fact)
 
     def _toggle(self, fact: Fact) -> None:
-        """Count rank and payload, so that equal ranks with other payloads differ too."""
+        """Hash rank and payload, so that facts that differ only in the payload are detected."""
         seed = fact.rank & 0xFFFF_FFFF_FFFF_FFFF
         self._digest.toggle(fact.key, xxhash.xxh64_intdigest(fact.payload, seed=seed))
--- a/src/citronrack/distribution/messages.py
+++ b/src/citronrack/distribution/messages.py
@@ -14,7 +14,7 @@
     """New records, sent down the tree.
 
     Attributes:
-        first_offset: Offset of the first record; the others follow without gaps.
+        first_offset: Offset of the first record; the others follow contiguously.
         records: Bytes of the records.
         origin: Name of the node at the root of the tree.
     """
@@ -27,7 +27,7 @@
 @message_codec.register("pull")
 @frozen
 class PullRecords:
-    """Asks for the records from an offset on."""
+    """Requests the records from an offset on."""
 
     from_offset: int
 
@@ -40,7 +40,7 @@
     Attributes:
         first_offset: Offset of the first record.
         records: Bytes of the records.
-        end: Next offset that the sender folds.
+        end: Next offset to fold on the sender.
     """
 
     first_offset: int
@@ -51,7 +51,7 @@
 @message_codec.register("snapshot-pull")
 @frozen
 class PullSnapshot:
-    """Asks for one part of a snapshot.
+    """Requests one part of a snapshot.
 
     Attributes:
         through: Offset at which the snapshot ends.
@@ -83,10 +83,10 @@
 @message_codec.register("facts-pull")
 @frozen
 class PullFacts:
-    """Asks for the facts in which two stores differ.
+    """Requests the facts in the differing buckets of two stores.
 
     Attributes:
-        buckets: Digests of the sender's store.
+        buckets: Digest of each bucket of the sender's store.
     """
 
     buckets: tuple[int, ...]
@@ -95,7 +95,7 @@
 @message_codec.register("facts")
 @frozen
 class FactsDelta:
-    """Facts that the receiver may lack.
+    """Facts that may be new to the receiver.
 
     Attributes:
         facts: The facts.
--- a/src/citronrack/distribution/progress.py
+++ b/src/citronrack/distribution/progress.py
@@ -1,4 +1,4 @@
-"""How far a zone is with a configuration version."""
+"""Rollout progress of configuration versions in a zone."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 MAX_NAMES = 8
 REPORT_INTERVAL_S = 1.0
 REPEAT_INTERVAL_S = 10.0
-REPORT_LIFETIME_S = 25.0  # two repeats may be lost
+REPORT_LIFETIME_S = 25.0  # tolerates the loss of two repeats
 
 
 @message_codec.register("progress")
@@ -28,11 +28,11 @@
         name: Sender, the root of the subtree.
         lowest: Lowest version in the subtree.
         highest: Highest version in the subtree.
-        covered: Number of nodes that this covers.
+        covered: Number of nodes that the report covers.
         covers: Exclusive-or of the hashes of their names.
         behind: Up to 8 names of nodes below the highest version.
         at_highest: Number of nodes at the highest version.
-        unheard: Up to 8 names of nodes that have not reported.
+        unreported: Up to 8 names of nodes that have not reported.
     """
 
     name: str
@@ -47,19 +47,19 @@
 
 @frozen
 class ZoneProgress:
-    """What is known about the versions in a zone.
+    """Versions in force in a zone, as far as reported.
 
     Attributes:
         availability_zone: The zone.
-        lowest: Version in force on each node that was heard.
-        covered: Number of nodes that were heard.
+        lowest: Lowest version reported by a node.
+        covered: Number of nodes that reported.
         total: Number of members.
         behind: Up to 8 names of nodes that are below the highest version.
-        exact: Whether the nodes that were heard are exactly the members.
+        exact: Whether exactly the members have reported.
         age_s: Seconds since the zone reported.
-        highest: Highest version that a node of the zone reported.
+        highest: Highest version reported by a node.
         at_highest: Number of nodes that reported it.
-        unheard: Up to 8 names of members that were not heard.
+        unreported: Up to 8 names of members that have not reported.
     """
 
     availability_zone: str
@@ -75,7 +75,7 @@
 
     @property
     def unknown(self) -> int:
-        """Number of members that were not heard; at least 1 unless all were."""
+        """Number of members that have not reported; at least 1 unless `exact`."""
         return 0 if self.exact else max(1, self.total - self.covered)
 
     def in_force(self, version: int) -> bool:
@@ -83,7 +83,7 @@
         return self.exact and self.total > 0 and self.lowest >= version
 
     def count_in_force(self, version: int) -> int:
-        """Return the number of nodes that reported at least ``version``; never more than did."""
+        """Return a lower bound of the number of nodes that reported at least ``version``."""
         if self.lowest >= version:
             return self.covered
         return self.at_highest if self.highest >= version else 0
@@ -102,7 +102,7 @@
 
 
 class ProgressReporter:
-    """Collects the reports of the children and reports to the parent.
+    """Aggregates the reports of the children and reports to the parent.
 
     Args:
         own: Name of this node.
@@ -122,11 +122,11 @@
         self._sent: tuple[str, Progress] | None = None
 
     def take(self, report: Progress) -> None:
-        """Keep the report of a child."""
+        """Store the report of a child."""
         self._reports[report.name] = report, self._clock.monotonic()
 
     def on_tick(self) -> list[Send]:
-        """Report to the parent when something has changed, and now and then."""
+        """Report to the parent after a change, and every `REPEAT_INTERVAL_S` without one."""
         now = self._clock.monotonic()
         if now < self._next_report:
             return []
@@ -143,7 +143,7 @@
         return [Send(parent.address, report)]
 
     def zone(self, availability_zone: str) -> ZoneProgress:
-        """Return the progress of the own zone; only the root of the tree has heard all of it."""
+        """Return the progress of the own zone; only the root has the reports of all members."""
         self._drop_old(self._clock.monotonic())
         report = self._collect()
         names = [member.name for member in self._tree.ranking]
--- a/src/citronrack/distribution/ranking.py
+++ b/src/citronrack/distribution/ranking.py
@@ -1,4 +1,4 @@
-"""An order of members that each node computes for itself."""
+"""A ranking of members that each node computes locally."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class Ranked(Protocol):
-    """What the order depends on; `Member` and `RemoteMember` have it."""
+    """Attributes that the ranking depends on; implemented by `Member` and `RemoteMember`."""
 
     @property
     def name(self) -> str:
@@ -34,8 +34,8 @@
 def ranking(members: Iterable[R]) -> list[R]:
     """Return the members in rendezvous-hash order, those that are alive and ready first.
 
-    The others follow, because they need the records too. When nobody is ready, as after a mass
-    restart, the order still names readers and relays.
+    The others follow, because they need the records as well. When no member is ready, as after a
+    mass restart, the ranking still determines readers and relays.
     """
     return sorted(members, key=_key, reverse=True)
 
--- a/src/citronrack/distribution/reading.py
+++ b/src/citronrack/distribution/reading.py
@@ -1,4 +1,4 @@
-"""Which part this node has in reading the log, and whether it can."""
+"""Reader roles, access to the log and the pushes of the standby reader."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 
 STANDBY_DELAY_S = 0.5
 FAILURE_LIMIT = 3
-MAX_NON_READERS = 8  # more nodes than this without the log mean an outage; they need not all say so
-RETRY_S = 30.0  # doubled after each vain retry
+MAX_NON_READERS = 8  # more nodes without the log mean an outage, which not all need to report
+RETRY_S = 30.0  # doubled after each failed retry
 MAX_RETRY_S = 480.0
 
 
 class ReaderRole(StrEnum):
-    """This node's part in reading the platform's log."""
+    """Role of a node in reading the platform's log."""
 
     NONE = "none"
     STANDBY = "standby"
@@ -26,7 +26,7 @@
 
 
 class LogAccess:
-    """Counts failed polls; a node that cannot read gives way to the next rank for a while.
+    """Counts failed polls; after repeated failures the next rank takes over for some time.
 
     Args:
         clock: Source of time.
@@ -42,26 +42,27 @@
 
     @property
     def reading(self) -> bool:
-        """Whether this node counts as able to read the log."""
+        """Whether this node is considered able to read the log."""
         if self._retry_at is not None and self._clock.monotonic() >= self._retry_at:
             self._retry_at = None
-            self._failures = FAILURE_LIMIT - 1  # a single failure is enough next time
+            self._failures = FAILURE_LIMIT - 1  # one further failure reaches the limit
         return self._retry_at is None
 
     def succeeded(self) -> None:
-        """Note a poll that was answered."""
+        """Record a successful poll."""
         self._failures = 0
         self._retry_at = None
         self._wait_s = RETRY_S
 
     def failed(self, *, non_readers: int) -> None:
-        """Note a poll that was not answered.
+        """Record a failed poll.
 
-        In an outage of the log nobody can take over, so only some nodes give up. Otherwise each
-        node in turn would change its description, and all zones would spread these changes.
+        In an outage of the log no node can take over, so at most `MAX_NON_READERS` nodes step
+        down. Otherwise each node in turn would change its description, and all zones would gossip
+        these changes.
 
         Args:
-            non_readers: Number of other nodes of the zone that cannot read.
+            non_readers: Number of other nodes of the zone that cannot read the log.
         """
         self._failures += 1
         if self._failures < FAILURE_LIMIT or self._retry_at is not None:
@@ -80,7 +81,7 @@
 
 
 class StandbyPushes:
-    """Records that the standby reader pushes unless a peer does so first."""
+    """Records that the standby reader pushes unless a peer has pushed them in time."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -88,24 +89,24 @@
         self._pushed_through = 0
 
     def defer(self, first: int, records: Sequence[bytes]) -> None:
-        """Keep records for `STANDBY_DELAY_S`."""
+        """Defer the push of records by `STANDBY_DELAY_S`."""
         due = self._clock.monotonic() + STANDBY_DELAY_S
         self._deferred.append(_DeferredPush(due, first, tuple(records)))
 
     def pushed_by_peer(self, end: int) -> bool:
-        """Note that a peer has pushed the records below ``end``.
+        """Record that a peer has pushed the records below ``end``.
 
         Returns:
-            Whether such records were held; then the nodes below this one in the peer's tree still
-            need the push, although this node had read the records itself.
+            Whether a push of such records was deferred. This node has read the records itself
+            then, but its children in the peer's tree still need the push.
         """
         self._pushed_through = max(self._pushed_through, end)
-        return any(held.first < end for held in self._deferred)
+        return any(push.first < end for push in self._deferred)
 
     def take_due(self) -> list[tuple[int, tuple[bytes, ...]]]:
-        """Remove and return first offset and records of what no peer has pushed in time."""
+        """Remove and return first offset and records of each due push that no peer has made."""
         now = self._clock.monotonic()
-        due = [held for held in self._deferred if now >= held.due]
-        self._deferred = [held for held in self._deferred if now < held.due]
-        late = [held for held in due if held.first + len(held.records) > self._pushed_through]
-        return [(held.first, held.records) for held in late]
+        due = [push for push in self._deferred if now >= push.due]
+        self._deferred = [push for push in self._deferred if now < push.due]
+        late = [push for push in due if push.first + len(push.records) > self._pushed_through]
+        return [(push.first, push.records) for push in late]
--- a/src/citronrack/distribution/repair.py
+++ b/src/citronrack/distribution/repair.py
@@ -1,4 +1,4 @@
-"""Which peer is asked for missing records, and when."""
+"""Repair: when missing records are requested, and from which peer."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Repair:
-    """Keeps the offsets of peers and allows one request at a time.
+    """Tracks the offsets of peers and allows one outstanding request.
 
     Args:
         clock: Source of time.
@@ -31,7 +31,7 @@
         self._failed: set[str] = set()
 
     def observe(self, address: str, offset: int) -> None:
-        """Note how far a peer is."""
+        """Record the offset of a peer."""
         self._offsets.pop(address, None)
         self._offsets[address] = offset, self._clock.monotonic()
         self._highest = max(self._highest, offset)
@@ -39,15 +39,15 @@
             del self._offsets[next(iter(self._offsets))]
 
     def offset_of(self, address: str) -> int | None:
-        """Return the last offset of a peer, None when it was not heard."""
+        """Return the last offset of a peer, None when it is unknown."""
         entry = self._offsets.get(address)
         return None if entry is None else entry[0]
 
     def next_peer(self, next_offset: int) -> str | None:
-        """Return the peer to ask now, None when nothing is missing or it is not yet time.
+        """Return the peer to request from, None when nothing is missing or no request is due.
 
-        The first request waits for a random time, because a push is often under way, and because
-        many nodes learn at the same time that they are behind.
+        The first request is delayed by a random time, because a push is often in transit, and
+        because many nodes detect at the same time that they are behind.
         """
         now = self._clock.monotonic()
         if self._pending_since is not None:
@@ -55,7 +55,7 @@
                 return None
             self._failed.add(self._pending_peer)
             self._pending_since = None
-        # The quick check matters: this runs with each ping, and the search takes 40 us for a zone.
+        # Skip the search when possible: it takes 40 us for a zone and would run with each ping.
         ahead = [] if self._highest <= next_offset else self._ahead_of(next_offset, now)
         if not ahead:
             self._due = None
@@ -65,11 +65,11 @@
             self._due = now + self._random.uniform(0, JITTER_S)
         if now < self._due:
             return None
-        fresh = [address for address in ahead if address not in self._failed]
-        if not fresh:
+        untried = [address for address in ahead if address not in self._failed]
+        if not untried:
             self._failed.clear()
-        # The peers heard last are the likeliest to answer.
-        choices = (fresh or ahead)[-4:]
+        # The peers observed last are the likeliest to answer.
+        choices = (untried or ahead)[-4:]
         self._pending_peer = self._random.choice(choices)
         self._pending_since = now
         return self._pending_peer
@@ -82,7 +82,7 @@
         ]
 
     def record_answer(self, address: str) -> bool:
-        """Note an answer; returns whether it is the one that was waited for."""
+        """Record an answer and return whether it is from the pending peer."""
         expected = self._pending_since is not None and address == self._pending_peer
         if expected:
             self._pending_since = None
@@ -90,9 +90,9 @@
         return expected
 
     def record_request(self, address: str) -> None:
-        """Note that the next request went to the same peer at once."""
+        """Record that the next request was sent to the same peer without delay."""
         self._pending_peer, self._pending_since = address, self._clock.monotonic()
 
     def mark_failed(self, address: str) -> None:
-        """Note that a peer's answer was of no use."""
+        """Record that the answer of a peer was unusable."""
         self._failed.add(address)
--- a/src/citronrack/distribution/snapshots.py
+++ b/src/citronrack/distribution/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots in parts that fit into frames."""
+"""Transfer of snapshots in parts that fit into frames."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 from .messages import PullSnapshot, SnapshotPage
 
 PART_BYTES = 128 * 1024  # half of the frame limit
-MAX_PARTS = 64  # 8 MB, the largest snapshot that the fold accepts
+MAX_PARTS = 64  # 8 MB, the maximum size of a snapshot that the fold accepts
 CACHE_S = 60.0
 
 
 class SnapshotSource:
-    """Hands out the parts of a recent snapshot.
+    """Provides the parts of a recent snapshot.
 
     Args:
         clock: Source of time.
-        make: Returns the snapshot of the present state.
+        make: Returns a snapshot of the current state.
     """
 
     def __init__(self, *, clock: Clock, make: Callable[[], bytes]) -> None:
@@ -31,7 +31,7 @@
         """Return the first part of a snapshot.
 
         Args:
-            next_offset: Offset at which a snapshot made now would end.
+            next_offset: Offset at which a new snapshot would end.
             at_least: A cached snapshot must not end before this offset.
         """
         now = self._clock.monotonic()
@@ -42,12 +42,12 @@
         return self._part(0)
 
     def part(self, wanted: PullSnapshot) -> SnapshotPage | None:
-        """Return one part, or the first part of the present snapshot when that one is gone."""
+        """Return one part, or the first part of the current snapshot when that one was replaced."""
         same = wanted.through == self._through and 0 <= wanted.index < len(self._parts)
         return self._part(wanted.index if same else 0)
 
     def drop_old(self) -> None:
-        """Release the memory of a snapshot that is no longer asked for."""
+        """Release the memory of a snapshot after twice its cache time."""
         if self._parts and self._clock.monotonic() - self._made_at > 2 * CACHE_S:
             self._parts, self._through = (), -1
 
@@ -58,14 +58,14 @@
 
 
 class SnapshotAssembler:
-    """Puts the parts of one snapshot together."""
+    """Assembles the parts of one snapshot."""
 
     def __init__(self) -> None:
         self._through = -1
         self._parts: list[bytes] = []
 
     def take(self, page: SnapshotPage) -> bytes | None:
-        """Take the next part; returns the snapshot when it is complete."""
+        """Add the next part; returns the snapshot when it is complete."""
         if not 0 < page.count <= MAX_PARTS:
             return None
         if page.through != self._through or page.index == 0:
@@ -80,5 +80,5 @@
         return data
 
     def next_request(self) -> PullSnapshot | None:
-        """Return the request for the next part, None when no snapshot is under way."""
+        """Return the request for the next part, None when no transfer is in progress."""
         return PullSnapshot(self._through, len(self._parts)) if self._parts else None
--- a/src/citronrack/distribution/spread.py
+++ b/src/citronrack/distribution/spread.py
@@ -1,4 +1,4 @@
-"""Sends facts down the tree, to other zones, and to peers whose digest differs."""
+"""Replicates facts down the tree, to other zones and to peers with a different digest."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class FactSpreader:
-    """Keeps the stores of all nodes equal.
+    """Brings the fact stores of all nodes to the same content.
 
     Args:
         own: Name of this node.
@@ -46,16 +46,16 @@
         self._interval = PULL_INTERVAL_S
 
     def put(self, fact: Fact, *, urgent: bool) -> list[Send]:
-        """Add a fact of this node; an urgent one is pushed at once."""
+        """Add a fact of this node; an urgent one is pushed immediately."""
         if not self._store.merge((fact,)) or not urgent:
             return []
         return self._push((fact,), self._own, except_for="")
 
     def peer_observed(self, address: str, facts_digest: int) -> list[Send]:
-        """Ask a peer for the differences.
+        """Request differing facts from a peer.
 
-        The interval doubles while answers bring nothing, as when a full store refuses a fact or
-        a peer has not pruned yet.
+        The interval doubles while answers bring nothing new, as when a full store rejects a fact
+        or a peer has not pruned yet.
         """
         now = self._clock.monotonic()
         if facts_digest == self._store.digest:
@@ -68,7 +68,7 @@
         return [Send(address, PullFacts(self._store.buckets))]
 
     def answer(self, sender: str, message: PullFacts) -> list[Send]:
-        """Send the facts of the differing parts, as many as fit into one message."""
+        """Send the facts of the differing buckets, as many as fit into one message."""
         facts: list[Fact] = []
         size = 0
         for fact in self._store.in_buckets(differing(self._store.buckets, message.buckets)):
@@ -79,17 +79,19 @@
         return [Send(sender, FactsDelta(tuple(facts)))] if facts else []
 
     def take(self, sender: str, message: FactsDelta) -> list[Send]:
-        """Merge; what is new and urgent, or comes from another zone, goes down the tree."""
-        fresh = self._store.merge(message.facts)
-        if not fresh:
+        """Merge facts; push new ones that are urgent or from another zone down the tree."""
+        new = self._store.merge(message.facts)
+        if not new:
             return []
         self._interval = PULL_INTERVAL_S
         self._next_pull = min(self._next_pull, self._clock.monotonic() + PULL_INTERVAL_S)
-        foreign = not self._tree.is_member(sender)
-        urgent = [f for f in fresh if message.origin or f.key.startswith(URGENT_PREFIX) or foreign]
-        if not urgent or not (foreign or message.origin):
+        from_other_zone = not self._tree.is_member(sender)
+        urgent = [
+            f for f in new if message.origin or f.key.startswith(URGENT_PREFIX) or from_other_zone
+        ]
+        if not urgent or not (from_other_zone or message.origin):
             return []
-        origin = self._own if foreign else message.origin
+        origin = self._own if from_other_zone else message.origin
         return self._push(tuple(urgent), origin, except_for=sender)
 
     def _push(self, facts: tuple[Fact, ...], origin: str, *, except_for: str) -> list[Send]:
@@ -98,7 +100,7 @@
         if self._tree.index == 0:
             targets += self._relays()
         elif origin == self._own and self._tree.ranking:
-            # The origin may be a leaf; the relay also hears of the fact without the tree.
+            # The origin may be a leaf, so the root gets the fact directly as well.
             targets.append(self._tree.ranking[0].address)
         chosen = dict.fromkeys(target for target in targets if target != except_for)
         return [Send(target, message) for target in chosen]
--- a/src/citronrack/distribution/store.py
+++ b/src/citronrack/distribution/store.py
@@ -1,21 +1,21 @@
-"""Records that this node keeps for others."""
+"""Records that this node keeps for peers."""
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
 KEPT_RECORDS = 5_000
-KEPT_BYTES = 4 * 1024 * 1024  # an eighth of the node's 32 MB
+KEPT_BYTES = 4 * 1024 * 1024  # an eighth of the node's 32 MB of memory
 EARLY_RECORDS = 512
 EARLY_BYTES = 512 * 1024
 PAGE_BYTES = 64 * 1024
 
 
 class RecordStore:
-    """The newest records without gaps, and some that arrived before their predecessors.
+    """The newest contiguous records, and a buffer of records that arrived out of order.
 
     Args:
-        next_offset: First offset that is missing.
+        next_offset: First missing offset.
     """
 
     def __init__(self, next_offset: int) -> None:
@@ -28,28 +28,28 @@
 
     @property
     def first(self) -> int:
-        """Oldest kept offset."""
+        """Oldest retained offset."""
         return self._first
 
     @property
     def next(self) -> int:
-        """First offset that is missing."""
+        """First missing offset."""
         return self._next
 
     @property
     def size_bytes(self) -> int:
-        """Size of all records held."""
+        """Size of all retained and buffered records."""
         return self._kept_bytes + self._early_bytes
 
     def jump_to(self, offset: int) -> None:
-        """Forget everything before ``offset`` and continue there."""
+        """Discard the retained records and continue at ``offset``."""
         self._kept.clear()
         self._kept_bytes = 0
         self._first = self._next = offset
         self._drop_passed_early()
 
     def offer(self, offset: int, data: bytes) -> list[tuple[int, bytes]]:
-        """Take a record; returns the records that are now next in order."""
+        """Add a record; returns the records that became contiguous, in order."""
         if offset < self._next:
             return []
         if offset > self._next:
@@ -66,7 +66,7 @@
         return ready
 
     def page(self, start: int) -> tuple[bytes, ...]:
-        """Return records from ``start`` on, at least one and at most a page of bytes."""
+        """Return records from ``start`` on: up to `PAGE_BYTES`, but at least one."""
         page: list[bytes] = []
         size = 0
         for offset in range(start, self._next):
--- a/src/citronrack/distribution/tree.py
+++ b/src/citronrack/distribution/tree.py
@@ -1,4 +1,4 @@
-"""Trees over the ranking of a zone's members."""
+"""Distribution trees over the ranking of a zone's members."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class Tree:
-    """Positions of this node and of others; follows changes of the members.
+    """Position of this node and of other members; updated when the members change.
 
-    Index i has the children 4i+1 to 4i+4. Each node can be the root: the tree of an origin is the
-    ranking with the origin moved to the front.
+    The node at index i has the children 4i+1 to 4i+4. Any node can be the root: the tree of an
+    origin is the ranking with the origin moved to the front.
 
     Args:
         own: Name of this node.
-        members: Returns the members of the own zone; the same tuple while nothing has changed.
+        members: Returns the members of the own zone; the same tuple until one changes.
     """
 
     def __init__(self, own: str, members: Callable[[], Sequence[Member]]) -> None:
@@ -34,7 +34,7 @@
 
     @property
     def ranking(self) -> list[Member]:
-        """The members in the order of the ranking."""
+        """The members in ranking order."""
         members = self._source()
         if members is not self._seen:
             self._seen = members
@@ -45,12 +45,12 @@
 
     @property
     def index(self) -> int:
-        """Position of this node in the ranking; the number of members when it is not in it."""
+        """Position of this node in the ranking, or the number of members if it is not in it."""
         return self._index_in(self.ranking)
 
     @property
     def is_relay(self) -> bool:
-        """Whether this node talks with other zones."""
+        """Whether this node exchanges messages with other zones."""
         return self.index < RELAYS
 
     def readers(self) -> list[str]:
@@ -64,13 +64,13 @@
         return address in self._by_address
 
     def children(self, origin: str | None = None) -> list[Member]:
-        """Return the members to which this node passes on what ``origin`` sent."""
+        """Return the members to which this node forwards messages of ``origin``."""
         order = self._order(origin)
         index = self._index_in(order)
         return order[FANOUT * index + 1 : FANOUT * index + 1 + FANOUT]
 
     def parent(self) -> Member | None:
-        """Return the member above this node in the tree of rank 0."""
+        """Return the parent of this node in the tree whose root is rank 0."""
         index = self._index_in(self.ranking)
         return self.ranking[(index - 1) // FANOUT] if 0 < index < len(self.ranking) else None
 
--- a/src/citronrack/membership/__init__.py
+++ b/src/citronrack/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Which nodes exist, as far as this node knows."""
+"""Membership of the mesh: failure detection, gossip and the members of other zones."""
 
 from __future__ import annotations
 
--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -1,4 +1,4 @@
-"""Finds out which members answer (SWIM with witnesses)."""
+"""Failure detection: SWIM, with a quorum of witnesses before a member is declared gone."""
 
 from __future__ import annotations
 
@@ -33,27 +33,27 @@
 PING_INTERVAL_S = 1.0
 INDIRECT_PINGS = 3
 NOTICE_PEERS = 8
-NOTICE_FORWARDS = 2  # each receiver passes a notice on once
+NOTICE_FORWARDS = 2  # each receiver forwards a notice once
 MAX_RECHECK_PINGS = 8
-OFFSET_QUERY_DELAY_S = 3.0  # a node that reads the log is ready before and needs no peer's offset
-OFFSET_QUERY_PINGS = 4  # per tick; a node that is not ready hears 233 members within about 15 s
-PAUSE_S = 1.5  # ticks come four times a second; a longer gap means that this node did not run
-ISOLATED_S = 3.0  # in a zone with two peers or more, some ping or ack arrives each second
-TOMBSTONE_S = 120.0  # longer than any update is on its way; afterwards the incarnation is kept
-MAX_SPREAD = 16  # larger differences are left to the repair of tables, which compresses them
-SETTLE_S = 5.0  # an update reaches a zone of 233 members in less time
+OFFSET_QUERY_DELAY_S = 3.0  # a node that reads the log is ready earlier, without these offsets
+OFFSET_QUERY_PINGS = 4  # per tick; collects the offsets of 233 members within about 15 s
+PAUSE_S = 1.5  # ticks run every 0.25 s; a longer gap means that this process was paused
+ISOLATED_S = 3.0  # with two or more peers, a ping or ack normally arrives every second
+TOMBSTONE_S = 120.0  # longer than any update is in transit; then only the incarnation is kept
+MAX_SPREAD = 16  # larger differences are left to table repair, which sends them compressed
+SETTLE_S = 5.0  # gossip reaches all of 233 members in less time
 
 
 class FailureDetector:
-    """Pings members and spreads their descriptions.
+    """Pings members, detects failed ones and gossips their descriptions.
 
     Args:
         table: Members of the own zone.
         clock: Source of time.
         random: Source of random numbers.
-        seeds: Addresses of nodes to ask, ``tcp://ip:port``.
-        observer: Told about the offsets of other nodes.
-        changed: Told about each member whose description or state has changed.
+        seeds: Addresses of nodes to join through, ``tcp://ip:port``.
+        observer: Receives the offsets of other nodes.
+        changed: Called with each member whose description or state has changed.
     """
 
     MESSAGES: tuple[type[Any], ...] = (
@@ -115,19 +115,19 @@
         self._joining.add_seeds(addresses)
 
     def leave(self) -> list[Send]:
-        """Leave for good; returns the notices to send."""
+        """Mark this node as gone and return the notices to send."""
         self._table.update_own(state=int(MemberState.GONE), draining=True, ready=False)
         return self._notices(self._table.own, NOTICE_PEERS)
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Handle a message of this core."""
+        """Handle a message of one of `MESSAGES`."""
         self._check_pause()
         self._last_received = self._clock.monotonic()
         self._members_at_last_message = len(self._table.members())
         return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
-        """Ping a member, follow up on silent ones, and spread changes of this node."""
+        """Ping the next member, process timeouts and announce changes of this node."""
         self._check_pause()
         if self._table.own.state == MemberState.GONE:
             return []
@@ -197,13 +197,13 @@
         self._on_member_changed(message.member)
         return self._notices(message.member, NOTICE_FORWARDS)
 
-    # Taking over what others say
+    # Merging received state
 
     def _process_payload(self, sender: str, message: Ping | Ack) -> list[Send]:
         self._merge_self_reported(message.member)
         effects = self._merge_updates(message.updates)
-        for claim in message.suspicions:
-            self._process_suspicion(claim)
+        for suspicion in message.suspicions:
+            self._process_suspicion(suspicion)
         settled = self._clock.monotonic() - self._last_change >= SETTLE_S
         effects += self._joining.compare(sender, message.table_digest, settled=settled)
         effects += self._observer.peer_observed(
@@ -212,23 +212,23 @@
         return effects
 
     def _merge_self_reported(self, member: Member) -> None:
-        """Take over what a member says about itself."""
+        """Merge the description that a member sent of itself."""
         if self._table.merge_self_reported(member):
             self._on_member_changed(member)
 
     def _merge_updates(self, updates: Sequence[Member]) -> list[Send]:
-        """Merge; members that others see alive and this node holds gone are pinged."""
+        """Merge updates, and ping members that peers report alive but this node has as gone."""
         changed = self._table.merge(updates)
         for member in changed:
             self._on_member_changed(member, spread=len(changed) <= MAX_SPREAD)
-        doubted = [
+        disputed = [
             member
             for member in updates
             if member.state != MemberState.GONE
             and member.name != self._table.own.name
             and self._table.tombstone_of(member) is not None
         ]
-        chosen = self._random.sample(doubted, min(MAX_RECHECK_PINGS, len(doubted)))
+        chosen = self._random.sample(disputed, min(MAX_RECHECK_PINGS, len(disputed)))
         return [self._untracked_ping(member) for member in chosen]
 
     def _on_member_changed(self, member: Member, *, spread: bool = True) -> None:
@@ -247,27 +247,27 @@
             self._gossip.spread(member)
         self._changed(member)
 
-    def _process_suspicion(self, claim: Suspicion, *, spread: bool = True) -> None:
-        if claim.name == self._table.own.name:
-            self._table.refute(claim.incarnation)
+    def _process_suspicion(self, suspicion: Suspicion, *, spread: bool = True) -> None:
+        if suspicion.name == self._table.own.name:
+            self._table.refute(suspicion.incarnation)
             return
-        member = self._table.get(claim.name)
+        member = self._table.get(suspicion.name)
         if member is None or member.state == MemberState.GONE:
             return
-        if claim.incarnation < member.incarnation:
+        if suspicion.incarnation < member.incarnation:
             return
-        if self._suspicions.add(claim, self._clock.monotonic()) and spread:
-            self._gossip.claim(claim)
-        changed = self._table.set_state(claim.name, claim.incarnation, MemberState.SUSPECT)
+        if self._suspicions.add(suspicion, self._clock.monotonic()) and spread:
+            self._gossip.spread_suspicion(suspicion)
+        changed = self._table.set_state(suspicion.name, suspicion.incarnation, MemberState.SUSPECT)
         if changed is not None:
             self._changed(changed)
 
     # Work of each tick
 
     def _check_pause(self) -> None:
-        """Drop what is outstanding when this node itself was paused.
+        """Discard outstanding probes after a pause of this process.
 
-        The answers may have come and gone meanwhile, so silence proves nothing.
+        Acks may have been lost during the pause, so a missing one is no evidence of a failure.
         """
         now = self._clock.monotonic()
         gap = now - self._last_run
@@ -278,12 +278,12 @@
             self._next_ping = now + PING_INTERVAL_S
 
     def _is_isolated(self) -> bool:
-        """Return whether this node hears nobody, so that its own links are the likely cause."""
+        """Return whether nothing is received at all, which points to a fault of the own links."""
         silent_s = self._clock.monotonic() - self._last_received
         return silent_s > ISOLATED_S and self._members_at_last_message > 2
 
     def _announce_own(self) -> list[Send]:
-        """Queue the own description after a change; a drain is told to some peers at once."""
+        """Gossip the own description after a change; a drain is also sent to some peers at once."""
         own, before = self._table.own, self._announced
         if own.incarnation == before.incarnation:
             return []
@@ -299,7 +299,7 @@
         return [Send(peer.address, DrainNotice(member)) for peer in chosen]
 
     def _ping_next(self, now: float) -> list[Send]:
-        """Ping the next member of a shuffled round, so that each is pinged once a round."""
+        """Ping the next member of a shuffled round, so that each is pinged once per round."""
         if not self._round:
             self._round = [member.name for member in self._peers()]
             self._random.shuffle(self._round)
@@ -312,14 +312,14 @@
         return []
 
     def _query_offsets(self) -> list[Send]:
-        """Ask members for their offsets; without the log, readiness depends on all of them."""
+        """Ping members with unknown offsets; without the log, readiness needs all offsets."""
         offsets = self._observer.peer_offsets()
-        unheard = [peer for peer in self._peers() if offsets.get(peer.name, 0) is None]
-        chosen = self._random.sample(unheard, min(OFFSET_QUERY_PINGS, len(unheard)))
+        unknown = [peer for peer in self._peers() if offsets.get(peer.name, 0) is None]
+        chosen = self._random.sample(unknown, min(OFFSET_QUERY_PINGS, len(unknown)))
         return [self._untracked_ping(member) for member in chosen]
 
     def _untracked_ping(self, member: Member) -> Send:
-        """Return a ping whose answer is not waited for; sequence numbers start at 1."""
+        """Return a ping whose ack is not awaited; tracked sequence numbers start at 1."""
         return Send(member.address, self._gossip.payload(0, about=member).to_message(Ping))
 
     def _process_timeouts(self, now: float) -> list[Send]:
@@ -338,42 +338,44 @@
         target = self._table.get(probe.name)
         if target is None:
             return []
-        able = [m for m in self._peers() if m.state == MemberState.ALIVE and m.name != probe.name]
-        chosen = self._random.sample(able, min(INDIRECT_PINGS, len(able)))
+        helpers = [
+            m for m in self._peers() if m.state == MemberState.ALIVE and m.name != probe.name
+        ]
+        chosen = self._random.sample(helpers, min(INDIRECT_PINGS, len(helpers)))
         probe.helpers_asked = len(chosen)
         request = PingRequest(sequence, target.name, target.address)
         return [Send(helper.address, request) for helper in chosen]
 
     def _suspect(self, probe: Probe) -> list[Send]:
-        """Claim that a member is silent, and tell it so that it can refute."""
+        """Suspect a member, and ping it so that it learns of the suspicion and can refute it."""
         member = self._table.get(probe.name)
         if member is None or member.state == MemberState.GONE:
             return []
         if member.incarnation != probe.incarnation:
             return []
         for witness in (self._table.own.name, *probe.witnesses):
-            claim = Suspicion(member.name, member.incarnation, witness)
-            self._process_suspicion(claim, spread=not self._is_isolated())
+            suspicion = Suspicion(member.name, member.incarnation, witness)
+            self._process_suspicion(suspicion, spread=not self._is_isolated())
         return [self._untracked_ping(member)]
 
     def _resolve_suspicions(self, now: float) -> list[Send]:
-        """Declare members gone; what a single witness says is not spread.
+        """Declare confirmed suspects gone; one with a single witness is only dropped here.
 
-        A node with bad links is the only witness against many members that are well.
+        A node with bad links would be the only witness against many healthy members.
         """
         effects: list[Send] = []
-        for case in self._suspicions.take_due(now):
-            if not case.confirmed:
-                self._forget(case.name)
+        for resolved in self._suspicions.take_due(now):
+            if not resolved.confirmed:
+                self._forget(resolved.name)
                 continue
-            member = self._table.set_state(case.name, case.incarnation, MemberState.GONE)
+            member = self._table.set_state(resolved.name, resolved.incarnation, MemberState.GONE)
             if member is not None:
                 self._on_member_changed(member)
                 effects += self._notices(member, NOTICE_PEERS)
         return effects
 
     def _forget(self, name: str) -> None:
-        """Drop a silent member; its address is contacted again, and others may still know it."""
+        """Drop an unconfirmed suspect; its address is contacted again, and peers may keep it."""
         member = self._table.get(name)
         if member is not None:
             self._joining.keep_address(member)
@@ -381,7 +383,7 @@
             self._changed(attrs.evolve(member, state=int(MemberState.GONE)))
 
     def _expire_tombstones(self, now: float) -> None:
-        """Drop tombstones after their time."""
+        """Drop tombstones older than `TOMBSTONE_S`."""
         due = [name for name, since in self._gone_at.items() if now >= since + TOMBSTONE_S]
         for name in due:
             del self._gone_at[name]
--- a/src/citronrack/membership/digests.py
+++ b/src/citronrack/membership/digests.py
@@ -1,4 +1,4 @@
-"""Digests by which two nodes find the entries in which their tables differ."""
+"""Digests that show in which buckets the tables of two nodes differ."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 
 @lru_cache(maxsize=8_192)
 def bucket_of(key: str) -> int:
-    """Return the bucket in which the entry of ``key`` is counted."""
+    """Return the bucket of the entry of ``key``."""
     return int(xxhash.xxh32_intdigest(key.encode())) % BUCKETS
 
 
 def differing(own: tuple[int, ...], other: tuple[int, ...]) -> frozenset[int]:
-    """Return the buckets with different digests; a malformed digest differs everywhere."""
+    """Return the buckets with different digests; all of them for a malformed digest."""
     if len(other) != BUCKETS:
         return frozenset(range(BUCKETS))
     pairs = zip(own, other, strict=True)
@@ -30,7 +30,7 @@
 
 
 class BucketDigests:
-    """Exclusive-or of entry hashes per bucket, kept up to date with each change."""
+    """Exclusive-or of the entry hashes per bucket, updated incrementally."""
 
     def __init__(self) -> None:
         self._buckets = [0] * BUCKETS
@@ -38,7 +38,7 @@
 
     @property
     def combined(self) -> int:
-        """Digest of all entries."""
+        """Digest of the entries of all buckets."""
         return self._whole
 
     @property
@@ -47,7 +47,7 @@
         return tuple(self._buckets)
 
     def toggle(self, key: str, rank: int) -> None:
-        """Add an entry, or remove it when it was added before."""
+        """Add an entry, or remove it if it is present."""
         value = entry_hash(key, rank)
         self._buckets[bucket_of(key)] ^= value
         self._whole ^= value
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -1,4 +1,4 @@
-"""Members of other zones."""
+"""Members and progress of other zones, exchanged between relays."""
 
 from __future__ import annotations
 
@@ -29,21 +29,21 @@
 FORGET_AFTER_S = 3_600.0
 PULL_INTERVAL_S = 1.0  # one page of 64 members a second bounds the bytes after a mass restart
 PAGE_MEMBERS = 64
-OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that try a seed or any member instead of a relay
+OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that may try a seed or any member
 MAX_ZONES = 64
-RELAY_DELAY_S = 5.0  # a starting node takes itself for rank 0 until it knows its zone
+RELAY_DELAY_S = 5.0  # a starting node ranks itself first until it knows its zone
 
 
 class ZoneDirectory:
-    """Exchanges compact descriptions of zones between relays and passes them on in the own zone.
+    """Exchanges summaries of zones with other relays and forwards them in the own zone.
 
     Args:
         table: Members of the own zone.
         clock: Source of time.
         random: Source of random numbers.
         seeds: Addresses of nodes of other zones by zone.
-        observer: Told about offsets; knows those of this node.
-        own_progress: Returns the progress of the own zone, for its name.
+        observer: Receives the offsets of other nodes and provides that of this node.
+        own_progress: Returns the progress of the own zone, given its name.
     """
 
     MESSAGES: tuple[type[Any], ...] = (ZoneGossip, ZonePull, ZoneSummary, DrainNotice)
@@ -83,14 +83,14 @@
             DrainNotice: self._on_notice,
         }
 
-    # What others ask
+    # Queries
 
     def zones(self) -> tuple[str, ...]:
         """Return the names of the other zones."""
         return tuple(sorted({*self._seeds, *self._views}))
 
     def members(self, availability_zone: str) -> tuple[RemoteMember, ...]:
-        """Return the members of another zone that are not gone; old entries are not `known`."""
+        """Return the members of another zone that are not gone; stale ones are not `known`."""
         view = self._views.get(availability_zone)
         if view is None:
             return ()
@@ -104,7 +104,7 @@
     def zone_progress(self) -> tuple[ZoneProgress, ...]:
         """Return the progress of each zone, the own one first.
 
-        A zone that was not heard for 30 s counts as unknown as a whole.
+        All members of a zone whose report is older than `UNKNOWN_AFTER_S` count as unknown.
         """
         if self._tree.index == 0:
             own = self._own_progress(self._own_zone)
@@ -123,14 +123,14 @@
         addresses = (self._address_in(zone) for zone in self.zones())
         return tuple(address for address in addresses if address is not None)
 
-    # Core
+    # Messages and ticks
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Handle a message of this core."""
+        """Handle a message of one of `MESSAGES`."""
         return self._handlers[type(message)](sender, message)
 
     def on_tick(self) -> list[Send]:
-        """Exchange with another zone, pass on, and tell other zones of an own drain."""
+        """Announce an own drain, request pages and exchange zone states when they are due."""
         now = self._clock.monotonic()
         effects = [*self._send_drain_notice(), *self._pull_next()]
         if now >= self._next_exchange:
@@ -144,19 +144,19 @@
         return effects
 
     def _send_to_zone(self) -> list[Send]:
-        """Rank 0 tells its children, who pass it on; rank 1 tells rank 0."""
+        """Send the zone states from rank 0 to its children, and from rank 1 to rank 0."""
         if not self._tree.is_relay:
             return []
         targets = self._tree.ranking[:1] if self._tree.index else self._tree.children()
-        heard = self._gossip(answer=False)
-        return [Send(member.address, heard) for member in targets]
+        gossip = self._gossip(answer=False)
+        return [Send(member.address, gossip) for member in targets]
 
     @property
     def _acts_as_relay(self) -> bool:
         return self._tree.is_relay and self._clock.monotonic() >= self._relay_from
 
     def _exchange(self) -> list[Send]:
-        """Send what is known to a relay of the next zone of a shuffled round."""
+        """Send the zone states to a relay of the next zone of a shuffled round."""
         if not self._acts_as_relay:
             return []
         if not self._round:
@@ -182,9 +182,9 @@
             effects.append(Send(sender, self._gossip(answer=False)))
         parent = self._tree.parent()
         if parent is not None and parent.address == sender:
-            heard = self._gossip(answer=False)
+            gossip = self._gossip(answer=False)
             targets = (child.address for child in self._tree.children())
-            effects += [Send(address, heard) for address in targets if address != sender]
+            effects += [Send(address, gossip) for address in targets if address != sender]
         return effects
 
     def _merge_state(self, sender: str, state: ZoneState) -> list[Send]:
@@ -207,7 +207,7 @@
         return self._pull_next()
 
     def _pull_next(self) -> list[Send]:
-        """Ask for a page of the next zone that differs, one zone after the other."""
+        """Request a page of the next differing zone, at most one per `PULL_INTERVAL_S`."""
         now = self._clock.monotonic()
         if now < self._next_pull or not self._pending_pulls:
             return []
@@ -264,7 +264,7 @@
     def _on_notice(self, sender: str, message: DrainNotice) -> list[Send]:
         member = message.member
         if member.availability_zone == self._own_zone:
-            return []  # the failure detector spreads it
+            return []  # the failure detector gossips it
         view = self._view(member.availability_zone)
         if view is None:
             return []
@@ -283,7 +283,7 @@
         )
 
     def _forward(self, message: Any, *, except_for: str) -> list[Send]:
-        """Send down the tree; a node that learned something elsewhere also tells the root."""
+        """Send down the tree, and to the root what came from outside the zone."""
         targets = [child.address for child in self._tree.children()]
         if self._tree.index > 0 and not self._tree.is_member(except_for):
             targets.append(self._tree.ranking[0].address)
@@ -322,7 +322,7 @@
         return progress_of(zone, view.report, names, age_s)
 
     def _address_in(self, zone: str) -> str | None:
-        """Return the address of a relay, or now and then of another node, of a zone."""
+        """Return the address of a relay of a zone, or at times of a seed or any member."""
         members = [member for member in self.members(zone) if member.known]
         relays = [member.summary.address for member in ranking(members)[:RELAYS]]
         others: Iterable[str] = self._seeds.get(zone, ())
--- a/src/citronrack/membership/gossip.py
+++ b/src/citronrack/membership/gossip.py
@@ -1,4 +1,4 @@
-"""What pings and acks carry besides the sign of life."""
+"""Gossip that pings and acks carry: member updates, suspicions and digests."""
 
 from __future__ import annotations
 
@@ -19,21 +19,21 @@
 
 
 class PeerObserver(Protocol):
-    """Learns how far other nodes are."""
+    """Tracks the log offsets of other nodes."""
 
     @property
     def offset(self) -> int:
-        """Next offset that this node folds."""
+        """Next offset to fold on this node."""
 
     @property
     def facts_digest(self) -> int:
         """Digest of this node's facts."""
 
     def peer_observed(self, address: str, *, offset: int, facts_digest: int) -> list[Send]:
-        """Compare with another node and return what to send."""
+        """Compare the state of a peer with the own one and return what to send."""
 
     def peer_offsets(self) -> dict[str, int | None]:
-        """Return the next offset of each other live member, None when not yet heard."""
+        """Return the next offset of each other live member, None while it is unknown."""
 
 
 @frozen
@@ -49,7 +49,7 @@
     table_digest: int
 
     def to_message(self, kind: Callable[..., Any]) -> Any:
-        """Return a message of class ``kind`` with these fields."""
+        """Return a message of class ``kind`` with this payload."""
         return kind(
             self.sequence,
             self.member,
@@ -62,12 +62,12 @@
 
 
 class Gossip:
-    """Queues updates and claims, and fills messages with them.
+    """Queues updates and suspicions, and adds them to pings and acks.
 
     Args:
         table: Members of the own zone.
-        suspicions: Open cases.
-        observer: Knows the offset and the facts of this node.
+        suspicions: Pending suspicions.
+        observer: Provides the offset and the facts digest of this node.
     """
 
     def __init__(
@@ -80,32 +80,34 @@
         self._suspicion_queue: PiggybackQueue[Suspicion] = PiggybackQueue()
 
     def spread(self, member: Member) -> None:
-        """Queue the description of a member."""
+        """Queue the description of a member for gossip."""
         self._updates.add(member.name, member)
 
-    def claim(self, suspicion: Suspicion) -> None:
-        """Queue a claim."""
+    def spread_suspicion(self, suspicion: Suspicion) -> None:
+        """Queue a suspicion for gossip."""
         self._suspicion_queue.add(f"{suspicion.name}/{suspicion.witness}", suspicion)
 
     def payload(self, sequence: int, *, about: Member) -> GossipPayload:
-        """Return the fields of a message to the member ``about``.
+        """Return the payload of a message to the member ``about``.
 
-        What is held against the receiver itself goes first, so that it can refute.
+        Its tombstone and the suspicions against it come first, so that it can refute them.
         """
         size = len(self._table.members())
         tombstone = self._table.tombstone_of(about)
         updates = self._updates.take(MAX_UPDATES, members=size)
         if tombstone is not None:
             updates = (tombstone, *updates[: MAX_UPDATES - 1])
-        claims = self._suspicion_queue.take(MAX_SUSPICIONS, members=size)
+        suspicions = self._suspicion_queue.take(MAX_SUSPICIONS, members=size)
         if about.name in self._suspicions:
-            claims = (*self._suspicions.suspicions_about(about.name), *claims)[:MAX_SUSPICIONS]
+            suspicions = (*self._suspicions.suspicions_about(about.name), *suspicions)[
+                :MAX_SUSPICIONS
+            ]
         return GossipPayload(
             sequence,
             self._table.own,
             tuple(m for m in updates if m.state != MemberState.SUSPECT),
             self._observer.offset,
             self._observer.facts_digest,
-            claims,
+            suspicions,
             self._table.digest.combined,
         )
--- a/src/citronrack/membership/joining.py
+++ b/src/citronrack/membership/joining.py
@@ -1,4 +1,4 @@
-"""Finds members at the start and after partitions, and repairs the table."""
+"""Joins the zone at startup and after partitions, and repairs the member table."""
 
 from __future__ import annotations
 
@@ -15,22 +15,22 @@
 
 PAGE_MEMBERS = 64
 NO_PEERS_RETRY_S = 1.0
-SEED_RETRY_S = 10.0  # two halves of a zone that lost each other meet again within about this time
+SEED_RETRY_S = 10.0  # the sides of a healed partition rejoin within about this time
 REPAIR_INTERVAL_S = 10.0
 REPAIR_SPREAD = 1.5
 STARTUP_S = 30.0
-STARTUP_REPAIR_INTERVAL_S = 2.0  # after a mass restart the first pages hold few members
+STARTUP_REPAIR_INTERVAL_S = 2.0  # after a mass restart the first pages list few members
 MAX_ADDRESSES = 64
 
 
 class Joining:
-    """Contacts seeds, hands out pages and compares tables.
+    """Contacts seeds, serves pages of the member table and compares tables by digest.
 
     Args:
         table: Members of the own zone.
         clock: Source of time.
         random: Source of random numbers.
-        seeds: Addresses of nodes to ask, ``tcp://ip:port``.
+        seeds: Addresses of nodes to join through, ``tcp://ip:port``.
     """
 
     def __init__(
@@ -46,17 +46,17 @@
         self._startup_until = clock.monotonic() + STARTUP_S
 
     def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Add addresses, for example those that the log lists."""
+        """Add addresses, for example those listed in the log."""
         self._seeds = tuple(dict.fromkeys((*self._seeds, *addresses)))[:MAX_ADDRESSES]
 
     def keep_address(self, member: Member) -> None:
-        """Keep the address of a member that is gone; it may only be out of reach."""
+        """Keep the address of a gone member, which may only be unreachable."""
         self._gone_addresses[member.name] = member.address
         while len(self._gone_addresses) > MAX_ADDRESSES:
             del self._gone_addresses[next(iter(self._gone_addresses))]
 
     def on_tick(self) -> list[Send]:
-        """Contact addresses outside the table when it is time."""
+        """Send a join to an address outside the table when the interval has passed."""
         now = self._clock.monotonic()
         if now < self._next_contact:
             return []
@@ -66,12 +66,12 @@
         live = {member.address for member in self._table.members()}
         known = dict.fromkeys((*self._seeds, *self._gone_addresses.values()))
         outside = [address for address in known if address not in live]
-        wanted = min(len(outside), 1)  # three seeds at once tripled the load on a seed
+        wanted = min(len(outside), 1)  # joining through three seeds tripled the load on each
         join = Join(self._table.own)
         return [Send(address, join) for address in self._random.sample(outside, wanted)]
 
     def answer_join(self, sender: str, message: Join) -> list[Send]:
-        """Answer a member that wants the table."""
+        """Return the requested page of the table and the tombstone of the sender, if any."""
         members = sorted(
             (m for m in self._table.members() if m.name > message.after), key=lambda m: m.name
         )
@@ -82,7 +82,7 @@
         return [Send(sender, MemberPage(self._table.own, pack_all(content), last))]
 
     def next_page(self, members: Iterable[Member], *, last: bool) -> list[Send]:
-        """Ask a random member for the next page, so that a herd does not load one seed."""
+        """Request the next page from a random member, so that mass restarts spread the load."""
         names = [m.name for m in members if m.state != MemberState.GONE]
         peers = self._peers()
         if last or not names or not peers:
@@ -90,12 +90,12 @@
         return [Send(self._random.choice(peers).address, Join(self._table.own, max(names)))]
 
     def compare(self, sender: str, table_digest: int, *, settled: bool) -> list[Send]:
-        """Ask for differences when a peer's table has another digest.
+        """Request the differences when the table digest of a peer differs.
 
         Args:
             sender: Address of the peer.
             table_digest: Digest of its table.
-            settled: Whether no updates are on their way that would explain the difference.
+            settled: Whether no updates are in transit that would explain the difference.
         """
         now = self._clock.monotonic()
         in_startup = now < self._startup_until
@@ -108,7 +108,7 @@
         return [Send(sender, TablePull(self._table.own, self._table.digest.buckets))]
 
     def answer_pull(self, sender: str, message: TablePull) -> list[Send]:
-        """Send the members of differing buckets, and ask back for what is missing here."""
+        """Send the members of differing buckets, and request the peer's members of these."""
         buckets = differing(self._table.digest.buckets, message.buckets)
         members = self._table.in_buckets(buckets)
         pages = [members[i : i + PAGE_MEMBERS] for i in range(0, len(members), PAGE_MEMBERS)]
--- a/src/citronrack/membership/member.py
+++ b/src/citronrack/membership/member.py
@@ -1,4 +1,4 @@
-"""One node and its target, as other nodes know them."""
+"""Description of a node and its target, as exchanged between nodes."""
 
 from __future__ import annotations
 
@@ -23,17 +23,17 @@
         name: Unique name of the node.
         address: ``tcp://ip:port`` for messages.
         call_address: ``ip:port`` for calls of callers.
-        deliver_address: ``ip:port`` for calls that other nodes pass on.
+        deliver_address: ``ip:port`` for calls forwarded by other nodes.
         availability_zone: Zone of the instance.
         service: Service of the target.
         service_version: Release of the target.
-        incarnation: Raised by the member itself with each change; the greater one wins.
+        incarnation: Raised by the member itself with each change; the greatest one wins.
         state: A value of `MemberState`.
         draining: Whether the target takes no new calls.
-        ready: Whether the node holds a configuration and serves calls.
+        ready: Whether the node has a configuration and serves calls.
         version: Configuration version in force, -1 for none.
-        load: Calls in flight or waiting at the target.
-        slots: Calls that the target runs at once.
+        load: Calls in flight or queued at the target.
+        slots: Calls that the target runs concurrently.
         reading: Whether the node can read the platform's log.
     """
 
--- a/src/citronrack/membership/messages.py
+++ b/src/citronrack/membership/messages.py
@@ -10,12 +10,12 @@
 
 @frozen
 class Suspicion:
-    """One node's claim that a member does not answer.
+    """Report of a witness that a member does not answer.
 
     Attributes:
-        name: The silent member.
-        incarnation: Its incarnation; a greater one refutes the claim.
-        witness: The node that got no answer.
+        name: The suspected member.
+        incarnation: Its incarnation; a greater one refutes the suspicion.
+        witness: Name of the node that got no ack.
     """
 
     name: str
@@ -26,15 +26,15 @@
 @message_codec.register("ping")
 @frozen
 class Ping:
-    """Asks a member for a sign of life.
+    """Probes a member and carries gossip.
 
     Attributes:
-        sequence: Number that the answer repeats.
+        sequence: Sequence number that the ack repeats.
         member: Description of the sender.
         updates: Descriptions of other members.
-        offset: Next offset that the sender folds.
+        offset: Next offset to fold on the sender.
         facts_digest: Digest of the sender's facts.
-        suspicions: Claims about silent members.
+        suspicions: Suspicions of members that do not answer.
         table_digest: Digest of the sender's member table.
     """
 
@@ -64,11 +64,11 @@
 @message_codec.register("ping-request")
 @frozen
 class PingRequest:
-    """Asks a member to ping another one.
+    """Asks a member for an indirect ping of another one.
 
     Attributes:
-        sequence: Number that the answer repeats.
-        target: Name of the silent member.
+        sequence: Sequence number that the answer repeats.
+        target: Name of the member to ping.
         address: Its address.
     """
 
@@ -83,7 +83,7 @@
     """Answers a `PingRequest`.
 
     Attributes:
-        sequence: Number of the request.
+        sequence: Sequence number of the request.
         witness: Name of the node that pinged.
         reached: Whether the target answered.
     """
@@ -96,11 +96,11 @@
 @message_codec.register("join")
 @frozen
 class Join:
-    """Asks for a page of the member table.
+    """Requests a page of the member table.
 
     Attributes:
         member: Description of the sender.
-        after: Members with greater names are wanted, in the order of names.
+        after: The page holds members with greater names, in the order of names.
     """
 
     member: Member
@@ -110,12 +110,12 @@
 @message_codec.register("member-page")
 @frozen
 class MemberPage:
-    """Answers `Join`.
+    """Answers `Join` with a page of the member table.
 
     Attributes:
         member: Description of the sender.
         packed: Compressed descriptions in the order of names.
-        last: Whether no member with a greater name is known.
+        last: Whether the sender knows no members with greater names.
     """
 
     member: Member
@@ -126,12 +126,12 @@
 @message_codec.register("table-pull")
 @frozen
 class TablePull:
-    """Asks for the members in which two tables differ.
+    """Requests the members in the differing buckets of two tables.
 
     Attributes:
         member: Description of the sender.
         buckets: Digests of the sender's table.
-        answer: Whether the receiver should ask back for what it lacks itself.
+        answer: Whether the receiver should request the sender's members as well.
     """
 
     member: Member
@@ -150,7 +150,7 @@
 @message_codec.register("drain-notice")
 @frozen
 class DrainNotice:
-    """Tells at once that a member takes no new work, or has left.
+    """Announces without delay that a member is draining, has left or was declared gone.
 
     Attributes:
         member: Description of the member.
--- a/src/citronrack/membership/packing.py
+++ b/src/citronrack/membership/packing.py
@@ -1,4 +1,4 @@
-"""Compressed lists of descriptions; names and addresses of a zone have much in common."""
+"""Compressed lists of descriptions; names and addresses of a zone compress well."""
 
 from __future__ import annotations
 
@@ -20,10 +20,9 @@
 
 
 def unpack_all(data: bytes, kind: type[T]) -> tuple[T, ...]:
-    """Return the instances of ``kind`` that ``data`` holds.
+    """Return the instances of ``kind`` in ``data``, none if it is malformed or too large.
 
-    The frame was authentic, so damage means a faulty release: nothing is returned then, as when
-    the bytes expand beyond the limit of a message.
+    The frame was authentic, so malformed data indicates a faulty release of the sender.
     """
     try:
         return _unpack(data, kind)
--- a/src/citronrack/membership/piggyback.py
+++ b/src/citronrack/membership/piggyback.py
@@ -1,4 +1,4 @@
-"""Updates that ride on pings and acks."""
+"""Queue of updates that are piggybacked on pings and acks."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class PiggybackQueue(Generic[T]):
-    """Hands out each item a bounded number of times, those sent the fewest times first."""
+    """Returns each item a bounded number of times, the least transmitted first."""
 
     def __init__(self) -> None:
         self._items: dict[str, tuple[int, T]] = {}
@@ -23,7 +23,7 @@
     def add(self, key: str, item: T) -> None:
         """Queue an item; a newer one under the same key replaces the older one."""
         self._items.pop(key, None)
-        if len(self._items) >= MAX_QUEUED:  # the table repair carries what is left out here
+        if len(self._items) >= MAX_QUEUED:  # table repair sends dropped items
             del self._items[max(self._items, key=lambda name: self._items[name][0])]
         self._items[key] = (0, item)
 
@@ -32,19 +32,19 @@
         self._items.pop(key, None)
 
     def take(self, limit: int, *, members: int) -> tuple[T, ...]:
-        """Return up to ``limit`` items and count them as sent once more.
+        """Return up to ``limit`` items and increment their transmission counts.
 
         Args:
-            limit: Largest number of items.
-            members: Size of the zone; decides how many times an item is sent.
+            limit: Maximum number of items.
+            members: Size of the zone, which determines the number of transmissions.
         """
-        most = max(1, math.ceil(TRANSMISSION_FACTOR * math.log2(max(2, members))))
+        max_transmissions = max(1, math.ceil(TRANSMISSION_FACTOR * math.log2(max(2, members))))
         chosen = sorted(self._items, key=lambda key: self._items[key][0])[:limit]
         taken = []
         for key in chosen:
             sent, item = self._items[key]
             taken.append(item)
-            if sent + 1 >= most:
+            if sent + 1 >= max_transmissions:
                 del self._items[key]
             else:
                 self._items[key] = (sent + 1, item)
--- a/src/citronrack/membership/probes.py
+++ b/src/citronrack/membership/probes.py
@@ -1,24 +1,24 @@
-"""Pings that wait for an answer."""
+"""Outstanding pings."""
 
 from __future__ import annotations
 
 from attrs import define, field
 
-ACK_TIMEOUT_S = 0.5  # round trips inside a zone take about 2 ms; the rest is for busy nodes
+ACK_TIMEOUT_S = 0.5  # round trips in a zone take about 2 ms; the rest allows for busy nodes
 PROBE_TIMEOUT_S = 1.25  # direct ping plus indirect pings
 RELAYED_PING_TIMEOUT_S = 0.5
 
 
 @define
 class Probe:
-    """One direct ping of this node and the indirect ones that follow it.
+    """A direct ping of this node and the indirect pings that follow it.
 
     Attributes:
-        name: The member that should answer.
-        incarnation: Its incarnation when it was pinged.
+        name: The pinged member.
+        incarnation: Its incarnation at that time.
         sent_at: Time of the direct ping.
-        asked: Number of members that were asked to ping it, None before that.
-        failed_helpers: Members that got no answer from it either.
+        helpers_asked: Number of members asked for an indirect ping, None before that.
+        failed_helpers: Members whose indirect ping failed as well.
     """
 
     name: str
@@ -29,10 +29,10 @@
 
     @property
     def witnesses(self) -> tuple[str, ...]:
-        """Members whose report counts.
+        """Helpers that count as witnesses.
 
-        When most of those that were asked do not report at all, the links of this node itself are
-        the likelier cause, and it stays the only witness.
+        When most helpers do not report at all, the links of this node are the likelier cause, and
+        it stays the only witness.
         """
         return (
             tuple(self.failed_helpers)
@@ -43,11 +43,11 @@
 
 @define
 class RelayedPing:
-    """A ping on behalf of another member.
+    """An indirect ping on behalf of another member.
 
     Attributes:
-        requester: Address of the member that asked.
-        sequence: Number of its request.
+        requester: Address of the requesting member.
+        sequence: Sequence number of its request.
         sent_at: Time of the ping.
     """
 
@@ -57,7 +57,7 @@
 
 
 class Probes:
-    """Outstanding probes and errands by sequence number."""
+    """Outstanding probes and relayed pings by sequence number."""
 
     def __init__(self) -> None:
         self._sequence = 0
@@ -65,7 +65,7 @@
         self._relayed_pings: dict[int, RelayedPing] = {}
 
     def start(self, entry: Probe | RelayedPing) -> int:
-        """Remember a ping and return its sequence number."""
+        """Track a ping and return its sequence number."""
         self._sequence += 1
         if isinstance(entry, Probe):
             self._probes[self._sequence] = entry
@@ -74,23 +74,23 @@
         return self._sequence
 
     def acknowledge(self, sequence: int) -> RelayedPing | None:
-        """Forget the ping that was answered; returns the errand that it belonged to, if any."""
+        """Drop an acknowledged ping and return it if it was a relayed one."""
         self._probes.pop(sequence, None)
         return self._relayed_pings.pop(sequence, None)
 
     def record_helper_failure(self, sequence: int, witness: str) -> None:
-        """Note that another member got no answer either."""
+        """Record that the indirect ping of ``witness`` failed."""
         probe = self._probes.get(sequence)
         if probe is not None and witness not in probe.failed_helpers:
             probe.failed_helpers.append(witness)
 
     def clear(self) -> None:
-        """Drop everything, because this node itself did not run."""
+        """Drop all outstanding pings."""
         self._probes.clear()
         self._relayed_pings.clear()
 
     def need_indirect_pings(self, now: float) -> list[tuple[int, Probe]]:
-        """Return the probes for which other members should be asked now."""
+        """Return the probes whose direct ping has timed out and that have no helpers yet."""
         return [
             (sequence, probe)
             for sequence, probe in self._probes.items()
@@ -98,12 +98,12 @@
         ]
 
     def take_failed(self, now: float) -> list[Probe]:
-        """Remove and return the probes without any answer."""
+        """Remove and return the probes that got neither a direct nor an indirect ack."""
         late = [s for s, p in self._probes.items() if now >= p.sent_at + PROBE_TIMEOUT_S]
         return [self._probes.pop(sequence) for sequence in late]
 
     def take_failed_relayed_pings(self, now: float) -> list[RelayedPing]:
-        """Remove and return the errands without an answer."""
+        """Remove and return the relayed pings that have timed out."""
         late = [
             s for s, e in self._relayed_pings.items() if now >= e.sent_at + RELAYED_PING_TIMEOUT_S
         ]
--- a/src/citronrack/membership/remote.py
+++ b/src/citronrack/membership/remote.py
@@ -1,4 +1,4 @@
-"""Members of other zones, as their relays describe them."""
+"""Members of other zones, as described by their relays."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @frozen
 class MemberSummary:
-    """What other zones need to know of a member; field meanings as in `Member`."""
+    """Description of a member for other zones; the fields have the meanings of `Member`."""
 
     name: str
     address: str
@@ -34,9 +34,9 @@
 
     Attributes:
         availability_zone: Its zone.
-        summary: What its relays said.
-        age_s: Seconds since a relay of its zone confirmed this.
-        known: Whether that is recent; otherwise its state is unknown, not gone.
+        summary: Its latest summary.
+        age_s: Seconds since a relay of its zone confirmed the summary.
+        known: Whether the summary is recent; otherwise the state is unknown, which is not gone.
     """
 
     availability_zone: str
@@ -51,7 +51,7 @@
 
     @property
     def state(self) -> int:
-        """A value of `MemberState`; suspicions stay within a zone."""
+        """A value of `MemberState`; suspicions are not sent to other zones."""
         return int(MemberState.GONE if self.summary.gone else MemberState.ALIVE)
 
     @property
--- a/src/citronrack/membership/suspicions.py
+++ b/src/citronrack/membership/suspicions.py
@@ -1,4 +1,4 @@
-"""Which members are under suspicion, and when that becomes final."""
+"""Pending suspicions, and when they are resolved."""
 
 from __future__ import annotations
 
@@ -7,19 +7,19 @@
 from .messages import Suspicion
 
 WITNESS_QUORUM = 2
-CONFIRM_S = 1.0  # time that a suspected member has to refute once two witnesses agree
-SINGLE_WITNESS_TIMEOUT_S = 8.0  # with a single witness
+CONFIRM_S = 1.0  # time for a suspect to refute once the quorum is reached
+SINGLE_WITNESS_TIMEOUT_S = 8.0
 MAX_WITNESSES = 4
 
 
 @frozen
 class ResolvedSuspicion:
-    """A case that is decided.
+    """A suspicion whose time to refute has passed.
 
     Attributes:
-        name: The silent member.
+        name: The suspected member.
         incarnation: Its incarnation.
-        agreed: Whether two witnesses agree.
+        confirmed: Whether the quorum of witnesses was reached.
     """
 
     name: str
@@ -36,10 +36,10 @@
 
 
 class Suspicions:
-    """Open cases of silent members.
+    """Pending suspicions by member.
 
-    Only a witness closes a case after `CONFIRM_S`. Nodes that merely heard of it wait for the
-    result or for the full timeout, because the refutation may still be on its way to them.
+    Only a witness resolves a suspicion after `CONFIRM_S`. Other nodes wait for its result or for
+    `SINGLE_WITNESS_TIMEOUT_S`, because a refutation may still be in transit to them.
 
     Args:
         own: Name of this node.
@@ -52,54 +52,59 @@
     def __contains__(self, name: object) -> bool:
         return name in self._pending
 
-    def add(self, claim: Suspicion, now: float) -> bool:
-        """Count a claim; returns whether it was new."""
-        case = self._pending.get(claim.name)
-        if case is None or case.incarnation < claim.incarnation:
-            case = self._pending[claim.name] = _PendingSuspicion(claim.incarnation, now)
-        outdated = case.incarnation > claim.incarnation
-        if outdated or claim.witness in case.witnesses or len(case.witnesses) >= MAX_WITNESSES:
+    def add(self, suspicion: Suspicion, now: float) -> bool:
+        """Record a suspicion and return whether its witness is new."""
+        pending = self._pending.get(suspicion.name)
+        if pending is None or pending.incarnation < suspicion.incarnation:
+            pending = self._pending[suspicion.name] = _PendingSuspicion(suspicion.incarnation, now)
+        outdated = pending.incarnation > suspicion.incarnation
+        if (
+            outdated
+            or suspicion.witness in pending.witnesses
+            or len(pending.witnesses) >= MAX_WITNESSES
+        ):
             return False
-        if claim.witness:
-            case.witnesses[claim.witness] = None
-        if len(case.witnesses) >= WITNESS_QUORUM and case.confirmed_at is None:
-            case.confirmed_at = now
+        if suspicion.witness:
+            pending.witnesses[suspicion.witness] = None
+        if len(pending.witnesses) >= WITNESS_QUORUM and pending.confirmed_at is None:
+            pending.confirmed_at = now
         return True
 
     def suspicions_about(self, name: str) -> tuple[Suspicion, ...]:
-        """Return the claims about one member."""
-        case = self._pending.get(name)
-        if case is None:
+        """Return one suspicion per witness against a member."""
+        pending = self._pending.get(name)
+        if pending is None:
             return ()
-        return tuple(Suspicion(name, case.incarnation, witness) for witness in case.witnesses)
+        return tuple(Suspicion(name, pending.incarnation, witness) for witness in pending.witnesses)
 
     def clear(self, name: str, incarnation: int) -> None:
-        """Drop a case that a greater incarnation refuted."""
-        case = self._pending.get(name)
-        if case is not None and incarnation > case.incarnation:
+        """Drop a suspicion that a greater incarnation refutes."""
+        pending = self._pending.get(name)
+        if pending is not None and incarnation > pending.incarnation:
             del self._pending[name]
 
     def drop(self, name: str) -> None:
-        """Drop a case in any event."""
+        """Drop the suspicion of a member regardless of its incarnation."""
         self._pending.pop(name, None)
 
     def shift(self, seconds: float) -> None:
-        """Extend all cases by the time during which this node itself did not run."""
-        for case in self._pending.values():
-            case.since += seconds
-            if case.confirmed_at is not None:
-                case.confirmed_at += seconds
+        """Extend all suspicions by the time for which this process was paused."""
+        for pending in self._pending.values():
+            pending.since += seconds
+            if pending.confirmed_at is not None:
+                pending.confirmed_at += seconds
 
     def take_due(self, now: float) -> list[ResolvedSuspicion]:
-        """Remove and return the cases that are decided."""
-        due = [name for name, case in self._pending.items() if self._is_due(case, now)]
-        cases = [(name, self._pending.pop(name)) for name in due]
+        """Remove and return the suspicions that are resolved."""
+        due = [name for name, pending in self._pending.items() if self._is_resolved(pending, now)]
+        resolved = [(name, self._pending.pop(name)) for name in due]
         return [
-            ResolvedSuspicion(name, c.incarnation, c.confirmed_at is not None) for name, c in cases
+            ResolvedSuspicion(name, c.incarnation, c.confirmed_at is not None)
+            for name, c in resolved
         ]
 
-    def _is_due(self, case: _PendingSuspicion, now: float) -> bool:
-        if now >= case.since + SINGLE_WITNESS_TIMEOUT_S:
+    def _is_resolved(self, pending: _PendingSuspicion, now: float) -> bool:
+        if now >= pending.since + SINGLE_WITNESS_TIMEOUT_S:
             return True
-        confirmed = case.confirmed_at is not None and now >= case.confirmed_at + CONFIRM_S
-        return confirmed and self._own in case.witnesses
+        confirmed = pending.confirmed_at is not None and now >= pending.confirmed_at + CONFIRM_S
+        return confirmed and self._own in pending.witnesses
--- a/src/citronrack/membership/table.py
+++ b/src/citronrack/membership/table.py
@@ -36,14 +36,14 @@
 
     @property
     def digest(self) -> BucketDigests:
-        """Digests over name and incarnation of the members that are not gone."""
+        """Digests of name and incarnation of the members that are not gone."""
         return self._digest
 
     def update_own(self, **changes: Any) -> Member:
         """Change the own description and return it.
 
-        ``load`` and ``version`` change often. They raise no incarnation and are not spread by
-        other members: they travel only in this node's own pings and acks.
+        ``load`` and ``version`` change often. They do not raise the incarnation and are not
+        gossiped by other members; only this node's own pings and acks carry them.
         """
         changed = {name: value for name, value in changes.items() if value != self._value(name)}
         if not changed:
@@ -55,11 +55,11 @@
         return self._own
 
     def get(self, name: str) -> Member | None:
-        """Return the member called ``name``, gone ones included."""
+        """Return the member called ``name``, including one that is gone."""
         return self._members.get(name)
 
     def members(self) -> tuple[Member, ...]:
-        """Return the members that are not gone, this node included.
+        """Return the members that are not gone, including this node.
 
         The same tuple is returned until a member changes, so that callers can cache by identity.
         """
@@ -69,19 +69,19 @@
         return self._live
 
     def all_members(self) -> tuple[Member, ...]:
-        """Return all members, those that are gone included."""
+        """Return all members, including those that are gone."""
         return tuple(self._members.values())
 
     def in_buckets(self, buckets: frozenset[int]) -> tuple[Member, ...]:
-        """Return all members, gone ones included, that are counted in some digest buckets."""
+        """Return all members in some digest buckets, including those that are gone."""
         return tuple(m for m in self._members.values() if bucket_of(m.name) in buckets)
 
     def merge(self, updates: Iterable[Member]) -> list[Member]:
-        """Take over newer descriptions and return those that changed something."""
+        """Merge newer descriptions and return those that changed the table."""
         return [update for update in updates if self._merge_one(update)]
 
     def merge_self_reported(self, member: Member) -> bool:
-        """Take over what a member says about itself, volatile fields included.
+        """Merge the description that a member sent of itself, including volatile fields.
 
         Returns:
             Whether the description is new to this node.
@@ -105,24 +105,24 @@
         return changed if self._merge_one(changed) else None
 
     def tombstone_of(self, member: Member) -> Member | None:
-        """Return the description that tells ``member`` that it was declared gone here."""
+        """Return the tombstone to send to ``member``, None when it is not declared gone here."""
         known = self._members.get(member.name)
         if known is not None and known.state == MemberState.GONE:
             return known if known.incarnation >= member.incarnation else None
-        buried = self._dropped_incarnations.get(member.name, -1)
-        if known is not None or buried < member.incarnation:
+        dropped = self._dropped_incarnations.get(member.name, -1)
+        if known is not None or dropped < member.incarnation:
             return None
-        return attrs.evolve(member, state=int(MemberState.GONE), incarnation=buried)
+        return attrs.evolve(member, state=int(MemberState.GONE), incarnation=dropped)
 
     def refute(self, incarnation: int) -> None:
-        """Outbid what others say about this node in ``incarnation``, unless it has left."""
+        """Raise the own incarnation above ``incarnation``, unless this node has left."""
         if incarnation < self._own.incarnation or self._own.state == MemberState.GONE:
             return
         self._own = attrs.evolve(self._own, incarnation=incarnation + 1)
         self._store(self._own)
 
     def forget(self, name: str) -> None:
-        """Drop a member without holding anything against it."""
+        """Drop a member without a tombstone, so that any incarnation adds it again."""
         known = self._members.get(name)
         if known is None or name == self._own.name:
             return
@@ -132,7 +132,7 @@
         self._live = None
 
     def drop_tombstone(self, name: str) -> None:
-        """Drop a gone member; only a greater incarnation brings it back."""
+        """Drop the tombstone of a member; only a greater incarnation adds the member again."""
         known = self._members.get(name)
         if known is None or known.state != MemberState.GONE:
             return
--- a/src/citronrack/membership/zones.py
+++ b/src/citronrack/membership/zones.py
@@ -1,4 +1,4 @@
-"""Messages about whole zones, and what a node holds of another zone."""
+"""Messages about zones, and the view of another zone."""
 
 from __future__ import annotations
 
@@ -11,23 +11,23 @@
 from .digests import BucketDigests, bucket_of
 from .remote import MemberSummary
 
-REPORTED_NAMES = 4  # these travel for all zones in each message
+REPORTED_NAMES = 4  # each message carries these names for all zones
 UNCONFIRMED_S = 10.0  # two relays of a zone may differ for some seconds
 
 
 @frozen
 class ZoneReport:
-    """Progress of a zone as its root reported it.
+    """Progress of a zone, as reported by the root of its tree.
 
     Attributes:
-        lowest: Version in force on each node that was heard.
-        covered: Number of nodes that were heard.
+        lowest: Lowest version reported by a node.
+        covered: Number of nodes that reported.
         total: Number of members.
         behind: Names of nodes below the highest version.
-        exact: Whether the nodes that were heard are exactly the members.
-        highest: Highest version that was reported.
+        exact: Whether exactly the members have reported.
+        highest: Highest version reported by a node.
         at_highest: Number of nodes that reported it.
-        unheard: Names of members that were not heard.
+        unreported: Names of members that have not reported.
     """
 
     lowest: int
@@ -41,7 +41,7 @@
 
 
 def report_of(progress: ZoneProgress) -> ZoneReport:
-    """Return the form in which a root tells the progress of its zone."""
+    """Return the report that the root sends to other zones."""
     return ZoneReport(
         progress.lowest,
         progress.covered,
@@ -57,12 +57,12 @@
 def progress_of(
     availability_zone: str, report: ZoneReport, names: Sequence[str], age_s: float
 ) -> ZoneProgress:
-    """Return the progress that a report means; members that it did not count are unknown.
+    """Return the progress of a zone; known members that the report does not count are unknown.
 
     Args:
         availability_zone: The zone.
-        report: What the zone's root said.
-        names: Members that this node knows.
+        report: Report of the zone's root.
+        names: Members known to this node.
         age_s: Age of the report.
     """
     return ZoneProgress(
@@ -81,7 +81,7 @@
 
 @frozen
 class ZoneState:
-    """Short form of what a node knows of a zone.
+    """Digest and progress of a zone, as known to the sender.
 
     Attributes:
         availability_zone: The zone.
@@ -101,14 +101,14 @@
 @message_codec.register("zone-heard")
 @frozen
 class ZoneGossip:
-    """What a node knows of all zones; sent between relays and down the tree.
+    """States of all zones known to the sender; sent between relays and down the tree.
 
     Attributes:
         availability_zone: Zone of the sender.
-        states: One entry per zone that was heard lately.
-        offset: Next offset that the sender folds.
+        states: One entry per zone with a recent state.
+        offset: Next offset to fold on the sender.
         facts_digest: Digest of the sender's facts.
-        answer: Whether the receiver should answer with the same message.
+        answer: Whether the receiver should reply with its own states.
     """
 
     availability_zone: str
@@ -121,7 +121,7 @@
 @message_codec.register("zone-pull")
 @frozen
 class ZonePull:
-    """Asks for the members of a zone in which two nodes differ."""
+    """Requests the members in the buckets of a zone that differ between two nodes."""
 
     availability_zone: str
     buckets: tuple[int, ...]
@@ -135,8 +135,8 @@
     Attributes:
         availability_zone: The zone.
         age_ms: Milliseconds since a relay of the zone confirmed this.
-        buckets: Parts of the zone that are complete in this message; empty for a mere change.
-        equal: Parts of the zone in which the receiver's digests were right.
+        buckets: Buckets that are complete in this message, empty for an incremental update.
+        equal: Buckets in which the digests of sender and receiver are equal.
         packed: Compressed `MemberSummary` entries.
     """
 
@@ -177,11 +177,11 @@
         return [(e.summary, max(e.as_of, self.as_of)) for e in self._entries.values()]
 
     def in_buckets(self, buckets: frozenset[int]) -> list[MemberSummary]:
-        """Return the members of some parts."""
+        """Return the members in some buckets."""
         return [e.summary for name, e in self._entries.items() if bucket_of(name) in buckets]
 
     def merge(self, summaries: Iterable[MemberSummary], as_of: float) -> list[MemberSummary]:
-        """Take over newer descriptions and return those that changed something."""
+        """Merge newer summaries and return those that changed the view."""
         changed = []
         for summary in summaries:
             known = self._entries.get(summary.name)
@@ -193,13 +193,13 @@
         return changed
 
     def confirm(self, buckets: frozenset[int], as_of: float) -> None:
-        """Note that the members of some parts were right at a time."""
+        """Record that the members in some buckets were current at ``as_of``."""
         for name, entry in self._entries.items():
             if bucket_of(name) in buckets:
                 entry.as_of = max(entry.as_of, as_of)
 
     def drop_missing(self, buckets: frozenset[int], names: frozenset[str], as_of: float) -> None:
-        """Drop members that a complete description no longer lists."""
+        """Drop members of complete buckets that are no longer listed in them."""
         for name, entry in list(self._entries.items()):
             if bucket_of(name) not in buckets or name in names:
                 continue
@@ -207,7 +207,7 @@
                 self._remove(name)
 
     def drop_older(self, limit: float) -> None:
-        """Drop gone members, and others that nobody has confirmed since ``limit``."""
+        """Drop members, gone ones included, that were last confirmed before ``limit``."""
         for summary, as_of in self.entries():
             if as_of < limit:
                 self._remove(summary.name)
--- a/src/citronrack/node/__init__.py
+++ b/src/citronrack/node/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon: tasks, readiness, status and the composition root."""
+"""The node process: tasks, readiness, status and the composition root."""
--- a/src/citronrack/node/append_task.py
+++ b/src/citronrack/node/append_task.py
@@ -1,4 +1,4 @@
-"""The append task: the only writer of this process."""
+"""The append task: the only writer to the log in this process."""
 
 from __future__ import annotations
 
@@ -23,18 +23,18 @@
 class _Job:
     write: Callable[[float], Appended]
     deadline: float
-    answer: Future[Appended]
+    future: Future[Appended]
 
 
 class AppendTask:
-    """Appends bodies one after the other, so that a writer has one append outstanding.
+    """Appends records sequentially, so that a writer has at most one append outstanding.
 
-    Each future is done within the appender's limit after it was submitted, whatever the log does:
-    a job that waited too long in the queue is refused without being sent. Appends of operators go
-    before those of the node itself.
+    Each future completes within the appender's limit after its submission, even if the log does
+    not answer: a job that was queued for too long is refused without being sent. Appends of
+    operators take precedence over those of the node itself.
 
     Args:
-        appender: Owned by this task.
+        appender: Access to the log, used by this task only.
         clock: Source of time for the limit.
         stopping: Set when the process stops; the appender's ``sleep`` should be its ``wait``.
 
@@ -73,23 +73,23 @@
 
         Args:
             body: One of the record classes.
-            urgent: Whether an operator waits for it.
+            urgent: Whether an operator waits for the result.
         """
-        return self._put(lambda limit_s: self._appender.append(body, limit_s=limit_s), urgent)
+        return self._enqueue(lambda limit_s: self._appender.append(body, limit_s=limit_s), urgent)
 
     def submit_snapshot(self, data: bytes) -> Future[Appended]:
         """Queue a snapshot; the future raises `AppendUnknown` or `AppendRefused`."""
-        return self._put(
+        return self._enqueue(
             lambda limit_s: self._appender.append_snapshot(data, limit_s=limit_s), False
         )
 
     def submit_and_post(self, body: Any, mailbox: Mailbox) -> None:
         """Queue a record body and post the result to ``mailbox`` as `AppendDone`."""
 
-        def post(answer: Future[Appended]) -> None:
-            error = answer.exception()
+        def post(future: Future[Appended]) -> None:
+            error = future.exception()
             if error is None:
-                mailbox.put(AppendDone(body, AppendFate.APPENDED, answer.result().offset))
+                mailbox.put(AppendDone(body, AppendFate.APPENDED, future.result().offset))
                 return
             refused = isinstance(error, AppendRefused)
             fate = AppendFate.REFUSED if refused else AppendFate.UNKNOWN
@@ -100,14 +100,14 @@
     def submit_snapshot_and_post(self, data: bytes, mailbox: Mailbox) -> None:
         """Queue a snapshot and post the result to ``mailbox`` as `SnapshotDone`."""
 
-        def post(answer: Future[Appended]) -> None:
-            failed = answer.exception() is not None
-            mailbox.put(SnapshotDone(None if failed else answer.result().offset))
+        def post(future: Future[Appended]) -> None:
+            failed = future.exception() is not None
+            mailbox.put(SnapshotDone(None if failed else future.result().offset))
 
         self.submit_snapshot(data).add_done_callback(post)
 
     def run(self) -> None:
-        """Append until `stop` is called, then refuse what is still queued."""
+        """Append until `stop` is called, then refuse the remaining jobs."""
         while True:
             with self._changed:
                 self._changed.wait_for(lambda: self._stopping.is_set() or self._has_jobs())
@@ -120,29 +120,29 @@
             job = self._next_job()
         if job is None:
             return False
-        if job.answer.set_running_or_notify_cancel():
+        if job.future.set_running_or_notify_cancel():
             self._finish(job)
         return True
 
     def stop(self) -> None:
-        """Let `run` return; queued jobs are refused, as they were never sent."""
+        """Make `run` return; queued jobs are refused, as they were never sent."""
         with self._changed:
             self._stopping.set()
             self._changed.notify_all()
 
-    def _put(self, write: Callable[[float], Appended], urgent: bool) -> Future[Appended]:
-        answer: Future[Appended] = Future()
+    def _enqueue(self, write: Callable[[float], Appended], urgent: bool) -> Future[Appended]:
+        future: Future[Appended] = Future()
         deadline = self._clock.monotonic() + self._appender.limit_s
         with self._changed:
             jobs = self._urgent if urgent else self._background
             full = len(jobs) >= MAX_QUEUED
             if not full and not self._stopping.is_set():
-                jobs.append(_Job(write, deadline, answer))
+                jobs.append(_Job(write, deadline, future))
                 self._changed.notify_all()
-                return answer
+                return future
         reason = "too many appends are waiting" if full else "the node is stopping"
-        answer.set_exception(AppendRefused(f"the record is not in the log: {reason}"))
-        return answer
+        future.set_exception(AppendRefused(f"the record is not in the log: {reason}"))
+        return future
 
     def _has_jobs(self) -> bool:
         return bool(self._urgent or self._background)
@@ -155,11 +155,11 @@
 
     def _finish(self, job: _Job) -> None:
         try:
-            job.answer.set_result(self._write(job))
+            job.future.set_result(self._write(job))
         except CitronrackError as error:
-            job.answer.set_exception(error)
-        except Exception as error:  # A fault of one record must not end the only writer.
-            job.answer.set_exception(AppendUnknown(f"the append failed: {error!r}"))
+            job.future.set_exception(error)
+        except Exception as error:  # an error of one record must not end the only writer
+            job.future.set_exception(AppendUnknown(f"the append failed: {error!r}"))
 
     def _write(self, job: _Job) -> Appended:
         if self._stopping.is_set():
--- a/src/citronrack/node/capacity.py
+++ b/src/citronrack/node/capacity.py
@@ -1,4 +1,4 @@
-"""What a node knows about the targets of each service version."""
+"""Capacity of the targets of each service version, as known to a node."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @frozen
 class CapacityTable:
-    """Capacity at one moment; safe to hand to other threads.
+    """Immutable capacity of all service versions; safe to share between threads.
 
     Attributes:
         entries: Capacity by service and service version.
@@ -21,12 +21,12 @@
     entries: Mapping[tuple[str, str], Capacity]
 
     def __call__(self, service: str, service_version: str) -> Capacity:
-        """Return the capacity of a service version, empty when no target announces it."""
+        """Return the capacity of a service version, zero when no target announces it."""
         return self.entries.get((service, service_version), Capacity(targets=0))
 
 
 class MeshCapacity:
-    """Answers what is known about the targets of a service version.
+    """Computes the capacity of service versions from the members of all zones.
 
     Args:
         table: Members of the own zone.
@@ -38,15 +38,15 @@
         self._directory = directory
 
     def __call__(self, service: str, service_version: str) -> Capacity:
-        """Return the live targets of ``service_version``, in all zones that are heard."""
+        """Return the capacity of the live targets of ``service_version`` in all reachable zones."""
         wanted = (service, service_version)
         own = [m for m in self._table.members() if (m.service, m.service_version) == wanted]
         alive = [m for m in own if m.state == MemberState.ALIVE and not m.draining]
         remote = [
-            known.summary
+            member.summary
             for zone in self._directory.zones()
-            for known in self._directory.members(zone)
-            if known.known and not known.summary.gone and not known.summary.draining
+            for member in self._directory.members(zone)
+            if member.known and not member.summary.gone and not member.summary.draining
         ]
         others = [s for s in remote if (s.service, s.service_version) == wanted]
         return Capacity(
@@ -59,6 +59,6 @@
         """Return the capacity of each service version that a live target announces."""
         names = {(m.service, m.service_version) for m in self._table.members()}
         for zone in self._directory.zones():
-            for known in self._directory.members(zone):
-                names.add((known.summary.service, known.summary.service_version))
+            for member in self._directory.members(zone):
+                names.add((member.summary.service, member.summary.service_version))
         return CapacityTable({name: self(*name) for name in names})
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -54,26 +54,26 @@
 
 
 class Gateway:
-    """Turns API requests into messages to the tasks."""
+    """Translates API requests into messages to the tasks."""
 
     def __init__(self, mailbox: Mailbox, append_task: AppendTask) -> None:
         self._mailbox = mailbox
         self._append_task = append_task
 
     def status(self) -> Future[MeshStatus]:
-        """Ask for the status."""
+        """Request the status."""
         answer: Future[MeshStatus] = Future()
         self._mailbox.put(StatusAsked(answer))
         return answer
 
     def state(self) -> Future[FoldState]:
-        """Ask for the folded log."""
+        """Request the folded state."""
         answer: Future[FoldState] = Future()
         self._mailbox.put(StateAsked(answer))
         return answer
 
     def capacity(self) -> Future[CapacityTable]:
-        """Ask which targets are announced."""
+        """Request the capacity of the announced targets."""
         answer: Future[CapacityTable] = Future()
         self._mailbox.put(CapacityAsked(answer))
         return answer
@@ -122,7 +122,7 @@
         self._futures: list[Future[Any]] = []
 
     def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        """Run until SIGTERM or SIGINT, then stop gracefully."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._stop_requested.set())
         self.start()
@@ -139,11 +139,11 @@
         self._events.write(Event.NODE_STARTED, zone=self._settings.node.availability_zone)
 
     def stop(self) -> None:
-        """Drain, then end all tasks."""
+        """Drain, then stop all tasks."""
         self._events.write(Event.NODE_STOPPING)
         self._control.mailbox.put(DrainAsked())
-        # Calls go on being served until all routers can know: refusing half of the calls of a
-        # two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
+        # Calls are served until all routers have received the drain notice: refusing half of the
+        # calls of a two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
         threading.Event().wait(NOTICE_S)
         limit_s = self._settings.calls.drain_limit_s
         self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
@@ -167,7 +167,7 @@
 
 
 def compose(settings: Settings) -> Node:
-    """Return a node with all its parts; sockets are open, no task runs yet."""
+    """Return a wired node; its sockets are open, and no task has been started."""
     clock = SystemClock()
     random: Random = SystemRandom()
     events = EventLog(node=settings.node.name, level=settings.telemetry.level)
@@ -287,7 +287,7 @@
 
 
 def _make_application(settings: Settings, gateway: Gateway, events: EventLog) -> IntentApi:
-    """Return the intent API; imported late because most nodes never serve a request of it."""
+    """Return the intent API; imported lazily because most nodes never serve a request of it."""
     from ..api.app import create_app
 
     return create_app(
@@ -305,7 +305,7 @@
 
 
 def _own_member(settings: Settings, incarnation: int) -> Member:
-    """Return the description of this node; wall time makes a restart's incarnation greater."""
+    """Return the own description; wall time as incarnation grows over restarts."""
     return Member(
         name=settings.node.name,
         address=f"tcp://{settings.node.peer_address}",
--- a/src/citronrack/node/control.py
+++ b/src/citronrack/node/control.py
@@ -1,4 +1,4 @@
-"""The control task: owns the peer sockets and runs the node's core."""
+"""The control task, which owns the peer sockets and runs the core of the node."""
 
 from __future__ import annotations
 
@@ -16,10 +16,10 @@
 
 
 class ControlTask(CoreTask):
-    """Runs a node's core and tells it and its metrics how the transport fares.
+    """Runs the core of a node, and reports the transport counters in status and metrics.
 
     Args:
-        core: The decisions.
+        core: The core to run.
         transport: Sockets to other nodes.
         mailbox: Messages of other tasks.
         clock: Source of time.
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -1,4 +1,4 @@
-"""All decisions of a node's control task, without sockets, threads or real time."""
+"""The core of a node: all decisions of the control task, without I/O, threads or real time."""
 
 from __future__ import annotations
 
@@ -54,15 +54,15 @@
 
 @define
 class CoreParts:
-    """What the core works with; wired by the composition root.
+    """Dependencies of the core; wired by the composition root.
 
     Attributes:
         clock: Source of time.
-        events: Where log events go.
-        metrics: Where metrics go.
+        events: Receives log events.
+        metrics: Receives metrics.
         table: Members of the own zone.
         views: Receives the routing view.
-        own_load: Returns the number of calls in flight or waiting at the own target.
+        own_load: Returns the number of calls in flight or queued at the own target.
         duties: Leases and snapshots.
         detector: Failure detection.
         distribution: Distribution of records.
@@ -84,11 +84,11 @@
 
 
 class NodeCore:
-    """Folds the log, keeps membership and decides what is in force.
+    """Folds the log, maintains membership and puts configuration in force.
 
     Args:
         parts: Cores and outputs.
-        fold: The folded log, empty at the start.
+        fold: The folded log, empty at startup.
     """
 
     def __init__(self, parts: CoreParts, *, fold: LogFold) -> None:
@@ -117,14 +117,14 @@
             StatusAsked: self._status_asked,
             StateAsked: self._state_asked,
             CapacityAsked: self._capacity_asked,
-            PlanAwaited: self._awaited,
-            RecordAwaited: self._awaited,
+            PlanAwaited: self._add_waiter,
+            RecordAwaited: self._add_waiter,
             DrainAsked: self._drain,
         }
 
     @property
     def next_offset(self) -> int:
-        """Next offset that this node folds; safe to read from any thread."""
+        """Next offset to fold; safe to read from any thread."""
         return self._fold.next_offset
 
     @property
@@ -149,7 +149,7 @@
 
     @property
     def readiness(self) -> Readiness:
-        """Whether calls are served."""
+        """Readiness of this node."""
         return self._gate.state
 
     @property
@@ -164,7 +164,7 @@
         return effects
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Pass a message of another node to the core that owns it."""
+        """Pass a message of another node to the core that handles it."""
         effects: list[Send] = []
         for core in self._cores():
             if isinstance(message, core.MESSAGES):  # type: ignore[attr-defined]
@@ -173,7 +173,7 @@
         return effects
 
     def on_tick(self) -> list[Send]:
-        """Do what is due and return what to send."""
+        """Run all due work and return what to send."""
         parts = self._parts
         effects = parts.detector.on_tick()
         effects += parts.distribution.on_tick()
@@ -185,7 +185,7 @@
             self._role = role
             self._parts.events.write(Event.READER_ROLE, role=role.value)
         self._refresh()
-        self._do_duties()
+        self._run_duties()
         return effects
 
     def deliver(self, offset: int, data: bytes) -> None:
@@ -196,7 +196,7 @@
         self._after_fold(result)
 
     def status(self) -> MeshStatus:
-        """Return what operators may know."""
+        """Return the status for operators."""
         reads = self._role is not ReaderRole.NONE
         return mesh_status(
             table=self._parts.table,
@@ -212,7 +212,7 @@
         )
 
     def leave(self) -> list[Send]:
-        """Return what tells the peers that this node stops."""
+        """Return the notices to peers that this node leaves."""
         return self._parts.detector.leave()
 
     def write_metrics(self) -> None:
@@ -249,7 +249,7 @@
         return []
 
     def make_snapshot(self) -> bytes:
-        """Return the folded state for a peer that lacks trimmed records."""
+        """Return a snapshot of the folded state for a peer that needs trimmed records."""
         return self._fold.to_snapshot()
 
     def load_snapshot(self, data: bytes) -> bool:
@@ -301,7 +301,7 @@
         mail.answer.set_result(self._parts.move_runner.capacity.table())
         return []
 
-    def _awaited(self, mail: PlanAwaited | RecordAwaited) -> list[Send]:
+    def _add_waiter(self, mail: PlanAwaited | RecordAwaited) -> list[Send]:
         self._waiters.add(mail)
         return []
 
@@ -318,7 +318,7 @@
             self._parts.table.update_own(version=version)
             self._parts.events.write(Event.CONFIG_IN_FORCE, version=version)
 
-    def _do_duties(self) -> None:
+    def _run_duties(self) -> None:
         duties = self._parts.duties
         duties.on_state(self._fold.state)
         rank = self._duty_rank()
@@ -331,7 +331,7 @@
         )
 
     def _update_seeds(self, rank: int | None) -> None:
-        """Use the addresses that the log lists, and renew the list as its primary reader."""
+        """Use the seed list in the log, and replace it when due if this is the primary reader."""
         zone = self._parts.table.own.availability_zone
         listed = self._fold.state.seeds.get(zone, ())
         if listed != self._listed_seeds:
@@ -342,7 +342,7 @@
             self._parts.duties.append(due)
 
     def _duty_rank(self) -> int | None:
-        """Return the rank among the zone's readers, None while this node should hold no duty."""
+        """Return the rank among the zone's readers, None while this node may not hold a duty."""
         end = self._log.end
         current = end is not None and self._fold.next_offset >= end
         able = self._gate.state is Readiness.READY and not self._parts.table.own.draining
@@ -351,7 +351,7 @@
         return _DUTY_RANKS.get(self._role)
 
     def _refresh(self) -> None:
-        """Decide readiness anew and replace the routing view."""
+        """Update readiness and the routing view."""
         before = self._gate.state
         state = self._gate.update(
             ReadinessInputs(
--- a/src/citronrack/node/core_events.py
+++ b/src/citronrack/node/core_events.py
@@ -1,4 +1,4 @@
-"""Writes the log lines of a node's core."""
+"""Log events of a node's core."""
 
 from __future__ import annotations
 
@@ -24,10 +24,10 @@
 
 
 class CoreEvents:
-    """Turns what happened into numbered events.
+    """Writes log events for changes in the core.
 
     Args:
-        events: Where log events go.
+        events: Receives log events.
         clock: Source of time.
     """
 
@@ -37,20 +37,20 @@
         self._next_not_ready = clock.monotonic() + NOT_READY_INTERVAL_S
 
     def member_changed(self, member: Member) -> None:
-        """Write that a member's state or drain flag has changed."""
+        """Log a change of a member's state or drain flag."""
         event = _MEMBER_EVENTS[MemberState(member.state)]
         if member.draining and event is Event.MEMBER_ALIVE:
             event = Event.MEMBER_DRAINING
         self._events.write(event, member=member.name, incarnation=member.incarnation)
 
     def append_done(self, mail: AppendDone) -> None:
-        """Write that an append of the node itself failed; says nothing of others."""
+        """Log an append of this node that was refused or whose result is unknown."""
         event = _APPEND_EVENTS.get(mail.fate)
         if event is not None:
             self._events.write(event, kind=type(mail.body).__name__, reason=mail.reason)
 
     def move_decided(self, body: Any) -> None:
-        """Write that an accepted record decided a move; says nothing of others."""
+        """Log an accepted record that decided a move."""
         if isinstance(body, MoveOutcome):
             self._events.write(
                 Event.MOVE_DECIDED, move=body.move_id, result=body.result, detail=body.detail
@@ -59,7 +59,7 @@
             self._events.write(Event.MOVE_CANCELLED, move=body.move_id, operator=body.operator)
 
     def not_ready(self, reason: str) -> None:
-        """Write why the node refuses calls, at most once in `NOT_READY_INTERVAL_S`."""
+        """Log why the node refuses calls, at most once per `NOT_READY_INTERVAL_S`."""
         now = self._clock.monotonic()
         if now >= self._next_not_ready:
             self._next_not_ready = now + NOT_READY_INTERVAL_S
--- a/src/citronrack/node/cores.py
+++ b/src/citronrack/node/cores.py
@@ -1,4 +1,4 @@
-"""Wires the pure cores of a node; used by the composition root and by scenarios."""
+"""Wires the I/O-free cores of a node; used by the composition root and by scenarios."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
     append: Callable[[Any], None],
     append_snapshot: Callable[[bytes], None],
 ) -> NodeCore:
-    """Return the decisions of a node with all their cores.
+    """Return a node's core, wired with all cores that it depends on.
 
     Args:
         own: Description of the node.
@@ -40,13 +40,13 @@
         remote_seeds: Addresses of nodes of other zones by zone.
         clock: Source of time.
         random: Source of random numbers.
-        events: Where log events go.
-        metrics: Where metrics go.
+        events: Receives log events.
+        metrics: Receives metrics.
         views: Receives the routing view.
-        own_load: Returns the number of calls in flight or waiting at the own target.
+        own_load: Returns the number of calls in flight or queued at the own target.
         writer: ``node name/boot id`` of this process.
-        append: Queues a record body for the log; the result comes back as `AppendDone`.
-        append_snapshot: Queues a snapshot; the result comes back as `SnapshotDone`.
+        append: Queues a record body for the log; the result is posted as `AppendDone`.
+        append_snapshot: Queues a snapshot; the result is posted as `SnapshotDone`.
     """
     table = MemberTable(own)
     duties = Duties(
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -1,4 +1,4 @@
-"""The duties that this node may hold: writing snapshots and writing move outcomes."""
+"""Duties, held under a lease: writing snapshots and writing move outcomes."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 
 
 class Duties:
-    """Claims duties, renews them and takes snapshots.
+    """Acquires and renews the leases of duties, and writes snapshots.
 
     Args:
         writer: ``node name/boot id`` of this process.
         clock: Source of time.
         random: Source of random numbers.
-        events: Where log events go.
-        append: Queues a record body; its result comes back as `AppendDone`.
-        append_snapshot: Queues a snapshot; its result comes back as `SnapshotDone`.
+        events: Receives log events.
+        append: Queues a record body; its result is posted as `AppendDone`.
+        append_snapshot: Queues a snapshot; its result is posted as `SnapshotDone`.
     """
 
     def __init__(
@@ -52,23 +52,23 @@
         self._append(body)
 
     def term(self, duty: Duty) -> int:
-        """Return the term under which this node may do a duty now, 0 when it may not."""
+        """Return the term under which this node holds a duty, 0 when it does not."""
         return self._keepers[duty.value].term or 0
 
     def on_state(self, state: FoldState) -> None:
-        """Take note of the folded log."""
+        """Update the leases and the snapshot state from the folded log."""
         for keeper in self._keepers.values():
             keeper.on_state(state)
         self._snapshots.on_state(state)
 
     def on_tick(self, fold: LogFold, *, rank: int | None, first: int, end: int) -> None:
-        """Claim and do what is due.
+        """Claim leases and start a snapshot when they are due.
 
         Args:
             fold: The folded log.
-            rank: Position in the zone's ranking, None while this node should hold no duty.
+            rank: Position in the zone's ranking, None while this node may not hold a duty.
             first: Oldest retained offset of the records stream.
-            end: Offset that its next record will get.
+            end: Offset of its next record.
         """
         for keeper in self._keepers.values():
             claim = keeper.on_tick(rank=rank)
@@ -83,7 +83,7 @@
             self._append(due)
 
     def on_append_done(self, mail: AppendDone) -> None:
-        """Take note of the result of a claim or of a snapshot's announcement."""
+        """Process the result of a lease claim or of a snapshot announcement."""
         if isinstance(mail.body, Claim):
             self._claim_done(self._keepers[mail.body.duty], mail)
         elif isinstance(mail.body, SnapshotTaken):
@@ -93,7 +93,7 @@
                 self._snapshots.on_announced(mail.offset)
 
     def on_snapshot_done(self, mail: SnapshotDone) -> None:
-        """Take note of the result of writing a snapshot."""
+        """Process the result of a snapshot write."""
         if mail.offset is None:
             self._snapshots.on_failed()
             return
--- a/src/citronrack/node/log_state.py
+++ b/src/citronrack/node/log_state.py
@@ -1,4 +1,4 @@
-"""What this node knows about the platform's log from its own reads."""
+"""State of the platform's log, as seen by the reads of this node."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class LogState:
-    """Bounds of the records stream, and since when reads fail.
+    """Bounds of the records stream and the time since which reads fail.
 
     Args:
         clock: Source of time.
@@ -26,7 +26,7 @@
 
     @property
     def end(self) -> int | None:
-        """End of the stream at the last read; None when the last read failed or none was made."""
+        """End of the stream at the last read; None if that read failed or none was made."""
         return self._end if self._failing_since is None else None
 
     @property
@@ -42,7 +42,7 @@
         return self._clock.monotonic() - self._failing_since
 
     def succeeded(self, page: LogPage) -> bool:
-        """Take note of a page and return whether reads had failed before."""
+        """Record a successful read and return whether reads had failed before."""
         recovered = self.failing
         self._failing_since = None
         self._first = page.first
@@ -50,7 +50,7 @@
         return recovered
 
     def failed(self) -> bool:
-        """Take note of a failed read and return whether it is the first in a row."""
+        """Record a failed read and return whether it is the first in a row."""
         first_failure = not self.failing
         if first_failure:
             self._failing_since = self._clock.monotonic()
--- a/src/citronrack/node/mail.py
+++ b/src/citronrack/node/mail.py
@@ -1,4 +1,4 @@
-"""Messages to the control task."""
+"""Messages of other tasks to the control task."""
 
 from __future__ import annotations
 
@@ -17,27 +17,27 @@
 
 @frozen
 class LogRead:
-    """The reader task got a page."""
+    """The reader task has read a page."""
 
     page: LogPage
 
 
 @frozen
 class LogReadFailed:
-    """The reader task got no answer."""
+    """A read of the log has failed."""
 
     reason: str
 
 
 @frozen
 class SnapshotRead:
-    """The reader task got a snapshot because the wanted offset was trimmed."""
+    """The reader task has read a snapshot because the requested offset was trimmed."""
 
     data: bytes
 
 
 class AppendFate(StrEnum):
-    """What became of an append."""
+    """Result of an append."""
 
     APPENDED = "appended"
     REFUSED = "refused"
@@ -46,13 +46,13 @@
 
 @frozen
 class AppendDone:
-    """The append task has finished a record that the core asked for.
+    """The append task has processed a record of the core.
 
     Attributes:
         body: The record body.
-        fate: What became of it.
-        offset: Where it stands in the log, None when it was refused or is unknown.
-        reason: Why it has no offset.
+        fate: Result of the append.
+        offset: Its offset in the log, None when the append was refused or its result is unknown.
+        reason: Reason for a missing offset.
     """
 
     body: Any
@@ -63,10 +63,10 @@
 
 @frozen
 class SnapshotDone:
-    """The append task has finished a snapshot.
+    """The append task has processed a snapshot.
 
     Attributes:
-        offset: Where it stands in the snapshots stream, None when that is not certain.
+        offset: Its offset in the snapshots stream, None when the append failed or is unknown.
     """
 
     offset: int | None
@@ -74,35 +74,35 @@
 
 @frozen
 class CallReported:
-    """The call path finished an attempt."""
+    """The call path has finished an attempt."""
 
     record: CallRecord
 
 
 @frozen
 class StatusAsked:
-    """Somebody wants the status."""
+    """Request for the status."""
 
     answer: Future[MeshStatus]
 
 
 @frozen
 class StateAsked:
-    """Somebody wants the folded state."""
+    """Request for the folded state."""
 
     answer: Future[FoldState]
 
 
 @frozen
 class CapacityAsked:
-    """Somebody wants to know which targets are announced."""
+    """Request for the capacity of the announced targets."""
 
     answer: Future[CapacityTable]
 
 
 @frozen
 class PlanAwaited:
-    """Somebody waits until the record of a plan at ``offset`` is folded."""
+    """Request to wait until the record of a plan at ``offset`` is folded."""
 
     plan_id: str
     offset: int
@@ -111,7 +111,7 @@
 
 @frozen
 class RecordAwaited:
-    """Somebody waits until the record at ``offset`` is folded."""
+    """Request to wait until the record at ``offset`` is folded."""
 
     offset: int
     answer: Future[FoldState]
@@ -119,9 +119,9 @@
 
 @frozen
 class DrainAsked:
-    """The node should take no new calls and tell its peers."""
+    """Request to accept no new calls and to notify peers."""
 
 
 @frozen
 class StopAsked:
-    """The control task should end."""
+    """Request to end the control task."""
--- a/src/citronrack/node/move_runner.py
+++ b/src/citronrack/node/move_runner.py
@@ -1,4 +1,4 @@
-"""Connects the decisions about moves with the other parts of a node."""
+"""Connects the core of moves with the other parts of a node."""
 
 from __future__ import annotations
 
@@ -22,14 +22,14 @@
 
 
 class NodeFacts:
-    """Facts of the distribution core, with the messages that new ones cause."""
+    """Facts of the distribution core; collects the messages that new facts cause."""
 
     def __init__(self, distribution: DistributionCore) -> None:
         self._distribution = distribution
         self._effects: list[Send] = []
 
     def put(self, key: str, rank: int, payload: bytes) -> None:
-        """Add a fact; a mark is pushed to other nodes at once."""
+        """Add a fact; a mark is pushed to other nodes immediately."""
         urgent = key.startswith(MARK_PREFIX)
         self._effects += self._distribution.put_fact(key, rank, payload, urgent=urgent)
 
@@ -38,21 +38,21 @@
         return self._distribution.facts.items()
 
     def take_effects(self) -> list[Send]:
-        """Return the messages that became due since the last call."""
+        """Return the messages queued since the last call."""
         effects, self._effects = self._effects, []
         return effects
 
 
 class MoveRunner:
-    """Runs the core of moves on behalf of the node's core.
+    """Runs the core of moves for the core of the node.
 
     Args:
         table: Members of the own zone.
         directory: Members of other zones.
-        distribution: Spreads facts.
-        duties: Knows whether this node may write outcomes.
+        distribution: Replicates facts.
+        duties: Decides whether this node may write outcomes.
         clock: Source of time.
-        events: Where log events go.
+        events: Receives log events.
         boot_id: Id of this process.
         append: Queues a record body for the log.
     """
@@ -93,7 +93,7 @@
         )
 
     def on_fold(self, fold: LogFold) -> None:
-        """Take over the folded log."""
+        """Update the moves from the folded log."""
         self._state = fold.state
         self.core.on_state(fold.state)
 
@@ -102,7 +102,7 @@
         self.core.observe(record)
 
     def on_tick(self) -> list[Send]:
-        """Judge, append due records, write notices, and return what to send."""
+        """Evaluate moves, append due records, log notices and return what to send."""
         effects = self.core.on_tick()
         for body in self.core.due_records():
             if not (isinstance(body, Marked) and is_settled(self._state, body)):
@@ -115,11 +115,11 @@
         return [*effects, *self._facts.take_effects()]
 
     def shares(self) -> dict[str, RouteShare]:
-        """Return the division of calls by route."""
+        """Return the traffic shares by route."""
         return self.core.shares()
 
     def statuses(self) -> tuple[MoveStatus, ...]:
-        """Return the open moves."""
+        """Return the status of each open move."""
         return self.core.statuses()
 
     def _ranked(self) -> Sequence[Member]:
@@ -129,9 +129,9 @@
         return (self._table.own.availability_zone, *self._directory.zones())
 
     def _unheard(self) -> tuple[str, ...]:
-        """Return the other zones of which no node is heard."""
+        """Return the other zones without any node of known state."""
         return tuple(
             zone
             for zone in self._directory.zones()
-            if not any(known.known for known in self._directory.members(zone))
+            if not any(member.known for member in self._directory.members(zone))
         )
--- a/src/citronrack/node/reader.py
+++ b/src/citronrack/node/reader.py
@@ -1,4 +1,4 @@
-"""The reader task: polls the platform's log while the control task wants it."""
+"""The reader task: polls the platform's log while the control task requires it."""
 
 from __future__ import annotations
 
@@ -20,20 +20,20 @@
 LONG_POLL_MS = 2_000
 PAGE_RECORDS = 1_000
 IDLE_INTERVAL_S = 0.25
-START_JITTER_S = 3.0  # 3,500 nodes that start together; leaves 6 s of the 9 s for reading
-BACKOFF_CAP_S = 4.0  # a reader must find a change within 9 s after the log has come back
-MIN_POLL_S = 0.05  # between polls that return records, so that bursts come in pages
-MIN_EMPTY_POLL_S = 0.25  # between empty polls, when the service does not hold the request
+START_JITTER_S = 3.0  # spreads 3,500 simultaneous starts; leaves 6 s of the 9 s for reading
+BACKOFF_CAP_S = 4.0  # a reader must read a change within 9 s after the log has recovered
+MIN_POLL_S = 0.05  # between polls that return records, so that bursts are read in pages
+MIN_EMPTY_POLL_S = 0.25  # between empty polls, if the service does not support long polling
 MAX_AHEAD_RECORDS = 4_000  # posted and not yet folded; bounds the mailbox
 STALL_S = 5.0  # records that are not folded after this time are read again
 
 
 class ReadingState(Protocol):
-    """What the reader task needs to know of the control task."""
+    """State of the control task that the reader task depends on."""
 
     @property
     def next_offset(self) -> int:
-        """Next offset that the node folds."""
+        """Next offset to fold on this node."""
 
     @property
     def reads_log(self) -> bool:
@@ -41,15 +41,15 @@
 
 
 class ReaderTask:
-    """Long-polls the log and posts pages; owns its connection.
+    """Long-polls the log and posts pages to the control task; owns its connection.
 
     Args:
         client: Access to the log, used by this task only.
-        state: What to read.
-        mailbox: Where pages go.
+        state: Provides the offset to read from and whether to read.
+        mailbox: Receives the pages.
         random: Source of random numbers for jitter and backoff.
         clock: Source of time.
-        wait: Waits for some seconds, by default until `stop` is called.
+        wait: Waits for some seconds; by default `stop` ends the wait early.
     """
 
     def __init__(
@@ -82,11 +82,11 @@
             self.step()
 
     def stop(self) -> None:
-        """Let `run` return after the present request."""
+        """Make `run` return after the current request."""
         self._stopping.set()
 
     def step(self) -> None:
-        """Make at most one poll, then wait as long as the result asks for."""
+        """Make at most one poll, then wait for the interval that its result requires."""
         if not self._state.reads_log:
             self._wait(IDLE_INTERVAL_S)
             return
@@ -103,7 +103,7 @@
             self._failed(error)
 
     def _start(self) -> int:
-        """Return the offset to read next; goes back when posted records were not folded."""
+        """Return the offset to read next; rewinds when posted records were not folded in time."""
         now = self._clock.monotonic()
         folded = self._state.next_offset
         if folded != self._folded or folded >= self._posted:
@@ -115,7 +115,7 @@
         return max(self._posted, folded)
 
     def _poll(self, start: int) -> None:
-        began = self._clock.monotonic()
+        started = self._clock.monotonic()
         try:
             page = self._client.read(
                 RECORDS_STREAM, start, limit=self._page_records, wait_ms=LONG_POLL_MS
@@ -132,12 +132,12 @@
         if page.records and self._posted < page.end:
             return
         least_s = MIN_POLL_S if page.records else MIN_EMPTY_POLL_S
-        left_s = began + least_s - self._clock.monotonic()
+        left_s = started + least_s - self._clock.monotonic()
         if left_s > 0:
             self._wait(left_s)
 
     def _read_snapshot(self, first: int) -> None:
-        """Post the newest usable snapshot; reading goes on behind it."""
+        """Post the newest usable snapshot; reading continues after it."""
         loaded = load_snapshot(self._client, first=first)
         self._backoff.reset()
         self._posted = loaded.through
@@ -149,10 +149,10 @@
 
 
 def check_page(page: LogPage, start: int) -> None:
-    """Refuse a page that does not continue at ``start``.
+    """Check that a page continues at ``start``.
 
     Raises:
-        LogUnavailable: When records are missing or the log ends before the wanted offset.
+        LogUnavailable: When records are missing or the log ends before ``start``.
     """
     if page.end < start:
         raise LogUnavailable(f"the log ends at offset {page.end}, before the wanted {start}")
--- a/src/citronrack/node/readiness.py
+++ b/src/citronrack/node/readiness.py
@@ -1,4 +1,4 @@
-"""Decides whether this node may serve calls."""
+"""Readiness of a node to serve calls."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Readiness(StrEnum):
-    """How sure this node is that its configuration is current."""
+    """Whether the configuration of a node is known to be current."""
 
     NOT_READY = "not ready"
     READY = "ready"
@@ -20,14 +20,14 @@
 
 @frozen
 class ReadinessInputs:
-    """What the decision rests on.
+    """Inputs of the readiness decision.
 
     Attributes:
-        offset: Next offset that this node folds.
+        offset: Next offset to fold.
         version: Configuration version in force, -1 for none.
-        log_end: End of the log when it was last read, None if it was never read.
+        log_end: End of the log at the last read, None if that read failed or none was made.
         log_failing_s: Seconds since reads began to fail, 0 while they succeed.
-        peer_offsets: Next offset by name of each live peer; None for a peer not yet heard.
+        peer_offsets: Next offset by name of each live peer, None where it is unknown.
     """
 
     offset: int
@@ -38,7 +38,7 @@
 
 
 class ReadinessGate:
-    """Opens once and stays open: a node that became ready never holds less than it did then."""
+    """Readiness state machine; READY is final, as a node never loses folded records."""
 
     def __init__(self) -> None:
         self._state = Readiness.NOT_READY
@@ -46,7 +46,7 @@
 
     @property
     def state(self) -> Readiness:
-        """The present state."""
+        """The current state."""
         return self._state
 
     @property
@@ -55,7 +55,7 @@
         return self._reason
 
     def update(self, inputs: ReadinessInputs) -> Readiness:
-        """Take new inputs into account and return the state."""
+        """Update the state from new inputs and return it."""
         if self._state is Readiness.READY:
             return self._state
         if inputs.log_end is not None and inputs.offset >= inputs.log_end:
--- a/src/citronrack/node/remote_members.py
+++ b/src/citronrack/node/remote_members.py
@@ -1,4 +1,4 @@
-"""The nodes of other zones, looked at no more often than needed."""
+"""Cache of the members of other zones."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from ..clock import Clock
 from ..membership import RemoteMember, ZoneDirectory
 
-REFRESH_INTERVAL_S = 1.0  # a pass over 3,267 nodes takes some milliseconds
+REFRESH_INTERVAL_S = 1.0  # reading 3,267 members takes several milliseconds
 
 
 class RemoteMemberCache:
-    """Returns the same object until a node of another zone has changed.
+    """Returns the same object until a member of another zone changes.
 
     Args:
         clock: Source of time.
@@ -23,7 +23,7 @@
         self._cached: Sequence[RemoteMember] = ()
 
     def members(self, directory: ZoneDirectory) -> Sequence[RemoteMember]:
-        """Return the nodes of other zones."""
+        """Return the members of other zones."""
         now = self._clock.monotonic()
         if now >= self._next_refresh:
             self._next_refresh = now + REFRESH_INTERVAL_S
@@ -34,7 +34,7 @@
 
 
 def _same_nodes(first: Sequence[RemoteMember], second: Sequence[RemoteMember]) -> bool:
-    """Return whether two looks found the same descriptions; only the ages may differ."""
+    """Return whether two reads have the same descriptions; only the ages may differ."""
     if len(first) != len(second):
         return False
     pairs = zip(first, second, strict=True)
--- a/src/citronrack/node/seeds.py
+++ b/src/citronrack/node/seeds.py
@@ -1,4 +1,4 @@
-"""Keeps addresses in the log at which starting nodes can meet their zone."""
+"""Maintains the seed list in the log, through which starting nodes join their zone."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class SeedListWriter:
-    """Decides when the primary reader of a zone writes a new list.
+    """Decides when the primary reader of a zone writes a new seed list.
 
     Args:
         availability_zone: Zone of this node.
@@ -27,10 +27,10 @@
         self._next_write = clock.monotonic() + WRITE_INTERVAL_S
 
     def due(self, listed: Sequence[str], ranking: Sequence[Member]) -> SeedList | None:
-        """Return a list to append when the present one is of little use.
+        """Return a list to append when the current one has too few live addresses.
 
         Args:
-            listed: Addresses that the log holds for the zone.
+            listed: Addresses listed in the log for the zone.
             ranking: Live members of the zone, lowest rank first.
         """
         now = self._clock.monotonic()
--- a/src/citronrack/node/status.py
+++ b/src/citronrack/node/status.py
@@ -1,4 +1,4 @@
-"""What a node tells operators about itself and the mesh."""
+"""Status of a node and of the mesh, for operators."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
         name: Name of the node.
         availability_zone: Its zone.
         state: alive, suspect, gone or unknown.
-        version: Configuration version in force when it was last heard, -1 for none.
+        version: Configuration version in force at its last report, -1 for none.
         ready: Whether it serves calls.
-        draining: Whether it takes no new calls.
+        draining: Whether it accepts no new calls.
         service: Service of its target.
         service_version: Release of its target.
     """
@@ -34,15 +34,15 @@
 
 @frozen
 class ZoneStatus:
-    """How far a zone is with the version in force here.
+    """Progress of a zone towards the version in force on the answering node.
 
     Attributes:
         availability_zone: The zone.
         nodes: Number of known nodes.
         in_force: Number of nodes that reported at least this node's version.
         behind: Names of nodes that reported an older version.
-        unknown: Names of nodes that are not heard at present.
-        age_s: Seconds since the zone was last heard, -1 for never.
+        unknown: Names of nodes without a current report.
+        age_s: Seconds since the last report of the zone, -1 for none.
     """
 
     availability_zone: str
@@ -54,13 +54,13 @@
 
     @property
     def complete(self) -> bool:
-        """Whether each known node reported this version."""
+        """Whether each known node reported at least this version."""
         return self.nodes > 0 and self.in_force == self.nodes
 
 
 @frozen
 class TransportStatus:
-    """Counters of the messages between nodes since the start.
+    """Counters of the messages between nodes since startup.
 
     Attributes:
         bytes_sent: Bytes of frames sent.
@@ -81,16 +81,16 @@
         node: Name of the answering node.
         availability_zone: Its zone.
         readiness: Value of `Readiness`.
-        reason: Why it is not ready or not proven.
+        reason: Reason why it is not ready or unproven.
         version: Configuration version in force.
-        offset: Next log offset that it folds.
+        offset: Next log offset to fold.
         digest: Chained digest of the folded records, hexadecimal.
         log_reachable: Whether its last read of the log succeeded, None when it does not read.
-        reader_role: Its part in reading the log.
-        zones: Per zone, how far the nodes are.
+        reader_role: Its role in reading the log.
+        zones: Progress of each zone.
         nodes: The known nodes.
-        moves: Open moves as this node sees them.
-        duties: Holder by duty.
+        moves: Open moves, as known to this node.
+        duties: Lease holder by duty.
         transport: Counters of the messages between nodes.
     """
 
--- a/src/citronrack/node/status_builder.py
+++ b/src/citronrack/node/status_builder.py
@@ -13,7 +13,7 @@
 
 
 def node_status(member: Member) -> NodeStatus:
-    """Return what is known about one member."""
+    """Return the status of one member."""
     return NodeStatus(
         name=member.name,
         availability_zone=member.availability_zone,
@@ -27,7 +27,7 @@
 
 
 def zone_status(progress: ZoneProgress, *, version: int) -> ZoneStatus:
-    """Return how far a zone is; a member that has not reported counts as unknown."""
+    """Return the progress of a zone; members that have not reported count as unknown."""
     return ZoneStatus(
         availability_zone=progress.availability_zone,
         nodes=progress.total,
--- a/src/citronrack/node/tracing.py
+++ b/src/citronrack/node/tracing.py
@@ -1,4 +1,4 @@
-"""Records what a running node's core received, for replay."""
+"""Traces the inputs of a running node's core, for replay."""
 
 from __future__ import annotations
 
@@ -17,11 +17,11 @@
 
 
 class NodeTrace:
-    """The trace of one process; only loaded when the settings ask for one.
+    """The trace of one process; only imported when the settings enable tracing.
 
     Args:
         path: File to write.
-        limit_bytes: Largest size of the file.
+        limit_bytes: Maximum size of the file.
         clock: The real clock.
         own_load: Returns the number of calls at the own target.
     """
@@ -35,11 +35,11 @@
         self.random = seeded(self._seed)
 
     def begin(self, own: Member, options: CoreOptions) -> None:
-        """Write the first line; must come before the core is made."""
+        """Write the first line; must be called before the core is created."""
         self._writer.begin(own=own, options=options, seed=self._seed, clock=self.clock)
 
     def wrap(self, core: NodeCore, *, views: ViewHolder) -> NodeCore:
-        """Return the core with recording around it."""
+        """Return the core, wrapped to record its inputs."""
         return trace_core(core, views=views, clock=self.clock, writer=self._writer)
 
     def close(self) -> None:
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -1,4 +1,4 @@
-"""Builds the input of the call path from folded state and membership."""
+"""Builds the routing view of the call path from folded state and membership."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 from ..config import ConfigSet
 from ..membership import Member, MemberState, MemberSummary, RemoteMember
 
-ADDRESS_CACHE_SIZE = 8_192  # twice the two-year fleet
+ADDRESS_CACHE_SIZE = 8_192  # twice the fleet size expected in two years
 
 
 @lru_cache(maxsize=ADDRESS_CACHE_SIZE)
 def _usable_address(text: str) -> tuple[str, int] | None:
-    """Return ``(ip, port)``, None for an address that a peer with a fault has announced."""
+    """Return ``(ip, port)``, None for an invalid address, which a faulty peer may announce."""
     try:
         return split_address(text)
     except ValueError:
@@ -30,15 +30,15 @@
 
 @define
 class _Pool:
-    """Targets of one service version; the second list serves only while the first is empty."""
+    """Targets of one service version; the fallback is used only while no target is preferred."""
 
     preferred: list[PoolTarget] = field(factory=list)
     fallback: list[PoolTarget] = field(factory=list)
 
     def add(
-        self, node: Member | MemberSummary, availability_zone: str, *, good: bool, load: int
+        self, node: Member | MemberSummary, availability_zone: str, *, preferred: bool, load: int
     ) -> None:
-        """Add the target beside a node, unless its address cannot be used."""
+        """Add the target of a node, unless its address is invalid."""
         address = _usable_address(node.deliver_address)
         if address is None:
             return
@@ -49,14 +49,14 @@
             slots=node.slots,
             load=load,
         )
-        (self.preferred if good else self.fallback).append(target)
+        (self.preferred if preferred else self.fallback).append(target)
 
 
 class ViewBuilder:
-    """Builds routing views, and reuses what has not changed since the last one.
+    """Builds routing views, and reuses the unchanged parts of the previous one.
 
-    A mesh of 3,500 nodes would otherwise cost 12% of a core for parsing addresses four times a
-    second.
+    Otherwise a mesh of 3,500 nodes would cost 12% of a processor core for parsing addresses four
+    times a second.
     """
 
     def __init__(self) -> None:
@@ -76,15 +76,15 @@
         remote: Sequence[RemoteMember],
         shares: Mapping[str, RouteShare],
     ) -> RoutingView:
-        """Return the routing view that follows from the present state.
+        """Return the routing view of the current state.
 
         Args:
             ready: Whether calls are served.
-            reason: Why not.
+            reason: Reason for not serving calls.
             config: Configuration in force.
-            members: Known nodes of the own zone that are not gone; the same object while unchanged.
-            remote: Known nodes of other zones; the same object while unchanged.
-            shares: Division of calls by route name.
+            members: Members of the own zone that are not gone; the same object while unchanged.
+            remote: Members of other zones; the same object while unchanged.
+            shares: Traffic shares by route name.
         """
         if remote is not self._remote:
             self._remote = remote
@@ -107,17 +107,18 @@
         return self._view
 
     def _make_pools(self) -> dict[_PoolKey, tuple[PoolTarget, ...]]:
-        """Return the pools; a node that is not ready or not heard serves only where none is.
+        """Return the pools; nodes that are unready or of unknown state are only a fallback.
 
-        News of readiness take a second or two to reach all nodes, and an unheard node may work.
+        Readiness changes take one to two seconds to reach all nodes, and a node of unknown state
+        may still serve calls.
         """
         pools: dict[_PoolKey, _Pool] = defaultdict(_Pool)
         for member in self._members:
             if member.draining:
                 continue
             pool = pools[member.service, member.service_version]
-            good = member.ready and member.state == MemberState.ALIVE
-            pool.add(member, member.availability_zone, good=good, load=member.load)
+            preferred = member.ready and member.state == MemberState.ALIVE
+            pool.add(member, member.availability_zone, preferred=preferred, load=member.load)
         for key, remote in self._remote_pools.items():
             pools[key].preferred += remote.preferred
             pools[key].fallback += remote.fallback
@@ -130,6 +131,6 @@
             if summary.gone or summary.draining:
                 continue
             pool = pools[summary.service, summary.service_version]
-            good = known.known and summary.ready
-            pool.add(summary, known.availability_zone, good=good, load=0)
+            preferred = known.known and summary.ready
+            pool.add(summary, known.availability_zone, preferred=preferred, load=0)
         return pools
--- a/src/citronrack/node/waiters.py
+++ b/src/citronrack/node/waiters.py
@@ -1,4 +1,4 @@
-"""Requests of the API that wait until a record is folded."""
+"""API requests that wait until a record is folded."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 
 
 class Waiters:
-    """Holds requests by the offset that they wait for."""
+    """Requests that wait for the fold to reach their offset."""
 
     def __init__(self) -> None:
         self._waiting: list[PlanAwaited | RecordAwaited] = []
 
     def add(self, mail: PlanAwaited | RecordAwaited) -> None:
-        """Keep a request until its record is folded."""
+        """Add a request that waits until its record is folded."""
         self._waiting.append(mail)
 
     def answer(self, fold: LogFold) -> None:
