Reword the texts of configuration, settings and telemetry

Cause: docstrings and the meanings of events and metrics used moods and speech (stands in the log, has told, vouched for, holds a duty).

Change: they state the facts in the terms of the field. The private rate limit of log lines is now _LineCount with dropped lines; event names, fields, metric names and labels stay.

--- a/src/citronrack/config/__init__.py
+++ b/src/citronrack/config/__init__.py
@@ -1,4 +1,4 @@
-"""The configuration that every node holds, and how it changes."""
+"""The configuration model, its validation and changes of it."""
 
 from __future__ import annotations
 
--- a/src/citronrack/config/active.py
+++ b/src/citronrack/config/active.py
@@ -6,7 +6,7 @@
 
 
 class ActiveConfig:
-    """Holds one configuration set and replaces it by a single reference assignment.
+    """Holds the current configuration set and replaces it by a single reference assignment.
 
     Call threads read `current` without a lock; only the control task calls `swap`.
     """
@@ -16,19 +16,19 @@
 
     @property
     def current(self) -> ConfigSet:
-        """The set in force; never changes after it was handed out."""
+        """The set in force; immutable."""
         return self._current
 
     @property
     def version(self) -> int:
-        """Version of the set in force, -1 before the first."""
+        """Version of the set in force, -1 before the first one."""
         return self._current.version
 
     def swap(self, new: ConfigSet) -> bool:
-        """Put ``new`` in force if it is newer.
+        """Put ``new`` in force if it is newer than the current set.
 
         Returns:
-            False when ``new`` is not newer than the set in force, which then stays.
+            Whether ``new`` was put in force.
         """
         if new.version <= self._current.version:
             return False
--- a/src/citronrack/config/change.py
+++ b/src/citronrack/config/change.py
@@ -1,4 +1,4 @@
-"""Changes of a configuration set; each one applies whole or not at all."""
+"""Changes of a configuration set, which are applied atomically."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 @frozen
 class Change:
-    """What a confirmed intent puts into or removes from a configuration."""
+    """Entries that a confirmed intent puts into or removes from a configuration."""
 
     put_services: tuple[Service, ...] = ()
     put_routes: tuple[Route, ...] = ()
@@ -35,7 +35,7 @@
 
 
 def _updated(old: Mapping[str, N], put: Iterable[N], remove: Iterable[str]) -> dict[str, N]:
-    """Return ``old`` without the removed names and with the put entries."""
+    """Return ``old`` without the names in ``remove`` and with the entries in ``put``."""
     removed = frozenset(remove)
     entries = {name: entry for name, entry in old.items() if name not in removed}
     entries.update((entry.name, entry) for entry in put)
@@ -43,15 +43,15 @@
 
 
 def apply_change(base: ConfigSet, change: Change, *, version: int) -> ConfigSet:
-    """Return the set that follows from ``base`` at ``version``.
+    """Return ``base`` with ``change`` applied, as the set of ``version``.
 
     Args:
-        base: The set that the change rests on.
-        change: What is put and removed.
+        base: The set to change.
+        change: Entries to put and to remove.
         version: Log offset of the record that carries the change.
 
     Raises:
-        ConfigInvalid: When the result would be invalid or incomplete; nothing changed.
+        ConfigInvalid: When the result would be invalid; ``base`` is unchanged.
     """
     removed_moves = frozenset(change.remove_moves)
     moves = {name: move for name, move in base.moves.items() if name not in removed_moves}
@@ -69,11 +69,11 @@
 
 
 def withdraw_move(base: ConfigSet, move_id: str, *, version: int, finished: bool) -> ConfigSet:
-    """Return ``base`` without the move; its route serves the side that the move ended on.
+    """Return ``base`` without the move, with the resulting version on its route.
 
     Args:
         base: A set that contains the move.
-        move_id: The move that was decided or cancelled.
+        move_id: Id of the decided or cancelled move.
         version: Log offset of the deciding record.
         finished: Whether the new service version keeps the traffic.
     """
--- a/src/citronrack/config/model.py
+++ b/src/citronrack/config/model.py
@@ -1,4 +1,4 @@
-"""The parts of a configuration set."""
+"""The configuration model."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
     Attributes:
         name: Release name, unique within its service.
-        max_concurrency: Calls that one target of this release runs at once.
+        max_concurrency: Calls that one target of this release runs concurrently.
     """
 
     name: str
@@ -25,13 +25,13 @@
 
 @frozen
 class Service:
-    """A back end and its releases.
+    """A backend service and its releases.
 
     Attributes:
         name: Unique name.
         versions: Releases by name.
-        connect_timeout_ms: Limit for opening a connection to a target.
-        idempotent_methods: Methods that may be sent again after a failure.
+        connect_timeout_ms: Timeout for opening a connection to a target.
+        idempotent_methods: Methods that may be retried after a failure.
     """
 
     name: str
@@ -42,11 +42,11 @@
 
 @frozen
 class SplitPart:
-    """A service's part of a route's calls.
+    """A weighted service in the traffic split of a route.
 
     Attributes:
         service: Name of the service.
-        weight: Part of the calls, relative to the other parts.
+        weight: Share of the calls, relative to the other weights.
     """
 
     service: str
@@ -60,15 +60,15 @@
     Attributes:
         name: Unique name.
         prefix: Path prefix, starts with ``/``; the longest match wins.
-        service: Name of the service that answers.
+        service: Name of the service that serves the route.
         service_version: Release that serves the route outside of moves.
-        timeout_ms: Limit for a whole call.
+        timeout_ms: Timeout for a whole call.
         weight: Share of a target's slots under overload, relative to other routes.
-        host: Host that the route serves, empty for all.
+        host: Host that the route matches, empty for all.
         idempotent: Whether a call may run more than once, None to decide by its method.
-        max_attempts: Most targets that one call may reach, 0 for no limit of the route.
-        target_latency_ms: Time within which an answer is worth most, 0 when it is not stated.
-        priority: Rank under overload; 0 goes first.
+        max_attempts: Maximum number of targets tried per call, 0 for no limit by the route.
+        target_latency_ms: Latency objective of the route, 0 for none.
+        priority: Priority under overload; 0 is the highest.
         split: Services that share the calls by weight, in place of ``service``.
     """
 
@@ -88,10 +88,10 @@
 
 @frozen
 class Step:
-    """A point of a move's ramp: from ``at_ms`` on, the new version gets ``share``.
+    """A step of a move's ramp: from ``at_ms`` on, the new version gets ``share``.
 
     Attributes:
-        share: Part of the route's calls, 0 to 1.
+        share: Fraction of the route's calls, 0 to 1.
         at_ms: Wall time in milliseconds since the Unix epoch.
     """
 
@@ -111,9 +111,9 @@
         start_ms: Wall time of the first step.
         deadline_ms: Wall time by which the move must have finished.
         steps: The ramp, by time; the last share is 1.
-        unproven_share: Largest share before the first step is cleared.
-        profile: Name of the policy that judges the move.
-        epoch: Configuration version that confirmed the move; 0 before that.
+        unproven_share: Maximum share before the first step is cleared.
+        profile: Name of the policy that evaluates the move.
+        epoch: Configuration version that confirmed the move, 0 before that.
     """
 
     move_id: str
@@ -133,10 +133,10 @@
     """A complete configuration at one version.
 
     Attributes:
-        version: Log offset of the record that made it; -1 for the empty set.
+        version: Log offset of the record that created it, -1 for the empty set.
         services: Services by name.
         routes: Routes by name.
-        moves: Moves by id that are not yet decided.
+        moves: Undecided moves by id.
     """
 
     version: int = -1
@@ -145,7 +145,7 @@
     moves: dict[str, Move] = field(factory=dict)
 
     def move_of_route(self, route: str) -> Move | None:
-        """Return the undecided move of ``route``, if there is one."""
+        """Return the undecided move of ``route``, None if there is none."""
         for move in self.moves.values():
             if move.route == route:
                 return move
--- a/src/citronrack/config/validate.py
+++ b/src/citronrack/config/validate.py
@@ -1,4 +1,4 @@
-"""Checks that a configuration set is closed and within its limits."""
+"""Validation of configuration sets: references between entries, limits and ramps."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def find_faults(config: ConfigSet) -> list[str]:
-    """Return one line per fault of ``config``; an empty list means that it is valid."""
+    """Return one line per fault of ``config``, an empty list if it is valid."""
     faults: list[str] = []
     for service in config.services.values():
         faults.extend(_service_faults(service))
--- a/src/citronrack/settings/__init__.py
+++ b/src/citronrack/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Checked settings of a node."""
+"""Validated settings of a node."""
 
 from __future__ import annotations
 
--- a/src/citronrack/settings/load.py
+++ b/src/citronrack/settings/load.py
@@ -1,4 +1,4 @@
-"""Reads settings from a YAML file."""
+"""Loads settings from a YAML file."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 
 def load_settings(path: str | Path) -> Settings:
-    """Return the checked settings that the file holds.
+    """Return the validated settings in a file.
 
     Args:
         path: A YAML file.
 
     Raises:
-        SettingsError: One line per fault, each with file, key path and what was expected.
+        SettingsError: One line per fault, each with file, key path and expected value.
     """
-    import yaml  # not installed where a platform writes the settings
+    import yaml  # not installed where a platform provides the settings
 
     try:
         content = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
@@ -34,10 +34,10 @@
 
 
 def parse_settings(content: Any, *, source: str) -> Settings:
-    """Return the checked settings in ``content``, a map as read from YAML.
+    """Return the validated settings in ``content``, a mapping as read from YAML.
 
     Raises:
-        SettingsError: One line per fault, each with source, key path and what was expected.
+        SettingsError: One line per fault, each with source, key path and expected value.
     """
     try:
         return from_plain(content, Settings, name="settings")
--- a/src/citronrack/settings/model.py
+++ b/src/citronrack/settings/model.py
@@ -13,10 +13,10 @@
 
     Attributes:
         name: Unique name of the node.
-        availability_zone: Zone in which the instance stands.
+        availability_zone: Zone of the instance.
         peer_address: ``ip:port`` for messages of other nodes.
         call_address: ``ip:port`` for calls of callers and of the own target.
-        deliver_address: ``ip:port`` for calls that other nodes pass on.
+        deliver_address: ``ip:port`` for calls forwarded by other nodes.
     """
 
     name: str = field(validator=checks.name)
@@ -28,14 +28,14 @@
 
 @frozen
 class TargetSettings:
-    """The target beside the node.
+    """The target of the node.
 
     Attributes:
         address: ``ip:port`` of the target's HTTP server.
-        service: Service that it belongs to.
-        service_version: Its release.
-        slots: Calls that it runs at once.
-        connections: Connections that it accepts.
+        service: Service of the target.
+        service_version: Release of the target.
+        slots: Calls that the target runs concurrently.
+        connections: Concurrent connections that the target accepts.
     """
 
     address: str = field(validator=checks.address)
@@ -47,7 +47,7 @@
 
 @frozen
 class MeshSettings:
-    """How nodes meet each other.
+    """Identity of the mesh and addresses to join it.
 
     Attributes:
         mesh_id: Name of the mesh; frames of other meshes are dropped.
@@ -82,7 +82,7 @@
     Attributes:
         address: ``ip:port`` to listen on.
         token: Bearer token of operators, at least 16 characters.
-        requests_per_second: Largest mean rate of requests.
+        requests_per_second: Maximum mean rate of requests.
     """
 
     address: str = field(validator=checks.address)
@@ -95,8 +95,8 @@
     """Limits of the call path.
 
     Attributes:
-        connections: Connections from callers at once.
-        drain_limit_s: Longest time that a graceful stop waits for calls in flight.
+        connections: Maximum number of concurrent connections from callers.
+        drain_limit_s: Maximum time that a graceful stop waits for calls in flight.
         link_one_way_ms: Delay of a link to another zone.
         balancer: Name of the policy that chooses a target.
     """
@@ -112,10 +112,10 @@
     """Logs and metrics.
 
     Attributes:
-        level: Lowest level that is written: debug, info, warning or error.
+        level: Lowest level to log: debug, info, warning or error.
         statsd: ``ip:port`` of a statsd server, empty for none.
-        trace: File in which to record the core's inputs for a replay, empty for none.
-        trace_limit_mb: Largest size of that file.
+        trace: File to record the core's inputs for a replay, empty for none.
+        trace_limit_mb: Maximum size of that file.
     """
 
     level: str = field(default="info", validator=checks.one_of("debug", "info", "warning", "error"))
@@ -129,7 +129,7 @@
     """All settings of a node.
 
     Attributes:
-        profile: Name of the policy with which moves are judged by default.
+        profile: Name of the default policy that evaluates moves.
     """
 
     node: NodeSettings
--- a/src/citronrack/telemetry/__init__.py
+++ b/src/citronrack/telemetry/__init__.py
@@ -1,4 +1,4 @@
-"""Numbered log events and metrics."""
+"""Log events and metrics."""
 
 from __future__ import annotations
 
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -1,4 +1,4 @@
-"""The catalogue of log events; ``docs/events.md`` is made from it."""
+"""The catalogue of log events; ``docs/events.md`` is generated from it."""
 
 from __future__ import annotations
 
@@ -71,7 +71,7 @@
 
 @frozen
 class EventInfo:
-    """What an event means.
+    """Log level and meaning of an event.
 
     Attributes:
         level: Name of the log level.
@@ -84,8 +84,8 @@
 
 EVENTS: dict[Event, EventInfo] = {
     Event.NODE_STARTED: EventInfo("info", "The node has opened its sockets."),
-    Event.NODE_READY: EventInfo("info", "The node holds a configuration and serves calls."),
-    Event.NODE_NOT_READY: EventInfo("warning", "The node refuses calls; `reason` says why."),
+    Event.NODE_READY: EventInfo("info", "The node has a configuration and serves calls."),
+    Event.NODE_NOT_READY: EventInfo("warning", "The node refuses calls; see `reason`."),
     Event.NODE_STOPPING: EventInfo("info", "A graceful stop has begun."),
     Event.NODE_STOPPED: EventInfo("info", "The node has closed its sockets."),
     Event.TASK_FAILED: EventInfo("error", "A task ended with an unexpected error."),
@@ -93,26 +93,26 @@
     Event.RECORD_REFUSED: EventInfo("warning", "A log record did not take effect."),
     Event.LOG_UNAVAILABLE: EventInfo("warning", "The platform's log does not answer."),
     Event.LOG_RECOVERED: EventInfo("info", "The platform's log answers again."),
-    Event.LOG_TRIMMED: EventInfo("warning", "The wanted offset is no longer retained."),
-    Event.APPEND_UNKNOWN: EventInfo("warning", "An append got no answer and is tried again."),
-    Event.APPEND_REFUSED: EventInfo("warning", "An append was refused and is tried again."),
-    Event.SNAPSHOT_WRITTEN: EventInfo("info", "A snapshot stands in the log."),
-    Event.SNAPSHOT_LOADED: EventInfo("info", "The state was taken from a snapshot."),
-    Event.LEASE_ACQUIRED: EventInfo("info", "This node holds a duty."),
-    Event.LEASE_LOST: EventInfo("info", "This node no longer holds a duty."),
-    Event.MEMBER_ALIVE: EventInfo("info", "A member was learned or answers again."),
+    Event.LOG_TRIMMED: EventInfo("warning", "The requested offset is no longer retained."),
+    Event.APPEND_UNKNOWN: EventInfo("warning", "An append got no answer and is retried."),
+    Event.APPEND_REFUSED: EventInfo("warning", "An append was refused and is retried."),
+    Event.SNAPSHOT_WRITTEN: EventInfo("info", "A snapshot was written to the log."),
+    Event.SNAPSHOT_LOADED: EventInfo("info", "The state was loaded from a snapshot."),
+    Event.LEASE_ACQUIRED: EventInfo("info", "This node has acquired the lease of a duty."),
+    Event.LEASE_LOST: EventInfo("info", "This node has lost the lease of a duty."),
+    Event.MEMBER_ALIVE: EventInfo("info", "A member was discovered or answers again."),
     Event.MEMBER_SUSPECT: EventInfo("warning", "A member does not answer."),
     Event.MEMBER_GONE: EventInfo("warning", "A member was declared gone."),
-    Event.MEMBER_DRAINING: EventInfo("info", "A member takes no new calls."),
-    Event.READER_ROLE: EventInfo("info", "This node's part in reading the log has changed."),
+    Event.MEMBER_DRAINING: EventInfo("info", "A member accepts no new calls."),
+    Event.READER_ROLE: EventInfo("info", "The reader role of this node has changed."),
     Event.MESSAGE_REJECTED: EventInfo("warning", "Frames of other nodes were dropped."),
     Event.CALL_ROUTED: EventInfo("debug", "A target was chosen for a call."),
     Event.CALL_REFUSED: EventInfo("info", "A call was refused and was not run."),
     Event.CALL_RETRIED: EventInfo("info", "A call is sent to another target."),
     Event.CALL_FAILED: EventInfo("warning", "A call got no complete answer; see `verdict`."),
-    Event.TARGET_EJECTED: EventInfo("warning", "A target gets no calls for a while."),
+    Event.TARGET_EJECTED: EventInfo("warning", "A target gets no calls for some time."),
     Event.TARGET_RESTORED: EventInfo("info", "An ejected target gets calls again."),
-    Event.DRAIN_STARTED: EventInfo("info", "No new calls are accepted; calls in flight go on."),
+    Event.DRAIN_STARTED: EventInfo("info", "No new calls are accepted; calls in flight continue."),
     Event.DRAIN_FINISHED: EventInfo("info", "No calls are left in flight, or the limit passed."),
     Event.PLAN_MADE: EventInfo("info", "A plan was computed; nothing has changed."),
     Event.PLAN_CONFIRMED: EventInfo("info", "A plan took effect."),
@@ -120,31 +120,31 @@
     Event.PLAN_UNKNOWN: EventInfo("warning", "It is unknown whether a plan took effect."),
     Event.MOVE_STEP: EventInfo("info", "The share of a new service version has changed."),
     Event.MOVE_TAKEN_BACK: EventInfo("warning", "A bad service version gets no more calls."),
-    Event.MOVE_DECIDED: EventInfo("info", "The outcome of a move stands in the log."),
+    Event.MOVE_DECIDED: EventInfo("info", "The outcome of a move was written to the log."),
     Event.MOVE_CANCELLED: EventInfo("info", "An operator cancelled a move."),
-    Event.LINES_LEFT_OUT: EventInfo("warning", "Lines of an event exceeded its budget."),
-    Event.SETTINGS_CHANGED: EventInfo("info", "The settings were read again."),
+    Event.LINES_LEFT_OUT: EventInfo("warning", "Lines of an event exceeded its rate limit."),
+    Event.SETTINGS_CHANGED: EventInfo("info", "The settings were reloaded."),
     Event.TOPIC_READER: EventInfo(
         "info", "Whether the node reads the operator's topic for its zone has changed."
     ),
     Event.TOPIC_STALE: EventInfo(
-        "warning", "Nobody has vouched for the operator's records of this node for `age_s`."
+        "warning", "The operator's records of this node were last confirmed `age_s` ago."
     ),
     Event.TOPIC_CURRENT: EventInfo(
-        "info", "The operator's records of this node are known to be complete again."
+        "info", "The operator's records of this node are confirmed as complete again."
     ),
     Event.SETTINGS_REFUSED: EventInfo(
-        "warning", "Changed settings cannot be used; those before stay in force."
+        "warning", "Changed settings are invalid; the previous ones stay in force."
     ),
-    Event.STORE_WRITTEN: EventInfo("info", "A record stands in the platform's store."),
+    Event.STORE_WRITTEN: EventInfo("info", "A record was written to the platform's store."),
     Event.STORE_CONFLICT: EventInfo("info", "Another record was written first; see `end`."),
-    Event.NODE_ENTRY: EventInfo("info", "Another node has told its state."),
+    Event.NODE_ENTRY: EventInfo("info", "Another node has published its state."),
     Event.NODE_EXPIRED: EventInfo("warning", "A node has not renewed its entry and is dropped."),
     Event.TARGET_STATE: EventInfo("info", "The state of the own target has changed."),
     Event.TARGET_SILENT: EventInfo("warning", "The own target has stopped reporting."),
     Event.REPORT_REFUSED: EventInfo("warning", "A status report could not be used."),
-    Event.CALL_ANSWERED: EventInfo("info", "A caller has got its answer; see `verdict`."),
-    Event.CALL_DELIVERED: EventInfo("info", "The own target has finished a call."),
+    Event.CALL_ANSWERED: EventInfo("info", "A caller has received its answer; see `verdict`."),
+    Event.CALL_DELIVERED: EventInfo("info", "The own target has completed a call."),
     Event.ROLLOUT_ORDERED: EventInfo("info", "An operator has ordered a rollout."),
     Event.ROLLOUT_STEP: EventInfo("info", "The share or phase of a rollout has changed."),
     Event.VERSION_FAILS_HERE: EventInfo(
--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""Structured log lines, rendered and written by a task of their own."""
+"""Structured log lines, rendered and written by a separate task."""
 
 from __future__ import annotations
 
@@ -15,36 +15,36 @@
 
 MAX_QUEUED_LINES = 10_000
 LINES_PER_SECOND = {"debug": 20, "info": 60, "warning": 200, "error": 200}
-"""Lines of one event that are written in a second. Failures have more room than successes, so that
-a flood of calls leaves out successes first."""
+"""Maximum number of lines of one event per second, by level. Failures have a higher limit than
+successes, so that under a flood of calls successes are dropped first."""
 
 FLUSH_INTERVAL_S = 0.1
-"""Longest delay of a line."""
+"""Maximum delay of a line."""
 
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
 @define
-class _Budget:
-    """Lines of one event in the present second."""
+class _LineCount:
+    """Rate limit of one event: the lines in the current second."""
 
     second: int = 0
     written: int = 0
-    left_out: int = 0
+    dropped: int = 0
 
 
 class EventLog:
     """Accepts events from any thread and writes them as JSON lines.
 
     A call thread only puts a tuple into a queue; rendering happens in the task that runs `run`.
-    Lines beyond the queue's limit or the event's budget are counted and dropped, so a slow
-    terminal delays no calls.
+    Lines beyond the limit of the queue or the rate limit of the event are counted and dropped, so
+    that a slow terminal delays no calls.
 
     Args:
         node: Name of the node, added to each line.
-        level: Lowest level that is written.
-        stream: Where the lines go.
-        lines_per_second: Most lines of one event in a second, by level; None for no limit.
+        level: Lowest level to write.
+        stream: Output stream, stderr by default.
+        lines_per_second: Maximum lines of one event per second, by level; None for no limit.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         self._dropped = 0
         self._stopping = threading.Event()
         self._limits = lines_per_second
-        self._budgets = {event: _Budget() for event in EVENTS}
+        self._line_counts = {event: _LineCount() for event in EVENTS}
         self._logger = structlog.wrap_logger(
             structlog.PrintLogger(stream if stream is not None else sys.stderr),
             processors=[structlog.processors.JSONRenderer()],
@@ -70,24 +70,24 @@
 
     @property
     def dropped(self) -> int:
-        """Number of lines lost because the queue was full or a budget was used up."""
+        """Number of lines dropped because of a full queue or a rate limit."""
         return self._dropped
 
     def is_enabled(self, event: Event) -> bool:
-        """Return whether lines of an event are written at the present level."""
+        """Return whether an event is written at the configured level."""
         return _LEVELS[EVENTS[event].level] >= self._threshold
 
     def write(self, event: Event, **fields: Any) -> None:
-        """Queue one line; never blocks.
+        """Queue one line without blocking.
 
         Args:
-            event: Number from the catalogue.
-            fields: Values that JSON can hold.
+            event: Event of the catalogue.
+            fields: Values that can be encoded as JSON.
         """
         if not self.is_enabled(event):
             return
         now = time.time()
-        if self._queue.qsize() >= MAX_QUEUED_LINES or not self._within_budget(event, now):
+        if self._queue.qsize() >= MAX_QUEUED_LINES or not self._within_limit(event, now):
             self._dropped += 1
             return
         self._queue.put((event, now, fields))
@@ -104,29 +104,29 @@
                 **fields,
             )
             if self._queue.empty():
-                # Lines that follow soon are written in one turn: each turn of this task takes the
-                # interpreter from a call.
+                # Batch the lines that follow soon: each wake-up of this task takes the
+                # interpreter lock from the threads that handle calls.
                 self._stopping.wait(FLUSH_INTERVAL_S)
 
     def stop(self) -> None:
-        """Let `run` return after the lines that are already queued."""
+        """Make `run` return after the lines that are already queued."""
         self._stopping.set()
         self._queue.put(None)
 
-    def _within_budget(self, event: Event, now: float) -> bool:
-        """Count a line; two threads may miscount by one, which only moves the limit a little."""
+    def _within_limit(self, event: Event, now: float) -> bool:
+        """Count a line; a race between threads may shift the limit by one, which is acceptable."""
         if self._limits is None:
             return True
-        budget = self._budgets[event]
+        line_count = self._line_counts[event]
         second = int(now)
-        if second != budget.second:
-            left_out, budget.left_out = budget.left_out, 0
-            budget.second, budget.written = second, 0
-            if left_out:
-                fields = {"of": event.name.lower(), "lines": left_out}
+        if second != line_count.second:
+            dropped, line_count.dropped = line_count.dropped, 0
+            line_count.second, line_count.written = second, 0
+            if dropped:
+                fields = {"of": event.name.lower(), "lines": dropped}
                 self._queue.put((Event.LINES_LEFT_OUT, now, fields))
-        if budget.written >= self._limits[EVENTS[event].level]:
-            budget.left_out += 1
+        if line_count.written >= self._limits[EVENTS[event].level]:
+            line_count.dropped += 1
             return False
-        budget.written += 1
+        line_count.written += 1
         return True
--- a/src/citronrack/telemetry/metrics.py
+++ b/src/citronrack/telemetry/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics over statsd."""
+"""Metrics over statsd, and their catalogue."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 
     Args:
         address: ``(ip, port)`` of the server, None to send nothing.
-        prefix: Put before each name.
+        prefix: Prefix of each name.
     """
 
     def __init__(self, address: tuple[str, int] | None, *, prefix: str) -> None:
         self._client = None
         if address is not None:
-            import statsd  # not installed where a platform fetches the metrics
+            import statsd  # not installed where a platform scrapes the metrics
 
             self._client = statsd.StatsClient(address[0], address[1], prefix=prefix)
 
