Reword the tests of membership, distribution, the node, config and settings

Cause: the docstrings told stories (a death is missed, brings back, hides the missing proof) instead of the failure that the test detects.

Change: each docstring names the failure in the terms of the field; no check and no test id is changed. Two subtest labels name a stale zone.

--- a/tests/config/test_change.py
+++ b/tests/config/test_change.py
@@ -1,4 +1,4 @@
-"""Configuration changes apply whole or not at all."""
+"""Configuration changes are atomic and never lead to an older version."""
 
 from __future__ import annotations
 
@@ -44,10 +44,10 @@
 
 
 class ApplyChangeTest(unittest.TestCase):
-    """Guards against routes without resources and against half-applied changes."""
+    """Guards against dangling references and partially applied changes."""
 
     def test_refuses_each_kind_of_dangling_reference(self) -> None:
-        """Fails if a set with a missing resource could be put in force."""
+        """Fails if a set with a dangling reference is accepted, or the base set changes."""
         cases = {
             "service": Change(remove_services=("catalogue",)),
             "version": Change(put_services=(Service("catalogue", {"9": ServiceVersion("9")}),)),
@@ -66,16 +66,16 @@
                 self.assertEqual(start, base())
 
     def test_sets_the_epoch_of_a_move(self) -> None:
-        """Fails if marks of an earlier attempt could hit a later move."""
+        """Fails if marks of an earlier attempt can apply to a later move with the same id."""
         result = apply_change(base(), Change(put_moves=(move(epoch=99),)), version=7)
         self.assertEqual(result.moves["m"].epoch, 7)
 
 
 class ActiveConfigTest(unittest.TestCase):
-    """Guards against a node that returns to an older version."""
+    """Guards against a node that reverts to an older version."""
 
     def test_refuses_equal_and_older_versions(self) -> None:
-        """Fails if an old set could replace a newer one."""
+        """Fails if an equal or older set replaces the current one."""
         active = ActiveConfig()
         self.assertTrue(active.swap(ConfigSet(version=5)))
         for version in (5, 4, -1):
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet under faults, with the invariants that hold in every run."""
+"""A small simulated fleet with faults, and checks of its invariants."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class FleetUnderTest:
-    """Three zones on a lossy network; `run` checks the invariants in each step."""
+    """Three zones on a lossy network; `run` checks the invariants at each step."""
 
     def __init__(self, case: TestCase, seed: int, *, zones: dict[str, int] = ZONES) -> None:
         self.case = case
@@ -30,25 +30,25 @@
         self.net.faults.jitter_s = 0.05
 
     def run(self, seconds: float) -> None:
-        """Let time pass and check the invariants."""
+        """Advance the simulation and check the invariants."""
         for _ in range(round(seconds / STEP_S)):
             self.net.run(STEP_S)
             self.check()
 
     def check(self) -> None:
-        """Check that offsets never go back, and that records are whole and in order."""
+        """Check that offsets never decrease, and that records are complete and in order."""
         live = self.net.live()
         for node in live:
             key = node.name, node.boot
             self.case.assertGreaterEqual(node.next_offset, self._highest.get(key, 0), self.seed)
             self._highest[key] = node.next_offset
             self.case.assertEqual(node.content, self.net.log[: node.next_offset], self.seed)
-        if live:  # one node a step; the whole check would take most of the time
+        if live:  # one node per step; checking all nodes would dominate the run time
             self._steps += 1
             self._check_progress(live[self._steps % len(live)])
 
     def _check_progress(self, node: NodeSim) -> None:
-        """Check that no zone is reported as done while one of its nodes is behind."""
+        """Check that no zone is reported as in force while one of its nodes is behind."""
         for zone in node.directory.zone_progress():
             if not zone.in_force(0):
                 continue
@@ -62,7 +62,7 @@
     def converges(
         self, nodes: list[NodeSim] | None = None, *, within: float = CONVERGENCE_S
     ) -> None:
-        """Run until the nodes hold the whole log; fails when that takes longer than allowed."""
+        """Run until the nodes have all records of the log; fail after ``within`` seconds."""
         chosen = self.net.live() if nodes is None else nodes
         begin = self.net.clock.monotonic()
         while self.net.clock.monotonic() - begin < within:
@@ -78,10 +78,10 @@
         return [self.net.nodes[name] for name in some.distribution.tree.readers()]
 
     def cut_zone(self, zone: str) -> None:
-        """Cut a zone off from all other zones."""
+        """Partition a zone from all other zones."""
         others = {node.zone for node in self.net.nodes.values()} - {zone}
         self.net.faults.cut_zones = {frozenset((zone, other)) for other in others}
 
     def cut_log(self, nodes: list[NodeSim]) -> None:
-        """Cut nodes off from the log."""
+        """Partition nodes from the log."""
         self.net.faults.log_cut = {node.name for node in nodes}
--- a/tests/distribution/test_facts.py
+++ b/tests/distribution/test_facts.py
@@ -1,4 +1,4 @@
-"""Facts are merged in any order, within bounds."""
+"""Merging and bounds of the fact store, and bounds of the record store."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
 
 
 class FactStoreTest(unittest.TestCase):
-    """Guards against stores that never become equal, and marks that get lost."""
+    """Guards against stores that never converge, and against lost marks."""
 
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(facts, st.integers(0, 1000))
     def test_merge_needs_no_order(self, some: list[Fact], seed: int) -> None:
-        """Fails if order or repetition of merges changes the result or its digest."""
+        """Fails if the order or repetition of merges changes the result or its digest."""
         one, other = FactStore(), FactStore()
         one.merge(some)
         shuffled = some * 2
@@ -34,7 +34,7 @@
         self.assertEqual(one.merge(some), [])
 
     def test_full_store_refuses_progress_but_no_mark(self) -> None:
-        """Fails if the store grows beyond its bound, or a mark finds no place."""
+        """Fails if the store exceeds its bound, or a mark is rejected for lack of space."""
         store = FactStore()
         accepted = [store.put(f"step/{number}", 1, bytes(1000)) for number in range(100)]
         self.assertFalse(accepted[-1])
@@ -43,7 +43,7 @@
         self.assertLessEqual(store.size_bytes, MAX_BYTES)
 
     def test_pruned_facts_do_not_come_back(self) -> None:
-        """Fails if a peer that has not pruned yet brings a decided entry back."""
+        """Fails if a peer that has not pruned yet adds a pruned fact again."""
         store = FactStore()
         store.put("mark/a", 1, b"x")
         kept = store.items()
@@ -54,10 +54,10 @@
 
 
 class RecordStoreTest(unittest.TestCase):
-    """Guards against memory that grows with the size of records."""
+    """Guards against memory use that grows with the size of records."""
 
     def test_memory_is_bounded_in_bytes(self) -> None:
-        """Fails if many big records, in order or early, are all kept."""
+        """Fails if all of many large records are kept, in order or out of order."""
         store = RecordStore(0)
         big = bytes(100_000)
         for offset in range(100):
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -1,4 +1,4 @@
-"""Whole failures, driven through the cores with several seeds."""
+"""Failure scenarios, simulated with several seeds."""
 
 from __future__ import annotations
 
@@ -14,23 +14,23 @@
 
 
 class FailureTest(unittest.TestCase):
-    """Guards against lost, late, repeated or reordered records."""
+    """Guards against lost, late, duplicated or reordered records."""
 
     def fleets(self) -> Iterator[FleetUnderTest]:
-        """Yield a settled fleet per seed."""
+        """Yield a converged fleet per seed."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 yield FleetUnderTest(self, seed)
 
     def test_reader_dies(self) -> None:
-        """Fails if records stop when the primary reader dies."""
+        """Fails if distribution stops after a crash of the primary reader."""
         for fleet in self.fleets():
             fleet.net.stop(fleet.readers("north")[0].name)
             fleet.net.append()
             fleet.converges()
 
     def test_all_readers_die(self) -> None:
-        """Fails if a zone waits for readers that no longer exist."""
+        """Fails if no other nodes become readers after a crash of both."""
         for fleet in self.fleets():
             for node in fleet.readers("north"):
                 fleet.net.stop(node.name)
@@ -38,7 +38,7 @@
             fleet.converges()
 
     def test_reader_cut_off_from_the_log_only(self) -> None:
-        """Fails if both readers cannot read and no other node takes their place."""
+        """Fails if no other nodes become readers when both lose the log."""
         for fleet in self.fleets():
             readers = fleet.readers("north")
             fleet.cut_log(readers[:1])
@@ -51,7 +51,7 @@
             fleet.converges()
 
     def test_zone_cut_off_from_the_log(self) -> None:
-        """Fails if a zone without the log gets no records through the relays of other zones."""
+        """Fails if a zone without the log gets no records from the relays of other zones."""
         for fleet in self.fleets():
             fleet.cut_log(fleet.net.live("east"))
             fleet.run(2)
@@ -61,7 +61,7 @@
             fleet.converges()
 
     def test_zone_cut_off_from_everything_and_healed(self) -> None:
-        """Fails if a partition loses or mixes up records, or counts a lost zone as done."""
+        """Fails if a partition loses or reorders records, or its zone is reported as in force."""
         for fleet in self.fleets():
             net = fleet.net
             fleet.cut_log(net.live("east"))
@@ -87,7 +87,7 @@
                 self.assertEqual(len(node.distribution.facts.items("mark/")), 2, node.name)
 
     def test_herd_restart(self) -> None:
-        """Fails if a mass restart leaves nodes behind or with an incomplete table."""
+        """Fails if nodes stay behind or have an incomplete table after a mass restart."""
         for fleet in self.fleets():
             names = [node.name for node in fleet.net.live()]
             for name in names:
@@ -105,7 +105,7 @@
                     self.assertEqual(len(known), ZONES[zone], f"{node.name} of {zone}")
 
     def test_half_restarts_while_the_log_is_down(self) -> None:
-        """Fails if restarted nodes do not get the records from peers."""
+        """Fails if restarted nodes do not get the records from peers during a log outage."""
         for fleet in self.fleets():
             fleet.cut_log(fleet.net.live())
             for node in fleet.net.live()[::2]:
@@ -116,7 +116,7 @@
             fleet.converges()
 
     def test_crossing_updates_under_loss(self) -> None:
-        """Fails if loss, duplication and reordering of many updates break the order."""
+        """Fails if records are delivered out of order under loss, duplication and reordering."""
         for fleet in self.fleets():
             fleet.net.faults.loss = 0.2
             fleet.net.faults.duplication = 0.2
@@ -127,7 +127,7 @@
             fleet.converges()
 
     def test_marks_spread_without_the_log(self) -> None:
-        """Fails if a mark needs the log, or a duplicate of it changes anything."""
+        """Fails if a mark does not reach all nodes during a log outage."""
         for fleet in self.fleets():
             fleet.cut_log(fleet.net.live())
             node = fleet.net.live("south")[-1]
@@ -138,16 +138,16 @@
                 self.assertIsNotNone(other.distribution.facts.get("mark/x"), other.name)
 
     def test_log_outage_does_not_make_all_nodes_give_up(self) -> None:
-        """Fails if an outage makes each node in turn change and spread its description."""
+        """Fails if in an outage each node in turn steps down and gossips its description."""
         fleet = FleetUnderTest(self, 1, zones={"north": 24})
         before = {node.name: node.table.own.incarnation for node in fleet.net.live()}
         fleet.cut_log(fleet.net.live())
         for _ in range(90):
             fleet.run(1)
             non_readers = sum(not node.table.own.reading for node in fleet.net.live())
-            # Three polls take 3 s and an update about 5 s to reach all: two pairs are on the way.
+            # Three polls take 3 s, and gossip about 5 s: two pairs of updates are in transit.
             self.assertLessEqual(non_readers, MAX_NON_READERS + 2 * READERS)
-        # Each gives up, retries after 30 to 60 s, and gives up again, as does its substitute.
+        # Each steps down, retries after 30 to 60 s and steps down again, as does its successor.
         raised = sum(n.table.own.incarnation - before[n.name] for n in fleet.net.live())
         self.assertLessEqual(raised, 4 * (MAX_NON_READERS + READERS))
         fleet.net.faults.log_cut.clear()
@@ -155,10 +155,10 @@
         fleet.converges()
 
     def test_push_is_forwarded_once(self) -> None:
-        """Fails if nodes that take each other for children send a push to and fro."""
+        """Fails if nodes that are each other's children forward a push in a loop."""
         net = FleetUnderTest(self, 1).net
         node = net.live("north")[0]
-        start = node.next_offset + 1  # a gap, so that the records stay undelivered
+        start = node.next_offset + 1  # a gap, so that the records are not delivered
         push = PushRecords(start, (b"x",), node.name)
         sends = [node.receive("tcp://north-0001", push) for _ in range(2)]
         forwarded = [sum(isinstance(s.message, PushRecords) for s in some) for some in sends]
@@ -166,7 +166,7 @@
         self.assertEqual(forwarded[1], 0)
 
     def test_trimmed_records_are_replaced_by_a_snapshot(self) -> None:
-        """Fails if a node that is further behind than its peers' memory never catches up."""
+        """Fails if a node that is behind the records kept by its peers never catches up."""
         with (
             mock.patch("citronrack.distribution.store.KEPT_RECORDS", 5),
             mock.patch("citronrack.distribution.snapshots.PART_BYTES", 4096),
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -1,4 +1,4 @@
-"""Members that die, are slow, leave, or lose each other."""
+"""Failure detection of members that crash, are slow, leave, or are partitioned."""
 
 from __future__ import annotations
 
@@ -18,21 +18,21 @@
 
 
 class DetectorTest(unittest.TestCase):
-    """Guards against false deaths, missed deaths and resurrection."""
+    """Guards against false alarms, missed failures and members that reappear."""
 
     def fleets(self) -> Iterator[FleetUnderTest]:
-        """Yield a settled fleet per seed."""
+        """Yield a converged fleet per seed."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 yield FleetUnderTest(self, seed, zones=ZONES)
 
     def state_of(self, name: str, viewers: list[NodeSim]) -> set[int | None]:
-        """Return the states in which others see a member; None where it was dropped."""
+        """Return the states of a member in other tables, None where it was dropped."""
         seen = (node.table.get(name) for node in viewers if node.name != name)
         return {None if member is None else member.state for member in seen}
 
     def test_dead_member_is_gone_and_stays_away(self) -> None:
-        """Fails if a death is missed, or a stale table brings the member back."""
+        """Fails if a crash is missed, or a stale table adds the member again."""
         for fleet in self.fleets():
             net = fleet.net
             dead, stale, *others = net.live("north")
@@ -51,7 +51,7 @@
             self.assertEqual(self.state_of(stale.name, others), {MemberState.ALIVE})
 
     def test_slow_links_to_one_witness_do_not_kill(self) -> None:
-        """Fails if one node without acks is enough to declare a member gone."""
+        """Fails if a single witness is enough to declare a member gone."""
         for fleet in self.fleets():
             first, second, *_ = fleet.net.live("north")
             fleet.net.faults.cut_nodes = {frozenset((first.name, second.name))}
@@ -61,7 +61,7 @@
             self.assertLessEqual(second.table.own.incarnation, incarnation + 3)
 
     def test_deaf_witness_does_not_kill(self) -> None:
-        """Fails if a node that receives no acks makes others see each other as gone."""
+        """Fails if a node that receives no messages makes others declare each other gone."""
         for fleet in self.fleets():
             deaf, *others = fleet.net.live("north")
             fleet.net.faults.deaf = {deaf.name}
@@ -73,7 +73,7 @@
             self.assertEqual(self.state_of(deaf.name, others), {MemberState.GONE})
 
     def test_node_with_a_single_link_does_not_kill(self) -> None:
-        """Fails if a node that reaches one peer only makes others see each other as gone."""
+        """Fails if a node that reaches only one peer makes others declare each other gone."""
         for fleet in self.fleets():
             lonely, _, *others = fleet.net.live("north")
             cuts = {frozenset((lonely.name, node.name)) for node in others}
@@ -86,7 +86,7 @@
                     self.assertNotIn(MemberState.GONE, states, node.name)
 
     def test_isolated_node_holds_nothing_against_others(self) -> None:
-        """Fails if a node that was alone tells the others, once healed, that they are gone."""
+        """Fails if a node declares its peers gone during a partition and gossips it afterwards."""
         for fleet in self.fleets():
             alone, *others = fleet.net.live("north")
             everyone = [node.name for node in fleet.net.live()]
@@ -104,7 +104,7 @@
             self.assertLessEqual(raised, 4)
 
     def test_short_pause_is_no_death(self) -> None:
-        """Fails if a member that answers late is declared gone."""
+        """Fails if a member is declared gone after a short pause."""
         for fleet in self.fleets():
             paused = fleet.net.live("north")[0]
             paused.paused = True
@@ -116,7 +116,7 @@
                 self.assertNotIn(MemberState.GONE, states)
 
     def test_own_pause_is_not_held_against_others(self) -> None:
-        """Fails if a node whose clock jumped suspects the members whose answers it missed."""
+        """Fails if a node suspects the members whose acks it missed during its own pause."""
         clock = ManualClock()
         table = MemberTable(make_member("own", "north", 1))
         table.merge(make_member(f"m{index}", "north", 1) for index in range(5))
@@ -134,7 +134,7 @@
         self.assertIn(MemberState.SUSPECT, {m.state for m in table.all_members()})
 
     def test_halves_of_a_zone_find_each_other(self) -> None:
-        """Fails if two halves that declared each other gone stay apart after the heal."""
+        """Fails if two halves that declared each other gone do not rejoin after a partition."""
         for fleet in self.fleets():
             nodes = fleet.net.live("north")
             left, right = nodes[:4], nodes[4:]
@@ -147,14 +147,14 @@
             self.assertEqual({len(node.table.members()) for node in nodes}, {ZONES["north"]})
 
     def test_leave_and_drain_are_told_at_once(self) -> None:
-        """Fails if a planned stop is found out by silence only, or not told to other zones."""
+        """Fails if a leave or drain is not announced to the zone and a drain to other zones."""
         for fleet in self.fleets():
             leaver, drainer, *others = fleet.net.live("north")
             drainer.table.update_own(draining=True)
             fleet.net.send(leaver, leaver.detector.leave())
             fleet.net.stop(leaver.name)
             fleet.net.faults.loss = 0.0
-            fleet.run(0.5)  # a tick of 0.25 s, and three hops of at most 54 ms each
+            fleet.run(0.5)  # a tick of 0.25 s and three hops of at most 54 ms each
             for node in fleet.net.live("east"):
                 known = {m.name: m.summary.draining for m in node.directory.members("north")}
                 self.assertTrue(known[drainer.name], node.name)
@@ -163,7 +163,7 @@
             self.assertTrue(all(n.table.get(drainer.name).draining for n in others))  # type: ignore[union-attr]
 
     def test_starting_node_hears_all_members_soon(self) -> None:
-        """Fails if a node that starts without the log waits for a whole round of pings."""
+        """Fails if a node that starts without the log needs a whole round of pings for offsets."""
         fleet = FleetUnderTest(self, 1, zones={"north": 40})
         name = fleet.net.live()[-1].name
         fleet.net.stop(name)
@@ -177,7 +177,7 @@
         self.assertEqual(len(offsets), 39)
 
     def test_load_changes_raise_no_incarnation(self) -> None:
-        """Fails if each change of load or version is spread by the whole zone."""
+        """Fails if the whole zone gossips each change of load or version."""
         table = MemberTable(make_member("a", "north", 5))
         table.update_own(load=3, version=7, ready=False)
         self.assertEqual(table.own.incarnation, 5)
--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -1,4 +1,4 @@
-"""Real node processes keep the promises while they are killed, paused and cut off."""
+"""Real node processes under kills, pauses and log outages."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from citronrack.bench.fleet import Fleet, FleetNode, wait_until
 from citronrack.demo.traffic import Caller
 
-HANG_LIMIT_S = 60.0  # only bounds a hanging test; no promise is derived from it
+HANG_LIMIT_S = 60.0  # only ends a hanging test; not a limit of the product
 
 
 class ProcessesTest(unittest.TestCase):
-    """Guards against faults that only show between real processes, sockets and signals."""
+    """Guards against faults that only occur with real processes, sockets and signals."""
 
     def setUp(self) -> None:
         self.fleet = self.enterContext(Fleet())
@@ -62,8 +62,8 @@
     def answers(self, node: FleetNode, *, one_paused: bool) -> bool:
         """Return whether a call through ``node`` succeeds.
 
-        A paused process still accepts connections. Until it is ejected, a call that chose it ends
-        with 504 at the route's deadline; any other failure is a fault; 504 is one without a pause.
+        A paused process still accepts connections. Until it is ejected, a call to it ends with
+        504 at the route's timeout. Any other failure is a fault, and so is 504 without a pause.
         """
         status = Caller().call(node.call_url + "/x").status
         self.assertIn(status, (200, 504) if one_paused else (200,))
@@ -72,7 +72,7 @@
     def await_version(
         self, nodes: list[FleetNode], version: int, *, one_paused: bool = False
     ) -> None:
-        """Wait until ``version`` is in force on ``nodes``, and calls are answered by them."""
+        """Wait until ``version`` is in force on ``nodes`` and calls through them succeed."""
         self.until(lambda: all(self.status(n).get("version", -1) >= version for n in nodes))
         self.until(lambda: all(n.client.get("/readyz").status == 200 for n in nodes))
         for node in nodes:
@@ -90,14 +90,14 @@
         return runs
 
     def kill(self, name: str) -> None:
-        """End a node's process without any notice."""
+        """Kill the process of a node."""
         process = self.fleet.nodes[name].process
         assert process is not None
         process.kill()
         process.wait()
 
     def test_killed_reader_paused_node_and_restart(self) -> None:
-        """Fails if a change is lost with its reader, or a node goes back after a pause."""
+        """Fails if a killed reader loses a change, or a paused node reverts to an older version."""
         others = [n for n in self.running() if n.availability_zone == "a"]
         self.await_version(self.running(), 0)
         self.until(lambda: any(self.status(n)["reader_role"] == "primary" for n in others))
@@ -116,7 +116,7 @@
                 self.assertEqual(run, sorted(set(run)), name)
 
     def test_outage_with_a_restart(self) -> None:
-        """Fails if a node serves an older version after a restart, or hides the missing proof."""
+        """Fails if a node restarted in an outage serves an older version or is not unproven."""
         version = self.publish(self.fleet.nodes["b-1"])
         self.await_version(self.running(), version)
         self.fleet.log.faults.outage = True
--- a/tests/node/test_readiness.py
+++ b/tests/node/test_readiness.py
@@ -1,4 +1,4 @@
-"""A node is ready only when its configuration is known to be current, or says that it is not."""
+"""Readiness: a node is ready when its configuration is proven current, or marked unproven."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 
 
 class ReadinessGateTest(unittest.TestCase):
-    """Guards against serving calls by a version older than one served before a restart."""
+    """Guards against serving calls with an older version after a restart."""
 
     def test_states(self) -> None:
-        """Fails if the node became ready without a proof, or hid that it has none."""
+        """Fails if a node becomes ready without a proof and is not marked unproven."""
         cases = [
             ("at the log's end", CURRENT, Readiness.READY),
             ("behind the log's end", attrs.evolve(CURRENT, offset=9), Readiness.NOT_READY),
@@ -50,7 +50,7 @@
                 self.assertEqual(gate.reason == "", expected is Readiness.READY)
 
     def test_unproven_becomes_proven(self) -> None:
-        """Fails if a node stayed unproven after the log came back."""
+        """Fails if a node stays unproven after the log has recovered."""
         gate = ReadinessGate()
         gate.update(attrs.evolve(LOG_DOWN, peer_offsets={"a": 10}))
         self.assertEqual(gate.update(CURRENT), Readiness.READY)
--- a/tests/node/test_seeds.py
+++ b/tests/node/test_seeds.py
@@ -1,4 +1,4 @@
-"""The log always lists addresses at which a starting node can meet its zone."""
+"""The seed list in the log, through which starting nodes join their zone."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class SeedListWriterTest(unittest.TestCase):
-    """Guards against a stale list and against a record for each change of membership."""
+    """Guards against a stale list, and against a record per membership change."""
 
     def test_writes_only_when_the_list_is_of_little_use(self) -> None:
-        """Fails if a stale list stays, or appends follow each change."""
+        """Fails if a stale list is not replaced, or each membership change appends a list."""
         clock = ManualClock()
         keeper = SeedListWriter(availability_zone="a", clock=clock)
         self.assertIsNone(keeper.due((), RANKING))
--- a/tests/node/test_views.py
+++ b/tests/node/test_views.py
@@ -1,4 +1,4 @@
-"""The call path gets every target that may serve, and none that is leaving."""
+"""The routing view contains all usable targets and no draining or gone ones."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class ViewBuilderTest(unittest.TestCase):
-    """Guards against calls to leaving targets and against pools that empty without need."""
+    """Guards against calls to draining targets, and against needlessly empty pools."""
 
     def names(self, members: list[Member], remote: list[RemoteMember]) -> list[str]:
         """Return the names in the pool of the service version."""
@@ -50,7 +50,7 @@
         return RemoteMember("b", summary_of(member), 0.0 if known else 60.0, known)
 
     def test_pools(self) -> None:
-        """Fails if a draining or gone target is offered, or the last usable one is not."""
+        """Fails if a pool has a draining or gone target, or lacks the last usable one."""
         unready = self.variant(name="a-2", ready=False)
         suspect = self.variant(name="a-3", state=int(MemberState.SUSPECT))
         cases: list[tuple[str, list[Member], list[RemoteMember], list[str]]] = [
@@ -60,15 +60,15 @@
             ("good before others", [MEMBER, unready, suspect], [], ["a-1"]),
             ("others when none is good", [unready, suspect], [], ["a-2", "a-3"]),
             ("all zones", [MEMBER], [self.remote()], ["a-1", "b-1"]),
-            ("unheard zone", [MEMBER], [self.remote(known=False)], ["a-1"]),
-            ("only an unheard zone", [], [self.remote(known=False)], ["b-1"]),
+            ("stale zone", [MEMBER], [self.remote(known=False)], ["a-1"]),
+            ("only a stale zone", [], [self.remote(known=False)], ["b-1"]),
         ]
         for name, members, remote, expected in cases:
             with self.subTest(name):
                 self.assertEqual(self.names(members, remote), expected)
 
     def test_changed_members_replace_the_pools(self) -> None:
-        """Fails if a reused pool hides that a target is leaving."""
+        """Fails if a reused pool keeps a draining target."""
         builder = ViewBuilder()
         for draining in (False, True):
             view = builder.build(
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -1,4 +1,4 @@
-"""Wrong settings are refused with one line per fault."""
+"""Invalid settings are rejected with one line per fault."""
 
 from __future__ import annotations
 
@@ -32,10 +32,10 @@
 
 
 class ParseSettingsTest(unittest.TestCase):
-    """Guards against a node that starts with settings it cannot use."""
+    """Guards against a node that starts with invalid settings."""
 
     def faults(self, path: str, value: Any) -> tuple[str, ...]:
-        """Return the fault lines after one value was replaced, or removed for None."""
+        """Return the fault lines with one value replaced, or removed if ``value`` is None."""
         content = copy.deepcopy(VALID)
         *sections, key = path.split(".")
         part = content
@@ -50,7 +50,7 @@
         return caught.exception.faults
 
     def test_names_file_key_and_expectation(self) -> None:
-        """Fails if an operator would have to guess which value is wrong."""
+        """Fails if a line does not name the file, the key and the expected value."""
         cases = [
             ("node.name", None, "s.yaml: node.name: missing"),
             ("node.extra", 1, "s.yaml: node.extra: unknown key"),
@@ -70,7 +70,7 @@
                 self.assertTrue(lines[0].startswith(expected), lines[0])
 
     def test_reports_all_faults_at_once(self) -> None:
-        """Fails if an operator had to start the node once per fault."""
+        """Fails if only the first fault is reported."""
         content = copy.deepcopy(VALID)
         content["node"]["call_address"] = "x"
         content["api"]["token"] = "short"
@@ -79,7 +79,7 @@
         self.assertEqual(len(caught.exception.faults), 2)
 
     def test_file_faults(self) -> None:
-        """Fails if a missing or broken file ended in a traceback."""
+        """Fails if a missing or malformed file raises another error than `SettingsError`."""
         with tempfile.TemporaryDirectory() as folder:
             broken = Path(folder) / "broken.yaml"
             broken.write_text("a: [", encoding="utf-8")
