Rename private handlers and buffers of distribution and membership

Cause: take, answer, early, forget and wanted said little about what the methods and fields do.

Change: handlers are on_pull, on_delta and on_report; records that arrived out of order are buffered; MemberTable.drop and DROP_AFTER_S replace forget. All of them are used in these folders only.

--- a/src/citronrack/config/change.py
+++ b/src/citronrack/config/change.py
@@ -79,7 +79,7 @@
     """
     move = base.moves[move_id]
     route = base.routes[move.route]
-    kept = move.to_version if finished else move.from_version
-    routes = {**base.routes, route.name: attrs.evolve(route, service_version=kept)}
+    version_in_force = move.to_version if finished else move.from_version
+    routes = {**base.routes, route.name: attrs.evolve(route, service_version=version_in_force)}
     moves = {name: other for name, other in base.moves.items() if name != move_id}
     return ConfigSet(version=version, services=base.services, routes=routes, moves=moves)
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -108,8 +108,8 @@
             RecordsPage: self._on_page,
             PullSnapshot: self._on_snapshot_pull,
             SnapshotPage: self._on_snapshot_page,
-            PullFacts: self._spreader.answer,
-            FactsDelta: self._spreader.take,
+            PullFacts: self._spreader.on_pull,
+            FactsDelta: self._spreader.on_delta,
             Progress: self._on_progress,
         }
 
@@ -253,15 +253,15 @@
     def _on_snapshot_page(self, sender: str, message: SnapshotPage) -> list[Send]:
         if not self._repair.record_answer(sender) or message.through <= self._store.next:
             return []
-        data = self._assembler.take(message)
+        data = self._assembler.add(message)
         if data is not None:
             self._take_snapshot(sender, message.through, data)
             return self._pull_if_due()
-        wanted = self._assembler.next_request()
-        if wanted is None:
+        request = self._assembler.next_request()
+        if request is None:
             return []
         self._repair.record_request(sender)
-        return [Send(sender, wanted)]
+        return [Send(sender, request)]
 
     def _take_snapshot(self, sender: str, through: int, data: bytes) -> None:
         if self._load_snapshot is None or not self._load_snapshot(data):
@@ -270,7 +270,7 @@
             self._store.jump_to(through)
 
     def _on_progress(self, _: str, message: Progress) -> list[Send]:
-        self._progress.take(message)
+        self._progress.on_report(message)
         return []
 
     def _accept(self, offset: int, data: bytes) -> list[bytes]:
--- a/src/citronrack/distribution/progress.py
+++ b/src/citronrack/distribution/progress.py
@@ -121,7 +121,7 @@
         self._next_repeat = 0.0
         self._sent: tuple[str, Progress] | None = None
 
-    def take(self, report: Progress) -> None:
+    def on_report(self, report: Progress) -> None:
         """Store the report of a child."""
         self._reports[report.name] = report, self._clock.monotonic()
 
--- a/src/citronrack/distribution/snapshots.py
+++ b/src/citronrack/distribution/snapshots.py
@@ -41,10 +41,10 @@
             self._parts, self._through, self._made_at = tuple(parts), next_offset, now
         return self._part(0)
 
-    def part(self, wanted: PullSnapshot) -> SnapshotPage | None:
+    def part(self, request: PullSnapshot) -> SnapshotPage | None:
         """Return one part, or the first part of the current snapshot when that one was replaced."""
-        same = wanted.through == self._through and 0 <= wanted.index < len(self._parts)
-        return self._part(wanted.index if same else 0)
+        same = request.through == self._through and 0 <= request.index < len(self._parts)
+        return self._part(request.index if same else 0)
 
     def drop_old(self) -> None:
         """Release the memory of a snapshot after twice its cache time."""
@@ -64,7 +64,7 @@
         self._through = -1
         self._parts: list[bytes] = []
 
-    def take(self, page: SnapshotPage) -> bytes | None:
+    def add(self, page: SnapshotPage) -> bytes | None:
         """Add the next part; returns the snapshot when it is complete."""
         if not 0 < page.count <= MAX_PARTS:
             return None
--- a/src/citronrack/distribution/spread.py
+++ b/src/citronrack/distribution/spread.py
@@ -67,7 +67,7 @@
         self._interval = min(PULL_MAX_INTERVAL_S, 2 * self._interval)
         return [Send(address, PullFacts(self._store.buckets))]
 
-    def answer(self, sender: str, message: PullFacts) -> list[Send]:
+    def on_pull(self, sender: str, message: PullFacts) -> list[Send]:
         """Send the facts of the differing buckets, as many as fit into one message."""
         facts: list[Fact] = []
         size = 0
@@ -78,7 +78,7 @@
             facts.append(fact)
         return [Send(sender, FactsDelta(tuple(facts)))] if facts else []
 
-    def take(self, sender: str, message: FactsDelta) -> list[Send]:
+    def on_delta(self, sender: str, message: FactsDelta) -> list[Send]:
         """Merge facts; push new ones that are urgent or from another zone down the tree."""
         new = self._store.merge(message.facts)
         if not new:
--- a/src/citronrack/distribution/store.py
+++ b/src/citronrack/distribution/store.py
@@ -6,8 +6,8 @@
 
 KEPT_RECORDS = 5_000
 KEPT_BYTES = 4 * 1024 * 1024  # an eighth of the node's 32 MB of memory
-EARLY_RECORDS = 512
-EARLY_BYTES = 512 * 1024
+MAX_BUFFERED_RECORDS = 512
+MAX_BUFFERED_BYTES = 512 * 1024
 PAGE_BYTES = 64 * 1024
 
 
@@ -23,8 +23,8 @@
         self._next = next_offset
         self._kept: dict[int, bytes] = {}
         self._kept_bytes = 0
-        self._early: dict[int, bytes] = {}
-        self._early_bytes = 0
+        self._buffered: dict[int, bytes] = {}
+        self._buffered_bytes = 0
 
     @property
     def first(self) -> int:
@@ -39,28 +39,28 @@
     @property
     def size_bytes(self) -> int:
         """Size of all retained and buffered records."""
-        return self._kept_bytes + self._early_bytes
+        return self._kept_bytes + self._buffered_bytes
 
     def jump_to(self, offset: int) -> None:
         """Discard the retained records and continue at ``offset``."""
         self._kept.clear()
         self._kept_bytes = 0
         self._first = self._next = offset
-        self._drop_passed_early()
+        self._drop_obsolete_buffered()
 
     def offer(self, offset: int, data: bytes) -> list[tuple[int, bytes]]:
         """Add a record; returns the records that became contiguous, in order."""
         if offset < self._next:
             return []
         if offset > self._next:
-            self._keep_early(offset, data)
+            self._buffer(offset, data)
             return []
         ready = [(offset, data)]
-        while ready[-1][0] + 1 in self._early:
-            following = ready[-1][0] + 1
-            early = self._early.pop(following)
-            self._early_bytes -= len(early)
-            ready.append((following, early))
+        while ready[-1][0] + 1 in self._buffered:
+            next_offset = ready[-1][0] + 1
+            buffered = self._buffered.pop(next_offset)
+            self._buffered_bytes -= len(buffered)
+            ready.append((next_offset, buffered))
         for number, content in ready:
             self._keep(number, content)
         return ready
@@ -85,16 +85,16 @@
             self._kept_bytes -= len(self._kept.pop(self._first))
             self._first += 1
 
-    def _keep_early(self, offset: int, data: bytes) -> None:
-        if offset in self._early or offset - self._next > EARLY_RECORDS:
+    def _buffer(self, offset: int, data: bytes) -> None:
+        if offset in self._buffered or offset - self._next > MAX_BUFFERED_RECORDS:
             return
-        if self._early_bytes + len(data) <= EARLY_BYTES:
-            self._early[offset] = data
-            self._early_bytes += len(data)
+        if self._buffered_bytes + len(data) <= MAX_BUFFERED_BYTES:
+            self._buffered[offset] = data
+            self._buffered_bytes += len(data)
 
-    def _drop_passed_early(self) -> None:
-        for offset in [number for number in self._early if number < self._next]:
-            self._early_bytes -= len(self._early.pop(offset))
+    def _drop_obsolete_buffered(self) -> None:
+        for offset in [number for number in self._buffered if number < self._next]:
+            self._buffered_bytes -= len(self._buffered.pop(offset))
 
 
 def pages(first: int, records: Sequence[bytes]) -> list[tuple[int, tuple[bytes, ...]]]:
--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -366,7 +366,7 @@
         effects: list[Send] = []
         for resolved in self._suspicions.take_due(now):
             if not resolved.confirmed:
-                self._forget(resolved.name)
+                self._drop_unconfirmed(resolved.name)
                 continue
             member = self._table.set_state(resolved.name, resolved.incarnation, MemberState.GONE)
             if member is not None:
@@ -374,12 +374,12 @@
                 effects += self._notices(member, NOTICE_PEERS)
         return effects
 
-    def _forget(self, name: str) -> None:
+    def _drop_unconfirmed(self, name: str) -> None:
         """Drop an unconfirmed suspect; its address is contacted again, and peers may keep it."""
         member = self._table.get(name)
         if member is not None:
             self._joining.keep_address(member)
-            self._table.forget(name)
+            self._table.drop(name)
             self._changed(attrs.evolve(member, state=int(MemberState.GONE)))
 
     def _expire_tombstones(self, now: float) -> None:
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -26,7 +26,7 @@
 EXCHANGE_INTERVAL_S = 2.0
 FORWARD_INTERVAL_S = 4.0
 UNKNOWN_AFTER_S = 30.0
-FORGET_AFTER_S = 3_600.0
+DROP_AFTER_S = 3_600.0
 PULL_INTERVAL_S = 1.0  # one page of 64 members a second bounds the bytes after a mass restart
 PAGE_MEMBERS = 64
 OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that may try a seed or any member
@@ -139,7 +139,7 @@
         if now >= self._next_forward:
             self._next_forward = now + FORWARD_INTERVAL_S
             for view in self._views.values():
-                view.drop_older(now - FORGET_AFTER_S)
+                view.drop_older(now - DROP_AFTER_S)
             effects += self._send_to_zone()
         return effects
 
--- a/src/citronrack/membership/joining.py
+++ b/src/citronrack/membership/joining.py
@@ -66,9 +66,9 @@
         live = {member.address for member in self._table.members()}
         known = dict.fromkeys((*self._seeds, *self._gone_addresses.values()))
         outside = [address for address in known if address not in live]
-        wanted = min(len(outside), 1)  # joining through three seeds tripled the load on each
+        sample_size = min(len(outside), 1)  # joining through three seeds tripled the load on each
         join = Join(self._table.own)
-        return [Send(address, join) for address in self._random.sample(outside, wanted)]
+        return [Send(address, join) for address in self._random.sample(outside, sample_size)]
 
     def answer_join(self, sender: str, message: Join) -> list[Send]:
         """Return the requested page of the table and the tombstone of the sender, if any."""
--- a/src/citronrack/membership/table.py
+++ b/src/citronrack/membership/table.py
@@ -121,7 +121,7 @@
         self._own = attrs.evolve(self._own, incarnation=incarnation + 1)
         self._store(self._own)
 
-    def forget(self, name: str) -> None:
+    def drop(self, name: str) -> None:
         """Drop a member without a tombstone, so that any incarnation adds it again."""
         known = self._members.get(name)
         if known is None or name == self._own.name:
--- a/src/citronrack/node/capacity.py
+++ b/src/citronrack/node/capacity.py
@@ -39,8 +39,8 @@
 
     def __call__(self, service: str, service_version: str) -> Capacity:
         """Return the capacity of the live targets of ``service_version`` in all reachable zones."""
-        wanted = (service, service_version)
-        own = [m for m in self._table.members() if (m.service, m.service_version) == wanted]
+        key = (service, service_version)
+        own = [m for m in self._table.members() if (m.service, m.service_version) == key]
         alive = [m for m in own if m.state == MemberState.ALIVE and not m.draining]
         remote = [
             member.summary
@@ -48,7 +48,7 @@
             for member in self._directory.members(zone)
             if member.known and not member.summary.gone and not member.summary.draining
         ]
-        others = [s for s in remote if (s.service, s.service_version) == wanted]
+        others = [s for s in remote if (s.service, s.service_version) == key]
         return Capacity(
             targets=len(alive) + len(others),
             slots=sum(m.slots for m in alive) + sum(s.slots for s in others),
--- a/tests/distribution/test_facts.py
+++ b/tests/distribution/test_facts.py
@@ -10,7 +10,7 @@
 
 from citronrack.distribution import Fact, FactStore, RecordStore
 from citronrack.distribution.facts import MARK_RESERVE_BYTES, MAX_BYTES
-from citronrack.distribution.store import EARLY_BYTES, KEPT_BYTES
+from citronrack.distribution.store import KEPT_BYTES, MAX_BUFFERED_BYTES
 
 facts = st.lists(
     st.builds(Fact, st.sampled_from("abcd"), st.integers(0, 3), st.binary(max_size=2)), max_size=12
@@ -63,7 +63,7 @@
         for offset in range(100):
             store.offer(offset, big)
             store.offer(offset + 300, big)
-        self.assertLessEqual(store.size_bytes, KEPT_BYTES + EARLY_BYTES)
+        self.assertLessEqual(store.size_bytes, KEPT_BYTES + MAX_BUFFERED_BYTES)
         self.assertEqual(store.next, 100)
         self.assertEqual(len(store.page(store.first)), 1)
 
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -75,8 +75,8 @@
     def test_node_with_a_single_link_does_not_kill(self) -> None:
         """Fails if a node that reaches only one peer makes others declare each other gone."""
         for fleet in self.fleets():
-            lonely, _, *others = fleet.net.live("north")
-            cuts = {frozenset((lonely.name, node.name)) for node in others}
+            single_link, _, *others = fleet.net.live("north")
+            cuts = {frozenset((single_link.name, node.name)) for node in others}
             fleet.net.faults.cut_nodes = cuts
             fleet.net.faults.loss = 0.0  # a lost ack would be a second witness
             for _ in range(80):
@@ -88,9 +88,9 @@
     def test_isolated_node_holds_nothing_against_others(self) -> None:
         """Fails if a node declares its peers gone during a partition and gossips it afterwards."""
         for fleet in self.fleets():
-            alone, *others = fleet.net.live("north")
+            isolated, *others = fleet.net.live("north")
             everyone = [node.name for node in fleet.net.live()]
-            fleet.net.faults.cut_nodes = {frozenset((alone.name, name)) for name in everyone}
+            fleet.net.faults.cut_nodes = {frozenset((isolated.name, name)) for name in everyone}
             before = {n.name: n.table.own.incarnation for n in others}
             fleet.run(60)
             fleet.net.faults.cut_nodes = set()
@@ -98,7 +98,7 @@
                 fleet.run(0.5)
                 for node in others:
                     self.assertNotIn(MemberState.GONE, self.state_of(node.name, others))
-            sizes = {len(node.table.members()) for node in (alone, *others)}
+            sizes = {len(node.table.members()) for node in (isolated, *others)}
             self.assertEqual(sizes, {ZONES["north"]})
             raised = sum(n.table.own.incarnation - before[n.name] for n in others)
             self.assertLessEqual(raised, 4)
--- a/tests/node/test_readiness.py
+++ b/tests/node/test_readiness.py
@@ -28,7 +28,7 @@
                 Readiness.NOT_READY,
             ),
             (
-                "log down, a peer not heard",
+                "log down, offset of a peer unknown",
                 attrs.evolve(LOG_DOWN, peer_offsets={"a": 10, "b": None}),
                 Readiness.NOT_READY,
             ),
