State the reasons of a relay push and of rejected settings more exactly

Cause: settings may be rejected for other reasons than being invalid, and the comment on the push to rank 0 no longer said that it is a relay.

--- a/src/citronrack/distribution/spread.py
+++ b/src/citronrack/distribution/spread.py
@@ -100,7 +100,7 @@
         if self._tree.index == 0:
             targets += self._relays()
         elif origin == self._own and self._tree.ranking:
-            # The origin may be a leaf, so the root gets the fact directly as well.
+            # The origin may be a leaf, so rank 0, a relay, gets the fact directly as well.
             targets.append(self._tree.ranking[0].address)
         chosen = dict.fromkeys(target for target in targets if target != except_for)
         return [Send(target, message) for target in chosen]
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -134,7 +134,7 @@
         "info", "The operator's records of this node are confirmed as complete again."
     ),
     Event.SETTINGS_REFUSED: EventInfo(
-        "warning", "Changed settings are invalid; the previous ones stay in force."
+        "warning", "Changed settings were rejected; the previous ones stay in force."
     ),
     Event.STORE_WRITTEN: EventInfo("info", "A record was written to the platform's store."),
     Event.STORE_CONFLICT: EventInfo("info", "Another record was written first; see `end`."),
