--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -12,11 +12,10 @@
 from typing import TYPE_CHECKING, Any
 
 from ..api.server import ApiListener
-from ..calls.drain import NOTICE_S
+from ..calls.drain import DRAIN_NOTICE_S
 from ..calls.limits import SWITCH_INTERVAL_S
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.view import ViewHolder
-from ..checks import split_address
 from ..clock import Clock, SystemClock
 from ..log.appender import Appended, Appender
 from ..log.fold import FoldState, PlanState
@@ -26,6 +25,7 @@
 from ..settings import Settings
 from ..telemetry import Event, EventLog, Metrics
 from ..transport.zmq_transport import ZmqTransport
+from ..validators import split_address
 from .append_task import AppendTask
 from .capacity import CapacityTable
 from .control import ControlTask
@@ -144,7 +144,7 @@
         self._control.mailbox.put(DrainAsked())
         # Calls are served until all routers have received the drain notice: refusing half of the
         # calls of a two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
-        threading.Event().wait(NOTICE_S)
+        threading.Event().wait(DRAIN_NOTICE_S)
         limit_s = self._settings.calls.drain_limit_s
         self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
         for task in self._tasks.values():
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -9,9 +9,9 @@
 from attrs import define, field
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
-from ..checks import split_address
 from ..config import ConfigSet
 from ..membership import Member, MemberState, MemberSummary, RemoteMember
+from ..validators import split_address
 
 ADDRESS_CACHE_SIZE = 8_192  # twice the fleet size expected in two years
 
--- a/src/citronrack/settings/load.py
+++ b/src/citronrack/settings/load.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..errors import SettingsError
-from ..plain import PlainFaults, from_plain
+from ..plain import PlainFormatError, from_plain
 from .model import Settings
 
 
@@ -41,5 +41,5 @@
     """
     try:
         return from_plain(content, Settings, name="settings")
-    except PlainFaults as error:
+    except PlainFormatError as error:
         raise SettingsError([f"{source}: {line}" for line in error.lines]) from error
--- a/src/citronrack/settings/model.py
+++ b/src/citronrack/settings/model.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 
 
 @frozen
@@ -19,11 +19,11 @@
         deliver_address: ``ip:port`` for calls forwarded by other nodes.
     """
 
-    name: str = field(validator=checks.name)
-    availability_zone: str = field(validator=checks.name)
-    peer_address: str = field(validator=checks.address)
-    call_address: str = field(validator=checks.address)
-    deliver_address: str = field(validator=checks.address)
+    name: str = field(validator=validators.name)
+    availability_zone: str = field(validator=validators.name)
+    peer_address: str = field(validator=validators.address)
+    call_address: str = field(validator=validators.address)
+    deliver_address: str = field(validator=validators.address)
 
 
 @frozen
@@ -38,11 +38,11 @@
         connections: Concurrent connections that the target accepts.
     """
 
-    address: str = field(validator=checks.address)
-    service: str = field(validator=checks.name)
-    service_version: str = field(validator=checks.name)
-    slots: int = field(default=6, validator=checks.between(1, 1_000))
-    connections: int = field(default=120, validator=checks.between(1, 10_000))
+    address: str = field(validator=validators.address)
+    service: str = field(validator=validators.name)
+    service_version: str = field(validator=validators.name)
+    slots: int = field(default=6, validator=validators.between(1, 1_000))
+    connections: int = field(default=120, validator=validators.between(1, 10_000))
 
 
 @frozen
@@ -56,11 +56,11 @@
         remote_seeds: ``ip:port`` of nodes by other zone.
     """
 
-    mesh_id: str = field(validator=checks.name)
-    key: str = field(validator=checks.hex_key, repr=False)
-    seeds: tuple[str, ...] = field(default=(), validator=checks.addresses)
+    mesh_id: str = field(validator=validators.name)
+    key: str = field(validator=validators.hex_key, repr=False)
+    seeds: tuple[str, ...] = field(default=(), validator=validators.addresses)
     remote_seeds: dict[str, tuple[str, ...]] = field(
-        factory=dict, validator=checks.addresses_by_name
+        factory=dict, validator=validators.addresses_by_name
     )
 
 
@@ -72,7 +72,7 @@
         url: Base address, ``http://ip:port``.
     """
 
-    url: str = field(validator=checks.url)
+    url: str = field(validator=validators.url)
 
 
 @frozen
@@ -85,9 +85,9 @@
         requests_per_second: Maximum mean rate of requests.
     """
 
-    address: str = field(validator=checks.address)
-    token: str = field(validator=checks.token, repr=False)
-    requests_per_second: float = field(default=20.0, validator=checks.between(0.1, 10_000))
+    address: str = field(validator=validators.address)
+    token: str = field(validator=validators.token, repr=False)
+    requests_per_second: float = field(default=20.0, validator=validators.between(0.1, 10_000))
 
 
 @frozen
@@ -101,9 +101,9 @@
         balancer: Name of the policy that chooses a target.
     """
 
-    connections: int = field(default=120, validator=checks.between(1, 10_000))
-    drain_limit_s: float = field(default=30.0, validator=checks.between(0, 600))
-    link_one_way_ms: float = field(default=4.0, validator=checks.between(0, 1_000))
+    connections: int = field(default=120, validator=validators.between(1, 10_000))
+    drain_limit_s: float = field(default=30.0, validator=validators.between(0, 600))
+    link_one_way_ms: float = field(default=4.0, validator=validators.between(0, 1_000))
     balancer: str = "adaptive"
 
 
@@ -118,10 +118,12 @@
         trace_limit_mb: Maximum size of that file.
     """
 
-    level: str = field(default="info", validator=checks.one_of("debug", "info", "warning", "error"))
-    statsd: str = field(default="", validator=checks.optional_address)
+    level: str = field(
+        default="info", validator=validators.one_of("debug", "info", "warning", "error")
+    )
+    statsd: str = field(default="", validator=validators.optional_address)
     trace: str = ""
-    trace_limit_mb: int = field(default=64, validator=checks.between(1, 10_000))
+    trace_limit_mb: int = field(default=64, validator=validators.between(1, 10_000))
 
 
 @frozen
