--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -36,7 +36,7 @@
 
     @property
     def next_offset(self) -> int:
-        """Next offset that this node folds."""
+        """Next offset to fold on this node."""
 
     @property
     def version(self) -> int:
@@ -115,12 +115,12 @@
 
     @property
     def offset(self) -> int:
-        """Next offset that this node folds."""
+        """Next offset to fold on this node."""
         return self._store.next
 
     @property
     def next_offset(self) -> int:
-        """Next offset that this node folds."""
+        """Next offset to fold on this node."""
         return self._store.next
 
     @property
@@ -152,7 +152,7 @@
         return (ReaderRole.PRIMARY, ReaderRole.STANDBY)[readers.index(self._own)]
 
     def put_fact(self, key: str, rank: int, payload: bytes, *, urgent: bool = False) -> list[Send]:
-        """Add a fact of this node; an urgent one is pushed down the tree at once."""
+        """Add a fact of this node; an urgent one is pushed down the tree immediately."""
         return self._spreader.put(Fact(key, rank, payload), urgent=urgent)
 
     def own_zone_progress(self, availability_zone: str) -> ZoneProgress:
@@ -255,7 +255,7 @@
             return []
         data = self._assembler.add(message)
         if data is not None:
-            self._take_snapshot(sender, message.through, data)
+            self._install_snapshot(sender, message.through, data)
             return self._pull_if_due()
         request = self._assembler.next_request()
         if request is None:
@@ -263,7 +263,7 @@
         self._repair.record_request(sender)
         return [Send(sender, request)]
 
-    def _take_snapshot(self, sender: str, through: int, data: bytes) -> None:
+    def _install_snapshot(self, sender: str, through: int, data: bytes) -> None:
         if self._load_snapshot is None or not self._load_snapshot(data):
             self._repair.mark_failed(sender)
         elif self._store.next < through:
--- a/src/citronrack/distribution/tree.py
+++ b/src/citronrack/distribution/tree.py
@@ -75,8 +75,8 @@
         return self.ranking[(index - 1) // FANOUT] if 0 < index < len(self.ranking) else None
 
     def _find_readers(self) -> list[str]:
-        able = (m.name for m in self._ranking if m.reading and m.state == MemberState.ALIVE)
-        chosen = list(itertools.islice(able, READERS))
+        eligible = (m.name for m in self._ranking if m.reading and m.state == MemberState.ALIVE)
+        chosen = list(itertools.islice(eligible, READERS))
         return chosen or [member.name for member in self._ranking[:READERS]]
 
     def _order(self, origin: str | None) -> list[Member]:
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -62,7 +62,9 @@
         self._clock = clock
         self._random = random
         self._own_zone = table.own.availability_zone
-        self._seeds = {zone: tuple(some) for zone, some in seeds.items() if zone != self._own_zone}
+        self._seeds = {
+            zone: tuple(addresses) for zone, addresses in seeds.items() if zone != self._own_zone
+        }
         self._observer = observer
         self._own_progress = own_progress
         self._tree = Tree(table.own.name, table.members)
--- a/src/citronrack/node/core.py
+++ b/src/citronrack/node/core.py
@@ -67,7 +67,7 @@
         detector: Failure detection.
         distribution: Distribution of records.
         directory: Members of other zones.
-        moving: Decisions about moves.
+        move_runner: Decisions about moves.
     """
 
     clock: Clock
@@ -345,8 +345,8 @@
         """Return the rank among the zone's readers, None while this node may not hold a duty."""
         end = self._log.end
         current = end is not None and self._fold.next_offset >= end
-        able = self._gate.state is Readiness.READY and not self._parts.table.own.draining
-        if not current or not able:
+        eligible = self._gate.state is Readiness.READY and not self._parts.table.own.draining
+        if not current or not eligible:
             return None
         return _DUTY_RANKS.get(self._role)
 
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -40,8 +40,8 @@
         self._events = events
         self._append = append
         self._append_snapshot = append_snapshot
-        self._snapshots = SnapshotScheduler(clock=clock, random=random)
-        self._keepers = {
+        self._snapshot_scheduler = SnapshotScheduler(clock=clock, random=random)
+        self._lease_managers = {
             duty.value: LeaseManager(duty=duty, own=writer, clock=clock, random=random)
             for duty in Duty
         }
@@ -53,13 +53,13 @@
 
     def term(self, duty: Duty) -> int:
         """Return the term under which this node holds a duty, 0 when it does not."""
-        return self._keepers[duty.value].term or 0
+        return self._lease_managers[duty.value].term or 0
 
     def on_state(self, state: FoldState) -> None:
         """Update the leases and the snapshot state from the folded log."""
-        for keeper in self._keepers.values():
-            keeper.on_state(state)
-        self._snapshots.on_state(state)
+        for lease_manager in self._lease_managers.values():
+            lease_manager.on_state(state)
+        self._snapshot_scheduler.on_state(state)
 
     def on_tick(self, fold: LogFold, *, rank: int | None, first: int, end: int) -> None:
         """Claim leases and start a snapshot when they are due.
@@ -70,13 +70,13 @@
             first: Oldest retained offset of the records stream.
             end: Offset of its next record.
         """
-        for keeper in self._keepers.values():
-            claim = keeper.on_tick(rank=rank)
+        for lease_manager in self._lease_managers.values():
+            claim = lease_manager.on_tick(rank=rank)
             if claim is not None:
                 self._append(claim)
         self._note_changes()
-        term = self._keepers[Duty.COMPACTOR.value].term
-        due = self._snapshots.on_tick(fold, term=term, first=first, end=end)
+        term = self._lease_managers[Duty.COMPACTOR.value].term
+        due = self._snapshot_scheduler.on_tick(fold, term=term, first=first, end=end)
         if isinstance(due, WriteSnapshot):
             self._append_snapshot(due.data)
         elif due is not None:
@@ -85,34 +85,40 @@
     def on_append_done(self, mail: AppendDone) -> None:
         """Process the result of a lease claim or of a snapshot announcement."""
         if isinstance(mail.body, Claim):
-            self._claim_done(self._keepers[mail.body.duty], mail)
+            self._claim_done(self._lease_managers[mail.body.duty], mail)
         elif isinstance(mail.body, SnapshotTaken):
             if mail.offset is None:
-                self._snapshots.on_failed()
+                self._snapshot_scheduler.on_failed()
             else:
-                self._snapshots.on_announced(mail.offset)
+                self._snapshot_scheduler.on_announced(mail.offset)
 
     def on_snapshot_done(self, mail: SnapshotDone) -> None:
         """Process the result of a snapshot write."""
         if mail.offset is None:
-            self._snapshots.on_failed()
+            self._snapshot_scheduler.on_failed()
             return
         self._events.write(Event.SNAPSHOT_WRITTEN, offset=mail.offset)
-        self._snapshots.on_written(mail.offset)
+        self._snapshot_scheduler.on_written(mail.offset)
 
     @staticmethod
-    def _claim_done(keeper: LeaseManager, mail: AppendDone) -> None:
+    def _claim_done(lease_manager: LeaseManager, mail: AppendDone) -> None:
         if mail.offset is not None:
-            keeper.on_claim_appended(mail.offset)
+            lease_manager.on_claim_appended(mail.offset)
         elif mail.fate is AppendFate.REFUSED:
-            keeper.on_claim_refused()
+            lease_manager.on_claim_refused()
         else:
-            keeper.on_claim_unknown()
+            lease_manager.on_claim_unknown()
 
     def _note_changes(self) -> None:
-        held = {name for name, keeper in self._keepers.items() if keeper.term is not None}
+        held = {
+            name
+            for name, lease_manager in self._lease_managers.items()
+            if lease_manager.term is not None
+        }
         for name in sorted(held - self._held):
-            self._events.write(Event.LEASE_ACQUIRED, duty=name, term=self._keepers[name].term)
+            self._events.write(
+                Event.LEASE_ACQUIRED, duty=name, term=self._lease_managers[name].term
+            )
         for name in sorted(self._held - held):
             self._events.write(Event.LEASE_LOST, duty=name)
         self._held = held
--- a/src/citronrack/node/move_runner.py
+++ b/src/citronrack/node/move_runner.py
@@ -86,7 +86,7 @@
                 facts=self._facts,
                 ranked=self._ranked,
                 zones=self._zones,
-                unreachable_zones=self._unheard,
+                unreachable_zones=self._unreachable_zones,
                 capacity=self.capacity,
                 duty_term=lambda: duties.term(Duty.OUTCOMES),
             ),
@@ -128,7 +128,7 @@
     def _zones(self) -> Sequence[str]:
         return (self._table.own.availability_zone, *self._directory.zones())
 
-    def _unheard(self) -> tuple[str, ...]:
+    def _unreachable_zones(self) -> tuple[str, ...]:
         """Return the other zones without any node of known state."""
         return tuple(
             zone
--- a/src/citronrack/node/reader.py
+++ b/src/citronrack/node/reader.py
@@ -131,10 +131,10 @@
             self._page_records = min(PAGE_RECORDS, self._page_records * 2)
         if page.records and self._posted < page.end:
             return
-        least_s = MIN_POLL_S if page.records else MIN_EMPTY_POLL_S
-        left_s = started + least_s - self._clock.monotonic()
-        if left_s > 0:
-            self._wait(left_s)
+        min_interval_s = MIN_POLL_S if page.records else MIN_EMPTY_POLL_S
+        remaining_s = started + min_interval_s - self._clock.monotonic()
+        if remaining_s > 0:
+            self._wait(remaining_s)
 
     def _read_snapshot(self, first: int) -> None:
         """Post the newest usable snapshot; reading continues after it."""
--- a/src/citronrack/node/views.py
+++ b/src/citronrack/node/views.py
@@ -126,11 +126,11 @@
 
     def _make_remote_pools(self) -> dict[_PoolKey, _Pool]:
         pools: dict[_PoolKey, _Pool] = defaultdict(_Pool)
-        for known in self._remote:
-            summary = known.summary
+        for member in self._remote:
+            summary = member.summary
             if summary.gone or summary.draining:
                 continue
             pool = pools[summary.service, summary.service_version]
-            preferred = known.known and summary.ready
-            pool.add(summary, known.availability_zone, preferred=preferred, load=0)
+            preferred = member.known and summary.ready
+            pool.add(summary, member.availability_zone, preferred=preferred, load=0)
         return pools
--- a/tests/distribution/fleet.py
+++ b/tests/distribution/fleet.py
@@ -59,7 +59,7 @@
             ]
             self.case.assertEqual(behind, [], f"seed {self.seed}, seen by {node.name}")
 
-    def converges(
+    def assert_converges(
         self, nodes: list[NodeSim] | None = None, *, within: float = CONVERGENCE_S
     ) -> None:
         """Run until the nodes have all records of the log; fail after ``within`` seconds."""
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -27,7 +27,7 @@
         for fleet in self.fleets():
             fleet.net.stop(fleet.readers("north")[0].name)
             fleet.net.append()
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_all_readers_die(self) -> None:
         """Fails if no other nodes become readers after a crash of both."""
@@ -35,7 +35,7 @@
             for node in fleet.readers("north"):
                 fleet.net.stop(node.name)
             fleet.net.append()
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_reader_cut_off_from_the_log_only(self) -> None:
         """Fails if no other nodes become readers when both lose the log."""
@@ -43,12 +43,12 @@
             readers = fleet.readers("north")
             fleet.cut_log(readers[:1])
             fleet.net.append()
-            fleet.converges()
+            fleet.assert_converges()
             fleet.cut_log(readers)
             fleet.run(10)
             self.assertTrue(set(fleet.readers("north")).isdisjoint(readers))
             fleet.net.append()
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_zone_cut_off_from_the_log(self) -> None:
         """Fails if a zone without the log gets no records from the relays of other zones."""
@@ -58,7 +58,7 @@
             for _ in range(5):
                 fleet.net.append()
                 fleet.run(0.5)
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_zone_cut_off_from_everything_and_healed(self) -> None:
         """Fails if a partition loses or reorders records, or its zone is reported as in force."""
@@ -67,7 +67,7 @@
             fleet.cut_log(net.live("east"))
             fleet.cut_zone("east")
             last = net.append()
-            fleet.converges(net.live("north") + net.live("south"))
+            fleet.assert_converges(net.live("north") + net.live("south"))
             east = net.live("east")
             net.send(east[0], east[0].distribution.put_fact("mark/a", 1, b"e", urgent=True))
             north = net.live("north")[0]
@@ -81,7 +81,7 @@
             self.assertFalse(any(m.known for m in north.directory.members("east")))
             net.faults.cut_zones.clear()
             net.faults.log_cut.clear()
-            fleet.converges()
+            fleet.assert_converges()
             fleet.run(9)
             for node in net.live():
                 self.assertEqual(len(node.distribution.facts.items("mark/")), 2, node.name)
@@ -96,7 +96,7 @@
             fleet.net.append()
             for name in names:
                 fleet.net.start(name)
-            fleet.converges()
+            fleet.assert_converges()
             fleet.run(15)
             for node in fleet.net.live():
                 self.assertEqual(len(node.table.members()), ZONES[node.zone], node.name)
@@ -113,7 +113,7 @@
             fleet.run(1)
             for node in list(fleet.net.nodes.values())[::2]:
                 fleet.net.start(node.name)
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_crossing_updates_under_loss(self) -> None:
         """Fails if records are delivered out of order under loss, duplication and reordering."""
@@ -124,7 +124,7 @@
                 fleet.net.append()
                 fleet.run(0.25)
             fleet.net.faults.loss = 0.05
-            fleet.converges()
+            fleet.assert_converges()
 
     def test_marks_spread_without_the_log(self) -> None:
         """Fails if a mark does not reach all nodes during a log outage."""
@@ -152,7 +152,7 @@
         self.assertLessEqual(raised, 4 * (MAX_NON_READERS + READERS))
         fleet.net.faults.log_cut.clear()
         fleet.net.append()
-        fleet.converges()
+        fleet.assert_converges()
 
     def test_push_is_forwarded_once(self) -> None:
         """Fails if nodes that are each other's children forward a push in a loop."""
@@ -180,7 +180,7 @@
                 fleet.cut_log(fleet.net.live())
                 fleet.net.faults.log_cut.add(name)
                 fleet.net.start(name)
-                fleet.converges()
+                fleet.assert_converges()
 
 
 if __name__ == "__main__":
--- a/tests/node/test_seeds.py
+++ b/tests/node/test_seeds.py
@@ -19,13 +19,13 @@
     def test_writes_only_when_the_list_is_of_little_use(self) -> None:
         """Fails if a stale list is not replaced, or each membership change appends a list."""
         clock = ManualClock()
-        keeper = SeedListWriter(availability_zone="a", clock=clock)
-        self.assertIsNone(keeper.due((), RANKING))
+        writer = SeedListWriter(availability_zone="a", clock=clock)
+        self.assertIsNone(writer.due((), RANKING))
         clock.advance(WRITE_INTERVAL_S)
-        due = keeper.due((), RANKING)
+        due = writer.due((), RANKING)
         assert due is not None
         self.assertEqual(due.addresses, tuple(m.address for m in RANKING[:LISTED_ADDRESSES]))
-        self.assertIsNone(keeper.due((), RANKING))
+        self.assertIsNone(writer.due((), RANKING))
         clock.advance(WRITE_INTERVAL_S)
-        self.assertIsNone(keeper.due(due.addresses, RANKING[3:]))
-        self.assertIsNotNone(keeper.due(due.addresses, RANKING[4:]))
+        self.assertIsNone(writer.due(due.addresses, RANKING[3:]))
+        self.assertIsNotNone(writer.due(due.addresses, RANKING[4:]))
