Put back the HELP texts of the exposed metrics

The meanings in EXPOSED_METRICS are served to scrapers as HELP lines, so their rewording changed an output of the process.

--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -10,18 +10,18 @@
     "calls": ("counter", ("route", "status", "verdict"), "Answers to callers."),
     "attempts": ("counter", ("route", "status", "verdict"), "Attempts at a target."),
     "call_seconds": ("histogram", ("route",), "Time from the request to the end of its answer."),
-    "delivery_seconds": ("histogram", ("route",), "Time that the own target took for a call."),
-    "delivered": ("counter", ("route", "status", "verdict"), "Calls delivered to the own target."),
-    "target_load": ("gauge", (), "Calls in flight or queued at the own target."),
+    "delivery_seconds": ("histogram", ("route",), "Time that the own target took."),
+    "delivered": ("counter", ("route", "status", "verdict"), "Calls given to the own target."),
+    "target_load": ("gauge", (), "Calls that run at the own target or wait for it."),
     "config_version": ("gauge", (), "Version in force, -1 for none."),
     "config_age_seconds": (
         "gauge",
         (),
-        "Time since the configuration in force was last confirmed as the newest.",
+        "Time since the configuration in force was known to be the newest.",
     ),
     "nodes_known": ("gauge", (), "Other nodes that have not expired."),
-    "store_answers": ("gauge", (), "Whether the platform's store could be read recently."),
-    "log_lines_left_out": ("gauge", (), "Log lines that exceeded their rate limit."),
+    "store_answers": ("gauge", (), "Whether the platform's store could be read lately."),
+    "log_lines_left_out": ("gauge", (), "Log lines that exceeded their budget."),
     "messages_sent": ("gauge", (), "Messages sent to other nodes."),
     "message_bytes_sent": ("gauge", (), "Bytes of messages sent to other nodes."),
 }
@@ -31,7 +31,7 @@
 
 
 class Exposition:
-    """Registry of the metrics of one process."""
+    """Registers the metrics of one process and renders them as text."""
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
