--- a/src/citronrack/config/change.py
+++ b/src/citronrack/config/change.py
@@ -51,7 +51,8 @@
         version: Log offset of the record that carries the change.
 
     Raises:
-        ConfigInvalid: When the result would be invalid; ``base`` is unchanged.
+        ConfigInvalid: When the result would be invalid or refer to missing entries; ``base`` is
+            unchanged.
     """
     removed_moves = frozenset(change.remove_moves)
     moves = {name: move for name, move in base.moves.items() if name not in removed_moves}
--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -28,7 +28,7 @@
 from .tree import Tree
 
 MAX_FORWARDED_PUSHES = 256
-MAX_PUSHED = 100  # a reader that catches up reads more; peers pull those through repair
+MAX_PUSHED = 100  # a reader that catches up reads more; repair spreads these over peers
 
 
 class FoldView(Protocol):
--- a/src/citronrack/distribution/repair.py
+++ b/src/citronrack/distribution/repair.py
@@ -77,8 +77,8 @@
     def _ahead_of(self, next_offset: int, now: float) -> list[str]:
         return [
             address
-            for address, (offset, heard_at) in self._offsets.items()
-            if offset > next_offset and now - heard_at < OFFSET_LIFETIME_S
+            for address, (offset, observed_at) in self._offsets.items()
+            if offset > next_offset and now - observed_at < OFFSET_LIFETIME_S
         ]
 
     def record_answer(self, address: str) -> bool:
--- a/src/citronrack/membership/detector.py
+++ b/src/citronrack/membership/detector.py
@@ -279,8 +279,8 @@
 
     def _is_isolated(self) -> bool:
         """Return whether nothing is received at all, which points to a fault of the own links."""
-        silent_s = self._clock.monotonic() - self._last_received
-        return silent_s > ISOLATED_S and self._members_at_last_message > 2
+        since_received_s = self._clock.monotonic() - self._last_received
+        return since_received_s > ISOLATED_S and self._members_at_last_message > 2
 
     def _announce_own(self) -> list[Send]:
         """Gossip the own description after a change; a drain is also sent to some peers at once."""
--- a/src/citronrack/membership/directory.py
+++ b/src/citronrack/membership/directory.py
@@ -29,7 +29,7 @@
 DROP_AFTER_S = 3_600.0
 PULL_INTERVAL_S = 1.0  # one page of 64 members a second bounds the bytes after a mass restart
 PAGE_MEMBERS = 64
-OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that may try a seed or any member
+OTHER_ADDRESS_SHARE = 0.25  # share of exchanges that may try a seed or any member, not a relay
 MAX_ZONES = 64
 RELAY_DELAY_S = 5.0  # a starting node ranks itself first until it knows its zone
 
--- a/src/citronrack/membership/joining.py
+++ b/src/citronrack/membership/joining.py
@@ -82,7 +82,7 @@
         return [Send(sender, MemberPage(self._table.own, pack_all(content), last))]
 
     def next_page(self, members: Iterable[Member], *, last: bool) -> list[Send]:
-        """Request the next page from a random member, so that mass restarts spread the load."""
+        """Request the next page from a random member, so a mass restart does not load one seed."""
         names = [m.name for m in members if m.state != MemberState.GONE]
         peers = self._peers()
         if last or not names or not peers:
@@ -108,7 +108,7 @@
         return [Send(sender, TablePull(self._table.own, self._table.digest.buckets))]
 
     def answer_pull(self, sender: str, message: TablePull) -> list[Send]:
-        """Send the members of differing buckets, and request the peer's members of these."""
+        """Send the members of differing buckets, and request those that may be missing here."""
         buckets = differing(self._table.digest.buckets, message.buckets)
         members = self._table.in_buckets(buckets)
         pages = [members[i : i + PAGE_MEMBERS] for i in range(0, len(members), PAGE_MEMBERS)]
--- a/src/citronrack/membership/table.py
+++ b/src/citronrack/membership/table.py
@@ -122,7 +122,7 @@
         self._store(self._own)
 
     def drop(self, name: str) -> None:
-        """Drop a member without a tombstone, so that any incarnation adds it again."""
+        """Drop a member without a tombstone, so that an update of its incarnation adds it again."""
         known = self._members.get(name)
         if known is None or name == self._own.name:
             return
--- a/src/citronrack/node/compose.py
+++ b/src/citronrack/node/compose.py
@@ -142,8 +142,8 @@
         """Drain, then stop all tasks."""
         self._events.write(Event.NODE_STOPPING)
         self._control.mailbox.put(DrainAsked())
-        # Calls are served until all routers have received the drain notice: refusing half of the
-        # calls of a two-target pool at once exhausted the retry budget and failed 15 of 800 calls.
+        # Calls are served for long enough that all routers can learn of the drain: refusing half of
+        # the calls of a two-target pool at once exhausted the retry budget and failed 15 of 800.
         threading.Event().wait(DRAIN_NOTICE_S)
         limit_s = self._settings.calls.drain_limit_s
         self._events.write(Event.DRAIN_FINISHED, complete=self._call_path.stop(limit_s))
@@ -305,7 +305,7 @@
 
 
 def _own_member(settings: Settings, incarnation: int) -> Member:
-    """Return the own description; wall time as incarnation grows over restarts."""
+    """Return the own description, with wall time as incarnation so that a restart raises it."""
     return Member(
         name=settings.node.name,
         address=f"tcp://{settings.node.peer_address}",
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -74,7 +74,7 @@
             claim = lease_manager.on_tick(rank=rank)
             if claim is not None:
                 self._append(claim)
-        self._note_changes()
+        self._log_lease_changes()
         term = self._lease_managers[Duty.COMPACTOR.value].term
         due = self._snapshot_scheduler.on_tick(fold, term=term, first=first, end=end)
         if isinstance(due, WriteSnapshot):
@@ -109,7 +109,7 @@
         else:
             lease_manager.on_claim_unknown()
 
-    def _note_changes(self) -> None:
+    def _log_lease_changes(self) -> None:
         held = {
             name
             for name, lease_manager in self._lease_managers.items()
--- a/src/citronrack/node/readiness.py
+++ b/src/citronrack/node/readiness.py
@@ -38,7 +38,10 @@
 
 
 class ReadinessGate:
-    """Readiness state machine; READY is final, as a node never loses folded records."""
+    """Decides the readiness of a node from the offsets of the log and of its peers.
+
+    A node that became ready, proven or not, stays ready, because it never loses folded records.
+    """
 
     def __init__(self) -> None:
         self._state = Readiness.NOT_READY
--- a/src/citronrack/telemetry/logs.py
+++ b/src/citronrack/telemetry/logs.py
@@ -26,7 +26,7 @@
 
 @define
 class _LineCount:
-    """Rate limit of one event: the lines in the current second."""
+    """Lines of one event in the current second, counted for its rate limit."""
 
     second: int = 0
     written: int = 0
--- a/tests/distribution/test_failures.py
+++ b/tests/distribution/test_failures.py
@@ -22,14 +22,14 @@
             with self.subTest(seed=seed):
                 yield FleetUnderTest(self, seed)
 
-    def test_reader_dies(self) -> None:
+    def test_reader_crashes(self) -> None:
         """Fails if distribution stops after a crash of the primary reader."""
         for fleet in self.fleets():
             fleet.net.stop(fleet.readers("north")[0].name)
             fleet.net.append()
             fleet.assert_converges()
 
-    def test_all_readers_die(self) -> None:
+    def test_all_readers_crash(self) -> None:
         """Fails if no other nodes become readers after a crash of both."""
         for fleet in self.fleets():
             for node in fleet.readers("north"):
@@ -86,7 +86,7 @@
             for node in net.live():
                 self.assertEqual(len(node.distribution.facts.items("mark/")), 2, node.name)
 
-    def test_herd_restart(self) -> None:
+    def test_mass_restart(self) -> None:
         """Fails if nodes stay behind or have an incomplete table after a mass restart."""
         for fleet in self.fleets():
             names = [node.name for node in fleet.net.live()]
@@ -137,7 +137,7 @@
             for other in fleet.net.live():
                 self.assertIsNotNone(other.distribution.facts.get("mark/x"), other.name)
 
-    def test_log_outage_does_not_make_all_nodes_give_up(self) -> None:
+    def test_log_outage_does_not_make_all_nodes_step_down(self) -> None:
         """Fails if in an outage each node in turn steps down and gossips its description."""
         fleet = FleetUnderTest(self, 1, zones={"north": 24})
         before = {node.name: node.table.own.incarnation for node in fleet.net.live()}
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -18,7 +18,7 @@
 
 
 class DetectorTest(unittest.TestCase):
-    """Guards against false alarms, missed failures and members that reappear."""
+    """Guards against false alarms, missed failures and gone members that reappear."""
 
     def fleets(self) -> Iterator[FleetUnderTest]:
         """Yield a converged fleet per seed."""
@@ -31,26 +31,26 @@
         seen = (node.table.get(name) for node in viewers if node.name != name)
         return {None if member is None else member.state for member in seen}
 
-    def test_dead_member_is_gone_and_stays_away(self) -> None:
+    def test_crashed_member_is_gone_and_not_added_again(self) -> None:
         """Fails if a crash is missed, or a stale table adds the member again."""
         for fleet in self.fleets():
             net = fleet.net
-            dead, stale, *others = net.live("north")
+            crashed, stale, *others = net.live("north")
             stale.paused = True
-            net.stop(dead.name)
+            net.stop(crashed.name)
             fleet.run(10)
-            self.assertEqual(self.state_of(dead.name, others), {MemberState.GONE})
+            self.assertEqual(self.state_of(crashed.name, others), {MemberState.GONE})
             fleet.run(125)
-            self.assertEqual(self.state_of(dead.name, others), {None})
+            self.assertEqual(self.state_of(crashed.name, others), {None})
             stale.paused = False
             for _ in range(60):
                 fleet.run(0.5)
-                states = self.state_of(dead.name, others)
+                states = self.state_of(crashed.name, others)
                 self.assertTrue(states <= {None, MemberState.GONE}, states)
-            self.assertNotIn(MemberState.ALIVE, self.state_of(dead.name, [stale]))
+            self.assertNotIn(MemberState.ALIVE, self.state_of(crashed.name, [stale]))
             self.assertEqual(self.state_of(stale.name, others), {MemberState.ALIVE})
 
-    def test_slow_links_to_one_witness_do_not_kill(self) -> None:
+    def test_single_witness_causes_no_false_alarm(self) -> None:
         """Fails if a single witness is enough to declare a member gone."""
         for fleet in self.fleets():
             first, second, *_ = fleet.net.live("north")
@@ -60,7 +60,7 @@
             self.assertNotIn(MemberState.GONE, self.state_of(second.name, fleet.net.live("north")))
             self.assertLessEqual(second.table.own.incarnation, incarnation + 3)
 
-    def test_deaf_witness_does_not_kill(self) -> None:
+    def test_node_that_receives_nothing_causes_no_false_alarm(self) -> None:
         """Fails if a node that receives no messages makes others declare each other gone."""
         for fleet in self.fleets():
             not_receiving, *others = fleet.net.live("north")
@@ -72,7 +72,7 @@
                     self.assertNotIn(MemberState.GONE, states, node.name)
             self.assertEqual(self.state_of(not_receiving.name, others), {MemberState.GONE})
 
-    def test_node_with_a_single_link_does_not_kill(self) -> None:
+    def test_node_with_a_single_link_causes_no_false_alarm(self) -> None:
         """Fails if a node that reaches only one peer makes others declare each other gone."""
         for fleet in self.fleets():
             single_link, _, *others = fleet.net.live("north")
@@ -85,7 +85,7 @@
                     states = self.state_of(node.name, others)
                     self.assertNotIn(MemberState.GONE, states, node.name)
 
-    def test_isolated_node_holds_nothing_against_others(self) -> None:
+    def test_isolated_node_does_not_gossip_its_peers_as_gone(self) -> None:
         """Fails if a node declares its peers gone during a partition and gossips it afterwards."""
         for fleet in self.fleets():
             isolated, *others = fleet.net.live("north")
@@ -103,7 +103,7 @@
             raised = sum(n.table.own.incarnation - before[n.name] for n in others)
             self.assertLessEqual(raised, 4)
 
-    def test_short_pause_is_no_death(self) -> None:
+    def test_short_pause_is_no_failure(self) -> None:
         """Fails if a member is declared gone after a short pause."""
         for fleet in self.fleets():
             paused = fleet.net.live("north")[0]
@@ -115,7 +115,7 @@
                 states = self.state_of(paused.name, fleet.net.live("north"))
                 self.assertNotIn(MemberState.GONE, states)
 
-    def test_own_pause_is_not_held_against_others(self) -> None:
+    def test_own_pause_causes_no_suspicions(self) -> None:
         """Fails if a node suspects the members whose acks it missed during its own pause."""
         clock = ManualClock()
         table = MemberTable(make_member("own", "north", 1))
@@ -133,7 +133,7 @@
             clock.advance(0.25)
         self.assertIn(MemberState.SUSPECT, {m.state for m in table.all_members()})
 
-    def test_halves_of_a_zone_find_each_other(self) -> None:
+    def test_halves_of_a_zone_rejoin_after_a_partition(self) -> None:
         """Fails if two halves that declared each other gone do not rejoin after a partition."""
         for fleet in self.fleets():
             nodes = fleet.net.live("north")
@@ -146,8 +146,8 @@
             fleet.run(40)
             self.assertEqual({len(node.table.members()) for node in nodes}, {ZONES["north"]})
 
-    def test_leave_and_drain_are_told_at_once(self) -> None:
-        """Fails if a leave or drain is not announced to the zone and a drain to other zones."""
+    def test_leave_and_drain_are_announced_at_once(self) -> None:
+        """Fails if a leave or drain is only noticed by timeouts, or other zones miss the drain."""
         for fleet in self.fleets():
             leaver, drainer, *others = fleet.net.live("north")
             drainer.table.update_own(draining=True)
@@ -162,7 +162,7 @@
             self.assertEqual(self.state_of(leaver.name, others), {MemberState.GONE})
             self.assertTrue(all(n.table.get(drainer.name).draining for n in others))  # type: ignore[union-attr]
 
-    def test_starting_node_hears_all_members_soon(self) -> None:
+    def test_starting_node_collects_all_offsets_soon(self) -> None:
         """Fails if a node that starts without the log needs a whole round of pings for offsets."""
         fleet = FleetUnderTest(self, 1, zones={"north": 40})
         name = fleet.net.live()[-1].name
--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -106,8 +106,8 @@
         os.kill(paused.pid, signal.SIGSTOP)
         self.kill(reader.name)
         version = self.publish(self.fleet.nodes["b-1"])
-        others_running = [n for n in self.running() if n is not paused]
-        self.await_version(others_running, version, one_paused=True)
+        unpaused = [n for n in self.running() if n is not paused]
+        self.await_version(unpaused, version, one_paused=True)
         os.kill(paused.pid, signal.SIGCONT)
         self.fleet.start(reader.name)
         self.await_version(self.running(), version)
--- a/tests/node/test_seeds.py
+++ b/tests/node/test_seeds.py
@@ -16,7 +16,7 @@
 class SeedListWriterTest(unittest.TestCase):
     """Guards against a stale list, and against a record per membership change."""
 
-    def test_writes_only_when_the_list_is_of_little_use(self) -> None:
+    def test_writes_only_when_too_few_addresses_are_live(self) -> None:
         """Fails if a stale list is not replaced, or each membership change appends a list."""
         clock = ManualClock()
         writer = SeedListWriter(availability_zone="a", clock=clock)
