State the duty term and the push of foreign records more exactly

The docstring of Duties.term said that a lease is held; the term is also 0 while an own claim is outstanding, as the old text said.

--- a/src/citronrack/distribution/core.py
+++ b/src/citronrack/distribution/core.py
@@ -135,7 +135,7 @@
 
     @property
     def tree(self) -> Tree:
-        """Positions in the own zone."""
+        """Distribution tree of the own zone."""
         return self._tree
 
     @property
@@ -239,7 +239,7 @@
             delivered += self._accept(offset, data)
         effects: list[Send] = []
         if delivered and not self._tree.is_member(sender):
-            # Records from another zone are pushed here, as a reader would.
+            # Push records that came from another zone, as a reader of this zone would.
             effects += self._push(first, delivered, self._own)
         if delivered and self._store.next < message.end:
             self._repair.record_request(sender)
--- a/src/citronrack/membership/suspicions.py
+++ b/src/citronrack/membership/suspicions.py
@@ -99,8 +99,8 @@
         due = [name for name, pending in self._pending.items() if self._is_resolved(pending, now)]
         resolved = [(name, self._pending.pop(name)) for name in due]
         return [
-            ResolvedSuspicion(name, pending.incarnation, pending.confirmed_at is not None)
-            for name, pending in resolved
+            ResolvedSuspicion(name, suspicion.incarnation, suspicion.confirmed_at is not None)
+            for name, suspicion in resolved
         ]
 
     def _is_resolved(self, pending: _PendingSuspicion, now: float) -> bool:
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -52,7 +52,7 @@
         self._append(body)
 
     def term(self, duty: Duty) -> int:
-        """Return the term under which this node holds a duty, 0 when it does not."""
+        """Return the term under which this node may perform a duty now, 0 when it may not."""
         return self._lease_managers[duty.value].term or 0
 
     def on_state(self, state: FoldState) -> None:
--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -116,7 +116,7 @@
                 self.assertEqual(run, sorted(set(run)), name)
 
     def test_outage_with_a_restart(self) -> None:
-        """Fails if a node restarted in an outage serves an older version or is not unproven."""
+        """Fails if a node restarted in an outage serves an older version or reports as proven."""
         version = self.publish(self.fleet.nodes["b-1"])
         self.await_version(self.running(), version)
         self.fleet.log.faults.outage = True
