--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -141,7 +141,7 @@
         if ends_at > call.deadline:
             return "the deadline cannot be met"
         if ends_at > call.soft_deadline:
-            return "the response would be late"
+            return "the answer would be late"
         if not route.waiting:
             # A route must not accumulate credit while it has no calls.
             route.virtual_time = max(route.virtual_time, self._virtual_time)
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -185,7 +185,7 @@
     def _reason_to_withdraw(self, call: _InboundCall) -> str:
         """Return the reason to refuse a queued call, empty for none."""
         if call.request.cancelled():
-            return "the caller disconnected"
+            return "the caller has gone away"
         now = self._identity()
         if now.target_id != call.identity.target_id:
             return "the target was replaced"
@@ -278,11 +278,11 @@
 
         def check_response(status: int, fields: Mapping[bytes, bytes]) -> str:
             if fields.get(names.request_id, request_id) != request_id:
-                return "the response belongs to another request"
+                return "the answer belongs to another request"
             if 200 <= status < 300 and names.signature not in fields:
-                return "the response is not signed by the target"
+                return "the answer is not signed by the target"
             if b"content-encoding" in fields:
-                return "the response has a content coding"
+                return "the answer has a content coding"
             return ""
 
         return check_response
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -362,23 +362,23 @@
 def _check_head(incoming: _IncomingRequest, fields: dict[bytes, bytes]) -> None:
     """Reject requests that the parser accepts and this server does not support."""
     if incoming.version not in ("1.0", "1.1"):
-        raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are supported")
+        raise BadRequest(505, "only HTTP/1.0 and HTTP/1.1 are served")
     if incoming.method == b"CONNECT":
-        raise BadRequest(501, "CONNECT is not supported")
+        raise BadRequest(501, "CONNECT is not served")
     if not incoming.target.startswith(b"/") and incoming.target != b"*":
         raise BadRequest(400, "the request target must be a path")
     if b"host" not in fields and incoming.version == "1.1":
-        raise BadRequest(400, "the Host header is missing")
+        raise BadRequest(400, "a Host header is needed")
     if len(fields) < len(incoming.headers):
         _check_duplicates(incoming.headers)
     coding = fields.get(b"transfer-encoding")
     if coding is not None and coding.strip().lower() != b"chunked":
-        raise BadRequest(501, "only the transfer coding chunked is supported")
+        raise BadRequest(501, "only the transfer coding chunked is served")
     if coding is not None and incoming.version == "1.0":
-        raise BadRequest(400, "HTTP/1.0 does not support transfer codings")
+        raise BadRequest(400, "HTTP/1.0 has no transfer codings")
     expectation = fields.get(b"expect")
     if expectation is not None and expectation.lower() != b"100-continue":
-        raise BadRequest(417, "the expectation is not supported")
+        raise BadRequest(417, "the expectation is unknown")
 
 
 def _check_duplicates(headers: Headers) -> None:
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -385,7 +385,7 @@
     if response.verdict is not Verdict.NOT_RUN or not call.may_have_run:
         return response
     response.finish()
-    reason = f"an earlier attempt may have run; the last one was refused: {response.local_reason}"
+    reason = f"an attempt before may have run, the last one was refused: {response.local_reason}"
     return local_response(502, reason, Verdict.MAY_HAVE_RUN)
 
 
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -251,7 +251,7 @@
             before = len(reader.parts)
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the response is malformed")
+                raise _call_failed(connection, "the answer is malformed")
             held += sum(map(len, reader.parts[before:]))
 
     @staticmethod
@@ -286,7 +286,7 @@
                 raise BodyReadError("the body is shorter than declared")
         except BodyReadError as error:
             raise CallerDisconnected(
-                f"the upload was truncated: {error}", verdict=_verdict(connection)
+                f"the upload was cut short: {error}", verdict=_verdict(connection)
             ) from error
         except OSError:
             # The server may have responded and closed; a response, if any, is read next.
@@ -303,9 +303,9 @@
         while not done():
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the response is malformed")
+                raise _call_failed(connection, "the answer is malformed")
             if reader.complete and not done():
-                raise _call_failed(connection, "the response is incomplete")
+                raise _call_failed(connection, "the answer is incomplete")
 
     def _receive(
         self, connection: Connection, request: OutgoingRequest, reader: ResponseReader
@@ -322,7 +322,7 @@
             except BlockingIOError:
                 if request.cancelled():
                     raise CallerDisconnected(
-                        "the caller disconnected", verdict=_verdict(connection)
+                        "the caller has gone away", verdict=_verdict(connection)
                     ) from None
             except OSError as error:
                 self._lost(connection, reader)
@@ -333,7 +333,7 @@
         self._lost(connection, reader)
         reader.end()
         if not reader.complete:
-            raise _call_failed(connection, "the connection closed before the response was complete")
+            raise _call_failed(connection, "the connection ended before the answer was complete")
 
     def _lost(self, connection: Connection, reader: ResponseReader) -> None:
         if not reader.status:
@@ -375,7 +375,7 @@
                 return
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the response is malformed")
+                raise _call_failed(connection, "the answer is malformed")
 
     def _release(self, connection: Connection, reader: ResponseReader) -> None:
         if reader.complete and reader.reusable and connection.sent_all:
