Restore reasons that the rewording of the call path and transport had shortened

Cause: some docstrings said less than before or something else than the code: the load that least-loaded compares, why a free local slot is preferred, how a request id is used, when wait_idle returns early, that a record may name a pool, who may refuse a call, why a token has a least length.

Change: these comments and docstrings; _lost, within and link become _record_loss, within_limit and connection in their files. No behaviour changes.

--- a/src/citronrack/calls/_connections.py
+++ b/src/citronrack/calls/_connections.py
@@ -95,7 +95,7 @@
         self.idle_limits[connection.address] = limit_s, now + LEARNED_IDLE_TTL_S
 
     def take(self, address: Address) -> Connection | None:
-        """Return the most recently used connection that was idle for `MIN_REUSE_DELAY_S`."""
+        """Return the connection used last among those idle for at least `MIN_REUSE_DELAY_S`."""
         now = time.monotonic()
         with self.lock:
             connections = self.idle[address]
--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -34,7 +34,7 @@
         soft_deadline: Monotonic time by which it should have ended; a call that is expected to end
             later is refused at once, so that others end in time.
         started: Monotonic time at which it got its slot, None while it waits.
-        withdrawn: Whether the caller gave up its place in the queue.
+        withdrawn: Whether it was removed from the queue before it got a slot.
     """
 
     route: str
@@ -109,7 +109,7 @@
         return self.running + self._queued
 
     def is_cold(self, now: float) -> bool:
-        """Return whether the target is in its slow start."""
+        """Return whether the target is in its slow start, with fewer calls than slots."""
         return self.cold_since is not None and now - self.cold_since < self.ramp_s
 
     def slot_limit(self, now: float) -> int:
--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -24,9 +24,9 @@
 fleet has 35 targets on average."""
 
 CROSS_ZONE_S_PER_BYTE = 5e-6
-"""Extra wait in the local zone, per body byte, that is preferred to another zone: 0.3 s for 60 KB.
-Traffic between zones is charged by the byte, and an upload of that size is worth about as much as
-its transfer costs."""
+"""Extra wait in the local zone that is accepted to avoid another zone, per byte of a request body:
+0.3 s for 60 KB. Traffic between zones is charged by the byte, and an upload of that size is worth
+about as much as its transfer costs."""
 
 EjectionObserver = Callable[[str, float], None]
 """Receives the name of a target and the seconds of its ejection, 0 when it is restored."""
@@ -90,7 +90,7 @@
         Args:
             key: Service and service version of the pool.
             targets: The pool.
-            excluded: Names of targets that have already failed the call.
+            excluded: Names of targets that the call has already been sent to.
             body_bytes: Length of the request's body.
         """
         with self._lock:
@@ -171,7 +171,7 @@
         if not other_zones:
             return local
         if local is not None and local.in_flight + local.load < local.target.slots:
-            return local  # A free slot in the local zone is always preferred.
+            return local  # A free slot in the local zone is never slower than the link.
         remote = self._policy(other_zones, self._random, call_number, now)
         if local is None:
             return remote
@@ -231,8 +231,8 @@
             if stats not in pool.members:
                 continue
             ejected = sum(bool(other.ejected_until) for other in pool.members)
-            within = ejected + 1 <= len(pool.members) // MAX_EJECTED_DIVISOR
-            if not (within or unreachable or stats.ejected_until):
+            within_limit = ejected + 1 <= len(pool.members) // MAX_EJECTED_DIVISOR
+            if not (within_limit or unreachable or stats.ejected_until):
                 return
             if unreachable and now < stats.ejected_until and not stats.probing:
                 return  # This call was in flight when the target was ejected.
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -47,7 +47,7 @@
 
     Attributes:
         service: Service of the target.
-        service_version: Its service version.
+        service_version: Service version that it runs.
         target_id: Id of the target's process, new after each start; empty when it has none.
         refusal: Reason to refuse calls for it, empty while it accepts them.
     """
--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -56,7 +56,8 @@
     def wait_idle(self, limit_s: float) -> bool:
         """Wait until no call is in flight; return False after ``limit_s`` seconds.
 
-        The end of the last call is signalled only while draining.
+        With calls in flight, returns before the limit only while draining, because `leave` signals
+        the end of the last call only then.
         """
         end = time.monotonic() + limit_s
         with self._changed:
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -31,7 +31,8 @@
 
     Attributes:
         timeout: Milliseconds that the caller waits and that the target may use.
-        request_id: Identifies one request; a target echoes it in the response.
+        request_id: Identifies one request; a target that echoes it shows which request its response
+            belongs to.
         caller_service: Service of the instance where the call began.
         expected_target: Id of the target that a request is for.
         signature: Proof that the target made the response; a success without it is not genuine.
--- a/src/citronrack/calls/health.py
+++ b/src/citronrack/calls/health.py
@@ -25,8 +25,8 @@
     """Consecutive failures of the local target.
 
     A target that crashes, or that accepts and closes connections, fails every request for a while.
-    A non-idempotent request cannot be retried after that, although another target could have run
-    it.
+    A non-idempotent request that fails this way cannot be retried, although another target could
+    have run it.
 
     Args:
         clock: Source of time.
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -43,7 +43,7 @@
         connections: Connections served at once by each listener.
         names: Names of the headers that callers and targets use.
         service: Service of this instance, sent to targets if ``names`` has a header for it.
-        retry_statuses: Response statuses after which an idempotent call may be retried.
+        retry_statuses: Response statuses after which an idempotent call may go to another target.
     """
 
     name: str
@@ -64,7 +64,7 @@
     Attributes:
         address: ``(ip, port)`` of its HTTP server.
         service: Service that it belongs to.
-        service_version: Its service version.
+        service_version: Service version that it runs.
         slots: Number of calls that it runs at once.
         ramp_s: Time over which it gets all of its slots after a start.
     """
--- a/src/citronrack/calls/policies.py
+++ b/src/citronrack/calls/policies.py
@@ -26,7 +26,10 @@
 def least_loaded(
     entries: Sequence[TargetStats], _random: Random, call_number: int, now: float
 ) -> TargetStats:
-    """Choose the target with the smallest last reported load per slot."""
+    """Choose the target with the smallest load per slot.
+
+    The load is the last reported one, or the number of calls of this node in flight if larger.
+    """
     start = call_number % len(entries)
     return min(
         (*entries[start:], *entries[:start]),
--- a/src/citronrack/calls/record.py
+++ b/src/citronrack/calls/record.py
@@ -15,7 +15,7 @@
         request_id: The caller's id of the request.
         route: Name of the route, empty when there was none.
         service: Service that was called.
-        service_version: Service version that was called.
+        service_version: Service version that was called, or the name of the pool.
         status: HTTP status.
         verdict: Whether the request may have run.
         seconds: Time from the arrival to the end of the response.
@@ -43,12 +43,12 @@
     Attributes:
         route: Name of the route.
         service: Service that was called.
-        service_version: Service version that was called.
+        service_version: Service version that was called, or the name of the pool.
         method: HTTP method.
         status: HTTP status of the response, 0 for none.
         latency_s: Time from choosing the target to the end of the response, in seconds.
         verdict: Whether the request may have run.
-        refused: Whether a node refused the call before it ran.
+        refused: Whether a node, or the target itself, refused the call before it ran.
         cold: Whether the target was in its slow start.
         delivered_here: Whether this node delivered the call to its local target.
     """
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -94,7 +94,7 @@
         own_name: Name of this node, empty for an embedding caller.
         own_service: Service of this instance, sent to targets if ``names`` has a header for it.
         names: Names of the headers that callers and targets use.
-        retry_statuses: Response statuses after which an idempotent call may be retried.
+        retry_statuses: Response statuses after which an idempotent call may go to another target.
         local: Delivers to the local target without a connection to this node.
         on_response: Receives a record of each routed call when its response has ended.
     """
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -26,8 +26,8 @@
 REFUSED_OPEN_S = 0.5
 MAX_REFUSED_OPEN = 64
 KEEP_ALIVE_GRACE_S = 1.0
-"""Time for which keep-alive connections stay open during drain, so that requests in flight get a
-refusal instead of a closed connection."""
+"""Time for which keep-alive connections stay open during drain, so that requests that callers have
+just sent get a refusal instead of a closed connection."""
 
 Handler = Callable[[Request], Response]
 
@@ -41,7 +41,7 @@
         executor: Runs one thread per connection.
         drainer: Drain state of the node.
         limits: Limits for connections.
-        nested: Returns whether a request belongs to a call in flight; it is served during drain.
+        nested: Returns whether a request belongs to a call in flight and is served during drain.
         sends_load: Whether responses carry the load, which is for other nodes only.
         names: Names of the headers that callers use.
         dropped_headers: Names of request headers that are not passed on.
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -325,17 +325,17 @@
                         "the caller has gone away", verdict=_verdict(connection)
                     ) from None
             except OSError as error:
-                self._lost(connection, reader)
+                self._record_loss(connection, reader)
                 raise _call_failed(connection, f"the connection broke: {error}") from error
         if data:
             reader.feed(data)
             return
-        self._lost(connection, reader)
+        self._record_loss(connection, reader)
         reader.end()
         if not reader.complete:
             raise _call_failed(connection, "the connection ended before the answer was complete")
 
-    def _lost(self, connection: Connection, reader: ResponseReader) -> None:
+    def _record_loss(self, connection: Connection, reader: ResponseReader) -> None:
         if not reader.status:
             self._pool.record_loss(connection)
 
--- a/src/citronrack/registry.py
+++ b/src/citronrack/registry.py
@@ -12,7 +12,7 @@
     """A map from name to implementation.
 
     Args:
-        kind: Description of the entries for error messages.
+        kind: Kind of the entries, used in error messages.
     """
 
     def __init__(self, kind: str) -> None:
--- a/src/citronrack/transport/zmq_transport.py
+++ b/src/citronrack/transport/zmq_transport.py
@@ -24,9 +24,9 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 5_000
 IDLE_CLOSE_S = 60.0
-MAX_REJECTED_PER_RECEIVE = (
-    100  # a flood of invalid frames must not delay the ticks of the control task
-)
+MAX_REJECTED_PER_RECEIVE = 100
+"""Invalid frames per call of `receive`; a flood must not delay the ticks of the control task."""
+
 REPORT_INTERVAL_S = 10.0
 
 
--- a/src/citronrack/validators.py
+++ b/src/citronrack/validators.py
@@ -88,7 +88,7 @@
 
 
 def token(_: Any, attribute: Attribute[Any], value: Any) -> None:
-    """Accept a token of at least `MIN_TOKEN_LENGTH` characters."""
+    """Accept a token that is too long to be guessed: at least `MIN_TOKEN_LENGTH` characters."""
     if len(value) < MIN_TOKEN_LENGTH:
         raise ValueError(f"expected at least {MIN_TOKEN_LENGTH} characters, got {len(value)}")
 
--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -19,7 +19,7 @@
     """An upstream whose connections break while a request is written."""
 
     @staticmethod
-    def _write_head(link: Connection, request: OutgoingRequest) -> bool:
+    def _write_head(connection: Connection, request: OutgoingRequest) -> bool:
         raise CallFailed("the connection broke", verdict=Verdict.MAY_HAVE_RUN)
 
 
