Name the call path and frame tests after the failure or condition that they test

Cause: names still said answers, trials, rested or young connections, and "tries it out", which the code no longer does.

No assertion changes.

--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -40,10 +40,11 @@
             self.assertEqual(replies[0].status, 504)
             self.assertEqual(node.target.peak_running, 1)
 
-    def test_request_that_was_sent_in_part_is_settled(self) -> None:
+    def test_partly_sent_request_releases_its_slot(self) -> None:
         """Guards against a slot that is never released.
 
-        A connection that breaks while the request is written leaves nothing running.
+        When the connection breaks while the request is written, the target runs nothing, so the
+        slot must be released at once.
         """
         on_target_done: list[bool] = []
         listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/calls/test_attempts.py
+++ b/tests/calls/test_attempts.py
@@ -47,7 +47,7 @@
     return local_response(503, "the queue is full", Verdict.NOT_RUN, load=9)
 
 
-class LastAnswerTest(unittest.TestCase):
+class LastResponseTest(unittest.TestCase):
     """Verdicts of calls with several attempts."""
 
     def route_call(self, *responses: Response) -> Response:
@@ -83,7 +83,7 @@
         response = self.route_call(refusal(), refusal(), refusal())
         self.assertEqual((response.status, response.verdict), (503, Verdict.NOT_RUN))
 
-    def test_answer_after_a_lost_attempt(self) -> None:
+    def test_response_after_a_lost_attempt(self) -> None:
         """Guards against a valid response that is replaced because an earlier attempt failed."""
         response = self.route_call(lost_response(), Response(200))
         self.assertEqual((response.status, response.verdict), (200, Verdict.RAN))
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -59,17 +59,17 @@
                 [(random.uniform(0, 30), "photos") for _ in range(600)]
                 + [(random.uniform(5, 30), "parts") for _ in range(400)]
             )
-            asked: dict[int, float] = {}
+            offered_at: dict[int, float] = {}
             service = {"photos": 1.0, "parts": 0.01}
             for now, route in arrivals:
                 while ends and ends[0][0] <= now:
                     at, _, call = ends.pop(0)
                     for other in queue.release(call, now=at, ran=True):
                         ends.append((at + service[other.route], id(other), other))
-                        waits.append((other.route, at - asked[id(other)]))
+                        waits.append((other.route, at - offered_at[id(other)]))
                     ends.sort(key=lambda end: end[:2])
                 call = SlotRequest(route, now + 5)
-                asked[id(call)] = now
+                offered_at[id(call)] = now
                 reason = queue.offer(call, weight=1, now=now)
                 if reason:
                     refused += route == "parts"
@@ -119,7 +119,7 @@
         self.assertIn("deadline", queue.offer(SlotRequest("a", 3.0), weight=1, now=1.0))
         self.assertEqual(queue.load, 2)
 
-    def test_overload_leaves_answers_in_time(self) -> None:
+    def test_overload_leaves_calls_that_end_in_time(self) -> None:
         """Guards against a queue in which all calls of an overload end late."""
         queue = AdmissionQueue(slots=1)
         first = SlotRequest("a", 10.0)
@@ -135,7 +135,7 @@
         self.assertGreaterEqual(len(accepted), 2)
         self.assertLessEqual(1.1 + 0.1 * len(accepted), 1.5)
 
-    def test_higher_rank_goes_first(self) -> None:
+    def test_higher_priority_goes_first(self) -> None:
         """Guards against urgent calls that wait behind less urgent ones."""
         queue = AdmissionQueue(slots=1)
         running = SlotRequest("a", 10.0)
@@ -208,7 +208,7 @@
             clock.advance(0.01)
         self.assertGreater(late, 200)
 
-    def test_own_zone_first(self) -> None:
+    def test_local_zone_first(self) -> None:
         """Guards against unnecessary calls to other zones."""
         balancer, clock = self.make("adaptive")
         targets = pool(3, other_zone=6)
@@ -240,7 +240,7 @@
             clock.advance(0.01)
         self.assertEqual(zones, {0: "b", 60_000: "a"})
 
-    def test_unreachable_targets_are_left_out_at_once(self) -> None:
+    def test_unreachable_targets_are_ejected_at_once(self) -> None:
         """Guards against repeated connection attempts to a partitioned zone."""
         balancer, clock = self.make("adaptive")
         targets = pool(4)
--- a/tests/calls/test_drain.py
+++ b/tests/calls/test_drain.py
@@ -11,7 +11,7 @@
 class DrainTest(unittest.TestCase):
     """A stop with calls, uploads and idle connections."""
 
-    def test_stop_completes_what_is_in_flight(self) -> None:
+    def test_stop_completes_calls_in_flight(self) -> None:
         """Guards against a drain that interrupts a call or an upload, or drops a new request."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
--- a/tests/calls/test_endless.py
+++ b/tests/calls/test_endless.py
@@ -77,7 +77,7 @@
                 continue
         return failed.exception
 
-    def test_head_without_end(self) -> None:
+    def test_endless_head(self) -> None:
         """Guards against buffering an endless head in memory until the deadline of the call."""
         for name, (start, repeated) in ENDLESS.items():
             with self.subTest(name):
@@ -88,7 +88,7 @@
                 server.close()
                 self.assertLess(sent[0], MAX_SENT_BYTES)
 
-    def test_body_without_end(self) -> None:
+    def test_endless_body(self) -> None:
         """Guards against buffering an endless body, which must be streamed."""
         reader = ResponseReader(head_only=False)
         reader.feed(CHUNKED)
@@ -101,7 +101,7 @@
         self.addCleanup(server.close)
         self.send(server, deadline_s=0.5)
 
-    def test_large_head_is_taken(self) -> None:
+    def test_large_head_is_accepted(self) -> None:
         """Guards against a limit on response heads that is below the one on request heads."""
         reader = ResponseReader(head_only=False)
         line = b"x: " + b"y" * 95 + b"\r\n"
--- a/tests/calls/test_faults.py
+++ b/tests/calls/test_faults.py
@@ -167,7 +167,7 @@
             self.assertLessEqual(ran, 200 + 21)
             self.assertGreater(ran, 205)
 
-    def test_layers_share_one_allowance(self) -> None:
+    def test_nested_calls_share_their_retries(self) -> None:
         """Guards against retries at each level of nested calls, which would multiply."""
         codec = ContextCodec(key=KEY, clock=SystemClock(), random=Random(1))
         spent = codec.encode(CallContext(SystemClock().monotonic() + 5, 0, 3, "k"))
--- a/tests/calls/test_links.py
+++ b/tests/calls/test_links.py
@@ -37,7 +37,7 @@
     return script
 
 
-class RestedConnectionTest(unittest.TestCase):
+class IdleConnectionTest(unittest.TestCase):
     """Targets that drop idle connections without notice."""
 
     def setUp(self) -> None:
@@ -62,7 +62,7 @@
         response.finish()
         return response
 
-    def test_request_after_a_lost_one_gets_a_young_connection(self) -> None:
+    def test_request_after_a_reset_gets_a_recent_connection(self) -> None:
         """Guards against repeated failures on idle connections that the target has dropped.
 
         A failed idempotent request can be retried. It also reduces the idle limit, which protects
@@ -78,7 +78,7 @@
         self.assertEqual(self.send("POST").status, 200)
         self.assertEqual(self.server.connections, 3)
 
-    def test_young_connections_are_used_again(self) -> None:
+    def test_recent_connections_are_used_again(self) -> None:
         """Guards against a new connection for every request after one connection was reset."""
         self.send("GET")
         time.sleep(0.3)
--- a/tests/calls/test_wire.py
+++ b/tests/calls/test_wire.py
@@ -139,7 +139,7 @@
 class FramingTest(unittest.TestCase):
     """Complete responses to the right request."""
 
-    def test_answers_of_all_framings(self) -> None:
+    def test_responses_of_all_framings(self) -> None:
         """Guards against truncated responses and lost lengths, over one node and over two."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
@@ -157,7 +157,7 @@
                     reply = client.call("/parts/x", method="POST", body=b"order")
                     self.assertEqual(reply.body, b"1 /parts/x\norder")
 
-    def test_cut_short_answers(self) -> None:
+    def test_truncated_responses(self) -> None:
         """Guards against a truncated response that looks complete to the caller."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
@@ -181,7 +181,7 @@
                 positions = [received.index(b"%b\n" % path.encode()) for path in paths]
                 self.assertEqual(positions, sorted(positions))
 
-    def test_surplus_answers(self) -> None:
+    def test_surplus_responses(self) -> None:
         """Guards against an unsolicited response that is taken for the next request's."""
         with Mesh() as mesh:
             node = mesh.add()
@@ -192,7 +192,7 @@
                     threading.Event().wait(2 * float(pause_ms or 0) / 1000)
                     self.assertEqual(client.call("/parts/own").body, b"1 /parts/own\n")
 
-    def test_late_answers(self) -> None:
+    def test_late_responses(self) -> None:
         """Guards against a late response that is taken for another request's.
 
         This would happen if the connection were not closed after the timeout.
@@ -205,7 +205,7 @@
                 path = f"/parts/{index}"
                 self.assertEqual(call(node.call_address, path).body, f"1 {path}\n".encode())
 
-    def test_malformed_answer(self) -> None:
+    def test_malformed_response(self) -> None:
         """Guards against passing on bytes that are not HTTP."""
         with Mesh() as mesh:
             node = mesh.add()
@@ -273,7 +273,7 @@
                 self.assertEqual((reply.status, reply.interim), (503, []))
                 self.assertTrue(client.closed)
 
-    def test_early_answer(self) -> None:
+    def test_early_response(self) -> None:
         """Guards against an upload that continues after the target has rejected it."""
         with Mesh() as mesh:
             node = mesh.add()
@@ -285,7 +285,7 @@
                 self.assertEqual(client.reply().status, 413)
                 self.assertTrue(client.closed)
 
-    def test_upload_cut_short(self) -> None:
+    def test_truncated_upload(self) -> None:
         """Guards against a target that takes a truncated upload for a complete one."""
         with Mesh(limits=QUICK) as mesh:
             node = mesh.add()
@@ -301,7 +301,7 @@
             self.assertEqual(node.target.calls, 0)
             self.assertEqual(node.path.admission.load, 0)
 
-    def test_caller_goes_away(self) -> None:
+    def test_caller_disconnects(self) -> None:
         """Guards against slots and connections held for disconnected callers."""
         with Mesh() as mesh:
             first, second = mesh.add(), mesh.add()
--- a/tests/calls/test_withheld.py
+++ b/tests/calls/test_withheld.py
@@ -81,11 +81,11 @@
             self.send(script, limit_s=limit_s)
         return failed.exception.verdict
 
-    def test_node_is_lost_before_it_asks(self) -> None:
+    def test_node_fails_before_continue(self) -> None:
         """Guards against the verdict "may have run" for a request that reached no target."""
         self.assertIs(self.failure(receive_head), Verdict.NOT_RUN)
 
-    def test_node_is_lost_after_it_asked(self) -> None:
+    def test_node_fails_after_continue(self) -> None:
         """Guards against the verdict "not run" for a request that a target may have received."""
 
         def script(connection: socket.socket) -> None:
@@ -101,7 +101,7 @@
         verdict = self.failure(lambda _: ended.wait(2.0), limit_s=0.2)
         self.assertIs(verdict, Verdict.NOT_RUN)
 
-    def test_kept_connection_that_ends(self) -> None:
+    def test_idle_connection_that_ends(self) -> None:
         """Guards against a failed request when a new connection to the node would work."""
 
         def script(connection: socket.socket) -> None:
@@ -110,7 +110,7 @@
 
         self.assertEqual(self.send(script, respond_once, times=2).status, 200)
 
-    def test_requests_that_may_be_repeated_do_not_wait(self) -> None:
+    def test_idempotent_requests_do_not_wait(self) -> None:
         """Guards against an additional round trip for requests that do not need it."""
 
         def script(connection: socket.socket) -> None:
@@ -121,7 +121,7 @@
         self.assertEqual(self.send(script, method="PUT").status, 200)
 
 
-class LateBody(IterableBody):
+class MissingBody(IterableBody):
     """A body that never arrives."""
 
     def wait_first_part(self, limit_s: float) -> bool:
@@ -143,7 +143,7 @@
             method="POST",
             target=b"/",
             headers=[(b"host", b"h")],
-            body=LateBody((), length=5),
+            body=MissingBody((), length=5),
             idempotent=False,
             deadline=time.monotonic() + 5,
             cancelled=lambda: False,
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -99,7 +99,7 @@
         self.assertEqual(self.reason(frame_of(message, key=bytes(32))), "not-authentic")
         self.assertEqual(self.reason(frame_of(message, mesh_id="other")), "not-authentic")
 
-    def test_any_well_formed_message_is_survived(self) -> None:
+    def test_unusual_authentic_messages_do_not_crash_a_node(self) -> None:
         """Fails if unusual numbers or names in an authentic message crash the control task."""
         net = make_fleet(1, {"north": 3, "east": 2})
         net.append()
@@ -179,7 +179,7 @@
         self.assertEqual(self.transport.rejected, {"not-authentic": 3})
         self.assertEqual(self.reported, ["not-authentic"])
 
-    def test_bounds_of_a_peer_that_does_not_answer(self) -> None:
+    def test_bounds_of_an_unresponsive_peer(self) -> None:
         """Fails if queues, frames or idle sockets grow without bound, or an address raises."""
         silent = "tcp://127.0.0.1:9"
         for _ in range(300):
