--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -94,7 +94,7 @@
         own_name: Name of this node, empty for an embedding caller.
         own_service: Service of this instance, sent to targets if ``names`` has a header for it.
         names: Names of the headers that callers and targets use.
-        retry_statuses: Response statuses after which an idempotent call may be retried.
+        retry_statuses: Response statuses after which an idempotent call may go to another target.
         local: Delivers to the local target without a connection to this node.
         on_response: Receives a record of each routed call when its response has ended.
     """
@@ -385,7 +385,7 @@
     if response.verdict is not Verdict.NOT_RUN or not call.may_have_run:
         return response
     response.finish()
-    reason = f"an earlier attempt may have run; the last one was refused: {response.local_reason}"
+    reason = f"an attempt before may have run, the last one was refused: {response.local_reason}"
     return local_response(502, reason, Verdict.MAY_HAVE_RUN)
 
 
