--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -57,7 +57,7 @@
 class _Call:
     """A call under way."""
 
-    asked: float
+    started_at: float
     caller: int
     entry: Observed
     target: ModelTarget
@@ -170,15 +170,15 @@
         self._attempt(now, caller, attempts=1, excluded=())
 
     def _attempt(
-        self, asked: float, caller: int, *, attempts: int, excluded: tuple[str, ...]
+        self, started_at: float, caller: int, *, attempts: int, excluded: tuple[str, ...]
     ) -> None:
         entry = self._balancers[caller].choose(POOL_KEY, self._pool, excluded=excluded)
         if entry is None:
             self._result.refused += 1
             return
         target = next(t for t in self.targets if t.name == entry.target.name)
-        waiting = Waiting("route", asked + TIMEOUT_S)
-        call = _Call(asked, caller, entry, target, waiting, attempts)
+        waiting = Waiting("route", started_at + TIMEOUT_S)
+        call = _Call(started_at, caller, entry, target, waiting, attempts)
         delay = self._delay(call)
         self.at(self.clock.monotonic() + delay, lambda: self._reach(call))
 
@@ -218,18 +218,18 @@
         answered = status in (200, 500)
         self._balancers[call.caller].ended(
             call.entry,
-            latency_s=now - call.asked if answered and call.attempts == 1 else None,
+            latency_s=now - call.started_at if answered and call.attempts == 1 else None,
             failed=status in (0, 500),
             load=call.target.claimed_load if status else None,
         )
         if status == 200:
-            if now - call.asked <= TIMEOUT_S:
-                self._result.latencies_s.append(now - call.asked)
+            if now - call.started_at <= TIMEOUT_S:
+                self._result.latencies_s.append(now - call.started_at)
             else:
                 self._result.late += 1
         elif status == 500:
             self._result.failed += 1
-        elif call.attempts == 1 and now - call.asked < TIMEOUT_S / 2:
-            self._attempt(call.asked, call.caller, attempts=2, excluded=(call.target.name,))
+        elif call.attempts == 1 and now - call.started_at < TIMEOUT_S / 2:
+            self._attempt(call.started_at, call.caller, attempts=2, excluded=(call.target.name,))
         else:
             self._result.refused += 1
--- a/src/citronrack/bench/calls.py
+++ b/src/citronrack/bench/calls.py
@@ -33,13 +33,13 @@
 OVERLOAD_CALLERS = 110
 OVERLOAD_S = 8.0
 TARGET_MS = 0.38
-PARTS = ((0.5, "p50"), (0.99, "p99"), (0.999, "p99.9"))
+QUANTILES = ((0.5, "p50"), (0.99, "p99"), (0.999, "p99.9"))
 
 measurements: Registry[Callable[[], None]] = Registry("measurement")
 
 
 @define(eq=False)
-class Bed:
+class Testbed:
     """Two node processes; the target of each runs one service version."""
 
     fleet: Fleet
@@ -63,9 +63,9 @@
 
 
 @contextmanager
-def running_bed(
+def running_testbed(
     *, delay_s: float = 0.0, workers: int = 0, slots: int = 100, timeout_ms: int = 5000
-) -> Iterator[Bed]:
+) -> Iterator[Testbed]:
     """Start targets and nodes, publish a route to each target and wait until calls work."""
     targets = [TargetProcess(str(index), delay_s, workers) for index in (1, 2)]
     with Fleet() as fleet:
@@ -79,20 +79,20 @@
         for name in fleet.nodes:
             fleet.start(name)
         _publish(fleet, timeout_ms)
-        bed = Bed(fleet, targets)
-        for address, path in bed.addresses.values():
+        testbed = Testbed(fleet, targets)
+        for address, path in testbed.addresses.values():
             caller = Caller(address, path)
             if not wait_until(lambda c=caller: c.call()[0] == 200, limit_s=30):  # type: ignore
                 raise RuntimeError(f"no answer at {address} {path}")
             caller.close()
         time.sleep(11)  # the slow ramp of cold targets
-        yield bed
+        yield testbed
 
 
 @contextmanager
-def running_relay(bed: Bed) -> Iterator[RelayProcess]:
+def running_relay(testbed: Testbed) -> Iterator[RelayProcess]:
     """Start a relay to the first target."""
-    relay = RelayProcess(split(bed.targets[0].address))
+    relay = RelayProcess(split(testbed.targets[0].address))
     relay.start()
     try:
         yield relay
@@ -129,8 +129,8 @@
     print(f"latency: {ROUNDS} rounds of {CALLS_PER_ROUND} calls each way, real node processes")
     random = Random(1)
     added: dict[str, list[list[float]]] = {"relay": [], "one node": [], "two nodes": []}
-    with running_bed() as bed, running_relay(bed) as relay:
-        callers = {name: Caller(*target) for name, target in bed.addresses.items()}
+    with running_testbed() as testbed, running_relay(testbed) as relay:
+        callers = {name: Caller(*target) for name, target in testbed.addresses.items()}
         callers["relay"] = Caller(relay.address, "/one/x")
         for number in range(ROUNDS):
             seen = _latency_round(callers, random)
@@ -163,20 +163,20 @@
 
 
 def _percentiles(values: list[float]) -> str:
-    return " ".join(f"{name} {percentile(values, part) * 1000:.3f} ms" for part, name in PARTS)
+    return " ".join(f"{name} {percentile(values, part) * 1000:.3f} ms" for part, name in QUANTILES)
 
 
 @measurements.register("rate")
 def rate() -> None:
     """Print calls a second and processor time with callers that never pause."""
     print(f"rate: {RATE_THREADS} callers without pauses, {RATE_ROUNDS} rounds of {RATE_S} s each")
-    with running_bed() as bed:
-        results: dict[str, list[float]] = {name: [] for name in bed.addresses}
+    with running_testbed() as testbed:
+        results: dict[str, list[float]] = {name: [] for name in testbed.addresses}
         for _ in range(RATE_ROUNDS):
-            for name, target in bed.addresses.items():
-                before = sum(map(cpu_s, bed.pids))
+            for name, target in testbed.addresses.items():
+                before = sum(map(cpu_s, testbed.pids))
                 result = closed_loop([Caller(*target) for _ in range(RATE_THREADS)], seconds=RATE_S)
-                used = sum(map(cpu_s, bed.pids)) - before
+                used = sum(map(cpu_s, testbed.pids)) - before
                 calls = len(result.latencies_s)
                 results[name].append(result.good_per_s)
                 print(
@@ -194,14 +194,14 @@
     capacity = OVERLOAD_SLOTS / OVERLOAD_DELAY_S
     print(f"overload: capacity {capacity:.0f} calls/s, timeout {OVERLOAD_TIMEOUT_MS} ms")
     for name, slots in (("admission on", OVERLOAD_SLOTS), ("admission off", 1000)):
-        with running_bed(
+        with running_testbed(
             delay_s=OVERLOAD_DELAY_S,
             workers=OVERLOAD_SLOTS,
             slots=slots,
             timeout_ms=OVERLOAD_TIMEOUT_MS,
-        ) as bed:
+        ) as testbed:
             for factor in (0.8, 2.0):
-                callers = [Caller(*bed.addresses["one node"]) for _ in range(OVERLOAD_CALLERS)]
+                callers = [Caller(*testbed.addresses["one node"]) for _ in range(OVERLOAD_CALLERS)]
                 offered = factor * capacity
                 result = open_loop(callers, per_s=offered, seconds=OVERLOAD_S)
                 _print_overload(name, offered, result)
--- a/src/citronrack/bench/directory.py
+++ b/src/citronrack/bench/directory.py
@@ -48,7 +48,7 @@
     return views
 
 
-def _look(views: list[ZoneView]) -> list[KnownMember]:
+def _list_members(views: list[ZoneView]) -> list[KnownMember]:
     return [
         KnownMember(f"zone-{number}", summary, 0.0, True)
         for number, view in enumerate(views, 1)
@@ -71,7 +71,7 @@
     held = tracemalloc.get_traced_memory()[0]
     builder = ViewBuilder()
     own = [_member(0, i, 1) for i in range(MEMBERS_PER_ZONE)]
-    remote = _look(views)
+    remote = _list_members(views)
     _build_ms(builder, own, remote)
     gc.collect()
     with_view = tracemalloc.get_traced_memory()[0]
@@ -81,7 +81,7 @@
     print(f"members of other zones: {len(summaries)}")
     print(f"their directory: {held / 1e6:.2f} MB, {held / known:.0f} B a member")
     print(f"directory, routing view and {len(own)} own members: {with_view / 1e6:.2f} MB")
-    looks = sorted(_timed_look(views) for _ in range(ROUNDS))
+    looks = sorted(_time_listing(views) for _ in range(ROUNDS))
     near = sorted(_build_ms(builder, list(own), remote) for _ in range(ROUNDS))
     far = sorted(_build_ms(builder, own, list(remote)) for _ in range(ROUNDS))
     for name, values in (("look", looks), ("own zone changed", near), ("other zone changed", far)):
@@ -89,9 +89,9 @@
     return 0
 
 
-def _timed_look(views: list[ZoneView]) -> float:
+def _time_listing(views: list[ZoneView]) -> float:
     started = time.perf_counter()
-    _look(views)
+    _list_members(views)
     return (time.perf_counter() - started) * 1000
 
 
--- a/src/citronrack/bench/distribution.py
+++ b/src/citronrack/bench/distribution.py
@@ -174,13 +174,13 @@
 class _Relay(NodeSim):
     """A relay of a zone whose other members do not run."""
 
-    ghosts: int = 0
+    absent_members: int = 0
 
     def start(self, seeds: object, remote: dict[str, object]) -> None:  # type: ignore[override]
         """Start with a full table and without failure detection."""
         super().start((), remote)  # type: ignore[arg-type]
         wall = self.net.clock.wall_ms()
-        names = [f"{self.zone}-{index:04d}" for index in range(self.ghosts)]
+        names = [f"{self.zone}-{index:04d}" for index in range(self.absent_members)]
         members = [make_member(name, self.zone, wall) for name in names]
         self.table.merge(member for member in members if member.name != self.name)
         self.cores = (self.distribution, self.directory)
@@ -197,12 +197,12 @@
         return ZoneProgress(
             availability_zone,
             self.version,
-            self.ghosts,
-            self.ghosts,
+            self.absent_members,
+            self.absent_members,
             (),
             True,
             highest=self.version,
-            at_highest=self.ghosts,
+            at_highest=self.absent_members,
         )
 
 
@@ -217,7 +217,7 @@
         members = [make_member(f"{zone}-{index:04d}", zone, 0) for index in range(nodes)]
         for member in ranking(members)[:2]:
             relay = _Relay(net, member.name, zone)
-            relay.ghosts = nodes
+            relay.absent_members = nodes
             net.add(relay)
     for name in net.nodes:
         net.start(name)
--- a/src/citronrack/bench/distribution_net.py
+++ b/src/citronrack/bench/distribution_net.py
@@ -53,7 +53,7 @@
     cut_zones: set[frozenset[str]] = field(factory=set)
     cut_nodes: set[frozenset[str]] = field(factory=set)
     log_cut: set[str] = field(factory=set)
-    deaf: set[str] = field(factory=set)
+    not_receiving: set[str] = field(factory=set)
 
 
 @define
@@ -323,7 +323,7 @@
     def _is_cut(self, source: NodeSim, target: NodeSim) -> bool:
         zones = frozenset((source.zone, target.zone))
         names = frozenset((source.name, target.name))
-        if target.name in self.faults.deaf:
+        if target.name in self.faults.not_receiving:
             return True
         return zones in self.faults.cut_zones or names in self.faults.cut_nodes
 
--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -13,9 +13,9 @@
 from ..errors import AppendRefused, AppendUnknown
 from ..log import LogFold, SeedList, SnapshotTaken
 from ..log.appender import Appended, Appender, AppendSteps
-from ..log.lease import LeaseKeeper
+from ..log.lease import LeaseManager
 from ..log.records import RECORDS_STREAM, Duty
-from ..log.snapshot import MAX_AGE_S, SnapshotKeeper, WriteSnapshot
+from ..log.snapshot import MAX_AGE_S, SnapshotScheduler, WriteSnapshot
 from ..node.mail import LogRead, LogReadFailed, SnapshotRead
 from ..node.reader import LONG_POLL_MS, START_JITTER_S, ReaderTask
 from ..standins.log_store import LogStore, MemoryLogClient
@@ -73,7 +73,7 @@
         self._rank = rank
         self.writer = f"{name}/{boot}"
         self.paused = False
-        self.deaf = False
+        self.reads_blocked = False
         self.draining = False
         self.fold = LogFold()
         self.caught_up_at: float | None = None
@@ -96,14 +96,14 @@
         self._appender = Appender(
             client=client, clock=fleet.clock, random=random, writer=self.writer
         )
-        self.keepers = {
-            duty: LeaseKeeper(duty=duty, own=self.writer, clock=fleet.clock, random=random)
+        self.lease_managers = {
+            duty: LeaseManager(duty=duty, own=self.writer, clock=fleet.clock, random=random)
             for duty in Duty
         }
-        self.compactor = SnapshotKeeper(
+        self.compactor = SnapshotScheduler(
             clock=fleet.clock,
             random=random,
-            every_records=fleet.every_records,
+            max_records=fleet.max_records,
             max_age_s=fleet.max_age_s,
         )
         self._seeds_due = rank == 0
@@ -139,11 +139,11 @@
         if self.paused:
             return
         now = self._fleet.clock.monotonic()
-        if now >= self._read_at and not self.deaf and not self._is_polling(now):
+        if now >= self._read_at and not self.reads_blocked and not self._is_polling(now):
             self._reader.step()
         if self._rank >= READING_RANKS and self.caught_up_at is not None:
             return
-        for keeper in self.keepers.values():
+        for keeper in self.lease_managers.values():
             keeper.on_state(self.fold.state)
             self._claim(keeper)
         self._compact()
@@ -162,7 +162,7 @@
     def _wait_to_read(self, seconds: float) -> None:
         self._read_at = self._fleet.clock.monotonic() + seconds
 
-    def _claim(self, keeper: LeaseKeeper) -> None:
+    def _claim(self, keeper: LeaseManager) -> None:
         ready = self.caught_up_at is not None and not self.draining
         claim = keeper.on_tick(rank=self._rank if ready else None)
         if claim is not None:
@@ -174,7 +174,7 @@
             )
 
     def _compact(self) -> None:
-        term = self.keepers[Duty.COMPACTOR].term
+        term = self.lease_managers[Duty.COMPACTOR].term
         due = self.compactor.on_tick(self.fold, term=term, first=self.log_first, end=self.log_end)
         failed = self.compactor.on_failed
         if isinstance(due, WriteSnapshot):
@@ -226,7 +226,7 @@
         seed: Seed of all random numbers.
         clock: Shared by all nodes.
         store: The log.
-        every_records: Records after which a snapshot is due.
+        max_records: Records after which a snapshot is due.
         max_age_s: Age after which a snapshot is due before the retention is known.
         retention: Records that the log keeps.
         retention_s: Seconds for which the log keeps a record, None for no limit.
@@ -243,7 +243,7 @@
     seed: int
     clock: ManualClock = field(factory=ManualClock)
     store: LogStore = field(init=False)
-    every_records: int = 2_000
+    max_records: int = 2_000
     max_age_s: float = MAX_AGE_S
     retention: int = 100_000
     retention_s: float | None = None
@@ -297,4 +297,4 @@
     def acting(self, duty: Duty) -> list[SimulatedNode]:
         """Return the nodes that would act under a duty now; a paused one cannot."""
         nodes = (node for node in self.nodes if not node.paused)
-        return [node for node in nodes if node.keepers[duty].term is not None]
+        return [node for node in nodes if node.lease_managers[duty].term is not None]
--- a/src/citronrack/bench/moves.py
+++ b/src/citronrack/bench/moves.py
@@ -14,8 +14,8 @@
 
 from ..log.records import MoveResult
 from ..moves import Policy, profiles
+from ..moves.evaluator import EVALUATORS_PER_ZONE
 from ..moves.evidence import BUCKET_MS
-from ..moves.judge import JUDGING_NODES
 from ..moves.zone import SETTLE_MS
 from .moves_compared import ThresholdRamp, TimedRamp
 from .moves_fleet import ZONE_FACT_DELAY_S, MoveFleet
@@ -187,7 +187,7 @@
     """
     zones = len(sizes.zones)
     tests = 6  # failures and slow calls of two routes and of both together
-    threshold = JUDGING_NODES * zones / policy.alpha
+    threshold = EVALUATORS_PER_ZONE * zones / policy.alpha
     wanted = math.log(threshold * tests * len(policy.odds) * 2) / math.log(max(policy.odds))
     failures = 2 * math.ceil(wanted)
     settle_s = 3 * BUCKET_MS / 1000 + policy.evidence_interval_s + SETTLE_MS / 1000
--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -10,8 +10,8 @@
 
 from attrs import frozen
 
-from ..moves.baseline import Baseline, Rise
-from ..moves.sequential import AgainstRate, Compared, SequentialTest, SideBySide
+from ..moves.baseline import Baseline, RateIncrease
+from ..moves.sequential import BaselineStratum, CallSample, PairedStratum, SequentialTest
 
 BUCKETS = 150
 CALLS_PER_BUCKET = 200
@@ -58,17 +58,17 @@
         rate = setting.burst if in_burst else setting.rate
         share = RAMP[bucket * len(RAMP) // BUCKETS]
         new_calls = _binomial(random, CALLS_PER_BUCKET, share)
-        new = Compared(new_calls, _binomial(random, new_calls, rate))
+        new = CallSample(new_calls, _binomial(random, new_calls, rate))
         old_calls = CALLS_PER_BUCKET - new_calls
-        old = Compared(old_calls, _binomial(random, old_calls, rate))
-        test.add([SideBySide(new, old)])
+        old = CallSample(old_calls, _binomial(random, old_calls, rate))
+        test.add([PairedStratum(new, old)])
         baseline.learn(old)
         highest = max(highest, test.value)
     for _ in range(WATCH_BUCKETS if setting.is_watched else 0):
         hits = _binomial(random, CALLS_PER_BUCKET, setting.rate)
-        bound = baseline.bound(Rise())
+        bound = baseline.bound(RateIncrease())
         if bound is not None:
-            test.add([AgainstRate(Compared(CALLS_PER_BUCKET, hits), bound)])
+            test.add([BaselineStratum(CallSample(CALLS_PER_BUCKET, hits), bound)])
         highest = max(highest, test.value)
     return highest
 
--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -15,7 +15,7 @@
 from ..log import Claim, Confirmed, Envelope, LogFold, encode_record
 from ..log.records import Duty
 from ..membership.member import Member
-from ..moves import Capacity, Intent, MoveCore, MoveIntent, MoveSurroundings, make_plan
+from ..moves import Capacity, Intent, MoveCore, MoveDependencies, MoveIntent, make_plan
 from ..transport.messages import message_codec
 from ..verdict import Verdict
 from .moves_parts import Controller, Deployment, FactsFake, FleetFact, FleetNode, Tally
@@ -173,23 +173,27 @@
         member = Member(name, f"tcp://{name}", "", "", zone, service, version, 1, ready=True)
         index = len(self.nodes)
         facts = FactsFake(lambda fact: self._spread(index, fact))
-        around = MoveSurroundings(
+        dependencies = MoveDependencies(
             facts=facts,
             ranked=lambda: [n.member for n in self._live(zone) if not n.is_demoted],
             zones=lambda: self.deployment.zones,
-            unheard=lambda: self._unheard(zone),
+            unreachable_zones=lambda: self._unreachable_zones(zone),
             capacity=lambda s, v: self._capacity(zone, s, v),
         )
         core = MoveCore(
-            own_name=name, boot_id="1", availability_zone=zone, clock=clock, around=around
+            own_name=name,
+            boot_id="1",
+            availability_zone=zone,
+            clock=clock,
+            dependencies=dependencies,
         )
         self.nodes.append(FleetNode(member, core, facts, clock))
         self._by_address[member.address] = self.nodes[-1]
 
-    def _unheard(self, zone: str) -> Collection[str]:
-        return {z for z in self.deployment.zones if z != zone and self._parted(z, zone)}
+    def _unreachable_zones(self, zone: str) -> Collection[str]:
+        return {z for z in self.deployment.zones if z != zone and self._is_partitioned(z, zone)}
 
-    def _parted(self, one: str, other: str) -> bool:
+    def _is_partitioned(self, one: str, other: str) -> bool:
         return one != other and bool({one, other} & self.cut)
 
     def _targets(self, zone: str, service: str, version: str) -> list[FleetNode]:
@@ -201,7 +205,7 @@
                 for node in self.nodes
                 if node.is_alive
                 and (node.member.service, node.member.service_version) == (service, version)
-                and not self._parted(node.zone, zone)
+                and not self._is_partitioned(node.zone, zone)
             ]
         return self._reachable[key]
 
@@ -245,12 +249,12 @@
         """Carry a fact to all nodes that can be reached, later ones included by `_sync`."""
         origin = self.nodes[index]
         for node in self.nodes:
-            if node is origin or self._parted(node.zone, origin.zone):
+            if node is origin or self._is_partitioned(node.zone, origin.zone):
                 continue
             delay = FACT_DELAY_S if node.zone == origin.zone else ZONE_FACT_DELAY_S
-            self._later(delay, partial(self._take_fact, node, fact))
+            self._later(delay, partial(self._store_fact, node, fact))
 
-    def _take_fact(self, node: FleetNode, fact: FleetFact) -> None:
+    def _store_fact(self, node: FleetNode, fact: FleetFact) -> None:
         if node.is_alive:
             node.facts.put(fact.key, fact.rank, fact.payload)
 
@@ -259,7 +263,7 @@
         relays = [live[0] for zone in self.deployment.zones if (live := self._live(zone))]
         for one in relays:
             for other in relays:
-                if one is not other and not self._parted(one.zone, other.zone):
+                if one is not other and not self._is_partitioned(one.zone, other.zone):
                     for fact in list(one.facts.items()):
                         other.facts.put(fact.key, fact.rank, fact.payload)
 
--- a/src/citronrack/log/__init__.py
+++ b/src/citronrack/log/__init__.py
@@ -5,7 +5,7 @@
 from .appender import Appended, Appender
 from .client import LogClient, LogPage
 from .fold import FoldResult, LogFold
-from .lease import LeaseKeeper
+from .lease import LeaseManager
 from .records import (
     Cancelled,
     Claim,
@@ -18,7 +18,7 @@
     decode_record,
     encode_record,
 )
-from .snapshot import SnapshotKeeper, load_snapshot
+from .snapshot import SnapshotScheduler, load_snapshot
 
 __all__ = [
     "Appended",
@@ -28,14 +28,14 @@
     "Confirmed",
     "Envelope",
     "FoldResult",
-    "LeaseKeeper",
+    "LeaseManager",
     "LogClient",
     "LogFold",
     "LogPage",
     "Marked",
     "MoveOutcome",
     "SeedList",
-    "SnapshotKeeper",
+    "SnapshotScheduler",
     "SnapshotTaken",
     "decode_record",
     "encode_record",
--- a/src/citronrack/log/_limits.py
+++ b/src/citronrack/log/_limits.py
@@ -19,7 +19,7 @@
 _DUTIES = frozenset(duty.value for duty in Duty)
 
 
-def limit_fault(offset: int, envelope: Envelope) -> str:
+def limit_violation(offset: int, envelope: Envelope) -> str:
     """Return which limit a decoded record breaks, empty for none.
 
     Args:
@@ -37,11 +37,11 @@
     return check(offset, body) if check is not None else ""
 
 
-def _confirmed(offset: int, body: Confirmed) -> str:
+def _check_confirmed(offset: int, body: Confirmed) -> str:
     return "" if body.plan_id else "plan id is empty"
 
 
-def _claim(offset: int, body: Claim) -> str:
+def _check_claim(offset: int, body: Claim) -> str:
     if body.duty not in _DUTIES:
         return f"duty {body.duty[:40]!r} does not exist"
     if not MIN_LEASE_MS <= body.lease_ms <= MAX_LEASE_MS:
@@ -49,33 +49,33 @@
     return "" if body.holder else "holder is empty"
 
 
-def _marked(offset: int, body: Marked) -> str:
+def _check_marked(offset: int, body: Marked) -> str:
     # An epoch is the offset of an earlier record; a greater one would shadow all later marks.
     return "" if 0 <= body.epoch < offset else "epoch is not an earlier version"
 
 
-def _outcome(offset: int, body: MoveOutcome) -> str:
+def _check_outcome(offset: int, body: MoveOutcome) -> str:
     if len(body.missing_zones) > MAX_MISSING_ZONES:
         return f"more than {MAX_MISSING_ZONES} missing zones"
     return "" if all(len(zone) <= MAX_TEXT for zone in body.missing_zones) else "zone name too long"
 
 
-def _seeds(offset: int, body: SeedList) -> str:
+def _check_seeds(offset: int, body: SeedList) -> str:
     if len(body.addresses) > MAX_SEED_ADDRESSES:
         return f"more than {MAX_SEED_ADDRESSES} seed addresses"
     return "" if all(len(seed) <= MAX_TEXT for seed in body.addresses) else "address too long"
 
 
-def _snapshot_taken(offset: int, body: SnapshotTaken) -> str:
+def _check_snapshot_taken(offset: int, body: SnapshotTaken) -> str:
     in_range = 0 <= body.through <= offset and body.snapshot_offset >= 0
     return "" if in_range else "snapshot lies outside of the log"
 
 
 _CHECKS: dict[type[Any], Callable[[int, Any], str]] = {
-    Confirmed: _confirmed,
-    Claim: _claim,
-    Marked: _marked,
-    MoveOutcome: _outcome,
-    SeedList: _seeds,
-    SnapshotTaken: _snapshot_taken,
+    Confirmed: _check_confirmed,
+    Claim: _check_claim,
+    Marked: _check_marked,
+    MoveOutcome: _check_outcome,
+    SeedList: _check_seeds,
+    SnapshotTaken: _check_snapshot_taken,
 }
--- a/src/citronrack/log/_retention.py
+++ b/src/citronrack/log/_retention.py
@@ -18,11 +18,11 @@
     end: int
 
 
-class RetentionGauge:
+class RetentionEstimator:
     """Compares the log's first offset with where the log ended at earlier times.
 
     Example:
-        >>> gauge = RetentionGauge()
+        >>> gauge = RetentionEstimator()
         >>> gauge.observe(0.0, first=0, end=10)
         >>> gauge.observe(3600.0, first=0, end=20)
         >>> gauge.retention_s is None
--- a/src/citronrack/log/_writers.py
+++ b/src/citronrack/log/_writers.py
@@ -6,7 +6,7 @@
 
 from .state import WriterState
 
-WRITER_MEMORY_OFFSETS = 50_000  # a retry gives up long before this many records have passed
+WRITER_RETENTION_OFFSETS = 50_000  # a retry gives up long before this many records have passed
 KEPT_WRITERS = 4_096  # above the fleet's 3,500 nodes; keeps a snapshot below one 256 KB frame
 KEPT_GAPS = 8  # ranges per writer; an outage makes one
 
@@ -19,7 +19,7 @@
     SUPERSEDED = "superseded"
 
 
-def note_arrival(
+def classify_arrival(
     writers: dict[str, WriterState], writer: str, sequence: int, offset: int
 ) -> Arrival:
     """Record that ``sequence`` of ``writer`` stands at ``offset``, and say how it relates.
@@ -36,13 +36,15 @@
     known = writers.pop(writer, None)
     if known is None:
         known = WriterState(0, offset)
-    arrival, skipped = _relate(known, sequence)
+    arrival, skipped = _compare_sequence(known, sequence)
     writers[writer] = WriterState(max(known.sequence, sequence), offset, skipped)
-    _forget_old(writers, offset)
+    _evict_old_writers(writers, offset)
     return arrival
 
 
-def _relate(known: WriterState, sequence: int) -> tuple[Arrival, tuple[tuple[int, int], ...]]:
+def _compare_sequence(
+    known: WriterState, sequence: int
+) -> tuple[Arrival, tuple[tuple[int, int], ...]]:
     """Return the arrival and the ranges of numbers that are missing after it."""
     if sequence > known.sequence:
         gap = ((known.sequence + 1, sequence - 1),) if sequence > known.sequence + 1 else ()
@@ -56,10 +58,10 @@
     return Arrival.DUPLICATE, known.skipped
 
 
-def _forget_old(writers: dict[str, WriterState], offset: int) -> None:
+def _evict_old_writers(writers: dict[str, WriterState], offset: int) -> None:
     while writers:
         oldest = next(iter(writers))
-        recent = writers[oldest].offset >= offset - WRITER_MEMORY_OFFSETS
+        recent = writers[oldest].offset >= offset - WRITER_RETENTION_OFFSETS
         if recent and len(writers) <= KEPT_WRITERS:
             return
         del writers[oldest]
--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -99,7 +99,7 @@
             AppendUnknown: When the record may or may not be in the log.
             AppendRefused: When no attempt can have reached the log.
         """
-        return self._drive(self.append_steps(body, limit_s=limit_s))
+        return self._run_steps(self.append_steps(body, limit_s=limit_s))
 
     def append_snapshot(self, data: bytes, *, limit_s: float | None = None) -> Appended:
         """Append a snapshot; a retry may store it twice, which readers tolerate.
@@ -108,7 +108,7 @@
             AppendUnknown: When the snapshot may or may not be in the log.
             AppendRefused: When no attempt can have reached the log.
         """
-        return self._drive(self.snapshot_steps(data, limit_s=limit_s))
+        return self._run_steps(self.snapshot_steps(data, limit_s=limit_s))
 
     def append_steps(self, body: Any, *, limit_s: float | None = None) -> AppendSteps:
         """Return the append as a generator that yields the seconds to wait before its next step.
@@ -122,13 +122,13 @@
         data = encode_record(envelope)
         if len(data) > MAX_MESSAGE_BYTES:
             raise AppendRefused(f"record has {len(data)} bytes, at most {MAX_MESSAGE_BYTES} fit")
-        return self._deliver(RECORDS_STREAM, data, limit_s)
+        return self._append_with_retries(RECORDS_STREAM, data, limit_s)
 
     def snapshot_steps(self, data: bytes, *, limit_s: float | None = None) -> AppendSteps:
         """Return the append of a snapshot as a generator; see `append_steps`."""
-        return self._deliver(SNAPSHOTS_STREAM, data, limit_s)
+        return self._append_with_retries(SNAPSHOTS_STREAM, data, limit_s)
 
-    def _drive(self, steps: AppendSteps) -> Appended:
+    def _run_steps(self, steps: AppendSteps) -> Appended:
         try:
             wait_s = next(steps)
             while True:
@@ -136,7 +136,7 @@
         except StopIteration as done:
             return done.value  # type: ignore[no-any-return]
 
-    def _deliver(self, stream: str, data: bytes, limit_s: float | None) -> AppendSteps:
+    def _append_with_retries(self, stream: str, data: bytes, limit_s: float | None) -> AppendSteps:
         limit = self._limit_s if limit_s is None else min(limit_s, self._limit_s)
         last_start = self._clock.monotonic() + limit - self._attempt_limit_s
         backoff = Backoff(random=self._random)
--- a/src/citronrack/log/fold.py
+++ b/src/citronrack/log/fold.py
@@ -12,9 +12,9 @@
 from ..errors import ConfigInvalid, MessageRejected
 from . import marks
 from ._conflicts import move_conflict
-from ._limits import limit_fault
+from ._limits import limit_violation
 from ._snapshot_format import pack_state, unpack_state
-from ._writers import Arrival, note_arrival
+from ._writers import Arrival, classify_arrival
 from .marks import mark_key
 from .records import (
     Cancelled,
@@ -89,13 +89,13 @@
     def __init__(self, state: FoldState | None = None) -> None:
         self._state = state if state is not None else FoldState()
         self._handlers: dict[type[Any], Callable[[int, Any], str]] = {
-            Confirmed: self._confirmed,
-            Cancelled: self._cancelled,
-            Claim: self._claim,
-            Marked: self._marked,
-            MoveOutcome: self._outcome,
-            SeedList: self._seeds,
-            SnapshotTaken: self._snapshot_taken,
+            Confirmed: self._apply_confirmed,
+            Cancelled: self._apply_cancelled,
+            Claim: self._apply_claim,
+            Marked: self._apply_marked,
+            MoveOutcome: self._apply_outcome,
+            SeedList: self._apply_seeds,
+            SnapshotTaken: self._apply_snapshot_taken,
         }
 
     @property
@@ -144,43 +144,43 @@
         except MessageRejected as error:
             return FoldResult(offset, accepted=False, reason=error.reason)
         body = envelope.body
-        reason = limit_fault(offset, envelope)
+        reason = limit_violation(offset, envelope)
         if reason:
             return FoldResult(offset, accepted=False, reason=reason, body=body)
-        arrival = note_arrival(self._state.writers, envelope.writer, envelope.sequence, offset)
+        arrival = classify_arrival(self._state.writers, envelope.writer, envelope.sequence, offset)
         if arrival is Arrival.DUPLICATE:
             return FoldResult(offset, accepted=False, reason="duplicate", body=body)
         if arrival is Arrival.SUPERSEDED:
-            self._note_superseded(offset, body)
+            self._store_superseded(offset, body)
             return FoldResult(offset, accepted=False, reason=SUPERSEDED, body=body)
         reason = self._handlers[type(body)](offset, body)
         if not reason:
             self._state.digest = xxhash.xxh64_intdigest(data, seed=self._state.digest)
         return FoldResult(offset, accepted=not reason, reason=reason, body=body)
 
-    def _note_superseded(self, offset: int, body: Any) -> None:
+    def _store_superseded(self, offset: int, body: Any) -> None:
         """Let an operator see why a plan whose append had no answer did not take effect."""
         if isinstance(body, Confirmed) and body.plan_id not in self._state.plans:
-            self._keep_plan(body.plan_id, PlanState(False, offset, SUPERSEDED))
+            self._store_plan(body.plan_id, PlanState(False, offset, SUPERSEDED))
 
-    def _keep_plan(self, plan_id: str, plan: PlanState) -> None:
+    def _store_plan(self, plan_id: str, plan: PlanState) -> None:
         self._state.plans.pop(plan_id, None)
         self._state.plans[plan_id] = plan
         _drop_oldest(self._state.plans, KEPT_PLANS)
 
-    def _confirmed(self, offset: int, body: Confirmed) -> str:
+    def _apply_confirmed(self, offset: int, body: Confirmed) -> str:
         known = self._state.plans.get(body.plan_id)
         if known is not None and known.accepted:
             return f"plan is already in force since version {known.offset}"
         before = self._state.config
-        reason = self._confirmed_reason(offset, body)[:MAX_REASON]
-        self._keep_plan(body.plan_id, PlanState(not reason, offset, reason))
+        reason = self._apply_plan(offset, body)[:MAX_REASON]
+        self._store_plan(body.plan_id, PlanState(not reason, offset, reason))
         if not reason:
-            self._record_removed_moves(before, body)
-            marks.drop_unneeded(self._state)
+            self._store_removed_moves(before, body)
+            marks.remove_obsolete(self._state)
         return reason
 
-    def _confirmed_reason(self, offset: int, body: Confirmed) -> str:
+    def _apply_plan(self, offset: int, body: Confirmed) -> str:
         present = self._state.config
         if body.base_version != present.version:
             return (
@@ -201,22 +201,22 @@
         self._state.config = result
         return ""
 
-    def _record_removed_moves(self, before: ConfigSet, body: Confirmed) -> None:
+    def _store_removed_moves(self, before: ConfigSet, body: Confirmed) -> None:
         """Keep an outcome for each open move that the plan removed by name."""
         for move_id in body.change.remove_moves:
             move = before.moves.get(move_id)
             if move is not None:
-                self._keep_cancelled(move_id, move.epoch, body.operator)
+                self._store_cancelled(move_id, move.epoch, body.operator)
 
-    def _cancelled(self, offset: int, body: Cancelled) -> str:
+    def _apply_cancelled(self, offset: int, body: Cancelled) -> str:
         if not self._is_open(body.move_id, body.epoch):
             return "move is not open"
         self._close_move(offset, body.move_id, finished=False)
-        self._keep_cancelled(body.move_id, body.epoch, body.operator)
+        self._store_cancelled(body.move_id, body.epoch, body.operator)
         return ""
 
-    def _keep_cancelled(self, move_id: str, epoch: int, operator: str) -> None:
-        self._keep_outcome(
+    def _store_cancelled(self, move_id: str, epoch: int, operator: str) -> None:
+        self._store_outcome(
             MoveOutcome(
                 duty_term=0,
                 move_id=move_id,
@@ -227,7 +227,7 @@
             )
         )
 
-    def _claim(self, offset: int, body: Claim) -> str:
+    def _apply_claim(self, offset: int, body: Claim) -> str:
         present = self._state.leases.get(body.duty)
         term = present.term if present is not None else 0
         if body.term != term + 1:
@@ -235,20 +235,20 @@
         self._state.leases[body.duty] = LeaseState(body.term, body.holder, body.lease_ms, offset)
         return ""
 
-    def _marked(self, offset: int, body: Marked) -> str:
-        reason = marks.reason_against(self._state, body)
+    def _apply_marked(self, offset: int, body: Marked) -> str:
+        reason = marks.rejection_reason(self._state, body)
         if not reason:
             self._state.marks[mark_key(body.service, body.service_version, body.epoch)] = body
-            marks.drop_unneeded(self._state)
+            marks.remove_obsolete(self._state)
         return reason
 
-    def _outcome(self, offset: int, body: MoveOutcome) -> str:
-        if not self._term_holds(Duty.OUTCOMES, body.duty_term):
+    def _apply_outcome(self, offset: int, body: MoveOutcome) -> str:
+        if not self._is_current_term(Duty.OUTCOMES, body.duty_term):
             return "lease term has passed"
         if not self._is_open(body.move_id, body.epoch):
             return "move is not open"
         if body.result == MoveResult.UNKNOWN:
-            self._keep_outcome(body)
+            self._store_outcome(body)
             return ""
         finished = _KEEPS_NEW_VERSION.get(body.result)
         if finished is None:
@@ -256,7 +256,7 @@
         if finished and self._is_marked(body):
             return "service version is marked as bad and cannot finish its move"
         self._close_move(offset, body.move_id, finished=finished)
-        self._keep_outcome(body)
+        self._store_outcome(body)
         return ""
 
     def _is_marked(self, body: MoveOutcome) -> bool:
@@ -264,14 +264,14 @@
         service = self._state.config.routes[move.route].service
         return mark_key(service, move.to_version, move.epoch) in self._state.marks
 
-    def _seeds(self, offset: int, body: SeedList) -> str:
+    def _apply_seeds(self, offset: int, body: SeedList) -> str:
         self._state.seeds.pop(body.availability_zone, None)
         self._state.seeds[body.availability_zone] = body.addresses
         _drop_oldest(self._state.seeds, KEPT_SEED_ZONES)
         return ""
 
-    def _snapshot_taken(self, offset: int, body: SnapshotTaken) -> str:
-        if not self._term_holds(Duty.COMPACTOR, body.duty_term):
+    def _apply_snapshot_taken(self, offset: int, body: SnapshotTaken) -> str:
+        if not self._is_current_term(Duty.COMPACTOR, body.duty_term):
             return "lease term has passed"
         if body.through <= self._state.snapshot_through:
             return "an equal or newer snapshot exists"
@@ -280,7 +280,7 @@
         self._state.snapshot_announced = offset
         return ""
 
-    def _term_holds(self, duty: Duty, term: int) -> bool:
+    def _is_current_term(self, duty: Duty, term: int) -> bool:
         lease = self._state.leases.get(duty.value)
         return lease is not None and lease.term == term
 
@@ -292,9 +292,9 @@
         self._state.config = withdraw_move(
             self._state.config, move_id, version=offset, finished=finished
         )
-        marks.drop_unneeded(self._state)
+        marks.remove_obsolete(self._state)
 
-    def _keep_outcome(self, outcome: MoveOutcome) -> None:
+    def _store_outcome(self, outcome: MoveOutcome) -> None:
         self._state.outcomes.pop(outcome.move_id, None)
         self._state.outcomes[outcome.move_id] = outcome
         _drop_oldest(self._state.outcomes, KEPT_OUTCOMES)
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -13,13 +13,13 @@
 ANSWER_TIMEOUT_MS = 3_000  # an append must leave time for a second attempt; see appender.py
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 
-_NOT_SENT = frozenset(
+_NOT_SENT_ERRORS = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
-_MAY_FOLLOW_AN_EFFECT = frozenset({408, 409, 425, 429})  # a proxy may send these for a repeat
+_AMBIGUOUS_STATUSES = frozenset({408, 409, 425, 429})  # a proxy may send these for a repeat
 
 
-def _offset_in(body: bytes) -> int:
+def _parse_offset(body: bytes) -> int:
     """Return the offset in the answer to an append."""
     try:
         offset = msgpack.unpackb(body)["offset"]
@@ -49,12 +49,12 @@
         try:
             status, body = self._exchange(url, data=data, timeout_ms=self._answer_timeout_ms)
         except pycurl.error as error:
-            if error.args[0] in _NOT_SENT:
+            if error.args[0] in _NOT_SENT_ERRORS:
                 raise AppendRefused(f"log service not reached: {error}") from error
             raise AppendUnknown(f"no answer to the append: {error}") from error
         if status == 200:
-            return _offset_in(body)
-        if 400 <= status < 500 and status not in _MAY_FOLLOW_AN_EFFECT:
+            return _parse_offset(body)
+        if 400 <= status < 500 and status not in _AMBIGUOUS_STATUSES:
             raise AppendRefused(f"log service refused the append with status {status}")
         # An outage (503) may begin between the effect and the answer, so it proves nothing.
         raise AppendUnknown(f"log service answered the append with status {status}")
--- a/src/citronrack/log/lease.py
+++ b/src/citronrack/log/lease.py
@@ -11,13 +11,15 @@
 LEASE_MS = 60_000  # two duties cost 4 appends a minute for the fleet
 RENEW_AFTER = 0.5  # of the lease; leaves 30 s for retries of the renewal
 CANDIDATE_RANKS = 2  # per availability zone: its readers, which know the log's end at first hand
-RANK_STEP_S = 8.0  # several times the delay from a claim until all candidates have folded it
+RANK_DELAY_S = 8.0  # several times the delay from a claim until all candidates have folded it
 RETRY_MIN_S = 5.0
 RETRY_MAX_S = 10.0
-PAUSE_S = 3.0  # ticks come four times a second; a longer gap means that the process stood still
+PROCESS_PAUSE_S = (
+    3.0  # ticks come four times a second; a longer gap means that the process stood still
+)
 
 
-class LeaseKeeper:
+class LeaseManager:
     """Decides when to claim a duty, and whether this process may act under it.
 
     Pure: no wall clock takes part, and the log decides between claimants. A process acts only under
@@ -36,7 +38,7 @@
         >>> from citronrack.clock import ManualClock
         >>> from citronrack.log import Envelope, LogFold, encode_record
         >>> clock, fold = ManualClock(), LogFold()
-        >>> keeper = LeaseKeeper(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
+        >>> keeper = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
         >>> keeper.on_tick(rank=0) is None  # waits for its share of the first 8 s
         True
         >>> claims = []
@@ -65,8 +67,8 @@
         self._next_offset = 0
         self._folded_at = clock.monotonic()
         self._candidate_since: float | None = None
-        self._spread = random.random()
-        self._sent: dict[int, float] = {}
+        self._jitter = random.random()
+        self._claim_sent_at: dict[int, float] = {}
         self._outstanding: int | None = None
         self._first_of_term = False
         self._awaited_offset = -1
@@ -99,8 +101,8 @@
         self._lease = lease
         self._term = term
         self._folded_at = self._clock.monotonic()
-        self._spread = self._random.random()
-        self._sent = {sent: at for sent, at in self._sent.items() if sent >= term}
+        self._jitter = self._random.random()
+        self._claim_sent_at = {sent: at for sent, at in self._claim_sent_at.items() if sent >= term}
 
     def on_tick(self, *, rank: int | None) -> Claim | None:
         """Return a claim to append when one is due.
@@ -110,9 +112,9 @@
                 duties: not ready, draining, or with a fold that is not up to date.
         """
         now = self._clock.monotonic()
-        if now - self._last_tick > PAUSE_S:
+        if now - self._last_tick > PROCESS_PAUSE_S:
             # The fold is as old as the pause; it may hold a claim that was not yet delivered.
-            self._not_before = max(self._not_before, now + PAUSE_S)
+            self._not_before = max(self._not_before, now + PROCESS_PAUSE_S)
         self._last_tick = now
         if rank is None or not 0 <= rank < CANDIDATE_RANKS:
             self._candidate_since = None
@@ -138,13 +140,13 @@
     def on_claim_refused(self) -> None:
         """Take note that the returned claim is not in the log."""
         if self._outstanding is not None and self._first_of_term:
-            self._sent.pop(self._outstanding, None)
+            self._claim_sent_at.pop(self._outstanding, None)
         self._outstanding = None
         self._retry_later()
 
     def _holds(self) -> bool:
         lease = self._lease
-        sent_at = self._sent.get(self._term)
+        sent_at = self._claim_sent_at.get(self._term)
         if lease is None or sent_at is None or lease.holder != self._own:
             return False
         return self._clock.monotonic() - sent_at < lease.lease_ms / 1000
@@ -153,16 +155,16 @@
         """Return the time at which this process should claim the next term."""
         lease = self._lease
         since = self._candidate_since or 0.0
-        if lease is not None and lease.holder == self._own and self._term in self._sent:
-            return self._sent[self._term] + lease.lease_ms / 1000 * RENEW_AFTER
+        if lease is not None and lease.holder == self._own and self._term in self._claim_sent_at:
+            return self._claim_sent_at[self._term] + lease.lease_ms / 1000 * RENEW_AFTER
         expires_at = since if lease is None else self._folded_at + lease.lease_ms / 1000
-        return max(expires_at, since) + (rank + self._spread) * RANK_STEP_S
+        return max(expires_at, since) + (rank + self._jitter) * RANK_DELAY_S
 
     def _claim(self, now: float) -> Claim:
         term = self._term + 1
         # An earlier claim of the same term may still land, so its time counts.
-        self._first_of_term = term not in self._sent
-        self._sent.setdefault(term, now)
+        self._first_of_term = term not in self._claim_sent_at
+        self._claim_sent_at.setdefault(term, now)
         self._outstanding = term
         return Claim(self._duty.value, term, self._own, self._lease_ms)
 
--- a/src/citronrack/log/marks.py
+++ b/src/citronrack/log/marks.py
@@ -17,17 +17,17 @@
     return f"{service}/{service_version}/{epoch}"
 
 
-def is_settled(state: FoldState, mark: Marked) -> bool:
+def is_obsolete(state: FoldState, mark: Marked) -> bool:
     """Return whether nobody needs to append ``mark``: it is folded already or no longer matters.
 
     Example:
-        >>> is_settled(FoldState(), Marked("catalogue", "2.0", 7, "slow", "", 9, 0, "a"))
+        >>> is_obsolete(FoldState(), Marked("catalogue", "2.0", 7, "slow", "", 9, 0, "a"))
         True
     """
-    return bool(reason_against(state, mark))
+    return bool(rejection_reason(state, mark))
 
 
-def reason_against(state: FoldState, mark: Marked) -> str:
+def rejection_reason(state: FoldState, mark: Marked) -> str:
     """Return why ``mark`` would have no effect, empty when it should be kept."""
     if mark_key(mark.service, mark.service_version, mark.epoch) in state.marks:
         return "service version is already marked"
@@ -40,7 +40,7 @@
     return "a newer mark of the service version exists"
 
 
-def drop_unneeded(state: FoldState) -> None:
+def remove_obsolete(state: FoldState) -> None:
     """Remove the marks that no longer matter."""
     if not state.marks:
         return
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -9,18 +9,18 @@
 from ..backoff import Backoff
 from ..clock import Clock
 from ..errors import LogTrimmed, MessageRejected, SnapshotMissing
-from ._retention import RetentionGauge
+from ._retention import RetentionEstimator
 from ._snapshot_format import unpack_state
 from .client import LogClient, LogPage
 from .fold import LogFold
 from .records import SNAPSHOTS_STREAM, SnapshotTaken
 from .state import FoldState
 
-EVERY_RECORDS = 2_000
+MAX_RECORDS = 2_000
 MAX_AGE_S = 3600.0  # at most half of the shortest retention time that a log may have
 MAX_KNOWN_AGE_S = 6 * 3600.0  # once the retention was seen to be longer
 RETRY_CAP_S = 60.0  # a snapshot is large and nothing waits for it
-MAX_TRIED = 8  # snapshots that a start reads before it reports that none is usable
+MAX_SNAPSHOTS_TRIED = 8  # snapshots that a start reads before it reports that none is usable
 
 
 @frozen
@@ -37,25 +37,25 @@
 
 
 @frozen
-class _Written:
+class _UnannouncedSnapshot:
     """A snapshot that stands in its stream and is not announced yet."""
 
     through: int
     snapshot_offset: int
 
 
-class SnapshotKeeper:
+class SnapshotScheduler:
     """Decides when the holder of duty ``compactor`` takes a snapshot.
 
     Pure: it returns what to append and is told the result. A snapshot is due when there is none,
-    when ``every_records`` records follow it, when its announcement has come into the older half of
+    when ``max_records`` records follow it, when its announcement has come into the older half of
     the retained records, or when half of the retention time has passed since. The last two keep a
     snapshot in the log even when no record is accepted any more.
 
     Args:
         clock: Source of time.
         random: Source of random numbers for backoff.
-        every_records: Records after which a new snapshot is due.
+        max_records: Records after which a new snapshot is due.
         max_age_s: Age after which a new snapshot is due as long as the retention is not known, at
             most half of the shortest that is possible.
 
@@ -64,7 +64,7 @@
         >>> from citronrack.log import Envelope, LogFold, SeedList, encode_record
         >>> fold = LogFold()
         >>> _ = fold.apply(0, encode_record(Envelope("a/1", 1, 0, SeedList("zone-a", ()))))
-        >>> keeper = SnapshotKeeper(clock=ManualClock(), random=Random(1))
+        >>> keeper = SnapshotScheduler(clock=ManualClock(), random=Random(1))
         >>> keeper.on_tick(fold, term=1, first=0, end=1).through
         1
         >>> keeper.on_written(0)
@@ -77,18 +77,18 @@
         *,
         clock: Clock,
         random: Random,
-        every_records: int = EVERY_RECORDS,
+        max_records: int = MAX_RECORDS,
         max_age_s: float = MAX_AGE_S,
     ) -> None:
         self._clock = clock
-        self._every_records = every_records
+        self._max_records = max_records
         self._max_age_s = max_age_s
-        self._retention = RetentionGauge()
+        self._retention = RetentionEstimator()
         self._backoff = Backoff(random=random, cap_s=RETRY_CAP_S)
         self._announced = -1
         self._folded_at = clock.monotonic()
         self._outstanding: int | None = None
-        self._written: _Written | None = None
+        self._unannounced: _UnannouncedSnapshot | None = None
         self._awaited_offset = -1
         self._not_before = clock.monotonic()
 
@@ -97,8 +97,8 @@
         if state.snapshot_announced != self._announced:
             self._announced = state.snapshot_announced
             self._folded_at = self._clock.monotonic()
-        if self._written is not None and state.snapshot_through >= self._written.through:
-            self._written = None
+        if self._unannounced is not None and state.snapshot_through >= self._unannounced.through:
+            self._unannounced = None
 
     def on_tick(
         self, fold: LogFold, *, term: int | None, first: int, end: int
@@ -117,19 +117,19 @@
         waits = self._outstanding is not None or fold.next_offset <= self._awaited_offset
         if term is None or waits or self._clock.monotonic() < self._not_before:
             return None
-        if self._written is not None and self._written.through >= first:
-            self._outstanding = self._written.through
-            return SnapshotTaken(term, self._written.through, self._written.snapshot_offset)
+        if self._unannounced is not None and self._unannounced.through >= first:
+            self._outstanding = self._unannounced.through
+            return SnapshotTaken(term, self._unannounced.through, self._unannounced.snapshot_offset)
         if not self._is_due(fold.state, first, end):
             return None
-        self._written = None
+        self._unannounced = None
         self._outstanding = fold.next_offset
         return WriteSnapshot(fold.next_offset, fold.to_snapshot())
 
     def on_written(self, snapshot_offset: int) -> None:
         """Take note that the snapshot stands in the snapshots stream."""
         if self._outstanding is not None:
-            self._written = _Written(self._outstanding, snapshot_offset)
+            self._unannounced = _UnannouncedSnapshot(self._outstanding, snapshot_offset)
         self._outstanding = None
         self._backoff.reset()
 
@@ -151,10 +151,10 @@
             return True
         age_s = self._clock.monotonic() - self._folded_at
         # Also before anything was trimmed: a burst may trim the first records at any moment, and
-        # doubling costs only about ten small snapshots until `every_records` takes over.
+        # doubling costs only about ten small snapshots until `max_records` takes over.
         in_older_half = state.snapshot_announced < first + (end - first) // 2
         grown = state.next_offset - state.snapshot_through
-        return grown >= self._every_records or in_older_half or age_s >= self._longest_age_s()
+        return grown >= self._max_records or in_older_half or age_s >= self._longest_age_s()
 
     def _longest_age_s(self) -> float:
         retention_s = self._retention.retention_s
@@ -189,7 +189,9 @@
     """
     faults: list[str] = []
     oldest = _first_page(client)
-    for offset in range(oldest.end - 1, max(oldest.first, oldest.end - MAX_TRIED) - 1, -1):
+    for offset in range(
+        oldest.end - 1, max(oldest.first, oldest.end - MAX_SNAPSHOTS_TRIED) - 1, -1
+    ):
         data = _read_one(client, offset, oldest)
         if data is None:
             break
--- a/src/citronrack/moves/__init__.py
+++ b/src/citronrack/moves/__init__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from .around import MoveSurroundings
 from .capacity import Capacity
 from .core import MoveCore
+from .dependencies import MoveDependencies
 from .evidence import EvidenceCell
 from .intent import Intent, MoveIntent
-from .outcome import Outcome
+from .outcome import OutcomeDecider
 from .plan import Plan, make_plan
 from .policy import Policy, profiles
 from .sequential import SequentialTest
@@ -19,11 +19,11 @@
     "EvidenceCell",
     "Intent",
     "MoveCore",
+    "MoveDependencies",
     "MoveIntent",
     "MoveNotice",
     "MoveStatus",
-    "MoveSurroundings",
-    "Outcome",
+    "OutcomeDecider",
     "Plan",
     "Policy",
     "SequentialTest",
--- a/src/citronrack/moves/baseline.py
+++ b/src/citronrack/moves/baseline.py
@@ -7,25 +7,25 @@
 from attrs import define, field, frozen
 
 from .evidence import Counts
-from .sequential import Compared
+from .sequential import CallSample
 
 KINDS = ("failures", "slow")
 BASELINE_MIN_CALLS = 200
 BASELINE_SIGMAS = 3.0  # a true rate above the bound has a chance of about 1 in 1,000
 MAX_BASELINE_RATE = 0.5
 OVERLOAD_FACTOR = 1.5
-ARRIVALS_MIN_BUCKETS = 5
-SHARED_SIGMAS = 2.5
-SHARED_MIN_EXCESS = 1.0  # hits; a single failure in a quiet bucket is no shared fault
+OVERLOAD_MIN_BUCKETS = 5
+SHARED_FAULT_SIGMAS = 2.5
+SHARED_FAULT_MIN_EXCESS = 1.0  # hits; a single failure in a quiet bucket is no shared fault
 
 
-def compared(counts: Counts, kind: str) -> Compared:
+def call_sample(counts: Counts, kind: str) -> CallSample:
     """Return the calls of a cell and its hits of one kind."""
-    return Compared(counts.calls, getattr(counts, kind))
+    return CallSample(counts.calls, getattr(counts, kind))
 
 
 @frozen
-class Rise:
+class RateIncrease:
     """How much more often than usual the other routes are hit.
 
     Attributes:
@@ -44,12 +44,12 @@
     calls: int = 0
     hits: int = 0
 
-    def learn(self, old: Compared) -> None:
+    def learn(self, old: CallSample) -> None:
         """Add a bucket."""
         self.calls += old.calls
         self.hits += old.hits
 
-    def bound(self, rise: Rise) -> float | None:
+    def bound(self, rate_increase: RateIncrease) -> float | None:
         """Return an upper bound of the old version's rate under the present conditions.
 
         Args:
@@ -61,44 +61,47 @@
         if self.calls < BASELINE_MIN_CALLS:
             return None
         rate = (self.hits + BASELINE_SIGMAS * math.sqrt(self.hits + 1) + 1) / self.calls
-        return min(max(rate * rise.factor, rate + rise.extra), MAX_BASELINE_RATE)
+        return min(max(rate * rate_increase.factor, rate + rate_increase.extra), MAX_BASELINE_RATE)
 
 
 @define
-class OtherRoutes:
+class SharedFaultDetector:
     """Watches the routes without a move, to tell a shared fault from a bad version."""
 
     _usual: dict[str, Baseline] = field(
         factory=lambda: {kind: Baseline() for kind in KINDS}, init=False
     )
 
-    def is_hit(self, other: Counts) -> bool:
+    def has_shared_fault(self, other: Counts) -> bool:
         """Whether a bucket shows a shared fault; learns from it when it does not."""
-        hit = any(self._is_unusual(kind, compared(other, kind)) for kind in KINDS)
+        hit = any(self._is_unusual(kind, call_sample(other, kind)) for kind in KINDS)
         if not hit:
             for kind in KINDS:
-                self._usual[kind].learn(compared(other, kind))
+                self._usual[kind].learn(call_sample(other, kind))
         return hit
 
-    def rise(self, other: Counts, kind: str) -> Rise:
+    def rate_increase(self, other: Counts, kind: str) -> RateIncrease:
         """Return how far a bucket is above the usual rate."""
-        now, usual = compared(other, kind), self._usual[kind]
+        now, usual = call_sample(other, kind), self._usual[kind]
         if not now.calls or not usual.calls:
-            return Rise()
+            return RateIncrease()
         rate = usual.hits / usual.calls
         factor = (now.hits + 1) / (now.calls * rate + 1)
-        return Rise(max(factor, 1.0), max(now.hits / now.calls - rate, 0.0))
+        return RateIncrease(max(factor, 1.0), max(now.hits / now.calls - rate, 0.0))
 
-    def _is_unusual(self, kind: str, now: Compared) -> bool:
+    def _is_unusual(self, kind: str, now: CallSample) -> bool:
         usual = self._usual[kind]
         if usual.calls < BASELINE_MIN_CALLS:
             return False
         expected = now.calls * (usual.hits + 1) / usual.calls
-        return now.hits > expected + SHARED_SIGMAS * math.sqrt(expected) + SHARED_MIN_EXCESS
+        return (
+            now.hits
+            > expected + SHARED_FAULT_SIGMAS * math.sqrt(expected) + SHARED_FAULT_MIN_EXCESS
+        )
 
 
 @define
-class Arrivals:
+class OverloadDetector:
     """Watches the number of calls of the moving routes, to tell an overload."""
 
     _calls: int = field(default=0, init=False)
@@ -106,7 +109,7 @@
 
     def is_overload(self, calls: int) -> bool:
         """Whether a bucket has far more calls than usual; learns from it when it has not."""
-        known = self._buckets >= ARRIVALS_MIN_BUCKETS
+        known = self._buckets >= OVERLOAD_MIN_BUCKETS
         if known and calls > OVERLOAD_FACTOR * self._calls / self._buckets:
             return True
         self._calls += calls
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -11,7 +11,7 @@
 from ..config import Move
 from .evidence import OTHER_ROUTES, EvidenceStore, Side, Source, bucket_of
 from .facts import SlowReference
-from .latency import LatencyLadder
+from .latency import LatencyHistogram
 from .messages import CellCounts, EvidenceUpdate, MoveEvidence
 
 SENDS_PER_CELL = 2  # a cell is repeated once, so that one lost message costs nothing
@@ -27,7 +27,7 @@
 class _Reference:
     """The old version's latencies on this node, and the limit once the zone has one."""
 
-    ladder: LatencyLadder = field(factory=LatencyLadder)
+    histogram: LatencyHistogram = field(factory=LatencyHistogram)
     limit_s: float = 0.0
     from_bucket: int = 0
 
@@ -122,8 +122,8 @@
 
     def reference_estimate(self, move_id: str) -> tuple[int, int]:
         """Return ``(calls, quantile in microseconds)`` of the old version on this node."""
-        ladder = self._reference(move_id).ladder
-        return ladder.calls, ladder.quantile_us(REFERENCE_QUANTILE)
+        histogram = self._reference(move_id).histogram
+        return histogram.calls, histogram.quantile_us(REFERENCE_QUANTILE)
 
     def _evidence(self, move: str, cells: list[CellCounts]) -> MoveEvidence:
         if move == OTHER_ROUTES or self._reference(move).limit_s:
@@ -143,9 +143,9 @@
     def _is_slow(self, record: CallRecord, source: Source, bucket: int, number: int) -> bool:
         own = self._reference(source.move)
         if not own.limit_s and source.side is not Side.NEW:
-            own.ladder.add(record.latency_s, number)
-            if source.side is Side.OTHER and own.ladder.calls >= OTHER_REFERENCE_CALLS:
-                quantile = own.ladder.quantile_us(REFERENCE_QUANTILE)
+            own.histogram.add(record.latency_s, number)
+            if source.side is Side.OTHER and own.histogram.calls >= OTHER_REFERENCE_CALLS:
+                quantile = own.histogram.quantile_us(REFERENCE_QUANTILE)
                 own.limit_s = quantile / 1e6 * OTHER_SLOW_MARGIN
         return bool(own.limit_s) and bucket >= own.from_bucket and record.latency_s > own.limit_s
 
--- a/src/citronrack/moves/around.py
+++ b/src/citronrack/moves/dependencies.py
@@ -12,7 +12,7 @@
 
 
 @define
-class MoveSurroundings:
+class MoveDependencies:
     """Other parts of the node, as `MoveCore` sees them.
 
     Attributes:
@@ -28,6 +28,6 @@
     facts: Facts
     ranked: Callable[[], Sequence[Member]]
     zones: Callable[[], Sequence[str]]
-    unheard: Callable[[], Collection[str]] = field(default=tuple)
+    unreachable_zones: Callable[[], Collection[str]] = field(default=tuple)
     capacity: CapacityView = unknown_capacity
     duty_term: Callable[[], int] | None = None
--- a/src/citronrack/moves/due.py
+++ b/src/citronrack/moves/due_records.py
@@ -9,16 +9,16 @@
 from ..config import Move
 from ..log.fold import FoldState, mark_key
 from ..log.records import Duty, Marked, MoveOutcome, MoveResult
-from .around import MoveSurroundings
-from .board import MoveBoard
-from .judge import JUDGING_NODES
-from .outcome import Outcome, OutcomeInputs
+from .dependencies import MoveDependencies
+from .evaluator import EVALUATORS_PER_ZONE
+from .move_facts import MoveFacts
+from .outcome import OutcomeDecider, OutcomeInputs
 from .policy import Policy
 
 RECORD_RETRY_S = 15.0  # by then an append has been folded, or its answer is lost
-KEPT_QUESTIONS = 200
-KEPT_QUESTIONS_S = 600.0  # far longer than a record takes to be folded
-SECOND_JUDGE_DELAY_S = 5.0
+MAX_DUE_ENTRIES = 200
+DUE_ENTRY_LIFETIME_S = 600.0  # far longer than a record takes to be folded
+SECOND_EVALUATOR_DELAY_S = 5.0
 OTHER_ZONE_DELAY_S = 10.0
 
 
@@ -40,33 +40,33 @@
         own_name: str,
         availability_zone: str,
         clock: Clock,
-        board: MoveBoard,
-        around: MoveSurroundings,
+        move_facts: MoveFacts,
+        dependencies: MoveDependencies,
         policy_of: Callable[[str], Policy],
     ) -> None:
         self._own_name = own_name
         self._zone = availability_zone
         self._clock = clock
-        self._board = board
-        self._around = around
+        self._move_facts = move_facts
+        self._dependencies = dependencies
         self._policy_of = policy_of
         self._due_s: dict[str, float] = {}
 
     def collect(self, state: FoldState) -> list[Any]:
         """Return the record bodies to append now."""
-        self._forget_old()
-        records: list[Any] = [m for m in self._board.marks if self._is_mark_due(m, state)]
+        self._evict_old_entries()
+        records: list[Any] = [m for m in self._move_facts.marks if self._is_mark_due(m, state)]
         term = self._duty_term(state)
         if term > 0:
             for move in state.config.moves.values():
-                outcome = Outcome(self._inputs(move, state), duty_term=term).decide()
+                outcome = OutcomeDecider(self._inputs(move, state), duty_term=term).decide()
                 if outcome is not None and self._is_outcome_due(outcome, state):
                     records.append(outcome)
         return records
 
     def _duty_term(self, state: FoldState) -> int:
-        if self._around.duty_term is not None:
-            return self._around.duty_term()
+        if self._dependencies.duty_term is not None:
+            return self._dependencies.duty_term()
         lease = state.leases.get(Duty.OUTCOMES.value)
         return lease.term if lease is not None and lease.holder == self._own_name else 0
 
@@ -75,12 +75,12 @@
         key = mark_key(mark.service, mark.service_version, mark.epoch)
         if key in state.marks:
             return False
-        judges = [member.name for member in self._around.ranked()[:JUDGING_NODES]]
-        if self._own_name not in judges:
+        evaluators = [member.name for member in self._dependencies.ranked()[:EVALUATORS_PER_ZONE]]
+        if self._own_name not in evaluators:
             return False
-        delay = judges.index(self._own_name) * SECOND_JUDGE_DELAY_S
+        delay = evaluators.index(self._own_name) * SECOND_EVALUATOR_DELAY_S
         if mark.availability_zone != self._zone:
-            zones = sorted(self._around.zones())
+            zones = sorted(self._dependencies.zones())
             place = zones.index(self._zone) if self._zone in zones else len(zones)
             delay += (place + 1) * OTHER_ZONE_DELAY_S
         return self._is_due(f"mark/{key}", delay)
@@ -106,22 +106,22 @@
         self._due_s[key] = now + RECORD_RETRY_S
         return True
 
-    def _forget_old(self) -> None:
-        if len(self._due_s) > KEPT_QUESTIONS:
-            oldest = self._clock.monotonic() - KEPT_QUESTIONS_S
+    def _evict_old_entries(self) -> None:
+        if len(self._due_s) > MAX_DUE_ENTRIES:
+            oldest = self._clock.monotonic() - DUE_ENTRY_LIFETIME_S
             self._due_s = {key: due for key, due in self._due_s.items() if due >= oldest}
 
     def _inputs(self, move: Move, state: FoldState) -> OutcomeInputs:
         service = state.config.routes[move.route].service
-        known = self._board.mark_of(move, service)
-        old = self._around.capacity(service, move.from_version)
+        known = self._move_facts.mark_of(move, service)
+        old = self._dependencies.capacity(service, move.from_version)
         age_s = self._clock.monotonic() - known.since_s if known is not None else 0.0
         return OutcomeInputs(
             move=move,
             policy=self._policy_of(move.profile),
-            zones=tuple(self._around.zones()),
-            unheard=frozenset(self._around.unheard()),
-            progress=self._board.progress_of(move),
+            zones=tuple(self._dependencies.zones()),
+            unreachable_zones=frozenset(self._dependencies.unreachable_zones()),
+            progress=self._move_facts.progress_of(move),
             mark=known.mark if known is not None else None,
             mark_age_ms=int(age_s * 1000),
             now_ms=self._clock.wall_ms(),
--- a/src/citronrack/moves/judge.py
+++ b/src/citronrack/moves/evaluator.py
@@ -7,19 +7,26 @@
 from attrs import define, field, frozen
 
 from ..config import Move
-from .baseline import KINDS, Arrivals, Baseline, OtherRoutes, Rise, compared
+from .baseline import (
+    KINDS,
+    Baseline,
+    OverloadDetector,
+    RateIncrease,
+    SharedFaultDetector,
+    call_sample,
+)
 from .evidence import BUCKET_MS, KEPT_BUCKETS, OTHER_ROUTES, Counts, EvidenceStore, Side
 from .policy import Policy
-from .sequential import AgainstRate, SequentialTest, SideBySide, Stratum
+from .sequential import BaselineStratum, PairedStratum, SequentialTest, Stratum
 
-REFUSED_PART = 0.1  # more refused attempts than this keep a step from being cleared
-REFUSED_RATIO = 2.0  # when they are also this many times the old version's part
-JUDGING_NODES = 2  # per zone; each runs its own tests
-SUSPICION = 0.1  # part of the marking value above which no step is cleared
+MAX_REFUSED_FRACTION = 0.1  # more refused attempts than this keep a step from being cleared
+MAX_REFUSED_RATIO = 2.0  # when they are also this many times the old version's part
+EVALUATORS_PER_ZONE = 2  # per zone; each runs its own tests
+SUSPICION_FRACTION = 0.1  # part of the marking value above which no step is cleared
 
 
 @frozen
-class Conviction:
+class Regression:
     """Why a version is bad.
 
     Attributes:
@@ -34,7 +41,7 @@
 
 
 @define
-class RouteJudge:
+class RouteEvaluator:
     """Evidence of one move.
 
     Attributes:
@@ -64,7 +71,7 @@
     step_old: Counts = field(factory=Counts, init=False)
 
     def add(
-        self, bucket: int, new: Counts, old: Counts, rises: dict[str, Rise] | None
+        self, bucket: int, new: Counts, old: Counts, rate_increases: dict[str, RateIncrease] | None
     ) -> dict[str, Stratum]:
         """Take in one bucket and return what it says per kind of hit.
 
@@ -81,16 +88,16 @@
             self.step_new.add(new)
             self.step_old.add(old)
             self.step_calls += new.calls if old.calls else 0
-        strata = {kind: self._stratum(kind, new, old, rises) for kind in KINDS}
+        strata = {kind: self._stratum(kind, new, old, rate_increases) for kind in KINDS}
         known = {kind: stratum for kind, stratum in strata.items() if stratum is not None}
         for kind, stratum in known.items():
             self.tests[kind].add([stratum])
         return known
 
-    def refuses(self) -> bool:
+    def refuses_too_many(self) -> bool:
         """Whether the new version refuses far more attempts than the old one."""
-        new, old = _refused_part(self.step_new), _refused_part(self.step_old)
-        return new > REFUSED_PART and new > REFUSED_RATIO * old
+        new, old = _refused_fraction(self.step_new), _refused_fraction(self.step_old)
+        return new > MAX_REFUSED_FRACTION and new > MAX_REFUSED_RATIO * old
 
     def begin_step(self, step: int, *, from_bucket: int) -> None:
         """Count for another step, from the first bucket that lies wholly in it."""
@@ -101,24 +108,24 @@
         self.step_old = Counts()
 
     def _stratum(
-        self, kind: str, new: Counts, old: Counts, rises: dict[str, Rise] | None
+        self, kind: str, new: Counts, old: Counts, rate_increases: dict[str, RateIncrease] | None
     ) -> Stratum | None:
         if old.calls:
-            if rises is not None:
-                self.baselines[kind].learn(compared(old, kind))
-            return SideBySide(compared(new, kind), compared(old, kind))
-        if rises is None:
+            if rate_increases is not None:
+                self.baselines[kind].learn(call_sample(old, kind))
+            return PairedStratum(call_sample(new, kind), call_sample(old, kind))
+        if rate_increases is None:
             return None
-        rate = self.baselines[kind].bound(rises[kind])
-        return AgainstRate(compared(new, kind), rate) if rate is not None else None
+        rate = self.baselines[kind].bound(rate_increases[kind])
+        return BaselineStratum(call_sample(new, kind), rate) if rate is not None else None
 
 
-def _refused_part(counts: Counts) -> float:
+def _refused_fraction(counts: Counts) -> float:
     attempts = counts.calls + counts.refused + counts.cold
     return counts.refused / attempts if attempts else 0.0
 
 
-class VersionJudge:
+class VersionEvaluator:
     """Tests all moves that bring in the same service version under the same confirmation.
 
     Args:
@@ -134,12 +141,12 @@
         self._policy = policy
         self._next_bucket = first_bucket
         self._first_bucket = first_bucket
-        self._threshold = JUDGING_NODES * max(zones, 1) / policy.alpha
+        self._threshold = EVALUATORS_PER_ZONE * max(zones, 1) / policy.alpha
         span_ms = max(m.deadline_ms - m.start_ms for m in moves) + policy.watch_ms
         self._buckets = span_ms // BUCKET_MS + 1
-        self.routes = {move.move_id: RouteJudge(move, self._make_tests()) for move in moves}
-        self._others = OtherRoutes()
-        self._arrivals = Arrivals()
+        self.routes = {move.move_id: RouteEvaluator(move, self._make_tests()) for move in moves}
+        self._shared_fault_detector = SharedFaultDetector()
+        self._overload_detector = OverloadDetector()
         self._is_unusual = False
         self._total = self._make_tests() if len(moves) > 1 else {}
 
@@ -159,7 +166,7 @@
         return self._threshold
 
     @property
-    def judged_ms(self) -> int:
+    def evaluated_ms(self) -> int:
         """Time for which this judge has taken in evidence, in milliseconds."""
         return (self._next_bucket - self._first_bucket) * BUCKET_MS
 
@@ -174,41 +181,45 @@
             self._add(store, self._next_bucket)
             self._next_bucket += 1
 
-    def clears(self, move_id: str) -> bool:
+    def clears_step(self, move_id: str) -> bool:
         """Whether the evidence of the present step is good enough to go on.
 
         A suspicious value asks for more calls, in proportion.
         """
-        judge = self.routes[move_id]
+        evaluator = self.routes[move_id]
         wanted = self._policy.min_calls * max(1.0, self._worst() / self._policy.clear_bound)
-        return judge.step_calls >= wanted and not self.suspicious() and not judge.refuses()
+        return (
+            evaluator.step_calls >= wanted
+            and not self.is_suspicious()
+            and not evaluator.refuses_too_many()
+        )
 
     def is_clean(self) -> bool:
         """Whether no test speaks against the version, however little evidence there is."""
         return self._worst() < self._policy.clear_bound
 
-    def suspicious(self) -> bool:
+    def is_suspicious(self) -> bool:
         """Whether the tests are on their way to a mark."""
-        return self.value >= SUSPICION * self._threshold
+        return self.value >= SUSPICION_FRACTION * self._threshold
 
-    def conviction(self) -> Conviction | None:
+    def regression(self) -> Regression | None:
         """Return why the version is bad, or None when the evidence does not show it."""
         if self.value < self._threshold:
             return None
         kind, move_id, _ = max(self._tests(), key=lambda entry: entry[2].value)
-        judges = [self.routes[move_id]] if move_id else list(self.routes.values())
+        evaluators = [self.routes[move_id]] if move_id else list(self.routes.values())
         new, old = Counts(), Counts()
-        for judge in judges:
-            new.add(judge.new)
-            old.add(judge.old)
+        for evaluator in evaluators:
+            new.add(evaluator.new)
+            old.add(evaluator.old)
         what = "failed" if kind == "failures" else "was slow in"
         reason = (
             f"{what} {getattr(new, kind)} of {new.calls} calls; the old version {what} "
             f"{getattr(old, kind)} of {old.calls}"
         )
-        route = judges[0].move.route if move_id else ""
-        calls = sum(judge.new.calls + judge.new.cold for judge in self.routes.values())
-        return Conviction(reason, route, calls)
+        route = evaluators[0].move.route if move_id else ""
+        calls = sum(evaluator.new.calls + evaluator.new.cold for evaluator in self.routes.values())
+        return Regression(reason, route, calls)
 
     def _add(self, store: EvidenceStore, bucket: int) -> None:
         sides = {
@@ -219,28 +230,32 @@
             for move_id in self.routes
         }
         arrived = sum(new.calls + old.calls for new, old in sides.values())
-        rises = self._rises(store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER), arrived)
+        rate_increases = self._rate_increases(
+            store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER), arrived
+        )
         strata: dict[str, list[Stratum]] = {kind: [] for kind in KINDS}
-        for move_id, judge in self.routes.items():
-            for kind, stratum in judge.add(bucket, *sides[move_id], rises).items():
+        for move_id, evaluator in self.routes.items():
+            for kind, stratum in evaluator.add(bucket, *sides[move_id], rate_increases).items():
                 strata[kind].append(stratum)
         for kind, test in self._total.items():
             test.add(strata[kind])
 
-    def _rises(self, other: Counts, arrived: int) -> dict[str, Rise] | None:
+    def _rate_increases(self, other: Counts, arrived: int) -> dict[str, RateIncrease] | None:
         """Return what other routes show, or None in and right after a shared fault or overload.
 
         The bucket in which it began may have looked like a fault of the new version alone, and
         the one in which it ends may do so.
         """
-        others_hit, overloaded = self._others.is_hit(other), self._arrivals.is_overload(arrived)
+        others_hit, overloaded = self._shared_fault_detector.has_shared_fault(
+            other
+        ), self._overload_detector.is_overload(arrived)
         was_unusual, self._is_unusual = self._is_unusual, others_hit or overloaded
         if self._is_unusual and not was_unusual:
             for _, _, test in self._tests():
                 test.discard_last()
         if self._is_unusual or was_unusual:
             return None
-        return {kind: self._others.rise(other, kind) for kind in KINDS}
+        return {kind: self._shared_fault_detector.rate_increase(other, kind) for kind in KINDS}
 
     def _worst(self) -> float:
         return max(test.value for _, _, test in self._tests())
@@ -257,8 +272,8 @@
         """Return ``(kind, move id or empty, test)`` of all tests."""
         entries = [
             (kind, move_id, test)
-            for move_id, judge in self.routes.items()
-            for kind, test in judge.tests.items()
+            for move_id, evaluator in self.routes.items()
+            for kind, test in evaluator.tests.items()
         ]
         entries.extend((kind, "", test) for kind, test in self._total.items())
         return entries
--- a/src/citronrack/moves/evidence.py
+++ b/src/citronrack/moves/evidence.py
@@ -43,7 +43,7 @@
     refused: int = 0
     cold: int = 0
 
-    def grow_to(self, other: Counts) -> bool:
+    def merge_maximum(self, other: Counts) -> bool:
         """Take the maximum of each counter and return whether one has grown."""
         grown = False
         for name in COUNTERS:
@@ -95,7 +95,7 @@
     def merged(self, other: EvidenceCell) -> EvidenceCell:
         """Return the maximum of two states of the same cell."""
         counts = attrs.evolve(self.counts)
-        counts.grow_to(other.counts)
+        counts.merge_maximum(other.counts)
         return attrs.evolve(self, counts=counts)
 
 
@@ -141,7 +141,7 @@
                 continue
             if self._cells >= self.max_cells and cell.source not in self._buckets[cell.bucket]:
                 continue
-            self.cell(cell.source, cell.bucket).grow_to(cell.counts)
+            self.cell(cell.source, cell.bucket).merge_maximum(cell.counts)
 
     def fold(self, *, now_bucket: int) -> None:
         """Fold the buckets that are no longer needed; each one is folded once."""
@@ -157,7 +157,7 @@
             for source, counts in cells.items():
                 self._totals.setdefault(source, Counts()).add(counts)
 
-    def drop_moves(self, kept: frozenset[str]) -> None:
+    def retain_moves(self, kept: frozenset[str]) -> None:
         """Forget the cells of moves that are not in ``kept``."""
         for cells in self._buckets.values():
             for source in [s for s in cells if s.move not in kept]:
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -78,7 +78,7 @@
     cleared: int
     at_ms: int
     calls: int
-    short: bool = False
+    lacks_evidence: bool = False
 
     @property
     def key(self) -> str:
@@ -88,7 +88,7 @@
     @property
     def order(self) -> int:
         """How far the zone is; it only grows."""
-        return (self.phase * _STEP_RANGE + self.cleared) * 2 + self.short
+        return (self.phase * _STEP_RANGE + self.cleared) * 2 + self.lacks_evidence
 
     @property
     def rank(self) -> int:
--- a/src/citronrack/moves/latency.py
+++ b/src/citronrack/moves/latency.py
@@ -10,7 +10,7 @@
 _OCTAVE = math.log(2)
 
 
-class LatencyLadder:
+class LatencyHistogram:
     """Counts latencies in logarithmic bins."""
 
     def __init__(self) -> None:
@@ -23,9 +23,9 @@
         self._bins[min(int(octaves * BINS_PER_OCTAVE), BINS - 1)] += number
         self.calls += number
 
-    def quantile_us(self, part: float) -> int:
+    def quantile_us(self, quantile: float) -> int:
         """Return the upper edge of the bin that holds the quantile, in microseconds."""
-        wanted = part * self.calls
+        wanted = quantile * self.calls
         seen = 0
         for index, number in enumerate(self._bins):
             seen += number
--- a/src/citronrack/moves/board.py
+++ b/src/citronrack/moves/move_facts.py
@@ -41,7 +41,7 @@
     since_s: float
 
 
-class MoveBoard:
+class MoveFacts:
     """Reads and writes the facts about moves.
 
     Args:
--- a/src/citronrack/moves/standing.py
+++ b/src/citronrack/moves/open_moves.py
@@ -6,9 +6,9 @@
 
 from ..clock import Clock
 from ..config import ConfigSet, Move
-from .around import MoveSurroundings
-from .board import KnownMark, MoveBoard
+from .dependencies import MoveDependencies
 from .facts import Phase, ZoneProgress
+from .move_facts import KnownMark, MoveFacts
 from .share import share_of, step_index
 from .status import MoveStatus, ZoneMove
 
@@ -20,7 +20,7 @@
 }
 
 
-class MoveStanding:
+class OpenMoves:
     """Answers questions about open moves on one node.
 
     Args:
@@ -35,13 +35,13 @@
         *,
         availability_zone: str,
         clock: Clock,
-        board: MoveBoard,
-        around: MoveSurroundings,
+        move_facts: MoveFacts,
+        dependencies: MoveDependencies,
     ) -> None:
         self._zone = availability_zone
         self._clock = clock
-        self._board = board
-        self._around = around
+        self._move_facts = move_facts
+        self._dependencies = dependencies
         self.config = ConfigSet()
 
     def service(self, move: Move) -> str:
@@ -50,7 +50,7 @@
 
     def mark(self, move: Move) -> KnownMark | None:
         """Return the mark of the new version, if there is one."""
-        return self._board.mark_of(move, self.service(move))
+        return self._move_facts.mark_of(move, self.service(move))
 
     def share(self, move: Move) -> float:
         """Return the share of the new version.
@@ -60,14 +60,14 @@
         """
         if self._is_gone(move, move.to_version):
             return 0.0
-        own = self._board.progress_of(move).get(self._zone)
+        own = self._move_facts.progress_of(move).get(self._zone)
         marked = self.mark(move) is not None and not self._is_gone(move, move.from_version)
         cleared = own.cleared if own is not None else 0
         return share_of(move, self._clock.wall_ms(), cleared, marked)
 
     def status(self, move: Move) -> MoveStatus:
         """Return what operators are told about a move."""
-        reports = self._board.progress_of(move)
+        reports = self._move_facts.progress_of(move)
         own = reports.get(self._zone)
         return MoveStatus(
             move_id=move.move_id,
@@ -82,7 +82,7 @@
             reason=self.reason(move, own),
             zones=tuple(
                 _zone_move(zone, reports.get(zone))
-                for zone in sorted({*self._around.zones(), *reports})
+                for zone in sorted({*self._dependencies.zones(), *reports})
             ),
         )
 
@@ -106,7 +106,7 @@
                 f"{why}; its calls are not taken back because no target of {move.from_version} "
                 "is left: start one, or state an intent for another version"
             )
-        capacity = self._around.capacity(self.service(move), move.from_version)
+        capacity = self._dependencies.capacity(self.service(move), move.from_version)
         if capacity is not None and 0 < capacity.slots <= capacity.load:
             return f"{why}; {move.from_version} has no free slot, calls may be refused"
         return why
@@ -134,7 +134,7 @@
         cleared = own.cleared if own is not None else 0
         if index < 0:
             return "has not started"
-        if own is not None and own.short:
+        if own is not None and own.lacks_evidence:
             return "too little evidence by the deadline"
         if index > cleared:
             return f"waits until the evidence clears step {cleared + 1} of {len(move.steps)}"
@@ -142,7 +142,7 @@
 
     def _is_gone(self, move: Move, service_version: str) -> bool:
         """Whether it is known that a version has no target."""
-        capacity = self._around.capacity(self.service(move), service_version)
+        capacity = self._dependencies.capacity(self.service(move), service_version)
         return capacity is not None and capacity.targets == 0
 
 
--- a/src/citronrack/moves/outcome.py
+++ b/src/citronrack/moves/outcome.py
@@ -35,7 +35,7 @@
     move: Move
     policy: Policy
     zones: Sequence[str]
-    unheard: frozenset[str]
+    unreachable_zones: frozenset[str]
     progress: Mapping[str, ZoneProgress]
     mark: Marked | None
     mark_age_ms: int
@@ -43,7 +43,7 @@
     old_is_gone: bool = False
 
 
-class Outcome:
+class OutcomeDecider:
     """The result of a move under a term of the duty ``outcomes``.
 
     Args:
@@ -66,12 +66,12 @@
             return None
         if self._missing():
             return self._unknown()
-        return None if inputs.old_is_gone else self._given_up()
+        return None if inputs.old_is_gone else self._abandoned()
 
-    def _given_up(self) -> MoveOutcome | None:
+    def _abandoned(self) -> MoveOutcome | None:
         """End a move that cannot go on, so that it does not stay between two versions."""
         inputs = self._inputs
-        if all(self._is_short(zone) for zone in inputs.zones):
+        if all(self._lacks_evidence(zone) for zone in inputs.zones):
             detail = "too little evidence by the deadline"
             return self._record(MoveResult.TAKEN_BACK, detail, inputs.now_ms)
         move = inputs.move
@@ -111,18 +111,21 @@
         return {
             zone
             for zone in inputs.zones
-            if zone not in known and (zone in inputs.unheard or zone not in inputs.progress)
+            if zone not in known
+            and (zone in inputs.unreachable_zones or zone not in inputs.progress)
         } | {
-            zone for zone in known & inputs.unheard if inputs.progress[zone].phase != Phase.WATCHED
+            zone
+            for zone in known & inputs.unreachable_zones
+            if inputs.progress[zone].phase != Phase.WATCHED
         }
 
     def _in_phase(self, phase: int) -> set[str]:
         zones = set(self._inputs.zones)
         return {z for z, p in self._inputs.progress.items() if z in zones and p.phase >= phase}
 
-    def _is_short(self, zone: str) -> bool:
+    def _lacks_evidence(self, zone: str) -> bool:
         progress = self._inputs.progress.get(zone)
-        return progress is not None and progress.short
+        return progress is not None and progress.lacks_evidence
 
     def _record(
         self, result: MoveResult, detail: str, ended_ms: int, missing: set[str] | None = None
--- a/src/citronrack/moves/plan.py
+++ b/src/citronrack/moves/plan.py
@@ -12,7 +12,7 @@
 from ..errors import ConfigInvalid
 from .capacity import CapacityView, unknown_capacity
 from .intent import Intent, MoveIntent
-from .notes import Guard, Resource, differences, guards, resources, warnings
+from .plan_report import Guard, Resource, differences, guards, resources, warnings
 from .policy import Policy, profiles
 
 PLAN_LIFETIME_MS = 10 * 60 * 1000
--- a/src/citronrack/moves/notes.py
+++ b/src/citronrack/moves/plan_report.py
@@ -9,11 +9,11 @@
 from ..config import ConfigSet, Move, Route
 from .capacity import CapacityView
 from .evidence import BUCKET_MS
-from .policy import Policy, Shortage
+from .policy import InsufficientEvidenceAction, Policy
 
-_SHORTAGE_TEXTS = {
-    Shortage.FINISH: "the move finishes",
-    Shortage.TAKE_BACK: "the move is taken back",
+_ACTION_TEXTS = {
+    InsufficientEvidenceAction.FINISH: "the move finishes",
+    InsufficientEvidenceAction.TAKE_BACK: "the move is taken back",
 }
 
 
@@ -70,7 +70,7 @@
             false_alarm_chance=policy.alpha,
             slow_margin=policy.slow_margin,
             watch_ms=policy.watch_ms,
-            with_too_little_evidence=_SHORTAGE_TEXTS[policy.shortage],
+            with_too_little_evidence=_ACTION_TEXTS[policy.insufficient_evidence_action],
         )
 
 
--- a/src/citronrack/moves/policy.py
+++ b/src/citronrack/moves/policy.py
@@ -9,7 +9,7 @@
 from ..registry import Registry
 
 
-class Shortage(StrEnum):
+class InsufficientEvidenceAction(StrEnum):
     """What happens at the deadline when there is too little evidence."""
 
     FINISH = "finish"
@@ -55,7 +55,7 @@
     clear_bound: float
     slow_margin: float
     watch_ms: int
-    shortage: Shortage
+    insufficient_evidence_action: InsufficientEvidenceAction
     evidence_interval_s: float
     odds: tuple[float, ...] = (2.0, 4.0, 16.0)
     slow_quantile: float = 0.9
@@ -77,7 +77,7 @@
         clear_bound=4.0,
         slow_margin=1.5,
         watch_ms=60_000,
-        shortage=Shortage.FINISH,
+        insufficient_evidence_action=InsufficientEvidenceAction.FINISH,
         evidence_interval_s=2.0,
     )
 )
@@ -92,7 +92,7 @@
         clear_bound=4.0,
         slow_margin=3.0,
         watch_ms=4_000,
-        shortage=Shortage.TAKE_BACK,
+        insufficient_evidence_action=InsufficientEvidenceAction.TAKE_BACK,
         evidence_interval_s=0.5,
     )
 )
@@ -114,7 +114,7 @@
         clear_bound=2.0,
         slow_margin=1.25,
         watch_ms=120_000,
-        shortage=Shortage.TAKE_BACK,
+        insufficient_evidence_action=InsufficientEvidenceAction.TAKE_BACK,
         evidence_interval_s=0.5,
     )
 )
--- a/src/citronrack/moves/sequential.py
+++ b/src/citronrack/moves/sequential.py
@@ -8,11 +8,11 @@
 
 from attrs import frozen
 
-_START_CAPITAL = 0.5
+_INITIAL_WEIGHT = 0.5
 
 
 @frozen
-class Compared:
+class CallSample:
     """Calls and how many of them were hits (failures, or slow answers)."""
 
     calls: int = 0
@@ -27,15 +27,15 @@
 
 
 @frozen
-class SideBySide:
+class PairedStratum:
     """Both sides in the same bucket.
 
     Given the number of hits, each one lies on the new side with the probability of that side's
     part of the calls when the sides are equal.
     """
 
-    new: Compared
-    old: Compared
+    new: CallSample
+    old: CallSample
 
     def log_factor(self, odds: float) -> float:
         """Return the log likelihood ratio of ``odds`` against equal sides."""
@@ -47,10 +47,10 @@
 
 
 @frozen
-class AgainstRate:
+class BaselineStratum:
     """The new side alone, against an upper bound of the old side's rate."""
 
-    new: Compared
+    new: CallSample
     rate: float
 
     def log_factor(self, odds: float) -> float:
@@ -78,9 +78,9 @@
     def __init__(self, *, odds: Sequence[float], buckets: int, max_factor: float) -> None:
         self._odds = tuple(odds)
         self._max_log = math.log(max_factor)
-        self._late_capital = (1 - _START_CAPITAL) / max(buckets, 1)
-        self._capital_left = 1 - _START_CAPITAL
-        self._values = [_START_CAPITAL] * len(self._odds)
+        self._weight_per_bucket = (1 - _INITIAL_WEIGHT) / max(buckets, 1)
+        self._weight_left = 1 - _INITIAL_WEIGHT
+        self._values = [_INITIAL_WEIGHT] * len(self._odds)
         self._before = list(self._values)
 
     @property
@@ -98,8 +98,8 @@
         if not any(logs):
             return
         self._before = list(self._values)
-        added = min(self._late_capital, self._capital_left)
-        self._capital_left -= added
+        added = min(self._weight_per_bucket, self._weight_left)
+        self._weight_left -= added
         for index, log_factor in enumerate(logs):
             factor = math.exp(min(log_factor, self._max_log))
             self._values[index] = (self._values[index] + added) * factor
--- a/src/citronrack/node/duties.py
+++ b/src/citronrack/node/duties.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from ..clock import Clock
-from ..log import Claim, LeaseKeeper, LogFold, SnapshotTaken
+from ..log import Claim, LeaseManager, LogFold, SnapshotTaken
 from ..log.records import Duty
-from ..log.snapshot import SnapshotKeeper, WriteSnapshot
+from ..log.snapshot import SnapshotScheduler, WriteSnapshot
 from ..log.state import FoldState
 from ..telemetry import Event, EventLog
 from .mail import AppendDone, AppendFate, SnapshotDone
@@ -40,9 +40,9 @@
         self._events = events
         self._append = append
         self._append_snapshot = append_snapshot
-        self._snapshots = SnapshotKeeper(clock=clock, random=random)
+        self._snapshots = SnapshotScheduler(clock=clock, random=random)
         self._keepers = {
-            duty.value: LeaseKeeper(duty=duty, own=writer, clock=clock, random=random)
+            duty.value: LeaseManager(duty=duty, own=writer, clock=clock, random=random)
             for duty in Duty
         }
         self._held: set[str] = set()
@@ -101,7 +101,7 @@
         self._snapshots.on_written(mail.offset)
 
     @staticmethod
-    def _claim_done(keeper: LeaseKeeper, mail: AppendDone) -> None:
+    def _claim_done(keeper: LeaseManager, mail: AppendDone) -> None:
         if mail.offset is not None:
             keeper.on_claim_appended(mail.offset)
         elif mail.fate is AppendFate.REFUSED:
--- a/src/citronrack/node/moving.py
+++ b/src/citronrack/node/moving.py
@@ -9,11 +9,11 @@
 from ..clock import Clock
 from ..distribution import DistributionCore
 from ..log.fold import LogFold
-from ..log.marks import is_settled
+from ..log.marks import is_obsolete
 from ..log.records import Duty, Marked
 from ..log.state import FoldState
 from ..membership import Member, MemberState, MemberTable, ZoneDirectory
-from ..moves import MoveCore, MoveStatus, MoveSurroundings
+from ..moves import MoveCore, MoveDependencies, MoveStatus
 from ..moves.facts import MARK_PREFIX, FactEntry
 from ..telemetry import EventLog
 from ..transport.send import Send
@@ -82,11 +82,11 @@
             boot_id=boot_id,
             availability_zone=table.own.availability_zone,
             clock=clock,
-            around=MoveSurroundings(
+            dependencies=MoveDependencies(
                 facts=self._facts,
                 ranked=self._ranked,
                 zones=self._zones,
-                unheard=self._unheard,
+                unreachable_zones=self._unheard,
                 capacity=self.capacity,
                 duty_term=lambda: duties.term(Duty.OUTCOMES),
             ),
@@ -105,7 +105,7 @@
         """Judge, append due records, write notices, and return what to send."""
         effects = self.core.on_tick()
         for body in self.core.due_records():
-            if not (isinstance(body, Marked) and is_settled(self._state, body)):
+            if not (isinstance(body, Marked) and is_obsolete(self._state, body)):
                 self._append(body)
         for notice in self.core.take_notices():
             self._events.write(notice.event, move=notice.move_id, text=notice.text)
--- a/src/citronrack/proof/parts.py
+++ b/src/citronrack/proof/parts.py
@@ -32,7 +32,7 @@
 
 PARTS: Registry[Part] = Registry("part")
 PARTS.register("moves")(Part("MoveCore", "shares, evidence, marks and outcomes of moves"))
-PARTS.register("leases")(Part("LeaseKeeper", "duties, snapshots and outcomes under a lease"))
+PARTS.register("leases")(Part("LeaseManager", "duties, snapshots and outcomes under a lease"))
 PARTS.register("zones")(Part("ZoneDirectory", "members of other zones and relays"))
 PARTS.register("facts")(Part("FactStore", "marks that spread without the log"))
 
--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -21,7 +21,7 @@
 )
 from citronrack.log._writers import KEPT_WRITERS
 from citronrack.log.fold import KEPT_PLANS, KEPT_SEED_ZONES
-from citronrack.log.marks import is_settled
+from citronrack.log.marks import is_obsolete
 from citronrack.log.records import Duty, MoveResult
 
 CATALOGUE = Service("catalogue", {v: ServiceVersion(v) for v in ("1.0", "2.0")})
@@ -121,14 +121,14 @@
             mark = Marked("catalogue", "2.0", epoch, "slow", "r", 9, 0, "z")
             self.assertIn("epoch", self.apply(attrs.evolve(mark, epoch=10**9)))
             self.assertEqual(self.apply(mark), "")
-            self.assertTrue(is_settled(self.fold.state, mark))
+            self.assertTrue(is_obsolete(self.fold.state, mark))
             self.apply(Cancelled("m", epoch, "o"))
             self.assertEqual([m.epoch for m in self.fold.state.marks.values()], [epoch])
         without = Change(put_services=(Service("catalogue", {"1.0": ServiceVersion("1.0")}),))
         self.apply(confirmed("last", self.fold.config.version, without))
         self.assertEqual(self.fold.state.marks, {})
         self.assertIn("not configured", self.apply(mark))
-        self.assertTrue(is_settled(self.fold.state, mark))
+        self.assertTrue(is_obsolete(self.fold.state, mark))
 
     def test_state_stays_bounded(self) -> None:
         """Fails if writers, seeds, duties or plans of a long history filled the snapshot."""
--- a/tests/log/test_lease.py
+++ b/tests/log/test_lease.py
@@ -10,18 +10,18 @@
 from citronrack.log import (
     Claim,
     Envelope,
-    LeaseKeeper,
+    LeaseManager,
     LogFold,
     SnapshotTaken,
     decode_record,
     encode_record,
 )
-from citronrack.log.lease import CANDIDATE_RANKS, LEASE_MS, RANK_STEP_S
+from citronrack.log.lease import CANDIDATE_RANKS, LEASE_MS, RANK_DELAY_S
 from citronrack.log.records import RECORDS_STREAM, Duty
 
 ZONES = 3
 FAULTS = ("pause", "deafen", "wake", "outage", "back", "lose", "hold", "release", "all")
-TAKEOVER_S = LEASE_MS / 1000 + CANDIDATE_RANKS * RANK_STEP_S + 30
+TAKEOVER_S = LEASE_MS / 1000 + CANDIDATE_RANKS * RANK_DELAY_S + 30
 """Lease, jitter, and time for a retry of the claim with its backoff and limit."""
 
 
@@ -69,7 +69,7 @@
         """Run one fleet through random faults and check it throughout."""
         fleet = self.make(seed)
         random = Random(seed)
-        fleet.every_records = 10
+        fleet.max_records = 10
         for _ in range(8):
             self.disturb(fleet, random)
             fleet.run(random.choice((5, 20, 80)), check=lambda: self.check(fleet))
@@ -83,7 +83,7 @@
     def wake(self, fleet: LogFleet) -> None:
         """Let all nodes run and read."""
         for node in fleet.nodes:
-            node.paused = node.deaf = False
+            node.paused = node.reads_blocked = False
 
     def disturb(self, fleet: LogFleet, random: Random) -> None:
         """Apply one random fault."""
@@ -93,7 +93,7 @@
         if what == "pause" and holders:
             random.choice(holders).paused = True
         elif what == "deafen" and holders:
-            random.choice(holders).deaf = True
+            random.choice(holders).reads_blocked = True
         elif what == "wake":
             self.wake(fleet)
         elif what in ("outage", "back"):
@@ -111,14 +111,14 @@
         """Fails if a holder acted after its lease, or its delayed announcement took effect."""
         fleet = self.make(1)
         (holder,) = fleet.acting(Duty.COMPACTOR)
-        term = holder.keepers[Duty.COMPACTOR].term
+        term = holder.lease_managers[Duty.COMPACTOR].term
         fleet.store.faults.hold_appends = 1
         holder.submit(SnapshotTaken(term or 0, holder.next_offset, 7))
         fleet.run(0.25)
         holder.paused = True
         self.run_until_held(fleet)
         holder.paused = False
-        self.assertIsNone(holder.keepers[Duty.COMPACTOR].term)
+        self.assertIsNone(holder.lease_managers[Duty.COMPACTOR].term)
         fleet.store.release_held()
         self.run_until_held(fleet)
         self.check_log(fleet)
@@ -141,11 +141,11 @@
     def test_lease_counts_from_the_first_claim_of_its_term(self) -> None:
         """Fails if a repeated claim lengthened the lease of an earlier one that had landed."""
         clock, fold = ManualClock(), LogFold()
-        keepers = [
-            LeaseKeeper(duty=Duty.OUTCOMES, own=own, clock=clock, random=Random(1))
+        lease_managers = [
+            LeaseManager(duty=Duty.OUTCOMES, own=own, clock=clock, random=Random(1))
             for own in ("a/1", "b/1")
         ]
-        holder, other = keepers
+        holder, other = lease_managers
         claims: list[Claim] = []
         while len(claims) < 2:
             clock.advance(0.25)
@@ -167,7 +167,7 @@
     def test_no_action_while_a_claim_is_outstanding_and_no_claim_right_after_a_pause(self) -> None:
         """Fails if records could land behind the own claim, or a stale fold led to claims."""
         clock, fold = ManualClock(), LogFold()
-        keeper = LeaseKeeper(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
+        keeper = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
         for term in (1, 2, 3):
             claim = None
             while claim is None:
--- a/tests/log/test_snapshot.py
+++ b/tests/log/test_snapshot.py
@@ -13,7 +13,7 @@
 from citronrack.errors import MessageRejected, SnapshotMissing
 from citronrack.log import Claim, Envelope, LogFold, SeedList, SnapshotTaken, encode_record
 from citronrack.log.records import RECORDS_STREAM, SNAPSHOTS_STREAM
-from citronrack.log.snapshot import SnapshotKeeper, WriteSnapshot, load_snapshot
+from citronrack.log.snapshot import SnapshotScheduler, WriteSnapshot, load_snapshot
 from citronrack.standins.log_store import LogStore, MemoryLogClient
 
 RETENTION = 240  # records; half of it lasts longer than a takeover of the duty
@@ -78,7 +78,7 @@
     def test_quiet_log_keeps_a_snapshot_at_half_of_the_measured_retention(self) -> None:
         """Fails if no snapshot was left in a quiet log, or the retention was not measured."""
         clock, fold, retention_s = ManualClock(), LogFold(), 8 * 3600
-        keeper = SnapshotKeeper(clock=clock, random=Random(1))
+        keeper = SnapshotScheduler(clock=clock, random=Random(1))
         bodies: list[object] = [Claim("compactor", 1, "a/1", 60_000)]
         record_times: list[float] = []
         written: list[float] = []
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -63,14 +63,14 @@
     def test_deaf_witness_does_not_kill(self) -> None:
         """Fails if a node that receives no acks makes others see each other as gone."""
         for fleet in self.fleets():
-            deaf, *others = fleet.net.live("north")
-            fleet.net.faults.deaf = {deaf.name}
+            not_receiving, *others = fleet.net.live("north")
+            fleet.net.faults.not_receiving = {not_receiving.name}
             for _ in range(80):
                 fleet.run(0.5)
                 for node in others:
                     states = self.state_of(node.name, others)
                     self.assertNotIn(MemberState.GONE, states, node.name)
-            self.assertEqual(self.state_of(deaf.name, others), {MemberState.GONE})
+            self.assertEqual(self.state_of(not_receiving.name, others), {MemberState.GONE})
 
     def test_node_with_a_single_link_does_not_kill(self) -> None:
         """Fails if a node that reaches one peer only makes others see each other as gone."""
--- a/tests/moves/test_bursts.py
+++ b/tests/moves/test_bursts.py
@@ -7,8 +7,8 @@
 
 from citronrack.config import Move
 from citronrack.config.model import Step
+from citronrack.moves.evaluator import VersionEvaluator
 from citronrack.moves.evidence import BUCKET_MS, Counts, EvidenceStore, Side, Source
-from citronrack.moves.judge import VersionJudge
 from citronrack.moves.policy import profiles
 
 POLICY = profiles.get("trial")
@@ -31,7 +31,7 @@
     random = Random(seed)
     steps = tuple(Step(step.share, round(step.at * SPAN_MS)) for step in POLICY.ramp)
     move = Move("m", "r", "v1", "v2", 0, SPAN_MS, steps, POLICY.unproven_share, "trial")
-    judge = VersionJudge([move], policy=POLICY, zones=1, first_bucket=0)
+    evaluator = VersionEvaluator([move], policy=POLICY, zones=1, first_bucket=0)
     store = EvidenceStore()
     for bucket in range((SPAN_MS + POLICY.watch_ms) // BUCKET_MS):
         rate = part if random.random() < chance else USUAL_RATE
@@ -43,8 +43,8 @@
             slow = sum(random.random() < rate for _ in range(calls))
             cell = store.cell(Source("n", "1", "m", "r", side), bucket)
             cell.add(Counts(calls=calls, slow=slow))
-        judge.advance(store, through=bucket)
-        if judge.conviction() is not None:
+        evaluator.advance(store, through=bucket)
+        if evaluator.regression() is not None:
             return True
     return False
 
--- a/tests/moves/test_sequential.py
+++ b/tests/moves/test_sequential.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from citronrack.bench.moves_alarm import ALPHAS, MAX_FACTOR, ODDS, SETTINGS, highest_value
-from citronrack.moves.sequential import Compared, SequentialTest, SideBySide
+from citronrack.moves.sequential import CallSample, PairedStratum, SequentialTest
 
 RUNS = 60
 
@@ -31,25 +31,25 @@
     def test_one_bucket_alone_does_not_convict(self) -> None:
         """Fails if the edge of a shared fault, seen by clocks that differ, marked a version."""
         test = make_test()
-        test.add([SideBySide(Compared(50, 50), Compared(1_000, 0))])
+        test.add([PairedStratum(CallSample(50, 50), CallSample(1_000, 0))])
         self.assertLess(test.value, MAX_FACTOR)
 
     def test_late_fault_is_found_in_spite_of_a_long_good_time(self) -> None:
         """Fails if failures of a good time outweighed a fault that begins later."""
         test = make_test()
         for _ in range(150):
-            test.add([SideBySide(Compared(50, 0), Compared(150, 3))])
+            test.add([PairedStratum(CallSample(50, 0), CallSample(150, 3))])
         self.assertLess(test.value, 1)
         for _ in range(4):
-            test.add([SideBySide(Compared(50, 10), Compared(150, 3))])
+            test.add([PairedStratum(CallSample(50, 10), CallSample(150, 3))])
         self.assertGreater(test.value, 10_000)
 
     def test_routes_with_different_rates_and_shares_are_not_mixed(self) -> None:
         """Fails if a failing route with a large share made equal sides look different."""
         test = make_test()
         for _ in range(100):
-            failing = SideBySide(Compared(100, 10), Compared(100, 10))
-            sound = SideBySide(Compared(50, 0), Compared(950, 0))
+            failing = PairedStratum(CallSample(100, 10), CallSample(100, 10))
+            sound = PairedStratum(CallSample(50, 0), CallSample(950, 0))
             test.add([failing, sound])
         self.assertLess(test.value, 2)
 
@@ -57,5 +57,5 @@
         """Fails if the move away from a failing version were taken back."""
         test = make_test()
         for _ in range(50):
-            test.add([SideBySide(Compared(50, 0), Compared(150, 40))])
+            test.add([PairedStratum(CallSample(50, 0), CallSample(150, 40))])
         self.assertLess(test.value, 1)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,11 +22,11 @@
 DRAIN_S = 2.0
 RECOVERY_S = 15.0
 GRACE_SLACK_S = 1.5
-PROMISES = frozenset({408, 421, 429, 503})
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @define
-class Sent:
+class SentRequest:
     """A request and what its caller saw; status 0 stands for no complete answer."""
 
     request_id: str
@@ -48,7 +48,7 @@
     seed: int
     seconds: float = 10.0
     size: int = 5
-    sent: list[Sent] = field(factory=list)
+    sent: list[SentRequest] = field(factory=list)
     faults: list[str] = field(factory=list)
     findings: list[str] = field(factory=list)
     workers: list[Worker] = field(factory=list)
@@ -108,7 +108,7 @@
         mesh.store.faults.refused.clear()
         mesh.store.faults.delay_s = 0.0
 
-    def _alone(self, mesh: Installation, index: int, act: Callable[[Instance], None]) -> None:
+    def _exclusively(self, mesh: Installation, index: int, act: Callable[[Instance], None]) -> None:
         """Do something to a node's process unless something is being done to it already."""
         instance = mesh.instances[index]
         if instance.name in self._busy:
@@ -120,7 +120,7 @@
             self._busy.discard(instance.name)
 
     def _kill(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
-        self._alone(mesh, index, lambda i: mesh.restart(i, signal.SIGKILL))
+        self._exclusively(mesh, index, lambda i: mesh.restart(i, signal.SIGKILL))
 
     def _terminate(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
         def act(instance: Instance) -> None:
@@ -130,7 +130,7 @@
             if took > 4.0 + GRACE_SLACK_S:
                 self.findings.append(f"{instance.name} took {took:.1f} s to stop")
 
-        self._alone(mesh, index, act)
+        self._exclusively(mesh, index, act)
 
     def _pause(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
         def act(instance: Instance) -> None:
@@ -138,10 +138,10 @@
             time.sleep(length_s)
             mesh.signal(instance, signal.SIGCONT)
 
-        self._alone(mesh, index, act)
+        self._exclusively(mesh, index, act)
 
     def _hangup(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
-        self._alone(mesh, index, lambda i: mesh.signal(i, signal.SIGHUP))
+        self._exclusively(mesh, index, lambda i: mesh.signal(i, signal.SIGHUP))
 
     def _silence(self, mesh: Installation, index: int, proxy: Proxy, length_s: float) -> None:
         proxy.silent = {("up", "down")[index % 2]}
@@ -186,7 +186,7 @@
             name = f"i-{instance.name}-{len(self.workers)}"
             self.workers.append(mesh.start_worker(instance, target_id=name))
 
-        self._alone(mesh, index, act)
+        self._exclusively(mesh, index, act)
 
     # Calls.
 
@@ -235,11 +235,15 @@
         for sent in self.sent:
             if not sent.idempotent and runs[sent.request_id] > 1:
                 self.findings.append(f"{sent.request_id} ran {runs[sent.request_id]} times")
-            if not sent.idempotent and sent.status in PROMISES and runs[sent.request_id]:
+            if (
+                not sent.idempotent
+                and sent.status in NOT_EXECUTED_STATUSES
+                and runs[sent.request_id]
+            ):
                 self.findings.append(f"{sent.request_id} was answered {sent.status} and ran")
             if sent.status == 200 and not sent.own_body:
                 self.findings.append(f"{sent.request_id} got the answer of another request")
-            if 400 <= sent.status < 500 and sent.status not in PROMISES:
+            if 400 <= sent.status < 500 and sent.status not in NOT_EXECUTED_STATUSES:
                 self.findings.append(f"{sent.request_id} was answered {sent.status}")
 
     def _check_leaves(self) -> None:
@@ -256,7 +260,7 @@
     request_id: str,
     body: bytes,
     idempotent: bool,
-) -> Sent:
+) -> SentRequest:
     headers = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Ms": "2000"}
     try:
         connection.request("GET" if idempotent else "POST", path, body or None, headers)
@@ -264,9 +268,9 @@
         content = response.read()
     except (OSError, http.client.HTTPException):
         connection.close()
-        return Sent(request_id, idempotent, 0, False)
+        return SentRequest(request_id, idempotent, 0, False)
     own = content == f"{request_id} {len(body)}".encode()
-    return Sent(request_id, idempotent, response.status, own)
+    return SentRequest(request_id, idempotent, response.status, own)
 
 
 _Fault = Callable[[Soak, Installation, int, Proxy, float], None]
--- a/tools/replay_days.py
+++ b/tools/replay_days.py
@@ -57,7 +57,7 @@
     return rules + [day["fault"] for day in days if day.get("fault")]
 
 
-def play(bench: str, sites: Path, failed: FailedDay) -> list[str]:
+def replay(bench: str, sites: Path, failed: FailedDay) -> list[str]:
     """Play a day and return what is wrong with it."""
     before = set(JOURNAL.glob("*.json"))
     command = [bench, "run", str(sites / f"{failed.site}.toml"), failed.day]
@@ -71,7 +71,7 @@
 
 def main(bench: str, sites: str) -> int:
     """Play all days; return 1 when one of them is not clean."""
-    found = {day: play(bench, Path(sites), day) for day in read_list(LIST.read_text())}
+    found = {day: replay(bench, Path(sites), day) for day in read_list(LIST.read_text())}
     for day, faults in found.items():
         print(f"{day.site} {day.day} {day.seed}: {'; '.join(faults) or 'clean'}")
     return int(any(found.values()))
--- a/tools/version_delays.py
+++ b/tools/version_delays.py
@@ -16,7 +16,7 @@
 
 from attrs import frozen
 
-WORTH_A_LINE_S = 0.6
+MIN_REPORTED_DELAY_S = 0.6
 """Delays up to this are usual: a read, a push and the delay of the links."""
 
 
@@ -61,7 +61,7 @@
     result = {}
     for version, nodes in sorted(by_version.items()):
         first, *others = sorted(nodes.values(), key=lambda arrival: arrival.time_s)
-        late = [other for other in others if other.time_s - first.time_s > WORTH_A_LINE_S]
+        late = [other for other in others if other.time_s - first.time_s > MIN_REPORTED_DELAY_S]
         result[version] = [first, *late]
     return result
 
