--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -65,10 +65,10 @@
         baseline.learn(old)
         highest = max(highest, test.value)
     for _ in range(WATCH_BUCKETS if setting.is_watched else 0):
-        hits = _binomial(random, CALLS_PER_BUCKET, setting.rate)
+        bad_calls = _binomial(random, CALLS_PER_BUCKET, setting.rate)
         bound = baseline.bound(RateIncrease())
         if bound is not None:
-            test.add([BaselineStratum(CallSample(CALLS_PER_BUCKET, hits), bound)])
+            test.add([BaselineStratum(CallSample(CALLS_PER_BUCKET, bad_calls), bound)])
         highest = max(highest, test.value)
     return highest
 
@@ -77,13 +77,13 @@
     """Return a binomial number by skipping to the next hit."""
     if part <= 0:
         return 0
-    hits, place = 0, -1
+    bad_calls, place = 0, -1
     scale = math.log1p(-part)
     while True:
         place += 1 + int(math.log(1.0 - random.random()) / scale)
         if place >= number:
-            return hits
-        hits += 1
+            return bad_calls
+        bad_calls += 1
 
 
 def report(runs: int) -> Iterator[str]:
--- a/src/citronrack/moves/capacity.py
+++ b/src/citronrack/moves/capacity.py
@@ -1,4 +1,4 @@
-"""What is known about the targets of a service version."""
+"""Capacity of the targets of a service version."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 @frozen
 class Capacity:
-    """Targets of one service version that can be reached.
+    """Capacity of the reachable targets of one service version.
 
     Attributes:
         targets: Number of live targets.
-        slots: Calls that they run at once, together.
-        load: Calls in flight or waiting at them, as last reported.
-        calls_per_second: Calls that they get, 0 when unknown.
+        slots: Number of calls that all of them together run concurrently.
+        load: Calls in flight or queued at them, as last reported.
+        calls_per_second: Rate of calls that they receive, 0 when unknown.
     """
 
     targets: int
@@ -29,5 +29,5 @@
 
 
 def unknown_capacity(service: str, service_version: str) -> Capacity | None:
-    """Return None; used where no membership is at hand."""
+    """Return None; used where no membership information is available."""
     return None
--- a/src/citronrack/moves/core.py
+++ b/src/citronrack/moves/core.py
@@ -1,4 +1,4 @@
-"""Decides the shares of all open moves on one node."""
+"""Core of moves on one node: evidence, shares of traffic, marks and outcomes."""
 
 from __future__ import annotations
 
@@ -25,20 +25,20 @@
 from .status import MoveNotice, MoveStatus
 from .zone import ZoneMoves
 
-OTHER_ROUTE_NODES = 16  # nodes of a zone that tell about routes without a move
-EVALUATOR_MESSAGES_PER_S = 30.0  # received by a judging node; about 6 KB/s
+OTHER_ROUTE_NODES = 16  # nodes of a zone that report calls of routes without a move
+EVALUATOR_MESSAGES_PER_S = 30.0  # received by an evaluating node; about 6 KB/s
 _SIDES = frozenset(int(side) for side in Side)
 
 
 class MoveCore:
-    """Counts, exchanges and judges evidence, and decides shares, marks and outcomes.
+    """Counts, exchanges and evaluates evidence, and decides shares, marks and outcomes.
 
     Args:
         own_name: Name of this node.
         boot_id: Id of this process.
         availability_zone: Zone of this node.
         clock: Source of time.
-        around: Other parts of the node.
+        dependencies: Other parts of the node.
         policy_of: Returns the policy of a profile.
     """
 
@@ -92,15 +92,15 @@
         self._notices: list[MoveNotice] = []
 
     def on_state(self, state: FoldState) -> None:
-        """Take over the folded log; called after each accepted record."""
+        """Apply the folded log; called after each accepted record."""
         self._state = state
         self._open_moves.config = state.config
         moves = state.config.moves.values()
         self._counter.set_moves({move.route: move for move in moves})
-        kept = {move.move_id for move in moves}
-        if kept:
-            kept.add(OTHER_ROUTES)
-        self._store.retain_moves(frozenset(kept))
+        retained = {move.move_id for move in moves}
+        if retained:
+            retained.add(OTHER_ROUTES)
+        self._store.retain_moves(frozenset(retained))
         self._move_facts.on_state(state)
 
     def observe(self, record: CallRecord, number: int = 1) -> None:
@@ -115,7 +115,7 @@
         return []
 
     def on_tick(self) -> list[Send]:
-        """Tell about own calls, and judge when this node is one of the zone's judging nodes."""
+        """Send own evidence, and evaluate the zone's when this node is one of its evaluators."""
         self._move_facts.refresh()
         self._report_new_marks()
         self._store.fold(now_bucket=bucket_of(self._clock.wall_ms()))
@@ -134,7 +134,7 @@
         return sends
 
     def shares(self) -> dict[str, RouteShare]:
-        """Return the division of calls of each route with an open move."""
+        """Return how the calls of each route with an open move are split."""
         return {
             move.route: RouteShare(
                 move.move_id, move.from_version, move.to_version, self._open_moves.share(move)
@@ -147,11 +147,11 @@
         return self._move_facts.marks
 
     def due_records(self) -> list[Any]:
-        """Return the record bodies to append now; each is repeated until it is folded."""
+        """Return the record bodies to append now; each one is returned again until it is folded."""
         return self._due.collect(self._state)
 
     def statuses(self) -> tuple[MoveStatus, ...]:
-        """Return the open moves for operators."""
+        """Return the status of each open move."""
         return tuple(self._open_moves.status(move) for move in self._state.config.moves.values())
 
     def stale_facts(self) -> list[str]:
@@ -159,20 +159,20 @@
         return self._move_facts.stale_facts()
 
     def take_notices(self) -> list[MoveNotice]:
-        """Return what is to be logged since the last call."""
+        """Return the notices to log that were added since the last call."""
         notices = [*self._notices, *self._zone_moves.take_notices()]
         self._notices = []
         return notices
 
     def _interval_s(self, ranked: Sequence[Member]) -> float:
-        """Return the time between two messages, longer when many nodes of the zone send them."""
+        """Return the time between two messages, longer when many nodes of the zone send some."""
         config = self._state.config
         moving = {config.routes[move.route].service for move in config.moves.values()}
-        telling = sum(member.service in moving for member in ranked)
+        sender_count = sum(member.service in moving for member in ranked)
         policies = (self._policy_of(move.profile) for move in config.moves.values())
         return max(
             min(policy.evidence_interval_s for policy in policies),
-            telling / EVALUATOR_MESSAGES_PER_S,
+            sender_count / EVALUATOR_MESSAGES_PER_S,
         )
 
     def _evaluate(self, interval_s: float) -> None:
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -1,4 +1,4 @@
-"""Counts the calls that this node delivered, and tells the judging nodes about them."""
+"""Counts the calls that this node delivered, for the evaluating nodes of its zone."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from .latency import LatencyHistogram
 from .messages import CellCounts, EvidenceUpdate, MoveEvidence
 
-SENDS_PER_CELL = 2  # a cell is repeated once, so that one lost message costs nothing
+SENDS_PER_CELL = 2  # a cell is sent twice, so that one lost message loses no evidence
 OTHER_REFERENCE_CALLS = 100
 OTHER_SLOW_MARGIN = 1.5
 REFERENCE_QUANTILE = 0.9
@@ -25,7 +25,7 @@
 
 @define
 class _Reference:
-    """The old version's latencies on this node, and the limit once the zone has one."""
+    """Latencies of the old version on this node, and the zone's limit once it is set."""
 
     histogram: LatencyHistogram = field(factory=LatencyHistogram)
     limit_s: float = 0.0
@@ -39,7 +39,7 @@
         own_name: Name of this node.
         boot_id: Id of this process.
         clock: Source of time.
-        store: Where the cells are kept.
+        store: Store of the cells.
     """
 
     def __init__(self, *, own_name: str, boot_id: str, clock: Clock, store: EvidenceStore) -> None:
@@ -54,14 +54,14 @@
     def set_moves(self, by_route: Mapping[str, Move]) -> None:
         """Replace the open moves, by route."""
         self._moves = by_route
-        kept = {move.move_id for move in by_route.values()}
-        if kept:
-            kept.add(OTHER_ROUTES)
-        self._references = {m: r for m, r in self._references.items() if m in kept}
-        self._unsent = {cell: n for cell, n in self._unsent.items() if cell[0].move in kept}
+        retained = {move.move_id for move in by_route.values()}
+        if retained:
+            retained.add(OTHER_ROUTES)
+        self._references = {m: r for m, r in self._references.items() if m in retained}
+        self._unsent = {cell: n for cell, n in self._unsent.items() if cell[0].move in retained}
 
     def set_reference(self, move_id: str, reference: SlowReference) -> None:
-        """Count answers as slow from the reference's bucket on."""
+        """Count slow responses from the reference's first bucket on."""
         own = self._reference(move_id)
         own.limit_s = reference.latency_us / 1e6
         own.from_bucket = reference.from_bucket
@@ -88,11 +88,11 @@
                 counts.slow += number
 
     def update(self, *, with_other: bool) -> EvidenceUpdate | None:
-        """Return the cells that have grown, or None when there are none.
+        """Return the cells whose counters have increased, or None when there are none.
 
         Args:
-            with_other: Whether calls of routes without a move are told even when this node saw
-                no call of a move.
+            with_other: Whether to report calls of routes without a move even when this node has
+                delivered no call of a move.
         """
         by_move: dict[str, list[CellCounts]] = {}
         for (source, bucket), sends in list(self._unsent.items()):
--- a/src/citronrack/moves/dependencies.py
+++ b/src/citronrack/moves/dependencies.py
@@ -1,4 +1,4 @@
-"""What the decisions about moves ask other parts of the node for."""
+"""Parts of the node that the core of moves depends on."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 
 @define
 class MoveDependencies:
-    """Other parts of the node, as `MoveCore` sees them.
+    """Dependencies of `MoveCore` on other parts of the node.
 
     Attributes:
         facts: Spreads facts between nodes.
         ranked: Returns the live members of the own zone, lowest rank first.
         zones: Returns all zones of the mesh.
-        unheard: Returns the zones from which nothing is heard at present.
-        capacity: Returns what is known about a service version's targets.
-        duty_term: Returns the term under which this node may write outcomes, 0 for none. None
-            takes it from the folded log alone.
+        unreachable_zones: Returns the zones of which no node can currently be reached.
+        capacity: Returns the capacity of a service version, as far as it is known.
+        duty_term: Returns the term under which this node may write outcomes, 0 for none. If None,
+            the term is read from the folded log.
     """
 
     facts: Facts
--- a/src/citronrack/moves/due_records.py
+++ b/src/citronrack/moves/due_records.py
@@ -1,4 +1,4 @@
-"""Which records about moves this node appends to the log, and when."""
+"""Selects the records about moves that this node appends to the log, and their time."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 from .outcome import OutcomeDecider, OutcomeInputs
 from .policy import Policy
 
-RECORD_RETRY_S = 15.0  # by then an append has been folded, or its answer is lost
+RECORD_RETRY_S = 15.0  # by then an append has been folded, or its response is lost
 MAX_DUE_ENTRIES = 200
-DUE_ENTRY_LIFETIME_S = 600.0  # far longer than a record takes to be folded
+DUE_ENTRY_LIFETIME_S = 600.0  # far longer than folding a record takes
 SECOND_EVALUATOR_DELAY_S = 5.0
 OTHER_ZONE_DELAY_S = 10.0
 
@@ -29,8 +29,8 @@
         own_name: Name of this node.
         availability_zone: Zone of this node.
         clock: Source of time.
-        board: Facts about moves.
-        around: Other parts of the node.
+        move_facts: Facts about moves.
+        dependencies: Other parts of the node.
         policy_of: Returns the policy of a profile.
     """
 
@@ -71,7 +71,7 @@
         return lease.term if lease is not None and lease.holder == self._own_name else 0
 
     def _is_mark_due(self, mark: Marked, state: FoldState) -> bool:
-        """Whether to append a mark: the marking zone's first judging node goes first."""
+        """Whether to append a mark; evaluators are delayed in order, the marking zone's first."""
         key = mark_key(mark.service, mark.service_version, mark.epoch)
         if key in state.marks:
             return False
@@ -81,8 +81,8 @@
         delay = evaluators.index(self._own_name) * SECOND_EVALUATOR_DELAY_S
         if mark.availability_zone != self._zone:
             zones = sorted(self._dependencies.zones())
-            place = zones.index(self._zone) if self._zone in zones else len(zones)
-            delay += (place + 1) * OTHER_ZONE_DELAY_S
+            index = zones.index(self._zone) if self._zone in zones else len(zones)
+            delay += (index + 1) * OTHER_ZONE_DELAY_S
         return self._is_due(f"mark/{key}", delay)
 
     def _is_outcome_due(self, outcome: MoveOutcome, state: FoldState) -> bool:
@@ -99,7 +99,7 @@
         return self._is_due(key, 0.0)
 
     def _is_due(self, key: str, delay_s: float) -> bool:
-        """Whether ``delay_s`` has passed since the first question, then once per retry time."""
+        """Whether ``delay_s`` has passed since the first call, then once per retry interval."""
         now = self._clock.monotonic()
         if now < self._due_s.setdefault(key, now + delay_s):
             return False
--- a/src/citronrack/moves/evaluator.py
+++ b/src/citronrack/moves/evaluator.py
@@ -1,4 +1,4 @@
-"""Judges the moves of one service version by the evidence of an availability zone."""
+"""Evaluates the moves of one service version by the evidence of an availability zone."""
 
 from __future__ import annotations
 
@@ -19,19 +19,19 @@
 from .policy import Policy
 from .sequential import BaselineStratum, PairedStratum, SequentialTest, Stratum
 
-MAX_REFUSED_FRACTION = 0.1  # more refused attempts than this keep a step from being cleared
-MAX_REFUSED_RATIO = 2.0  # when they are also this many times the old version's part
-EVALUATORS_PER_ZONE = 2  # per zone; each runs its own tests
-SUSPICION_FRACTION = 0.1  # part of the marking value above which no step is cleared
+MAX_REFUSED_FRACTION = 0.1  # a step with more refused attempts is not cleared,
+MAX_REFUSED_RATIO = 2.0  # provided that they exceed this multiple of the old version's fraction
+EVALUATORS_PER_ZONE = 2  # each runs its own tests
+SUSPICION_FRACTION = 0.1  # of the threshold for a mark; above it no step is cleared
 
 
 @frozen
 class Regression:
-    """Why a version is bad.
+    """A detected regression of the new version.
 
     Attributes:
-        reason: What the evidence showed, for people.
-        route: Route on which it showed, empty for all.
+        reason: Description of the evidence for operators.
+        route: Route on which the regression was detected, empty for all routes.
         calls: Calls that the new version had received.
     """
 
@@ -46,15 +46,15 @@
 
     Attributes:
         move: The move.
-        tests: One test per kind of hit.
-        baselines: What the old version did, per kind.
+        tests: One test per kind of bad call.
+        baselines: Rates of the old version, per kind.
         step: Number of cleared steps.
-        step_from_bucket: First bucket of the present step.
-        step_calls: Calls of the new version in the present step that could be compared.
+        step_from_bucket: First bucket of the current step.
+        step_calls: Calls of the new version in the current step that could be compared.
         new: All calls of the new version.
         old: All calls of the old version.
-        step_new: Attempts of the new version in the present step.
-        step_old: Attempts of the old version in the present step.
+        step_new: Attempts of the new version in the current step.
+        step_old: Attempts of the old version in the current step.
     """
 
     move: Move
@@ -73,14 +73,14 @@
     def add(
         self, bucket: int, new: Counts, old: Counts, rate_increases: dict[str, RateIncrease] | None
     ) -> dict[str, Stratum]:
-        """Take in one bucket and return what it says per kind of hit.
+        """Add one bucket and return its strata by kind of bad call.
 
         Args:
             bucket: Number of the bucket.
             new: Calls of the new version.
             old: Calls of the old version.
-            rises: What other routes show per kind, None during a shared fault or overload. The
-                new version alone then says nothing.
+            rate_increases: Increases on other routes by kind, None during a shared fault or an
+                overload. The new version is then not tested without calls of the old one.
         """
         self.new.add(new)
         self.old.add(old)
@@ -95,12 +95,12 @@
         return known
 
     def refuses_too_many(self) -> bool:
-        """Whether the new version refuses far more attempts than the old one."""
+        """Whether the new version refuses far more of its attempts than the old one."""
         new, old = _refused_fraction(self.step_new), _refused_fraction(self.step_old)
         return new > MAX_REFUSED_FRACTION and new > MAX_REFUSED_RATIO * old
 
     def begin_step(self, step: int, *, from_bucket: int) -> None:
-        """Count for another step, from the first bucket that lies wholly in it."""
+        """Start counting for another step, from the first bucket that lies entirely in it."""
         self.step = step
         self.step_from_bucket = from_bucket
         self.step_calls = 0
@@ -126,12 +126,12 @@
 
 
 class VersionEvaluator:
-    """Tests all moves that bring in the same service version under the same confirmation.
+    """Tests all moves to the same service version that were confirmed together.
 
     Args:
         moves: The moves; each one has its own route.
-        policy: How they are judged.
-        zones: Number of zones that judge the version on their own.
+        policy: Policy of the moves.
+        zones: Number of zones that evaluate the version independently.
         first_bucket: First bucket to test.
     """
 
@@ -152,7 +152,7 @@
 
     @property
     def value(self) -> float:
-        """Mean of all tests; a mean of e-processes is one too."""
+        """Mean of all test values; the mean of e-processes is an e-process."""
         values = [test.value for _, _, test in self._tests()]
         return sum(values) / len(values)
 
@@ -160,21 +160,21 @@
     def threshold(self) -> float:
         """Value at which the version is marked.
 
-        Ville's inequality bounds each judging node's chance of a false alarm by 1 / threshold;
-        the sum over the judging nodes of all zones is alpha.
+        Ville's inequality bounds the probability of a false alarm of each evaluating node by
+        1 / threshold; the sum over the evaluating nodes of all zones is alpha.
         """
         return self._threshold
 
     @property
     def evaluated_ms(self) -> int:
-        """Time for which this judge has taken in evidence, in milliseconds."""
+        """Length of the evaluated time, in milliseconds."""
         return (self._next_bucket - self._first_bucket) * BUCKET_MS
 
     def advance(self, store: EvidenceStore, *, through: int) -> None:
-        """Take in the buckets up to and including ``through``, each one once.
+        """Evaluate the buckets up to and including ``through``, each one once.
 
-        Cells that arrive after their bucket was taken in are not tested, so that no evidence is
-        looked at twice.
+        Cells that arrive after their bucket was evaluated are ignored, so that no evidence is
+        tested twice.
         """
         self._next_bucket = max(self._next_bucket, through - KEPT_BUCKETS + 1)
         while self._next_bucket <= through:
@@ -182,28 +182,28 @@
             self._next_bucket += 1
 
     def clears_step(self, move_id: str) -> bool:
-        """Whether the evidence of the present step is good enough to go on.
+        """Whether the evidence of the current step is sufficient to clear it.
 
-        A suspicious value asks for more calls, in proportion.
+        A test value above the bound raises the required number of calls in proportion.
         """
         evaluator = self.routes[move_id]
-        wanted = self._policy.min_calls * max(1.0, self._worst() / self._policy.clear_bound)
+        required = self._policy.min_calls * max(1.0, self._worst() / self._policy.clear_bound)
         return (
-            evaluator.step_calls >= wanted
+            evaluator.step_calls >= required
             and not self.is_suspicious()
             and not evaluator.refuses_too_many()
         )
 
     def is_clean(self) -> bool:
-        """Whether no test speaks against the version, however little evidence there is."""
+        """Whether every test value is below the bound, regardless of the amount of evidence."""
         return self._worst() < self._policy.clear_bound
 
     def is_suspicious(self) -> bool:
-        """Whether the tests are on their way to a mark."""
+        """Whether the value has come close enough to the threshold to stop the ramp."""
         return self.value >= SUSPICION_FRACTION * self._threshold
 
     def regression(self) -> Regression | None:
-        """Return why the version is bad, or None when the evidence does not show it."""
+        """Return the detected regression, or None when the evidence shows none."""
         if self.value < self._threshold:
             return None
         kind, move_id, _ = max(self._tests(), key=lambda entry: entry[2].value)
@@ -212,9 +212,9 @@
         for evaluator in evaluators:
             new.add(evaluator.new)
             old.add(evaluator.old)
-        what = "failed" if kind == "failures" else "was slow in"
+        predicate = "failed" if kind == "failures" else "was slow in"
         reason = (
-            f"{what} {getattr(new, kind)} of {new.calls} calls; the old version {what} "
+            f"{predicate} {getattr(new, kind)} of {new.calls} calls; the old version {predicate} "
             f"{getattr(old, kind)} of {old.calls}"
         )
         route = evaluators[0].move.route if move_id else ""
@@ -241,15 +241,16 @@
             test.add(strata[kind])
 
     def _rate_increases(self, other: Counts, arrived: int) -> dict[str, RateIncrease] | None:
-        """Return what other routes show, or None in and right after a shared fault or overload.
+        """Return the increases on other routes, None during and right after a shared anomaly.
 
-        The bucket in which it began may have looked like a fault of the new version alone, and
-        the one in which it ends may do so.
+        An anomaly is a shared fault or an overload. The buckets in which it begins and ends may
+        look like a fault of the new version alone. Hence the gain of the bucket before the
+        detection is discarded, and the bucket after the anomaly counts as part of it.
         """
-        others_hit, overloaded = self._shared_fault_detector.has_shared_fault(
+        shared_fault, overloaded = self._shared_fault_detector.has_shared_fault(
             other
         ), self._overload_detector.is_overload(arrived)
-        was_unusual, self._is_unusual = self._is_unusual, others_hit or overloaded
+        was_unusual, self._is_unusual = self._is_unusual, shared_fault or overloaded
         if self._is_unusual and not was_unusual:
             for _, _, test in self._tests():
                 test.discard_last()
--- a/src/citronrack/moves/evidence.py
+++ b/src/citronrack/moves/evidence.py
@@ -1,4 +1,4 @@
-"""Counters of what the two service versions of a move did, merged by maximum."""
+"""Counters of the calls to both service versions of a move, merged by maximum."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 from attrs import define, field, frozen
 
 BUCKET_MS = 2_000
-KEPT_BUCKETS = 30  # closed buckets are tested after one or two; the rest absorbs a long pause
+KEPT_BUCKETS = 30  # a bucket is tested one or two buckets later; the rest covers a long pause
 MAX_CELLS = 8_192  # about 2 MB
-MAX_FUTURE_BUCKETS = 2  # a sender whose clock is further ahead is not comparable
+MAX_FUTURE_BUCKETS = 2  # evidence of a sender whose clock is further ahead is ignored
 OTHER_ROUTES = ""  # move id of the cells that count routes without a move
 
 
@@ -22,19 +22,19 @@
     OLD = 0
     NEW = 1
     OTHER = 2
-    """Calls of routes that take part in no move; they show whether a fault is shared."""
+    """Calls of routes without a move; they show whether a fault is shared."""
 
 
 @define
 class Counts:
-    """Growing counters of one cell.
+    """Monotonic counters of one cell.
 
     Attributes:
         calls: Calls that ran on a warm target.
-        failures: Of these, calls without a proper answer.
-        slow: Of these, good answers that took longer than the reference.
+        failures: Of these, calls that failed or had no response.
+        slow: Of these, successful calls that took longer than the reference.
         refused: Attempts that did not run, connection refusals included; not part of ``calls``.
-        cold: Calls on a target that had just started; not part of ``calls``.
+        cold: Calls to a target that had just started; not part of ``calls``.
     """
 
     calls: int = 0
@@ -44,14 +44,14 @@
     cold: int = 0
 
     def merge_maximum(self, other: Counts) -> bool:
-        """Take the maximum of each counter and return whether one has grown."""
-        grown = False
+        """Set each counter to the maximum of both and return whether one has increased."""
+        increased = False
         for name in COUNTERS:
-            theirs = getattr(other, name)
-            if theirs > getattr(self, name):
-                setattr(self, name, theirs)
-                grown = True
-        return grown
+            value = getattr(other, name)
+            if value > getattr(self, name):
+                setattr(self, name, value)
+                increased = True
+        return increased
 
     def add(self, other: Counts) -> None:
         """Add the counters of another cell."""
@@ -67,7 +67,7 @@
 
 @frozen
 class Source:
-    """A series of cells of one process.
+    """Origin of the cells of one process, move and version.
 
     Attributes:
         node: Name of the node that delivered the calls.
@@ -122,7 +122,7 @@
         return self._cells
 
     def cell(self, source: Source, bucket: int) -> Counts:
-        """Return the counters of a cell to count in, a new one when needed."""
+        """Return the counters of a cell for counting, creating the cell when needed."""
         cells = self._buckets[bucket]
         counts = cells.get(source)
         if counts is None:
@@ -135,7 +135,7 @@
         return self._buckets[bucket].get(source) if bucket in self._buckets else None
 
     def merge(self, cells: Iterable[EvidenceCell], *, now_bucket: int) -> None:
-        """Take over the greater counters; folded and far future buckets are ignored."""
+        """Merge cells by maximum; buckets that are folded or far in the future are ignored."""
         for cell in cells:
             if not self._folded_through < cell.bucket <= now_bucket + MAX_FUTURE_BUCKETS:
                 continue
@@ -144,7 +144,7 @@
             self.cell(cell.source, cell.bucket).merge_maximum(cell.counts)
 
     def fold(self, *, now_bucket: int) -> None:
-        """Fold the buckets that are no longer needed; each one is folded once."""
+        """Fold the buckets that are no longer needed into the totals; each one is folded once."""
         oldest = now_bucket - KEPT_BUCKETS
         for bucket in sorted(self._buckets):
             if bucket > oldest and self._cells < self.max_cells:
@@ -158,7 +158,7 @@
                 self._totals.setdefault(source, Counts()).add(counts)
 
     def retain_moves(self, kept: frozenset[str]) -> None:
-        """Forget the cells of moves that are not in ``kept``."""
+        """Remove the cells of moves that are not in ``kept``."""
         for cells in self._buckets.values():
             for source in [s for s in cells if s.move not in kept]:
                 del cells[source]
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -1,4 +1,4 @@
-"""Facts about moves that spread between nodes without the log."""
+"""Facts about moves that are replicated between nodes without the log."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 class Facts(Protocol):
-    """A grow-only map that spreads between nodes; the greater rank of a key wins."""
+    """A grow-only map that is replicated between nodes; the greater rank of a key wins."""
 
     def put(self, key: str, rank: int, payload: bytes) -> Any:
         """Add a fact; a fact with a greater rank under the same key stays."""
@@ -45,7 +45,7 @@
 
 
 class Phase:
-    """How far a zone is with a move; the greater one wins."""
+    """Progress of a zone on a move; the greater value wins."""
 
     RUNNING = 0
     FULL = 1
@@ -54,22 +54,22 @@
 
 
 def move_tag(move: Move) -> str:
-    """Return a short name of a move and its epoch; ids of moves would fill the store of facts."""
+    """Return a short name of a move and its epoch; move ids are too long for keys of facts."""
     return f"{move.epoch}/{xxhash.xxh64_intdigest(move.move_id.encode()) >> 16:012x}"
 
 
 @frozen
 class ZoneProgress:
-    """What a zone says about a move.
+    """Progress report of a zone on a move.
 
     Attributes:
         tag: The move, see `move_tag`.
         availability_zone: The zone.
         phase: A value of `Phase`.
         cleared: Number of cleared steps.
-        at_ms: Wall time of the phase; of the full share for `FULL` and `WATCHED`.
+        at_ms: Wall time of the report; for `FULL` and `WATCHED`, of the full share.
         calls: Calls that the new version had received in the zone.
-        short: Whether the deadline passed with too little evidence.
+        lacks_evidence: Whether the deadline passed with too little evidence.
     """
 
     tag: str
@@ -87,12 +87,12 @@
 
     @property
     def order(self) -> int:
-        """How far the zone is; it only grows."""
+        """Progress as a number that never decreases."""
         return (self.phase * _STEP_RANGE + self.cleared) * 2 + self.lacks_evidence
 
     @property
     def rank(self) -> int:
-        """Order of the reports of a zone; of two equal reports the earlier one wins."""
+        """Rank of the report; of two reports with the same progress the earlier one wins."""
         return self.order * _TIME_RANGE + _earliest(self.at_ms)
 
 
@@ -119,13 +119,13 @@
 
     @property
     def rank(self) -> int:
-        """Order of two references: the one that holds from an earlier bucket, then the higher."""
+        """Rank of the reference: an earlier first bucket wins, then the higher latency."""
         latency = min(self.latency_us, _LATENCY_RANGE - 1)
         return (_BUCKET_RANGE - 1 - self.from_bucket) * _LATENCY_RANGE + latency
 
 
 def epoch_of(tag: str) -> int:
-    """Return the epoch of a move by its tag, -1 when the tag is malformed."""
+    """Return the epoch in a move's tag, -1 when the tag is malformed."""
     text = tag.split("/", 1)[0]
     return int(text) if text.isascii() and text.isdigit() else -1
 
@@ -140,5 +140,5 @@
     return _earliest(mark.marked_ms)
 
 
-def _earliest(moment: int) -> int:
-    return _TIME_RANGE - 1 - max(0, min(moment, _TIME_RANGE - 1))
+def _earliest(time_ms: int) -> int:
+    return _TIME_RANGE - 1 - max(0, min(time_ms, _TIME_RANGE - 1))
--- a/src/citronrack/moves/intent.py
+++ b/src/citronrack/moves/intent.py
@@ -1,4 +1,4 @@
-"""What an operator wants."""
+"""Intents: changes that an operator asks for."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 @frozen
 class MoveIntent:
-    """Traffic of a route should move to another service version.
+    """A request to shift the traffic of a route to another service version.
 
     Attributes:
         route: Name of the route.
-        to_version: Release that should serve it.
+        to_version: Service version that should receive the traffic.
         deadline_ms: Wall time by which the move must have finished.
-        start_ms: Wall time of the first step, 0 for at once.
+        start_ms: Wall time of the first step, 0 for immediately.
     """
 
     route: str
@@ -26,7 +26,7 @@
 
 @frozen
 class Intent:
-    """What an operator wants to change.
+    """A requested change of the configuration.
 
     Attributes:
         services: Services to add or replace.
@@ -34,7 +34,7 @@
         moves: Traffic to shift.
         remove_services: Names of services to remove.
         remove_routes: Names of routes to remove.
-        profile: Policy that judges the moves, empty for the node's default.
+        profile: Name of the policy for the moves, empty for the node's default.
     """
 
     services: tuple[Service, ...] = ()
--- a/src/citronrack/moves/latency.py
+++ b/src/citronrack/moves/latency.py
@@ -1,10 +1,10 @@
-"""A small histogram from which a node estimates a quantile of latencies."""
+"""A small histogram for estimating quantiles of latencies."""
 
 from __future__ import annotations
 
 import math
 
-BINS_PER_OCTAVE = 8  # a quantile is exact to 9%
+BINS_PER_OCTAVE = 8  # quantiles have a relative error of up to 9%
 LOWEST_US = 50
 BINS = 160  # up to 50 s
 _OCTAVE = math.log(2)
@@ -25,10 +25,10 @@
 
     def quantile_us(self, quantile: float) -> int:
         """Return the upper edge of the bin that holds the quantile, in microseconds."""
-        wanted = quantile * self.calls
-        seen = 0
+        rank = quantile * self.calls
+        cumulative = 0
         for index, number in enumerate(self._bins):
-            seen += number
-            if seen >= wanted and seen:
+            cumulative += number
+            if cumulative >= rank and cumulative:
                 return int(LOWEST_US * 2 ** ((index + 1) / BINS_PER_OCTAVE))
         return 0
--- a/src/citronrack/moves/messages.py
+++ b/src/citronrack/moves/messages.py
@@ -1,4 +1,4 @@
-"""Evidence on its way from the counting nodes to the judging nodes of a zone."""
+"""Messages that carry evidence from the counting nodes to the evaluating nodes of a zone."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @frozen
 class CellCounts:
-    """Counters of one bucket and side, see `Counts`; only grown ones are sent."""
+    """Counters of one bucket and side, see `Counts`; sent only after they have increased."""
 
     side: int
     bucket: int
@@ -22,12 +22,12 @@
 
 @frozen
 class MoveEvidence:
-    """What a node counted for one move.
+    """Evidence of one node about one move.
 
     Attributes:
         move: Id of the move, empty for routes without one.
-        cells: Cells that have grown lately.
-        reference_calls: Calls behind ``reference_us``, 0 for none.
+        cells: Cells whose counters have increased since the last messages.
+        reference_calls: Number of calls behind ``reference_us``, 0 for none.
         reference_us: Quantile of the old version's latency in microseconds.
     """
 
@@ -40,7 +40,7 @@
 @message_codec.register("evidence")
 @frozen
 class EvidenceUpdate:
-    """Cells of one node that have grown since its last messages.
+    """Cells of one node whose counters have increased since its last messages.
 
     Attributes:
         node: Name of the counting node.
--- a/src/citronrack/moves/move_facts.py
+++ b/src/citronrack/moves/move_facts.py
@@ -1,4 +1,4 @@
-"""What is known about moves from facts and from the folded log."""
+"""State of moves known to this node, from facts and from the folded log."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 @define
 class KnownMark:
-    """A mark and when this node learned of it, on its monotonic clock."""
+    """A mark and the time at which this node received it, on its monotonic clock."""
 
     mark: Marked
     since_s: float
@@ -66,7 +66,7 @@
         return tuple(known.mark for known in self._marks.values())
 
     def refresh(self) -> None:
-        """Take in new facts; one that cannot be decoded is ignored."""
+        """Apply new facts; a fact that cannot be decoded is ignored."""
         present = set()
         for fact in self._facts.items():
             present.add(fact.key)
@@ -84,7 +84,7 @@
             self._ranks = {key: rank for key, rank in self._ranks.items() if key in present}
 
     def on_state(self, state: FoldState) -> None:
-        """Take in the marks of the folded log, and forget what belongs to decided moves."""
+        """Apply the marks of the folded log, and remove the facts of decided moves."""
         for mark in state.marks.values():
             self._take(mark)
         self._open = frozenset(move_tag(move) for move in state.config.moves.values())
@@ -94,9 +94,9 @@
         self._references = {k: r for k, r in self._references.items() if self._is_current(r.tag)}
 
     def stale_facts(self) -> list[str]:
-        """Return the keys of facts that nobody needs any more.
+        """Return the keys of facts that can be removed.
 
-        These are marks that the folded log contains, and what belongs to decided moves.
+        These are marks that the folded log contains, and facts of decided moves.
         """
         return [fact.key for fact in self._facts.items() if self._is_stale(fact.key)]
 
@@ -106,19 +106,19 @@
         self._facts.put(mark_fact_key(mark), mark_rank(mark), encode(mark))
 
     def put_progress(self, progress: ZoneProgress) -> None:
-        """Publish the own zone's progress."""
+        """Publish the progress of the own zone."""
         self._take(progress)
         self._facts.put(progress.key, progress.rank, encode(progress))
 
     def put_reference(self, reference: SlowReference) -> None:
-        """Publish the own zone's reference for slow calls."""
+        """Publish the latency reference of the own zone."""
         self._take(reference)
         self._facts.put(reference.key, reference.rank, encode(reference))
 
     def mark_of(self, move: Move, service: str) -> KnownMark | None:
         """Return the mark that ends a move, if there is one.
 
-        A mark counts for moves of the same epoch and of earlier ones; a later intent is a new try.
+        A mark applies to moves of its epoch and of earlier ones. A later intent starts over.
         """
         for known in self._marks.values():
             mark = known.mark
@@ -128,11 +128,11 @@
         return None
 
     def progress_of(self, move: Move) -> Mapping[str, ZoneProgress]:
-        """Return the last report of each zone on a move."""
+        """Return the latest progress report of each zone on a move."""
         return self._progress.get(move_tag(move), {})
 
     def reference_of(self, move: Move, availability_zone: str) -> SlowReference | None:
-        """Return a zone's reference for slow calls, if it has one."""
+        """Return the latency reference of a zone, if it has one."""
         return self._references.get(f"{REFERENCE_PREFIX}{move_tag(move)}/{availability_zone}")
 
     def _is_current(self, tag: str) -> bool:
--- a/src/citronrack/moves/open_moves.py
+++ b/src/citronrack/moves/open_moves.py
@@ -1,4 +1,4 @@
-"""The present share of each move, and why it is what it is."""
+"""Current share and status of the open moves."""
 
 from __future__ import annotations
 
@@ -21,13 +21,13 @@
 
 
 class OpenMoves:
-    """Answers questions about open moves on one node.
+    """Computes share and status of the open moves on one node.
 
     Args:
         availability_zone: Zone of this node.
         clock: Source of time.
-        board: Facts about moves.
-        around: Other parts of the node.
+        move_facts: Facts about moves.
+        dependencies: Other parts of the node.
     """
 
     def __init__(
@@ -45,7 +45,7 @@
         self.config = ConfigSet()
 
     def service(self, move: Move) -> str:
-        """Return the service whose traffic shifts."""
+        """Return the service whose traffic is shifted."""
         return self.config.routes[move.route].service
 
     def mark(self, move: Move) -> KnownMark | None:
@@ -55,8 +55,8 @@
     def share(self, move: Move) -> float:
         """Return the share of the new version.
 
-        A version that is known to have no target gets no calls. For that reason a marked version
-        keeps its share while the old one has no target at all.
+        A version that is known to have no target gets no calls. Hence a marked version keeps its
+        share while the old version has no target.
         """
         if self._is_gone(move, move.to_version):
             return 0.0
@@ -66,7 +66,7 @@
         return share_of(move, self._clock.wall_ms(), cleared, marked)
 
     def status(self, move: Move) -> MoveStatus:
-        """Return what operators are told about a move."""
+        """Return the status of a move for operators."""
         reports = self._move_facts.progress_of(move)
         own = reports.get(self._zone)
         return MoveStatus(
@@ -87,7 +87,7 @@
         )
 
     def reason(self, move: Move, own: ZoneProgress | None) -> str:
-        """Return one sentence on why the share is what it is; the first rule that fits."""
+        """Return the reason for the current share, by the first rule that applies."""
         rules: tuple[Callable[[Move, ZoneProgress | None], str], ...] = (
             self._taken_back,
             self._without_targets,
--- a/src/citronrack/moves/outcome.py
+++ b/src/citronrack/moves/outcome.py
@@ -1,4 +1,4 @@
-"""Decides how a move ended from what the zones have reported."""
+"""Decides the outcome of a move from the progress reports of the zones."""
 
 from __future__ import annotations
 
@@ -17,19 +17,19 @@
 
 @frozen
 class OutcomeInputs:
-    """What the holder of the duty knows about a move.
+    """State of a move, as known to the holder of the duty ``outcomes``.
 
     Attributes:
         move: The move.
-        policy: How it is judged.
+        policy: Policy of the move.
         zones: All zones of the mesh.
-        unheard: Zones from which nothing is heard at present.
-        progress: Last report by zone.
+        unreachable_zones: Zones of which no node can currently be reached.
+        progress: Latest report by zone.
         mark: Mark of the new version, None when there is none.
         mark_age_ms: Time for which the holder has known the mark.
         now_ms: Wall time.
-        old_is_gone: Whether it is known that the old version has no target; the move then stays
-            open, because its end would send all calls to that version.
+        old_is_gone: Whether the old version is known to have no target. The move then stays open,
+            because taking it back would route all calls to that version.
     """
 
     move: Move
@@ -44,10 +44,10 @@
 
 
 class OutcomeDecider:
-    """The result of a move under a term of the duty ``outcomes``.
+    """Decides the outcome of a move under a term of the duty ``outcomes``.
 
     Args:
-        inputs: What the holder knows.
+        inputs: State of the move.
         duty_term: Term of the holder's lease.
     """
 
@@ -69,21 +69,21 @@
         return None if inputs.old_is_gone else self._abandoned()
 
     def _abandoned(self) -> MoveOutcome | None:
-        """End a move that cannot go on, so that it does not stay between two versions."""
+        """Take back a move that cannot proceed, so that it does not remain half done."""
         inputs = self._inputs
         if all(self._lacks_evidence(zone) for zone in inputs.zones):
             detail = "too little evidence by the deadline"
             return self._record(MoveResult.TAKEN_BACK, detail, inputs.now_ms)
         move = inputs.move
         extra_ms = max(inputs.policy.watch_ms, move.deadline_ms - move.start_ms)
-        held = sorted(set(inputs.zones) - self._in_phase(Phase.FULL))
-        if held and inputs.now_ms >= move.deadline_ms + extra_ms:
-            detail = "the evidence did not clear the next step in " + ", ".join(held)
+        blocked = sorted(set(inputs.zones) - self._in_phase(Phase.FULL))
+        if blocked and inputs.now_ms >= move.deadline_ms + extra_ms:
+            detail = "the evidence did not clear the next step in " + ", ".join(blocked)
             return self._record(MoveResult.TAKEN_BACK, detail, inputs.now_ms)
         return None
 
     def _taken_back(self, mark: Marked) -> MoveOutcome | None:
-        """Wait a short while for the zones' counts of calls; the result itself is certain."""
+        """Wait briefly for the call counts of all zones; the result itself is final."""
         inputs = self._inputs
         missing = set(inputs.zones) - self._in_phase(Phase.TAKEN_BACK)
         if missing and inputs.mark_age_ms < OUTCOME_GRACE_MS:
@@ -101,11 +101,11 @@
 
     def _unknown(self) -> MoveOutcome:
         missing = self._missing()
-        detail = "not heard from: " + ", ".join(sorted(missing))
+        detail = "no report from: " + ", ".join(sorted(missing))
         return self._record(MoveResult.UNKNOWN, detail, self._inputs.move.deadline_ms, missing)
 
     def _missing(self) -> set[str]:
-        """Return the zones whose part cannot be told."""
+        """Return the zones whose result is unknown."""
         known = self._in_phase(Phase.FULL)
         inputs = self._inputs
         return {
--- a/src/citronrack/moves/plan.py
+++ b/src/citronrack/moves/plan.py
@@ -1,4 +1,4 @@
-"""Plans: what an intent would change, step by step."""
+"""Plans: the exact change that an intent leads to."""
 
 from __future__ import annotations
 
@@ -20,17 +20,17 @@
 
 @frozen
 class Plan:
-    """A self-contained description of a change; nothing happens until it is confirmed.
+    """A self-contained description of a change; it has no effect until it is confirmed.
 
     Attributes:
         plan_id: Digest of all other fields.
-        base_version: Configuration version that the plan rests on.
-        made_ms: Wall time at which it was made.
+        base_version: Configuration version that the plan is based on.
+        made_ms: Wall time at which it was created.
         expires_ms: Wall time after which it cannot be confirmed.
-        change: What it puts and removes, with the exact times and shares of each move's steps.
-        differences: What changes against the present, for people.
-        warnings: What may go wrong, for people.
-        guards: How each move is judged.
+        change: Entries to put and remove, with the exact times and shares of each move's steps.
+        differences: Differences from the base version, as text for operators.
+        warnings: Risks, as text for operators.
+        guards: Criteria by which each move is evaluated.
         resources: Targets of the service versions that the moves need.
     """
 
@@ -46,7 +46,7 @@
 
 
 def plan_digest(plan: Plan) -> str:
-    """Return the id that belongs to the plan's content."""
+    """Return the id that follows from the content of a plan."""
     content = encode(attrs.evolve(plan, plan_id=""))
     return hashlib.blake2b(content, digest_size=16).hexdigest()
 
@@ -62,11 +62,11 @@
     """Return the plan for ``intent``; the same arguments give the same plan.
 
     Args:
-        intent: What the operator wants.
+        intent: Change that the operator asks for.
         base: Configuration in force.
         now_ms: Wall time.
         default_profile: Policy for moves when the intent names none.
-        capacity: Returns what is known about a service version's targets.
+        capacity: Returns the capacity of a service version, as far as it is known.
 
     Raises:
         ConfigInvalid: When the intent cannot lead to a valid configuration.
@@ -105,7 +105,7 @@
 
 
 def _expiry(moves: tuple[Move, ...], now_ms: int) -> int:
-    """A plan whose moves would already be over cannot be confirmed."""
+    """Return the expiry time, at most the first deadline of a move."""
     return min([now_ms + PLAN_LIFETIME_MS, *(move.deadline_ms for move in moves)])
 
 
--- a/src/citronrack/moves/plan_report.py
+++ b/src/citronrack/moves/plan_report.py
@@ -1,4 +1,4 @@
-"""What a plan tells operators beside the change itself."""
+"""Details of a plan that inform operators beside the change itself."""
 
 from __future__ import annotations
 
@@ -19,17 +19,17 @@
 
 @frozen
 class Guard:
-    """How a move is judged.
+    """Criteria by which a move is evaluated.
 
     Attributes:
         move_id: The move.
         profile: Name of the policy.
         unproven_share: Largest share before the first step is cleared, in each zone.
         min_calls: Compared calls of the new version that clear a step, in each zone.
-        false_alarm_chance: Largest chance that a good version is taken back.
+        false_alarm_chance: Largest probability that a good version is taken back.
         slow_margin: A call slower than this many times the old version's 90% quantile is slow.
-        watch_ms: Time for which the new version is watched after it got all calls.
-        with_too_little_evidence: What happens at the deadline.
+        watch_ms: Time for which the new version is watched once it receives all calls.
+        with_too_little_evidence: Effect of too little evidence at the deadline.
     """
 
     move_id: str
@@ -48,9 +48,9 @@
 
     Attributes:
         service: Name of the service.
-        service_version: Release.
-        targets: Live targets, -1 when unknown.
-        slots: Calls that they run at once, together, -1 when unknown.
+        service_version: Service version.
+        targets: Number of live targets, -1 when unknown.
+        slots: Number of calls that all of them together run concurrently, -1 when unknown.
     """
 
     service: str
@@ -60,7 +60,7 @@
 
 
 def guards(moves: Sequence[Move], policy: Policy) -> Iterator[Guard]:
-    """Yield how each move is judged."""
+    """Yield the criteria of each move."""
     for move in moves:
         yield Guard(
             move_id=move.move_id,
@@ -109,7 +109,7 @@
     policy: Policy,
     capacity: CapacityView,
 ) -> Iterator[str]:
-    """Yield one line per thing that may go wrong."""
+    """Yield one line per risk of the plan."""
     for move in moves:
         yield from _move_warnings(result, move, policy, capacity)
     for route in result.routes.values():
@@ -148,7 +148,7 @@
 
 
 def _evidence_warnings(move: Move, policy: Policy, calls_per_second: float) -> Iterator[str]:
-    """Compare the time of the first step with the time that its evidence takes."""
+    """Warn when the first step is too short to collect the evidence that clears it."""
     if calls_per_second <= 0 or len(move.steps) < 2:
         return
     settle_s = 2 * BUCKET_MS / 1000 + policy.evidence_interval_s
--- a/src/citronrack/moves/policy.py
+++ b/src/citronrack/moves/policy.py
@@ -1,4 +1,4 @@
-"""Policies that judge moves, one per profile."""
+"""Policies for planning and evaluating moves, one per profile."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class InsufficientEvidenceAction(StrEnum):
-    """What happens at the deadline when there is too little evidence."""
+    """Effect of too little evidence at the deadline."""
 
     FINISH = "finish"
     TAKE_BACK = "take-back"
@@ -21,8 +21,8 @@
     """A step of a ramp before its times are known.
 
     Attributes:
-        share: Part of the route's calls that the new version gets.
-        at: When the step begins, as a part of the time between start and deadline.
+        share: Fraction of the route's calls that the new version receives.
+        at: Begin of the step, as a fraction of the time between start and deadline.
     """
 
     share: float
@@ -31,19 +31,20 @@
 
 @frozen
 class Policy:
-    """How moves are planned and judged.
+    """Parameters for planning and evaluating moves.
 
     Attributes:
         ramp: Steps of the ramp; the last share is 1.
         unproven_share: Largest share before the first step is cleared.
         alpha: Largest probability that a good version is marked during one move, fleet-wide.
-        odds: Odds of a failure on the new side that the test looks for, equally weighted.
+        odds: Odds ratios of a bad call on the new side that the test detects, equally weighted.
         min_calls: Compared calls of the new version that clear a step.
-        clear_bound: A step is cleared only while every test value is below this.
+        clear_bound: Test value above which clearing a step requires more calls, in proportion,
+            and from which a move with too little evidence does not finish.
         slow_quantile: Quantile of the old version's latency that the slow margin multiplies.
         slow_margin: A call slower than this many times the quantile counts as slow.
-        watch_ms: Time for which the new version is watched after it got all calls.
-        shortage: What happens at the deadline when there is too little evidence.
+        watch_ms: Time for which the new version is watched once it receives all calls.
+        insufficient_evidence_action: Effect of too little evidence at the deadline.
         evidence_interval_s: Time between two evidence messages of a node.
         skew_tolerance_ms: Largest difference between wall clocks that does not make a move late.
     """
@@ -66,8 +67,8 @@
 
 profiles: Registry[Policy] = Registry("profile")
 
-# Few control bytes and an early full share; a small chance of a false alarm is worth more than
-# the last second of detection.
+# Few control bytes, an early full share and a low probability of a false alarm, at the price of
+# a slightly later detection.
 profiles.register("spoorhout")(
     Policy(
         ramp=(RampStep(0.05, 0.0), RampStep(0.25, 0.25), RampStep(0.5, 0.45), RampStep(1.0, 0.65)),
@@ -82,7 +83,7 @@
     )
 )
 
-# For the demo and for trials: minutes become seconds, at the price of much weaker evidence.
+# For demos and trials: takes seconds instead of minutes, with much weaker evidence.
 profiles.register("trial")(
     Policy(
         ramp=(RampStep(0.1, 0.0), RampStep(0.5, 0.3), RampStep(1.0, 0.6)),
@@ -97,8 +98,8 @@
     )
 )
 
-# Bad versions are found sooner and get fewer calls, for more evidence messages and a ten times
-# greater chance of taking back a good version.
+# Detects bad versions sooner and sends them fewer calls, at the price of more evidence messages
+# and a ten times higher probability of taking back a good version.
 profiles.register(SAFEST_PROFILE)(
     Policy(
         ramp=(
@@ -121,8 +122,8 @@
 
 
 def policy_or_safest(name: str) -> Policy:
-    """Return the policy called ``name``, or the most careful one when it does not exist.
+    """Return the policy called ``name``, or the most cautious one when it does not exist.
 
-    A log record may name a profile that this release of citronrack does not have.
+    A log record may name a profile that this release of citronrack does not contain.
     """
     return profiles.get(name if name in profiles else SAFEST_PROFILE)
--- a/src/citronrack/moves/sequential.py
+++ b/src/citronrack/moves/sequential.py
@@ -1,4 +1,4 @@
-"""A sequential test of whether the new side of a move is hit more often than the old one."""
+"""A sequential test of whether the new side of a move has more bad calls than the old one."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 
 @frozen
 class CallSample:
-    """Calls and how many of them were hits (failures, or slow answers)."""
+    """A number of calls and how many of them were bad (failures, or slow responses)."""
 
     calls: int = 0
-    hits: int = 0
+    bad_calls: int = 0
 
 
 class Stratum(Protocol):
-    """Calls of one route in one bucket, with what they are compared with."""
+    """Calls of one route in one bucket, and what they are compared with."""
 
     def log_factor(self, odds: float) -> float:
         """Return the log likelihood ratio of ``odds`` against equal sides."""
@@ -30,8 +30,8 @@
 class PairedStratum:
     """Both sides in the same bucket.
 
-    Given the number of hits, each one lies on the new side with the probability of that side's
-    part of the calls when the sides are equal.
+    If the sides are equal, then given their number each bad call is on the new side with a
+    probability equal to that side's fraction of the calls.
     """
 
     new: CallSample
@@ -39,11 +39,13 @@
 
     def log_factor(self, odds: float) -> float:
         """Return the log likelihood ratio of ``odds`` against equal sides."""
-        hits = self.new.hits + self.old.hits
-        if not hits or not self.new.calls or not self.old.calls:
+        bad_calls = self.new.bad_calls + self.old.bad_calls
+        if not bad_calls or not self.new.calls or not self.old.calls:
             return 0.0
-        part = self.new.calls / (self.new.calls + self.old.calls)
-        return self.new.hits * math.log(odds) - hits * math.log(part * odds + 1 - part)
+        fraction = self.new.calls / (self.new.calls + self.old.calls)
+        return self.new.bad_calls * math.log(odds) - bad_calls * math.log(
+            fraction * odds + 1 - fraction
+        )
 
 
 @frozen
@@ -54,11 +56,11 @@
     rate: float
 
     def log_factor(self, odds: float) -> float:
-        """Return the log likelihood ratio of a rate raised by ``odds`` against the bound."""
+        """Return the log likelihood ratio of a rate increased by ``odds`` against the bound."""
         raised = min(self.rate * odds, (1 + self.rate) / 2)
         gain = math.log(raised / self.rate)
         loss = math.log((1 - raised) / (1 - self.rate))
-        return self.new.hits * gain + (self.new.calls - self.new.hits) * loss
+        return self.new.bad_calls * gain + (self.new.calls - self.new.bad_calls) * loss
 
 
 class SequentialTest:
@@ -66,13 +68,13 @@
 
     The value is a mixture over the odds that a bad version may have and over the bucket in which
     it may have become bad. Half of the weight lies on the first bucket, the rest is spread evenly
-    over ``buckets``, so that a fault that begins late is not outweighed by a long good time.
+    over ``buckets``, so that a long time without faults does not outweigh a fault that begins late.
 
     Args:
-        odds: Odds of a hit on the new side, equally weighted.
+        odds: Odds ratios of a bad call on the new side, equally weighted.
         buckets: Number of buckets over which the start of a fault is spread.
         max_factor: Largest factor of one bucket. A capped factor has a smaller expectation, so
-            the bound holds, and one bucket at the edge of a shared fault cannot decide alone.
+            the bound holds, and one bucket at the edge of a shared fault is not decisive alone.
     """
 
     def __init__(self, *, odds: Sequence[float], buckets: int, max_factor: float) -> None:
@@ -85,27 +87,27 @@
 
     @property
     def value(self) -> float:
-        """Present value; equal sides ever reach ``x`` with probability at most ``1 / x``."""
+        """Current value; equal sides ever reach ``x`` with a probability of at most ``1 / x``."""
         return math.fsum(self._values) / len(self._values)
 
     def add(self, strata: Sequence[Stratum]) -> None:
-        """Take in one bucket.
+        """Add one bucket.
 
-        Routes are strata and not summed: two routes with different shares and failure rates
-        would look like different sides.
+        Routes are separate strata: the sum of two routes with different shares and failure rates
+        would look like a difference between the sides.
         """
         logs = [math.fsum(s.log_factor(odds) for s in strata) for odds in self._odds]
         if not any(logs):
             return
         self._before = list(self._values)
-        added = min(self._weight_per_bucket, self._weight_left)
-        self._weight_left -= added
+        weight = min(self._weight_per_bucket, self._weight_left)
+        self._weight_left -= weight
         for index, log_factor in enumerate(logs):
             factor = math.exp(min(log_factor, self._max_log))
-            self._values[index] = (self._values[index] + added) * factor
+            self._values[index] = (self._values[index] + weight) * factor
 
     def discard_last(self) -> None:
-        """Give up what the last bucket has gained; a smaller value keeps the bound."""
+        """Discard the gain of the last bucket; a smaller value still satisfies the bound."""
         self._values = [
-            min(now, then) for now, then in zip(self._values, self._before, strict=True)
+            min(value, before) for value, before in zip(self._values, self._before, strict=True)
         ]
--- a/src/citronrack/moves/share.py
+++ b/src/citronrack/moves/share.py
@@ -1,4 +1,4 @@
-"""The part of a route's calls that the new service version gets."""
+"""The share of a route's calls that the new service version receives."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def step_index(move: Move, now_ms: int) -> int:
-    """Return the index of the step that the ramp has reached by time, -1 before the start."""
+    """Return the index of the step that is due by time, -1 before the start."""
     return sum(step.at_ms <= now_ms for step in move.steps) - 1
 
 
@@ -21,7 +21,7 @@
     Args:
         move: The move.
         now_ms: Wall time.
-        cleared_step: Number of steps that the zone's evidence has cleared.
+        cleared_step: Number of steps that the zone has cleared.
         marked: Whether the new version is marked as bad.
     """
     index = min(step_index(move, now_ms), cleared_step)
@@ -32,25 +32,25 @@
 
 
 def picks_new(call_key: str, move: Move | RouteShare, share: float) -> bool:
-    """Return whether a call goes to the new version.
+    """Return whether a call is routed to the new version.
 
-    The same key gets the same side at the same share, and a key that has got the new side keeps
-    it while the share grows.
+    The same key gets the same version at the same share, and a key that gets the new version
+    keeps it while the share increases.
 
     Args:
         call_key: Key of the call, from its context.
-        move: The move or its share; only the move id matters.
+        move: The move or its share; only the move id is used.
         share: Share of the new version, 0 to 1.
     """
     return xxhash.xxh64_intdigest(f"{move.move_id}/{call_key}".encode()) < share * _HASH_RANGE
 
 
 def in_time(move: Move, full_ms: int, *, tolerance_ms: int) -> bool:
-    """Return whether a zone that gave the new version all calls at ``full_ms`` met the deadline.
+    """Return whether a zone that reached the full share at ``full_ms`` met the deadline.
 
     Args:
         move: The move.
-        full_ms: Wall time of a node of the zone.
+        full_ms: Time of the full share, by the wall clock of a node of the zone.
         tolerance_ms: Largest difference between wall clocks that does not make the move late.
     """
     return full_ms <= move.deadline_ms + tolerance_ms
--- a/src/citronrack/moves/status.py
+++ b/src/citronrack/moves/status.py
@@ -1,4 +1,4 @@
-"""What operators are told about moves."""
+"""Status of moves for operators."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 @frozen
 class ZoneMove:
-    """One zone's part in a move.
+    """Progress of one zone on a move.
 
     Attributes:
         availability_zone: The zone.
         phase: ``unheard``, ``running``, ``full``, ``watched`` or ``taken back``.
         cleared: Number of cleared steps.
-        calls: Calls of the new version at the last report.
+        calls: Calls that the new version had received at the last report.
     """
 
     availability_zone: str
@@ -26,11 +26,11 @@
 
 @frozen
 class MoveStatus:
-    """An open move, as seen by one node.
+    """Status of an open move, as known to one node.
 
     Attributes:
         move_id: The move.
-        route: Route whose traffic shifts.
+        route: Route whose traffic is shifted.
         from_version: Old service version.
         to_version: New service version.
         share: Share of the new version in this node's zone.
@@ -38,7 +38,7 @@
         cleared: Number of cleared steps in this node's zone.
         deadline_ms: Wall time by which the move must have finished.
         marked: Whether the new version is marked as bad.
-        reason: Why the share is what it is, for people.
+        reason: Reason for the current share, as text for operators.
         zones: Progress of each zone.
     """
 
@@ -57,7 +57,7 @@
 
 @frozen
 class MoveNotice:
-    """Something that the control task writes as one log line."""
+    """A log event about a move, which the control task writes as one line."""
 
     event: Event
     move_id: str
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -1,4 +1,4 @@
-"""Judges all open moves for an availability zone; run by its two judging nodes."""
+"""Evaluates all open moves for an availability zone; runs on its two evaluating nodes."""
 
 from __future__ import annotations
 
@@ -19,25 +19,23 @@
 from .policy import InsufficientEvidenceAction, Policy
 from .status import MoveNotice
 
-SETTLE_MS = 500  # delay of a message and difference of the clocks within a zone
-COUNT_SETTLE_S = 3.0  # calls to a marked version have ended and are counted after this
+SETTLE_MS = 500  # message delay and clock difference within a zone
+COUNT_SETTLE_S = 3.0  # by then calls to a marked version have ended and are counted
 REFERENCE_MIN_CALLS = 50
-REFERENCE_LEAD_BUCKETS = 2  # all nodes of the zone know the reference by then
-INSUFFICIENT_EVIDENCE_LEAD_MS = (
-    2_000  # the last steps are taken one by one and must end by the deadline
-)
-MIN_EVALUATED_MS = 10_000  # a node that has just begun to judge has no evidence yet
-FOLLOW_FRACTION = 0.25  # part of the way to the next step after which a zone follows another one
+REFERENCE_LEAD_BUCKETS = 2  # by then all nodes of the zone have the reference
+INSUFFICIENT_EVIDENCE_LEAD_MS = 2_000  # the last steps follow one by one, before the deadline
+MIN_EVALUATED_MS = 10_000  # a node that has just started to evaluate has no evidence yet
+FOLLOW_FRACTION = 0.25  # of a step's length, after its end, before a zone follows another zone
 
 VersionKey = tuple[str, str, int]
 
 
 @frozen
 class _MoveContext:
-    """What one move is advanced with."""
+    """Inputs for advancing one move."""
 
     move: Move
-    present: ZoneProgress
+    current: ZoneProgress
     evaluator: VersionEvaluator
     route: RouteEvaluator
     policy: Policy
@@ -45,13 +43,13 @@
 
 
 class ZoneMoves:
-    """Advances, marks and watches the moves of the own zone.
+    """Advances the moves of the own zone and marks bad versions.
 
     Args:
         availability_zone: The zone.
         clock: Source of time.
         store: Merged evidence of the zone.
-        board: Facts about moves.
+        move_facts: Facts about moves.
         policy_of: Returns the policy of a profile.
         zones: Returns all zones of the mesh.
     """
@@ -77,17 +75,17 @@
         self._notices: list[MoveNotice] = []
 
     def take_notices(self) -> list[MoveNotice]:
-        """Return what has happened since the last call."""
+        """Return the notices that were added since the last call."""
         notices, self._notices = self._notices, []
         return notices
 
     def add_estimate(self, node: str, evidence: MoveEvidence) -> None:
-        """Keep a node's estimate of the old version's latency."""
+        """Store a node's estimate of the old version's latency."""
         if evidence.reference_calls > 0:
             self._estimates.setdefault(evidence.move, {})[node] = evidence
 
     def advance(self, config: ConfigSet, *, interval_s: float) -> None:
-        """Take in closed buckets and act on what they show.
+        """Evaluate closed buckets, and advance or mark the versions accordingly.
 
         Args:
             config: Configuration in force.
@@ -120,15 +118,15 @@
         for move in moves:
             self._publish_reference(move, policy)
             reports = self._move_facts.progress_of(move)
-            present = reports.get(self._zone) or self._first_report(move)
+            current = reports.get(self._zone) or self._first_report(move)
             route = evaluator.routes[move.move_id]
             self._advance_move(
-                _MoveContext(move, present, evaluator, route, policy, reports), service
+                _MoveContext(move, current, evaluator, route, policy, reports), service
             )
 
     def _mark_if_bad(self, evaluator: VersionEvaluator, key: VersionKey, now_ms: int) -> None:
-        found = evaluator.regression()
-        if found is None:
+        regression = evaluator.regression()
+        if regression is None:
             return
         service, service_version, epoch = key
         self._move_facts.put_mark(
@@ -136,68 +134,68 @@
                 service=service,
                 service_version=service_version,
                 epoch=epoch,
-                reason=found.reason,
-                route=found.route,
-                calls=found.calls,
+                reason=regression.reason,
+                route=regression.route,
+                calls=regression.calls,
                 marked_ms=now_ms,
                 availability_zone=self._zone,
             )
         )
 
     def _advance_move(self, context: _MoveContext, service: str) -> None:
-        present = context.present
-        if context.route.step != present.cleared:
-            begin_ms = max(present.at_ms, _step(context.move, present.cleared).at_ms)
-            context.route.begin_step(present.cleared, from_bucket=bucket_of(begin_ms) + 1)
+        current = context.current
+        if context.route.step != current.cleared:
+            begin_ms = max(current.at_ms, _step(context.move, current.cleared).at_ms)
+            context.route.begin_step(current.cleared, from_bucket=bucket_of(begin_ms) + 1)
         known = self._move_facts.mark_of(context.move, service)
         if known is not None:
             if self._clock.monotonic() - known.since_s >= COUNT_SETTLE_S:
                 self._publish(context, phase=Phase.TAKEN_BACK)
-        elif present.phase == Phase.RUNNING:
+        elif current.phase == Phase.RUNNING:
             self._advance_ramp(context)
-        elif present.phase == Phase.FULL:
-            watched_ms = self._clock.wall_ms() - present.at_ms
+        elif current.phase == Phase.FULL:
+            watched_ms = self._clock.wall_ms() - current.at_ms
             if watched_ms >= context.policy.watch_ms:
-                self._publish(context, phase=Phase.WATCHED, at_ms=present.at_ms)
+                self._publish(context, phase=Phase.WATCHED, at_ms=current.at_ms)
 
     def _advance_ramp(self, context: _MoveContext) -> None:
-        cleared = context.present.cleared
+        cleared = context.current.cleared
         last = _steps_to_clear(context.move)
         begun = self._clock.wall_ms() >= _step(context.move, cleared).at_ms
         if cleared == last:
             if begun:
                 self._publish(context, phase=Phase.FULL)
             return
-        has_shortage = self._lacks_evidence(context)
+        lacks_evidence = self._lacks_evidence(context)
         finishes = (
             context.policy.insufficient_evidence_action is InsufficientEvidenceAction.FINISH
             and context.evaluator.is_clean()
             and not context.route.refuses_too_many()
         )
-        if has_shortage and finishes:
+        if lacks_evidence and finishes:
             self._publish(context, cleared=last)
         elif begun and (
             context.evaluator.clears_step(context.move.move_id) or self._follows_other_zone(context)
         ):
             self._publish(context, cleared=cleared + 1)
-        elif has_shortage and not context.present.lacks_evidence:
+        elif lacks_evidence and not context.current.lacks_evidence:
             self._publish(context, lacks_evidence=True)
 
     def _follows_other_zone(self, context: _MoveContext) -> bool:
-        """Whether this zone has too few calls to judge and another zone has cleared the step."""
-        cleared = context.present.cleared
+        """Whether this zone has too few calls to evaluate and another zone cleared the step."""
+        cleared = context.current.cleared
         begin, end = (_step(context.move, index).at_ms for index in (cleared, cleared + 1))
         wait_over = self._clock.wall_ms() >= end + FOLLOW_FRACTION * (end - begin)
         few = context.route.step_calls < context.policy.min_calls
         cleared_elsewhere = any(report.cleared > cleared for report in context.reports.values())
-        sound = not context.evaluator.is_suspicious() and not context.route.refuses_too_many()
-        return wait_over and few and cleared_elsewhere and sound
+        is_healthy = not context.evaluator.is_suspicious() and not context.route.refuses_too_many()
+        return wait_over and few and cleared_elsewhere and is_healthy
 
     def _lacks_evidence(self, context: _MoveContext) -> bool:
         late = self._clock.wall_ms() >= context.move.deadline_ms - INSUFFICIENT_EVIDENCE_LEAD_MS
         few = context.route.step_calls < context.policy.min_calls
-        judged = context.evaluator.evaluated_ms >= MIN_EVALUATED_MS
-        return late and few and judged and not context.evaluator.is_suspicious()
+        evaluated = context.evaluator.evaluated_ms >= MIN_EVALUATED_MS
+        return late and few and evaluated and not context.evaluator.is_suspicious()
 
     def _publish_reference(self, move: Move, policy: Policy) -> None:
         if self._move_facts.reference_of(move, self._zone) is not None:
@@ -234,25 +232,25 @@
         at_ms: int | None = None,
         lacks_evidence: bool = False,
     ) -> None:
-        """Publish what has changed; a report of the same order as the present one says nothing."""
-        present = context.present
+        """Publish a change of the progress, unless it ranks no higher than the current one."""
+        current = context.current
         progress = attrs.evolve(
-            present,
-            phase=present.phase if phase is None else phase,
-            cleared=present.cleared if cleared is None else cleared,
+            current,
+            phase=current.phase if phase is None else phase,
+            cleared=current.cleared if cleared is None else cleared,
             at_ms=self._clock.wall_ms() if at_ms is None else at_ms,
-            calls=max(context.route.new.calls + context.route.new.cold, present.calls),
+            calls=max(context.route.new.calls + context.route.new.cold, current.calls),
             lacks_evidence=lacks_evidence,
         )
-        if progress.order <= present.order:
+        if progress.order <= current.order:
             return
         self._move_facts.put_progress(progress)
-        if progress.cleared != present.cleared:
+        if progress.cleared != current.cleared:
             text = f"zone {self._zone} has cleared {progress.cleared} steps"
             self._notices.append(MoveNotice(Event.MOVE_STEP, context.move.move_id, text))
 
     def _groups(self, config: ConfigSet) -> dict[VersionKey, list[Move]]:
-        """Return the moves of each new version of which one has started or is about to."""
+        """Return the moves by new version, if one of them has started or is about to."""
         groups: dict[VersionKey, list[Move]] = {}
         for move in config.moves.values():
             groups.setdefault(self._key(move, config), []).append(move)
@@ -271,8 +269,7 @@
 def _steps_to_clear(move: Move) -> int:
     """Return the number of cleared steps that gives the new version all calls.
 
-    The last step is watched, not cleared. A ramp of one step still begins with the unproven
-    share.
+    The last step is watched, not cleared. A ramp of one step still starts with the unproven share.
     """
     return max(len(move.steps) - 1, 1)
 
