Reword comments, docstrings and local names of the log package

Cause: figurative and private wording (stands in, lands, keeper, present, take note). Reasons that the fold stores in its state are unchanged.

--- a/src/citronrack/log/__init__.py
+++ b/src/citronrack/log/__init__.py
@@ -1,4 +1,4 @@
-"""The platform's log: client, records, fold, leases, snapshots and appends with retry."""
+"""The platform's log: client, records, fold, leases, snapshots and appends with retries."""
 
 from __future__ import annotations
 
--- a/src/citronrack/log/_limits.py
+++ b/src/citronrack/log/_limits.py
@@ -1,4 +1,4 @@
-"""Limits of record fields, which keep the folded state bounded whatever the log contains."""
+"""Limits of record fields; they bound the folded state for any content of the log."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def limit_violation(offset: int, envelope: Envelope) -> str:
-    """Return which limit a decoded record breaks, empty for none.
+    """Return which limit a decoded record violates, empty for none.
 
     Args:
         offset: Offset of the record.
@@ -50,7 +50,7 @@
 
 
 def _check_marked(offset: int, body: Marked) -> str:
-    # An epoch is the offset of an earlier record; a greater one would shadow all later marks.
+    # An epoch is the offset of an earlier record; a greater one would hide all later marks.
     return "" if 0 <= body.epoch < offset else "epoch is not an earlier version"
 
 
--- a/src/citronrack/log/_retention.py
+++ b/src/citronrack/log/_retention.py
@@ -1,4 +1,4 @@
-"""Measures how long the log keeps its records."""
+"""Estimates how long the log retains its records."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 @frozen
 class _Sample:
-    """Where the log ended at some time of the own monotonic clock."""
+    """End offset of the log at a time of the own monotonic clock."""
 
     at: float
     end: int
 
 
 class RetentionEstimator:
-    """Compares the log's first offset with where the log ended at earlier times.
+    """Estimates the retention by comparing the log's first offset with earlier end offsets.
 
     Example:
         >>> gauge = RetentionEstimator()
@@ -38,15 +38,15 @@
 
     @property
     def retention_s(self) -> float | None:
-        """Age of the newest record known to be trimmed, in seconds; None before one was."""
+        """Age of the newest record known to be trimmed, in seconds; None if none is."""
         return self._retention_s
 
     def observe(self, now: float, *, first: int, end: int) -> None:
-        """Take note of the log's bounds."""
+        """Record the bounds of the log at a time."""
         while self._samples and self._samples[0].end <= first:
             # The sample's last record was trimmed after the previous observation.
             self._retention_s = now - self._samples.popleft().at
         newest = self._samples[-1] if self._samples else _Sample(now - SAMPLE_EVERY_S, first)
-        # A sample without new records would count as younger than the record it stands for.
+        # A sample without new records would be younger than the record that it represents.
         if end > newest.end and now - newest.at >= SAMPLE_EVERY_S:
             self._samples.append(_Sample(now, end))
--- a/src/citronrack/log/_writers.py
+++ b/src/citronrack/log/_writers.py
@@ -6,13 +6,13 @@
 
 from .state import WriterState
 
-WRITER_RETENTION_OFFSETS = 50_000  # a retry gives up long before this many records have passed
+WRITER_RETENTION_OFFSETS = 50_000  # retries end long before this many records are appended
 KEPT_WRITERS = 4_096  # above the fleet's 3,500 nodes; keeps a snapshot below one 256 KB frame
-KEPT_GAPS = 8  # ranges per writer; an outage makes one
+KEPT_GAPS = 8  # ranges per writer; an outage causes one
 
 
 class Arrival(Enum):
-    """How a record relates to the earlier records of its writer."""
+    """Order of a record among the records of its writer."""
 
     FIRST = "first"
     DUPLICATE = "duplicate"
@@ -22,10 +22,10 @@
 def classify_arrival(
     writers: dict[str, WriterState], writer: str, sequence: int, offset: int
 ) -> Arrival:
-    """Record that ``sequence`` of ``writer`` stands at ``offset``, and say how it relates.
+    """Register that ``sequence`` of ``writer`` is at ``offset``, and classify the record.
 
-    A record below the writer's highest sequence never takes effect: once a newer record was folded,
-    the fate of all older appends of that writer is known.
+    A record below the writer's highest sequence never takes effect: once a newer record is folded,
+    the result of all older appends of that writer is final.
 
     Args:
         writers: State by writer, least recently seen first; changed in place.
@@ -45,7 +45,7 @@
 def _compare_sequence(
     known: WriterState, sequence: int
 ) -> tuple[Arrival, tuple[tuple[int, int], ...]]:
-    """Return the arrival and the ranges of numbers that are missing after it."""
+    """Return the arrival and the ranges of sequence numbers that are missing after it."""
     if sequence > known.sequence:
         gap = ((known.sequence + 1, sequence - 1),) if sequence > known.sequence + 1 else ()
         return Arrival.FIRST, (known.skipped + gap)[-KEPT_GAPS:]
--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -1,4 +1,4 @@
-"""Appends records so that each takes effect at most once, with an honest result."""
+"""Appends records with retries, so that each one takes effect at most once."""
 
 from __future__ import annotations
 
@@ -18,15 +18,15 @@
 from .records import RECORDS_STREAM, SNAPSHOTS_STREAM, Envelope, encode_record
 
 APPEND_LIMIT_S = 7.0  # below the 8 s for which the API waits
-ATTEMPT_LIMIT_S = 3.0  # longest answer time of the client; leaves room for a second attempt
+ATTEMPT_LIMIT_S = 3.0  # the client's longest response time; leaves time for a second attempt
 
 
 @frozen
 class Appended:
-    """A record stands in the log.
+    """Result of an append: the record is in the log.
 
     Attributes:
-        offset: Its offset; the fold decides whether it took effect.
+        offset: Its offset; the fold decides whether it takes effect.
     """
 
     offset: int
@@ -38,16 +38,17 @@
 class Appender:
     """Writes the records of one process, one at a time.
 
-    All attempts of one append carry the same writer and sequence number, so the fold takes the
-    first that lands and drops the rest. After an unknown result the next append uses a greater
-    number. Once that newer record is folded, the fold drops the older one whenever it lands.
+    All attempts of one append carry the same writer and sequence number, so the fold accepts the
+    first that reaches the log and ignores the rest. After an unknown result the next append uses a
+    greater number. Once that newer record is folded, the fold ignores the older one even if it
+    reaches the log later.
 
     Args:
-        client: Access to the log; its answer time must not exceed ``attempt_limit_s``.
+        client: Access to the log; its response time must not exceed ``attempt_limit_s``.
         clock: Source of time.
         random: Source of random numbers for backoff.
         writer: ``node name/boot id``.
-        sleep: Waits for some seconds; returns True when the process is stopping.
+        sleep: Waits for a number of seconds; returns True when the process is stopping.
         limit_s: Longest time of one append.
         attempt_limit_s: Longest time of one attempt; no attempt starts that could exceed the limit.
 
@@ -102,7 +103,7 @@
         return self._run_steps(self.append_steps(body, limit_s=limit_s))
 
     def append_snapshot(self, data: bytes, *, limit_s: float | None = None) -> Appended:
-        """Append a snapshot; a retry may store it twice, which readers tolerate.
+        """Append a snapshot; retries may store it twice, which readers tolerate.
 
         Raises:
             AppendUnknown: When the snapshot may or may not be in the log.
@@ -113,10 +114,10 @@
     def append_steps(self, body: Any, *, limit_s: float | None = None) -> AppendSteps:
         """Return the append as a generator that yields the seconds to wait before its next step.
 
-        The caller sends True to give up early. A simulation drives many appenders with it.
+        The caller sends True to cancel it. A simulation runs many appenders in this way.
         """
-        # A number is used once even when the append is refused: if a refusal were ever wrong, the
-        # next record would otherwise be dropped as a duplicate of the refused one.
+        # A number is not reused even when the append is refused: if the refusal was wrong, the next
+        # record would be dropped as a duplicate of the refused one.
         self._sequence += 1
         envelope = Envelope(self._writer, self._sequence, self._clock.wall_ms(), body)
         data = encode_record(envelope)
@@ -141,7 +142,7 @@
         last_start = self._clock.monotonic() + limit - self._attempt_limit_s
         backoff = Backoff(random=self._random)
         may_be_in_log = False
-        failure = "no time was left for an attempt"
+        failure = "no time left for an attempt"
         pause_s = 0.0
         while (yield from self._may_start(pause_s, last_start)):
             try:
@@ -157,7 +158,7 @@
         raise AppendRefused(f"the record is not in the log: {failure}")
 
     def _may_start(self, pause_s: float, last_start: float) -> Generator[float, bool | None, bool]:
-        """Wait for the backoff and a token; return False when there is no time for an attempt."""
+        """Wait for the backoff and a token; return False when no time is left for an attempt."""
         wait_s = max(pause_s, self._budget.wait_s())
         while wait_s > 0:
             if self._clock.monotonic() + wait_s > last_start:
--- a/src/citronrack/log/budget.py
+++ b/src/citronrack/log/budget.py
@@ -1,4 +1,4 @@
-"""A token bucket that bounds how often one node writes to the log."""
+"""A token bucket that limits the rate at which one node appends to the log."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 
 class AppendBudget:
-    """Hands out one token for each request that may add a record.
+    """Provides one token for each request that may append a record.
 
     Args:
         clock: Source of time.
         per_second: Mean rate.
-        burst: Most tokens that are saved up.
+        burst: Largest number of tokens in the bucket.
 
     Example:
         >>> from citronrack.clock import ManualClock
@@ -33,12 +33,12 @@
         self._refilled_at = clock.monotonic()
 
     def wait_s(self) -> float:
-        """Return the seconds until a token is there, 0 when one is."""
+        """Return the seconds until a token is available, 0 when one is."""
         self._refill()
         return max(0.0, (1.0 - self._tokens) / self._per_second)
 
     def take(self) -> bool:
-        """Take a token and return True, or return False when none is there."""
+        """Take a token and return True, or return False when none is available."""
         if self.wait_s() > 0:
             return False
         self._tokens -= 1.0
@@ -49,6 +49,6 @@
         gained = (now - self._refilled_at) * self._per_second
         self._tokens = min(float(self._burst), self._tokens + gained)
         self._refilled_at = now
-        # Repeated addition leaves 0.999...; a waiter would otherwise wait again for nothing.
+        # Repeated addition can end at 0.999..., which would make a caller wait once more.
         if self._tokens > 1.0 - 1e-9:
             self._tokens = max(self._tokens, 1.0)
--- a/src/citronrack/log/client.py
+++ b/src/citronrack/log/client.py
@@ -10,7 +10,7 @@
 
 
 class LogPageTooLarge(LogUnavailable):
-    """A page exceeds what the client accepts; fewer records per page may fit."""
+    """A page exceeds the client's limit; a request for fewer records may succeed."""
 
 
 @frozen
@@ -19,8 +19,8 @@
 
     Attributes:
         first: Oldest retained offset.
-        end: Offset that the next append will get.
-        records: Pairs of offset and bytes, by offset without gaps.
+        end: Offset of the next append.
+        records: Pairs of offset and bytes, in order of offset and without gaps.
     """
 
     first: int
@@ -35,7 +35,7 @@
         """Append one record and return its offset.
 
         Raises:
-            AppendUnknown: When no answer arrived; the record may be in the log.
+            AppendUnknown: When no response arrived; the record may be in the log.
             AppendRefused: When the service refused; the record is not in the log.
         """
 
@@ -44,11 +44,11 @@
 
         Args:
             stream: Name of the stream.
-            start: First wanted offset.
+            start: First offset to return.
             limit: Largest number of records.
-            wait_ms: How long the service may hold the request when nothing is there.
+            wait_ms: Time for which the service may hold the request while there are no records.
 
         Raises:
-            LogUnavailable: When no answer arrived.
+            LogUnavailable: When no response arrived.
             LogTrimmed: When ``start`` is older than the oldest retained record.
         """
--- a/src/citronrack/log/fold.py
+++ b/src/citronrack/log/fold.py
@@ -1,4 +1,4 @@
-"""Folds log records into state; the same records lead to the same state on every node."""
+"""Folds log records into state; the same records result in the same state on every node."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 KEPT_PLANS = 1_000
 KEPT_OUTCOMES = 1_000
 KEPT_SEED_ZONES = 64
-MAX_REASON = 500  # characters; a change of many faults would otherwise fill the snapshot
+MAX_REASON = 500  # characters; a change with many faults would otherwise fill the snapshot
 MAX_CONFIG_ENTRIES = 20_000  # services, routes and moves; 50 times the two-year target
 
 SUPERSEDED = "a newer record of the same writer was folded before this one"
@@ -57,11 +57,11 @@
 
 @frozen
 class FoldResult:
-    """What one record did.
+    """Effect of one record.
 
     Attributes:
         offset: Offset of the record.
-        accepted: Whether the record changed the state.
+        accepted: Whether the record took effect.
         reason: Why it did not, empty otherwise.
         body: The decoded record, or None when it could not be decoded.
     """
@@ -159,7 +159,7 @@
         return FoldResult(offset, accepted=not reason, reason=reason, body=body)
 
     def _store_superseded(self, offset: int, body: Any) -> None:
-        """Let an operator see why a plan whose append had no answer did not take effect."""
+        """Store the refusal of a plan, for operators whose confirmation had an unknown result."""
         if isinstance(body, Confirmed) and body.plan_id not in self._state.plans:
             self._store_plan(body.plan_id, PlanState(False, offset, SUPERSEDED))
 
@@ -181,19 +181,19 @@
         return reason
 
     def _apply_plan(self, offset: int, body: Confirmed) -> str:
-        present = self._state.config
-        if body.base_version != present.version:
+        current = self._state.config
+        if body.base_version != current.version:
             return (
-                f"plan rests on version {body.base_version}, but version {present.version} "
+                f"plan rests on version {body.base_version}, but version {current.version} "
                 "is in force"
             )
         if body.confirmed_ms > body.expires_ms:
             return "plan had expired when it was confirmed"
-        conflict = move_conflict(present, body.change)
+        conflict = move_conflict(current, body.change)
         if conflict:
             return conflict
         try:
-            result = apply_change(present, body.change, version=offset)
+            result = apply_change(current, body.change, version=offset)
         except ConfigInvalid as error:
             return f"configuration would be invalid: {error}"
         if len(result.services) + len(result.routes) + len(result.moves) > MAX_CONFIG_ENTRIES:
@@ -202,7 +202,7 @@
         return ""
 
     def _store_removed_moves(self, before: ConfigSet, body: Confirmed) -> None:
-        """Keep an outcome for each open move that the plan removed by name."""
+        """Store an outcome for each open move that the plan removed by name."""
         for move_id in body.change.remove_moves:
             move = before.moves.get(move_id)
             if move is not None:
@@ -228,8 +228,8 @@
         )
 
     def _apply_claim(self, offset: int, body: Claim) -> str:
-        present = self._state.leases.get(body.duty)
-        term = present.term if present is not None else 0
+        current = self._state.leases.get(body.duty)
+        term = current.term if current is not None else 0
         if body.term != term + 1:
             return f"duty {body.duty!r} is at term {term}"
         self._state.leases[body.duty] = LeaseState(body.term, body.holder, body.lease_ms, offset)
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -1,4 +1,4 @@
-"""The log service over HTTP."""
+"""Client of the log service over HTTP."""
 
 from __future__ import annotations
 
@@ -10,20 +10,22 @@
 from .client import LogPage, LogPageTooLarge
 
 CONNECT_TIMEOUT_MS = 1_000
-ANSWER_TIMEOUT_MS = 3_000  # an append must leave time for a second attempt; see appender.py
+ANSWER_TIMEOUT_MS = 3_000  # leaves an append time for a second attempt, see appender.py
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 
 _NOT_SENT_ERRORS = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
-_AMBIGUOUS_STATUSES = frozenset({408, 409, 425, 429})  # a proxy may send these for a repeat
+# A proxy that repeats a request may answer the second attempt with one of these statuses although
+# the first one took effect.
+_AMBIGUOUS_STATUSES = frozenset({408, 409, 425, 429})
 
 
 def _parse_offset(body: bytes) -> int:
-    """Return the offset in the answer to an append."""
+    """Return the offset in the response to an append."""
     try:
         offset = msgpack.unpackb(body)["offset"]
-    except Exception as error:  # A foreign answer makes msgpack raise unrelated classes.
+    except Exception as error:  # msgpack raises unrelated classes for malformed input.
         raise AppendUnknown("log service answered the append with a malformed body") from error
     if type(offset) is not int or offset < 0:
         raise AppendUnknown("log service answered the append without an offset")
@@ -31,11 +33,11 @@
 
 
 class HttpLogClient:
-    """Client of one log service; not shared between threads.
+    """Client of one log service; not thread-safe.
 
     Args:
         base_url: Address of the service, such as ``http://127.0.0.1:7000``.
-        answer_timeout_ms: Longest time of a request, without the time of a long poll.
+        answer_timeout_ms: Timeout of a request, in addition to the time of a long poll.
     """
 
     def __init__(self, base_url: str, *, answer_timeout_ms: int = ANSWER_TIMEOUT_MS) -> None:
@@ -56,7 +58,7 @@
             return _parse_offset(body)
         if 400 <= status < 500 and status not in _AMBIGUOUS_STATUSES:
             raise AppendRefused(f"log service refused the append with status {status}")
-        # An outage (503) may begin between the effect and the answer, so it proves nothing.
+        # An outage (503) may begin after the append and before its response.
         raise AppendUnknown(f"log service answered the append with status {status}")
 
     def read(self, stream: str, start: int, *, limit: int, wait_ms: int) -> LogPage:
@@ -81,7 +83,7 @@
             return LogPage(int(content["first"]), int(content["end"]), records)
         except LogTrimmed:
             raise
-        except Exception as error:  # A foreign answer makes msgpack raise unrelated classes.
+        except Exception as error:  # msgpack raises unrelated classes for malformed input.
             raise LogUnavailable("log service answered with a malformed page") from error
 
     def close(self) -> None:
--- a/src/citronrack/log/lease.py
+++ b/src/citronrack/log/lease.py
@@ -1,4 +1,4 @@
-"""Leases on duties that one node does for the whole fleet."""
+"""Leases on duties that one node performs for the whole fleet."""
 
 from __future__ import annotations
 
@@ -9,48 +9,47 @@
 from .state import FoldState, LeaseState
 
 LEASE_MS = 60_000  # two duties cost 4 appends a minute for the fleet
-RENEW_AFTER = 0.5  # of the lease; leaves 30 s for retries of the renewal
-CANDIDATE_RANKS = 2  # per availability zone: its readers, which know the log's end at first hand
-RANK_DELAY_S = 8.0  # several times the delay from a claim until all candidates have folded it
+RENEW_AFTER = 0.5  # fraction of the lease; leaves 30 s for retries of the renewal
+CANDIDATE_RANKS = 2  # per availability zone: its readers, which read the end of the log themselves
+RANK_DELAY_S = 8.0  # several times the delay until all candidates have folded a claim
 RETRY_MIN_S = 5.0
 RETRY_MAX_S = 10.0
-PROCESS_PAUSE_S = (
-    3.0  # ticks come four times a second; a longer gap means that the process stood still
-)
+PROCESS_PAUSE_S = 3.0  # ticks come four times a second; a longer gap is a pause of the process
 
 
 class LeaseManager:
     """Decides when to claim a duty, and whether this process may act under it.
 
-    Pure: no wall clock takes part, and the log decides between claimants. A process acts only under
-    a claim that it sent itself and that it has folded, and only until the lease has passed on its
-    own monotonic clock, counted from before the claim was first sent. Others count from the moment
-    at which they folded the claim, which is later, so they claim after the holder has stopped.
+    Performs no I/O and uses no wall clock; the log decides between concurrent claims. A process
+    acts only under a claim that it sent itself and that it has folded, and only until the lease has
+    expired on its own monotonic clock, counted from before the claim was first sent. Other nodes
+    count from the time at which they folded the claim, which is later, so they claim the duty after
+    the holder has stopped.
 
     Args:
         duty: The duty.
-        own: ``node name/boot id``, so that a restarted node does not take itself for the holder.
+        own: ``node name/boot id``; a restarted node is a different holder.
         clock: Source of time.
         random: Source of random numbers.
-        lease_ms: Length of the leases that this process claims.
+        lease_ms: Duration of the leases that this process claims.
 
     Example:
         >>> from citronrack.clock import ManualClock
         >>> from citronrack.log import Envelope, LogFold, encode_record
         >>> clock, fold = ManualClock(), LogFold()
-        >>> keeper = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
-        >>> keeper.on_tick(rank=0) is None  # waits for its share of the first 8 s
+        >>> manager = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
+        >>> manager.on_tick(rank=0) is None  # delayed by a jitter of up to 8 s
         True
         >>> claims = []
         >>> for _ in range(40):
         ...     clock.advance(0.25)
-        ...     claims += filter(None, [keeper.on_tick(rank=0)])
-        >>> [claim.term for claim in claims], keeper.term
+        ...     claims += filter(None, [manager.on_tick(rank=0)])
+        >>> [claim.term for claim in claims], manager.term
         ([1], None)
         >>> _ = fold.apply(0, encode_record(Envelope("a/1", 1, 0, claims[0])))
-        >>> keeper.on_claim_appended(0)
-        >>> keeper.on_state(fold.state)
-        >>> keeper.term
+        >>> manager.on_claim_appended(0)
+        >>> manager.on_state(fold.state)
+        >>> manager.term
         1
     """
 
@@ -77,22 +76,22 @@
 
     @property
     def duty(self) -> Duty:
-        """The duty that this keeper looks after."""
+        """The duty of this manager."""
         return self._duty
 
     @property
     def term(self) -> int | None:
         """Term under which this process may act now, None when it may not.
 
-        While an own claim is outstanding the process does not act: its record could land behind
-        that claim and would then be ignored.
+        The process does not act while an own claim is outstanding: its record could reach the log
+        after that claim and would then be ignored.
         """
         if self._outstanding is not None or self._next_offset <= self._awaited_offset:
             return None
         return self._term if self._holds() else None
 
     def on_state(self, state: FoldState) -> None:
-        """Take note of the folded log; call it after each batch of records."""
+        """Apply the folded log; to be called after each batch of records."""
         self._next_offset = state.next_offset
         lease = state.leases.get(self._duty.value)
         term = 0 if lease is None else lease.term
@@ -109,11 +108,11 @@
 
         Args:
             rank: Position of this node in its zone's ranking; None while the node should not hold
-                duties: not ready, draining, or with a fold that is not up to date.
+                duties, because it is not ready, is draining or has not caught up with the log.
         """
         now = self._clock.monotonic()
         if now - self._last_tick > PROCESS_PAUSE_S:
-            # The fold is as old as the pause; it may hold a claim that was not yet delivered.
+            # The fold is outdated by the pause; a claim of another node may not be folded yet.
             self._not_before = max(self._not_before, now + PROCESS_PAUSE_S)
         self._last_tick = now
         if rank is None or not 0 <= rank < CANDIDATE_RANKS:
@@ -127,18 +126,18 @@
         return self._claim(now)
 
     def on_claim_appended(self, offset: int) -> None:
-        """Take note that the returned claim stands in the log at ``offset``."""
+        """Handle that the returned claim is in the log at ``offset``."""
         self._outstanding = None
         self._awaited_offset = offset
         self._retry_later()
 
     def on_claim_unknown(self) -> None:
-        """Take note that the returned claim may be in the log."""
+        """Handle that the returned claim may be in the log."""
         self._outstanding = None
         self._retry_later()
 
     def on_claim_refused(self) -> None:
-        """Take note that the returned claim is not in the log."""
+        """Handle that the returned claim is not in the log."""
         if self._outstanding is not None and self._first_of_term:
             self._claim_sent_at.pop(self._outstanding, None)
         self._outstanding = None
@@ -162,7 +161,7 @@
 
     def _claim(self, now: float) -> Claim:
         term = self._term + 1
-        # An earlier claim of the same term may still land, so its time counts.
+        # An earlier claim of the same term may still reach the log, so the lease counts from it.
         self._first_of_term = term not in self._claim_sent_at
         self._claim_sent_at.setdefault(term, now)
         self._outstanding = term
--- a/src/citronrack/log/marks.py
+++ b/src/citronrack/log/marks.py
@@ -1,8 +1,8 @@
-"""Which marks of bad service versions the fold keeps.
+"""Retention of marks of bad service versions in the folded state.
 
 A mark is needed while its service version is configured and either an open move of the mark's epoch
 leads to that version or no newer mark of the version exists. All nodes apply the same rule to the
-same records, so that marks stay bounded by the configured versions and the open moves.
+same records. It bounds the number of marks by the configured versions and the open moves.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 def is_obsolete(state: FoldState, mark: Marked) -> bool:
-    """Return whether nobody needs to append ``mark``: it is folded already or no longer matters.
+    """Return whether ``mark`` need not be appended: it is folded already or no longer needed.
 
     Example:
         >>> is_obsolete(FoldState(), Marked("catalogue", "2.0", 7, "slow", "", 9, 0, "a"))
@@ -28,7 +28,7 @@
 
 
 def rejection_reason(state: FoldState, mark: Marked) -> str:
-    """Return why ``mark`` would have no effect, empty when it should be kept."""
+    """Return why ``mark`` would have no effect, empty when it would be stored."""
     if mark_key(mark.service, mark.service_version, mark.epoch) in state.marks:
         return "service version is already marked"
     if not _is_configured(state.config, mark):
@@ -41,7 +41,7 @@
 
 
 def remove_obsolete(state: FoldState) -> None:
-    """Remove the marks that no longer matter."""
+    """Remove the marks that are no longer needed."""
     if not state.marks:
         return
     newest: dict[tuple[str, str], int] = {}
--- a/src/citronrack/log/records.py
+++ b/src/citronrack/log/records.py
@@ -19,7 +19,7 @@
 
 
 class Duty(StrEnum):
-    """Work that one node does for the whole fleet, held under a lease."""
+    """A role that one node performs for the whole fleet under a lease."""
 
     COMPACTOR = "compactor"
     OUTCOMES = "outcomes"
@@ -37,12 +37,12 @@
 
 @frozen
 class Envelope:
-    """A record with its origin.
+    """A record with the identity of its writer.
 
     Attributes:
         writer: ``node name/boot id`` of the writing process.
         sequence: Number of the append, per writer, from 1; a retried append keeps its number.
-        written_ms: Wall time of the writer, for people only.
+        written_ms: Wall time of the writer, informational only.
         body: One of the record classes of this module.
     """
 
@@ -59,8 +59,8 @@
 
     Attributes:
         plan_id: Digest of the plan's content.
-        base_version: Configuration version that the plan rests on.
-        change: What the plan puts and removes.
+        base_version: Configuration version that the plan is based on.
+        change: Entries that the plan puts and removes.
         confirmed_ms: Wall time of the confirming node.
         expires_ms: Wall time after which the plan may not be confirmed.
         operator: Name of the operator.
@@ -87,7 +87,7 @@
 @record_codec.register("claim")
 @frozen
 class Claim:
-    """A node claims a duty for the next term; accepted when ``term`` is the present one plus 1."""
+    """A node claims a duty for a term; accepted when ``term`` is the current one plus 1."""
 
     duty: str
     term: int
@@ -98,15 +98,15 @@
 @record_codec.register("marked")
 @frozen
 class Marked:
-    """A service version showed itself as bad.
+    """A service version is marked as bad.
 
     Attributes:
         service: Name of the service.
-        service_version: The bad release.
+        service_version: The bad version.
         epoch: Configuration version of the move's confirmation.
-        reason: What the evidence showed.
-        route: Route on which it showed, empty for all.
-        calls: Calls that the release had received in the zone.
+        reason: Description of the evidence.
+        route: Route on which the regression was detected, empty for all routes.
+        calls: Calls that the version had received in the zone.
         marked_ms: Wall time of the marking node.
         availability_zone: Zone of the marking node.
     """
@@ -127,13 +127,13 @@
     """How a move ended, written under the ``outcomes`` duty.
 
     Attributes:
-        duty_term: Term of the writer's lease; a lower one than the present is ignored.
+        duty_term: Term of the writer's lease; the record is ignored unless it is the current one.
         move_id: The move.
         epoch: Configuration version of the move's confirmation.
         result: A value of `MoveResult`.
-        detail: Reason, route and calls for people.
+        detail: Reason, route and zone, as text for operators.
         ended_ms: Wall time at which the move ended.
-        missing_zones: Zones that were not heard, for an unknown result.
+        missing_zones: Zones without a report.
         calls: Calls that the new service version received.
     """
 
@@ -150,7 +150,7 @@
 @record_codec.register("seeds")
 @frozen
 class SeedList:
-    """Addresses at which nodes of a zone can be met, for nodes that start."""
+    """Addresses of nodes of a zone that a starting node can contact."""
 
     availability_zone: str
     addresses: tuple[str, ...]
@@ -159,7 +159,7 @@
 @record_codec.register("snapshot")
 @frozen
 class SnapshotTaken:
-    """A snapshot through ``through`` stands in the snapshots stream at ``snapshot_offset``."""
+    """The snapshot of all records below ``through`` is at ``snapshot_offset`` of its stream."""
 
     duty_term: int
     through: int
@@ -174,7 +174,7 @@
 
 
 def decode_record(data: bytes) -> Envelope:
-    """Return the envelope that ``data`` holds.
+    """Return the envelope that ``data`` encodes.
 
     Raises:
         MessageRejected: When the bytes are oversized, malformed or of an unknown kind.
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -1,4 +1,4 @@
-"""Writing snapshots of the folded log, and finding the newest usable one."""
+"""Scheduling of snapshots of the folded log, and loading of the newest usable one."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
 
 MAX_RECORDS = 2_000
 MAX_AGE_S = 3600.0  # at most half of the shortest retention time that a log may have
-MAX_KNOWN_AGE_S = 6 * 3600.0  # once the retention was seen to be longer
-RETRY_CAP_S = 60.0  # a snapshot is large and nothing waits for it
-MAX_SNAPSHOTS_TRIED = 8  # snapshots that a start reads before it reports that none is usable
+MAX_KNOWN_AGE_S = 6 * 3600.0  # once the retention time is known to be longer
+RETRY_CAP_S = 60.0  # a snapshot is large and not urgent
+MAX_SNAPSHOTS_TRIED = 8  # by a starting node before it reports that none is usable
 
 
 @frozen
@@ -38,7 +38,7 @@
 
 @frozen
 class _UnannouncedSnapshot:
-    """A snapshot that stands in its stream and is not announced yet."""
+    """A snapshot that is in its stream but not yet announced in the records stream."""
 
     through: int
     snapshot_offset: int
@@ -47,28 +47,28 @@
 class SnapshotScheduler:
     """Decides when the holder of duty ``compactor`` takes a snapshot.
 
-    Pure: it returns what to append and is told the result. A snapshot is due when there is none,
-    when ``max_records`` records follow it, when its announcement has come into the older half of
-    the retained records, or when half of the retention time has passed since. The last two keep a
-    snapshot in the log even when no record is accepted any more.
+    Performs no I/O: it returns what to append, and its caller reports the result. A snapshot is due
+    when there is none, when ``max_records`` records follow the last one, when its announcement is
+    in the older half of the retained records, or when half of the retention time has passed since
+    then. The last two conditions keep a snapshot in the log even if no record is accepted any more.
 
     Args:
         clock: Source of time.
         random: Source of random numbers for backoff.
         max_records: Records after which a new snapshot is due.
-        max_age_s: Age after which a new snapshot is due as long as the retention is not known, at
-            most half of the shortest that is possible.
+        max_age_s: Age after which a new snapshot is due while the retention time is unknown, at
+            most half of the shortest possible one.
 
     Example:
         >>> from citronrack.clock import ManualClock
         >>> from citronrack.log import Envelope, LogFold, SeedList, encode_record
         >>> fold = LogFold()
         >>> _ = fold.apply(0, encode_record(Envelope("a/1", 1, 0, SeedList("zone-a", ()))))
-        >>> keeper = SnapshotScheduler(clock=ManualClock(), random=Random(1))
-        >>> keeper.on_tick(fold, term=1, first=0, end=1).through
+        >>> scheduler = SnapshotScheduler(clock=ManualClock(), random=Random(1))
+        >>> scheduler.on_tick(fold, term=1, first=0, end=1).through
         1
-        >>> keeper.on_written(0)
-        >>> keeper.on_tick(fold, term=1, first=0, end=1)
+        >>> scheduler.on_written(0)
+        >>> scheduler.on_tick(fold, term=1, first=0, end=1)
         SnapshotTaken(duty_term=1, through=1, snapshot_offset=0)
     """
 
@@ -93,7 +93,7 @@
         self._not_before = clock.monotonic()
 
     def on_state(self, state: FoldState) -> None:
-        """Take note of the folded log; call it after each batch of records, on every node."""
+        """Apply the folded log; to be called after each batch of records, on every node."""
         if state.snapshot_announced != self._announced:
             self._announced = state.snapshot_announced
             self._folded_at = self._clock.monotonic()
@@ -103,13 +103,13 @@
     def on_tick(
         self, fold: LogFold, *, term: int | None, first: int, end: int
     ) -> WriteSnapshot | SnapshotTaken | None:
-        """Return what to append now, if anything; call it on every node that reads the log.
+        """Return what to append now, if anything; to be called on every node that reads the log.
 
         Args:
             fold: The folded log.
             term: Term of duty ``compactor`` under which this process may act, None when it may not.
             first: Oldest retained offset of the records stream.
-            end: Offset that its next record will get.
+            end: Offset of its next record.
         """
         self.on_state(fold.state)
         if end > 0:
@@ -127,20 +127,20 @@
         return WriteSnapshot(fold.next_offset, fold.to_snapshot())
 
     def on_written(self, snapshot_offset: int) -> None:
-        """Take note that the snapshot stands in the snapshots stream."""
+        """Handle that the snapshot is in the snapshots stream."""
         if self._outstanding is not None:
             self._unannounced = _UnannouncedSnapshot(self._outstanding, snapshot_offset)
         self._outstanding = None
         self._backoff.reset()
 
     def on_announced(self, offset: int) -> None:
-        """Take note that the announcement stands in the records stream at ``offset``."""
+        """Handle that the announcement is in the records stream at ``offset``."""
         self._outstanding = None
         self._awaited_offset = offset
         self._backoff.reset()
 
     def on_failed(self) -> None:
-        """Take note that the last append was refused or has an unknown result."""
+        """Handle that the last append was refused or has an unknown result."""
         self._outstanding = None
         self._not_before = self._clock.monotonic() + self._backoff.next_s()
 
@@ -150,11 +150,11 @@
         if state.snapshot_offset < 0:
             return True
         age_s = self._clock.monotonic() - self._folded_at
-        # Also before anything was trimmed: a burst may trim the first records at any moment, and
-        # doubling costs only about ten small snapshots until `max_records` takes over.
+        # Applies before any record is trimmed too: a burst may cause the first trim at any time.
+        # The doubling costs only about ten small snapshots until `max_records` takes effect.
         in_older_half = state.snapshot_announced < first + (end - first) // 2
-        grown = state.next_offset - state.snapshot_through
-        return grown >= self._max_records or in_older_half or age_s >= self._longest_age_s()
+        records = state.next_offset - state.snapshot_through
+        return records >= self._max_records or in_older_half or age_s >= self._longest_age_s()
 
     def _longest_age_s(self) -> float:
         retention_s = self._retention.retention_s
@@ -168,7 +168,7 @@
     """A usable snapshot.
 
     Attributes:
-        through: Offset at which folding continues.
+        through: Offset from which folding continues.
         data: Bytes for `LogFold.from_snapshot`.
     """
 
@@ -184,8 +184,8 @@
         first: Oldest retained offset of the records stream.
 
     Raises:
-        SnapshotMissing: When none of the newest snapshots is usable; the text says why.
-        LogUnavailable: When the log did not answer.
+        SnapshotMissing: When none of the newest snapshots is usable; the text gives the reasons.
+        LogUnavailable: When the log did not respond.
     """
     faults: list[str] = []
     oldest = _first_page(client)
@@ -210,7 +210,7 @@
 
 
 def _first_page(client: LogClient) -> LogPage:
-    """Return the first retained snapshot; its page also tells the end of the stream."""
+    """Return the page of the first retained snapshot; it also contains the end of the stream."""
     try:
         return client.read(SNAPSHOTS_STREAM, 0, limit=1, wait_ms=0)
     except LogTrimmed as error:
@@ -218,7 +218,7 @@
 
 
 def _read_one(client: LogClient, offset: int, oldest: LogPage) -> bytes | None:
-    """Return the snapshot at ``offset``, None when it was trimmed meanwhile."""
+    """Return the snapshot at ``offset``, None when it has been trimmed meanwhile."""
     try:
         page = oldest
         if offset > oldest.first:
--- a/src/citronrack/log/state.py
+++ b/src/citronrack/log/state.py
@@ -1,4 +1,4 @@
-"""The state that follows from the log's records."""
+"""The state that results from folding the log's records."""
 
 from __future__ import annotations
 
@@ -10,14 +10,13 @@
 
 @define
 class WriterState:
-    """Highest sequence number of a writer and where it stood.
+    """Sequence numbers of a writer that were folded.
 
     Attributes:
         sequence: Highest sequence number that was folded.
         offset: Offset of the writer's newest record.
-        skipped: Ranges of lower numbers that never arrived, lowest first, bounded. A record in one
-            of them that arrives later was overtaken by a newer one; any other lower number is a
-            duplicate.
+        skipped: Ranges of lower numbers that have not arrived, lowest first, bounded. A late record
+            in one of them is superseded by a newer one; any other lower number is a duplicate.
     """
 
     sequence: int
@@ -27,7 +26,7 @@
 
 @define
 class PlanState:
-    """What became of a confirmed plan.
+    """Result of a confirmed plan.
 
     Attributes:
         accepted: Whether the plan took effect.
@@ -42,7 +41,7 @@
 
 @define
 class LeaseState:
-    """Present term of a duty."""
+    """Current term of a duty."""
 
     term: int
     holder: str
@@ -52,7 +51,7 @@
 
 @define
 class FoldState:
-    """Everything that the log says; this is what a snapshot contains.
+    """State of all folded records; the content of a snapshot.
 
     Attributes:
         next_offset: Offset of the next record to fold.
@@ -60,13 +59,13 @@
         config: Configuration in force.
         writers: Highest sequence number by writer.
         plans: Decided plans by id, oldest first, bounded.
-        leases: Present holder by duty.
+        leases: Current lease by duty.
         marks: Bad service versions by ``service/service_version/epoch``; see `log.marks` for how
             long they are kept.
         outcomes: Decided moves by id, oldest first, bounded.
         seeds: Addresses of nodes by availability zone.
         snapshot_through: Offset below which the newest snapshot covers everything.
-        snapshot_offset: Where the newest snapshot stands in the snapshots stream, -1 for none.
+        snapshot_offset: Offset of the newest snapshot in the snapshots stream, -1 for none.
         snapshot_announced: Offset of the record that announced it, -1 for none.
     """
 
--- a/src/citronrack/moves/outcome.py
+++ b/src/citronrack/moves/outcome.py
@@ -101,7 +101,7 @@
 
     def _unknown(self) -> MoveOutcome:
         missing = self._missing()
-        detail = "no report from: " + ", ".join(sorted(missing))
+        detail = "not heard from: " + ", ".join(sorted(missing))
         return self._record(MoveResult.UNKNOWN, detail, self._inputs.move.deadline_ms, missing)
 
     def _missing(self) -> set[str]:
