Reword the tests of log and moves

Cause: figurative and private wording in docstrings and local names. Change: docstrings, comments and local names; no assertion, seed, data or test id changed.

--- a/tests/log/test_appender.py
+++ b/tests/log/test_appender.py
@@ -1,4 +1,4 @@
-"""An append takes effect at most once, in bounded time, with an honest result."""
+"""An append takes effect at most once, in bounded time, and reports its result correctly."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class FaultyClient(MemoryLogClient):
-    """Applies one random fault and a random answer time to each append."""
+    """Applies one random fault and a random response time to each append."""
 
     def __init__(self, store: LogStore, clock: ManualClock, random: Random) -> None:
         super().__init__(store)
@@ -52,7 +52,7 @@
 
 
 class AppenderTest(unittest.TestCase):
-    """Guards against double effects, false refusals, floods and blocked operators."""
+    """Guards against duplicate effects, false refusals, excess appends and blocked operators."""
 
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -76,7 +76,7 @@
         return fold
 
     def test_results_are_honest_and_bounded_under_all_faults(self) -> None:
-        """Fails if a refused record reached the log, a limit was passed, or budget exceeded."""
+        """Fails if a refused record reached the log, or a time limit or budget was exceeded."""
         for seed in range(60):
             self.setUp()
             client, appender = self.make(seed)
@@ -101,7 +101,7 @@
             before = self.fold().state
             self.store.release_held()
             after = self.fold().state
-            # Everything held is older than the last record that was folded, or is that record.
+            # All held records are older than the last folded record, or are that record.
             last = max((int(p[1:]) for p in before.plans if before.plans[p].accepted), default=-1)
             for number, result in results.items():
                 known = after.plans.get(f"p{number}")
@@ -113,7 +113,7 @@
                     self.assertEqual((known.accepted, known.reason), (False, SUPERSEDED))
 
     def test_late_record_is_reported_and_does_not_take_effect(self) -> None:
-        """Fails if an append that got no answer could take effect behind a newer one."""
+        """Fails if an append without a response could take effect after a newer one."""
         client, appender = self.make(1)
         client.faults = ("hold_appends",)
         with self.assertRaises(AppendUnknown):
@@ -127,7 +127,7 @@
         self.assertEqual(state.plans["p1"].reason, SUPERSEDED)
 
     def test_append_waits_for_the_budget_within_its_limit(self) -> None:
-        """Fails if an append was refused although a token came in time."""
+        """Fails if an append was refused although a token became available in time."""
         appender = Appender(
             client=MemoryLogClient(self.store),
             clock=self.clock,
@@ -143,7 +143,7 @@
             appender.append(plan(APPEND_BURST + 1, -1))
 
     def test_task_answers_each_job_within_the_limit(self) -> None:
-        """Fails if an operator behind many stuck appends waited longer than the limit."""
+        """Fails if an append queued behind many blocked ones took longer than the limit."""
         client, appender = self.make(2)
         client.faults = ("outage",)
         task = AppendTask(appender, clock=self.clock)
@@ -161,7 +161,7 @@
         self.assertTrue(all(isinstance(job.exception(), AppendRefused) for job in jobs[1::2]))
 
     def test_stop_refuses_what_was_not_sent(self) -> None:
-        """Fails if a stop left an operator without an answer or sent records meanwhile."""
+        """Fails if a stop left an append without a result, or sent records afterwards."""
         client, appender = self.make(3)
         task = AppendTask(appender, clock=self.clock)
         waiting = task.submit(plan(1, -1))
--- a/tests/log/test_examples.py
+++ b/tests/log/test_examples.py
@@ -1,4 +1,4 @@
-"""The examples in the docstrings of the log side run as they are written."""
+"""Runs the examples in the docstrings of the log package and related modules."""
 
 from __future__ import annotations
 
--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -1,4 +1,4 @@
-"""The same records lead to the same state, and a record takes effect once."""
+"""The same records result in the same state, and a record takes effect once."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class LogFoldTest(unittest.TestCase):
-    """Guards against lost updates, double effects and writes of a paused lease holder."""
+    """Guards against lost updates, duplicate effects and writes of a paused lease holder."""
 
     def setUp(self) -> None:
         self.fold = LogFold()
@@ -48,14 +48,14 @@
         return result.reason
 
     def test_second_of_two_racing_operators_is_refused(self) -> None:
-        """Fails if a confirmation could overwrite one it did not know of."""
+        """Fails if a confirmation could overwrite one that its base version does not include."""
         self.assertEqual(self.apply(confirmed("p1", -1)), "")
         self.assertIn("version 0 is in force", self.apply(confirmed("p2", -1), writer="b/1"))
         self.assertEqual(self.fold.config.version, 0)
         self.assertFalse(self.fold.state.plans["p2"].accepted)
 
     def test_retried_append_takes_effect_once(self) -> None:
-        """Fails if a retry after a lost answer counted as a second record."""
+        """Fails if a retry after a lost response took effect as a second record."""
         self.apply(Claim(Duty.OUTCOMES, 1, "a", 1000), sequence=1)
         self.assertEqual(self.apply(Claim(Duty.OUTCOMES, 2, "a", 1000), sequence=1), "duplicate")
         self.assertEqual(self.fold.state.leases["outcomes"].term, 1)
@@ -102,7 +102,7 @@
         self.assertEqual(self.fold.config.routes["r"].service_version, "2.0")
 
     def test_change_of_a_route_with_an_open_move_is_a_conflict(self) -> None:
-        """Fails if a plan could pull a route away from under its move, or gave no reason."""
+        """Fails if a plan could change a route with an open move, or was refused without reason."""
         self.apply(confirmed("p1", -1))
         epoch = self.start_move("2.0")
         route = Route("r", "/", "catalogue", "2.0")
@@ -114,7 +114,7 @@
         self.assertEqual(self.fold.state.outcomes["m"].result, "cancelled")
 
     def test_marks_do_not_pile_up(self) -> None:
-        """Fails if marks outlived their version, or a foreign epoch shadowed later marks."""
+        """Fails if marks outlived their version, or an invalid epoch hid later marks."""
         self.apply(confirmed("p1", -1))
         for _ in range(20):
             epoch = self.start_move("2.0")
@@ -131,7 +131,7 @@
         self.assertTrue(is_obsolete(self.fold.state, mark))
 
     def test_state_stays_bounded(self) -> None:
-        """Fails if writers, seeds, duties or plans of a long history filled the snapshot."""
+        """Fails if writers, seeds, duties or plans of a long history were all kept."""
         self.assertIn("does not exist", self.apply(Claim("foreign", 1, "a", 60_000)))
         for number in range(KEPT_WRITERS + 100):
             self.apply(SeedList(f"z{number}", ("a",)), writer=f"w{number}/1", sequence=1)
--- a/tests/log/test_fold_machine.py
+++ b/tests/log/test_fold_machine.py
@@ -1,4 +1,4 @@
-"""Random histories of good, duplicate, reordered, foreign and damaged records."""
+"""Random histories of valid, duplicate, reordered, malformed and damaged records."""
 
 from __future__ import annotations
 
@@ -54,7 +54,7 @@
 
 
 class FoldMachine(RuleBasedStateMachine):
-    """Feeds one history to a fold and to a copy that keeps starting from snapshots."""
+    """Applies one history to a fold and to a copy that is repeatedly restored from snapshots."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -67,7 +67,7 @@
         self.decided: dict[tuple[str, int], str] = {}
 
     def feed(self, data: bytes) -> str:
-        """Apply bytes to both folds and check what must hold for every record."""
+        """Apply bytes to both folds and check the invariants that hold for every record."""
         before = self.fold.config
         was_open = {(m.move_id, m.epoch) for m in before.moves.values()}
         result = self.fold.apply(self.fold.next_offset, data)
@@ -103,7 +103,7 @@
 
     @initialize()
     def start(self) -> None:
-        """Put services and routes in force."""
+        """Confirm services, routes and a first move."""
         assert self.write("a", Confirmed("p0", -1, start_change(), 0, 1, "o")) == ""
         assert self.write("a", Claim(Duty.OUTCOMES, 1, "a", 60_000)) == ""
         assert (
@@ -182,7 +182,7 @@
 
     @rule(writer=st.sampled_from("abc"), duty=st.sampled_from(list(Duty)), step=st.integers(0, 2))
     def claim(self, writer: str, duty: str, step: int) -> None:
-        """Claim the present, next or a later term."""
+        """Claim the current, the next or a later term."""
         lease = self.fold.state.leases.get(duty)
         term = (lease.term if lease else 0) + step
         self.write(writer, Claim(duty, term, writer, 60_000))
@@ -195,13 +195,13 @@
 
     @rule(index=st.integers(0, 1_000))
     def deliver_again(self, index: int) -> None:
-        """Deliver an earlier record once more, as a retry or a duplicated append does."""
+        """Apply an earlier record again, as after a retry or a duplicated append."""
         reason = self.feed(self.sent[index % len(self.sent)])
         assert reason, "a duplicate took effect"
 
     @rule(writer=st.sampled_from("abc"))
     def lose_append(self, writer: str) -> None:
-        """Use up a number whose record lands after a newer one."""
+        """Append a record that reaches the log after a newer one of the same writer."""
         late = self.sequences[writer] + 1
         self.sequences[writer] = late
         self.write(writer, SeedList("z", ()))
@@ -213,12 +213,12 @@
 
     @rule(content=anything, tag=st.sampled_from(sorted(record_codec._by_tag)))
     def foreign(self, content: Any, tag: str) -> None:
-        """Deliver a record whose content has other types or sizes."""
+        """Apply a record whose content has other types or sizes."""
         self.feed(msgpack.packb(("x", len(self.sent) + 1, 0, (tag, content))))
 
     @rule(index=st.integers(0, 1_000), at=st.integers(0, 1_000), value=st.integers(0, 255))
     def damaged(self, index: int, at: int, value: int) -> None:
-        """Deliver a record with one changed byte, from a writer that nobody else uses."""
+        """Apply a record with one changed byte, from a writer that no other rule uses."""
         plain = msgpack.unpackb(self.sent[index % len(self.sent)], use_list=False)
         data = bytearray(msgpack.packb(("x", len(self.sent) + 1, *plain[2:])))
         data[at % len(data)] = value
@@ -227,12 +227,12 @@
 
     @rule()
     def restart_copy(self) -> None:
-        """Start the copy from the other fold's snapshot."""
+        """Restore the copy from the other fold's snapshot."""
         self.copy = LogFold.from_snapshot(self.fold.to_snapshot())
 
     @invariant()
     def same_valid_bounded(self) -> None:
-        """Both folds agree, the set is closed, and marks stay bounded."""
+        """Both folds are equal, their configuration is valid, and marks are bounded."""
         state = self.fold.state
         assert state == self.copy.state
         assert list(state.writers) == list(self.copy.state.writers)
@@ -243,7 +243,7 @@
 
 
 class FoldMachineTest(FoldMachine.TestCase):  # type: ignore[name-defined,misc]
-    """Guards against nodes that differ, double effects, reopened moves and unbounded state."""
+    """Guards against nodes that differ, duplicate effects, reopened moves and unbounded state."""
 
     settings = settings(
         max_examples=60,
@@ -261,7 +261,7 @@
     @settings(max_examples=120, derandomize=True, deadline=None, database=None, phases=PHASES)
     @given(st.binary(max_size=60) | anything.map(lambda value: msgpack.packb(value)))
     def test_any_bytes_are_skipped(self, data: bytes) -> None:
-        """Fails if some bytes made the fold raise or take effect."""
+        """Fails if invalid bytes made the fold raise an error or took effect."""
         fold = LogFold()
         self.assertFalse(fold.apply(0, data).accepted)
         self.assertEqual(fold.next_offset, 1)
--- a/tests/log/test_lease.py
+++ b/tests/log/test_lease.py
@@ -1,4 +1,4 @@
-"""One node at a time acts under a duty, whatever fails."""
+"""At most one node acts under a duty at any time, under all faults."""
 
 from __future__ import annotations
 
@@ -26,10 +26,10 @@
 
 
 class LeaseTest(unittest.TestCase):
-    """Guards against two holders, a stuck duty, and floods of claims."""
+    """Guards against two holders, a duty without a holder, and too many claims."""
 
     def make(self, seed: int) -> LogFleet:
-        """Return a fleet whose first holders act."""
+        """Return a fleet in which each duty has a holder."""
         fleet = LogFleet(ZONES, 3, seed)
         fleet.run(25, check=lambda: self.check(fleet))
         self.assertTrue(all(fleet.acting(duty) for duty in Duty))
@@ -41,7 +41,7 @@
             self.assertLessEqual(len(fleet.acting(duty)), 1, fleet.seed)
 
     def check_log(self, fleet: LogFleet) -> None:
-        """Fail if a record was accepted whose writer did not hold its term."""
+        """Fail if an accepted record was written by a node that did not hold its term."""
         fold = LogFold()
         for offset, data in fleet.store.read(RECORDS_STREAM, 0, limit=100_000).records:
             result = fold.apply(offset, data)
@@ -50,18 +50,18 @@
                 self.assertEqual(decode_record(data).writer, holder)
 
     def run_until_held(self, fleet: LogFleet) -> None:
-        """Fail if a duty has no acting holder after a takeover's time."""
+        """Fail if a duty has no acting holder after the time of a takeover."""
         fleet.run(TAKEOVER_S, check=lambda: self.check(fleet))
         for duty in Duty:
             held = bool(fleet.acting(duty))
-            for _ in range(40):  # A renewal in flight leaves a short gap.
+            for _ in range(40):  # An outstanding renewal causes a short gap.
                 if not held:
                     fleet.run(0.25)
                     held = bool(fleet.acting(duty))
             self.assertTrue(held, (fleet.seed, duty))
 
     def test_random_pauses_restarts_outages_and_lost_answers(self) -> None:
-        """Fails if any mix of faults let two nodes act, or progress did not return."""
+        """Fails if a mix of faults let two nodes act, or left a duty without a holder."""
         for seed in range(10):
             self.disturbed_run(seed)
 
@@ -127,7 +127,7 @@
         self.assertNotEqual(state.leases[Duty.COMPACTOR].holder, holder.writer)
 
     def test_few_of_many_candidates_claim(self) -> None:
-        """Fails if all candidates of a large fleet claimed when a holder was lost."""
+        """Fails if all candidates of a large fleet claimed a duty after its holder failed."""
         for seed in range(4):
             fleet = LogFleet(15, CANDIDATE_RANKS, seed)
             fleet.run(25)
@@ -139,7 +139,7 @@
             self.assertLessEqual(claims, len(Duty) * 15 * CANDIDATE_RANKS // 3)
 
     def test_lease_counts_from_the_first_claim_of_its_term(self) -> None:
-        """Fails if a repeated claim lengthened the lease of an earlier one that had landed."""
+        """Fails if a repeated claim extended the lease of an earlier one that is in the log."""
         clock, fold = ManualClock(), LogFold()
         lease_managers = [
             LeaseManager(duty=Duty.OUTCOMES, own=own, clock=clock, random=Random(1))
@@ -165,25 +165,25 @@
         self.assertIsNone(holder.term)
 
     def test_no_action_while_a_claim_is_outstanding_and_no_claim_right_after_a_pause(self) -> None:
-        """Fails if records could land behind the own claim, or a stale fold led to claims."""
+        """Fails if records could follow an own claim in the log, or an outdated fold claimed."""
         clock, fold = ManualClock(), LogFold()
-        keeper = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
+        manager = LeaseManager(duty=Duty.OUTCOMES, own="a/1", clock=clock, random=Random(1))
         for term in (1, 2, 3):
             claim = None
             while claim is None:
                 clock.advance(0.25)
-                claim = keeper.on_tick(rank=0)
-            self.assertIsNone(keeper.term)
-            keeper.on_claim_appended(fold.next_offset)
-            self.assertIsNone(keeper.term)
+                claim = manager.on_tick(rank=0)
+            self.assertIsNone(manager.term)
+            manager.on_claim_appended(fold.next_offset)
+            self.assertIsNone(manager.term)
             fold.apply(term - 1, encode_record(Envelope("a/1", term, 0, claim)))
-            keeper.on_state(fold.state)
-            self.assertEqual(keeper.term, term)
+            manager.on_state(fold.state)
+            self.assertEqual(manager.term, term)
         clock.advance(LEASE_MS)
-        self.assertIsNone(keeper.on_tick(rank=0))
+        self.assertIsNone(manager.on_tick(rank=0))
 
     def test_restarted_node_does_not_take_itself_for_the_holder(self) -> None:
-        """Fails if a new process acted under the lease of the one before it."""
+        """Fails if a restarted process acted under the lease of its predecessor."""
         fleet = self.make(2)
         fleet.start_all()
         fleet.run(
--- a/tests/log/test_log_service.py
+++ b/tests/log/test_log_service.py
@@ -1,4 +1,4 @@
-"""The log client against the stand-in over HTTP."""
+"""The HTTP log client against the stand-in of the log service."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class LogServiceTest(unittest.TestCase):
-    """Guards against a client that calls an append refused although it may stand in the log."""
+    """Guards against a client that reports an append as refused although it may be in the log."""
 
     def setUp(self) -> None:
         self.service = LogServiceStandIn(retention=4)
@@ -25,7 +25,7 @@
         return self.service.store.end("records")
 
     def test_faults_of_appends(self) -> None:
-        """Fails if an answer was wrong about what stands in the log."""
+        """Fails if the result of an append contradicted the content of the log."""
         self.assertEqual(self.client.append("records", b"a"), 0)
         for fault, effect in (("lose_answers", 1), ("hold_appends", 0)):
             before = self.end()
@@ -44,7 +44,7 @@
         self.assertEqual((self.end(), self.service.appends), (5, 5))
 
     def test_slow_answer_is_unknown(self) -> None:
-        """Fails if an append without an answer in time was taken for refused."""
+        """Fails if an append without a response in time was reported as refused."""
         self.service.faults.delay_ms = 400
         client = HttpLogClient(self.service.url, answer_timeout_ms=50)
         self.addCleanup(client.close)
@@ -54,7 +54,7 @@
             client.read("records", 0, limit=1, wait_ms=0)
 
     def test_reads(self) -> None:
-        """Fails if a page was wrong, or trimmed and missing records were mixed up."""
+        """Fails if a page was wrong, or trimmed and not yet written records were confused."""
         for index in range(6):
             self.client.append("records", bytes([index + 1]))
         with self.assertRaises(LogTrimmed) as trimmed:
--- a/tests/log/test_reader.py
+++ b/tests/log/test_reader.py
@@ -1,4 +1,4 @@
-"""The reader delivers every record once, in order, without flooding the log."""
+"""The reader delivers every record once, in order, and limits its rate of requests."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class SmallPageClient(MemoryLogClient):
-    """Answers at once even to a long poll, and refuses pages of more than 7 records."""
+    """Responds at once even to a long poll, and rejects pages of more than 7 records."""
 
     def read(self, stream: str, start: int, *, limit: int, wait_ms: int) -> LogPage:
         """Return a page that fits."""
@@ -28,7 +28,7 @@
 
 
 class Control:
-    """Folds what the reader posts, and sometimes loses a page."""
+    """Folds the pages that the reader posts, and loses some of them."""
 
     reads_log = True
 
@@ -43,7 +43,7 @@
         return self.fold.next_offset
 
     def put(self, mail: Any) -> None:
-        """Take a message of the reader."""
+        """Handle a message of the reader."""
         if isinstance(mail, LogReadFailed):
             self.failures.append(mail.reason)
         elif isinstance(mail, SnapshotRead):
@@ -75,7 +75,7 @@
         return control, reader
 
     def append(self, count: int) -> None:
-        """Append records and keep a fold of them all."""
+        """Append records, and fold all of them for comparison."""
         for _ in range(count):
             offset = self.store.end(RECORDS_STREAM)
             data = encode_record(Envelope("a/1", offset + 1, 0, SeedList(f"z{offset % 9}", ())))
@@ -83,7 +83,7 @@
             self.whole.apply(offset, data)
 
     def test_resumes_after_outages_trims_and_lost_pages(self) -> None:
-        """Fails if the folded state differed from the log, or a wait exceeded its bound."""
+        """Fails if the folded state differed from the log, or a wait exceeded its limit."""
         for seed in range(20):
             self.setUp()
             self.whole = LogFold()
@@ -109,7 +109,7 @@
             self.assertEqual(control.fold.state, self.whole.state)
 
     def test_no_busy_loop_when_nothing_comes(self) -> None:
-        """Fails if a service that does not hold the request was polled without pause."""
+        """Fails if a service that responds at once to long polls was polled without delay."""
         control, reader = self.make(1)
         for _ in range(400):
             reader.step()
--- a/tests/log/test_snapshot.py
+++ b/tests/log/test_snapshot.py
@@ -1,4 +1,4 @@
-"""A usable snapshot always exists, is found, and is not written too often."""
+"""A usable snapshot always exists and can be loaded, and snapshots are not written too often."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
     checked: list[tuple[int, int]] = field(factory=list)
 
     def __call__(self) -> None:
-        """Check the present moment."""
+        """Check that a usable snapshot exists now."""
         store = self.fleet.store
         first = store.read(RECORDS_STREAM, store.end(RECORDS_STREAM), limit=1).first
         position = (first, store.end(SNAPSHOTS_STREAM))
@@ -38,7 +38,7 @@
 
 
 class SnapshotTest(unittest.TestCase):
-    """Guards against a log that cannot be folded any more, and against floods of snapshots."""
+    """Guards against a log from which no node can start, and against too many snapshots."""
 
     def test_new_node_can_always_start(self) -> None:
         """Fails if the log ever held neither all records nor a snapshot that replaces them."""
@@ -76,9 +76,9 @@
             self.assertGreater(checker.checked[-1][0], 500)
 
     def test_quiet_log_keeps_a_snapshot_at_half_of_the_measured_retention(self) -> None:
-        """Fails if no snapshot was left in a quiet log, or the retention was not measured."""
+        """Fails if a log without changes lost its snapshot, or the retention was not estimated."""
         clock, fold, retention_s = ManualClock(), LogFold(), 8 * 3600
-        keeper = SnapshotScheduler(clock=clock, random=Random(1))
+        scheduler = SnapshotScheduler(clock=clock, random=Random(1))
         bodies: list[object] = [Claim("compactor", 1, "a/1", 60_000)]
         record_times: list[float] = []
         written: list[float] = []
@@ -87,26 +87,26 @@
                 number = fold.next_offset
                 fold.apply(number, encode_record(Envelope("a/1", number + 1, 0, body)))
                 record_times.append(clock.monotonic())
-                keeper.on_announced(number)
+                scheduler.on_announced(number)
             first = sum(1 for at in record_times if at < clock.monotonic() - retention_s)
             self.assertGreaterEqual(len(record_times), first + 1)
             self.assertTrue(not written or written[-1] >= clock.monotonic() - retention_s)
-            due = keeper.on_tick(fold, term=1, first=first, end=fold.next_offset)
+            due = scheduler.on_tick(fold, term=1, first=first, end=fold.next_offset)
             bodies = [due] if isinstance(due, SnapshotTaken) else []
             if isinstance(due, WriteSnapshot):
                 written.append(clock.monotonic())
-                keeper.on_written(len(written))
+                scheduler.on_written(len(written))
             clock.advance(10)
         gaps = [later - earlier for earlier, later in pairwise(written)]
         half = retention_s / 2
         self.assertLessEqual(max(gaps), half + 120)
-        # Hourly until the first record was trimmed, then as seldom as half of the retention allows.
+        # Hourly until the first record is trimmed, then at intervals of half of the retention time.
         learned = [gap for at, gap in zip(written, gaps, strict=False) if at >= retention_s]
         self.assertGreaterEqual(min(learned), half - 300)
         self.assertLessEqual(len(written), 9 + (32 * 3600 - retention_s) / half)
 
     def test_damaged_or_trimmed_snapshots(self) -> None:
-        """Fails if a damaged snapshot was used, or a start without any gave no clear reason."""
+        """Fails if a damaged snapshot was used, or a start without a snapshot gave no reason."""
         store = LogStore(clock=ManualClock())
         client = MemoryLogClient(store)
         fold = LogFold()
--- a/tests/moves/test_evidence.py
+++ b/tests/moves/test_evidence.py
@@ -1,4 +1,4 @@
-"""Merged evidence does not depend on order, repetition or the bound on memory."""
+"""Merging evidence is independent of order and repetition, and its memory is bounded."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def copied(cell: EvidenceCell) -> EvidenceCell:
-    """Return the cell with counters of its own, as a decoded message has them."""
+    """Return the cell with its own counters, like one from a decoded message."""
     return attrs.evolve(cell, counts=attrs.evolve(cell.counts))
 
 
@@ -35,14 +35,14 @@
 
 
 class EvidenceTest(unittest.TestCase):
-    """Guards against evidence that is lost, counted twice or unbounded."""
+    """Guards against lost, double-counted or unbounded evidence."""
 
     @settings(max_examples=60, derandomize=True, deadline=None)
     @given(st.lists(cells, max_size=12), st.randoms(use_true_random=False))
     def test_merge_is_independent_of_order_and_repetition(
         self, known: list[EvidenceCell], random: Random
     ) -> None:
-        """Fails if two judging nodes that got the same messages could judge differently."""
+        """Fails if two evaluating nodes with the same messages could have different evidence."""
         one, other = EvidenceStore(), EvidenceStore()
         one.merge(map(copied, known), now_bucket=103)
         shuffled = [*known, *random.sample(known, len(known) // 2)]
@@ -73,7 +73,7 @@
         self.assertEqual(store.total("m", Side.NEW).calls, 7)
 
     def test_number_of_cells_is_bounded(self) -> None:
-        """Fails if a peer could fill this node's memory."""
+        """Fails if a peer could make the memory of this node grow without bound."""
         store = EvidenceStore(max_cells=50)
         for bucket in range(100, 140):
             sources = [Source(f"n{i}", "1", "m", "r", Side.NEW) for i in range(80)]
--- a/tests/moves/test_fleet.py
+++ b/tests/moves/test_fleet.py
@@ -1,4 +1,4 @@
-"""Whole moves with scripted service versions, in one process on a manual clock."""
+"""Complete moves with scripted service versions, in one process on a manual clock."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 IN_TIME = {MoveResult.FINISHED_IN_TIME.value}
 TAKEN_BACK = {MoveResult.TAKEN_BACK.value}
 LIMIT_S = 560.0
-REACTION_S = 4.0  # a mark has reached every node that can be reached, in simulated time
+REACTION_S = 4.0  # simulated time in which a mark spreads to all reachable nodes
 
 
 def make_fleet(
@@ -36,10 +36,10 @@
 
 
 class MoveFleetTest(unittest.TestCase):
-    """Guards against bad versions that stay, good ones that go, and false outcomes."""
+    """Guards against bad versions that stay, good ones that are taken back, and wrong outcomes."""
 
     def run_to_end(self, fleet: MoveFleet, each: Callable[[], None] = lambda: None) -> None:
-        """Step until all moves are decided, checking the cap and the marks after each tick."""
+        """Step until all moves are decided; check the share limit and marks after each tick."""
         first_mark_s: float | None = None
         while not fleet.decided() and fleet.clock.monotonic() < LIMIT_S:
             each()
@@ -59,7 +59,7 @@
         self.assertTrue(fleet.decided())
 
     def test_bad_versions_are_taken_back(self) -> None:
-        """Fails if a scripted fault of the new version does not end its traffic."""
+        """Fails if the new version kept its traffic despite a scripted fault."""
         bad = [name for name in versions if versions.get(name).bad_from_s is not None]
         for number, name in enumerate(bad):
             profile = ("spoorhout", "harbor-lantern")[number % 2]
@@ -72,7 +72,7 @@
                 self.assertIn("old version", outcome.detail)
 
     def test_good_versions_move_in_time_through_faults(self) -> None:
-        """Fails if shared faults, cold targets or a log outage take back or delay a good one."""
+        """Fails if shared faults, cold targets or a log outage took back or delayed a good one."""
         good = [name for name in versions if versions.get(name).bad_from_s is None]
         for number, name in enumerate(good):
             profile = ("harbor-lantern", "spoorhout")[number % 2]
@@ -86,7 +86,7 @@
                 self.assertEqual(results(fleet), IN_TIME)
 
     def test_outcome_is_unknown_while_a_zone_is_cut_off_and_decided_after(self) -> None:
-        """Fails if a move were called finished while a zone was unheard, or its facts removed."""
+        """Fails if a move finished, or its facts were removed, while a zone was unreachable."""
         fleet = make_fleet("good")
         zone = fleet.deployment.zones[-1]
         seen: list[tuple[str, tuple[str, ...]]] = []
@@ -106,7 +106,7 @@
         self.assertEqual(results(fleet), IN_TIME)
 
     def test_cut_off_zone_takes_back_on_its_own_evidence(self) -> None:
-        """Fails if a zone without any outside contact kept sending calls to a bad version."""
+        """Fails if a zone cut off from all others kept sending calls to a bad version."""
         fleet = make_fleet("bad later", seed=5)
         zone = fleet.deployment.zones[-1]
         fleet.cut = {zone}
@@ -141,7 +141,7 @@
         self.assertEqual(len(fleet.newest.state.marks), 1)
 
     def test_marked_version_stays_while_no_target_of_the_old_one_is_left(self) -> None:
-        """Fails if calls were taken back to a version without targets, or nobody was told."""
+        """Fails if calls were routed back to a version without targets, or the status hid it."""
         fleet = make_fleet("bad after the end", seed=2)
         fleet.run_until(lambda: fleet.share(fleet.deployment.zones[0]) == 1, limit_s=200)
         for node in fleet.nodes:
@@ -159,7 +159,7 @@
         self.assertEqual(results(fleet), TAKEN_BACK)
 
     def test_judging_nodes_can_be_replaced(self) -> None:
-        """Fails if new judging nodes did not go on with the steps, or missed a later fault."""
+        """Fails if new evaluating nodes did not continue the ramp, or missed a later fault."""
         fleet = make_fleet("bad under load", seed=4)
         zone = fleet.deployment.zones[0]
         fleet.run_until(lambda: fleet.age_s > 40, limit_s=60)
@@ -170,7 +170,7 @@
         self.assertTrue(fleet.run_until(lambda: fleet.share(zone) == 0.0, limit_s=140))
 
     def test_shortage_follows_the_profile(self) -> None:
-        """Fails if a move without evidence ended in another way than its profile says."""
+        """Fails if a move without evidence did not end as its profile specifies."""
         for profile, wanted in (("spoorhout", IN_TIME), ("harbor-lantern", TAKEN_BACK)):
             with self.subTest(profile):
                 fleet = make_fleet("good", profile=profile)
--- a/tests/moves/test_plan.py
+++ b/tests/moves/test_plan.py
@@ -1,4 +1,4 @@
-"""Plans are deterministic and readable, and shares stay within their limits."""
+"""Plans are deterministic and complete, and shares stay within their limits."""
 
 from __future__ import annotations
 
@@ -41,10 +41,10 @@
 
 
 class PlanTest(unittest.TestCase):
-    """Guards against plans that differ, hide risks or exceed the cap."""
+    """Guards against plans that differ, hide risks or exceed the share limit."""
 
     def test_same_intent_gives_same_plan_and_any_change_another_id(self) -> None:
-        """Fails if an altered plan could be confirmed under the id of the shown one."""
+        """Fails if an altered plan had the id of the original one."""
         plan = plan_for()
         self.assertEqual(plan, plan_for())
         self.assertEqual(plan.plan_id, plan_digest(plan))
@@ -66,7 +66,7 @@
             plan_for(attrs.evolve(INTENT, profile="no-such"))
 
     def test_risks_are_named(self) -> None:
-        """Fails if an operator confirmed a plan without being told of its risks."""
+        """Fails if a plan did not list its risks."""
         known = {"1": Capacity(4, 24, 30, calls_per_second=2.0), "2": Capacity(1, 6)}
         text = "\n".join(plan_for(capacity=lambda _, v: known[v]).warnings)
         self.assertIn("deadline is too short", text)
@@ -83,7 +83,7 @@
         st.integers(START - 10, DEADLINE + 10), st.integers(0, 6), st.sampled_from(list(profiles))
     )
     def test_share_limits(self, now_ms: int, cleared: int, profile: str) -> None:
-        """Fails if time alone raised the share of an unproven, uncleared or marked version."""
+        """Fails if time alone increased the share of an unproven, uncleared or marked version."""
         move = plan_for(attrs.evolve(INTENT, profile=profile)).change.put_moves[0]
         move = attrs.evolve(move, unproven_share=move.steps[0].share / 2)
         share = share_of(move, now_ms, cleared, False)
@@ -96,7 +96,7 @@
         self.assertLessEqual(share, share_of(move, now_ms + 1, cleared + 1, False))
 
     def test_keys_stay_on_the_new_side_while_the_share_grows(self) -> None:
-        """Fails if a caller flipped between versions, or the part of calls missed the share."""
+        """Fails if a caller alternated between versions, or the calls did not match the share."""
         move = plan_for().change.put_moves[0]
         keys = [f"key-{n}" for n in range(4_000)]
         before: set[str] = set()
--- a/tests/moves/test_sequential.py
+++ b/tests/moves/test_sequential.py
@@ -1,4 +1,4 @@
-"""The sequential test finds bad versions and leaves good ones alone."""
+"""The sequential test detects bad versions and rarely marks good ones."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class SequentialTestTest(unittest.TestCase):
-    """Guards against false alarms above alpha and against faults that are never found."""
+    """Guards against false alarms above alpha and against undetected faults."""
 
     def test_equal_sides_reach_the_threshold_rarely(self) -> None:
-        """Fails if looking after each bucket raised the false-alarm rate above alpha."""
+        """Fails if testing after each bucket raised the false-alarm rate above alpha."""
         for setting in SETTINGS:
             random = Random(setting.name)
             values = [highest_value(setting, random) for _ in range(RUNS)]
@@ -35,7 +35,7 @@
         self.assertLess(test.value, MAX_FACTOR)
 
     def test_late_fault_is_found_in_spite_of_a_long_good_time(self) -> None:
-        """Fails if failures of a good time outweighed a fault that begins later."""
+        """Fails if a long time without faults outweighed a fault that begins later."""
         test = make_test()
         for _ in range(150):
             test.add([PairedStratum(CallSample(50, 0), CallSample(150, 3))])
