Reword comments, docstrings and local names of the bench package

Cause: figurative and private wording. Change: texts and local names in src/citronrack/bench; printed table heads and names of scenarios, ways and versions are unchanged.

--- a/src/citronrack/bench/balancing.py
+++ b/src/citronrack/bench/balancing.py
@@ -25,7 +25,7 @@
 
 
 def _model(policy: str, seed: int, *, load: float, weights: list[float] | None = None) -> Model:
-    """Return a model with equal targets in three zones and calls of ``load`` of the capacity."""
+    """Return a model of equal targets in three zones under ``load``, a fraction of the capacity."""
     return Model(
         policy=policy,
         seed=seed,
@@ -110,8 +110,8 @@
 
 def _summary(results: list[Result]) -> str:
     parts = []
-    for label, part in (("p50", 0.5), ("p99", 0.99)):
-        values = [percentile(result.latencies_s, part) * 1000 for result in results]
+    for label, fraction in (("p50", 0.5), ("p99", 0.99)):
+        values = [percentile(result.latencies_s, fraction) * 1000 for result in results]
         parts.append(f"{label} {median(values):.0f}/{max(values):.0f} ms")
     for label, values in (
         ("failed", [float(result.failed) for result in results]),
--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -1,4 +1,4 @@
-"""A queue model of targets and callers in manual time, for comparing balancing policies."""
+"""A queueing model of targets and callers in simulated time, for comparing balancing policies."""
 
 from __future__ import annotations
 
@@ -27,12 +27,12 @@
     Attributes:
         name: Its name.
         availability_zone: Its zone.
-        slots: Calls that it runs at once.
+        slots: Number of calls that it runs concurrently.
         service_s: Mean service time.
-        failing: Chance that a call fails at once.
-        fake_load: Load that its answers and membership claim, None for the truth.
+        failing: Probability that a call fails at once.
+        fake_load: Load that it reports, None for the actual load.
         alive: Whether it accepts connections.
-        queue: Admission at its node.
+        queue: Admission queue of its node.
     """
 
     name: str
@@ -49,13 +49,13 @@
 
     @property
     def claimed_load(self) -> int:
-        """Load that it tells."""
+        """Load that it reports."""
         return self.queue.load if self.fake_load is None else self.fake_load
 
 
 @define(eq=False)
 class _Call:
-    """A call under way."""
+    """A call in progress."""
 
     started_at: float
     caller: int
@@ -67,14 +67,14 @@
 
 @define
 class Result:
-    """What callers saw.
+    """Results of the calls, from the view of the callers.
 
     Attributes:
-        seconds: Model time.
-        latencies_s: Seconds of each good answer.
+        seconds: Simulated time.
+        latencies_s: Latency of each successful call.
         failed: Calls that failed at a target.
-        refused: Calls that no target took.
-        late: Answers after the timeout.
+        refused: Calls that no target accepted.
+        late: Responses after the timeout.
     """
 
     seconds: float
@@ -85,21 +85,21 @@
 
     @property
     def goodput(self) -> float:
-        """Good answers a second."""
+        """Successful calls per second."""
         return len(self.latencies_s) / self.seconds
 
 
 @define(eq=False)
 class Model:
-    """Nodes that send calls to a pool of targets; events run in order of time.
+    """Nodes that send calls to a pool of targets, as a discrete-event simulation.
 
     Attributes:
         policy: Name of the policy.
         seed: Seed of all random numbers.
         targets: The pool.
         zones: Zone of each calling node.
-        weights: Part of the calls of each calling node.
-        rate: Calls a second in total.
+        weights: Relative number of calls of each calling node.
+        rate: Calls per second in total.
         link_one_way_s: Delay between zones.
     """
 
@@ -133,11 +133,11 @@
         ]
 
     def at(self, when: float, action: Callable[[], None]) -> None:
-        """Run an action at a time."""
+        """Schedule an action at a simulated time."""
         heapq.heappush(self._events, (when, next(self._order), action))
 
     def run(self, seconds: float) -> Result:
-        """Run the model and return what callers saw."""
+        """Run the model and return the results of the calls."""
         self._result = Result(seconds)
         self._refresh()
         self.at(0.0, self._arrive)
@@ -148,7 +148,7 @@
         return self._result
 
     def _refresh(self) -> None:
-        """Make a new view, as membership would, and schedule the next one."""
+        """Update the view of the pool, as membership would, and schedule the next update."""
         self._pool = tuple(
             PoolTarget(
                 name=target.name,
--- a/src/citronrack/bench/calls.py
+++ b/src/citronrack/bench/calls.py
@@ -23,7 +23,7 @@
 
 ROUNDS = 5
 CALLS_PER_ROUND = 500
-PACE_S = 0.02  # 50 calls a second, as in the fleet of two years
+PACE_S = 0.02  # 50 calls per second, as in the two-year target
 RATE_ROUNDS = 3
 RATE_S = 2.0
 RATE_THREADS = 4
@@ -40,14 +40,14 @@
 
 @define(eq=False)
 class Testbed:
-    """Two node processes; the target of each runs one service version."""
+    """Two node processes, each with a target that runs one service version."""
 
     fleet: Fleet
     targets: list[TargetProcess]
 
     @property
     def addresses(self) -> dict[str, tuple[Address, str]]:
-        """Where a call goes directly, through one node and through two, and its path."""
+        """Address and path of a call without a node, through one node and through two."""
         near, _ = self.fleet.nodes.values()
         call_address = split(near.addresses["call"])
         return {
@@ -66,7 +66,7 @@
 def running_testbed(
     *, delay_s: float = 0.0, workers: int = 0, slots: int = 100, timeout_ms: int = 5000
 ) -> Iterator[Testbed]:
-    """Start targets and nodes, publish a route to each target and wait until calls work."""
+    """Start targets and nodes, publish a route to each target and wait until calls succeed."""
     targets = [TargetProcess(str(index), delay_s, workers) for index in (1, 2)]
     with Fleet() as fleet:
         for index, target in enumerate(targets, 1):
@@ -85,7 +85,7 @@
             if not wait_until(lambda c=caller: c.call()[0] == 200, limit_s=30):  # type: ignore
                 raise RuntimeError(f"no answer at {address} {path}")
             caller.close()
-        time.sleep(11)  # the slow ramp of cold targets
+        time.sleep(11)  # until targets that have just started receive their full load
         yield testbed
 
 
@@ -125,7 +125,7 @@
 
 @measurements.register("latency")
 def latency() -> None:
-    """Print what nodes, and a bare relay, add to a call at 50 calls a second per node."""
+    """Print the latency that nodes, and a plain relay, add at 50 calls per second per node."""
     print(f"latency: {ROUNDS} rounds of {CALLS_PER_ROUND} calls each way, real node processes")
     random = Random(1)
     added: dict[str, list[list[float]]] = {"relay": [], "one node": [], "two nodes": []}
@@ -163,12 +163,14 @@
 
 
 def _percentiles(values: list[float]) -> str:
-    return " ".join(f"{name} {percentile(values, part) * 1000:.3f} ms" for part, name in QUANTILES)
+    return " ".join(
+        f"{name} {percentile(values, fraction) * 1000:.3f} ms" for fraction, name in QUANTILES
+    )
 
 
 @measurements.register("rate")
 def rate() -> None:
-    """Print calls a second and processor time with callers that never pause."""
+    """Print calls per second and processor time with callers that send without pauses."""
     print(f"rate: {RATE_THREADS} callers without pauses, {RATE_ROUNDS} rounds of {RATE_S} s each")
     with running_testbed() as testbed:
         results: dict[str, list[float]] = {name: [] for name in testbed.addresses}
@@ -190,7 +192,7 @@
 
 @measurements.register("overload")
 def overload() -> None:
-    """Print goodput at twice the capacity, with admission and without."""
+    """Print goodput at twice the capacity, with and without admission control."""
     capacity = OVERLOAD_SLOTS / OVERLOAD_DELAY_S
     print(f"overload: capacity {capacity:.0f} calls/s, timeout {OVERLOAD_TIMEOUT_MS} ms")
     for name, slots in (("admission on", OVERLOAD_SLOTS), ("admission off", 1000)):
--- a/src/citronrack/bench/calls_load.py
+++ b/src/citronrack/bench/calls_load.py
@@ -1,4 +1,4 @@
-"""A client for measurements: plain sockets, no work beside the call."""
+"""A load generator on plain sockets, with little overhead per call."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 
 @define(eq=False)
 class Caller:
-    """One kept connection that sends the same request again and again.
+    """A client that repeats one request on a persistent connection.
 
     Attributes:
-        address: Where to connect.
+        address: Address to connect to.
         path: Path of the request.
-        headers: More header lines, each ended by CR LF.
+        headers: Additional header lines, each terminated by CR LF.
     """
 
     address: Address
@@ -38,7 +38,7 @@
     _request: bytes = field(default=b"", init=False)
 
     def call(self) -> tuple[int, float]:
-        """Return status (0 for none) and seconds of one call."""
+        """Send one request; return its status, 0 for no response, and its duration in seconds."""
         if self._socket is None:
             self._socket = socket.create_connection(self.address, timeout=10)
             self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -78,8 +78,8 @@
 
     Attributes:
         seconds: Duration.
-        by_status: Number of answers by status.
-        latencies_s: Seconds of each call with status 200.
+        by_status: Number of responses by status.
+        latencies_s: Latency of each call with status 200.
     """
 
     seconds: float
@@ -93,7 +93,7 @@
 
 
 def closed_loop(callers: Sequence[Caller], *, seconds: float) -> Rate:
-    """Let each caller send calls one after the other."""
+    """Let each caller send its calls one after the other."""
     end = time.perf_counter() + seconds
 
     def run(caller: Caller) -> list[tuple[int, float]]:
@@ -108,7 +108,7 @@
 
 
 def open_loop(callers: Sequence[Caller], *, per_s: float, seconds: float) -> Rate:
-    """Send calls at fixed times, whatever the answers are."""
+    """Send calls at a fixed rate, spread over the callers."""
     start = time.perf_counter()
     step = len(callers) / per_s
 
@@ -137,10 +137,10 @@
     return Rate(seconds, by_status, latencies)
 
 
-def percentile(values: Sequence[float], part: float) -> float:
-    """Return the value below which ``part`` of the values lie, 0 to 1."""
+def percentile(values: Sequence[float], fraction: float) -> float:
+    """Return the quantile of the values at ``fraction``, 0 to 1."""
     ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else float("nan")
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))] if ordered else float("nan")
 
 
 def cpu_s(pid: int) -> float:
--- a/src/citronrack/bench/calls_parts.py
+++ b/src/citronrack/bench/calls_parts.py
@@ -1,4 +1,4 @@
-"""Where the time of a call goes inside one node, and what a log line costs."""
+"""Profile of a call through one node, and the cost of a log line."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def print_parts() -> None:
-    """Profile a call through one node in this process; a profiler makes all parts slower."""
+    """Print a profile of calls through one node; profiling itself slows all parts down."""
     print(f"parts: {CALLS} calls through one node in one process, profile of its call thread")
     profile = cProfile.Profile(time.thread_time)
     target = TargetStandIn(service_version="1")
@@ -77,7 +77,7 @@
 
 
 def _print_lines() -> None:
-    """Print the cost of one routing line for the call thread and for the writing task."""
+    """Print the cost of one routing line in the call thread and in the log task."""
     for level in ("info", "debug"):
         stream = io.StringIO()
         events = EventLog(node="n", level=level, stream=stream)
--- a/src/citronrack/bench/calls_relay.py
+++ b/src/citronrack/bench/calls_relay.py
@@ -1,4 +1,4 @@
-"""A process that copies bytes between two connections: the least that any hop can cost."""
+"""A process that copies bytes between two connections: the minimum cost of a hop."""
 
 from __future__ import annotations
 
@@ -15,11 +15,11 @@
 
 @define(eq=False)
 class RelayProcess:
-    """A running relay for one connection; knows nothing of HTTP.
+    """A relay of one TCP connection in its own process.
 
     Attributes:
-        to: Where it sends what it receives.
-        address: Where it listens.
+        to: Address to which it forwards.
+        address: Address on which it listens.
     """
 
     to: Address
@@ -41,7 +41,7 @@
 
 
 def main() -> None:
-    """Relay one connection until it ends."""
+    """Relay one connection until it is closed."""
     host, port = sys.argv[1:]
     listener = socket.create_server(("127.0.0.1", 0))
     print(listener.getsockname()[1], flush=True)
--- a/src/citronrack/bench/calls_target.py
+++ b/src/citronrack/bench/calls_target.py
@@ -1,4 +1,4 @@
-"""A stand-in target in a process of its own, so that it shares no interpreter lock."""
+"""A stand-in target in its own process, so that it shares no interpreter lock with the caller."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 @define(eq=False)
 class TargetProcess:
-    """A running stand-in; has the methods of `TargetStandIn` that a fleet uses.
+    """A running stand-in with the methods of `TargetStandIn` that a fleet uses.
 
     Attributes:
-        service_version: Release that it answers with.
-        delay_s: Time that each request takes.
-        workers: Requests that it works on at once; others wait in it. 0 for no limit.
+        service_version: Service version in its responses.
+        delay_s: Duration of each request.
+        workers: Number of requests that it handles concurrently; others are queued. 0 for no limit.
         address: ``ip:port`` of the server.
     """
 
@@ -53,7 +53,7 @@
 
 
 def main() -> None:
-    """Serve until the standard input ends."""
+    """Serve until the standard input is closed."""
     version, delay_s, workers = sys.argv[1:]
     target = TargetStandIn(
         service_version=version, delay_s=float(delay_s), workers=int(workers) or None
--- a/src/citronrack/bench/directory.py
+++ b/src/citronrack/bench/directory.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of what a node knows about other zones, at the two-year size.
+"""Memory and processor time of a node's directory of other zones, at the two-year target.
 
 Run ``python -m citronrack.bench.directory``.
 """
@@ -63,7 +63,7 @@
 
 
 def main() -> int:
-    """Print the figures."""
+    """Print the measurements."""
     gc.collect()
     tracemalloc.start()
     views = _fill()
--- a/src/citronrack/bench/distribution.py
+++ b/src/citronrack/bench/distribution.py
@@ -1,6 +1,6 @@
 """Measures the distribution of changes: ``python -m citronrack.bench.distribution``.
 
-Runs the cores on simulated time; bytes are those of real frames, processor time is measured.
+Runs the cores in simulated time. Bytes are those of real frames; processor time is measured.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 ZONES = 2
 SETTLE_S = 20.0
 MEASURE_S = 30.0
-CHANGE_INTERVAL_S = 9.93  # 8,700 changes a day
+CHANGE_INTERVAL_S = 9.93  # 8,700 changes per day
 BIG_ZONES = 15
 LIMIT_S = 30.0
 NEVER_S = 999.0
@@ -39,15 +39,15 @@
 
     Attributes:
         lags_s: Per change, the time until the last live node had it.
-        mean_bytes: Mean bytes sent a second and node.
-        worst_bytes: Bytes a second of the node that sent the most.
-        received_bytes: Bytes a second of the node that received the most.
-        change_zone_bytes: Bytes of pushed and repaired records per change inside zones.
-        cross_zone_bytes: Bytes of all kinds a second between zones.
-        messages: Messages a second and node.
-        log_reads: Requests to the log a second, all nodes together.
-        core_share: Processor time of the cores a node and second, in percent.
-        codec_share: The same for making and reading frames.
+        mean_bytes: Mean number of bytes sent per second and node.
+        worst_bytes: Bytes per second of the node that sent the most.
+        received_bytes: Bytes per second of the node that received the most.
+        change_zone_bytes: Bytes of pushed and repaired records per change within zones.
+        cross_zone_bytes: Bytes of all kinds per second between zones.
+        messages: Messages per second and node.
+        log_reads: Requests to the log per second, all nodes together.
+        core_share: Processor time of the cores per node and second, in percent.
+        codec_share: The same for encoding and decoding frames.
     """
 
     lags_s: tuple[float, ...]
@@ -124,7 +124,7 @@
 
 @SCENARIOS.register("loss")
 def loss(way: str, nodes: int, seed: int) -> Sample:
-    """The same with 2% of all messages lost."""
+    """Changes at the rate of the two-year target, with 2% of all messages lost."""
     net = _fleet(way, nodes, seed)
     net.faults.loss = 0.02
     offsets = _changes(net, MEASURE_S)
@@ -133,7 +133,7 @@
 
 @SCENARIOS.register("reader-dies")
 def reader_dies(way: str, nodes: int, seed: int) -> Sample:
-    """Both readers of a zone die at the moment of each change."""
+    """Both readers of a zone crash at each change."""
     net = _fleet(way, nodes, seed)
     offsets = []
     for _ in range(2):
@@ -148,7 +148,7 @@
 
 @SCENARIOS.register("herd")
 def herd(way: str, nodes: int, seed: int) -> Sample:
-    """All nodes restart at once, 500 records stand in the log, a change follows."""
+    """All nodes restart at once with 500 records in the log, followed by a change."""
     net = _fleet(way, nodes, seed)
     for _ in range(500):
         net.log.append(b"x" * 600)
@@ -172,12 +172,12 @@
 
 
 class _Relay(NodeSim):
-    """A relay of a zone whose other members do not run."""
+    """A relay of a zone whose other members are not simulated."""
 
     absent_members: int = 0
 
     def start(self, seeds: object, remote: dict[str, object]) -> None:  # type: ignore[override]
-        """Start with a full table and without failure detection."""
+        """Start with a complete member table and without failure detection."""
         super().start((), remote)  # type: ignore[arg-type]
         wall = self.net.clock.wall_ms()
         names = [f"{self.zone}-{index:04d}" for index in range(self.absent_members)]
@@ -188,7 +188,7 @@
         self.directory._own_progress = self._all_done
 
     def tick(self) -> list[Send]:
-        """Run what is due; the relays of a zone agree on each other's description."""
+        """Run what is due, after the relays of the zone have exchanged their descriptions."""
         for other in self.net.live(self.zone):
             self.table.heard(other.table.own)
         return super().tick()
@@ -207,7 +207,7 @@
 
 
 def full_size(nodes: int, seed: int) -> tuple[Network, list[NodeSim]]:
-    """Return a whole zone among 14 zones of which only the two relays run."""
+    """Return a complete zone among 14 zones of which only the two relays are simulated."""
     net = Network(seed, measure=True)
     own = [NodeSim(net, f"zone-00-{index:04d}", "zone-00") for index in range(nodes)]
     for node in own:
@@ -225,7 +225,7 @@
 
 
 def measure_full_size(nodes: int, seed: int) -> str:
-    """Return the figures of one zone at the size of the two-year target."""
+    """Return the measurements of one zone at the size of the two-year target."""
     net, own = full_size(nodes, seed)
     names = {node.name for node in own}
     net.append()
@@ -268,7 +268,7 @@
 
 
 def memory_per_member(count: int = 2_000) -> float:
-    """Return the bytes that a known member of the own zone takes in the table."""
+    """Return the memory per known member of the own zone in the table, in bytes."""
     gc.collect()
     tracemalloc.start()
     table = MemberTable(make_member("own", "zone", 1))
--- a/src/citronrack/bench/distribution_net.py
+++ b/src/citronrack/bench/distribution_net.py
@@ -1,4 +1,4 @@
-"""An in-process network of cores with simulated time, for measurements and tests of failures."""
+"""An in-process network of cores in simulated time, for measurements and failure tests."""
 
 from __future__ import annotations
 
@@ -35,16 +35,16 @@
 
 @define
 class Faults:
-    """What the network does to messages.
+    """Faults of the network.
 
     Attributes:
-        loss: Share of lost messages.
-        duplication: Share of messages that arrive twice.
-        jitter_s: Greatest extra delay; reorders messages.
+        loss: Fraction of lost messages.
+        duplication: Fraction of messages that arrive twice.
+        jitter_s: Largest additional delay; reorders messages.
         cut_zones: Pairs of zones without a connection.
         cut_nodes: Pairs of nodes without a connection.
         log_cut: Names of nodes that cannot reach the log.
-        deaf: Names of nodes that send but receive nothing.
+        not_receiving: Names of nodes that send but receive nothing.
     """
 
     loss: float = 0.0
@@ -58,7 +58,7 @@
 
 @define
 class Counts:
-    """What was sent and computed."""
+    """Counters of messages, bytes and processor time."""
 
     sent_bytes: Counter[str] = field(factory=Counter)
     received_bytes: Counter[str] = field(factory=Counter)
@@ -103,7 +103,7 @@
         return f"tcp://{self.name}"
 
     def start(self, seeds: Sequence[str], remote: dict[str, Sequence[str]]) -> None:
-        """Start without state, as after a restart."""
+        """Start with empty state, as after a restart."""
         self.boot += 1
         self.running, self.paused = True, False
         self.next_offset, self.version, self.delivered, self.content = 0, -1, [], []
@@ -145,7 +145,7 @@
         return [effect for core in self.cores for effect in core.on_tick()]
 
     def receive(self, sender: str, message: Any) -> list[Send]:
-        """Hand a message to the cores that want it."""
+        """Pass a message to the cores that handle its class."""
         effects: list[Send] = []
         for core in self.cores:
             if isinstance(message, core.MESSAGES):  # type: ignore[attr-defined]
@@ -181,7 +181,7 @@
 
     Args:
         seed: Seed of all random numbers.
-        measure: Whether frames are made, so that bytes and processor time are counted.
+        measure: Whether frames are encoded, so that bytes and processor time are counted.
     """
 
     def __init__(self, seed: int, *, measure: bool = False) -> None:
@@ -202,7 +202,7 @@
         self._frame: tuple[Any, str, bytes] = (None, "", b"")
 
     def add(self, node: NodeSim) -> None:
-        """Add a node that does not run yet."""
+        """Add a node without starting it."""
         self.nodes[node.name] = node
         self._by_address[node.address] = node
 
@@ -256,7 +256,7 @@
         return [n for n in self.nodes.values() if n.running and zone in (None, n.zone)]
 
     def send(self, source: NodeSim, effects: Sequence[Send]) -> None:
-        """Carry messages, with the present faults."""
+        """Deliver messages under the current faults."""
         for effect in effects:
             target = self._by_address.get(effect.to)
             size = self._account(source, effect, target) if self._measure else 0
@@ -328,7 +328,7 @@
         return zones in self.faults.cut_zones or names in self.faults.cut_nodes
 
     def _account(self, source: NodeSim, effect: Send, target: NodeSim | None) -> int:
-        """Make the frame, and count its bytes and the time that it took."""
+        """Encode the frame, and count its bytes and the processor time."""
         message = effect.message
         kind = type(message).__name__
         begin = time.perf_counter()
@@ -353,7 +353,7 @@
 
 
 def make_member(name: str, zone: str, incarnation: int) -> Member:
-    """Return a description with fields as long as in a real fleet."""
+    """Return a member whose fields are as long as in a real fleet."""
     number = int("".join(c for c in name if c.isdigit()) or 0)
     host = f"10.{number // 62500 % 250}.{number // 250 % 250}.{number % 250}"
     member = Member(
@@ -376,13 +376,13 @@
     measure: bool = False,
     core: type[DistributionCore] = DistributionCore,
 ) -> Network:
-    """Return a network whose nodes have been started.
+    """Return a network of started nodes.
 
     Args:
         seed: Seed of all random numbers.
         sizes: Number of nodes by zone.
         measure: Whether bytes and processor time are counted.
-        core: Way of distribution.
+        core: Distribution algorithm.
     """
     net = Network(seed, measure=measure)
     for zone, size in sizes.items():
--- a/src/citronrack/bench/distribution_ways.py
+++ b/src/citronrack/bench/distribution_ways.py
@@ -1,4 +1,4 @@
-"""Ways of distribution that are compared with each other."""
+"""Distribution algorithms for comparison."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 @WAYS.register("log-each")
 class EachReadsLog(DistributionCore):
-    """Every node reads the log; nothing is pushed, pings still repair."""
+    """Every node reads the log; records are not pushed, but still repaired by pings."""
 
     @property
     def role(self) -> ReaderRole:
@@ -33,7 +33,7 @@
 
 @WAYS.register("fixed-relays")
 class FixedRelays(DistributionCore):
-    """The readers of each zone push to all of its members directly."""
+    """The readers of each zone push records to all of its members directly."""
 
     def _push(self, first: int, records: Sequence[bytes], origin: str) -> list[Send]:
         others = [member for member in self.tree.ranking if member.name != origin]
--- a/src/citronrack/bench/fleet.py
+++ b/src/citronrack/bench/fleet.py
@@ -29,14 +29,14 @@
 def loopback_host() -> str:
     """Return a random address of 127.0.0.0/8.
 
-    Outgoing connections take 127.0.0.1 as source, so they cannot occupy a port that was found free
+    Outgoing connections use 127.0.0.1 as source. Hence they cannot take a port that was found free
     on another loopback address before the node binds it.
     """
     return f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.{random.randint(1, 254)}"
 
 
 def free_address(host: str = "127.0.0.1") -> str:
-    """Return an ``ip:port`` of ``host`` that was free a moment ago."""
+    """Return an ``ip:port`` of ``host`` that was free at the time of the call."""
     with socket.socket() as probe:
         probe.bind((host, 0))
         return f"{host}:{probe.getsockname()[1]}"
@@ -77,9 +77,9 @@
 
     Attributes:
         service: Service of all targets.
-        profile: Policy that judges moves.
+        profile: Policy of moves.
         log: The log service.
-        zone_logs: The way of each availability zone to the log service; `cut_log` closes one.
+        zone_logs: Endpoint of the log service by availability zone; `cut_log` disconnects one.
         nodes: The nodes by name.
         executable: Command that starts the program.
     """
@@ -113,7 +113,7 @@
     def add_node(
         self, name: str, zone: str, *, service_version: str, target: TargetStandIn | None = None
     ) -> FleetNode:
-        """Prepare a node; it does not run yet."""
+        """Create a node's target and settings, without starting the node."""
         stand_in = target or TargetStandIn(service_version=service_version)
         if stand_in not in self._targets:
             self._targets.append(stand_in)
@@ -153,7 +153,7 @@
         return process.wait(STOP_LIMIT_S)
 
     def log_text(self, name: str) -> str:
-        """Return what a node has logged."""
+        """Return the log lines of a node."""
         return self.nodes[name].settings_path.with_suffix(".log").read_text(encoding="utf-8")
 
     def _log_of(self, zone: str) -> LogServiceStandIn:
@@ -200,7 +200,7 @@
 def wait_until(condition: Callable[[], bool], *, limit_s: float, poll_s: float = 0.05) -> bool:
     """Return whether ``condition`` became true within ``limit_s``.
 
-    An API that does not answer yet counts as false.
+    An unreachable API counts as false.
     """
     end = time.monotonic() + limit_s
     while time.monotonic() < end:
--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of log readers, lease keepers and appenders on one manual clock."""
+"""A simulated fleet of log readers, lease managers and appenders on one manual clock."""
 
 from __future__ import annotations
 
@@ -45,26 +45,26 @@
 
 
 class SimulatedNode:
-    """The log side of one node.
+    """The components of one node that use the log.
 
     Args:
         fleet: The fleet that it belongs to.
         name: Name of the node.
         zone: Its availability zone.
         rank: Its position in the zone.
-        boot: Number of its start, so that a restart is another writer.
+        boot: Number of its start; each start is a different writer.
 
     Attributes:
         writer: Name and boot.
-        paused: Whether the process stands still.
-        deaf: Whether its reads of the log hang while its appends get through.
+        paused: Whether the process is paused.
+        reads_blocked: Whether its reads of the log block while its appends succeed.
         draining: Whether it is about to stop.
-        fold: What it has folded.
-        caught_up_at: When it first held the whole log.
-        log_first: Oldest retained offset that it knows.
-        log_end: End of the log that it knows.
-        keepers: One for each duty.
-        compactor: Its keeper of snapshots.
+        fold: Its folded log.
+        caught_up_at: Time at which it first had folded the whole log.
+        log_first: Oldest retained offset, as of its last read.
+        log_end: End of the log, as of its last read.
+        lease_managers: Its lease manager for each duty.
+        compactor: Its scheduler of snapshots.
     """
 
     def __init__(self, fleet: LogFleet, *, name: str, zone: str, rank: int, boot: int) -> None:
@@ -119,7 +119,7 @@
         return self._rank < READING_RANKS or self.caught_up_at is None
 
     def put(self, mail: Any, *, wake: bool = True) -> None:
-        """Take a message of the reader task."""
+        """Handle a message of the reader task."""
         if isinstance(mail, SnapshotRead):
             self.fold = LogFold.from_snapshot(mail.data)
         elif isinstance(mail, LogRead):
@@ -135,7 +135,7 @@
             self._fleet.failed_reads += 1
 
     def step(self) -> None:
-        """Read, fold, decide and append as far as time has come."""
+        """Read, fold, decide and append whatever is due."""
         if self.paused:
             return
         now = self._fleet.clock.monotonic()
@@ -143,9 +143,9 @@
             self._reader.step()
         if self._rank >= READING_RANKS and self.caught_up_at is not None:
             return
-        for keeper in self.lease_managers.values():
-            keeper.on_state(self.fold.state)
-            self._claim(keeper)
+        for manager in self.lease_managers.values():
+            manager.on_state(self.fold.state)
+            self._claim(manager)
         self._compact()
         self._write_seeds()
         self._append(now)
@@ -155,22 +155,22 @@
         self._queue(self._appender.append_steps(body), lambda _: None, lambda: None, lambda: None)
 
     def _is_polling(self, now: float) -> bool:
-        """Return whether a long poll is still held by the service."""
+        """Return whether the service still holds a long poll."""
         nothing_new = self._fleet.delayed_end <= self.next_offset
         return now < self._poll_until and nothing_new and not self._fleet.store.faults.outage
 
     def _wait_to_read(self, seconds: float) -> None:
         self._read_at = self._fleet.clock.monotonic() + seconds
 
-    def _claim(self, keeper: LeaseManager) -> None:
+    def _claim(self, manager: LeaseManager) -> None:
         ready = self.caught_up_at is not None and not self.draining
-        claim = keeper.on_tick(rank=self._rank if ready else None)
+        claim = manager.on_tick(rank=self._rank if ready else None)
         if claim is not None:
             self._queue(
                 self._appender.append_steps(claim),
-                keeper.on_claim_appended,
-                keeper.on_claim_unknown,
-                keeper.on_claim_refused,
+                manager.on_claim_appended,
+                manager.on_claim_unknown,
+                manager.on_claim_refused,
             )
 
     def _compact(self) -> None:
@@ -233,8 +233,8 @@
         nodes: All nodes.
         appends_by_s: Requests to append, by second since the fleet was made.
         reads_by_s: Requests to read, likewise.
-        failed_reads: Reads without an answer.
-        snapshots_written: Snapshots that keepers asked for.
+        failed_reads: Reads without a response.
+        snapshots_written: Snapshots that were due.
         delayed_end: End of the records stream `ANSWER_DELAY_S` ago.
     """
 
@@ -263,7 +263,7 @@
         self.start_all()
 
     def start_all(self) -> None:
-        """Replace all nodes by ones that have just started."""
+        """Replace all nodes by newly started ones."""
         self._boots += 1
         self.nodes = [
             SimulatedNode(
@@ -274,10 +274,10 @@
         ]
 
     def run(self, seconds: float, *, check: Callable[[], None] = lambda: None) -> None:
-        """Let time pass.
+        """Advance simulated time.
 
         Args:
-            seconds: How long.
+            seconds: Time to simulate.
             check: Called after each step.
         """
         for index in range(round(seconds / STEP_S)):
@@ -295,6 +295,6 @@
             self.clock.advance(STEP_S)
 
     def acting(self, duty: Duty) -> list[SimulatedNode]:
-        """Return the nodes that would act under a duty now; a paused one cannot."""
+        """Return the nodes that may act under a duty now, without paused ones."""
         nodes = (node for node in self.nodes if not node.paused)
         return [node for node in nodes if node.lease_managers[duty].term is not None]
--- a/src/citronrack/bench/log_load.py
+++ b/src/citronrack/bench/log_load.py
@@ -34,7 +34,7 @@
 
 @frozen
 class HerdLoad:
-    """Requests after a whole fleet restarted.
+    """Requests after a restart of a whole fleet.
 
     Attributes:
         nodes: Size of the fleet.
@@ -56,7 +56,7 @@
 
 
 def fill(store: LogStore) -> None:
-    """Put a snapshot and a tail of records into a log whose first records are trimmed."""
+    """Fill a log with a snapshot and the records after it, and trim its first records."""
     fold = LogFold()
     for offset in range(SNAPSHOT_AT + TAIL):
         if offset == SNAPSHOT_AT:
@@ -124,7 +124,7 @@
         self.fold.apply(len(self.records) - 1, data)
 
     def confirm(self, change: Change) -> None:
-        """Add a confirmation that is accepted."""
+        """Add a confirmation that the fold accepts."""
         now_ms = 1_800_000_000_000 + len(self.records)
         plan_id = f"{len(self.records):032x}"
         base = self.fold.config.version
--- a/src/citronrack/bench/moves.py
+++ b/src/citronrack/bench/moves.py
@@ -1,4 +1,4 @@
-"""Measures how moves end with scripted versions; ``python -m citronrack.bench.moves``."""
+"""Measures the outcomes of moves to scripted versions; ``python -m citronrack.bench.moves``."""
 
 from __future__ import annotations
 
@@ -60,18 +60,18 @@
 
 @frozen
 class Run:
-    """What a run showed.
+    """Result of a run.
 
     Attributes:
         results: Results of both moves.
         new_calls: Calls of the new version since its fault began.
-        part: These as a part of all calls until the last one of them.
-        to_zero_s: Time from the first faulty call to the last call of the new version anywhere.
+        fraction: Fraction of these among all calls up to the last one of them.
+        to_zero_s: Time from the first faulty call to the last call of the new version in any zone.
     """
 
     results: tuple[str, ...]
     new_calls: int
-    part: float
+    fraction: float
     to_zero_s: float
 
 
@@ -128,14 +128,14 @@
 
 def _result(fleet: MoveFleet, results: tuple[str, ...]) -> Run:
     tally = fleet.tally
-    part = tally.new_after_fault / max(tally.all_until_last_new, 1)
+    fraction = tally.new_after_fault / max(tally.all_until_last_new, 1)
     first, last = tally.first_fault_s, tally.last_new_s
     to_zero = last - first if first is not None and last is not None else 0.0
-    return Run(results, tally.new_after_fault, part, to_zero)
+    return Run(results, tally.new_after_fault, fraction, to_zero)
 
 
 def cases(seeds: int) -> Iterator[Case]:
-    """Yield all runs; the slowest combination of profile and deployment comes with no fault."""
+    """Yield all runs; a profile on the other profile's deployment is run without fault only."""
     for seed in range(1, seeds + 1):
         for version in versions:
             for name in DEPLOYMENTS:
@@ -170,7 +170,7 @@
         yield from ("", "", "")
         return
     yield _median_and_worst([run.new_calls for run in runs], "{:.0f}")
-    yield _median_and_worst([100 * run.part for run in runs], "{:.1f}")
+    yield _median_and_worst([100 * run.fraction for run in runs], "{:.1f}")
     yield _median_and_worst([run.to_zero_s for run in runs], "{:.0f}")
 
 
@@ -179,11 +179,11 @@
 
 
 def bad_calls_bound(policy: Policy, sizes: Deployment) -> float:
-    """Return the calls that the version "bad at once" may get while no zone hears another one.
+    """Return the largest number of calls of the version "bad at once" with all zones isolated.
 
-    Each zone needs up to ``K`` failed calls to mark the version, twice the number that drives one
-    test past the threshold when the old version does not fail. Until then, and while two buckets
-    close and the mark spreads, the version gets the unproven share.
+    Each zone needs up to ``K`` failed calls to mark the version, twice the number that raises one
+    test value above the threshold when the old version does not fail. Until then, and while two
+    buckets are closed and the mark spreads, the version receives the unproven share.
     """
     zones = len(sizes.zones)
     tests = 6  # failures and slow calls of two routes and of both together
--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -24,13 +24,13 @@
 
 @frozen
 class Setting:
-    """Conditions of equal sides.
+    """Conditions under which both sides are equal.
 
     Attributes:
-        name: What to call them.
-        rate: Part of failed calls on both sides.
-        burst: Part of failed calls on both sides in the middle third.
-        is_watched: Whether `WATCH_BUCKETS` without old calls follow.
+        name: Name in the table.
+        rate: Fraction of failed calls on both sides.
+        burst: Fraction of failed calls on both sides in the middle third.
+        is_watched: Whether `WATCH_BUCKETS` buckets without calls of the old version follow.
     """
 
     name: str
@@ -73,12 +73,12 @@
     return highest
 
 
-def _binomial(random: Random, number: int, part: float) -> int:
-    """Return a binomial number by skipping to the next hit."""
-    if part <= 0:
+def _binomial(random: Random, number: int, fraction: float) -> int:
+    """Return a binomial random number, by geometric distances between successes."""
+    if fraction <= 0:
         return 0
     bad_calls, place = 0, -1
-    scale = math.log1p(-part)
+    scale = math.log1p(-fraction)
     while True:
         place += 1 + int(math.log(1.0 - random.random()) / scale)
         if place >= number:
@@ -95,7 +95,9 @@
         random = Random(setting.name)
         values = [highest_value(setting, random) for _ in range(runs)]
         parts = [sum(value >= 1 / alpha for value in values) / runs for alpha in ALPHAS]
-        yield f"| {setting.name} | {runs} | " + " | ".join(f"{part:.4f}" for part in parts) + " |"
+        yield f"| {setting.name} | {runs} | " + " | ".join(
+            f"{fraction:.4f}" for fraction in parts
+        ) + " |"
 
 
 def main() -> int:
--- a/src/citronrack/bench/moves_compared.py
+++ b/src/citronrack/bench/moves_compared.py
@@ -1,4 +1,4 @@
-"""Simpler ways to decide a ramp, for comparison with `MoveCore`."""
+"""Simpler controllers of a ramp, for comparison with `MoveCore`."""
 
 from __future__ import annotations
 
@@ -10,15 +10,15 @@
 
 WINDOW_S = 10.0
 WINDOW_MIN_CALLS = 20
-REACTION_S = 1.0  # as long as a mark needs to reach other zones
+REACTION_S = 1.0  # time in which a mark reaches other zones
 
 
 @define
 class TimedRamp:
-    """Follows the steps by time and looks at nothing.
+    """Follows the steps by time, regardless of failures.
 
     Attributes:
-        policy: Its ramp is used.
+        policy: Policy that defines the ramp.
         deadline_s: Time from the start of the move to its deadline.
     """
 
@@ -36,14 +36,14 @@
 
 @define
 class ThresholdRamp:
-    """Follows the steps by time until the new version's error rate passes a limit.
+    """Follows the steps by time until the new version's error rate exceeds a limit.
 
     Attributes:
-        policy: Its ramp is used.
+        policy: Policy that defines the ramp.
         deadline_s: Time from the start of the move to its deadline.
-        limit: Part of failed calls in `WINDOW_S` seconds, fleet-wide, above which the version is
-            taken back.
-        taken_back_s: When that happened, None before.
+        limit: Fraction of failed calls in `WINDOW_S` seconds, fleet-wide, above which the version
+            is taken back.
+        taken_back_s: Time at which it was taken back, None before.
     """
 
     policy: Policy
--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet in one process: several `MoveCore`s, facts with delays, a log, scripted targets."""
+"""A simulated fleet: several `MoveCore`s, facts with delays, a log and scripted targets."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 from .moves_versions import OTHER_ROUTE, Moment, Version
 
 TICK_S = 0.5
-FACT_DELAY_S = 0.3  # within a zone; a ping carries an urgent fact at once
+FACT_DELAY_S = 0.3  # within a zone; an urgent fact is sent with a ping at once
 ZONE_FACT_DELAY_S = 1.0
 SYNC_EVERY_S = 2.0
 FOLD_DELAY_S = 0.5
@@ -43,8 +43,8 @@
         seed: Seed of all random numbers.
         deadline_s: Time from the start of the moves to their deadline.
         skew_ms: Largest error of a node's wall clock.
-        tick_s: Time between two ticks; all that happens is rounded up to it.
-        controller: Decides the shares in place of the nodes, for comparison.
+        tick_s: Time between two ticks; the times of all events are rounded up to it.
+        controller: Decides the shares instead of the nodes, for comparison.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         self.log_down = False
         self.counts_bytes = True
         self.calls_factor = 1.0  # on the calls of the moving service
-        self.lose_answers = False  # each append takes effect, is answered by nobody and retried
+        self.lose_answers = False  # each append takes effect, has no response and is retried
         self._log: list[bytes] = []
         self._written_s: list[float] = []
         self._folds = {zone: LogFold() for zone in deployment.zones}
@@ -96,11 +96,11 @@
 
     @property
     def newest(self) -> LogFold:
-        """The fold that is furthest."""
+        """The fold with the highest offset."""
         return max(self._folds.values(), key=lambda fold: fold.next_offset)
 
     def append(self, node: FleetNode, body: Any) -> bool:
-        """Append a record as a node; returns whether the log took it."""
+        """Append a record on behalf of a node; return whether it is in the log."""
         if self.log_down or node.zone in self.cut:
             return False
         node.sequence += 1
@@ -111,7 +111,7 @@
         return True
 
     def claim(self, node: FleetNode, term: int) -> None:
-        """Let a node claim the duty ``outcomes``."""
+        """Claim the duty ``outcomes`` on behalf of a node."""
         self.append(node, Claim(Duty.OUTCOMES.value, term, node.member.name, 10_000))
 
     def step(self) -> None:
@@ -132,7 +132,7 @@
                 self._tick(node)
 
     def run_until(self, condition: Callable[[], bool], *, limit_s: float) -> bool:
-        """Step until ``condition`` holds; returns whether it did within the simulated time."""
+        """Step until ``condition`` holds; return whether it did within the simulated time."""
         while self.clock.monotonic() < limit_s:
             if condition():
                 return True
@@ -140,7 +140,7 @@
         return condition()
 
     def decided(self) -> bool:
-        """Whether moves were opened and all of them are decided in the furthest fold."""
+        """Whether moves were opened and all of them are decided in the newest fold."""
         return bool(self.newest.state.outcomes) and not self.newest.config.moves
 
     def share(self, zone: str, route: str = "lookups") -> float:
@@ -246,7 +246,7 @@
         self.append(first, Confirmed(plan.plan_id, plan.base_version, plan.change, 0, 1, "op"))
 
     def _spread(self, index: int, fact: FleetFact) -> None:
-        """Carry a fact to all nodes that can be reached, later ones included by `_sync`."""
+        """Send a fact to all reachable nodes; `_sync` covers those that become reachable later."""
         origin = self.nodes[index]
         for node in self.nodes:
             if node is origin or self._is_partitioned(node.zone, origin.zone):
@@ -259,7 +259,7 @@
             node.facts.put(fact.key, fact.rank, fact.payload)
 
     def _sync(self) -> None:
-        """Let the first nodes of all zones that hear each other compare their facts."""
+        """Exchange facts between the first nodes of all zones that can reach each other."""
         relays = [live[0] for zone in self.deployment.zones if (live := self._live(zone))]
         for one in relays:
             for other in relays:
@@ -311,8 +311,14 @@
         load = self._load(self.age_s)
         per_zone = self._tick_s / len(self.deployment.zones)
         for zone in self.deployment.zones:
-            for route, part in rates.items():
-                mean = self.deployment.calls_per_second * part * per_zone * self.calls_factor * load
+            for route, fraction in rates.items():
+                mean = (
+                    self.deployment.calls_per_second
+                    * fraction
+                    * per_zone
+                    * self.calls_factor
+                    * load
+                )
                 self._route_calls(zone, route, self._poisson(mean))
             mean = self.deployment.other_calls_per_second * per_zone
             share = 1.0
@@ -389,13 +395,13 @@
                 )
                 node.core.observe(record, count)
 
-    def _binomial(self, number: int, part: float) -> int:
-        if part <= 0 or part >= 1:
-            return number if part >= 1 else 0
-        return sum(self.random.random() < part for _ in range(number))
+    def _binomial(self, number: int, fraction: float) -> int:
+        if fraction <= 0 or fraction >= 1:
+            return number if fraction >= 1 else 0
+        return sum(self.random.random() < fraction for _ in range(number))
 
     def _poisson(self, mean: float) -> int:
-        """Return a Poisson number by counting exponential gaps."""
+        """Return a Poisson random number, by counting exponential intervals."""
         count, total = 0, self.random.expovariate(1.0)
         while total < mean:
             count += 1
--- a/src/citronrack/bench/moves_parts.py
+++ b/src/citronrack/bench/moves_parts.py
@@ -1,4 +1,4 @@
-"""Parts of the simulated fleet: sizes, nodes, facts and what callers saw."""
+"""Parts of the simulated fleet: sizes, nodes, facts and totals of calls."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @frozen
 class FleetFact:
-    """A fact on its way or in a store."""
+    """A fact in transit or in a store."""
 
     key: str
     rank: int
@@ -22,10 +22,10 @@
 
 
 class FactsFake:
-    """A node's facts; new ones are handed to the fleet, which spreads them.
+    """The facts of a node; new ones are passed to the fleet, which replicates them.
 
     Args:
-        spread: Receives each fact that was new to this node.
+        spread: Called with each fact that is new to this node.
     """
 
     def __init__(self, spread: Callable[[FleetFact], None]) -> None:
@@ -33,7 +33,7 @@
         self._facts: dict[str, FleetFact] = {}
 
     def put(self, key: str, rank: int, payload: bytes) -> None:
-        """Keep the fact when its rank is greater than that of the known one."""
+        """Store the fact when its rank is greater than that of the known one."""
         known = self._facts.get(key)
         if known is None or (rank, payload) > (known.rank, known.payload):
             fact = FleetFact(key, rank, payload)
@@ -76,11 +76,11 @@
 
     Attributes:
         member: Description of the node.
-        core: Its decisions.
+        core: Its core of moves.
         facts: Its facts.
-        clock: Its clock, with an error of its own.
-        is_alive: Whether node and target exist.
-        is_paused: Whether the node does nothing while its target still answers.
+        clock: Its clock, with an individual error.
+        is_alive: Whether node and target are running.
+        is_paused: Whether the node is paused while its target still responds.
         is_demoted: Whether the node has lost its rank in the zone.
     """
 
@@ -103,7 +103,7 @@
 
 @define
 class Tally:
-    """What the callers of the moving service saw.
+    """Totals of the calls of the moving service.
 
     Attributes:
         calls: All calls.
@@ -125,10 +125,10 @@
 
 
 class Controller(Protocol):
-    """Another way to decide the share of the new version, without nodes."""
+    """Decides the share of the new version without nodes."""
 
     def share(self, age_s: float) -> float:
         """Return the share, ``age_s`` seconds after the start of the move."""
 
     def observe(self, age_s: float, calls: int, failures: int) -> None:
-        """Take in calls of the new version."""
+        """Add calls of the new version."""
--- a/src/citronrack/bench/moves_versions.py
+++ b/src/citronrack/bench/moves_versions.py
@@ -9,26 +9,26 @@
 from ..registry import Registry
 
 BACKGROUND_FAILURES = 0.002
-OTHER_ROUTE = "photos"  # of another service, which takes part in no move
+OTHER_ROUTE = "photos"  # of another service, which has no move
 AT_ONCE_FAILURES = 0.2
 LATE_S = 100.0
 SHARED_FROM_S, SHARED_TO_S = 60.0, 120.0
 WATCH_FAULT_FROM_S, WATCH_FAULT_TO_S = 180.0, 210.0  # within the watch of both profiles
 OVERLOAD = 2.5
 DECLINE_S = 200.0
-LOAD_LIMIT = 0.4  # part of the route's calls above which the version that fails under load fails
+LOAD_LIMIT = 0.4  # fraction of the route's calls above which "bad under load" fails
 COLD_S = 20.0
 
 
 @frozen
 class Moment:
-    """When and where a call is answered.
+    """Circumstances of a call.
 
     Attributes:
         age_s: Seconds since the start of the move.
-        is_new: Whether the new version answers.
+        is_new: Whether the new version serves it.
         route: Name of the route.
-        share: Part of the route's calls that the answering version gets.
+        share: Fraction of the route's calls that the serving version receives.
     """
 
     age_s: float
@@ -39,7 +39,7 @@
 
 @frozen
 class Behaviour:
-    """How calls are answered at a moment.
+    """How a version serves calls at a moment.
 
     Attributes:
         failures: Probability that a call fails.
@@ -97,7 +97,7 @@
 
 @scripted("good")
 def good(moment: Moment) -> Behaviour:
-    """Answers like the old version."""
+    """Behaves like the old version."""
     return USUAL
 
 
@@ -109,7 +109,7 @@
 
 @scripted("bad later", bad_from_s=LATE_S)
 def bad_later(moment: Moment) -> Behaviour:
-    """Fails in 20% of calls after a good time."""
+    """Fails in 20% of calls after `LATE_S` seconds."""
     return Behaviour(failures=0.2) if moment.is_new and moment.age_s >= LATE_S else USUAL
 
 
--- a/src/citronrack/bench/processes.py
+++ b/src/citronrack/bench/processes.py
@@ -21,19 +21,19 @@
 
 START_LIMIT_S = 120.0
 CONVERGENCE_LIMIT_S = 30.0
-CHANGE_INTERVAL_S = 2.0  # 8,700 changes a day are one each 10 s
+CHANGE_INTERVAL_S = 2.0  # 8,700 changes per day are one every 10 s
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 MB = 1024 * 1024
 
 
 @frozen
 class ProcessUsage:
-    """What a process has used so far.
+    """Resources that a process has used so far.
 
     Attributes:
         cpu_s: Processor time in seconds.
         resident_bytes: Resident memory.
-        private_bytes: Resident memory that it shares with no other process.
+        private_bytes: Resident memory that is not shared with other processes.
     """
 
     cpu_s: float
@@ -43,7 +43,7 @@
 
 @frozen
 class FleetResult:
-    """Figures of one fleet size.
+    """Measurements of one fleet size.
 
     Attributes:
         nodes: Number of node processes.
@@ -79,7 +79,7 @@
 
 
 def usage(pid: int) -> ProcessUsage:
-    """Return what process ``pid`` has used, read from ``/proc``."""
+    """Return the resources that process ``pid`` has used, read from ``/proc``."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     sizes = {}
     for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines()[1:]:
@@ -93,7 +93,7 @@
 
 
 def measure(*, nodes: int, zones: int, changes: int, window_s: float) -> FleetResult:
-    """Start a fleet, publish changes and return the figures.
+    """Start a fleet, publish changes and return the measurements.
 
     Args:
         nodes: Number of node processes.
@@ -123,7 +123,7 @@
         times = []
         for index in range(changes):
             times.append(_convergence(fleet, first, timeout_ms=1_000 + index))
-            # Bursts would show the bytes of a change as a rate that no deployment has.
+            # Bursts of changes would result in a byte rate that no deployment has.
             time.sleep(max(0.0, started + (index + 1) * CHANGE_INTERVAL_S - time.monotonic()))
         elapsed = time.monotonic() - started
         rates = [
