--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -10,8 +10,8 @@
 from attrs import define, field
 
 from ..calls import Balancer, PoolTarget
-from ..calls._queue import AdmissionQueue, Waiting
-from ..calls.observed import Observed
+from ..calls._queue import AdmissionQueue, SlotRequest
+from ..calls.target_stats import TargetStats
 from ..clock import ManualClock
 
 POOL_KEY = ("catalogue", "1")
@@ -59,9 +59,9 @@
 
     started_at: float
     caller: int
-    entry: Observed
+    entry: TargetStats
     target: ModelTarget
-    waiting: Waiting
+    waiting: SlotRequest
     attempts: int
 
 
@@ -177,7 +177,7 @@
             self._result.refused += 1
             return
         target = next(t for t in self.targets if t.name == entry.target.name)
-        waiting = Waiting("route", started_at + TIMEOUT_S)
+        waiting = SlotRequest("route", started_at + TIMEOUT_S)
         call = _Call(started_at, caller, entry, target, waiting, attempts)
         delay = self._delay(call)
         self.at(self.clock.monotonic() + delay, lambda: self._reach(call))
@@ -216,7 +216,7 @@
     def _end(self, call: _Call, *, status: int) -> None:
         now = self.clock.monotonic()
         answered = status in (200, 500)
-        self._balancers[call.caller].ended(
+        self._balancers[call.caller].record_end(
             call.entry,
             latency_s=now - call.started_at if answered and call.attempts == 1 else None,
             failed=status in (0, 500),
--- a/src/citronrack/bench/directory.py
+++ b/src/citronrack/bench/directory.py
@@ -11,8 +11,8 @@
 import tracemalloc
 
 from ..config import ConfigSet
-from ..membership import KnownMember, Member, MemberSummary
-from ..membership.known import summary_of
+from ..membership import Member, MemberSummary, RemoteMember
+from ..membership.remote import summary_of
 from ..membership.zones import ZoneView
 from ..node.views import ViewBuilder
 
@@ -48,15 +48,15 @@
     return views
 
 
-def _list_members(views: list[ZoneView]) -> list[KnownMember]:
+def _list_members(views: list[ZoneView]) -> list[RemoteMember]:
     return [
-        KnownMember(f"zone-{number}", summary, 0.0, True)
+        RemoteMember(f"zone-{number}", summary, 0.0, True)
         for number, view in enumerate(views, 1)
         for summary, _ in view.entries()
     ]
 
 
-def _build_ms(builder: ViewBuilder, own: list[Member], remote: list[KnownMember]) -> float:
+def _build_ms(builder: ViewBuilder, own: list[Member], remote: list[RemoteMember]) -> float:
     started = time.perf_counter()
     builder.build(ready=True, reason="", config=ConfigSet(), members=own, remote=remote, shares={})
     return (time.perf_counter() - started) * 1000
--- a/src/citronrack/bench/distribution.py
+++ b/src/citronrack/bench/distribution.py
@@ -190,7 +190,7 @@
     def tick(self) -> list[Send]:
         """Run what is due, after the relays of the zone have exchanged their descriptions."""
         for other in self.net.live(self.zone):
-            self.table.heard(other.table.own)
+            self.table.merge_self_reported(other.table.own)
         return super().tick()
 
     def _all_done(self, availability_zone: str) -> ZoneProgress:
