Name the detectors, baselines and local values of moves plainly

Change: private and local names; Baseline.add, SharedFaultDetector.detect and OverloadDetector.detect are used in moves and bench only.

--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -62,7 +62,7 @@
         old_calls = CALLS_PER_BUCKET - new_calls
         old = CallSample(old_calls, _binomial(random, old_calls, rate))
         test.add([PairedStratum(new, old)])
-        baseline.learn(old)
+        baseline.add(old)
         highest = max(highest, test.value)
     for _ in range(WATCH_BUCKETS if setting.is_watched else 0):
         bad_calls = _binomial(random, CALLS_PER_BUCKET, setting.rate)
--- a/src/citronrack/log/lease.py
+++ b/src/citronrack/log/lease.py
@@ -120,8 +120,8 @@
             return None
         if self._candidate_since is None:
             self._candidate_since = now
-        waits = self._outstanding is not None or self._next_offset <= self._awaited_offset
-        if waits or now < max(self._not_before, self._due_at(rank)):
+        is_waiting = self._outstanding is not None or self._next_offset <= self._awaited_offset
+        if is_waiting or now < max(self._not_before, self._due_at(rank)):
             return None
         return self._claim(now)
 
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -114,8 +114,8 @@
         self.on_state(fold.state)
         if end > 0:
             self._retention.observe(self._clock.monotonic(), first=first, end=end)
-        waits = self._outstanding is not None or fold.next_offset <= self._awaited_offset
-        if term is None or waits or self._clock.monotonic() < self._not_before:
+        is_waiting = self._outstanding is not None or fold.next_offset <= self._awaited_offset
+        if term is None or is_waiting or self._clock.monotonic() < self._not_before:
             return None
         if self._unannounced is not None and self._unannounced.through >= first:
             self._outstanding = self._unannounced.through
--- a/src/citronrack/moves/baseline.py
+++ b/src/citronrack/moves/baseline.py
@@ -35,11 +35,11 @@
 
     Attributes:
         factor: Current rate divided by the baseline rate, at least 1.
-        extra: Difference of the two rates, at least 0.
+        difference: Difference of the two rates, at least 0.
     """
 
     factor: float = 1.0
-    extra: float = 0.0
+    difference: float = 0.0
 
 
 @define
@@ -49,7 +49,7 @@
     calls: int = 0
     bad_calls: int = 0
 
-    def learn(self, old: CallSample) -> None:
+    def add(self, old: CallSample) -> None:
         """Add a bucket."""
         self.calls += old.calls
         self.bad_calls += old.bad_calls
@@ -66,41 +66,43 @@
         if self.calls < BASELINE_MIN_CALLS:
             return None
         rate = (self.bad_calls + BASELINE_SIGMAS * math.sqrt(self.bad_calls + 1) + 1) / self.calls
-        return min(max(rate * rate_increase.factor, rate + rate_increase.extra), MAX_BASELINE_RATE)
+        return min(
+            max(rate * rate_increase.factor, rate + rate_increase.difference), MAX_BASELINE_RATE
+        )
 
 
 @define
 class SharedFaultDetector:
     """Detects faults that also affect routes without a move, and so are not the new version's."""
 
-    _usual: dict[str, Baseline] = field(
+    _baselines: dict[str, Baseline] = field(
         factory=lambda: {kind: Baseline() for kind in KINDS}, init=False
     )
 
-    def has_shared_fault(self, other: Counts) -> bool:
+    def detect(self, other: Counts) -> bool:
         """Whether a bucket shows a shared fault; otherwise it is added to the baseline."""
-        has_fault = any(self._is_unusual(kind, call_sample(other, kind)) for kind in KINDS)
+        has_fault = any(self._exceeds_baseline(kind, call_sample(other, kind)) for kind in KINDS)
         if not has_fault:
             for kind in KINDS:
-                self._usual[kind].learn(call_sample(other, kind))
+                self._baselines[kind].add(call_sample(other, kind))
         return has_fault
 
     def rate_increase(self, other: Counts, kind: str) -> RateIncrease:
         """Return how far the rate of a bucket is above the baseline."""
-        now, usual = call_sample(other, kind), self._usual[kind]
-        if not now.calls or not usual.calls:
+        current, baseline = call_sample(other, kind), self._baselines[kind]
+        if not current.calls or not baseline.calls:
             return RateIncrease()
-        rate = usual.bad_calls / usual.calls
-        factor = (now.bad_calls + 1) / (now.calls * rate + 1)
-        return RateIncrease(max(factor, 1.0), max(now.bad_calls / now.calls - rate, 0.0))
+        rate = baseline.bad_calls / baseline.calls
+        factor = (current.bad_calls + 1) / (current.calls * rate + 1)
+        return RateIncrease(max(factor, 1.0), max(current.bad_calls / current.calls - rate, 0.0))
 
-    def _is_unusual(self, kind: str, now: CallSample) -> bool:
-        usual = self._usual[kind]
-        if usual.calls < BASELINE_MIN_CALLS:
+    def _exceeds_baseline(self, kind: str, current: CallSample) -> bool:
+        baseline = self._baselines[kind]
+        if baseline.calls < BASELINE_MIN_CALLS:
             return False
-        expected = now.calls * (usual.bad_calls + 1) / usual.calls
+        expected = current.calls * (baseline.bad_calls + 1) / baseline.calls
         return (
-            now.bad_calls
+            current.bad_calls
             > expected + SHARED_FAULT_SIGMAS * math.sqrt(expected) + SHARED_FAULT_MIN_EXCESS
         )
 
@@ -112,10 +114,10 @@
     _calls: int = field(default=0, init=False)
     _buckets: int = field(default=0, init=False)
 
-    def is_overload(self, calls: int) -> bool:
+    def detect(self, calls: int) -> bool:
         """Whether a bucket has far more calls than the mean; otherwise it is added to the mean."""
-        known = self._buckets >= OVERLOAD_MIN_BUCKETS
-        if known and calls > OVERLOAD_FACTOR * self._calls / self._buckets:
+        has_mean = self._buckets >= OVERLOAD_MIN_BUCKETS
+        if has_mean and calls > OVERLOAD_FACTOR * self._calls / self._buckets:
             return True
         self._calls += calls
         self._buckets += 1
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -62,9 +62,9 @@
 
     def set_reference(self, move_id: str, reference: SlowReference) -> None:
         """Count slow responses from the reference's first bucket on."""
-        own = self._reference(move_id)
-        own.limit_s = reference.latency_us / 1e6
-        own.from_bucket = reference.from_bucket
+        local = self._reference(move_id)
+        local.limit_s = reference.latency_us / 1e6
+        local.from_bucket = reference.from_bucket
 
     def observe(self, record: CallRecord, number: int = 1) -> None:
         """Count ``number`` calls with the same record; does nothing while no move is open."""
@@ -141,13 +141,15 @@
         return Source(self._own_name, self._boot_id, move.move_id, move.route, side)
 
     def _is_slow(self, record: CallRecord, source: Source, bucket: int, number: int) -> bool:
-        own = self._reference(source.move)
-        if not own.limit_s and source.side is not Side.NEW:
-            own.histogram.add(record.latency_s, number)
-            if source.side is Side.OTHER and own.histogram.calls >= OTHER_REFERENCE_CALLS:
-                quantile = own.histogram.quantile_us(REFERENCE_QUANTILE)
-                own.limit_s = quantile / 1e6 * OTHER_SLOW_MARGIN
-        return bool(own.limit_s) and bucket >= own.from_bucket and record.latency_s > own.limit_s
+        local = self._reference(source.move)
+        if not local.limit_s and source.side is not Side.NEW:
+            local.histogram.add(record.latency_s, number)
+            if source.side is Side.OTHER and local.histogram.calls >= OTHER_REFERENCE_CALLS:
+                quantile = local.histogram.quantile_us(REFERENCE_QUANTILE)
+                local.limit_s = quantile / 1e6 * OTHER_SLOW_MARGIN
+        return (
+            bool(local.limit_s) and bucket >= local.from_bucket and record.latency_s > local.limit_s
+        )
 
     def _reference(self, move_id: str) -> _Reference:
         return self._references.setdefault(move_id, _Reference())
--- a/src/citronrack/moves/dependencies.py
+++ b/src/citronrack/moves/dependencies.py
@@ -16,7 +16,7 @@
     """Dependencies of `MoveCore` on other parts of the node.
 
     Attributes:
-        facts: Spreads facts between nodes.
+        facts: Replicates facts between nodes.
         ranked: Returns the live members of the own zone, lowest rank first.
         zones: Returns all zones of the mesh.
         unreachable_zones: Returns the zones of which no node can currently be reached.
--- a/src/citronrack/moves/due_records.py
+++ b/src/citronrack/moves/due_records.py
@@ -1,4 +1,4 @@
-"""Selects the records about moves that this node appends to the log, and their time."""
+"""Determines which records about moves this node appends to the log, and when."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
         self._move_facts = move_facts
         self._dependencies = dependencies
         self._policy_of = policy_of
-        self._due_s: dict[str, float] = {}
+        self._next_due_s: dict[str, float] = {}
 
     def collect(self, state: FoldState) -> list[Any]:
         """Return the record bodies to append now."""
@@ -101,15 +101,15 @@
     def _is_due(self, key: str, delay_s: float) -> bool:
         """Whether ``delay_s`` has passed since the first call, then once per retry interval."""
         now = self._clock.monotonic()
-        if now < self._due_s.setdefault(key, now + delay_s):
+        if now < self._next_due_s.setdefault(key, now + delay_s):
             return False
-        self._due_s[key] = now + RECORD_RETRY_S
+        self._next_due_s[key] = now + RECORD_RETRY_S
         return True
 
     def _evict_old_entries(self) -> None:
-        if len(self._due_s) > MAX_DUE_ENTRIES:
+        if len(self._next_due_s) > MAX_DUE_ENTRIES:
             oldest = self._clock.monotonic() - DUE_ENTRY_LIFETIME_S
-            self._due_s = {key: due for key, due in self._due_s.items() if due >= oldest}
+            self._next_due_s = {key: due for key, due in self._next_due_s.items() if due >= oldest}
 
     def _inputs(self, move: Move, state: FoldState) -> OutcomeInputs:
         service = state.config.routes[move.route].service
--- a/src/citronrack/moves/evaluator.py
+++ b/src/citronrack/moves/evaluator.py
@@ -19,8 +19,9 @@
 from .policy import Policy
 from .sequential import BaselineStratum, PairedStratum, SequentialTest, Stratum
 
-MAX_REFUSED_FRACTION = 0.1  # a step with more refused attempts is not cleared,
-MAX_REFUSED_RATIO = 2.0  # provided that they exceed this multiple of the old version's fraction
+# A step is not cleared while the new version's fraction of refused attempts exceeds both limits.
+MAX_REFUSED_FRACTION = 0.1
+MAX_REFUSED_RATIO = 2.0  # of the new version's fraction to that of the old one
 EVALUATORS_PER_ZONE = 2  # each runs its own tests
 SUSPICION_FRACTION = 0.1  # of the threshold for a mark; above it no step is cleared
 
@@ -112,7 +113,7 @@
     ) -> Stratum | None:
         if old.calls:
             if rate_increases is not None:
-                self.baselines[kind].learn(call_sample(old, kind))
+                self.baselines[kind].add(call_sample(old, kind))
             return PairedStratum(call_sample(new, kind), call_sample(old, kind))
         if rate_increases is None:
             return None
@@ -145,10 +146,10 @@
         span_ms = max(m.deadline_ms - m.start_ms for m in moves) + policy.watch_ms
         self._buckets = span_ms // BUCKET_MS + 1
         self.routes = {move.move_id: RouteEvaluator(move, self._make_tests()) for move in moves}
-        self._shared_fault_detector = SharedFaultDetector()
-        self._overload_detector = OverloadDetector()
-        self._is_unusual = False
-        self._total = self._make_tests() if len(moves) > 1 else {}
+        self._shared_faults = SharedFaultDetector()
+        self._overloads = OverloadDetector()
+        self._has_anomaly = False
+        self._total_tests = self._make_tests() if len(moves) > 1 else {}
 
     @property
     def value(self) -> float:
@@ -187,7 +188,9 @@
         A test value above the bound raises the required number of calls in proportion.
         """
         evaluator = self.routes[move_id]
-        required = self._policy.min_calls * max(1.0, self._worst() / self._policy.clear_bound)
+        required = self._policy.min_calls * max(
+            1.0, self._highest_value() / self._policy.clear_bound
+        )
         return (
             evaluator.step_calls >= required
             and not self.is_suspicious()
@@ -196,7 +199,7 @@
 
     def is_clean(self) -> bool:
         """Whether every test value is below the bound, regardless of the amount of evidence."""
-        return self._worst() < self._policy.clear_bound
+        return self._highest_value() < self._policy.clear_bound
 
     def is_suspicious(self) -> bool:
         """Whether the value has come close enough to the threshold to stop the ramp."""
@@ -229,36 +232,34 @@
             )
             for move_id in self.routes
         }
-        arrived = sum(new.calls + old.calls for new, old in sides.values())
+        calls = sum(new.calls + old.calls for new, old in sides.values())
         rate_increases = self._rate_increases(
-            store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER), arrived
+            store.in_bucket(bucket, OTHER_ROUTES, Side.OTHER), calls
         )
         strata: dict[str, list[Stratum]] = {kind: [] for kind in KINDS}
         for move_id, evaluator in self.routes.items():
             for kind, stratum in evaluator.add(bucket, *sides[move_id], rate_increases).items():
                 strata[kind].append(stratum)
-        for kind, test in self._total.items():
+        for kind, test in self._total_tests.items():
             test.add(strata[kind])
 
-    def _rate_increases(self, other: Counts, arrived: int) -> dict[str, RateIncrease] | None:
+    def _rate_increases(self, other: Counts, calls: int) -> dict[str, RateIncrease] | None:
         """Return the increases on other routes, None during and right after a shared anomaly.
 
         An anomaly is a shared fault or an overload. The buckets in which it begins and ends may
         look like a fault of the new version alone. Hence the gain of the bucket before the
         detection is discarded, and the bucket after the anomaly counts as part of it.
         """
-        shared_fault, overloaded = self._shared_fault_detector.has_shared_fault(
-            other
-        ), self._overload_detector.is_overload(arrived)
-        was_unusual, self._is_unusual = self._is_unusual, shared_fault or overloaded
-        if self._is_unusual and not was_unusual:
+        shared_fault, overload = self._shared_faults.detect(other), self._overloads.detect(calls)
+        had_anomaly, self._has_anomaly = self._has_anomaly, shared_fault or overload
+        if self._has_anomaly and not had_anomaly:
             for _, _, test in self._tests():
                 test.discard_last()
-        if self._is_unusual or was_unusual:
+        if self._has_anomaly or had_anomaly:
             return None
-        return {kind: self._shared_fault_detector.rate_increase(other, kind) for kind in KINDS}
+        return {kind: self._shared_faults.rate_increase(other, kind) for kind in KINDS}
 
-    def _worst(self) -> float:
+    def _highest_value(self) -> float:
         return max(test.value for _, _, test in self._tests())
 
     def _make_tests(self) -> dict[str, SequentialTest]:
@@ -276,5 +277,5 @@
             for move_id, evaluator in self.routes.items()
             for kind, test in evaluator.tests.items()
         ]
-        entries.extend((kind, "", test) for kind, test in self._total.items())
+        entries.extend((kind, "", test) for kind, test in self._total_tests.items())
         return entries
--- a/src/citronrack/moves/move_facts.py
+++ b/src/citronrack/moves/move_facts.py
@@ -45,7 +45,7 @@
     """Reads and writes the facts about moves.
 
     Args:
-        facts: Spreads facts between nodes.
+        facts: Replicates facts between nodes.
         clock: Source of time.
     """
 
@@ -56,8 +56,8 @@
         self._marks: dict[str, KnownMark] = {}
         self._progress: dict[str, dict[str, ZoneProgress]] = {}  # by tag and zone
         self._references: dict[str, SlowReference] = {}
-        self._open: frozenset[str] = frozenset()
-        self._newest = -1
+        self._open_tags: frozenset[str] = frozenset()
+        self._newest_version = -1
         self._folded_marks: frozenset[str] = frozenset()
 
     @property
@@ -67,9 +67,9 @@
 
     def refresh(self) -> None:
         """Apply new facts; a fact that cannot be decoded is ignored."""
-        present = set()
+        keys = set()
         for fact in self._facts.items():
-            present.add(fact.key)
+            keys.add(fact.key)
             if self._ranks.get(fact.key, -1) >= fact.rank:
                 continue
             prefix = fact.key.split("/", 1)[0] + "/"
@@ -77,18 +77,18 @@
                 continue
             self._ranks[fact.key] = fact.rank
             try:
-                self._take(decode(fact.payload, _KINDS[prefix]))
+                self._apply(decode(fact.payload, _KINDS[prefix]))
             except MessageRejected:
                 continue
-        if len(self._ranks) > len(present):
-            self._ranks = {key: rank for key, rank in self._ranks.items() if key in present}
+        if len(self._ranks) > len(keys):
+            self._ranks = {key: rank for key, rank in self._ranks.items() if key in keys}
 
     def on_state(self, state: FoldState) -> None:
         """Apply the marks of the folded log, and remove the facts of decided moves."""
         for mark in state.marks.values():
-            self._take(mark)
-        self._open = frozenset(move_tag(move) for move in state.config.moves.values())
-        self._newest = state.config.version
+            self._apply(mark)
+        self._open_tags = frozenset(move_tag(move) for move in state.config.moves.values())
+        self._newest_version = state.config.version
         self._folded_marks = frozenset(MARK_PREFIX + key for key in state.marks)
         self._progress = {t: p for t, p in self._progress.items() if self._is_current(t)}
         self._references = {k: r for k, r in self._references.items() if self._is_current(r.tag)}
@@ -102,17 +102,17 @@
 
     def put_mark(self, mark: Marked) -> None:
         """Publish a mark."""
-        self._take(mark)
+        self._apply(mark)
         self._facts.put(mark_fact_key(mark), mark_rank(mark), encode(mark))
 
     def put_progress(self, progress: ZoneProgress) -> None:
         """Publish the progress of the own zone."""
-        self._take(progress)
+        self._apply(progress)
         self._facts.put(progress.key, progress.rank, encode(progress))
 
     def put_reference(self, reference: SlowReference) -> None:
         """Publish the latency reference of the own zone."""
-        self._take(reference)
+        self._apply(reference)
         self._facts.put(reference.key, reference.rank, encode(reference))
 
     def mark_of(self, move: Move, service: str) -> KnownMark | None:
@@ -122,8 +122,8 @@
         """
         for known in self._marks.values():
             mark = known.mark
-            same = (mark.service, mark.service_version) == (service, move.to_version)
-            if same and mark.epoch >= move.epoch:
+            is_same_version = (mark.service, mark.service_version) == (service, move.to_version)
+            if is_same_version and mark.epoch >= move.epoch:
                 return known
         return None
 
@@ -137,7 +137,7 @@
 
     def _is_current(self, tag: str) -> bool:
         """Whether a move is open; a fact may arrive before the record that opens its move."""
-        return tag in self._open or epoch_of(tag) > self._newest
+        return tag in self._open_tags or epoch_of(tag) > self._newest_version
 
     def _is_stale(self, key: str) -> bool:
         if key.startswith(MARK_PREFIX):
@@ -147,7 +147,7 @@
             return not self._is_current(tag)
         return False
 
-    def _take(self, body: Any) -> None:
+    def _apply(self, body: Any) -> None:
         if isinstance(body, Marked):
             key = mark_key(body.service, body.service_version, body.epoch)
             known = self._marks.get(key)
@@ -156,14 +156,14 @@
             elif mark_rank(body) > mark_rank(known.mark):
                 known.mark = body
         elif isinstance(body, ZoneProgress):
-            self._keep_greater(
+            self._store_greater(
                 self._progress.setdefault(body.tag, {}), body.availability_zone, body
             )
         elif isinstance(body, SlowReference):
-            self._keep_greater(self._references, body.key, body)
+            self._store_greater(self._references, body.key, body)
 
     @staticmethod
-    def _keep_greater(entries: dict[str, Any], key: str, body: Any) -> None:
+    def _store_greater(entries: dict[str, Any], key: str, body: Any) -> None:
         known = entries.get(key)
         if known is None or body.rank > known.rank:
             entries[key] = body
--- a/src/citronrack/moves/outcome.py
+++ b/src/citronrack/moves/outcome.py
@@ -95,8 +95,8 @@
     def _finished(self) -> MoveOutcome:
         inputs = self._inputs
         full_ms = max(inputs.progress[zone].at_ms for zone in inputs.zones)
-        kept = in_time(inputs.move, full_ms, tolerance_ms=inputs.policy.skew_tolerance_ms)
-        result = MoveResult.FINISHED_IN_TIME if kept else MoveResult.FINISHED_LATE
+        is_in_time = in_time(inputs.move, full_ms, tolerance_ms=inputs.policy.skew_tolerance_ms)
+        result = MoveResult.FINISHED_IN_TIME if is_in_time else MoveResult.FINISHED_LATE
         return self._record(result, "", full_ms)
 
     def _unknown(self) -> MoveOutcome:
