--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -140,7 +140,7 @@
         """Run the model and return the results of the calls."""
         self._result = Result(seconds)
         self._refresh()
-        self.at(0.0, self._arrive)
+        self.at(0.0, self._on_arrival)
         while self._events and self._events[0][0] < seconds:
             when, _, action = heapq.heappop(self._events)
             self.clock.advance(when - self.clock.monotonic())
@@ -163,9 +163,9 @@
         )
         self.at(self.clock.monotonic() + MEMBERSHIP_DELAY_S, self._refresh)
 
-    def _arrive(self) -> None:
+    def _on_arrival(self) -> None:
         now = self.clock.monotonic()
-        self.at(now + self._random.expovariate(self.rate), self._arrive)
+        self.at(now + self._random.expovariate(self.rate), self._on_arrival)
         caller = self._random.choices(range(len(self.zones)), self.weights)[0]
         self._attempt(now, caller, attempts=1, excluded=())
 
@@ -180,40 +180,42 @@
         waiting = SlotRequest("route", started_at + TIMEOUT_S)
         call = _Call(started_at, caller, entry, target, waiting, attempts)
         delay = self._delay(call)
-        self.at(self.clock.monotonic() + delay, lambda: self._reach(call))
+        self.at(self.clock.monotonic() + delay, lambda: self._on_target_reached(call))
 
     def _delay(self, call: _Call) -> float:
         here = self.zones[call.caller] == call.target.availability_zone
         return 0.0002 if here else self.link_one_way_s
 
-    def _reach(self, call: _Call) -> None:
+    def _on_target_reached(self, call: _Call) -> None:
         now = self.clock.monotonic()
         if not call.target.alive:
-            self._end(call, status=0)
+            self._complete_call(call, status=0)
             return
         if self._random.random() < call.target.failing:
-            self.at(now + FAILURE_S + self._delay(call), lambda: self._end(call, status=500))
+            self.at(
+                now + FAILURE_S + self._delay(call), lambda: self._complete_call(call, status=500)
+            )
             return
         if call.target.queue.offer(call.waiting, weight=1, now=now):
-            self.at(now + self._delay(call), lambda: self._end(call, status=503))
+            self.at(now + self._delay(call), lambda: self._complete_call(call, status=503))
             return
         self._waiting[id(call.waiting)] = call
         if call.waiting.started is not None:
-            self._work(call)
+            self._start_service(call)
 
-    def _work(self, call: _Call) -> None:
+    def _start_service(self, call: _Call) -> None:
         service = self._random.expovariate(1 / call.target.service_s)
-        self.at(self.clock.monotonic() + service, lambda: self._done(call))
+        self.at(self.clock.monotonic() + service, lambda: self._complete_service(call))
 
-    def _done(self, call: _Call) -> None:
+    def _complete_service(self, call: _Call) -> None:
         now = self.clock.monotonic()
         del self._waiting[id(call.waiting)]
         for waiting in call.target.queue.release(call.waiting, now=now, ran=True):
-            self._work(self._waiting[id(waiting)])
+            self._start_service(self._waiting[id(waiting)])
         status = 200 if call.target.alive else 0
-        self.at(now + self._delay(call), lambda: self._end(call, status=status))
+        self.at(now + self._delay(call), lambda: self._complete_call(call, status=status))
 
-    def _end(self, call: _Call, *, status: int) -> None:
+    def _complete_call(self, call: _Call, *, status: int) -> None:
         now = self.clock.monotonic()
         answered = status in (200, 500)
         self._balancers[call.caller].record_end(
--- a/src/citronrack/bench/moves_fleet.py
+++ b/src/citronrack/bench/moves_fleet.py
@@ -126,7 +126,7 @@
             (self.clock.monotonic() - self._tick_s) / SYNC_EVERY_S
         ):
             self._sync()
-        self._traffic()
+        self._generate_calls()
         for node in self.nodes:
             if node.is_alive and not node.is_paused and self._controller is None:
                 self._tick(node)
@@ -306,7 +306,7 @@
         for body in node.core.due_records():
             self.append(node, body)
 
-    def _traffic(self) -> None:
+    def _generate_calls(self) -> None:
         rates = {"lookups": 0.7, "orders": 0.3}
         load = self._load(self.age_s)
         per_zone = self._tick_s / len(self.deployment.zones)
@@ -332,7 +332,7 @@
         entry = live[self.random.randrange(len(live))]
         share = self._share_at(entry, route)
         new = self._binomial(calls, share)
-        self._count(calls, new, Moment(self.age_s, True, route, share))
+        self._update_tally(calls, new, Moment(self.age_s, True, route, share))
         self._deliver(zone, SERVICE, NEW, Moment(self.age_s, True, route, share), new)
         self._deliver(zone, SERVICE, OLD, Moment(self.age_s, False, route, 1 - share), calls - new)
 
@@ -343,7 +343,7 @@
         served = self._folds[entry.zone].config.routes[route].service_version
         return division.share if division is not None else float(served == NEW)
 
-    def _count(self, calls: int, new: int, moment: Moment) -> None:
+    def _update_tally(self, calls: int, new: int, moment: Moment) -> None:
         tally = self.tally
         tally.calls += calls
         tally.new_calls += new
