Reword the last comments of moves, log and bench

Cause and change: a few vague phrases in comments and docstrings; one error of the call bench now says 'no response at', matched by nothing.

--- a/src/citronrack/bench/balancing.py
+++ b/src/citronrack/bench/balancing.py
@@ -76,7 +76,7 @@
 
 @scenarios.register("failing-target")
 def failing_target(policy: str, seed: int) -> Model:
-    """One target answers 90% of its calls with fast failures."""
+    """One target fails 90% of its calls quickly."""
     model = _model(policy, seed, load=0.5)
     model.targets[0].failing = 0.9
     return model
--- a/src/citronrack/bench/calls.py
+++ b/src/citronrack/bench/calls.py
@@ -83,7 +83,7 @@
         for address, path in testbed.addresses.values():
             caller = Caller(address, path)
             if not wait_until(lambda c=caller: c.call()[0] == 200, limit_s=30):  # type: ignore
-                raise RuntimeError(f"no answer at {address} {path}")
+                raise RuntimeError(f"no response at {address} {path}")
             caller.close()
         time.sleep(11)  # until targets that have just started receive their full load
         yield testbed
--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -21,7 +21,7 @@
 from ..standins.log_store import LogStore, MemoryLogClient
 
 STEP_S = 0.25
-ANSWER_DELAY_S = 0.5  # from an append until the answer to a long poll has reached a node
+ANSWER_DELAY_S = 0.5  # from an append until the response to a long poll reaches a node
 READING_RANKS = 2
 
 
--- a/src/citronrack/bench/moves_versions.py
+++ b/src/citronrack/bench/moves_versions.py
@@ -115,7 +115,7 @@
 
 @scripted("bad under load", bad_from_s=0.0)
 def bad_under_load(moment: Moment) -> Behaviour:
-    """Fails in 30% of calls once it gets more than `LOAD_LIMIT` of them."""
+    """Fails in 30% of calls once its share exceeds `LOAD_LIMIT`."""
     loaded = moment.is_new and moment.share > LOAD_LIMIT
     return Behaviour(failures=0.3) if loaded else USUAL
 
@@ -174,5 +174,5 @@
 
 @scripted("bad after the end", bad_from_s=-1.0)
 def bad_after_the_end(moment: Moment) -> Behaviour:
-    """Fails in 10% of calls as soon as it gets all of them."""
+    """Fails in 10% of calls once it receives all of them."""
     return Behaviour(failures=0.1) if moment.is_new and moment.share >= 1 else USUAL
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -16,8 +16,8 @@
 _NOT_SENT_ERRORS = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
-# A proxy that repeats a request may answer the second attempt with one of these statuses although
-# the first one took effect.
+# A proxy that repeats a request may return one of these statuses although the first attempt took
+# effect.
 _AMBIGUOUS_STATUSES = frozenset({408, 409, 425, 429})
 
 
--- a/src/citronrack/moves/core.py
+++ b/src/citronrack/moves/core.py
@@ -143,7 +143,7 @@
         }
 
     def marks(self) -> tuple[Marked, ...]:
-        """Return all marks that this node knows."""
+        """Return all marks known to this node."""
         return self._move_facts.marks
 
     def due_records(self) -> list[Any]:
--- a/src/citronrack/moves/evaluator.py
+++ b/src/citronrack/moves/evaluator.py
@@ -202,7 +202,7 @@
         return self._highest_value() < self._policy.clear_bound
 
     def is_suspicious(self) -> bool:
-        """Whether the value has come close enough to the threshold to stop the ramp."""
+        """Whether the value is high enough to stop the ramp."""
         return self.value >= SUSPICION_FRACTION * self._threshold
 
     def regression(self) -> Regression | None:
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -41,7 +41,7 @@
         """Add a fact; a fact with a greater rank under the same key stays."""
 
     def items(self) -> Iterable[FactEntry]:
-        """Return all facts that this node knows."""
+        """Return all facts known to this node."""
 
 
 class Phase:
