--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -1,4 +1,4 @@
-"""A queue model of targets and callers in manual time, for comparing balancing policies."""
+"""A queueing model of targets and callers in simulated time, for comparing balancing policies."""
 
 from __future__ import annotations
 
@@ -27,12 +27,12 @@
     Attributes:
         name: Its name.
         availability_zone: Its zone.
-        slots: Calls that it runs at once.
+        slots: Number of calls that it runs concurrently.
         service_s: Mean service time.
-        failing: Chance that a call fails at once.
-        fake_load: Load that its answers and membership claim, None for the truth.
+        failing: Probability that a call fails at once.
+        fake_load: Load that it reports, None for the actual load.
         alive: Whether it accepts connections.
-        queue: Admission at its node.
+        queue: Admission queue of its node.
     """
 
     name: str
@@ -49,13 +49,13 @@
 
     @property
     def claimed_load(self) -> int:
-        """Load that it tells."""
+        """Load that it reports."""
         return self.queue.load if self.fake_load is None else self.fake_load
 
 
 @define(eq=False)
 class _Call:
-    """A call under way."""
+    """A call in progress."""
 
     started_at: float
     caller: int
@@ -67,14 +67,14 @@
 
 @define
 class Result:
-    """What callers saw.
+    """Results of the calls, from the view of the callers.
 
     Attributes:
-        seconds: Model time.
-        latencies_s: Seconds of each good answer.
+        seconds: Simulated time.
+        latencies_s: Latency of each successful call.
         failed: Calls that failed at a target.
-        refused: Calls that no target took.
-        late: Answers after the timeout.
+        refused: Calls that no target accepted.
+        late: Responses after the timeout.
     """
 
     seconds: float
@@ -85,21 +85,21 @@
 
     @property
     def goodput(self) -> float:
-        """Good answers a second."""
+        """Successful calls per second."""
         return len(self.latencies_s) / self.seconds
 
 
 @define(eq=False)
 class Model:
-    """Nodes that send calls to a pool of targets; events run in order of time.
+    """Nodes that send calls to a pool of targets, as a discrete-event simulation.
 
     Attributes:
         policy: Name of the policy.
         seed: Seed of all random numbers.
         targets: The pool.
         zones: Zone of each calling node.
-        weights: Part of the calls of each calling node.
-        rate: Calls a second in total.
+        weights: Relative number of calls of each calling node.
+        rate: Calls per second in total.
         link_one_way_s: Delay between zones.
     """
 
@@ -133,14 +133,14 @@
         ]
 
     def at(self, when: float, action: Callable[[], None]) -> None:
-        """Run an action at a time."""
+        """Schedule an action at a simulated time."""
         heapq.heappush(self._events, (when, next(self._order), action))
 
     def run(self, seconds: float) -> Result:
-        """Run the model and return what callers saw."""
+        """Run the model and return the results of the calls."""
         self._result = Result(seconds)
         self._refresh()
-        self.at(0.0, self._arrive)
+        self.at(0.0, self._on_arrival)
         while self._events and self._events[0][0] < seconds:
             when, _, action = heapq.heappop(self._events)
             self.clock.advance(when - self.clock.monotonic())
@@ -148,7 +148,7 @@
         return self._result
 
     def _refresh(self) -> None:
-        """Make a new view, as membership would, and schedule the next one."""
+        """Update the view of the pool, as membership would, and schedule the next update."""
         self._pool = tuple(
             PoolTarget(
                 name=target.name,
@@ -163,9 +163,9 @@
         )
         self.at(self.clock.monotonic() + MEMBERSHIP_DELAY_S, self._refresh)
 
-    def _arrive(self) -> None:
+    def _on_arrival(self) -> None:
         now = self.clock.monotonic()
-        self.at(now + self._random.expovariate(self.rate), self._arrive)
+        self.at(now + self._random.expovariate(self.rate), self._on_arrival)
         caller = self._random.choices(range(len(self.zones)), self.weights)[0]
         self._attempt(now, caller, attempts=1, excluded=())
 
@@ -180,40 +180,42 @@
         waiting = SlotRequest("route", started_at + TIMEOUT_S)
         call = _Call(started_at, caller, entry, target, waiting, attempts)
         delay = self._delay(call)
-        self.at(self.clock.monotonic() + delay, lambda: self._reach(call))
+        self.at(self.clock.monotonic() + delay, lambda: self._on_target_reached(call))
 
     def _delay(self, call: _Call) -> float:
         here = self.zones[call.caller] == call.target.availability_zone
         return 0.0002 if here else self.link_one_way_s
 
-    def _reach(self, call: _Call) -> None:
+    def _on_target_reached(self, call: _Call) -> None:
         now = self.clock.monotonic()
         if not call.target.alive:
-            self._end(call, status=0)
+            self._complete_call(call, status=0)
             return
         if self._random.random() < call.target.failing:
-            self.at(now + FAILURE_S + self._delay(call), lambda: self._end(call, status=500))
+            self.at(
+                now + FAILURE_S + self._delay(call), lambda: self._complete_call(call, status=500)
+            )
             return
         if call.target.queue.offer(call.waiting, weight=1, now=now):
-            self.at(now + self._delay(call), lambda: self._end(call, status=503))
+            self.at(now + self._delay(call), lambda: self._complete_call(call, status=503))
             return
         self._waiting[id(call.waiting)] = call
         if call.waiting.started is not None:
-            self._work(call)
+            self._start_service(call)
 
-    def _work(self, call: _Call) -> None:
+    def _start_service(self, call: _Call) -> None:
         service = self._random.expovariate(1 / call.target.service_s)
-        self.at(self.clock.monotonic() + service, lambda: self._done(call))
+        self.at(self.clock.monotonic() + service, lambda: self._complete_service(call))
 
-    def _done(self, call: _Call) -> None:
+    def _complete_service(self, call: _Call) -> None:
         now = self.clock.monotonic()
         del self._waiting[id(call.waiting)]
         for waiting in call.target.queue.release(call.waiting, now=now, ran=True):
-            self._work(self._waiting[id(waiting)])
+            self._start_service(self._waiting[id(waiting)])
         status = 200 if call.target.alive else 0
-        self.at(now + self._delay(call), lambda: self._end(call, status=status))
+        self.at(now + self._delay(call), lambda: self._complete_call(call, status=status))
 
-    def _end(self, call: _Call, *, status: int) -> None:
+    def _complete_call(self, call: _Call, *, status: int) -> None:
         now = self.clock.monotonic()
         answered = status in (200, 500)
         self._balancers[call.caller].record_end(
--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -24,13 +24,13 @@
 
 @frozen
 class Setting:
-    """Conditions of equal sides.
+    """Conditions under which both sides are equal.
 
     Attributes:
-        name: What to call them.
-        rate: Part of failed calls on both sides.
-        burst: Part of failed calls on both sides in the middle third.
-        is_watched: Whether `WATCH_BUCKETS` without old calls follow.
+        name: Name in the table.
+        rate: Fraction of failed calls on both sides.
+        burst: Fraction of failed calls on both sides in the middle third.
+        is_watched: Whether `WATCH_BUCKETS` buckets without calls of the old version follow.
     """
 
     name: str
@@ -62,28 +62,28 @@
         old_calls = CALLS_PER_BUCKET - new_calls
         old = CallSample(old_calls, _binomial(random, old_calls, rate))
         test.add([PairedStratum(new, old)])
-        baseline.learn(old)
+        baseline.add(old)
         highest = max(highest, test.value)
     for _ in range(WATCH_BUCKETS if setting.is_watched else 0):
-        hits = _binomial(random, CALLS_PER_BUCKET, setting.rate)
+        bad_calls = _binomial(random, CALLS_PER_BUCKET, setting.rate)
         bound = baseline.bound(RateIncrease())
         if bound is not None:
-            test.add([BaselineStratum(CallSample(CALLS_PER_BUCKET, hits), bound)])
+            test.add([BaselineStratum(CallSample(CALLS_PER_BUCKET, bad_calls), bound)])
         highest = max(highest, test.value)
     return highest
 
 
-def _binomial(random: Random, number: int, part: float) -> int:
-    """Return a binomial number by skipping to the next hit."""
-    if part <= 0:
+def _binomial(random: Random, number: int, fraction: float) -> int:
+    """Return a binomial random number, by geometric distances between successes."""
+    if fraction <= 0:
         return 0
-    hits, place = 0, -1
-    scale = math.log1p(-part)
+    bad_calls, place = 0, -1
+    scale = math.log1p(-fraction)
     while True:
         place += 1 + int(math.log(1.0 - random.random()) / scale)
         if place >= number:
-            return hits
-        hits += 1
+            return bad_calls
+        bad_calls += 1
 
 
 def report(runs: int) -> Iterator[str]:
@@ -95,7 +95,9 @@
         random = Random(setting.name)
         values = [highest_value(setting, random) for _ in range(runs)]
         parts = [sum(value >= 1 / alpha for value in values) / runs for alpha in ALPHAS]
-        yield f"| {setting.name} | {runs} | " + " | ".join(f"{part:.4f}" for part in parts) + " |"
+        yield f"| {setting.name} | {runs} | " + " | ".join(
+            f"{fraction:.4f}" for fraction in parts
+        ) + " |"
 
 
 def main() -> int:
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -1,4 +1,4 @@
-"""Counts the calls that this node delivered, and tells the judging nodes about them."""
+"""Counts the calls that this node delivered, for the evaluating nodes of its zone."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from .latency import LatencyHistogram
 from .messages import CellCounts, EvidenceUpdate, MoveEvidence
 
-SENDS_PER_CELL = 2  # a cell is repeated once, so that one lost message costs nothing
+SENDS_PER_CELL = 2  # a cell is sent twice, so that one lost message loses no evidence
 OTHER_REFERENCE_CALLS = 100
 OTHER_SLOW_MARGIN = 1.5
 REFERENCE_QUANTILE = 0.9
@@ -25,7 +25,7 @@
 
 @define
 class _Reference:
-    """The old version's latencies on this node, and the limit once the zone has one."""
+    """Latencies of the old version on this node, and the zone's limit once it is set."""
 
     histogram: LatencyHistogram = field(factory=LatencyHistogram)
     limit_s: float = 0.0
@@ -39,7 +39,7 @@
         own_name: Name of this node.
         boot_id: Id of this process.
         clock: Source of time.
-        store: Where the cells are kept.
+        store: Store of the cells.
     """
 
     def __init__(self, *, own_name: str, boot_id: str, clock: Clock, store: EvidenceStore) -> None:
@@ -54,17 +54,17 @@
     def set_moves(self, by_route: Mapping[str, Move]) -> None:
         """Replace the open moves, by route."""
         self._moves = by_route
-        kept = {move.move_id for move in by_route.values()}
-        if kept:
-            kept.add(OTHER_ROUTES)
-        self._references = {m: r for m, r in self._references.items() if m in kept}
-        self._unsent = {cell: n for cell, n in self._unsent.items() if cell[0].move in kept}
+        retained = {move.move_id for move in by_route.values()}
+        if retained:
+            retained.add(OTHER_ROUTES)
+        self._references = {m: r for m, r in self._references.items() if m in retained}
+        self._unsent = {cell: n for cell, n in self._unsent.items() if cell[0].move in retained}
 
     def set_reference(self, move_id: str, reference: SlowReference) -> None:
-        """Count answers as slow from the reference's bucket on."""
-        own = self._reference(move_id)
-        own.limit_s = reference.latency_us / 1e6
-        own.from_bucket = reference.from_bucket
+        """Count slow responses from the reference's first bucket on."""
+        local = self._reference(move_id)
+        local.limit_s = reference.latency_us / 1e6
+        local.from_bucket = reference.from_bucket
 
     def observe(self, record: CallRecord, number: int = 1) -> None:
         """Count ``number`` calls with the same record; does nothing while no move is open."""
@@ -88,11 +88,11 @@
                 counts.slow += number
 
     def update(self, *, with_other: bool) -> EvidenceUpdate | None:
-        """Return the cells that have grown, or None when there are none.
+        """Return the cells whose counters have increased, or None when there are none.
 
         Args:
-            with_other: Whether calls of routes without a move are told even when this node saw
-                no call of a move.
+            with_other: Whether to report calls of routes without a move even when this node has
+                delivered no call of a move.
         """
         by_move: dict[str, list[CellCounts]] = {}
         for (source, bucket), sends in list(self._unsent.items()):
@@ -141,13 +141,15 @@
         return Source(self._own_name, self._boot_id, move.move_id, move.route, side)
 
     def _is_slow(self, record: CallRecord, source: Source, bucket: int, number: int) -> bool:
-        own = self._reference(source.move)
-        if not own.limit_s and source.side is not Side.NEW:
-            own.histogram.add(record.latency_s, number)
-            if source.side is Side.OTHER and own.histogram.calls >= OTHER_REFERENCE_CALLS:
-                quantile = own.histogram.quantile_us(REFERENCE_QUANTILE)
-                own.limit_s = quantile / 1e6 * OTHER_SLOW_MARGIN
-        return bool(own.limit_s) and bucket >= own.from_bucket and record.latency_s > own.limit_s
+        local = self._reference(source.move)
+        if not local.limit_s and source.side is not Side.NEW:
+            local.histogram.add(record.latency_s, number)
+            if source.side is Side.OTHER and local.histogram.calls >= OTHER_REFERENCE_CALLS:
+                quantile = local.histogram.quantile_us(REFERENCE_QUANTILE)
+                local.limit_s = quantile / 1e6 * OTHER_SLOW_MARGIN
+        return (
+            bool(local.limit_s) and bucket >= local.from_bucket and record.latency_s > local.limit_s
+        )
 
     def _reference(self, move_id: str) -> _Reference:
         return self._references.setdefault(move_id, _Reference())
