--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -6,9 +6,9 @@
 
 from ..clock import Clock
 from ..telemetry import Event, EventLog
+from .dependencies import CoreCallbacks
 from .entry import NodeEntry
-from .parts import Steering
-from .readers import ReaderBeat, ReaderRole, ReaderTimings
+from .readers import ReaderHeartbeat, ReaderRole, ReaderTimings
 
 
 class StoreAccess:
@@ -28,12 +28,12 @@
         *,
         clock: Clock,
         events: EventLog,
-        steering: Steering,
+        callbacks: CoreCallbacks,
         timings: ReaderTimings,
     ) -> None:
         self._role = ReaderRole(own, clock, timings)
         self._events = events
-        self._steering = steering
+        self._callbacks = callbacks
         self._failing: dict[str, str] = {}
         self._was_current = False
 
@@ -58,16 +58,16 @@
         return self._role.age_s
 
     @property
-    def answers(self) -> bool:
+    def available(self) -> bool:
         """Whether all topics could be read lately; true for a node that does not read."""
         return not self._failing
 
-    def answered(self, topic: str) -> None:
+    def on_read_succeeded(self, topic: str) -> None:
         """Note that a topic was read."""
         if self._failing.pop(topic, None) is not None:
             self._events.write(Event.LOG_RECOVERED, topic=topic)
 
-    def failed(self, topic: str, reason: str) -> None:
+    def on_read_failed(self, topic: str, reason: str) -> None:
         """Note that a topic could not be read."""
         if not self.reading:
             return  # The last read of a node that has stopped to read.
@@ -75,16 +75,16 @@
             self._events.write(Event.LOG_UNAVAILABLE, topic=topic, reason=reason)
         self._failing[topic] = reason
 
-    def confirmed(self, told_at: float) -> bool:
+    def on_end_confirmed(self, confirmed_at: float) -> bool:
         """Note that the store has told where the operator's topic ends.
 
         Args:
-            told_at: When the store may have told it.
+            confirmed_at: When the store may have told it.
 
         Returns:
             Whether the zone is to be told.
         """
-        return self._role.on_read(told_at)
+        return self._role.on_read(confirmed_at)
 
     def on_tick(self, zone: Iterable[NodeEntry]) -> bool:
         """Begin to read when nobody vouches for the own copy.
@@ -97,7 +97,7 @@
         """
         before = self.reading
         self._role.on_tick(zone)
-        self._follow(before)
+        self._apply_role_change(before)
         if self.current is self._was_current:
             return False
         self._was_current = self.current
@@ -105,7 +105,7 @@
         self._events.write(event, reading=self.reading, age_s=round(self.age_s, 2))
         return True
 
-    def on_beat(self, beat: ReaderBeat, *, position: int) -> None:
+    def on_heartbeat(self, beat: ReaderHeartbeat, *, position: int) -> None:
         """Take the beat of another reader.
 
         Args:
@@ -113,13 +113,13 @@
             position: First offset that this node does not cover.
         """
         before = self.reading
-        self._role.on_beat(beat, position=position, store_answers=self.answers)
-        self._follow(before)
+        self._role.on_heartbeat(beat, position=position, store_answers=self.available)
+        self._apply_role_change(before)
 
-    def _follow(self, before: bool) -> None:
+    def _apply_role_change(self, before: bool) -> None:
         if self.reading is before:
             return
         if not self.reading:
             self._failing.clear()
-        self._steering.read_topics(self.reading)
+        self._callbacks.read_topics(self.reading)
         self._events.write(Event.TOPIC_READER, reading=self.reading, age_s=round(self.age_s, 2))
--- a/src/citronrack/hosted/trial.py
+++ b/src/citronrack/hosted/canary.py
@@ -16,10 +16,10 @@
 """How often the leader of a rollout hears of calls: a bad version must be found within 5 s."""
 
 FAILS_HERE = "the new service version fails at this target"
-TAKEN_BACK = "the service version was taken back"
+VERSION_ROLLED_BACK = "the service version was taken back"
 
 
-class VersionTrial:
+class LocalCanary:
     """Counts calls at the own target during a rollout and stops a version that fails here.
 
     Args:
@@ -34,14 +34,14 @@
         self._events = events
         self._counter = EvidenceCounter()
         self._stopped = False
-        self._tell_at = 0.0
+        self._next_evidence_at = 0.0
 
     def restrict(self, identity: TargetIdentity) -> TargetIdentity:
         """Return the identity with a refusal if its version gets no calls."""
         if identity.refusal:
             return identity
-        if self._rollouts.taken_back(identity.service, identity.service_version):
-            return evolve(identity, refusal=TAKEN_BACK)
+        if self._rollouts.is_rolled_back(identity.service, identity.service_version):
+            return evolve(identity, refusal=VERSION_ROLLED_BACK)
         return evolve(identity, refusal=FAILS_HERE) if self._stopped else identity
 
     def begin(self) -> None:
@@ -76,9 +76,9 @@
         """Return the holder of the rollout and what to tell it, None when nothing is due."""
         now = self._clock.monotonic()
         order = self._rollouts.running(own.service)
-        if now < self._tell_at or order is None:
+        if now < self._next_evidence_at or order is None:
             return None
-        self._tell_at = now + EVIDENCE_INTERVAL_S
+        self._next_evidence_at = now + EVIDENCE_INTERVAL_S
         self._counter.begin(order.order_id, own.service_version)
         node = f"{own.name}/{own.boot}"
         evidence = self._counter.evidence(service=own.service, node=node)
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -28,18 +28,18 @@
 from ..telemetry.logs import LINES_PER_SECOND
 from ..transport.loop import CoreTask
 from ..transport.zmq_transport import ZmqTransport
-from .control import ControlHandler, ReadCall, ready_handler
+from .control import ControlHandler, ReportDecoder, readiness_handler
 from .core import HostedCore
+from .dependencies import CoreDependencies, OperatorTopic
 from .entry import NodeEntry
-from .exposed import expose, metrics_handler
-from .messages import CallReported, EndAsked, StopAsked
-from .parts import HostedParts, OperatorTopic
+from .messages import CallReported, ExitRequested, StopRequested
+from .metrics import metrics_handler, register_gauges
 from .publish import PublishTask
 from .readers import ReaderTimings
 from .settings import HostedSettings
 from .signals import SignalInbox
 from .store import MESH_TOPIC, KeyedStore
-from .target import OwnTargetState
+from .target import OwnTargetTracker
 from .watch import WatchTask
 
 FIXED_THREADS = 12  # core, watches, writer, log lines, five listeners, two spare
@@ -65,7 +65,7 @@
 """Longest pause between attempts to reach a node. A node that starts again while the store is away
 knows nobody until others reach it."""
 
-MESH_PAUSE_S = 5.0
+MESH_READ_PAUSE_S = 5.0
 """Time between reads of the nodes' topic; nodes tell each other changes, and a read finds those
 that nobody knows yet."""
 
@@ -74,7 +74,7 @@
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
-SETTINGS_CHECK_S = 2.0
+SETTINGS_CHECK_INTERVAL_S = 2.0
 """How often changed settings are looked for; they may change without a signal."""
 
 
@@ -87,8 +87,8 @@
         headers: Names of headers of callers and targets.
         operator: The operator's records.
         make_store: Returns a new connection to the store.
-        read_call: Decodes reports of the target.
-        is_ready_question: Whether method and path ask for readiness.
+        decode_report: Decodes reports of the target.
+        is_readiness_request: Whether method and path ask for readiness.
         reload: Reads the settings again; returns whether they have changed. Raises `SettingsError`
             when they cannot be used; the ones before stay.
     """
@@ -97,8 +97,8 @@
     headers: HeaderNames
     operator: OperatorTopic
     make_store: Callable[[], KeyedStore]
-    read_call: ReadCall
-    is_ready_question: Callable[[str, str], bool]
+    decode_report: ReportDecoder
+    is_readiness_request: Callable[[str, str], bool]
     reload: Callable[[], bool]
 
 
@@ -126,24 +126,24 @@
         self._tasks = tasks
         self._servers = servers
         self._signals = SignalInbox((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
-        self._log_lines: Future[None] | None = None
+        self._log_writer: Future[None] | None = None
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         self.start()
-        while not (received := self._signals.wait(SETTINGS_CHECK_S)) & STOP_SIGNALS:
+        while not (received := self._signals.wait(SETTINGS_CHECK_INTERVAL_S)) & STOP_SIGNALS:
             self._check_settings(asked=signal.SIGHUP in received)
         self.stop()
 
     def start(self) -> None:
         """Start all tasks."""
         sys.setswitchinterval(SWITCH_INTERVAL_S)
-        self._log_lines = self._executor.submit(self._events.run)
+        self._log_writer = self._executor.submit(self._events.run)
         runners = [self._core_task.run, *(task.run for task in self._tasks)]
         runners += [server.run for server in self._servers]
         runners += [self._call_path.calls.run, self._call_path.deliveries.run]
         for runner in runners:
-            self._executor.submit(self._guarded, runner)
+            self._executor.submit(self._run_task, runner)
         settings = self._adapter.settings
         self._events.write(
             Event.NODE_STARTED, zone=settings.availability_zone, service=settings.service
@@ -153,19 +153,19 @@
         """Leave the mesh, let calls end, then end all tasks."""
         end = time.monotonic() + self._adapter.settings.bounds.grace_s - STOP_RESERVE_S
         self._events.write(Event.NODE_STOPPING)
-        self._mailbox.put(StopAsked())
+        self._mailbox.put(StopRequested())
         time.sleep(min(STOP_NOTICE_S, max(0.0, end - time.monotonic())))
         complete = self._call_path.stop(max(0.0, end - time.monotonic()))
         self._events.write(Event.DRAIN_FINISHED, complete=complete)
-        self._mailbox.put(EndAsked())
+        self._mailbox.put(ExitRequested())
         for task in self._tasks:
             task.stop()
         for server in self._servers:
             server.stop()
         self._events.write(Event.NODE_STOPPED)
         self._events.stop()
-        if self._log_lines is not None:
-            wait([self._log_lines], timeout=LOG_FLUSH_S)
+        if self._log_writer is not None:
+            wait([self._log_writer], timeout=LOG_FLUSH_S)
 
     def _check_settings(self, *, asked: bool) -> None:
         try:
@@ -176,7 +176,7 @@
         if changed or asked:
             self._events.write(Event.SETTINGS_CHANGED, signalled=asked)
 
-    def _guarded(self, runner: Any) -> None:
+    def _run_task(self, runner: Any) -> None:
         try:
             runner()
         except Exception as error:
@@ -202,7 +202,7 @@
     publisher = PublishTask(
         store=adapter.make_store(), post=mailbox.put, events=events, random=random
     )
-    target = OwnTargetState(
+    target = OwnTargetTracker(
         address=settings.addresses.target,
         service=settings.service,
         report_interval_s=settings.bounds.report_interval_s,
@@ -210,7 +210,7 @@
     )
     timings = ReaderTimings.within(settings.bounds.config_apply_s)
     core = HostedCore(
-        HostedParts(
+        CoreDependencies(
             clock=clock,
             random=random,
             events=events,
@@ -226,8 +226,8 @@
     )
     budget = RetryBudget(ratio=RETRY_SHARE * settings.bounds.retry_ratio)
     call_path = _call_path(adapter, core, views, mailbox, executor, events, metrics, budget)
-    core.steering.set_slots = call_path.admission.resize
-    core.steering.set_saved_retries = budget.limit
+    core.callbacks.set_slots = call_path.admission.resize
+    core.callbacks.set_retry_burst = budget.limit
     transport = ZmqTransport(
         address=f"tcp://{settings.addresses.peers}",
         mesh_id=MESH_ID,
@@ -252,18 +252,20 @@
         post=mailbox.put,
         random=random,
         clock=boot_clock,
-        pause_s=MESH_PAUSE_S,
+        pause_s=MESH_READ_PAUSE_S,
         needed=False,
     )
 
     def read_topics(needed: bool) -> None:
-        operator_watch.need(needed, position=core.position(adapter.operator.name))
-        mesh_watch.need(needed, position=core.position(MESH_TOPIC))
+        operator_watch.set_needed(needed, position=core.position(adapter.operator.name))
+        mesh_watch.set_needed(needed, position=core.position(MESH_TOPIC))
 
-    core.steering.read_topics = read_topics
-    core.steering.read_nodes = lambda: mesh_watch.need(True, position=core.position(MESH_TOPIC))
+    core.callbacks.read_topics = read_topics
+    core.callbacks.read_nodes = lambda: mesh_watch.set_needed(
+        True, position=core.position(MESH_TOPIC)
+    )
     core.start()
-    expose(metrics, core, call_path, events, transport)
+    register_gauges(metrics, core, call_path, events, transport)
     return HostedNode(
         adapter=adapter,
         executor=executor,
@@ -275,7 +277,7 @@
             transport=transport,
             mailbox=mailbox,
             clock=clock,
-            stop_message=EndAsked,
+            stop_message=ExitRequested,
         ),
         tasks=(operator_watch, mesh_watch, publisher),
         servers=_servers(adapter, core, mailbox, executor, events, metrics),
@@ -370,10 +372,10 @@
 ) -> tuple[CallServer, ...]:
     """Return the listeners of reports, readiness and metrics."""
     addresses = adapter.settings.addresses
-    control = ControlHandler(read_call=adapter.read_call, post=mailbox.put, events=events)
+    control = ControlHandler(decode_report=adapter.decode_report, post=mailbox.put, events=events)
     handlers: tuple[tuple[str, Callable[[Request], Answer]], ...] = (
         (addresses.control, control.handle),
-        (addresses.ready, ready_handler(adapter.is_ready_question, lambda: core.ready)),
+        (addresses.ready, readiness_handler(adapter.is_readiness_request, lambda: core.ready)),
         (addresses.metrics, metrics_handler(adapter.settings.metrics_path, metrics)),
     )
     return tuple(
--- a/src/citronrack/hosted/control.py
+++ b/src/citronrack/hosted/control.py
@@ -10,10 +10,10 @@
 from ..errors import CitronrackError
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
-from .messages import Left, Mail, Reported
+from .messages import CoreMessage, LeaveReceived, ReportReceived
 from .target import TargetLeave, TargetReport
 
-ANSWER_LIMIT_S = 0.8
+ANSWER_TIMEOUT_S = 0.8
 """Longest wait for the core; a target gives a report up after a second."""
 
 MAX_BODY_BYTES = 64 * 1024
@@ -23,7 +23,7 @@
     """A status report is malformed or of a kind that is not known."""
 
 
-ReadCall = Callable[[str, str, bytes], TargetReport | TargetLeave | None]
+ReportDecoder = Callable[[str, str, bytes], TargetReport | TargetLeave | None]
 """Decodes method, path and body; None for a path that is no report. Raises `ReportInvalid`."""
 
 
@@ -31,15 +31,15 @@
     """Passes reports to the core and acknowledges them once they are in force.
 
     Args:
-        read_call: Decodes a report; given by the platform's adapter.
+        decode_report: Decodes a report; given by the platform's adapter.
         post: Takes messages for the core.
         events: Log lines.
     """
 
     def __init__(
-        self, *, read_call: ReadCall, post: Callable[[Mail], None], events: EventLog
+        self, *, decode_report: ReportDecoder, post: Callable[[CoreMessage], None], events: EventLog
     ) -> None:
-        self._read_call = read_call
+        self._read_call = decode_report
         self._post = post
         self._events = events
 
@@ -54,9 +54,13 @@
         if call is None:
             return own_answer(404, "no such call", Verdict.NOT_RUN)
         answer: Future[str] = Future()
-        self._post(Left(call, answer) if isinstance(call, TargetLeave) else Reported(call, answer))
+        self._post(
+            LeaveReceived(call, answer)
+            if isinstance(call, TargetLeave)
+            else ReportReceived(call, answer)
+        )
         try:
-            fault = answer.result(ANSWER_LIMIT_S)
+            fault = answer.result(ANSWER_TIMEOUT_S)
         except FutureTimeout:
             return own_answer(503, "the report was not taken in time", Verdict.MAY_HAVE_RUN)
         if fault:
@@ -65,7 +69,7 @@
         return own_page(b"application/json", b"{}")
 
 
-def ready_handler(
+def readiness_handler(
     is_question: Callable[[str, str], bool], is_ready: Callable[[], bool]
 ) -> Callable[[Request], Answer]:
     """Return the handler of the readiness address.
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -11,24 +11,25 @@
 from ..telemetry import Event
 from ..transport.send import Send
 from .access import StoreAccess
-from .copies import STORE, TopicCopies
+from .canary import LocalCanary
+from .dependencies import CoreCallbacks, CoreDependencies
 from .entry import NodeEntry, NodeTable
 from .evidence import Evidence
 from .gossip import GossipCore
 from .messages import (
     CallReported,
-    Left,
-    Mail,
+    CoreMessage,
+    LeaveReceived,
     PageRead,
-    Reported,
-    StopAsked,
-    WatchFailed,
-    Written,
+    ReadFailed,
+    RecordWritten,
+    ReportReceived,
+    StopRequested,
 )
-from .parts import HostedParts, Steering
-from .presence import NODE_PREFIX, Presence, read_entry
-from .readers import ReaderBeat
+from .readers import ReaderHeartbeat
+from .registration import NODE_PREFIX, Registration, decode_entry
 from .replica import TopicReplica
+from .replication import STORE, TopicReplication
 from .rollout import (
     ROLLOUT_PREFIX,
     Phase,
@@ -38,7 +39,6 @@
     rollout_write,
 )
 from .store import MESH_TOPIC, KeyedRecord
-from .trial import VersionTrial
 from .views import build_view
 
 
@@ -50,60 +50,64 @@
         own: Entry of this node before its target has reported.
     """
 
-    def __init__(self, parts: HostedParts, *, own: NodeEntry) -> None:
-        self._parts = parts
+    def __init__(self, dependencies: CoreDependencies, *, own: NodeEntry) -> None:
+        self._dependencies = dependencies
         self._active = ActiveConfig()
-        self._table = NodeTable(own_name=own.name, clock=parts.clock)
-        self._replicas = {name: TopicReplica(name) for name in (parts.operator.name, MESH_TOPIC)}
+        self._table = NodeTable(own_name=own.name, clock=dependencies.clock)
+        self._replicas = {
+            name: TopicReplica(name) for name in (dependencies.operator.name, MESH_TOPIC)
+        }
         self._gossip = GossipCore(
             replicas=self._replicas,
             table=self._table,
-            clock=parts.clock,
-            random=parts.random,
+            clock=dependencies.clock,
+            random=dependencies.random,
             on_records=self._on_records,
             on_entries=self._on_entries,
             rollouts=lambda: self._rollouts.records(),
         )
         self._rollouts = RolloutCore(
             own_name=own.name,
-            clock=parts.clock,
-            events=parts.events,
-            write_record=lambda record: parts.submit(rollout_write(record)),
-            tell_record=self._tell_rollout,
-            write_status=lambda *told: parts.submit(parts.operator.status(*told)),
+            clock=dependencies.clock,
+            events=dependencies.events,
+            write_record=lambda record: dependencies.submit(rollout_write(record)),
+            broadcast_record=self._broadcast_rollout,
+            write_status=lambda *told: dependencies.submit(dependencies.operator.status(*told)),
         )
-        self._trial = VersionTrial(self._rollouts, clock=parts.clock, events=parts.events)
-        self._presence = Presence(
+        self._canary = LocalCanary(
+            self._rollouts, clock=dependencies.clock, events=dependencies.events
+        )
+        self._registration = Registration(
             own,
             table=self._table,
-            clock=parts.clock,
-            submit=parts.submit,
+            clock=dependencies.clock,
+            submit=dependencies.submit,
             announce=self._announce,
         )
-        self._steering = Steering()
+        self._callbacks = CoreCallbacks()
         self._access = StoreAccess(
             own,
-            clock=parts.boot_clock,
-            events=parts.events,
-            steering=self._steering,
-            timings=parts.timings,
+            clock=dependencies.boot_clock,
+            events=dependencies.events,
+            callbacks=self._callbacks,
+            timings=dependencies.timings,
         )
-        self._copies = TopicCopies(
+        self._replication = TopicReplication(
             self._replicas,
-            operator=parts.operator.name,
+            operator=dependencies.operator.name,
             table=self._table,
             access=self._access,
             gossip=self._gossip,
-            clock=parts.boot_clock,
+            clock=dependencies.boot_clock,
         )
         self._stopping = False
-        self._view_due = True
+        self._view_outdated = True
         self._outbox: list[Send] = []
 
     @property
-    def steering(self) -> Steering:
+    def callbacks(self) -> CoreCallbacks:
         """What follows the core's decisions; set by the composition root."""
-        return self._steering
+        return self._callbacks
 
     @property
     def config_version(self) -> int:
@@ -123,7 +127,7 @@
     @property
     def store_answers(self) -> bool:
         """Whether all topics could be read lately."""
-        return self._access.answers
+        return self._access.available
 
     @property
     def config_age_s(self) -> float:
@@ -132,12 +136,12 @@
 
     def identity(self) -> TargetIdentity:
         """Return who the own target is, for the call path; called from any thread."""
-        return self._trial.restrict(self._parts.target.identity)
+        return self._canary.restrict(self._dependencies.target.identity)
 
-    def handle(self, mail: Mail) -> list[Send]:
+    def handle(self, message: CoreMessage) -> list[Send]:
         """Handle a message of another task."""
-        handler = _HANDLERS[type(mail)]
-        handler(self, mail)
+        handler = _HANDLERS[type(message)]
+        handler(self, message)
         return self._finish()
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
@@ -146,7 +150,7 @@
         if handler is not None:
             handler(self, sender, message)
         else:
-            self._gossiped(sender, message)
+            self._on_gossip(sender, message)
         return self._finish()
 
     def start(self) -> None:
@@ -154,7 +158,7 @@
 
         Of two nodes that start at once, the one that writes later reads the other's entry.
         """
-        self._presence.store()
+        self._registration.store()
 
     def position(self, topic: str) -> int:
         """Return the first offset of a topic that this node lacks; called from any thread."""
@@ -162,14 +166,14 @@
 
     def on_tick(self) -> list[Send]:
         """Do what is due."""
-        if self._parts.target.on_tick():
-            self._parts.events.write(Event.TARGET_SILENT)
-            self._update_own()
-        self._presence.renew()
+        if self._dependencies.target.on_tick():
+            self._dependencies.events.write(Event.TARGET_SILENT)
+            self._update_own_entry()
+        self._registration.renew()
         self._drop_expired()
-        zone = self._table.others_in(self._presence.entry.availability_zone)
+        zone = self._table.others_in(self._registration.entry.availability_zone)
         if self._access.on_tick(zone):
-            self._view_due = True
+            self._view_outdated = True
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
         self._send_evidence()
@@ -187,105 +191,107 @@
 
     # Messages of other tasks.
 
-    def _page_read(self, mail: PageRead) -> None:
-        taken = self._copies.take(mail, own=self._presence.entry)
-        self._on_records(mail.topic, taken.changed, STORE)
-        if mail.topic == MESH_TOPIC and mail.whole:
+    def _on_page_read(self, message: PageRead) -> None:
+        taken = self._replication.apply_page(message, own=self._registration.entry)
+        self._on_records(message.topic, taken.changed, STORE)
+        if message.topic == MESH_TOPIC and message.full:
             self._check_own_record()
-            self._announce(self._presence.entry)
+            self._announce(self._registration.entry)
             self._outbox += self._gossip.join()
             if not self._access.reading:
-                self._steering.read_topics(False)
+                self._callbacks.read_topics(False)
         self._outbox += taken.sends
 
-    def _watch_failed(self, mail: WatchFailed) -> None:
-        self._access.failed(mail.topic, mail.reason)
+    def _on_read_failed(self, message: ReadFailed) -> None:
+        self._access.on_read_failed(message.topic, message.reason)
 
-    def _written(self, mail: Written) -> None:
+    def _on_record_written(self, message: RecordWritten) -> None:
         """Act on a record once it stands in the store."""
-        rollout = decode_record(mail.record.value) if mail.topic == MESH_TOPIC else None
-        if rollout is not None and mail.record.key.startswith(ROLLOUT_PREFIX):
-            self._take_rollout(rollout)
-            self._tell_rollout(rollout)
-        elif mail.record.key == self._presence.key:
-            self._steering.read_nodes()
-
-    def _reported(self, mail: Reported) -> None:
-        target = self._parts.target
+        rollout = decode_record(message.record.value) if message.topic == MESH_TOPIC else None
+        if rollout is not None and message.record.key.startswith(ROLLOUT_PREFIX):
+            self._apply_rollout(rollout)
+            self._broadcast_rollout(rollout)
+        elif message.record.key == self._registration.key:
+            self._callbacks.read_nodes()
+
+    def _on_target_report(self, message: ReportReceived) -> None:
+        target = self._dependencies.target
         try:
-            changed = target.on_report(mail.report)
+            changed = target.on_report(message.report)
         except ValueError as error:
-            mail.answer.set_result(str(error))
+            message.answer.set_result(str(error))
             return
         if changed:
             self._target_changed()
-        mail.answer.set_result("")
+        message.answer.set_result("")
 
-    def _left(self, mail: Left) -> None:
-        if self._parts.target.on_leave(mail.leave):
+    def _on_target_leave(self, message: LeaveReceived) -> None:
+        if self._dependencies.target.on_leave(message.leave):
             self._target_changed()
-        mail.answer.set_result("")
+        message.answer.set_result("")
 
-    def _call_reported(self, mail: CallReported) -> None:
-        target = self._parts.target
-        cold = self._parts.clock.monotonic() < target.view.cold_until
+    def _on_call_reported(self, message: CallReported) -> None:
+        target = self._dependencies.target
+        cold = self._dependencies.clock.monotonic() < target.view.cold_until
         version = target.identity.service_version
-        if self._trial.observe(mail.record, version=version, cold=cold):
-            self._update_own()
+        if self._canary.observe(message.record, version=version, cold=cold):
+            self._update_own_entry()
 
-    def _stop_asked(self, _: StopAsked) -> None:
+    def _on_stop_requested(self, _: StopRequested) -> None:
         self._stopping = True
-        self._update_own()
+        self._update_own_entry()
 
     # Changes.
 
     def _target_changed(self) -> None:
-        view = self._parts.target.view
+        view = self._dependencies.target.view
         report = view.report
-        self._trial.begin()
+        self._canary.begin()
         if report is not None:
-            self._steering.set_slots(report.slots)
-        self._parts.events.write(Event.TARGET_STATE, **view.log_fields)
-        self._update_own()
+            self._callbacks.set_slots(report.slots)
+        self._dependencies.events.write(Event.TARGET_STATE, **view.log_fields)
+        self._update_own_entry()
 
-    def _update_own(self) -> None:
+    def _update_own_entry(self) -> None:
         """Tell other nodes whether the own target takes calls, if that has changed."""
         takes_calls = not self._stopping and not self.identity().refusal
-        if self._presence.update(self._parts.target.view, takes_calls=takes_calls):
-            self._view_due = True
+        if self._registration.update(self._dependencies.target.view, takes_calls=takes_calls):
+            self._view_outdated = True
 
     def _announce(self, entry: NodeEntry) -> None:
         self._outbox += self._gossip.announce(entry)
 
     def _check_own_record(self) -> None:
         if not self._stopping:
-            self._presence.check(self._replicas[MESH_TOPIC].value(self._presence.key))
+            self._registration.reconcile(self._replicas[MESH_TOPIC].value(self._registration.key))
 
-    def _on_beat(self, sender: str, beat: ReaderBeat) -> None:
-        self._outbox += self._copies.on_beat(sender, beat)
+    def _on_heartbeat(self, sender: str, beat: ReaderHeartbeat) -> None:
+        self._outbox += self._replication.on_heartbeat(sender, beat)
 
-    def _gossiped(self, sender: str, message: Any) -> None:
+    def _on_gossip(self, sender: str, message: Any) -> None:
         try:
             self._outbox += self._gossip.on_message(sender, message)
         except MessageRejected as error:
-            self._parts.events.write(Event.MESSAGE_REJECTED, reason=error.reason, sender=sender)
+            self._dependencies.events.write(
+                Event.MESSAGE_REJECTED, reason=error.reason, sender=sender
+            )
 
     def _on_evidence(self, _: str, evidence: Evidence) -> None:
         self._rollouts.on_evidence(evidence)
 
     def _on_rollout(self, _: str, record: RolloutRecord) -> None:
-        self._take_rollout(record)
+        self._apply_rollout(record)
 
     def _drop_expired(self) -> None:
         """Forget nodes that are gone."""
         expired = self._table.expire()
         for entry in expired:
-            self._view_due = True
-            self._parts.events.write(Event.NODE_EXPIRED, peer=entry.name)
-        self._presence.remove_records(expired)
+            self._view_outdated = True
+            self._dependencies.events.write(Event.NODE_EXPIRED, peer=entry.name)
+        self._registration.remove_records(expired)
 
     def _on_records(self, topic: str, records: Iterable[KeyedRecord], source: str) -> None:
-        if topic == self._parts.operator.name:
+        if topic == self._dependencies.operator.name:
             for record in records:
                 self._on_operator_record(record, source)
             return
@@ -295,34 +301,34 @@
             elif record.key.startswith(ROLLOUT_PREFIX):
                 rollout = decode_record(record.value)
                 if rollout is not None:
-                    self._take_rollout(rollout)
+                    self._apply_rollout(rollout)
                 elif record.value is not None:
                     self._refuse_record(record)
 
     def _on_node_record(self, record: KeyedRecord) -> None:
-        entry = read_entry(record.value)
+        entry = decode_entry(record.value)
         if entry is not None:
             self._on_entries([entry])
         elif record.value is not None:
             self._refuse_record(record)
-        elif record.key == self._presence.key:
+        elif record.key == self._registration.key:
             self._check_own_record()  # The store's keys may be taken away without a request.
 
     def _refuse_record(self, record: KeyedRecord) -> None:
-        self._parts.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
+        self._dependencies.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
 
     def _on_operator_record(self, record: KeyedRecord, source: str) -> None:
-        config = self._parts.operator.config(record)
+        config = self._dependencies.operator.config(record)
         if config is not None and self._active.swap(config):
-            self._parts.events.write(
+            self._dependencies.events.write(
                 Event.CONFIG_IN_FORCE,
                 version=config.version,
                 offset=record.offset,
-                position=self.position(self._parts.operator.name),
+                position=self.position(self._dependencies.operator.name),
                 source=source,
             )
-            self._view_due = True
-        order = self._parts.operator.order(record)
+            self._view_outdated = True
+        order = self._dependencies.operator.order(record)
         if order is None:
             if config is None and record.value is not None:
                 self._refuse_record(record)
@@ -331,55 +337,55 @@
         stored = decode_record(self._replicas[MESH_TOPIC].value(ROLLOUT_PREFIX + order.service))
         if stored is not None:
             self._rollouts.on_record(stored)
-        self._trial.begin()
-        self._view_due = True
+        self._canary.begin()
+        self._view_outdated = True
 
-    def _take_rollout(self, rollout: RolloutRecord) -> None:
+    def _apply_rollout(self, rollout: RolloutRecord) -> None:
         self._rollouts.on_record(rollout)
-        self._view_due = True
+        self._view_outdated = True
         if rollout.phase != Phase.RUNNING:
-            self._trial.begin()
-        self._update_own()
+            self._canary.begin()
+        self._update_own_entry()
 
     def _on_entries(self, entries: list[NodeEntry]) -> None:
         for entry in entries:
-            if entry.name == self._presence.entry.name:
+            if entry.name == self._registration.entry.name:
                 self._refute(entry)
             elif self._table.put(entry):
-                self._view_due = True
-                self._parts.events.write(Event.NODE_ENTRY, **entry.log_fields)
+                self._view_outdated = True
+                self._dependencies.events.write(Event.NODE_ENTRY, **entry.log_fields)
 
     def _refute(self, entry: NodeEntry) -> None:
         if not self._stopping:
-            self._presence.refute(entry)
-            self._view_due = True
+            self._registration.refute(entry)
+            self._view_outdated = True
 
-    def _tell_rollout(self, record: RolloutRecord) -> None:
-        self._outbox += self._gossip.tell(record, self._table.others())
+    def _broadcast_rollout(self, record: RolloutRecord) -> None:
+        self._outbox += self._gossip.send_to(record, self._table.others())
 
     def _send_evidence(self) -> None:
-        told = self._trial.evidence(self._presence.entry)
+        told = self._canary.evidence(self._registration.entry)
         if told is None:
             return
         holder, evidence = told
-        if holder == self._presence.entry.name:
+        if holder == self._registration.entry.name:
             self._rollouts.on_evidence(evidence)
         elif evidence.routes:
             peers = [entry for entry in self._table.others() if entry.name == holder]
-            self._outbox += self._gossip.tell(evidence, peers)
+            self._outbox += self._gossip.send_to(evidence, peers)
 
     def _finish(self) -> list[Send]:
         """Rebuild the routing view if something it shows has changed; return what to send."""
-        if self._view_due:
-            self._view_due = False
-            share = self._parts.retry_slack / (1 + self.nodes_known)
-            self._steering.set_saved_retries(max(1.0, share))
-            self._parts.views.current = build_view(
+        if self._view_outdated:
+            self._view_outdated = False
+            share = self._dependencies.retry_slack / (1 + self.nodes_known)
+            self._callbacks.set_retry_burst(max(1.0, share))
+            self._dependencies.views.current = build_view(
                 self._active.current,
                 self._table.entries(),
                 self._rollouts.shares(),
                 complete=self._access.current,
-                before=self._parts.views.current,
+                before=self._dependencies.views.current,
             )
         effects, self._outbox = self._outbox, []
         return effects
@@ -387,16 +393,16 @@
 
 _MESSAGES: dict[type[Any], Callable[[HostedCore, str, Any], None]] = {
     Evidence: HostedCore._on_evidence,
-    ReaderBeat: HostedCore._on_beat,
+    ReaderHeartbeat: HostedCore._on_heartbeat,
     RolloutRecord: HostedCore._on_rollout,
 }
 
 _HANDLERS: dict[type[Any], Callable[[HostedCore, Any], None]] = {
-    PageRead: HostedCore._page_read,
-    WatchFailed: HostedCore._watch_failed,
-    Written: HostedCore._written,
-    Reported: HostedCore._reported,
-    Left: HostedCore._left,
-    CallReported: HostedCore._call_reported,
-    StopAsked: HostedCore._stop_asked,
+    PageRead: HostedCore._on_page_read,
+    ReadFailed: HostedCore._on_read_failed,
+    RecordWritten: HostedCore._on_record_written,
+    ReportReceived: HostedCore._on_target_report,
+    LeaveReceived: HostedCore._on_target_leave,
+    CallReported: HostedCore._on_call_reported,
+    StopRequested: HostedCore._on_stop_requested,
 }
--- a/src/citronrack/hosted/delta.py
+++ b/src/citronrack/hosted/delta.py
@@ -11,10 +11,10 @@
 from ..codec import inflate
 from ..errors import MessageRejected
 
-_ROW_END = b"],"
+_ROW_SEPARATOR = b"],"
 """Values are JSON tables; a change touches a few of their rows."""
 
-FASTEST = 1
+COMPRESSION_LEVEL = 1
 """Level of compression; the routes of a configuration differ little from each other."""
 
 MAX_VALUE_BYTES = 4 * 1024 * 1024
@@ -31,10 +31,10 @@
 
 def compress(value: bytes | None) -> bytes:
     """Return the short form of a value; an empty one stands for a removed key."""
-    return zlib.compress(value, FASTEST) if value else b""
+    return zlib.compress(value, COMPRESSION_LEVEL) if value else b""
 
 
-def expand(short: bytes) -> bytes | None:
+def decompress(short: bytes) -> bytes | None:
     """Return the value of a short form.
 
     Raises:
@@ -47,7 +47,7 @@
 
 def make_delta(old: bytes, new: bytes) -> bytes:
     """Return what `apply_delta` needs to make ``new`` from ``old``."""
-    parts = tuple(_parts(old.split(_ROW_END), new.split(_ROW_END)))
+    parts = tuple(_parts(old.split(_ROW_SEPARATOR), new.split(_ROW_SEPARATOR)))
     packed: bytes = msgpack.packb((xxhash.xxh64_intdigest(new), parts), use_bin_type=True)
     return compress(packed)
 
@@ -59,12 +59,12 @@
         MessageRejected: When the bytes are damaged.
     """
     try:
-        digest, parts = msgpack.unpackb(expand(delta) or b"", use_list=False)
-        rows = old.split(_ROW_END)
+        digest, parts = msgpack.unpackb(decompress(delta) or b"", use_list=False)
+        rows = old.split(_ROW_SEPARATOR)
         made: list[bytes] = []
         for first, count, other in parts:
             made += rows[first : first + count] if count else (other,)
-        new = _ROW_END.join(made)
+        new = _ROW_SEPARATOR.join(made)
     except MessageRejected:
         raise
     except Exception as error:  # msgpack raises several unrelated error classes.
--- a/src/citronrack/hosted/parts.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -15,7 +15,7 @@
 from .readers import ReaderTimings
 from .rollout import Phase, RolloutOrder
 from .store import KeyedRecord
-from .target import OwnTargetState
+from .target import OwnTargetTracker
 
 
 @frozen
@@ -37,7 +37,7 @@
 
 
 @frozen
-class HostedParts:
+class CoreDependencies:
     """What the core works with; wired by the composition root.
 
     Attributes:
@@ -57,7 +57,7 @@
     random: Random
     events: EventLog
     views: ViewHolder
-    target: OwnTargetState
+    target: OwnTargetTracker
     operator: OperatorTopic
     submit: Callable[[Write], None]
     retry_slack: float = 0.0
@@ -74,17 +74,17 @@
 
 
 @define
-class Steering:
+class CoreCallbacks:
     """Parts of the node that are made after the core and follow its decisions.
 
     Attributes:
         read_topics: Gets whether this node has to read the topics for its zone.
         read_nodes: Called once the own entry stands in the store.
         set_slots: Gets the number of calls that the own target runs at once.
-        set_saved_retries: Gets the number of retries that this node may save up.
+        set_retry_burst: Gets the number of retries that this node may save up.
     """
 
     read_topics: Callable[[bool], None] = _ignore
     read_nodes: Callable[[], None] = _nothing
     set_slots: Callable[[int], None] = _ignore
-    set_saved_retries: Callable[[float], None] = _ignore
+    set_retry_burst: Callable[[float], None] = _ignore
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -10,10 +10,10 @@
 
 from ..clock import Clock
 
-RENEW_S = 60.0
+RENEW_INTERVAL_S = 60.0
 """How often a node writes its entry again, so that entries of nodes that are gone can expire."""
 
-EXPIRE_S = 200.0
+EXPIRE_AFTER_S = 200.0
 """Time without a renewal after which an entry is dropped: three renewals may be lost."""
 
 
@@ -62,7 +62,7 @@
         }
 
     @property
-    def order(self) -> tuple[int, int]:
+    def version(self) -> tuple[int, int]:
         """Greater for newer entries of the same node."""
         return self.boot, self.revision
 
@@ -104,12 +104,12 @@
     def put(self, entry: NodeEntry) -> bool:
         """Take an entry and return whether it is newer than the known one."""
         known = self._entries.get(entry.name)
-        if known is not None and entry.order <= known.order:
+        if known is not None and entry.version <= known.version:
             return False
-        if entry.order <= self._dropped.get(entry.name, ((-1, -1), 0.0))[0]:
+        if entry.version <= self._dropped.get(entry.name, ((-1, -1), 0.0))[0]:
             return False  # Another node has not dropped it yet.
         holder = self._by_address.get(entry.deliver_address)
-        if holder not in (None, entry.name) and not self._replace(holder, entry):
+        if holder not in (None, entry.name) and not self._claim_address(holder, entry):
             return False
         self._by_address[entry.deliver_address] = entry.name
         self._entries[entry.name] = entry
@@ -118,9 +118,9 @@
         return True
 
     def expire(self) -> list[NodeEntry]:
-        """Drop the entries that were not renewed for `EXPIRE_S` and return them."""
+        """Drop the entries that were not renewed for `EXPIRE_AFTER_S` and return them."""
         now = self._clock.monotonic()
-        limit = now - EXPIRE_S
+        limit = now - EXPIRE_AFTER_S
         self._dropped = {name: drop for name, drop in self._dropped.items() if drop[1] >= limit}
         expired = [
             entry
@@ -131,7 +131,7 @@
             self._drop(entry)
         return expired
 
-    def _replace(self, holder: str | None, entry: NodeEntry) -> bool:
+    def _claim_address(self, holder: str | None, entry: NodeEntry) -> bool:
         """Drop the node that had an entry's address before; False when that node is the newer one.
 
         Addresses of instances that are gone are used again.
@@ -148,16 +148,16 @@
         del self._entries[entry.name], self._renewed_at[entry.name]
         if self._by_address.get(entry.deliver_address) == entry.name:
             del self._by_address[entry.deliver_address]
-        self._dropped[entry.name] = (entry.order, self._clock.monotonic())
+        self._dropped[entry.name] = (entry.version, self._clock.monotonic())
         self._digest ^= _hash(entry)
 
-    def newer_than(self, orders: Iterable[tuple[str, int, int]]) -> tuple[NodeEntry, ...]:
+    def newer_than(self, versions: Iterable[tuple[str, int, int]]) -> tuple[NodeEntry, ...]:
         """Return the entries that a table with the given ``(name, boot, revision)`` lacks."""
-        known = {name: (boot, revision) for name, boot, revision in orders}
+        known = {name: (boot, revision) for name, boot, revision in versions}
         return tuple(
             entry
             for entry in self._entries.values()
-            if entry.order > known.get(entry.name, (-1, -1))
+            if entry.version > known.get(entry.name, (-1, -1))
         )
 
 
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -57,7 +57,7 @@
 
 
 @define
-class Tally:
+class CallTotals:
     """Sums of calls.
 
     Attributes:
@@ -72,7 +72,7 @@
     timed: int = 0
     latency_ms: int = 0
 
-    def add(self, other: Tally, sign: int = 1) -> None:
+    def add(self, other: CallTotals, sign: int = 1) -> None:
         """Add the sums of another tally, or subtract them."""
         self.calls += sign * other.calls
         self.failures += sign * other.failures
@@ -90,7 +90,7 @@
         return self.latency_ms / self.timed if self.timed else 0.0
 
 
-_Sums = dict[tuple[str, str], Tally]
+_TotalsByRoute = dict[tuple[str, str], CallTotals]
 """Tallies by service version and route."""
 
 
@@ -99,7 +99,7 @@
 
     def __init__(self) -> None:
         self._order_id = -1
-        self._tallies: dict[str, Tally] = {}
+        self._tallies: dict[str, CallTotals] = {}
         self._recent: deque[bool] = deque(maxlen=LOCAL_CALLS)
         self._version = ""
 
@@ -120,7 +120,7 @@
         if record.refused or record.service_version != self._version:
             return
         failed = record.status >= 500
-        tally = self._tallies.setdefault(record.route, Tally())
+        tally = self._tallies.setdefault(record.route, CallTotals())
         tally.calls += 1
         tally.failures += failed
         self._recent.append(failed)
@@ -138,11 +138,11 @@
 
 
 @define(eq=False)
-class EvidenceBoard:
+class EvidenceAggregator:
     """Evidence of all nodes, kept by the node that leads a rollout."""
 
     _latest: dict[tuple[str, str], Evidence] = field(factory=dict)
-    _samples: deque[tuple[float, _Sums]] = field(factory=deque)
+    _samples: deque[tuple[float, _TotalsByRoute]] = field(factory=deque)
 
     def put(self, evidence: Evidence) -> None:
         """Take the newest evidence of a node."""
@@ -150,7 +150,7 @@
 
     def sample(self, now: float) -> None:
         """Note the sums at a time, for comparisons over `WINDOW_S`."""
-        self._samples.append((now, self._sums()))
+        self._samples.append((now, self._current_totals()))
         while len(self._samples) > 1 and now - self._samples[0][0] > 2 * WINDOW_S:
             self._samples.popleft()
 
@@ -159,7 +159,7 @@
         if not self._samples:
             return 0
         before = next((sums for at, sums in reversed(self._samples) if at <= since), {})
-        return _total(self._samples[-1][1], version) - _total(before, version)
+        return _call_count(self._samples[-1][1], version) - _call_count(before, version)
 
     def fault(self, version: str) -> str:
         """Return why a version is bad, empty when nothing speaks against it."""
@@ -169,23 +169,23 @@
         recent_from = next((old for at, old in self._samples if now - at <= WINDOW_S), {})
         return _compare(sums, version) or _compare(_difference(sums, recent_from), version)
 
-    def _sums(self) -> _Sums:
-        sums: _Sums = {}
+    def _current_totals(self) -> _TotalsByRoute:
+        sums: _TotalsByRoute = {}
         for evidence in self._latest.values():
             for route, calls, failures, timed, latency_ms in evidence.routes:
-                tally = sums.setdefault((evidence.service_version, route), Tally())
-                tally.add(Tally(calls, failures, timed, latency_ms))
+                tally = sums.setdefault((evidence.service_version, route), CallTotals())
+                tally.add(CallTotals(calls, failures, timed, latency_ms))
         return sums
 
 
-def _total(sums: Mapping[tuple[str, str], Tally], version: str) -> int:
+def _call_count(sums: Mapping[tuple[str, str], CallTotals], version: str) -> int:
     return sum(tally.calls for (of, _), tally in sums.items() if of == version)
 
 
-def _difference(sums: _Sums, before: _Sums) -> _Sums:
-    result: _Sums = {}
+def _difference(sums: _TotalsByRoute, before: _TotalsByRoute) -> _TotalsByRoute:
+    result: _TotalsByRoute = {}
     for key, tally in sums.items():
-        part = Tally()
+        part = CallTotals()
         part.add(tally)
         if key in before:
             part.add(before[key], sign=-1)
@@ -193,34 +193,34 @@
     return result
 
 
-def _compare(sums: _Sums, version: str) -> str:
+def _compare(sums: _TotalsByRoute, version: str) -> str:
     """Return why ``version`` is worse than the others, on one route or on all."""
     routes = {route for of, route in sums if of == version}
-    new_all, old_all = Tally(), Tally()
+    new_all, old_all = CallTotals(), CallTotals()
     for route in sorted(routes):
         new = sums[version, route]
-        old = _old_side(sums, version, route)
+        old = _baseline(sums, version, route)
         new_all.add(new)
         old_all.add(old)
-        reason = _worse(new, old)
+        reason = _find_regression(new, old)
         if reason:
             return f"route {route}: {reason}"
-    return _fails_more(new_all, old_all)
+    return _compare_failures(new_all, old_all)
 
 
-def _old_side(sums: _Sums, version: str, route: str) -> Tally:
-    old = Tally()
+def _baseline(sums: _TotalsByRoute, version: str, route: str) -> CallTotals:
+    old = CallTotals()
     for (of, on), tally in sums.items():
         if of != version and on == route:
             old.add(tally)
     return old
 
 
-def _worse(new: Tally, old: Tally) -> str:
-    return _fails_more(new, old) or _is_slower(new, old)
+def _find_regression(new: CallTotals, old: CallTotals) -> str:
+    return _compare_failures(new, old) or _compare_latencies(new, old)
 
 
-def _fails_more(new: Tally, old: Tally) -> str:
+def _compare_failures(new: CallTotals, old: CallTotals) -> str:
     limit = max(FAILURE_RATE_FLOOR, FAILURE_FACTOR * old.failure_rate)
     if new.failures >= MIN_FAILURES and new.failure_rate > limit:
         return (
@@ -230,7 +230,7 @@
     return ""
 
 
-def _is_slower(new: Tally, old: Tally) -> str:
+def _compare_latencies(new: CallTotals, old: CallTotals) -> str:
     enough = min(new.timed, old.timed) >= MIN_SLOW_CALLS
     if enough and new.mean_ms > SLOW_FACTOR * old.mean_ms:
         return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms on the old version"
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -12,16 +12,16 @@
 from ..errors import MessageRejected
 from ..transport.messages import message_codec
 from ..transport.send import Send
-from .delta import DAMAGED, MIN_DELTA_BYTES, apply_delta, compress, expand, make_delta
+from .delta import DAMAGED, MIN_DELTA_BYTES, apply_delta, compress, decompress, make_delta
 from .entry import NodeEntry, NodeTable
 from .replica import TopicReplica
 from .rollout import RolloutRecord
 from .store import KeyedPage, KeyedRecord
 
-CALM_INTERVAL_S = 1.0
+EXCHANGE_INTERVAL_S = 1.0
 """Time between exchanges of a node whose records are known to be complete."""
 
-STALE_INTERVAL_S = 0.25
+STALE_EXCHANGE_INTERVAL_S = 0.25
 """Time between exchanges of a node for whose records nobody vouches: a change must arrive within
 2 s, and one exchange may be lost."""
 
@@ -35,9 +35,9 @@
 """Bytes of records in one message; the transport takes 256 KB."""
 
 
-WHOLE = -1
+NO_BASE = -1
 
-UNSTATED = -1
+UNKNOWN_START = -1
 """Start of records whose sender is of the release before and does not tell it."""
 
 
@@ -57,7 +57,7 @@
     topics: tuple[tuple[str, int], ...]
     digest: int
     stale: bool
-    asks: bool
+    wants_reply: bool
     rollouts: tuple[tuple[str, int, int], ...] = ()
 
 
@@ -71,7 +71,7 @@
         records: Triples of key, compressed value and offset; an empty value stands for a removed
             key. A configuration of 70 KB to each node of a zone filled a link of 14.5 Mbit/s.
         position: First offset that the message does not cover.
-        bases: For each record the offset of the older one whose delta it carries, `WHOLE` for a
+        bases: For each record the offset of the older one whose delta it carries, `NO_BASE` for a
             whole value; empty when all are whole. Compressed values, each to 30 nodes, still
             filled a link of 10 Mbit/s at four changes a second.
         start: First offset that the message covers; a receiver that has less lacks a message.
@@ -81,19 +81,19 @@
     records: tuple[tuple[str, bytes, int], ...]
     position: int
     bases: tuple[int, ...] = ()
-    start: int = UNSTATED
+    start: int = UNKNOWN_START
 
 
 @message_codec.register("h-ask")
 @frozen
-class EntriesAsked:
+class EntriesRequest:
     """Asks for the entries that are newer than the sender's.
 
     Attributes:
         orders: Name, boot and revision of each entry that the sender holds.
     """
 
-    orders: tuple[tuple[str, int, int], ...]
+    versions: tuple[tuple[str, int, int], ...]
 
 
 @message_codec.register("h-ent")
@@ -139,7 +139,7 @@
         self._on_records = on_records
         self._on_entries = on_entries
         self._rollouts = rollouts
-        self._next = 0.0
+        self._next_exchange_at = 0.0
         self._stale = True
 
     def on_tick(self, *, current: bool) -> list[Send]:
@@ -150,20 +150,22 @@
         """
         self._stale = not current
         now = self._clock.monotonic()
-        if now < self._next:
+        if now < self._next_exchange_at:
             return []
-        self._next = now + (CALM_INTERVAL_S if current else STALE_INTERVAL_S)
+        self._next_exchange_at = now + (
+            EXCHANGE_INTERVAL_S if current else STALE_EXCHANGE_INTERVAL_S
+        )
         peers = list(self._table.others())
         count = min(len(peers), 1 if current else STALE_PEERS)
         chosen = self._random.sample(peers, count)
-        return [Send(_address(peer), self._positions(asks=True)) for peer in chosen]
+        return [Send(_address(peer), self._positions(wants_reply=True)) for peer in chosen]
 
     def announce(self, entry: NodeEntry) -> list[Send]:
         """Tell all nodes an entry that has just changed."""
-        return self.tell(Entries((entry,)), self._table.others())
+        return self.send_to(Entries((entry,)), self._table.others())
 
     @staticmethod
-    def tell(message: Any, peers: Iterable[NodeEntry]) -> list[Send]:
+    def send_to(message: Any, peers: Iterable[NodeEntry]) -> list[Send]:
         """Return a message to each of some nodes."""
         return [Send(_address(peer), message) for peer in peers]
 
@@ -171,7 +173,7 @@
         """Ask some nodes for what they hold, after a start."""
         peers = list(self._table.others())
         chosen = self._random.sample(peers, min(len(peers), JOIN_PEERS))
-        return self.tell(self._positions(asks=True), chosen)
+        return self.send_to(self._positions(wants_reply=True), chosen)
 
     @staticmethod
     def push(topic: str, page: KeyedPage, *, before: Mapping[str, KeyedRecord]) -> TopicRecords:
@@ -184,14 +186,14 @@
         """
         triples, bases = [], []
         for record in page.records:
-            short, base = _short(record, before.get(record.key))
+            short, base = _encode_value(record, before.get(record.key))
             triples.append((record.key, short, record.offset))
             bases.append(base)
         return TopicRecords(topic, tuple(triples), page.position, tuple(bases), page.start)
 
-    def ask(self, sender: str) -> Send:
+    def request_records(self, sender: str) -> Send:
         """Return the message that asks a node for the records that this one lacks."""
-        return Send(sender, evolve(self._positions(asks=False), stale=True))
+        return Send(sender, evolve(self._positions(wants_reply=False), stale=True))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of another node.
@@ -202,32 +204,32 @@
         handler = _HANDLERS.get(type(message))
         return handler(self, sender, message) if handler is not None else []
 
-    def _positions(self, *, asks: bool) -> Positions:
+    def _positions(self, *, wants_reply: bool) -> Positions:
         topics = tuple((name, replica.position) for name, replica in self._replicas.items())
         rollouts = tuple(
             (record.service, record.order_id, record.revision) for record in self._rollouts()
         )
-        return Positions(topics, self._table.digest, self._stale, asks, rollouts)
+        return Positions(topics, self._table.digest, self._stale, wants_reply, rollouts)
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
         effects: list[Send] = []
         for topic, position in message.topics if message.stale else ():
             replica = self._replicas.get(topic)
             if replica is not None and replica.position > position:
-                effects += self._records(sender, replica, position)
-        told = {service: (order, revision) for service, order, revision in message.rollouts}
+                effects += self._record_messages(sender, replica, position)
+        told = {service: (version, revision) for service, version, revision in message.rollouts}
         for record in self._rollouts():
             if (record.order_id, record.revision) > told.get(record.service, (-1, -1)):
                 effects.append(Send(sender, record))
         if message.digest != self._table.digest:
-            orders = ((entry.name, *entry.order) for entry in self._table.entries())
-            effects.append(Send(sender, EntriesAsked(tuple(orders))))
-            if message.asks:
-                effects.append(Send(sender, self._positions(asks=False)))
+            versions = ((entry.name, *entry.version) for entry in self._table.entries())
+            effects.append(Send(sender, EntriesRequest(tuple(versions))))
+            if message.wants_reply:
+                effects.append(Send(sender, self._positions(wants_reply=False)))
         return effects
 
     @staticmethod
-    def _records(to: str, replica: TopicReplica, position: int) -> list[Send]:
+    def _record_messages(to: str, replica: TopicReplica, position: int) -> list[Send]:
         """Return messages that each cover what lies behind the one before."""
         page = replica.since(position)
         effects: list[Send] = []
@@ -253,7 +255,7 @@
         replica = self._replicas.get(message.topic)
         if replica is None:
             return []
-        bases = message.bases or (WHOLE,) * len(message.records)
+        bases = message.bases or (NO_BASE,) * len(message.records)
         if len(bases) != len(message.records):
             raise MessageRejected(DAMAGED)
         records = []
@@ -261,21 +263,23 @@
             known = replica.record(key)
             if known is not None and known.offset >= offset:
                 continue
-            value = expand(short) if base == WHOLE else _from_delta(known, base, short)
-            if base != WHOLE and value is None:
-                return [self.ask(sender)]  # This node lacks the record that the delta needs.
+            value = decompress(short) if base == NO_BASE else _from_delta(known, base, short)
+            if base != NO_BASE and value is None:
+                return [
+                    self.request_records(sender)
+                ]  # This node lacks the record that the delta needs.
             records.append(KeyedRecord(key, value, offset))
-        stated = message.start != UNSTATED
+        stated = message.start != UNKNOWN_START
         start = message.start if stated else message.position
         changed = replica.apply(KeyedPage(tuple(records), message.position, start=start))
         if changed:
             self._on_records(message.topic, changed, sender)
         if stated and replica.position < message.position:
-            return [self.ask(sender)]  # A message before this one was lost.
+            return [self.request_records(sender)]  # A message before this one was lost.
         return []
 
-    def _on_entries_asked(self, sender: str, message: EntriesAsked) -> list[Send]:
-        newer = self._table.newer_than(message.orders)
+    def _on_entries_request(self, sender: str, message: EntriesRequest) -> list[Send]:
+        newer = self._table.newer_than(message.versions)
         return [Send(sender, Entries(newer))] if newer else []
 
     def _on_entries_message(self, _: str, message: Entries) -> list[Send]:
@@ -283,13 +287,13 @@
         return []
 
 
-def _short(record: KeyedRecord, base: KeyedRecord | None) -> tuple[bytes, int]:
+def _encode_value(record: KeyedRecord, base: KeyedRecord | None) -> tuple[bytes, int]:
     """Return a value in short form and the offset of the record that it rests on."""
-    whole = compress(record.value)
-    if len(whole) < MIN_DELTA_BYTES or not record.value or base is None or not base.value:
-        return whole, WHOLE
+    full = compress(record.value)
+    if len(full) < MIN_DELTA_BYTES or not record.value or base is None or not base.value:
+        return full, NO_BASE
     delta = make_delta(base.value, record.value)
-    return (delta, base.offset) if len(delta) < len(whole) else (whole, WHOLE)
+    return (delta, base.offset) if len(delta) < len(full) else (full, NO_BASE)
 
 
 def _from_delta(known: KeyedRecord | None, base: int, delta: bytes) -> bytes | None:
@@ -305,6 +309,6 @@
 _HANDLERS: dict[type[Any], Callable[[GossipCore, str, Any], list[Send]]] = {
     Positions: GossipCore._on_positions,
     TopicRecords: GossipCore._on_topic_records,
-    EntriesAsked: GossipCore._on_entries_asked,
+    EntriesRequest: GossipCore._on_entries_request,
     Entries: GossipCore._on_entries_message,
 }
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -20,18 +20,19 @@
         topic: Name of the topic.
         page: The records.
         whole: Whether the page holds the newest record of every key.
-        made_at: When the store may have made the page, by the boot clock; 0 where nobody asks. It
-            lies back if the store is slow, or if the process stood still while the answer waited.
+        created_at: Earliest time at which the store may have made the page, by the boot clock; 0
+            where no caller needs it. It lies in the past if the store is slow, or if the process
+            was suspended while the answer waited.
     """
 
     topic: str
     page: KeyedPage
-    whole: bool
-    made_at: float = 0.0
+    full: bool
+    created_at: float = 0.0
 
 
 @frozen
-class Written:
+class RecordWritten:
     """A record of this node stands in the store.
 
     Attributes:
@@ -44,7 +45,7 @@
 
 
 @frozen
-class WatchFailed:
+class ReadFailed:
     """A watch got no answer.
 
     Attributes:
@@ -57,7 +58,7 @@
 
 
 @frozen
-class Reported:
+class ReportReceived:
     """The target beside the node has reported.
 
     Attributes:
@@ -70,7 +71,7 @@
 
 
 @frozen
-class Left:
+class LeaveReceived:
     """The target beside the node leaves.
 
     Attributes:
@@ -90,14 +91,14 @@
 
 
 @frozen
-class StopAsked:
+class StopRequested:
     """The node begins to stop; its target gets no new calls soon."""
 
 
 @frozen
-class EndAsked:
+class ExitRequested:
     """The core ends."""
 
 
-Mail = Any
+CoreMessage = Any
 """One of the classes of this module, or a message that `gossip` or `evidence` registers."""
--- a/src/citronrack/hosted/exposed.py
+++ b/src/citronrack/hosted/metrics.py
@@ -24,7 +24,7 @@
     return handle
 
 
-def expose(
+def register_gauges(
     metrics: Exposition,
     core: HostedCore,
     call_path: CallPath,
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -12,9 +12,9 @@
 from ..backoff import Backoff
 from ..errors import AppendRefused, AppendUnknown, LogUnavailable
 from ..telemetry import Event, EventLog
-from .messages import Mail, PageRead, Written
+from .messages import CoreMessage, PageRead, RecordWritten
 from .store import BACKOFF_CAP_S, AppendConflict, KeyedRecord, KeyedStore
-from .watch import PATIENT_READ_ANSWER_MS
+from .watch import LONG_READ_TIMEOUT_MS
 
 
 @frozen
@@ -55,7 +55,7 @@
         self,
         *,
         store: KeyedStore,
-        post: Callable[[Mail], None],
+        post: Callable[[CoreMessage], None],
         events: EventLog,
         random: Random,
     ) -> None:
@@ -101,8 +101,8 @@
         try:
             end = None
             if write.may_replace is not None:
-                page = self._store.newest(write.topic, answer_ms=PATIENT_READ_ANSWER_MS)
-                self._post(PageRead(write.topic, page, whole=True))
+                page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
+                self._post(PageRead(write.topic, page, full=True))
                 end = page.position
                 present = {record.key: record.value for record in page.records}
                 if not write.may_replace(present.get(write.key)):
@@ -120,5 +120,5 @@
             return write.once
         self._events.write(Event.STORE_WRITTEN, topic=write.topic, key=write.key, offset=offset)
         record = KeyedRecord(write.key, write.value, offset)
-        self._post(Written(write.topic, record))
+        self._post(RecordWritten(write.topic, record))
         return True
--- a/src/citronrack/hosted/ramp.py
+++ b/src/citronrack/hosted/ramp.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-LAST_CALL = 0.9
+TIMEOUT_AT = 0.9
 """Part of the duration after which a rollout that is not finished is taken back."""
 
 MIN_CALLS = 12
@@ -28,5 +28,5 @@
 """Shares over time. A bad version that shows itself only at the last step has had less than a tenth
 of all calls of the whole duration until then."""
 
-FINISH_AT = 0.72
+COMPLETE_AT = 0.72
 """Part of the duration after which a version that has all calls is done."""
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -11,15 +11,15 @@
 from ..transport.messages import message_codec
 from .entry import NodeEntry
 
-READERS = "readers"
+RANK_SCOPE = "readers"
 """Scope of the order in which the nodes of a zone read."""
 
 CONFIG_APPLY_S = 2.0
 """Time in which a change has to be in force where the platform states none."""
 
-_WAIT = 0.35
-_SILENCE = 0.45
-_BEAT_PAUSE = 0.05
+_LONG_POLL = 0.35
+_STALE_AFTER = 0.45
+_HEARTBEAT_INTERVAL = 0.05
 _RANK_DELAY = 0.05
 _MAX_RANK_DELAY = 0.15
 """Parts of the time in which a change has to be in force. Silence and the longest delay by rank add
@@ -32,16 +32,17 @@
 
     Attributes:
         wait_s: How long the store may hold a read in which nothing changes.
-        silence_s: Time without word on the end of the topic after which a node takes its copy for
-            stale; longer than a wait and a pause of the beats, so that one slow read costs nothing.
-        beat_pause_s: Shortest time between two beats.
+        stale_after_s: Time without confirmation of the topic's end after which a node treats its
+            replica as stale; longer than a wait plus the heartbeat interval, so that one slow read
+            has no effect.
+        heartbeat_interval_s: Shortest time between two heartbeats.
         rank_delay_s: Further silence for each node of a better rank, so that few begin at once.
         max_rank_delay_s: Longest further silence.
     """
 
     wait_s: float
-    silence_s: float
-    beat_pause_s: float
+    stale_after_s: float
+    heartbeat_interval_s: float
     rank_delay_s: float
     max_rank_delay_s: float
 
@@ -49,9 +50,9 @@
     def within(cls, config_apply_s: float = CONFIG_APPLY_S) -> ReaderTimings:
         """Return the times for changes that have to be in force within ``config_apply_s``."""
         return cls(
-            wait_s=_WAIT * config_apply_s,
-            silence_s=_SILENCE * config_apply_s,
-            beat_pause_s=_BEAT_PAUSE * config_apply_s,
+            wait_s=_LONG_POLL * config_apply_s,
+            stale_after_s=_STALE_AFTER * config_apply_s,
+            heartbeat_interval_s=_HEARTBEAT_INTERVAL * config_apply_s,
             rank_delay_s=_RANK_DELAY * config_apply_s,
             max_rank_delay_s=_MAX_RANK_DELAY * config_apply_s,
         )
@@ -59,7 +60,7 @@
 
 @message_codec.register("h-beat")
 @frozen
-class ReaderBeat:
+class ReaderHeartbeat:
     """The store has just told a reader that the operator's topic ends here.
 
     A reader whose reads are not answered sends none, so a beat vouches for the topic and not only
@@ -78,7 +79,7 @@
     age_ms: int = 0
 
     @classmethod
-    def of(cls, entry: NodeEntry, position: int, *, age_s: float) -> ReaderBeat:
+    def of(cls, entry: NodeEntry, position: int, *, age_s: float) -> ReaderHeartbeat:
         """Return the beat of a node that reads."""
         return cls(entry.name, position, entry.link_mbps, round(age_s * 1000))
 
@@ -103,11 +104,13 @@
     timings: ReaderTimings = field(factory=ReaderTimings.within)
     reading: bool = True
     _current_at: float = field(init=False)
-    _better_at: float = field(init=False)
-    _next_beat: float = 0.0
+    _better_reader_at: float = field(init=False)
+    _next_heartbeat_at: float = 0.0
 
     def __attrs_post_init__(self) -> None:
-        self._current_at = self._better_at = self.clock.monotonic() - self.timings.silence_s
+        self._current_at = self._better_reader_at = (
+            self.clock.monotonic() - self.timings.stale_after_s
+        )
 
     @property
     def age_s(self) -> float:
@@ -117,28 +120,28 @@
     @property
     def current(self) -> bool:
         """Whether somebody has vouched for this node's copy lately."""
-        return self.age_s < self.timings.silence_s
+        return self.age_s < self.timings.stale_after_s
 
     @property
     def leading(self) -> bool:
         """Whether this node passes records on: of several readers only the best one does."""
-        since_better_s = self.clock.monotonic() - self._better_at
-        return self.reading and since_better_s >= self.timings.silence_s
+        since_better_s = self.clock.monotonic() - self._better_reader_at
+        return self.reading and since_better_s >= self.timings.stale_after_s
 
-    def on_read(self, told_at: float) -> bool:
+    def on_read(self, confirmed_at: float) -> bool:
         """Note that the store has told where the topic ends; return whether a beat is due.
 
         Args:
-            told_at: When the store may have told it.
+            confirmed_at: When the store may have told it.
         """
         now = self.clock.monotonic()
-        self._current_at = max(self._current_at, told_at)
-        if not self.reading or now < self._next_beat:
+        self._current_at = max(self._current_at, confirmed_at)
+        if not self.reading or now < self._next_heartbeat_at:
             return False
-        self._next_beat = now + self.timings.beat_pause_s
+        self._next_heartbeat_at = now + self.timings.heartbeat_interval_s
         return True
 
-    def on_beat(self, beat: ReaderBeat, *, position: int, store_answers: bool) -> None:
+    def on_heartbeat(self, beat: ReaderHeartbeat, *, position: int, store_answers: bool) -> None:
         """Take another node's beat.
 
         Args:
@@ -148,11 +151,11 @@
         """
         better = _rank(beat) < _rank(self.own)
         if better:
-            self._better_at = self.clock.monotonic()
+            self._better_reader_at = self.clock.monotonic()
         if beat.position > position:
             return  # This node lacks records, and reads itself as long as that lasts.
-        told_at = self.clock.monotonic() - beat.age_ms / 1000
-        self._current_at = max(self._current_at, told_at)
+        confirmed_at = self.clock.monotonic() - beat.age_ms / 1000
+        self._current_at = max(self._current_at, confirmed_at)
         if better or not store_answers:
             self.reading = False
 
@@ -166,9 +169,9 @@
         better = sum(_rank(entry) < own for entry in zone)
         times = self.timings
         delay_s = min(better * times.rank_delay_s, times.max_rank_delay_s)
-        if self.age_s > times.silence_s + delay_s:
+        if self.age_s > times.stale_after_s + delay_s:
             self.reading = True
 
 
-def _rank(node: NodeEntry | ReaderBeat) -> tuple[int, int]:
-    return -node.link_mbps, weight(READERS, node.name)
+def _rank(node: NodeEntry | ReaderHeartbeat) -> tuple[int, int]:
+    return -node.link_mbps, weight(RANK_SCOPE, node.name)
--- a/src/citronrack/hosted/presence.py
+++ b/src/citronrack/hosted/registration.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..codec import decode, encode
 from ..errors import MessageRejected
-from .entry import RENEW_S, NodeEntry, NodeTable
+from .entry import RENEW_INTERVAL_S, NodeEntry, NodeTable
 from .publish import Write
 from .store import MESH_TOPIC
 from .target import OwnTargetView, TargetState
@@ -17,7 +17,7 @@
 NODE_PREFIX = "node/"
 
 
-class Presence:
+class Registration:
     """The own entry.
 
     The store serves for finding addresses only: it gets the entry at the start, when it has lost
@@ -76,23 +76,23 @@
         )
         if entry == self._entry:
             return False
-        self._tell(evolve(entry, revision=entry.revision + 1))
+        self._set_entry(evolve(entry, revision=entry.revision + 1))
         return True
 
     def store(self) -> None:
         """Write the entry to the store."""
-        self._renew_at = self._clock.monotonic() + RENEW_S
+        self._renew_at = self._clock.monotonic() + RENEW_INTERVAL_S
         self._submit(Write(MESH_TOPIC, self.key, encode(self._entry)))
 
     def renew(self) -> None:
         """Tell and write the entry again when that is due."""
         if self._clock.monotonic() >= self._renew_at:
-            self._tell(evolve(self._entry, revision=self._entry.revision + 1))
+            self._set_entry(evolve(self._entry, revision=self._entry.revision + 1))
             self.store()
 
-    def check(self, stored: bytes | None) -> None:
+    def reconcile(self, stored: bytes | None) -> None:
         """Write the entry again when the store has lost it or holds another start's."""
-        entry = read_entry(stored)
+        entry = decode_entry(stored)
         if entry is not None and entry.boot > self._entry.boot:
             self.refute(entry)
         elif entry is None or entry.boot < self._entry.boot:
@@ -103,8 +103,8 @@
 
         A process that started while the wall clock was ahead may have left a greater boot number.
         """
-        if told.order > self._entry.order:
-            self._tell(evolve(self._entry, boot=told.boot + 1, revision=0))
+        if told.version > self._entry.version:
+            self._set_entry(evolve(self._entry, boot=told.boot + 1, revision=0))
             self.store()
 
     def remove_records(self, expired: list[NodeEntry]) -> None:
@@ -113,13 +113,13 @@
             for entry in expired:
                 self._submit(_removal(entry))
 
-    def _tell(self, entry: NodeEntry) -> None:
+    def _set_entry(self, entry: NodeEntry) -> None:
         self._entry = entry
         self._table.put(entry)
         self._announce(entry)
 
 
-def read_entry(value: bytes | None) -> NodeEntry | None:
+def decode_entry(value: bytes | None) -> NodeEntry | None:
     """Return the entry in a store value, None for none or one that cannot be read."""
     if value is None:
         return None
@@ -133,7 +133,7 @@
     """Return the write that removes a node's record unless the node has started again."""
 
     def is_old(present: bytes | None) -> bool:
-        stored = read_entry(present)
+        stored = decode_entry(present)
         return stored is not None and stored.boot <= entry.boot
 
     return Write(MESH_TOPIC, NODE_PREFIX + entry.name, None, may_replace=is_old, once=True)
--- a/src/citronrack/hosted/copies.py
+++ b/src/citronrack/hosted/replication.py
@@ -12,7 +12,7 @@
 from .entry import NodeEntry, NodeTable
 from .gossip import GossipCore
 from .messages import PageRead
-from .readers import ReaderBeat
+from .readers import ReaderHeartbeat
 from .replica import TopicReplica
 from .store import MESH_TOPIC, KeyedRecord
 
@@ -21,7 +21,7 @@
 
 
 @frozen
-class Taken:
+class AppliedPage:
     """What a page of the store has brought.
 
     Attributes:
@@ -33,7 +33,7 @@
     sends: tuple[Send, ...] = ()
 
 
-class TopicCopies:
+class TopicReplication:
     """Takes pages of the store and passes on what they hold, and the word on where a topic ends.
 
     Args:
@@ -62,39 +62,41 @@
         self._gossip = gossip
         self._clock = clock
 
-    def take(self, mail: PageRead, *, own: NodeEntry) -> Taken:
+    def apply_page(self, message: PageRead, *, own: NodeEntry) -> AppliedPage:
         """Take in a page that a watch has read.
 
         Args:
             mail: The page.
             own: Entry of this node.
         """
-        self._access.answered(mail.topic)
-        replica = self._replicas.get(mail.topic)
+        self._access.on_read_succeeded(message.topic)
+        replica = self._replicas.get(message.topic)
         if replica is None:
-            return Taken()
+            return AppliedPage()
         before, start = replica.records(), replica.position
-        changed = replica.replace(mail.page) if mail.whole else replica.apply(mail.page)
+        changed = replica.replace(message.page) if message.full else replica.apply(message.page)
         zone = self._table.others_in(own.availability_zone)
         sends: list[Send] = []
         # Nodes learn each other's entries by gossip, so whole pages of them are not passed on.
-        if changed and self._access.leading and not (mail.whole and mail.topic == MESH_TOPIC):
-            push = self._gossip.push(mail.topic, replica.since(start), before=before)
-            sends += self._gossip.tell(push, zone)
-        if mail.topic == self._operator and mail.page.complete:
-            sends += self._vouch(mail.made_at, own, zone)
-        return Taken(tuple(changed), tuple(sends))
-
-    def on_beat(self, sender: str, beat: ReaderBeat) -> list[Send]:
+        if changed and self._access.leading and not (message.full and message.topic == MESH_TOPIC):
+            push = self._gossip.push(message.topic, replica.since(start), before=before)
+            sends += self._gossip.send_to(push, zone)
+        if message.topic == self._operator and message.page.complete:
+            sends += self._send_heartbeat(message.created_at, own, zone)
+        return AppliedPage(tuple(changed), tuple(sends))
+
+    def on_heartbeat(self, sender: str, beat: ReaderHeartbeat) -> list[Send]:
         """Take a reader's word on the end of the operator's topic; ask it for what is missing."""
         position = self._replicas[self._operator].position
-        self._access.on_beat(beat, position=position)
-        return [self._gossip.ask(sender)] if beat.position > position else []
+        self._access.on_heartbeat(beat, position=position)
+        return [self._gossip.request_records(sender)] if beat.position > position else []
 
-    def _vouch(self, made_at: float, own: NodeEntry, zone: list[NodeEntry]) -> list[Send]:
+    def _send_heartbeat(
+        self, created_at: float, own: NodeEntry, zone: list[NodeEntry]
+    ) -> list[Send]:
         """Tell the zone where the operator's topic ended at a time of the boot clock."""
         position = self._replicas[self._operator].position
-        if not self._access.confirmed(made_at) or not position:
+        if not self._access.on_end_confirmed(created_at) or not position:
             return []
-        age_s = self._clock.monotonic() - made_at
-        return self._gossip.tell(ReaderBeat.of(own, position, age_s=age_s), zone)
+        age_s = self._clock.monotonic() - created_at
+        return self._gossip.send_to(ReaderHeartbeat.of(own, position, age_s=age_s), zone)
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -13,17 +13,17 @@
 from ..rendezvous import weight
 from ..telemetry import Event, EventLog
 from ..transport.messages import message_codec
-from .evidence import Evidence, EvidenceBoard
+from .evidence import Evidence, EvidenceAggregator
 from .publish import Write
-from .ramp import FINISH_AT, LAST_CALL, MIN_CALLS, RAMP
+from .ramp import COMPLETE_AT, MIN_CALLS, RAMP, TIMEOUT_AT
 from .store import MESH_TOPIC
 
 ROLLOUT_PREFIX = "rollout/"
 
-BEAT_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
 """How often the holder of a running rollout shows that it is alive."""
 
-TAKEOVER_S = 2.5
+TAKEOVER_TIMEOUT_S = 2.5
 """Time without a word after which another node takes a rollout over: two beats may be lost."""
 
 RANK_DELAY_S = 0.3
@@ -87,7 +87,7 @@
     holder: str
     revision: int
     reason: str = ""
-    told: bool = False
+    reported: bool = False
 
     def encode(self) -> bytes:
         """Return the value for the store."""
@@ -124,11 +124,11 @@
     order: RolloutOrder
     started: float
     record: RolloutRecord | None = None
-    heard_at: float = 0.0
+    last_record_at: float = 0.0
     stepped_at: float = 0.0
     written: RolloutRecord | None = None
     status: str = ""
-    board: EvidenceBoard = field(factory=EvidenceBoard)
+    evidence: EvidenceAggregator = field(factory=EvidenceAggregator)
 
     def elapsed_s(self, now: float) -> float:
         """Return the time since the order."""
@@ -154,7 +154,7 @@
         clock: Source of time.
         events: Log lines.
         write_record: Writes a record to the store if it is newer than the one there.
-        tell_record: Tells a record to all nodes; it shows that the holder is alive.
+        broadcast_record: Tells a record to all nodes; it shows that the holder is alive.
         write_status: Tells the operator the phase of a rollout.
     """
 
@@ -165,14 +165,14 @@
         clock: Clock,
         events: EventLog,
         write_record: WriteRecord,
-        tell_record: WriteRecord,
+        broadcast_record: WriteRecord,
         write_status: WriteStatus,
     ) -> None:
         self._own_name = own_name
         self._clock = clock
         self._events = events
         self._write_record = write_record
-        self._tell_record = tell_record
+        self._broadcast_record = broadcast_record
         self._write_status = write_status
         self._rollouts: dict[str, _Rollout] = {}
 
@@ -182,10 +182,10 @@
         if known is not None and known.order.order_id >= order.order_id:
             return
         now = self._clock.monotonic()
-        rollout = _Rollout(order, started=now, heard_at=now)
+        rollout = _Rollout(order, started=now, last_record_at=now)
         self._rollouts[order.service] = rollout
         if known is not None and known.record is not None:
-            self._adopt(rollout, known.record)
+            self._apply_record(rollout, known.record)
         self._events.write(
             Event.ROLLOUT_ORDERED,
             service=order.service,
@@ -198,13 +198,13 @@
         """Take a record that stands in the store."""
         rollout = self._rollouts.get(record.service)
         if rollout is not None:
-            self._adopt(rollout, record)
+            self._apply_record(rollout, record)
 
     def on_evidence(self, evidence: Evidence) -> None:
         """Take what a node has seen of the target beside it."""
         rollout = self._rollouts.get(evidence.service)
         if rollout is not None and rollout.order.order_id == evidence.order_id:
-            rollout.board.put(evidence)
+            rollout.evidence.put(evidence)
 
     def records(self) -> tuple[RolloutRecord, ...]:
         """Return the newest record of each rollout."""
@@ -237,7 +237,7 @@
             for service, rollout in self._rollouts.items()
         }
 
-    def taken_back(self, service: str, version: str) -> bool:
+    def is_rolled_back(self, service: str, version: str) -> bool:
         """Return whether a version was found bad and gets no calls."""
         rollout = self._rollouts.get(service)
         record = rollout.record if rollout is not None else None
@@ -259,13 +259,15 @@
             if record is None:
                 self._begin(rollout, now, names)
             elif record.phase != Phase.RUNNING:
-                self._tell(rollout, now, names)
+                self._report_status(rollout, now, names)
             elif record.holder == self._own_name:
                 self._lead(rollout, record, now)
-            elif now - rollout.heard_at > TAKEOVER_S + self._delay(rollout, names):
+            elif now - rollout.last_record_at > TAKEOVER_TIMEOUT_S + self._rank_delay_s(
+                rollout, names
+            ):
                 self._propose(rollout, evolve(record, reason="the holder is silent"), now)
 
-    def _adopt(self, rollout: _Rollout, record: RolloutRecord) -> None:
+    def _apply_record(self, rollout: _Rollout, record: RolloutRecord) -> None:
         """Use a record if it belongs to the present order and is new."""
         known = rollout.record
         if record.order_id != rollout.order.order_id:
@@ -273,7 +275,7 @@
         if known is not None and record.revision <= known.revision:
             return
         now = self._clock.monotonic()
-        rollout.heard_at = now
+        rollout.last_record_at = now
         rollout.started = min(rollout.started, now - record.elapsed_ms / 1000)
         if known is None or (known.share, known.phase) != (record.share, record.phase):
             rollout.stepped_at = now
@@ -288,14 +290,14 @@
             )
         rollout.record = record
 
-    def _delay(self, rollout: _Rollout, names: Sequence[str]) -> float:
+    def _rank_delay_s(self, rollout: _Rollout, names: Sequence[str]) -> float:
         """Return how long this node leaves a rollout to nodes of a better rank."""
         scope = f"rollout/{rollout.order.order_id}"
         own = weight(scope, self._own_name)
         return RANK_DELAY_S * sum(weight(scope, name) < own for name in names)
 
     def _begin(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
-        if rollout.elapsed_s(now) < self._delay(rollout, names):
+        if rollout.elapsed_s(now) < self._rank_delay_s(rollout, names):
             return
         order = rollout.order
         first = RolloutRecord(
@@ -316,25 +318,27 @@
         if rollout.status != Phase.RUNNING:
             rollout.status = Phase.RUNNING
             self._write_status(record.service, record.target_version, Phase.RUNNING)
-        rollout.board.sample(now)
-        fault = rollout.board.fault(record.target_version)
+        rollout.evidence.sample(now)
+        fault = rollout.evidence.fault(record.target_version)
         if fault:
             self._decide(rollout, record, Phase.ROLLED_BACK, fault, now)
             return
         part = rollout.elapsed_s(now) / max(rollout.order.duration_s, 0.001)
         following = RAMP[record.step + 1] if record.step + 1 < len(RAMP) else None
-        cleared = rollout.board.calls_since(record.target_version, rollout.stepped_at) >= MIN_CALLS
-        if following is None and part >= FINISH_AT and cleared:
+        cleared = (
+            rollout.evidence.calls_since(record.target_version, rollout.stepped_at) >= MIN_CALLS
+        )
+        if following is None and part >= COMPLETE_AT and cleared:
             self._decide(rollout, record, Phase.COMPLETED, "no fault was seen", now)
-        elif part >= LAST_CALL:
+        elif part >= TIMEOUT_AT:
             self._decide(rollout, record, Phase.ROLLED_BACK, "the time is up", now)
         elif following is not None and part >= following.at and cleared:
             stepped = evolve(record, share=following.share, step=record.step + 1)
             self._propose(rollout, evolve(stepped, reason="the step before is clear"), now)
-        elif now - rollout.heard_at >= BEAT_S:
-            beat = self._next(rollout, record, now)
-            self._adopt(rollout, beat)
-            self._tell_record(beat)
+        elif now - rollout.last_record_at >= HEARTBEAT_INTERVAL_S:
+            beat = self._next_record(rollout, record, now)
+            self._apply_record(rollout, beat)
+            self._broadcast_record(beat)
 
     def _decide(
         self, rollout: _Rollout, record: RolloutRecord, phase: Phase, reason: str, now: float
@@ -343,9 +347,9 @@
         self._propose(rollout, evolve(record, phase=phase, share=share, reason=reason), now)
 
     def _propose(self, rollout: _Rollout, record: RolloutRecord, now: float) -> None:
-        self._write_record(self._next(rollout, record, now))
+        self._write_record(self._next_record(rollout, record, now))
 
-    def _next(self, rollout: _Rollout, record: RolloutRecord, now: float) -> RolloutRecord:
+    def _next_record(self, rollout: _Rollout, record: RolloutRecord, now: float) -> RolloutRecord:
         """Return the record that follows the known one."""
         known = rollout.record
         return evolve(
@@ -355,18 +359,18 @@
             elapsed_ms=int(rollout.elapsed_s(now) * 1000),
         )
 
-    def _tell(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
+    def _report_status(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
         """Write the final status once every node can have read the decision."""
         record = rollout.record
-        if record is None or record.told or rollout.status == record.phase:
+        if record is None or record.reported or rollout.status == record.phase:
             return
         delay = SETTLE_S
         if record.holder != self._own_name:
-            delay += TAKEOVER_S + self._delay(rollout, names)
+            delay += TAKEOVER_TIMEOUT_S + self._rank_delay_s(rollout, names)
         if now - rollout.stepped_at < delay:
             return
         rollout.status = record.phase
         self._write_status(record.service, record.target_version, Phase(record.phase))
-        told = evolve(self._next(rollout, record, now), told=True)
-        self._adopt(rollout, told)
-        self._tell_record(told)
+        reported = evolve(self._next_record(rollout, record, now), reported=True)
+        self._apply_record(rollout, reported)
+        self._broadcast_record(reported)
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -62,25 +62,25 @@
 class KeyedStore(Protocol):
     """Access to topics that keep the newest record of each key; used by one thread."""
 
-    def newest(self, topic: str, *, answer_ms: int) -> KeyedPage:
+    def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key.
 
         Args:
             topic: Name of the topic.
-            answer_ms: Longest time of each call; a large topic takes several.
+            timeout_ms: Longest time of each call; a large topic takes several.
 
         Raises:
             LogUnavailable: When no answer arrived.
         """
 
-    def read(self, topic: str, start: int, *, wait_ms: int, answer_ms: int) -> KeyedPage:
+    def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
         """Return the records from offset ``start`` on.
 
         Args:
             topic: Name of the topic.
             start: First wanted offset.
             wait_ms: How long the store may hold the request when nothing is there.
-            answer_ms: Longest time of the call beyond that.
+            timeout_ms: Longest time of the call beyond that.
 
         Raises:
             LogUnavailable: When no answer arrived.
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -10,7 +10,7 @@
 from ..calls.delivery import TargetIdentity
 from ..clock import Clock
 
-SILENT_REPORTS = 4
+MISSED_REPORTS = 4
 """Missed reports after which a target gets no calls; single reports may be seconds late."""
 
 NO_TARGET = "the target has not reported yet"
@@ -39,7 +39,7 @@
         slots: Calls that it runs at once.
         draining: Whether it is about to leave.
         sequence: Grows with each report of one start.
-        born_ms: Wall time of its start, in milliseconds since the Unix epoch.
+        started_ms: Wall time of its start, in milliseconds since the Unix epoch.
         cold_s: How much longer it is slow after its start, in seconds.
     """
 
@@ -50,7 +50,7 @@
     slots: int
     draining: bool
     sequence: int
-    born_ms: int
+    started_ms: int
     cold_s: float
 
 
@@ -60,15 +60,15 @@
 
     Attributes:
         target_id: Id of the target.
-        born_ms: Wall time of its start, None when it was not said.
+        started_ms: Wall time of its start, None when it was not said.
     """
 
     target_id: str
-    born_ms: int | None
+    started_ms: int | None
 
-    def covers(self, report: TargetReport) -> bool:
+    def matches(self, report: TargetReport) -> bool:
         """Return whether a report is of the start that leaves."""
-        same_start = self.born_ms is None or self.born_ms == report.born_ms
+        same_start = self.started_ms is None or self.started_ms == report.started_ms
         return report.target_id == self.target_id and same_start
 
 
@@ -99,7 +99,7 @@
         }
 
 
-class OwnTargetState:
+class OwnTargetTracker:
     """Orders the reports of the target beside the node.
 
     Reports may arrive late, out of order and after a new process took the address. A start is
@@ -117,11 +117,11 @@
     ) -> None:
         self._address = address
         self._service = service
-        self._silent_s = SILENT_REPORTS * report_interval_s
+        self._report_timeout_s = MISSED_REPORTS * report_interval_s
         self._clock = clock
         self._view = OwnTargetView()
-        self._heard_at = 0.0
-        self._leave: TargetLeave | None = None
+        self._last_report_at = 0.0
+        self._leave_notice: TargetLeave | None = None
         self._identity = TargetIdentity(service, "", refusal=NO_TARGET)
 
     @property
@@ -146,12 +146,12 @@
         known = self._view.report
         if known is not None and not self._is_newer(report, known, now):
             return False
-        self._heard_at = now
-        left = report.draining or self._has_left(report)
-        if known is not None and self._same_start(report, known) and self._left:
+        self._last_report_at = now
+        left = report.draining or self._matches_leave_notice(report)
+        if known is not None and self._same_start(report, known) and self._leaving:
             left = True
         state = TargetState.LEAVING if left else TargetState.SERVING
-        return self._set(OwnTargetView(state, report, now + report.cold_s))
+        return self._replace_view(OwnTargetView(state, report, now + report.cold_s))
 
     def on_leave(self, leave: TargetLeave) -> bool:
         """Take a notice of leaving and return whether it changed what is known.
@@ -159,46 +159,46 @@
         The notice holds for later reports too: a node that has just started hears of the leaving
         first, and then gets reports that were on their way before.
         """
-        self._leave = leave
+        self._leave_notice = leave
         known = self._view.report
-        if known is None or not self._has_left(known):
+        if known is None or not self._matches_leave_notice(known):
             return False
-        return self._set(OwnTargetView(TargetState.LEAVING, known, self._view.cold_until))
+        return self._replace_view(OwnTargetView(TargetState.LEAVING, known, self._view.cold_until))
 
-    def _has_left(self, report: TargetReport) -> bool:
+    def _matches_leave_notice(self, report: TargetReport) -> bool:
         """Return whether the last notice of leaving is of a report's start."""
-        if self._leave is None or not self._leave.covers(report):
+        if self._leave_notice is None or not self._leave_notice.matches(report):
             return False
         # The id alone may come back with a later start.
-        self._leave = TargetLeave(report.target_id, report.born_ms)
+        self._leave_notice = TargetLeave(report.target_id, report.started_ms)
         return True
 
     def on_tick(self) -> bool:
         """Notice a target that has stopped reporting; return whether that is new."""
         view = self._view
-        silent = self._clock.monotonic() - self._heard_at > self._silent_s
+        silent = self._clock.monotonic() - self._last_report_at > self._report_timeout_s
         if view.state is not TargetState.SERVING or not silent:
             return False
-        return self._set(OwnTargetView(TargetState.SILENT, view.report, view.cold_until))
+        return self._replace_view(OwnTargetView(TargetState.SILENT, view.report, view.cold_until))
 
     @property
-    def _left(self) -> bool:
+    def _leaving(self) -> bool:
         return self._view.state is TargetState.LEAVING
 
     @staticmethod
     def _same_start(report: TargetReport, known: TargetReport) -> bool:
-        return (report.target_id, report.born_ms) == (known.target_id, known.born_ms)
+        return (report.target_id, report.started_ms) == (known.target_id, known.started_ms)
 
     def _is_newer(self, report: TargetReport, known: TargetReport, now: float) -> bool:
         if self._same_start(report, known):
             return report.sequence > known.sequence
-        if report.born_ms != known.born_ms:
+        if report.started_ms != known.started_ms:
             # Wall clocks may jump back between two starts; a target that is gone yields anyway.
-            silent = now - self._heard_at > self._silent_s
-            return report.born_ms > known.born_ms or silent
-        return report.target_id != known.target_id and self._left
+            silent = now - self._last_report_at > self._report_timeout_s
+            return report.started_ms > known.started_ms or silent
+        return report.target_id != known.target_id and self._leaving
 
-    def _set(self, view: OwnTargetView) -> bool:
+    def _replace_view(self, view: OwnTargetView) -> bool:
         before = self._view
         self._view = view
         self._identity = self._identity_of(view)
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -9,28 +9,28 @@
 from ..backoff import Backoff
 from ..clock import Clock
 from ..errors import LogTrimmed, LogUnavailable
-from .messages import Mail, PageRead, WatchFailed
+from .messages import CoreMessage, PageRead, ReadFailed
 from .store import BACKOFF_CAP_S, KeyedStore
 
-READ_ANSWER_MS = 1_000
+READ_TIMEOUT_MS = 1_000
 """Longest time of a read beyond its wait. A read that hangs keeps its node from finding the store
 when it serves again."""
 
-PATIENT_READ_ANSWER_MS = 3_000
-PATIENT_SHARE = 0.25
+LONG_READ_TIMEOUT_MS = 3_000
+LONG_READ_SHARE = 0.25
 """Longest time of some reads after one without an answer: the store may be slow and not away. Nodes
 draw which ones, so that they don't all wait for it at the same time."""
 
 
-def answer_limit_ms(failures: int, random: Random) -> int:
+def read_timeout_ms(failures: int, random: Random) -> int:
     """Return the longest time of a read beyond its wait.
 
     Args:
         failures: Reads before it that had no answer.
         random: Source of random numbers.
     """
-    patient = failures > 0 and random.random() < PATIENT_SHARE
-    return PATIENT_READ_ANSWER_MS if patient else READ_ANSWER_MS
+    patient = failures > 0 and random.random() < LONG_READ_SHARE
+    return LONG_READ_TIMEOUT_MS if patient else READ_TIMEOUT_MS
 
 
 class WatchTask:
@@ -52,7 +52,7 @@
         topic: str,
         *,
         store: KeyedStore,
-        post: Callable[[Mail], None],
+        post: Callable[[CoreMessage], None],
         random: Random,
         clock: Clock,
         wait_s: float = 0.0,
@@ -72,7 +72,7 @@
         if needed:
             self._needed.set()
         self._position: int | None = None
-        self._waits = False
+        self._long_poll = False
 
     def run(self) -> None:
         """Follow the topic until `stop` is called."""
@@ -83,15 +83,15 @@
             except LogTrimmed:
                 self._position = None  # History was dropped; the newest records replace it.
             except LogUnavailable as error:
-                self._waits = False
-                self._post(WatchFailed(self._topic, str(error)))
+                self._long_poll = False
+                self._post(ReadFailed(self._topic, str(error)))
                 self._stopping.wait(self._backoff.next_s())
             else:
                 self._backoff.reset()
                 self._stopping.wait(self._pause_s)
         self._store.close()
 
-    def need(self, needed: bool, *, position: int) -> None:
+    def set_needed(self, needed: bool, *, position: int) -> None:
         """Start or stop to follow the topic.
 
         Args:
@@ -100,7 +100,7 @@
         """
         if needed and not self._needed.is_set() and self._position is not None:
             self._position = max(self._position, position)
-            self._waits = False
+            self._long_poll = False
         (self._needed.set if needed else self._needed.clear)()
 
     def stop(self) -> None:
@@ -111,16 +111,16 @@
     def _read_once(self) -> None:
         """Read once; the first read is answered at once, so that the node can vouch for it."""
         began_at, wait_ms = self._clock.monotonic(), 0
-        answer_ms = answer_limit_ms(self._backoff.failures, self._random)
-        whole = self._position is None
+        timeout_ms = read_timeout_ms(self._backoff.failures, self._random)
+        full = self._position is None
         if self._position is None:
-            page = self._store.newest(self._topic, answer_ms=answer_ms)
+            page = self._store.newest(self._topic, timeout_ms=timeout_ms)
         else:
-            wait_ms = self._wait_ms if self._waits else 0
+            wait_ms = self._wait_ms if self._long_poll else 0
             page = self._store.read(
-                self._topic, self._position, wait_ms=wait_ms, answer_ms=answer_ms
+                self._topic, self._position, wait_ms=wait_ms, timeout_ms=timeout_ms
             )
-        made_at = min(self._clock.monotonic(), began_at + wait_ms / 1000)
-        self._post(PageRead(self._topic, page, whole=whole, made_at=made_at))
+        created_at = min(self._clock.monotonic(), began_at + wait_ms / 1000)
+        self._post(PageRead(self._topic, page, full=full, created_at=created_at))
         self._position = page.position
-        self._waits = True
+        self._long_poll = True
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -32,7 +32,7 @@
     return value
 
 
-def need(fields: Mapping[str, Any], name: str, kind: type[T]) -> T:
+def require(fields: Mapping[str, Any], name: str, kind: type[T]) -> T:
     """Return a field of a type.
 
     Raises:
@@ -44,13 +44,13 @@
     return value
 
 
-def seconds(fields: Mapping[str, Any], name: str) -> float:
+def require_seconds(fields: Mapping[str, Any], name: str) -> float:
     """Return a time, written as a number with the unit ``ms`` or ``s``, in seconds.
 
     Raises:
         FieldError: When it is missing or of another form.
     """
-    text = need(fields, name, str)
+    text = require(fields, name, str)
     for unit, factor in _UNITS_S.items():
         number = text.removesuffix(unit)
         if number != text:
@@ -80,11 +80,11 @@
         Raises:
             FieldError: When the field has another form.
         """
-        table = need(fields, name, dict)
-        columns = need(table, "columns", list)
+        table = require(fields, name, dict)
+        columns = require(table, "columns", list)
         if not all(isinstance(column, str) for column in columns):
             raise FieldError(f"a column of {name!r} has no name")
-        return cls(columns, need(table, "rows", list))
+        return cls(columns, require(table, "rows", list))
 
     def as_map(self, row: Any) -> dict[str, Any]:
         """Return a row by column; values that are null are left out.
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -24,6 +24,6 @@
 ROLLOUT_PREFIX = "rollout/"
 
 
-def is_readiness_question(method: str, path: str) -> bool:
+def is_readiness_request(method: str, path: str) -> bool:
     """Return whether a request asks if callers may send new work."""
     return (method, path.partition("?")[0]) == READINESS
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -8,11 +8,11 @@
 
 from ..config import ConfigSet, Route, Service
 from ..config.model import SplitPart
-from ..hosted.parts import OperatorTopic
+from ..hosted.dependencies import OperatorTopic
 from ..hosted.publish import Write
 from ..hosted.rollout import Phase, RolloutOrder
 from ..hosted.store import KeyedRecord
-from .fields import FieldError, Table, need, parse_object, seconds
+from .fields import FieldError, Table, parse_object, require, require_seconds
 from .names import CONFIG_KEY, OPERATOR_TOPIC, ROLLOUT_PREFIX, STATUS_TOPIC
 
 _IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False, "upload": False}
@@ -27,7 +27,7 @@
 """For routes that state no timeout; the caller's own deadline still holds."""
 
 
-class ConfigReader:
+class ConfigDecoder:
     """Decodes configurations; routes that a version shares with the one before are kept.
 
     A change touches a few of some hundred routes, and decoding all of them took most of the time
@@ -38,23 +38,23 @@
         self._columns: list[str] = []
         self._routes: dict[str, Route] = {}
 
-    def read(self, record: KeyedRecord) -> ConfigSet | None:
+    def decode(self, record: KeyedRecord) -> ConfigSet | None:
         """Return the configuration in a record, None for another record or an unreadable one."""
         if record.key != CONFIG_KEY or record.value is None:
             return None
         try:
             fields = parse_object(record.value)
             services = [_service(row) for row in Table.of(fields, "services").maps()]
-            routes = self._decoded(Table.of(fields, "routes"))
+            routes = self._decode_routes(Table.of(fields, "routes"))
             return ConfigSet(
-                version=need(fields, "version", int),
+                version=require(fields, "version", int),
                 services={service.name: service for service in services},
                 routes={route.name: route for route in routes},
             )
         except FieldError:
             return None
 
-    def _decoded(self, table: Table) -> Iterable[Route]:
+    def _decode_routes(self, table: Table) -> Iterable[Route]:
         if table.columns != self._columns:
             self._columns, self._routes = table.columns, {}
         known: dict[str, Route] = {}
@@ -65,7 +65,7 @@
         return known.values()
 
 
-def read_order(record: KeyedRecord) -> RolloutOrder | None:
+def decode_order(record: KeyedRecord) -> RolloutOrder | None:
     """Return the rollout in a record, None for another record or an unreadable one."""
     if not record.key.startswith(ROLLOUT_PREFIX) or record.value is None:
         return None
@@ -73,9 +73,9 @@
         fields = parse_object(record.value)
         return RolloutOrder(
             order_id=record.offset,
-            service=need(fields, "service", str),
-            target_version=need(fields, "target_version", str),
-            duration_s=seconds(fields, "duration"),
+            service=require(fields, "service", str),
+            target_version=require(fields, "target_version", str),
+            duration_s=require_seconds(fields, "duration"),
         )
     except FieldError:
         return None
@@ -97,29 +97,29 @@
 def operator_topic() -> OperatorTopic:
     """Return how the operator's records are read and answered."""
     return OperatorTopic(
-        name=OPERATOR_TOPIC, config=ConfigReader().read, order=read_order, status=status_write
+        name=OPERATOR_TOPIC, config=ConfigDecoder().decode, order=decode_order, status=status_write
     )
 
 
 def _service(row: Mapping[str, Any]) -> Service:
-    return Service(name=need(row, "name", str))
+    return Service(name=require(row, "name", str))
 
 
 def _route(row: Mapping[str, Any]) -> Route:
-    kind = need(row, "kind", str)
+    kind = require(row, "kind", str)
     if kind not in _IDEMPOTENT_BY_KIND:
         raise FieldError(f"the kind {kind!r} of a route is not known")
     parts = tuple(
-        SplitPart(need(part, "service", str), need(part, "weight", int))
+        SplitPart(require(part, "service", str), require(part, "weight", int))
         for part in row.get("weighted_clusters", ())
     )
-    timeout_s = seconds(row, "timeout") if "timeout" in row else _DEFAULT_TIMEOUT_S
-    latency_s = seconds(row, "target_latency") if "target_latency" in row else 0.0
+    timeout_s = require_seconds(row, "timeout") if "timeout" in row else _DEFAULT_TIMEOUT_S
+    latency_s = require_seconds(row, "target_latency") if "target_latency" in row else 0.0
     return Route(
-        name=need(row, "name", str),
-        host=need(row, "host", str).lower(),
-        prefix=need(row, "prefix", str),
-        service=parts[0].service if parts else need(row, "service", str),
+        name=require(row, "name", str),
+        host=require(row, "host", str).lower(),
+        prefix=require(row, "prefix", str),
+        service=parts[0].service if parts else require(row, "service", str),
         service_version="",
         timeout_ms=round(timeout_s * 1000),
         idempotent=_IDEMPOTENT_BY_KIND[kind],
--- a/src/citronrack/platform/reports.py
+++ b/src/citronrack/platform/reports.py
@@ -7,13 +7,13 @@
 
 from ..hosted.control import ReportInvalid
 from ..hosted.target import TargetLeave, TargetReport
-from .fields import FieldError, need, parse_object, seconds
+from .fields import FieldError, parse_object, require, require_seconds
 from .names import LEAVE_PREFIX, REPORT_PREFIX
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
-def read_call(method: str, path: str, body: bytes) -> TargetReport | TargetLeave | None:
+def decode_report(method: str, path: str, body: bytes) -> TargetReport | TargetLeave | None:
     """Return the report or notice in a request, None for another request.
 
     Raises:
@@ -33,24 +33,24 @@
 
 
 def _report(target_id: str, fields: Mapping[str, Any]) -> TargetReport:
-    info = need(fields, "info", dict)
-    status = need(fields, "status", dict)
-    state = need(status, "state", str)
+    info = require(fields, "info", dict)
+    status = require(fields, "status", dict)
+    state = require(status, "state", str)
     if not target_id or state not in _DRAINING_BY_STATE:
         raise FieldError(f"the state {state!r} of {target_id!r} is not known")
-    slots = need(info, "capacity", int)
+    slots = require(info, "capacity", int)
     if slots < 1:
         raise FieldError("field 'capacity' is not a positive number")
     return TargetReport(
         target_id=target_id,
-        service=need(info, "service", str),
-        service_version=need(info, "version", str),
-        address=need(fields, "address", str),
+        service=require(info, "service", str),
+        service_version=require(info, "version", str),
+        address=require(fields, "address", str),
         slots=slots,
         draining=_DRAINING_BY_STATE[state],
-        sequence=need(status, "sequence", int),
-        born_ms=need(fields, "born", int),
-        cold_s=seconds(status, "cold_remaining"),
+        sequence=require(status, "sequence", int),
+        started_ms=require(fields, "born", int),
+        cold_s=require_seconds(status, "cold_remaining"),
     )
 
 
--- a/src/citronrack/platform/run.py
+++ b/src/citronrack/platform/run.py
@@ -8,9 +8,9 @@
 from ..errors import SettingsError
 from ..hosted.compose import PlatformAdapter, compose
 from ..hosted.settings import HostedSettings
-from .names import HEADERS, is_readiness_question
+from .names import HEADERS, is_readiness_request
 from .operator import operator_topic
-from .reports import read_call
+from .reports import decode_report
 from .settings import parse_settings
 from .store import PlatformStore
 
@@ -73,8 +73,8 @@
         headers=HEADERS,
         operator=operator_topic(),
         make_store=lambda: PlatformStore(lambda: file.settings.addresses.store),
-        read_call=read_call,
-        is_ready_question=is_readiness_question,
+        decode_report=decode_report,
+        is_readiness_request=is_readiness_request,
         reload=file.reload,
     )
     compose(adapter).run()
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -9,7 +9,7 @@
 from ..errors import SettingsError
 from ..hosted.readers import CONFIG_APPLY_S
 from ..hosted.settings import HostedAddresses, HostedBounds, HostedSettings
-from .fields import FieldError, need, seconds
+from .fields import FieldError, require, require_seconds
 
 METRICS_PORT = 9464
 """Port of the metrics, as in ``deploy/system.toml``."""
@@ -28,16 +28,16 @@
 
 
 def _settings(fields: Mapping[str, Any]) -> HostedSettings:
-    local = need(fields, "local", dict)
-    network = need(fields, "network", dict)
+    local = require(fields, "local", dict)
+    network = require(fields, "network", dict)
     # The table "platform" tells how machines and the store are met; the store has its own table.
-    platform = need(fields, "platform", dict)
+    platform = require(fields, "platform", dict)
     return HostedSettings(
-        name=need(local, "node_id", str),
-        availability_zone=need(local, "zone", str),
-        service=need(local, "service", str),
-        addresses=_addresses(local, network, need(platform, "platform", dict)),
-        bounds=_bounds(platform, need(fields, "constraints", dict)),
+        name=require(local, "node_id", str),
+        availability_zone=require(local, "zone", str),
+        service=require(local, "service", str),
+        addresses=_addresses(local, network, require(platform, "platform", dict)),
+        bounds=_bounds(platform, require(fields, "constraints", dict)),
         link_mbps=_link_mbps(local),
     )
 
@@ -45,37 +45,39 @@
 def _addresses(
     local: Mapping[str, Any], network: Mapping[str, Any], store: Mapping[str, Any]
 ) -> HostedAddresses:
-    listen = need(network, "listen_addrs", dict)
-    ip = need(local, "ip", str)
-    ports = need(network, "internal_port_range", list)
+    listen = require(network, "listen_addrs", dict)
+    ip = require(local, "ip", str)
+    ports = require(network, "internal_port_range", list)
     if not ports:
         raise FieldError("field 'internal_port_range' names no port")
     return HostedAddresses(
-        calls=need(listen, "outbound", str),
-        deliveries=need(listen, "inbound", str),
+        calls=require(listen, "outbound", str),
+        deliveries=require(listen, "inbound", str),
         peers=f"{ip}:{ports[0]}",
-        control=need(listen, "control", str),
-        ready=need(listen, "ready", str),
+        control=require(listen, "control", str),
+        ready=require(listen, "ready", str),
         metrics=f"{ip}:{METRICS_PORT}",
-        target=need(local, "app_address", str),
-        store=need(store, "address", str),
+        target=require(local, "app_address", str),
+        store=require(store, "address", str),
     )
 
 
 def _link_mbps(local: Mapping[str, Any]) -> int:
     """Return the rate of the instance's link; 0 where no limit is stated, which ranks last."""
-    limits = need(local, "limits", dict) if "limits" in local else {}
+    limits = require(local, "limits", dict) if "limits" in local else {}
     return round(float(limits.get("link_mbps", 0)))
 
 
 def _bounds(platform: Mapping[str, Any], constraints: Mapping[str, Any]) -> HostedBounds:
-    parameters = need(constraints, "parameters", dict)
+    parameters = require(constraints, "parameters", dict)
     return HostedBounds(
-        grace_s=seconds(parameters, "grace"),
+        grace_s=require_seconds(parameters, "grace"),
         config_apply_s=(
-            seconds(parameters, "config_apply") if "config_apply" in parameters else CONFIG_APPLY_S
+            require_seconds(parameters, "config_apply")
+            if "config_apply" in parameters
+            else CONFIG_APPLY_S
         ),
-        report_interval_s=seconds(platform, "heartbeat"),
+        report_interval_s=require_seconds(platform, "heartbeat"),
         retry_ratio=float(parameters.get("retry_budget_ratio", 0.0)),
         retry_slack=float(parameters.get("retry_slack", 0.0)),
     )
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -27,7 +27,7 @@
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
-HEAD_BYTES = 2 * OFFSET_BYTES
+HEADER_BYTES = 2 * OFFSET_BYTES
 """A page of raw records begins with the topic's end and its first kept offset."""
 
 PAGE_KB = 1_024
@@ -50,19 +50,19 @@
         self._address = address
         self._curl = pycurl.Curl()
 
-    def newest(self, topic: str, *, answer_ms: int) -> KeyedPage:
+    def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
         position: int | None = None
         after: dict[str, str] = {}
         while True:
             query = {"topic": topic, "part": _PARTITION, **after}
-            status, body = self._read("log-newest", query, timeout_ms=answer_ms)
+            status, body = self._read("log-newest", query, timeout_ms=timeout_ms)
             if status == 404:
                 return KeyedPage((), 0)
             if status != 200:
                 raise LogUnavailable(f"the store answered with status {status}")
-            page = _object(body)
+            page = _parse_object(body)
             try:
                 items = [_newest_record(item) for item in page["items"]]
                 end = int(page["end"])
@@ -76,7 +76,7 @@
                 return KeyedPage(tuple(records), position)
             after = {"after": items[-1].key}
 
-    def read(self, topic: str, start: int, *, wait_ms: int, answer_ms: int) -> KeyedPage:
+    def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
         """Return the records from ``start`` on; see `KeyedStore.read`."""
         query = {
             "topic": topic,
@@ -85,7 +85,7 @@
             "max_size": PAGE_KB,
             "wait_ms": wait_ms,
         }
-        status, body = self._read("log-read", query, timeout_ms=wait_ms + answer_ms)
+        status, body = self._read("log-read", query, timeout_ms=wait_ms + timeout_ms)
         if status == 410:
             raise LogTrimmed(start)
         if status == 404:
@@ -115,7 +115,7 @@
             if error.args[0] in _NOT_SENT:
                 raise AppendRefused(f"the store was not reached: {error}") from error
             raise AppendUnknown(f"no answer to the append: {error}") from error
-        return _appended(status, body)
+        return _append_offset(status, body)
 
     def close(self) -> None:
         """Close the connection."""
@@ -150,7 +150,7 @@
     return connection
 
 
-def _object(body: bytes) -> dict[str, Any]:
+def _parse_object(body: bytes) -> dict[str, Any]:
     try:
         value = json.loads(body)
     except ValueError as error:
@@ -169,7 +169,7 @@
 def _raw_records(body: bytes, start: int) -> list[KeyedRecord]:
     """Decode records, each a length, the key's length, the key and the value."""
     records = []
-    at = HEAD_BYTES
+    at = HEADER_BYTES
     offset = start
     while at + LENGTH_BYTES <= len(body):
         length = int.from_bytes(body[at : at + LENGTH_BYTES], "big")
@@ -185,15 +185,15 @@
     return records
 
 
-def _appended(status: int, body: bytes) -> int:
+def _append_offset(status: int, body: bytes) -> int:
     """Return the offset in the answer to an append, or raise what the status means."""
     if status == 200:
-        offset = _object(body).get("offset")
+        offset = _parse_object(body).get("offset")
         if not isinstance(offset, int):
             raise AppendUnknown("the store answered an append without an offset")
         return offset
     if status == 412:
-        end = _object(body).get("end")
+        end = _parse_object(body).get("end")
         raise AppendConflict(end if isinstance(end, int) else -1)
     if status in (400, 403, 404, 409, 413, 429, 503, 507):
         raise AppendRefused(f"the store refused an append with status {status}")
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -13,14 +13,14 @@
 from citronrack.calls import ViewHolder
 from citronrack.clock import ManualClock
 from citronrack.hosted.core import HostedCore
+from citronrack.hosted.dependencies import CoreDependencies
 from citronrack.hosted.entry import NodeEntry, NodeTable
 from citronrack.hosted.gossip import GossipCore
-from citronrack.hosted.messages import PageRead, Reported, WatchFailed, Written
-from citronrack.hosted.parts import HostedParts
+from citronrack.hosted.messages import PageRead, ReadFailed, RecordWritten, ReportReceived
 from citronrack.hosted.publish import Write
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
-from citronrack.hosted.target import OwnTargetState, TargetReport
+from citronrack.hosted.target import OwnTargetTracker, TargetReport
 from citronrack.platform.operator import operator_topic
 from citronrack.telemetry import Event, EventLog
 from citronrack.transport.send import Send
@@ -42,7 +42,7 @@
     return KeyedRecord("config", json.dumps(value).encode(), offset)
 
 
-class KeptLog(EventLog):
+class RecordingLog(EventLog):
     """Keeps the written events instead of printing them."""
 
     def __init__(self) -> None:
@@ -80,11 +80,11 @@
         self.clock = ManualClock()
         self.store = Store()
         self.cores: dict[str, HostedCore] = {}
-        self.logs: dict[str, KeptLog] = {}
+        self.logs: dict[str, RecordingLog] = {}
         self.views: dict[str, ViewHolder] = {}
         self.cut: set[str] = set()
         self.unreachable: set[str] = set()
-        self.lost: Callable[[str, str, Any], bool] = lambda sender, to, message: False
+        self.drops: Callable[[str, str, Any], bool] = lambda sender, to, message: False
         self._writes: list[tuple[str, Write]] = []
         for index in range(size):
             self.add(f"n{index}")
@@ -93,12 +93,12 @@
         """Add a node, in place of one of the same name."""
         address = f"10.0.0.{int(name[1:]) + 1}"
         self.views[name] = ViewHolder()
-        self.logs[name] = KeptLog()
-        target = OwnTargetState(
+        self.logs[name] = RecordingLog()
+        target = OwnTargetTracker(
             address=f"{address}:80", service=SERVICE, report_interval_s=1.5, clock=self.clock
         )
         core = HostedCore(
-            HostedParts(
+            CoreDependencies(
                 clock=self.clock,
                 random=Random(name),
                 events=self.logs[name],
@@ -123,10 +123,10 @@
         for name in names or tuple(self.cores):
             for topic in (operator_topic().name, MESH_TOPIC):
                 message: Any = PageRead(
-                    topic, self.store.newest(topic), whole=True, made_at=self.clock.monotonic()
+                    topic, self.store.newest(topic), full=True, created_at=self.clock.monotonic()
                 )
                 if name in self.cut:
-                    message = WatchFailed(topic, "cut off")
+                    message = ReadFailed(topic, "cut off")
                 self.deliver(name, self.cores[name].handle(message))
         self._store_writes()
 
@@ -149,18 +149,18 @@
             "slots": 6,
             "draining": False,
             "sequence": 1,
-            "born_ms": 1,
+            "started_ms": 1,
             "cold_s": 0.0,
         }
         report = TargetReport(**{**usual, **fields})
-        self.deliver(name, self.cores[name].handle(Reported(report, answer)))
+        self.deliver(name, self.cores[name].handle(ReportReceived(report, answer)))
         return answer.result(0)
 
     def deliver(self, sender: str, effects: list[Send]) -> None:
         """Hand messages to their nodes, and the answers to these."""
         for effect in effects:
             name = f"n{int(effect.to.removeprefix('tcp://10.0.0.').split(':')[0]) - 1}"
-            if self.lost(sender, name, effect.message):
+            if self.drops(sender, name, effect.message):
                 continue
             if name in self.cores and not {name, sender} & self.unreachable:
                 address = f"tcp://10.0.0.{int(sender[1:]) + 1}:7000"
@@ -188,11 +188,11 @@
                 self.store.put(write.topic, write.key, write.value)
                 record = self.store.topics[write.topic][-1]
                 if name in self.cores:
-                    self.cores[name].handle(Written(write.topic, record))
+                    self.cores[name].handle(RecordWritten(write.topic, record))
         self._writes = waiting
 
 
-def exchange_of(replica: TopicReplica, clock: ManualClock) -> GossipCore:
+def make_gossip(replica: TopicReplica, clock: ManualClock) -> GossipCore:
     """Return the exchange of a node that knows nobody."""
     table = NodeTable(own_name="n", clock=clock)
     table.put(NodeEntry("n", 1, 0, "z", "10.0.0.1:1", "10.0.0.1:2"))
--- a/tests/hosted/watched.py
+++ b/tests/hosted/polling_mesh.py
@@ -8,10 +8,10 @@
 from attrs import define, field
 
 from citronrack.hosted.core import HostedCore
-from citronrack.hosted.messages import PageRead, WatchFailed
+from citronrack.hosted.messages import PageRead, ReadFailed
 from citronrack.hosted.readers import ReaderTimings
 from citronrack.hosted.store import BACKOFF_CAP_S, KeyedPage
-from citronrack.hosted.watch import answer_limit_ms
+from citronrack.hosted.watch import read_timeout_ms
 from citronrack.platform.operator import operator_topic
 
 from .mesh import SERVICE, TICK_S, Mesh, config_record
@@ -48,7 +48,7 @@
     waits: bool = False
 
 
-class WatchedMesh(Mesh):
+class PollingMesh(Mesh):
     """Nodes with long polls; ticks of nodes come one after the other.
 
     Attributes:
@@ -73,13 +73,13 @@
         core = super().add(name, boot=boot)
         poll = self.polls[name] = Poll(random=Random(name))
 
-        def need(needed: bool) -> None:
+        def set_needed(needed: bool) -> None:
             if needed and not poll.needed:
                 poll.position = max(poll.position, core.position(TOPIC))
                 poll.waits = False
             poll.needed = needed
 
-        core.steering.read_topics = need
+        core.callbacks.read_topics = set_needed
         return core
 
     def run(self, seconds: float) -> None:
@@ -117,7 +117,7 @@
             if not poll.needed or now < poll.next_at:
                 return
             poll.began_at = now
-            poll.limit_ms = answer_limit_ms(poll.failures, poll.random)
+            poll.limit_ms = read_timeout_ms(poll.failures, poll.random)
         poll.hangs = poll.hangs or name in self.silent
         waited_s = now - poll.began_at
         wait_s = WAIT_S if poll.waits else 0.0
@@ -133,11 +133,11 @@
                 poll.began_at, poll.waits, poll.failures = None, True, 0
                 page = KeyedPage(records, poll.position, start=poll.position - len(records))
                 self.deliver(
-                    name, self.cores[name].handle(PageRead(TOPIC, page, whole=False, made_at=now))
+                    name, self.cores[name].handle(PageRead(TOPIC, page, full=False, created_at=now))
                 )
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
         poll.began_at, poll.hangs, poll.waits = None, False, False
         poll.failures += 1
         poll.next_at = self.clock.monotonic() + BACKOFF_CAP_S
-        self.deliver(name, self.cores[name].handle(WatchFailed(TOPIC, reason)))
+        self.deliver(name, self.cores[name].handle(ReadFailed(TOPIC, reason)))
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -8,9 +8,9 @@
 
 from citronrack.calls import CallRecord
 from citronrack.codec import encode
-from citronrack.hosted.entry import EXPIRE_S, RENEW_S, NodeEntry
-from citronrack.hosted.messages import CallReported, Left, StopAsked
-from citronrack.hosted.presence import NODE_PREFIX
+from citronrack.hosted.entry import EXPIRE_AFTER_S, RENEW_INTERVAL_S, NodeEntry
+from citronrack.hosted.messages import CallReported, LeaveReceived, StopRequested
+from citronrack.hosted.registration import NODE_PREFIX
 from citronrack.hosted.store import MESH_TOPIC, KeyedRecord
 from citronrack.hosted.target import TargetLeave
 from citronrack.platform.operator import operator_topic
@@ -73,7 +73,9 @@
         self.assertTrue(mesh.cores["n1"].identity().refusal)
         self.assertNotIn("n1", mesh.pool("n0"))
         answer: Future[str] = Future()
-        mesh.deliver("n2", mesh.cores["n2"].handle(Left(TargetLeave("i-n2", None), answer)))
+        mesh.deliver(
+            "n2", mesh.cores["n2"].handle(LeaveReceived(TargetLeave("i-n2", None), answer))
+        )
         self.assertEqual(answer.result(0), "")
         self.assertEqual(mesh.pool("n0"), {"n0"})
 
@@ -106,7 +108,7 @@
     def test_stopping_node_is_left_out(self) -> None:
         """Guards against calls that go to a node that stops."""
         mesh = self.start()
-        mesh.deliver("n1", mesh.cores["n1"].handle(StopAsked()))
+        mesh.deliver("n1", mesh.cores["n1"].handle(StopRequested()))
         self.assertFalse(mesh.cores["n1"].ready)
         self.assertNotIn("n1", mesh.pool("n0"))
 
@@ -126,7 +128,7 @@
         """Guards against a list of nodes that grows with every replaced instance."""
         mesh = self.start()
         del mesh.cores["n2"]
-        for _ in range(round((EXPIRE_S + RENEW_S) / 10)):
+        for _ in range(round((EXPIRE_AFTER_S + RENEW_INTERVAL_S) / 10)):
             mesh.run(10)
             mesh.read()
         self.assertEqual(mesh.cores["n0"].nodes_known, 1)
@@ -137,7 +139,7 @@
         """Guards against a good version that is taken back because its targets are new."""
         mesh = self.start(2)
         order = {"service": SERVICE, "target_version": "v2", "duration": "16s"}
-        mesh.report("n1", target_id="i-new", service_version="v2", born_ms=2, cold_s=3.0)
+        mesh.report("n1", target_id="i-new", service_version="v2", started_ms=2, cold_s=3.0)
         mesh.store.put(operator_topic().name, f"rollout/{SERVICE}", json.dumps(order).encode())
         mesh.read()
         mesh.run(2.0)
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -25,7 +25,7 @@
 
 
 @define(eq=False)
-class Beside:
+class DeliveryFixture:
     """A delivery to a scripted target."""
 
     answer: bytes = b""
@@ -36,7 +36,7 @@
     delivery: TargetDelivery = field(init=False)
     admission: Admission = field(init=False)
 
-    def __enter__(self) -> Beside:
+    def __enter__(self) -> DeliveryFixture:
         clock = SystemClock()
         self.target = ScriptedServer(self._answer_once)
         self.admission = Admission(slots=self.slots, clock=clock)
@@ -87,7 +87,7 @@
 
     def test_target_of_another_service(self) -> None:
         """Guards against a request that runs at a service that took over the address."""
-        with Beside(http_answer(200, "Instance-Signature: s")) as beside:
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as beside:
             answer = beside.call(service="media")
             self.assertIs(answer.verdict, Verdict.NOT_RUN)
             self.assertFalse(answer.arrived)
@@ -95,7 +95,7 @@
 
     def test_expected_target_and_remaining_time_are_sent(self) -> None:
         """Guards against a request that runs at another start, or for longer than is left."""
-        with Beside(http_answer(200, "Instance-Signature: s")) as beside:
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as beside:
             self.assertEqual(beside.call().status, 200)
             head = beside.requests[0].lower()
             self.assertIn(b"expected-instance: i-1\r\n", head)
@@ -108,7 +108,7 @@
 
         Other targets could have run it; only a request that was not run may go there.
         """
-        with Beside(b"") as beside:
+        with DeliveryFixture(b"") as beside:
             lost = beside.call()
             self.assertEqual((lost.status, lost.verdict), (502, Verdict.MAY_HAVE_RUN))
             refused = beside.call()
@@ -122,7 +122,7 @@
     def test_refusal_of_the_target(self) -> None:
         """Guards against a refusal that is taken for a run, or that costs no retry."""
         for status in (421, 429, 503):
-            with Beside(http_answer(status, "Not-Executed: 1")) as beside:
+            with DeliveryFixture(http_answer(status, "Not-Executed: 1")) as beside:
                 answer = beside.call()
                 self.assertEqual((answer.status, answer.verdict), (503, Verdict.NOT_RUN))
                 self.assertTrue(answer.arrived)
@@ -138,19 +138,19 @@
             "malformed": b"\x00\x01\x02\r\n\r\n",
         }
         for name, data in answers.items():
-            with self.subTest(name), Beside(data) as beside:
+            with self.subTest(name), DeliveryFixture(data) as beside:
                 answer = beside.call()
                 self.assertEqual((answer.status, answer.verdict), (502, Verdict.MAY_HAVE_RUN))
 
     def test_failure_of_the_target_is_passed_on(self) -> None:
         """Guards against a target's own failure that gets another status."""
-        with Beside(http_answer(500, "Instance-Signature: s", "Attempt-Id: r1")) as beside:
+        with DeliveryFixture(http_answer(500, "Instance-Signature: s", "Attempt-Id: r1")) as beside:
             answer = beside.call()
             self.assertEqual((answer.status, answer.verdict), (500, Verdict.RAN))
 
     def test_waiting_call_is_refused_when_the_target_leaves(self) -> None:
         """Guards against a call that waits for a slot and reaches a target that has left."""
-        with Beside(http_answer(200, "Instance-Signature: s"), slots=1) as beside:
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s"), slots=1) as beside:
             slot = beside.admission.acquire(route="", deadline=SystemClock().monotonic() + 5)
             waiting = ThreadPoolExecutor(1).submit(beside.call)
             threading.Event().wait(0.05)
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -10,12 +10,12 @@
 
 from citronrack.clock import ManualClock
 from citronrack.errors import MessageRejected
-from citronrack.hosted.delta import apply_delta, compress, expand, make_delta
+from citronrack.hosted.delta import apply_delta, compress, decompress, make_delta
 from citronrack.hosted.gossip import GossipCore, Positions, TopicRecords
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import KeyedPage, KeyedRecord
 
-from .mesh import exchange_of
+from .mesh import make_gossip
 
 TOPIC = "operator"
 ROWS = 800
@@ -55,7 +55,7 @@
             with self.subTest(delta), self.assertRaises(MessageRejected):
                 apply_delta(value(1), delta)
         with self.assertRaises(MessageRejected):
-            expand(b"\x01")
+            decompress(b"\x01")
 
 
 class PushTest(unittest.TestCase):
@@ -66,7 +66,7 @@
         self.reader, self.other = TopicReplica(TOPIC), TopicReplica(TOPIC)
         for replica in (self.reader, self.other):
             replica.apply(KeyedPage((KeyedRecord("config", value(1), 1),), 2))
-        self.gossip = exchange_of(self.other, ManualClock())
+        self.gossip = make_gossip(self.other, ManualClock())
 
     def push(self, version: int) -> TopicRecords:
         """Return what the reader sends after a change."""
@@ -96,7 +96,7 @@
         self.assertEqual([send.to for send in asked], ["tcp://r"])
         question = asked[0].message
         assert isinstance(question, Positions)
-        for send in exchange_of(self.reader, ManualClock()).on_message("tcp://n", question):
+        for send in make_gossip(self.reader, ManualClock()).on_message("tcp://n", question):
             self.gossip.on_message("tcp://r", send.message)
         self.assertEqual(self.other.value("config"), value(3, changed=3))
         self.assertEqual(self.other.position, 4)
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -9,12 +9,12 @@
 
 from citronrack.clock import ManualClock
 from citronrack.hosted.gossip import MAX_RECORDS_BYTES, TopicRecords
-from citronrack.hosted.readers import ReaderBeat
+from citronrack.hosted.readers import ReaderHeartbeat
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import KeyedPage, KeyedRecord
 
-from .mesh import exchange_of
-from .watched import STEP_S, WatchedMesh
+from .mesh import make_gossip
+from .polling_mesh import STEP_S, PollingMesh
 
 CONFIG_APPLY_S = 2.0
 ZONES = ("za", "zb", "zc")
@@ -27,15 +27,15 @@
 class LateChangeTest(unittest.TestCase):
     """Faults of the store that do not excuse nodes which reach it."""
 
-    def calm(self) -> WatchedMesh:
+    def steady_mesh(self) -> PollingMesh:
         """Return a mesh in which one node of each zone reads."""
-        mesh = WatchedMesh(SIZE, zones=ZONES)
+        mesh = PollingMesh(SIZE, zones=ZONES)
         mesh.run(5.0)
         for zone in ZONES:
             self.assertEqual(len(mesh.readers(zone)), 1)
         return mesh
 
-    def assert_in_time(self, mesh: WatchedMesh, version: int, nodes: Iterable[str]) -> None:
+    def assert_in_time(self, mesh: PollingMesh, version: int, nodes: Iterable[str]) -> None:
         """Check that nodes have a version that is changed to now within the bound."""
         mesh.change(version)
         mesh.run(CONFIG_APPLY_S)
@@ -47,7 +47,7 @@
         for seed in range(20):
             with self.subTest(seed=seed):
                 random = Random(seed)
-                mesh = self.calm()
+                mesh = self.steady_mesh()
                 without = random.sample(sorted(mesh.cores), 6)
                 getattr(mesh, kind).update(without, mesh.readers("za"))
                 mesh.run(random.uniform(0, 1.5))
@@ -58,7 +58,7 @@
         for delay_s in DELAYS_S:
             for zone in ZONES:
                 with self.subTest(delay_s=delay_s, zone=zone):
-                    mesh = self.calm()
+                    mesh = self.steady_mesh()
                     mesh.silent.update(mesh.readers(zone))
                     mesh.run(delay_s)
                     self.assert_in_time(mesh, 2, mesh.cores)
@@ -76,7 +76,7 @@
         for kind in ("silent", "refused"):
             for delay_s in DELAYS_S:
                 with self.subTest(kind=kind, delay_s=delay_s):
-                    mesh = self.calm()
+                    mesh = self.steady_mesh()
                     zone = [name for name in mesh.cores if mesh.zone_of(name) == "za"]
                     getattr(mesh, kind).update(zone)
                     mesh.run(delay_s)
@@ -90,7 +90,7 @@
         for tenths in range(2, 62, 3):
             silent_s = tenths / 10
             with self.subTest(silent_s=silent_s):
-                mesh = self.calm()
+                mesh = self.steady_mesh()
                 mesh.silent.update(mesh.cores)
                 mesh.run(silent_s)
                 mesh.silent.clear()
@@ -99,7 +99,7 @@
 
     def test_restart_without_the_store(self) -> None:
         """Guards against a node that starts while the store is away and gets nothing of others."""
-        mesh = self.calm()
+        mesh = self.steady_mesh()
         mesh.silent.update(mesh.cores)
         mesh.add("n4", boot=2)
         mesh.run(STABLE_S)
@@ -107,7 +107,7 @@
 
     def test_node_without_word_is_not_sure(self) -> None:
         """Guards against a final 404 by a node that may lack the newest configuration."""
-        mesh = self.calm()
+        mesh = self.steady_mesh()
         self.assertTrue(all(holder.current.complete for holder in mesh.views.values()))
         mesh.silent.add("n4")
         mesh.unreachable.add("n4")
@@ -121,20 +121,20 @@
     def test_message_is_lost(self) -> None:
         """Guards against a change that depends on each single message, beside a hanging read."""
         for number in range(3):
-            for kind in (TopicRecords, ReaderBeat):
+            for kind in (TopicRecords, ReaderHeartbeat):
                 with self.subTest(kind=kind.__name__, number=number):
-                    mesh = self.calm()
+                    mesh = self.steady_mesh()
                     mesh.silent.update(mesh.readers("za"))
-                    mesh.lost = self.lose(kind, number)
+                    mesh.drops = self.lose(kind, number)
                     self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_lost_change_behind_an_order(self) -> None:
         """Guards against a position that covers a record which never arrived."""
-        mesh = self.calm()
-        mesh.lost = lambda sender, to, message: isinstance(message, TopicRecords | ReaderBeat)
+        mesh = self.steady_mesh()
+        mesh.drops = lambda sender, to, message: isinstance(message, TopicRecords | ReaderHeartbeat)
         mesh.change(2)
         mesh.run(STEP_S)
-        mesh.lost = lambda sender, to, message: False
+        mesh.drops = lambda sender, to, message: False
         mesh.order("v2")
         mesh.run(CONFIG_APPLY_S)
         self.assertEqual(set(mesh.versions().values()), {2})
@@ -146,8 +146,8 @@
         values = {key: Random(key).randbytes(MAX_RECORDS_BYTES * 2 // 3) for key in "abc"}
         records = [KeyedRecord(key, values[key], offset) for offset, key in enumerate(values)]
         full.apply(KeyedPage(tuple(records), len(records)))
-        nodes = [exchange_of(replica, clock) for replica in (full, empty)]
-        waiting = nodes[0].on_message("tcp://e", nodes[1].ask("tcp://f").message)[1:]
+        nodes = [make_gossip(replica, clock) for replica in (full, empty)]
+        waiting = nodes[0].on_message("tcp://e", nodes[1].request_records("tcp://f").message)[1:]
         self.assertEqual(len(waiting), len(records) - 1)
         while waiting:
             send = waiting.pop(0)
@@ -161,10 +161,10 @@
         """Return a rule that loses one message of a kind on its way to each node."""
         seen: dict[str, int] = {}
 
-        def lost(_: str, to: str, message: Any) -> bool:
+        def drops(_: str, to: str, message: Any) -> bool:
             if not isinstance(message, kind):
                 return False
             seen[to] = seen.get(to, -1) + 1
             return seen[to] == number
 
-        return lost
+        return drops
--- a/tests/hosted/test_readers.py
+++ b/tests/hosted/test_readers.py
@@ -6,7 +6,7 @@
 
 from citronrack.clock import ManualClock
 from citronrack.hosted.entry import NodeEntry
-from citronrack.hosted.readers import ReaderBeat, ReaderRole, ReaderTimings
+from citronrack.hosted.readers import ReaderHeartbeat, ReaderRole, ReaderTimings
 
 NAMES = [f"n{index}" for index in range(8)]
 FAST = "n5"
@@ -67,8 +67,8 @@
         for other, role in self.roles.items():
             if other not in {name} | self.dead:
                 position = 4 if other in self.behind else 5
-                beat = ReaderBeat(name, 5, entry(name).link_mbps)
-                role.on_beat(beat, position=position, store_answers=other not in self.cut)
+                beat = ReaderHeartbeat(name, 5, entry(name).link_mbps)
+                role.on_heartbeat(beat, position=position, store_answers=other not in self.cut)
 
 
 class ReaderRoleTest(unittest.TestCase):
@@ -82,12 +82,12 @@
         for bound_s in (CONFIG_APPLY_S, 2.5, 9.0):
             times = ReaderTimings.within(bound_s)
             self.assertLess(times.wait_s + TICK_S, bound_s)
-            way_s = times.silence_s + times.max_rank_delay_s + 2 * TICK_S + READ_S
+            way_s = times.stale_after_s + times.max_rank_delay_s + 2 * TICK_S + READ_S
             self.assertLess(way_s, bound_s)
 
     def test_calm_reader_is_heard_in_time(self) -> None:
         """Guards against nodes that read although their reader gets all its answers."""
-        self.assertLess(TIMINGS.wait_s + TIMINGS.beat_pause_s, TIMINGS.silence_s)
+        self.assertLess(TIMINGS.wait_s + TIMINGS.heartbeat_interval_s, TIMINGS.stale_after_s)
 
     def test_one_node_reads(self) -> None:
         """Guards against a call to the store by every node for every change."""
@@ -151,7 +151,7 @@
         clock.advance(5.0)
         self.assertFalse(role.current)
         role.on_read(100.0)
-        role.on_beat(ReaderBeat("n1", 5, 10, 5_000), position=5, store_answers=True)
+        role.on_heartbeat(ReaderHeartbeat("n1", 5, 10, 5_000), position=5, store_answers=True)
         self.assertFalse(role.current)
         role.on_read(104.9)
         self.assertTrue(role.current)
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -56,7 +56,7 @@
                 clock=self.clock,
                 events=EventLog(node=name, level="error"),
                 write_record=self._pending.append,
-                tell_record=self._tell,
+                broadcast_record=self._tell,
                 write_status=lambda _, version, phase, n=name: self.statuses.append(
                     (n, phase, self.clock.monotonic())
                 ),
@@ -227,7 +227,7 @@
         fleet = Fleet(fails)
         fleet.run(ORDER.duration_s)
         core, _, _ = fleet._nodes["n0"]
-        self.assertTrue(core.taken_back("s", "v2"))
+        self.assertTrue(core.is_rolled_back("s", "v2"))
         core.on_order(RolloutOrder(9, "s", "v3", 16.0))
         core.on_record(fleet.records[-1])
         self.assertEqual(core.shares()["s"], ("v3", 0.0, 9))
--- a/tests/hosted/test_target.py
+++ b/tests/hosted/test_target.py
@@ -7,7 +7,7 @@
 
 from citronrack.clock import ManualClock
 from citronrack.hosted.target import (
-    OwnTargetState,
+    OwnTargetTracker,
     TargetLeave,
     TargetReport,
     TargetState,
@@ -22,7 +22,7 @@
     "slots": 6,
     "draining": False,
     "sequence": 1,
-    "born_ms": 1_000,
+    "started_ms": 1_000,
     "cold_s": 0.0,
 }
 
@@ -37,7 +37,7 @@
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.target = OwnTargetState(
+        self.target = OwnTargetTracker(
             address=ADDRESS, service="catalogue", report_interval_s=1.5, clock=self.clock
         )
 
@@ -72,27 +72,27 @@
 
         A node that starts again while its target leaves hears of the leaving before any report.
         """
-        for born_ms in (None, REPORT["born_ms"]):
-            with self.subTest(born_ms):
+        for started_ms in (None, REPORT["started_ms"]):
+            with self.subTest(started_ms):
                 self.setUp()
-                self.assertFalse(self.target.on_leave(TargetLeave("i-1", born_ms)))
+                self.assertFalse(self.target.on_leave(TargetLeave("i-1", started_ms)))
                 self.target.on_report(report())
                 self.assertIs(self.target.view.state, TargetState.LEAVING)
                 self.target.on_report(report(sequence=2))
                 self.assertTrue(self.target.identity.refusal)
-                self.target.on_report(report(born_ms=2_000))
+                self.target.on_report(report(started_ms=2_000))
                 self.assertEqual(self.target.identity.refusal, "")
 
     def test_new_start_under_the_same_id(self) -> None:
         """Guards against a new process that is taken for the one that left."""
         self.target.on_report(report(sequence=9))
         self.target.on_leave(TargetLeave("i-1", None))
-        self.assertTrue(self.target.on_report(report(sequence=0, born_ms=2_000)))
+        self.assertTrue(self.target.on_report(report(sequence=0, started_ms=2_000)))
         self.assertEqual(self.target.identity.refusal, "")
 
     def test_report_of_an_earlier_start(self) -> None:
         """Guards against a report that a partition delayed past the start of its successor."""
-        self.target.on_report(report(target_id="i-2", service="media", born_ms=2_000))
+        self.target.on_report(report(target_id="i-2", service="media", started_ms=2_000))
         self.assertFalse(self.target.on_report(report(sequence=50)))
         self.assertEqual(self.target.identity.service, "media")
 
@@ -114,7 +114,7 @@
 
     def test_start_with_an_earlier_wall_time(self) -> None:
         """Guards against a target that is shut out because the wall clock jumped back."""
-        self.target.on_report(report(born_ms=9_000))
-        self.assertFalse(self.target.on_report(report(target_id="i-2", born_ms=8_000)))
+        self.target.on_report(report(started_ms=9_000))
+        self.assertFalse(self.target.on_report(report(target_id="i-2", started_ms=8_000)))
         self.clock.advance(7)
-        self.assertTrue(self.target.on_report(report(target_id="i-2", born_ms=8_000)))
+        self.assertTrue(self.target.on_report(report(target_id="i-2", started_ms=8_000)))
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -9,13 +9,13 @@
 
 from citronrack.clock import ManualClock
 from citronrack.errors import LogUnavailable
-from citronrack.hosted.messages import Mail, PageRead
+from citronrack.hosted.messages import CoreMessage, PageRead
 from citronrack.hosted.store import KeyedPage
 from citronrack.hosted.watch import (
-    PATIENT_READ_ANSWER_MS,
-    READ_ANSWER_MS,
+    LONG_READ_TIMEOUT_MS,
+    READ_TIMEOUT_MS,
     WatchTask,
-    answer_limit_ms,
+    read_timeout_ms,
 )
 
 WAIT_S = 0.7
@@ -30,13 +30,13 @@
     asked: list[tuple[int, int]] = field(factory=list)
     on_end: list[WatchTask] = field(factory=list)
 
-    def newest(self, topic: str, *, answer_ms: int) -> KeyedPage:
+    def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return an empty topic."""
         return KeyedPage((), 0)
 
-    def read(self, topic: str, start: int, *, wait_ms: int, answer_ms: int) -> KeyedPage:
+    def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
         """Let time pass; stop the watch after the last read."""
-        self.asked.append((wait_ms, answer_ms))
+        self.asked.append((wait_ms, timeout_ms))
         took_s = self.takes_s.pop(0)
         if not self.takes_s:
             self.on_end[0].stop()
@@ -52,9 +52,9 @@
 class WatchTaskTest(unittest.TestCase):
     """How a watch reads, and how old its pages are."""
 
-    def run_watch(self, *takes_s: float | None) -> tuple[SlowStore, list[Mail]]:
+    def run_watch(self, *takes_s: float | None) -> tuple[SlowStore, list[CoreMessage]]:
         """Return the store and the messages of a watch after the given reads."""
-        mail: list[Mail] = []
+        mail: list[CoreMessage] = []
         clock = ManualClock()
         store = SlowStore(clock, list(takes_s))
         watch = WatchTask(
@@ -67,8 +67,8 @@
     def test_answer_that_waited_is_old(self) -> None:
         """Guards against an old answer that vouches for the topic after an instance stood still."""
         _, pages = self.run_watch(WAIT_S, 5.0 + WAIT_S, 0.3)
-        made_at = [round(page.made_at, 3) for page in pages]
-        self.assertEqual(made_at, [0.0, WAIT_S, 2 * WAIT_S, 5.0 + 2 * WAIT_S + 0.3])
+        created_at = [round(page.created_at, 3) for page in pages]
+        self.assertEqual(created_at, [0.0, WAIT_S, 2 * WAIT_S, 5.0 + 2 * WAIT_S + 0.3])
 
     def test_read_after_a_failure_does_not_wait(self) -> None:
         """Guards against a node that cannot vouch for a whole wait after the store is back."""
@@ -79,6 +79,6 @@
     def test_slow_store_is_read(self) -> None:
         """Guards against a node that never waits long enough for a store that is slow."""
         random = Random(1)
-        self.assertEqual({answer_limit_ms(0, random) for _ in range(50)}, {READ_ANSWER_MS})
-        limits = {answer_limit_ms(5, random) for _ in range(50)}
-        self.assertEqual(limits, {READ_ANSWER_MS, PATIENT_READ_ANSWER_MS})
+        self.assertEqual({read_timeout_ms(0, random) for _ in range(50)}, {READ_TIMEOUT_MS})
+        limits = {read_timeout_ms(5, random) for _ in range(50)}
+        self.assertEqual(limits, {READ_TIMEOUT_MS, LONG_READ_TIMEOUT_MS})
--- a/tests/platform/installation.py
+++ b/tests/platform/installation.py
@@ -18,7 +18,7 @@
 from attrs import define, field
 
 from .store_standin import StoreStandIn
-from .worker import Worker
+from .target import TargetStandIn
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
@@ -52,7 +52,7 @@
     app: int
     settings: Path
     process: subprocess.Popen[bytes] | None = None
-    worker: Worker | None = None
+    target: TargetStandIn | None = None
 
     def answers_ready(self) -> bool:
         """Return whether the node says that it is ready."""
@@ -98,7 +98,7 @@
             instance = self._make(index)
             self.instances.append(instance)
             self.start_node(instance)
-            self.start_worker(instance)
+            self.start_target(instance)
         self.wait_ready()
         return self
 
@@ -108,8 +108,8 @@
                 instance.process.kill()
                 instance.process.wait()
         for instance in self.instances:
-            if instance.worker is not None:
-                instance.worker.stop()
+            if instance.target is not None:
+                instance.target.stop()
         self.store.stop()
         self._folder.cleanup()
 
@@ -138,9 +138,9 @@
         )
         log.close()
 
-    def start_worker(self, instance: Instance, **fields: Any) -> Worker:
+    def start_target(self, instance: Instance, **fields: Any) -> TargetStandIn:
         """Start a target beside a node."""
-        worker = Worker(
+        target = TargetStandIn(
             target_id=fields.pop("target_id", f"i-{instance.name}"),
             service=instance.service,
             zone=instance.zone,
@@ -150,9 +150,9 @@
             work_s=self.work_s,
             **fields,
         )
-        worker.start()
-        instance.worker = worker
-        return worker
+        target.start()
+        instance.target = target
+        return target
 
     def signal(self, instance: Instance, number: signal.Signals) -> None:
         """Send a signal to the node's process."""
--- a/tests/platform/measure.py
+++ b/tests/platform/measure.py
@@ -23,7 +23,7 @@
     return next(float(line.split()[-1]) for line in lines if line.startswith(f"{name} "))
 
 
-def processor_s(instance: Instance) -> float:
+def cpu_s(instance: Instance) -> float:
     """Return the processor time that a node has used."""
     if instance.process is None:
         return 0.0
@@ -48,11 +48,11 @@
             time.sleep(SETTLE_S)
             names = ("citronrack_message_bytes_sent", "citronrack_messages_sent")
             before = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(processor_s(i) for i in mesh.instances)
+            used = sum(cpu_s(i) for i in mesh.instances)
             calls = len(mesh.store.calls)
             time.sleep(MEASURED_S)
             after = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(processor_s(i) for i in mesh.instances) - used
+            used = sum(cpu_s(i) for i in mesh.instances) - used
             calls = len(mesh.store.calls) - calls
             memory = max(resident_mb(i) for i in mesh.instances)
         rates = [(b - a) / size / MEASURED_S for a, b in zip(before, after, strict=True)]
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -104,7 +104,7 @@
             record = self._topics.get(topic, _Topic()).newest.get(key)
         return record[1] if record is not None else None
 
-    def forget(self, topic: str) -> None:
+    def trim(self, topic: str) -> None:
         """Drop the history of a topic; the newest record of each key stays."""
         with self._changed:
             stored = self._topics.setdefault(topic, _Topic())
@@ -150,7 +150,7 @@
                 return refusal
             offset = self._append(name, contents)
             answer = {"offset": offset, "end": topic.end}
-            self._note_producer(topic, request, answer)
+            self._remember_answer(topic, request, answer)
             if self.faults.lose_answers:
                 self.faults.lose_answers -= 1
                 return Response(status=504)
@@ -176,7 +176,7 @@
         return None
 
     @staticmethod
-    def _note_producer(topic: _Topic, request: Request, answer: dict[str, int]) -> None:
+    def _remember_answer(topic: _Topic, request: Request, answer: dict[str, int]) -> None:
         name = request.args.get("producer")
         if name is not None:
             producer = topic.producers[name]
--- a/tests/platform/worker.py
+++ b/tests/platform/target.py
@@ -22,7 +22,7 @@
 
 
 @define(eq=False)
-class Worker:
+class TargetStandIn:
     """One start of a target.
 
     Attributes:
@@ -70,7 +70,7 @@
         )
         self.port = self._server.port
         self._executor.submit(self._server.serve_forever, 0.02)
-        self._executor.submit(self._report_on)
+        self._executor.submit(self._report_loop)
 
     def stop(self) -> None:
         """Stop serving without a word."""
@@ -103,7 +103,7 @@
             self.acknowledged_leave_at = time.monotonic()
         return taken
 
-    def _report_on(self) -> None:
+    def _report_loop(self) -> None:
         while not self._stopping.is_set():
             self.report()
             self._stopping.wait(REPORT_INTERVAL_S)
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -12,8 +12,8 @@
 from citronrack.hosted.rollout import Phase
 from citronrack.hosted.store import KeyedRecord
 from citronrack.hosted.target import TargetLeave, TargetReport
-from citronrack.platform.operator import ConfigReader, read_order, status_write
-from citronrack.platform.reports import read_call
+from citronrack.platform.operator import ConfigDecoder, decode_order, status_write
+from citronrack.platform.reports import decode_report
 from citronrack.platform.settings import parse_settings
 
 REPORT: dict[str, Any] = {
@@ -53,17 +53,17 @@
 class ReportsTest(unittest.TestCase):
     """What targets say of themselves."""
 
-    def read(self, body: Any) -> TargetReport | TargetLeave | None:
+    def decode(self, body: Any) -> TargetReport | TargetLeave | None:
         """Decode a report."""
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        return read_call("POST", "/api/Instances.Heartbeat/i-1", data)
+        return decode_report("POST", "/api/Instances.Heartbeat/i-1", data)
 
     def test_report(self) -> None:
         """Guards against fields that are read from the wrong place."""
         expected = TargetReport(
             "i-1", "s", "v1", "10.0.0.9:80", 6, False, 4, 1_700_000_000_000, 1.5
         )
-        self.assertEqual(self.read(REPORT), expected)
+        self.assertEqual(self.decode(REPORT), expected)
 
     def test_damaged_reports(self) -> None:
         """Guards against reports of foreign writers that are taken for a target's own."""
@@ -85,15 +85,15 @@
             damaged.append({**REPORT, part: {**REPORT[part], name: value}})
         for body in damaged:
             with self.subTest(body), self.assertRaises(ReportInvalid):
-                self.read(body)
+                self.decode(body)
 
     def test_leave_and_other_calls(self) -> None:
         """Guards against a notice that is missed and calls that are taken for one."""
         path = "/api/Instances.Deregister/i-1"
-        self.assertEqual(read_call("POST", path, b""), TargetLeave("i-1", None))
-        self.assertEqual(read_call("POST", path, b'{"born": 5}'), TargetLeave("i-1", 5))
-        self.assertIsNone(read_call("GET", path, b""))
-        self.assertIsNone(read_call("POST", "/other", b""))
+        self.assertEqual(decode_report("POST", path, b""), TargetLeave("i-1", None))
+        self.assertEqual(decode_report("POST", path, b'{"born": 5}'), TargetLeave("i-1", 5))
+        self.assertIsNone(decode_report("GET", path, b""))
+        self.assertIsNone(decode_report("POST", "/other", b""))
 
 
 class OperatorTest(unittest.TestCase):
@@ -119,7 +119,7 @@
 
     def test_configuration(self) -> None:
         """Guards against routes that repeat what must not be repeated, or miss their split."""
-        config = ConfigReader().read(self.config())
+        config = ConfigDecoder().decode(self.config())
         assert config is not None
         first, second = config.routes["a"], config.routes["b"]
         self.assertEqual((config.version, first.timeout_ms, first.idempotent), (7, 1200, True))
@@ -129,13 +129,13 @@
 
     def test_next_configuration(self) -> None:
         """Guards against routes of the version before that stay after they changed or went."""
-        reader = ConfigReader()
-        first = reader.read(self.config())
+        reader = ConfigDecoder()
+        first = reader.decode(self.config())
         changed = json.loads(self.config().value or b"")
         changed["version"] = 8
         changed["routes"]["rows"][0][4] = "900ms"
         changed["routes"]["rows"][1] = ["c", "Shop.example", "/c/", "idempotent", "1s", "t", None]
-        second = reader.read(KeyedRecord("config", json.dumps(changed).encode(), 4))
+        second = reader.decode(KeyedRecord("config", json.dumps(changed).encode(), 4))
         assert first is not None and second is not None
         self.assertEqual(sorted(second.routes), ["a", "c"])
         self.assertEqual((first.routes["a"].timeout_ms, second.routes["a"].timeout_ms), (1200, 900))
@@ -154,15 +154,15 @@
         ]
         for record in damaged:
             with self.subTest(record):
-                self.assertIsNone(ConfigReader().read(record))
+                self.assertIsNone(ConfigDecoder().decode(record))
 
     def test_rollout(self) -> None:
         """Guards against an order that is lost, and a status that the operator cannot read."""
         value = json.dumps({"service": "s", "target_version": "v2", "duration": "12s"}).encode()
-        order = read_order(KeyedRecord("rollout/s", value, 9))
+        order = decode_order(KeyedRecord("rollout/s", value, 9))
         assert order is not None
         self.assertEqual((order.order_id, order.duration_s), (9, 12.0))
-        self.assertIsNone(read_order(KeyedRecord("rollout/s", b"[]", 9)))
+        self.assertIsNone(decode_order(KeyedRecord("rollout/s", b"[]", 9)))
         states = {phase: json.loads(status_write("s", "v2", phase).value or b"") for phase in Phase}
         self.assertEqual(
             {phase.value: status["state"] for phase, status in states.items()},
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,7 +11,7 @@
 
 from citronrack.clock import SystemClock
 from citronrack.errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
-from citronrack.hosted.messages import PageRead, WatchFailed, Written
+from citronrack.hosted.messages import PageRead, ReadFailed, RecordWritten
 from citronrack.hosted.publish import PublishTask, Write
 from citronrack.hosted.store import AppendConflict
 from citronrack.hosted.watch import WatchTask
@@ -51,7 +51,7 @@
         for number in range(1_203):
             self.standin.put(TOPIC, f"k{number % 1_100:04}", b"%d" % number)
         self.standin.put(TOPIC, "k0007", None)
-        page = self.store.newest(TOPIC, answer_ms=LIMIT_MS)
+        page = self.store.newest(TOPIC, timeout_ms=LIMIT_MS)
         self.assertEqual(len(page.records), 1_099)
         self.assertEqual(page.position, 1_204)
         values = {record.key: record.value for record in page.records}
@@ -62,7 +62,7 @@
         self.standin.put(TOPIC, "a", b"1")
         self.standin.put(TOPIC, "b", b"\x00\xff")
         self.standin.put(TOPIC, "a", None)
-        page = self.store.read(TOPIC, 1, wait_ms=0, answer_ms=LIMIT_MS)
+        page = self.store.read(TOPIC, 1, wait_ms=0, timeout_ms=LIMIT_MS)
         found = [(record.key, record.value, record.offset) for record in page.records]
         self.assertEqual(found, [("b", b"\x00\xff", 1), ("a", None, 2)])
         self.assertEqual(page.position, 3)
@@ -71,10 +71,10 @@
         """Guards against a reader that goes on where nothing is left."""
         self.standin.put(TOPIC, "a", b"1")
         self.standin.put(TOPIC, "a", b"2")
-        self.standin.forget(TOPIC)
+        self.standin.trim(TOPIC)
         with self.assertRaises(LogTrimmed):
-            self.store.read(TOPIC, 1, wait_ms=0, answer_ms=LIMIT_MS)
-        self.assertEqual(self.store.newest(TOPIC, answer_ms=LIMIT_MS).position, 2)
+            self.store.read(TOPIC, 1, wait_ms=0, timeout_ms=LIMIT_MS)
+        self.assertEqual(self.store.newest(TOPIC, timeout_ms=LIMIT_MS).position, 2)
 
     def test_write_under_a_condition(self) -> None:
         """Guards against a write over one that came in between."""
@@ -95,7 +95,7 @@
             with self.assertRaises(AppendRefused):
                 self.store.put(TOPIC, "a", b"2")
         with self.assertRaises(LogUnavailable):
-            self.store.newest(TOPIC, answer_ms=LIMIT_MS)
+            self.store.newest(TOPIC, timeout_ms=LIMIT_MS)
         self.assertEqual(self.standin.value(TOPIC, "a"), b"1")
 
 
@@ -135,7 +135,7 @@
         threading.Event().wait(0.3)
         task.submit(Write(TOPIC, "a", b"2"))
         self.standin.faults.refused.clear()
-        while self.await_mail(Written).record.value != b"2":
+        while self.await_mail(RecordWritten).record.value != b"2":
             continue
         self.assertEqual(self.standin.value(TOPIC, "a"), b"2")
 
@@ -147,7 +147,7 @@
         task.submit(newer)
         self.await_mail(PageRead)
         task.submit(Write(TOPIC, "b", b"1", may_replace=lambda present: present is None))
-        self.assertEqual(self.await_mail(Written).record.key, "b")
+        self.assertEqual(self.await_mail(RecordWritten).record.key, "b")
         self.assertEqual(self.standin.value(TOPIC, "a"), b"9")
 
     def watch(self, *, needed: bool) -> WatchTask:
@@ -168,15 +168,15 @@
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
         self.addCleanup(watch.stop)
-        self.assertTrue(self.await_mail(PageRead).whole)
+        self.assertTrue(self.await_mail(PageRead).full)
         self.standin.put(TOPIC, "a", b"1")
         self.assertEqual(self.await_mail(PageRead).page.records[0].value, b"1")
         self.standin.faults.refused.add("*")
         self.standin.put(TOPIC, "a", b"2")
-        while self.mail.get(timeout=LIMIT_S).__class__ is not WatchFailed:
+        while self.mail.get(timeout=LIMIT_S).__class__ is not ReadFailed:
             continue
         self.standin.put(TOPIC, "a", b"3")
-        self.standin.forget(TOPIC)
+        self.standin.trim(TOPIC)
         self.standin.faults.refused.clear()
         values: list[bytes | None] = []
         while b"3" not in values:
@@ -190,7 +190,7 @@
         threading.Event().wait(0.2)
         self.assertEqual(self.standin.calls, [])
         self.standin.put(TOPIC, "a", b"1")
-        watch.need(True, position=0)
+        watch.set_needed(True, position=0)
         self.assertEqual(self.await_mail(PageRead).page.records[0].key, "a")
-        watch.need(False, position=1)
+        watch.set_needed(False, position=1)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -65,7 +65,7 @@
             mesh.write_config(added="media")
             for instance in mesh.instances:
                 self.assertTrue(wait_for(lambda i=instance: call(i, "/added/x", "a1")[0] == 200))
-            leaving = mesh.instances[1].worker
+            leaving = mesh.instances[1].target
             assert leaving is not None
             leaving.draining = True
             self.assertTrue(wait_for(lambda: leaving.acknowledged_leave_at > 0))
@@ -74,7 +74,7 @@
                 self.assertEqual(call(first, "/media/x", f"l{index}")[0], 200)
             self.assertEqual(len(leaving.executed), before)
             self.assertEqual(
-                {c for i in mesh.instances for c in i.worker.callers} - {"catalogue", "media"},
+                {c for i in mesh.instances for c in i.target.callers} - {"catalogue", "media"},
                 set(),
             )
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,7 @@
 from attrs import define, field
 
 from tests.platform.installation import HOST, Installation, Instance
-from tests.platform.worker import Worker
+from tests.platform.target import TargetStandIn
 
 from .proxy import Proxy
 
@@ -51,7 +51,7 @@
     sent: list[Sent] = field(factory=list)
     faults: list[str] = field(factory=list)
     findings: list[str] = field(factory=list)
-    workers: list[Worker] = field(factory=list)
+    workers: list[TargetStandIn] = field(factory=list)
     _stopping: threading.Event = field(factory=threading.Event)
     _busy: set[str] = field(factory=set)
     _added: dict[str, str] = field(factory=dict)
@@ -60,7 +60,7 @@
         """Return one line per broken promise."""
         with Installation(size=self.size, zones=2) as mesh:
             proxies = [self._proxy_store(mesh, instance) for instance in mesh.instances]
-            self.workers = [i.worker for i in mesh.instances if i.worker is not None]
+            self.workers = [i.target for i in mesh.instances if i.target is not None]
             with ThreadPoolExecutor(CALLERS + 8) as executor:
                 callers = [executor.submit(self._call_on, mesh, n) for n in range(CALLERS)]
                 self._inject(mesh, proxies, executor)
@@ -166,7 +166,7 @@
 
     def _store_forgets(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
         for topic in ("keyed.op", "keyed.mesh"):
-            mesh.store.forget(topic)
+            mesh.store.trim(topic)
 
     def _store_loses(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
         mesh.store.faults.lose_answers += 2
@@ -177,14 +177,14 @@
 
     def _replace_target(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
         def act(instance: Instance) -> None:
-            old = instance.worker
+            old = instance.target
             if old is None:
                 return
             old.draining = True
             time.sleep(DRAIN_S + 0.5)
             old.stop()
             name = f"i-{instance.name}-{len(self.workers)}"
-            self.workers.append(mesh.start_worker(instance, target_id=name))
+            self.workers.append(mesh.start_target(instance, target_id=name))
 
         self._alone(mesh, index, act)
 
@@ -231,7 +231,7 @@
                 self.findings.append(f"{instance.name} does not serve {left[0]} after the faults")
 
     def _check_calls(self) -> None:
-        runs = Counter(request_id for worker in self.workers for request_id, _ in worker.executed)
+        runs = Counter(request_id for target in self.workers for request_id, _ in target.executed)
         for sent in self.sent:
             if not sent.idempotent and runs[sent.request_id] > 1:
                 self.findings.append(f"{sent.request_id} ran {runs[sent.request_id]} times")
@@ -243,11 +243,11 @@
                 self.findings.append(f"{sent.request_id} was answered {sent.status}")
 
     def _check_leaves(self) -> None:
-        for worker in self.workers:
-            left_at = worker.acknowledged_leave_at
-            late = [i for i, at in worker.executed if left_at and at > left_at + DRAIN_S]
+        for target in self.workers:
+            left_at = target.acknowledged_leave_at
+            late = [i for i, at in target.executed if left_at and at > left_at + DRAIN_S]
             if late:
-                self.findings.append(f"{worker.target_id} ran {late[0]} after its leaving")
+                self.findings.append(f"{target.target_id} ran {late[0]} after its leaving")
 
 
 def _call(
