--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -1,4 +1,4 @@
-"""Whether this node reads the store for its zone, and whether the store answers it."""
+"""This node's reader role and the state of its reads from the store."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 
 class StoreAccess:
-    """Follows the role of this node among the readers of its zone.
+    """Tracks the reader role of this node within its zone, and failing reads.
 
     Args:
         own: Entry of this node.
-        clock: Source of time that goes on while the instance is suspended.
-        events: Log lines.
-        steering: Is told when this node has to read and when not.
-        timings: Times by which the nodes of a zone read in turn.
+        clock: Clock that keeps running while the instance is suspended.
+        events: Event log.
+        callbacks: Invoked when this node starts or stops to read.
+        timings: Timeouts of the reader role.
     """
 
     def __init__(
@@ -44,50 +44,50 @@
 
     @property
     def leading(self) -> bool:
-        """Whether this node passes on what it reads."""
+        """Whether this node forwards what it reads to its zone."""
         return self._role.leading
 
     @property
     def current(self) -> bool:
-        """Whether the own copy of the operator's topic was known to be complete lately."""
+        """Whether the replica of the operator topic is fresh."""
         return self._role.current
 
     @property
     def age_s(self) -> float:
-        """Seconds since the own copy of the operator's topic was known to be complete."""
+        """Seconds since the replica of the operator topic was confirmed to be complete."""
         return self._role.age_s
 
     @property
     def available(self) -> bool:
-        """Whether all topics could be read lately; true for a node that does not read."""
+        """Whether the latest reads of all topics succeeded; true for a node that does not read."""
         return not self._failing
 
     def on_read_succeeded(self, topic: str) -> None:
-        """Note that a topic was read."""
+        """Record a successful read of a topic."""
         if self._failing.pop(topic, None) is not None:
             self._events.write(Event.LOG_RECOVERED, topic=topic)
 
     def on_read_failed(self, topic: str, reason: str) -> None:
-        """Note that a topic could not be read."""
+        """Record a failed read of a topic."""
         if not self.reading:
-            return  # The last read of a node that has stopped to read.
+            return  # The last read of a node that has given up the reader role.
         if topic not in self._failing:
             self._events.write(Event.LOG_UNAVAILABLE, topic=topic, reason=reason)
         self._failing[topic] = reason
 
     def on_end_confirmed(self, confirmed_at: float) -> bool:
-        """Note that the store has told where the operator's topic ends.
+        """Record that the store confirmed the end of the operator topic.
 
         Args:
-            confirmed_at: When the store may have told it.
+            confirmed_at: Earliest time of the confirmation.
 
         Returns:
-            Whether the zone is to be told.
+            Whether to send a heartbeat to the zone.
         """
         return self._role.on_read(confirmed_at)
 
     def on_tick(self, zone: Iterable[NodeEntry]) -> bool:
-        """Begin to read when nobody vouches for the own copy.
+        """Start to read when the replica has become stale, and log changes of its freshness.
 
         Args:
             zone: Entries of the other nodes of the zone.
@@ -95,9 +95,9 @@
         Returns:
             Whether `current` has changed since the last tick.
         """
-        before = self.reading
+        was_reading = self.reading
         self._role.on_tick(zone)
-        self._apply_role_change(before)
+        self._apply_role_change(was_reading)
         if self.current is self._was_current:
             return False
         self._was_current = self.current
@@ -105,19 +105,19 @@
         self._events.write(event, reading=self.reading, age_s=round(self.age_s, 2))
         return True
 
-    def on_heartbeat(self, beat: ReaderHeartbeat, *, position: int) -> None:
-        """Take the beat of another reader.
+    def on_heartbeat(self, heartbeat: ReaderHeartbeat, *, position: int) -> None:
+        """Handle the heartbeat of another reader.
 
         Args:
-            beat: The beat.
+            heartbeat: The heartbeat.
             position: First offset that this node does not cover.
         """
-        before = self.reading
-        self._role.on_heartbeat(beat, position=position, store_answers=self.available)
-        self._apply_role_change(before)
+        was_reading = self.reading
+        self._role.on_heartbeat(heartbeat, position=position, store_answers=self.available)
+        self._apply_role_change(was_reading)
 
-    def _apply_role_change(self, before: bool) -> None:
-        if self.reading is before:
+    def _apply_role_change(self, was_reading: bool) -> None:
+        if self.reading is was_reading:
             return
         if not self.reading:
             self._failing.clear()
--- a/src/citronrack/hosted/canary.py
+++ b/src/citronrack/hosted/canary.py
@@ -1,4 +1,4 @@
-"""A new version at the own target: what it does here, and whether it gets calls here."""
+"""Observes a new service version at the local target and stops its calls if it fails."""
 
 from __future__ import annotations
 
@@ -13,19 +13,20 @@
 from .rollout import RolloutCore
 
 EVIDENCE_INTERVAL_S = 0.5
-"""How often the leader of a rollout hears of calls: a bad version must be found within 5 s."""
+"""Interval at which evidence is sent to the holder of a rollout; a bad version must be detected
+within 5 s."""
 
 FAILS_HERE = "the new service version fails at this target"
-VERSION_ROLLED_BACK = "the service version was taken back"
+VERSION_ROLLED_BACK = "the service version was rolled back"
 
 
 class LocalCanary:
-    """Counts calls at the own target during a rollout and stops a version that fails here.
+    """Counts calls at the local target during a rollout and stops a version that fails there.
 
     Args:
         rollouts: The rollouts.
         clock: Source of time.
-        events: Log lines.
+        events: Event log.
     """
 
     def __init__(self, rollouts: RolloutCore, *, clock: Clock, events: EventLog) -> None:
@@ -37,7 +38,7 @@
         self._next_evidence_at = 0.0
 
     def restrict(self, identity: TargetIdentity) -> TargetIdentity:
-        """Return the identity with a refusal if its version gets no calls."""
+        """Return the identity, with a refusal if its version gets no calls."""
         if identity.refusal:
             return identity
         if self._rollouts.is_rolled_back(identity.service, identity.service_version):
@@ -45,15 +46,15 @@
         return evolve(identity, refusal=FAILS_HERE) if self._stopped else identity
 
     def begin(self) -> None:
-        """Give calls again, to another start of the target or for another order."""
+        """Allow calls again after a restart of the target or for another order."""
         self._stopped = False
 
     def observe(self, record: CallRecord, *, version: str, cold: bool) -> bool:
-        """Count a call at the own target; return whether its version is stopped by it.
+        """Count a call; return whether it caused the version to be stopped.
 
         Args:
             record: The call.
-            version: Present version of the target.
+            version: Current version of the local target.
             cold: Whether the target is slow because it has just started.
         """
         order = self._rollouts.running(record.service)
@@ -73,7 +74,7 @@
         return True
 
     def evidence(self, own: NodeEntry) -> tuple[str, Evidence] | None:
-        """Return the holder of the rollout and what to tell it, None when nothing is due."""
+        """Return the holder of the rollout and the evidence for it, None when none is due."""
         now = self._clock.monotonic()
         order = self._rollouts.running(own.service)
         if now < self._next_evidence_at or order is None:
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -42,55 +42,56 @@
 from .target import OwnTargetTracker
 from .watch import WatchTask
 
-FIXED_THREADS = 12  # core, watches, writer, log lines, five listeners, two spare
+FIXED_THREADS = 12  # core, watches, writer, event log, five listeners, two spare
 CONTROL_CONNECTIONS = 16
 
 MESH_ID = "hosted"
-"""Frames of other programs on the ports between nodes are dropped by this name."""
+"""Identifies the mesh in transport frames; frames of other programs on the port are dropped."""
 
 RETRY_STATUSES = frozenset({500, 502, 503, 504})
-"""A route of the platform says itself what may be repeated, so failures of a target count too."""
+"""Statuses of a target that are retried. Routes of the platform state which calls are idempotent,
+so failures of the target itself may be retried too."""
 
 RETRY_SHARE = 0.5
-"""Part of the allowed retries that nodes use; the rest covers uneven traffic."""
+"""Fraction of the allowed retries that nodes use; the rest covers uneven traffic."""
 
 STOP_NOTICE_S = 2.5
-"""Time after SIGTERM in which calls are still taken: callers are sent elsewhere after two missed
-questions of readiness, a second apart."""
+"""Time after SIGTERM in which calls are still accepted: callers are routed elsewhere after two
+failed readiness probes, a second apart."""
 
 STOP_RESERVE_S = 0.8
-"""Time before SIGKILL at which the process ends."""
+"""Time between the end of the process and SIGKILL."""
 
 RECONNECT_MAX_MS = 300
-"""Longest pause between attempts to reach a node. A node that starts again while the store is away
-knows nobody until others reach it."""
+"""Longest pause between attempts to connect to a node. A node that restarts while the store is
+unavailable knows no other node until one connects to it."""
 
 MESH_READ_PAUSE_S = 5.0
-"""Time between reads of the nodes' topic; nodes tell each other changes, and a read finds those
-that nobody knows yet."""
+"""Pause between reads of the mesh topic; changes of known nodes spread by gossip, so reads only
+discover new nodes."""
 
 LOG_FLUSH_S = 0.3
-"""Longest wait for the last log lines at the end."""
+"""Longest wait for the last log lines at shutdown."""
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 
 SETTINGS_CHECK_INTERVAL_S = 2.0
-"""How often changed settings are looked for; they may change without a signal."""
+"""Interval of checks for changed settings; they may change without a signal."""
 
 
 @frozen
 class PlatformAdapter:
-    """What a platform's adapter gives to the product.
+    """Platform-specific settings, formats and clients.
 
     Attributes:
         settings: The node's settings.
         headers: Names of headers of callers and targets.
-        operator: The operator's records.
+        operator: Codec of the operator's records.
         make_store: Returns a new connection to the store.
         decode_report: Decodes reports of the target.
-        is_readiness_request: Whether method and path ask for readiness.
+        is_readiness_request: Returns whether method and path are those of a readiness probe.
         reload: Reads the settings again; returns whether they have changed. Raises `SettingsError`
-            when they cannot be used; the ones before stay.
+            if they are invalid; the previous ones stay in use.
     """
 
     settings: HostedSettings
@@ -103,7 +104,7 @@
 
 
 class HostedNode:
-    """A running node; made by `compose`."""
+    """A running node; created by `compose`."""
 
     def __init__(
         self,
@@ -129,7 +130,7 @@
         self._log_writer: Future[None] | None = None
 
     def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then stop gracefully."""
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         self.start()
         while not (received := self._signals.wait(SETTINGS_CHECK_INTERVAL_S)) & STOP_SIGNALS:
             self._check_settings(asked=signal.SIGHUP in received)
@@ -150,7 +151,7 @@
         )
 
     def stop(self) -> None:
-        """Leave the mesh, let calls end, then end all tasks."""
+        """Leave the mesh, drain calls, then stop all tasks."""
         end = time.monotonic() + self._adapter.settings.bounds.grace_s - STOP_RESERVE_S
         self._events.write(Event.NODE_STOPPING)
         self._mailbox.put(StopRequested())
@@ -186,7 +187,7 @@
 
 
 def compose(adapter: PlatformAdapter) -> HostedNode:
-    """Return a node with all its parts; sockets are open, no task runs yet."""
+    """Return a node with all its parts; its sockets are open, but no task runs yet."""
     settings = adapter.settings
     clock = SystemClock()
     boot_clock = BootClock()
--- a/src/citronrack/hosted/control.py
+++ b/src/citronrack/hosted/control.py
@@ -1,4 +1,4 @@
-"""Answers the target's reports and the platform's questions over HTTP."""
+"""HTTP handlers for status reports of the target and readiness probes of the platform."""
 
 from __future__ import annotations
 
@@ -14,45 +14,46 @@
 from .target import TargetLeave, TargetReport
 
 ANSWER_TIMEOUT_S = 0.8
-"""Longest wait for the core; a target gives a report up after a second."""
+"""Longest wait for the core; targets time out after a second."""
 
 MAX_BODY_BYTES = 64 * 1024
 
 
 class ReportInvalid(CitronrackError):
-    """A status report is malformed or of a kind that is not known."""
+    """A status report is malformed or of an unknown kind."""
 
 
 ReportDecoder = Callable[[str, str, bytes], TargetReport | TargetLeave | None]
-"""Decodes method, path and body; None for a path that is no report. Raises `ReportInvalid`."""
+"""Decodes method, path and body; returns None for a request that is no report. Raises
+`ReportInvalid`."""
 
 
 class ControlHandler:
-    """Passes reports to the core and acknowledges them once they are in force.
+    """Passes reports to the core and acknowledges them once the core has applied them.
 
     Args:
-        decode_report: Decodes a report; given by the platform's adapter.
-        post: Takes messages for the core.
-        events: Log lines.
+        decode_report: Decodes a report; provided by the platform's adapter.
+        post: Sends a message to the core.
+        events: Event log.
     """
 
     def __init__(
         self, *, decode_report: ReportDecoder, post: Callable[[CoreMessage], None], events: EventLog
     ) -> None:
-        self._read_call = decode_report
+        self._decode_report = decode_report
         self._post = post
         self._events = events
 
     def handle(self, request: Request) -> Answer:
-        """Answer a request on the control address."""
+        """Handle a request on the control address."""
         body = b"".join(request.body.chunks())
         try:
-            call = self._read_call(request.method, request.path, body[:MAX_BODY_BYTES])
+            call = self._decode_report(request.method, request.path, body[:MAX_BODY_BYTES])
         except ReportInvalid as error:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=str(error))
             return own_answer(400, str(error), Verdict.NOT_RUN)
         if call is None:
-            return own_answer(404, "no such call", Verdict.NOT_RUN)
+            return own_answer(404, "unknown method or path", Verdict.NOT_RUN)
         answer: Future[str] = Future()
         self._post(
             LeaveReceived(call, answer)
@@ -62,7 +63,7 @@
         try:
             fault = answer.result(ANSWER_TIMEOUT_S)
         except FutureTimeout:
-            return own_answer(503, "the report was not taken in time", Verdict.MAY_HAVE_RUN)
+            return own_answer(503, "the report was not processed in time", Verdict.MAY_HAVE_RUN)
         if fault:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=fault)
             return own_answer(400, fault, Verdict.NOT_RUN)
@@ -70,18 +71,18 @@
 
 
 def readiness_handler(
-    is_question: Callable[[str, str], bool], is_ready: Callable[[], bool]
+    is_readiness_request: Callable[[str, str], bool], is_ready: Callable[[], bool]
 ) -> Callable[[Request], Answer]:
     """Return the handler of the readiness address.
 
     Args:
-        is_question: Whether method and path ask for readiness.
-        is_ready: Whether callers may send new work.
+        is_readiness_request: Returns whether method and path are those of a readiness probe.
+        is_ready: Returns whether the node accepts new calls.
     """
 
     def handle(request: Request) -> Answer:
-        if not is_question(request.method, request.path):
-            return own_answer(404, "no such call", Verdict.NOT_RUN)
+        if not is_readiness_request(request.method, request.path):
+            return own_answer(404, "unknown method or path", Verdict.NOT_RUN)
         if not is_ready():
             return own_answer(503, "the node is not ready", Verdict.NOT_RUN)
         return own_page(b"application/json", b"{}")
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -1,4 +1,4 @@
-"""All decisions of a node on a platform, without sockets, threads or real time."""
+"""State machine of a node on a platform; has no sockets, threads or real time."""
 
 from __future__ import annotations
 
@@ -43,11 +43,11 @@
 
 
 class HostedCore:
-    """Keeps configuration, nodes, the own target and rollouts, and builds the routing view.
+    """Tracks configuration, nodes, the local target and rollouts, and builds the routing view.
 
     Args:
-        parts: What the core works with.
-        own: Entry of this node before its target has reported.
+        dependencies: Collaborators of the core.
+        own: Entry of this node before the first report of its target.
     """
 
     def __init__(self, dependencies: CoreDependencies, *, own: NodeEntry) -> None:
@@ -72,7 +72,7 @@
             events=dependencies.events,
             write_record=lambda record: dependencies.submit(rollout_write(record)),
             broadcast_record=self._broadcast_rollout,
-            write_status=lambda *told: dependencies.submit(dependencies.operator.status(*told)),
+            write_status=lambda *status: dependencies.submit(dependencies.operator.status(*status)),
         )
         self._canary = LocalCanary(
             self._rollouts, clock=dependencies.clock, events=dependencies.events
@@ -106,17 +106,17 @@
 
     @property
     def callbacks(self) -> CoreCallbacks:
-        """What follows the core's decisions; set by the composition root."""
+        """Callbacks that the core invokes; set by the composition root."""
         return self._callbacks
 
     @property
     def config_version(self) -> int:
-        """Version of the configuration in force, -1 before the first."""
+        """Version of the active configuration, -1 before the first one."""
         return self._active.version
 
     @property
     def ready(self) -> bool:
-        """Whether callers may send new work."""
+        """Whether the node accepts new calls."""
         return self._active.version >= 0 and not self._stopping
 
     @property
@@ -126,16 +126,16 @@
 
     @property
     def store_answers(self) -> bool:
-        """Whether all topics could be read lately."""
+        """Whether the latest reads of all topics succeeded."""
         return self._access.available
 
     @property
     def config_age_s(self) -> float:
-        """Seconds since the configuration in force was known to be the newest."""
+        """Seconds since the active configuration was last confirmed to be the newest."""
         return self._access.age_s
 
     def identity(self) -> TargetIdentity:
-        """Return who the own target is, for the call path; called from any thread."""
+        """Return the identity of the local target for the call path; thread-safe."""
         return self._canary.restrict(self._dependencies.target.identity)
 
     def handle(self, message: CoreMessage) -> list[Send]:
@@ -154,18 +154,18 @@
         return self._finish()
 
     def start(self) -> None:
-        """Write the own entry; the topic of the nodes is read after that.
+        """Write this node's entry; the mesh topic is read after that.
 
-        Of two nodes that start at once, the one that writes later reads the other's entry.
+        Of two nodes that start at the same time, the later writer then reads the other's entry.
         """
         self._registration.store()
 
     def position(self, topic: str) -> int:
-        """Return the first offset of a topic that this node lacks; called from any thread."""
+        """Return the first offset of a topic that this node lacks; thread-safe."""
         return self._replicas[topic].position
 
     def on_tick(self) -> list[Send]:
-        """Do what is due."""
+        """Run periodic work and return the messages to send."""
         if self._dependencies.target.on_tick():
             self._dependencies.events.write(Event.TARGET_SILENT)
             self._update_own_entry()
@@ -181,32 +181,32 @@
         return self._finish()
 
     def leave(self) -> list[Send]:
-        """Return what to send before the end.
+        """Return the messages to send before the process exits.
 
-        Other nodes know since the stop began that the target takes no calls. They go on sending
-        to this address, because a node that starts again while the store is away has nobody else
-        to learn from; one that does not come back expires.
+        Other nodes learned when the stop began that the target takes no calls. They keep sending
+        to this address, because a node that restarts while the store is unavailable can only learn
+        from them; a node that does not restart expires.
         """
         return self._finish()
 
     # Messages of other tasks.
 
     def _on_page_read(self, message: PageRead) -> None:
-        taken = self._replication.apply_page(message, own=self._registration.entry)
-        self._on_records(message.topic, taken.changed, STORE)
+        applied = self._replication.apply_page(message, own=self._registration.entry)
+        self._on_records(message.topic, applied.changed, STORE)
         if message.topic == MESH_TOPIC and message.full:
             self._check_own_record()
             self._announce(self._registration.entry)
             self._outbox += self._gossip.join()
             if not self._access.reading:
                 self._callbacks.read_topics(False)
-        self._outbox += taken.sends
+        self._outbox += applied.sends
 
     def _on_read_failed(self, message: ReadFailed) -> None:
         self._access.on_read_failed(message.topic, message.reason)
 
     def _on_record_written(self, message: RecordWritten) -> None:
-        """Act on a record once it stands in the store."""
+        """Handle a record of this node once it is stored."""
         rollout = decode_record(message.record.value) if message.topic == MESH_TOPIC else None
         if rollout is not None and message.record.key.startswith(ROLLOUT_PREFIX):
             self._apply_rollout(rollout)
@@ -241,7 +241,7 @@
         self._stopping = True
         self._update_own_entry()
 
-    # Changes.
+    # State changes.
 
     def _target_changed(self) -> None:
         view = self._dependencies.target.view
@@ -253,7 +253,7 @@
         self._update_own_entry()
 
     def _update_own_entry(self) -> None:
-        """Tell other nodes whether the own target takes calls, if that has changed."""
+        """Announce whether the local target takes calls, if that has changed."""
         takes_calls = not self._stopping and not self.identity().refusal
         if self._registration.update(self._dependencies.target.view, takes_calls=takes_calls):
             self._view_outdated = True
@@ -265,8 +265,8 @@
         if not self._stopping:
             self._registration.reconcile(self._replicas[MESH_TOPIC].value(self._registration.key))
 
-    def _on_heartbeat(self, sender: str, beat: ReaderHeartbeat) -> None:
-        self._outbox += self._replication.on_heartbeat(sender, beat)
+    def _on_heartbeat(self, sender: str, heartbeat: ReaderHeartbeat) -> None:
+        self._outbox += self._replication.on_heartbeat(sender, heartbeat)
 
     def _on_gossip(self, sender: str, message: Any) -> None:
         try:
@@ -283,7 +283,7 @@
         self._apply_rollout(record)
 
     def _drop_expired(self) -> None:
-        """Forget nodes that are gone."""
+        """Drop the entries of expired nodes and their records in the store."""
         expired = self._table.expire()
         for entry in expired:
             self._view_outdated = True
@@ -312,7 +312,7 @@
         elif record.value is not None:
             self._refuse_record(record)
         elif record.key == self._registration.key:
-            self._check_own_record()  # The store's keys may be taken away without a request.
+            self._check_own_record()  # The store may drop keys that nobody removed.
 
     def _refuse_record(self, record: KeyedRecord) -> None:
         self._dependencies.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
@@ -364,10 +364,10 @@
         self._outbox += self._gossip.send_to(record, self._table.others())
 
     def _send_evidence(self) -> None:
-        told = self._canary.evidence(self._registration.entry)
-        if told is None:
+        due = self._canary.evidence(self._registration.entry)
+        if due is None:
             return
-        holder, evidence = told
+        holder, evidence = due
         if holder == self._registration.entry.name:
             self._rollouts.on_evidence(evidence)
         elif evidence.routes:
@@ -375,7 +375,7 @@
             self._outbox += self._gossip.send_to(evidence, peers)
 
     def _finish(self) -> list[Send]:
-        """Rebuild the routing view if something it shows has changed; return what to send."""
+        """Rebuild the routing view if its inputs have changed; return the queued messages."""
         if self._view_outdated:
             self._view_outdated = False
             share = self._dependencies.retry_slack / (1 + self.nodes_known)
@@ -387,8 +387,8 @@
                 complete=self._access.current,
                 before=self._dependencies.views.current,
             )
-        effects, self._outbox = self._outbox, []
-        return effects
+        sends, self._outbox = self._outbox, []
+        return sends
 
 
 _MESSAGES: dict[type[Any], Callable[[HostedCore, str, Any], None]] = {
--- a/src/citronrack/hosted/delta.py
+++ b/src/citronrack/hosted/delta.py
@@ -1,4 +1,4 @@
-"""What changed between two values of a key, for nodes that hold the older one."""
+"""Deltas between two values of a key, for nodes that hold the older one."""
 
 from __future__ import annotations
 
@@ -12,59 +12,59 @@
 from ..errors import MessageRejected
 
 _ROW_SEPARATOR = b"],"
-"""Values are JSON tables; a change touches a few of their rows."""
+"""Separates the rows of JSON tables; a change usually affects a few rows."""
 
 COMPRESSION_LEVEL = 1
-"""Level of compression; the routes of a configuration differ little from each other."""
+"""zlib's fastest level; it suffices because the routes of a configuration are similar."""
 
 MAX_VALUE_BYTES = 4 * 1024 * 1024
 
 MIN_DELTA_BYTES = 1024
-"""Values that compress to less are sent whole."""
+"""Values that compress to less are sent in full."""
 
 DAMAGED = "damaged-records"
-"""Reason for refusing what another node has sent."""
+"""Reason for rejecting a message of another node."""
 
 _Part = tuple[int, int, bytes]
-"""First row and number of rows of the older value, or other bytes where the number is 0."""
+"""First row and number of rows to copy from the older value, or new bytes if the number is 0."""
 
 
 def compress(value: bytes | None) -> bytes:
-    """Return the short form of a value; an empty one stands for a removed key."""
+    """Return a compressed value; empty bytes denote a removed key."""
     return zlib.compress(value, COMPRESSION_LEVEL) if value else b""
 
 
-def decompress(short: bytes) -> bytes | None:
-    """Return the value of a short form.
+def decompress(compressed: bytes) -> bytes | None:
+    """Return the value in its uncompressed form, None for a removed key.
 
     Raises:
-        MessageRejected: When the bytes are damaged or cut short, or the value is too large.
+        MessageRejected: If the bytes are damaged or truncated, or the value is too large.
     """
-    if not short:
+    if not compressed:
         return None
-    return inflate(short, limit=MAX_VALUE_BYTES, damaged=DAMAGED, oversized=DAMAGED)
+    return inflate(compressed, limit=MAX_VALUE_BYTES, damaged=DAMAGED, oversized=DAMAGED)
 
 
 def make_delta(old: bytes, new: bytes) -> bytes:
-    """Return what `apply_delta` needs to make ``new`` from ``old``."""
+    """Return the delta from which `apply_delta` builds ``new`` out of ``old``."""
     parts = tuple(_parts(old.split(_ROW_SEPARATOR), new.split(_ROW_SEPARATOR)))
     packed: bytes = msgpack.packb((xxhash.xxh64_intdigest(new), parts), use_bin_type=True)
     return compress(packed)
 
 
 def apply_delta(old: bytes, delta: bytes) -> bytes | None:
-    """Return the newer value, None when it was made from another older one.
+    """Return the newer value, None if the delta was made for another base than ``old``.
 
     Raises:
-        MessageRejected: When the bytes are damaged.
+        MessageRejected: If the bytes are damaged.
     """
     try:
         digest, parts = msgpack.unpackb(decompress(delta) or b"", use_list=False)
         rows = old.split(_ROW_SEPARATOR)
-        made: list[bytes] = []
+        rebuilt: list[bytes] = []
         for first, count, other in parts:
-            made += rows[first : first + count] if count else (other,)
-        new = _ROW_SEPARATOR.join(made)
+            rebuilt += rows[first : first + count] if count else (other,)
+        new = _ROW_SEPARATOR.join(rebuilt)
     except MessageRejected:
         raise
     except Exception as error:  # msgpack raises several unrelated error classes.
@@ -73,10 +73,10 @@
 
 
 def _parts(old: list[bytes], new: list[bytes]) -> Iterator[_Part]:
-    place = {row: index for index, row in enumerate(old)}
+    index_by_row = {row: index for index, row in enumerate(old)}
     first = count = 0
     for row in new:
-        index = place.get(row, -1)
+        index = index_by_row.get(row, -1)
         if count and index == first + count:
             count += 1
             continue
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -1,4 +1,4 @@
-"""What the core of a hosted node works with, and what it steers."""
+"""Dependencies of the core of a hosted node, and the callbacks that it invokes."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 
 @frozen
 class OperatorTopic:
-    """How the operator's records are read and answered; given by the platform's adapter.
+    """Codec of the operator's records; provided by the platform's adapter.
 
     Attributes:
         name: Topic of the operator's records.
         config: Returns the configuration in a record, None for a record of another kind or one
-            that cannot be read.
-        order: Returns the rollout in a record, None for a record of another kind.
-        status: Returns the write that tells the operator service, version and phase.
+            that cannot be decoded.
+        order: Returns the rollout order in a record, None for a record of another kind.
+        status: Returns the write that reports service, version and phase to the operator.
     """
 
     name: str
@@ -38,19 +38,19 @@
 
 @frozen
 class CoreDependencies:
-    """What the core works with; wired by the composition root.
+    """Collaborators of the core, created by the composition root.
 
     Attributes:
         clock: Source of time.
         random: Source of random numbers.
-        events: Log lines.
+        events: Event log.
         views: Receives the routing view.
-        target: What is known of the own target.
-        operator: The operator's records.
+        target: Tracks the state of the local target.
+        operator: Codec of the operator's records.
         submit: Writes a record to the store.
-        retry_slack: Retries of all nodes together that no call has earned.
-        timings: Times by which the nodes of a zone read the operator's topic in turn.
-        boot_clock: Source of time that goes on while the instance is suspended.
+        retry_slack: Retries of all nodes together that are allowed beyond the retry ratio.
+        timings: Timeouts of the reader role.
+        boot_clock: Clock that keeps running while the instance is suspended.
     """
 
     clock: Clock
@@ -75,13 +75,13 @@
 
 @define
 class CoreCallbacks:
-    """Parts of the node that are made after the core and follow its decisions.
+    """Callbacks into parts of the node that are created after the core.
 
     Attributes:
-        read_topics: Gets whether this node has to read the topics for its zone.
-        read_nodes: Called once the own entry stands in the store.
-        set_slots: Gets the number of calls that the own target runs at once.
-        set_retry_burst: Gets the number of retries that this node may save up.
+        read_topics: Called with whether this node has to read the topics for its zone.
+        read_nodes: Called when this node's entry has been stored, to read the mesh topic.
+        set_slots: Called with the number of calls that the local target runs concurrently.
+        set_retry_burst: Called with the number of retries that this node may accumulate.
     """
 
     read_topics: Callable[[bool], None] = _ignore
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -1,4 +1,4 @@
-"""What a node tells others of itself and of the target beside it."""
+"""Entries by which nodes know each other and their targets."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 from ..clock import Clock
 
 RENEW_INTERVAL_S = 60.0
-"""How often a node writes its entry again, so that entries of nodes that are gone can expire."""
+"""Interval at which a node renews its entry, so that entries of terminated nodes can expire."""
 
 EXPIRE_AFTER_S = 200.0
-"""Time without a renewal after which an entry is dropped: three renewals may be lost."""
+"""Time without a renewal after which an entry is dropped; tolerates three lost renewals."""
 
 
 @frozen
@@ -23,17 +23,17 @@
 
     Attributes:
         name: Name of the node.
-        boot: Start of the node's process; greater ones are newer.
-        revision: Number of the entry within the start.
+        boot: Wall time of the process start, in milliseconds; greater ones are newer.
+        revision: Sequence number of the entry within the process.
         availability_zone: Zone of the instance.
         peer_address: ``ip:port`` for messages of other nodes.
-        deliver_address: ``ip:port`` for calls that other nodes pass on.
+        deliver_address: ``ip:port`` for calls that other nodes forward.
         service: Service of the target, empty while it is unknown.
-        service_version: Release of the target.
-        target_id: Id of the target's start.
-        slots: Calls that the target runs at once.
+        service_version: Version of the service that the target runs.
+        target_id: Id of the target.
+        slots: Calls that the target runs concurrently.
         serving: Whether the target takes calls.
-        link_mbps: Rate of the instance's link, in Mbit/s, 0 when it is unknown.
+        link_mbps: Bandwidth of the instance's link, in Mbit/s, 0 when it is unknown.
     """
 
     name: str
@@ -51,7 +51,7 @@
 
     @property
     def log_fields(self) -> dict[str, Any]:
-        """What a log line says of the entry."""
+        """Fields of a log line about the entry."""
         return {
             "peer": self.name,
             "boot": self.boot,
@@ -63,7 +63,7 @@
 
     @property
     def version(self) -> tuple[int, int]:
-        """Greater for newer entries of the same node."""
+        """Version of the entry; greater for newer entries of the same node."""
         return self.boot, self.revision
 
 
@@ -71,7 +71,7 @@
     """The newest entry of each node.
 
     Args:
-        own_name: Name of the own node, whose entry only the node itself changes.
+        own_name: Name of this node, whose entry only the node itself changes.
         clock: Source of time.
     """
 
@@ -86,11 +86,11 @@
 
     @property
     def digest(self) -> int:
-        """Number that is the same for tables with the same entries."""
+        """Hash over all entries; equal for tables with the same entries."""
         return self._digest
 
     def entries(self) -> tuple[NodeEntry, ...]:
-        """Return all entries, the own one included."""
+        """Return all entries, including this node's."""
         return tuple(self._entries.values())
 
     def others(self) -> tuple[NodeEntry, ...]:
@@ -98,16 +98,16 @@
         return tuple(entry for entry in self._entries.values() if entry.name != self._own_name)
 
     def others_in(self, availability_zone: str) -> list[NodeEntry]:
-        """Return the entries of other nodes of a zone."""
+        """Return the entries of other nodes in a zone."""
         return [entry for entry in self.others() if entry.availability_zone == availability_zone]
 
     def put(self, entry: NodeEntry) -> bool:
-        """Take an entry and return whether it is newer than the known one."""
+        """Store an entry if it is newer than the known one; return whether it was."""
         known = self._entries.get(entry.name)
         if known is not None and entry.version <= known.version:
             return False
         if entry.version <= self._dropped.get(entry.name, ((-1, -1), 0.0))[0]:
-            return False  # Another node has not dropped it yet.
+            return False  # Sent by a node that has not dropped the entry yet.
         holder = self._by_address.get(entry.deliver_address)
         if holder not in (None, entry.name) and not self._claim_address(holder, entry):
             return False
@@ -118,10 +118,12 @@
         return True
 
     def expire(self) -> list[NodeEntry]:
-        """Drop the entries that were not renewed for `EXPIRE_AFTER_S` and return them."""
+        """Drop and return the entries that were not renewed for `EXPIRE_AFTER_S`."""
         now = self._clock.monotonic()
         limit = now - EXPIRE_AFTER_S
-        self._dropped = {name: drop for name, drop in self._dropped.items() if drop[1] >= limit}
+        self._dropped = {
+            name: dropped for name, dropped in self._dropped.items() if dropped[1] >= limit
+        }
         expired = [
             entry
             for name, entry in self._entries.items()
@@ -132,9 +134,9 @@
         return expired
 
     def _claim_address(self, holder: str | None, entry: NodeEntry) -> bool:
-        """Drop the node that had an entry's address before; False when that node is the newer one.
+        """Drop the previous holder of an entry's address; return False if the holder is newer.
 
-        Addresses of instances that are gone are used again.
+        Addresses of terminated instances are reused.
         """
         known = self._entries.get(holder or "")
         if known is None:
@@ -152,7 +154,7 @@
         self._digest ^= _hash(entry)
 
     def newer_than(self, versions: Iterable[tuple[str, int, int]]) -> tuple[NodeEntry, ...]:
-        """Return the entries that a table with the given ``(name, boot, revision)`` lacks."""
+        """Return the entries that are newer than the given ``(name, boot, revision)`` triples."""
         known = {name: (boot, revision) for name, boot, revision in versions}
         return tuple(
             entry
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -1,4 +1,4 @@
-"""What nodes have seen of the two sides of a rollout."""
+"""Collects calls to the old and new version of a rollout and compares them."""
 
 from __future__ import annotations
 
@@ -11,42 +11,42 @@
 from ..transport.messages import message_codec
 
 WINDOW_S = 3.0
-"""Span of the recent calls that are compared; a fault that begins late shows in it undiluted."""
+"""Length of the recent window that is compared, so that earlier calls do not mask a late fault."""
 
 MIN_FAILURES = 4
-"""Failures without which no version is called bad; single failures happen on all targets."""
+"""Fewest failures for which a version is considered bad; single failures occur on all targets."""
 
 FAILURE_RATE_FLOOR = 0.12
-"""Failure rate below which a version is not called bad."""
+"""Failure rate up to which a version is never considered bad."""
 
 FAILURE_FACTOR = 3.0
-"""How much more often than the old version the new one must fail."""
+"""Ratio of the new to the old failure rate above which the new version is considered bad."""
 
 MIN_SLOW_CALLS = 10
-"""Calls of each side without which latencies are not compared."""
+"""Fewest calls to each version for which latencies are compared."""
 
 SLOW_FACTOR = 2.5
-"""How much longer than on the old version calls must take; targets differ by up to three times in
-speed, but several of them are compared."""
+"""Ratio of the new to the old mean latency above which the new version is considered bad. Single
+targets differ by up to three times in speed, but the means cover several targets."""
 
 LOCAL_CALLS = 20
-"""Recent calls from which a node judges its own target."""
+"""Number of recent calls by which a node judges its local target."""
 
 LOCAL_FAILURES = 5
-"""Failures among `LOCAL_CALLS` after which a node stops giving calls to a new version."""
+"""Failures among `LOCAL_CALLS` after which a node stops routing calls to a new version."""
 
 
 @message_codec.register("h-evi")
 @frozen
 class Evidence:
-    """Calls at the target beside a node since an order, by route.
+    """Calls at a node's target since an order, by route.
 
     Attributes:
-        order_id: The order.
+        order_id: Id of the order.
         service: The service.
-        node: Name and start of the node.
+        node: Name and boot number of the node.
         service_version: Version of the target.
-        routes: Route, calls, failures, calls with a latency, and their summed latency in ms.
+        routes: Route, calls, failures, timed calls, and their total latency in ms.
     """
 
     order_id: int
@@ -58,12 +58,12 @@
 
 @define
 class CallTotals:
-    """Sums of calls.
+    """Totals over calls.
 
     Attributes:
         calls: Calls that ran.
         failures: Calls that failed.
-        timed: Calls whose latency counts.
+        timed: Calls whose latency is included.
         latency_ms: Sum of these latencies.
     """
 
@@ -73,7 +73,7 @@
     latency_ms: int = 0
 
     def add(self, other: CallTotals, sign: int = 1) -> None:
-        """Add the sums of another tally, or subtract them."""
+        """Add other totals, or subtract them with a ``sign`` of -1."""
         self.calls += sign * other.calls
         self.failures += sign * other.failures
         self.timed += sign * other.timed
@@ -81,7 +81,7 @@
 
     @property
     def failure_rate(self) -> float:
-        """Part of the calls that failed."""
+        """Fraction of calls that failed."""
         return self.failures / self.calls if self.calls else 0.0
 
     @property
@@ -91,11 +91,11 @@
 
 
 _TotalsByRoute = dict[tuple[str, str], CallTotals]
-"""Tallies by service version and route."""
+"""Totals by service version and route."""
 
 
 class EvidenceCounter:
-    """Counts the calls at the own target while a rollout runs."""
+    """Counts the calls at the local target during a rollout."""
 
     def __init__(self) -> None:
         self._order_id = -1
@@ -105,18 +105,18 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the own target fails too often to get calls of a new version."""
+        """Whether the local target fails too often to receive calls to a new version."""
         return sum(self._recent) >= LOCAL_FAILURES
 
     def begin(self, order_id: int, version: str) -> None:
-        """Count from zero for a new order or another version of the target."""
+        """Reset the counts if the order or the version of the target has changed."""
         if (order_id, version) != (self._order_id, self._version):
             self._order_id, self._version = order_id, version
             self._tallies = {}
             self._recent.clear()
 
     def observe(self, record: CallRecord, *, cold: bool = False) -> None:
-        """Count a call that this node gave to its target; a cold target's latency says nothing."""
+        """Count a call at the local target; the latency of a cold target is ignored."""
         if record.refused or record.service_version != self._version:
             return
         failed = record.status >= 500
@@ -129,7 +129,7 @@
             tally.latency_ms += int(record.latency_s * 1000)
 
     def evidence(self, *, service: str, node: str) -> Evidence:
-        """Return what was counted."""
+        """Return the counts."""
         routes = tuple(
             (route, tally.calls, tally.failures, tally.timed, tally.latency_ms)
             for route, tally in self._tallies.items()
@@ -139,30 +139,30 @@
 
 @define(eq=False)
 class EvidenceAggregator:
-    """Evidence of all nodes, kept by the node that leads a rollout."""
+    """Aggregates the evidence of all nodes at the holder of a rollout."""
 
     _latest: dict[tuple[str, str], Evidence] = field(factory=dict)
     _samples: deque[tuple[float, _TotalsByRoute]] = field(factory=deque)
 
     def put(self, evidence: Evidence) -> None:
-        """Take the newest evidence of a node."""
+        """Store the newest evidence of a node."""
         self._latest[evidence.node, evidence.service_version] = evidence
 
     def sample(self, now: float) -> None:
-        """Note the sums at a time, for comparisons over `WINDOW_S`."""
+        """Record the totals at a time, for comparisons over `WINDOW_S`."""
         self._samples.append((now, self._current_totals()))
         while len(self._samples) > 1 and now - self._samples[0][0] > 2 * WINDOW_S:
             self._samples.popleft()
 
     def calls_since(self, version: str, since: float) -> int:
-        """Return the calls of a version after a time that lies at most two windows back."""
+        """Return the calls to a version since a time at most two windows ago."""
         if not self._samples:
             return 0
         before = next((sums for at, sums in reversed(self._samples) if at <= since), {})
         return _call_count(self._samples[-1][1], version) - _call_count(before, version)
 
     def fault(self, version: str) -> str:
-        """Return why a version is bad, empty when nothing speaks against it."""
+        """Return why a version is bad, empty if no regression is found."""
         if not self._samples:
             return ""
         now, sums = self._samples[-1]
@@ -194,7 +194,7 @@
 
 
 def _compare(sums: _TotalsByRoute, version: str) -> str:
-    """Return why ``version`` is worse than the others, on one route or on all."""
+    """Return how ``version`` regressed from the others, on one route or in total."""
     routes = {route for of, route in sums if of == version}
     new_all, old_all = CallTotals(), CallTotals()
     for route in sorted(routes):
@@ -225,7 +225,7 @@
     if new.failures >= MIN_FAILURES and new.failure_rate > limit:
         return (
             f"{new.failures} of {new.calls} calls failed,"
-            f" {old.failures} of {old.calls} of the old version"
+            f" {old.failures} of {old.calls} with the old version"
         )
     return ""
 
@@ -233,5 +233,5 @@
 def _compare_latencies(new: CallTotals, old: CallTotals) -> str:
     enough = min(new.timed, old.timed) >= MIN_SLOW_CALLS
     if enough and new.mean_ms > SLOW_FACTOR * old.mean_ms:
-        return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms on the old version"
+        return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms with the old version"
     return ""
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -19,39 +19,40 @@
 from .store import KeyedPage, KeyedRecord
 
 EXCHANGE_INTERVAL_S = 1.0
-"""Time between exchanges of a node whose records are known to be complete."""
+"""Time between exchanges of a node whose replicas are fresh."""
 
 STALE_EXCHANGE_INTERVAL_S = 0.25
-"""Time between exchanges of a node for whose records nobody vouches: a change must arrive within
-2 s, and one exchange may be lost."""
+"""Time between exchanges of a node with stale replicas: a change must arrive within 2 s even if one
+exchange is lost."""
 
 STALE_PEERS = 2
-"""Nodes that such a node asks at each exchange."""
+"""Peers that a node with stale replicas contacts in each exchange."""
 
 JOIN_PEERS = 3
-"""Nodes asked after a start; one of them answers even if others have just been killed."""
+"""Peers contacted after a start, so that one answers even if others have just been killed."""
 
 MAX_RECORDS_BYTES = 200 * 1024
-"""Bytes of records in one message; the transport takes 256 KB."""
+"""Limit of the records in one message; the transport accepts 256 KB."""
 
 
 NO_BASE = -1
+"""Base of a record that is sent as a full value and not as a delta."""
 
 UNKNOWN_START = -1
-"""Start of records whose sender is of the release before and does not tell it."""
+"""Start of records from a sender of the previous release, which does not send it."""
 
 
 @message_codec.register("h-pos")
 @frozen
 class Positions:
-    """What the sender holds.
+    """Summary of the sender's state.
 
     Attributes:
-        topics: Pairs of topic and the first offset that is not covered.
+        topics: Pairs of topic and the first offset that the sender does not cover.
         digest: Digest of the sender's node entries.
-        stale: Whether nobody vouches for the sender's records, so that it needs the receiver's.
-        rollouts: Service, order and revision of the rollouts that the sender knows.
-        asks: Whether the receiver should say what it holds in its turn when digests differ.
+        stale: Whether the sender's replicas are stale, so that it needs the receiver's records.
+        rollouts: Service, order id and revision of the rollouts that the sender knows.
+        wants_reply: Whether the receiver replies with its own summary if the digests differ.
     """
 
     topics: tuple[tuple[str, int], ...]
@@ -68,13 +69,15 @@
 
     Attributes:
         topic: Name of the topic.
-        records: Triples of key, compressed value and offset; an empty value stands for a removed
-            key. A configuration of 70 KB to each node of a zone filled a link of 14.5 Mbit/s.
+        records: Triples of key, compressed value or delta, and offset; an empty value denotes a
+            removed key. Values are compressed because a configuration of 70 KB, sent to each node
+            of a zone, saturated a link of 14.5 Mbit/s.
         position: First offset that the message does not cover.
-        bases: For each record the offset of the older one whose delta it carries, `NO_BASE` for a
-            whole value; empty when all are whole. Compressed values, each to 30 nodes, still
-            filled a link of 10 Mbit/s at four changes a second.
-        start: First offset that the message covers; a receiver that has less lacks a message.
+        bases: For each record the offset of the older record that its delta applies to, `NO_BASE`
+            for a full value; empty if all values are full. Deltas are needed because compressed
+            values, sent to 30 nodes at four changes a second, still saturated a link of 10 Mbit/s.
+        start: First offset that the message covers; a receiver whose position is lower has missed
+            a message.
     """
 
     topic: str
@@ -87,10 +90,10 @@
 @message_codec.register("h-ask")
 @frozen
 class EntriesRequest:
-    """Asks for the entries that are newer than the sender's.
+    """Requests the entries that are newer than the sender's.
 
     Attributes:
-        orders: Name, boot and revision of each entry that the sender holds.
+        versions: Name, boot and revision of each entry that the sender holds.
     """
 
     versions: tuple[tuple[str, int, int], ...]
@@ -99,7 +102,7 @@
 @message_codec.register("h-ent")
 @frozen
 class Entries:
-    """Entries of nodes.
+    """Node entries; sent on a request or when an entry changes.
 
     Attributes:
         entries: The entries.
@@ -109,15 +112,15 @@
 
 
 class GossipCore:
-    """Decides with whom to exchange and what; has no sockets.
+    """Anti-entropy between nodes: selects the peers and the state to exchange; has no sockets.
 
     Args:
-        replicas: Copies of topics by name.
+        replicas: Replicas of topics by name.
         table: Entries of nodes.
         clock: Source of time.
         random: Source of random numbers.
-        on_records: Gets the topic, the records that are new here, and the address they came from.
-        on_entries: Gets entries that others have told.
+        on_records: Called with the topic, the records that are new here, and the sender's address.
+        on_entries: Called with the entries that another node has sent.
         rollouts: Returns the newest record of each rollout.
     """
 
@@ -146,7 +149,7 @@
         """Start an exchange when one is due.
 
         Args:
-            current: Whether this node's records are known to be complete.
+            current: Whether this node's replica of the operator topic is fresh.
         """
         self._stale = not current
         now = self._clock.monotonic()
@@ -161,45 +164,45 @@
         return [Send(_address(peer), self._positions(wants_reply=True)) for peer in chosen]
 
     def announce(self, entry: NodeEntry) -> list[Send]:
-        """Tell all nodes an entry that has just changed."""
+        """Send an entry that has just changed to all nodes."""
         return self.send_to(Entries((entry,)), self._table.others())
 
     @staticmethod
     def send_to(message: Any, peers: Iterable[NodeEntry]) -> list[Send]:
-        """Return a message to each of some nodes."""
+        """Return one copy of a message for each peer."""
         return [Send(_address(peer), message) for peer in peers]
 
     def join(self) -> list[Send]:
-        """Ask some nodes for what they hold, after a start."""
+        """Request the state of a few nodes after a start."""
         peers = list(self._table.others())
         chosen = self._random.sample(peers, min(len(peers), JOIN_PEERS))
         return self.send_to(self._positions(wants_reply=True), chosen)
 
     @staticmethod
     def push(topic: str, page: KeyedPage, *, before: Mapping[str, KeyedRecord]) -> TopicRecords:
-        """Return the message that passes records on to nodes that do not read the topic.
+        """Return the message that forwards records to nodes that do not read the topic.
 
         Args:
             topic: Name of the topic.
-            page: What this node has just taken in.
-            before: What this node held before; the other nodes hold it most likely.
+            page: Records that this node has just applied.
+            before: Records that this node held before; the other nodes most likely hold them too.
         """
         triples, bases = [], []
         for record in page.records:
-            short, base = _encode_value(record, before.get(record.key))
-            triples.append((record.key, short, record.offset))
+            encoded, base = _encode_value(record, before.get(record.key))
+            triples.append((record.key, encoded, record.offset))
             bases.append(base)
         return TopicRecords(topic, tuple(triples), page.position, tuple(bases), page.start)
 
     def request_records(self, sender: str) -> Send:
-        """Return the message that asks a node for the records that this one lacks."""
+        """Return the request for the records that this node lacks."""
         return Send(sender, evolve(self._positions(wants_reply=False), stale=True))
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of another node.
 
         Raises:
-            MessageRejected: When its content is damaged.
+            MessageRejected: If its content is damaged.
         """
         handler = _HANDLERS.get(type(message))
         return handler(self, sender, message) if handler is not None else []
@@ -212,34 +215,34 @@
         return Positions(topics, self._table.digest, self._stale, wants_reply, rollouts)
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
-        effects: list[Send] = []
+        sends: list[Send] = []
         for topic, position in message.topics if message.stale else ():
             replica = self._replicas.get(topic)
             if replica is not None and replica.position > position:
-                effects += self._record_messages(sender, replica, position)
-        told = {service: (version, revision) for service, version, revision in message.rollouts}
+                sends += self._record_messages(sender, replica, position)
+        known = {service: (order_id, revision) for service, order_id, revision in message.rollouts}
         for record in self._rollouts():
-            if (record.order_id, record.revision) > told.get(record.service, (-1, -1)):
-                effects.append(Send(sender, record))
+            if (record.order_id, record.revision) > known.get(record.service, (-1, -1)):
+                sends.append(Send(sender, record))
         if message.digest != self._table.digest:
             versions = ((entry.name, *entry.version) for entry in self._table.entries())
-            effects.append(Send(sender, EntriesRequest(tuple(versions))))
+            sends.append(Send(sender, EntriesRequest(tuple(versions))))
             if message.wants_reply:
-                effects.append(Send(sender, self._positions(wants_reply=False)))
-        return effects
+                sends.append(Send(sender, self._positions(wants_reply=False)))
+        return sends
 
     @staticmethod
     def _record_messages(to: str, replica: TopicReplica, position: int) -> list[Send]:
-        """Return messages that each cover what lies behind the one before."""
+        """Return messages with the records from a position on; each starts where the last ends."""
         page = replica.since(position)
-        effects: list[Send] = []
+        sends: list[Send] = []
         batch: list[tuple[str, bytes, int]] = []
         start, size = position, 0
 
         def flush(end: int) -> None:
             nonlocal batch, start, size
             records = TopicRecords(replica.topic, tuple(batch), end, start=start)
-            effects.append(Send(to, records))
+            sends.append(Send(to, records))
             batch, start, size = [], end, 0
 
         for record in page.records:
@@ -249,7 +252,7 @@
             batch.append((record.key, value, record.offset))
             size += len(value)
         flush(page.position)
-        return effects
+        return sends
 
     def _on_topic_records(self, sender: str, message: TopicRecords) -> list[Send]:
         replica = self._replicas.get(message.topic)
@@ -259,15 +262,13 @@
         if len(bases) != len(message.records):
             raise MessageRejected(DAMAGED)
         records = []
-        for (key, short, offset), base in zip(message.records, bases, strict=True):
+        for (key, encoded, offset), base in zip(message.records, bases, strict=True):
             known = replica.record(key)
             if known is not None and known.offset >= offset:
                 continue
-            value = decompress(short) if base == NO_BASE else _from_delta(known, base, short)
+            value = decompress(encoded) if base == NO_BASE else _from_delta(known, base, encoded)
             if base != NO_BASE and value is None:
-                return [
-                    self.request_records(sender)
-                ]  # This node lacks the record that the delta needs.
+                return [self.request_records(sender)]  # The base of the delta is missing here.
             records.append(KeyedRecord(key, value, offset))
         stated = message.start != UNKNOWN_START
         start = message.start if stated else message.position
@@ -275,7 +276,7 @@
         if changed:
             self._on_records(message.topic, changed, sender)
         if stated and replica.position < message.position:
-            return [self.request_records(sender)]  # A message before this one was lost.
+            return [self.request_records(sender)]  # An earlier message was lost.
         return []
 
     def _on_entries_request(self, sender: str, message: EntriesRequest) -> list[Send]:
@@ -288,7 +289,7 @@
 
 
 def _encode_value(record: KeyedRecord, base: KeyedRecord | None) -> tuple[bytes, int]:
-    """Return a value in short form and the offset of the record that it rests on."""
+    """Return a compressed value or delta, and the offset of the delta's base or `NO_BASE`."""
     full = compress(record.value)
     if len(full) < MIN_DELTA_BYTES or not record.value or base is None or not base.value:
         return full, NO_BASE
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -1,4 +1,4 @@
-"""Messages to the core of a node on a platform."""
+"""Messages from other tasks to the core of a node on a platform."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     Attributes:
         topic: Name of the topic.
         page: The records.
-        whole: Whether the page holds the newest record of every key.
+        full: Whether the page contains the newest record of every key.
         created_at: Earliest time at which the store may have made the page, by the boot clock; 0
             where no caller needs it. It lies in the past if the store is slow, or if the process
             was suspended while the answer waited.
@@ -33,7 +33,7 @@
 
 @frozen
 class RecordWritten:
-    """A record of this node stands in the store.
+    """A record of this node was written to the store.
 
     Attributes:
         topic: Name of the topic.
@@ -46,11 +46,11 @@
 
 @frozen
 class ReadFailed:
-    """A watch got no answer.
+    """A watch could not read its topic.
 
     Attributes:
         topic: Name of the topic.
-        reason: What happened.
+        reason: Error message.
     """
 
     topic: str
@@ -59,11 +59,11 @@
 
 @frozen
 class ReportReceived:
-    """The target beside the node has reported.
+    """The local target has sent a status report.
 
     Attributes:
         report: The report.
-        answer: Receives an error message, empty once the report is taken.
+        answer: Receives an error message, empty once the report has been applied.
     """
 
     report: TargetReport
@@ -72,11 +72,11 @@
 
 @frozen
 class LeaveReceived:
-    """The target beside the node leaves.
+    """The local target has sent a leave notice.
 
     Attributes:
         leave: The notice.
-        answer: Receives an error message, empty once the notice is taken.
+        answer: Receives an error message, empty once the notice has been applied.
     """
 
     leave: TargetLeave
@@ -92,12 +92,12 @@
 
 @frozen
 class StopRequested:
-    """The node begins to stop; its target gets no new calls soon."""
+    """The node shuts down; other nodes must stop sending calls to its target."""
 
 
 @frozen
 class ExitRequested:
-    """The core ends."""
+    """The task of the core must exit."""
 
 
 CoreMessage = Any
--- a/src/citronrack/hosted/metrics.py
+++ b/src/citronrack/hosted/metrics.py
@@ -31,7 +31,7 @@
     events: EventLog,
     transport: ZmqTransport,
 ) -> None:
-    """Let the gauges read the parts that know their values."""
+    """Register the gauges with the functions that return their values."""
     metrics.read_from("target_load", lambda: call_path.admission.load)
     metrics.read_from("config_version", lambda: core.config_version)
     metrics.read_from("config_age_seconds", lambda: core.config_age_s)
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -25,10 +25,10 @@
         topic: Name of the topic.
         key: The key.
         value: Its value, None to remove the key.
-        may_replace: Whether the write may replace the key's present value; None for any. The
-            topic is read first, and the write takes effect only if nothing was written since, so
-            a write that arrives late cannot undo a newer one.
-        once: Whether a write that failed is given up; its author decides anew.
+        may_replace: Returns whether the write may replace the key's current value; None for any
+            value. The topic is read first, and the append is conditional on the end that was read,
+            so a late write cannot overwrite a newer one.
+        once: Whether a failed write is dropped instead of retried; the submitter decides again.
     """
 
     topic: str
@@ -41,13 +41,13 @@
 class PublishTask:
     """Writes the newest value of each key, one write at a time.
 
-    A write is tried until it succeeds or a newer one for its key replaces it, unless its author
-    wants it tried once.
+    A write is retried until it succeeds or a newer one for its key replaces it, unless it is marked
+    with ``once``.
 
     Args:
         store: Connection to the store, owned by this task.
-        post: Takes messages for the core.
-        events: Log lines.
+        post: Sends a message to the core.
+        events: Event log.
         random: Source of random numbers.
     """
 
@@ -85,7 +85,7 @@
         self._store.close()
 
     def stop(self) -> None:
-        """Let `run` return after its present write."""
+        """Make `run` return after its current write."""
         with self._changed:
             self._stopping = True
             self._changed.notify()
@@ -97,7 +97,7 @@
             return self._pending.popitem(last=False)[1] if not self._stopping else None
 
     def _try(self, write: Write) -> bool:
-        """Write once; return whether nothing more is to be done."""
+        """Try a write; return whether it is done and must not be retried."""
         try:
             end = None
             if write.may_replace is not None:
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -1,4 +1,4 @@
-"""Decides which nodes of a zone read the operator's topic for all of them."""
+"""Elects the nodes of a zone that read the operator topic on behalf of the zone."""
 
 from __future__ import annotations
 
@@ -12,32 +12,32 @@
 from .entry import NodeEntry
 
 RANK_SCOPE = "readers"
-"""Scope of the order in which the nodes of a zone read."""
+"""Rendezvous scope by which the nodes of a zone are ranked as readers."""
 
 CONFIG_APPLY_S = 2.0
-"""Time in which a change has to be in force where the platform states none."""
+"""Time within which a change must be active if the platform states no bound."""
 
 _LONG_POLL = 0.35
 _STALE_AFTER = 0.45
 _HEARTBEAT_INTERVAL = 0.05
 _RANK_DELAY = 0.05
 _MAX_RANK_DELAY = 0.15
-"""Parts of the time in which a change has to be in force. Silence and the longest delay by rank add
-up to 0.6; what is left covers two ticks of the core and a read."""
+"""Fractions of the time within which a change must be active. `_STALE_AFTER` and `_MAX_RANK_DELAY`
+add up to 0.6; the rest covers two ticks of the core and a read."""
 
 
 @frozen
 class ReaderTimings:
-    """Times by which the nodes of a zone read in turn.
+    """Timeouts of the reader role within a zone.
 
     Attributes:
-        wait_s: How long the store may hold a read in which nothing changes.
+        wait_s: Duration of a long poll: how long the store may hold a read without new records.
         stale_after_s: Time without confirmation of the topic's end after which a node treats its
             replica as stale; longer than a wait plus the heartbeat interval, so that one slow read
             has no effect.
         heartbeat_interval_s: Shortest time between two heartbeats.
-        rank_delay_s: Further silence for each node of a better rank, so that few begin at once.
-        max_rank_delay_s: Longest further silence.
+        rank_delay_s: Additional delay per better-ranked node, so that few start reading at once.
+        max_rank_delay_s: Upper limit of that delay.
     """
 
     wait_s: float
@@ -48,7 +48,7 @@
 
     @classmethod
     def within(cls, config_apply_s: float = CONFIG_APPLY_S) -> ReaderTimings:
-        """Return the times for changes that have to be in force within ``config_apply_s``."""
+        """Return timings with which a change is active on all nodes within ``config_apply_s``."""
         return cls(
             wait_s=_LONG_POLL * config_apply_s,
             stale_after_s=_STALE_AFTER * config_apply_s,
@@ -61,16 +61,16 @@
 @message_codec.register("h-beat")
 @frozen
 class ReaderHeartbeat:
-    """The store has just told a reader that the operator's topic ends here.
+    """A reader's confirmation of the end offset of the operator topic.
 
-    A reader whose reads are not answered sends none, so a beat vouches for the topic and not only
-    for the reader's process.
+    A reader only sends one after a successful read, so a heartbeat shows that the topic is being
+    read and not only that the reader's process is alive.
 
     Attributes:
-        name: Name of the node.
-        position: First offset that it does not cover; the topic ended there.
-        link_mbps: Rate of its instance's link, in Mbit/s.
-        age_ms: How long ago the store may have told it, in milliseconds.
+        name: Name of the reader.
+        position: First offset that the reader does not cover, which was the end of the topic.
+        link_mbps: Bandwidth of the reader's instance, in Mbit/s.
+        age_ms: Upper limit of the age of the confirmation, in milliseconds.
     """
 
     name: str
@@ -80,22 +80,23 @@
 
     @classmethod
     def of(cls, entry: NodeEntry, position: int, *, age_s: float) -> ReaderHeartbeat:
-        """Return the beat of a node that reads."""
+        """Return the heartbeat of a reader."""
         return cls(entry.name, position, entry.link_mbps, round(age_s * 1000))
 
 
 @define(eq=False)
 class ReaderRole:
-    """Whether this node reads, and whether its copy of the topic is known to be complete.
+    """The reader role of this node and the freshness of its replica of the operator topic.
 
-    The node with the best rank that reaches the store reads. Others begin when nobody has vouched
-    for their copy, and stop when one of a better rank does. Fast links rank first: a reader gets
-    each change whole and passes it on to all nodes of its zone.
+    The best-ranked node that reaches the store reads. Another node starts to read when its replica
+    becomes stale, and stops when a better-ranked reader confirms the replica. Nodes with fast links
+    rank first, because a reader receives each change in full and forwards it to all nodes of its
+    zone.
 
     Attributes:
         own: Entry of this node.
-        clock: Source of time that goes on while the instance is suspended.
-        timings: Times by which the nodes read in turn.
+        clock: Clock that keeps running while the instance is suspended.
+        timings: Timeouts of the role.
         reading: Whether this node reads.
     """
 
@@ -114,25 +115,25 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since this node's copy of the topic was last known to be complete."""
+        """Seconds since the replica was last confirmed to be complete."""
         return self.clock.monotonic() - self._current_at
 
     @property
     def current(self) -> bool:
-        """Whether somebody has vouched for this node's copy lately."""
+        """Whether the replica was confirmed to be complete within ``stale_after_s``."""
         return self.age_s < self.timings.stale_after_s
 
     @property
     def leading(self) -> bool:
-        """Whether this node passes records on: of several readers only the best one does."""
+        """Whether this node forwards records; of several readers only the best-ranked one does."""
         since_better_s = self.clock.monotonic() - self._better_reader_at
         return self.reading and since_better_s >= self.timings.stale_after_s
 
     def on_read(self, confirmed_at: float) -> bool:
-        """Note that the store has told where the topic ends; return whether a beat is due.
+        """Record that the store confirmed the end of the topic; return whether to send a heartbeat.
 
         Args:
-            confirmed_at: When the store may have told it.
+            confirmed_at: Earliest time of the confirmation.
         """
         now = self.clock.monotonic()
         self._current_at = max(self._current_at, confirmed_at)
@@ -141,35 +142,37 @@
         self._next_heartbeat_at = now + self.timings.heartbeat_interval_s
         return True
 
-    def on_heartbeat(self, beat: ReaderHeartbeat, *, position: int, store_answers: bool) -> None:
-        """Take another node's beat.
+    def on_heartbeat(
+        self, heartbeat: ReaderHeartbeat, *, position: int, store_answers: bool
+    ) -> None:
+        """Handle another node's heartbeat.
 
         Args:
-            beat: The beat.
+            heartbeat: The heartbeat.
             position: First offset that this node does not cover.
             store_answers: Whether this node reaches the store itself.
         """
-        better = _rank(beat) < _rank(self.own)
+        better = _rank(heartbeat) < _rank(self.own)
         if better:
             self._better_reader_at = self.clock.monotonic()
-        if beat.position > position:
-            return  # This node lacks records, and reads itself as long as that lasts.
-        confirmed_at = self.clock.monotonic() - beat.age_ms / 1000
+        if heartbeat.position > position:
+            return  # This node lacks records and keeps reading until it has caught up.
+        confirmed_at = self.clock.monotonic() - heartbeat.age_ms / 1000
         self._current_at = max(self._current_at, confirmed_at)
         if better or not store_answers:
             self.reading = False
 
     def on_tick(self, zone: Iterable[NodeEntry]) -> None:
-        """Begin to read when nobody has vouched for this node's copy.
+        """Start to read when the replica has become stale.
 
         Args:
             zone: Entries of the other nodes of the zone.
         """
         own = _rank(self.own)
         better = sum(_rank(entry) < own for entry in zone)
-        times = self.timings
-        delay_s = min(better * times.rank_delay_s, times.max_rank_delay_s)
-        if self.age_s > times.stale_after_s + delay_s:
+        timings = self.timings
+        delay_s = min(better * timings.rank_delay_s, timings.max_rank_delay_s)
+        if self.age_s > timings.stale_after_s + delay_s:
             self.reading = True
 
 
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -1,4 +1,4 @@
-"""What this node tells others of itself, and keeps in the store so that they find it."""
+"""Announces this node's entry to other nodes and keeps it registered in the store."""
 
 from __future__ import annotations
 
@@ -18,17 +18,17 @@
 
 
 class Registration:
-    """The own entry.
+    """Entry of this node.
 
-    The store serves for finding addresses only: it gets the entry at the start, when it has lost
-    it, and at renewals. Other nodes get each change at once.
+    The store only serves for discovery: the entry is written at the start, at renewals, and when
+    the store has lost it. Other nodes receive each change directly.
 
     Args:
-        own: Entry of this node before its target has reported.
+        own: Entry of this node before the first report of its target.
         table: Entries of all nodes.
         clock: Source of time.
         submit: Writes a record to the store.
-        announce: Tells an entry to all nodes.
+        announce: Sends an entry to all nodes.
     """
 
     def __init__(
@@ -50,20 +50,20 @@
 
     @property
     def entry(self) -> NodeEntry:
-        """The entry as it was last told."""
+        """The entry as last announced."""
         return self._entry
 
     @property
     def key(self) -> str:
-        """Key of the own record in the store."""
+        """Key of this node's record in the store."""
         return NODE_PREFIX + self._entry.name
 
     def update(self, view: OwnTargetView, *, takes_calls: bool) -> bool:
-        """Tell a change of the target; return whether there is one.
+        """Announce the state of the target if the entry changes; return whether it does.
 
         Args:
-            view: What is known of the target.
-            takes_calls: Whether this node gives calls to it.
+            view: Known state of the target.
+            takes_calls: Whether this node routes calls to it.
         """
         report = view.report
         entry = evolve(
@@ -85,30 +85,30 @@
         self._submit(Write(MESH_TOPIC, self.key, encode(self._entry)))
 
     def renew(self) -> None:
-        """Tell and write the entry again when that is due."""
+        """Announce and write a new revision of the entry when a renewal is due."""
         if self._clock.monotonic() >= self._renew_at:
             self._set_entry(evolve(self._entry, revision=self._entry.revision + 1))
             self.store()
 
     def reconcile(self, stored: bytes | None) -> None:
-        """Write the entry again when the store has lost it or holds another start's."""
+        """Write the entry again if the store has lost it or holds an older start's entry."""
         entry = decode_entry(stored)
         if entry is not None and entry.boot > self._entry.boot:
             self.refute(entry)
         elif entry is None or entry.boot < self._entry.boot:
             self.store()
 
-    def refute(self, told: NodeEntry) -> None:
-        """Answer an entry of this node's name that is not the present one.
+    def refute(self, other: NodeEntry) -> None:
+        """Supersede a newer entry under this node's name.
 
         A process that started while the wall clock was ahead may have left a greater boot number.
         """
-        if told.version > self._entry.version:
-            self._set_entry(evolve(self._entry, boot=told.boot + 1, revision=0))
+        if other.version > self._entry.version:
+            self._set_entry(evolve(self._entry, boot=other.boot + 1, revision=0))
             self.store()
 
     def remove_records(self, expired: list[NodeEntry]) -> None:
-        """Remove the records of nodes that have expired, if it is this node's turn."""
+        """Remove the records of expired nodes; only the node with the smallest name does so."""
         if min(entry.name for entry in self._table.entries()) == self._entry.name:
             for entry in expired:
                 self._submit(_removal(entry))
@@ -120,7 +120,7 @@
 
 
 def decode_entry(value: bytes | None) -> NodeEntry | None:
-    """Return the entry in a store value, None for none or one that cannot be read."""
+    """Return the entry in a store value, None when it is absent or cannot be decoded."""
     if value is None:
         return None
     try:
@@ -130,7 +130,7 @@
 
 
 def _removal(entry: NodeEntry) -> Write:
-    """Return the write that removes a node's record unless the node has started again."""
+    """Return the write that removes a node's record unless the node has restarted."""
 
     def is_old(present: bytes | None) -> bool:
         stored = decode_entry(present)
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -1,4 +1,4 @@
-"""A node's copy of a topic, filled from the store and from other nodes."""
+"""A node's replica of a topic, fed by the store and by other nodes."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 class TopicReplica:
     """The newest record of each key of one topic.
 
-    Offsets order records, so it does not matter from where and in which order pages arrive.
+    Records are ordered by offset, so pages may come from any source and in any order.
 
     Args:
         topic: Name of the topic.
@@ -45,10 +45,10 @@
         return record.value if record is not None else None
 
     def apply(self, page: KeyedPage) -> list[KeyedRecord]:
-        """Take in records and return those that are newer than what was known.
+        """Apply records and return those that are newer than the known ones.
 
-        The position moves only over a page that begins at or before it: between the position and a
-        later start lie records that may have been lost on their way.
+        The position only advances over a page that starts at or before it: records between the
+        position and a later start may have been lost in transit.
         """
         changed = self._merge(page.records)
         if page.start <= self._position:
@@ -56,10 +56,10 @@
         return changed
 
     def replace(self, page: KeyedPage) -> list[KeyedRecord]:
-        """Take in the newest record of every key; keys that are missing were removed.
+        """Apply the newest record of every key; keys that are missing were removed.
 
         Returns:
-            The records that are newer than what was known, removals included.
+            The records that are newer than the known ones, including removals.
         """
         present = {record.key for record in page.records}
         removed = [
@@ -72,7 +72,7 @@
         return self.apply(KeyedPage((*page.records, *removed), page.position))
 
     def since(self, position: int) -> KeyedPage:
-        """Return what another replica lacks that covers offsets below ``position``."""
+        """Return the records that a replica lacks which covers all offsets below ``position``."""
         newer = [record for record in self._records.values() if record.offset >= position]
         newer.sort(key=lambda record: record.offset)
         return KeyedPage(tuple(newer), self._position, start=position)
--- a/src/citronrack/hosted/replication.py
+++ b/src/citronrack/hosted/replication.py
@@ -1,4 +1,4 @@
-"""A node's copies of the topics: filled from the store, passed on to its zone."""
+"""Applies pages of the store to the node's replicas and forwards them to its zone."""
 
 from __future__ import annotations
 
@@ -17,15 +17,15 @@
 from .store import MESH_TOPIC, KeyedRecord
 
 STORE = "store"
-"""Source of records that this node has read itself; otherwise it is the address of a node."""
+"""Source of records that this node read itself; other sources are addresses of nodes."""
 
 
 @frozen
 class AppliedPage:
-    """What a page of the store has brought.
+    """Result of applying a page of the store.
 
     Attributes:
-        changed: Records that are newer than what was known.
+        changed: Records that are newer than those of the replica.
         sends: Messages to the zone.
     """
 
@@ -34,15 +34,15 @@
 
 
 class TopicReplication:
-    """Takes pages of the store and passes on what they hold, and the word on where a topic ends.
+    """Applies pages of the store, and forwards their records and end offsets to the zone.
 
     Args:
-        replicas: Copies of topics by name.
-        operator: Name of the operator's topic.
+        replicas: Replicas of topics by name.
+        operator: Name of the operator topic.
         table: Entries of nodes.
-        access: Whether this node reads for its zone.
+        access: Reader role of this node.
         gossip: Exchange with other nodes.
-        clock: Source of time that goes on while the instance is suspended.
+        clock: Clock that keeps running while the instance is suspended.
     """
 
     def __init__(
@@ -63,10 +63,10 @@
         self._clock = clock
 
     def apply_page(self, message: PageRead, *, own: NodeEntry) -> AppliedPage:
-        """Take in a page that a watch has read.
+        """Apply a page that a watch has read.
 
         Args:
-            mail: The page.
+            message: The page.
             own: Entry of this node.
         """
         self._access.on_read_succeeded(message.topic)
@@ -77,7 +77,7 @@
         changed = replica.replace(message.page) if message.full else replica.apply(message.page)
         zone = self._table.others_in(own.availability_zone)
         sends: list[Send] = []
-        # Nodes learn each other's entries by gossip, so whole pages of them are not passed on.
+        # Node entries spread by gossip, so full pages of them are not forwarded.
         if changed and self._access.leading and not (message.full and message.topic == MESH_TOPIC):
             push = self._gossip.push(message.topic, replica.since(start), before=before)
             sends += self._gossip.send_to(push, zone)
@@ -85,16 +85,16 @@
             sends += self._send_heartbeat(message.created_at, own, zone)
         return AppliedPage(tuple(changed), tuple(sends))
 
-    def on_heartbeat(self, sender: str, beat: ReaderHeartbeat) -> list[Send]:
-        """Take a reader's word on the end of the operator's topic; ask it for what is missing."""
+    def on_heartbeat(self, sender: str, heartbeat: ReaderHeartbeat) -> list[Send]:
+        """Handle a reader's heartbeat; request the records that this node lacks."""
         position = self._replicas[self._operator].position
-        self._access.on_heartbeat(beat, position=position)
-        return [self._gossip.request_records(sender)] if beat.position > position else []
+        self._access.on_heartbeat(heartbeat, position=position)
+        return [self._gossip.request_records(sender)] if heartbeat.position > position else []
 
     def _send_heartbeat(
         self, created_at: float, own: NodeEntry, zone: list[NodeEntry]
     ) -> list[Send]:
-        """Tell the zone where the operator's topic ended at a time of the boot clock."""
+        """Send the zone the end of the operator topic as of a time of the boot clock."""
         position = self._replicas[self._operator].position
         if not self._access.on_end_confirmed(created_at) or not position:
             return []
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -1,4 +1,4 @@
-"""Decides how a service's traffic moves to a new version, and takes a bad version back."""
+"""Moves a service's traffic to a new version in steps and rolls a bad version back."""
 
 from __future__ import annotations
 
@@ -21,16 +21,17 @@
 ROLLOUT_PREFIX = "rollout/"
 
 HEARTBEAT_INTERVAL_S = 1.0
-"""How often the holder of a running rollout shows that it is alive."""
+"""Interval at which the holder of a running rollout broadcasts its record."""
 
 TAKEOVER_TIMEOUT_S = 2.5
-"""Time without a word after which another node takes a rollout over: two beats may be lost."""
+"""Time without a record after which another node takes over a rollout; tolerates the loss of two
+heartbeats."""
 
 RANK_DELAY_S = 0.3
-"""Further delay for each node with a better rank, so that few nodes write at once."""
+"""Additional delay per better-ranked node, so that few nodes write at the same time."""
 
 SETTLE_S = 0.6
-"""Time between the last step and the status: all nodes have read the step by then."""
+"""Delay between the decision and the final status, in which all nodes read the decision."""
 
 
 class Phase(StrEnum):
@@ -43,13 +44,13 @@
 
 @frozen
 class RolloutOrder:
-    """What an operator asked for.
+    """A rollout that an operator has requested.
 
     Attributes:
-        order_id: Offset of the order in the store; a greater one replaces the order.
+        order_id: Offset of the order in the store; an order with a greater one supersedes it.
         service: The service.
-        target_version: Version that gets the service's traffic.
-        duration_s: Time in which the traffic should have moved, in seconds.
+        target_version: Version that should receive the service's traffic.
+        duration_s: Time within which all traffic should have moved, in seconds.
     """
 
     order_id: int
@@ -61,20 +62,20 @@
 @message_codec.register("h-roll")
 @frozen
 class RolloutRecord:
-    """State of a rollout, as it stands in the store and as nodes tell it to each other.
+    """State of a rollout, as stored and as exchanged between nodes.
 
     Attributes:
-        order_id: The order.
+        order_id: Id of the order.
         service: The service.
         target_version: The new version.
         phase: A `Phase`.
-        share: Part of the calls that the new version gets.
-        step: Index of the ramp's step.
-        elapsed_ms: Time since the order when the record was written.
-        holder: Name of the node that wrote it.
-        revision: Grows with each record of an order.
+        share: Fraction of calls routed to the new version.
+        step: Index into the ramp.
+        elapsed_ms: Time between the order and the writing of the record.
+        holder: Name of the node that wrote the record.
+        revision: Increases with each record of an order.
         reason: Why the phase or share was chosen.
-        told: Whether the operator has been told the phase.
+        reported: Whether the phase has been reported to the operator.
     """
 
     order_id: int
@@ -90,12 +91,12 @@
     reported: bool = False
 
     def encode(self) -> bytes:
-        """Return the value for the store."""
+        """Return the record as a store value."""
         return encode(self)
 
 
 def decode_record(value: bytes | None) -> RolloutRecord | None:
-    """Return the record in a store value, None for none or one that cannot be read."""
+    """Return the record in a store value, None when it is absent or cannot be decoded."""
     if value is None:
         return None
     try:
@@ -105,7 +106,7 @@
 
 
 def rollout_write(record: RolloutRecord) -> Write:
-    """Return the write of a record that replaces an older one only."""
+    """Return the write of a record; it only replaces an older one."""
 
     def is_older(present: bytes | None) -> bool:
         known = decode_record(present)
@@ -119,7 +120,7 @@
 
 @define(eq=False)
 class _Rollout:
-    """What the node knows of one service's rollout."""
+    """This node's state of one service's rollout."""
 
     order: RolloutOrder
     started: float
@@ -136,26 +137,26 @@
 
 
 WriteRecord = Callable[[RolloutRecord], None]
-"""Writes a record to the store, or only tells it to the other nodes."""
+"""Writes a record to the store, or only broadcasts it to the other nodes."""
 
 WriteStatus = Callable[[str, str, Phase], None]
-"""Gets service, version and phase."""
+"""Called with service, version and phase."""
 
 
 class RolloutCore:
-    """Follows all rollouts, and leads those that this node holds.
+    """Follows all rollouts and leads those that this node holds.
 
-    Every node follows the share that the newest record says. The node that made it leads: it
-    collects evidence, steps up, and ends the rollout. A step counts once it stands in the store,
-    where it is written only over an older record, so two holders do no harm.
+    Every node applies the share in the newest record. The node that wrote the record leads the
+    rollout: it collects evidence, raises the share, and ends the rollout. A step takes effect once
+    it is stored, and it only replaces an older record, so two concurrent holders are harmless.
 
     Args:
         own_name: Name of this node.
         clock: Source of time.
-        events: Log lines.
+        events: Event log.
         write_record: Writes a record to the store if it is newer than the one there.
-        broadcast_record: Tells a record to all nodes; it shows that the holder is alive.
-        write_status: Tells the operator the phase of a rollout.
+        broadcast_record: Sends a record to all nodes; it serves as the holder's heartbeat.
+        write_status: Reports the phase of a rollout to the operator.
     """
 
     def __init__(
@@ -177,7 +178,7 @@
         self._rollouts: dict[str, _Rollout] = {}
 
     def on_order(self, order: RolloutOrder) -> None:
-        """Take an order of an operator."""
+        """Apply an order of an operator; an older one than the known order is ignored."""
         known = self._rollouts.get(order.service)
         if known is not None and known.order.order_id >= order.order_id:
             return
@@ -195,13 +196,13 @@
         )
 
     def on_record(self, record: RolloutRecord) -> None:
-        """Take a record that stands in the store."""
+        """Apply a record of the store or of another node."""
         rollout = self._rollouts.get(record.service)
         if rollout is not None:
             self._apply_record(rollout, record)
 
     def on_evidence(self, evidence: Evidence) -> None:
-        """Take what a node has seen of the target beside it."""
+        """Add the evidence that a node has collected at its target."""
         rollout = self._rollouts.get(evidence.service)
         if rollout is not None and rollout.order.order_id == evidence.order_id:
             rollout.evidence.put(evidence)
@@ -212,7 +213,7 @@
         return tuple(rollout.record for rollout in rollouts if rollout.record is not None)
 
     def running(self, service: str) -> RolloutOrder | None:
-        """Return the order of a service whose rollout is not decided."""
+        """Return the order of a service whose rollout is undecided, None for any other."""
         rollout = self._rollouts.get(service)
         if rollout is None:
             return None
@@ -238,7 +239,7 @@
         }
 
     def is_rolled_back(self, service: str, version: str) -> bool:
-        """Return whether a version was found bad and gets no calls."""
+        """Return whether a version was rolled back and gets no calls."""
         rollout = self._rollouts.get(service)
         record = rollout.record if rollout is not None else None
         return (
@@ -248,10 +249,10 @@
         )
 
     def on_tick(self, *, names: Sequence[str]) -> None:
-        """Lead the rollouts of this node and take over those whose holder is silent.
+        """Lead the rollouts that this node holds and take over those whose holder has timed out.
 
         Args:
-            names: Names of all known nodes, for the order of taking over.
+            names: Names of all known nodes; they are ranked for the takeover.
         """
         now = self._clock.monotonic()
         for rollout in self._rollouts.values():
@@ -265,10 +266,10 @@
             elif now - rollout.last_record_at > TAKEOVER_TIMEOUT_S + self._rank_delay_s(
                 rollout, names
             ):
-                self._propose(rollout, evolve(record, reason="the holder is silent"), now)
+                self._propose(rollout, evolve(record, reason="the holder has timed out"), now)
 
     def _apply_record(self, rollout: _Rollout, record: RolloutRecord) -> None:
-        """Use a record if it belongs to the present order and is new."""
+        """Apply a record if it belongs to the current order and has a greater revision."""
         known = rollout.record
         if record.order_id != rollout.order.order_id:
             return
@@ -291,7 +292,7 @@
         rollout.record = record
 
     def _rank_delay_s(self, rollout: _Rollout, names: Sequence[str]) -> float:
-        """Return how long this node leaves a rollout to nodes of a better rank."""
+        """Return how long this node yields a rollout to better-ranked nodes."""
         scope = f"rollout/{rollout.order.order_id}"
         own = weight(scope, self._own_name)
         return RANK_DELAY_S * sum(weight(scope, name) < own for name in names)
@@ -323,22 +324,22 @@
         if fault:
             self._decide(rollout, record, Phase.ROLLED_BACK, fault, now)
             return
-        part = rollout.elapsed_s(now) / max(rollout.order.duration_s, 0.001)
-        following = RAMP[record.step + 1] if record.step + 1 < len(RAMP) else None
-        cleared = (
+        elapsed_share = rollout.elapsed_s(now) / max(rollout.order.duration_s, 0.001)
+        next_step = RAMP[record.step + 1] if record.step + 1 < len(RAMP) else None
+        enough_calls = (
             rollout.evidence.calls_since(record.target_version, rollout.stepped_at) >= MIN_CALLS
         )
-        if following is None and part >= COMPLETE_AT and cleared:
-            self._decide(rollout, record, Phase.COMPLETED, "no fault was seen", now)
-        elif part >= TIMEOUT_AT:
-            self._decide(rollout, record, Phase.ROLLED_BACK, "the time is up", now)
-        elif following is not None and part >= following.at and cleared:
-            stepped = evolve(record, share=following.share, step=record.step + 1)
-            self._propose(rollout, evolve(stepped, reason="the step before is clear"), now)
+        if next_step is None and elapsed_share >= COMPLETE_AT and enough_calls:
+            self._decide(rollout, record, Phase.COMPLETED, "no fault was found", now)
+        elif elapsed_share >= TIMEOUT_AT:
+            self._decide(rollout, record, Phase.ROLLED_BACK, "the rollout timed out", now)
+        elif next_step is not None and elapsed_share >= next_step.at and enough_calls:
+            stepped = evolve(record, share=next_step.share, step=record.step + 1)
+            self._propose(rollout, evolve(stepped, reason="the previous step passed"), now)
         elif now - rollout.last_record_at >= HEARTBEAT_INTERVAL_S:
-            beat = self._next_record(rollout, record, now)
-            self._apply_record(rollout, beat)
-            self._broadcast_record(beat)
+            heartbeat = self._next_record(rollout, record, now)
+            self._apply_record(rollout, heartbeat)
+            self._broadcast_record(heartbeat)
 
     def _decide(
         self, rollout: _Rollout, record: RolloutRecord, phase: Phase, reason: str, now: float
@@ -350,7 +351,7 @@
         self._write_record(self._next_record(rollout, record, now))
 
     def _next_record(self, rollout: _Rollout, record: RolloutRecord, now: float) -> RolloutRecord:
-        """Return the record that follows the known one."""
+        """Return a record with this node as holder and the next revision."""
         known = rollout.record
         return evolve(
             record,
@@ -360,7 +361,7 @@
         )
 
     def _report_status(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
-        """Write the final status once every node can have read the decision."""
+        """Write the final status once all nodes have had time to read the decision."""
         record = rollout.record
         if record is None or record.reported or rollout.status == record.phase:
             return
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -14,13 +14,13 @@
 
     Attributes:
         calls: For callers on the instance and its target.
-        deliveries: For calls that other nodes pass on.
+        deliveries: For calls that other nodes forward.
         peers: For messages of other nodes.
         control: For status reports of the target.
-        ready: For the platform's questions of readiness.
-        metrics: For counters and histograms.
-        target: Where the target serves.
-        store: Where the platform's store serves.
+        ready: For readiness probes of the platform.
+        metrics: For scrapes of the metrics.
+        target: Address of the target's HTTP server.
+        store: Address of the platform's store.
     """
 
     calls: str = field(validator=checks.address)
@@ -35,14 +35,14 @@
 
 @frozen
 class HostedBounds:
-    """Times and shares that the platform's contract states.
+    """Limits that the platform's contract states.
 
     Attributes:
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
-        config_apply_s: Time in which a confirmed configuration has to be in force, in seconds.
+        config_apply_s: Time within which a confirmed configuration must be active, in seconds.
         report_interval_s: Usual time between status reports of a target, in seconds.
-        retry_ratio: Retries of all nodes together, as a part of the calls.
-        retry_slack: Retries of all nodes together that are allowed beyond that part.
+        retry_ratio: Allowed retries of all nodes together, as a fraction of the calls.
+        retry_slack: Retries of all nodes together that are allowed beyond that fraction.
     """
 
     grace_s: float = field(default=6.0, validator=checks.between(0.5, 600))
@@ -60,12 +60,12 @@
         name: Unique name of the node.
         availability_zone: Zone of the instance.
         service: Service of the target.
-        addresses: Where the node serves and whom it calls.
-        bounds: Times and shares of the contract.
+        addresses: Addresses of the node's listeners, its target and the store.
+        bounds: Limits of the platform's contract.
         metrics_path: Path at which the metrics are served.
-        link_mbps: Rate of the instance's own link, in Mbit/s, 0 when it is unknown.
-        link_one_way_ms: Delay of a link to another zone, in milliseconds.
-        connections: Connections that each listener serves at once.
+        link_mbps: Bandwidth of the instance's link, in Mbit/s, 0 when it is unknown.
+        link_one_way_ms: One-way latency of a link to another zone, in milliseconds.
+        connections: Connections that each listener serves concurrently.
     """
 
     name: str = field(validator=checks.name)
--- a/src/citronrack/hosted/signals.py
+++ b/src/citronrack/hosted/signals.py
@@ -1,4 +1,4 @@
-"""Signals as messages to the main thread."""
+"""Delivers signals to the main thread as messages."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 
 class SignalInbox:
-    """Receives signals whichever thread the system interrupts.
+    """Receives signals regardless of the thread that the system interrupts.
 
-    A Python handler runs only when the main thread returns from what it waits for, so a signal
-    that interrupts another thread would be noticed seconds late.
+    A Python handler only runs when the main thread returns from a blocking call, so a signal that
+    interrupts another thread would be handled seconds late.
 
     Args:
-        numbers: Signals to receive; they no longer end the process.
+        numbers: Signals to receive; they no longer terminate the process.
     """
 
     def __init__(self, numbers: Iterable[signal.Signals]) -> None:
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -9,17 +9,17 @@
 from ..errors import LogError
 
 MESH_TOPIC = "keyed.mesh"
-"""Topic of the nodes' own records."""
+"""Topic with the records of nodes and rollouts."""
 
 BACKOFF_CAP_S = 1.0
-"""Longest pause after failures: the store must be found again well within two seconds."""
+"""Longest pause after failures; a recovered store must be used again well within two seconds."""
 
 
 class AppendConflict(LogError):
-    """The topic does not end where the writer expected; nothing was written.
+    """The topic does not end at the expected offset; nothing was written.
 
     Args:
-        end: Offset that the next append will get.
+        end: Offset of the next append.
     """
 
     def __init__(self, end: int) -> None:
@@ -34,7 +34,7 @@
     Attributes:
         key: The key.
         value: Its value, None when the key was removed.
-        offset: Position in the topic; greater ones are newer.
+        offset: Offset in the topic; greater ones are newer.
     """
 
     key: str
@@ -44,13 +44,13 @@
 
 @frozen
 class KeyedPage:
-    """Records of a topic, and where to read on.
+    """Records of a topic and the range of offsets that they cover.
 
     Attributes:
-        records: By offset.
-        position: First offset that is not covered.
+        records: The records, ordered by offset.
+        position: First offset that is not covered; the next read starts there.
         complete: Whether the topic ended at ``position`` when the store made the page.
-        start: First offset that is covered; what lies before it may be missing.
+        start: First offset that is covered; records before it may be missing.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -67,10 +67,10 @@
 
         Args:
             topic: Name of the topic.
-            timeout_ms: Longest time of each call; a large topic takes several.
+            timeout_ms: Timeout of each request; a large topic takes several.
 
         Raises:
-            LogUnavailable: When no answer arrived.
+            LogUnavailable: If no answer arrived.
         """
 
     def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
@@ -78,13 +78,13 @@
 
         Args:
             topic: Name of the topic.
-            start: First wanted offset.
-            wait_ms: How long the store may hold the request when nothing is there.
-            timeout_ms: Longest time of the call beyond that.
+            start: First requested offset.
+            wait_ms: How long the store may hold the request while there are no records.
+            timeout_ms: Timeout of the request in addition to the wait.
 
         Raises:
-            LogUnavailable: When no answer arrived.
-            LogTrimmed: When records from ``start`` on are no longer kept.
+            LogUnavailable: If no answer arrived.
+            LogTrimmed: If records from ``start`` on are no longer retained.
         """
 
     def put(
@@ -99,9 +99,9 @@
             expected_end: Write only if the topic ends at this offset.
 
         Raises:
-            AppendConflict: When the topic ends elsewhere.
-            AppendRefused: When the store refused; nothing was written.
-            AppendUnknown: When no answer arrived; the record may be written, also later.
+            AppendConflict: If the topic ends at another offset.
+            AppendRefused: If the store refused the write; nothing was written.
+            AppendUnknown: If no answer arrived; the record may have been written or may still be.
         """
 
     def close(self) -> None:
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -1,4 +1,4 @@
-"""What the target beside the node says of itself."""
+"""Tracks the state of the local target from its reports and leave notices."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from ..clock import Clock
 
 MISSED_REPORTS = 4
-"""Missed reports after which a target gets no calls; single reports may be seconds late."""
+"""Missed reports after which a target gets no calls; a single report may be seconds late."""
 
 NO_TARGET = "the target has not reported yet"
 LEAVING = "the target is leaving"
@@ -34,13 +34,13 @@
     Attributes:
         target_id: Id of the target.
         service: Its service.
-        service_version: Its release.
+        service_version: Version of the service that it runs.
         address: ``ip:port`` of its HTTP server.
-        slots: Calls that it runs at once.
+        slots: Calls that it runs concurrently.
         draining: Whether it is about to leave.
-        sequence: Grows with each report of one start.
+        sequence: Increases with each report of one start.
         started_ms: Wall time of its start, in milliseconds since the Unix epoch.
-        cold_s: How much longer it is slow after its start, in seconds.
+        cold_s: Remaining time for which it is slow after its start, in seconds.
     """
 
     target_id: str
@@ -56,29 +56,29 @@
 
 @frozen
 class TargetLeave:
-    """A target says that it leaves.
+    """Notice of a target that it leaves.
 
     Attributes:
         target_id: Id of the target.
-        started_ms: Wall time of its start, None when it was not said.
+        started_ms: Wall time of its start, None when the notice does not contain it.
     """
 
     target_id: str
     started_ms: int | None
 
     def matches(self, report: TargetReport) -> bool:
-        """Return whether a report is of the start that leaves."""
+        """Return whether a report is from the start of the target that leaves."""
         same_start = self.started_ms is None or self.started_ms == report.started_ms
         return report.target_id == self.target_id and same_start
 
 
 @frozen
 class OwnTargetView:
-    """The target beside the node as the node knows it.
+    """The known state of the local target.
 
     Attributes:
         state: Whether it takes calls.
-        report: Its last report, None before the first.
+        report: Its latest report, None before the first.
         cold_until: Monotonic time until which it is slow, in seconds.
     """
 
@@ -88,7 +88,7 @@
 
     @property
     def log_fields(self) -> dict[str, Any]:
-        """What a log line says of the target."""
+        """Fields of a log line about the target."""
         if self.report is None:
             return {"state": self.state.value}
         return {
@@ -100,14 +100,14 @@
 
 
 class OwnTargetTracker:
-    """Orders the reports of the target beside the node.
+    """Orders the reports of the local target and derives its state.
 
-    Reports may arrive late, out of order and after a new process took the address. A start is
-    identified by its time and id, and a report by its sequence within the start.
+    Reports may arrive late, out of order, or after a new process took over the address. A start is
+    identified by its time and id, and a report by its sequence number within the start.
 
     Args:
         address: ``ip:port`` at which the target serves.
-        service: Service from the settings, for identities before the first report.
+        service: Service from the settings, used for the identity before the first report.
         report_interval_s: Usual time between reports.
         clock: Source of time.
     """
@@ -126,38 +126,38 @@
 
     @property
     def view(self) -> OwnTargetView:
-        """The target as it is known; replaced as a whole."""
+        """Known state of the target; an immutable snapshot."""
         return self._view
 
     @property
     def identity(self) -> TargetIdentity:
-        """Who the target is, for the call path; replaced as a whole."""
+        """Identity of the target for the call path; an immutable snapshot."""
         return self._identity
 
     def on_report(self, report: TargetReport) -> bool:
-        """Take a report and return whether it changed what is known.
+        """Apply a report; return whether the state of the target changed.
 
         Raises:
-            ValueError: When the report is of a target at another address.
+            ValueError: If the report is from a target at another address.
         """
         if report.address != self._address:
-            raise ValueError(f"the report is of a target at {report.address}")
+            raise ValueError(f"the report is from a target at {report.address}")
         now = self._clock.monotonic()
         known = self._view.report
         if known is not None and not self._is_newer(report, known, now):
             return False
         self._last_report_at = now
-        left = report.draining or self._matches_leave_notice(report)
+        leaving = report.draining or self._matches_leave_notice(report)
         if known is not None and self._same_start(report, known) and self._leaving:
-            left = True
-        state = TargetState.LEAVING if left else TargetState.SERVING
+            leaving = True
+        state = TargetState.LEAVING if leaving else TargetState.SERVING
         return self._replace_view(OwnTargetView(state, report, now + report.cold_s))
 
     def on_leave(self, leave: TargetLeave) -> bool:
-        """Take a notice of leaving and return whether it changed what is known.
+        """Apply a leave notice; return whether the state of the target changed.
 
-        The notice holds for later reports too: a node that has just started hears of the leaving
-        first, and then gets reports that were on their way before.
+        The notice also applies to later reports: a node that has just started may receive the
+        notice first, and then reports that were sent before it.
         """
         self._leave_notice = leave
         known = self._view.report
@@ -166,18 +166,18 @@
         return self._replace_view(OwnTargetView(TargetState.LEAVING, known, self._view.cold_until))
 
     def _matches_leave_notice(self, report: TargetReport) -> bool:
-        """Return whether the last notice of leaving is of a report's start."""
+        """Return whether the latest leave notice is from the same start as a report."""
         if self._leave_notice is None or not self._leave_notice.matches(report):
             return False
-        # The id alone may come back with a later start.
+        # A later start may reuse the id, so the notice is bound to the time of this start.
         self._leave_notice = TargetLeave(report.target_id, report.started_ms)
         return True
 
     def on_tick(self) -> bool:
-        """Notice a target that has stopped reporting; return whether that is new."""
+        """Detect a target that has stopped reporting; return whether the state changed."""
         view = self._view
-        silent = self._clock.monotonic() - self._last_report_at > self._report_timeout_s
-        if view.state is not TargetState.SERVING or not silent:
+        timed_out = self._clock.monotonic() - self._last_report_at > self._report_timeout_s
+        if view.state is not TargetState.SERVING or not timed_out:
             return False
         return self._replace_view(OwnTargetView(TargetState.SILENT, view.report, view.cold_until))
 
@@ -193,9 +193,10 @@
         if self._same_start(report, known):
             return report.sequence > known.sequence
         if report.started_ms != known.started_ms:
-            # Wall clocks may jump back between two starts; a target that is gone yields anyway.
-            silent = now - self._last_report_at > self._report_timeout_s
-            return report.started_ms > known.started_ms or silent
+            # The wall clock may jump back between two starts, so a new start with an earlier time
+            # is accepted once the known one has timed out.
+            timed_out = now - self._last_report_at > self._report_timeout_s
+            return report.started_ms > known.started_ms or timed_out
         return report.target_id != known.target_id and self._leaving
 
     def _replace_view(self, view: OwnTargetView) -> bool:
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -1,4 +1,4 @@
-"""Builds the routing view from configuration, node entries and rollouts."""
+"""Builds the routing view from the configuration, node entries and rollouts."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from .entry import NodeEntry
 
 ANY_VERSION = ""
-"""Pool of all targets of a service."""
+"""Version key of the pool with all targets of a service."""
 
 
 def other_versions(version: str) -> str:
-    """Return the name of the pool of all targets that are not of ``version``."""
+    """Return the version key of the pool with all targets that do not run ``version``."""
     return f"!{version}"
 
 
@@ -30,10 +30,10 @@
     """Return the view by which calls are routed.
 
     Args:
-        config: Configuration in force; a version of -1 means that there is none yet.
+        config: Active configuration; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
         rollouts: Target version, share and order id by service.
-        complete: Whether the configuration is known to be the newest.
+        complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
     """
     ready = config.version >= 0
@@ -60,7 +60,7 @@
 def _pools(
     entries: Iterable[NodeEntry], moving: Mapping[str, str]
 ) -> dict[tuple[str, str], tuple[PoolTarget, ...]]:
-    """Return the targets by service and version; others serve only where none is serving."""
+    """Return targets by service and version key; non-serving ones only if no target serves."""
     serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     others: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     for entry in entries:
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -1,4 +1,4 @@
-"""Follows a topic of the platform's store while this node has to."""
+"""Follows a topic of the platform's store while this node has to read it."""
 
 from __future__ import annotations
 
@@ -13,20 +13,20 @@
 from .store import BACKOFF_CAP_S, KeyedStore
 
 READ_TIMEOUT_MS = 1_000
-"""Longest time of a read beyond its wait. A read that hangs keeps its node from finding the store
-when it serves again."""
+"""Timeout of a read, in addition to its long-poll wait. It is short because a hanging read delays
+the detection that the store is available again."""
 
 LONG_READ_TIMEOUT_MS = 3_000
 LONG_READ_SHARE = 0.25
-"""Longest time of some reads after one without an answer: the store may be slow and not away. Nodes
-draw which ones, so that they don't all wait for it at the same time."""
+"""Timeout of a random share of the reads after a failed one, because the store may be slow rather
+than unavailable. The choice is random so that nodes do not all wait for it at the same time."""
 
 
 def read_timeout_ms(failures: int, random: Random) -> int:
-    """Return the longest time of a read beyond its wait.
+    """Return the timeout of a read, in addition to its long-poll wait.
 
     Args:
-        failures: Reads before it that had no answer.
+        failures: Number of consecutive failed reads before it.
         random: Source of random numbers.
     """
     patient = failures > 0 and random.random() < LONG_READ_SHARE
@@ -34,17 +34,17 @@
 
 
 class WatchTask:
-    """Reads a topic from its newest records on, and sends each page to the core.
+    """Reads the newest records of a topic and then its changes, and sends each page to the core.
 
     Args:
         topic: Name of the topic.
         store: Connection to the store, owned by this task.
-        post: Takes messages for the core.
+        post: Sends a message to the core.
         random: Source of random numbers.
-        clock: Source of time that goes on while the instance is suspended.
-        wait_s: How long the store may hold a read in which nothing changes.
+        clock: Clock that keeps running while the instance is suspended.
+        wait_s: Duration of a long poll: how long the store may hold a read without new records.
         pause_s: Pause between reads.
-        needed: Whether to read from the start on.
+        needed: Whether the topic is read initially.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
             try:
                 self._read_once()
             except LogTrimmed:
-                self._position = None  # History was dropped; the newest records replace it.
+                self._position = None  # The history was dropped, so the newest records are read.
             except LogUnavailable as error:
                 self._long_poll = False
                 self._post(ReadFailed(self._topic, str(error)))
@@ -92,11 +92,11 @@
         self._store.close()
 
     def set_needed(self, needed: bool, *, position: int) -> None:
-        """Start or stop to follow the topic.
+        """Start or stop reading the topic.
 
         Args:
             needed: Whether the topic has to be read.
-            position: First offset that the node lacks, for a start.
+            position: First offset that the node lacks; used when reading starts.
         """
         if needed and not self._needed.is_set() and self._position is not None:
             self._position = max(self._position, position)
@@ -104,12 +104,12 @@
         (self._needed.set if needed else self._needed.clear)()
 
     def stop(self) -> None:
-        """Let `run` return after its present read."""
+        """Make `run` return after its current read."""
         self._stopping.set()
         self._needed.set()
 
     def _read_once(self) -> None:
-        """Read once; the first read is answered at once, so that the node can vouch for it."""
+        """Read once, without a wait after a start or failure, to confirm the end of the topic soon."""
         began_at, wait_ms = self._clock.monotonic(), 0
         timeout_ms = read_timeout_ms(self._backoff.failures, self._random)
         full = self._position is None
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -21,7 +21,7 @@
     """Return the JSON object in a body.
 
     Raises:
-        FieldError: When the bytes hold something else.
+        FieldError: If the bytes hold something else.
     """
     try:
         value = json.loads(body)
@@ -36,7 +36,7 @@
     """Return a field of a type.
 
     Raises:
-        FieldError: When it is missing or of another type.
+        FieldError: If it is missing or of another type.
     """
     value = fields.get(name)
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
@@ -48,7 +48,7 @@
     """Return a time, written as a number with the unit ``ms`` or ``s``, in seconds.
 
     Raises:
-        FieldError: When it is missing or of another form.
+        FieldError: If it is missing or of another form.
     """
     text = require(fields, name, str)
     for unit, factor in _UNITS_S.items():
@@ -78,7 +78,7 @@
         """Return a field that holds a table.
 
         Raises:
-            FieldError: When the field has another form.
+            FieldError: If the field has another form.
         """
         table = require(fields, name, dict)
         columns = require(table, "columns", list)
@@ -90,7 +90,7 @@
         """Return a row by column; values that are null are left out.
 
         Raises:
-            FieldError: When the row does not fit the columns.
+            FieldError: If the row does not fit the columns.
         """
         if not isinstance(row, list) or len(row) != len(self.columns):
             raise FieldError(f"a row does not fit the columns {self.columns}")
@@ -101,6 +101,6 @@
         """Yield all rows by column.
 
         Raises:
-            FieldError: When a row does not fit the columns.
+            FieldError: If a row does not fit the columns.
         """
         return map(self.as_map, self.rows)
--- a/src/citronrack/platform/reports.py
+++ b/src/citronrack/platform/reports.py
@@ -17,7 +17,7 @@
     """Return the report or notice in a request, None for another request.
 
     Raises:
-        ReportInvalid: When a field is missing or of another type.
+        ReportInvalid: If a field is missing or of another type.
     """
     path = path.partition("?")[0]
     if method != "POST":
--- a/src/citronrack/platform/run.py
+++ b/src/citronrack/platform/run.py
@@ -22,7 +22,7 @@
         path: The file.
 
     Raises:
-        SettingsError: When the file cannot be used.
+        SettingsError: If the file cannot be used.
     """
 
     def __init__(self, path: str) -> None:
@@ -39,7 +39,7 @@
         """Read the file again; return whether the settings have changed.
 
         Raises:
-            SettingsError: When the file cannot be used; it may be half written.
+            SettingsError: If the file cannot be used; it may be half written.
         """
         content = self._read()
         if content == self._content:
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -19,7 +19,7 @@
     """Return the checked settings in the bytes of a file.
 
     Raises:
-        SettingsError: When the bytes are not TOML or a field is missing.
+        SettingsError: If the bytes are not TOML or a field is missing.
     """
     try:
         return _settings(tomllib.loads(content.decode()))
