--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -16,10 +16,9 @@
 from ..calls.budget import RetryBudget
 from ..calls.headers import HeaderNames
 from ..calls.limits import SWITCH_INTERVAL_S, WireLimits
-from ..calls.message import Answer, Request
+from ..calls.message import Request, Response
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
-from ..calls.record import AnswerRecord
-from ..checks import split_address
+from ..calls.record import ResponseRecord
 from ..clock import BootClock, Clock, SystemClock
 from ..errors import SettingsError
 from ..mailbox import Mailbox
@@ -28,6 +27,7 @@
 from ..telemetry.logs import LINES_PER_SECOND
 from ..transport.loop import CoreTask
 from ..transport.zmq_transport import ZmqTransport
+from ..validators import split_address
 from .control import ControlHandler, ReportDecoder, readiness_handler
 from .core import HostedCore
 from .dependencies import CoreDependencies, OperatorTopic
@@ -228,7 +228,7 @@
     budget = RetryBudget(ratio=RETRY_SHARE * settings.bounds.retry_ratio)
     call_path = _call_path(adapter, core, views, mailbox, executor, events, metrics, budget)
     core.callbacks.set_slots = call_path.admission.resize
-    core.callbacks.set_retry_burst = budget.limit
+    core.callbacks.set_retry_burst = budget.set_max_tokens
     transport = ZmqTransport(
         address=f"tcp://{settings.addresses.peers}",
         mesh_id=MESH_ID,
@@ -316,7 +316,7 @@
             metrics.observe("delivery_seconds", record.latency_s, record.route)
             mailbox.put(CallReported(record), wake=False)
 
-    def answered(record: AnswerRecord) -> None:
+    def on_response(record: ResponseRecord) -> None:
         metrics.count("calls", record.route, str(record.status), record.verdict.value)
         metrics.observe("call_seconds", record.seconds, record.route)
         events.write(
@@ -358,7 +358,7 @@
         executor=executor,
         random=SystemRandom(),
         identity=core.identity,
-        answered=answered,
+        on_response=on_response,
         budget=budget,
     )
 
@@ -374,7 +374,7 @@
     """Return the listeners of reports, readiness and metrics."""
     addresses = adapter.settings.addresses
     control = ControlHandler(decode_report=adapter.decode_report, post=mailbox.put, events=events)
-    handlers: tuple[tuple[str, Callable[[Request], Answer]], ...] = (
+    handlers: tuple[tuple[str, Callable[[Request], Response]], ...] = (
         (addresses.control, control.handle),
         (addresses.ready, readiness_handler(adapter.is_readiness_request, lambda: core.ready)),
         (addresses.metrics, metrics_handler(adapter.settings.metrics_path, metrics)),
--- a/src/citronrack/hosted/control.py
+++ b/src/citronrack/hosted/control.py
@@ -6,7 +6,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 
-from ..calls.message import Answer, Request, own_answer, own_page
+from ..calls.message import Request, Response, local_page, local_response
 from ..errors import CitronrackError
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
@@ -44,16 +44,16 @@
         self._post = post
         self._events = events
 
-    def handle(self, request: Request) -> Answer:
+    def handle(self, request: Request) -> Response:
         """Handle a request on the control address."""
         body = b"".join(request.body.chunks())
         try:
             call = self._decode_report(request.method, request.path, body[:MAX_BODY_BYTES])
         except ReportInvalid as error:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=str(error))
-            return own_answer(400, str(error), Verdict.NOT_RUN)
+            return local_response(400, str(error), Verdict.NOT_RUN)
         if call is None:
-            return own_answer(404, "unknown method or path", Verdict.NOT_RUN)
+            return local_response(404, "unknown method or path", Verdict.NOT_RUN)
         answer: Future[str] = Future()
         self._post(
             LeaveReceived(call, answer)
@@ -63,16 +63,16 @@
         try:
             fault = answer.result(ANSWER_TIMEOUT_S)
         except FutureTimeout:
-            return own_answer(503, "the report was not processed in time", Verdict.MAY_HAVE_RUN)
+            return local_response(503, "the report was not processed in time", Verdict.MAY_HAVE_RUN)
         if fault:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=fault)
-            return own_answer(400, fault, Verdict.NOT_RUN)
-        return own_page(b"application/json", b"{}")
+            return local_response(400, fault, Verdict.NOT_RUN)
+        return local_page(b"application/json", b"{}")
 
 
 def readiness_handler(
     is_readiness_request: Callable[[str, str], bool], is_ready: Callable[[], bool]
-) -> Callable[[Request], Answer]:
+) -> Callable[[Request], Response]:
     """Return the handler of the readiness address.
 
     Args:
@@ -80,11 +80,11 @@
         is_ready: Returns whether the node accepts new calls.
     """
 
-    def handle(request: Request) -> Answer:
+    def handle(request: Request) -> Response:
         if not is_readiness_request(request.method, request.path):
-            return own_answer(404, "unknown method or path", Verdict.NOT_RUN)
+            return local_response(404, "unknown method or path", Verdict.NOT_RUN)
         if not is_ready():
-            return own_answer(503, "the node is not ready", Verdict.NOT_RUN)
-        return own_page(b"application/json", b"{}")
+            return local_response(503, "the node is not ready", Verdict.NOT_RUN)
+        return local_page(b"application/json", b"{}")
 
     return handle
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from .readers import CONFIG_APPLY_S
 
 
@@ -23,14 +23,14 @@
         store: Address of the platform's store.
     """
 
-    calls: str = field(validator=checks.address)
-    deliveries: str = field(validator=checks.address)
-    peers: str = field(validator=checks.address)
-    control: str = field(validator=checks.address)
-    ready: str = field(validator=checks.address)
-    metrics: str = field(validator=checks.address)
-    target: str = field(validator=checks.address)
-    store: str = field(validator=checks.address)
+    calls: str = field(validator=validators.address)
+    deliveries: str = field(validator=validators.address)
+    peers: str = field(validator=validators.address)
+    control: str = field(validator=validators.address)
+    ready: str = field(validator=validators.address)
+    metrics: str = field(validator=validators.address)
+    target: str = field(validator=validators.address)
+    store: str = field(validator=validators.address)
 
 
 @frozen
@@ -45,11 +45,11 @@
         retry_slack: Retries of all nodes together that are allowed beyond that fraction.
     """
 
-    grace_s: float = field(default=6.0, validator=checks.between(0.5, 600))
-    config_apply_s: float = field(default=CONFIG_APPLY_S, validator=checks.between(0.5, 600))
-    report_interval_s: float = field(default=1.5, validator=checks.between(0.01, 60))
-    retry_ratio: float = field(default=0.2, validator=checks.between(0, 1))
-    retry_slack: float = field(default=60.0, validator=checks.between(0, 1e6))
+    grace_s: float = field(default=6.0, validator=validators.between(0.5, 600))
+    config_apply_s: float = field(default=CONFIG_APPLY_S, validator=validators.between(0.5, 600))
+    report_interval_s: float = field(default=1.5, validator=validators.between(0.01, 60))
+    retry_ratio: float = field(default=0.2, validator=validators.between(0, 1))
+    retry_slack: float = field(default=60.0, validator=validators.between(0, 1e6))
 
 
 @frozen
@@ -68,12 +68,12 @@
         connections: Connections that each listener serves concurrently.
     """
 
-    name: str = field(validator=checks.name)
-    availability_zone: str = field(validator=checks.name)
-    service: str = field(validator=checks.name)
+    name: str = field(validator=validators.name)
+    availability_zone: str = field(validator=validators.name)
+    service: str = field(validator=validators.name)
     addresses: HostedAddresses
     bounds: HostedBounds = field(factory=HostedBounds)
     metrics_path: str = "/metrics"
-    link_mbps: int = field(default=0, validator=checks.between(0, 1_000_000))
-    link_one_way_ms: float = field(default=4.0, validator=checks.between(0, 1_000))
-    connections: int = field(default=300, validator=checks.between(1, 10_000))
+    link_mbps: int = field(default=0, validator=validators.between(0, 1_000_000))
+    link_one_way_ms: float = field(default=4.0, validator=validators.between(0, 1_000))
+    connections: int = field(default=300, validator=validators.between(1, 10_000))
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable, Mapping
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
-from ..checks import split_address
 from ..config import ConfigSet
+from ..validators import split_address
 from .entry import NodeEntry
 
 ANY_VERSION = ""
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -13,9 +13,9 @@
 
 from citronrack.calls import Admission, Drainer, Request, Upstream, ViewHolder
 from citronrack.calls.context import CallContext, ContextCodec
-from citronrack.calls.delivery import LOSING_LOAD, TargetDelivery, TargetIdentity
+from citronrack.calls.delivery import FAILING_TARGET_LOAD, TargetDelivery, TargetIdentity
 from citronrack.calls.health import TargetHealth
-from citronrack.calls.message import Answer
+from citronrack.calls.message import Response
 from citronrack.clock import SystemClock
 from citronrack.platform.names import HEADERS
 from citronrack.telemetry import EventLog
@@ -64,7 +64,7 @@
 
     def call(
         self, *, service: str = "catalogue", cancelled: Callable[[], bool] = lambda: False
-    ) -> Answer:
+    ) -> Response:
         """Return the answer to a call that another node passes on."""
         request = Request(
             "POST", b"/x", service=service, request_id="r1", host="h", cancelled=cancelled
@@ -90,7 +90,7 @@
         with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as beside:
             answer = beside.call(service="media")
             self.assertIs(answer.verdict, Verdict.NOT_RUN)
-            self.assertFalse(answer.arrived)
+            self.assertFalse(answer.reached_target)
             self.assertEqual(beside.requests, [])
 
     def test_expected_target_and_remaining_time_are_sent(self) -> None:
@@ -113,8 +113,8 @@
             self.assertEqual((lost.status, lost.verdict), (502, Verdict.MAY_HAVE_RUN))
             refused = beside.call()
             self.assertEqual((refused.status, refused.verdict), (503, Verdict.NOT_RUN))
-            self.assertFalse(refused.arrived)
-            self.assertEqual(refused.load, LOSING_LOAD)
+            self.assertFalse(refused.reached_target)
+            self.assertEqual(refused.load, FAILING_TARGET_LOAD)
             self.assertEqual(len(beside.requests), 1)
             beside.identity = TargetIdentity("catalogue", "v1", "i-2")
             self.assertEqual(beside.call().status, 502)
@@ -125,7 +125,7 @@
             with DeliveryFixture(http_answer(status, "Not-Executed: 1")) as beside:
                 answer = beside.call()
                 self.assertEqual((answer.status, answer.verdict), (503, Verdict.NOT_RUN))
-                self.assertTrue(answer.arrived)
+                self.assertTrue(answer.reached_target)
                 self.assertEqual(beside.admission.load, 0)
 
     def test_answers_that_are_not_the_targets_own(self) -> None:
