Reword the texts of the platform's adapter

Cause: comments, docstrings and error texts of platform were vague or figurative.

Change: texts of all modules of src/citronrack/platform; error texts name the unit, field or state. No test or tool matches the changed messages.

--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -109,7 +109,7 @@
         self._needed.set()
 
     def _read_once(self) -> None:
-        """Read once, without a wait after a start or failure, to confirm the end of the topic soon."""
+        """Read once; reads after a start or a failure do not wait, to confirm the end early."""
         began_at, wait_ms = self._clock.monotonic(), 0
         timeout_ms = read_timeout_ms(self._backoff.failures, self._random)
         full = self._position is None
--- a/src/citronrack/platform/__init__.py
+++ b/src/citronrack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Names, formats and calls of the users' platform; nothing here decides."""
+"""Adapter to the users' platform: its names, formats and store API; contains no decisions."""
--- a/src/citronrack/platform/__main__.py
+++ b/src/citronrack/platform/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m citronrack.platform`` runs a node with the settings file that the platform names."""
+"""``python -m citronrack.platform`` runs a node with the settings file given by the platform."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 def main() -> int:
     """Return the exit code of the node."""
-    # A change of the settings during the imports would end the process.
+    # SIGHUP signals changed settings; during the imports it would terminate the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from .run import run_hosted
 
@@ -25,5 +25,5 @@
 if __name__ == "__main__":
     exit_code = main()
     sys.stdout.flush()
-    # Threads that wait for the store would keep the process for the rest of a long poll.
+    # Threads in a long poll of the store would delay a regular exit until the poll ends.
     os._exit(exit_code)
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -1,4 +1,4 @@
-"""Checked access to the fields of the platform's bodies."""
+"""Type-checked access to the fields of the platform's messages and settings."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 
 
 class FieldError(ValueError):
-    """A body lacks a field, or a field is of another type."""
+    """A field is missing or has an invalid type or format."""
 
 
 def parse_object(body: bytes) -> dict[str, Any]:
     """Return the JSON object in a body.
 
     Raises:
-        FieldError: If the bytes hold something else.
+        FieldError: If the body is not a JSON object.
     """
     try:
         value = json.loads(body)
@@ -33,7 +33,7 @@
 
 
 def require(fields: Mapping[str, Any], name: str, kind: type[T]) -> T:
-    """Return a field of a type.
+    """Return a field of the given type.
 
     Raises:
         FieldError: If it is missing or of another type.
@@ -45,10 +45,10 @@
 
 
 def require_seconds(fields: Mapping[str, Any], name: str) -> float:
-    """Return a time, written as a number with the unit ``ms`` or ``s``, in seconds.
+    """Return a duration in seconds; the field is a number with the unit ``ms`` or ``s``.
 
     Raises:
-        FieldError: If it is missing or of another form.
+        FieldError: If it is missing or not a duration.
     """
     text = require(fields, name, str)
     for unit, factor in _UNITS_S.items():
@@ -58,12 +58,12 @@
                 return float(number) * factor
             except ValueError:
                 continue
-    raise FieldError(f"field {name!r} is not a time: {text!r}")
+    raise FieldError(f"field {name!r} is not a duration with unit 'ms' or 's': {text!r}")
 
 
 @frozen
 class Table:
-    """Rows whose values stand in the order of the columns.
+    """A table whose rows hold their values in the order of the columns.
 
     Attributes:
         columns: Names of the columns.
@@ -75,32 +75,32 @@
 
     @classmethod
     def of(cls, fields: Mapping[str, Any], name: str) -> Table:
-        """Return a field that holds a table.
+        """Return the table in a field.
 
         Raises:
-            FieldError: If the field has another form.
+            FieldError: If the field is missing or not a table.
         """
         table = require(fields, name, dict)
         columns = require(table, "columns", list)
         if not all(isinstance(column, str) for column in columns):
-            raise FieldError(f"a column of {name!r} has no name")
+            raise FieldError(f"a column name of {name!r} is not a string")
         return cls(columns, require(table, "rows", list))
 
     def as_map(self, row: Any) -> dict[str, Any]:
-        """Return a row by column; values that are null are left out.
+        """Return a row as a map by column name, without null values.
 
         Raises:
-            FieldError: If the row does not fit the columns.
+            FieldError: If the row does not match the columns.
         """
         if not isinstance(row, list) or len(row) != len(self.columns):
-            raise FieldError(f"a row does not fit the columns {self.columns}")
+            raise FieldError(f"a row does not match the columns {self.columns}")
         pairs = zip(self.columns, row, strict=True)
         return {column: value for column, value in pairs if value is not None}
 
     def maps(self) -> Iterator[dict[str, Any]]:
-        """Yield all rows by column.
+        """Yield all rows as maps by column name.
 
         Raises:
-            FieldError: If a row does not fit the columns.
+            FieldError: If a row does not match the columns.
         """
         return map(self.as_map, self.rows)
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -1,4 +1,4 @@
-"""Headers and paths of the platform."""
+"""Headers, paths, topics and keys of the platform."""
 
 from __future__ import annotations
 
@@ -25,5 +25,5 @@
 
 
 def is_readiness_request(method: str, path: str) -> bool:
-    """Return whether a request asks if callers may send new work."""
+    """Return whether a request is a readiness probe."""
     return (method, path.partition("?")[0]) == READINESS
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -1,4 +1,4 @@
-"""Decodes what the operator writes to the store, and encodes what it reads."""
+"""Codec of the operator's records in the store: configurations, rollout orders and status."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
 }
 
 _DEFAULT_TIMEOUT_S = 30.0
-"""For routes that state no timeout; the caller's own deadline still holds."""
+"""For routes without a timeout; the deadline of the caller still applies."""
 
 
 class ConfigDecoder:
-    """Decodes configurations; routes that a version shares with the one before are kept.
+    """Decodes configurations and reuses the routes that the previous version has in common.
 
-    A change touches a few of some hundred routes, and decoding all of them took most of the time
-    that a change costs a node.
+    A change affects a few of several hundred routes, and decoding all of them took most of the time
+    that a node spends on a change.
     """
 
     def __init__(self) -> None:
@@ -39,7 +39,7 @@
         self._routes: dict[str, Route] = {}
 
     def decode(self, record: KeyedRecord) -> ConfigSet | None:
-        """Return the configuration in a record, None for another record or an unreadable one."""
+        """Return the configuration in a record, None for another kind or an invalid record."""
         if record.key != CONFIG_KEY or record.value is None:
             return None
         try:
@@ -66,7 +66,7 @@
 
 
 def decode_order(record: KeyedRecord) -> RolloutOrder | None:
-    """Return the rollout in a record, None for another record or an unreadable one."""
+    """Return the rollout order in a record, None for another kind or an invalid record."""
     if not record.key.startswith(ROLLOUT_PREFIX) or record.value is None:
         return None
     try:
@@ -82,7 +82,7 @@
 
 
 def status_write(service: str, version: str, phase: Phase) -> Write:
-    """Return the write that tells the operator the phase of a rollout."""
+    """Return the write that reports the phase of a rollout to the operator."""
     status = {
         "service": service,
         "state": _STATE_OF_PHASE[phase],
@@ -95,7 +95,7 @@
 
 
 def operator_topic() -> OperatorTopic:
-    """Return how the operator's records are read and answered."""
+    """Return the codec of the operator's records."""
     return OperatorTopic(
         name=OPERATOR_TOPIC, config=ConfigDecoder().decode, order=decode_order, status=status_write
     )
@@ -108,7 +108,7 @@
 def _route(row: Mapping[str, Any]) -> Route:
     kind = require(row, "kind", str)
     if kind not in _IDEMPOTENT_BY_KIND:
-        raise FieldError(f"the kind {kind!r} of a route is not known")
+        raise FieldError(f"unknown kind of route: {kind!r}")
     parts = tuple(
         SplitPart(require(part, "service", str), require(part, "weight", int))
         for part in row.get("weighted_clusters", ())
--- a/src/citronrack/platform/reports.py
+++ b/src/citronrack/platform/reports.py
@@ -1,4 +1,4 @@
-"""Decodes what a target says of itself."""
+"""Decodes status reports and leave notices of targets."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 def decode_report(method: str, path: str, body: bytes) -> TargetReport | TargetLeave | None:
-    """Return the report or notice in a request, None for another request.
+    """Return the report or leave notice in a request, None for any other request.
 
     Raises:
-        ReportInvalid: If a field is missing or of another type.
+        ReportInvalid: If a field is missing or invalid.
     """
     path = path.partition("?")[0]
     if method != "POST":
@@ -37,10 +37,10 @@
     status = require(fields, "status", dict)
     state = require(status, "state", str)
     if not target_id or state not in _DRAINING_BY_STATE:
-        raise FieldError(f"the state {state!r} of {target_id!r} is not known")
+        raise FieldError(f"unknown state {state!r} of target {target_id!r}")
     slots = require(info, "capacity", int)
     if slots < 1:
-        raise FieldError("field 'capacity' is not a positive number")
+        raise FieldError("field 'capacity' is not a positive integer")
     return TargetReport(
         target_id=target_id,
         service=require(info, "service", str),
--- a/src/citronrack/platform/run.py
+++ b/src/citronrack/platform/run.py
@@ -1,4 +1,4 @@
-"""Runs a node with the platform's settings, names and store."""
+"""Runs a node with the adapter to the platform."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
         path: The file.
 
     Raises:
-        SettingsError: If the file cannot be used.
+        SettingsError: If the file is unreadable or invalid.
     """
 
     def __init__(self, path: str) -> None:
@@ -32,14 +32,14 @@
 
     @property
     def settings(self) -> HostedSettings:
-        """The settings as they were last read."""
+        """The settings of the last successful read."""
         return self._settings
 
     def reload(self) -> bool:
         """Read the file again; return whether the settings have changed.
 
         Raises:
-            SettingsError: If the file cannot be used; it may be half written.
+            SettingsError: If the file is unreadable or invalid; it may be partially written.
         """
         content = self._read()
         if content == self._content:
@@ -56,11 +56,11 @@
 
 
 def run_hosted(path: str, *, write_error: Callable[[str], None]) -> int:
-    """Serve until the process is told to stop and return the exit code.
+    """Serve until the process is signalled to stop; return the exit code.
 
     Args:
         path: The settings file.
-        write_error: Called with one line per fault of the settings, before any socket opens.
+        write_error: Called with one line per error in the settings, before any socket is opened.
     """
     try:
         file = SettingsFile(path)
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -16,10 +16,10 @@
 
 
 def parse_settings(content: bytes, *, source: str) -> HostedSettings:
-    """Return the checked settings in the bytes of a file.
+    """Return the validated settings in the content of a file.
 
     Raises:
-        SettingsError: If the bytes are not TOML or a field is missing.
+        SettingsError: If the content is not TOML, or a field is missing or invalid.
     """
     try:
         return _settings(tomllib.loads(content.decode()))
@@ -30,7 +30,7 @@
 def _settings(fields: Mapping[str, Any]) -> HostedSettings:
     local = require(fields, "local", dict)
     network = require(fields, "network", dict)
-    # The table "platform" tells how machines and the store are met; the store has its own table.
+    # Table "platform" describes the platform's services; the store is its subtable "platform".
     platform = require(fields, "platform", dict)
     return HostedSettings(
         name=require(local, "node_id", str),
@@ -49,7 +49,7 @@
     ip = require(local, "ip", str)
     ports = require(network, "internal_port_range", list)
     if not ports:
-        raise FieldError("field 'internal_port_range' names no port")
+        raise FieldError("field 'internal_port_range' is empty")
     return HostedAddresses(
         calls=require(listen, "outbound", str),
         deliveries=require(listen, "inbound", str),
@@ -63,7 +63,7 @@
 
 
 def _link_mbps(local: Mapping[str, Any]) -> int:
-    """Return the rate of the instance's link; 0 where no limit is stated, which ranks last."""
+    """Return the bandwidth of the instance's link; 0, which ranks last, if no limit is stated."""
     limits = require(local, "limits", dict) if "limits" in local else {}
     return round(float(limits.get("link_mbps", 0)))
 
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store."""
+"""HTTP client of the platform's store."""
 
 from __future__ import annotations
 
@@ -16,27 +16,27 @@
 from ..hosted.store import AppendConflict, KeyedPage, KeyedRecord
 
 CONNECT_TIMEOUT_MS = 800
-"""A connection within one region takes milliseconds; the store must be found again quickly."""
+"""Connecting within a region takes milliseconds; a recovered store must be detected quickly."""
 
 ANSWER_TIMEOUT_MS = 3_000
-"""Longest time of an append; a slow store takes over 300 ms."""
+"""Timeout of an append; a slow store takes over 300 ms."""
 
 KEEP_ALIVE_S = 1
 UNACKNOWLEDGED_MS = 2_500
-"""A connection that went silent is given up after this time, also during a long poll."""
+"""An unresponsive connection is closed after this time, even during a long poll."""
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
 HEADER_BYTES = 2 * OFFSET_BYTES
-"""A page of raw records begins with the topic's end and its first kept offset."""
+"""A page of raw records starts with the end offset and the first retained offset of the topic."""
 
 PAGE_KB = 1_024
 MAX_BODY_BYTES = 4 * 1024 * PAGE_KB
-"""Largest body of an answer; a page of newest records is 1 MB before it is written in base64."""
+"""Largest accepted response body; a page of newest records is 1 MB before base64 encoding."""
 
 _NOT_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 _PARTITION = 0
-"""Topics of newest records have one partition."""
+"""Topics that keep the newest record of each key have one partition."""
 
 
 class PlatformStore:
@@ -61,7 +61,7 @@
             if status == 404:
                 return KeyedPage((), 0)
             if status != 200:
-                raise LogUnavailable(f"the store answered with status {status}")
+                raise LogUnavailable(f"the store responded with status {status}")
             page = _parse_object(body)
             try:
                 items = [_newest_record(item) for item in page["items"]]
@@ -70,7 +70,7 @@
             except (KeyError, TypeError, ValueError) as error:
                 raise LogUnavailable("the store sent a malformed page") from error
             records += items
-            # Records may change between pages, so reading goes on where the first one ended.
+            # Records may change between pages, so the next read starts at the end of the first one.
             position = end if position is None else position
             if not more or not items:
                 return KeyedPage(tuple(records), position)
@@ -91,7 +91,7 @@
         if status == 404:
             return KeyedPage((), start, start=start)
         if status != 200:
-            raise LogUnavailable(f"the store answered with status {status}")
+            raise LogUnavailable(f"the store responded with status {status}")
         records = tuple(_raw_records(body, start))
         position = records[-1].offset + 1 if records else start
         end = int.from_bytes(body[:OFFSET_BYTES], "big")
@@ -113,8 +113,8 @@
             )
         except pycurl.error as error:
             if error.args[0] in _NOT_SENT:
-                raise AppendRefused(f"the store was not reached: {error}") from error
-            raise AppendUnknown(f"no answer to the append: {error}") from error
+                raise AppendRefused(f"cannot connect to the store: {error}") from error
+            raise AppendUnknown(f"no response to the append: {error}") from error
         return _append_offset(status, body)
 
     def close(self) -> None:
@@ -125,7 +125,7 @@
         try:
             return self._exchange(f"{call}?{urlencode(query)}", data=None, timeout_ms=timeout_ms)
         except pycurl.error as error:
-            raise LogUnavailable(f"the store did not answer: {error}") from error
+            raise LogUnavailable(f"no response from the store: {error}") from error
 
     def _exchange(self, call: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
         return exchange(
@@ -140,7 +140,7 @@
 
 
 def _open_socket(purpose: int, address: Any) -> socket.socket:
-    """Return a socket that notices a peer that has gone silent."""
+    """Return a socket that detects an unresponsive peer."""
     connection = socket.socket(address.family, address.socktype, address.protocol)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
@@ -167,7 +167,7 @@
 
 
 def _raw_records(body: bytes, start: int) -> list[KeyedRecord]:
-    """Decode records, each a length, the key's length, the key and the value."""
+    """Decode records, each of which is a length, the key's length, the key and the value."""
     records = []
     at = HEADER_BYTES
     offset = start
@@ -175,9 +175,9 @@
         length = int.from_bytes(body[at : at + LENGTH_BYTES], "big")
         content = body[at + LENGTH_BYTES : at + LENGTH_BYTES + length]
         if len(content) < length:
-            raise LogUnavailable("the store sent a record that is cut short")
+            raise LogUnavailable("the store sent a truncated record")
         key_end = 1 + content[0] if content else 0
-        # A foreign record without a key or value removes nothing that is used here.
+        # A foreign record without a key or value does not remove any key that is used here.
         key = content[1:key_end].decode("utf-8", errors="replace")
         records.append(KeyedRecord(key, content[key_end:] or None, offset))
         offset += 1
@@ -186,15 +186,15 @@
 
 
 def _append_offset(status: int, body: bytes) -> int:
-    """Return the offset in the answer to an append, or raise what the status means."""
+    """Return the offset in the response to an append, or raise the error for its status."""
     if status == 200:
         offset = _parse_object(body).get("offset")
         if not isinstance(offset, int):
-            raise AppendUnknown("the store answered an append without an offset")
+            raise AppendUnknown("the store responded to an append without an offset")
         return offset
     if status == 412:
         end = _parse_object(body).get("end")
         raise AppendConflict(end if isinstance(end, int) else -1)
     if status in (400, 403, 404, 409, 413, 429, 503, 507):
         raise AppendRefused(f"the store refused an append with status {status}")
-    raise AppendUnknown(f"the store answered an append with status {status}")
+    raise AppendUnknown(f"the store responded to an append with status {status}")
