--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -1,4 +1,4 @@
-"""Nodes on a platform in one process: cores, a store in memory, and time that is moved by hand."""
+"""Cores of nodes on a platform in one process, with an in-memory store and a manual clock."""
 
 from __future__ import annotations
 
@@ -43,20 +43,20 @@
 
 
 class RecordingLog(EventLog):
-    """Keeps the written events instead of printing them."""
+    """Records events instead of printing them."""
 
     def __init__(self) -> None:
         super().__init__(node="n", level="debug")
         self.written: list[tuple[Event, dict[str, Any]]] = []
 
     def write(self, event: Event, **fields: Any) -> None:
-        """Keep one event."""
+        """Record one event."""
         self.written.append((event, fields))
 
 
 @define(eq=False)
 class Store:
-    """Topics in memory; nodes that are cut off see nothing."""
+    """Topics in memory."""
 
     topics: dict[str, list[KeyedRecord]] = field(factory=dict)
 
@@ -73,7 +73,13 @@
 
 
 class Mesh:
-    """Cores whose messages arrive at once; time moves only when told to."""
+    """Cores whose messages are delivered immediately; time only advances in `run`.
+
+    Attributes:
+        cut: Names of nodes that cannot reach the store.
+        unreachable: Names of nodes that neither send nor receive messages.
+        drops: Returns whether a message from a sender to a receiver is lost.
+    """
 
     def __init__(self, size: int, *, zones: tuple[str, ...] = ("z",)) -> None:
         self.zones = zones
@@ -90,7 +96,7 @@
             self.add(f"n{index}")
 
     def add(self, name: str, *, boot: int = 1) -> HostedCore:
-        """Add a node, in place of one of the same name."""
+        """Add a node; it replaces one of the same name."""
         address = f"10.0.0.{int(name[1:]) + 1}"
         self.views[name] = ViewHolder()
         self.logs[name] = RecordingLog()
@@ -118,7 +124,7 @@
         return self.zones[int(name[1:]) % len(self.zones)]
 
     def read(self, *names: str) -> None:
-        """Let nodes read all topics from the store, if they reach it."""
+        """Let nodes read all topics; a node in `cut` gets a failed read."""
         self._store_writes()
         for name in names or tuple(self.cores):
             for topic in (operator_topic().name, MESH_TOPIC):
@@ -131,7 +137,7 @@
         self._store_writes()
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the clock tick by tick."""
         for _ in range(round(seconds / TICK_S)):
             self.clock.advance(TICK_S)
             for name, core in self.cores.items():
@@ -139,7 +145,7 @@
             self._store_writes()
 
     def report(self, name: str, **fields: Any) -> str:
-        """Send a report of the target beside a node; return the fault it was answered with."""
+        """Send a report of a node's target; return the error message of the answer."""
         answer: Future[str] = Future()
         usual = {
             "target_id": f"i-{name}",
@@ -156,27 +162,27 @@
         self.deliver(name, self.cores[name].handle(ReportReceived(report, answer)))
         return answer.result(0)
 
-    def deliver(self, sender: str, effects: list[Send]) -> None:
-        """Hand messages to their nodes, and the answers to these."""
-        for effect in effects:
-            name = f"n{int(effect.to.removeprefix('tcp://10.0.0.').split(':')[0]) - 1}"
-            if self.drops(sender, name, effect.message):
+    def deliver(self, sender: str, sends: list[Send]) -> None:
+        """Deliver messages to their nodes, and recursively the replies to them."""
+        for send in sends:
+            name = f"n{int(send.to.removeprefix('tcp://10.0.0.').split(':')[0]) - 1}"
+            if self.drops(sender, name, send.message):
                 continue
             if name in self.cores and not {name, sender} & self.unreachable:
                 address = f"tcp://10.0.0.{int(sender[1:]) + 1}:7000"
-                self.deliver(name, self.cores[name].on_message(address, effect.message))
+                self.deliver(name, self.cores[name].on_message(address, send.message))
 
     def pool(self, name: str) -> set[str]:
-        """Return the names of the targets that a node routes to."""
+        """Return the names of the targets to which a node routes calls."""
         return {target.name for target in self.views[name].current.pools.get((SERVICE, ""), ())}
 
     def states(self) -> list[str]:
-        """Return the states of rollouts that the operator has read, in order."""
+        """Return the rollout states written for the operator, in order."""
         records = self.store.topics.get("keyed.status", [])
         return [json.loads(record.value or b"")["state"] for record in records]
 
     def _store_writes(self) -> None:
-        """Store what nodes have written that reach the store."""
+        """Execute pending writes of the nodes that reach the store."""
         waiting = []
         for name, write in self._writes:
             if name in self.cut:
@@ -193,7 +199,7 @@
 
 
 def make_gossip(replica: TopicReplica, clock: ManualClock) -> GossipCore:
-    """Return the exchange of a node that knows nobody."""
+    """Return the gossip of a node that knows no other nodes."""
     table = NodeTable(own_name="n", clock=clock)
     table.put(NodeEntry("n", 1, 0, "z", "10.0.0.1:1", "10.0.0.1:2"))
     return GossipCore(
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -1,4 +1,4 @@
-"""A mesh whose nodes follow the operator's topic by long polls."""
+"""A mesh whose nodes follow the operator topic with long polls."""
 
 from __future__ import annotations
 
@@ -23,18 +23,19 @@
 
 @define(eq=False)
 class Poll:
-    """The watch of one node.
+    """Simulated watch of one node.
 
     Attributes:
-        needed: Whether the node wants the topic to be read.
-        position: First offset that is asked for.
-        began_at: When the read that is open began, None while there is none.
-        hangs: Whether the open read gets no answer.
-        next_at: When the next read may begin.
-        failures: Reads without an answer since the last one that had one.
-        limit_ms: Longest time of the open read beyond its wait; a silent store takes connections.
+        needed: Whether the node has to read the topic.
+        position: First offset that is requested.
+        began_at: Start time of the pending read, None if there is none.
+        hangs: Whether the pending read gets no response.
+        next_at: Earliest start of the next read.
+        failures: Consecutive failed reads.
+        limit_ms: Timeout of the pending read, in addition to its wait; a silent store still accepts
+            connections.
         random: Source of random numbers.
-        waits: Whether the store holds the read while nothing changes.
+        waits: Whether the store holds the read while there are no new records.
     """
 
     needed: bool = True
@@ -49,11 +50,11 @@
 
 
 class PollingMesh(Mesh):
-    """Nodes with long polls; ticks of nodes come one after the other.
+    """Nodes with long polls and staggered ticks.
 
     Attributes:
-        silent: Nodes that get no answer of the store.
-        refused: Nodes that the store refuses.
+        silent: Nodes that get no response from the store.
+        refused: Nodes whose requests the store refuses.
     """
 
     def __init__(self, size: int, *, zones: tuple[str, ...]) -> None:
@@ -69,7 +70,7 @@
             poll.position = 1
 
     def add(self, name: str, *, boot: int = 1) -> HostedCore:
-        """Add a node, in place of one of the same name."""
+        """Add a node; it replaces one of the same name."""
         core = super().add(name, boot=boot)
         poll = self.polls[name] = Poll(random=Random(name))
 
@@ -83,7 +84,7 @@
         return core
 
     def run(self, seconds: float) -> None:
-        """Let time pass in small steps."""
+        """Advance the clock in small steps."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
             self._steps += 1
@@ -94,12 +95,12 @@
             self._store_writes()
 
     def change(self, version: int) -> None:
-        """Let the operator write a configuration."""
+        """Write a configuration as the operator."""
         records = self.store.topics[TOPIC]
         records.append(config_record(version, len(records), f"p{version}"))
 
     def order(self, version: str) -> None:
-        """Let the operator order a rollout."""
+        """Write a rollout order as the operator."""
         fields = {"service": SERVICE, "target_version": version, "duration": "16s"}
         self.store.put(TOPIC, f"rollout/{SERVICE}", json.dumps(fields).encode())
 
@@ -108,7 +109,7 @@
         return [n for n, poll in self.polls.items() if poll.needed and self.zone_of(n) == zone]
 
     def versions(self) -> dict[str, int]:
-        """Return the version in force on each node."""
+        """Return the active configuration version of each node."""
         return {name: core.config_version for name, core in self.cores.items()}
 
     def _poll(self, name: str, poll: Poll) -> None:
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -1,4 +1,4 @@
-"""Decisions of nodes on a platform, without sockets."""
+"""Cores of nodes on a platform, without sockets."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 
 class HostedCoreTest(unittest.TestCase):
-    """Configuration, nodes and the own target."""
+    """Configuration, nodes and the local target."""
 
     def start(self, size: int = 3) -> Mesh:
-        """Return a mesh whose nodes know each other and a configuration."""
+        """Return a mesh whose nodes know each other and have a configuration."""
         mesh = Mesh(size)
         mesh.store.topics[operator_topic().name] = [config_record(1, 0, "a")]
         mesh.read()
@@ -34,7 +34,7 @@
         return mesh
 
     def test_no_configuration_no_calls(self) -> None:
-        """Guards against a 404 by a node that does not know the routes yet."""
+        """Guards against a 404 from a node that does not know the routes yet."""
         mesh = Mesh(1)
         self.assertFalse(mesh.cores["n0"].ready)
         self.assertFalse(mesh.views["n0"].current.ready)
@@ -46,7 +46,7 @@
             self.assertEqual(mesh.pool(name), {"n0", "n1", "n2"})
 
     def test_versions_only_grow(self) -> None:
-        """Guards against a configuration that is replaced by an older one at a greater offset."""
+        """Guards against an older configuration at a greater offset replacing a newer one."""
         mesh = self.start(1)
         records = mesh.store.topics[operator_topic().name]
         records.append(config_record(7, 1, "b"))
@@ -58,7 +58,7 @@
         self.assertIsNotNone(mesh.views["n0"].current.route_of("/b/x", "h"))
 
     def test_node_without_the_store_gets_changes_from_others(self) -> None:
-        """Guards against an old configuration on a node that only the store is cut off from."""
+        """Guards against an outdated configuration on a node that only lacks the store."""
         mesh = self.start()
         mesh.cut.add("n0")
         mesh.store.topics[operator_topic().name].append(config_record(2, 1, "b"))
@@ -67,7 +67,7 @@
         self.assertEqual(mesh.cores["n0"].config_version, 2)
 
     def test_leave_is_in_force_before_it_is_acknowledged(self) -> None:
-        """Guards against calls that a target gets after its leaving was acknowledged."""
+        """Guards against calls to a target after its leave notice was acknowledged."""
         mesh = self.start()
         self.assertEqual(mesh.report("n1", draining=True, sequence=2), "")
         self.assertTrue(mesh.cores["n1"].identity().refusal)
@@ -80,7 +80,7 @@
         self.assertEqual(mesh.pool("n0"), {"n0"})
 
     def test_leave_during_an_outage_of_the_store(self) -> None:
-        """Guards against routing by the store's last word while the store is away."""
+        """Guards against routing by outdated records of the store while it is unavailable."""
         mesh = self.start()
         mesh.cut.update(mesh.cores)
         mesh.read()
@@ -88,7 +88,7 @@
         self.assertNotIn("n1", mesh.pool("n0"))
 
     def test_lost_record_is_written_again(self) -> None:
-        """Guards against a node that nobody finds after the store has lost its record."""
+        """Guards against a node that cannot be discovered after the store has lost its record."""
         mesh = self.start()
         mesh.store.put(MESH_TOPIC, NODE_PREFIX + "n1", None)
         mesh.read("n1")
@@ -96,7 +96,7 @@
         self.assertIsNotNone(values[NODE_PREFIX + "n1"])
 
     def test_restart_with_an_earlier_wall_time(self) -> None:
-        """Guards against a node whose entry is taken for an old one after its clock jumped back."""
+        """Guards against rejecting a restarted node's entry as old after its clock jumped back."""
         mesh = self.start()
         mesh.add("n1", boot=0)
         mesh.read("n1")
@@ -106,14 +106,14 @@
         self.assertEqual({t.target_id for t in pool if t.name == "n1"}, {"i-new"})
 
     def test_stopping_node_is_left_out(self) -> None:
-        """Guards against calls that go to a node that stops."""
+        """Guards against calls to a node that is shutting down."""
         mesh = self.start()
         mesh.deliver("n1", mesh.cores["n1"].handle(StopRequested()))
         self.assertFalse(mesh.cores["n1"].ready)
         self.assertNotIn("n1", mesh.pool("n0"))
 
     def test_lost_announcement_is_repaired(self) -> None:
-        """Guards against a node that misses the one message about a change."""
+        """Guards against a node that never recovers from a lost announcement."""
         mesh = self.start()
         mesh.cut.update(mesh.cores)
         mesh.read()
@@ -125,7 +125,7 @@
         self.assertNotIn("n1", mesh.pool("n0"))
 
     def test_dead_node_expires_and_live_ones_stay(self) -> None:
-        """Guards against a list of nodes that grows with every replaced instance."""
+        """Guards against a node table that grows with every replaced instance."""
         mesh = self.start()
         del mesh.cores["n2"]
         for _ in range(round((EXPIRE_AFTER_S + RENEW_INTERVAL_S) / 10)):
@@ -136,7 +136,7 @@
         self.assertIsNone(values[NODE_PREFIX + "n2"])
 
     def test_cold_target_is_not_called_slow(self) -> None:
-        """Guards against a good version that is taken back because its targets are new."""
+        """Guards against rolling back a good version because its targets have just started."""
         mesh = self.start(2)
         order = {"service": SERVICE, "target_version": "v2", "duration": "16s"}
         mesh.report("n1", target_id="i-new", service_version="v2", started_ms=2, cold_s=3.0)
@@ -163,7 +163,7 @@
             self.assertEqual(states[-1], "in_progress" if not seconds else "rolled_back")
 
     def test_unreadable_records_are_passed_over(self) -> None:
-        """Guards against a foreign record that ends the core."""
+        """Guards against an invalid record that terminates the core."""
         mesh = self.start()
         mesh.store.put(MESH_TOPIC, NODE_PREFIX + "x", b"\xff")
         mesh.store.put(MESH_TOPIC, "rollout/s", encode(NodeEntry("x", 1, 1, "z", "a", "b")))
@@ -172,7 +172,7 @@
         self.assertEqual(mesh.pool("n0"), {"n0", "n1", "n2"})
 
     def test_unreadable_records_are_logged(self) -> None:
-        """Guards against a damaged record in the nodes' topic that leaves no trace."""
+        """Guards against damaged records in the mesh topic that are not logged."""
         mesh = self.start()
         mesh.store.put(MESH_TOPIC, NODE_PREFIX + "x", b"\xff")
         mesh.store.put(MESH_TOPIC, "rollout/s", b"\xff")
@@ -185,16 +185,16 @@
         self.assertEqual(sorted(refused), [NODE_PREFIX + "x", "rollout/s"])
 
     def test_line_of_a_configuration_tells_its_way(self) -> None:
-        """Guards against a late configuration of which nobody can say how it came."""
+        """Guards against late configurations whose source is not logged."""
         mesh = self.start()
         mesh.cut.add("n0")
         mesh.store.topics[operator_topic().name].append(config_record(2, 1, "b"))
         mesh.read()
         mesh.run(2.0)
-        told = {
+        arrivals = {
             name: [fields for event, fields in log.written if event is Event.CONFIG_IN_FORCE][-1]
             for name, log in mesh.logs.items()
         }
-        self.assertEqual(told["n1"]["source"], "store")
-        self.assertTrue(told["n0"]["source"].startswith("tcp://"))
-        self.assertEqual({fields["position"] for fields in told.values()}, {2})
+        self.assertEqual(arrivals["n1"]["source"], "store")
+        self.assertTrue(arrivals["n0"]["source"].startswith("tcp://"))
+        self.assertEqual({fields["position"] for fields in arrivals.values()}, {2})
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -1,4 +1,4 @@
-"""What the node beside a target checks before and after the target has a request."""
+"""Checks by a node before and after its target handles a request."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 @define(eq=False)
 class DeliveryFixture:
-    """A delivery to a scripted target."""
+    """A `TargetDelivery` to a scripted target."""
 
     answer: bytes = b""
     identity: TargetIdentity = field(factory=lambda: TargetIdentity("catalogue", "v1", "i-1"))
@@ -83,53 +83,54 @@
 
 
 class DeliveryTest(unittest.TestCase):
-    """Answers that are not the target's own, and targets that must not get a call."""
+    """Responses that are not the target's own, and targets that must not receive a call."""
 
     def test_target_of_another_service(self) -> None:
-        """Guards against a request that runs at a service that took over the address."""
-        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as beside:
-            answer = beside.call(service="media")
+        """Guards against running a request at a service that took over the target's address."""
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as fixture:
+            answer = fixture.call(service="media")
             self.assertIs(answer.verdict, Verdict.NOT_RUN)
             self.assertFalse(answer.reached_target)
-            self.assertEqual(beside.requests, [])
+            self.assertEqual(fixture.requests, [])
 
     def test_expected_target_and_remaining_time_are_sent(self) -> None:
-        """Guards against a request that runs at another start, or for longer than is left."""
-        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as beside:
-            self.assertEqual(beside.call().status, 200)
-            head = beside.requests[0].lower()
+        """Guards against running a request at another start of the target or past its deadline."""
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s")) as fixture:
+            self.assertEqual(fixture.call().status, 200)
+            head = fixture.requests[0].lower()
             self.assertIn(b"expected-instance: i-1\r\n", head)
             left_ms = int(head.split(b"deadline-ms: ")[1].split(b"\r\n")[0])
             self.assertTrue(0 < left_ms <= 2000)
             self.assertNotIn(b"x-citronrack", head)
 
     def test_target_that_loses_requests_gets_no_unsafe_one(self) -> None:
-        """Guards against work that is lost at a target which ends every connection.
+        """Guards against losing requests at a target that closes every connection.
 
-        Other targets could have run it; only a request that was not run may go there.
+        After the first lost request, the node refuses others, so that they can run at another
+        target.
         """
-        with DeliveryFixture(b"") as beside:
-            lost = beside.call()
+        with DeliveryFixture(b"") as fixture:
+            lost = fixture.call()
             self.assertEqual((lost.status, lost.verdict), (502, Verdict.MAY_HAVE_RUN))
-            refused = beside.call()
+            refused = fixture.call()
             self.assertEqual((refused.status, refused.verdict), (503, Verdict.NOT_RUN))
             self.assertFalse(refused.reached_target)
             self.assertEqual(refused.load, FAILING_TARGET_LOAD)
-            self.assertEqual(len(beside.requests), 1)
-            beside.identity = TargetIdentity("catalogue", "v1", "i-2")
-            self.assertEqual(beside.call().status, 502)
+            self.assertEqual(len(fixture.requests), 1)
+            fixture.identity = TargetIdentity("catalogue", "v1", "i-2")
+            self.assertEqual(fixture.call().status, 502)
 
     def test_refusal_of_the_target(self) -> None:
-        """Guards against a refusal that is taken for a run, or that costs no retry."""
+        """Guards against treating a target's refusal as a run, or as not having reached it."""
         for status in (421, 429, 503):
-            with DeliveryFixture(http_answer(status, "Not-Executed: 1")) as beside:
-                answer = beside.call()
+            with DeliveryFixture(http_answer(status, "Not-Executed: 1")) as fixture:
+                answer = fixture.call()
                 self.assertEqual((answer.status, answer.verdict), (503, Verdict.NOT_RUN))
                 self.assertTrue(answer.reached_target)
-                self.assertEqual(beside.admission.load, 0)
+                self.assertEqual(fixture.admission.load, 0)
 
     def test_answers_that_are_not_the_targets_own(self) -> None:
-        """Guards against a success that belongs to another request or has lost its end."""
+        """Guards against a success that belongs to another request or is truncated."""
         answers = {
             "unsigned": http_answer(200),
             "other request": http_answer(200, "Instance-Signature: s", "Attempt-Id: r0"),
@@ -138,23 +139,25 @@
             "malformed": b"\x00\x01\x02\r\n\r\n",
         }
         for name, data in answers.items():
-            with self.subTest(name), DeliveryFixture(data) as beside:
-                answer = beside.call()
+            with self.subTest(name), DeliveryFixture(data) as fixture:
+                answer = fixture.call()
                 self.assertEqual((answer.status, answer.verdict), (502, Verdict.MAY_HAVE_RUN))
 
     def test_failure_of_the_target_is_passed_on(self) -> None:
-        """Guards against a target's own failure that gets another status."""
-        with DeliveryFixture(http_answer(500, "Instance-Signature: s", "Attempt-Id: r1")) as beside:
-            answer = beside.call()
+        """Guards against changing the status of a target's own failure."""
+        with DeliveryFixture(
+            http_answer(500, "Instance-Signature: s", "Attempt-Id: r1")
+        ) as fixture:
+            answer = fixture.call()
             self.assertEqual((answer.status, answer.verdict), (500, Verdict.RAN))
 
     def test_waiting_call_is_refused_when_the_target_leaves(self) -> None:
-        """Guards against a call that waits for a slot and reaches a target that has left."""
-        with DeliveryFixture(http_answer(200, "Instance-Signature: s"), slots=1) as beside:
-            slot = beside.admission.acquire(route="", deadline=SystemClock().monotonic() + 5)
-            waiting = ThreadPoolExecutor(1).submit(beside.call)
+        """Guards against a call that was queued for a slot and reaches a target that has left."""
+        with DeliveryFixture(http_answer(200, "Instance-Signature: s"), slots=1) as fixture:
+            slot = fixture.admission.acquire(route="", deadline=SystemClock().monotonic() + 5)
+            waiting = ThreadPoolExecutor(1).submit(fixture.call)
             threading.Event().wait(0.05)
-            beside.identity = TargetIdentity("catalogue", "v1", "i-1", refusal="leaving")
+            fixture.identity = TargetIdentity("catalogue", "v1", "i-1", refusal="leaving")
             self.assertIs(waiting.result(1.0).verdict, Verdict.NOT_RUN)
             slot.release()
-            self.assertEqual(beside.requests, [])
+            self.assertEqual(fixture.requests, [])
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -1,4 +1,4 @@
-"""What changed between two values, and how it reaches nodes that hold the older one."""
+"""Deltas between values, and their delivery to nodes that hold the older value."""
 
 from __future__ import annotations
 
@@ -25,14 +25,14 @@
 
 
 def value(version: int, *, changed: int = 0) -> bytes:
-    """Return a configuration; one row tells the version."""
+    """Return a configuration in which one row contains the version."""
     rows = [[f"r{i}", f"h{i}.example", f"/p{i * 7919}/", "1s"] for i in range(ROWS)]
     rows[changed][3] = f"{version}ms"
     return json.dumps({"version": version, "routes": {"rows": rows}}).encode()
 
 
 class DeltaTest(unittest.TestCase):
-    """Values that are made again from an older one."""
+    """Values that are rebuilt from an older one."""
 
     @settings(max_examples=100, derandomize=True, deadline=None)
     @given(
@@ -45,12 +45,12 @@
         self.assertEqual(apply_delta(first, make_delta(first, second)), second)
 
     def test_other_base_is_noticed(self) -> None:
-        """Guards against a value that is made from another older one than the sender had."""
+        """Guards against applying a delta to another base than the sender's."""
         delta = make_delta(value(1), value(2, changed=5))
         self.assertIsNone(apply_delta(value(3, changed=9), delta))
 
     def test_damaged_delta_is_refused(self) -> None:
-        """Guards against a damaged message that ends the task which reads it."""
+        """Guards against a damaged message that terminates the receiving task."""
         for delta in (b"\x00", compress(b"\xc1"), compress(b"\x93\x01\x02\x03"), b""):
             with self.subTest(delta), self.assertRaises(MessageRejected):
                 apply_delta(value(1), delta)
@@ -59,37 +59,37 @@
 
 
 class PushTest(unittest.TestCase):
-    """Records that a reader passes on."""
+    """Records that a reader forwards."""
 
     def setUp(self) -> None:
-        """Make a reader and another node that hold the same record."""
+        """Create a reader and another node that hold the same record."""
         self.reader, self.other = TopicReplica(TOPIC), TopicReplica(TOPIC)
         for replica in (self.reader, self.other):
             replica.apply(KeyedPage((KeyedRecord("config", value(1), 1),), 2))
         self.gossip = make_gossip(self.other, ManualClock())
 
     def push(self, version: int) -> TopicRecords:
-        """Return what the reader sends after a change."""
+        """Return the message that the reader sends after a change."""
         before, start = self.reader.records(), self.reader.position
         record = KeyedRecord("config", value(version, changed=version), version)
         self.reader.apply(KeyedPage((record,), version + 1, start=start))
         return GossipCore.push(TOPIC, self.reader.since(start), before=before)
 
     def test_changes_fit_a_slow_link(self) -> None:
-        """Guards against a reader's link that is full with changes of one row.
+        """Guards against saturating a reader's link with changes of one row.
 
-        Four changes a second to the 30 nodes of a zone delayed calls by more than a second on a
-        link of 10 Mbit/s.
+        Four changes a second, sent to the 30 nodes of a zone, delayed calls by more than a second
+        on a link of 10 Mbit/s.
         """
         push = self.push(2)
-        sent = sum(len(short) for _, short, _ in push.records)
+        sent = sum(len(compressed) for _, compressed, _ in push.records)
         self.assertLess(sent * ZONE_NODES * CHANGES_PER_S, 0.1 * LINK_BYTES_PER_S)
         self.assertEqual(self.gossip.on_message("tcp://r", push), [])
         self.assertEqual(self.other.value("config"), value(2, changed=2))
         self.assertEqual(self.other.position, 3)
 
     def test_node_without_the_older_record_asks(self) -> None:
-        """Guards against a node that misses one change and never gets the next ones."""
+        """Guards against a node that misses one change and cannot apply later deltas."""
         self.push(2)
         asked = self.gossip.on_message("tcp://r", self.push(3))
         self.assertEqual(self.other.position, 2)
@@ -102,7 +102,7 @@
         self.assertEqual(self.other.position, 4)
 
     def test_message_without_bases_holds_whole_values(self) -> None:
-        """Guards against a node that does not understand one of the release before."""
+        """Guards against a node that does not understand messages of the previous release."""
         message = TopicRecords(TOPIC, (("config", compress(value(2)), 2),), 3)
         self.gossip.on_message("tcp://r", message)
         self.assertEqual(self.other.value("config"), value(2))
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -1,4 +1,4 @@
-"""Confirmed configurations that have to be in force on every node in time."""
+"""Confirmed configurations must be active on every node in time."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 SIZE = 12
 STABLE_S = 3.0
 DELAYS_S = (0.0, 0.3, 0.6, 0.9, 1.2)
-"""Times between the start of a fault and the change."""
+"""Delays between the start of a fault and the change."""
 
 
 class LateChangeTest(unittest.TestCase):
-    """Faults of the store that do not excuse nodes which reach it."""
+    """Faults of the store that affect only some of the nodes."""
 
     def steady_mesh(self) -> PollingMesh:
-        """Return a mesh in which one node of each zone reads."""
+        """Return a mesh in which exactly one node of each zone reads."""
         mesh = PollingMesh(SIZE, zones=ZONES)
         mesh.run(5.0)
         for zone in ZONES:
@@ -36,14 +36,14 @@
         return mesh
 
     def assert_in_time(self, mesh: PollingMesh, version: int, nodes: Iterable[str]) -> None:
-        """Check that nodes have a version that is changed to now within the bound."""
+        """Write a version and check that nodes have it within the bound."""
         mesh.change(version)
         mesh.run(CONFIG_APPLY_S)
         versions = mesh.versions()
         self.assertEqual({name: versions[name] for name in nodes}, dict.fromkeys(nodes, version))
 
     def check_random_nodes(self, kind: str) -> None:
-        """Check a change while some nodes, a reader among them, do not get at the store."""
+        """Check a change while some nodes, including a reader, cannot read from the store."""
         for seed in range(20):
             with self.subTest(seed=seed):
                 random = Random(seed)
@@ -54,7 +54,7 @@
                 self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_reader_whose_read_hangs(self) -> None:
-        """Guards against a zone that waits for the time-out of its reader's read."""
+        """Guards against a zone that waits for the timeout of its reader's read."""
         for delay_s in DELAYS_S:
             for zone in ZONES:
                 with self.subTest(delay_s=delay_s, zone=zone):
@@ -64,15 +64,15 @@
                     self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_next_reader_hangs_as_well(self) -> None:
-        """Guards against a zone that waits for one reader after the other."""
+        """Guards against a zone that waits for several hanging readers in turn."""
         self.check_random_nodes("silent")
 
     def test_reader_that_is_refused(self) -> None:
-        """Guards against a node that is taken for a reader before the store has answered it."""
+        """Guards against accepting a node as reader before one of its reads has succeeded."""
         self.check_random_nodes("refused")
 
     def test_zone_without_the_store(self) -> None:
-        """Guards against a zone that gets changes only from its own readers."""
+        """Guards against a zone that receives changes only from its own readers."""
         for kind in ("silent", "refused"):
             for delay_s in DELAYS_S:
                 with self.subTest(kind=kind, delay_s=delay_s):
@@ -83,9 +83,9 @@
                     self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_store_is_back(self) -> None:
-        """Guards against reads that still wait for an answer when the store serves again.
+        """Guards against reads that still wait for a response when the store has recovered.
 
-        The bound holds again once the store has been undisturbed for three seconds.
+        The bound applies again once the store has been available for three seconds.
         """
         for tenths in range(2, 62, 3):
             silent_s = tenths / 10
@@ -98,7 +98,7 @@
                 self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_restart_without_the_store(self) -> None:
-        """Guards against a node that starts while the store is away and gets nothing of others."""
+        """Guards against a node that starts without the store and learns nothing from others."""
         mesh = self.steady_mesh()
         mesh.silent.update(mesh.cores)
         mesh.add("n4", boot=2)
@@ -106,20 +106,20 @@
         self.assertEqual(mesh.cores["n4"].config_version, 1)
 
     def test_node_without_word_is_not_sure(self) -> None:
-        """Guards against a final 404 by a node that may lack the newest configuration."""
+        """Guards against a final 404 from a node that may lack the newest configuration."""
         mesh = self.steady_mesh()
         self.assertTrue(all(holder.current.complete for holder in mesh.views.values()))
         mesh.silent.add("n4")
         mesh.unreachable.add("n4")
         mesh.run(CONFIG_APPLY_S)
-        unsure = [name for name, holder in mesh.views.items() if not holder.current.complete]
-        self.assertEqual(unsure, ["n4"])
+        incomplete = [name for name, holder in mesh.views.items() if not holder.current.complete]
+        self.assertEqual(incomplete, ["n4"])
         mesh.unreachable.clear()
         mesh.run(CONFIG_APPLY_S)
         self.assertTrue(mesh.views["n4"].current.complete)
 
     def test_message_is_lost(self) -> None:
-        """Guards against a change that depends on each single message, beside a hanging read."""
+        """Guards against a change that is late after one lost message during a hanging read."""
         for number in range(3):
             for kind in (TopicRecords, ReaderHeartbeat):
                 with self.subTest(kind=kind.__name__, number=number):
@@ -129,7 +129,7 @@
                     self.assert_in_time(mesh, 2, mesh.cores)
 
     def test_lost_change_behind_an_order(self) -> None:
-        """Guards against a position that covers a record which never arrived."""
+        """Guards against a position that covers a lost record."""
         mesh = self.steady_mesh()
         mesh.drops = lambda sender, to, message: isinstance(message, TopicRecords | ReaderHeartbeat)
         mesh.change(2)
@@ -140,7 +140,7 @@
         self.assertEqual(set(mesh.versions().values()), {2})
 
     def test_lost_first_part_of_an_answer(self) -> None:
-        """Guards against the same after an answer of several messages."""
+        """Guards against a position that covers a lost record of a response of several messages."""
         clock = ManualClock()
         full, empty = TopicReplica("t"), TopicReplica("t")
         values = {key: Random(key).randbytes(MAX_RECORDS_BYTES * 2 // 3) for key in "abc"}
@@ -158,7 +158,12 @@
 
     @staticmethod
     def lose(kind: type[Any], number: int) -> Any:
-        """Return a rule that loses one message of a kind on its way to each node."""
+        """Return a rule that drops one message of a kind to each node.
+
+        Args:
+            kind: Class of the message.
+            number: Index of the dropped message among those of the class.
+        """
         seen: dict[str, int] = {}
 
         def drops(_: str, to: str, message: Any) -> bool:
--- a/tests/hosted/test_replica.py
+++ b/tests/hosted/test_replica.py
@@ -1,4 +1,4 @@
-"""Copies of topics."""
+"""Replicas of topics."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
     """Pages of the store and of other nodes, in any order."""
 
     def test_older_records_do_not_replace_newer_ones(self) -> None:
-        """Guards against a configuration that goes back because a page arrives late."""
+        """Guards against a late page that replaces a configuration with an older one."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"new", 7), position=8))
         self.assertEqual(replica.apply(page(("a", b"old", 3), position=4)), [])
         self.assertEqual((replica.value("a"), replica.position), (b"new", 8))
 
     def test_whole_page_removes_missing_keys(self) -> None:
-        """Guards against keys that stay after the store has dropped its history."""
+        """Guards against removed keys that remain after the store has dropped its history."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"1", 1), ("b", b"2", 2), position=3))
         changed = replica.replace(page(("b", b"2", 2), position=9))
@@ -32,14 +32,14 @@
         self.assertIsNone(replica.value("a"))
 
     def test_whole_page_keeps_what_is_newer(self) -> None:
-        """Guards against a slow read that undoes what another node has passed on."""
+        """Guards against a slow read that overwrites records forwarded by another node."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"1", 12), position=13))
         replica.replace(page(position=9))
         self.assertEqual(replica.value("a"), b"1")
 
     def test_replicas_converge(self) -> None:
-        """Guards against a node cut off from the store that misses a record or a removal."""
+        """Guards against a node without the store that misses a record or a removal."""
         source, cut = TopicReplica("t"), TopicReplica("t")
         source.apply(page(("a", b"1", 0), ("b", b"2", 1), ("a", None, 2), position=3))
         cut.apply(page(("a", b"1", 0), position=1))
@@ -48,7 +48,7 @@
         self.assertEqual(cut.position, source.position)
 
     def test_position_stays_before_a_gap(self) -> None:
-        """Guards against a replica that takes itself for complete beyond a lost record."""
+        """Guards against a replica that advances its position past a lost record."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"1", 0), position=1))
         late = KeyedPage((KeyedRecord("b", b"2", 2),), 3, start=2)
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -1,4 +1,4 @@
-"""Rollouts of good and bad versions, with holders that die and records that cross."""
+"""Rollouts of good and bad versions, with crashing holders and concurrent records."""
 
 from __future__ import annotations
 
@@ -23,15 +23,15 @@
 ROLLBACK_S = 5.0
 
 Outcome = Callable[[str, str, float, Random], tuple[bool, float]]
-"""Gets version, route, time and random numbers; returns whether a call fails and its latency."""
+"""Takes version, route, time and a random source; returns whether a call fails and its latency."""
 
 
 @define(eq=False)
 class Fleet:
-    """Nodes that share one store; half of the targets have the new version.
+    """Nodes that share one store; half of the targets run the new version.
 
     Attributes:
-        outcome: What becomes of a call.
+        outcome: Determines the result of a call.
         dead: Names of nodes that do nothing.
     """
 
@@ -66,7 +66,7 @@
             core.on_order(ORDER)
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the clock tick by tick."""
         for _ in range(round(seconds / TICK_S)):
             self.clock.advance(TICK_S)
             self._tick()
@@ -88,7 +88,7 @@
                 core.on_evidence(evidence)
 
     def _store_records(self) -> None:
-        """Keep the first write of a revision, as a write under a condition does."""
+        """Store the first write of each revision, like a conditional append."""
         for record in self._pending:
             newest = self.records[-1].revision if self.records else 0
             if record.revision == newest + 1 and record.holder not in self.dead:
@@ -142,7 +142,7 @@
 
 
 def good(version: str, route: str, now: float, random: Random) -> tuple[bool, float]:
-    """Both versions answer alike; one call in 200 fails."""
+    """Both versions behave alike; one call in 200 fails."""
     return random.random() < 0.005, 0.1
 
 
@@ -152,22 +152,22 @@
 
 
 def fails_on_one_route(version: str, route: str, now: float, random: Random) -> tuple[bool, float]:
-    """The new version fails on the rarer route only."""
+    """The new version only fails on the less frequent route."""
     return version == "v2" and route == "order" and random.random() < 0.4, 0.1
 
 
 def fails_late(version: str, route: str, now: float, random: Random) -> tuple[bool, float]:
-    """The new version fails from some time on."""
+    """The new version starts to fail after six seconds."""
     return version == "v2" and now > 6 and random.random() < 0.4, 0.1
 
 
 def slow(version: str, route: str, now: float, random: Random) -> tuple[bool, float]:
-    """The new version takes eight times as long."""
+    """Calls to the new version take eight times as long."""
     return False, 0.8 if version == "v2" else 0.1
 
 
 def shared_fault(version: str, route: str, now: float, random: Random) -> tuple[bool, float]:
-    """Both versions fail alike for a while."""
+    """Both versions fail at the same rate for four seconds."""
     return 4 < now < 8 and random.random() < 0.2, 0.1
 
 
@@ -175,7 +175,7 @@
     """From the order to the status."""
 
     def test_good_version_is_completed_in_time(self) -> None:
-        """Guards against a good version that is taken back or is late."""
+        """Guards against a good version that is rolled back or not completed in time."""
         for outcome in (good, shared_fault):
             with self.subTest(outcome.__name__):
                 fleet = Fleet(outcome)
@@ -186,7 +186,7 @@
                 self.assertLess(fleet.statuses[-1][2], ORDER.duration_s)
 
     def test_bad_version_is_taken_back(self) -> None:
-        """Guards against a bad version that gets many calls or stays after it has shown itself."""
+        """Guards against a bad version that gets too many calls or is rolled back too late."""
         for outcome in (fails, fails_on_one_route, fails_late, slow):
             with self.subTest(outcome.__name__):
                 fleet = Fleet(outcome)
@@ -200,7 +200,7 @@
                     self.assertLess(fleet.last_new_call, shown_at + ROLLBACK_S)
 
     def test_holder_dies(self) -> None:
-        """Guards against a rollout that nobody ends after its holder has died."""
+        """Guards against a rollout that is never finished after its holder has crashed."""
         for outcome, phase in ((good, Phase.COMPLETED), (fails, Phase.ROLLED_BACK)):
             with self.subTest(outcome.__name__):
                 fleet = Fleet(outcome)
@@ -211,7 +211,7 @@
                 self.assertEqual(fleet.statuses[-1][1], phase)
 
     def test_version_without_calls_is_not_completed(self) -> None:
-        """Guards against a version that is called good without having been tried."""
+        """Guards against completing a rollout of a version that has received no calls."""
         fleet = Fleet(good)
         fleet.dead.update(name for name in ("n1", "n3", "n5"))
         fleet.run(0.1)
@@ -223,7 +223,7 @@
         self.assertEqual(fleet.phase, Phase.ROLLED_BACK)
 
     def test_later_order_replaces_an_earlier_one(self) -> None:
-        """Guards against a decision about one order that is applied to the next."""
+        """Guards against applying a decision about one order to the next one."""
         fleet = Fleet(fails)
         fleet.run(ORDER.duration_s)
         core, _, _ = fleet._nodes["n0"]
--- a/tests/hosted/test_target.py
+++ b/tests/hosted/test_target.py
@@ -1,4 +1,4 @@
-"""Order of the reports of the target beside a node."""
+"""Order of the reports of a node's target."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
 
 
 def report(**fields: Any) -> TargetReport:
-    """Return a report that differs from the usual one in some fields."""
+    """Return the default report with some fields replaced."""
     return TargetReport(**{**REPORT, **fields})
 
 
 class OwnTargetStateTest(unittest.TestCase):
-    """Reports that are late, of another start or of another target."""
+    """Reports that are late or from another start or another target."""
 
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -42,14 +42,14 @@
         )
 
     def test_no_calls_before_the_first_report(self) -> None:
-        """Guards against calls to a target whose id is not known."""
+        """Guards against calls to a target whose id is unknown."""
         self.assertTrue(self.target.identity.refusal)
         self.assertTrue(self.target.on_report(report()))
         self.assertEqual(self.target.identity.refusal, "")
         self.assertEqual(self.target.identity.target_id, "i-1")
 
     def test_late_report_does_not_undo_a_leave(self) -> None:
-        """Guards against work for a leaving target after a report that was overtaken."""
+        """Guards against calls to a leaving target after an outdated report."""
         self.target.on_report(report(sequence=3))
         self.target.on_report(report(sequence=5, draining=True))
         self.target.on_report(report(sequence=4))
@@ -59,7 +59,7 @@
         self.assertTrue(self.target.identity.refusal)
 
     def test_leave_without_a_draining_report(self) -> None:
-        """Guards against work for a target that leaves with a notice only."""
+        """Guards against calls to a target that only sends a leave notice."""
         self.target.on_report(report())
         self.assertFalse(self.target.on_leave(TargetLeave("i-0", None)))
         self.assertFalse(self.target.on_leave(TargetLeave("i-1", 999)))
@@ -68,9 +68,9 @@
         self.assertTrue(self.target.identity.refusal)
 
     def test_leave_before_the_first_report(self) -> None:
-        """Guards against a late report that opens a target whose leaving was acknowledged.
+        """Guards against a late report that reactivates a target whose notice was acknowledged.
 
-        A node that starts again while its target leaves hears of the leaving before any report.
+        A node that restarts while its target leaves may receive the notice before any report.
         """
         for started_ms in (None, REPORT["started_ms"]):
             with self.subTest(started_ms):
@@ -84,25 +84,25 @@
                 self.assertEqual(self.target.identity.refusal, "")
 
     def test_new_start_under_the_same_id(self) -> None:
-        """Guards against a new process that is taken for the one that left."""
+        """Guards against mistaking a new process for the one that left."""
         self.target.on_report(report(sequence=9))
         self.target.on_leave(TargetLeave("i-1", None))
         self.assertTrue(self.target.on_report(report(sequence=0, started_ms=2_000)))
         self.assertEqual(self.target.identity.refusal, "")
 
     def test_report_of_an_earlier_start(self) -> None:
-        """Guards against a report that a partition delayed past the start of its successor."""
+        """Guards against a report that was delayed by a partition past the next start."""
         self.target.on_report(report(target_id="i-2", service="media", started_ms=2_000))
         self.assertFalse(self.target.on_report(report(sequence=50)))
         self.assertEqual(self.target.identity.service, "media")
 
     def test_other_address(self) -> None:
-        """Guards against reports of targets that this node does not stand beside."""
+        """Guards against accepting reports of targets of other nodes."""
         with self.assertRaises(ValueError):
             self.target.on_report(report(address="10.0.0.2:80"))
 
     def test_silent_target(self) -> None:
-        """Guards against calls to a target that has died without a word."""
+        """Guards against calls to a target that has crashed without a notice."""
         self.target.on_report(report())
         self.clock.advance(5.9)
         self.assertFalse(self.target.on_tick())
@@ -113,7 +113,7 @@
         self.assertEqual(self.target.identity.refusal, "")
 
     def test_start_with_an_earlier_wall_time(self) -> None:
-        """Guards against a target that is shut out because the wall clock jumped back."""
+        """Guards against ignoring a new target because the wall clock jumped back."""
         self.target.on_report(report(started_ms=9_000))
         self.assertFalse(self.target.on_report(report(target_id="i-2", started_ms=8_000)))
         self.clock.advance(7)
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -1,4 +1,4 @@
-"""Reads of a topic by a watch."""
+"""Reads of a topic by a watch task."""
 
 from __future__ import annotations
 
@@ -23,7 +23,14 @@
 
 @define(eq=False)
 class SlowStore:
-    """A store whose reads take a given time, or get no answer where that is None."""
+    """A store whose reads take given times; None stands for a read without a response.
+
+    Attributes:
+        clock: Advanced by each read.
+        takes_s: Durations of the remaining reads.
+        asked: Wait and timeout of each read.
+        on_end: Holds the watch to stop with the last read.
+    """
 
     clock: ManualClock
     takes_s: list[float | None]
@@ -35,7 +42,7 @@
         return KeyedPage((), 0)
 
     def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
-        """Let time pass; stop the watch after the last read."""
+        """Advance the clock; stop the watch with the last read."""
         self.asked.append((wait_ms, timeout_ms))
         took_s = self.takes_s.pop(0)
         if not self.takes_s:
@@ -50,34 +57,34 @@
 
 
 class WatchTaskTest(unittest.TestCase):
-    """How a watch reads, and how old its pages are."""
+    """Long polls, timeouts and the age of pages."""
 
     def run_watch(self, *takes_s: float | None) -> tuple[SlowStore, list[CoreMessage]]:
         """Return the store and the messages of a watch after the given reads."""
-        mail: list[CoreMessage] = []
+        messages: list[CoreMessage] = []
         clock = ManualClock()
         store = SlowStore(clock, list(takes_s))
         watch = WatchTask(
-            "t", store=store, post=mail.append, random=Random(1), clock=clock, wait_s=WAIT_S
+            "t", store=store, post=messages.append, random=Random(1), clock=clock, wait_s=WAIT_S
         )
         store.on_end.append(watch)
         watch.run()
-        return store, [message for message in mail if isinstance(message, PageRead)]
+        return store, [message for message in messages if isinstance(message, PageRead)]
 
     def test_answer_that_waited_is_old(self) -> None:
-        """Guards against an old answer that vouches for the topic after an instance stood still."""
+        """Guards against treating an old response as current after the instance was suspended."""
         _, pages = self.run_watch(WAIT_S, 5.0 + WAIT_S, 0.3)
         created_at = [round(page.created_at, 3) for page in pages]
         self.assertEqual(created_at, [0.0, WAIT_S, 2 * WAIT_S, 5.0 + 2 * WAIT_S + 0.3])
 
     def test_read_after_a_failure_does_not_wait(self) -> None:
-        """Guards against a node that cannot vouch for a whole wait after the store is back."""
+        """Guards against a full long poll before the topic is confirmed after an outage."""
         store, _ = self.run_watch(WAIT_S, None, 0.0, 0.0)
         wait_ms = round(WAIT_S * 1000)
         self.assertEqual([wait for wait, _ in store.asked], [wait_ms, wait_ms, 0, wait_ms])
 
     def test_slow_store_is_read(self) -> None:
-        """Guards against a node that never waits long enough for a store that is slow."""
+        """Guards against a node whose timeouts are always too short for a slow store."""
         random = Random(1)
         self.assertEqual({read_timeout_ms(0, random) for _ in range(50)}, {READ_TIMEOUT_MS})
         limits = {read_timeout_ms(5, random) for _ in range(50)}
--- a/tests/platform/installation.py
+++ b/tests/platform/installation.py
@@ -1,4 +1,4 @@
-"""Real node processes, stand-in targets and a stand-in store on loopback addresses."""
+"""Node processes with stand-in targets and a stand-in store on loopback addresses."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def free_ports(host: str, count: int) -> list[int]:
-    """Return ports of an address that are free at present."""
+    """Return currently unused ports of an address."""
     sockets = [socket.create_server((host, 0)) for _ in range(count)]
     ports = [listener.getsockname()[1] for listener in sockets]
     for listener in sockets:
@@ -55,12 +55,12 @@
     target: TargetStandIn | None = None
 
     def answers_ready(self) -> bool:
-        """Return whether the node says that it is ready."""
+        """Return whether the readiness probe of the node succeeds."""
         return get_status(self.host, self.ready, READINESS) == 200
 
 
 def get_status(host: str, port: int, path: str) -> int:
-    """Return the status of a GET, 0 when there was no answer."""
+    """Return the status of a GET, 0 if there was no response."""
     connection = http.client.HTTPConnection(host, port, timeout=1.0)
     try:
         connection.request("GET", path)
@@ -78,8 +78,11 @@
     Attributes:
         size: Number of instances.
         zones: Number of zones.
-        services: Services, dealt to the instances in turn.
+        services: Services, assigned to the instances in turn.
         work_s: Time that a target takes for a request.
+        store: The stand-in of the store.
+        instances: The instances.
+        version: Version of the newest configuration.
     """
 
     size: int = 4
@@ -114,7 +117,7 @@
         self._folder.cleanup()
 
     def wait_ready(self) -> None:
-        """Wait until all nodes are ready and every target answers through every node."""
+        """Wait until the readiness probes of all nodes succeed."""
         end = time.monotonic() + START_LIMIT_S
         for instance in self.instances:
             while not instance.answers_ready():
@@ -139,7 +142,7 @@
         log.close()
 
     def start_target(self, instance: Instance, **fields: Any) -> TargetStandIn:
-        """Start a target beside a node."""
+        """Start the target of a node."""
         target = TargetStandIn(
             target_id=fields.pop("target_id", f"i-{instance.name}"),
             service=instance.service,
@@ -160,7 +163,7 @@
             instance.process.send_signal(number)
 
     def restart(self, instance: Instance, number: signal.Signals) -> None:
-        """End the node's process with a signal and start it again."""
+        """Stop the node's process with a signal and start it again."""
         if instance.process is None:
             raise RuntimeError(f"{instance.name} has no process")
         instance.process.send_signal(number)
@@ -171,7 +174,7 @@
         """Write a configuration and return its version.
 
         Args:
-            prefixes: Further routes, service by path segment.
+            prefixes: Additional routes as services by path segment.
         """
         self.version += 1
         routes = [
@@ -199,12 +202,12 @@
         return self.version
 
     def logs(self) -> Iterator[tuple[str, str]]:
-        """Yield name and text of each node's log."""
+        """Yield the name and log of each node."""
         for path in sorted(Path(self._folder.name).glob("*.log")):
             yield path.stem, path.read_text(errors="replace")
 
     def _make(self, index: int) -> Instance:
-        # The port of the metrics is fixed, so test runs at the same time need other addresses.
+        # The port of the metrics is fixed, so concurrent test runs need different addresses.
         high, low = divmod(os.getpid() % 50_000, 250)
         host = f"127.{high + 1}.{low}.{index + 1}"
         calls, deliveries, ready, control, peers, app = free_ports(host, 6)
--- a/tests/platform/measure.py
+++ b/tests/platform/measure.py
@@ -1,4 +1,4 @@
-"""``python -m tests.platform.measure`` prints what control costs a node at rest, by size."""
+"""``python -m tests.platform.measure`` prints the resource usage of idle nodes by mesh size."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def metric(instance: Instance, name: str) -> float:
-    """Return the value of a gauge of a node."""
+    """Return the value of a metric without labels of a node."""
     connection = http.client.HTTPConnection(instance.host, 9464, timeout=2)
     connection.request("GET", "/metrics")
     lines = connection.getresponse().read().decode().splitlines()
@@ -24,7 +24,7 @@
 
 
 def cpu_s(instance: Instance) -> float:
-    """Return the processor time that a node has used."""
+    """Return the CPU time that a node has used, in seconds."""
     if instance.process is None:
         return 0.0
     fields = Path(f"/proc/{instance.process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -32,7 +32,7 @@
 
 
 def resident_mb(instance: Instance) -> float:
-    """Return the resident memory of a node."""
+    """Return the resident memory of a node, in MB."""
     if instance.process is None:
         return 0.0
     pages = int(Path(f"/proc/{instance.process.pid}/statm").read_text().split()[1])
@@ -40,7 +40,7 @@
 
 
 def main() -> int:
-    """Print a row for each size."""
+    """Print a row for each mesh size."""
     print("| nodes | bytes/s a node | messages/s a node | % of a core | MB | store calls/s, all |")
     print("|---|---|---|---|---|---|")
     for size in SIZES:
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store: its published calls, with faults."""
+"""Stand-in of the platform's store with its published API and fault injection."""
 
 from __future__ import annotations
 
@@ -21,7 +21,13 @@
 
 @define(eq=False)
 class _Producer:
-    """The last appends of a producer to one partition."""
+    """State of a producer for one partition.
+
+    Attributes:
+        epoch: Epoch of the producer.
+        sequence: Sequence number of its last append.
+        answers: Responses to its latest appends by sequence number, for repeated requests.
+    """
 
     epoch: int
     sequence: int = -1
@@ -30,7 +36,14 @@
 
 @define(eq=False)
 class _Topic:
-    """One partition; records before ``first`` are gone."""
+    """A topic with one partition.
+
+    Attributes:
+        first: Offset of the first retained record.
+        records: Retained records.
+        newest: Offset and value of the newest record by key.
+        producers: Producers by name.
+    """
 
     first: int = 0
     records: list[bytes] = field(factory=list)
@@ -44,13 +57,13 @@
 
 @define(eq=False)
 class StoreFaults:
-    """Switches for faults.
+    """Injected faults.
 
     Attributes:
-        refused: Client addresses that get status 503; ``*`` stands for all.
+        refused: Client addresses whose requests are refused; ``*`` stands for all.
         status: Status of refusals.
-        lose_answers: Number of appends that are done and not answered.
-        delay_s: Time that each answer takes.
+        lose_answers: Number of appends that are executed but answered with status 504.
+        delay_s: Delay of each response.
     """
 
     refused: set[str] = field(factory=set)
@@ -60,7 +73,7 @@
 
 
 class StoreStandIn:
-    """Serves topics over HTTP from memory; one partition a topic."""
+    """Serves in-memory topics over HTTP; each topic has one partition."""
 
     def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
         self.faults = StoreFaults()
@@ -80,7 +93,7 @@
         return f"{self._server.host}:{self._server.port}"
 
     def start(self) -> None:
-        """Serve in the background."""
+        """Start serving in the background."""
         self._executor.submit(self._server.serve_forever, 0.05)
 
     def stop(self) -> None:
@@ -93,7 +106,7 @@
         self._executor.shutdown()
 
     def put(self, topic: str, key: str, value: bytes | None) -> int:
-        """Write a record as the operator does and return its offset."""
+        """Append a record without a request and return its offset."""
         name = key.encode()
         with self._changed:
             return self._append(topic, [bytes([len(name)]) + name + (value or b"")])
@@ -105,7 +118,7 @@
         return record[1] if record is not None else None
 
     def trim(self, topic: str) -> None:
-        """Drop the history of a topic; the newest record of each key stays."""
+        """Drop the history of a topic; the newest record of each key is kept."""
         with self._changed:
             stored = self._topics.setdefault(topic, _Topic())
             stored.first, stored.records = stored.end, []
@@ -233,8 +246,8 @@
         call = request.get_json()
         with self._changed:
             generation, members = self._groups.get(call["group"], (0, []))
-            left = [member for member in members if member != call["member"]]
-            self._groups[call["group"]] = (generation + 1, left)
+            remaining = [member for member in members if member != call["member"]]
+            self._groups[call["group"]] = (generation + 1, remaining)
         return _json({})
 
     def _log_commit(self, request: Request) -> Response:
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -1,4 +1,4 @@
-"""Stand-in of a target on the platform: serves requests and reports to the node beside it."""
+"""Stand-in of a target on the platform; it serves requests and sends reports to its node."""
 
 from __future__ import annotations
 
@@ -29,14 +29,18 @@
         target_id: Its id.
         service: Its service.
         zone: Zone of its instance.
-        control: ``ip:port`` of the node beside it.
-        version: Its release.
-        slots: Requests that it runs at once.
+        control: ``ip:port`` of the control address of its node.
+        host: Address on which it serves.
+        port: Port on which it serves, 0 for any.
+        version: Version of the service that it runs.
+        slots: Capacity that it reports.
         work_s: Time that a request takes.
-        fail_share: Part of the requests that fail.
-        draining: Whether it says that it leaves.
-        executed: Ids of the requests that ran, in order, with the time of their start.
-        acknowledged_leave_at: Monotonic time at which its leaving was acknowledged, 0 before that.
+        fail_share: Fraction of the requests that fail.
+        draining: Whether its reports have state ``draining``.
+        executed: Ids and start times of the executed requests, in order.
+        callers: Services that have called it.
+        most_running: Greatest number of concurrent requests.
+        acknowledged_leave_at: Monotonic time of the first acknowledged draining report, 0 before.
     """
 
     target_id: str
@@ -64,7 +68,7 @@
     _server: Any = None
 
     def start(self) -> None:
-        """Serve and report in the background."""
+        """Start serving and reporting in the background."""
         self._server = make_server(
             self.host, self.port, self._application, threaded=True, request_handler=QuietHandler
         )
@@ -73,7 +77,7 @@
         self._executor.submit(self._report_loop)
 
     def stop(self) -> None:
-        """Stop serving without a word."""
+        """Stop serving without a leave notice."""
         self._stopping.set()
         self._server.shutdown()
         self._server.server_close()
@@ -98,10 +102,12 @@
                 "cold_remaining": "0ms",
             },
         }
-        taken = post_json(self.control, f"/api/Instances.Heartbeat/{self.target_id}", body) == 200
-        if taken and draining and not self.acknowledged_leave_at:
+        acknowledged = (
+            post_json(self.control, f"/api/Instances.Heartbeat/{self.target_id}", body) == 200
+        )
+        if acknowledged and draining and not self.acknowledged_leave_at:
             self.acknowledged_leave_at = time.monotonic()
-        return taken
+        return acknowledged
 
     def _report_loop(self) -> None:
         while not self._stopping.is_set():
@@ -124,7 +130,7 @@
         try:
             body = request.get_data()
         except ClientDisconnected:
-            body = b""  # The node has given the request up in the middle of its body.
+            body = b""  # The node closed the connection in the middle of the body.
         self._stopping.wait(self.work_s)
         with self._lock:
             self._running -= 1
@@ -134,7 +140,7 @@
 
 
 def post_json(address: str, path: str, body: dict[str, Any]) -> int:
-    """Return the status of a call, 0 when there was no answer."""
+    """Return the status of a POST, 0 if there was no response."""
     connection = http.client.HTTPConnection(address, timeout=1.0)
     try:
         connection.request("POST", path, json.dumps(body), {"Content-Type": "application/json"})
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -1,4 +1,4 @@
-"""Bodies and settings of the platform, whole and damaged."""
+"""Decoding of the platform's messages and settings, valid and invalid."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 
 
 class ReportsTest(unittest.TestCase):
-    """What targets say of themselves."""
+    """Status reports and leave notices of targets."""
 
     def decode(self, body: Any) -> TargetReport | TargetLeave | None:
         """Decode a report."""
@@ -59,14 +59,14 @@
         return decode_report("POST", "/api/Instances.Heartbeat/i-1", data)
 
     def test_report(self) -> None:
-        """Guards against fields that are read from the wrong place."""
+        """Guards against reading a field from the wrong place."""
         expected = TargetReport(
             "i-1", "s", "v1", "10.0.0.9:80", 6, False, 4, 1_700_000_000_000, 1.5
         )
         self.assertEqual(self.decode(REPORT), expected)
 
     def test_damaged_reports(self) -> None:
-        """Guards against reports of foreign writers that are taken for a target's own."""
+        """Guards against accepting invalid reports."""
         damaged: list[Any] = [
             b"\xff",
             b"[]",
@@ -88,7 +88,7 @@
                 self.decode(body)
 
     def test_leave_and_other_calls(self) -> None:
-        """Guards against a notice that is missed and calls that are taken for one."""
+        """Guards against missing a leave notice, and against treating other requests as one."""
         path = "/api/Instances.Deregister/i-1"
         self.assertEqual(decode_report("POST", path, b""), TargetLeave("i-1", None))
         self.assertEqual(decode_report("POST", path, b'{"born": 5}'), TargetLeave("i-1", 5))
@@ -97,10 +97,10 @@
 
 
 class OperatorTest(unittest.TestCase):
-    """What the operator writes and reads."""
+    """Records that the operator writes and reads."""
 
     def config(self, **fields: Any) -> KeyedRecord:
-        """Return a configuration that differs from the usual one in some fields."""
+        """Return the default configuration with some fields replaced."""
         columns = ["name", "host", "prefix", "kind", "timeout", "service", "weighted_clusters"]
         parts = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
         value = {
@@ -118,7 +118,7 @@
         return KeyedRecord("config", json.dumps(value).encode(), 3)
 
     def test_configuration(self) -> None:
-        """Guards against routes that repeat what must not be repeated, or miss their split."""
+        """Guards against retries of non-idempotent calls and against a lost traffic split."""
         config = ConfigDecoder().decode(self.config())
         assert config is not None
         first, second = config.routes["a"], config.routes["b"]
@@ -128,7 +128,7 @@
         self.assertEqual([(p.service, p.weight) for p in second.split], [("s", 90), ("t", 10)])
 
     def test_next_configuration(self) -> None:
-        """Guards against routes of the version before that stay after they changed or went."""
+        """Guards against keeping routes of the previous version that were changed or removed."""
         reader = ConfigDecoder()
         first = reader.decode(self.config())
         changed = json.loads(self.config().value or b"")
@@ -141,7 +141,7 @@
         self.assertEqual((first.routes["a"].timeout_ms, second.routes["a"].timeout_ms), (1200, 900))
 
     def test_unreadable_records(self) -> None:
-        """Guards against a damaged record that ends the node or changes its routes."""
+        """Guards against an invalid record that terminates the node or changes its routes."""
         damaged = [
             self.config(version="7"),
             self.config(routes={"columns": ["name"], "rows": [[]]}),
@@ -157,7 +157,7 @@
                 self.assertIsNone(ConfigDecoder().decode(record))
 
     def test_rollout(self) -> None:
-        """Guards against an order that is lost, and a status that the operator cannot read."""
+        """Guards against a lost order and against a status that the operator cannot read."""
         value = json.dumps({"service": "s", "target_version": "v2", "duration": "12s"}).encode()
         order = decode_order(KeyedRecord("rollout/s", value, 9))
         assert order is not None
@@ -174,7 +174,7 @@
     """The settings file."""
 
     def test_settings(self) -> None:
-        """Guards against listeners on the wrong addresses."""
+        """Guards against listening on the wrong addresses."""
         settings = parse_settings(SETTINGS.encode(), source="test")
         addresses = settings.addresses
         self.assertEqual((addresses.calls, addresses.deliveries), ("10.0.0.1:82", "10.0.0.1:81"))
@@ -183,14 +183,14 @@
         self.assertEqual(settings.link_mbps, 14)
 
     def test_time_of_changes(self) -> None:
-        """Guards against nodes that read by times of another deployment's contract."""
+        """Guards against ignoring the time that the platform's contract states for changes."""
         stated = SETTINGS + 'config_apply = "2500ms"\n'
         for text, expected_s in ((SETTINGS, CONFIG_APPLY_S), (stated, 2.5)):
             settings = parse_settings(text.encode(), source="node.toml")
             self.assertEqual(settings.bounds.config_apply_s, expected_s)
 
     def test_damaged_settings(self) -> None:
-        """Guards against a node that starts with half of its settings."""
+        """Guards against a node that starts with incomplete or invalid settings."""
         for old, new in (
             ('zone = "z"', ""),
             ('grace = "6s"', 'grace = "6 hours"'),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""The store's client, the writer and the watch against the stand-in."""
+"""The client of the store, and the publish and watch tasks, against the stand-in of the store."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class StoreCase(unittest.TestCase):
-    """A stand-in and clients of it."""
+    """Provides a stand-in of the store and clients of it."""
 
     def setUp(self) -> None:
         self.standin = StoreStandIn()
@@ -39,7 +39,7 @@
 
 
 class StoreTest(StoreCase):
-    """The client alone."""
+    """The client of the store."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -47,7 +47,7 @@
         self.addCleanup(self.store.close)
 
     def test_newest_over_several_pages(self) -> None:
-        """Guards against keys that are lost between pages."""
+        """Guards against losing keys between pages."""
         for number in range(1_203):
             self.standin.put(TOPIC, f"k{number % 1_100:04}", b"%d" % number)
         self.standin.put(TOPIC, "k0007", None)
@@ -58,7 +58,7 @@
         self.assertEqual((values["k0000"], values["k0500"]), (b"1100", b"500"))
 
     def test_read_from_an_offset(self) -> None:
-        """Guards against records under a wrong key or offset, and removals taken for values."""
+        """Guards against records with a wrong key or offset, and removals decoded as values."""
         self.standin.put(TOPIC, "a", b"1")
         self.standin.put(TOPIC, "b", b"\x00\xff")
         self.standin.put(TOPIC, "a", None)
@@ -68,7 +68,7 @@
         self.assertEqual(page.position, 3)
 
     def test_dropped_history(self) -> None:
-        """Guards against a reader that goes on where nothing is left."""
+        """Guards against a read that skips records which are no longer retained."""
         self.standin.put(TOPIC, "a", b"1")
         self.standin.put(TOPIC, "a", b"2")
         self.standin.trim(TOPIC)
@@ -77,7 +77,7 @@
         self.assertEqual(self.store.newest(TOPIC, timeout_ms=LIMIT_MS).position, 2)
 
     def test_write_under_a_condition(self) -> None:
-        """Guards against a write over one that came in between."""
+        """Guards against overwriting a concurrent write."""
         self.assertEqual(self.store.put(TOPIC, "a", b"1", expected_end=0), 0)
         with self.assertRaises(AppendConflict) as raised:
             self.store.put(TOPIC, "a", b"2", expected_end=0)
@@ -85,7 +85,7 @@
         self.assertEqual(self.standin.value(TOPIC, "a"), b"1")
 
     def test_what_is_known_of_a_failed_write(self) -> None:
-        """Guards against a write that is called refused and takes effect, or the reverse."""
+        """Guards against reporting a write as refused that may take effect, and vice versa."""
         self.standin.faults.lose_answers = 1
         with self.assertRaises(AppendUnknown):
             self.store.put(TOPIC, "a", b"1")
@@ -100,7 +100,7 @@
 
 
 class TasksTest(StoreCase):
-    """The tasks that own connections to the store, and close them."""
+    """The tasks that own and close connections to the store."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -109,7 +109,7 @@
         self.addCleanup(self.executor.shutdown)
 
     def publisher(self) -> PublishTask:
-        """Return a running writer."""
+        """Return a running publish task."""
         task = PublishTask(
             store=self.client(),
             post=self.mail.put,
@@ -128,7 +128,7 @@
                 return message
 
     def test_write_is_tried_until_it_stands(self) -> None:
-        """Guards against an entry that an outage swallows."""
+        """Guards against a write that is lost in an outage."""
         task = self.publisher()
         self.standin.faults.refused.add("*")
         task.submit(Write(TOPIC, "a", b"1"))
@@ -140,7 +140,7 @@
         self.assertEqual(self.standin.value(TOPIC, "a"), b"2")
 
     def test_write_that_must_not_replace(self) -> None:
-        """Guards against a state that an older writer puts back."""
+        """Guards against replacing a state with an older one."""
         self.standin.put(TOPIC, "a", b"9")
         task = self.publisher()
         newer = Write(TOPIC, "a", b"5", may_replace=lambda present: (present or b"") < b"5")
@@ -151,7 +151,7 @@
         self.assertEqual(self.standin.value(TOPIC, "a"), b"9")
 
     def watch(self, *, needed: bool) -> WatchTask:
-        """Return a watch of the topic."""
+        """Return a watch task of the topic."""
         return WatchTask(
             TOPIC,
             store=self.client(),
@@ -163,7 +163,7 @@
         )
 
     def test_watch_goes_on_after_outage_and_dropped_history(self) -> None:
-        """Guards against a watch that misses what was written while it could not read."""
+        """Guards against a watch that misses records written while it could not read."""
         watch = self.watch(needed=True)
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
@@ -183,7 +183,7 @@
             values += [record.value for record in self.await_mail(PageRead).page.records]
 
     def test_watch_that_is_not_needed_reads_nothing(self) -> None:
-        """Guards against calls to the store by nodes whose zone has a reader."""
+        """Guards against reads by nodes whose zone already has a reader."""
         watch = self.watch(needed=False)
         self.executor.submit(watch.run)
         self.addCleanup(watch.stop)
--- a/tests/platform/test_version_delays.py
+++ b/tests/platform/test_version_delays.py
@@ -1,4 +1,4 @@
-"""The tool that compares when nodes had a version."""
+"""The tool that compares when nodes activated a version."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def load_tool() -> ModuleType:
-    """Return the module of the tool, which is no part of the package."""
+    """Return the module of the tool, which is not part of the package."""
     spec = importlib.util.spec_from_file_location("version_delays", TOOL)
     assert spec is not None and spec.loader is not None
     module = importlib.util.module_from_spec(spec)
@@ -22,16 +22,16 @@
 
 
 def line(node: str, version: int, time_s: float) -> str:
-    """Return a log line of a node, without the bench's prefix."""
+    """Return a log line of a node, without the prefix that the bench adds."""
     fields = f'"node": "{node}", "time": {time_s}, "version": {version}, "source": "store"'
     return f'{{{fields}, "event": "config_in_force"}}'
 
 
 class VersionDelaysTest(unittest.TestCase):
-    """Delays of versions in the lines of several nodes."""
+    """Delays of versions in the logs of several nodes."""
 
     def test_late_node_is_found(self) -> None:
-        """Guards against a late zone that no request shows and nobody sees in the logs."""
+        """Guards against overlooking a late node that no request reveals."""
         tool = load_tool()
         lines = [
             line("a", 3, 10.0),
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -1,4 +1,4 @@
-"""Real node processes against the stand-ins of the platform."""
+"""End-to-end tests of node processes with stand-ins of the platform."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 def call(
     instance: Instance, path: str, request_id: str, *, method: str = "GET", body: bytes = b""
 ) -> tuple[int, bytes]:
-    """Return status and body of a call through the node of an instance."""
+    """Return the status and body of a call through the node of an instance."""
     connection = http.client.HTTPConnection(instance.host, instance.calls, timeout=5)
     headers = {"Host": HOST, "Attempt-Id": request_id, "Deadline-Ms": "2000"}
     try:
@@ -27,7 +27,7 @@
 
 
 def wait_for(condition: Callable[[], bool], limit_s: float = 10.0) -> bool:
-    """Return whether a condition became true in time."""
+    """Return whether a condition becomes true within a limit."""
     end = time.monotonic() + limit_s
     while time.monotonic() < end:
         if condition():
@@ -37,17 +37,17 @@
 
 
 def ignores_hangup(pid: int) -> bool:
-    """Return whether a process ignores SIGHUP, as it does before it handles it."""
+    """Return whether a process ignores SIGHUP, as a node does until its handler is installed."""
     lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
     masks = dict(line.split(":\t", 1) for line in lines if ":\t" in line)
     return bool(int(masks["SigIgn"], 16) & 1 << (signal.SIGHUP - 1))
 
 
 class WholePathTest(unittest.TestCase):
-    """Calls, changes, leaving targets and restarts."""
+    """Calls, configuration changes, leaving targets and restarts."""
 
     def test_calls_changes_and_leaving(self) -> None:
-        """Guards against a path that serves nothing, old configuration, and work after a leave."""
+        """Guards against unserved calls, outdated routes, and calls to a target that has left."""
         with Installation(size=4) as mesh:
             first = mesh.instances[0]
             for instance in mesh.instances:
@@ -81,7 +81,7 @@
     def test_restart_of_all_while_the_store_is_away(self) -> None:
         """Guards against a node that serves without a configuration or never recovers.
 
-        A single node would learn the configuration from the others, so all of them start again.
+        All nodes are restarted, because a single one would learn the configuration from the others.
         """
         with Installation(size=3, services=("catalogue",)) as mesh:
             mesh.store.faults.refused.add("*")
@@ -91,7 +91,7 @@
                 mesh.restart(node, signal.SIGKILL)
             for node in mesh.instances:
                 asked = wait_for(lambda n=node: get_status(n.host, n.ready, READINESS) == 503)
-                self.assertTrue(asked, f"{node.name} does not say that it is not ready")
+                self.assertTrue(asked, f"{node.name} does not report that it is not ready")
                 self.assertEqual(call(node, "/catalogue/x", "s1")[0], 503)
             mesh.store.faults.refused.clear()
             for node in mesh.instances:
@@ -100,9 +100,10 @@
                 self.assertTrue(served)
 
     def test_restart_while_the_store_is_away_for_all(self) -> None:
-        """Guards against a node that learns nothing from others while the store is away.
+        """Guards against a restarted node that learns nothing from others without the store.
 
-        Others had stopped to send to it, or had long pauses between attempts to reach it.
+        This failed when the others stopped sending to the node, or paused for long between attempts
+        to connect to it.
         """
         with Installation(size=4, services=("catalogue",)) as mesh:
             node = mesh.instances[0]
@@ -113,7 +114,7 @@
             self.assertTrue(wait_for(lambda: call(node, "/catalogue/x", "b")[0] == 200, 5.0))
 
     def test_sigterm_ends_within_the_grace_time(self) -> None:
-        """Guards against a stop that takes longer than the platform allows."""
+        """Guards against a shutdown that takes longer than the platform allows."""
         with Installation(size=2, services=("catalogue",)) as mesh:
             node = mesh.instances[0]
             process = node.process
@@ -127,7 +128,7 @@
                 self.assertIn(event, text)
 
     def test_hangup_during_the_start(self) -> None:
-        """Guards against a node that a change of its settings ends while it starts."""
+        """Guards against a node that is terminated by a change of its settings during its start."""
         with Installation(size=1, services=("catalogue",)) as mesh:
             node = mesh.instances[0]
             mesh.restart(node, signal.SIGKILL)
