Rename local variables of hosted, platform and their tests

Change: local names, private attributes and LocalCanary.reset (was begin), which only the core calls; three docstrings are more exact.

--- a/src/citronrack/hosted/canary.py
+++ b/src/citronrack/hosted/canary.py
@@ -45,8 +45,8 @@
             return evolve(identity, refusal=VERSION_ROLLED_BACK)
         return evolve(identity, refusal=FAILS_HERE) if self._stopped else identity
 
-    def begin(self) -> None:
-        """Allow calls again after a restart of the target or for another order."""
+    def reset(self) -> None:
+        """Allow calls again after a restart of the target or a new or finished order."""
         self._stopped = False
 
     def observe(self, record: CallRecord, *, version: str, cold: bool) -> bool:
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -133,7 +133,7 @@
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         self.start()
         while not (received := self._signals.wait(SETTINGS_CHECK_INTERVAL_S)) & STOP_SIGNALS:
-            self._check_settings(asked=signal.SIGHUP in received)
+            self._check_settings(signalled=signal.SIGHUP in received)
         self.stop()
 
     def start(self) -> None:
@@ -168,14 +168,14 @@
         if self._log_writer is not None:
             wait([self._log_writer], timeout=LOG_FLUSH_S)
 
-    def _check_settings(self, *, asked: bool) -> None:
+    def _check_settings(self, *, signalled: bool) -> None:
         try:
             changed = self._adapter.reload()
         except SettingsError as error:
             self._events.write(Event.SETTINGS_REFUSED, reason=str(error))
             return
-        if changed or asked:
-            self._events.write(Event.SETTINGS_CHANGED, signalled=asked)
+        if changed or signalled:
+            self._events.write(Event.SETTINGS_CHANGED, signalled=signalled)
 
     def _run_task(self, runner: Any) -> None:
         try:
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -246,7 +246,7 @@
     def _target_changed(self) -> None:
         view = self._dependencies.target.view
         report = view.report
-        self._canary.begin()
+        self._canary.reset()
         if report is not None:
             self._callbacks.set_slots(report.slots)
         self._dependencies.events.write(Event.TARGET_STATE, **view.log_fields)
@@ -337,14 +337,14 @@
         stored = decode_record(self._replicas[MESH_TOPIC].value(ROLLOUT_PREFIX + order.service))
         if stored is not None:
             self._rollouts.on_record(stored)
-        self._canary.begin()
+        self._canary.reset()
         self._view_outdated = True
 
     def _apply_rollout(self, rollout: RolloutRecord) -> None:
         self._rollouts.on_record(rollout)
         self._view_outdated = True
         if rollout.phase != Phase.RUNNING:
-            self._canary.begin()
+            self._canary.reset()
         self._update_own_entry()
 
     def _on_entries(self, entries: list[NodeEntry]) -> None:
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -154,7 +154,7 @@
         self._digest ^= _hash(entry)
 
     def newer_than(self, versions: Iterable[tuple[str, int, int]]) -> tuple[NodeEntry, ...]:
-        """Return the entries that are newer than the given ``(name, boot, revision)`` triples."""
+        """Return entries that the given ``(name, boot, revision)`` triples lack or have older."""
         known = {name: (boot, revision) for name, boot, revision in versions}
         return tuple(
             entry
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -99,7 +99,7 @@
 
     def __init__(self) -> None:
         self._order_id = -1
-        self._tallies: dict[str, CallTotals] = {}
+        self._totals: dict[str, CallTotals] = {}
         self._recent: deque[bool] = deque(maxlen=LOCAL_CALLS)
         self._version = ""
 
@@ -112,7 +112,7 @@
         """Reset the counts if the order or the version of the target has changed."""
         if (order_id, version) != (self._order_id, self._version):
             self._order_id, self._version = order_id, version
-            self._tallies = {}
+            self._totals = {}
             self._recent.clear()
 
     def observe(self, record: CallRecord, *, cold: bool = False) -> None:
@@ -120,19 +120,19 @@
         if record.refused or record.service_version != self._version:
             return
         failed = record.status >= 500
-        tally = self._tallies.setdefault(record.route, CallTotals())
-        tally.calls += 1
-        tally.failures += failed
+        total = self._totals.setdefault(record.route, CallTotals())
+        total.calls += 1
+        total.failures += failed
         self._recent.append(failed)
         if not cold:
-            tally.timed += 1
-            tally.latency_ms += int(record.latency_s * 1000)
+            total.timed += 1
+            total.latency_ms += int(record.latency_s * 1000)
 
     def evidence(self, *, service: str, node: str) -> Evidence:
         """Return the counts."""
         routes = tuple(
-            (route, tally.calls, tally.failures, tally.timed, tally.latency_ms)
-            for route, tally in self._tallies.items()
+            (route, total.calls, total.failures, total.timed, total.latency_ms)
+            for route, total in self._totals.items()
         )
         return Evidence(self._order_id, service, node, self._version, routes)
 
@@ -158,48 +158,48 @@
         """Return the calls to a version since a time at most two windows ago."""
         if not self._samples:
             return 0
-        before = next((sums for at, sums in reversed(self._samples) if at <= since), {})
+        before = next((totals for at, totals in reversed(self._samples) if at <= since), {})
         return _call_count(self._samples[-1][1], version) - _call_count(before, version)
 
     def fault(self, version: str) -> str:
         """Return why a version is bad, empty if no regression is found."""
         if not self._samples:
             return ""
-        now, sums = self._samples[-1]
-        recent_from = next((old for at, old in self._samples if now - at <= WINDOW_S), {})
-        return _compare(sums, version) or _compare(_difference(sums, recent_from), version)
+        now, totals = self._samples[-1]
+        window_start = next((old for at, old in self._samples if now - at <= WINDOW_S), {})
+        return _compare(totals, version) or _compare(_difference(totals, window_start), version)
 
     def _current_totals(self) -> _TotalsByRoute:
-        sums: _TotalsByRoute = {}
+        totals: _TotalsByRoute = {}
         for evidence in self._latest.values():
             for route, calls, failures, timed, latency_ms in evidence.routes:
-                tally = sums.setdefault((evidence.service_version, route), CallTotals())
-                tally.add(CallTotals(calls, failures, timed, latency_ms))
-        return sums
+                total = totals.setdefault((evidence.service_version, route), CallTotals())
+                total.add(CallTotals(calls, failures, timed, latency_ms))
+        return totals
 
 
-def _call_count(sums: Mapping[tuple[str, str], CallTotals], version: str) -> int:
-    return sum(tally.calls for (of, _), tally in sums.items() if of == version)
+def _call_count(totals: Mapping[tuple[str, str], CallTotals], version: str) -> int:
+    return sum(total.calls for (key_version, _), total in totals.items() if key_version == version)
 
 
-def _difference(sums: _TotalsByRoute, before: _TotalsByRoute) -> _TotalsByRoute:
+def _difference(totals: _TotalsByRoute, before: _TotalsByRoute) -> _TotalsByRoute:
     result: _TotalsByRoute = {}
-    for key, tally in sums.items():
-        part = CallTotals()
-        part.add(tally)
+    for key, total in totals.items():
+        change = CallTotals()
+        change.add(total)
         if key in before:
-            part.add(before[key], sign=-1)
-        result[key] = part
+            change.add(before[key], sign=-1)
+        result[key] = change
     return result
 
 
-def _compare(sums: _TotalsByRoute, version: str) -> str:
+def _compare(totals: _TotalsByRoute, version: str) -> str:
     """Return how ``version`` regressed from the others, on one route or in total."""
-    routes = {route for of, route in sums if of == version}
+    routes = {route for key_version, route in totals if key_version == version}
     new_all, old_all = CallTotals(), CallTotals()
     for route in sorted(routes):
-        new = sums[version, route]
-        old = _baseline(sums, version, route)
+        new = totals[version, route]
+        old = _baseline(totals, version, route)
         new_all.add(new)
         old_all.add(old)
         reason = _find_regression(new, old)
@@ -208,11 +208,11 @@
     return _compare_failures(new_all, old_all)
 
 
-def _baseline(sums: _TotalsByRoute, version: str, route: str) -> CallTotals:
+def _baseline(totals: _TotalsByRoute, version: str, route: str) -> CallTotals:
     old = CallTotals()
-    for (of, on), tally in sums.items():
-        if of != version and on == route:
-            old.add(tally)
+    for (key_version, key_route), total in totals.items():
+        if key_version != version and key_route == route:
+            old.add(total)
     return old
 
 
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -270,12 +270,12 @@
             if base != NO_BASE and value is None:
                 return [self.request_records(sender)]  # The base of the delta is missing here.
             records.append(KeyedRecord(key, value, offset))
-        stated = message.start != UNKNOWN_START
-        start = message.start if stated else message.position
+        has_start = message.start != UNKNOWN_START
+        start = message.start if has_start else message.position
         changed = replica.apply(KeyedPage(tuple(records), message.position, start=start))
         if changed:
             self._on_records(message.topic, changed, sender)
-        if stated and replica.position < message.position:
+        if has_start and replica.position < message.position:
             return [self.request_records(sender)]  # An earlier message was lost.
         return []
 
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -104,8 +104,8 @@
                 page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
                 self._post(PageRead(write.topic, page, full=True))
                 end = page.position
-                present = {record.key: record.value for record in page.records}
-                if not write.may_replace(present.get(write.key)):
+                current = {record.key: record.value for record in page.records}
+                if not write.may_replace(current.get(write.key)):
                     return True
             offset = self._store.put(write.topic, write.key, write.value, expected_end=end)
         except AppendConflict as conflict:
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -132,8 +132,8 @@
 def _removal(entry: NodeEntry) -> Write:
     """Return the write that removes a node's record unless the node has restarted."""
 
-    def is_old(present: bytes | None) -> bool:
-        stored = decode_entry(present)
+    def is_old(current: bytes | None) -> bool:
+        stored = decode_entry(current)
         return stored is not None and stored.boot <= entry.boot
 
     return Write(MESH_TOPIC, NODE_PREFIX + entry.name, None, may_replace=is_old, once=True)
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -108,8 +108,8 @@
 def rollout_write(record: RolloutRecord) -> Write:
     """Return the write of a record; it only replaces an older one."""
 
-    def is_older(present: bytes | None) -> bool:
-        known = decode_record(present)
+    def is_older(current: bytes | None) -> bool:
+        known = decode_record(current)
         if known is None:
             return True
         return (known.order_id, known.revision) < (record.order_id, record.revision)
--- a/src/citronrack/hosted/signals.py
+++ b/src/citronrack/hosted/signals.py
@@ -30,9 +30,9 @@
         """Add a signal from another thread of this process."""
         self._writer.send(bytes([number]))
 
-    def wait(self, limit_s: float) -> frozenset[signal.Signals]:
-        """Return the signals that have arrived, after at most ``limit_s`` seconds."""
-        select.select([self._reader], [], [], limit_s)
+    def wait(self, timeout_s: float) -> frozenset[signal.Signals]:
+        """Return the signals that have arrived, after at most ``timeout_s`` seconds."""
+        select.select([self._reader], [], [], timeout_s)
         try:
             received = self._reader.recv(4096)
         except BlockingIOError:
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -58,26 +58,28 @@
 
 
 def _pools(
-    entries: Iterable[NodeEntry], moving: Mapping[str, str]
+    entries: Iterable[NodeEntry], new_versions: Mapping[str, str]
 ) -> dict[tuple[str, str], tuple[PoolTarget, ...]]:
     """Return targets by service and version key; non-serving ones only if no target serves."""
     serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
-    others: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
+    not_serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     for entry in entries:
         if not entry.service:
             continue
-        pools = serving if entry.serving else others
+        pools = serving if entry.serving else not_serving
         target = _target(entry)
-        for pool in _pool_names(entry, moving.get(entry.service)):
+        for pool in _pool_names(entry, new_versions.get(entry.service)):
             pools[entry.service, pool].append(target)
-    return {key: tuple(serving.get(key) or others[key]) for key in {*serving, *others}}
+    return {key: tuple(serving.get(key) or not_serving[key]) for key in {*serving, *not_serving}}
 
 
-def _pool_names(entry: NodeEntry, moving_to: str | None) -> tuple[str, ...]:
-    if moving_to is None:
+def _pool_names(entry: NodeEntry, new_version: str | None) -> tuple[str, ...]:
+    if new_version is None:
         return (ANY_VERSION,)
-    side = moving_to if entry.service_version == moving_to else other_versions(moving_to)
-    return ANY_VERSION, side
+    version_key = (
+        new_version if entry.service_version == new_version else other_versions(new_version)
+    )
+    return ANY_VERSION, version_key
 
 
 def _target(entry: NodeEntry) -> PoolTarget:
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -29,8 +29,8 @@
         failures: Number of consecutive failed reads before it.
         random: Source of random numbers.
     """
-    patient = failures > 0 and random.random() < LONG_READ_SHARE
-    return LONG_READ_TIMEOUT_MS if patient else READ_TIMEOUT_MS
+    use_long_timeout = failures > 0 and random.random() < LONG_READ_SHARE
+    return LONG_READ_TIMEOUT_MS if use_long_timeout else READ_TIMEOUT_MS
 
 
 class WatchTask:
@@ -110,7 +110,7 @@
 
     def _read_once(self) -> None:
         """Read once; reads after a start or a failure do not wait, to confirm the end early."""
-        began_at, wait_ms = self._clock.monotonic(), 0
+        started_at, wait_ms = self._clock.monotonic(), 0
         timeout_ms = read_timeout_ms(self._backoff.failures, self._random)
         full = self._position is None
         if self._position is None:
@@ -120,7 +120,7 @@
             page = self._store.read(
                 self._topic, self._position, wait_ms=wait_ms, timeout_ms=timeout_ms
             )
-        created_at = min(self._clock.monotonic(), began_at + wait_ms / 1000)
+        created_at = min(self._clock.monotonic(), started_at + wait_ms / 1000)
         self._post(PageRead(self._topic, page, full=full, created_at=created_at))
         self._position = page.position
         self._long_poll = True
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -90,7 +90,7 @@
     }
     value = json.dumps(status).encode()
     return Write(
-        STATUS_TOPIC, ROLLOUT_PREFIX + service, value, may_replace=lambda present: present != value
+        STATUS_TOPIC, ROLLOUT_PREFIX + service, value, may_replace=lambda current: current != value
     )
 
 
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -169,11 +169,11 @@
 def _raw_records(body: bytes, start: int) -> list[KeyedRecord]:
     """Decode records, each of which is a length, the key's length, the key and the value."""
     records = []
-    at = HEADER_BYTES
+    index = HEADER_BYTES
     offset = start
-    while at + LENGTH_BYTES <= len(body):
-        length = int.from_bytes(body[at : at + LENGTH_BYTES], "big")
-        content = body[at + LENGTH_BYTES : at + LENGTH_BYTES + length]
+    while index + LENGTH_BYTES <= len(body):
+        length = int.from_bytes(body[index : index + LENGTH_BYTES], "big")
+        content = body[index + LENGTH_BYTES : index + LENGTH_BYTES + length]
         if len(content) < length:
             raise LogUnavailable("the store sent a truncated record")
         key_end = 1 + content[0] if content else 0
@@ -181,7 +181,7 @@
         key = content[1:key_end].decode("utf-8", errors="replace")
         records.append(KeyedRecord(key, content[key_end:] or None, offset))
         offset += 1
-        at += LENGTH_BYTES + length
+        index += LENGTH_BYTES + length
     return records
 
 
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -28,7 +28,7 @@
     Attributes:
         needed: Whether the node has to read the topic.
         position: First offset that is requested.
-        began_at: Start time of the pending read, None if there is none.
+        started_at: Start time of the pending read, None if there is none.
         hangs: Whether the pending read gets no response.
         next_at: Earliest start of the next read.
         failures: Consecutive failed reads.
@@ -40,7 +40,7 @@
 
     needed: bool = True
     position: int = 0
-    began_at: float | None = None
+    started_at: float | None = None
     hangs: bool = False
     next_at: float = 0.0
     failures: int = 0
@@ -114,13 +114,13 @@
 
     def _poll(self, name: str, poll: Poll) -> None:
         now = self.clock.monotonic()
-        if poll.began_at is None:
+        if poll.started_at is None:
             if not poll.needed or now < poll.next_at:
                 return
-            poll.began_at = now
+            poll.started_at = now
             poll.limit_ms = read_timeout_ms(poll.failures, poll.random)
         poll.hangs = poll.hangs or name in self.silent
-        waited_s = now - poll.began_at
+        waited_s = now - poll.started_at
         wait_s = WAIT_S if poll.waits else 0.0
         if name in self.refused:
             self._fail(name, poll, "refused")
@@ -131,14 +131,14 @@
             records = tuple(self.store.topics[TOPIC][poll.position :])
             if records or waited_s >= wait_s:
                 poll.position += len(records)
-                poll.began_at, poll.waits, poll.failures = None, True, 0
+                poll.started_at, poll.waits, poll.failures = None, True, 0
                 page = KeyedPage(records, poll.position, start=poll.position - len(records))
                 self.deliver(
                     name, self.cores[name].handle(PageRead(TOPIC, page, full=False, created_at=now))
                 )
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
-        poll.began_at, poll.hangs, poll.waits = None, False, False
+        poll.started_at, poll.hangs, poll.waits = None, False, False
         poll.failures += 1
         poll.next_at = self.clock.monotonic() + BACKOFF_CAP_S
         self.deliver(name, self.cores[name].handle(ReadFailed(TOPIC, reason)))
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -48,8 +48,8 @@
             with self.subTest(seed=seed):
                 random = Random(seed)
                 mesh = self.steady_mesh()
-                without = random.sample(sorted(mesh.cores), 6)
-                getattr(mesh, kind).update(without, mesh.readers("za"))
+                affected = random.sample(sorted(mesh.cores), 6)
+                getattr(mesh, kind).update(affected, mesh.readers("za"))
                 mesh.run(random.uniform(0, 1.5))
                 self.assert_in_time(mesh, 2, mesh.cores)
 
--- a/tests/platform/measure.py
+++ b/tests/platform/measure.py
@@ -48,17 +48,17 @@
             time.sleep(SETTLE_S)
             names = ("citronrack_message_bytes_sent", "citronrack_messages_sent")
             before = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(cpu_s(i) for i in mesh.instances)
+            cpu_used_s = sum(cpu_s(i) for i in mesh.instances)
             calls = len(mesh.store.calls)
             time.sleep(MEASURED_S)
             after = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(cpu_s(i) for i in mesh.instances) - used
+            cpu_used_s = sum(cpu_s(i) for i in mesh.instances) - cpu_used_s
             calls = len(mesh.store.calls) - calls
             memory = max(resident_mb(i) for i in mesh.instances)
         rates = [(b - a) / size / MEASURED_S for a, b in zip(before, after, strict=True)]
-        core = 100 * used / size / MEASURED_S
+        cpu_percent = 100 * cpu_used_s / size / MEASURED_S
         print(
-            f"| {size} | {rates[0]:.0f} | {rates[1]:.1f} | {core:.2f} | {memory:.1f} |"
+            f"| {size} | {rates[0]:.0f} | {rates[1]:.1f} | {cpu_percent:.2f} | {memory:.1f} |"
             f" {calls / MEASURED_S:.1f} |",
             flush=True,
         )
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -90,8 +90,8 @@
             for node in mesh.instances:
                 mesh.restart(node, signal.SIGKILL)
             for node in mesh.instances:
-                asked = wait_for(lambda n=node: get_status(n.host, n.ready, READINESS) == 503)
-                self.assertTrue(asked, f"{node.name} does not report that it is not ready")
+                not_ready = wait_for(lambda n=node: get_status(n.host, n.ready, READINESS) == 503)
+                self.assertTrue(not_ready, f"{node.name} does not report that it is not ready")
                 self.assertEqual(call(node, "/catalogue/x", "s1")[0], 503)
             mesh.store.faults.refused.clear()
             for node in mesh.instances:
