--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -312,7 +312,7 @@
         elif record.value is not None:
             self._refuse_record(record)
         elif record.key == self._registration.key:
-            self._check_own_record()  # The store may drop keys that nobody removed.
+            self._check_own_record()  # The store may drop a key without a request.
 
     def _refuse_record(self, record: KeyedRecord) -> None:
         self._dependencies.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -184,7 +184,7 @@
         ]
         self.assertEqual(sorted(refused), [NODE_PREFIX + "x", "rollout/s"])
 
-    def test_line_of_a_configuration_tells_its_way(self) -> None:
+    def test_source_of_a_configuration_is_logged(self) -> None:
         """Guards against late configurations whose source is not logged."""
         mesh = self.start()
         mesh.cut.add("n0")
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -91,17 +91,17 @@
     def test_node_without_the_older_record_asks(self) -> None:
         """Guards against a node that misses one change and cannot apply later deltas."""
         self.push(2)
-        asked = self.gossip.on_message("tcp://r", self.push(3))
+        requests = self.gossip.on_message("tcp://r", self.push(3))
         self.assertEqual(self.other.position, 2)
-        self.assertEqual([send.to for send in asked], ["tcp://r"])
-        question = asked[0].message
-        assert isinstance(question, Positions)
-        for send in make_gossip(self.reader, ManualClock()).on_message("tcp://n", question):
+        self.assertEqual([send.to for send in requests], ["tcp://r"])
+        request = requests[0].message
+        assert isinstance(request, Positions)
+        for send in make_gossip(self.reader, ManualClock()).on_message("tcp://n", request):
             self.gossip.on_message("tcp://r", send.message)
         self.assertEqual(self.other.value("config"), value(3, changed=3))
         self.assertEqual(self.other.position, 4)
 
-    def test_message_without_bases_holds_whole_values(self) -> None:
+    def test_message_without_bases_holds_full_values(self) -> None:
         """Guards against a node that does not understand messages of the previous release."""
         message = TopicRecords(TOPIC, (("config", compress(value(2)), 2),), 3)
         self.gossip.on_message("tcp://r", message)
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -105,7 +105,7 @@
         mesh.run(STABLE_S)
         self.assertEqual(mesh.cores["n4"].config_version, 1)
 
-    def test_node_without_word_is_not_sure(self) -> None:
+    def test_node_without_confirmation_is_incomplete(self) -> None:
         """Guards against a final 404 from a node that may lack the newest configuration."""
         mesh = self.steady_mesh()
         self.assertTrue(all(holder.current.complete for holder in mesh.views.values()))
--- a/tests/hosted/test_readers.py
+++ b/tests/hosted/test_readers.py
@@ -81,7 +81,7 @@
 class ReaderRoleTest(unittest.TestCase):
     """Each zone has one reader, and a failed one is replaced in time."""
 
-    def test_longest_way_of_a_change(self) -> None:
+    def test_worst_case_delay_of_a_change(self) -> None:
         """Guards against delays that add up to more than the time within which a change applies.
 
         A store that drops its history holds the reads that were already pending.
@@ -92,7 +92,7 @@
             total_s = timings.stale_after_s + timings.max_rank_delay_s + 2 * TICK_S + READ_S
             self.assertLess(total_s, bound_s)
 
-    def test_calm_reader_is_heard_in_time(self) -> None:
+    def test_heartbeats_arrive_before_the_timeout(self) -> None:
         """Guards against nodes that start to read although all reads of their reader succeed."""
         self.assertLess(TIMINGS.wait_s + TIMINGS.heartbeat_interval_s, TIMINGS.stale_after_s)
 
@@ -146,7 +146,7 @@
         zone.run(CONFIG_APPLY_S - TICK_S)
         self.assertIn(lagging, zone.readers)
 
-    def test_word_that_waited_is_old(self) -> None:
+    def test_delayed_confirmation_is_old(self) -> None:
         """Guards against treating a replica as fresh after the instance was suspended.
 
         Responses and heartbeats wait in the sockets meanwhile and are old when they are read.
--- a/tests/hosted/test_replica.py
+++ b/tests/hosted/test_replica.py
@@ -23,7 +23,7 @@
         self.assertEqual(replica.apply(page(("a", b"old", 3), position=4)), [])
         self.assertEqual((replica.value("a"), replica.position), (b"new", 8))
 
-    def test_whole_page_removes_missing_keys(self) -> None:
+    def test_full_page_removes_missing_keys(self) -> None:
         """Guards against removed keys that remain after the store has dropped its history."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"1", 1), ("b", b"2", 2), position=3))
@@ -31,7 +31,7 @@
         self.assertEqual([(record.key, record.value) for record in changed], [("a", None)])
         self.assertIsNone(replica.value("a"))
 
-    def test_whole_page_keeps_what_is_newer(self) -> None:
+    def test_full_page_keeps_newer_records(self) -> None:
         """Guards against a slow read that overwrites records forwarded by another node."""
         replica = TopicReplica("t")
         replica.apply(page(("a", b"1", 12), position=13))
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -185,7 +185,7 @@
                 self.assertEqual(phases, [Phase.RUNNING, Phase.COMPLETED])
                 self.assertLess(fleet.statuses[-1][2], ORDER.duration_s)
 
-    def test_bad_version_is_taken_back(self) -> None:
+    def test_bad_version_is_rolled_back(self) -> None:
         """Guards against a bad version that gets too many calls or is rolled back too late."""
         for outcome in (fails, fails_on_one_route, fails_late, slow):
             with self.subTest(outcome.__name__):
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -28,13 +28,13 @@
     Attributes:
         clock: Advanced by each read.
         takes_s: Durations of the remaining reads.
-        asked: Wait and timeout of each read.
+        requests: Wait and timeout of each read, in milliseconds.
         on_end: Holds the watch to stop with the last read.
     """
 
     clock: ManualClock
     takes_s: list[float | None]
-    asked: list[tuple[int, int]] = field(factory=list)
+    requests: list[tuple[int, int]] = field(factory=list)
     on_end: list[WatchTask] = field(factory=list)
 
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
@@ -43,7 +43,7 @@
 
     def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
         """Advance the clock; stop the watch with the last read."""
-        self.asked.append((wait_ms, timeout_ms))
+        self.requests.append((wait_ms, timeout_ms))
         took_s = self.takes_s.pop(0)
         if not self.takes_s:
             self.on_end[0].stop()
@@ -81,7 +81,7 @@
         """Guards against a full long poll before the topic is confirmed after an outage."""
         store, _ = self.run_watch(WAIT_S, None, 0.0, 0.0)
         wait_ms = round(WAIT_S * 1000)
-        self.assertEqual([wait for wait, _ in store.asked], [wait_ms, wait_ms, 0, wait_ms])
+        self.assertEqual([wait for wait, _ in store.requests], [wait_ms, wait_ms, 0, wait_ms])
 
     def test_slow_store_is_read(self) -> None:
         """Guards against a node whose timeouts are always too short for a slow store."""
