--- a/src/citronrack/hosted/metrics.py
+++ b/src/citronrack/hosted/metrics.py
@@ -31,7 +31,7 @@
     events: EventLog,
     transport: ZmqTransport,
 ) -> None:
-    """Let the gauges read the parts that know their values."""
+    """Register the gauges with the functions that return their values."""
     metrics.set_source("target_load", lambda: call_path.admission.load)
     metrics.set_source("config_version", lambda: core.config_version)
     metrics.set_source("config_age_seconds", lambda: core.config_age_s)
--- a/src/citronrack/hosted/signals.py
+++ b/src/citronrack/hosted/signals.py
@@ -1,4 +1,4 @@
-"""Signals as messages to the main thread."""
+"""Delivers signals to the main thread as messages."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 
 class SignalInbox:
-    """Receives signals whichever thread the system interrupts.
+    """Receives signals regardless of the thread that the system interrupts.
 
-    A Python handler runs only when the main thread returns from what it waits for, so a signal
-    that interrupts another thread would be noticed seconds late.
+    A Python handler only runs when the main thread returns from a blocking call, so a signal that
+    interrupts another thread would be handled seconds late.
 
     Args:
-        numbers: Signals to receive; they no longer end the process.
+        numbers: Signals to receive; they no longer terminate the process.
     """
 
     def __init__(self, numbers: Iterable[signal.Signals]) -> None:
@@ -30,9 +30,9 @@
         """Add a signal from another thread of this process."""
         self._writer.send(bytes([number]))
 
-    def wait(self, limit_s: float) -> frozenset[signal.Signals]:
-        """Return the signals that have arrived, after at most ``limit_s`` seconds."""
-        select.select([self._reader], [], [], limit_s)
+    def wait(self, timeout_s: float) -> frozenset[signal.Signals]:
+        """Return the signals that have arrived, after at most ``timeout_s`` seconds."""
+        select.select([self._reader], [], [], timeout_s)
         try:
             received = self._reader.recv(4096)
         except BlockingIOError:
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -1,4 +1,4 @@
-"""Builds the routing view from configuration, node entries and rollouts."""
+"""Builds the routing view from the configuration, node entries and rollouts."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from .entry import NodeEntry
 
 ANY_VERSION = ""
-"""Pool of all targets of a service."""
+"""Version key of the pool with all targets of a service."""
 
 
 def other_versions(version: str) -> str:
-    """Return the name of the pool of all targets that are not of ``version``."""
+    """Return the version key of the pool with all targets that do not run ``version``."""
     return f"!{version}"
 
 
@@ -30,10 +30,10 @@
     """Return the view by which calls are routed.
 
     Args:
-        config: Configuration in force; a version of -1 means that there is none yet.
+        config: Active configuration; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
         rollouts: Target version, share and order id by service.
-        complete: Whether the configuration is known to be the newest.
+        complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
     """
     ready = config.version >= 0
@@ -41,7 +41,7 @@
     return RoutingView(
         ready=ready,
         complete=complete,
-        reason="" if ready else "the node holds no configuration yet",
+        reason="" if ready else "the node has no configuration yet",
         config=config,
         pools=_pools(entries, {service: to for service, (to, _, _) in rollouts.items()}),
         index=index,
@@ -58,26 +58,28 @@
 
 
 def _pools(
-    entries: Iterable[NodeEntry], moving: Mapping[str, str]
+    entries: Iterable[NodeEntry], new_versions: Mapping[str, str]
 ) -> dict[tuple[str, str], tuple[PoolTarget, ...]]:
-    """Return the targets by service and version; others serve only where none is serving."""
+    """Return targets by service and version key; non-serving ones only if no target serves."""
     serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
-    others: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
+    not_serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     for entry in entries:
         if not entry.service:
             continue
-        pools = serving if entry.serving else others
+        pools = serving if entry.serving else not_serving
         target = _target(entry)
-        for pool in _pool_names(entry, moving.get(entry.service)):
+        for pool in _pool_names(entry, new_versions.get(entry.service)):
             pools[entry.service, pool].append(target)
-    return {key: tuple(serving.get(key) or others[key]) for key in {*serving, *others}}
+    return {key: tuple(serving.get(key) or not_serving[key]) for key in {*serving, *not_serving}}
 
 
-def _pool_names(entry: NodeEntry, moving_to: str | None) -> tuple[str, ...]:
-    if moving_to is None:
+def _pool_names(entry: NodeEntry, new_version: str | None) -> tuple[str, ...]:
+    if new_version is None:
         return (ANY_VERSION,)
-    side = moving_to if entry.service_version == moving_to else other_versions(moving_to)
-    return ANY_VERSION, side
+    version_key = (
+        new_version if entry.service_version == new_version else other_versions(new_version)
+    )
+    return ANY_VERSION, version_key
 
 
 def _target(entry: NodeEntry) -> PoolTarget:
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -1,4 +1,4 @@
-"""A mesh whose nodes follow the operator's topic by long polls."""
+"""A mesh whose nodes follow the operator topic with long polls."""
 
 from __future__ import annotations
 
@@ -23,23 +23,24 @@
 
 @define(eq=False)
 class Poll:
-    """The watch of one node.
+    """Simulated watch of one node.
 
     Attributes:
-        needed: Whether the node wants the topic to be read.
-        position: First offset that is asked for.
-        began_at: When the read that is open began, None while there is none.
-        hangs: Whether the open read gets no answer.
-        next_at: When the next read may begin.
-        failures: Reads without an answer since the last one that had one.
-        limit_ms: Longest time of the open read beyond its wait; a silent store takes connections.
+        needed: Whether the node has to read the topic.
+        position: First offset that is requested.
+        started_at: Start time of the pending read, None if there is none.
+        hangs: Whether the pending read gets no response.
+        next_at: Earliest start of the next read.
+        failures: Consecutive failed reads.
+        limit_ms: Timeout of the pending read, in addition to its wait; a silent store still accepts
+            connections.
         random: Source of random numbers.
-        waits: Whether the store holds the read while nothing changes.
+        waits: Whether the store holds the read while there are no new records.
     """
 
     needed: bool = True
     position: int = 0
-    began_at: float | None = None
+    started_at: float | None = None
     hangs: bool = False
     next_at: float = 0.0
     failures: int = 0
@@ -49,11 +50,11 @@
 
 
 class PollingMesh(Mesh):
-    """Nodes with long polls; ticks of nodes come one after the other.
+    """Nodes with long polls and staggered ticks.
 
     Attributes:
-        silent: Nodes that get no answer of the store.
-        refused: Nodes that the store refuses.
+        silent: Nodes that get no response from the store.
+        refused: Nodes whose requests the store refuses.
     """
 
     def __init__(self, size: int, *, zones: tuple[str, ...]) -> None:
@@ -69,7 +70,7 @@
             poll.position = 1
 
     def add(self, name: str, *, boot: int = 1) -> HostedCore:
-        """Add a node, in place of one of the same name."""
+        """Add a node; it replaces one of the same name."""
         core = super().add(name, boot=boot)
         poll = self.polls[name] = Poll(random=Random(name))
 
@@ -83,7 +84,7 @@
         return core
 
     def run(self, seconds: float) -> None:
-        """Let time pass in small steps."""
+        """Advance the clock in small steps."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
             self._steps += 1
@@ -94,12 +95,12 @@
             self._store_writes()
 
     def change(self, version: int) -> None:
-        """Let the operator write a configuration."""
+        """Write a configuration as the operator."""
         records = self.store.topics[TOPIC]
         records.append(config_record(version, len(records), f"p{version}"))
 
     def order(self, version: str) -> None:
-        """Let the operator order a rollout."""
+        """Write a rollout order as the operator."""
         fields = {"service": SERVICE, "target_version": version, "duration": "16s"}
         self.store.put(TOPIC, f"rollout/{SERVICE}", json.dumps(fields).encode())
 
@@ -108,18 +109,18 @@
         return [n for n, poll in self.polls.items() if poll.needed and self.zone_of(n) == zone]
 
     def versions(self) -> dict[str, int]:
-        """Return the version in force on each node."""
+        """Return the active configuration version of each node."""
         return {name: core.config_version for name, core in self.cores.items()}
 
     def _poll(self, name: str, poll: Poll) -> None:
         now = self.clock.monotonic()
-        if poll.began_at is None:
+        if poll.started_at is None:
             if not poll.needed or now < poll.next_at:
                 return
-            poll.began_at = now
+            poll.started_at = now
             poll.limit_ms = read_timeout_ms(poll.failures, poll.random)
         poll.hangs = poll.hangs or name in self.silent
-        waited_s = now - poll.began_at
+        waited_s = now - poll.started_at
         wait_s = WAIT_S if poll.waits else 0.0
         if name in self.refused:
             self._fail(name, poll, "refused")
@@ -130,14 +131,14 @@
             records = tuple(self.store.topics[TOPIC][poll.position :])
             if records or waited_s >= wait_s:
                 poll.position += len(records)
-                poll.began_at, poll.waits, poll.failures = None, True, 0
+                poll.started_at, poll.waits, poll.failures = None, True, 0
                 page = KeyedPage(records, poll.position, start=poll.position - len(records))
                 self.deliver(
                     name, self.cores[name].handle(PageRead(TOPIC, page, full=False, created_at=now))
                 )
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
-        poll.began_at, poll.hangs, poll.waits = None, False, False
+        poll.started_at, poll.hangs, poll.waits = None, False, False
         poll.failures += 1
         poll.next_at = self.clock.monotonic() + BACKOFF_CAP_S
         self.deliver(name, self.cores[name].handle(ReadFailed(TOPIC, reason)))
--- a/tests/platform/measure.py
+++ b/tests/platform/measure.py
@@ -1,4 +1,4 @@
-"""``python -m tests.platform.measure`` prints what control costs a node at rest, by size."""
+"""``python -m tests.platform.measure`` prints the resource usage of idle nodes by mesh size."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def metric(instance: Instance, name: str) -> float:
-    """Return the value of a gauge of a node."""
+    """Return the value of a metric without labels of a node."""
     connection = http.client.HTTPConnection(instance.host, 9464, timeout=2)
     connection.request("GET", "/metrics")
     lines = connection.getresponse().read().decode().splitlines()
@@ -24,7 +24,7 @@
 
 
 def cpu_s(instance: Instance) -> float:
-    """Return the processor time that a node has used."""
+    """Return the CPU time that a node has used, in seconds."""
     if instance.process is None:
         return 0.0
     fields = Path(f"/proc/{instance.process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -32,7 +32,7 @@
 
 
 def resident_mb(instance: Instance) -> float:
-    """Return the resident memory of a node."""
+    """Return the resident memory of a node, in MB."""
     if instance.process is None:
         return 0.0
     pages = int(Path(f"/proc/{instance.process.pid}/statm").read_text().split()[1])
@@ -40,7 +40,7 @@
 
 
 def main() -> int:
-    """Print a row for each size."""
+    """Print a row for each mesh size."""
     print("| nodes | bytes/s a node | messages/s a node | % of a core | MB | store calls/s, all |")
     print("|---|---|---|---|---|---|")
     for size in SIZES:
@@ -48,17 +48,17 @@
             time.sleep(SETTLE_S)
             names = ("citronrack_message_bytes_sent", "citronrack_messages_sent")
             before = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(cpu_s(i) for i in mesh.instances)
+            cpu_used_s = sum(cpu_s(i) for i in mesh.instances)
             calls = len(mesh.store.calls)
             time.sleep(MEASURED_S)
             after = [sum(metric(i, name) for i in mesh.instances) for name in names]
-            used = sum(cpu_s(i) for i in mesh.instances) - used
+            cpu_used_s = sum(cpu_s(i) for i in mesh.instances) - cpu_used_s
             calls = len(mesh.store.calls) - calls
             memory = max(resident_mb(i) for i in mesh.instances)
         rates = [(b - a) / size / MEASURED_S for a, b in zip(before, after, strict=True)]
-        core = 100 * used / size / MEASURED_S
+        cpu_percent = 100 * cpu_used_s / size / MEASURED_S
         print(
-            f"| {size} | {rates[0]:.0f} | {rates[1]:.1f} | {core:.2f} | {memory:.1f} |"
+            f"| {size} | {rates[0]:.0f} | {rates[1]:.1f} | {cpu_percent:.2f} | {memory:.1f} |"
             f" {calls / MEASURED_S:.1f} |",
             flush=True,
         )
