--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -142,7 +142,7 @@
         last_start = self._clock.monotonic() + limit - self._attempt_limit_s
         backoff = Backoff(random=self._random)
         may_be_in_log = False
-        failure = "no time left for an attempt"
+        failure = "no time was left for an attempt"
         pause_s = 0.0
         while (yield from self._may_start(pause_s, last_start)):
             try:
