Restore reasons in the texts of moves and log, and clear up odd sentences

Cause: some docstrings had lost a reason (expiry of plans, keys of facts, clocks ahead, 503, missing zones) or said less than the code does. Change: comments and docstrings only.

--- a/src/citronrack/log/_retention.py
+++ b/src/citronrack/log/_retention.py
@@ -22,13 +22,13 @@
     """Estimates the retention by comparing the log's first offset with earlier end offsets.
 
     Example:
-        >>> gauge = RetentionEstimator()
-        >>> gauge.observe(0.0, first=0, end=10)
-        >>> gauge.observe(3600.0, first=0, end=20)
-        >>> gauge.retention_s is None
+        >>> estimator = RetentionEstimator()
+        >>> estimator.observe(0.0, first=0, end=10)
+        >>> estimator.observe(3600.0, first=0, end=20)
+        >>> estimator.retention_s is None
         True
-        >>> gauge.observe(7200.0, first=15, end=30)
-        >>> gauge.retention_s
+        >>> estimator.observe(7200.0, first=15, end=30)
+        >>> estimator.retention_s
         7200.0
     """
 
@@ -38,11 +38,11 @@
 
     @property
     def retention_s(self) -> float | None:
-        """Age of the newest record known to be trimmed, in seconds; None if none is."""
+        """Age of the newest record known to be trimmed, in seconds; None before one is."""
         return self._retention_s
 
     def observe(self, now: float, *, first: int, end: int) -> None:
-        """Record the bounds of the log at a time."""
+        """Add an observation of the log's bounds at time ``now``."""
         while self._samples and self._samples[0].end <= first:
             # The sample's last record was trimmed after the previous observation.
             self._retention_s = now - self._samples.popleft().at
--- a/src/citronrack/log/_writers.py
+++ b/src/citronrack/log/_writers.py
@@ -12,7 +12,7 @@
 
 
 class Arrival(Enum):
-    """Order of a record among the records of its writer."""
+    """Relation of a record to the earlier records of its writer."""
 
     FIRST = "first"
     DUPLICATE = "duplicate"
--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -1,4 +1,4 @@
-"""Appends records with retries, so that each one takes effect at most once."""
+"""Appends records with retries; each takes effect at most once, and doubts are reported."""
 
 from __future__ import annotations
 
--- a/src/citronrack/log/http.py
+++ b/src/citronrack/log/http.py
@@ -58,7 +58,7 @@
             return _parse_offset(body)
         if 400 <= status < 500 and status not in _AMBIGUOUS_STATUSES:
             raise AppendRefused(f"log service refused the append with status {status}")
-        # An outage (503) may begin after the append and before its response.
+        # An outage (503) may begin after the append and before its response, so it proves nothing.
         raise AppendUnknown(f"log service answered the append with status {status}")
 
     def read(self, stream: str, start: int, *, limit: int, wait_ms: int) -> LogPage:
--- a/src/citronrack/log/lease.py
+++ b/src/citronrack/log/lease.py
@@ -126,18 +126,18 @@
         return self._claim(now)
 
     def on_claim_appended(self, offset: int) -> None:
-        """Handle that the returned claim is in the log at ``offset``."""
+        """Handle the append of the returned claim at ``offset``."""
         self._outstanding = None
         self._awaited_offset = offset
         self._retry_later()
 
     def on_claim_unknown(self) -> None:
-        """Handle that the returned claim may be in the log."""
+        """Handle an append with an unknown result: the returned claim may be in the log."""
         self._outstanding = None
         self._retry_later()
 
     def on_claim_refused(self) -> None:
-        """Handle that the returned claim is not in the log."""
+        """Handle a refused append: the returned claim is not in the log."""
         if self._outstanding is not None and self._first_of_term:
             self._claim_sent_at.pop(self._outstanding, None)
         self._outstanding = None
--- a/src/citronrack/log/records.py
+++ b/src/citronrack/log/records.py
@@ -131,9 +131,10 @@
         move_id: The move.
         epoch: Configuration version of the move's confirmation.
         result: A value of `MoveResult`.
-        detail: Reason, route and zone, as text for operators.
+        detail: Reason with calls, route and zone, as text for operators.
         ended_ms: Wall time at which the move ended.
-        missing_zones: Zones without a report.
+        missing_zones: Zones whose result is unknown, or whose calls are missing when the move is
+            taken back.
         calls: Calls that the new service version received.
     """
 
--- a/src/citronrack/log/snapshot.py
+++ b/src/citronrack/log/snapshot.py
@@ -127,20 +127,20 @@
         return WriteSnapshot(fold.next_offset, fold.to_snapshot())
 
     def on_written(self, snapshot_offset: int) -> None:
-        """Handle that the snapshot is in the snapshots stream."""
+        """Handle the append of the snapshot at ``snapshot_offset`` of the snapshots stream."""
         if self._outstanding is not None:
             self._unannounced = _UnannouncedSnapshot(self._outstanding, snapshot_offset)
         self._outstanding = None
         self._backoff.reset()
 
     def on_announced(self, offset: int) -> None:
-        """Handle that the announcement is in the records stream at ``offset``."""
+        """Handle the append of the announcement at ``offset`` of the records stream."""
         self._outstanding = None
         self._awaited_offset = offset
         self._backoff.reset()
 
     def on_failed(self) -> None:
-        """Handle that the last append was refused or has an unknown result."""
+        """Handle an append that was refused or has an unknown result."""
         self._outstanding = None
         self._not_before = self._clock.monotonic() + self._backoff.next_s()
 
@@ -150,8 +150,9 @@
         if state.snapshot_offset < 0:
             return True
         age_s = self._clock.monotonic() - self._folded_at
-        # Applies before any record is trimmed too: a burst may cause the first trim at any time.
-        # The doubling costs only about ten small snapshots until `max_records` takes effect.
+        # Applies before any record is trimmed too: a burst may cause the first trim at any time. A
+        # snapshot is then due each time the log has doubled in length, which costs only about ten
+        # small snapshots until `max_records` takes effect.
         in_older_half = state.snapshot_announced < first + (end - first) // 2
         records = state.next_offset - state.snapshot_through
         return records >= self._max_records or in_older_half or age_s >= self._longest_age_s()
--- a/src/citronrack/moves/baseline.py
+++ b/src/citronrack/moves/baseline.py
@@ -44,7 +44,7 @@
 
 @define
 class Baseline:
-    """Rate of bad calls of the old version, over the buckets in which it was called."""
+    """Rate of bad calls of the old version or of the other routes, outside of shared faults."""
 
     calls: int = 0
     bad_calls: int = 0
--- a/src/citronrack/moves/core.py
+++ b/src/citronrack/moves/core.py
@@ -165,7 +165,7 @@
         return notices
 
     def _interval_s(self, ranked: Sequence[Member]) -> float:
-        """Return the time between two messages, longer when many nodes of the zone send some."""
+        """Return the time between two messages, which grows with the senders of the zone."""
         config = self._state.config
         moving = {config.routes[move.route].service for move in config.moves.values()}
         sender_count = sum(member.service in moving for member in ranked)
--- a/src/citronrack/moves/evidence.py
+++ b/src/citronrack/moves/evidence.py
@@ -12,7 +12,7 @@
 BUCKET_MS = 2_000
 KEPT_BUCKETS = 30  # a bucket is tested one or two buckets later; the rest covers a long pause
 MAX_CELLS = 8_192  # about 2 MB
-MAX_FUTURE_BUCKETS = 2  # evidence of a sender whose clock is further ahead is ignored
+MAX_FUTURE_BUCKETS = 2  # evidence by a clock that is further ahead is not comparable
 OTHER_ROUTES = ""  # move id of the cells that count routes without a move
 
 
@@ -67,7 +67,7 @@
 
 @frozen
 class Source:
-    """Origin of the cells of one process, move and version.
+    """Origin of the cells of one process, move and side.
 
     Attributes:
         node: Name of the node that delivered the calls.
--- a/src/citronrack/moves/facts.py
+++ b/src/citronrack/moves/facts.py
@@ -54,7 +54,7 @@
 
 
 def move_tag(move: Move) -> str:
-    """Return a short name of a move and its epoch; move ids are too long for keys of facts."""
+    """Return a short name of a move and its epoch; full move ids would fill the store of facts."""
     return f"{move.epoch}/{xxhash.xxh64_intdigest(move.move_id.encode()) >> 16:012x}"
 
 
--- a/src/citronrack/moves/intent.py
+++ b/src/citronrack/moves/intent.py
@@ -15,7 +15,7 @@
         route: Name of the route.
         to_version: Service version that should receive the traffic.
         deadline_ms: Wall time by which the move must have finished.
-        start_ms: Wall time of the first step, 0 for immediately.
+        start_ms: Wall time of the first step, 0 to start immediately.
     """
 
     route: str
--- a/src/citronrack/moves/move_facts.py
+++ b/src/citronrack/moves/move_facts.py
@@ -84,7 +84,7 @@
             self._ranks = {key: rank for key, rank in self._ranks.items() if key in keys}
 
     def on_state(self, state: FoldState) -> None:
-        """Apply the marks of the folded log, and remove the facts of decided moves."""
+        """Apply the marks of the folded log, and drop the local state of decided moves."""
         for mark in state.marks.values():
             self._apply(mark)
         self._open_tags = frozenset(move_tag(move) for move in state.config.moves.values())
--- a/src/citronrack/moves/plan.py
+++ b/src/citronrack/moves/plan.py
@@ -1,4 +1,4 @@
-"""Plans: the exact change that an intent leads to."""
+"""Plans: the change that an intent would make, step by step."""
 
 from __future__ import annotations
 
@@ -105,7 +105,7 @@
 
 
 def _expiry(moves: tuple[Move, ...], now_ms: int) -> int:
-    """Return the expiry time, at most the first deadline of a move."""
+    """Return the expiry time; a plan with a move that is already over cannot be confirmed."""
     return min([now_ms + PLAN_LIFETIME_MS, *(move.deadline_ms for move in moves)])
 
 
--- a/src/citronrack/moves/plan_report.py
+++ b/src/citronrack/moves/plan_report.py
@@ -1,4 +1,4 @@
-"""Details of a plan that inform operators beside the change itself."""
+"""Details of a plan for operators, in addition to the change itself."""
 
 from __future__ import annotations
 
--- a/src/citronrack/moves/sequential.py
+++ b/src/citronrack/moves/sequential.py
@@ -30,8 +30,8 @@
 class PairedStratum:
     """Both sides in the same bucket.
 
-    If the sides are equal, then given their number each bad call is on the new side with a
-    probability equal to that side's fraction of the calls.
+    The number of bad calls is taken as given. If the sides are equal, each bad call is on the new
+    side with a probability equal to that side's fraction of the calls.
     """
 
     new: CallSample
--- a/src/citronrack/moves/zone.py
+++ b/src/citronrack/moves/zone.py
@@ -23,9 +23,9 @@
 COUNT_SETTLE_S = 3.0  # by then calls to a marked version have ended and are counted
 REFERENCE_MIN_CALLS = 50
 REFERENCE_LEAD_BUCKETS = 2  # by then all nodes of the zone have the reference
-INSUFFICIENT_EVIDENCE_LEAD_MS = 2_000  # the last steps follow one by one, before the deadline
+INSUFFICIENT_EVIDENCE_LEAD_MS = 2_000  # the last steps, taken one by one, must end by the deadline
 MIN_EVALUATED_MS = 10_000  # a node that has just started to evaluate has no evidence yet
-FOLLOW_FRACTION = 0.25  # of a step's length, after its end, before a zone follows another zone
+FOLLOW_FRACTION = 0.25  # of a step's length; waited after its end, then another zone is followed
 
 VersionKey = tuple[str, str, int]
 
