Restore facts in the docstrings of the bench

Cause: that the relay knows no HTTP, that open loops ignore the responses, and where a fake load is reported had been dropped; a binomial number counted "bad calls". Change: docstrings, and two local names of moves_alarm.py.

--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -30,7 +30,7 @@
         slots: Number of calls that it runs concurrently.
         service_s: Mean service time.
         failing: Probability that a call fails at once.
-        fake_load: Load that it reports, None for the actual load.
+        fake_load: Load that its responses and membership report, None for the actual load.
         alive: Whether it accepts connections.
         queue: Admission queue of its node.
     """
--- a/src/citronrack/bench/calls_load.py
+++ b/src/citronrack/bench/calls_load.py
@@ -1,4 +1,4 @@
-"""A load generator on plain sockets, with little overhead per call."""
+"""A load generator on plain sockets, which does no work besides the call."""
 
 from __future__ import annotations
 
@@ -108,7 +108,7 @@
 
 
 def open_loop(callers: Sequence[Caller], *, per_s: float, seconds: float) -> Rate:
-    """Send calls at a fixed rate, spread over the callers."""
+    """Send calls at fixed times, regardless of the responses, spread over the callers."""
     start = time.perf_counter()
     step = len(callers) / per_s
 
--- a/src/citronrack/bench/calls_relay.py
+++ b/src/citronrack/bench/calls_relay.py
@@ -15,7 +15,7 @@
 
 @define(eq=False)
 class RelayProcess:
-    """A relay of one TCP connection in its own process.
+    """A relay of one TCP connection in its own process; it does not parse HTTP.
 
     Attributes:
         to: Address to which it forwards.
--- a/src/citronrack/bench/moves.py
+++ b/src/citronrack/bench/moves.py
@@ -135,7 +135,7 @@
 
 
 def cases(seeds: int) -> Iterator[Case]:
-    """Yield all runs; a profile on the other profile's deployment is run without fault only."""
+    """Yield all runs; a profile on the other's deployment is slow and runs without condition."""
     for seed in range(1, seeds + 1):
         for version in versions:
             for name in DEPLOYMENTS:
--- a/src/citronrack/bench/moves_alarm.py
+++ b/src/citronrack/bench/moves_alarm.py
@@ -77,13 +77,13 @@
     """Return a binomial random number, by geometric distances between successes."""
     if fraction <= 0:
         return 0
-    bad_calls, place = 0, -1
+    successes, position = 0, -1
     scale = math.log1p(-fraction)
     while True:
-        place += 1 + int(math.log(1.0 - random.random()) / scale)
-        if place >= number:
-            return bad_calls
-        bad_calls += 1
+        position += 1 + int(math.log(1.0 - random.random()) / scale)
+        if position >= number:
+            return successes
+        successes += 1
 
 
 def report(runs: int) -> Iterator[str]:
