--- a/src/citronrack/log/_retention.py
+++ b/src/citronrack/log/_retention.py
@@ -22,13 +22,13 @@
     """Estimates the retention by comparing the log's first offset with earlier end offsets.
 
     Example:
-        >>> estimator = RetentionEstimator()
-        >>> estimator.observe(0.0, first=0, end=10)
-        >>> estimator.observe(3600.0, first=0, end=20)
-        >>> estimator.retention_s is None
+        >>> gauge = RetentionEstimator()
+        >>> gauge.observe(0.0, first=0, end=10)
+        >>> gauge.observe(3600.0, first=0, end=20)
+        >>> gauge.retention_s is None
         True
-        >>> estimator.observe(7200.0, first=15, end=30)
-        >>> estimator.retention_s
+        >>> gauge.observe(7200.0, first=15, end=30)
+        >>> gauge.retention_s
         7200.0
     """
 
--- a/src/citronrack/moves/counting.py
+++ b/src/citronrack/moves/counting.py
@@ -25,7 +25,7 @@
 
 @define
 class _Reference:
-    """Latencies of the old version on this node, and the zone's limit once it is set."""
+    """Latencies of the old version or other routes on this node, and the limit once it is set."""
 
     histogram: LatencyHistogram = field(factory=LatencyHistogram)
     limit_s: float = 0.0
