--- a/src/citronrack/log/appender.py
+++ b/src/citronrack/log/appender.py
@@ -1,4 +1,4 @@
-"""Appends records with retries; each takes effect at most once, and doubts are reported."""
+"""Appends records with retries: at most one effect each, and unknown results are reported."""
 
 from __future__ import annotations
 
