--- a/src/citronrack/log/_retention.py
+++ b/src/citronrack/log/_retention.py
@@ -38,11 +38,11 @@
 
     @property
     def retention_s(self) -> float | None:
-        """Age of the newest record known to be trimmed, in seconds; None if none is."""
+        """Age of the newest record known to be trimmed, in seconds; None before one is."""
         return self._retention_s
 
     def observe(self, now: float, *, first: int, end: int) -> None:
-        """Record the bounds of the log at a time."""
+        """Add an observation of the log's bounds at time ``now``."""
         while self._samples and self._samples[0].end <= first:
             # The sample's last record was trimmed after the previous observation.
             self._retention_s = now - self._samples.popleft().at
