Put back message texts of hosted and platform that leave the process

Cause: 26 reworded texts stand in bodies of responses, rollout records, statuses or the reason field of log events, which are read outside of the process.

--- a/src/citronrack/hosted/canary.py
+++ b/src/citronrack/hosted/canary.py
@@ -17,7 +17,7 @@
 within 5 s."""
 
 FAILS_HERE = "the new service version fails at this target"
-VERSION_ROLLED_BACK = "the service version was rolled back"
+VERSION_ROLLED_BACK = "the service version was taken back"
 
 
 class LocalCanary:
--- a/src/citronrack/hosted/control.py
+++ b/src/citronrack/hosted/control.py
@@ -53,7 +53,7 @@
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=str(error))
             return local_response(400, str(error), Verdict.NOT_RUN)
         if call is None:
-            return local_response(404, "unknown method or path", Verdict.NOT_RUN)
+            return local_response(404, "no such call", Verdict.NOT_RUN)
         answer: Future[str] = Future()
         self._post(
             LeaveReceived(call, answer)
@@ -63,7 +63,7 @@
         try:
             fault = answer.result(ANSWER_TIMEOUT_S)
         except FutureTimeout:
-            return local_response(503, "the report was not processed in time", Verdict.MAY_HAVE_RUN)
+            return local_response(503, "the report was not taken in time", Verdict.MAY_HAVE_RUN)
         if fault:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=fault)
             return local_response(400, fault, Verdict.NOT_RUN)
@@ -82,7 +82,7 @@
 
     def handle(request: Request) -> Response:
         if not is_readiness_request(request.method, request.path):
-            return local_response(404, "unknown method or path", Verdict.NOT_RUN)
+            return local_response(404, "no such call", Verdict.NOT_RUN)
         if not is_ready():
             return local_response(503, "the node is not ready", Verdict.NOT_RUN)
         return local_page(b"application/json", b"{}")
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -225,7 +225,7 @@
     if new.failures >= MIN_FAILURES and new.failure_rate > limit:
         return (
             f"{new.failures} of {new.calls} calls failed,"
-            f" {old.failures} of {old.calls} with the old version"
+            f" {old.failures} of {old.calls} of the old version"
         )
     return ""
 
@@ -233,5 +233,5 @@
 def _compare_latencies(new: CallTotals, old: CallTotals) -> str:
     enough = min(new.timed, old.timed) >= MIN_SLOW_CALLS
     if enough and new.mean_ms > SLOW_FACTOR * old.mean_ms:
-        return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms with the old version"
+        return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms on the old version"
     return ""
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -266,7 +266,7 @@
             elif now - rollout.last_record_at > TAKEOVER_TIMEOUT_S + self._rank_delay_s(
                 rollout, names
             ):
-                self._propose(rollout, evolve(record, reason="the holder has timed out"), now)
+                self._propose(rollout, evolve(record, reason="the holder is silent"), now)
 
     def _apply_record(self, rollout: _Rollout, record: RolloutRecord) -> None:
         """Apply a record if it belongs to the current order and has a greater revision."""
@@ -330,12 +330,12 @@
             rollout.evidence.calls_since(record.target_version, rollout.stepped_at) >= MIN_CALLS
         )
         if next_step is None and elapsed_share >= COMPLETE_AT and enough_calls:
-            self._decide(rollout, record, Phase.COMPLETED, "no fault was found", now)
+            self._decide(rollout, record, Phase.COMPLETED, "no fault was seen", now)
         elif elapsed_share >= TIMEOUT_AT:
-            self._decide(rollout, record, Phase.ROLLED_BACK, "the rollout timed out", now)
+            self._decide(rollout, record, Phase.ROLLED_BACK, "the time is up", now)
         elif next_step is not None and elapsed_share >= next_step.at and enough_calls:
             stepped = evolve(record, share=next_step.share, step=record.step + 1)
-            self._propose(rollout, evolve(stepped, reason="the previous step passed"), now)
+            self._propose(rollout, evolve(stepped, reason="the step before is clear"), now)
         elif now - rollout.last_record_at >= HEARTBEAT_INTERVAL_S:
             heartbeat = self._next_record(rollout, record, now)
             self._apply_record(rollout, heartbeat)
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -138,10 +138,10 @@
         """Apply a report; return whether the state of the target changed.
 
         Raises:
-            ValueError: If the report is from a target at another address.
+            ValueError: If the report is of a target at another address.
         """
         if report.address != self._address:
-            raise ValueError(f"the report is from a target at {report.address}")
+            raise ValueError(f"the report is of a target at {report.address}")
         now = self._clock.monotonic()
         known = self._view.report
         if known is not None and not self._is_newer(report, known, now):
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -41,7 +41,7 @@
     return RoutingView(
         ready=ready,
         complete=complete,
-        reason="" if ready else "the node has no configuration yet",
+        reason="" if ready else "the node holds no configuration yet",
         config=config,
         pools=_pools(entries, {service: to for service, (to, _, _) in rollouts.items()}),
         index=index,
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -58,7 +58,7 @@
                 return float(number) * factor
             except ValueError:
                 continue
-    raise FieldError(f"field {name!r} is not a duration with unit 'ms' or 's': {text!r}")
+    raise FieldError(f"field {name!r} is not a time: {text!r}")
 
 
 @frozen
@@ -83,7 +83,7 @@
         table = require(fields, name, dict)
         columns = require(table, "columns", list)
         if not all(isinstance(column, str) for column in columns):
-            raise FieldError(f"a column name of {name!r} is not a string")
+            raise FieldError(f"a column of {name!r} has no name")
         return cls(columns, require(table, "rows", list))
 
     def as_map(self, row: Any) -> dict[str, Any]:
@@ -93,7 +93,7 @@
             FieldError: If the row does not match the columns.
         """
         if not isinstance(row, list) or len(row) != len(self.columns):
-            raise FieldError(f"a row does not match the columns {self.columns}")
+            raise FieldError(f"a row does not fit the columns {self.columns}")
         pairs = zip(self.columns, row, strict=True)
         return {column: value for column, value in pairs if value is not None}
 
@@ -101,6 +101,6 @@
         """Yield all rows as maps by column name.
 
         Raises:
-            FieldError: If a row does not match the columns.
+            FieldError: If a row does not fit the columns.
         """
         return map(self.as_map, self.rows)
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -108,7 +108,7 @@
 def _route(row: Mapping[str, Any]) -> Route:
     kind = require(row, "kind", str)
     if kind not in _IDEMPOTENT_BY_KIND:
-        raise FieldError(f"unknown kind of route: {kind!r}")
+        raise FieldError(f"the kind {kind!r} of a route is not known")
     parts = tuple(
         SplitPart(require(part, "service", str), require(part, "weight", int))
         for part in row.get("weighted_clusters", ())
--- a/src/citronrack/platform/reports.py
+++ b/src/citronrack/platform/reports.py
@@ -37,10 +37,10 @@
     status = require(fields, "status", dict)
     state = require(status, "state", str)
     if not target_id or state not in _DRAINING_BY_STATE:
-        raise FieldError(f"unknown state {state!r} of target {target_id!r}")
+        raise FieldError(f"the state {state!r} of {target_id!r} is not known")
     slots = require(info, "capacity", int)
     if slots < 1:
-        raise FieldError("field 'capacity' is not a positive integer")
+        raise FieldError("field 'capacity' is not a positive number")
     return TargetReport(
         target_id=target_id,
         service=require(info, "service", str),
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -61,7 +61,7 @@
             if status == 404:
                 return KeyedPage((), 0)
             if status != 200:
-                raise LogUnavailable(f"the store responded with status {status}")
+                raise LogUnavailable(f"the store answered with status {status}")
             page = _parse_object(body)
             try:
                 items = [_newest_record(item) for item in page["items"]]
@@ -91,7 +91,7 @@
         if status == 404:
             return KeyedPage((), start, start=start)
         if status != 200:
-            raise LogUnavailable(f"the store responded with status {status}")
+            raise LogUnavailable(f"the store answered with status {status}")
         records = tuple(_raw_records(body, start))
         position = records[-1].offset + 1 if records else start
         end = int.from_bytes(body[:OFFSET_BYTES], "big")
@@ -113,8 +113,8 @@
             )
         except pycurl.error as error:
             if error.args[0] in _NOT_SENT:
-                raise AppendRefused(f"cannot connect to the store: {error}") from error
-            raise AppendUnknown(f"no response to the append: {error}") from error
+                raise AppendRefused(f"the store was not reached: {error}") from error
+            raise AppendUnknown(f"no answer to the append: {error}") from error
         return _append_offset(status, body)
 
     def close(self) -> None:
@@ -125,7 +125,7 @@
         try:
             return self._exchange(f"{call}?{urlencode(query)}", data=None, timeout_ms=timeout_ms)
         except pycurl.error as error:
-            raise LogUnavailable(f"no response from the store: {error}") from error
+            raise LogUnavailable(f"the store did not answer: {error}") from error
 
     def _exchange(self, call: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
         return exchange(
@@ -175,7 +175,7 @@
         length = int.from_bytes(body[index : index + LENGTH_BYTES], "big")
         content = body[index + LENGTH_BYTES : index + LENGTH_BYTES + length]
         if len(content) < length:
-            raise LogUnavailable("the store sent a truncated record")
+            raise LogUnavailable("the store sent a record that is cut short")
         key_end = 1 + content[0] if content else 0
         # A foreign record without a key or value does not remove any key that is used here.
         key = content[1:key_end].decode("utf-8", errors="replace")
@@ -190,11 +190,11 @@
     if status == 200:
         offset = _parse_object(body).get("offset")
         if not isinstance(offset, int):
-            raise AppendUnknown("the store responded to an append without an offset")
+            raise AppendUnknown("the store answered an append without an offset")
         return offset
     if status == 412:
         end = _parse_object(body).get("end")
         raise AppendConflict(end if isinstance(end, int) else -1)
     if status in (400, 403, 404, 409, 413, 429, 503, 507):
         raise AppendRefused(f"the store refused an append with status {status}")
-    raise AppendUnknown(f"the store responded to an append with status {status}")
+    raise AppendUnknown(f"the store answered an append with status {status}")
