Correct docstrings of hosted and platform that say less or other than the code

Cause: some reworded docstrings differed from the code or from their former meaning: the time of a confirmation isn't its earliest time after a long poll that ended early, an entry of any other start is written again, an entry may carry a raised boot number, the id of a target is that of its start, and a pool holds targets that don't serve only when it has no others. The former texts on EXPIRE_AFTER_S and TAKEOVER_TIMEOUT_S counted one loss more than the values allow: after two lost heartbeats (1 s apart) the takeover at 2.5 s comes before the third, and after three lost renewals (60 s apart) the entry is dropped at 200 s before the fourth.

Change: docstrings and one comment; no statement or number.

--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -79,7 +79,7 @@
         """Record that the store confirmed the end of the operator topic.
 
         Args:
-            confirmed_at: Earliest time of the confirmation.
+            confirmed_at: Time at which the store may have confirmed it.
 
         Returns:
             Whether to send a heartbeat to the zone.
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -14,7 +14,8 @@
 """Interval at which a node renews its entry, so that entries of terminated nodes can expire."""
 
 EXPIRE_AFTER_S = 200.0
-"""Time without a renewal after which an entry is dropped; tolerates three lost renewals."""
+"""Time without a renewal after which an entry is dropped; over three renewal intervals, so that
+lost renewals do not drop the entry of a running node."""
 
 
 @frozen
@@ -23,14 +24,15 @@
 
     Attributes:
         name: Name of the node.
-        boot: Wall time of the process start, in milliseconds; greater ones are newer.
+        boot: Wall time of the process start, in milliseconds, or one more than the boot of a newer
+            entry under the same name; greater ones are newer.
         revision: Sequence number of the entry within the process.
         availability_zone: Zone of the instance.
         peer_address: ``ip:port`` for messages of other nodes.
         deliver_address: ``ip:port`` for calls that other nodes forward.
         service: Service of the target, empty while it is unknown.
         service_version: Version of the service that the target runs.
-        target_id: Id of the target.
+        target_id: Id of this start of the target.
         slots: Calls that the target runs concurrently.
         serving: Whether the target takes calls.
         link_mbps: Bandwidth of the instance's link, in Mbit/s, 0 when it is unknown.
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -20,9 +20,9 @@
         topic: Name of the topic.
         page: The records.
         full: Whether the page contains the newest record of every key.
-        created_at: Earliest time at which the store may have made the page, by the boot clock; 0
-            where no caller needs it. It lies in the past if the store is slow, or if the process
-            was suspended while the answer waited.
+        created_at: Time at which the store may have made the page, by the boot clock; 0 if it is
+            not needed. It lies in the past if the store is slow, or if the process was suspended
+            while the response waited in the socket.
     """
 
     topic: str
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -70,7 +70,7 @@
         name: Name of the reader.
         position: First offset that the reader does not cover, which was the end of the topic.
         link_mbps: Bandwidth of the reader's instance, in Mbit/s.
-        age_ms: Upper limit of the age of the confirmation, in milliseconds.
+        age_ms: How long ago the store may have confirmed it, in milliseconds.
     """
 
     name: str
@@ -133,7 +133,7 @@
         """Record that the store confirmed the end of the topic; return whether to send a heartbeat.
 
         Args:
-            confirmed_at: Earliest time of the confirmation.
+            confirmed_at: Time at which the store may have confirmed it.
         """
         now = self.clock.monotonic()
         self._current_at = max(self._current_at, confirmed_at)
@@ -156,7 +156,7 @@
         if better:
             self._better_reader_at = self.clock.monotonic()
         if heartbeat.position > position:
-            return  # This node lacks records and keeps reading until it has caught up.
+            return  # This node lacks records, so it reads itself until it has caught up.
         confirmed_at = self.clock.monotonic() - heartbeat.age_ms / 1000
         self._current_at = max(self._current_at, confirmed_at)
         if better or not store_answers:
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -91,7 +91,7 @@
             self.store()
 
     def reconcile(self, stored: bytes | None) -> None:
-        """Write the entry again if the store has lost it or holds an older start's entry."""
+        """Write the entry again if the store has lost it or holds another start's entry."""
         entry = decode_entry(stored)
         if entry is not None and entry.boot > self._entry.boot:
             self.refute(entry)
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -24,8 +24,8 @@
 """Interval at which the holder of a running rollout broadcasts its record."""
 
 TAKEOVER_TIMEOUT_S = 2.5
-"""Time without a record after which another node takes over a rollout; tolerates the loss of two
-heartbeats."""
+"""Time without a record after which another node takes over a rollout; over two heartbeat
+intervals, so that a single lost heartbeat does not cause a takeover."""
 
 RANK_DELAY_S = 0.3
 """Additional delay per better-ranked node, so that few nodes write at the same time."""
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -60,7 +60,7 @@
 def _pools(
     entries: Iterable[NodeEntry], new_versions: Mapping[str, str]
 ) -> dict[tuple[str, str], tuple[PoolTarget, ...]]:
-    """Return targets by service and version key; non-serving ones only if no target serves."""
+    """Return targets by service and version key; non-serving ones only in pools without others."""
     serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     not_serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
     for entry in entries:
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -101,6 +101,6 @@
         """Yield all rows as maps by column name.
 
         Raises:
-            FieldError: If a row does not fit the columns.
+            FieldError: If a row does not match the columns.
         """
         return map(self.as_map, self.rows)
