Name tests and their locals by what they check

Cause: names such as stands, behind, away, unsafe one, mail or of were figurative or vague, and three docstrings said less than the former ones (the retry after a refusal counts, only calls that must not run twice are refused, faults that concern all nodes).

No assertion, value or argument changes.

--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -189,8 +189,8 @@
                 waiting.append((name, write))
                 continue
             records = self.store.newest(write.topic).records
-            present = {record.key: record.value for record in records}
-            if write.may_replace is None or write.may_replace(present.get(write.key)):
+            current = {record.key: record.value for record in records}
+            if write.may_replace is None or write.may_replace(current.get(write.key)):
                 self.store.put(write.topic, write.key, write.value)
                 record = self.store.topics[write.topic][-1]
                 if name in self.cores:
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -162,7 +162,7 @@
             states = mesh.states()
             self.assertEqual(states[-1], "in_progress" if not seconds else "rolled_back")
 
-    def test_unreadable_records_are_passed_over(self) -> None:
+    def test_unreadable_records_are_ignored(self) -> None:
         """Guards against an invalid record that terminates the core."""
         mesh = self.start()
         mesh.store.put(MESH_TOPIC, NODE_PREFIX + "x", b"\xff")
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -65,7 +65,7 @@
     def call(
         self, *, service: str = "catalogue", cancelled: Callable[[], bool] = lambda: False
     ) -> Response:
-        """Return the answer to a call that another node passes on."""
+        """Return the response to a call that another node forwards."""
         request = Request(
             "POST", b"/x", service=service, request_id="r1", host="h", cancelled=cancelled
         )
@@ -103,11 +103,11 @@
             self.assertTrue(0 < left_ms <= 2000)
             self.assertNotIn(b"x-citronrack", head)
 
-    def test_target_that_loses_requests_gets_no_unsafe_one(self) -> None:
+    def test_target_that_loses_requests_gets_no_non_idempotent_one(self) -> None:
         """Guards against losing requests at a target that closes every connection.
 
-        After the first lost request, the node refuses others, so that they can run at another
-        target.
+        After a lost request, the node refuses calls that must not run twice, and states that they
+        were not run, so that another target can run them.
         """
         with DeliveryFixture(b"") as fixture:
             lost = fixture.call()
@@ -121,7 +121,7 @@
             self.assertEqual(fixture.call().status, 502)
 
     def test_refusal_of_the_target(self) -> None:
-        """Guards against treating a target's refusal as a run, or as not having reached it."""
+        """Guards against treating a target's refusal as a run, or not counting its retry."""
         for status in (421, 429, 503):
             with DeliveryFixture(http_answer(status, "Not-Executed: 1")) as fixture:
                 answer = fixture.call()
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -39,7 +39,7 @@
         st.lists(st.sampled_from([b"[1", b"[2", b"", b"x"]), max_size=12),
         st.lists(st.sampled_from([b"[1", b"[2", b"", b"y"]), max_size=12),
     )
-    def test_every_value_is_made_again(self, old: list[bytes], new: list[bytes]) -> None:
+    def test_every_value_is_rebuilt(self, old: list[bytes], new: list[bytes]) -> None:
         """Guards against a delta that loses, repeats or reorders rows."""
         first, second = b"],".join(old), b"],".join(new)
         self.assertEqual(apply_delta(first, make_delta(first, second)), second)
@@ -88,7 +88,7 @@
         self.assertEqual(self.other.value("config"), value(2, changed=2))
         self.assertEqual(self.other.position, 3)
 
-    def test_node_without_the_older_record_asks(self) -> None:
+    def test_node_without_the_base_requests_records(self) -> None:
         """Guards against a node that misses one change and cannot apply later deltas."""
         self.push(2)
         requests = self.gossip.on_message("tcp://r", self.push(3))
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -25,7 +25,7 @@
 
 
 class LateChangeTest(unittest.TestCase):
-    """Faults of the store that affect only some of the nodes."""
+    """Faults of the store during or after which a change must still be active in time."""
 
     def steady_mesh(self) -> PollingMesh:
         """Return a mesh in which exactly one node of each zone reads."""
@@ -82,7 +82,7 @@
                     mesh.run(delay_s)
                     self.assert_in_time(mesh, 2, mesh.cores)
 
-    def test_store_is_back(self) -> None:
+    def test_store_recovers(self) -> None:
         """Guards against reads that still wait for a response when the store has recovered.
 
         The bound applies again once the store has been available for three seconds.
@@ -128,7 +128,7 @@
                     mesh.drops = self.lose(kind, number)
                     self.assert_in_time(mesh, 2, mesh.cores)
 
-    def test_lost_change_behind_an_order(self) -> None:
+    def test_lost_change_before_an_order(self) -> None:
         """Guards against a position that covers a lost record."""
         mesh = self.steady_mesh()
         mesh.drops = lambda sender, to, message: isinstance(message, TopicRecords | ReaderHeartbeat)
--- a/tests/hosted/test_readers.py
+++ b/tests/hosted/test_readers.py
@@ -84,7 +84,7 @@
     def test_worst_case_delay_of_a_change(self) -> None:
         """Guards against delays that add up to more than the time within which a change applies.
 
-        A store that drops its history holds the reads that were already pending.
+        A store that drops its history holds pending reads until the end of their wait.
         """
         for bound_s in (CONFIG_APPLY_S, 2.5, 9.0):
             timings = ReaderTimings.within(bound_s)
@@ -120,7 +120,7 @@
                 zone.run(3.0)
                 self.assertEqual(len(zone.readers), 1)
 
-    def test_one_reader_passes_records_on(self) -> None:
+    def test_one_reader_forwards_records(self) -> None:
         """Guards against saturated links in a zone in which each of several readers forwards."""
         zone = Zone()
         zone.run(3.0)
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -56,7 +56,7 @@
                 clock=self.clock,
                 events=EventLog(node=name, level="error"),
                 write_record=self._pending.append,
-                broadcast_record=self._tell,
+                broadcast_record=self._broadcast,
                 write_status=lambda _, version, phase, n=name: self.statuses.append(
                     (n, phase, self.clock.monotonic())
                 ),
@@ -97,7 +97,7 @@
                     core.on_record(record)
         self._pending.clear()
 
-    def _tell(self, record: RolloutRecord) -> None:
+    def _broadcast(self, record: RolloutRecord) -> None:
         if record.holder not in self.dead:
             self.records.append(record)
             for core, _, _ in self._nodes.values():
@@ -112,14 +112,16 @@
             failed, latency_s = self.outcome(version, route, now, self._random)
             counters = [
                 counter
-                for name, (_, counter, of) in self._nodes.items()
-                if of == version and name not in self.dead
+                for name, (_, counter, node_version) in self._nodes.items()
+                if node_version == version and name not in self.dead
             ]
             counter = self._random.choice(counters)
             counter.begin(ORDER.order_id, version)
             if version == "v2" and counter.failing:
                 version = "v1"
-                counter = next(c for _, c, of in self._nodes.values() if of == "v1")
+                counter = next(
+                    c for _, c, node_version in self._nodes.values() if node_version == "v1"
+                )
                 failed, latency_s = self.outcome(version, route, now, self._random)
             self.calls += 1
             if version == "v2":
--- a/tests/hosted/test_target.py
+++ b/tests/hosted/test_target.py
@@ -32,7 +32,7 @@
     return TargetReport(**{**REPORT, **fields})
 
 
-class OwnTargetStateTest(unittest.TestCase):
+class OwnTargetTrackerTest(unittest.TestCase):
     """Reports that are late or from another start or another target."""
 
     def setUp(self) -> None:
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -129,13 +129,13 @@
 
     def test_next_configuration(self) -> None:
         """Guards against keeping routes of the previous version that were changed or removed."""
-        reader = ConfigDecoder()
-        first = reader.decode(self.config())
+        decoder = ConfigDecoder()
+        first = decoder.decode(self.config())
         changed = json.loads(self.config().value or b"")
         changed["version"] = 8
         changed["routes"]["rows"][0][4] = "900ms"
         changed["routes"]["rows"][1] = ["c", "Shop.example", "/c/", "idempotent", "1s", "t", None]
-        second = reader.decode(KeyedRecord("config", json.dumps(changed).encode(), 4))
+        second = decoder.decode(KeyedRecord("config", json.dumps(changed).encode(), 4))
         assert first is not None and second is not None
         self.assertEqual(sorted(second.routes), ["a", "c"])
         self.assertEqual((first.routes["a"].timeout_ms, second.routes["a"].timeout_ms), (1200, 900))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -84,7 +84,7 @@
         self.assertEqual(raised.exception.end, 1)
         self.assertEqual(self.standin.value(TOPIC, "a"), b"1")
 
-    def test_what_is_known_of_a_failed_write(self) -> None:
+    def test_outcome_of_a_failed_write(self) -> None:
         """Guards against reporting a write as refused that may take effect, and vice versa."""
         self.standin.faults.lose_answers = 1
         with self.assertRaises(AppendUnknown):
@@ -104,7 +104,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.mail: queue.Queue[Any] = queue.Queue()
+        self.messages: queue.Queue[Any] = queue.Queue()
         self.executor = ThreadPoolExecutor(2)
         self.addCleanup(self.executor.shutdown)
 
@@ -112,7 +112,7 @@
         """Return a running publish task."""
         task = PublishTask(
             store=self.client(),
-            post=self.mail.put,
+            post=self.messages.put,
             events=EventLog(node="n", level="error"),
             random=Random(1),
         )
@@ -120,14 +120,14 @@
         self.addCleanup(task.stop)
         return task
 
-    def await_mail(self, kind: type[Any]) -> Any:
+    def await_message(self, kind: type[Any]) -> Any:
         """Return the next message of a class."""
         while True:
-            message = self.mail.get(timeout=LIMIT_S)
+            message = self.messages.get(timeout=LIMIT_S)
             if isinstance(message, kind):
                 return message
 
-    def test_write_is_tried_until_it_stands(self) -> None:
+    def test_write_is_retried_until_it_succeeds(self) -> None:
         """Guards against a write that is lost in an outage."""
         task = self.publisher()
         self.standin.faults.refused.add("*")
@@ -135,7 +135,7 @@
         threading.Event().wait(0.3)
         task.submit(Write(TOPIC, "a", b"2"))
         self.standin.faults.refused.clear()
-        while self.await_mail(RecordWritten).record.value != b"2":
+        while self.await_message(RecordWritten).record.value != b"2":
             continue
         self.assertEqual(self.standin.value(TOPIC, "a"), b"2")
 
@@ -143,11 +143,11 @@
         """Guards against replacing a state with an older one."""
         self.standin.put(TOPIC, "a", b"9")
         task = self.publisher()
-        newer = Write(TOPIC, "a", b"5", may_replace=lambda present: (present or b"") < b"5")
+        newer = Write(TOPIC, "a", b"5", may_replace=lambda current: (current or b"") < b"5")
         task.submit(newer)
-        self.await_mail(PageRead)
-        task.submit(Write(TOPIC, "b", b"1", may_replace=lambda present: present is None))
-        self.assertEqual(self.await_mail(RecordWritten).record.key, "b")
+        self.await_message(PageRead)
+        task.submit(Write(TOPIC, "b", b"1", may_replace=lambda current: current is None))
+        self.assertEqual(self.await_message(RecordWritten).record.key, "b")
         self.assertEqual(self.standin.value(TOPIC, "a"), b"9")
 
     def watch(self, *, needed: bool) -> WatchTask:
@@ -155,7 +155,7 @@
         return WatchTask(
             TOPIC,
             store=self.client(),
-            post=self.mail.put,
+            post=self.messages.put,
             random=Random(1),
             clock=SystemClock(),
             wait_s=1.2,
@@ -168,19 +168,19 @@
         self.executor.submit(watch.run)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")  # ends the last long poll
         self.addCleanup(watch.stop)
-        self.assertTrue(self.await_mail(PageRead).full)
+        self.assertTrue(self.await_message(PageRead).full)
         self.standin.put(TOPIC, "a", b"1")
-        self.assertEqual(self.await_mail(PageRead).page.records[0].value, b"1")
+        self.assertEqual(self.await_message(PageRead).page.records[0].value, b"1")
         self.standin.faults.refused.add("*")
         self.standin.put(TOPIC, "a", b"2")
-        while self.mail.get(timeout=LIMIT_S).__class__ is not ReadFailed:
+        while self.messages.get(timeout=LIMIT_S).__class__ is not ReadFailed:
             continue
         self.standin.put(TOPIC, "a", b"3")
         self.standin.trim(TOPIC)
         self.standin.faults.refused.clear()
         values: list[bytes | None] = []
         while b"3" not in values:
-            values += [record.value for record in self.await_mail(PageRead).page.records]
+            values += [record.value for record in self.await_message(PageRead).page.records]
 
     def test_watch_that_is_not_needed_reads_nothing(self) -> None:
         """Guards against reads by nodes whose zone already has a reader."""
@@ -191,6 +191,6 @@
         self.assertEqual(self.standin.calls, [])
         self.standin.put(TOPIC, "a", b"1")
         watch.set_needed(True, position=0)
-        self.assertEqual(self.await_mail(PageRead).page.records[0].key, "a")
+        self.assertEqual(self.await_message(PageRead).page.records[0].key, "a")
         watch.set_needed(False, position=1)
         self.addCleanup(self.standin.put, TOPIC, "end", b"1")
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -78,7 +78,7 @@
                 set(),
             )
 
-    def test_restart_of_all_while_the_store_is_away(self) -> None:
+    def test_restart_of_all_while_the_store_is_unavailable(self) -> None:
         """Guards against a node that serves without a configuration or never recovers.
 
         All nodes are restarted, because a single one would learn the configuration from the others.
@@ -99,7 +99,7 @@
                 served = wait_for(lambda n=node: call(n, "/catalogue/x", "s2")[0] == 200)
                 self.assertTrue(served)
 
-    def test_restart_of_one_node_while_the_store_is_away(self) -> None:
+    def test_restart_of_one_node_while_the_store_is_unavailable(self) -> None:
         """Guards against a restarted node that learns nothing from others without the store.
 
         This failed when the others stopped sending to the node, or paused for long between attempts
