State which messages the core of a hosted node takes

Cause: the docstring of CoreMessage also named messages of other nodes, which arrive through HostedCore.on_message and not through handle.

Change: one docstring.

--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -101,4 +101,4 @@
 
 
 CoreMessage = Any
-"""One of the classes of this module, or a message that `gossip` or `evidence` registers."""
+"""One of the classes of this module."""
