--- a/src/citronrack/api/app.py
+++ b/src/citronrack/api/app.py
@@ -58,12 +58,12 @@
         self._updated = clock.monotonic()
         self._lock = threading.Lock()
 
-    def take(self) -> bool:
+    def try_acquire(self) -> bool:
         """Return whether one more request may be served."""
         with self._lock:
             now = self._clock.monotonic()
-            gained = (now - self._updated) * self._rate
-            self._tokens = min(self._rate * BURST_S, self._tokens + gained)
+            refill = (now - self._updated) * self._rate
+            self._tokens = min(self._rate * BURST_S, self._tokens + refill)
             self._updated = now
             if self._tokens < 1:
                 return False
@@ -128,7 +128,7 @@
     def _dispatch(self, request: Request) -> Response:
         try:
             endpoint, values = _URLS.bind_to_environ(request.environ).match()
-            if not self._rate.take():
+            if not self._rate.try_acquire():
                 return _error(429, "rate", "too many requests")
             if endpoint not in _OPEN_ENDPOINTS:
                 self._authorize(request)
@@ -170,7 +170,7 @@
 
     def _make_plan(self, request: Request) -> Response:
         intent = from_plain(self._body(request), Intent, name="intent")
-        plan = commands.make(
+        plan = commands.plan_intent(
             self._gateway, intent, clock=self._clock, default_profile=self._default_profile
         )
         self._events.write(Event.PLAN_MADE, plan=plan.plan_id, base_version=plan.base_version)
--- a/src/citronrack/api/commands.py
+++ b/src/citronrack/api/commands.py
@@ -37,7 +37,9 @@
     reason: str = ""
 
 
-def make(gateway: NodeGateway, intent: Intent, *, clock: Clock, default_profile: str) -> Plan:
+def plan_intent(
+    gateway: NodeGateway, intent: Intent, *, clock: Clock, default_profile: str
+) -> Plan:
     """Return the plan for an intent; changes nothing.
 
     Raises:
@@ -60,7 +62,7 @@
         PlanConflict: When the plan was altered or rests on another version; nothing changed.
         PlanExpired: When it is too old; nothing changed.
     """
-    _check(gateway, plan, clock)
+    _check_plan(gateway, plan, clock)
     body = Confirmed(
         plan_id=plan.plan_id,
         base_version=plan.base_version,
@@ -77,7 +79,7 @@
     offset = _append(gateway, body)
     if offset is None:
         return unknown
-    decided = _wait(gateway.plan_result(plan.plan_id, offset))
+    decided = _result_or_none(gateway.plan_result(plan.plan_id, offset))
     if decided is None:
         return unknown
     if not decided.accepted:
@@ -99,7 +101,7 @@
     offset = _append(gateway, Cancelled(move_id, move.epoch, operator))
     if offset is None:
         return unknown
-    after = _wait(gateway.state_after(offset))
+    after = _result_or_none(gateway.state_after(offset))
     if after is None:
         return unknown
     outcome = after.outcomes.get(move_id)
@@ -108,7 +110,7 @@
     return CommandResult("accepted", version=after.config.version)
 
 
-def _check(gateway: NodeGateway, plan: Plan, clock: Clock) -> None:
+def _check_plan(gateway: NodeGateway, plan: Plan, clock: Clock) -> None:
     if plan_digest(plan) != plan.plan_id:
         raise PlanConflict("the plan's content does not match its id")
     if clock.wall_ms() > plan.expires_ms:
@@ -138,7 +140,7 @@
         raise PlanConflict(f"nothing was changed: {error}") from error
 
 
-def _wait(answer: Future[T]) -> T | None:
+def _result_or_none(answer: Future[T]) -> T | None:
     try:
         return answer.result(FOLD_TIMEOUT_S)
     except TimeoutError:
--- a/src/citronrack/cli/base.py
+++ b/src/citronrack/cli/base.py
@@ -10,7 +10,7 @@
 from cleo.helpers import option
 
 from ..errors import CitronrackError, SettingsError
-from .client import ApiAnswer, ApiClient, ApiUnreachable
+from .client import ApiClient, ApiResponse, ApiUnreachable
 from .exits import Exit
 
 URL_VARIABLE = "CITRONRACK_API"
@@ -72,7 +72,7 @@
         """Print a JSON document."""
         self.line(json.dumps(content, indent=2))
 
-    def refused(self, answer: ApiAnswer) -> int:
+    def report_refusal(self, answer: ApiResponse) -> int:
         """Print what the API refused and return the exit code."""
         message = answer.content.get("message", "")
         self.line_error(f"refused ({answer.content.get('error', answer.status)}): {message}")
--- a/src/citronrack/cli/client.py
+++ b/src/citronrack/cli/client.py
@@ -21,7 +21,7 @@
 
 
 @frozen
-class ApiAnswer:
+class ApiResponse:
     """An answer of the API.
 
     Attributes:
@@ -47,7 +47,7 @@
         self._token = token
         self._operator = operator or os.environ.get("USER", "unnamed")
 
-    def get(self, path: str) -> ApiAnswer:
+    def get(self, path: str) -> ApiResponse:
         """Send a GET request.
 
         Raises:
@@ -55,7 +55,7 @@
         """
         return self._exchange(path, None)
 
-    def post(self, path: str, content: Any) -> ApiAnswer:
+    def post(self, path: str, content: Any) -> ApiResponse:
         """Send a POST request with a JSON body.
 
         Raises:
@@ -63,7 +63,7 @@
         """
         return self._exchange(path, json.dumps(content).encode())
 
-    def _exchange(self, path: str, body: bytes | None) -> ApiAnswer:
+    def _exchange(self, path: str, body: bytes | None) -> ApiResponse:
         curl = pycurl.Curl()
         answer = io.BytesIO()
         curl.setopt(pycurl.URL, self._url + path)
@@ -80,7 +80,7 @@
         try:
             curl.perform()
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-            return ApiAnswer(status, json.loads(answer.getvalue()))
+            return ApiResponse(status, json.loads(answer.getvalue()))
         except pycurl.error as error:
             raise ApiUnreachable(f"{self._url}{path}: {error}") from error
         except ValueError as error:
--- a/src/citronrack/cli/commands/intent_cancel.py
+++ b/src/citronrack/cli/commands/intent_cancel.py
@@ -21,7 +21,7 @@
         """Send the request and say what became of it."""
         answer = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
         if answer.status not in (200, 202):
-            return self.refused(answer)
+            return self.report_refusal(answer)
         if self.wants_json:
             self.write_json(answer.content)
         else:
--- a/src/citronrack/cli/commands/intent_confirm.py
+++ b/src/citronrack/cli/commands/intent_confirm.py
@@ -29,7 +29,7 @@
             raise UsageError(f"{path}: {error}") from error
         answer = self.client().post("/v1/plans/confirm", plan)
         if answer.status not in (200, 202):
-            return self.refused(answer)
+            return self.report_refusal(answer)
         result = answer.content
         if self.wants_json:
             self.write_json(result)
--- a/src/citronrack/cli/commands/intent_plan.py
+++ b/src/citronrack/cli/commands/intent_plan.py
@@ -34,7 +34,7 @@
             raise UsageError(f"{path}: {' '.join(str(error).split())}") from error
         answer = self.client().post("/v1/plans", intent)
         if answer.status != 200:
-            return self.refused(answer)
+            return self.report_refusal(answer)
         plan = answer.content
         out = self.option("out")
         Path(out).write_text(json.dumps(plan, indent=2) + "\n", encoding="utf-8")
--- a/src/citronrack/cli/queries/intent_list.py
+++ b/src/citronrack/cli/queries/intent_list.py
@@ -18,7 +18,7 @@
         """Print one line per move."""
         answer = self.client().get("/v1/moves")
         if answer.status != 200:
-            return self.refused(answer)
+            return self.report_refusal(answer)
         if self.wants_json:
             self.write_json(answer.content)
             return Exit.OK
--- a/src/citronrack/cli/queries/intent_show.py
+++ b/src/citronrack/cli/queries/intent_show.py
@@ -24,7 +24,7 @@
         if answer.status == 404:
             answer = client.get(f"/v1/plans/{self.argument('id')}")
         if answer.status != 200:
-            return self.refused(answer)
+            return self.report_refusal(answer)
         content = answer.content
         if self.wants_json:
             self.write_json(content)
--- a/src/citronrack/cli/queries/status.py
+++ b/src/citronrack/cli/queries/status.py
@@ -20,7 +20,7 @@
         """Print the status of the node and the mesh."""
         answer = self.client().get("/v1/status")
         if answer.status != 200:
-            return self.refused(answer)
+            return self.report_refusal(answer)
         if self.wants_json:
             self.write_json(answer.content)
         else:
@@ -35,10 +35,10 @@
             self.line("the platform's log does not answer")
         for zone in status["zones"]:
             missing = zone["nodes"] - zone["in_force"] - len(zone["behind"])
-            told = f", {missing} unknown" if missing > 0 else ""
+            unknown_note = f", {missing} unknown" if missing > 0 else ""
             self.line(
                 f"zone {zone['availability_zone']}: "
-                f"{zone['in_force']} of {zone['nodes']} nodes{told}"
+                f"{zone['in_force']} of {zone['nodes']} nodes{unknown_note}"
             )
             for kind in ("behind", "unknown"):
                 if zone[kind]:
--- a/src/citronrack/demo/report.py
+++ b/src/citronrack/demo/report.py
@@ -17,9 +17,9 @@
     """
 
     write: Callable[[str], None]
-    broken: int = field(default=0, init=False)
+    failures: int = field(default=0, init=False)
 
-    def step(self, promise: str, *, kept: bool, seen: str) -> None:
+    def step(self, guarantee: str, *, passed: bool, observed: str) -> None:
         """Print one step."""
-        self.broken += not kept
-        self.write(f"{'kept  ' if kept else 'BROKEN'}  {promise}: {seen}")
+        self.failures += not passed
+        self.write(f"{'kept  ' if passed else 'BROKEN'}  {guarantee}: {observed}")
--- a/src/citronrack/demo/run.py
+++ b/src/citronrack/demo/run.py
@@ -39,10 +39,12 @@
             _move(fleet, first, traffic, report, to_version=GOOD, result="finished in time")
             _move(fleet, first, traffic, report, to_version=BAD, result="taken back")
             _drain(fleet, traffic, report)
-            _cut(fleet, first, report)
+            _cut_zone_from_log(fleet, first, report)
         codes = [node.process and fleet.stop(node.name) for node in _running(fleet)]
-        report.step("nodes stop gracefully", kept=set(codes) == {0}, seen=f"exit codes {codes}")
-    return 1 if report.broken else 0
+        report.step(
+            "nodes stop gracefully", passed=set(codes) == {0}, observed=f"exit codes {codes}"
+        )
+    return 1 if report.failures else 0
 
 
 def _node(fleet: Fleet, zone: str, service_version: str) -> FleetNode:
@@ -65,8 +67,8 @@
         lambda: all(node.client.get("/healthz").status == 200 for node in fleet.nodes.values()),
         limit_s=START_LIMIT_S,
     )
-    seen = f"{len(fleet.nodes)} processes in {len(ZONES)} zones"
-    report.step("nodes start beside their targets", kept=alive, seen=seen)
+    observed = f"{len(fleet.nodes)} processes in {len(ZONES)} zones"
+    report.step("nodes start beside their targets", passed=alive, observed=observed)
 
 
 def _intent() -> dict[str, Any]:
@@ -98,17 +100,21 @@
 def _publish(fleet: Fleet, first: FleetNode, report: Report) -> None:
     started = time.monotonic()
     version = _confirm(first, _intent())
-    kept = version >= 0 and _in_force_everywhere(fleet, version)
-    seen = f"version {version} on {len(fleet.nodes)} nodes after {time.monotonic() - started:.2f} s"
-    report.step("a confirmed configuration is in force everywhere in 9 s", kept=kept, seen=seen)
+    passed = version >= 0 and _in_force_everywhere(fleet, version)
+    observed = (
+        f"version {version} on {len(fleet.nodes)} nodes after {time.monotonic() - started:.2f} s"
+    )
+    report.step(
+        "a confirmed configuration is in force everywhere in 9 s", passed=passed, observed=observed
+    )
     ready = wait_until(
         lambda: all(node.client.get("/readyz").status == 200 for node in _running(fleet)),
         limit_s=CONVERGENCE_LIMIT_S,
     )
     answers = [Caller().call(node.call_url + "/parts/wheel") for node in _running(fleet)]
-    kept = ready and all(a.status == 200 and a.service_version == OLD for a in answers)
-    seen = f"{len(answers)} nodes answered with {sorted({a.service_version for a in answers})}"
-    report.step("calls into any node reach a target of the route", kept=kept, seen=seen)
+    passed = ready and all(a.status == 200 and a.service_version == OLD for a in answers)
+    observed = f"{len(answers)} nodes answered with {sorted({a.service_version for a in answers})}"
+    report.step("calls into any node reach a target of the route", passed=passed, observed=observed)
 
 
 def _move(
@@ -130,9 +136,11 @@
     wait_until(lambda: _state(first, move_id) == result, limit_s=OUTCOME_LIMIT_S, poll_s=0.2)
     state = _state(first, move_id)
     outcome = first.client.get(f"/v1/moves/{move_id}").content.get("outcome") or {}
-    seen = f"{state} after {time.monotonic() - started:.1f} s; {outcome.get('detail', '')}"
+    observed = f"{state} after {time.monotonic() - started:.1f} s; {outcome.get('detail', '')}"
     report.step(
-        f"the move to {to_version} is {result} and told so", kept=state == result, seen=seen
+        f"the move to {to_version} is {result} and told so",
+        passed=state == result,
+        observed=observed,
     )
     ended = time.monotonic()
     time.sleep(2.0)
@@ -140,12 +148,14 @@
     if result == "taken back":
         during = traffic.by_version(traffic.since(started, until_s=ended))
         share = during[to_version] / max(1, during.total())
-        seen = f"{during[to_version]} of {during.total()} calls, then {counts[to_version]}"
-        kept = share <= SMALL_SHARE and counts[to_version] == 0
-        report.step("the bad version gets a small share, then none", kept=kept, seen=seen)
+        observed = f"{during[to_version]} of {during.total()} calls, then {counts[to_version]}"
+        passed = share <= SMALL_SHARE and counts[to_version] == 0
+        report.step(
+            "the bad version gets a small share, then none", passed=passed, observed=observed
+        )
     else:
-        kept = set(counts) == {to_version}
-        report.step("the good version gets all calls", kept=kept, seen=f"{dict(counts)}")
+        passed = set(counts) == {to_version}
+        report.step("the good version gets all calls", passed=passed, observed=f"{dict(counts)}")
 
 
 def _state(node: FleetNode, move_id: str) -> str:
@@ -162,24 +172,32 @@
     late = leaving.target.calls - calls
     answers = traffic.since(started)
     failed = [answer for answer in answers if answer.status != 200]
-    seen = f"exit code {code}, {late} calls after {DRAIN_LIMIT_S:.0f} s"
-    kept = code == 0 and late == 0
-    report.step("a leaving target gets no new work after a few seconds", kept=kept, seen=seen)
-    seen = f"{len(failed)} of {len(answers)} calls failed {sorted({a.body for a in failed})[:3]}"
-    report.step("a planned stop cuts off no call", kept=not failed, seen=seen)
+    observed = f"exit code {code}, {late} calls after {DRAIN_LIMIT_S:.0f} s"
+    passed = code == 0 and late == 0
+    report.step(
+        "a leaving target gets no new work after a few seconds", passed=passed, observed=observed
+    )
+    observed = (
+        f"{len(failed)} of {len(answers)} calls failed {sorted({a.body for a in failed})[:3]}"
+    )
+    report.step("a planned stop cuts off no call", passed=not failed, observed=observed)
 
 
-def _cut(fleet: Fleet, first: FleetNode, report: Report) -> None:
+def _cut_zone_from_log(fleet: Fleet, first: FleetNode, report: Report) -> None:
     zone = ZONES[1]
     fleet.cut_log(zone, cut=True)
     time.sleep(1.0)
     routes = [{**_intent()["routes"][0], "service_version": GOOD, "timeout_ms": 4_000}]
     started = time.monotonic()
     version = _confirm(first, {"routes": routes})
-    kept = version >= 0 and _in_force_everywhere(fleet, version)
-    seen = f"version {version} after {time.monotonic() - started:.2f} s"
-    report.step(f"{zone}, cut off from the log, gets changes of other zones", kept=kept, seen=seen)
+    passed = version >= 0 and _in_force_everywhere(fleet, version)
+    observed = f"version {version} after {time.monotonic() - started:.2f} s"
+    report.step(
+        f"{zone}, cut off from the log, gets changes of other zones",
+        passed=passed,
+        observed=observed,
+    )
     answer = Caller().call(_node(fleet, zone, OLD).call_url + "/parts/wheel")
-    kept = answer.status == 200
-    report.step(f"{zone} goes on serving", kept=kept, seen=f"status {answer.status}")
+    passed = answer.status == 200
+    report.step(f"{zone} goes on serving", passed=passed, observed=f"status {answer.status}")
     fleet.cut_log(zone, cut=False)
--- a/src/citronrack/demo/traffic.py
+++ b/src/citronrack/demo/traffic.py
@@ -15,7 +15,7 @@
 
 
 @frozen
-class CallAnswer:
+class CallResponse:
     """Answer of one call.
 
     Attributes:
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self._curl = pycurl.Curl()
 
-    def call(self, url: str) -> CallAnswer:
+    def call(self, url: str) -> CallResponse:
         """Send a GET request and return its answer."""
         body = bytearray()
         self._curl.setopt(pycurl.URL, url)
@@ -51,8 +51,8 @@
             self._curl.perform()
             status = int(self._curl.getinfo(pycurl.RESPONSE_CODE))
         except pycurl.error as error:
-            return CallAnswer(0, str(error), time.monotonic())
-        return CallAnswer(status, body.decode(errors="replace"), time.monotonic())
+            return CallResponse(0, str(error), time.monotonic())
+        return CallResponse(status, body.decode(errors="replace"), time.monotonic())
 
 
 class Traffic:
@@ -66,7 +66,7 @@
     def __init__(self, urls: Sequence[str], *, calls_per_s: float) -> None:
         self._urls = urls
         self._interval_s = 1.0 / calls_per_s
-        self._answers: list[CallAnswer] = []
+        self._answers: list[CallResponse] = []
         self._stopping = threading.Event()
         self._executor = ThreadPoolExecutor(len(urls), thread_name_prefix="caller")
         self._futures: list[Future[None]] = []
@@ -81,12 +81,12 @@
         for future in self._futures:
             future.result()
 
-    def since(self, start_s: float, *, until_s: float = float("inf")) -> list[CallAnswer]:
+    def since(self, start_s: float, *, until_s: float = float("inf")) -> list[CallResponse]:
         """Return the answers between two monotonic times."""
         return [answer for answer in list(self._answers) if start_s <= answer.at_s < until_s]
 
     @staticmethod
-    def by_version(answers: Sequence[CallAnswer]) -> Counter[str]:
+    def by_version(answers: Sequence[CallResponse]) -> Counter[str]:
         """Return the number of answers by service version."""
         return Counter(answer.service_version for answer in answers)
 
--- a/src/citronrack/node/tracing.py
+++ b/src/citronrack/node/tracing.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..membership import Member
 from ..proof.core_factory import CoreOptions
-from ..proof.trace import SteppedClock, TraceWriter, seeded, trace_core
+from ..proof.trace import SteppedClock, TraceWriter, seeded_random, trace_core
 from .core import NodeCore
 
 SEED_BITS = 64
@@ -32,7 +32,7 @@
         self._seed = secrets.randbits(SEED_BITS)
         self._writer = TraceWriter(Path(path), limit_bytes=limit_bytes)
         self.clock = SteppedClock(clock, own_load)
-        self.random = seeded(self._seed)
+        self.random = seeded_random(self._seed)
 
     def begin(self, own: Member, options: CoreOptions) -> None:
         """Write the first line; must come before the core is made."""
--- a/src/citronrack/proof/_convergence.py
+++ b/src/citronrack/proof/_convergence.py
@@ -26,9 +26,9 @@
 class _NodeState:
     zone: str
     version: int = -1
-    held_since: float = math.inf
+    version_since: float = math.inf
     reachable_since: float = math.inf
-    reported: int = -1
+    reported_version: int = -1
 
 
 class ConvergenceChecker(Checker):
@@ -47,52 +47,54 @@
         self._nodes: dict[str, _NodeState] = {}
         self._log_up_since = 0.0
 
-    def _watched(self) -> dict[type[Any], Callable[[Any], None]]:
+    def _handlers(self) -> dict[type[Any], Callable[[Any], None]]:
         return {
-            ConfigAccepted: self._accept,
-            ConfigInForce: self._config,
-            NodeStarted: self._start,
-            NodeStopped: self._stop,
-            Reachability: self._reachability,
-            LogState: self._log,
-            Moment: self._moment,
+            ConfigAccepted: self._on_accepted,
+            ConfigInForce: self._on_config,
+            NodeStarted: self._on_start,
+            NodeStopped: self._on_stop,
+            Reachability: self._on_reachability,
+            LogState: self._on_log_state,
+            Moment: self._on_second,
         }
 
-    def _accept(self, seen: ConfigAccepted) -> None:
-        self._accepted.append((seen.config.version, seen.at))
+    def _on_accepted(self, observed: ConfigAccepted) -> None:
+        self._accepted.append((observed.config.version, observed.at))
 
-    def _start(self, seen: NodeStarted) -> None:
-        self._nodes[seen.node] = _NodeState(seen.availability_zone)
+    def _on_start(self, observed: NodeStarted) -> None:
+        self._nodes[observed.node] = _NodeState(observed.availability_zone)
 
-    def _stop(self, seen: NodeStopped) -> None:
-        self._nodes.pop(seen.node, None)
+    def _on_stop(self, observed: NodeStopped) -> None:
+        self._nodes.pop(observed.node, None)
 
-    def _log(self, seen: LogState) -> None:
-        self._log_up_since = seen.at if seen.up else math.inf
+    def _on_log_state(self, observed: LogState) -> None:
+        self._log_up_since = observed.at if observed.up else math.inf
 
-    def _reachability(self, seen: Reachability) -> None:
-        node = self._nodes.get(seen.node)
+    def _on_reachability(self, observed: Reachability) -> None:
+        node = self._nodes.get(observed.node)
         if node is not None:
-            node.reachable_since = seen.at if seen.reachable else math.inf
+            node.reachable_since = observed.at if observed.reachable else math.inf
 
-    def _config(self, seen: ConfigInForce) -> None:
-        node = self._nodes[seen.node]
-        if seen.config.version < node.version:
-            self._fail(seen.at, f"{seen.node} reverted from version {node.version}")
-        node.version = seen.config.version
-        node.held_since = seen.at
+    def _on_config(self, observed: ConfigInForce) -> None:
+        node = self._nodes[observed.node]
+        if observed.config.version < node.version:
+            self._fail(observed.at, f"{observed.node} reverted from version {node.version}")
+        node.version = observed.config.version
+        node.version_since = observed.at
 
-    def _moment(self, seen: Moment) -> None:
+    def _on_second(self, observed: Moment) -> None:
         for name, node in self._nodes.items():
-            if seen.at < node.reachable_since + CONVERGENCE_LIMIT_S:
+            if observed.at < node.reachable_since + CONVERGENCE_LIMIT_S:
                 continue
-            due = self._due(node, seen.at)
-            self.exercised += due >= 0
-            if node.version < due and node.reported < due:
-                node.reported = due
-                self._fail(seen.at, f"{name} holds version {node.version}, {due} is overdue")
-
-    def _due(self, node: _NodeState, now: float) -> int:
+            required = self._required_version(node, observed.at)
+            self.exercised += required >= 0
+            if node.version < required and node.reported_version < required:
+                node.reported_version = required
+                self._fail(
+                    observed.at, f"{name} holds version {node.version}, {required} is overdue"
+                )
+
+    def _required_version(self, node: _NodeState, now: float) -> int:
         """Return the version that the node must hold by now."""
         by_log = max(
             (
@@ -107,7 +109,7 @@
                 other.version
                 for other in self._nodes.values()
                 if other.zone == node.zone
-                and max(other.held_since, other.reachable_since) + CONVERGENCE_LIMIT_S < now
+                and max(other.version_since, other.reachable_since) + CONVERGENCE_LIMIT_S < now
             ),
             default=-1,
         )
--- a/src/citronrack/proof/checker.py
+++ b/src/citronrack/proof/checker.py
@@ -9,9 +9,9 @@
 from attrs import frozen
 
 from ..registry import Registry
-from .observations import Dispatch
+from .observations import ObservationDispatcher
 
-MAX_KEPT_VIOLATIONS = 10
+MAX_STORED_VIOLATIONS = 10
 
 
 class CheckState(StrEnum):
@@ -68,14 +68,14 @@
         self.exercised = 0
         self._violations: list[Violation] = []
 
-    def _watched(self) -> dict[type[Any], Callable[[Any], None]]:
+    def _handlers(self) -> dict[type[Any], Callable[[Any], None]]:
         """Return the handler of each watched class of observations."""
         raise NotImplementedError
 
-    def join(self, dispatch: Dispatch) -> None:
-        """Watch what ``dispatch`` passes on."""
-        for kind, handler in self._watched().items():
-            dispatch.add(handler, kinds=(kind,))
+    def subscribe_to(self, dispatcher: ObservationDispatcher) -> None:
+        """Watch what ``dispatcher`` passes on."""
+        for kind, handler in self._handlers().items():
+            dispatcher.subscribe(handler, kinds=(kind,))
 
     def finish(self, at: float) -> None:
         """Judge what can only be judged at the end of the run."""
@@ -88,7 +88,7 @@
         return CheckResult(name, self.title, state, self.exercised, tuple(self._violations))
 
     def _fail(self, at: float, text: str) -> None:
-        if len(self._violations) < MAX_KEPT_VIOLATIONS:
+        if len(self._violations) < MAX_STORED_VIOLATIONS:
             self._violations.append(Violation(round(at, 3), text))
 
 
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -28,10 +28,10 @@
     WorkStarted,
 )
 
-DRAIN_SPREAD_S = 3.0  # "a few seconds" of R8
-MARK_SPREAD_S = 5.0  # "shortly after" of R4
+DRAIN_PROPAGATION_S = 3.0  # "a few seconds" of R8
+MARK_PROPAGATION_S = 5.0  # "shortly after" of R4
 BAD_SHARE_LIMIT = 0.1  # "a small share" of R4, over the calls of the service
-MIN_JUDGED_CALLS = 200  # below this number a share says little
+MIN_CALLS_FOR_SHARE = 200  # below this number a share says little
 
 Handlers = dict[type[Any], Callable[[Any], None]]
 
@@ -41,7 +41,7 @@
 
 
 @CHECKERS.register("R1")
-class VersionOrder(Checker):
+class MonotonicVersions(Checker):
     """No node moves back to an older configuration version, not even by a restart."""
 
     title = "no node moves back to an older version"
@@ -52,44 +52,45 @@
         self._served: dict[str, int] = {}
         self._serving: set[tuple[str, int]] = set()
 
-    def _watched(self) -> Handlers:
-        return {ConfigInForce: self._config, ReadinessChanged: self._readiness}
+    def _handlers(self) -> Handlers:
+        return {ConfigInForce: self._on_config, ReadinessChanged: self._on_readiness}
 
-    def _config(self, seen: ConfigInForce) -> None:
-        key, version = (seen.node, seen.boot), seen.config.version
+    def _on_config(self, observed: ConfigInForce) -> None:
+        key, version = (observed.node, observed.boot), observed.config.version
         before = self._in_force.get(key, -1)
         self.exercised += before >= 0
         if version <= before:
-            self._fail(seen.at, f"{seen.node} went from version {before} to {version}")
+            self._fail(observed.at, f"{observed.node} went from version {before} to {version}")
         self._in_force[key] = version
         if key in self._serving:
-            self._served[seen.node] = max(version, self._served.get(seen.node, -1))
+            self._served[observed.node] = max(version, self._served.get(observed.node, -1))
 
-    def _readiness(self, seen: ReadinessChanged) -> None:
-        if not seen.serving:
+    def _on_readiness(self, observed: ReadinessChanged) -> None:
+        if not observed.serving:
             return
-        self._serving.add((seen.node, seen.boot))
-        before = self._served.get(seen.node, -1)
-        if seen.version < before:
+        self._serving.add((observed.node, observed.boot))
+        before = self._served.get(observed.node, -1)
+        if observed.version < before:
             self._fail(
-                seen.at, f"{seen.node} serves version {seen.version} after a restart, had {before}"
+                observed.at,
+                f"{observed.node} serves version {observed.version} after a restart, had {before}",
             )
-        self._served[seen.node] = max(seen.version, before)
+        self._served[observed.node] = max(observed.version, before)
 
 
 @CHECKERS.register("R2")
-class ClosedReferences(Checker):
+class ReferentialIntegrity(Checker):
     """No route or move refers to a service or service version that the node does not have."""
 
     title = "no route refers to a missing resource"
 
-    def _watched(self) -> Handlers:
-        return {ConfigInForce: self._config}
+    def _handlers(self) -> Handlers:
+        return {ConfigInForce: self._on_config}
 
-    def _config(self, seen: ConfigInForce) -> None:
-        self.exercised += bool(seen.config.routes)
-        for text in self._dangling(seen.config):
-            self._fail(seen.at, f"{seen.node} at version {seen.config.version}: {text}")
+    def _on_config(self, observed: ConfigInForce) -> None:
+        self.exercised += bool(observed.config.routes)
+        for text in self._dangling(observed.config):
+            self._fail(observed.at, f"{observed.node} at version {observed.config.version}: {text}")
 
     @staticmethod
     def _dangling(config: ConfigSet) -> Iterator[str]:
@@ -112,7 +113,7 @@
 
 
 @CHECKERS.register("R3")
-class WholeVersions(Checker):
+class AtomicVersions(Checker):
     """Each version in force is valid and equals the one that the log's records lead to.
 
     A replay does not know the log's records; there only the validity is checked.
@@ -125,113 +126,117 @@
         self._accepted: dict[int, ConfigSet] = {}
         self._refused: dict[int, str] = {}
 
-    def _watched(self) -> Handlers:
+    def _handlers(self) -> Handlers:
         return {
-            ConfigAccepted: self._accept,
-            ConfigRefused: self._refuse,
-            ConfigInForce: self._config,
+            ConfigAccepted: self._on_accepted,
+            ConfigRefused: self._on_refusal,
+            ConfigInForce: self._on_config,
         }
 
-    def _accept(self, seen: ConfigAccepted) -> None:
-        self._accepted[seen.config.version] = seen.config
+    def _on_accepted(self, observed: ConfigAccepted) -> None:
+        self._accepted[observed.config.version] = observed.config
 
-    def _refuse(self, seen: ConfigRefused) -> None:
+    def _on_refusal(self, observed: ConfigRefused) -> None:
         self.exercised += 1
-        self._refused[seen.offset] = seen.reason
+        self._refused[observed.offset] = observed.reason
 
-    def _config(self, seen: ConfigInForce) -> None:
-        version = seen.config.version
-        for text in find_faults(seen.config):
-            self._fail(seen.at, f"{seen.node} holds an invalid version {version}: {text}")
+    def _on_config(self, observed: ConfigInForce) -> None:
+        version = observed.config.version
+        for text in find_faults(observed.config):
+            self._fail(observed.at, f"{observed.node} holds an invalid version {version}: {text}")
         if not self._accepted:
             return
         if version in self._refused:
             reason = self._refused[version]
-            self._fail(seen.at, f"{seen.node} has refused version {version} in force: {reason}")
-        elif version in self._accepted and seen.config != self._accepted[version]:
-            self._fail(seen.at, f"{seen.node} holds another content as version {version}")
+            self._fail(
+                observed.at, f"{observed.node} has refused version {version} in force: {reason}"
+            )
+        elif version in self._accepted and observed.config != self._accepted[version]:
+            self._fail(observed.at, f"{observed.node} holds another content as version {version}")
         elif version not in self._accepted:
-            self._fail(seen.at, f"{seen.node} has version {version}, which the log does not hold")
+            self._fail(
+                observed.at, f"{observed.node} has version {version}, which the log does not hold"
+            )
 
 
 @CHECKERS.register("R4")
-class BadVersions(Checker):
+class BadVersionExposure(Checker):
     """A bad service version runs few calls, and none shortly after it was marked."""
 
     title = "a bad version gets a small share, then none"
 
     def __init__(self) -> None:
         super().__init__()
-        self._turned: dict[tuple[str, str], float] = {}
+        self._bad_since: dict[tuple[str, str], float] = {}
         self._marked: dict[tuple[str, str], tuple[int, float]] = {}
         self._epochs: dict[tuple[str, str], int] = {}
         self._open: set[tuple[str, str]] = set()
-        self._judged: dict[tuple[str, str], list[int]] = {}
+        self._call_counts: dict[tuple[str, str], list[int]] = {}
         self._reachable_since: dict[str, float] = {}
 
-    def _watched(self) -> Handlers:
+    def _handlers(self) -> Handlers:
         return {
-            ConfigAccepted: self._config,
-            VersionTurnedBad: self._bad,
-            MarkSeen: self._mark,
-            Reachability: self._reachability,
-            WorkStarted: self._work,
+            ConfigAccepted: self._on_config,
+            VersionTurnedBad: self._on_bad_version,
+            MarkSeen: self._on_mark,
+            Reachability: self._on_reachability,
+            WorkStarted: self._on_work,
         }
 
-    def _config(self, seen: ConfigAccepted) -> None:
+    def _on_config(self, observed: ConfigAccepted) -> None:
         self._open = set()
-        for move in seen.config.moves.values():
-            key = (seen.config.routes[move.route].service, move.to_version)
+        for move in observed.config.moves.values():
+            key = (observed.config.routes[move.route].service, move.to_version)
             self._open.add(key)
             self._epochs[key] = max(move.epoch, self._epochs.get(key, -1))
-            if key in self._turned:
-                self._judged.setdefault(key, [0, 0])
+            if key in self._bad_since:
+                self._call_counts.setdefault(key, [0, 0])
 
-    def _bad(self, seen: VersionTurnedBad) -> None:
-        key = (seen.service, seen.service_version)
-        self._turned[key] = seen.at
+    def _on_bad_version(self, observed: VersionTurnedBad) -> None:
+        key = (observed.service, observed.service_version)
+        self._bad_since[key] = observed.at
         if key in self._open:
-            self._judged.setdefault(key, [0, 0])
+            self._call_counts.setdefault(key, [0, 0])
 
-    def _mark(self, seen: MarkSeen) -> None:
-        key = (seen.service, seen.service_version)
+    def _on_mark(self, observed: MarkSeen) -> None:
+        key = (observed.service, observed.service_version)
         known = self._marked.get(key)
-        if known is None or seen.epoch > known[0]:
-            self._marked[key] = (seen.epoch, seen.at)
+        if known is None or observed.epoch > known[0]:
+            self._marked[key] = (observed.epoch, observed.at)
 
-    def _reachability(self, seen: Reachability) -> None:
-        if seen.reachable:
-            self._reachable_since[seen.node] = seen.at
+    def _on_reachability(self, observed: Reachability) -> None:
+        if observed.reachable:
+            self._reachable_since[observed.node] = observed.at
         else:
-            self._reachable_since.pop(seen.node, None)
+            self._reachable_since.pop(observed.node, None)
 
-    def _work(self, seen: WorkStarted) -> None:
-        key = (seen.service, seen.service_version)
-        for judged, counts in self._judged.items():
-            if judged[0] == seen.service:
-                counts[0] += judged == key
+    def _on_work(self, observed: WorkStarted) -> None:
+        key = (observed.service, observed.service_version)
+        for counted, counts in self._call_counts.items():
+            if counted[0] == observed.service:
+                counts[0] += counted == key
                 counts[1] += 1
-                self.exercised += judged == key
-        self._work_after_mark(seen, key)
+                self.exercised += counted == key
+        self._check_work_after_mark(observed, key)
 
-    def _work_after_mark(self, seen: WorkStarted, key: tuple[str, str]) -> None:
+    def _check_work_after_mark(self, observed: WorkStarted, key: tuple[str, str]) -> None:
         mark = self._marked.get(key)
-        since = self._reachable_since.get(seen.target)
+        since = self._reachable_since.get(observed.target)
         if mark is None or since is None or self._epochs.get(key, -1) > mark[0]:
             return
-        if seen.at > max(mark[1], since) + MARK_SPREAD_S:
-            text = f"{seen.target} runs a call of marked {key[0]} {key[1]}"
-            self._fail(seen.at, f"{text}, {seen.at - mark[1]:.1f} s after the mark")
+        if observed.at > max(mark[1], since) + MARK_PROPAGATION_S:
+            text = f"{observed.target} runs a call of marked {key[0]} {key[1]}"
+            self._fail(observed.at, f"{text}, {observed.at - mark[1]:.1f} s after the mark")
 
     def finish(self, at: float) -> None:
         """Compare the share of all calls since the version turned bad."""
-        for (service, version), (bad, total) in self._judged.items():
-            if total >= MIN_JUDGED_CALLS and bad > BAD_SHARE_LIMIT * total:
+        for (service, version), (bad, total) in self._call_counts.items():
+            if total >= MIN_CALLS_FOR_SHARE and bad > BAD_SHARE_LIMIT * total:
                 self._fail(at, f"bad {service} {version} ran {bad} of {total} calls")
 
 
 @CHECKERS.register("R5")
-class OwnAnswers(Checker):
+class ResponseMatching(Checker):
     """An answer is complete, belongs to the caller's own request and comes once."""
 
     title = "a caller gets the whole answer to its own request"
@@ -240,28 +245,34 @@
         super().__init__()
         self._open: set[int] = set()
 
-    def _watched(self) -> Handlers:
-        return {CallStarted: self._start, CallAnswered: self._answer, CallRefused: self._refuse}
+    def _handlers(self) -> Handlers:
+        return {
+            CallStarted: self._on_start,
+            CallAnswered: self._on_answer,
+            CallRefused: self._on_refusal,
+        }
 
-    def _start(self, seen: CallStarted) -> None:
-        self._open.add(seen.call)
+    def _on_start(self, observed: CallStarted) -> None:
+        self._open.add(observed.call)
 
-    def _refuse(self, seen: CallRefused) -> None:
-        self._open.discard(seen.call)
+    def _on_refusal(self, observed: CallRefused) -> None:
+        self._open.discard(observed.call)
 
-    def _answer(self, seen: CallAnswered) -> None:
+    def _on_answer(self, observed: CallAnswered) -> None:
         self.exercised += 1
-        if seen.answer_to != seen.call:
-            self._fail(seen.at, f"call {seen.call} got the answer to call {seen.answer_to}")
-        elif not seen.complete:
-            self._fail(seen.at, f"call {seen.call} got a part of its answer")
-        elif seen.call not in self._open:
-            self._fail(seen.at, f"call {seen.call} got a second answer")
-        self._open.discard(seen.call)
+        if observed.answer_to != observed.call:
+            self._fail(
+                observed.at, f"call {observed.call} got the answer to call {observed.answer_to}"
+            )
+        elif not observed.complete:
+            self._fail(observed.at, f"call {observed.call} got a part of its answer")
+        elif observed.call not in self._open:
+            self._fail(observed.at, f"call {observed.call} got a second answer")
+        self._open.discard(observed.call)
 
 
 @CHECKERS.register("R6")
-class HonestRefusals(Checker):
+class NotRunAccuracy(Checker):
     """What is reported as not run was not run, neither before nor after the report."""
 
     title = "a request reported as not run was not run"
@@ -273,36 +284,41 @@
         self._not_run: set[tuple[int, int]] = set()
         self._not_run_calls: set[int] = set()
 
-    def _watched(self) -> Handlers:
+    def _handlers(self) -> Handlers:
         return {
-            WorkStarted: self._work,
-            AttemptEnded: self._attempt,
+            WorkStarted: self._on_work,
+            AttemptEnded: self._on_attempt,
             CallRefused: self._refused,
         }
 
-    def _work(self, seen: WorkStarted) -> None:
-        key = (seen.call, seen.attempt)
+    def _on_work(self, observed: WorkStarted) -> None:
+        key = (observed.call, observed.attempt)
         self._ran.add(key)
-        self._ran_calls.add(seen.call)
-        if key in self._not_run or seen.call in self._not_run_calls:
-            self._fail(seen.at, f"call {seen.call} runs after it was reported as not run")
+        self._ran_calls.add(observed.call)
+        if key in self._not_run or observed.call in self._not_run_calls:
+            self._fail(observed.at, f"call {observed.call} runs after it was reported as not run")
 
-    def _attempt(self, seen: AttemptEnded) -> None:
-        if seen.verdict is not Verdict.NOT_RUN:
+    def _on_attempt(self, observed: AttemptEnded) -> None:
+        if observed.verdict is not Verdict.NOT_RUN:
             return
         self.exercised += 1
-        key = (seen.call, seen.attempt)
+        key = (observed.call, observed.attempt)
         self._not_run.add(key)
         if key in self._ran:
-            self._fail(seen.at, f"attempt {seen.attempt} of call {seen.call} ran, reported not run")
+            self._fail(
+                observed.at,
+                f"attempt {observed.attempt} of call {observed.call} ran, reported not run",
+            )
 
-    def _refused(self, seen: CallRefused) -> None:
-        if seen.verdict is not Verdict.NOT_RUN:
+    def _refused(self, observed: CallRefused) -> None:
+        if observed.verdict is not Verdict.NOT_RUN:
             return
         self.exercised += 1
-        self._not_run_calls.add(seen.call)
-        if seen.call in self._ran_calls:
-            self._fail(seen.at, f"call {seen.call} ran, but its caller was told that it did not")
+        self._not_run_calls.add(observed.call)
+        if observed.call in self._ran_calls:
+            self._fail(
+                observed.at, f"call {observed.call} ran, but its caller was told that it did not"
+            )
 
 
 @CHECKERS.register("R7")
@@ -315,51 +331,57 @@
         super().__init__()
         self._ran: dict[int, str] = {}
 
-    def _watched(self) -> Handlers:
-        return {WorkStarted: self._work}
+    def _handlers(self) -> Handlers:
+        return {WorkStarted: self._on_work}
 
-    def _work(self, seen: WorkStarted) -> None:
-        if seen.idempotent:
+    def _on_work(self, observed: WorkStarted) -> None:
+        if observed.idempotent:
             return
         self.exercised += 1
-        if seen.call in self._ran:
-            first = self._ran[seen.call]
-            self._fail(seen.at, f"call {seen.call} runs at {seen.target}, ran at {first} before")
-        self._ran[seen.call] = seen.target
+        if observed.call in self._ran:
+            first = self._ran[observed.call]
+            self._fail(
+                observed.at,
+                f"call {observed.call} runs at {observed.target}, ran at {first} before",
+            )
+        self._ran[observed.call] = observed.target
 
 
 @CHECKERS.register("R8")
-class NoWorkWhenLeaving(Checker):
+class NoNewWorkWhileDraining(Checker):
     """No call reaches a leaving target a few seconds after its drain began."""
 
     title = "a leaving target gets no new work"
 
     def __init__(self) -> None:
         super().__init__()
-        self._leaving: dict[str, float] = {}
+        self._draining_since: dict[str, float] = {}
 
-    def _watched(self) -> Handlers:
+    def _handlers(self) -> Handlers:
         return {
-            DrainStarted: self._drain,
-            NodeStopped: self._stop,
-            NodeStarted: self._start,
-            WorkOffered: self._work,
+            DrainStarted: self._on_drain,
+            NodeStopped: self._on_stop,
+            NodeStarted: self._on_start,
+            WorkOffered: self._on_work,
         }
 
-    def _drain(self, seen: DrainStarted) -> None:
+    def _on_drain(self, observed: DrainStarted) -> None:
         self.exercised += 1
-        self._leaving[seen.node] = seen.at
+        self._draining_since[observed.node] = observed.at
 
-    def _stop(self, seen: NodeStopped) -> None:
-        self._leaving.pop(seen.node, None)
+    def _on_stop(self, observed: NodeStopped) -> None:
+        self._draining_since.pop(observed.node, None)
 
-    def _start(self, seen: NodeStarted) -> None:
-        self._leaving.pop(seen.node, None)
+    def _on_start(self, observed: NodeStarted) -> None:
+        self._draining_since.pop(observed.node, None)
 
-    def _work(self, seen: WorkOffered) -> None:
-        since = self._leaving.get(seen.target)
-        if since is not None and seen.at > since + DRAIN_SPREAD_S:
-            self._fail(seen.at, f"{seen.target} gets work {seen.at - since:.1f} s into its drain")
+    def _on_work(self, observed: WorkOffered) -> None:
+        since = self._draining_since.get(observed.target)
+        if since is not None and observed.at > since + DRAIN_PROPAGATION_S:
+            self._fail(
+                observed.at,
+                f"{observed.target} gets work {observed.at - since:.1f} s into its drain",
+            )
 
 
 @CHECKERS.register("R9")
@@ -368,12 +390,14 @@
 
     title = "a planned stop cuts off no request"
 
-    def _watched(self) -> Handlers:
-        return {NodeStopped: self._stop}
+    def _handlers(self) -> Handlers:
+        return {NodeStopped: self._on_stop}
 
-    def _stop(self, seen: NodeStopped) -> None:
-        if not seen.planned:
+    def _on_stop(self, observed: NodeStopped) -> None:
+        if not observed.planned:
             return
         self.exercised += 1
-        if seen.calls_cut:
-            self._fail(seen.at, f"{seen.node} stopped with {seen.calls_cut} calls in flight")
+        if observed.calls_cut:
+            self._fail(
+                observed.at, f"{observed.node} stopped with {observed.calls_cut} calls in flight"
+            )
--- a/src/citronrack/proof/core_factory.py
+++ b/src/citronrack/proof/core_factory.py
@@ -17,7 +17,7 @@
 from ..telemetry import Event, EventLog, Metrics
 
 
-class QuietEvents(EventLog):
+class NullEventLog(EventLog):
     """Drops log lines; scenarios and replays observe state instead."""
 
     def write(self, event: Event, **fields: Any) -> None:
@@ -72,7 +72,7 @@
         "remote_seeds": options.remote_seeds,
         "clock": clock,
         "random": random,
-        "events": QuietEvents(node=own.name, level="error"),
+        "events": NullEventLog(node=own.name, level="error"),
         "metrics": Metrics(None, prefix=""),
         "views": views,
         "append": append,
--- a/src/citronrack/proof/decisions.py
+++ b/src/citronrack/proof/decisions.py
@@ -42,17 +42,17 @@
         self._boot = boot
         self._emit = emit
         self._version = -1
-        self._state = Readiness.NOT_READY
+        self._readiness = Readiness.NOT_READY
         self._shares: Mapping[str, RouteShare] = {}
         self._marks: set[str] = set()
 
-    def look(self, at: float) -> None:
+    def emit_changes(self, at: float) -> None:
         """Report what has changed."""
         core = self._core
         if core.active.version != self._version:
             self._version = core.active.version
             self._emit(ConfigInForce(at, self._node, self._boot, core.active.current))
-        if core.readiness is not self._state:
+        if core.readiness is not self._readiness:
             self._report_readiness(at)
         if self._views.current.shares != self._shares:
             self._report_shares(at)
@@ -60,7 +60,7 @@
             self._report_marks(at)
 
     def _report_readiness(self, at: float) -> None:
-        state = self._state = self._core.readiness
+        state = self._readiness = self._core.readiness
         serving = state is not Readiness.NOT_READY
         version = self._core.active.version
         self._emit(ReadinessChanged(at, self._node, self._boot, state.value, serving, version))
--- a/src/citronrack/proof/deployments.py
+++ b/src/citronrack/proof/deployments.py
@@ -25,7 +25,7 @@
 
 
 @frozen
-class ServiceSize:
+class ServiceSpec:
     """A service of a deployment.
 
     Attributes:
@@ -58,7 +58,7 @@
 
     profile: str
     zones: tuple[str, ...]
-    services: tuple[ServiceSize, ...]
+    services: tuple[ServiceSpec, ...]
     slots: int
     link_ms: float
     caller_ms: float = 1.0
@@ -71,7 +71,7 @@
         profile="spoorhout",
         zones=("lowlands-a", "lowlands-b", "lowlands-c"),
         services=(
-            ServiceSize(
+            ServiceSpec(
                 "catalogue",
                 "2.4.1",
                 8,
@@ -81,7 +81,7 @@
                     RouteLoad("orders", "/orders", "POST", 2),
                 ),
             ),
-            ServiceSize(
+            ServiceSpec(
                 "media",
                 "1.8.0",
                 3,
@@ -102,7 +102,7 @@
         profile="harbor-lantern",
         zones=("wharf-row", "mill-square", "chapel-lane", "depot-yard"),
         services=(
-            ServiceSize(
+            ServiceSpec(
                 "vendor-desk",
                 "5.0.2",
                 8,
@@ -113,7 +113,7 @@
                     RouteLoad("fees", "/fees", "POST", 1),
                 ),
             ),
-            ServiceSize(
+            ServiceSpec(
                 "inspection-vault",
                 "3.2.0",
                 4,
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -14,7 +14,7 @@
 from .world import World
 
 
-def starter(world: World, node: SimNode) -> Callable[[], None]:
+def start_action(world: World, node: SimNode) -> Callable[[], None]:
     """Return an action that starts ``node``."""
     return lambda: world.start(node)
 
@@ -83,7 +83,7 @@
     def apply(self, world: World) -> None:
         """Drain, stop and start again."""
         node = world.node(self.node)
-        world.drain(node, lambda: world.timeline.after(self.down_s, starter(world, node)))
+        world.drain(node, lambda: world.timeline.after(self.down_s, start_action(world, node)))
 
 
 @EVENT_KINDS.register("herd_restart")
@@ -105,19 +105,19 @@
 
     def apply(self, world: World) -> None:
         """End the instances and plan their return."""
-        spared: dict[str, int] = {}
-        falling = []
+        kept_running: dict[str, int] = {}
+        crashing = []
         for node in world.nodes.values():
             if not node.up or (self.zone and node.zone != self.zone):
                 continue
-            if spared.get(node.zone, 0) < self.spare:
-                spared[node.zone] = spared.get(node.zone, 0) + 1
+            if kept_running.get(node.zone, 0) < self.spare:
+                kept_running[node.zone] = kept_running.get(node.zone, 0) + 1
             else:
-                falling.append(node)
-        for index, node in enumerate(falling):
+                crashing.append(node)
+        for index, node in enumerate(crashing):
             world.crash(node)
-            back = self.down_s + self.spread_s * index / len(falling)
-            world.timeline.after(back, starter(world, node))
+            restart_after_s = self.down_s + self.spread_s * index / len(crashing)
+            world.timeline.after(restart_after_s, start_action(world, node))
 
 
 @EVENT_KINDS.register("pause")
@@ -137,13 +137,13 @@
 
     def apply(self, world: World) -> None:
         """Pause the node."""
-        node = world.holder(self.holder_of) if self.holder_of else world.live_node(self.node)
+        node = world.holder(self.holder_of) if self.holder_of else world.resolve_node(self.node)
         if node is None:
             return
         node.pause()
         world.check_reachability()
         if self.for_s:
-            world.timeline.after(self.for_s, lambda: Resume.let_go_on(world, node))
+            world.timeline.after(self.for_s, lambda: Resume.resume_if_paused(world, node))
 
 
 @EVENT_KINDS.register("resume")
@@ -159,10 +159,10 @@
 
     def apply(self, world: World) -> None:
         """Resume the node."""
-        self.let_go_on(world, world.node(self.node))
+        self.resume_if_paused(world, world.node(self.node))
 
     @staticmethod
-    def let_go_on(world: World, node: SimNode) -> None:
+    def resume_if_paused(world: World, node: SimNode) -> None:
         """Resume ``node`` if it still runs."""
         if node.up and node.paused:
             node.resume()
@@ -182,9 +182,9 @@
 
     def apply(self, world: World) -> None:
         """Begin the outage."""
-        world.log.set_up(False)
+        world.log.set_available(False)
         if self.for_s:
-            world.timeline.after(self.for_s, lambda: world.log.set_up(True))
+            world.timeline.after(self.for_s, lambda: world.log.set_available(True))
 
 
 @EVENT_KINDS.register("log_recovery")
@@ -194,7 +194,7 @@
 
     def apply(self, world: World) -> None:
         """End the outage."""
-        world.log.set_up(True)
+        world.log.set_available(True)
 
 
 @EVENT_KINDS.register("slow_log")
@@ -270,7 +270,7 @@
 
     def apply(self, world: World) -> None:
         """Cut the link."""
-        world.network.cut(self.one, self.other)
+        world.network.block_link(self.one, self.other)
         world.check_reachability()
 
 
@@ -299,7 +299,7 @@
     def apply(self, world: World) -> None:
         """Cut all links to the platform."""
         for zone in world.deployment.zones:
-            world.network.cut(zone, PLATFORM)
+            world.network.block_link(zone, PLATFORM)
         world.check_reachability()
 
 
--- a/src/citronrack/proof/expectations.py
+++ b/src/citronrack/proof/expectations.py
@@ -37,7 +37,7 @@
     def fault(self, world: World) -> str:
         """Name the nodes that are behind."""
         version = world.log.fold.config.version
-        made = {seen.config.version for seen in world.journal.of(ConfigInForce)}
+        made = {observed.config.version for observed in world.observations.of_kind(ConfigInForce)}
         if len(made) - 1 < self.changes:
             return f"expected {self.changes} changes in force, saw {len(made) - 1}"
         zones = set(world.deployment.zones) if self.cut_off else world.network.connected_zones()
@@ -70,13 +70,13 @@
 
     def fault(self, world: World) -> str:
         """Compare with what the operator was told."""
-        track = world.operators.plans.get(self.plan)
-        if track is None:
+        tracked = world.operators.plans.get(self.plan)
+        if tracked is None:
             return f"plan {self.plan!r} was never made"
-        if track.result != self.result:
-            return f"plan {self.plan!r} is {track.result} ({track.reason}), not {self.result}"
-        if self.reason not in track.reason:
-            return f"plan {self.plan!r} has the reason {track.reason!r}"
+        if tracked.result != self.result:
+            return f"plan {self.plan!r} is {tracked.result} ({tracked.reason}), not {self.result}"
+        if self.reason not in tracked.reason:
+            return f"plan {self.plan!r} has the reason {tracked.reason!r}"
         return ""
 
 
@@ -95,8 +95,10 @@
 
     def fault(self, world: World) -> str:
         """Compare both results."""
-        tracks = [world.operators.plans.get(label) for label in (self.left, self.right)]
-        results = sorted(track.result if track is not None else "missing" for track in tracks)
+        tracked_plans = [world.operators.plans.get(label) for label in (self.left, self.right)]
+        results = sorted(
+            tracked.result if tracked is not None else "missing" for tracked in tracked_plans
+        )
         return "" if results == ["accepted", "refused"] else f"the plans are {results}"
 
 
@@ -158,18 +160,18 @@
         """Count the calls that it ran."""
         key = (self.service, self.service_version)
         turned = [
-            seen.at
-            for seen in world.journal.of(VersionTurnedBad)
-            if (seen.service, seen.service_version) == key
+            observed.at
+            for observed in world.observations.of_kind(VersionTurnedBad)
+            if (observed.service, observed.service_version) == key
         ]
         if not turned:
             return f"{self.service} {self.service_version} never turned bad"
         work = [
-            seen
-            for seen in world.journal.of(WorkStarted)
-            if seen.service == self.service and seen.at >= turned[0]
+            observed
+            for observed in world.observations.of_kind(WorkStarted)
+            if observed.service == self.service and observed.at >= turned[0]
         ]
-        bad = [seen.at for seen in work if seen.service_version == self.service_version]
+        bad = [observed.at for observed in work if observed.service_version == self.service_version]
         if len(bad) > self.max_calls:
             return f"it ran {len(bad)} calls, more than {self.max_calls}"
         if len(bad) > self.max_share * len(work):
@@ -198,7 +200,8 @@
         """Count the calls that it ran."""
         key = (self.service, self.service_version)
         ran = sum(
-            (seen.service, seen.service_version) == key for seen in world.journal.of(WorkStarted)
+            (observed.service, observed.service_version) == key
+            for observed in world.observations.of_kind(WorkStarted)
         )
         return "" if ran >= self.min_calls else f"it ran {ran} calls, fewer than {self.min_calls}"
 
@@ -218,20 +221,24 @@
 
     def fault(self, world: World) -> str:
         """Look for calls that arrived too late."""
-        drains = [seen.at for seen in world.journal.of(DrainStarted) if seen.node == self.node]
+        drains = [
+            observed.at
+            for observed in world.observations.of_kind(DrainStarted)
+            if observed.node == self.node
+        ]
         if not drains:
             return f"{self.node} was never drained"
         limit = drains[-1] + self.after_s
         restarts = [
-            seen.at
-            for seen in world.journal.of(ConfigInForce)
-            if seen.node == self.node and seen.at > drains[-1]
+            observed.at
+            for observed in world.observations.of_kind(ConfigInForce)
+            if observed.node == self.node and observed.at > drains[-1]
         ]
         end = restarts[0] if restarts else world.timeline.now
         late = [
-            seen.at
-            for seen in world.journal.of(WorkOffered)
-            if seen.target == self.node and limit < seen.at < end
+            observed.at
+            for observed in world.observations.of_kind(WorkOffered)
+            if observed.target == self.node and limit < observed.at < end
         ]
         return f"a call arrived {late[-1] - drains[-1]:.1f} s after the drain began" if late else ""
 
@@ -343,10 +350,12 @@
         """Compare the share."""
         limit = min(self.before_s, world.timeline.now - 6.0)  # later calls may still be open
         sent = [
-            seen.call for seen in world.journal.of(CallStarted) if self.after_s <= seen.at < limit
+            observed.call
+            for observed in world.observations.of_kind(CallStarted)
+            if self.after_s <= observed.at < limit
         ]
         if not sent:
             return "no call was sent"
-        answered = {seen.call for seen in world.journal.of(CallAnswered)}
+        answered = {observed.call for observed in world.observations.of_kind(CallAnswered)}
         share = sum(call in answered for call in sent) / len(sent)
         return "" if share >= self.min_share else f"{share:.2%} of {len(sent)} calls were answered"
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -21,7 +21,7 @@
     CallAnswered,
     CallRefused,
     CallStarted,
-    Dispatch,
+    ObservationDispatcher,
     WorkOffered,
     WorkStarted,
 )
@@ -33,10 +33,10 @@
 CALL_TIMEOUT_S = 5.0
 
 
-class ChoiceRules:
+class CallRules:
     """The pure choices of the call path; the real ones replace these method by method."""
 
-    def side(self, view: RoutingView, route: Route, call_key: str) -> str:
+    def choose_version(self, view: RoutingView, route: Route, call_key: str) -> str:
         """Return the service version that serves the call."""
         share = view.shares.get(route.name)
         if share is None:
@@ -48,9 +48,9 @@
         self, pool: Sequence[PoolTarget], zone: str, tried: Sequence[str], random: Random
     ) -> PoolTarget | None:
         """Return a target, the own zone first, never one that was tried."""
-        fresh = [target for target in pool if target.name not in tried]
-        near = [target for target in fresh if target.availability_zone == zone]
-        choices = near or fresh
+        untried = [target for target in pool if target.name not in tried]
+        same_zone = [target for target in untried if target.availability_zone == zone]
+        choices = same_zone or untried
         return random.choice(choices) if choices else None
 
     def admits(self, node: SimNode) -> bool:
@@ -61,7 +61,7 @@
         """Return what a caller may be told after the target's side ended an attempt."""
         return Verdict.RAN if status else Verdict.MAY_HAVE_RUN
 
-    def repeats(self, call: Call, verdict: Verdict) -> bool:
+    def allows_retry(self, call: Call, verdict: Verdict) -> bool:
         """Return whether another attempt is allowed."""
         if call.attempt >= MAX_ATTEMPTS:
             return False
@@ -86,7 +86,7 @@
 
     number: int
     load: RouteLoad
-    entry: SimNode
+    entry_node: SimNode
     started: float
     boot: int
     attempt: int = 0
@@ -106,9 +106,9 @@
     timeline: Timeline
     network: FakeNetwork
     nodes: dict[str, SimNode]
-    rules: ChoiceRules
+    rules: CallRules
 
-    emit: Dispatch
+    emit: ObservationDispatcher
 
 
 class FakeCalls:
@@ -130,44 +130,44 @@
         self._weights = [load.weight for load in loads]
         self._caller_s = caller_ms / 1000
         self._number = 0
-        self._stream = 0
+        self._generation = 0
         self.calls_per_s = 0.0
 
     def set_rate(self, calls_per_s: float) -> None:
         """Change the mean number of calls a second."""
         self.calls_per_s = calls_per_s
-        self._stream += 1
-        self._schedule(self._stream)
+        self._generation += 1
+        self._schedule(self._generation)
 
-    def _schedule(self, stream: int) -> None:
-        if self.calls_per_s > 0 and stream == self._stream:
+    def _schedule(self, generation: int) -> None:
+        if self.calls_per_s > 0 and generation == self._generation:
             wait = self._random.expovariate(self.calls_per_s)
-            self._world.timeline.after(wait, lambda: self._arrive(stream))
+            self._world.timeline.after(wait, lambda: self._start_call(generation))
 
-    def _arrive(self, stream: int) -> None:
-        if stream != self._stream:
+    def _start_call(self, generation: int) -> None:
+        if generation != self._generation:
             return
-        self._schedule(stream)
-        entries = [n for n in self._world.nodes.values() if n.serving and not n.draining]
-        if not entries:
+        self._schedule(generation)
+        entry_nodes = [n for n in self._world.nodes.values() if n.serving and not n.draining]
+        if not entry_nodes:
             return
         self._number += 1
         load = self._random.choices(self._loads, self._weights)[0]
-        entry = self._random.choice(entries)
-        call = Call(self._number, load, entry, self._world.timeline.now, entry.boot)
-        entry.calls_open += 1
+        entry_node = self._random.choice(entry_nodes)
+        call = Call(self._number, load, entry_node, self._world.timeline.now, entry_node.boot)
+        entry_node.calls_open += 1
         self._world.emit(CallStarted(call.started, call.number, load.name, call.idempotent))
         self._world.timeline.after(self._caller_s, lambda: self._attempt(call))
 
     def _attempt(self, call: Call) -> None:
-        world, view = self._world, call.entry.views.current
+        world, view = self._world, call.entry_node.views.current
         route = view.route_of(call.load.prefix)
-        if call.boot != call.entry.boot or not view.ready or route is None:
+        if call.boot != call.entry_node.boot or not view.ready or route is None:
             self._give_up(call, Verdict.NOT_RUN)
             return
-        version = world.rules.side(view, route, str(call.number))
+        version = world.rules.choose_version(view, route, str(call.number))
         pool = view.pools.get((route.service, version), ())
-        chosen = world.rules.target(pool, call.entry.zone, call.tried, self._random)
+        chosen = world.rules.target(pool, call.entry_node.zone, call.tried, self._random)
         if chosen is None:
             self._give_up(call, Verdict.NOT_RUN)
             return
@@ -180,32 +180,40 @@
         network, timeline = self._world.network, self._world.timeline
         attempt = call.attempt
         record = self._recorder(call, route, version)
-        if network.is_cut(call.entry.zone, node.zone):
+        if network.is_blocked(call.entry_node.zone, node.zone):
             timeline.after(
-                CONNECT_TIMEOUT_S, lambda: self._ended(call, attempt, Verdict.NOT_RUN, record, 0)
+                CONNECT_TIMEOUT_S,
+                lambda: self._finish_attempt(call, attempt, Verdict.NOT_RUN, record, 0),
             )
             return
         timeline.after(
-            CALL_TIMEOUT_S, lambda: self._ended(call, attempt, Verdict.MAY_HAVE_RUN, record, 0)
+            CALL_TIMEOUT_S,
+            lambda: self._finish_attempt(call, attempt, Verdict.MAY_HAVE_RUN, record, 0),
         )
-        delay = network.delay_s(call.entry.zone, node.zone)
-        timeline.after(delay, lambda: self._reach(call, attempt, route, version, node, record))
+        delay = network.delay_s(call.entry_node.zone, node.zone)
+        timeline.after(delay, lambda: self._deliver(call, attempt, route, version, node, record))
 
-    def _reach(
-        self, call: Call, attempt: int, route: Route, version: str, node: SimNode, record: Recorder
+    def _deliver(
+        self,
+        call: Call,
+        attempt: int,
+        route: Route,
+        version: str,
+        node: SimNode,
+        record: AttemptRecorder,
     ) -> None:
         world = self._world
         if node.paused:
             return  # The kernel accepts the bytes, nobody answers; the timeout ends the attempt.
-        if not node.up or (node.place.service, node.place.service_version) != (
+        if not node.up or (node.placement.service, node.placement.service_version) != (
             route.service,
             version,
         ):
-            self._back(call, attempt, node, Verdict.NOT_RUN, record, 0)
+            self._respond(call, attempt, node, Verdict.NOT_RUN, record, 0)
             return
         world.emit(WorkOffered(world.timeline.now, call.number, node.name))
         if not world.rules.admits(node):
-            self._back(call, attempt, node, Verdict.NOT_RUN, record, 503)
+            self._respond(call, attempt, node, Verdict.NOT_RUN, record, 503)
             return
         cold = node.target.cold
 
@@ -213,7 +221,7 @@
             verdict = world.rules.verdict(status)
             record.answer_to = answer_to
             node.post(CallReported(record.make(status, verdict, delivered_here=True, cold=cold)))
-            self._back(call, attempt, node, verdict, record, status)
+            self._respond(call, attempt, node, verdict, record, status)
 
         def started() -> None:
             world.emit(
@@ -229,27 +237,27 @@
                 )
             )
 
-        node.target.take(Job(call.number, attempt, route.name, call.idempotent, started, done))
+        node.target.submit(Job(call.number, attempt, route.name, call.idempotent, started, done))
 
-    def _back(
+    def _respond(
         self,
         call: Call,
         attempt: int,
         node: SimNode,
         verdict: Verdict,
-        record: Recorder,
+        record: AttemptRecorder,
         status: int,
     ) -> None:
         network = self._world.network
-        if network.is_cut(call.entry.zone, node.zone):
+        if network.is_blocked(call.entry_node.zone, node.zone):
             return  # The answer is lost; the timeout ends the attempt.
-        delay = network.delay_s(call.entry.zone, node.zone)
+        delay = network.delay_s(call.entry_node.zone, node.zone)
         self._world.timeline.after(
-            delay, lambda: self._ended(call, attempt, verdict, record, status)
+            delay, lambda: self._finish_attempt(call, attempt, verdict, record, status)
         )
 
-    def _ended(
-        self, call: Call, attempt: int, verdict: Verdict, record: Recorder, status: int
+    def _finish_attempt(
+        self, call: Call, attempt: int, verdict: Verdict, record: AttemptRecorder, status: int
     ) -> None:
         if call.closed or call.attempt != attempt:
             return  # A late answer or the timeout of an attempt that is over.
@@ -257,39 +265,39 @@
         call.may_have_run |= verdict is not Verdict.NOT_RUN
         now = self._world.timeline.now
         self._world.emit(AttemptEnded(now, call.number, attempt, verdict))
-        call.entry.post(CallReported(record.make(status, verdict)))
+        call.entry_node.post(CallReported(record.make(status, verdict)))
         if verdict is Verdict.RAN and status < 500:
             self._world.emit(CallAnswered(now, call.number, record.answer_to, True, status))
-            self._close(call)
-        elif self._world.rules.repeats(call, verdict):
+            self._finish_call(call)
+        elif self._world.rules.allows_retry(call, verdict):
             self._attempt(call)
         else:
             self._give_up(call, verdict)
 
     def _give_up(self, call: Call, verdict: Verdict) -> None:
-        told = verdict
+        reported = verdict
         if call.may_have_run and verdict is Verdict.NOT_RUN:
-            told = Verdict.MAY_HAVE_RUN  # The last attempt says nothing about earlier ones.
-        self._world.emit(CallRefused(self._world.timeline.now, call.number, told))
-        self._close(call)
+            reported = Verdict.MAY_HAVE_RUN  # The last attempt says nothing about earlier ones.
+        self._world.emit(CallRefused(self._world.timeline.now, call.number, reported))
+        self._finish_call(call)
 
     @staticmethod
-    def _close(call: Call) -> None:
-        call.entry.calls_open -= 1
+    def _finish_call(call: Call) -> None:
+        call.entry_node.calls_open -= 1
 
-    def _recorder(self, call: Call, route: Route, version: str) -> Recorder:
-        return Recorder(call, route, version, self._world.timeline, self._world.timeline.now)
+    def _recorder(self, call: Call, route: Route, version: str) -> AttemptRecorder:
+        return AttemptRecorder(call, route, version, self._world.timeline, self._world.timeline.now)
 
 
 @define
-class Recorder:
+class AttemptRecorder:
     """Makes the records of one attempt."""
 
     call: Call
     route: Route
     version: str
     timeline: Timeline
-    began: float
+    started_at: float
     answer_to: int = -1
 
     def make(
@@ -302,7 +310,7 @@
             service_version=self.version,
             method=self.call.load.method,
             status=status,
-            latency_s=self.timeline.now - self.began,
+            latency_s=self.timeline.now - self.started_at,
             verdict=verdict,
             refused=verdict is Verdict.NOT_RUN,
             cold=cold,
--- a/src/citronrack/proof/fake_log.py
+++ b/src/citronrack/proof/fake_log.py
@@ -44,13 +44,13 @@
         self._emit = emit
         self._retention = spec.retention
         self._streams = {RECORDS_STREAM: _Stream(), SNAPSHOTS_STREAM: _Stream()}
-        self._waiting: list[Callable[[], None]] = []
+        self._append_callbacks: list[Callable[[], None]] = []
         self.delay_s = spec.delay_ms / 1000
         self.up = True
         self.answers_to_lose = 0
         self.fold = LogFold()
 
-    def set_up(self, up: bool) -> None:
+    def set_available(self, up: bool) -> None:
         """Begin or end an outage."""
         self.up = up
         self._emit(LogState(self._timeline.now, up))
@@ -69,12 +69,12 @@
         self._trim(target, target.end - self._retention)
         if stream == RECORDS_STREAM:
             self._fold(offset, data)
-            waiting, self._waiting = self._waiting, []
-            for wake in waiting:
-                wake()
+            callbacks, self._append_callbacks = self._append_callbacks, []
+            for callback in callbacks:
+                callback()
         return offset
 
-    def loses_answer(self) -> bool:
+    def take_lost_answer(self) -> bool:
         """Return whether the answer to the append that just took effect is lost."""
         lost = self.answers_to_lose > 0
         self.answers_to_lose -= int(lost)
@@ -95,9 +95,9 @@
         chosen = source.records[start - source.first : start - source.first + limit]
         return LogPage(source.first, source.end, tuple(enumerate(chosen, start)))
 
-    def when_changed(self, wake: Callable[[], None]) -> None:
-        """Call ``wake`` once after the next record."""
-        self._waiting.append(wake)
+    def notify_on_append(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` once after the next record."""
+        self._append_callbacks.append(callback)
 
     def end(self, stream: str) -> int:
         """Return the offset of the next append."""
--- a/src/citronrack/proof/fake_target.py
+++ b/src/citronrack/proof/fake_target.py
@@ -32,8 +32,8 @@
     attempt: int
     route: str
     idempotent: bool
-    started: Callable[[], None]
-    done: Callable[[int, int], None]
+    on_start: Callable[[], None]
+    on_done: Callable[[int, int], None]
 
 
 @define
@@ -56,35 +56,35 @@
 
 
 @frozen
-class Effect:
+class FaultEffect:
     """What a fault does to one call."""
 
-    fails: float = 0.0
-    slower: float = 1.0
+    failure_rate: float = 0.0
+    slowdown: float = 1.0
 
 
-FaultRule = Callable[[Fault, Job, float], Effect]
+FaultRule = Callable[[Fault, Job, float], FaultEffect]
 FAULT_KINDS: Registry[FaultRule] = Registry("kind of bad version")
 
 
 @FAULT_KINDS.register("failing")
-def _failing(fault: Fault, job: Job, busy: float) -> Effect:
-    return Effect(fails=fault.rate)
+def _failing(fault: Fault, job: Job, busy: float) -> FaultEffect:
+    return FaultEffect(failure_rate=fault.rate)
 
 
 @FAULT_KINDS.register("slow")
-def _slow(fault: Fault, job: Job, busy: float) -> Effect:
-    return Effect(slower=fault.slow_factor)
+def _slow(fault: Fault, job: Job, busy: float) -> FaultEffect:
+    return FaultEffect(slowdown=fault.slow_factor)
 
 
 @FAULT_KINDS.register("one-route")
-def _one_route(fault: Fault, job: Job, busy: float) -> Effect:
-    return Effect(fails=fault.rate if job.route == fault.route else 0.0)
+def _one_route(fault: Fault, job: Job, busy: float) -> FaultEffect:
+    return FaultEffect(failure_rate=fault.rate if job.route == fault.route else 0.0)
 
 
 @FAULT_KINDS.register("under-load")
-def _under_load(fault: Fault, job: Job, busy: float) -> Effect:
-    return Effect(fails=fault.rate if busy >= fault.busy_share else 0.0)
+def _under_load(fault: Fault, job: Job, busy: float) -> FaultEffect:
+    return FaultEffect(failure_rate=fault.rate if busy >= fault.busy_share else 0.0)
 
 
 class FakeTarget:
@@ -114,7 +114,7 @@
         self._fault = fault
         self._waiting: deque[Job] = deque()
         self._running: dict[int, Job] = {}
-        self._life = 0
+        self._generation = 0
         self._started_at = 0.0
 
     @property
@@ -134,42 +134,42 @@
 
     def start(self) -> None:
         """Begin a new process."""
-        self._life += 1
+        self._generation += 1
         self._started_at = self._timeline.now
 
     def kill(self) -> None:
         """End the process; calls in flight get no answer."""
-        self._life += 1
+        self._generation += 1
         lost = [*self._running.values(), *self._waiting]
         self._running.clear()
         self._waiting.clear()
         for job in lost:
-            job.done(0, job.call)
+            job.on_done(0, job.call)
 
-    def take(self, job: Job) -> None:
+    def submit(self, job: Job) -> None:
         """Run a call now or later."""
         self._waiting.append(job)
-        self._fill()
+        self._start_waiting()
 
-    def _fill(self) -> None:
+    def _start_waiting(self) -> None:
         while self._waiting and len(self._running) < self._slots:
             self._run(self._waiting.popleft())
 
     def _run(self, job: Job) -> None:
         key = job.call * 16 + job.attempt
         self._running[key] = job
-        job.started()
+        job.on_start()
         fault = self._fault()
         busy = len(self._running) / self._slots
-        effect = FAULT_KINDS.get(fault.kind)(fault, job, busy) if fault else Effect()
-        status = 500 if self._random.random() < effect.fails else 200
-        work = self._random.expovariate(1 / self._work_s) * effect.slower
-        life = self._life
-        self._timeline.after(work, lambda: self._finish(key, life, status))
-
-    def _finish(self, key: int, life: int, status: int) -> None:
-        if life != self._life:
+        effect = FAULT_KINDS.get(fault.kind)(fault, job, busy) if fault else FaultEffect()
+        status = 500 if self._random.random() < effect.failure_rate else 200
+        work = self._random.expovariate(1 / self._work_s) * effect.slowdown
+        generation = self._generation
+        self._timeline.after(work, lambda: self._finish(key, generation, status))
+
+    def _finish(self, key: int, generation: int, status: int) -> None:
+        if generation != self._generation:
             return
         job = self._running.pop(key)
-        job.done(status, job.call)
-        self._fill()
+        job.on_done(status, job.call)
+        self._start_waiting()
--- a/src/citronrack/proof/fuzz.py
+++ b/src/citronrack/proof/fuzz.py
@@ -30,11 +30,11 @@
 from ..settings.load import parse_settings
 from ..transport.messages import message_codec
 from ..transport.send import Send
-from . import _strategies as given_values
+from . import _strategies as strategies
 from .core_factory import CoreOptions, make_core
 from .replay import TraceError, replay
 from .source import ScenarioError, parse_scenario
-from .trace import SteppedClock, TraceWriter, seeded, trace_core
+from .trace import SteppedClock, TraceWriter, seeded_random, trace_core
 
 MAX_STEPS = 14
 ROUND_EXAMPLES = 200
@@ -82,7 +82,7 @@
     def __init__(self, name: str = "own", number: int = 3) -> None:
         self.clock = ManualClock()
         self.views = ViewHolder()
-        own = given_values.member(name, number)
+        own = strategies.member(name, number)
         self.core: NodeCore = make_core(
             own=own,
             options=CoreOptions(seeds=("tcp://127.0.0.1:10000",)),
@@ -132,16 +132,16 @@
 def any_input_order(data: Any) -> None:
     """A core accepts messages, mail and ticks in any order, and stays valid."""
     node = FuzzedNode()
-    log = data.draw(st.lists(given_values.records(), max_size=8))
+    log = data.draw(st.lists(strategies.records(), max_size=8))
     sender = st.integers(0, 2).map(lambda number: f"tcp://127.0.0.1:{10_000 + number}")
     for _ in range(data.draw(st.integers(1, MAX_STEPS))):
         kind = data.draw(st.sampled_from(("message", "log", "mail", "tick")))
         if kind == "message":
-            node.message(data.draw(sender), data.draw(given_values.messages()))
+            node.message(data.draw(sender), data.draw(strategies.messages()))
         elif kind == "log":
             node.mail(page(log, data.draw(st.integers(0, len(log))), 4))
         elif kind == "mail":
-            node.mail(data.draw(given_values.small_mail()))
+            node.mail(data.draw(strategies.small_mail()))
         else:
             node.tick(data.draw(st.sampled_from((0.25, 1.0, 4.0, 40.0))))
     node.core.status()
@@ -150,22 +150,22 @@
 @PROPERTIES.register("two-cores")
 def same_log_same_state(data: Any) -> None:
     """Two cores that get one log on different ways hold the same state."""
-    log = data.draw(st.lists(given_values.records(), min_size=1, max_size=12))
+    log = data.draw(st.lists(strategies.records(), min_size=1, max_size=12))
     reader, follower = FuzzedNode("a-1", 0), FuzzedNode("a-2", 1)
     while reader.core.next_offset < len(log):
         start = data.draw(st.integers(0, reader.core.next_offset))
         reader.mail(page(log, start, len(log) if start == 0 else data.draw(st.integers(1, 9))))
     if data.draw(st.booleans()):
-        follower.mail(SnapshotRead(_folded(log, data.draw(st.integers(0, len(log))))))
+        follower.mail(SnapshotRead(_snapshot_of(log, data.draw(st.integers(0, len(log))))))
     inbox: list[tuple[FuzzedNode, str, Any]] = []
     for _ in range(60):
         for node, other in ((reader, follower), (follower, reader)):
             node.clock.advance(0.5)
-            inbox.extend(_for(other, node, node.core.on_tick()))
+            inbox.extend(_messages_to(other, node, node.core.on_tick()))
         inbox = data.draw(st.permutations(inbox)) if len(inbox) < 6 else inbox
         for receiver, sender, message in inbox[:]:
             other = reader if receiver is follower else follower
-            inbox.extend(_for(other, receiver, receiver.message(sender, message)))
+            inbox.extend(_messages_to(other, receiver, receiver.message(sender, message)))
             inbox.pop(0)
         if follower.core.next_offset == len(log):
             break
@@ -176,14 +176,14 @@
     assert follower.core.active.current == reader.core.active.current
 
 
-def _folded(log: list[bytes], count: int) -> bytes:
+def _snapshot_of(log: list[bytes], count: int) -> bytes:
     """Return a snapshot of the first ``count`` records."""
     node = FuzzedNode()
     node.mail(page(log, 0, count))
     return node.core.fold.to_snapshot()
 
 
-def _for(receiver: FuzzedNode, sender: FuzzedNode, effects: list[Send]) -> list[Any]:
+def _messages_to(receiver: FuzzedNode, sender: FuzzedNode, effects: list[Send]) -> list[Any]:
     """Return the messages to ``receiver``."""
     own = receiver.core.parts.table.own.address
     origin = sender.core.parts.table.own.address
@@ -193,8 +193,8 @@
 @PROPERTIES.register("message-bytes")
 def any_bytes_as_message(data: Any) -> None:
     """Damaged messages are refused or lead to a message that a core survives."""
-    encoded = message_codec.encode(data.draw(given_values.messages()))
-    damaged = data.draw(given_values.mutated(encoded))
+    encoded = message_codec.encode(data.draw(strategies.messages()))
+    damaged = data.draw(strategies.mutated(encoded))
     try:
         message = message_codec.decode(damaged)
     except MessageRejected:
@@ -208,7 +208,7 @@
 def any_settings_text(data: Any) -> None:
     """Damaged settings end in named faults, never in another error."""
     try:
-        content = yaml.safe_load(data.draw(given_values.mutated(SETTINGS_TEXT)).decode())
+        content = yaml.safe_load(data.draw(strategies.mutated(SETTINGS_TEXT)).decode())
     except (yaml.YAMLError, ValueError, TypeError):
         return
     try:
@@ -221,7 +221,7 @@
 def any_scenario_text(data: Any) -> None:
     """Damaged scenarios end in faults with file and line, never in another error."""
     try:
-        parse_scenario(data.draw(given_values.mutated(SCENARIO_TEXT)), source="s.yaml")
+        parse_scenario(data.draw(strategies.mutated(SCENARIO_TEXT)), source="s.yaml")
     except ScenarioError as error:
         for fault in error.faults:
             source, line, _ = fault.split(":", 2)
@@ -234,7 +234,7 @@
     """Damaged traces end in an error with file and line, never in another error."""
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "node.trace"
-        path.write_bytes(data.draw(given_values.mutated(_short_trace(path))))
+        path.write_bytes(data.draw(strategies.mutated(_short_trace(path))))
         try:
             replay(path)
         except TraceError as error:
@@ -244,7 +244,7 @@
 def _short_trace(path: Path) -> bytes:
     """Return the bytes of a trace with a few steps."""
     own, options, clock = (
-        given_values.member("own", 3),
+        strategies.member("own", 3),
         CoreOptions(),
         SteppedClock(ManualClock(), lambda: 0),
     )
@@ -254,7 +254,7 @@
         own=own,
         options=options,
         clock=clock,
-        random=seeded(1),
+        random=seeded_random(1),
         views=views,
         append=lambda body: None,
         append_snapshot=lambda data: None,
@@ -275,7 +275,7 @@
         examples: Number of examples.
         number: Seed, None for the fixed examples of the test suite.
     """
-    run = PROPERTIES.get(name)
+    run_property = PROPERTIES.get(name)
     configured = settings(
         max_examples=examples,
         deadline=None,
@@ -287,10 +287,10 @@
 
     @configured
     @given(st.data())
-    def examine(data: Any) -> None:
-        run(data)
+    def run_example(data: Any) -> None:
+        run_property(data)
 
-    (examine if number is None else seed(number)(examine))()
+    (run_example if number is None else seed(number)(run_example))()
 
 
 def main() -> int:
--- a/src/citronrack/proof/log_access.py
+++ b/src/citronrack/proof/log_access.py
@@ -25,13 +25,13 @@
 from .network import PLATFORM, FakeNetwork
 from .timeline import Timeline
 
-ANSWER_TIMEOUT_S = 5.0
+RESPONSE_TIMEOUT_S = 5.0
 BACKOFF_BASE_S = 0.2
-MAX_APPEND_TRIES = 6
+MAX_APPEND_ATTEMPTS = 6
 
 
 @frozen
-class LogPath:
+class LogConnection:
     """How one node reaches the log.
 
     Attributes:
@@ -49,12 +49,12 @@
     random: Random
 
     @property
-    def open(self) -> bool:
+    def is_open(self) -> bool:
         """Whether packets pass between the node and the platform."""
-        return not self.network.is_cut(self.zone, PLATFORM)
+        return not self.network.is_blocked(self.zone, PLATFORM)
 
     @property
-    def trip_s(self) -> float:
+    def round_trip_s(self) -> float:
         """Time of a request and its answer, service time included."""
         return 2 * self.network.delay_s(self.zone, PLATFORM) + self.log.delay_s
 
@@ -72,11 +72,13 @@
         post: Takes mail for the core; returns False when the process has ended.
     """
 
-    def __init__(self, path: LogPath, *, state: ReadingState, post: Callable[[Any], bool]) -> None:
-        self._path = path
+    def __init__(
+        self, connection: LogConnection, *, state: ReadingState, post: Callable[[Any], bool]
+    ) -> None:
+        self._connection = connection
         self._state = state
         self._post = post
-        self._posted = 0
+        self._posted_offset = 0
         self._failures = 0
         self._stopped = False
 
@@ -86,40 +88,48 @@
 
     def begin(self) -> None:
         """Poll for the first time, after the same jitter as the real task."""
-        self._path.timeline.after(self._path.random.uniform(0, START_JITTER_S), self.poll)
+        self._connection.timeline.after(
+            self._connection.random.uniform(0, START_JITTER_S), self.poll
+        )
 
     def poll(self) -> None:
         """Send one request, or wait until the core wants one."""
         if self._stopped:
             return
         if not self._state.reads_log:
-            self._path.timeline.after(IDLE_S, self.poll)
+            self._connection.timeline.after(IDLE_S, self.poll)
             return
-        start = max(self._posted, self._state.next_offset)
-        if not self._path.open:
-            self._path.timeline.after(ANSWER_TIMEOUT_S, lambda: self._failed("no answer"))
+        start = max(self._posted_offset, self._state.next_offset)
+        if not self._connection.is_open:
+            self._connection.timeline.after(
+                RESPONSE_TIMEOUT_S, lambda: self._handle_failure("no answer")
+            )
             return
-        deadline = self._path.timeline.now + LONG_POLL_MS / 1000
-        self._path.timeline.after(self._path.trip_s / 2, lambda: self._serve(start, deadline))
+        deadline = self._connection.timeline.now + LONG_POLL_MS / 1000
+        self._connection.timeline.after(
+            self._connection.round_trip_s / 2, lambda: self._serve(start, deadline)
+        )
 
     def _serve(self, start: int, deadline: float) -> None:
         """Answer at the service, or hold the request until a record arrives."""
-        log, timeline = self._path.log, self._path.timeline
+        log, timeline = self._connection.log, self._connection.timeline
         try:
             page = log.read(RECORDS_STREAM, start, limit=PAGE_RECORDS)
         except LogTrimmed:
-            timeline.after(self._path.trip_s, self._snapshot)
+            timeline.after(self._connection.round_trip_s, self._snapshot)
             return
         except LogUnavailable as error:
             reason = str(error)
-            timeline.after(self._path.trip_s / 2, lambda: self._failed(reason))
+            timeline.after(self._connection.round_trip_s / 2, lambda: self._handle_failure(reason))
             return
         if not page.records and timeline.now < deadline:
-            self._hold(start, deadline)
+            self._long_poll(start, deadline)
             return
-        timeline.after(self._path.trip_s / 2, lambda: self._arrive(start, LogRead(page)))
+        timeline.after(
+            self._connection.round_trip_s / 2, lambda: self._receive(start, LogRead(page))
+        )
 
-    def _hold(self, start: int, deadline: float) -> None:
+    def _long_poll(self, start: int, deadline: float) -> None:
         served = False
 
         def serve() -> None:
@@ -128,41 +138,41 @@
                 served = True
                 self._serve(start, deadline)
 
-        self._path.log.when_changed(serve)
-        self._path.timeline.at(deadline, serve)
+        self._connection.log.notify_on_append(serve)
+        self._connection.timeline.at(deadline, serve)
 
-    def _arrive(self, start: int, mail: LogRead) -> None:
-        if not self._path.open:
-            self._failed("no answer")
+    def _receive(self, start: int, mail: LogRead) -> None:
+        if not self._connection.is_open:
+            self._handle_failure("no answer")
             return
         self._failures = 0
-        self._posted = start + len(mail.page.records)
+        self._posted_offset = start + len(mail.page.records)
         if not self._stopped and self._post(mail):
             self.poll()
 
     def _snapshot(self) -> None:
-        log = self._path.log
+        log = self._connection.log
         try:
             page = log.read(SNAPSHOTS_STREAM, max(log.end(SNAPSHOTS_STREAM) - 1, 0), limit=1)
         except (LogUnavailable, LogTrimmed) as error:
-            self._failed(str(error))
+            self._handle_failure(str(error))
             return
         if not page.records:
-            self._failed("the wanted offset is trimmed and no snapshot exists")
+            self._handle_failure("the wanted offset is trimmed and no snapshot exists")
             return
         if not self._stopped and self._post(SnapshotRead(page.records[0][1])):
-            self._path.timeline.after(IDLE_S, self.poll)
+            self._connection.timeline.after(IDLE_S, self.poll)
 
-    def _failed(self, reason: str) -> None:
+    def _handle_failure(self, reason: str) -> None:
         self._failures += 1
         if not self._stopped and self._post(LogReadFailed(reason)):
-            self._path.timeline.after(self._path.backoff_s(self._failures), self.poll)
+            self._connection.timeline.after(self._connection.backoff_s(self._failures), self.poll)
 
 
 @frozen
 class _Job:
     body: Any
-    done: Callable[[AppendDone], Any]
+    on_done: Callable[[AppendDone], Any]
 
 
 class FakeAppender:
@@ -174,8 +184,10 @@
         wall_ms: The node's wall clock.
     """
 
-    def __init__(self, path: LogPath, *, writer: str, wall_ms: Callable[[], int]) -> None:
-        self._path = path
+    def __init__(
+        self, connection: LogConnection, *, writer: str, wall_ms: Callable[[], int]
+    ) -> None:
+        self._connection = connection
         self._writer = writer
         self._wall_ms = wall_ms
         self._jobs: deque[_Job] = deque()
@@ -186,22 +198,24 @@
         """End with the process; queued records are lost."""
         self._stopped = True
 
-    def submit(self, body: Any, done: Callable[[AppendDone], Any]) -> None:
+    def submit(self, body: Any, on_done: Callable[[AppendDone], Any]) -> None:
         """Queue a record body."""
-        self._jobs.append(_Job(body, done))
+        self._jobs.append(_Job(body, on_done))
         if len(self._jobs) == 1:
             self._next()
 
-    def submit_snapshot(self, data: bytes, done: Callable[[SnapshotDone], Any]) -> None:
+    def submit_snapshot(self, data: bytes, on_done: Callable[[SnapshotDone], Any]) -> None:
         """Write a snapshot; one try, the core asks again."""
-        self._path.timeline.after(self._path.trip_s / 2, lambda: self._snapshot(data, done))
+        self._connection.timeline.after(
+            self._connection.round_trip_s / 2, lambda: self._snapshot(data, on_done)
+        )
 
-    def _snapshot(self, data: bytes, done: Callable[[SnapshotDone], Any]) -> None:
+    def _snapshot(self, data: bytes, on_done: Callable[[SnapshotDone], Any]) -> None:
         offset = None
-        if self._path.open and self._path.log.up:
-            offset = self._path.log.append(SNAPSHOTS_STREAM, data)
-        wait = self._path.trip_s / 2 if offset is not None else ANSWER_TIMEOUT_S
-        self._path.timeline.after(wait, lambda: done(SnapshotDone(offset)))
+        if self._connection.is_open and self._connection.log.up:
+            offset = self._connection.log.append(SNAPSHOTS_STREAM, data)
+        wait = self._connection.round_trip_s / 2 if offset is not None else RESPONSE_TIMEOUT_S
+        self._connection.timeline.after(wait, lambda: on_done(SnapshotDone(offset)))
 
     def _next(self) -> None:
         self._sequence += 1
@@ -212,35 +226,37 @@
     def _send(self, data: bytes, attempt: int) -> None:
         if self._stopped:
             return
-        if not self._path.open:
-            self._path.timeline.after(ANSWER_TIMEOUT_S, lambda: self._retry(data, attempt))
+        if not self._connection.is_open:
+            self._connection.timeline.after(RESPONSE_TIMEOUT_S, lambda: self._retry(data, attempt))
             return
-        self._path.timeline.after(self._path.trip_s / 2, lambda: self._serve(data, attempt))
+        self._connection.timeline.after(
+            self._connection.round_trip_s / 2, lambda: self._serve(data, attempt)
+        )
 
     def _serve(self, data: bytes, attempt: int) -> None:
-        timeline, log = self._path.timeline, self._path.log
+        timeline, log = self._connection.timeline, self._connection.log
         try:
             offset = log.append(RECORDS_STREAM, data)
         except LogUnavailable:
-            timeline.after(self._path.trip_s / 2, lambda: self._retry(data, attempt))
+            timeline.after(self._connection.round_trip_s / 2, lambda: self._retry(data, attempt))
             return
-        if log.loses_answer() or not self._path.open:
-            timeline.after(ANSWER_TIMEOUT_S, lambda: self._retry(data, attempt))
+        if log.take_lost_answer() or not self._connection.is_open:
+            timeline.after(RESPONSE_TIMEOUT_S, lambda: self._retry(data, attempt))
             return
-        timeline.after(self._path.trip_s / 2, lambda: self._finish(offset, ""))
+        timeline.after(self._connection.round_trip_s / 2, lambda: self._finish(offset, ""))
 
     def _retry(self, data: bytes, attempt: int) -> None:
-        if attempt >= MAX_APPEND_TRIES:
+        if attempt >= MAX_APPEND_ATTEMPTS:
             self._finish(None, "no answer")
             return
-        wait = self._path.backoff_s(attempt)
-        self._path.timeline.after(wait, lambda: self._send(data, attempt + 1))
+        wait = self._connection.backoff_s(attempt)
+        self._connection.timeline.after(wait, lambda: self._send(data, attempt + 1))
 
     def _finish(self, offset: int | None, reason: str) -> None:
         if self._stopped:
             return
         job = self._jobs.popleft()
         fate = AppendFate.UNKNOWN if offset is None else AppendFate.APPENDED
-        job.done(AppendDone(job.body, fate, offset, reason))
+        job.on_done(AppendDone(job.body, fate, offset, reason))
         if self._jobs:
             self._next()
--- a/src/citronrack/proof/network.py
+++ b/src/citronrack/proof/network.py
@@ -43,39 +43,39 @@
         self._zones = tuple(zones)
         self._link_ms = spec.delay_ms if spec.delay_ms >= 0 else link_ms
         self._deliver = deliver
-        self._cut: set[frozenset[str]] = set()
+        self._blocked_links: set[frozenset[str]] = set()
         self.zone_of: dict[str, str] = {}
         self.messages = 0
 
-    def cut(self, one: str, other: str) -> None:
+    def block_link(self, one: str, other: str) -> None:
         """Let nothing pass between two zones, or a zone and the platform."""
-        self._cut.add(frozenset((one, other)))
+        self._blocked_links.add(frozenset((one, other)))
 
     def isolate(self, zone: str) -> None:
         """Cut a zone off from everything."""
         for other in (*self._zones, PLATFORM):
             if other != zone:
-                self.cut(zone, other)
+                self.block_link(zone, other)
 
     def heal(self) -> None:
         """Restore all links."""
-        self._cut.clear()
+        self._blocked_links.clear()
 
-    def is_cut(self, one: str, other: str) -> bool:
+    def is_blocked(self, one: str, other: str) -> bool:
         """Return whether nothing passes between the two."""
-        return frozenset((one, other)) in self._cut
+        return frozenset((one, other)) in self._blocked_links
 
     def connected_zones(self) -> set[str]:
         """Return the zones that have a path to the platform, directly or through other zones."""
-        found = {zone for zone in self._zones if not self.is_cut(zone, PLATFORM)}
-        grown = True
-        while grown:
+        found = {zone for zone in self._zones if not self.is_blocked(zone, PLATFORM)}
+        changed = True
+        while changed:
             new = {
                 zone
                 for zone in self._zones
-                if zone not in found and any(not self.is_cut(zone, other) for other in found)
+                if zone not in found and any(not self.is_blocked(zone, other) for other in found)
             }
-            grown = bool(new)
+            changed = bool(new)
             found |= new
         return found
 
@@ -90,7 +90,7 @@
         self.messages += 1
         zone = self.zone_of[sender]
         other = self.zone_of.get(effect.to)
-        if other is None or self.is_cut(zone, other):
+        if other is None or self.is_blocked(zone, other):
             return
         if zone != other and self._random.random() < self._spec.loss:
             return
--- a/src/citronrack/proof/observations.py
+++ b/src/citronrack/proof/observations.py
@@ -97,7 +97,7 @@
 
 @frozen
 class ShareGiven(Observation):
-    """A node gives ``share`` of a route's calls to ``service_version``."""
+    """A node gives ``share`` of_kind a route's calls to ``service_version``."""
 
     node: str
     route: str
@@ -189,16 +189,16 @@
 Handler = Callable[[Any], None]
 
 
-class Dispatch:
+class ObservationDispatcher:
     """Passes each observation to those who watch its class."""
 
     def __init__(self) -> None:
-        self._watchers: list[tuple[Handler, frozenset[type[Any]] | None]] = []
+        self._subscriptions: list[tuple[Handler, frozenset[type[Any]] | None]] = []
         self._by_class: dict[type[Any], tuple[Handler, ...]] = {}
 
-    def add(self, handler: Handler, *, kinds: Iterable[type[Any]] | None = None) -> None:
+    def subscribe(self, handler: Handler, *, kinds: Iterable[type[Any]] | None = None) -> None:
         """Pass on observations of ``kinds``, or all of them for None."""
-        self._watchers.append((handler, None if kinds is None else frozenset(kinds)))
+        self._subscriptions.append((handler, None if kinds is None else frozenset(kinds)))
         self._by_class.clear()
 
     def __call__(self, observation: Observation) -> None:
@@ -207,14 +207,14 @@
         handlers = self._by_class.get(kind)
         if handlers is None:
             handlers = self._by_class[kind] = tuple(
-                handler for handler, kinds in self._watchers if kinds is None or kind in kinds
+                handler for handler, kinds in self._subscriptions if kinds is None or kind in kinds
             )
         for handler in handlers:
             handler(observation)
 
 
 @define
-class Journal:
+class ObservationStore:
     """Keeps observations by class for expectations."""
 
     _by_class: dict[type[Any], list[Any]] = field(factory=dict)
@@ -223,6 +223,6 @@
         """Keep ``observation``."""
         self._by_class.setdefault(type(observation), []).append(observation)
 
-    def of(self, kind: type[T]) -> list[T]:
+    def of_kind(self, kind: type[T]) -> list[T]:
         """Return all observations of ``kind``, oldest first."""
         return self._by_class.get(kind, [])
--- a/src/citronrack/proof/operator_events.py
+++ b/src/citronrack/proof/operator_events.py
@@ -58,7 +58,7 @@
             world.timeline.after(turn * self.every_s, partial(self._once, world, turn))
 
     def _once(self, world: World, turn: int) -> None:
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = timeout_intent(node, self.route, self.timeout_ms + turn)
         world.operators.plan(self.plan, intent, node)
         world.operators.confirm(self.plan, node)
@@ -104,7 +104,7 @@
 
     def apply(self, world: World) -> None:
         """Plan."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         world.operators.plan(self.plan, timeout_intent(node, self.route, self.timeout_ms), node)
 
 
@@ -129,7 +129,7 @@
 
     def apply(self, world: World) -> None:
         """Plan."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
 
@@ -149,7 +149,7 @@
 
     def apply(self, world: World) -> None:
         """Confirm."""
-        world.operators.confirm(self.plan, world.live_node(self.node))
+        world.operators.confirm(self.plan, world.resolve_node(self.node))
 
 
 @EVENT_KINDS.register("move")
@@ -173,7 +173,7 @@
 
     def apply(self, world: World) -> None:
         """Plan and confirm."""
-        node = world.live_node(self.node)
+        node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
         world.operators.confirm(self.plan, node)
@@ -218,4 +218,4 @@
 
     def apply(self, world: World) -> None:
         """Cancel."""
-        world.operators.cancel(self.route, world.live_node(self.node))
+        world.operators.cancel(self.route, world.resolve_node(self.node))
--- a/src/citronrack/proof/operators.py
+++ b/src/citronrack/proof/operators.py
@@ -18,7 +18,7 @@
 
 
 @define
-class PlanTrack:
+class TrackedPlan:
     """What an operator knows about a plan.
 
     Attributes:
@@ -51,37 +51,37 @@
     def __init__(self, world: OperatorWorld, *, profile: str) -> None:
         self._world = world
         self._profile = profile
-        self.plans: dict[str, PlanTrack] = {}
+        self.plans: dict[str, TrackedPlan] = {}
         self.moves: dict[str, str] = {}
 
-    def plan(self, label: str, intent: Intent, node: SimNode) -> PlanTrack:
+    def plan(self, label: str, intent: Intent, node: SimNode) -> TrackedPlan:
         """Let a node compute a plan from the version that it holds."""
-        track = self.plans[label] = PlanTrack()
+        tracked = self.plans[label] = TrackedPlan()
         base = node.core.fold.config
         if not node.serving:
-            track.reason = "the node does not answer"
-            return track
+            tracked.reason = "the node does not answer"
+            return tracked
         now_ms = node.clock.wall_ms()
         try:
-            track.plan = make_plan(intent, base, now_ms=now_ms, default_profile=self._profile)
+            tracked.plan = make_plan(intent, base, now_ms=now_ms, default_profile=self._profile)
         except ConfigInvalid as error:
-            track.reason = str(error)
-            return track
-        track.result = "planned"
-        for move in track.plan.change.put_moves:
+            tracked.reason = str(error)
+            return tracked
+        tracked.result = "planned"
+        for move in tracked.plan.change.put_moves:
             self.moves[move.route] = move.move_id
-        return track
+        return tracked
 
     def confirm(self, label: str, node: SimNode) -> None:
         """Confirm a plan through a node; its track gets the result later."""
-        track = self.plans[label]
-        plan = track.plan
+        tracked = self.plans[label]
+        plan = tracked.plan
         if plan is None:
             return
         if not node.serving:
-            track.result, track.reason = "unknown", "the node does not answer"
+            tracked.result, tracked.reason = "unknown", "the node does not answer"
             return
-        track.result = "waiting"
+        tracked.result = "waiting"
         body = Confirmed(
             plan_id=plan.plan_id,
             base_version=plan.base_version,
@@ -90,30 +90,30 @@
             expires_ms=plan.expires_ms,
             operator=label,
         )
-        node.appender.submit(body, self._after_append(track, plan, node))
+        node.appender.submit(body, self._after_append(tracked, plan, node))
 
     def cancel(self, route: str, node: SimNode) -> None:
         """Cancel the open move of a route, if the node knows one."""
         move = node.core.fold.config.move_of_route(route)
         if move is not None:
             body = Cancelled(move.move_id, move.epoch, "operator")
-            node.appender.submit(body, lambda done: None)
+            node.appender.submit(body, lambda result: None)
 
     def _after_append(
-        self, track: PlanTrack, plan: Plan, node: SimNode
+        self, tracked: TrackedPlan, plan: Plan, node: SimNode
     ) -> Callable[[AppendDone], None]:
-        def appended(done: AppendDone) -> None:
-            if done.offset is None:
-                track.result, track.reason = "unknown", done.reason
+        def on_appended(result: AppendDone) -> None:
+            if result.offset is None:
+                tracked.result, tracked.reason = "unknown", result.reason
                 return
             answer: Future[PlanState] = Future()
-            answer.add_done_callback(decided)
-            node.post(PlanAwaited(plan.plan_id, done.offset, answer))
+            answer.add_done_callback(on_decided)
+            node.post(PlanAwaited(plan.plan_id, result.offset, answer))
 
-        def decided(answer: Future[Any]) -> None:
+        def on_decided(answer: Future[Any]) -> None:
             state: PlanState = answer.result()
-            track.result = "accepted" if state.accepted else "refused"
-            track.reason = state.reason
-            track.version = state.offset if state.accepted else -1
+            tracked.result = "accepted" if state.accepted else "refused"
+            tracked.reason = state.reason
+            tracked.version = state.offset if state.accepted else -1
 
-        return appended
+        return on_appended
--- a/src/citronrack/proof/replay.py
+++ b/src/citronrack/proof/replay.py
@@ -21,15 +21,15 @@
 from .checkers import CHECKERS
 from .core_factory import CoreOptions, make_core
 from .decisions import DecisionWatcher
-from .observations import Dispatch, NodeStarted
+from .observations import NodeStarted, ObservationDispatcher
 from .trace import (
-    LINE_HEAD_BYTES,
-    LINE_TAIL,
+    LINE_PREFIX_BYTES,
+    LINE_SUFFIX,
     TRACE_FORMAT,
     Decisions,
     TraceWriter,
-    line_head,
-    seeded,
+    line_prefix,
+    seeded_random,
 )
 
 MAX_LINE_BYTES = 64 * 1024 * 1024
@@ -119,10 +119,10 @@
         with open(path, "rb") as file:
             while data := file.readline(MAX_LINE_BYTES):
                 number += 1
-                where = f"{path}:{number}: byte {offset}"
+                location = f"{path}:{number}: byte {offset}"
                 if ended:
-                    raise TraceError(f"{where}: the trace goes on after its end")
-                content, checksum = _check_line(data, checksum, where)
+                    raise TraceError(f"{location}: the trace goes on after its end")
+                content, checksum = _check_line(data, checksum, location)
                 ended = "end" in content
                 yield TraceLine(number, content)
                 offset += len(data)
@@ -132,24 +132,24 @@
         raise TraceError(f"{path}:{number + 1}: byte {offset}: the trace ends without its end line")
 
 
-def _check_line(data: bytes, checksum: int, where: str) -> tuple[dict[str, Any], int]:
+def _check_line(data: bytes, checksum: int, location: str) -> tuple[dict[str, Any], int]:
     if not data.endswith(b"\n"):
-        raise TraceError(f"{where}: the line is cut off")
+        raise TraceError(f"{location}: the line is cut off")
     # The checksum covers the bytes as written; parsing would lose a change of a float's last digit.
-    head, text = data[:LINE_HEAD_BYTES], data[LINE_HEAD_BYTES : -len(LINE_TAIL)]
+    head, text = data[:LINE_PREFIX_BYTES], data[LINE_PREFIX_BYTES : -len(LINE_SUFFIX)]
     checksum = zlib.crc32(text, checksum)
-    if head != line_head(checksum) or not data.endswith(LINE_TAIL):
-        raise TraceError(f"{where}: the line is damaged or its checksum does not match")
+    if head != line_prefix(checksum) or not data.endswith(LINE_SUFFIX):
+        raise TraceError(f"{location}: the line is damaged or its checksum does not match")
     try:
         content = json.loads(text)
     except (ValueError, RecursionError) as error:
-        raise TraceError(f"{where}: the line is not valid JSON") from error
+        raise TraceError(f"{location}: the line is not valid JSON") from error
     if not isinstance(content, dict):
-        raise TraceError(f"{where}: the line is not a map")
+        raise TraceError(f"{location}: the line is not a map")
     return content, checksum
 
 
-class _Player:
+class _TraceRunner:
     """A core that is fed from a trace."""
 
     def __init__(self, line: TraceLine, path: str | Path, writer: TraceWriter | None) -> None:
@@ -168,16 +168,16 @@
             own=self.own,
             options=options,
             clock=self._clock,
-            random=seeded(seed),
+            random=seeded_random(seed),
             views=self._views,
             append=lambda body: None,  # Results of appends are part of the trace.
             append_snapshot=lambda data: None,
             own_load=self._clock.own_load,
         )
-        self._emit = Dispatch()
+        self._emit = ObservationDispatcher()
         self.checkers = {name: CHECKERS.get(name)() for name in CHECKERS}
         for checker in self.checkers.values():
-            checker.join(self._emit)
+            checker.subscribe_to(self._emit)
         self._watcher = DecisionWatcher(
             self._core, self._views, node=self.own.name, boot=1, emit=self._emit
         )
@@ -196,7 +196,7 @@
             self._emit(NodeStarted(0.0, self.own.name, zone, 1))
         entry, effects = self._feed(content)
         decisions = Decisions.of(self._core, self._views, effects)
-        self._watcher.look(self._clock.now - self._start)
+        self._watcher.emit_changes(self._clock.now - self._start)
         if self._writer is not None:
             self._writer.step(self._clock, entry, decisions)
         return decisions
@@ -213,7 +213,7 @@
 
 
 @define
-class _Expected:
+class _ExpectedDecisions:
     """The recorded decisions, rebuilt from their changes."""
 
     values: dict[str, Any]
@@ -248,16 +248,16 @@
     if expected_lines is not None:
         next(expected_lines)
     writer = TraceWriter(write) if write is not None else None
-    player = _Player(first, path, writer)
-    expected = _Expected({})
+    runner = _TraceRunner(first, path, writer)
+    expected = _ExpectedDecisions({})
     steps, end, difference = 0, "", None
     try:
         for line in lines:
-            other = _other(line, expected_lines, expect)
+            other = _expected_line(line, expected_lines, expect)
             if "end" in line.content:
                 end = str(line.content["end"])
                 continue  # lets the reader find lines behind the end
-            found = _play(player, line, path)
+            found = _run_step(runner, line, path)
             steps += 1
             difference = difference or expected.compare(other, found)
             if difference is not None and writer is None:
@@ -265,14 +265,14 @@
     finally:
         if writer is not None:
             writer.close(end or "broken off")
-    for checker in player.checkers.values():
+    for checker in runner.checkers.values():
         checker.finish(0.0)
-    names = sorted(player.checkers, key=lambda name: int(name[1:]))
-    checks = tuple(player.checkers[name].result(name) for name in names)
-    return ReplayResult(player.own.name, steps, end, difference, checks)
+    names = sorted(runner.checkers, key=lambda name: int(name[1:]))
+    checks = tuple(runner.checkers[name].result(name) for name in names)
+    return ReplayResult(runner.own.name, steps, end, difference, checks)
 
 
-def _other(
+def _expected_line(
     line: TraceLine, expected: Iterator[TraceLine] | None, path: str | Path | None
 ) -> TraceLine:
     if expected is None:
@@ -283,9 +283,9 @@
     return other
 
 
-def _play(player: _Player, line: TraceLine, path: str | Path) -> Decisions:
+def _run_step(runner: _TraceRunner, line: TraceLine, path: str | Path) -> Decisions:
     try:
-        return player.run(line.content)
+        return runner.run(line.content)
     except (KeyError, TypeError, MessageRejected) as error:
         text = f"{path}:{line.number}: the input cannot be repeated: {error!r}"
         raise TraceError(text) from error
--- a/src/citronrack/proof/runner.py
+++ b/src/citronrack/proof/runner.py
@@ -13,9 +13,9 @@
 from ..errors import CitronrackError
 from .checker import CheckResult, CheckState
 from .checkers import CHECKERS
-from .fake_calls import ChoiceRules
+from .fake_calls import CallRules
 from .language import END_OF_RUN, Expectation
-from .observations import Dispatch, Observation
+from .observations import Observation, ObservationDispatcher
 from .parts import missing_parts
 from .source import Scenario, ScenarioError, load_scenario
 from .world import World
@@ -79,7 +79,7 @@
         self._world = world
         self.faults: list[str] = []
 
-    def plan(self) -> None:
+    def schedule(self) -> None:
         """Plan the checks that have a time."""
         for entry, line in self._entries():
             if entry.at != END_OF_RUN:
@@ -108,7 +108,7 @@
     scenario: Scenario,
     *,
     seed: int = DEFAULT_SEED,
-    rules: ChoiceRules | None = None,
+    rules: CallRules | None = None,
     traces: Mapping[str, str] | None = None,
 ) -> ScenarioResult:
     """Run one scenario; the same seed gives the same result.
@@ -124,15 +124,15 @@
         return ScenarioResult(scenario.path, scenario.name, seed, RunState.SKIPPED, missing=missing)
     checkers = {name: CHECKERS.get(name)() for name in CHECKERS}
     fingerprint = Fingerprint()
-    emit = Dispatch()
-    emit.add(fingerprint.observe)
+    emit = ObservationDispatcher()
+    emit.subscribe(fingerprint.observe)
     for checker in checkers.values():
-        checker.join(emit)
+        checker.subscribe_to(emit)
     world = World(scenario.head.world, seed=seed, emit=emit, rules=rules, traces=traces)
     for event in scenario.events:
         world.timeline.at(event.at, partial(event.apply, world))
     expectations = _Expectations(scenario, world)
-    expectations.plan()
+    expectations.schedule()
     world.begin()
     world.timeline.run_until(scenario.head.seconds)
     expectations.finish()
@@ -142,14 +142,14 @@
     checks = tuple(
         checkers[name].result(name) for name in sorted(checkers, key=lambda name: int(name[1:]))
     )
-    faults = [*expectations.faults, *_broken(checks)]
+    faults = [*expectations.faults, *_violations(checks)]
     state = RunState.FAILED if faults else RunState.PASSED
     return ScenarioResult(
         scenario.path, scenario.name, seed, state, tuple(faults), checks, fingerprint.text()
     )
 
 
-def _broken(checks: tuple[CheckResult, ...]) -> list[str]:
+def _violations(checks: tuple[CheckResult, ...]) -> list[str]:
     return [
         f"{check.name} ({check.title}) at {violation.at:.1f} s: {violation.text}"
         for check in checks
--- a/src/citronrack/proof/sim_node.py
+++ b/src/citronrack/proof/sim_node.py
@@ -16,20 +16,20 @@
 from .core_factory import CoreOptions, make_core
 from .decisions import DecisionWatcher
 from .fake_target import FakeTarget
-from .log_access import FakeAppender, FakeReader, LogPath
+from .log_access import FakeAppender, FakeReader, LogConnection
 from .observations import (
     NodeStarted,
     Observation,
 )
 from .timeline import NodeClock, Timeline
-from .trace import SteppedClock, TraceWriter, seeded, trace_core
+from .trace import SteppedClock, TraceWriter, seeded_random, trace_core
 
 MAX_PAUSED_INBOX = 1_000  # the transport's high-water mark
 SEEDS_PER_ZONE = 3
 
 
 @frozen
-class NodePlace:
+class NodePlacement:
     """Where a node stands and what it serves.
 
     Attributes:
@@ -85,18 +85,18 @@
 
     def __init__(
         self,
-        place: NodePlace,
+        placement: NodePlacement,
         *,
         target: FakeTarget,
         timeline: Timeline,
         clock: NodeClock,
-        path: LogPath,
+        log_connection: LogConnection,
         seeds: dict[str, tuple[str, ...]],
         profile: str,
         send: Callable[[str, Send], None],
         emit: Callable[[Observation], None],
     ) -> None:
-        self.place = place
+        self.placement = placement
         self.target = target
         self.clock = clock
         self.boot = 0
@@ -108,31 +108,31 @@
         self.trace: TraceWriter | None = None
         self.views = ViewHolder()
         self._timeline = timeline
-        self._path = path
+        self._log_connection = log_connection
         self._seeds = seeds
         self._profile = profile
         self._send = send
         self._emit = emit
         self._inbox: list[Callable[[], list[Send]]] = []
         self._core: NodeCore | None = None
-        self._random = Random(path.random.random())
+        self._random = Random(log_connection.random.random())
 
     @property
     def core(self) -> NodeCore:
         """The decisions of the running process."""
         if self._core is None:
-            raise RuntimeError(f"node {self.place.name} was never started")
+            raise RuntimeError(f"node {self.placement.name} was never started")
         return self._core
 
     @property
     def name(self) -> str:
         """Name of the node."""
-        return self.place.name
+        return self.placement.name
 
     @property
     def zone(self) -> str:
         """Zone of the node."""
-        return self.place.availability_zone
+        return self.placement.availability_zone
 
     @property
     def serving(self) -> bool:
@@ -151,7 +151,7 @@
         self._inbox.clear()
         self.views = ViewHolder()
         self.appender = FakeAppender(
-            self._path, writer=f"{self.name}/{self.boot}", wall_ms=self.clock.wall_ms
+            self._log_connection, writer=f"{self.name}/{self.boot}", wall_ms=self.clock.wall_ms
         )
         appender = self.appender
         self._core = self._make_core(lambda body: appender.submit(body, self.post))
@@ -162,7 +162,9 @@
         self._emit(NodeStarted(self.now, self.name, self.zone, self.boot))
         boot = self.boot
         self._reader = FakeReader(
-            self._path, state=self._core, post=lambda mail: self.boot == boot and self.post(mail)
+            self._log_connection,
+            state=self._core,
+            post=lambda mail: self.boot == boot and self.post(mail),
         )
         self._reader.begin()
         self._timeline.after(self._random.uniform(0, TICK_MS / 1000), lambda: self._tick(boot))
@@ -206,13 +208,13 @@
         """Return the core of a new process, traced when a trace file is named."""
         seed = self._random.getrandbits(64)
         options = self._options()
-        own = self.place.member(self.clock.wall_ms())
+        own = self.placement.member(self.clock.wall_ms())
         clock = SteppedClock(self.clock, self._own_load) if self.trace_path else self.clock
         core = make_core(
             own=own,
             options=options,
             clock=clock,
-            random=seeded(seed),
+            random=seeded_random(seed),
             views=self.views,
             append=append,
             append_snapshot=lambda data: self.appender.submit_snapshot(data, self.post),
@@ -249,5 +251,5 @@
                 self._inbox.append(step)
             return
         for effect in step():
-            self._send(self.place.address, effect)
-        self._watcher.look(self.now)
+            self._send(self.placement.address, effect)
+        self._watcher.emit_changes(self.now)
--- a/src/citronrack/proof/source.py
+++ b/src/citronrack/proof/source.py
@@ -64,25 +64,25 @@
         return self.head.name
 
 
-class _Lines:
+class _LineIndex:
     """Finds the line of a key path in a composed YAML tree."""
 
     def __init__(self, root: yaml.Node | None) -> None:
         self._root = root
 
-    def of(self, path: str) -> int:
+    def line_of(self, path: str) -> int:
         """Return the line of the longest known part of ``path``, from 1."""
         node = self._root
         line = 1 if node is None else node.start_mark.line + 1
         for match in _PATH_PART.finditer(path):
-            step = self._step(node, match.group(1), match.group(2))
+            step = self._child(node, match.group(1), match.group(2))
             if step is None:
                 break
             node, line = step
         return line
 
     @staticmethod
-    def _step(node: yaml.Node | None, key: str, index: str) -> tuple[yaml.Node, int] | None:
+    def _child(node: yaml.Node | None, key: str, index: str) -> tuple[yaml.Node, int] | None:
         if isinstance(node, yaml.MappingNode) and key:
             for name, value in node.value:
                 if getattr(name, "value", None) == key:
@@ -112,20 +112,20 @@
         raise ScenarioError([f"{source}:1: larger than {MAX_SCENARIO_BYTES} bytes"])
     try:
         text = data.decode("utf-8")
-        lines = _Lines(yaml.compose(text, Loader=yaml.SafeLoader))
+        lines = _LineIndex(yaml.compose(text, Loader=yaml.SafeLoader))
         content = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError, RecursionError) as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark is not None else 1
         one_line = " ".join(str(error).split())
         raise ScenarioError([f"{source}:{line}: is not valid YAML: {one_line}"]) from error
-    return _Reader(source, lines).read(content)
+    return _ScenarioReader(source, lines).read(content)
 
 
-class _Reader:
+class _ScenarioReader:
     """Builds one scenario and collects its faults."""
 
-    def __init__(self, source: str, lines: _Lines) -> None:
+    def __init__(self, source: str, lines: _LineIndex) -> None:
         self._source = source
         self._lines = lines
         self._faults: list[str] = []
@@ -136,7 +136,7 @@
         except PlainFaults as error:
             for line in error.lines:
                 path, _, text = line.partition(": ")
-                self._fault(path, text)
+                self._add_fault(path, text)
             raise ScenarioError(self._faults) from error
         events = self._entries(head.events, "events", "do", EVENT_KINDS)
         expect = self._entries(head.expect, "expect", "that", EXPECTATION_KINDS)
@@ -148,34 +148,34 @@
             head=head,
             events=tuple(event for _, event in events),
             expect=tuple(entry for _, entry in expect),
-            lines=tuple(self._lines.of(f"expect[{index}]") for index, _ in expect),
+            lines=tuple(self._lines.line_of(f"expect[{index}]") for index, _ in expect),
         )
 
-    def _fault(self, path: str, text: str) -> None:
-        self._faults.append(f"{self._source}:{self._lines.of(path)}: {path}: {text}")
+    def _add_fault(self, path: str, text: str) -> None:
+        self._faults.append(f"{self._source}:{self._lines.line_of(path)}: {path}: {text}")
 
     def _entries(
-        self, entries: tuple[dict[str, Any], ...], where: str, key: str, kinds: Registry[type[T]]
+        self, entries: tuple[dict[str, Any], ...], section: str, key: str, kinds: Registry[type[T]]
     ) -> list[tuple[int, T]]:
         found = []
         for index, entry in enumerate(entries):
-            path = f"{where}[{index}]"
+            path = f"{section}[{index}]"
             fields = dict(entry)
             name = fields.pop(key, None)
             if not isinstance(name, str):
-                self._fault(path, f"{key}: missing or not a text")
+                self._add_fault(path, f"{key}: missing or not a text")
                 continue
             try:
                 found.append((index, from_plain(fields, kinds.get(name), name=name)))
             except LookupError as error:
-                self._fault(f"{path}.{key}", str(error.args[0]))
+                self._add_fault(f"{path}.{key}", str(error.args[0]))
             except PlainFaults as error:
                 for line in error.lines:
-                    self._fault(*self._joined(path, line))
+                    self._add_fault(*self._entry_fault(path, line))
         return found
 
     @staticmethod
-    def _joined(path: str, line: str) -> tuple[str, str]:
+    def _entry_fault(path: str, line: str) -> tuple[str, str]:
         key, _, text = line.partition(": ")
         return f"{path}.{key}", text
 
@@ -187,30 +187,36 @@
     ) -> None:
         if head.world.deployment not in DEPLOYMENTS:
             known = ", ".join(DEPLOYMENTS)
-            self._fault("world.deployment", f"expected one of {known}")
+            self._add_fault("world.deployment", f"expected one of {known}")
             return
         for index, part in enumerate(head.needs):
             if part not in PARTS:
-                self._fault(f"needs[{index}]", f"expected one of {', '.join(PARTS)}")
+                self._add_fault(f"needs[{index}]", f"expected one of {', '.join(PARTS)}")
         names = _known_names(head, [event for _, event in events])
         for index, target in enumerate(head.world.targets):
             if target.service not in names["service"]:
-                self._unknown(f"world.targets[{index}].service", "service", target.service, names)
-        for where, entries in (("events", events), ("expect", expect)):
+                self._add_unknown_name(
+                    f"world.targets[{index}].service", "service", target.service, names
+                )
+        for section, entries in (("events", events), ("expect", expect)):
             for index, entry in entries:
-                self._check_entry(f"{where}[{index}]", entry, names)
+                self._check_entry(f"{section}[{index}]", entry, names)
                 if entry.at > head.seconds:
-                    self._fault(f"{where}[{index}].at", f"is after the end at {head.seconds} s")
+                    self._add_fault(
+                        f"{section}[{index}].at", f"is after the end at {head.seconds} s"
+                    )
 
     def _check_entry(self, path: str, entry: Any, names: dict[str, list[str]]) -> None:
         for attribute in attrs.fields(type(entry)):
             kind = attribute.metadata.get(REFERENCE)
             value = getattr(entry, attribute.name)
             if kind in names and value != attribute.default and value not in names[kind]:
-                self._unknown(f"{path}.{attribute.name}", kind, value, names)
+                self._add_unknown_name(f"{path}.{attribute.name}", kind, value, names)
 
-    def _unknown(self, path: str, kind: str, value: str, names: dict[str, list[str]]) -> None:
-        self._fault(path, f"unknown {kind} {value!r}; known: {', '.join(names[kind])}")
+    def _add_unknown_name(
+        self, path: str, kind: str, value: str, names: dict[str, list[str]]
+    ) -> None:
+        self._add_fault(path, f"unknown {kind} {value!r}; known: {', '.join(names[kind])}")
 
 
 def _known_names(head: ScenarioHead, events: list[TimedEvent]) -> dict[str, list[str]]:
--- a/src/citronrack/proof/trace.py
+++ b/src/citronrack/proof/trace.py
@@ -115,16 +115,16 @@
     return f"{count}:{digest.hexdigest()}" if count else ""
 
 
-def line_head(checksum: int) -> bytes:
+def line_prefix(checksum: int) -> bytes:
     """Return what stands before a line's content."""
     return b'{"crc":"%08x","line":' % checksum
 
 
-LINE_HEAD_BYTES = len(line_head(0))
-LINE_TAIL = b"}\n"
+LINE_PREFIX_BYTES = len(line_prefix(0))
+LINE_SUFFIX = b"}\n"
 
 
-def dump(content: Mapping[str, Any]) -> str:
+def encode_content(content: Mapping[str, Any]) -> str:
     """Return the one form of a line's content that the checksum covers."""
     return json.dumps(content, separators=(",", ":"))
 
@@ -142,10 +142,10 @@
 
     def __init__(self, path: str | Path, *, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115  (closed by `close`)
-        self._left = limit_bytes
+        self._remaining_bytes = limit_bytes
         self._checksum = 0
         self._steps = 0
-        self._before: Decisions | None = None
+        self._previous: Decisions | None = None
 
     @property
     def closed(self) -> bool:
@@ -185,10 +185,10 @@
             "wall_ms": clock.wall_ms(),
             "load": clock.own_load(),
             **entry,
-            "decided": decisions.changes(self._before),
+            "decided": decisions.changes(self._previous),
         }
-        self._before = decisions
-        if len(dump(content)) + 2 * MARKER_RESERVE_BYTES > self._left:
+        self._previous = decisions
+        if len(encode_content(content)) + 2 * MARKER_RESERVE_BYTES > self._remaining_bytes:
             self.close("limit")
         else:
             self._write(content)
@@ -200,10 +200,10 @@
             self._file.close()
 
     def _write(self, content: Mapping[str, Any]) -> None:
-        text = dump(content)
+        text = encode_content(content)
         self._checksum = zlib.crc32(text.encode(), self._checksum)
-        line = line_head(self._checksum).decode() + text + LINE_TAIL.decode()
-        self._left -= len(line.encode())
+        line = line_prefix(self._checksum).decode() + text + LINE_SUFFIX.decode()
+        self._remaining_bytes -= len(line.encode())
         self._file.write(line)
 
 
@@ -271,6 +271,6 @@
     return cast("NodeCore", TracingCore(core, views=views, clock=clock, writer=writer))
 
 
-def seeded(seed: int) -> Random:
+def seeded_random(seed: int) -> Random:
     """Return the source of random numbers of a traced core."""
     return Random(seed)
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -12,25 +12,25 @@
 from ..log import Confirmed, Envelope, encode_record
 from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM, SnapshotTaken
 from ..node.mail import DrainAsked
-from .deployments import DEPLOYMENTS, Deployment, ServiceSize
-from .fake_calls import ChoiceRules, FakeCalls
+from .deployments import DEPLOYMENTS, Deployment, ServiceSpec
+from .fake_calls import CallRules, FakeCalls
 from .fake_log import FakeLog
 from .fake_target import FakeTarget, Fault
-from .log_access import LogPath
+from .log_access import LogConnection
 from .network import FakeNetwork
 from .observations import (
-    Dispatch,
     DrainStarted,
-    Journal,
     LogState,
     Moment,
     NodeStopped,
+    ObservationDispatcher,
+    ObservationStore,
     Reachability,
     VersionTurnedBad,
 )
 from .operators import Operators
 from .schema import WorldSpec
-from .sim_node import SEEDS_PER_ZONE, NodePlace, SimNode
+from .sim_node import SEEDS_PER_ZONE, NodePlacement, SimNode
 from .timeline import NodeClock, Timeline
 
 DRAIN_LIMIT_S = 30.0
@@ -53,19 +53,19 @@
         spec: WorldSpec,
         *,
         seed: int,
-        emit: Dispatch | None = None,
-        rules: ChoiceRules | None = None,
+        emit: ObservationDispatcher | None = None,
+        rules: CallRules | None = None,
         traces: Mapping[str, str] | None = None,
     ) -> None:
         self.spec = spec
         self._traces = dict(traces or {})
         self.deployment: Deployment = DEPLOYMENTS.get(spec.deployment)
-        self.journal = Journal()
-        self.emit = emit if emit is not None else Dispatch()
-        self.emit.add(self.journal.observe)
+        self.observations = ObservationStore()
+        self.emit = emit if emit is not None else ObservationDispatcher()
+        self.emit.subscribe(self.observations.observe)
         self.timeline = Timeline()
         self._random = Random(seed)
-        self.rules = rules if rules is not None else ChoiceRules()
+        self.rules = rules if rules is not None else CallRules()
         self.log = FakeLog(spec.log, timeline=self.timeline, emit=self.emit)
         self.nodes: dict[str, SimNode] = {}
         self._by_address: dict[str, SimNode] = {}
@@ -74,7 +74,7 @@
         self._setup_sequence = 0
         self.network = FakeNetwork(
             timeline=self.timeline,
-            random=self._branch(),
+            random=self._derived_random(),
             spec=spec.links,
             zones=self.deployment.zones,
             link_ms=self.deployment.link_ms,
@@ -83,7 +83,7 @@
         self.operators = Operators(self, profile=self.deployment.profile)
         self.calls = FakeCalls(
             self,
-            random=self._branch(),
+            random=self._derived_random(),
             loads=[load for service in self.deployment.services for load in service.routes],
             caller_ms=self.deployment.caller_ms,
         )
@@ -91,17 +91,19 @@
     def begin(self) -> None:
         """Put the first configuration into the log and start all nodes."""
         self.emit(LogState(0.0, True))
-        self._append_setup(self._first_change())
+        self._append_setup(self._initial_change())
         for service in self.deployment.services:
             self._add_targets(service, service.service_version, service.workers)
         for extra in self.spec.targets:
             self._add_targets(self.service(extra.service), extra.service_version, extra.count)
         for node in self.nodes.values():
-            self.timeline.at(self._random.uniform(0, self.spec.start_spread_s), self._starter(node))
+            self.timeline.at(
+                self._random.uniform(0, self.spec.start_spread_s), self._start_action(node)
+            )
         self.calls.set_rate(self.spec.load.calls_per_s)
         self._each_second()
 
-    def service(self, name: str) -> ServiceSize:
+    def service(self, name: str) -> ServiceSpec:
         """Return a service of the deployment."""
         for service in self.deployment.services:
             if service.name == name:
@@ -116,7 +118,7 @@
             known = ", ".join(self.nodes)
             raise LookupError(f"unknown node {name!r}; known: {known}") from None
 
-    def live_node(self, name: str = "") -> SimNode:
+    def resolve_node(self, name: str = "") -> SimNode:
         """Return the named node, or the first one that serves."""
         if name:
             return self.node(name)
@@ -133,9 +135,9 @@
     def crash(self, node: SimNode) -> None:
         """End a node's instance without notice."""
         if node.up:
-            cut = node.target.in_flight
+            cut_calls = node.target.in_flight
             node.end()
-            self.emit(NodeStopped(self.timeline.now, node.name, False, cut))
+            self.emit(NodeStopped(self.timeline.now, node.name, False, cut_calls))
             self.check_reachability()
 
     def start(self, node: SimNode) -> None:
@@ -190,11 +192,11 @@
         for node in self.nodes.values():
             node.end_trace()
 
-    def _branch(self) -> Random:
+    def _derived_random(self) -> Random:
         """Return an independent source of random numbers."""
         return Random(self._random.getrandbits(64))
 
-    def _starter(self, node: SimNode) -> Callable[[], None]:
+    def _start_action(self, node: SimNode) -> Callable[[], None]:
         return lambda: self.start(node)
 
     def _each_second(self) -> None:
@@ -219,60 +221,66 @@
         if then is not None:
             then()
 
-    def _first_change(self) -> Change:
+    def _initial_change(self) -> Change:
         extra: dict[str, list[str]] = {}
         for target in self.spec.targets:
             extra.setdefault(target.service, []).append(target.service_version)
         slots = self.deployment.slots
         services: list[Service] = []
         routes: list[Route] = []
-        for size in self.deployment.services:
-            names = [size.service_version, *extra.get(size.name, ())]
+        for service_spec in self.deployment.services:
+            names = [service_spec.service_version, *extra.get(service_spec.name, ())]
             versions = {name: ServiceVersion(name, slots) for name in names}
-            services.append(Service(size.name, versions))
+            services.append(Service(service_spec.name, versions))
             routes.extend(
-                Route(load.name, load.prefix, size.name, size.service_version)
-                for load in size.routes
+                Route(load.name, load.prefix, service_spec.name, service_spec.service_version)
+                for load in service_spec.routes
             )
         return Change(put_services=tuple(services), put_routes=tuple(routes))
 
     def _append_setup(self, change: Change) -> None:
         self.append_body(Confirmed("setup", -1, change, 0, 1, "setup"))
 
-    def _add_targets(self, size: ServiceSize, version: str, count: int) -> list[SimNode]:
+    def _add_targets(self, service_spec: ServiceSpec, version: str, count: int) -> list[SimNode]:
         zones = self.deployment.zones
         added = []
         for _ in range(count):
             number = len(self.nodes) + 1
-            index = sum(node.place.service == size.name for node in self.nodes.values()) + 1
-            place = NodePlace(
-                f"{size.name}-{index}",
+            index = (
+                sum(node.placement.service == service_spec.name for node in self.nodes.values()) + 1
+            )
+            placement = NodePlacement(
+                f"{service_spec.name}-{index}",
                 number,
                 zones[(number - 1) % len(zones)],
-                size.name,
+                service_spec.name,
                 version,
                 self.deployment.slots,
             )
-            added.append(self._make_node(place, size))
+            added.append(self._make_node(placement, service_spec))
         return added
 
-    def _make_node(self, place: NodePlace, size: ServiceSize) -> SimNode:
+    def _make_node(self, placement: NodePlacement, service_spec: ServiceSpec) -> SimNode:
         skew = self.spec.clock_skew_ms
-        key = (place.service, place.service_version)
-        self.network.zone_of[place.address] = place.availability_zone
+        key = (placement.service, placement.service_version)
+        self.network.zone_of[placement.address] = placement.availability_zone
         node = SimNode(
-            place,
+            placement,
             target=FakeTarget(
                 timeline=self.timeline,
-                random=self._branch(),
-                slots=place.slots,
-                work_ms=size.work_ms,
+                random=self._derived_random(),
+                slots=placement.slots,
+                work_ms=service_spec.work_ms,
                 fault=lambda: self._faults.get(key),
             ),
             timeline=self.timeline,
             clock=NodeClock(self.timeline, skew_ms=self._random.randint(-skew, skew)),
-            path=LogPath(
-                self.timeline, self.log, self.network, place.availability_zone, self._branch()
+            log_connection=LogConnection(
+                self.timeline,
+                self.log,
+                self.network,
+                placement.availability_zone,
+                self._derived_random(),
             ),
             seeds=self._seeds(),
             profile=self.deployment.profile,
@@ -281,13 +289,15 @@
         )
         node.trace_path = self._traces.get(node.name, "")
         self.nodes[node.name] = node
-        self._by_address[place.address] = node
+        self._by_address[placement.address] = node
         return node
 
     def _seeds(self) -> dict[str, tuple[str, ...]]:
         """Return addresses by zone; node numbers are given to zones in turn."""
         zones = self.deployment.zones
-        total = math.ceil(sum(size.workers for size in self.deployment.services) / len(zones))
+        total = math.ceil(
+            sum(service_spec.workers for service_spec in self.deployment.services) / len(zones)
+        )
         per_zone = range(min(SEEDS_PER_ZONE, total))
         return {
             zone: tuple(
--- a/src/citronrack/standins/log_service.py
+++ b/src/citronrack/standins/log_service.py
@@ -131,7 +131,7 @@
         wait_ms = min(request.args.get("wait_ms", 0, type=int), MAX_WAIT_MS)
         with self._store.changed:
             self._store.changed.wait_for(
-                lambda: self._ends_wait(name, start), timeout=wait_ms / 1000
+                lambda: self._wait_is_over(name, start), timeout=wait_ms / 1000
             )
         try:
             page = self._store.read(name, start, limit=limit)
@@ -142,6 +142,6 @@
         content = {"first": page.first, "end": page.end, "records": page.records}
         return Response(msgpack.packb(content, use_bin_type=True), status=200)
 
-    def _ends_wait(self, name: str, start: int) -> bool:
+    def _wait_is_over(self, name: str, start: int) -> bool:
         down = self.cut or self.faults.outage or self._stopping.is_set()
         return down or self._store.end(name) > start
--- a/src/citronrack/standins/log_store.py
+++ b/src/citronrack/standins/log_store.py
@@ -95,13 +95,13 @@
             self._appends += 1
             if self.faults.outage:
                 raise AppendUnknown("the log is down")
-            if self._use("hold_appends"):
+            if self._consume_fault("hold_appends"):
                 self._held.append((name, data))
                 raise AppendUnknown("the append is held back")
             offset = self._store(name, data)
-            if self._use("duplicate_appends"):
+            if self._consume_fault("duplicate_appends"):
                 offset = self._store(name, data)
-            if self._use("lose_answers"):
+            if self._consume_fault("lose_answers"):
                 raise AppendUnknown("the answer was lost")
             return offset
 
@@ -142,7 +142,7 @@
             records = tuple((start + index, data) for index, (_, data) in enumerate(chosen))
             return LogPage(stream.first, stream.end, records)
 
-    def _use(self, fault: str) -> bool:
+    def _consume_fault(self, fault: str) -> bool:
         """Return whether a counted fault applies, and count it down."""
         left: int = getattr(self.faults, fault)
         setattr(self.faults, fault, max(0, left - 1))
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -37,13 +37,13 @@
     body_bytes: int = 0
     body: bytes = b""
     header_names: list[str] = field(factory=list)
-    ended: Callable[[], None] | None = None
+    on_end: Callable[[], None] | None = None
 
     def end(self) -> None:
         """Give the slot back; before the answer, because the next request may follow at once."""
-        ended, self.ended = self.ended, None
-        if ended is not None:
-            ended()
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end()
 
     def answer(
         self, status: int, body: bytes, *, headers: bytes = b"", length: int | None = None
@@ -250,7 +250,7 @@
     reset_before_read: float = 0.0
     calls: int = field(default=0, init=False)
     running: int = field(default=0, init=False)
-    most_running: int = field(default=0, init=False)
+    peak_running: int = field(default=0, init=False)
     executed: list[str] = field(factory=list, init=False)
     uploaded: int = field(default=0, init=False)
     _listener: socket.socket = field(init=False)
@@ -332,21 +332,21 @@
             else:
                 shed = False
                 self.running += 1
-                self.most_running = max(self.most_running, self.running)
+                self.peak_running = max(self.peak_running, self.running)
                 self.calls += 1
                 if request.request_id:
                     self.executed.append(request.request_id)
         if shed:
             request.answer(503, b"the target sheds load\n")
             return parser.keep_alive
-        request.ended = self._ended
+        request.on_end = self._release_slot
         try:
             self._run(request)
         finally:
             request.end()
         return parser.keep_alive and connection.fileno() >= 0
 
-    def _ended(self) -> None:
+    def _release_slot(self) -> None:
         with self._lock:
             self.running -= 1
 
@@ -359,14 +359,14 @@
             cold = time.monotonic() - self._started < self.cold_s
             with self._work:
                 time.sleep(self.delay_s * (10 if cold else 1))
-        for name, argument in self._chosen(query):
+        for name, argument in self._selected_behaviours(query):
             if behaviours.get(name)(self, request, argument):
                 return
         status = 500 if self.bad else 200
         echo = request.body[:100] if request.body_bytes == len(request.body) else b""
         request.answer(status, f"{self.service_version} {path}\n".encode() + echo)
 
-    def _chosen(self, query: str) -> list[tuple[str, str]]:
+    def _selected_behaviours(self, query: str) -> list[tuple[str, str]]:
         names = []
         for parameter in query.split("&"):
             if parameter.startswith("do="):
--- a/tests/calls/test_abandoned.py
+++ b/tests/calls/test_abandoned.py
@@ -37,7 +37,7 @@
                 call(node.call_address, f"/hasty/{index}", method="POST") for index in range(2)
             ]
             self.assertEqual(replies[0].status, 504)
-            self.assertEqual(node.target.most_running, 1)
+            self.assertEqual(node.target.peak_running, 1)
 
     def test_request_that_was_sent_in_part_is_settled(self) -> None:
         """Guards against a slot that stays taken for good.
--- a/tests/calls/test_faults.py
+++ b/tests/calls/test_faults.py
@@ -133,7 +133,7 @@
             self.assertEqual([i for i in refused if executed[str(i)]], [])
             ran = [i for i, reply in enumerate(replies) if reply.verdict == "ran"]
             self.assertEqual([executed[str(i)] for i in ran], [1] * len(ran))
-            self.assertLessEqual(max(node.target.most_running for node in nodes), 2)
+            self.assertLessEqual(max(node.target.peak_running for node in nodes), 2)
 
 
 class RetryTest(unittest.TestCase):
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -14,17 +14,17 @@
 from citronrack.config import Route
 from citronrack.log import Confirmed
 from citronrack.node.core import NodeCore
-from citronrack.proof.fake_calls import Call, ChoiceRules
+from citronrack.proof.fake_calls import Call, CallRules
 from citronrack.proof.fake_target import FakeTarget
 from citronrack.verdict import Verdict
 
 
-class RampRules(ChoiceRules):
+class RampRules(CallRules):
     """Gives the new side of an open move 2% until the version is marked."""
 
     new_share = 0.02
 
-    def side(self, view: RoutingView, route: Route, call_key: str) -> str:
+    def choose_version(self, view: RoutingView, route: Route, call_key: str) -> str:
         move = view.config.move_of_route(route.name)
         if move is None or self.is_marked(move.to_version):
             return route.service_version
@@ -38,32 +38,32 @@
         return version in self.marked
 
 
-class GreedyRules(RampRules):
+class ExcessiveShareRules(RampRules):
     """Gives a version that is not proven half of the calls (R4)."""
 
     new_share = 0.5
 
 
-class DeafRules(RampRules):
+class MarkIgnoringRules(RampRules):
     """Goes on calling a marked version (R4)."""
 
     def is_marked(self, version: str) -> bool:
         return False
 
 
-class LyingRules(RampRules):
+class FalseNotRunRules(RampRules):
     """Reports a call as not run after its target died (R6)."""
 
     def verdict(self, status: int) -> Verdict:
         return Verdict.RAN if status else Verdict.NOT_RUN
 
 
-class RepeatingRules(RampRules):
+class AlwaysRetryingRules(RampRules):
     """Repeats each failed call, orders included (R7)."""
 
     new_share = 0.08
 
-    def repeats(self, call: Call, verdict: Verdict) -> bool:
+    def allows_retry(self, call: Call, verdict: Verdict) -> bool:
         return call.attempt < 3
 
     def target(
@@ -112,7 +112,7 @@
         return decode_record(data).body
 
 
-class SilentDrainCore(NodeCore):
+class UnannouncedDrainCore(NodeCore):
     """Tells nobody that its target is leaving (R8)."""
 
     def _drain(self, _: Any) -> list[Any]:
@@ -127,48 +127,48 @@
             super()._activate()
 
 
-class SwappingTarget(FakeTarget):
+class ResponseSwappingTarget(FakeTarget):
     """Gives the answer of one call to another one (R5)."""
 
-    def _finish(self, key: int, life: int, status: int) -> None:
+    def _finish(self, key: int, generation: int, status: int) -> None:
         others = [other for other in self._running if other != key]
-        if life == self._life and others:
-            mine, theirs = self._running[key], self._running[others[0]]
-            self._running[key] = attrs.evolve(mine, done=theirs.done)
-            self._running[others[0]] = attrs.evolve(theirs, done=mine.done)
-        super()._finish(key, life, status)
+        if generation == self._generation and others:
+            own_job, other_job = self._running[key], self._running[others[0]]
+            self._running[key] = attrs.evolve(own_job, on_done=other_job.on_done)
+            self._running[others[0]] = attrs.evolve(other_job, on_done=own_job.on_done)
+        super()._finish(key, generation, status)
 
 
 @contextlib.contextmanager
-def core_class(kind: type[NodeCore]) -> Iterator[None]:
+def use_core_class(kind: type[NodeCore]) -> Iterator[None]:
     """Let all nodes run ``kind``."""
     with mock.patch("citronrack.node.cores.NodeCore", kind):
         yield
 
 
 @contextlib.contextmanager
-def target_class(kind: type[FakeTarget]) -> Iterator[None]:
+def use_target_class(kind: type[FakeTarget]) -> Iterator[None]:
     """Let all targets be ``kind``."""
     with mock.patch("citronrack.proof.world.FakeTarget", kind):
         yield
 
 
 @contextlib.contextmanager
-def impatient_stop() -> Iterator[None]:
+def stop_without_waiting() -> Iterator[None]:
     """Let a planned stop wait for nothing (R9)."""
-    with long_notice(0.0), mock.patch("citronrack.proof.world.DRAIN_LIMIT_S", 0.0):
+    with drain_notice(0.0), mock.patch("citronrack.proof.world.DRAIN_LIMIT_S", 0.0):
         yield
 
 
 @contextlib.contextmanager
-def long_notice(seconds: float) -> Iterator[None]:
+def drain_notice(seconds: float) -> Iterator[None]:
     """Let draining nodes run on for ``seconds`` before they may stop."""
     with mock.patch("citronrack.proof.world.NOTICE_S", seconds):
         yield
 
 
 @contextlib.contextmanager
-def silent_drain() -> Iterator[None]:
+def unannounced_drain() -> Iterator[None]:
     """Let nodes that leave tell nobody, and stay for a while (R8)."""
-    with long_notice(8.0), core_class(SilentDrainCore):
+    with drain_notice(8.0), use_core_class(UnannouncedDrainCore):
         yield
--- a/tests/proof/test_checkers.py
+++ b/tests/proof/test_checkers.py
@@ -12,7 +12,7 @@
 
 from citronrack.log import Marked
 from citronrack.proof.checker import CHECKERS, CheckState
-from citronrack.proof.fake_calls import ChoiceRules
+from citronrack.proof.fake_calls import CallRules
 from citronrack.proof.runner import ScenarioResult, run_scenario
 from citronrack.proof.source import parse_scenario
 from citronrack.proof.world import World
@@ -48,24 +48,24 @@
 world: {deployment: harbor-lantern}
 """
 MARK_AT_S = 20.0
-Breaks = Callable[[], AbstractContextManager[Any]]
-
-BROKEN: dict[str, tuple[type[broken.RampRules], Breaks]] = {
-    "R1": (broken.RampRules, partial(broken.core_class, broken.RevertingCore)),
-    "R2": (broken.RampRules, partial(broken.core_class, broken.DanglingCore)),
-    "R3": (broken.RampRules, partial(broken.core_class, broken.PartialCore)),
-    "R4": (broken.GreedyRules, contextlib.nullcontext),
-    "R4 marked": (broken.DeafRules, contextlib.nullcontext),
-    "R5": (broken.RampRules, partial(broken.target_class, broken.SwappingTarget)),
-    "R6": (broken.LyingRules, contextlib.nullcontext),
-    "R7": (broken.RepeatingRules, contextlib.nullcontext),
-    "R8": (broken.RampRules, broken.silent_drain),
-    "R9": (broken.RampRules, broken.impatient_stop),
-    "R10": (broken.RampRules, partial(broken.core_class, broken.StuckCore)),
+FaultContext = Callable[[], AbstractContextManager[Any]]
+
+BROKEN: dict[str, tuple[type[broken.RampRules], FaultContext]] = {
+    "R1": (broken.RampRules, partial(broken.use_core_class, broken.RevertingCore)),
+    "R2": (broken.RampRules, partial(broken.use_core_class, broken.DanglingCore)),
+    "R3": (broken.RampRules, partial(broken.use_core_class, broken.PartialCore)),
+    "R4": (broken.ExcessiveShareRules, contextlib.nullcontext),
+    "R4 marked": (broken.MarkIgnoringRules, contextlib.nullcontext),
+    "R5": (broken.RampRules, partial(broken.use_target_class, broken.ResponseSwappingTarget)),
+    "R6": (broken.FalseNotRunRules, contextlib.nullcontext),
+    "R7": (broken.AlwaysRetryingRules, contextlib.nullcontext),
+    "R8": (broken.RampRules, broken.unannounced_drain),
+    "R9": (broken.RampRules, broken.stop_without_waiting),
+    "R10": (broken.RampRules, partial(broken.use_core_class, broken.StuckCore)),
 }
 
 
-def run(data: bytes, rules: ChoiceRules | None = None, *, seed: int = 1) -> ScenarioResult:
+def run(data: bytes, rules: CallRules | None = None, *, seed: int = 1) -> ScenarioResult:
     """Run a scenario text."""
     return run_scenario(parse_scenario(data, source="inline.yaml"), seed=seed, rules=rules)
 
@@ -98,7 +98,7 @@
     def test_all_invariants_are_watched_and_kept(self) -> None:
         """Fails if a checker is missing, blind or reports a violation of an unbroken run."""
         for seed in (1, 2):
-            with self.subTest(seed=seed), broken.long_notice(8.0):
+            with self.subTest(seed=seed), broken.drain_notice(8.0):
                 result = run_marked(broken.RampRules(), seed=seed)
                 expected = dict.fromkeys((f"R{n}" for n in range(1, 11)), CheckState.KEPT)
                 self.assertEqual(self.states(result), expected, result.faults)
@@ -106,8 +106,8 @@
     def test_each_checker_notices_a_broken_part(self) -> None:
         """Fails if a part could break an invariant without being noticed."""
         self.assertEqual({name.split()[0] for name in BROKEN}, set(CHECKERS))
-        for name, (rules, breaks) in BROKEN.items():
-            with self.subTest(name), breaks():
+        for name, (rules, inject_fault) in BROKEN.items():
+            with self.subTest(name), inject_fault():
                 result = run_marked(rules(), seed=1)
                 self.assertIs(self.states(result)[name.split()[0]], CheckState.BROKEN)
 
--- a/tests/proof/test_trace.py
+++ b/tests/proof/test_trace.py
@@ -50,7 +50,7 @@
 
     def test_first_difference_is_named(self) -> None:
         """Fails if a changed decision were missed, or named at a wrong line."""
-        with broken.core_class(broken.StuckCore):
+        with broken.use_core_class(broken.StuckCore):
             changed = replay(self.first, write=self.base / "stuck")
         self.assertIsNotNone(changed.difference)
         line = self.first.read_text().splitlines()[changed.difference.line - 1]
