Reword texts of the API and the command line

Docstrings, help and messages spoke in the project's own manner ("what became of it", "rests on", "told so"), which a newcomer has to translate. They now use plain technical terms: result, based on, response, benchmark.

Changed messages: "the plan rests on version" -> "is based on" (API and `intent plan`), "ask again with" -> "query the result with", the texts for a missing token, an unknown move and a body that is not JSON, usage texts. Two test methods of tests/api got clearer names; what they check is unchanged.

--- a/src/citronrack/api/_wsgi.py
+++ b/src/citronrack/api/_wsgi.py
@@ -1,4 +1,4 @@
-"""The werkzeug server of the intent API."""
+"""Werkzeug server for the intent API."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
     timeout = READ_TIMEOUT_S
 
     def log(self, type: str, message: str, *args: Any) -> None:
-        """Write nothing; the event log has its own lines."""
+        """Suppress werkzeug's access log; the API writes its own log events."""
 
 
 class WsgiServer(BaseWSGIServer):
-    """A werkzeug server whose connections run on the node's executor.
+    """Werkzeug server that handles its connections on the node's executor.
 
     Args:
         address: ``(ip, port)`` of the listening socket.
         application: A WSGI application.
-        executor: Runs one thread per connection.
-        fd: Descriptor of the listening socket.
+        executor: Executor that handles each connection in a thread.
+        fd: File descriptor of the listening socket.
     """
 
     multithread = True
@@ -40,11 +40,11 @@
         self.timeout = POLL_S
 
     def process_request(self, request: Any, client_address: Any) -> None:
-        """Serve one connection on the executor."""
+        """Handle one connection on the executor."""
         self._executor.submit(self._serve, request, client_address)
 
     def run_until(self, stopping: threading.Event) -> None:
-        """Serve until ``stopping`` is set."""
+        """Handle connections until ``stopping`` is set, then close the server."""
         while not stopping.is_set():
             self.handle_request()
         self.server_close()
@@ -53,6 +53,6 @@
         try:
             self.finish_request(request, client_address)
         except OSError:
-            return  # The operator's client has gone away.
+            return  # The client closed the connection.
         finally:
             self.shutdown_request(request)
--- a/src/citronrack/api/app.py
+++ b/src/citronrack/api/app.py
@@ -1,4 +1,4 @@
-"""The WSGI application of the intent API."""
+"""WSGI application of the intent API."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
 
 
 class _RateLimit:
-    """A token bucket for all requests of the API."""
+    """Token bucket shared by all requests to the API."""
 
     def __init__(self, rate: float, clock: Clock) -> None:
         self._rate = rate
@@ -59,7 +59,7 @@
         self._lock = threading.Lock()
 
     def try_acquire(self) -> bool:
-        """Return whether one more request may be served."""
+        """Take a token if one is available; return whether the request may be served."""
         with self._lock:
             now = self._clock.monotonic()
             refill = (now - self._updated) * self._rate
@@ -80,15 +80,15 @@
 
 
 class IntentApi:
-    """Serves operators.
+    """Serves requests of operators.
 
     Args:
-        gateway: Messages to the node.
+        gateway: Requests to the node's tasks.
         clock: Source of time.
-        token: Bearer token of operators.
-        default_profile: Policy for moves when an intent names none.
-        requests_per_second: Largest mean rate of requests.
-        events: Where log events go.
+        token: Bearer token that operators must present.
+        default_profile: Policy for moves of intents that name no profile.
+        requests_per_second: Mean rate of requests above which they are rejected.
+        events: Receives log events.
     """
 
     def __init__(
@@ -120,7 +120,7 @@
         }
 
     def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
-        """Serve one request as a WSGI application."""
+        """Handle one request as a WSGI application."""
         request = Request(environ)
         request.max_content_length = MAX_BODY_BYTES
         return self._dispatch(request)(environ, start_response)
@@ -145,13 +145,13 @@
         header = request.headers.get("authorization", "")
         given = header.removeprefix("Bearer ")
         if not hmac.compare_digest(given.encode(), self._token.encode()):
-            raise Unauthorized("a bearer token is needed")
+            raise Unauthorized("a valid bearer token is required")
 
     def _body(self, request: Request) -> Any:
         try:
             return json.loads(request.get_data())
         except ValueError as error:
-            raise PlainFaults([f"the body is not JSON: {error}"]) from error
+            raise PlainFaults([f"the request body is not valid JSON: {error}"]) from error
 
     def _operator(self, request: Request) -> str:
         return request.headers.get("x-operator", "unnamed")[:64]
@@ -199,7 +199,7 @@
     def _move(self, _: Request, move_id: str) -> Response:
         found = queries.move(self._gateway, move_id)
         if found is None:
-            return _error(404, "not found", f"move {move_id!r} is not known")
+            return _error(404, "not found", f"unknown move {move_id!r}")
         return _json(to_plain(found))
 
     def _cancel_move(self, request: Request, move_id: str) -> Response:
@@ -216,7 +216,7 @@
     requests_per_second: float,
     events: EventLog,
 ) -> IntentApi:
-    """Return the WSGI application of the intent API."""
+    """Create the WSGI application of the intent API."""
     return IntentApi(
         gateway=gateway,
         clock=clock,
--- a/src/citronrack/api/commands.py
+++ b/src/citronrack/api/commands.py
@@ -1,4 +1,4 @@
-"""API requests that change something."""
+"""API requests that change the configuration."""
 
 from __future__ import annotations
 
@@ -22,13 +22,13 @@
 
 @frozen
 class CommandResult:
-    """What became of a command.
+    """Result of a command.
 
     Attributes:
         result: ``accepted``, ``refused`` or ``unknown``.
-        plan_id: The plan, empty for other commands.
-        version: Configuration version that it made, -1 when none or unknown.
-        reason: Why it was refused, or how to ask again.
+        plan_id: Id of the plan, empty for other commands.
+        version: Configuration version that the command created, -1 when none or unknown.
+        reason: Why the command was refused, or how to query its result later.
     """
 
     result: str
@@ -40,10 +40,10 @@
 def plan_intent(
     gateway: NodeGateway, intent: Intent, *, clock: Clock, default_profile: str
 ) -> Plan:
-    """Return the plan for an intent; changes nothing.
+    """Compute the plan for an intent without changing anything.
 
     Raises:
-        ConfigInvalid: When the intent cannot lead to a valid configuration.
+        ConfigInvalid: When the intent does not lead to a valid configuration.
     """
     state = gateway.state().result(QUERY_TIMEOUT_S)
     return make_plan(
@@ -59,8 +59,8 @@
     """Put a plan in force.
 
     Raises:
-        PlanConflict: When the plan was altered or rests on another version; nothing changed.
-        PlanExpired: When it is too old; nothing changed.
+        PlanConflict: When the plan was altered or is based on another version; nothing changed.
+        PlanExpired: When the plan has expired; nothing changed.
     """
     _check_plan(gateway, plan, clock)
     body = Confirmed(
@@ -74,7 +74,7 @@
     unknown = CommandResult(
         "unknown",
         plan_id=plan.plan_id,
-        reason="the log did not answer; ask again with GET /v1/plans/" + plan.plan_id,
+        reason="the log did not answer; query the result with GET /v1/plans/" + plan.plan_id,
     )
     offset = _append(gateway, body)
     if offset is None:
@@ -88,7 +88,7 @@
 
 
 def cancel(gateway: NodeGateway, move_id: str, *, operator: str) -> CommandResult:
-    """Cancel an open move; its route returns to the old service version.
+    """Cancel an open move and return its route to the old service version.
 
     Raises:
         PlanConflict: When the move is not open; nothing changed.
@@ -97,7 +97,7 @@
     move = state.config.moves.get(move_id)
     if move is None:
         raise PlanConflict(f"move {move_id!r} is not open")
-    unknown = CommandResult("unknown", reason=f"ask again with GET /v1/moves/{move_id}")
+    unknown = CommandResult("unknown", reason=f"query the result with GET /v1/moves/{move_id}")
     offset = _append(gateway, Cancelled(move_id, move.epoch, operator))
     if offset is None:
         return unknown
@@ -114,23 +114,23 @@
     if plan_digest(plan) != plan.plan_id:
         raise PlanConflict("the plan's content does not match its id")
     if clock.wall_ms() > plan.expires_ms:
-        raise PlanExpired("the plan has expired; ask for a new one")
+        raise PlanExpired("the plan has expired; request a new one")
     state = gateway.state().result(QUERY_TIMEOUT_S)
     known = state.plans.get(plan.plan_id)
     if known is not None and known.accepted:
         raise PlanConflict(f"the plan is already in force since version {known.offset}")
     if state.config.version > plan.base_version:
         raise PlanConflict(
-            f"the plan rests on version {plan.base_version}, "
+            f"the plan is based on version {plan.base_version}, "
             f"but version {state.config.version} is in force"
         )
 
 
 def _append(gateway: NodeGateway, body: Any) -> int | None:
-    """Return the record's offset, or None when it may be in the log without our knowledge.
+    """Return the offset of the record, or None when it is unknown whether it was appended.
 
     Raises:
-        PlanConflict: When the log refused the record for certain.
+        PlanConflict: When the record was definitely not appended.
     """
     try:
         return gateway.append(body).result(FOLD_TIMEOUT_S).offset
--- a/src/citronrack/api/gateway.py
+++ b/src/citronrack/api/gateway.py
@@ -1,4 +1,4 @@
-"""What the API needs of the node."""
+"""Interface between the API and the node."""
 
 from __future__ import annotations
 
@@ -12,19 +12,19 @@
 
 
 class NodeGateway(Protocol):
-    """Messages to the node's tasks; each returns a future."""
+    """Requests to the node's tasks; each returns a future."""
 
     def status(self) -> Future[MeshStatus]:
-        """Ask for the status."""
+        """Request the status of the node and the mesh."""
 
     def state(self) -> Future[FoldState]:
-        """Ask for the folded log."""
+        """Request the state folded from the log."""
 
     def capacity(self) -> Future[CapacityTable]:
-        """Ask which targets are announced."""
+        """Request the capacity that targets have announced."""
 
     def append(self, body: Any) -> Future[Appended]:
-        """Append a record; raises `AppendUnknown` or `AppendRefused` through the future."""
+        """Append a record; the future raises `AppendUnknown` or `AppendRefused` on failure."""
 
     def plan_result(self, plan_id: str, offset: int) -> Future[PlanState]:
         """Wait until the plan's record at ``offset`` is folded."""
--- a/src/citronrack/api/queries.py
+++ b/src/citronrack/api/queries.py
@@ -1,4 +1,4 @@
-"""API requests that only read."""
+"""Read-only API requests."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 
 @frozen
 class MoveStatus:
-    """One move.
+    """State of one move.
 
     Attributes:
         move_id: The move.
         state: ``open`` or the outcome's result.
-        move: Its definition while it is open.
-        outcome: How it ended, or what is missing.
+        move: Definition of the move while it is open.
+        outcome: How the move ended, or what an open move still waits for.
     """
 
     move_id: str
@@ -35,7 +35,7 @@
 
 
 def plan(gateway: NodeGateway, plan_id: str) -> CommandResult:
-    """Return what became of a plan, as far as this node has read the log."""
+    """Return the result of a plan, as far as this node has read the log."""
     state = gateway.state().result(QUERY_TIMEOUT_S)
     known = state.plans.get(plan_id)
     if known is None:
@@ -61,7 +61,7 @@
 
 
 def move(gateway: NodeGateway, move_id: str) -> MoveStatus | None:
-    """Return one move, or None when it is not known."""
+    """Return one move, or None when the move is unknown."""
     return _move(gateway.state().result(QUERY_TIMEOUT_S), move_id)
 
 
--- a/src/citronrack/api/server.py
+++ b/src/citronrack/api/server.py
@@ -1,4 +1,4 @@
-"""Serves the intent API, and loads it only when somebody uses it."""
+"""Listener of the intent API, which loads the server on first use."""
 
 from __future__ import annotations
 
@@ -16,14 +16,15 @@
 
 
 class ApiListener:
-    """Listens at once; imports werkzeug and builds the application at the first connection.
+    """Listens immediately, but imports werkzeug and builds the application on the first connection.
 
-    Most nodes never see an operator's request, and werkzeug takes about 5 MB of resident memory.
+    Most nodes never receive a request from an operator, and werkzeug takes about 5 MB of resident
+    memory.
 
     Args:
         address: ``(ip, port)`` to listen on.
         make_application: Returns the WSGI application.
-        executor: Runs one thread per connection.
+        executor: Executor that handles each connection in a thread.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         self._listener.close()
 
     def stop(self) -> None:
-        """Let `run` return."""
+        """Make `run` return."""
         self._stopping.set()
 
     def _wait_for_connection(self) -> bool:
--- a/src/citronrack/cli/base.py
+++ b/src/citronrack/cli/base.py
@@ -1,4 +1,4 @@
-"""What the commands share."""
+"""Base class and options shared by the commands."""
 
 from __future__ import annotations
 
@@ -18,17 +18,17 @@
 
 FORMAT_OPTION = option("format", None, "text or json", flag=False, default="text")
 API_OPTIONS = [
-    option("api", None, f"Address of a node's API; else ${URL_VARIABLE}", flag=False),
-    option("token", None, f"Operator token; else ${TOKEN_VARIABLE}", flag=False),
+    option("api", None, f"Address of a node's API; default: ${URL_VARIABLE}", flag=False),
+    option("token", None, f"Operator token; default: ${TOKEN_VARIABLE}", flag=False),
 ]
 
 
 class UsageError(CitronrackError):
-    """The command line is incomplete or wrong."""
+    """The command line is incomplete or invalid."""
 
 
 class BaseCommand(Command):
-    """A command whose errors become exit codes."""
+    """Base of the commands; turns errors into exit codes."""
 
     def handle(self) -> int:
         """Run the command and return its exit code."""
@@ -49,8 +49,8 @@
             return Exit.FAILED
 
     def run_command(self) -> int:
-        """Do the work; overridden by each command."""
-        raise UsageError(f"{self.name} has no action")
+        """Run the command and return its exit code; overridden by each command."""
+        raise UsageError(f"command {self.name} is not implemented")
 
     @property
     def wants_json(self) -> bool:
@@ -61,11 +61,11 @@
         return bool(chosen == "json")
 
     def client(self) -> ApiClient:
-        """Return a client for the API that options or environment name."""
+        """Return a client for the API given by the options or the environment."""
         url = self.option("api") or os.environ.get(URL_VARIABLE)
         token = self.option("token") or os.environ.get(TOKEN_VARIABLE)
         if not url or not token:
-            raise UsageError(f"give --api and --token, or set {URL_VARIABLE} and {TOKEN_VARIABLE}")
+            raise UsageError(f"pass --api and --token, or set {URL_VARIABLE} and {TOKEN_VARIABLE}")
         return ApiClient(url, token=token)
 
     def write_json(self, content: Any) -> None:
@@ -73,7 +73,7 @@
         self.line(json.dumps(content, indent=2))
 
     def report_refusal(self, answer: ApiResponse) -> int:
-        """Print what the API refused and return the exit code."""
+        """Print why the API refused the request and return the exit code."""
         message = answer.content.get("message", "")
         self.line_error(f"refused ({answer.content.get('error', answer.status)}): {message}")
         return Exit.FAILED
--- a/src/citronrack/cli/client.py
+++ b/src/citronrack/cli/client.py
@@ -17,16 +17,16 @@
 
 
 class ApiUnreachable(CitronrackError):
-    """No node answered."""
+    """The node could not be reached or sent no valid response."""
 
 
 @frozen
 class ApiResponse:
-    """An answer of the API.
+    """Response of the API.
 
     Attributes:
         status: HTTP status.
-        content: Decoded JSON.
+        content: Decoded JSON body.
     """
 
     status: int
@@ -39,7 +39,7 @@
     Args:
         url: Base address, such as ``http://127.0.0.1:7400``.
         token: Bearer token of operators.
-        operator: Name that is kept with what the operator confirms.
+        operator: Name that is recorded with confirmations and cancellations.
     """
 
     def __init__(self, url: str, *, token: str, operator: str = "") -> None:
@@ -51,7 +51,7 @@
         """Send a GET request.
 
         Raises:
-            ApiUnreachable: When no complete answer arrived.
+            ApiUnreachable: When no complete response arrived.
         """
         return self._exchange(path, None)
 
@@ -59,7 +59,7 @@
         """Send a POST request with a JSON body.
 
         Raises:
-            ApiUnreachable: When no complete answer arrived; the request may have taken effect.
+            ApiUnreachable: When no complete response arrived; the request may have taken effect.
         """
         return self._exchange(path, json.dumps(content).encode())
 
@@ -84,6 +84,6 @@
         except pycurl.error as error:
             raise ApiUnreachable(f"{self._url}{path}: {error}") from error
         except ValueError as error:
-            raise ApiUnreachable(f"{self._url}{path}: the answer is not JSON") from error
+            raise ApiUnreachable(f"{self._url}{path}: the response is not valid JSON") from error
         finally:
             curl.close()
--- a/src/citronrack/cli/commands/__init__.py
+++ b/src/citronrack/cli/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Commands that start something or change something."""
+"""Commands that start processes or change the configuration."""
--- a/src/citronrack/cli/commands/intent_cancel.py
+++ b/src/citronrack/cli/commands/intent_cancel.py
@@ -18,7 +18,7 @@
     help = "Example: <info>citronrack intent cancel lookups-2.0.0-1800000000000</info>"
 
     def run_command(self) -> int:
-        """Send the request and say what became of it."""
+        """Send the request and print its result."""
         answer = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
         if answer.status not in (200, 202):
             return self.report_refusal(answer)
--- a/src/citronrack/cli/commands/intent_confirm.py
+++ b/src/citronrack/cli/commands/intent_confirm.py
@@ -21,7 +21,7 @@
     help = "Example: <info>citronrack intent confirm plan.json</info>"
 
     def run_command(self) -> int:
-        """Send the plan and say what became of it."""
+        """Send the plan and print the result of its confirmation."""
         path = Path(self.argument("plan"))
         try:
             plan = json.loads(path.read_text(encoding="utf-8"))
--- a/src/citronrack/cli/commands/intent_plan.py
+++ b/src/citronrack/cli/commands/intent_plan.py
@@ -13,7 +13,7 @@
 
 
 class IntentPlanCommand(BaseCommand):
-    """Asks for a plan; nothing changes."""
+    """Requests a plan without changing anything."""
 
     name = "intent plan"
     description = "Computes the plan for an intent; nothing changes until it is confirmed"
@@ -26,7 +26,7 @@
     help = "Example: <info>citronrack intent plan examples/move.yaml -o plan.json</info>"
 
     def run_command(self) -> int:
-        """Send the intent and write the plan to a file."""
+        """Send the intent and write the returned plan to a file."""
         path = Path(self.argument("intent"))
         try:
             intent = yaml.safe_load(path.read_text(encoding="utf-8"))
@@ -41,7 +41,7 @@
         if self.wants_json:
             self.write_json(plan)
             return Exit.OK
-        self.line(f"plan {plan['plan_id']} rests on version {plan['base_version']}")
+        self.line(f"plan {plan['plan_id']} is based on version {plan['base_version']}")
         for line in plan["differences"]:
             self.line(f"  {line}")
         for line in plan["warnings"]:
--- a/src/citronrack/cli/commands/node.py
+++ b/src/citronrack/cli/commands/node.py
@@ -9,7 +9,7 @@
 
 
 class NodeCommand(BaseCommand):
-    """Runs a node until it is told to stop."""
+    """Runs a node until it receives a stop signal."""
 
     name = "node"
     description = "Runs a node beside a target until SIGTERM, then stops gracefully"
@@ -17,5 +17,5 @@
     help = "Example: <info>citronrack node examples/spoorhout/lowlands-a-catalogue-1.yaml</info>"
 
     def run_command(self) -> int:
-        """Serve until the process is told to stop."""
+        """Run the node until the process receives a stop signal."""
         return run_node(self.argument("settings"), write_error=self.line_error)
--- a/src/citronrack/cli/commands/scenario_run.py
+++ b/src/citronrack/cli/commands/scenario_run.py
@@ -15,7 +15,7 @@
 
 
 class ScenarioRunCommand(BaseCommand):
-    """Runs scenario files on simulated time."""
+    """Runs scenario files in simulated time."""
 
     name = "scenario run"
     description = "Runs scenarios and checks expectations and invariants"
@@ -29,7 +29,7 @@
     help = "Example: <info>citronrack scenario run scenarios --seed 7</info>"
 
     def run_command(self) -> int:
-        """Run all scenarios; a broken expectation or invariant makes the exit code 1."""
+        """Run all scenarios; return exit code 1 when an expectation or invariant is violated."""
         from ...proof.runner import RunState, run_files
 
         results = run_files(self.argument("paths"), seed=self._seed(), traces=self._traces())
--- a/src/citronrack/cli/exits.py
+++ b/src/citronrack/cli/exits.py
@@ -6,7 +6,7 @@
 
 
 class Exit(IntEnum):
-    """What a command's exit code means."""
+    """Exit codes of the commands."""
 
     OK = 0
     FAILED = 1
--- a/src/citronrack/cli/main.py
+++ b/src/citronrack/cli/main.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from cleo.commands.command import Command
 
-# Modules are imported only when their command runs, so that a node loads no bench or demo code.
+# Command modules are imported on demand, so that a node does not load benchmark or demo code.
 _COMMANDS: dict[str, tuple[str, str]] = {
     "node": ("commands.node", "NodeCommand"),
     "demo": ("commands.demo", "DemoCommand"),
@@ -41,9 +41,10 @@
 
 
 def main() -> None:
-    """Run the command that the arguments name and exit with its code.
+    """Run the command given by the arguments and exit with its exit code.
 
-    A plain ``citronrack node SETTINGS`` does not load cleo, which takes about 4 MB of memory.
+    ``citronrack node SETTINGS`` without options does not load cleo, which takes about 4 MB of
+    memory.
     """
     if len(sys.argv) == 3 and sys.argv[1] == "node" and not sys.argv[2].startswith("-"):
         from .run_node import run_node
@@ -58,6 +59,6 @@
 
     application = Application("citronrack", __version__)
     application.set_command_loader(
-        FactoryCommandLoader({name: _factory(*where) for name, where in _COMMANDS.items()})
+        FactoryCommandLoader({name: _factory(*entry) for name, entry in _COMMANDS.items()})
     )
     sys.exit(application.run())
--- a/src/citronrack/cli/queries/__init__.py
+++ b/src/citronrack/cli/queries/__init__.py
@@ -1,1 +1,1 @@
-"""Commands that only read."""
+"""Read-only commands."""
--- a/src/citronrack/cli/queries/check_config.py
+++ b/src/citronrack/cli/queries/check_config.py
@@ -13,14 +13,14 @@
     """Checks a settings file."""
 
     name = "check-config"
-    description = "Checks a settings file; prints one line per fault"
+    description = "Checks a settings file; prints one line per error"
     arguments = [argument("settings", "Path of the settings file")]
     help = (
         "Example: <info>citronrack check-config examples/spoorhout/lowlands-a-media-2.yaml</info>"
     )
 
     def run_command(self) -> int:
-        """Load the settings and say that they are usable."""
+        """Load the settings and print that they are valid."""
         settings = load_settings(self.argument("settings"))
         self.line(f"settings of node {settings.node.name} are usable")
         return Exit.OK
--- a/src/citronrack/cli/queries/intent_show.py
+++ b/src/citronrack/cli/queries/intent_show.py
@@ -9,16 +9,16 @@
 
 
 class IntentShowCommand(BaseCommand):
-    """Shows what became of a plan or a move."""
+    """Shows the result of a plan or the state of a move."""
 
     name = "intent show"
-    description = "Shows what became of a plan (by plan id) or how far a move is (by move id)"
+    description = "Shows the result of a plan (by plan id) or the progress of a move (by move id)"
     arguments = [argument("id", "Id of a plan or a move")]
     options = [FORMAT_OPTION, *API_OPTIONS]
     help = "Example: <info>citronrack intent show lookups-2.0.0-1800000000000</info>"
 
     def run_command(self) -> int:
-        """Ask for the move, then for the plan."""
+        """Look up a move with this id, and a plan when there is none."""
         client = self.client()
         answer = client.get(f"/v1/moves/{self.argument('id')}")
         if answer.status == 404:
--- a/src/citronrack/cli/queries/replay.py
+++ b/src/citronrack/cli/queries/replay.py
@@ -10,20 +10,20 @@
 
 
 class ReplayCommand(BaseCommand):
-    """Runs a recorded trace again."""
+    """Replays a recorded trace."""
 
     name = "replay"
-    description = "Runs the decisions of a recorded node again and reports the first difference"
+    description = "Replays the inputs of a recorded node and reports the first differing decision"
     arguments = [argument("trace", "Trace file of a node")]
     options = [
         option("expect", None, "Trace of the same inputs with the expected decisions", flag=False),
-        option("write", None, "File that gets the decisions of this run", flag=False),
+        option("write", None, "File to write the decisions of this run to", flag=False),
         FORMAT_OPTION,
     ]
     help = "Example: <info>citronrack replay lowlands-a-1.trace</info>"
 
     def run_command(self) -> int:
-        """Replay; a difference or a broken invariant makes the exit code 1."""
+        """Replay the trace; return exit code 1 on a difference or a violated invariant."""
         from ...proof.checker import CheckState
         from ...proof.replay import replay
 
--- a/src/citronrack/cli/queries/status.py
+++ b/src/citronrack/cli/queries/status.py
@@ -9,7 +9,7 @@
 
 
 class StatusCommand(BaseCommand):
-    """Shows which version is in force where."""
+    """Shows which configuration version is in force in each availability zone."""
 
     name = "status"
     description = "Shows which configuration version is in force per availability zone"
--- a/src/citronrack/cli/run_node.py
+++ b/src/citronrack/cli/run_node.py
@@ -10,11 +10,11 @@
 
 
 def run_node(path: str, *, write_error: Callable[[str], None]) -> int:
-    """Serve until the process is told to stop and return the exit code.
+    """Run a node until the process receives a stop signal, and return the exit code.
 
     Args:
-        path: The settings file.
-        write_error: Called with one line per fault of the settings, before any socket opens.
+        path: Path of the settings file.
+        write_error: Called with one line per error in the settings, before any socket is opened.
     """
     try:
         settings = load_settings(path)
--- a/tests/api/test_app.py
+++ b/tests/api/test_app.py
@@ -1,4 +1,4 @@
-"""What operators ask for takes effect once, is refused with the reason, or is called unknown."""
+"""Operator requests take effect once, are refused with a reason, or are reported as unknown."""
 
 from __future__ import annotations
 
@@ -36,9 +36,9 @@
 
 
 class FakeGateway:
-    """A node whose log is a fold in memory.
+    """Fake node that folds its log in memory.
 
-    ``fault`` makes the next append fail before (`AppendRefused`) or after it took effect.
+    ``fault`` makes the next append fail, before it takes effect for `AppendRefused`, else after.
     """
 
     def __init__(self) -> None:
@@ -77,7 +77,7 @@
         return self._done(self.fold.state)
 
     def capacity(self) -> Future[CapacityTable]:
-        """Return a capacity without targets of the new version."""
+        """Return a capacity table without targets of the new version."""
         return self._done(CapacityTable({("catalogue", "1.0"): Capacity(targets=2)}))
 
     def append(self, body: Any) -> Future[Appended]:
@@ -97,7 +97,7 @@
         return answer
 
     def plan_result(self, plan_id: str, offset: int) -> Future[PlanState]:
-        """Return the plan's folded result."""
+        """Return the result of the plan in the folded state."""
         return self._done(self.fold.state.plans[plan_id])
 
     def state_after(self, offset: int) -> Future[FoldState]:
@@ -106,7 +106,7 @@
 
 
 class IntentApiTest(unittest.TestCase):
-    """Guards against changes without confirmation, double effects and wrong claims."""
+    """Guards against unconfirmed changes, changes applied twice and wrongly reported results."""
 
     def setUp(self) -> None:
         self.gateway = FakeGateway()
@@ -137,7 +137,7 @@
         return response.json
 
     def test_plan_changes_nothing_and_confirm_takes_effect_once(self) -> None:
-        """Fails if a plan took effect without confirmation, or twice."""
+        """Fails if a plan takes effect without confirmation, or twice."""
         plan = self.plan()
         self.assertEqual(self.gateway.fold.next_offset, 0)
         first = self.post("/v1/plans/confirm", plan)
@@ -148,7 +148,7 @@
         self.assertEqual(self.gateway.fold.next_offset, 1)
 
     def test_racing_operators_and_altered_or_expired_plans_are_refused(self) -> None:
-        """Fails if a refused confirmation changed something or hid the conflict."""
+        """Fails if a refused confirmation changes something or does not report the conflict."""
         ours, theirs = self.plan(), self.plan({**INTENT, "profile": "harbor-lantern"})
         theirs["change"]["put_routes"][0]["timeout_ms"] = 1
         altered = self.post("/v1/plans/confirm", theirs)
@@ -166,8 +166,8 @@
         self.assertEqual(expired.status_code, 410)
         self.assertEqual(self.gateway.fold.next_offset, 1)
 
-    def test_lost_append_answer_is_unknown_until_asked_again(self) -> None:
-        """Fails if a confirmation that took effect was reported as refused."""
+    def test_lost_append_answer_is_unknown_until_queried(self) -> None:
+        """Fails if a confirmation that took effect is reported as refused."""
         plan = self.plan()
         self.gateway.fault = AppendUnknown
         response = self.post("/v1/plans/confirm", plan)
@@ -176,7 +176,7 @@
         self.assertEqual((asked.json["result"], asked.json["version"]), ("accepted", 0))
 
     def test_refused_append_changed_nothing(self) -> None:
-        """Fails if a proven refusal was reported as unknown, or had an effect."""
+        """Fails if a definite refusal is reported as unknown, or has an effect."""
         self.gateway.fault = AppendRefused
         response = self.post("/v1/plans/confirm", self.plan())
         self.assertEqual(response.status_code, 409)
@@ -184,7 +184,7 @@
         self.assertEqual(self.gateway.fold.next_offset, 0)
 
     def test_move_is_listed_and_cancelled(self) -> None:
-        """Fails if a cancelled move stayed open or its outcome was not told."""
+        """Fails if a cancelled move stays open or its outcome is not reported."""
         self.post("/v1/plans/confirm", self.plan())
         deadline_ms = self.clock.wall_ms() + 600_000
         move = {"route": "lookups", "to_version": "2.0", "deadline_ms": deadline_ms}
@@ -200,8 +200,8 @@
         self.assertEqual(self.post(f"/v1/moves/{move_id}/cancel", {}).status_code, 409)
         self.assertEqual(self.gateway.fold.config.routes["lookups"].service_version, "1.0")
 
-    def test_bad_requests_get_a_clear_refusal(self) -> None:
-        """Fails if bad input reached the log or ended in a server error."""
+    def test_bad_requests_are_rejected_with_a_message(self) -> None:
+        """Fails if invalid input reaches the log or causes a server error."""
         unauthorized = self.client.post("/v1/plans", json=INTENT)
         self.assertEqual(unauthorized.status_code, 401)
         cases: list[tuple[str, str, bytes, int]] = [
@@ -211,7 +211,7 @@
             ("wrong type", "/v1/plans", b'{"routes": [{"name": 5}]}', 400),
             ("no such route", "/v1/plans", json.dumps({"remove_routes": [1]}).encode(), 400),
             ("too large", "/v1/plans", b" " * (MAX_BODY_BYTES + 1), 413),
-            ("no such page", "/v1/nothing", b"{}", 404),
+            ("unknown path", "/v1/nothing", b"{}", 404),
             (
                 "dangling reference",
                 "/v1/plans",
@@ -229,7 +229,7 @@
         self.assertEqual(self.gateway.fold.next_offset, 0)
 
     def test_rate_is_limited(self) -> None:
-        """Fails if one client could keep the node busy with API requests."""
+        """Fails if one client can overload the node with API requests."""
         app = create_app(
             gateway=self.gateway,
             clock=self.clock,
@@ -242,7 +242,7 @@
         self.assertEqual(codes, [200, 200, 429, 429, 429])
 
     def test_readiness_follows_the_node(self) -> None:
-        """Fails if a node without configuration reported itself as ready."""
+        """Fails if a node without configuration reports itself as ready."""
         response = self.client.get("/readyz")
         self.assertEqual(response.status_code, 503)
         self.assertIn("no configuration", response.json["reason"])
