Reword texts of the demo and the stand-ins

Docstrings and the lines of the demo used figurative words ("promise", "cut off", "goes on", "in turn"). They now say plainly what is measured and which fault is injected. `TargetStandIn` documents `running` and `peak_running`.

--- a/src/citronrack/demo/__init__.py
+++ b/src/citronrack/demo/__init__.py
@@ -1,1 +1,1 @@
-"""A demonstration with real processes on loopback addresses."""
+"""Demo with real processes on loopback addresses."""
--- a/src/citronrack/demo/report.py
+++ b/src/citronrack/demo/report.py
@@ -1,4 +1,4 @@
-"""What the demo prints."""
+"""Output of the demo."""
 
 from __future__ import annotations
 
@@ -9,17 +9,17 @@
 
 @define
 class Report:
-    """Prints what was promised and what was seen, and counts broken promises.
+    """Prints each guarantee with the observed result, and counts failures.
 
     Attributes:
         write: Prints one line.
-        broken: Number of broken promises.
+        failures: Number of guarantees that did not hold.
     """
 
     write: Callable[[str], None]
     failures: int = field(default=0, init=False)
 
     def step(self, guarantee: str, *, passed: bool, observed: str) -> None:
-        """Print one step."""
+        """Print the result of one step."""
         self.failures += not passed
         self.write(f"{'kept  ' if passed else 'BROKEN'}  {guarantee}: {observed}")
--- a/src/citronrack/demo/run.py
+++ b/src/citronrack/demo/run.py
@@ -1,4 +1,4 @@
-"""The steps of the demo."""
+"""Steps of the demo."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 DRAIN_LIMIT_S = 3.0
 MOVE_DEADLINE_S = 20.0
 OUTCOME_LIMIT_S = 60.0
-SMALL_SHARE = 0.15  # the trial profile's first step is 0.10
+SMALL_SHARE = 0.15  # the first step of the trial profile is 0.10
 CALLS_PER_S = 40.0
 
 
@@ -26,7 +26,7 @@
     """Run all steps.
 
     Returns:
-        0 when every promise was kept, else 1.
+        0 when every guarantee held, else 1.
     """
     report = Report(write)
     with Fleet(profile="trial") as fleet:
@@ -82,7 +82,7 @@
 
 
 def _confirm(node: FleetNode, intent: dict[str, Any]) -> int:
-    """Plan and confirm an intent and return the version, -1 when it was not accepted."""
+    """Plan and confirm an intent; return the new version, or -1 when it was not accepted."""
     plan = node.client.post("/v1/plans", intent)
     answer = node.client.post("/v1/plans/confirm", plan.content)
     return int(answer.content.get("version", -1))
@@ -138,7 +138,7 @@
     outcome = first.client.get(f"/v1/moves/{move_id}").content.get("outcome") or {}
     observed = f"{state} after {time.monotonic() - started:.1f} s; {outcome.get('detail', '')}"
     report.step(
-        f"the move to {to_version} is {result} and told so",
+        f"the move to {to_version} is {result} and reported as such",
         passed=state == result,
         observed=observed,
     )
@@ -175,12 +175,12 @@
     observed = f"exit code {code}, {late} calls after {DRAIN_LIMIT_S:.0f} s"
     passed = code == 0 and late == 0
     report.step(
-        "a leaving target gets no new work after a few seconds", passed=passed, observed=observed
+        "a draining target gets no new work after a few seconds", passed=passed, observed=observed
     )
     observed = (
         f"{len(failed)} of {len(answers)} calls failed {sorted({a.body for a in failed})[:3]}"
     )
-    report.step("a planned stop cuts off no call", passed=not failed, observed=observed)
+    report.step("a planned stop interrupts no call", passed=not failed, observed=observed)
 
 
 def _cut_zone_from_log(fleet: Fleet, first: FleetNode, report: Report) -> None:
@@ -193,11 +193,13 @@
     passed = version >= 0 and _in_force_everywhere(fleet, version)
     observed = f"version {version} after {time.monotonic() - started:.2f} s"
     report.step(
-        f"{zone}, cut off from the log, gets changes of other zones",
+        f"{zone}, disconnected from the log, gets changes from other zones",
         passed=passed,
         observed=observed,
     )
     answer = Caller().call(_node(fleet, zone, OLD).call_url + "/parts/wheel")
     passed = answer.status == 200
-    report.step(f"{zone} goes on serving", passed=passed, observed=f"status {answer.status}")
+    report.step(
+        f"{zone} continues to serve calls", passed=passed, observed=f"status {answer.status}"
+    )
     fleet.cut_log(zone, cut=False)
--- a/src/citronrack/demo/traffic.py
+++ b/src/citronrack/demo/traffic.py
@@ -1,4 +1,4 @@
-"""Callers that send a steady stream of calls, as the demo's load."""
+"""Load generator of the demo: callers that send calls at a constant rate."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 @frozen
 class CallResponse:
-    """Answer of one call.
+    """Response to one call.
 
     Attributes:
-        status: HTTP status, 0 when there was none.
-        body: Body of the answer, or what went wrong.
-        at_s: Monotonic time of the answer in seconds.
+        status: HTTP status, 0 when there was no response.
+        body: Body of the response, or the error message.
+        at_s: Monotonic time of the response in seconds.
     """
 
     status: int
@@ -30,18 +30,18 @@
 
     @property
     def service_version(self) -> str:
-        """Service version that answered."""
+        """Service version that responded."""
         return self.body.split(" ", 1)[0] if self.status else ""
 
 
 class Caller:
-    """Sends calls over one kept connection; used by one thread."""
+    """Sends calls over a persistent connection; must be used by a single thread."""
 
     def __init__(self) -> None:
         self._curl = pycurl.Curl()
 
     def call(self, url: str) -> CallResponse:
-        """Send a GET request and return its answer."""
+        """Send a GET request and return the response."""
         body = bytearray()
         self._curl.setopt(pycurl.URL, url)
         self._curl.setopt(pycurl.NOSIGNAL, 1)
@@ -56,11 +56,11 @@
 
 
 class Traffic:
-    """Sends calls in the background until it is stopped; a context manager.
+    """Context manager that sends calls in the background.
 
     Args:
-        urls: Addresses that are called in turn, one thread each.
-        calls_per_s: Calls per second and address.
+        urls: URLs to call, each from its own thread.
+        calls_per_s: Calls per second for each URL.
     """
 
     def __init__(self, urls: Sequence[str], *, calls_per_s: float) -> None:
@@ -82,12 +82,12 @@
             future.result()
 
     def since(self, start_s: float, *, until_s: float = float("inf")) -> list[CallResponse]:
-        """Return the answers between two monotonic times."""
+        """Return the responses received between two monotonic times."""
         return [answer for answer in list(self._answers) if start_s <= answer.at_s < until_s]
 
     @staticmethod
     def by_version(answers: Sequence[CallResponse]) -> Counter[str]:
-        """Return the number of answers by service version."""
+        """Return the number of responses by service version."""
         return Counter(answer.service_version for answer in answers)
 
     def _run(self, url: str) -> None:
--- a/src/citronrack/standins/__init__.py
+++ b/src/citronrack/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins of outside systems, for tests, benches and the demo."""
+"""Small stand-ins for external systems, for tests, benchmarks and the demo."""
--- a/src/citronrack/standins/log_service.py
+++ b/src/citronrack/standins/log_service.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's log service over HTTP."""
+"""Stand-in for the platform's log service, over HTTP."""
 
 from __future__ import annotations
 
@@ -23,21 +23,22 @@
     protocol_version = "HTTP/1.1"
 
     def log(self, type: str, message: str, *args: Any) -> None:
-        """Write nothing; the stand-in shares a terminal with tests."""
+        """Suppress the access log, which would clutter the output of tests."""
 
 
 class LogServiceStandIn:
-    """An append-only log in memory with offsets, retention and faults.
+    """HTTP server of an append-only log in memory, with retention and fault injection.
 
     Args:
         host: Address to listen on.
-        port: Port to listen on, 0 for a free one.
-        retention: Number of records that each stream keeps.
-        retention_s: Seconds for which a record is kept, None for no limit.
-        store: Streams that several stand-ins share, each as the way of one zone to the platform.
+        port: Port to listen on, 0 for any free port.
+        retention: Number of records that each stream retains.
+        retention_s: Seconds for which a record is retained, None for no limit.
+        store: Streams to share between several stand-ins, each of which is one zone's access to the
+            platform.
 
     Attributes:
-        cut: Whether requests of this stand-in's clients are refused while others are served.
+        cut: Whether this stand-in refuses all requests, while others with the same store serve.
     """
 
     def __init__(
@@ -64,22 +65,22 @@
 
     @property
     def store(self) -> LogStore:
-        """The streams behind the service."""
+        """Store of the streams."""
         return self._store
 
     @property
     def faults(self) -> LogFaults:
-        """Switches for faults."""
+        """Faults to inject."""
         return self._store.faults
 
     @property
     def appends(self) -> int:
-        """Number of requests to append, failed ones included."""
+        """Number of append requests, including failed ones."""
         return self._store.appends
 
     @property
     def reads(self) -> int:
-        """Number of requests to read, failed ones included."""
+        """Number of read requests, including failed ones."""
         return self._store.reads
 
     def start(self) -> None:
--- a/src/citronrack/standins/log_store.py
+++ b/src/citronrack/standins/log_store.py
@@ -1,4 +1,4 @@
-"""An append-only log in memory with retention and faults, for tests and measurements."""
+"""An append-only log in memory with retention and fault injection, for tests and benchmarks."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 
 @define
 class LogFaults:
-    """Switches for faults of the service.
+    """Faults to inject into the service.
 
     Attributes:
-        outage: Refuse every request.
-        lose_answers: Number of coming appends that take effect without an answer.
-        duplicate_appends: Number of coming appends that take effect twice.
-        hold_appends: Number of coming appends that get no answer and take effect later, when
+        outage: Whether every request fails.
+        lose_answers: Number of following appends that take effect without an answer.
+        duplicate_appends: Number of following appends that take effect twice.
+        hold_appends: Number of following appends that get no answer and only take effect when
             `LogStore.release_held` is called.
-        delay_ms: Extra time before each answer; the HTTP service applies it.
+        delay_ms: Additional time before each answer; applied by the HTTP service only.
     """
 
     outage: bool = False
@@ -48,12 +48,12 @@
 
 
 class LogStore:
-    """Streams of records behind one lock.
+    """Streams of records, protected by one lock.
 
     Args:
-        clock: Source of time for retention.
-        retention: Number of records that each stream keeps.
-        retention_s: Seconds for which a record is kept, None for no limit.
+        clock: Clock for retention by age.
+        retention: Number of records that each stream retains.
+        retention_s: Seconds for which a record is retained, None for no limit.
     """
 
     def __init__(
@@ -75,13 +75,13 @@
 
     @property
     def appends(self) -> int:
-        """Number of requests to append, failed ones included."""
+        """Number of append requests, including failed ones."""
         with self.changed:
             return self._appends
 
     @property
     def reads(self) -> int:
-        """Number of requests to read, failed ones included."""
+        """Number of read requests, including failed ones."""
         with self.changed:
             return self._reads
 
@@ -89,7 +89,7 @@
         """Append one record and return its offset.
 
         Raises:
-            AppendUnknown: When a fault is switched on that leaves the request without an answer.
+            AppendUnknown: When an injected fault leaves the request without an answer.
         """
         with self.changed:
             self._appends += 1
@@ -97,7 +97,7 @@
                 raise AppendUnknown("the log is down")
             if self._consume_fault("hold_appends"):
                 self._held.append((name, data))
-                raise AppendUnknown("the append is held back")
+                raise AppendUnknown("the append is delayed")
             offset = self._store(name, data)
             if self._consume_fault("duplicate_appends"):
                 offset = self._store(name, data)
@@ -106,14 +106,14 @@
             return offset
 
     def release_held(self) -> None:
-        """Let all held appends take effect now."""
+        """Apply all delayed appends now."""
         with self.changed:
             held, self._held = self._held, []
             for name, data in held:
                 self._store(name, data)
 
     def end(self, name: str) -> int:
-        """Return the offset that the next record of a stream gets."""
+        """Return the offset of the next record of a stream."""
         with self.changed:
             return self._stream(name).end
 
@@ -125,7 +125,7 @@
                 stream.drop_oldest()
 
     def read(self, name: str, start: int, *, limit: int) -> LogPage:
-        """Return up to ``limit`` records from ``start`` on without waiting.
+        """Return up to ``limit`` records starting at ``start``, without waiting.
 
         Raises:
             LogUnavailable: During an outage.
@@ -143,7 +143,7 @@
             return LogPage(stream.first, stream.end, records)
 
     def _consume_fault(self, fault: str) -> bool:
-        """Return whether a counted fault applies, and count it down."""
+        """Return whether a counted fault applies, and decrement its count."""
         left: int = getattr(self.faults, fault)
         setattr(self.faults, fault, max(0, left - 1))
         return left > 0
@@ -157,7 +157,7 @@
         return offset
 
     def _stream(self, name: str) -> _Stream:
-        """Return a stream after retention."""
+        """Return a stream after applying its retention."""
         stream = self._streams.setdefault(name, _Stream())
         while len(stream.records) > self._retention:
             stream.drop_oldest()
@@ -169,10 +169,10 @@
 
 
 class MemoryLogClient:
-    """A `LogClient` that calls a store directly.
+    """A `LogClient` that accesses a store directly.
 
     Args:
-        store: The log.
+        store: Store of the streams.
     """
 
     def __init__(self, store: LogStore) -> None:
@@ -183,5 +183,5 @@
         return self._store.append(stream, data)
 
     def read(self, stream: str, start: int, *, limit: int, wait_ms: int) -> LogPage:
-        """Return a page at once; see `LogClient.read`."""
+        """Return a page without waiting; see `LogClient.read`."""
         return self._store.read(stream, start, limit=limit)
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -1,6 +1,6 @@
-"""Stand-in of a target: a small HTTP server that can fail in every way a target does.
+"""Stand-in for a target: a small HTTP server that can fail in the ways in which targets fail.
 
-What happens to a request is chosen by ``do`` in its query, for example
+The behaviour for a request is selected by ``do`` in its query, for example
 ``/parts?do=delay:50,truncate``, or at random by `TargetStandIn.faults`.
 """
 
@@ -28,7 +28,7 @@
 
 @define(eq=False)
 class StandInRequest:
-    """A request that the stand-in has read, and its connection."""
+    """A request that has been read, with its connection."""
 
     connection: socket.socket
     path: str
@@ -40,7 +40,7 @@
     on_end: Callable[[], None] | None = None
 
     def end(self) -> None:
-        """Give the slot back; before the answer, because the next request may follow at once."""
+        """Release the slot; called before the response, after which the next request may follow."""
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
             on_end()
@@ -48,7 +48,7 @@
     def answer(
         self, status: int, body: bytes, *, headers: bytes = b"", length: int | None = None
     ) -> None:
-        """Send a whole answer; ``length`` overrides the declared one."""
+        """Send a complete response; ``length`` overrides the declared content length."""
         self.end()
         size = len(body) if length is None else length
         head = b"HTTP/1.1 %d -\r\n%bcontent-length: %d\r\n\r\n" % (status, headers, size)
@@ -61,7 +61,7 @@
 
 
 Behaviour = Callable[["TargetStandIn", StandInRequest, str], bool]
-"""Does something with a request; returns whether the request has been answered or dropped."""
+"""Acts on a request; returns whether the request has been answered or dropped."""
 
 behaviours: Registry[Behaviour] = Registry("behaviour")
 
@@ -130,7 +130,7 @@
 
 @behaviours.register("surplus")
 def _surplus(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
-    """Send a second answer that belongs to no request, at once or after a moment."""
+    """Send a second response that belongs to no request, immediately or after a delay."""
     surplus = b"HTTP/1.1 200 -\r\ncontent-length: 4\r\n\r\nlate"
     if argument:
         request.answer(200, b"first\n")
@@ -151,7 +151,7 @@
 
 @behaviours.register("headers")
 def _headers(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
-    """Answer with the names of the request's headers."""
+    """Respond with the names of the request's headers."""
     names = ",".join(request.header_names).encode()
     request.answer(200, b"", headers=b"x-seen: %b\r\n" % names)
     return True
@@ -170,7 +170,7 @@
 
 
 class _Parser:
-    """Callbacks that count a request's body without holding it."""
+    """Parser callbacks that count the bytes of a request's body without storing all of it."""
 
     def __init__(self, connection: socket.socket) -> None:
         self._parser = httptools.HttpRequestParser(self)
@@ -202,7 +202,7 @@
         self.complete = True
 
     def read(self) -> bool:
-        """Read one request; False when the connection ended first."""
+        """Read one request; return False when the connection was closed or the request rejected."""
         while not self.complete:
             data = self._connection.recv(READ_BYTES)
             if not data:
@@ -216,24 +216,28 @@
 
 @define(eq=False)
 class TargetStandIn:
-    """A target process for tests, benches and the demo.
+    """A target for tests, benchmarks and the demo.
 
     Attributes:
-        service_version: Release name that the answers carry.
+        service_version: Service version that the responses contain.
         host: Address to listen on.
-        port: Port to listen on, 0 for a free one.
-        bad: Whether every answer is a failure.
-        delay_s: Time that each request takes.
-        slots: Requests that run at once; more are shed with status 503. None for no limit.
-        workers: Requests that it works on at once; others wait in it. None for no limit.
-        faults: Chance of each behaviour, by name with an optional ``:argument``.
-        random: Source of random numbers for ``faults``.
-        cold_s: Time after the start in which each request takes ten times as long.
-        healthy: What ``/healthz`` says, whatever the state is.
-        reset_before_read: Chance that a connection is reset when a request arrives, unread.
+        port: Port to listen on, 0 for any free port.
+        bad: Whether every response is a failure.
+        delay_s: Duration of each request in seconds.
+        slots: Requests that run concurrently; others are rejected with status 503. None for no
+            limit.
+        workers: Requests that are processed concurrently; others wait for a worker. None for no
+            limit.
+        faults: Probability of each behaviour, by name with an optional ``:argument``.
+        random: Source of random numbers for faults.
+        cold_s: Seconds after the start during which each request takes ten times as long.
+        healthy: Result of ``/healthz``, regardless of the other state.
+        reset_before_read: Probability that a connection is reset before its next request is read.
         calls: Number of requests that ran.
+        running: Number of requests that are running.
+        peak_running: Maximum number of requests that ran concurrently.
         executed: Values of the ``x-request-id`` header of requests that ran, in order.
-        uploaded: Number of body bytes that arrived.
+        uploaded: Number of received body bytes.
     """
 
     service_version: str
@@ -287,7 +291,7 @@
         self._listener.close()
 
     def disconnect(self) -> None:
-        """Close all connections, as a restart would."""
+        """Close all connections, as a restart does."""
         with self._lock:
             connections = list(self._open)
         for connection in connections:
@@ -310,7 +314,7 @@
             while self._serve_one(connection):
                 continue
         except (OSError, httptools.HttpParserError):
-            pass  # The peer has gone away, or a behaviour has closed the connection.
+            pass  # The peer or a behaviour has closed the connection.
         finally:
             with self._lock:
                 self._open.discard(connection)
