--- a/src/citronrack/proof/__init__.py
+++ b/src/citronrack/proof/__init__.py
@@ -1,4 +1,4 @@
-"""Scenarios, invariant checkers, traces and their replay."""
+"""Scenario runner, invariant checkers, and recording and replay of traces."""
 
 from __future__ import annotations
 
--- a/src/citronrack/proof/_convergence.py
+++ b/src/citronrack/proof/_convergence.py
@@ -1,4 +1,4 @@
-"""Checker of R10: an accepted configuration is soon in force on each node that can be reached."""
+"""Checker of R10: an accepted configuration soon takes effect on every reachable node."""
 
 from __future__ import annotations
 
@@ -32,11 +32,11 @@
 
 
 class ConvergenceChecker(Checker):
-    """Each second, compares reachable nodes with what should have reached them.
+    """Compares, every second, the version of each reachable node with the version it must hold.
 
-    A node that runs and has a path to the platform must hold a version 9 s after the log accepted
-    it, or 9 s after the node became reachable. While the log is down, a version counts only when a
-    reachable node of the same zone holds it.
+    A running node with a path to the platform must hold a version 9 s after the log accepted it, or
+    9 s after the node became reachable, whichever is later. While the log is unavailable, only
+    versions that a reachable node of the same zone holds are required.
     """
 
     title = "an accepted version is in force everywhere in 9 s and never reverts"
@@ -95,7 +95,7 @@
                 )
 
     def _required_version(self, node: _NodeState, now: float) -> int:
-        """Return the version that the node must hold by now."""
+        """Return the version that the node must hold at time ``now``."""
         by_log = max(
             (
                 version
--- a/src/citronrack/proof/_mail_codec.py
+++ b/src/citronrack/proof/_mail_codec.py
@@ -1,4 +1,4 @@
-"""Text form of the messages between a node's tasks, for traces."""
+"""Text encoding of the messages between a node's tasks, for traces."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from ..node import mail as mails
 from ..node.mail import AppendDone, AppendFate, StopAsked
 
-MAX_MAIL_BYTES = 16 * 1024 * 1024  # a page of the log or a snapshot
+MAX_MAIL_BYTES = 16 * 1024 * 1024  # fits a page of the log or a snapshot
 
 mail_codec = TaggedCodec()
 
@@ -21,7 +21,7 @@
 @mail_codec.register("AppendDone")
 @frozen
 class _AppendDone:
-    """An `AppendDone` whose record body is encoded."""
+    """An `AppendDone` with an encoded record body."""
 
     body: bytes
     fate: str
@@ -30,7 +30,7 @@
 
 
 def _is_plain(kind: type[Any]) -> bool:
-    """Return whether no field holds a future, which only the asking thread could answer."""
+    """Return whether no field holds a future, which cannot be recorded and replayed."""
     return not any("Future" in str(attribute.type) for attribute in attrs.fields(kind))
 
 
@@ -41,7 +41,7 @@
 
 
 def encode_mail(mail: Any) -> str | None:
-    """Return the text form, or None for questions, which change no decision."""
+    """Return the text form, or None for queries, which change no decision."""
     if isinstance(mail, AppendDone):
         mail = _AppendDone(
             record_codec.encode(mail.body), mail.fate.value, mail.offset, mail.reason
@@ -53,10 +53,10 @@
 
 
 def decode_mail(text: str) -> Any:
-    """Return the message that ``text`` holds.
+    """Return the message encoded in ``text``.
 
     Raises:
-        MessageRejected: When the text is damaged or of an unknown kind.
+        MessageRejected: When the text is malformed or has an unknown tag.
     """
     try:
         data = bytes.fromhex(text)
--- a/src/citronrack/proof/_strategies.py
+++ b/src/citronrack/proof/_strategies.py
@@ -1,4 +1,4 @@
-"""Generators of messages, records and broken files for fuzzing."""
+"""Hypothesis strategies for messages, records and damaged files."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 VERSIONS = ("1.0", "2.0")
 ROUTES = ("lookups", "orders")
 
-# Likely values first, so that generated messages refer to each other.
+# Names come from small sets, so that generated messages refer to the same objects.
 _TEXTS = st.one_of(
     st.sampled_from((*NAMES, *ZONES, *SERVICES, *VERSIONS, *ROUTES, *Duty, *MoveResult)),
     st.text(max_size=6),
@@ -42,7 +42,7 @@
 
 
 def member(name: str, number: int, *, zone: str = ZONES[0]) -> Member:
-    """Return a member with usable addresses."""
+    """Return a member with valid addresses."""
     return Member(
         name=name,
         address=f"tcp://127.0.0.1:{10_000 + number}",
@@ -56,7 +56,7 @@
 
 
 def members() -> st.SearchStrategy[Member]:
-    """Generate members; those with unusable addresses stand for a peer with a fault."""
+    """Generate members, some with invalid addresses as from a faulty peer."""
     return st.builds(
         lambda base, **fields: attrs.evolve(base, **fields),
         st.builds(member, st.sampled_from(NAMES), st.integers(0, 3), zone=st.sampled_from(ZONES)),
@@ -71,7 +71,7 @@
 
 
 def of_type(kind: Any) -> st.SearchStrategy[Any]:
-    """Generate values of an annotation as the codec accepts it."""
+    """Generate values of a type annotation that the codec supports."""
     if kind is Member:
         return members()
     if kind in _LEAVES:
@@ -92,13 +92,13 @@
 
 
 def messages() -> st.SearchStrategy[Any]:
-    """Generate instances of all registered messages between nodes."""
+    """Generate messages of all types that are registered for the transport."""
     kinds = sorted(message_codec._by_tag.items())
     return st.one_of([of_type(kind) for _, kind in kinds])
 
 
 def _confirmed() -> st.SearchStrategy[Any]:
-    """Generate confirmations that often are valid."""
+    """Generate confirmations, many of them valid."""
     service = st.builds(
         lambda name, versions: Service(name, {v: ServiceVersion(v) for v in versions}),
         st.sampled_from(SERVICES),
@@ -134,7 +134,7 @@
 
 
 def records() -> st.SearchStrategy[bytes]:
-    """Generate log records: valid ones, retried ones and garbage."""
+    """Generate log records: valid, repeated and malformed ones."""
     envelope = st.builds(
         Envelope,
         writer=st.sampled_from(("a-1/x", "a-2/y")),
@@ -148,7 +148,7 @@
 
 
 def small_mail() -> st.SearchStrategy[Any]:
-    """Generate mail that does not concern the log's content."""
+    """Generate messages from other tasks that carry no log records."""
     call = of_type(CallRecord).map(CallReported)
     return st.one_of(
         st.just(LogReadFailed("down")),
--- a/src/citronrack/proof/checker.py
+++ b/src/citronrack/proof/checker.py
@@ -1,4 +1,4 @@
-"""Base of the invariant checkers and their registry."""
+"""Base class and registry of the invariant checkers."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class CheckState(StrEnum):
-    """What a run says about an invariant."""
+    """Result of checking an invariant in one run."""
 
     KEPT = "kept"
     BROKEN = "broken"
@@ -24,11 +24,11 @@
 
 @frozen
 class Violation:
-    """An observation that breaks an invariant.
+    """An observation that violates an invariant.
 
     Attributes:
-        at: Simulated seconds.
-        text: What was seen.
+        at: Simulated time in seconds.
+        text: Description of what was observed.
     """
 
     at: float
@@ -41,10 +41,10 @@
 
     Attributes:
         name: ``R1`` to ``R10``.
-        title: The invariant in a few words.
-        state: Whether it was kept.
-        exercised: Number of observations that could have broken it.
-        violations: The first violations.
+        title: Short description of the invariant.
+        state: Whether the invariant held.
+        exercised: Number of observations that could have violated the invariant.
+        violations: The first violations, at most `MAX_STORED_VIOLATIONS`.
     """
 
     name: str
@@ -55,11 +55,11 @@
 
 
 class Checker:
-    """Watches the observations of one run for violations of one invariant.
+    """Checks the observations of one run against one invariant.
 
     Attributes:
-        title: The invariant in a few words.
-        exercised: Number of observations that could have broken it.
+        title: Short description of the invariant.
+        exercised: Number of observations that could have violated the invariant.
     """
 
     title = ""
@@ -69,19 +69,19 @@
         self._violations: list[Violation] = []
 
     def _handlers(self) -> dict[type[Any], Callable[[Any], None]]:
-        """Return the handler of each watched class of observations."""
+        """Return a handler for each class of observations that the checker needs."""
         raise NotImplementedError
 
     def subscribe_to(self, dispatcher: ObservationDispatcher) -> None:
-        """Watch what ``dispatcher`` passes on."""
+        """Register the handlers with ``dispatcher``."""
         for kind, handler in self._handlers().items():
             dispatcher.subscribe(handler, kinds=(kind,))
 
     def finish(self, at: float) -> None:
-        """Judge what can only be judged at the end of the run."""
+        """Check conditions that can only be evaluated at the end of the run."""
 
     def result(self, name: str) -> CheckResult:
-        """Return the result so far."""
+        """Return the result of the checks made so far."""
         state = CheckState.KEPT if self.exercised else CheckState.NOT_EXERCISED
         if self._violations:
             state = CheckState.BROKEN
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -1,4 +1,4 @@
-"""One checker for each invariant R1 to R10 of section 2.1 of the design page."""
+"""Checkers of the invariants R1 to R10 (section 2.1 of the design page)."""
 
 from __future__ import annotations
 
@@ -28,10 +28,10 @@
     WorkStarted,
 )
 
-DRAIN_PROPAGATION_S = 3.0  # "a few seconds" of R8
-MARK_PROPAGATION_S = 5.0  # "shortly after" of R4
-BAD_SHARE_LIMIT = 0.1  # "a small share" of R4, over the calls of the service
-MIN_CALLS_FOR_SHARE = 200  # below this number a share says little
+DRAIN_PROPAGATION_S = 3.0  # "a few seconds" in R8
+MARK_PROPAGATION_S = 5.0  # "shortly after" in R4
+BAD_SHARE_LIMIT = 0.1  # "a small share" in R4, of all calls of the service
+MIN_CALLS_FOR_SHARE = 200  # with fewer calls the measured share is too noisy
 
 Handlers = dict[type[Any], Callable[[Any], None]]
 
@@ -42,9 +42,9 @@
 
 @CHECKERS.register("R1")
 class MonotonicVersions(Checker):
-    """No node moves back to an older configuration version, not even by a restart."""
+    """A node never returns to an older configuration version, not even after a restart."""
 
-    title = "no node moves back to an older version"
+    title = "no node returns to an older version"
 
     def __init__(self) -> None:
         super().__init__()
@@ -80,7 +80,7 @@
 
 @CHECKERS.register("R2")
 class ReferentialIntegrity(Checker):
-    """No route or move refers to a service or service version that the node does not have."""
+    """No route or move refers to a service or service version missing in the configuration."""
 
     title = "no route refers to a missing resource"
 
@@ -114,9 +114,9 @@
 
 @CHECKERS.register("R3")
 class AtomicVersions(Checker):
-    """Each version in force is valid and equals the one that the log's records lead to.
+    """Each version in force is valid and equals the version derived from the log's records.
 
-    A replay does not know the log's records; there only the validity is checked.
+    A replay has no access to the log's records, so that only the validity is checked there.
     """
 
     title = "an invalid version is never applied in part"
@@ -152,7 +152,7 @@
                 observed.at, f"{observed.node} has refused version {version} in force: {reason}"
             )
         elif version in self._accepted and observed.config != self._accepted[version]:
-            self._fail(observed.at, f"{observed.node} holds another content as version {version}")
+            self._fail(observed.at, f"{observed.node} holds different content as version {version}")
         elif version not in self._accepted:
             self._fail(
                 observed.at, f"{observed.node} has version {version}, which the log does not hold"
@@ -161,7 +161,7 @@
 
 @CHECKERS.register("R4")
 class BadVersionExposure(Checker):
-    """A bad service version runs few calls, and none shortly after it was marked."""
+    """A bad service version gets few calls, and none shortly after it was marked."""
 
     title = "a bad version gets a small share, then none"
 
@@ -229,7 +229,7 @@
             self._fail(observed.at, f"{text}, {observed.at - mark[1]:.1f} s after the mark")
 
     def finish(self, at: float) -> None:
-        """Compare the share of all calls since the version turned bad."""
+        """Check the share of calls that each bad version got since it turned bad."""
         for (service, version), (bad, total) in self._call_counts.items():
             if total >= MIN_CALLS_FOR_SHARE and bad > BAD_SHARE_LIMIT * total:
                 self._fail(at, f"bad {service} {version} ran {bad} of {total} calls")
@@ -237,9 +237,9 @@
 
 @CHECKERS.register("R5")
 class ResponseMatching(Checker):
-    """An answer is complete, belongs to the caller's own request and comes once."""
+    """A caller gets exactly one answer, which is complete and belongs to its own request."""
 
-    title = "a caller gets the whole answer to its own request"
+    title = "a caller gets the complete answer to its own request"
 
     def __init__(self) -> None:
         super().__init__()
@@ -265,7 +265,7 @@
                 observed.at, f"call {observed.call} got the answer to call {observed.answer_to}"
             )
         elif not observed.complete:
-            self._fail(observed.at, f"call {observed.call} got a part of its answer")
+            self._fail(observed.at, f"call {observed.call} got an incomplete answer")
         elif observed.call not in self._open:
             self._fail(observed.at, f"call {observed.call} got a second answer")
         self._open.discard(observed.call)
@@ -273,7 +273,7 @@
 
 @CHECKERS.register("R6")
 class NotRunAccuracy(Checker):
-    """What is reported as not run was not run, neither before nor after the report."""
+    """A call reported as not run does not run, neither before nor after the report."""
 
     title = "a request reported as not run was not run"
 
@@ -288,7 +288,7 @@
         return {
             WorkStarted: self._on_work,
             AttemptEnded: self._on_attempt,
-            CallRefused: self._refused,
+            CallRefused: self._on_refusal,
         }
 
     def _on_work(self, observed: WorkStarted) -> None:
@@ -310,20 +310,20 @@
                 f"attempt {observed.attempt} of call {observed.call} ran, reported not run",
             )
 
-    def _refused(self, observed: CallRefused) -> None:
+    def _on_refusal(self, observed: CallRefused) -> None:
         if observed.verdict is not Verdict.NOT_RUN:
             return
         self.exercised += 1
         self._not_run_calls.add(observed.call)
         if observed.call in self._ran_calls:
             self._fail(
-                observed.at, f"call {observed.call} ran, but its caller was told that it did not"
+                observed.at, f"call {observed.call} ran, but was reported to its caller as not run"
             )
 
 
 @CHECKERS.register("R7")
 class AtMostOnce(Checker):
-    """A non-idempotent call starts at one target at most."""
+    """A non-idempotent call runs on at most one target."""
 
     title = "a non-idempotent call runs at most once"
 
@@ -342,16 +342,16 @@
             first = self._ran[observed.call]
             self._fail(
                 observed.at,
-                f"call {observed.call} runs at {observed.target}, ran at {first} before",
+                f"call {observed.call} runs on {observed.target}, ran on {first} before",
             )
         self._ran[observed.call] = observed.target
 
 
 @CHECKERS.register("R8")
 class NoNewWorkWhileDraining(Checker):
-    """No call reaches a leaving target a few seconds after its drain began."""
+    """No call reaches a draining target later than a few seconds after its drain began."""
 
-    title = "a leaving target gets no new work"
+    title = "a draining target gets no new work"
 
     def __init__(self) -> None:
         super().__init__()
@@ -380,15 +380,15 @@
         if since is not None and observed.at > since + DRAIN_PROPAGATION_S:
             self._fail(
                 observed.at,
-                f"{observed.target} gets work {observed.at - since:.1f} s into its drain",
+                f"{observed.target} gets a call {observed.at - since:.1f} s after its drain began",
             )
 
 
 @CHECKERS.register("R9")
 class GracefulStops(Checker):
-    """A planned stop leaves no request in flight."""
+    """A planned stop interrupts no request in flight."""
 
-    title = "a planned stop cuts off no request"
+    title = "a planned stop interrupts no request"
 
     def _handlers(self) -> Handlers:
         return {NodeStopped: self._on_stop}
--- a/src/citronrack/proof/core_factory.py
+++ b/src/citronrack/proof/core_factory.py
@@ -1,4 +1,4 @@
-"""Makes the core of a node from plain options, for scenarios, replays and fuzzing."""
+"""Creates the core of a node from plain options, for scenarios, replays and fuzzing."""
 
 from __future__ import annotations
 
@@ -18,22 +18,22 @@
 
 
 class NullEventLog(EventLog):
-    """Drops log lines; scenarios and replays observe state instead."""
+    """Event log that discards all events; scenarios and replays observe the state instead."""
 
     def write(self, event: Event, **fields: Any) -> None:
-        """Drop the line."""
+        """Discard the event."""
 
 
 @frozen
 class CoreOptions:
-    """Options of `compose_core` that a trace can hold.
+    """Options of `compose_core` that can be stored in a trace.
 
     Attributes:
-        seeds: Addresses of nodes of the own zone.
-        remote_seeds: Addresses of nodes by other zone.
+        seeds: Addresses of seed nodes in the own zone.
+        remote_seeds: Addresses of seed nodes in other zones, by zone.
         profile: Default policy for moves.
-        link_one_way_ms: Delay of a link to another zone.
-        boot: Name of the process, unique among the processes of the node.
+        link_one_way_ms: One-way delay of a link to another zone in milliseconds.
+        boot: Id of the process, unique among the processes of the node.
     """
 
     seeds: tuple[str, ...] = ()
@@ -54,17 +54,17 @@
     append_snapshot: Callable[[bytes], None],
     own_load: Callable[[], int],
 ) -> NodeCore:
-    """Return a core; passes on those options that `compose_core` takes.
+    """Create a core, passing only the options that `compose_core` accepts.
 
     Args:
-        own: Description of the node.
+        own: Member entry of the node.
         options: Plain options.
         clock: Source of time.
         random: Source of random numbers.
         views: Receives the routing view.
-        append: Queues a record body.
-        append_snapshot: Queues a snapshot.
-        own_load: Returns the number of calls at the own target.
+        append: Queues the body of a record for appending.
+        append_snapshot: Queues a snapshot for appending.
+        own_load: Returns the number of calls in flight at the node's own target.
     """
     offered: dict[str, Any] = {
         "own": own,
--- a/src/citronrack/proof/decisions.py
+++ b/src/citronrack/proof/decisions.py
@@ -1,4 +1,4 @@
-"""Turns changes of a core's decisions into observations."""
+"""Emits observations when the decisions of a core change."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 
 
 class DecisionWatcher:
-    """Compares a core's decisions with those of the last look.
+    """Compares the decisions of a core with those at the previous call.
 
     Args:
-        core: The core of one process.
-        views: Its routing view.
+        core: Core of one process.
+        views: Routing view of the core.
         node: Name of the node.
         boot: Number of the process.
-        emit: Takes observations.
+        emit: Receives observations.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         self._marks: set[str] = set()
 
     def emit_changes(self, at: float) -> None:
-        """Report what has changed."""
+        """Emit an observation for each decision that has changed."""
         core = self._core
         if core.active.version != self._version:
             self._version = core.active.version
--- a/src/citronrack/proof/deployments.py
+++ b/src/citronrack/proof/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments that scenarios run on; sizes from section 2.3 of the design page."""
+"""The two deployments that scenarios run on, with the sizes of section 2.3 of the design page."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 
 @frozen
 class RouteLoad:
-    """A route and the calls that callers send to it.
+    """A route and the load that callers put on it.
 
     Attributes:
         name: Name of the route.
         prefix: Path prefix.
         method: HTTP method of the calls.
-        weight: Part of all calls, relative to the other routes.
+        weight: Share of all calls, relative to the other routes.
     """
 
     name: str
@@ -30,10 +30,10 @@
 
     Attributes:
         name: Name of the service.
-        service_version: Release that runs at the start.
+        service_version: Service version that runs at the start.
         workers: Number of targets.
-        work_ms: Mean time that a target takes for a call.
-        routes: Its routes.
+        work_ms: Mean processing time of a call in milliseconds.
+        routes: Routes of the service.
     """
 
     name: str
@@ -45,13 +45,13 @@
 
 @frozen
 class Deployment:
-    """Zones, services and links of an organisation.
+    """Zones, services and links of one organisation.
 
     Attributes:
-        profile: Policy that judges moves.
+        profile: Policy for moves.
         zones: Availability zones.
         services: Services.
-        slots: Calls that a target runs at once.
+        slots: Calls that a target runs concurrently.
         link_ms: One-way delay between zones in milliseconds.
         caller_ms: One-way delay between callers and nodes in milliseconds.
     """
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -1,4 +1,4 @@
-"""Events of the platform, the links, the nodes and the targets."""
+"""Events that affect the platform, the links, the nodes and the targets."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 @EVENT_KINDS.register("drain")
 @frozen(kw_only=True)
 class Drain(TimedEvent):
-    """A target leaves gracefully and does not come back.
+    """A target is drained and stops; it does not restart.
 
     Attributes:
         node: Node beside the target.
@@ -31,14 +31,14 @@
     node: str = ref("node")
 
     def apply(self, world: World) -> None:
-        """Begin the drain."""
+        """Start the drain."""
         world.drain(world.node(self.node))
 
 
 @EVENT_KINDS.register("crash")
 @frozen(kw_only=True)
 class Crash(TimedEvent):
-    """An instance ends without notice, its node and target with it.
+    """An instance crashes, together with its node and target.
 
     Attributes:
         node: Node on the instance.
@@ -47,14 +47,14 @@
     node: str = ref("node")
 
     def apply(self, world: World) -> None:
-        """End the instance."""
+        """Crash the instance."""
         world.crash(world.node(self.node))
 
 
 @EVENT_KINDS.register("start")
 @frozen(kw_only=True)
 class Start(TimedEvent):
-    """An instance that crashed or left starts again without state.
+    """A stopped instance starts again without state.
 
     Attributes:
         node: Node on the instance.
@@ -70,11 +70,11 @@
 @EVENT_KINDS.register("restart")
 @frozen(kw_only=True)
 class Restart(TimedEvent):
-    """A node stops gracefully and starts again.
+    """A node is drained, stops and starts again.
 
     Attributes:
         node: The node.
-        down_s: Seconds between the end and the start.
+        down_s: Seconds between stop and start.
     """
 
     node: str = ref("node")
@@ -89,12 +89,12 @@
 @EVENT_KINDS.register("herd_restart")
 @frozen(kw_only=True)
 class HerdRestart(TimedEvent):
-    """Many instances end at once without notice and come back together.
+    """Many instances crash at the same time and restart together.
 
     Attributes:
         zone: Zone of the instances, empty for all zones.
-        down_s: Seconds until the first one comes back.
-        spread_s: Seconds in which all come back.
+        down_s: Seconds until the first instance restarts.
+        spread_s: Interval in seconds over which the restarts are spread.
         spare: Number of nodes in each zone that keep running.
     """
 
@@ -104,7 +104,7 @@
     spare: int = field(default=0, validator=checks.between(0, 100))
 
     def apply(self, world: World) -> None:
-        """End the instances and plan their return."""
+        """Crash the instances and schedule their restart."""
         kept_running: dict[str, int] = {}
         crashing = []
         for node in world.nodes.values():
@@ -123,12 +123,12 @@
 @EVENT_KINDS.register("pause")
 @frozen(kw_only=True)
 class Pause(TimedEvent):
-    """A node's process stands still while its clock goes on.
+    """A node process is suspended while its clock continues.
 
     Attributes:
         node: The node.
-        holder_of: Duty whose present holder is paused instead.
-        for_s: Seconds until it goes on, 0 for until `resume`.
+        holder_of: Duty whose current holder is paused instead.
+        for_s: Seconds until the process resumes, 0 to wait for `resume`.
     """
 
     node: str = ref("node", default="")
@@ -149,7 +149,7 @@
 @EVENT_KINDS.register("resume")
 @frozen(kw_only=True)
 class Resume(TimedEvent):
-    """A paused node goes on with what has arrived since.
+    """A paused node resumes and processes what arrived in the meantime.
 
     Attributes:
         node: The node.
@@ -163,7 +163,7 @@
 
     @staticmethod
     def resume_if_paused(world: World, node: SimNode) -> None:
-        """Resume ``node`` if it still runs."""
+        """Resume ``node`` if it is running and paused."""
         if node.up and node.paused:
             node.resume()
             world.check_reachability()
@@ -172,16 +172,16 @@
 @EVENT_KINDS.register("log_outage")
 @frozen(kw_only=True)
 class LogOutage(TimedEvent):
-    """The platform's log answers every request with an error.
+    """The platform's log fails every request.
 
     Attributes:
-        for_s: Seconds until it recovers, 0 for until `log_recovery`.
+        for_s: Seconds until the log recovers, 0 to wait for `log_recovery`.
     """
 
     for_s: float = number(0, 3_600, default=0.0)
 
     def apply(self, world: World) -> None:
-        """Begin the outage."""
+        """Start the outage."""
         world.log.set_available(False)
         if self.for_s:
             world.timeline.after(self.for_s, lambda: world.log.set_available(True))
@@ -190,7 +190,7 @@
 @EVENT_KINDS.register("log_recovery")
 @frozen(kw_only=True)
 class LogRecovery(TimedEvent):
-    """The platform's log answers again."""
+    """The platform's log is available again."""
 
     def apply(self, world: World) -> None:
         """End the outage."""
@@ -200,16 +200,16 @@
 @EVENT_KINDS.register("slow_log")
 @frozen(kw_only=True)
 class SlowLog(TimedEvent):
-    """The platform's log takes longer for each answer.
+    """The platform's log responds slowly.
 
     Attributes:
-        delay_ms: Time for an answer.
+        delay_ms: Time for each answer in milliseconds.
     """
 
     delay_ms: float = number(0, 60_000, default=1_000.0)
 
     def apply(self, world: World) -> None:
-        """Change the delay."""
+        """Set the delay."""
         world.log.delay_s = self.delay_ms / 1000
 
 
@@ -225,14 +225,14 @@
     count: int = field(default=1, validator=checks.between(1, 1_000))
 
     def apply(self, world: World) -> None:
-        """Arm the fault."""
+        """Enable the fault."""
         world.log.answers_to_lose += self.count
 
 
 @EVENT_KINDS.register("write_snapshot")
 @frozen(kw_only=True)
 class WriteSnapshot(TimedEvent):
-    """A snapshot of all records is put into the log, as the holder of the compactor duty does."""
+    """A snapshot of all records is appended, as by the holder of the compactor duty."""
 
     def apply(self, world: World) -> None:
         """Write the snapshot."""
@@ -242,10 +242,10 @@
 @EVENT_KINDS.register("trim_log")
 @frozen(kw_only=True)
 class TrimLog(TimedEvent):
-    """The platform drops old records.
+    """The platform removes old records.
 
     Attributes:
-        keep: Number of records that stay.
+        keep: Number of records that are retained.
     """
 
     keep: int = field(default=0, validator=checks.between(0, 1_000_000))
@@ -258,7 +258,7 @@
 @EVENT_KINDS.register("partition")
 @frozen(kw_only=True)
 class Partition(TimedEvent):
-    """Nothing passes between two zones, or between a zone and the platform.
+    """The link between two zones, or between a zone and the platform, is down.
 
     Attributes:
         one: A zone.
@@ -269,7 +269,7 @@
     other: str = ref("side")
 
     def apply(self, world: World) -> None:
-        """Cut the link."""
+        """Block the link."""
         world.network.block_link(self.one, self.other)
         world.check_reachability()
 
@@ -277,7 +277,7 @@
 @EVENT_KINDS.register("isolate")
 @frozen(kw_only=True)
 class Isolate(TimedEvent):
-    """A zone is cut off from all other zones and from the platform.
+    """A zone is disconnected from all other zones and from the platform.
 
     Attributes:
         zone: The zone.
@@ -286,7 +286,7 @@
     zone: str = ref("zone")
 
     def apply(self, world: World) -> None:
-        """Cut all links of the zone."""
+        """Block all links of the zone."""
         world.network.isolate(self.zone)
         world.check_reachability()
 
@@ -294,10 +294,10 @@
 @EVENT_KINDS.register("cut_platform")
 @frozen(kw_only=True)
 class CutPlatform(TimedEvent):
-    """No zone reaches the platform, while the zones reach each other."""
+    """All zones are disconnected from the platform, but not from each other."""
 
     def apply(self, world: World) -> None:
-        """Cut all links to the platform."""
+        """Block all links to the platform."""
         for zone in world.deployment.zones:
             world.network.block_link(zone, PLATFORM)
         world.check_reachability()
@@ -317,16 +317,16 @@
 @EVENT_KINDS.register("bad_version")
 @frozen(kw_only=True)
 class BadVersion(TimedEvent):
-    """A service version becomes bad; at 0 s it is bad at once, at a later time it turns bad.
+    """A service version becomes bad: from the start at 0 s, or while it runs at a later time.
 
     Attributes:
         service: Name of the service.
-        service_version: The release.
+        service_version: The service version.
         kind: ``failing``, ``slow``, ``one-route`` or ``under-load``.
-        rate: Part of the affected calls that fail.
-        slow_factor: How many times longer a call takes, for ``slow``.
+        rate: Share of the affected calls that fail.
+        slow_factor: Factor on the duration of calls, for ``slow``.
         route: Affected route, for ``one-route``.
-        busy_share: Part of the slots in use from which on calls fail, for ``under-load``.
+        busy_share: Share of slots in use at which calls start to fail, for ``under-load``.
     """
 
     service: str = ref("service")
@@ -338,7 +338,7 @@
     busy_share: float = number(0, 1, default=0.5)
 
     def apply(self, world: World) -> None:
-        """Make the release bad."""
+        """Inject the fault."""
         fault = Fault(self.kind, self.rate, self.slow_factor, self.route, self.busy_share)
         world.set_fault(self.service, self.service_version, fault)
 
@@ -349,25 +349,25 @@
     """The rate of calls changes.
 
     Attributes:
-        calls_per_s: Mean number of calls a second over all zones.
+        calls_per_s: Mean number of calls per second over all zones.
     """
 
     calls_per_s: float = number(0, 2_000, default=20.0)
 
     def apply(self, world: World) -> None:
-        """Change the rate."""
+        """Set the rate."""
         world.calls.set_rate(self.calls_per_s)
 
 
 @EVENT_KINDS.register("start_targets")
 @frozen(kw_only=True)
 class StartTargets(TimedEvent):
-    """New instances with targets start.
+    """Additional instances with targets start.
 
     Attributes:
         service: Name of the service.
-        service_version: Release that they run.
-        count: Number of instances, spread over the zones.
+        service_version: Service version of the targets.
+        count: Number of instances, distributed over the zones.
     """
 
     service: str = ref("service")
--- a/src/citronrack/proof/expectations.py
+++ b/src/citronrack/proof/expectations.py
@@ -1,4 +1,4 @@
-"""Expected outcomes of a scenario."""
+"""Expectations of a scenario."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
 @EXPECTATION_KINDS.register("version_in_force")
 @frozen(kw_only=True)
 class VersionInForce(Expectation):
-    """All nodes that can be reached hold the newest version of the log.
+    """All reachable nodes hold the newest configuration version in the log.
 
     Attributes:
-        zone: Only nodes of this zone, empty for all.
-        changes: Least number of versions after the first that the log must hold.
-        cut_off: Whether nodes without a path to the platform must hold it too.
+        zone: Check only nodes in this zone, empty for all zones.
+        changes: Minimum number of versions after the first that nodes must have put in force.
+        cut_off: Whether nodes without a path to the platform must hold it as well.
     """
 
     zone: str = ref("zone", default="")
@@ -35,7 +35,7 @@
     cut_off: bool = False
 
     def fault(self, world: World) -> str:
-        """Name the nodes that are behind."""
+        """Return the nodes that hold another version."""
         version = world.log.fold.config.version
         made = {observed.config.version for observed in world.observations.of_kind(ConfigInForce)}
         if len(made) - 1 < self.changes:
@@ -56,12 +56,12 @@
 @EXPECTATION_KINDS.register("plan_result")
 @frozen(kw_only=True)
 class PlanResult(Expectation):
-    """A plan had the named result.
+    """A plan had the given result.
 
     Attributes:
         plan: Label of the plan.
         result: ``planned``, ``accepted``, ``refused`` or ``unknown``.
-        reason: Text that the reason must contain.
+        reason: Text that the reported reason must contain.
     """
 
     plan: str = ref("plan")
@@ -69,7 +69,7 @@
     reason: str = ""
 
     def fault(self, world: World) -> str:
-        """Compare with what the operator was told."""
+        """Compare with the result reported to the operator."""
         tracked = world.operators.plans.get(self.plan)
         if tracked is None:
             return f"plan {self.plan!r} was never made"
@@ -83,11 +83,11 @@
 @EXPECTATION_KINDS.register("one_accepted")
 @frozen(kw_only=True)
 class OneAccepted(Expectation):
-    """Of two racing plans one was accepted and the other refused with the conflict.
+    """Of two concurrent plans, one was accepted and the other refused.
 
     Attributes:
-        left: Label of one plan.
-        right: Label of the other plan.
+        left: Label of the first plan.
+        right: Label of the second plan.
     """
 
     left: str = ref("plan", default="left")
@@ -105,12 +105,12 @@
 @EXPECTATION_KINDS.register("move_result")
 @frozen(kw_only=True)
 class MoveResultIs(Expectation):
-    """The move of a route ended in the named way.
+    """The move of a route has the given result.
 
     Attributes:
         route: The route.
         result: ``open`` or a result of the outcome record.
-        service_version: Release that must serve the route now, empty for any.
+        service_version: Service version that must serve the route now, empty for any.
     """
 
     route: str = ref("route")
@@ -140,14 +140,14 @@
 @EXPECTATION_KINDS.register("bad_version_got")
 @frozen(kw_only=True)
 class BadVersionGot(Expectation):
-    """A bad service version ran few calls after it turned bad, and none after a time.
+    """A bad service version ran few calls after it turned bad, and none after some time.
 
     Attributes:
         service: Name of the service.
-        service_version: The release.
-        max_share: Largest part of the service's calls from then on.
-        max_calls: Largest number of calls from then on.
-        none_after_s: Seconds after it turned bad from which on it must run none.
+        service_version: The service version.
+        max_share: Maximum share of the service's calls since then.
+        max_calls: Maximum number of calls since then.
+        none_after_s: Seconds after it turned bad, after which it must not run any call.
     """
 
     service: str = ref("service")
@@ -157,7 +157,7 @@
     none_after_s: float = number(0, 3_600, default=3_600.0)
 
     def fault(self, world: World) -> str:
-        """Count the calls that it ran."""
+        """Count the calls that the version ran."""
         key = (self.service, self.service_version)
         turned = [
             observed.at
@@ -184,12 +184,12 @@
 @EXPECTATION_KINDS.register("service_version_ran")
 @frozen(kw_only=True)
 class ServiceVersionRan(Expectation):
-    """A service version ran at least some calls.
+    """A service version ran a minimum number of calls.
 
     Attributes:
         service: Name of the service.
-        service_version: The release.
-        min_calls: Least number of calls.
+        service_version: The service version.
+        min_calls: Minimum number of calls.
     """
 
     service: str = ref("service")
@@ -197,7 +197,7 @@
     min_calls: int = field(default=1, validator=checks.between(1, 1_000_000))
 
     def fault(self, world: World) -> str:
-        """Count the calls that it ran."""
+        """Count the calls that the version ran."""
         key = (self.service, self.service_version)
         ran = sum(
             (observed.service, observed.service_version) == key
@@ -209,18 +209,18 @@
 @EXPECTATION_KINDS.register("no_new_work")
 @frozen(kw_only=True)
 class NoNewWork(Expectation):
-    """No call reached a leaving target after some time.
+    """No call reached a draining target after some time.
 
     Attributes:
         node: Node beside the target.
-        after_s: Seconds after the drain began.
+        after_s: Seconds after the start of the drain.
     """
 
     node: str = ref("node")
     after_s: float = number(0, 600, default=3.0)
 
     def fault(self, world: World) -> str:
-        """Look for calls that arrived too late."""
+        """Look for calls that arrived after the limit."""
         drains = [
             observed.at
             for observed in world.observations.of_kind(DrainStarted)
@@ -246,13 +246,13 @@
 @EXPECTATION_KINDS.register("readiness")
 @frozen(kw_only=True)
 class ReadinessIs(Expectation):
-    """Nodes have the named readiness.
+    """Nodes have the given readiness.
 
     Attributes:
-        state: ``ready``, ``ready (unproven)``, ``not ready``, or ``serving`` for both first ones.
+        state: ``ready``, ``ready (unproven)``, ``not ready``, or ``serving`` for the first two.
         node: The node, empty for all running nodes.
-        zone: Only nodes of this zone, empty for all.
-        reason: Text that the reason must contain.
+        zone: Check only nodes in this zone, empty for all zones.
+        reason: Text that the reported reason must contain.
     """
 
     state: str = field(validator=checks.one_of("ready", "ready (unproven)", "not ready", "serving"))
@@ -261,7 +261,7 @@
     reason: str = ""
 
     def fault(self, world: World) -> str:
-        """Name the nodes with another readiness."""
+        """Return the nodes with a different readiness."""
         wrong = []
         for node in world.nodes.values():
             if not node.up or self.node not in ("", node.name) or self.zone not in ("", node.zone):
@@ -278,14 +278,14 @@
 @EXPECTATION_KINDS.register("status")
 @frozen(kw_only=True)
 class StatusLists(Expectation):
-    """A node's status lists exactly these nodes of its zone as behind and as unknown.
+    """The status of a node lists exactly these nodes of a zone as behind and as unknown.
 
     Attributes:
-        node: Node that is asked.
-        zone: Zone whose lists are read, empty for the own zone.
-        behind: Names of nodes with an older version.
-        unknown: Names of nodes that are not heard.
-        missing: Names that must not be listed as members at all.
+        node: Node whose status is checked.
+        zone: Zone whose lists are checked, empty for the zone of the node.
+        behind: Names of nodes that hold an older version.
+        unknown: Names of nodes that do not report.
+        missing: Names of nodes that must not be listed as alive.
     """
 
     node: str = ref("node")
@@ -316,7 +316,7 @@
 @EXPECTATION_KINDS.register("digests_equal")
 @frozen(kw_only=True)
 class DigestsEqual(Expectation):
-    """All running nodes that are level with the log have the same digest of folded records."""
+    """All running nodes that have read the whole log have the same digest of folded records."""
 
     def fault(self, world: World) -> str:
         """Compare the digests."""
@@ -334,12 +334,12 @@
 @EXPECTATION_KINDS.register("calls_answered")
 @frozen(kw_only=True)
 class CallsAnswered(Expectation):
-    """Callers got answers.
+    """A minimum share of the calls was answered.
 
     Attributes:
-        min_share: Least part of all calls that were answered without a server error.
-        after_s: Only calls that were sent after this time.
-        before_s: Only calls that were sent before this time.
+        min_share: Minimum share of calls that were answered without a server error.
+        after_s: Count only calls that were sent after this time.
+        before_s: Count only calls that were sent before this time.
     """
 
     min_share: float = number(0, 1, default=0.99)
@@ -347,8 +347,8 @@
     before_s: float = number(0, 3_600, default=3_600.0)
 
     def fault(self, world: World) -> str:
-        """Compare the share."""
-        limit = min(self.before_s, world.timeline.now - 6.0)  # later calls may still be open
+        """Compare the share of answered calls."""
+        limit = min(self.before_s, world.timeline.now - 6.0)  # later calls may still be in progress
         sent = [
             observed.call
             for observed in world.observations.of_kind(CallStarted)
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -1,4 +1,4 @@
-"""Fake call flow: callers, the choice of a target, delivery, answers and retries."""
+"""Simulated calls: callers, choice of a target, delivery, answers and retries."""
 
 from __future__ import annotations
 
@@ -34,35 +34,35 @@
 
 
 class CallRules:
-    """The pure choices of the call path; the real ones replace these method by method."""
+    """Decisions of the call path, without side effects; tests override single methods."""
 
     def choose_version(self, view: RoutingView, route: Route, call_key: str) -> str:
-        """Return the service version that serves the call."""
+        """Return the service version for a call."""
         share = view.shares.get(route.name)
         if share is None:
             return route.service_version
         new = picks_new(call_key, share, share.share)
         return share.to_version if new else share.from_version
 
-    def target(
+    def choose_target(
         self, pool: Sequence[PoolTarget], zone: str, tried: Sequence[str], random: Random
     ) -> PoolTarget | None:
-        """Return a target, the own zone first, never one that was tried."""
+        """Return an untried target, from the own zone if possible, or None."""
         untried = [target for target in pool if target.name not in tried]
         same_zone = [target for target in untried if target.availability_zone == zone]
         choices = same_zone or untried
         return random.choice(choices) if choices else None
 
     def admits(self, node: SimNode) -> bool:
-        """Return whether the node hands the call to its target."""
+        """Return whether the node passes the call to its target."""
         return not node.draining and not node.target.full
 
     def verdict(self, status: int) -> Verdict:
-        """Return what a caller may be told after the target's side ended an attempt."""
+        """Return the verdict on an attempt from the status that the target returned."""
         return Verdict.RAN if status else Verdict.MAY_HAVE_RUN
 
     def allows_retry(self, call: Call, verdict: Verdict) -> bool:
-        """Return whether another attempt is allowed."""
+        """Return whether the call may be attempted again."""
         if call.attempt >= MAX_ATTEMPTS:
             return False
         return verdict.safe_to_repeat or call.load.method != "POST"
@@ -70,17 +70,17 @@
 
 @define
 class Call:
-    """One call of a caller.
+    """A call and the state of its attempts.
 
     Attributes:
         number: Unique number.
         load: Route and method.
-        entry: Node that took the call from the caller.
-        started: Simulated seconds.
-        attempt: Number of the present attempt.
-        tried: Names of targets that were tried.
-        boot: Process of the entry node that took it.
-        closed: Whether the present attempt is over.
+        entry_node: Node that received the call from the caller.
+        started: Simulated time of the call in seconds.
+        attempt: Number of the current attempt.
+        tried: Names of the targets that were tried.
+        boot: Boot number of the entry node's process when it received the call.
+        closed: Whether the current attempt has ended.
         may_have_run: Whether an earlier attempt may have run.
     """
 
@@ -96,12 +96,12 @@
 
     @property
     def idempotent(self) -> bool:
-        """Whether the call may be repeated."""
+        """Whether the call may safely run more than once."""
         return self.load.method != "POST"
 
 
 class CallWorld(Protocol):
-    """What the call flow needs of the world."""
+    """Part of the world that the simulated calls use."""
 
     timeline: Timeline
     network: FakeNetwork
@@ -112,10 +112,10 @@
 
 
 class FakeCalls:
-    """Sends calls at a mean rate into the nodes' routing views.
+    """Generates calls at a mean rate and routes them with the nodes' routing views.
 
     Args:
-        world: Nodes, links and rules.
+        world: Nodes, links and call rules.
         random: Source of random numbers.
         loads: Routes with their weights.
         caller_ms: One-way delay between callers and nodes.
@@ -134,7 +134,7 @@
         self.calls_per_s = 0.0
 
     def set_rate(self, calls_per_s: float) -> None:
-        """Change the mean number of calls a second."""
+        """Set the mean number of calls per second."""
         self.calls_per_s = calls_per_s
         self._generation += 1
         self._schedule(self._generation)
@@ -167,7 +167,7 @@
             return
         version = world.rules.choose_version(view, route, str(call.number))
         pool = view.pools.get((route.service, version), ())
-        chosen = world.rules.target(pool, call.entry_node.zone, call.tried, self._random)
+        chosen = world.rules.choose_target(pool, call.entry_node.zone, call.tried, self._random)
         if chosen is None:
             self._give_up(call, Verdict.NOT_RUN)
             return
@@ -204,7 +204,7 @@
     ) -> None:
         world = self._world
         if node.paused:
-            return  # The kernel accepts the bytes, nobody answers; the timeout ends the attempt.
+            return  # The kernel accepts the bytes, but nothing answers; the attempt times out.
         if not node.up or (node.placement.service, node.placement.service_version) != (
             route.service,
             version,
@@ -250,7 +250,7 @@
     ) -> None:
         network = self._world.network
         if network.is_blocked(call.entry_node.zone, node.zone):
-            return  # The answer is lost; the timeout ends the attempt.
+            return  # The answer is lost; the attempt times out.
         delay = network.delay_s(call.entry_node.zone, node.zone)
         self._world.timeline.after(
             delay, lambda: self._finish_attempt(call, attempt, verdict, record, status)
@@ -260,7 +260,7 @@
         self, call: Call, attempt: int, verdict: Verdict, record: AttemptRecorder, status: int
     ) -> None:
         if call.closed or call.attempt != attempt:
-            return  # A late answer or the timeout of an attempt that is over.
+            return  # A late answer, or the timeout of an attempt that has ended.
         call.closed = True
         call.may_have_run |= verdict is not Verdict.NOT_RUN
         now = self._world.timeline.now
@@ -277,7 +277,7 @@
     def _give_up(self, call: Call, verdict: Verdict) -> None:
         reported = verdict
         if call.may_have_run and verdict is Verdict.NOT_RUN:
-            reported = Verdict.MAY_HAVE_RUN  # The last attempt says nothing about earlier ones.
+            reported = Verdict.MAY_HAVE_RUN  # The last attempt proves nothing about earlier ones.
         self._world.emit(CallRefused(self._world.timeline.now, call.number, reported))
         self._finish_call(call)
 
@@ -291,7 +291,7 @@
 
 @define
 class AttemptRecorder:
-    """Makes the records of one attempt."""
+    """Creates the call records of one attempt."""
 
     call: Call
     route: Route
@@ -303,7 +303,7 @@
     def make(
         self, status: int, verdict: Verdict, *, delivered_here: bool = False, cold: bool = False
     ) -> CallRecord:
-        """Return the record at the present time."""
+        """Return a call record with the latency up to now."""
         return CallRecord(
             route=self.route.name,
             service=self.route.service,
--- a/src/citronrack/proof/fake_log.py
+++ b/src/citronrack/proof/fake_log.py
@@ -1,4 +1,4 @@
-"""Fake of the platform's log service, without a socket."""
+"""In-process fake of the platform's log service."""
 
 from __future__ import annotations
 
@@ -27,14 +27,14 @@
 
 
 class FakeLog:
-    """An append-only log with outages, slow answers, lost answers and limited retention.
+    """An append-only log with outages, delays, lost answers and limited retention.
 
-    It folds its own records, so that the run knows which version should be in force.
+    It folds its own records, to determine which version should be in force.
 
     Args:
         spec: Delay and retention.
         timeline: Simulated time.
-        emit: Takes observations.
+        emit: Receives observations.
     """
 
     def __init__(
@@ -51,15 +51,15 @@
         self.fold = LogFold()
 
     def set_available(self, up: bool) -> None:
-        """Begin or end an outage."""
+        """Start or end an outage."""
         self.up = up
         self._emit(LogState(self._timeline.now, up))
 
     def append(self, stream: str, data: bytes) -> int:
-        """Add a record and return its offset.
+        """Append a record and return its offset.
 
         Raises:
-            LogUnavailable: During an outage; the record is not in the log.
+            LogUnavailable: During an outage; the record is not appended.
         """
         if not self.up:
             raise LogUnavailable("status 503")
@@ -75,13 +75,13 @@
         return offset
 
     def take_lost_answer(self) -> bool:
-        """Return whether the answer to the append that just took effect is lost."""
+        """Return whether the answer to the last append is lost, and count it off."""
         lost = self.answers_to_lose > 0
         self.answers_to_lose -= int(lost)
         return lost
 
     def read(self, stream: str, start: int, *, limit: int) -> LogPage:
-        """Return what is there, without waiting.
+        """Return the available records without waiting.
 
         Raises:
             LogUnavailable: During an outage.
@@ -96,7 +96,7 @@
         return LogPage(source.first, source.end, tuple(enumerate(chosen, start)))
 
     def notify_on_append(self, callback: Callable[[], None]) -> None:
-        """Call ``callback`` once after the next record."""
+        """Call ``callback`` once, after the next append of a record."""
         self._append_callbacks.append(callback)
 
     def end(self, stream: str) -> int:
@@ -104,7 +104,7 @@
         return self._streams[stream].end
 
     def trim(self, keep: int) -> None:
-        """Drop all records but the newest ``keep``."""
+        """Drop all but the newest ``keep`` records."""
         stream = self._streams[RECORDS_STREAM]
         self._trim(stream, stream.end - keep)
 
--- a/src/citronrack/proof/fake_target.py
+++ b/src/citronrack/proof/fake_target.py
@@ -1,4 +1,4 @@
-"""Fake of a back-end process, with the ways in which a release can be bad."""
+"""Fake of a target process, with the faults that a service version can have."""
 
 from __future__ import annotations
 
@@ -17,15 +17,16 @@
 
 @frozen
 class Job:
-    """One attempt of a call at a target.
+    """One attempt of a call on a target.
 
     Attributes:
         call: Number of the call.
         attempt: Number of the attempt.
         route: Name of the route.
         idempotent: Whether the call may be repeated.
-        started: Called when the target begins to run it.
-        done: Called with the HTTP status, or 0 when the target died, and the call answered.
+        on_start: Called when the target starts to run the attempt.
+        on_done: Called with the HTTP status, or 0 when the target died, and the number of the call
+            that the answer belongs to.
     """
 
     call: int
@@ -38,14 +39,14 @@
 
 @define
 class Fault:
-    """How a service version is bad.
+    """Fault of a service version.
 
     Attributes:
-        kind: Name in `FAULT_KINDS`.
-        rate: Part of the calls that fail.
-        slow_factor: How many times longer calls take, for ``slow``.
-        route: Route that is affected, for ``one-route``.
-        busy_share: Part of the slots in use from which on it fails, for ``under-load``.
+        kind: Name of the fault in `FAULT_KINDS`.
+        rate: Share of the affected calls that fail.
+        slow_factor: Factor on the duration of calls, for ``slow``.
+        route: Affected route, for ``one-route``.
+        busy_share: Share of slots in use at which calls start to fail, for ``under-load``.
     """
 
     kind: str
@@ -57,7 +58,7 @@
 
 @frozen
 class FaultEffect:
-    """What a fault does to one call."""
+    """Effect of a fault on one call: probability of a failure and factor on the duration."""
 
     failure_rate: float = 0.0
     slowdown: float = 1.0
@@ -88,14 +89,14 @@
 
 
 class FakeTarget:
-    """Runs up to ``slots`` calls at once and queues a few more.
+    """Runs up to ``slots`` calls concurrently and queues further calls.
 
     Args:
         timeline: Simulated time.
         random: Source of random numbers.
-        slots: Calls that run at once.
-        work_ms: Mean time of a call.
-        fault: Returns how the release is bad, if it is.
+        slots: Calls that run concurrently.
+        work_ms: Mean duration of a call in milliseconds.
+        fault: Returns the current fault of the service version, or None.
     """
 
     def __init__(
@@ -119,26 +120,26 @@
 
     @property
     def in_flight(self) -> int:
-        """Calls that run or wait."""
+        """Number of calls that run or wait."""
         return len(self._running) + len(self._waiting)
 
     @property
     def full(self) -> bool:
-        """Whether no further call is taken."""
+        """Whether the queue is full."""
         return len(self._waiting) >= self._slots * QUEUE_PER_SLOT
 
     @property
     def cold(self) -> bool:
-        """Whether it has just started."""
+        """Whether the process started less than `COLD_S` ago."""
         return self._timeline.now - self._started_at < COLD_S
 
     def start(self) -> None:
-        """Begin a new process."""
+        """Start a new process."""
         self._generation += 1
         self._started_at = self._timeline.now
 
     def kill(self) -> None:
-        """End the process; calls in flight get no answer."""
+        """Terminate the process; calls in flight get no answer."""
         self._generation += 1
         lost = [*self._running.values(), *self._waiting]
         self._running.clear()
@@ -147,7 +148,7 @@
             job.on_done(0, job.call)
 
     def submit(self, job: Job) -> None:
-        """Run a call now or later."""
+        """Run an attempt now, or queue it until a slot is free."""
         self._waiting.append(job)
         self._start_waiting()
 
--- a/src/citronrack/proof/fuzz.py
+++ b/src/citronrack/proof/fuzz.py
@@ -1,7 +1,7 @@
-"""Fuzzing of the composed core and of all files that people write.
+"""Fuzzing of the composed core and of all files that are read.
 
-``python -m citronrack.proof.fuzz --minutes 5`` runs all properties with new seeds; the test suite
-runs them with fixed ones. Each property is a function of a hypothesis data object.
+``python -m citronrack.proof.fuzz --minutes 5`` runs all properties with changing seeds; the test
+suite runs them with fixed examples. Each property is a function of a hypothesis data object.
 """
 
 from __future__ import annotations
@@ -72,11 +72,11 @@
 
 
 class FuzzedNode:
-    """One core with what is needed to check it after each input.
+    """A core whose invariants are checked after each input.
 
     Args:
         name: Name of the node.
-        number: Makes its addresses unique.
+        number: Number that makes the addresses unique.
     """
 
     def __init__(self, name: str = "own", number: int = 3) -> None:
@@ -96,10 +96,12 @@
         self._version = -1
 
     def check(self, effects: list[Send]) -> None:
-        """Check what must hold after each input."""
+        """Check the invariants after an input that caused ``effects``."""
         version = self.core.active.version
-        assert version >= self._version, f"went from version {self._version} to {version}"
-        assert version == self.core.fold.config.version, "the fold and the version differ"
+        assert version >= self._version, f"reverted from version {self._version} to {version}"
+        assert (
+            version == self.core.fold.config.version
+        ), "the fold and the active configuration have different versions"
         faults = find_faults(self.core.active.current)
         assert not faults, f"invalid configuration in force: {faults}"
         assert self.views.current.config.version <= version
@@ -108,29 +110,29 @@
         self._version = version
 
     def tick(self, seconds: float) -> None:
-        """Let time pass, then tick."""
+        """Advance the clock, then tick."""
         self.clock.advance(seconds)
         self.check(self.core.on_tick())
 
     def mail(self, mail: Any) -> None:
-        """Feed mail of another task."""
+        """Pass a message from another task to the core."""
         self.check(self.core.handle(mail))
 
     def message(self, sender: str, message: Any) -> list[Send]:
-        """Feed a message of another node and return what it sends."""
+        """Pass a message from another node to the core and return the messages it sends."""
         effects = self.core.on_message(sender, message)
         self.check(effects)
         return effects
 
 
 def page(log: list[bytes], start: int, count: int) -> LogRead:
-    """Return a page of the log as the reader task posts it."""
+    """Return a page of the log, as posted by the reader task."""
     return LogRead(LogPage(0, len(log), tuple(enumerate(log[start : start + count], start))))
 
 
 @PROPERTIES.register("core-inputs")
 def any_input_order(data: Any) -> None:
-    """A core accepts messages, mail and ticks in any order, and stays valid."""
+    """A core accepts messages from nodes and tasks and ticks in any order, and stays valid."""
     node = FuzzedNode()
     log = data.draw(st.lists(strategies.records(), max_size=8))
     sender = st.integers(0, 2).map(lambda number: f"tcp://127.0.0.1:{10_000 + number}")
@@ -149,7 +151,7 @@
 
 @PROPERTIES.register("two-cores")
 def same_log_same_state(data: Any) -> None:
-    """Two cores that get one log on different ways hold the same state."""
+    """Two cores that receive the same log in different ways reach the same state."""
     log = data.draw(st.lists(strategies.records(), min_size=1, max_size=12))
     reader, follower = FuzzedNode("a-1", 0), FuzzedNode("a-2", 1)
     while reader.core.next_offset < len(log):
@@ -192,7 +194,7 @@
 
 @PROPERTIES.register("message-bytes")
 def any_bytes_as_message(data: Any) -> None:
-    """Damaged messages are refused or lead to a message that a core survives."""
+    """Damaged messages are rejected, or decode to a message that a core handles."""
     encoded = message_codec.encode(data.draw(strategies.messages()))
     damaged = data.draw(strategies.mutated(encoded))
     try:
@@ -206,7 +208,7 @@
 
 @PROPERTIES.register("settings-files")
 def any_settings_text(data: Any) -> None:
-    """Damaged settings end in named faults, never in another error."""
+    """Damaged settings raise a `SettingsError` that names the file, and no other error."""
     try:
         content = yaml.safe_load(data.draw(strategies.mutated(SETTINGS_TEXT)).decode())
     except (yaml.YAMLError, ValueError, TypeError):
@@ -219,7 +221,7 @@
 
 @PROPERTIES.register("scenario-files")
 def any_scenario_text(data: Any) -> None:
-    """Damaged scenarios end in faults with file and line, never in another error."""
+    """Damaged scenarios raise a `ScenarioError` with file and line, and no other error."""
     try:
         parse_scenario(data.draw(strategies.mutated(SCENARIO_TEXT)), source="s.yaml")
     except ScenarioError as error:
@@ -231,7 +233,7 @@
 
 @PROPERTIES.register("trace-files")
 def any_trace_bytes(data: Any) -> None:
-    """Damaged traces end in an error with file and line, never in another error."""
+    """Damaged traces raise a `TraceError` with the file, and no other error."""
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "node.trace"
         path.write_bytes(data.draw(strategies.mutated(_short_trace(path))))
@@ -242,7 +244,7 @@
 
 
 def _short_trace(path: Path) -> bytes:
-    """Return the bytes of a trace with a few steps."""
+    """Return the content of a trace with a few inputs."""
     own, options, clock = (
         strategies.member("own", 3),
         CoreOptions(),
@@ -268,12 +270,12 @@
 
 
 def check(name: str, *, examples: int, number: int | None = None) -> None:
-    """Run one property; raises what it finds.
+    """Run one property; raises the first failure.
 
     Args:
         name: Name of the property.
         examples: Number of examples.
-        number: Seed, None for the fixed examples of the test suite.
+        number: Seed, or None for the fixed examples of the test suite.
     """
     run_property = PROPERTIES.get(name)
     configured = settings(
@@ -282,7 +284,9 @@
         derandomize=number is None,
         database=None,
         suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate,),  # shrinking a whole run of a core takes up to five minutes
+        phases=(
+            Phase.generate,
+        ),  # without shrinking, which takes up to five minutes for a whole run
     )
 
     @configured
@@ -294,7 +298,7 @@
 
 
 def main() -> int:
-    """Run all properties with new seeds until the time is up or one fails."""
+    """Run all properties with changing seeds until the time is up or one fails."""
     parser = argparse.ArgumentParser(prog="python -m citronrack.proof.fuzz")
     parser.add_argument("--minutes", type=float, default=5.0)
     parser.add_argument("--seed", type=int, default=1, help="seed of the first round")
--- a/src/citronrack/proof/language.py
+++ b/src/citronrack/proof/language.py
@@ -1,4 +1,4 @@
-"""Base classes of events and expectations, and references to names of the world."""
+"""Base classes of events and expectations, and fields that refer to names of the world."""
 
 from __future__ import annotations
 
@@ -15,11 +15,11 @@
 
 
 def ref(kind: str, *, default: str | None = None) -> Any:
-    """Return a field whose text must name something of the world.
+    """Return a field whose value must be a name in the world.
 
     Args:
         kind: ``node``, ``zone``, ``side``, ``route``, ``service``, ``plan`` or ``fault``.
-        default: Text that stands for no name.
+        default: Value that refers to nothing.
     """
     if default is None:
         return field(metadata={REFERENCE: kind})
@@ -27,29 +27,29 @@
 
 
 def number(low: float, high: float, *, default: float) -> Any:
-    """Return a field for a number from ``low`` to ``high``."""
+    """Return a field for a number between ``low`` and ``high``."""
     return field(default=default, validator=checks.between(low, high))
 
 
 @frozen(kw_only=True)
 class TimedEvent:
-    """Something that happens at ``at`` seconds."""
+    """Event that happens at ``at`` seconds."""
 
     at: float = field(validator=checks.between(0, 3_600))
 
     def apply(self, world: World) -> None:
-        """Let it happen."""
+        """Apply the event to the world."""
         raise NotImplementedError
 
 
 @frozen(kw_only=True)
 class Expectation:
-    """Something that must hold at ``at`` seconds; without ``at`` at the end of the run."""
+    """Condition that must hold at ``at`` seconds, by default at the end of the run."""
 
     at: float = END_OF_RUN
 
     def fault(self, world: World) -> str:
-        """Return what does not hold, empty when all is well."""
+        """Return a description of what does not hold, empty when the condition holds."""
         raise NotImplementedError
 
 
--- a/src/citronrack/proof/language_page.py
+++ b/src/citronrack/proof/language_page.py
@@ -1,4 +1,4 @@
-"""Writes ``docs/scenarios.md`` from the registries when it is run as a module."""
+"""Generates ``docs/scenarios.md`` from the registries when run as a module."""
 
 from __future__ import annotations
 
@@ -19,18 +19,19 @@
 PAGE = "docs/scenarios.md"
 INTRODUCTION = """# Scenarios
 
-A scenario is a YAML file that runs the real `NodeCore` of every node on simulated time, between
-fakes of the clock, the links, the log service, the targets and the callers.
+A scenario is a YAML file. It runs the real `NodeCore` of every node in simulated time, with fakes
+of the clock, the links, the log service, the targets and the callers.
 
 ```
 citronrack scenario run PATH... [--seed N] [--checks] [--trace NODE=FILE] [--format text|json]
 ```
 
-The same file and seed give the same run. The exit code is 1 when an expectation or an invariant is
-broken or a file is wrong. A scenario whose `needs` are not wired in this version is printed as
-skipped. `python -m citronrack.proof.language_page` writes this page; a test compares it.
+The same file and seed give the same run. The exit code is 1 when an expectation fails, an invariant
+is violated or a file is invalid. A scenario whose `needs` are not present in this version is
+reported as skipped. `python -m citronrack.proof.language_page` generates this page; a test checks
+that it is up to date.
 
-Nodes are named `SERVICE-NUMBER`, such as `catalogue-1`, and are given to the zones in turn. The
+Nodes are named `SERVICE-NUMBER`, such as `catalogue-1`, and are assigned to zones round-robin. The
 routes are `lookups`, `orders`, `photos`, `stock` at `spoorhout`, and `stalls`, `bookings`, `fees`,
 `bundles` at `harbor-lantern`.
 """
@@ -57,14 +58,19 @@
 
 
 def scenarios_page() -> str:
-    """Return the page."""
+    """Return the content of the page."""
     lines = [INTRODUCTION, "## File", ""]
     for kind in (ScenarioHead, WorldSpec, TargetSpec, LinkSpec, LogSpec, LoadSpec):
         lines.extend(_section(kind.__name__, kind, ""))
     lines.extend(_registry("Events", EVENT_KINDS, "do"))
     lines.extend(_registry("Expectations", EXPECTATION_KINDS, "that"))
     lines.extend(
-        ["## Invariants", "", "A checker without observations reports `not exercised`.", ""]
+        [
+            "## Invariants",
+            "",
+            "A checker without relevant observations reports `not exercised`.",
+            "",
+        ]
     )
     lines.extend(f"- {name}: {CHECKERS.get(name).title}" for name in CHECKERS)
     lines.extend(["", "## Parts for `needs`", ""])
--- a/src/citronrack/proof/log_access.py
+++ b/src/citronrack/proof/log_access.py
@@ -1,4 +1,4 @@
-"""Fakes of the reader and append tasks of one node."""
+"""Fakes of the reader task and the append task of one node."""
 
 from __future__ import annotations
 
@@ -32,12 +32,12 @@
 
 @frozen
 class LogConnection:
-    """How one node reaches the log.
+    """Connection of one node to the log service.
 
     Attributes:
         timeline: Simulated time.
         log: The log service.
-        network: Links.
+        network: Links between the zones and the platform.
         zone: Zone of the node.
         random: Source of random numbers.
     """
@@ -50,26 +50,26 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether packets pass between the node and the platform."""
+        """Whether the link between the node's zone and the platform is open."""
         return not self.network.is_blocked(self.zone, PLATFORM)
 
     @property
     def round_trip_s(self) -> float:
-        """Time of a request and its answer, service time included."""
+        """Time for a request and its answer in seconds, including the service time."""
         return 2 * self.network.delay_s(self.zone, PLATFORM) + self.log.delay_s
 
     def backoff_s(self, failures: int) -> float:
-        """Return a full-jitter delay."""
+        """Return the delay before a retry: exponential backoff with full jitter."""
         return self.random.uniform(0, min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**failures))
 
 
 class FakeReader:
-    """Polls like `ReaderTask` and posts the same mail.
+    """Polls the log like `ReaderTask` and posts the same messages to the core.
 
     Args:
-        path: Access to the log.
-        state: What to read.
-        post: Takes mail for the core; returns False when the process has ended.
+        connection: Connection to the log service.
+        state: Reading position of the core.
+        post: Passes a message to the core; returns False when the process has ended.
     """
 
     def __init__(
@@ -83,17 +83,17 @@
         self._stopped = False
 
     def stop(self) -> None:
-        """End with the process."""
+        """Stop with the process."""
         self._stopped = True
 
     def begin(self) -> None:
-        """Poll for the first time, after the same jitter as the real task."""
+        """Schedule the first poll, with the same jitter as the real task."""
         self._connection.timeline.after(
             self._connection.random.uniform(0, START_JITTER_S), self.poll
         )
 
     def poll(self) -> None:
-        """Send one request, or wait until the core wants one."""
+        """Send one request, or wait while the core does not read the log."""
         if self._stopped:
             return
         if not self._state.reads_log:
@@ -111,7 +111,7 @@
         )
 
     def _serve(self, start: int, deadline: float) -> None:
-        """Answer at the service, or hold the request until a record arrives."""
+        """Answer the request at the service, or hold it until a record arrives."""
         log, timeline = self._connection.log, self._connection.timeline
         try:
             page = log.read(RECORDS_STREAM, start, limit=PAGE_RECORDS)
@@ -158,7 +158,7 @@
             self._handle_failure(str(error))
             return
         if not page.records:
-            self._handle_failure("the wanted offset is trimmed and no snapshot exists")
+            self._handle_failure("the requested offset is trimmed and no snapshot exists")
             return
         if not self._stopped and self._post(SnapshotRead(page.records[0][1])):
             self._connection.timeline.after(IDLE_S, self.poll)
@@ -176,12 +176,12 @@
 
 
 class FakeAppender:
-    """Appends one record after the other; a retry keeps writer and sequence.
+    """Appends records one at a time; a retry keeps the writer and the sequence number.
 
     Args:
-        path: Access to the log.
+        connection: Connection to the log service.
         writer: ``node name/boot id``.
-        wall_ms: The node's wall clock.
+        wall_ms: Returns the time of the node's wall clock in milliseconds.
     """
 
     def __init__(
@@ -195,17 +195,17 @@
         self._stopped = False
 
     def stop(self) -> None:
-        """End with the process; queued records are lost."""
+        """Stop with the process; queued records are lost."""
         self._stopped = True
 
     def submit(self, body: Any, on_done: Callable[[AppendDone], Any]) -> None:
-        """Queue a record body."""
+        """Queue a record body for appending."""
         self._jobs.append(_Job(body, on_done))
         if len(self._jobs) == 1:
             self._next()
 
     def submit_snapshot(self, data: bytes, on_done: Callable[[SnapshotDone], Any]) -> None:
-        """Write a snapshot; one try, the core asks again."""
+        """Append a snapshot in a single attempt; the core repeats the request if it fails."""
         self._connection.timeline.after(
             self._connection.round_trip_s / 2, lambda: self._snapshot(data, on_done)
         )
--- a/src/citronrack/proof/network.py
+++ b/src/citronrack/proof/network.py
@@ -1,4 +1,4 @@
-"""Fake links between zones and to the platform."""
+"""Fake network between zones and to the platform."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class FakeNetwork:
-    """Delivers messages with delay, jitter and loss, unless the zones are cut off.
+    """Delivers messages with delay, jitter and loss, except over blocked links.
 
     Args:
         timeline: Simulated time.
@@ -24,7 +24,7 @@
         spec: Jitter and loss of the links between zones.
         zones: Zones of the deployment.
         link_ms: One-way delay between zones.
-        deliver: Takes ``(to address, sender address, message)`` on arrival.
+        deliver: Called with ``(to address, sender address, message)`` on arrival.
     """
 
     def __init__(
@@ -48,21 +48,21 @@
         self.messages = 0
 
     def block_link(self, one: str, other: str) -> None:
-        """Let nothing pass between two zones, or a zone and the platform."""
+        """Block the link between two zones, or between a zone and the platform."""
         self._blocked_links.add(frozenset((one, other)))
 
     def isolate(self, zone: str) -> None:
-        """Cut a zone off from everything."""
+        """Block all links of a zone."""
         for other in (*self._zones, PLATFORM):
             if other != zone:
                 self.block_link(zone, other)
 
     def heal(self) -> None:
-        """Restore all links."""
+        """Unblock all links."""
         self._blocked_links.clear()
 
     def is_blocked(self, one: str, other: str) -> bool:
-        """Return whether nothing passes between the two."""
+        """Return whether the link between the two is blocked."""
         return frozenset((one, other)) in self._blocked_links
 
     def connected_zones(self) -> set[str]:
@@ -80,13 +80,13 @@
         return found
 
     def delay_s(self, one: str, other: str) -> float:
-        """Return the one-way delay of one packet in seconds."""
+        """Return the one-way delay of a packet in seconds."""
         base = WITHIN_ZONE_MS if one == other else self._link_ms
         jitter = 0.0 if one == other else self._random.uniform(0, self._spec.jitter_ms)
         return (base + jitter) / 1000
 
     def send(self, sender: str, effect: Send) -> None:
-        """Carry one message; losses are silent, as on a real link."""
+        """Send one message; a lost message is not reported, as on a real link."""
         self.messages += 1
         zone = self.zone_of[sender]
         other = self.zone_of.get(effect.to)
--- a/src/citronrack/proof/observations.py
+++ b/src/citronrack/proof/observations.py
@@ -1,4 +1,4 @@
-"""What the checkers and expectations see of a run; ``at`` is always simulated seconds."""
+"""Observations of a run, the input of checkers and expectations."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 
 @frozen
 class Observation:
-    """Something that happened at ``at``."""
+    """Base of all observations; ``at`` is the simulated time in seconds."""
 
     at: float
 
 
 @frozen
 class NodeStarted(Observation):
-    """A node's process has started without state."""
+    """A node process has started without state."""
 
     node: str
     availability_zone: str
@@ -31,7 +31,7 @@
 
 @frozen
 class NodeStopped(Observation):
-    """A node's process has ended; ``calls_cut`` requests were still in flight."""
+    """A node process has ended while ``calls_cut`` requests were in flight."""
 
     node: str
     planned: bool
@@ -40,14 +40,14 @@
 
 @frozen
 class DrainStarted(Observation):
-    """A target is leaving."""
+    """The drain of a target has begun."""
 
     node: str
 
 
 @frozen
 class Reachability(Observation):
-    """Whether a node runs and has a path to the platform, directly or through other zones."""
+    """Whether a node is running and has a path to the platform, directly or through other zones."""
 
     node: str
     reachable: bool
@@ -55,21 +55,21 @@
 
 @frozen
 class LogState(Observation):
-    """Whether the platform's log answers."""
+    """Whether the platform's log is available."""
 
     up: bool
 
 
 @frozen
 class ConfigAccepted(Observation):
-    """The log holds a record that makes ``config`` the version in force."""
+    """A record in the log makes ``config`` the version in force."""
 
     config: ConfigSet
 
 
 @frozen
 class ConfigRefused(Observation):
-    """The log holds a confirmation that must not take effect."""
+    """A confirmation in the log must not take effect."""
 
     offset: int
     reason: str
@@ -77,7 +77,7 @@
 
 @frozen
 class ConfigInForce(Observation):
-    """A node has put ``config`` in force."""
+    """A node has activated ``config``."""
 
     node: str
     boot: int
@@ -86,7 +86,7 @@
 
 @frozen
 class ReadinessChanged(Observation):
-    """A node's readiness has changed; ``serving`` tells whether it answers calls."""
+    """The readiness of a node has changed; ``serving`` is whether it accepts calls."""
 
     node: str
     boot: int
@@ -97,7 +97,7 @@
 
 @frozen
 class ShareGiven(Observation):
-    """A node gives ``share`` of_kind a route's calls to ``service_version``."""
+    """A node routes ``share`` of a route's calls to ``service_version``."""
 
     node: str
     route: str
@@ -108,7 +108,7 @@
 
 @frozen
 class VersionTurnedBad(Observation):
-    """From now on the service version is bad; known to the scenario, not to the nodes."""
+    """A service version is bad from now on; the nodes are not informed."""
 
     service: str
     service_version: str
@@ -116,7 +116,7 @@
 
 @frozen
 class MarkSeen(Observation):
-    """A node holds a mark against the service version for the first time."""
+    """A node has received a mark against a service version."""
 
     node: str
     service: str
@@ -135,7 +135,7 @@
 
 @frozen
 class WorkOffered(Observation):
-    """A call has reached the node beside a target."""
+    """A call has arrived at the node beside a target."""
 
     call: int
     target: str
@@ -143,7 +143,7 @@
 
 @frozen
 class WorkStarted(Observation):
-    """A target has begun to run an attempt of a call."""
+    """A target has started to run an attempt of a call."""
 
     call: int
     attempt: int
@@ -156,7 +156,7 @@
 
 @frozen
 class AttemptEnded(Observation):
-    """An attempt is over for the caller's side."""
+    """The caller's node has finished an attempt."""
 
     call: int
     attempt: int
@@ -165,7 +165,7 @@
 
 @frozen
 class CallAnswered(Observation):
-    """A caller got an answer that the target made for call ``answer_to``."""
+    """A caller got an answer; the target produced it for call ``answer_to``."""
 
     call: int
     answer_to: int
@@ -175,7 +175,7 @@
 
 @frozen
 class CallRefused(Observation):
-    """A caller got no answer of a target; ``verdict`` is what it was told."""
+    """A caller got no answer from a target; ``verdict`` is what was reported to it."""
 
     call: int
     verdict: Verdict
@@ -183,26 +183,26 @@
 
 @frozen
 class Moment(Observation):
-    """A second has passed."""
+    """One second of simulated time has passed."""
 
 
 Handler = Callable[[Any], None]
 
 
 class ObservationDispatcher:
-    """Passes each observation to those who watch its class."""
+    """Passes each observation to the handlers that subscribed to its class."""
 
     def __init__(self) -> None:
         self._subscriptions: list[tuple[Handler, frozenset[type[Any]] | None]] = []
         self._by_class: dict[type[Any], tuple[Handler, ...]] = {}
 
     def subscribe(self, handler: Handler, *, kinds: Iterable[type[Any]] | None = None) -> None:
-        """Pass on observations of ``kinds``, or all of them for None."""
+        """Call ``handler`` for observations of ``kinds``, or for all when None."""
         self._subscriptions.append((handler, None if kinds is None else frozenset(kinds)))
         self._by_class.clear()
 
     def __call__(self, observation: Observation) -> None:
-        """Pass ``observation`` on."""
+        """Pass ``observation`` to its subscribers."""
         kind = type(observation)
         handlers = self._by_class.get(kind)
         if handlers is None:
@@ -215,12 +215,12 @@
 
 @define
 class ObservationStore:
-    """Keeps observations by class for expectations."""
+    """Stores observations by class for expectations."""
 
     _by_class: dict[type[Any], list[Any]] = field(factory=dict)
 
     def observe(self, observation: Observation) -> None:
-        """Keep ``observation``."""
+        """Store ``observation``."""
         self._by_class.setdefault(type(observation), []).append(observation)
 
     def of_kind(self, kind: type[T]) -> list[T]:
--- a/src/citronrack/proof/operator_events.py
+++ b/src/citronrack/proof/operator_events.py
@@ -1,4 +1,4 @@
-"""Events that operators cause."""
+"""Events caused by operators."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 def timeout_intent(node: SimNode, route: str, timeout_ms: int) -> Intent:
-    """Return an intent that changes a route's time limit."""
+    """Return an intent that changes the timeout of a route; empty when the route is unknown."""
     present = node.core.fold.config.routes.get(route)
     if present is None:
         return Intent()
@@ -26,7 +26,7 @@
 
 
 def move_intent(node: SimNode, route: str, to_version: str, deadline_s: float) -> Intent:
-    """Return an intent that moves a route within ``deadline_s``."""
+    """Return an intent that moves a route to ``to_version`` within ``deadline_s`` seconds."""
     deadline_ms = node.clock.wall_ms() + round(deadline_s * 1000)
     return Intent(moves=(MoveIntent(route, to_version, deadline_ms),))
 
@@ -34,15 +34,15 @@
 @EVENT_KINDS.register("publish")
 @frozen(kw_only=True)
 class Publish(TimedEvent):
-    """An operator plans and confirms a new time limit of a route.
+    """An operator plans and confirms a new timeout of a route.
 
     Attributes:
         route: The route.
-        timeout_ms: The new limit.
-        node: Node that the operator asks, empty for the first that serves.
-        plan: Label of the plan, for expectations.
-        repeat: Number of such changes, each with another limit.
-        every_s: Seconds between them.
+        timeout_ms: New timeout in milliseconds.
+        node: Node that receives the request, empty for the first serving node.
+        plan: Label of the plan for expectations.
+        repeat: Number of such changes, each with a different timeout.
+        every_s: Seconds between the changes.
     """
 
     route: str = ref("route")
@@ -53,7 +53,7 @@
     every_s: float = number(0, 600, default=1.0)
 
     def apply(self, world: World) -> None:
-        """Plan and confirm."""
+        """Make and confirm the plan."""
         for turn in range(self.repeat):
             world.timeline.after(turn * self.every_s, partial(self._once, world, turn))
 
@@ -67,10 +67,10 @@
 @EVENT_KINDS.register("publish_invalid")
 @frozen(kw_only=True)
 class PublishInvalid(TimedEvent):
-    """A confirmation with a valid and an invalid part reaches the log, past all checks of a node.
+    """A partly invalid confirmation is appended to the log, bypassing the checks of a node.
 
     Attributes:
-        route: Route whose time limit the valid part changes.
+        route: Route whose timeout the valid part changes.
     """
 
     route: str = ref("route")
@@ -88,13 +88,13 @@
 @EVENT_KINDS.register("plan")
 @frozen(kw_only=True)
 class PlanTimeout(TimedEvent):
-    """An operator plans a new time limit of a route and does not confirm it yet.
+    """An operator plans a new timeout of a route without confirming the plan.
 
     Attributes:
         plan: Label of the plan.
         route: The route.
-        timeout_ms: The new limit.
-        node: Node that the operator asks, empty for the first that serves.
+        timeout_ms: New timeout in milliseconds.
+        node: Node that receives the request, empty for the first serving node.
     """
 
     plan: str = ref("new-plan")
@@ -103,7 +103,7 @@
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
-        """Plan."""
+        """Make the plan."""
         node = world.resolve_node(self.node)
         world.operators.plan(self.plan, timeout_intent(node, self.route, self.timeout_ms), node)
 
@@ -111,14 +111,14 @@
 @EVENT_KINDS.register("plan_move")
 @frozen(kw_only=True)
 class PlanMove(TimedEvent):
-    """An operator plans a move and does not confirm it yet.
+    """An operator plans a move without confirming the plan.
 
     Attributes:
         plan: Label of the plan.
-        route: Route whose traffic moves.
-        to_version: Release that gains the traffic.
-        deadline_s: Seconds from now until the move must have finished.
-        node: Node that the operator asks, empty for the first that serves.
+        route: Route whose traffic is moved.
+        to_version: Service version that receives the traffic.
+        deadline_s: Seconds within which the move must finish.
+        node: Node that receives the request, empty for the first serving node.
     """
 
     plan: str = ref("new-plan")
@@ -128,7 +128,7 @@
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
-        """Plan."""
+        """Make the plan."""
         node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
@@ -141,14 +141,14 @@
 
     Attributes:
         plan: Label of the plan.
-        node: Node that the operator asks, empty for the first that serves.
+        node: Node that receives the request, empty for the first serving node.
     """
 
     plan: str = ref("plan")
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
-        """Confirm."""
+        """Confirm the plan."""
         world.operators.confirm(self.plan, world.resolve_node(self.node))
 
 
@@ -158,11 +158,11 @@
     """An operator plans and confirms a move.
 
     Attributes:
-        route: Route whose traffic moves.
-        to_version: Release that gains the traffic.
-        deadline_s: Seconds from now until the move must have finished.
-        node: Node that the operator asks, empty for the first that serves.
-        plan: Label of the plan, for expectations.
+        route: Route whose traffic is moved.
+        to_version: Service version that receives the traffic.
+        deadline_s: Seconds within which the move must finish.
+        node: Node that receives the request, empty for the first serving node.
+        plan: Label of the plan for expectations.
     """
 
     route: str = ref("route")
@@ -172,7 +172,7 @@
     plan: str = ref("new-plan", default="move")
 
     def apply(self, world: World) -> None:
-        """Plan and confirm."""
+        """Make and confirm the plan."""
         node = world.resolve_node(self.node)
         intent = move_intent(node, self.route, self.to_version, self.deadline_s)
         world.operators.plan(self.plan, intent, node)
@@ -182,12 +182,12 @@
 @EVENT_KINDS.register("race")
 @frozen(kw_only=True)
 class Race(TimedEvent):
-    """Two operators plan on the same version and confirm at the same time through two nodes.
+    """Two operators plan on the same version and confirm concurrently through two nodes.
 
     Attributes:
-        route: Route whose time limit both change.
-        left: Node of one operator; its plan has the label ``left``.
-        right: Node of the other; its plan has the label ``right``.
+        route: Route whose timeout both plans change.
+        left: Node of the first operator, whose plan has the label ``left``.
+        right: Node of the second operator, whose plan has the label ``right``.
     """
 
     route: str = ref("route")
@@ -195,7 +195,7 @@
     right: str = ref("node")
 
     def apply(self, world: World) -> None:
-        """Plan twice, then confirm both."""
+        """Make both plans, then confirm both."""
         sides = (("left", world.node(self.left), 3_000), ("right", world.node(self.right), 2_000))
         for label, node, timeout_ms in sides:
             world.operators.plan(label, timeout_intent(node, self.route, timeout_ms), node)
@@ -210,12 +210,12 @@
 
     Attributes:
         route: The route.
-        node: Node that the operator asks, empty for the first that serves.
+        node: Node that receives the request, empty for the first serving node.
     """
 
     route: str = ref("route")
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
-        """Cancel."""
+        """Cancel the move."""
         world.operators.cancel(self.route, world.resolve_node(self.node))
--- a/src/citronrack/proof/operators.py
+++ b/src/citronrack/proof/operators.py
@@ -1,4 +1,4 @@
-"""Operators that plan, confirm and cancel through a node, as the API does."""
+"""Simulated operators that plan, confirm and cancel through a node, as the API does."""
 
 from __future__ import annotations
 
@@ -19,13 +19,13 @@
 
 @define
 class TrackedPlan:
-    """What an operator knows about a plan.
+    """A plan and its result, as far as the operator knows it.
 
     Attributes:
-        plan: The plan, None when it could not be made.
+        plan: The plan, None when it could not be computed.
         result: ``planned``, ``refused``, ``waiting``, ``accepted`` or ``unknown``.
-        reason: Why it was refused.
-        version: Version that it made, -1 for none.
+        reason: Why the result is ``refused`` or ``unknown``.
+        version: Configuration version that the plan created, -1 for none.
     """
 
     plan: Plan | None = None
@@ -35,13 +35,13 @@
 
 
 class OperatorWorld(Protocol):
-    """What operators need of the world."""
+    """Part of the world that operators use."""
 
     timeline: Timeline
 
 
 class Operators:
-    """Keeps the plans of a scenario by label.
+    """Makes and confirms the plans of a scenario, and stores them by label.
 
     Args:
         world: The simulated mesh.
@@ -55,7 +55,7 @@
         self.moves: dict[str, str] = {}
 
     def plan(self, label: str, intent: Intent, node: SimNode) -> TrackedPlan:
-        """Let a node compute a plan from the version that it holds."""
+        """Compute a plan from the configuration version that a node holds."""
         tracked = self.plans[label] = TrackedPlan()
         base = node.core.fold.config
         if not node.serving:
@@ -73,7 +73,7 @@
         return tracked
 
     def confirm(self, label: str, node: SimNode) -> None:
-        """Confirm a plan through a node; its track gets the result later."""
+        """Confirm a plan through a node; the result is stored in its `TrackedPlan` later."""
         tracked = self.plans[label]
         plan = tracked.plan
         if plan is None:
--- a/src/citronrack/proof/parts.py
+++ b/src/citronrack/proof/parts.py
@@ -1,4 +1,4 @@
-"""Parts of the system that a scenario can need."""
+"""Optional parts of the system that a scenario can require."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 @frozen
 class Part:
-    """A part that may not be wired yet.
+    """A part of the system that this version may lack.
 
     Attributes:
-        class_name: Class whose use in the node's cores shows that the part is wired.
-        meaning: What it adds.
+        class_name: Class that the modules of the node's cores import when the part is present.
+        meaning: Short description of the part.
     """
 
     class_name: str
@@ -23,7 +23,7 @@
 
     @property
     def present(self) -> bool:
-        """Whether the cores of the node use the class."""
+        """Whether the modules of the node's cores use the class."""
         return any(
             hasattr(module, self.class_name)
             for module in (core, cores, duties, moving, distribution)
@@ -38,5 +38,5 @@
 
 
 def missing_parts(names: tuple[str, ...]) -> tuple[str, ...]:
-    """Return those of the named parts that are not wired."""
+    """Return the named parts that are not present."""
     return tuple(name for name in names if not PARTS.get(name).present)
--- a/src/citronrack/proof/replay.py
+++ b/src/citronrack/proof/replay.py
@@ -1,4 +1,4 @@
-"""Runs the inputs of a trace again and compares the decisions."""
+"""Replays the inputs of a trace and compares the decisions."""
 
 from __future__ import annotations
 
@@ -36,16 +36,16 @@
 
 
 class TraceError(CitronrackError):
-    """A trace cannot be read; the message names file, line and byte."""
+    """A trace cannot be read; the message states file, line and byte offset."""
 
 
 @frozen
 class TraceLine:
-    """One checked line.
+    """A line of a trace whose checksum matched.
 
     Attributes:
         number: Line number, from 1.
-        content: What it says.
+        content: Decoded content of the line.
     """
 
     number: int
@@ -54,14 +54,14 @@
 
 @frozen
 class Difference:
-    """The first decision that differs.
+    """The first decision that differs from the recorded one.
 
     Attributes:
-        line: Line of the trace.
+        line: Line number in the trace.
         step: Number of the input.
-        name: What differs.
+        name: Field of `Decisions` that differs.
         expected: Recorded value.
-        found: Value of this run.
+        found: Value in this run.
     """
 
     line: int
@@ -77,8 +77,8 @@
 
     Attributes:
         node: Name of the recorded node.
-        steps: Number of inputs that were run.
-        end: Why the recording ended.
+        steps: Number of replayed inputs.
+        end: Reason why the recording ended.
         difference: First difference, None when all decisions are equal.
         checks: Results of the invariant checkers.
     """
@@ -92,7 +92,7 @@
 
 @define
 class _ReplayClock:
-    """Shows the times of the trace."""
+    """Clock that returns the times and the load recorded in the trace."""
 
     now: float = 0.0
     wall: int = 0
@@ -109,10 +109,10 @@
 
 
 def read_trace(path: str | Path) -> Iterator[TraceLine]:
-    """Yield the checked lines of a trace, the marker line last.
+    """Yield the verified lines of a trace; the last one is the end line.
 
     Raises:
-        TraceError: At the first damaged line, or when the marker line is missing.
+        TraceError: At the first damaged line, or when the end line is missing.
     """
     checksum, offset, number, ended = 0, 0, 0, False
     try:
@@ -121,7 +121,7 @@
                 number += 1
                 location = f"{path}:{number}: byte {offset}"
                 if ended:
-                    raise TraceError(f"{location}: the trace goes on after its end")
+                    raise TraceError(f"{location}: the trace continues after its end line")
                 content, checksum = _check_line(data, checksum, location)
                 ended = "end" in content
                 yield TraceLine(number, content)
@@ -129,13 +129,13 @@
     except OSError as error:
         raise TraceError(f"{path}: cannot be read: {error.strerror}") from error
     if not ended:
-        raise TraceError(f"{path}:{number + 1}: byte {offset}: the trace ends without its end line")
+        raise TraceError(f"{path}:{number + 1}: byte {offset}: the trace has no end line")
 
 
 def _check_line(data: bytes, checksum: int, location: str) -> tuple[dict[str, Any], int]:
     if not data.endswith(b"\n"):
-        raise TraceError(f"{location}: the line is cut off")
-    # The checksum covers the bytes as written; parsing would lose a change of a float's last digit.
+        raise TraceError(f"{location}: the line is truncated")
+    # The checksum covers the bytes as written: a changed last digit of a float may parse equal.
     head, text = data[:LINE_PREFIX_BYTES], data[LINE_PREFIX_BYTES : -len(LINE_SUFFIX)]
     checksum = zlib.crc32(text, checksum)
     if head != line_prefix(checksum) or not data.endswith(LINE_SUFFIX):
@@ -145,24 +145,24 @@
     except (ValueError, RecursionError) as error:
         raise TraceError(f"{location}: the line is not valid JSON") from error
     if not isinstance(content, dict):
-        raise TraceError(f"{location}: the line is not a map")
+        raise TraceError(f"{location}: the line is not a JSON object")
     return content, checksum
 
 
 class _TraceRunner:
-    """A core that is fed from a trace."""
+    """Runs the inputs of a trace on a new core."""
 
     def __init__(self, line: TraceLine, path: str | Path, writer: TraceWriter | None) -> None:
         head = line.content
         if head.get("trace") != TRACE_FORMAT:
-            raise TraceError(f"{path}:{line.number}: is not a trace of format {TRACE_FORMAT}")
+            raise TraceError(f"{path}:{line.number}: not a trace of format {TRACE_FORMAT}")
         try:
             self.own = from_plain(head.get("own"), Member, name="own")
             options = from_plain(head.get("options"), CoreOptions, name="options")
             seed = int(head["seed"])
             self._clock = _ReplayClock(head["monotonic"], head["wall_ms"], head["load"])
         except (PlainFaults, KeyError, TypeError, ValueError) as error:
-            raise TraceError(f"{path}:{line.number}: wrong first line: {error}") from error
+            raise TraceError(f"{path}:{line.number}: invalid first line: {error}") from error
         self._views = ViewHolder()
         self._core = make_core(
             own=self.own,
@@ -170,7 +170,7 @@
             clock=self._clock,
             random=seeded_random(seed),
             views=self._views,
-            append=lambda body: None,  # Results of appends are part of the trace.
+            append=lambda body: None,  # The results of appends are inputs in the trace.
             append_snapshot=lambda data: None,
             own_load=self._clock.own_load,
         )
@@ -187,7 +187,7 @@
             writer.begin(own=self.own, options=options, seed=seed, clock=self._clock)
 
     def run(self, content: dict[str, Any]) -> Decisions:
-        """Feed one input and return what was decided."""
+        """Run one input and return the resulting decisions."""
         self._clock.now, self._clock.wall = content["monotonic"], content["wall_ms"]
         self._clock.load = content["load"]
         if self._start is None:
@@ -214,12 +214,12 @@
 
 @define
 class _ExpectedDecisions:
-    """The recorded decisions, rebuilt from their changes."""
+    """The recorded decisions, reconstructed from the recorded changes."""
 
     values: dict[str, Any]
 
     def compare(self, line: TraceLine, found: Decisions) -> Difference | None:
-        """Return the first field that differs after the input of ``line``."""
+        """Return the first field of the decisions that differs after the input in ``line``."""
         self.values.update(line.content.get("decided", {}))
         for name, expected in self.values.items():
             value = getattr(found, name, None)
@@ -232,15 +232,15 @@
 def replay(
     path: str | Path, *, expect: str | Path | None = None, write: str | Path | None = None
 ) -> ReplayResult:
-    """Run the inputs of a trace again.
+    """Replay the inputs of a trace.
 
     Args:
-        path: The trace.
-        expect: Another trace of the same inputs whose decisions are compared instead.
-        write: File that gets a trace with the decisions of this run.
+        path: Path of the trace.
+        expect: Another trace of the same inputs, whose decisions are the expected ones.
+        write: File to write a trace with the decisions of this run to.
 
     Raises:
-        TraceError: When a trace is damaged or truncated, or a step cannot be repeated.
+        TraceError: When a trace is damaged or truncated, or an input cannot be replayed.
     """
     lines = read_trace(path)
     expected_lines = read_trace(expect) if expect is not None else None
@@ -256,7 +256,7 @@
             other = _expected_line(line, expected_lines, expect)
             if "end" in line.content:
                 end = str(line.content["end"])
-                continue  # lets the reader find lines behind the end
+                continue  # Reads on, so that lines after the end line are detected.
             found = _run_step(runner, line, path)
             steps += 1
             difference = difference or expected.compare(other, found)
@@ -279,7 +279,7 @@
         return line
     other = next(expected, None)
     if other is None or other.content.get("step") != line.content.get("step"):
-        raise TraceError(f"{path}:{line.number}: is not a trace of the same inputs")
+        raise TraceError(f"{path}:{line.number}: not a trace of the same inputs")
     return other
 
 
@@ -287,5 +287,5 @@
     try:
         return runner.run(line.content)
     except (KeyError, TypeError, MessageRejected) as error:
-        text = f"{path}:{line.number}: the input cannot be repeated: {error!r}"
+        text = f"{path}:{line.number}: the input cannot be replayed: {error!r}"
         raise TraceError(text) from error
--- a/src/citronrack/proof/runner.py
+++ b/src/citronrack/proof/runner.py
@@ -1,4 +1,4 @@
-"""Runs scenarios and collects what broke."""
+"""Runs scenarios and collects failed expectations and violated invariants."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class RunState(StrEnum):
-    """How a scenario ended."""
+    """Outcome of a scenario."""
 
     PASSED = "passed"
     FAILED = "failed"
@@ -36,14 +36,14 @@
     """Result of one scenario.
 
     Attributes:
-        path: Its file.
-        name: Its name.
+        path: Path of the scenario file.
+        name: Name of the scenario.
         seed: Seed of the run.
-        state: How it ended.
-        faults: Broken expectations, each with its line, and broken invariants.
+        state: Outcome of the run.
+        faults: Failed expectations, each with file and line, and violated invariants.
         checks: Result of each invariant checker.
-        fingerprint: Digest over all observations; equal for equal runs.
-        missing: Parts that it needs and that are not there.
+        fingerprint: Digest of all observations; equal for identical runs.
+        missing: Required parts that are not present.
     """
 
     path: str
@@ -57,13 +57,16 @@
 
 
 class Fingerprint:
-    """Hashes kind and exact time of all observations; the times depend on all random numbers."""
+    """Hash of the class and exact time of all observations.
+
+    The times depend on all random numbers, so that runs with different seeds differ.
+    """
 
     def __init__(self) -> None:
         self._hash = hashlib.blake2b(digest_size=8)
 
     def observe(self, observation: Observation) -> None:
-        """Add an observation."""
+        """Add an observation to the hash."""
         self._hash.update(f"{type(observation).__name__} {observation.at!r}".encode())
 
     def text(self) -> str:
@@ -72,7 +75,7 @@
 
 
 class _Expectations:
-    """Checks expectations at their times."""
+    """Checks the expectations of a scenario at their times."""
 
     def __init__(self, scenario: Scenario, world: World) -> None:
         self._scenario = scenario
@@ -80,13 +83,13 @@
         self.faults: list[str] = []
 
     def schedule(self) -> None:
-        """Plan the checks that have a time."""
+        """Schedule the checks that have a time."""
         for entry, line in self._entries():
             if entry.at != END_OF_RUN:
                 self._world.timeline.at(entry.at, partial(self._check, entry, line))
 
     def finish(self) -> None:
-        """Check the others."""
+        """Check the expectations without a time."""
         for entry, line in self._entries():
             if entry.at == END_OF_RUN:
                 self._check(entry, line)
@@ -114,10 +117,10 @@
     """Run one scenario; the same seed gives the same result.
 
     Args:
-        scenario: A checked scenario.
-        seed: Seed of all random numbers.
-        rules: Choices of the call path, for tests.
-        traces: Trace files by node; each process writes one, with its number at the end.
+        scenario: A validated scenario.
+        seed: Seed for all random numbers.
+        rules: Decisions of the call path, replaced by tests.
+        traces: Paths of trace files by node; each process appends its boot number to the path.
     """
     missing = missing_parts(scenario.head.needs)
     if missing:
@@ -159,17 +162,17 @@
 
 
 def find_scenarios(paths: list[str]) -> list[Path]:
-    """Return the scenario files that the paths name; folders are searched.
+    """Return the scenario files at the paths; folders are searched recursively.
 
     Raises:
-        ScenarioError: When a path does not exist or holds no scenario.
+        ScenarioError: When a path does not exist or contains no scenario.
     """
     found: list[Path] = []
     for text in paths:
         path = Path(text)
         files = sorted(path.rglob("*.yaml")) if path.is_dir() else [path]
         if not files or not path.exists():
-            raise ScenarioError([f"{text}: holds no scenario"])
+            raise ScenarioError([f"{text}: contains no scenario"])
         found.extend(files)
     return found
 
@@ -177,10 +180,10 @@
 def run_files(
     paths: list[str], *, seed: int, traces: Mapping[str, str] | None = None
 ) -> list[ScenarioResult]:
-    """Load and run all named scenarios; a wrong file is a failed result.
+    """Load and run all scenarios at the paths; an invalid file gives a failed result.
 
     Raises:
-        ScenarioError: When a path does not exist or holds no scenario.
+        ScenarioError: When a path does not exist or contains no scenario.
     """
     results = []
     for path in find_scenarios(paths):
--- a/src/citronrack/proof/schema.py
+++ b/src/citronrack/proof/schema.py
@@ -1,4 +1,4 @@
-"""The fixed part of a scenario file; events and expectations have registries of their own."""
+"""Schema of a scenario file, except for events and expectations, which have registries."""
 
 from __future__ import annotations
 
@@ -21,10 +21,11 @@
     """Links between zones.
 
     Attributes:
-        delay_ms: One-way delay in milliseconds, -1 for that of the deployment.
-        jitter_ms: Largest extra delay of a packet; reorders messages.
-        loss: Part of the messages that is lost, 0 to 1.
-        encoded: Whether messages pass through the codec of the transport; slower.
+        delay_ms: One-way delay in milliseconds, -1 for the delay of the deployment.
+        jitter_ms: Maximum additional delay of a packet; can reorder messages.
+        loss: Share of messages that are lost, 0 to 1.
+        encoded: Whether messages are encoded and decoded by the codec of the transport, which is
+            slower.
     """
 
     delay_ms: float = field(default=-1.0, validator=checks.between(-1, 10_000))
@@ -38,8 +39,8 @@
     """The platform's log service.
 
     Attributes:
-        delay_ms: Time that it takes for an answer.
-        retention: Number of records that each stream keeps.
+        delay_ms: Time for each answer in milliseconds.
+        retention: Number of records that each stream retains.
     """
 
     delay_ms: float = field(default=3.0, validator=checks.between(0, 60_000))
@@ -48,10 +49,10 @@
 
 @frozen
 class LoadSpec:
-    """Calls of callers.
+    """Load from callers.
 
     Attributes:
-        calls_per_s: Mean number of calls a second over all zones.
+        calls_per_s: Mean number of calls per second over all zones.
     """
 
     calls_per_s: float = field(default=20.0, validator=checks.between(0, 2_000))
@@ -59,12 +60,12 @@
 
 @frozen
 class TargetSpec:
-    """Targets beside those of the deployment.
+    """Targets in addition to those of the deployment.
 
     Attributes:
         service: Name of the service.
-        service_version: Release that they run.
-        count: Number of targets, spread over the zones.
+        service_version: Service version of the targets.
+        count: Number of targets, distributed over the zones.
     """
 
     service: str = field(validator=checks.name)
@@ -74,16 +75,16 @@
 
 @frozen
 class WorldSpec:
-    """What a scenario starts with.
+    """Initial state of a scenario.
 
     Attributes:
         deployment: ``spoorhout`` or ``harbor-lantern``.
-        targets: Further targets, such as those of a new service version.
+        targets: Additional targets, such as those of a new service version.
         links: Links between zones.
         log: The platform's log service.
-        load: Calls of callers.
-        clock_skew_ms: Largest error of a node's wall clock.
-        start_spread_s: Nodes start within this many seconds.
+        load: Load from callers.
+        clock_skew_ms: Maximum offset of a node's wall clock in milliseconds.
+        start_spread_s: Interval in seconds in which the nodes start.
     """
 
     deployment: str
@@ -101,12 +102,12 @@
 
     Attributes:
         name: Short name.
-        about: Which failure the scenario guards against.
-        seconds: Simulated duration.
-        world: What it starts with.
-        events: What happens, each with ``at`` in seconds and ``do``.
-        expect: What must hold, each with ``at`` in seconds and ``that``.
-        needs: Parts of the system that it cannot run without.
+        about: Failure that the scenario guards against.
+        seconds: Simulated duration in seconds.
+        world: Initial state.
+        events: Events, each with ``at`` in seconds and ``do``.
+        expect: Expectations, each with ``at`` in seconds and ``that``.
+        needs: Parts of the system that the scenario requires.
     """
 
     name: str = field(validator=checks.name)
--- a/src/citronrack/proof/sim_node.py
+++ b/src/citronrack/proof/sim_node.py
@@ -1,4 +1,4 @@
-"""One simulated node: the real core between fakes of its tasks."""
+"""A simulated node: the real core with fakes in place of its tasks."""
 
 from __future__ import annotations
 
@@ -24,21 +24,21 @@
 from .timeline import NodeClock, Timeline
 from .trace import SteppedClock, TraceWriter, seeded_random, trace_core
 
-MAX_PAUSED_INBOX = 1_000  # the transport's high-water mark
+MAX_PAUSED_INBOX = 1_000  # high-water mark of the transport
 SEEDS_PER_ZONE = 3
 
 
 @frozen
 class NodePlacement:
-    """Where a node stands and what it serves.
+    """Zone, addresses and target of a node.
 
     Attributes:
         name: Name of the node.
-        number: Number from 1; makes its addresses unique.
+        number: Number from 1 that makes the node's addresses unique.
         availability_zone: Zone of the instance.
         service: Service of the target.
-        service_version: Release of the target.
-        slots: Calls that the target runs at once.
+        service_version: Service version of the target.
+        slots: Calls that the target runs concurrently.
     """
 
     name: str
@@ -50,11 +50,11 @@
 
     @property
     def address(self) -> str:
-        """Address for messages."""
+        """Address for messages from other nodes."""
         return f"tcp://127.0.0.1:{10_000 + self.number}"
 
     def member(self, incarnation: int) -> Member:
-        """Return the description of the node at its start."""
+        """Return the member entry of the node at its start."""
         return Member(
             name=self.name,
             address=self.address,
@@ -69,18 +69,18 @@
 
 
 class SimNode:
-    """Starts, feeds, pauses and ends one node.
+    """Runs the process of one node: start, inputs, pause and end.
 
     Args:
-        place: Where it stands.
-        target: The process beside it.
+        placement: Zone, addresses and target of the node.
+        target: The target beside the node.
         timeline: Simulated time.
-        clock: The instance's clocks.
-        path: Access to the log.
-        seeds: Addresses of nodes by zone.
+        clock: Clocks of the instance.
+        log_connection: Connection to the log service.
+        seeds: Addresses of seed nodes by zone.
         profile: Default policy for moves.
-        send: Carries messages to other nodes.
-        emit: Takes observations.
+        send: Sends a message to another node.
+        emit: Receives observations.
     """
 
     def __init__(
@@ -119,7 +119,7 @@
 
     @property
     def core(self) -> NodeCore:
-        """The decisions of the running process."""
+        """Core of the running process."""
         if self._core is None:
             raise RuntimeError(f"node {self.placement.name} was never started")
         return self._core
@@ -136,16 +136,16 @@
 
     @property
     def serving(self) -> bool:
-        """Whether it answers calls."""
+        """Whether the node accepts calls."""
         return self.up and not self.paused and self.views.current.ready
 
     @property
     def now(self) -> float:
-        """Simulated seconds."""
+        """Simulated time in seconds."""
         return self._timeline.now
 
     def start(self) -> None:
-        """Start a process without state."""
+        """Start a new process without state."""
         self.boot += 1
         self.up, self.paused, self.draining = True, False, False
         self._inbox.clear()
@@ -170,7 +170,7 @@
         self._timeline.after(self._random.uniform(0, TICK_MS / 1000), lambda: self._tick(boot))
 
     def end(self) -> None:
-        """End the process and its target at once."""
+        """Terminate the process and its target immediately."""
         self.up = False
         self.end_trace()
         self._reader.stop()
@@ -178,34 +178,34 @@
         self.target.kill()
 
     def end_trace(self) -> None:
-        """Close the trace of the process, if there is one."""
+        """Close the trace of the process, if it is traced."""
         if self.trace is not None:
             self.trace.close()
 
     def pause(self) -> None:
-        """Stop the process without ending it, as a hypervisor does."""
+        """Suspend the process, as a hypervisor does."""
         self.paused = True
 
     def resume(self) -> None:
-        """Let a paused process go on with what has arrived since."""
+        """Resume the process and run the inputs that arrived during the pause."""
         self.paused = False
         waiting, self._inbox = self._inbox, []
         for step in waiting:
             self._run(step)
 
     def post(self, mail: Any) -> bool:
-        """Feed mail of another task; False when the process has ended."""
+        """Pass a message from another task to the core; return False when the process has ended."""
         if self.up:
             self._run(lambda: self.core.handle(mail))
         return self.up
 
     def receive(self, sender: str, message: Any) -> None:
-        """Feed a message of another node."""
+        """Pass a message from another node to the core."""
         if self.up:
             self._run(lambda: self.core.on_message(sender, message))
 
     def _make_core(self, append: Callable[[Any], None]) -> NodeCore:
-        """Return the core of a new process, traced when a trace file is named."""
+        """Create the core of a new process, with tracing when a trace path is set."""
         seed = self._random.getrandbits(64)
         options = self._options()
         own = self.placement.member(self.clock.wall_ms())
--- a/src/citronrack/proof/source.py
+++ b/src/citronrack/proof/source.py
@@ -1,4 +1,4 @@
-"""Reads scenario files; faults name file, line and key."""
+"""Loads scenario files; errors state file, line and key."""
 
 from __future__ import annotations
 
@@ -29,10 +29,10 @@
 
 
 class ScenarioError(CitronrackError):
-    """A scenario file cannot be used.
+    """A scenario file is invalid or cannot be read.
 
     Args:
-        faults: One line per fault, each with file, line, key and what was expected.
+        faults: One line per error, with file, line, key and expected value.
     """
 
     def __init__(self, faults: list[str]) -> None:
@@ -42,14 +42,14 @@
 
 @frozen
 class Scenario:
-    """A checked scenario.
+    """A validated scenario.
 
     Attributes:
-        path: File that it was read from.
-        head: The fixed part.
-        events: What happens.
-        expect: What must hold.
-        lines: Line in the file of each expectation.
+        path: Path of the scenario file.
+        head: Fixed part of the file.
+        events: Events of the run.
+        expect: Expectations of the run.
+        lines: Line number of each expectation.
     """
 
     path: str
@@ -60,18 +60,18 @@
 
     @property
     def name(self) -> str:
-        """Short name."""
+        """Short name of the scenario."""
         return self.head.name
 
 
 class _LineIndex:
-    """Finds the line of a key path in a composed YAML tree."""
+    """Maps key paths to line numbers in a composed YAML tree."""
 
     def __init__(self, root: yaml.Node | None) -> None:
         self._root = root
 
     def line_of(self, path: str) -> int:
-        """Return the line of the longest known part of ``path``, from 1."""
+        """Return the line, from 1, of the longest existing prefix of ``path``."""
         node = self._root
         line = 1 if node is None else node.start_mark.line + 1
         for match in _PATH_PART.finditer(path):
@@ -94,10 +94,10 @@
 
 
 def load_scenario(path: str | Path) -> Scenario:
-    """Return the checked scenario in a YAML file.
+    """Load and validate a scenario from a YAML file.
 
     Raises:
-        ScenarioError: One line per fault, each with file, line and key.
+        ScenarioError: When the file is invalid, with one line per error.
     """
     try:
         data = Path(path).read_bytes()
@@ -107,7 +107,7 @@
 
 
 def parse_scenario(data: bytes, *, source: str) -> Scenario:
-    """Return the checked scenario in ``data``; see `load_scenario`."""
+    """Parse and validate the scenario in ``data``; see `load_scenario`."""
     if len(data) > MAX_SCENARIO_BYTES:
         raise ScenarioError([f"{source}:1: larger than {MAX_SCENARIO_BYTES} bytes"])
     try:
@@ -123,7 +123,7 @@
 
 
 class _ScenarioReader:
-    """Builds one scenario and collects its faults."""
+    """Builds one scenario and collects its errors."""
 
     def __init__(self, source: str, lines: _LineIndex) -> None:
         self._source = source
@@ -163,7 +163,7 @@
             fields = dict(entry)
             name = fields.pop(key, None)
             if not isinstance(name, str):
-                self._add_fault(path, f"{key}: missing or not a text")
+                self._add_fault(path, f"{key}: missing or not a string")
                 continue
             try:
                 found.append((index, from_plain(fields, kinds.get(name), name=name)))
@@ -220,7 +220,7 @@
 
 
 def _known_names(head: ScenarioHead, events: list[TimedEvent]) -> dict[str, list[str]]:
-    """Return the names that a scenario may use, by kind of reference."""
+    """Return the names that a scenario may refer to, by kind of reference."""
     deployment = DEPLOYMENTS.get(head.world.deployment)
     workers = {service.name: service.workers for service in deployment.services}
     extra: list[TargetSpec | StartTargets] = list(head.world.targets)
--- a/src/citronrack/proof/timeline.py
+++ b/src/citronrack/proof/timeline.py
@@ -1,4 +1,4 @@
-"""Simulated time: a queue of actions and the clocks of the nodes."""
+"""Simulated time: an event queue and the clocks of the nodes."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Timeline:
-    """Runs actions in order of time; actions at the same time run in the order they were added."""
+    """Runs actions in order of time; actions for the same time run in the order of scheduling."""
 
     def __init__(self) -> None:
         self._now = 0.0
@@ -19,7 +19,7 @@
 
     @property
     def now(self) -> float:
-        """Seconds since the start."""
+        """Simulated seconds since the start."""
         return self._now
 
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -31,7 +31,7 @@
         heapq.heappush(self._actions, (max(when_s, self._now), next(self._order), action))
 
     def run_until(self, end_s: float) -> None:
-        """Run all actions up to ``end_s``."""
+        """Run all actions due up to ``end_s`` and advance the time to it."""
         while self._actions and self._actions[0][0] <= end_s:
             self._now, _, action = heapq.heappop(self._actions)
             action()
@@ -39,11 +39,11 @@
 
 
 class NodeClock:
-    """The clocks of one node.
+    """Monotonic and wall clock of one node.
 
     Args:
         timeline: Simulated time.
-        skew_ms: Error of the wall clock.
+        skew_ms: Offset of the wall clock in milliseconds.
     """
 
     def __init__(self, timeline: Timeline, *, skew_ms: int = 0) -> None:
@@ -55,5 +55,5 @@
         return self._timeline.now
 
     def wall_ms(self) -> int:
-        """Return simulated milliseconds since the Unix epoch, with the skew."""
+        """Return simulated milliseconds since the Unix epoch, including the skew."""
         return START_WALL_MS + self._skew_ms + round(self._timeline.now * 1000)
--- a/src/citronrack/proof/trace.py
+++ b/src/citronrack/proof/trace.py
@@ -1,4 +1,4 @@
-"""Records what a node's core received and decided, as JSON lines."""
+"""Records the inputs and decisions of a node's core as JSON lines."""
 
 from __future__ import annotations
 
@@ -25,15 +25,15 @@
 
 TRACE_FORMAT = 1
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
-MARKER_RESERVE_BYTES = 256  # room for the last line
+MARKER_RESERVE_BYTES = 256  # room for the end line
 
 
 class SteppedClock:
-    """A clock that stands still while the core handles one input, so that a replay can repeat it.
+    """Clock that is constant while the core handles one input, so that a replay can reproduce it.
 
     Args:
         clock: The real clock.
-        own_load: Returns the number of calls at the own target.
+        own_load: Returns the number of calls in flight at the node's own target.
     """
 
     def __init__(self, clock: Clock, own_load: Callable[[], int]) -> None:
@@ -42,41 +42,41 @@
         self.step()
 
     def step(self) -> None:
-        """Take over the time of the real clock and the load."""
+        """Read the real clock and the load."""
         self._monotonic = self._clock.monotonic()
         self._wall_ms = self._clock.wall_ms()
         self._load = self._own_load()
 
     def monotonic(self) -> float:
-        """Return seconds at the last step."""
+        """Return the monotonic time in seconds at the last step."""
         return self._monotonic
 
     def wall_ms(self) -> int:
-        """Return milliseconds since the Unix epoch at the last step."""
+        """Return the wall time at the last step, in milliseconds since the Unix epoch."""
         return self._wall_ms
 
     def own_load(self) -> int:
-        """Return the number of calls at the last step."""
+        """Return the number of calls in flight at the last step."""
         return self._load
 
 
 class StepTimes(Clock, Protocol):
-    """The clocks and the load that one input was handled with."""
+    """The clocks and the load at the time of one input."""
 
     def own_load(self) -> int:
-        """Return the number of calls at the own target."""
+        """Return the number of calls in flight at the node's own target."""
 
 
 @frozen
 class Decisions:
-    """What can be observed of a core after one input.
+    """Observable state of a core after one input.
 
     Attributes:
         version: Version in force.
         readiness: Value of `Readiness`.
         digest: Digest of the folded records.
         shares: Share of the new service version by route.
-        sends: Number and digest of the messages that were sent.
+        sends: Number and digest of the sent messages.
     """
 
     version: int
@@ -87,7 +87,7 @@
 
     @classmethod
     def of(cls, core: NodeCore, views: ViewHolder, sends: Iterable[Send]) -> Decisions:
-        """Return the decisions of ``core`` after an input that led to ``sends``."""
+        """Return the decisions of ``core`` after an input that caused ``sends``."""
         return cls(
             version=core.active.version,
             readiness=core.readiness.value,
@@ -105,7 +105,7 @@
 
 
 def digest_sends(sends: Iterable[Send]) -> str:
-    """Return number and digest of messages with their receivers, empty for none."""
+    """Return the number and digest of messages and their receivers, empty for none."""
     digest = hashlib.blake2b(digest_size=8)
     count = 0
     for effect in sends:
@@ -116,7 +116,7 @@
 
 
 def line_prefix(checksum: int) -> bytes:
-    """Return what stands before a line's content."""
+    """Return the part of a line before its content."""
     return b'{"crc":"%08x","line":' % checksum
 
 
@@ -125,19 +125,19 @@
 
 
 def encode_content(content: Mapping[str, Any]) -> str:
-    """Return the one form of a line's content that the checksum covers."""
+    """Encode the content of a line in the canonical form that the checksum covers."""
     return json.dumps(content, separators=(",", ":"))
 
 
 class TraceWriter:
-    """Writes one trace file; stops with a marker line at its limit.
+    """Writes one trace file, and ends it with an end line when the size limit is reached.
 
-    Each line carries a checksum over itself and all lines before it, so that a replay finds
-    damaged, missing and exchanged lines.
+    Each line has a checksum over itself and all previous lines, so that a replay detects damaged,
+    missing and reordered lines.
 
     Args:
-        path: File to write; an existing one is replaced.
-        limit_bytes: Largest size of the file.
+        path: File to write; an existing file is overwritten.
+        limit_bytes: Maximum size of the file.
     """
 
     def __init__(self, path: str | Path, *, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
@@ -149,17 +149,17 @@
 
     @property
     def closed(self) -> bool:
-        """Whether nothing more is written."""
+        """Whether the trace has ended."""
         return self._file.closed
 
     def begin(self, *, own: Member, options: CoreOptions, seed: int, clock: StepTimes) -> None:
-        """Write the first line, with everything that a core is made from.
+        """Write the first line, with everything that is needed to create the core.
 
         Args:
-            own: Description of the node.
+            own: Member entry of the node.
             options: Plain options.
             seed: Seed of the core's random numbers.
-            clock: The times at which the core is made.
+            clock: Times at which the core is created.
         """
         self._write(
             {
@@ -175,7 +175,7 @@
         )
 
     def step(self, clock: StepTimes, entry: Mapping[str, Any], decisions: Decisions) -> None:
-        """Write one input and what it changed."""
+        """Write one input and the decisions that it changed."""
         if self.closed:
             return
         self._steps += 1
@@ -194,7 +194,7 @@
             self._write(content)
 
     def close(self, reason: str = "stopped") -> None:
-        """Write the marker line and close the file."""
+        """Write the end line and close the file."""
         if not self.closed:
             self._write({"end": reason, "steps": self._steps})
             self._file.close()
@@ -208,14 +208,14 @@
 
 
 class TracingCore:
-    """Records all inputs of a core and its decisions; other members are those of the core.
+    """Wraps a core and records its inputs and decisions; other attributes are those of the core.
 
     Args:
-        core: A core whose clock is ``clock`` and whose random numbers come from ``Random(seed)``,
-            used by nobody else.
-        views: Its routing view.
-        clock: Stands still during each input.
-        writer: Where the trace goes; its first line has been written.
+        core: A core whose clock is ``clock`` and whose random numbers come from a ``Random(seed)``
+            that is not shared.
+        views: Routing view of the core.
+        clock: Clock that is constant during each input.
+        writer: Writer of the trace, whose first line has been written.
     """
 
     def __init__(
@@ -230,7 +230,7 @@
         _writer: TraceWriter
 
     def handle(self, mail: Any) -> list[Send]:
-        """Record and handle a message of another task."""
+        """Handle and record a message from another task."""
         self._clock.step()
         effects = self._core.handle(mail)
         body = encode_mail(mail)
@@ -239,14 +239,14 @@
         return effects
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
-        """Record and handle a message of another node."""
+        """Handle and record a message from another node."""
         self._clock.step()
         effects = self._core.on_message(sender, message)
         self._record({"from": sender, "message": message_codec.encode(message).hex()}, effects)
         return effects
 
     def on_tick(self) -> list[Send]:
-        """Record and do what is due."""
+        """Handle and record a tick."""
         self._clock.step()
         effects = self._core.on_tick()
         self._record({"tick": True}, effects)
@@ -267,10 +267,10 @@
 def trace_core(
     core: NodeCore, *, views: ViewHolder, clock: SteppedClock, writer: TraceWriter
 ) -> NodeCore:
-    """Return ``core`` wrapped by `TracingCore`; it can stand wherever a `NodeCore` is driven."""
+    """Return ``core`` wrapped in a `TracingCore`, which is used in place of a `NodeCore`."""
     return cast("NodeCore", TracingCore(core, views=views, clock=clock, writer=writer))
 
 
 def seeded_random(seed: int) -> Random:
-    """Return the source of random numbers of a traced core."""
+    """Return the source of random numbers for a traced core."""
     return Random(seed)
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -38,14 +38,14 @@
 
 
 class World:
-    """Wires the fakes around the nodes of a deployment.
+    """Connects the nodes of a deployment with the fakes around them.
 
     Args:
-        spec: What the scenario starts with.
-        seed: Seed of all random numbers.
-        emit: Passes each observation to those who watch.
-        rules: Choices of the call path.
-        traces: Trace files by node.
+        spec: Initial state of the scenario.
+        seed: Seed for all random numbers.
+        emit: Passes each observation to its subscribers.
+        rules: Decisions of the call path.
+        traces: Paths of trace files by node.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
         )
 
     def begin(self) -> None:
-        """Put the first configuration into the log and start all nodes."""
+        """Append the initial configuration to the log and schedule the start of all nodes."""
         self.emit(LogState(0.0, True))
         self._append_setup(self._initial_change())
         for service in self.deployment.services:
@@ -111,7 +111,7 @@
         raise LookupError(f"deployment {self.spec.deployment!r} has no service {name!r}")
 
     def node(self, name: str) -> SimNode:
-        """Return the node called ``name``."""
+        """Return the node with this name."""
         try:
             return self.nodes[name]
         except KeyError:
@@ -119,7 +119,7 @@
             raise LookupError(f"unknown node {name!r}; known: {known}") from None
 
     def resolve_node(self, name: str = "") -> SimNode:
-        """Return the named node, or the first one that serves."""
+        """Return the named node; for an empty name, the first serving node that does not drain."""
         if name:
             return self.node(name)
         for node in self.nodes.values():
@@ -128,12 +128,12 @@
         return next(iter(self.nodes.values()))
 
     def holder(self, duty: str) -> SimNode | None:
-        """Return the node that holds a duty by the log, if one does."""
+        """Return the node that holds the lease of a duty according to the log, or None."""
         lease = self.log.fold.state.leases.get(duty)
         return self.nodes.get(lease.holder) if lease is not None else None
 
     def crash(self, node: SimNode) -> None:
-        """End a node's instance without notice."""
+        """Terminate the instance of a node without warning."""
         if node.up:
             cut_calls = node.target.in_flight
             node.end()
@@ -141,13 +141,13 @@
             self.check_reachability()
 
     def start(self, node: SimNode) -> None:
-        """Start a node that does not run."""
+        """Start a node unless it is running."""
         if not node.up:
             node.start()
             self.check_reachability()
 
     def drain(self, node: SimNode, then: Callable[[], None] | None = None) -> None:
-        """Let a node leave gracefully; ``then`` runs when its process has ended."""
+        """Stop a node gracefully and call ``then`` when its process has ended."""
         if not node.up:
             return
         node.draining = True
@@ -157,29 +157,29 @@
         self.timeline.after(NOTICE_S, lambda: self._finish_drain(node, boot, limit, then))
 
     def set_fault(self, service: str, service_version: str, fault: Fault) -> None:
-        """Make a service version bad."""
+        """Inject a fault into a service version."""
         self._faults[service, service_version] = fault
         self.emit(VersionTurnedBad(self.timeline.now, service, service_version))
 
     def add_targets(self, service: str, service_version: str, count: int) -> None:
-        """Start further targets now."""
+        """Start additional targets immediately."""
         for node in self._add_targets(self.service(service), service_version, count):
             self.start(node)
 
     def write_snapshot(self) -> None:
-        """Let the platform hold a snapshot of all present records."""
+        """Append a snapshot of all current records to the log."""
         state = self.log.fold
         offset = self.log.append(SNAPSHOTS_STREAM, state.to_snapshot())
         self.append_body(SnapshotTaken(0, state.next_offset, offset))
 
     def append_body(self, body: Any) -> int:
-        """Append a record that no node wrote, and return its offset."""
+        """Append a record that was not written by a node, and return its offset."""
         self._setup_sequence += 1
         envelope = Envelope(SETUP_WRITER, self._setup_sequence, 0, body)
         return self.log.append(RECORDS_STREAM, encode_record(envelope))
 
     def check_reachability(self) -> None:
-        """Report nodes that have become reachable or unreachable."""
+        """Emit an observation for each node whose reachability has changed."""
         zones = self.network.connected_zones()
         for node in self.nodes.values():
             reachable = node.up and not node.paused and node.zone in zones
@@ -293,7 +293,7 @@
         return node
 
     def _seeds(self) -> dict[str, tuple[str, ...]]:
-        """Return addresses by zone; node numbers are given to zones in turn."""
+        """Return seed addresses by zone; node numbers are assigned to zones round-robin."""
         zones = self.deployment.zones
         total = math.ceil(
             sum(service_spec.workers for service_spec in self.deployment.services) / len(zones)
--- a/tests/examples/__init__.py
+++ b/tests/examples/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the shipped examples and the one-file program."""
+"""Tests of the shipped examples and the single-file executable."""
--- a/tests/examples/test_examples.py
+++ b/tests/examples/test_examples.py
@@ -1,4 +1,4 @@
-"""The shipped examples are usable."""
+"""The shipped examples are valid."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ExamplesTest(unittest.TestCase):
-    """Guards against examples that no longer fit the code or the deployments' sizes."""
+    """Guards against examples that no longer match the code or the sizes of the deployments."""
 
     def test_settings_describe_each_worker(self) -> None:
         """Fails if a settings file is refused or a worker is missing."""
--- a/tests/examples/test_one_file.py
+++ b/tests/examples/test_one_file.py
@@ -1,4 +1,4 @@
-"""The one-file program runs a node as a single process."""
+"""The single-file executable runs a node as one process."""
 
 from __future__ import annotations
 
@@ -19,10 +19,10 @@
 
 @unittest.skipUnless(PROGRAM, "set CITRONRACK_PYZ to the built program; CI does")
 class OneFileTest(unittest.TestCase):
-    """Guards against a build that cannot start, or that starts other processes."""
+    """Guards against a build that does not start, or that starts further processes."""
 
     def test_node_is_one_process_and_stops_gracefully(self) -> None:
-        """Fails if the program forks, needs a file that it does not bring, or cannot stop."""
+        """Fails if the program forks, lacks a file that it needs, or does not stop."""
         with Fleet(executable=[PROGRAM]) as fleet:
             node = fleet.add_node("a-1", "a", service_version="1.0.0")
             fleet.start("a-1")
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -1,4 +1,4 @@
-"""Deliberately broken parts: each breaks one invariant, to show that its checker notices."""
+"""Deliberately faulty parts that each violate one invariant, to test its checker."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class RampRules(CallRules):
-    """Gives the new side of an open move 2% until the version is marked."""
+    """Gives the new version of an open move 2% of the calls until the version is marked."""
 
     new_share = 0.02
 
@@ -39,41 +39,41 @@
 
 
 class ExcessiveShareRules(RampRules):
-    """Gives a version that is not proven half of the calls (R4)."""
+    """Gives an unproven version half of the calls (R4)."""
 
     new_share = 0.5
 
 
 class MarkIgnoringRules(RampRules):
-    """Goes on calling a marked version (R4)."""
+    """Continues to call a marked version (R4)."""
 
     def is_marked(self, version: str) -> bool:
         return False
 
 
 class FalseNotRunRules(RampRules):
-    """Reports a call as not run after its target died (R6)."""
+    """Reports a call as not run although its target died while running it (R6)."""
 
     def verdict(self, status: int) -> Verdict:
         return Verdict.RAN if status else Verdict.NOT_RUN
 
 
 class AlwaysRetryingRules(RampRules):
-    """Repeats each failed call, orders included (R7)."""
+    """Retries every failed call, including non-idempotent ones (R7)."""
 
     new_share = 0.08
 
     def allows_retry(self, call: Call, verdict: Verdict) -> bool:
         return call.attempt < 3
 
-    def target(
+    def choose_target(
         self, pool: Sequence[PoolTarget], zone: str, tried: Sequence[str], random: Random
     ) -> PoolTarget | None:
         return random.choice(pool) if pool else None
 
 
 class RevertingCore(NodeCore):
-    """Goes back to its first version when it should put its third one in force (R1)."""
+    """Reverts to its first version instead of activating its third one (R1)."""
 
     _held: tuple[Any, ...] = ()
 
@@ -86,7 +86,7 @@
 
 
 class DanglingCore(NodeCore):
-    """Puts routes in force without their services (R2)."""
+    """Activates routes without their services (R2)."""
 
     def _activate(self) -> None:
         super()._activate()
@@ -113,14 +113,14 @@
 
 
 class UnannouncedDrainCore(NodeCore):
-    """Tells nobody that its target is leaving (R8)."""
+    """Does not announce the drain of its target (R8)."""
 
     def _drain(self, _: Any) -> list[Any]:
         return []
 
 
 class StuckCore(NodeCore):
-    """Puts only its first version in force (R10)."""
+    """Activates only its first version (R10)."""
 
     def _activate(self) -> None:
         if self.active.version < 0:
@@ -128,7 +128,7 @@
 
 
 class ResponseSwappingTarget(FakeTarget):
-    """Gives the answer of one call to another one (R5)."""
+    """Returns the answer of one call to another call (R5)."""
 
     def _finish(self, key: int, generation: int, status: int) -> None:
         others = [other for other in self._running if other != key]
@@ -141,34 +141,34 @@
 
 @contextlib.contextmanager
 def use_core_class(kind: type[NodeCore]) -> Iterator[None]:
-    """Let all nodes run ``kind``."""
+    """Run all nodes with core class ``kind``."""
     with mock.patch("citronrack.node.cores.NodeCore", kind):
         yield
 
 
 @contextlib.contextmanager
 def use_target_class(kind: type[FakeTarget]) -> Iterator[None]:
-    """Let all targets be ``kind``."""
+    """Run all targets with class ``kind``."""
     with mock.patch("citronrack.proof.world.FakeTarget", kind):
         yield
 
 
 @contextlib.contextmanager
 def stop_without_waiting() -> Iterator[None]:
-    """Let a planned stop wait for nothing (R9)."""
+    """Stop nodes without waiting for calls in flight (R9)."""
     with drain_notice(0.0), mock.patch("citronrack.proof.world.DRAIN_LIMIT_S", 0.0):
         yield
 
 
 @contextlib.contextmanager
 def drain_notice(seconds: float) -> Iterator[None]:
-    """Let draining nodes run on for ``seconds`` before they may stop."""
+    """Keep draining nodes running for at least ``seconds`` before they stop."""
     with mock.patch("citronrack.proof.world.NOTICE_S", seconds):
         yield
 
 
 @contextlib.contextmanager
 def unannounced_drain() -> Iterator[None]:
-    """Let nodes that leave tell nobody, and stay for a while (R8)."""
+    """Drain nodes without an announcement and keep them running for a while (R8)."""
     with drain_notice(8.0), use_core_class(UnannouncedDrainCore):
         yield
--- a/tests/proof/test_checkers.py
+++ b/tests/proof/test_checkers.py
@@ -1,4 +1,4 @@
-"""Each invariant checker notices a part that breaks its invariant, and only then speaks."""
+"""Each invariant checker reports a faulty part, and reports nothing in a run without faults."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 """
 QUIET = b"""
 name: quiet
-about: exercises little
+about: exercises few invariants
 seconds: 5
 world: {deployment: harbor-lantern}
 """
@@ -66,12 +66,12 @@
 
 
 def run(data: bytes, rules: CallRules | None = None, *, seed: int = 1) -> ScenarioResult:
-    """Run a scenario text."""
+    """Run a scenario given as text."""
     return run_scenario(parse_scenario(data, source="inline.yaml"), seed=seed, rules=rules)
 
 
 def run_marked(rules: broken.RampRules, *, seed: int) -> ScenarioResult:
-    """Run `EVERYTHING` with a mark against the bad version at `MARK_AT_S`."""
+    """Run `EVERYTHING` and mark the bad version at `MARK_AT_S`."""
     begin = World.begin
 
     def mark(world: World) -> None:
@@ -89,30 +89,30 @@
 
 
 class CheckerTest(unittest.TestCase):
-    """Guards against a checker that sees nothing, or one that cries without a cause."""
+    """Guards against checkers that miss violations or report false ones."""
 
     def states(self, result: ScenarioResult) -> dict[str, CheckState]:
         """Return the state of each checker."""
         return {check.name: check.state for check in result.checks}
 
     def test_all_invariants_are_watched_and_kept(self) -> None:
-        """Fails if a checker is missing, blind or reports a violation of an unbroken run."""
+        """Fails if a checker is missing, checks nothing or reports a violation without a fault."""
         for seed in (1, 2):
             with self.subTest(seed=seed), broken.drain_notice(8.0):
                 result = run_marked(broken.RampRules(), seed=seed)
                 expected = dict.fromkeys((f"R{n}" for n in range(1, 11)), CheckState.KEPT)
                 self.assertEqual(self.states(result), expected, result.faults)
 
-    def test_each_checker_notices_a_broken_part(self) -> None:
-        """Fails if a part could break an invariant without being noticed."""
+    def test_each_checker_reports_a_faulty_part(self) -> None:
+        """Fails if a faulty part can violate an invariant without being reported."""
         self.assertEqual({name.split()[0] for name in BROKEN}, set(CHECKERS))
         for name, (rules, inject_fault) in BROKEN.items():
             with self.subTest(name), inject_fault():
                 result = run_marked(rules(), seed=1)
                 self.assertIs(self.states(result)[name.split()[0]], CheckState.BROKEN)
 
-    def test_what_did_not_happen_is_not_reported_as_kept(self) -> None:
-        """Fails if a run without a drain or a bad version claimed to prove something on them."""
+    def test_unexercised_invariant_is_not_reported_as_kept(self) -> None:
+        """Fails if a run without a drain or a bad version reports their invariants as kept."""
         states = self.states(run(QUIET))
         for name in ("R3", "R4", "R8", "R9"):
             self.assertIs(states[name], CheckState.NOT_EXERCISED)
--- a/tests/proof/test_scenarios.py
+++ b/tests/proof/test_scenarios.py
@@ -1,4 +1,4 @@
-"""The scenario language: faults are named by line, runs repeat, and the page is complete."""
+"""The scenario language: errors state the line, runs are reproducible, the page is complete."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 
 class ScenarioTest(unittest.TestCase):
-    """Guards against scenarios that say something else than their author meant."""
+    """Guards against scenarios that do not do what their author intended."""
 
     def test_faults_name_file_line_and_key(self) -> None:
-        """Fails if an author had to guess what is wrong, or a typing error were ignored."""
+        """Fails if an error message does not locate the error, or a typing error is ignored."""
         cases = {
             HEAD + "extra: 1\n": "s.yaml:6: extra: unknown key",
             HEAD + "  links: {loss: 2}\n": "s.yaml:6: world.links.loss: expected 0 to 1",
@@ -37,17 +37,17 @@
                 self.assertTrue(caught.exception.faults[0].startswith(expected))
 
     def test_same_seed_same_run(self) -> None:
-        """Fails if a run depended on anything but its file and seed."""
+        """Fails if a run depends on anything but its file and seed."""
         path = ROOT / "scenarios/faults/operators-racing.yaml"
         runs = [run_scenario(load_scenario(path), seed=seed) for seed in (3, 3, 4)]
         self.assertEqual(runs[0], runs[1])
         self.assertNotEqual(runs[0].fingerprint, runs[2].fingerprint)
 
-    def test_library_is_readable(self) -> None:
-        """Fails if a file of the library no longer fits the language."""
+    def test_scenario_library_is_valid(self) -> None:
+        """Fails if a file of the scenario library is not valid."""
         for path in find_scenarios([str(ROOT / "scenarios")]):
             load_scenario(path)
 
     def test_page_lists_the_whole_language(self) -> None:
-        """Fails if docs/scenarios.md differs from the registries."""
+        """Fails if docs/scenarios.md does not match the registries."""
         self.assertEqual((ROOT / PAGE).read_text(encoding="utf-8"), scenarios_page())
--- a/tests/proof/test_trace.py
+++ b/tests/proof/test_trace.py
@@ -1,4 +1,4 @@
-"""A recorded node can be run again; a difference or damage is named by its line."""
+"""A recorded node can be replayed; differences and damage are reported with their line."""
 
 from __future__ import annotations
 
@@ -28,11 +28,11 @@
 
 
 class TraceTest(unittest.TestCase):
-    """Guards against decisions that depend on more than a core's inputs, and against bad traces."""
+    """Guards against decisions that depend on more than recorded inputs, and damaged traces."""
 
     @classmethod
     def setUpClass(cls) -> None:
-        """Record two processes of one node."""
+        """Record two successive processes of one node."""
         cls._folder = tempfile.TemporaryDirectory()
         cls.addClassCleanup(cls._folder.cleanup)
         cls.base = Path(cls._folder.name)
@@ -41,7 +41,7 @@
         cls.first, cls.second = cls.base / "node.1", cls.base / "node.2"
 
     def test_replay_repeats_all_decisions(self) -> None:
-        """Fails if clock, random numbers, load or an input is missing from the trace."""
+        """Fails if the trace lacks the clock, random numbers, the load or an input."""
         for path in (self.first, self.second):
             result = replay(path)
             self.assertIsNone(result.difference)
@@ -49,7 +49,7 @@
             self.assertEqual(result.end, "stopped")
 
     def test_first_difference_is_named(self) -> None:
-        """Fails if a changed decision were missed, or named at a wrong line."""
+        """Fails if a changed decision is missed, or reported for a wrong line."""
         with broken.use_core_class(broken.StuckCore):
             changed = replay(self.first, write=self.base / "stuck")
         self.assertIsNotNone(changed.difference)
@@ -60,7 +60,7 @@
         self.assertEqual(against.difference.line, changed.difference.line)
 
     def test_damage_is_named_by_line(self) -> None:
-        """Fails if a damaged, shortened or reordered trace were replayed as if it were whole."""
+        """Fails if a damaged, truncated or reordered trace is replayed without an error."""
         data, random = self.second.read_bytes(), Random(5)
         lines = data.splitlines(keepends=True)
         variants = [b"".join(lines[:-1]), b"".join([*lines[:3], *lines[4:]]), b"", data + lines[1]]
@@ -77,7 +77,7 @@
             self.assertTrue(re.match(rf"{re.escape(str(path))}:\d+: ", str(caught.exception)))
 
     def test_size_is_bounded(self) -> None:
-        """Fails if a trace could fill a node's memory or disk, or end without saying so."""
+        """Fails if a trace can fill a node's memory or disk, or ends without a reason."""
         limit = 20_000
         original = TraceWriter.__init__.__kwdefaults__["limit_bytes"]
         TraceWriter.__init__.__kwdefaults__["limit_bytes"] = limit
