Give local names of scenarios and their tests plain terms

`then`, `named`, `mails` and `BROKEN` said little about what they hold; they are now `on_stopped`, `value`, `node_mail` and `FAULTY_PARTS`.

--- a/src/citronrack/cli/commands/scenario_run.py
+++ b/src/citronrack/cli/commands/scenario_run.py
@@ -23,7 +23,7 @@
     options = [
         option("seed", None, "Seed of all random numbers", flag=False, default="1"),
         option("checks", None, "Also print the result of each invariant checker"),
-        option("trace", None, "NODE=FILE: record the node; FILE.1, FILE.2, ...", flag=False),
+        option("trace", None, "NODE=FILE: record the node to FILE.1, FILE.2, ...", flag=False),
         FORMAT_OPTION,
     ]
     help = "Example: <info>citronrack scenario run scenarios --seed 7</info>"
@@ -49,12 +49,12 @@
             raise UsageError(f"--seed must be a number, not {self.option('seed')!r}") from None
 
     def _traces(self) -> dict[str, str]:
-        named = self.option("trace")
-        if not named:
+        value = self.option("trace")
+        if not value:
             return {}
-        node, separator, path = named.partition("=")
+        node, separator, path = value.partition("=")
         if not separator or not path:
-            raise UsageError(f"--trace must be NODE=FILE, not {named!r}")
+            raise UsageError(f"--trace must be NODE=FILE, not {value!r}")
         return {node: path}
 
     def _print(self, result: ScenarioResult) -> None:
--- a/src/citronrack/proof/_mail_codec.py
+++ b/src/citronrack/proof/_mail_codec.py
@@ -10,7 +10,7 @@
 from ..codec import TaggedCodec
 from ..errors import MessageRejected
 from ..log.records import record_codec
-from ..node import mail as mails
+from ..node import mail as node_mail
 from ..node.mail import AppendDone, AppendFate, StopAsked
 
 MAX_MAIL_BYTES = 16 * 1024 * 1024  # fits a page of the log or a snapshot
@@ -34,9 +34,9 @@
     return not any("Future" in str(attribute.type) for attribute in attrs.fields(kind))
 
 
-for _name, _kind in sorted(vars(mails).items()):
-    _owned = isinstance(_kind, type) and _kind.__module__ == mails.__name__
-    if _owned and attrs.has(_kind) and _kind not in (AppendDone, StopAsked) and _is_plain(_kind):
+for _name, _kind in sorted(vars(node_mail).items()):
+    _is_mail = isinstance(_kind, type) and _kind.__module__ == node_mail.__name__
+    if _is_mail and attrs.has(_kind) and _kind not in (AppendDone, StopAsked) and _is_plain(_kind):
         mail_codec.register(_name)(_kind)
 
 
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -146,15 +146,15 @@
             node.start()
             self.check_reachability()
 
-    def drain(self, node: SimNode, then: Callable[[], None] | None = None) -> None:
-        """Stop a node gracefully and call ``then`` when its process has ended."""
+    def drain(self, node: SimNode, on_stopped: Callable[[], None] | None = None) -> None:
+        """Stop a node gracefully and call ``on_stopped`` when its process has ended."""
         if not node.up:
             return
         node.draining = True
         self.emit(DrainStarted(self.timeline.now, node.name))
         node.post(DrainAsked())
         boot, limit = node.boot, self.timeline.now + DRAIN_LIMIT_S
-        self.timeline.after(NOTICE_S, lambda: self._finish_drain(node, boot, limit, then))
+        self.timeline.after(NOTICE_S, lambda: self._finish_drain(node, boot, limit, on_stopped))
 
     def set_fault(self, service: str, service_version: str, fault: Fault) -> None:
         """Inject a fault into a service version."""
@@ -207,19 +207,19 @@
         self._by_address[to].receive(sender, message)
 
     def _finish_drain(
-        self, node: SimNode, boot: int, limit: float, then: Callable[[], None] | None
+        self, node: SimNode, boot: int, limit: float, on_stopped: Callable[[], None] | None
     ) -> None:
         if not node.up or node.boot != boot:
             return
         open_calls = node.target.in_flight + node.calls_open
         if open_calls and self.timeline.now < limit:
-            self.timeline.after(0.1, lambda: self._finish_drain(node, boot, limit, then))
+            self.timeline.after(0.1, lambda: self._finish_drain(node, boot, limit, on_stopped))
             return
         node.end()
         self.emit(NodeStopped(self.timeline.now, node.name, True, open_calls))
         self.check_reachability()
-        if then is not None:
-            then()
+        if on_stopped is not None:
+            on_stopped()
 
     def _initial_change(self) -> Change:
         extra: dict[str, list[str]] = {}
--- a/tests/proof/test_checkers.py
+++ b/tests/proof/test_checkers.py
@@ -43,14 +43,14 @@
 """
 QUIET = b"""
 name: quiet
-about: exercises few invariants
+about: exercises little
 seconds: 5
 world: {deployment: harbor-lantern}
 """
 MARK_AT_S = 20.0
 FaultContext = Callable[[], AbstractContextManager[Any]]
 
-BROKEN: dict[str, tuple[type[broken.RampRules], FaultContext]] = {
+FAULTY_PARTS: dict[str, tuple[type[broken.RampRules], FaultContext]] = {
     "R1": (broken.RampRules, partial(broken.use_core_class, broken.RevertingCore)),
     "R2": (broken.RampRules, partial(broken.use_core_class, broken.DanglingCore)),
     "R3": (broken.RampRules, partial(broken.use_core_class, broken.PartialCore)),
@@ -105,8 +105,8 @@
 
     def test_each_checker_reports_a_faulty_part(self) -> None:
         """Fails if a faulty part can violate an invariant without being reported."""
-        self.assertEqual({name.split()[0] for name in BROKEN}, set(CHECKERS))
-        for name, (rules, inject_fault) in BROKEN.items():
+        self.assertEqual({name.split()[0] for name in FAULTY_PARTS}, set(CHECKERS))
+        for name, (rules, inject_fault) in FAULTY_PARTS.items():
             with self.subTest(name), inject_fault():
                 result = run_marked(rules(), seed=1)
                 self.assertIs(self.states(result)[name.split()[0]], CheckState.BROKEN)
