--- a/src/citronrack/api/app.py
+++ b/src/citronrack/api/app.py
@@ -15,7 +15,7 @@
 from ..clock import Clock
 from ..errors import ConfigInvalid, PlanConflict, PlanExpired, Unauthorized
 from ..moves import Intent, Plan
-from ..plain import PlainFaults, from_plain, to_plain
+from ..plain import PlainFormatError, from_plain, to_plain
 from ..telemetry import Event, EventLog
 from . import commands, queries
 from .gateway import NodeGateway
@@ -40,7 +40,7 @@
 
 _ERROR_STATUS: tuple[tuple[type[Exception], int, str], ...] = (
     (Unauthorized, 401, "unauthorized"),
-    (PlainFaults, 400, "malformed"),
+    (PlainFormatError, 400, "malformed"),
     (ConfigInvalid, 422, "invalid"),
     (PlanExpired, 410, "expired"),
     (PlanConflict, 409, "conflict"),
@@ -151,7 +151,7 @@
         try:
             return json.loads(request.get_data())
         except ValueError as error:
-            raise PlainFaults([f"the request body is not valid JSON: {error}"]) from error
+            raise PlainFormatError([f"the request body is not valid JSON: {error}"]) from error
 
     def _operator(self, request: Request) -> str:
         return request.headers.get("x-operator", "unnamed")[:64]
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from .fake_target import FAULT_KINDS, Fault
 from .language import EVENT_KINDS, TimedEvent, number, ref
 from .network import PLATFORM
@@ -101,7 +101,7 @@
     zone: str = ref("zone", default="")
     down_s: float = number(0, 3_600, default=2.0)
     spread_s: float = number(0, 600, default=1.0)
-    spare: int = field(default=0, validator=checks.between(0, 100))
+    spare: int = field(default=0, validator=validators.between(0, 100))
 
     def apply(self, world: World) -> None:
         """Crash the instances and schedule their restart."""
@@ -132,7 +132,7 @@
     """
 
     node: str = ref("node", default="")
-    holder_of: str = field(default="", validator=checks.one_of("", "outcomes", "compactor"))
+    holder_of: str = field(default="", validator=validators.one_of("", "outcomes", "compactor"))
     for_s: float = number(0, 3_600, default=0.0)
 
     def apply(self, world: World) -> None:
@@ -222,7 +222,7 @@
         count: Number of appends.
     """
 
-    count: int = field(default=1, validator=checks.between(1, 1_000))
+    count: int = field(default=1, validator=validators.between(1, 1_000))
 
     def apply(self, world: World) -> None:
         """Enable the fault."""
@@ -248,7 +248,7 @@
         keep: Number of records that are retained.
     """
 
-    keep: int = field(default=0, validator=checks.between(0, 1_000_000))
+    keep: int = field(default=0, validator=validators.between(0, 1_000_000))
 
     def apply(self, world: World) -> None:
         """Trim the records."""
@@ -330,8 +330,8 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    kind: str = field(default="failing", validator=checks.one_of(*FAULT_KINDS))
+    service_version: str = field(validator=validators.name)
+    kind: str = field(default="failing", validator=validators.one_of(*FAULT_KINDS))
     rate: float = number(0, 1, default=0.5)
     slow_factor: float = number(1, 1_000, default=6.0)
     route: str = ref("route", default="")
@@ -371,8 +371,8 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    count: int = field(default=1, validator=checks.between(1, 100))
+    service_version: str = field(validator=validators.name)
+    count: int = field(default=1, validator=validators.between(1, 100))
 
     def apply(self, world: World) -> None:
         """Start the instances."""
--- a/src/citronrack/proof/expectations.py
+++ b/src/citronrack/proof/expectations.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from .language import EXPECTATION_KINDS, Expectation, number, ref
 from .observations import (
     CallAnswered,
@@ -31,7 +31,7 @@
     """
 
     zone: str = ref("zone", default="")
-    changes: int = field(default=0, validator=checks.between(0, 1_000_000))
+    changes: int = field(default=0, validator=validators.between(0, 1_000_000))
     cut_off: bool = False
 
     def fault(self, world: World) -> str:
@@ -65,7 +65,7 @@
     """
 
     plan: str = ref("plan")
-    result: str = field(validator=checks.one_of("planned", "accepted", "refused", "unknown"))
+    result: str = field(validator=validators.one_of("planned", "accepted", "refused", "unknown"))
     reason: str = ""
 
     def fault(self, world: World) -> str:
@@ -115,7 +115,7 @@
 
     route: str = ref("route")
     result: str = field(
-        validator=checks.one_of(
+        validator=validators.one_of(
             "open", "finished in time", "finished late", "taken back", "cancelled", "unknown"
         )
     )
@@ -151,9 +151,9 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
+    service_version: str = field(validator=validators.name)
     max_share: float = number(0, 1, default=1.0)
-    max_calls: int = field(default=1_000_000, validator=checks.between(0, 1_000_000))
+    max_calls: int = field(default=1_000_000, validator=validators.between(0, 1_000_000))
     none_after_s: float = number(0, 3_600, default=3_600.0)
 
     def fault(self, world: World) -> str:
@@ -193,8 +193,8 @@
     """
 
     service: str = ref("service")
-    service_version: str = field(validator=checks.name)
-    min_calls: int = field(default=1, validator=checks.between(1, 1_000_000))
+    service_version: str = field(validator=validators.name)
+    min_calls: int = field(default=1, validator=validators.between(1, 1_000_000))
 
     def fault(self, world: World) -> str:
         """Count the calls that the version ran."""
@@ -255,7 +255,9 @@
         reason: Text that the reported reason must contain.
     """
 
-    state: str = field(validator=checks.one_of("ready", "ready (unproven)", "not ready", "serving"))
+    state: str = field(
+        validator=validators.one_of("ready", "ready (unproven)", "not ready", "serving")
+    )
     node: str = ref("node", default="")
     zone: str = ref("zone", default="")
     reason: str = ""
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -65,7 +65,7 @@
         """Return whether the call may be attempted again."""
         if call.attempt >= MAX_ATTEMPTS:
             return False
-        return verdict.safe_to_repeat or call.load.method != "POST"
+        return verdict.safe_to_retry or call.load.method != "POST"
 
 
 @define
--- a/src/citronrack/proof/language.py
+++ b/src/citronrack/proof/language.py
@@ -6,7 +6,7 @@
 
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from ..registry import Registry
 from .world import World
 
@@ -28,14 +28,14 @@
 
 def number(low: float, high: float, *, default: float) -> Any:
     """Return a field for a number between ``low`` and ``high``."""
-    return field(default=default, validator=checks.between(low, high))
+    return field(default=default, validator=validators.between(low, high))
 
 
 @frozen(kw_only=True)
 class TimedEvent:
     """Event that happens at ``at`` seconds."""
 
-    at: float = field(validator=checks.between(0, 3_600))
+    at: float = field(validator=validators.between(0, 3_600))
 
     def apply(self, world: World) -> None:
         """Apply the event to the world."""
--- a/src/citronrack/proof/log_access.py
+++ b/src/citronrack/proof/log_access.py
@@ -15,7 +15,7 @@
 from ..node.mail import AppendDone, AppendFate, LogRead, LogReadFailed, SnapshotDone, SnapshotRead
 from ..node.reader import (
     BACKOFF_CAP_S,
-    IDLE_S,
+    IDLE_INTERVAL_S,
     LONG_POLL_MS,
     PAGE_RECORDS,
     START_JITTER_S,
@@ -97,7 +97,7 @@
         if self._stopped:
             return
         if not self._state.reads_log:
-            self._connection.timeline.after(IDLE_S, self.poll)
+            self._connection.timeline.after(IDLE_INTERVAL_S, self.poll)
             return
         start = max(self._posted_offset, self._state.next_offset)
         if not self._connection.is_open:
@@ -161,7 +161,7 @@
             self._handle_failure("the requested offset is trimmed and no snapshot exists")
             return
         if not self._stopped and self._post(SnapshotRead(page.records[0][1])):
-            self._connection.timeline.after(IDLE_S, self.poll)
+            self._connection.timeline.after(IDLE_INTERVAL_S, self.poll)
 
     def _handle_failure(self, reason: str) -> None:
         self._failures += 1
--- a/src/citronrack/proof/operator_events.py
+++ b/src/citronrack/proof/operator_events.py
@@ -7,7 +7,7 @@
 import attrs
 from attrs import field, frozen
 
-from .. import checks
+from .. import validators
 from ..config import Change, Route
 from ..log import Confirmed
 from ..moves import Intent
@@ -46,10 +46,10 @@
     """
 
     route: str = ref("route")
-    timeout_ms: int = field(default=4_000, validator=checks.between(1, 500_000))
+    timeout_ms: int = field(default=4_000, validator=validators.between(1, 500_000))
     node: str = ref("node", default="")
     plan: str = ref("new-plan", default="publish")
-    repeat: int = field(default=1, validator=checks.between(1, 1_000))
+    repeat: int = field(default=1, validator=validators.between(1, 1_000))
     every_s: float = number(0, 600, default=1.0)
 
     def apply(self, world: World) -> None:
@@ -99,7 +99,7 @@
 
     plan: str = ref("new-plan")
     route: str = ref("route")
-    timeout_ms: int = field(default=4_000, validator=checks.between(1, 500_000))
+    timeout_ms: int = field(default=4_000, validator=validators.between(1, 500_000))
     node: str = ref("node", default="")
 
     def apply(self, world: World) -> None:
@@ -123,7 +123,7 @@
 
     plan: str = ref("new-plan")
     route: str = ref("route")
-    to_version: str = field(validator=checks.name)
+    to_version: str = field(validator=validators.name)
     deadline_s: float = number(1, 3_600, default=60.0)
     node: str = ref("node", default="")
 
@@ -166,7 +166,7 @@
     """
 
     route: str = ref("route")
-    to_version: str = field(validator=checks.name)
+    to_version: str = field(validator=validators.name)
     deadline_s: float = number(1, 3_600, default=60.0)
     node: str = ref("node", default="")
     plan: str = ref("new-plan", default="move")
--- a/src/citronrack/proof/parts.py
+++ b/src/citronrack/proof/parts.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from ..distribution import core as distribution
-from ..node import core, cores, duties, moving
+from ..node import core, cores, duties, move_runner
 from ..registry import Registry
 
 
@@ -26,13 +26,13 @@
         """Whether the modules of the node's cores use the class."""
         return any(
             hasattr(module, self.class_name)
-            for module in (core, cores, duties, moving, distribution)
+            for module in (core, cores, duties, move_runner, distribution)
         )
 
 
 PARTS: Registry[Part] = Registry("part")
 PARTS.register("moves")(Part("MoveCore", "shares, evidence, marks and outcomes of moves"))
-PARTS.register("leases")(Part("LeaseKeeper", "duties, snapshots and outcomes under a lease"))
+PARTS.register("leases")(Part("LeaseManager", "duties, snapshots and outcomes under a lease"))
 PARTS.register("zones")(Part("ZoneDirectory", "members of other zones and relays"))
 PARTS.register("facts")(Part("FactStore", "marks that spread without the log"))
 
--- a/src/citronrack/proof/replay.py
+++ b/src/citronrack/proof/replay.py
@@ -13,7 +13,7 @@
 from ..calls import ViewHolder
 from ..errors import CitronrackError, MessageRejected
 from ..membership import Member
-from ..plain import PlainFaults, from_plain
+from ..plain import PlainFormatError, from_plain
 from ..transport.messages import message_codec
 from ..transport.send import Send
 from ._mail_codec import decode_mail
@@ -161,7 +161,7 @@
             options = from_plain(head.get("options"), CoreOptions, name="options")
             seed = int(head["seed"])
             self._clock = _ReplayClock(head["monotonic"], head["wall_ms"], head["load"])
-        except (PlainFaults, KeyError, TypeError, ValueError) as error:
+        except (PlainFormatError, KeyError, TypeError, ValueError) as error:
             raise TraceError(f"{path}:{line.number}: invalid first line: {error}") from error
         self._views = ViewHolder()
         self._core = make_core(
--- a/src/citronrack/proof/schema.py
+++ b/src/citronrack/proof/schema.py
@@ -7,7 +7,7 @@
 import attrs
 from attrs import Attribute, field, frozen
 
-from .. import checks
+from .. import validators
 
 
 def _each(_: Any, attribute: Attribute[Any], value: Any) -> None:
@@ -28,9 +28,9 @@
             slower.
     """
 
-    delay_ms: float = field(default=-1.0, validator=checks.between(-1, 10_000))
-    jitter_ms: float = field(default=1.0, validator=checks.between(0, 10_000))
-    loss: float = field(default=0.0, validator=checks.between(0, 1))
+    delay_ms: float = field(default=-1.0, validator=validators.between(-1, 10_000))
+    jitter_ms: float = field(default=1.0, validator=validators.between(0, 10_000))
+    loss: float = field(default=0.0, validator=validators.between(0, 1))
     encoded: bool = False
 
 
@@ -43,8 +43,8 @@
         retention: Number of records that each stream retains.
     """
 
-    delay_ms: float = field(default=3.0, validator=checks.between(0, 60_000))
-    retention: int = field(default=100_000, validator=checks.between(1, 10_000_000))
+    delay_ms: float = field(default=3.0, validator=validators.between(0, 60_000))
+    retention: int = field(default=100_000, validator=validators.between(1, 10_000_000))
 
 
 @frozen
@@ -55,7 +55,7 @@
         calls_per_s: Mean number of calls per second over all zones.
     """
 
-    calls_per_s: float = field(default=20.0, validator=checks.between(0, 2_000))
+    calls_per_s: float = field(default=20.0, validator=validators.between(0, 2_000))
 
 
 @frozen
@@ -68,9 +68,9 @@
         count: Number of targets, distributed over the zones.
     """
 
-    service: str = field(validator=checks.name)
-    service_version: str = field(validator=checks.name)
-    count: int = field(default=2, validator=checks.between(1, 100))
+    service: str = field(validator=validators.name)
+    service_version: str = field(validator=validators.name)
+    count: int = field(default=2, validator=validators.between(1, 100))
 
 
 @frozen
@@ -92,8 +92,8 @@
     links: LinkSpec = field(factory=LinkSpec)
     log: LogSpec = field(factory=LogSpec)
     load: LoadSpec = field(factory=LoadSpec)
-    clock_skew_ms: int = field(default=100, validator=checks.between(0, 60_000))
-    start_spread_s: float = field(default=1.0, validator=checks.between(0, 60))
+    clock_skew_ms: int = field(default=100, validator=validators.between(0, 60_000))
+    start_spread_s: float = field(default=1.0, validator=validators.between(0, 60))
 
 
 @frozen
@@ -110,9 +110,9 @@
         needs: Parts of the system that the scenario requires.
     """
 
-    name: str = field(validator=checks.name)
+    name: str = field(validator=validators.name)
     about: str
-    seconds: float = field(validator=checks.between(1, 3_600))
+    seconds: float = field(validator=validators.between(1, 3_600))
     world: WorldSpec
     events: tuple[dict[str, Any], ...] = ()
     expect: tuple[dict[str, Any], ...] = ()
--- a/src/citronrack/proof/source.py
+++ b/src/citronrack/proof/source.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from ..errors import CitronrackError
-from ..plain import PlainFaults, from_plain
+from ..plain import PlainFormatError, from_plain
 from ..registry import Registry
 from . import events as _events  # noqa: F401  (fills the registry)
 from . import expectations as _expectations  # noqa: F401  (fills the registry)
@@ -133,7 +133,7 @@
     def read(self, content: Any) -> Scenario:
         try:
             head = from_plain(content, ScenarioHead, name="scenario")
-        except PlainFaults as error:
+        except PlainFormatError as error:
             for line in error.lines:
                 path, _, text = line.partition(": ")
                 self._add_fault(path, text)
@@ -169,7 +169,7 @@
                 found.append((index, from_plain(fields, kinds.get(name), name=name)))
             except LookupError as error:
                 self._add_fault(f"{path}.{key}", str(error.args[0]))
-            except PlainFaults as error:
+            except PlainFormatError as error:
                 for line in error.lines:
                     self._add_fault(*self._entry_fault(path, line))
         return found
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Any
 
-from ..calls.drain import NOTICE_S
+from ..calls.drain import DRAIN_NOTICE_S
 from ..config import Change, Route, Service, ServiceVersion
 from ..log import Confirmed, Envelope, encode_record
 from ..log.records import RECORDS_STREAM, SNAPSHOTS_STREAM, SnapshotTaken
@@ -154,7 +154,9 @@
         self.emit(DrainStarted(self.timeline.now, node.name))
         node.post(DrainAsked())
         boot, limit = node.boot, self.timeline.now + DRAIN_LIMIT_S
-        self.timeline.after(NOTICE_S, lambda: self._finish_drain(node, boot, limit, on_stopped))
+        self.timeline.after(
+            DRAIN_NOTICE_S, lambda: self._finish_drain(node, boot, limit, on_stopped)
+        )
 
     def set_fault(self, service: str, service_version: str, fault: Fault) -> None:
         """Inject a fault into a service version."""
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -163,7 +163,7 @@
 @contextlib.contextmanager
 def drain_notice(seconds: float) -> Iterator[None]:
     """Keep draining nodes running for at least ``seconds`` before they stop."""
-    with mock.patch("citronrack.proof.world.NOTICE_S", seconds):
+    with mock.patch("citronrack.proof.world.DRAIN_NOTICE_S", seconds):
         yield
 
 
