Reword failure messages of checkers and expectations, names of the demo

Messages such as "behind are", "other digests" or "needs route" left open what was compared, and the demo called HTTP responses answers. The messages name the compared value, and local names follow.

--- a/src/citronrack/demo/run.py
+++ b/src/citronrack/demo/run.py
@@ -84,8 +84,8 @@
 def _confirm(node: FleetNode, intent: dict[str, Any]) -> int:
     """Plan and confirm an intent; return the new version, or -1 when it was not accepted."""
     plan = node.client.post("/v1/plans", intent)
-    answer = node.client.post("/v1/plans/confirm", plan.content)
-    return int(answer.content.get("version", -1))
+    response = node.client.post("/v1/plans/confirm", plan.content)
+    return int(response.content.get("version", -1))
 
 
 def _in_force_everywhere(fleet: Fleet, version: int) -> bool:
@@ -111,9 +111,11 @@
         lambda: all(node.client.get("/readyz").status == 200 for node in _running(fleet)),
         limit_s=CONVERGENCE_LIMIT_S,
     )
-    answers = [Caller().call(node.call_url + "/parts/wheel") for node in _running(fleet)]
-    passed = ready and all(a.status == 200 and a.service_version == OLD for a in answers)
-    observed = f"{len(answers)} nodes answered with {sorted({a.service_version for a in answers})}"
+    responses = [Caller().call(node.call_url + "/parts/wheel") for node in _running(fleet)]
+    passed = ready and all(a.status == 200 and a.service_version == OLD for a in responses)
+    observed = (
+        f"{len(responses)} nodes answered with {sorted({a.service_version for a in responses})}"
+    )
     report.step("calls into any node reach a target of the route", passed=passed, observed=observed)
 
 
@@ -129,7 +131,7 @@
     deadline_ms = int((time.time() + MOVE_DEADLINE_S) * 1000)
     move = {"route": "lookups", "to_version": to_version, "deadline_ms": deadline_ms}
     started = time.monotonic()
-    before = {answer["move_id"] for answer in first.client.get("/v1/moves").content["moves"]}
+    before = {entry["move_id"] for entry in first.client.get("/v1/moves").content["moves"]}
     _confirm(first, {"moves": [move]})
     opened = first.client.get("/v1/moves").content["moves"]
     move_id = next((m["move_id"] for m in opened if m["move_id"] not in before), "")
@@ -163,22 +165,22 @@
 
 
 def _drain(fleet: Fleet, traffic: Traffic, report: Report) -> None:
-    leaving = _node(fleet, ZONES[1], GOOD)
+    draining_node = _node(fleet, ZONES[1], GOOD)
     started = time.monotonic()
-    code = fleet.stop(leaving.name)
+    code = fleet.stop(draining_node.name)
     time.sleep(max(0.0, started + DRAIN_LIMIT_S - time.monotonic()))
-    calls = leaving.target.calls
+    calls = draining_node.target.calls
     time.sleep(2.0)
-    late = leaving.target.calls - calls
-    answers = traffic.since(started)
-    failed = [answer for answer in answers if answer.status != 200]
+    late = draining_node.target.calls - calls
+    responses = traffic.since(started)
+    failed = [response for response in responses if response.status != 200]
     observed = f"exit code {code}, {late} calls after {DRAIN_LIMIT_S:.0f} s"
     passed = code == 0 and late == 0
     report.step(
         "a draining target gets no new work after a few seconds", passed=passed, observed=observed
     )
     observed = (
-        f"{len(failed)} of {len(answers)} calls failed {sorted({a.body for a in failed})[:3]}"
+        f"{len(failed)} of {len(responses)} calls failed {sorted({a.body for a in failed})[:3]}"
     )
     report.step("a planned stop interrupts no call", passed=not failed, observed=observed)
 
@@ -197,9 +199,9 @@
         passed=passed,
         observed=observed,
     )
-    answer = Caller().call(_node(fleet, zone, OLD).call_url + "/parts/wheel")
-    passed = answer.status == 200
+    response = Caller().call(_node(fleet, zone, OLD).call_url + "/parts/wheel")
+    passed = response.status == 200
     report.step(
-        f"{zone} continues to serve calls", passed=passed, observed=f"status {answer.status}"
+        f"{zone} continues to serve calls", passed=passed, observed=f"status {response.status}"
     )
     fleet.cut_log(zone, cut=False)
--- a/src/citronrack/demo/traffic.py
+++ b/src/citronrack/demo/traffic.py
@@ -66,7 +66,7 @@
     def __init__(self, urls: Sequence[str], *, calls_per_s: float) -> None:
         self._urls = urls
         self._interval_s = 1.0 / calls_per_s
-        self._answers: list[CallResponse] = []
+        self._responses: list[CallResponse] = []
         self._stopping = threading.Event()
         self._executor = ThreadPoolExecutor(len(urls), thread_name_prefix="caller")
         self._futures: list[Future[None]] = []
@@ -83,17 +83,19 @@
 
     def since(self, start_s: float, *, until_s: float = float("inf")) -> list[CallResponse]:
         """Return the responses received between two monotonic times."""
-        return [answer for answer in list(self._answers) if start_s <= answer.at_s < until_s]
+        return [
+            response for response in list(self._responses) if start_s <= response.at_s < until_s
+        ]
 
     @staticmethod
-    def by_version(answers: Sequence[CallResponse]) -> Counter[str]:
+    def by_version(responses: Sequence[CallResponse]) -> Counter[str]:
         """Return the number of responses by service version."""
-        return Counter(answer.service_version for answer in answers)
+        return Counter(response.service_version for response in responses)
 
     def _run(self, url: str) -> None:
         caller = Caller()
         next_call = time.monotonic()
         while not self._stopping.is_set():
-            self._answers.append(caller.call(url))
+            self._responses.append(caller.call(url))
             next_call = max(next_call + self._interval_s, time.monotonic())
             self._stopping.wait(max(0.0, next_call - time.monotonic()))
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -101,15 +101,15 @@
         }
         for route in config.routes.values():
             if (route.service, route.service_version) not in known:
-                yield f"route {route.name!r} needs {route.service} {route.service_version}"
+                yield f"route {route.name!r} needs missing {route.service} {route.service_version}"
         for move in config.moves.values():
             target = config.routes.get(move.route)
             if target is None:
-                yield f"move {move.move_id!r} needs route {move.route!r}"
+                yield f"move {move.move_id!r} needs missing route {move.route!r}"
                 continue
             for version in (move.from_version, move.to_version):
                 if (target.service, version) not in known:
-                    yield f"move {move.move_id!r} needs {target.service} {version}"
+                    yield f"move {move.move_id!r} needs missing {target.service} {version}"
 
 
 @CHECKERS.register("R3")
@@ -149,7 +149,7 @@
         if version in self._refused:
             reason = self._refused[version]
             self._fail(
-                observed.at, f"{observed.node} has refused version {version} in force: {reason}"
+                observed.at, f"{observed.node} put refused version {version} in force: {reason}"
             )
         elif version in self._accepted and observed.config != self._accepted[version]:
             self._fail(observed.at, f"{observed.node} holds different content as version {version}")
@@ -225,7 +225,7 @@
         if mark is None or since is None or self._epochs.get(key, -1) > mark[0]:
             return
         if observed.at > max(mark[1], since) + MARK_PROPAGATION_S:
-            text = f"{observed.target} runs a call of marked {key[0]} {key[1]}"
+            text = f"{observed.target} runs a call on marked {key[0]} {key[1]}"
             self._fail(observed.at, f"{text}, {observed.at - mark[1]:.1f} s after the mark")
 
     def finish(self, at: float) -> None:
--- a/src/citronrack/proof/expectations.py
+++ b/src/citronrack/proof/expectations.py
@@ -37,9 +37,11 @@
     def fault(self, world: World) -> str:
         """Return the nodes that hold another version."""
         version = world.log.fold.config.version
-        made = {observed.config.version for observed in world.observations.of_kind(ConfigInForce)}
-        if len(made) - 1 < self.changes:
-            return f"expected {self.changes} changes in force, saw {len(made) - 1}"
+        versions = {
+            observed.config.version for observed in world.observations.of_kind(ConfigInForce)
+        }
+        if len(versions) - 1 < self.changes:
+            return f"expected {self.changes} changes in force, observed {len(versions) - 1}"
         zones = set(world.deployment.zones) if self.cut_off else world.network.connected_zones()
         behind = [
             f"{node.name} at {node.core.active.version}"
@@ -72,7 +74,7 @@
         """Compare with the result reported to the operator."""
         tracked = world.operators.plans.get(self.plan)
         if tracked is None:
-            return f"plan {self.plan!r} was never made"
+            return f"plan {self.plan!r} does not exist"
         if tracked.result != self.result:
             return f"plan {self.plan!r} is {tracked.result} ({tracked.reason}), not {self.result}"
         if self.reason not in tracked.reason:
@@ -99,7 +101,9 @@
         results = sorted(
             tracked.result if tracked is not None else "missing" for tracked in tracked_plans
         )
-        return "" if results == ["accepted", "refused"] else f"the plans are {results}"
+        return (
+            "" if results == ["accepted", "refused"] else f"the results of the plans are {results}"
+        )
 
 
 @EXPECTATION_KINDS.register("move_result")
@@ -159,25 +163,25 @@
     def fault(self, world: World) -> str:
         """Count the calls that the version ran."""
         key = (self.service, self.service_version)
-        turned = [
+        bad_since = [
             observed.at
             for observed in world.observations.of_kind(VersionTurnedBad)
             if (observed.service, observed.service_version) == key
         ]
-        if not turned:
+        if not bad_since:
             return f"{self.service} {self.service_version} never turned bad"
         work = [
             observed
             for observed in world.observations.of_kind(WorkStarted)
-            if observed.service == self.service and observed.at >= turned[0]
+            if observed.service == self.service and observed.at >= bad_since[0]
         ]
         bad = [observed.at for observed in work if observed.service_version == self.service_version]
         if len(bad) > self.max_calls:
             return f"it ran {len(bad)} calls, more than {self.max_calls}"
         if len(bad) > self.max_share * len(work):
             return f"it ran {len(bad)} of {len(work)} calls, more than {self.max_share:.1%}"
-        if bad and bad[-1] > turned[0] + self.none_after_s:
-            return f"it still ran a call {bad[-1] - turned[0]:.1f} s after it turned bad"
+        if bad and bad[-1] > bad_since[0] + self.none_after_s:
+            return f"it still ran a call {bad[-1] - bad_since[0]:.1f} s after it turned bad"
         return ""
 
 
@@ -304,9 +308,9 @@
         if not found:
             return f"the status of {self.node} has no zone {zone!r}"
         if set(found[0].behind) != set(self.behind):
-            return f"behind are {list(found[0].behind)}"
+            return f"nodes listed as behind: {list(found[0].behind)}"
         if set(found[0].unknown) != set(self.unknown):
-            return f"unknown are {list(found[0].unknown)}"
+            return f"nodes listed as unknown: {list(found[0].unknown)}"
         alive = {entry.name for entry in status.nodes if entry.state == "alive"}
         listed = sorted(alive.intersection(self.missing))
         return f"still listed as alive: {listed}" if listed else ""
@@ -330,7 +334,7 @@
             and node.core.fold.next_offset == end
             and node.core.fold.state.digest != digest
         ]
-        return f"other digests: {', '.join(other)}" if other else ""
+        return f"nodes with a different digest: {', '.join(other)}" if other else ""
 
 
 @EXPECTATION_KINDS.register("calls_answered")
