Call HTTP and log responses by their usual name

Texts and local names of the scenarios, the command line and the stand-ins called a response an answer.

--- a/src/citronrack/cli/base.py
+++ b/src/citronrack/cli/base.py
@@ -72,8 +72,8 @@
         """Print a JSON document."""
         self.line(json.dumps(content, indent=2))
 
-    def report_refusal(self, answer: ApiResponse) -> int:
+    def report_refusal(self, response: ApiResponse) -> int:
         """Print why the API refused the request and return the exit code."""
-        message = answer.content.get("message", "")
-        self.line_error(f"refused ({answer.content.get('error', answer.status)}): {message}")
+        message = response.content.get("message", "")
+        self.line_error(f"refused ({response.content.get('error', response.status)}): {message}")
         return Exit.FAILED
--- a/src/citronrack/cli/client.py
+++ b/src/citronrack/cli/client.py
@@ -65,12 +65,12 @@
 
     def _exchange(self, path: str, body: bytes | None) -> ApiResponse:
         curl = pycurl.Curl()
-        answer = io.BytesIO()
+        response_body = io.BytesIO()
         curl.setopt(pycurl.URL, self._url + path)
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-        curl.setopt(pycurl.WRITEDATA, answer)
+        curl.setopt(pycurl.WRITEDATA, response_body)
         headers = [f"Authorization: Bearer {self._token}", f"X-Operator: {self._operator}"]
         if body is not None:
             curl.setopt(pycurl.POST, 1)
@@ -80,7 +80,7 @@
         try:
             curl.perform()
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-            return ApiResponse(status, json.loads(answer.getvalue()))
+            return ApiResponse(status, json.loads(response_body.getvalue()))
         except pycurl.error as error:
             raise ApiUnreachable(f"{self._url}{path}: {error}") from error
         except ValueError as error:
--- a/src/citronrack/cli/commands/intent_cancel.py
+++ b/src/citronrack/cli/commands/intent_cancel.py
@@ -19,11 +19,11 @@
 
     def run_command(self) -> int:
         """Send the request and print its result."""
-        answer = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
-        if answer.status not in (200, 202):
-            return self.report_refusal(answer)
+        response = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
+        if response.status not in (200, 202):
+            return self.report_refusal(response)
         if self.wants_json:
-            self.write_json(answer.content)
+            self.write_json(response.content)
         else:
-            self.line(f"{answer.content['result']} {answer.content['reason']}".strip())
-        return Exit.OK if answer.status == 200 else Exit.UNKNOWN
+            self.line(f"{response.content['result']} {response.content['reason']}".strip())
+        return Exit.OK if response.status == 200 else Exit.UNKNOWN
--- a/src/citronrack/cli/commands/intent_confirm.py
+++ b/src/citronrack/cli/commands/intent_confirm.py
@@ -27,10 +27,10 @@
             plan = json.loads(path.read_text(encoding="utf-8"))
         except (OSError, ValueError) as error:
             raise UsageError(f"{path}: {error}") from error
-        answer = self.client().post("/v1/plans/confirm", plan)
-        if answer.status not in (200, 202):
-            return self.report_refusal(answer)
-        result = answer.content
+        response = self.client().post("/v1/plans/confirm", plan)
+        if response.status not in (200, 202):
+            return self.report_refusal(response)
+        result = response.content
         if self.wants_json:
             self.write_json(result)
         elif result["result"] == "accepted":
--- a/src/citronrack/cli/commands/intent_plan.py
+++ b/src/citronrack/cli/commands/intent_plan.py
@@ -32,10 +32,10 @@
             intent = yaml.safe_load(path.read_text(encoding="utf-8"))
         except (OSError, yaml.YAMLError) as error:
             raise UsageError(f"{path}: {' '.join(str(error).split())}") from error
-        answer = self.client().post("/v1/plans", intent)
-        if answer.status != 200:
-            return self.report_refusal(answer)
-        plan = answer.content
+        response = self.client().post("/v1/plans", intent)
+        if response.status != 200:
+            return self.report_refusal(response)
+        plan = response.content
         out = self.option("out")
         Path(out).write_text(json.dumps(plan, indent=2) + "\n", encoding="utf-8")
         if self.wants_json:
--- a/src/citronrack/cli/queries/intent_list.py
+++ b/src/citronrack/cli/queries/intent_list.py
@@ -16,14 +16,14 @@
 
     def run_command(self) -> int:
         """Print one line per move."""
-        answer = self.client().get("/v1/moves")
-        if answer.status != 200:
-            return self.report_refusal(answer)
+        response = self.client().get("/v1/moves")
+        if response.status != 200:
+            return self.report_refusal(response)
         if self.wants_json:
-            self.write_json(answer.content)
+            self.write_json(response.content)
             return Exit.OK
-        for move in answer.content["moves"]:
+        for move in response.content["moves"]:
             self.line(f"{move['move_id']}: {move['state']}")
-        if not answer.content["moves"]:
+        if not response.content["moves"]:
             self.line("no moves")
         return Exit.OK
--- a/src/citronrack/cli/queries/intent_show.py
+++ b/src/citronrack/cli/queries/intent_show.py
@@ -20,12 +20,12 @@
     def run_command(self) -> int:
         """Look up a move with this id, and a plan when there is none."""
         client = self.client()
-        answer = client.get(f"/v1/moves/{self.argument('id')}")
-        if answer.status == 404:
-            answer = client.get(f"/v1/plans/{self.argument('id')}")
-        if answer.status != 200:
-            return self.report_refusal(answer)
-        content = answer.content
+        response = client.get(f"/v1/moves/{self.argument('id')}")
+        if response.status == 404:
+            response = client.get(f"/v1/plans/{self.argument('id')}")
+        if response.status != 200:
+            return self.report_refusal(response)
+        content = response.content
         if self.wants_json:
             self.write_json(content)
         else:
--- a/src/citronrack/cli/queries/status.py
+++ b/src/citronrack/cli/queries/status.py
@@ -18,13 +18,13 @@
 
     def run_command(self) -> int:
         """Print the status of the node and the mesh."""
-        answer = self.client().get("/v1/status")
-        if answer.status != 200:
-            return self.report_refusal(answer)
+        response = self.client().get("/v1/status")
+        if response.status != 200:
+            return self.report_refusal(response)
         if self.wants_json:
-            self.write_json(answer.content)
+            self.write_json(response.content)
         else:
-            self._write_text(answer.content)
+            self._write_text(response.content)
         return Exit.OK
 
     def _write_text(self, status: dict[str, Any]) -> None:
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -237,9 +237,9 @@
 
 @CHECKERS.register("R5")
 class ResponseMatching(Checker):
-    """A caller gets exactly one answer, which is complete and belongs to its own request."""
+    """A caller gets exactly one response, which is complete and belongs to its own request."""
 
-    title = "a caller gets the complete answer to its own request"
+    title = "a caller gets the complete response to its own request"
 
     def __init__(self) -> None:
         super().__init__()
@@ -262,12 +262,12 @@
         self.exercised += 1
         if observed.answer_to != observed.call:
             self._fail(
-                observed.at, f"call {observed.call} got the answer to call {observed.answer_to}"
+                observed.at, f"call {observed.call} got the response to call {observed.answer_to}"
             )
         elif not observed.complete:
-            self._fail(observed.at, f"call {observed.call} got an incomplete answer")
+            self._fail(observed.at, f"call {observed.call} got an incomplete response")
         elif observed.call not in self._open:
-            self._fail(observed.at, f"call {observed.call} got a second answer")
+            self._fail(observed.at, f"call {observed.call} got a second response")
         self._open.discard(observed.call)
 
 
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -203,7 +203,7 @@
     """The platform's log responds slowly.
 
     Attributes:
-        delay_ms: Time for each answer in milliseconds.
+        delay_ms: Time for each response in milliseconds.
     """
 
     delay_ms: float = number(0, 60_000, default=1_000.0)
@@ -216,7 +216,7 @@
 @EVENT_KINDS.register("lose_append_answers")
 @frozen(kw_only=True)
 class LoseAppendAnswers(TimedEvent):
-    """The next appends take effect, but their answers are lost.
+    """The next appends take effect, but their responses are lost.
 
     Attributes:
         count: Number of appends.
--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -1,4 +1,4 @@
-"""Simulated calls: callers, choice of a target, delivery, answers and retries."""
+"""Simulated calls: callers, choice of a target, delivery, responses and retries."""
 
 from __future__ import annotations
 
@@ -204,7 +204,7 @@
     ) -> None:
         world = self._world
         if node.paused:
-            return  # The kernel accepts the bytes, but nothing answers; the attempt times out.
+            return  # The kernel accepts the bytes, but nothing responds; the attempt times out.
         if not node.up or (node.placement.service, node.placement.service_version) != (
             route.service,
             version,
@@ -250,7 +250,7 @@
     ) -> None:
         network = self._world.network
         if network.is_blocked(call.entry_node.zone, node.zone):
-            return  # The answer is lost; the attempt times out.
+            return  # The response is lost; the attempt times out.
         delay = network.delay_s(call.entry_node.zone, node.zone)
         self._world.timeline.after(
             delay, lambda: self._finish_attempt(call, attempt, verdict, record, status)
@@ -260,7 +260,7 @@
         self, call: Call, attempt: int, verdict: Verdict, record: AttemptRecorder, status: int
     ) -> None:
         if call.closed or call.attempt != attempt:
-            return  # A late answer, or the timeout of an attempt that has ended.
+            return  # A late response, or the timeout of an attempt that has ended.
         call.closed = True
         call.may_have_run |= verdict is not Verdict.NOT_RUN
         now = self._world.timeline.now
--- a/src/citronrack/proof/fake_log.py
+++ b/src/citronrack/proof/fake_log.py
@@ -27,7 +27,7 @@
 
 
 class FakeLog:
-    """An append-only log with outages, delays, lost answers and limited retention.
+    """An append-only log with outages, delays, lost responses and limited retention.
 
     It folds its own records, to determine which version should be in force.
 
@@ -75,7 +75,7 @@
         return offset
 
     def take_lost_answer(self) -> bool:
-        """Return whether the answer to the last append is lost, and count it off."""
+        """Return whether the response to the last append is lost, and count it off."""
         lost = self.answers_to_lose > 0
         self.answers_to_lose -= int(lost)
         return lost
--- a/src/citronrack/proof/fake_target.py
+++ b/src/citronrack/proof/fake_target.py
@@ -26,7 +26,7 @@
         idempotent: Whether the call may be repeated.
         on_start: Called when the target starts to run the attempt.
         on_done: Called with the HTTP status, or 0 when the target died, and the number of the call
-            that the answer belongs to.
+            that the response belongs to.
     """
 
     call: int
@@ -139,7 +139,7 @@
         self._started_at = self._timeline.now
 
     def kill(self) -> None:
-        """Terminate the process; calls in flight get no answer."""
+        """Terminate the process; calls in flight get no response."""
         self._generation += 1
         lost = [*self._running.values(), *self._waiting]
         self._running.clear()
--- a/src/citronrack/proof/log_access.py
+++ b/src/citronrack/proof/log_access.py
@@ -55,7 +55,7 @@
 
     @property
     def round_trip_s(self) -> float:
-        """Time for a request and its answer in seconds, including the service time."""
+        """Time for a request and its response in seconds, including the service time."""
         return 2 * self.network.delay_s(self.zone, PLATFORM) + self.log.delay_s
 
     def backoff_s(self, failures: int) -> float:
--- a/src/citronrack/proof/observations.py
+++ b/src/citronrack/proof/observations.py
@@ -165,7 +165,7 @@
 
 @frozen
 class CallAnswered(Observation):
-    """A caller got an answer; the target produced it for call ``answer_to``."""
+    """A caller got a response; the target produced it for call ``answer_to``."""
 
     call: int
     answer_to: int
@@ -175,7 +175,7 @@
 
 @frozen
 class CallRefused(Observation):
-    """A caller got no answer from a target; ``verdict`` is what was reported to it."""
+    """A caller got no response from a target; ``verdict`` is what was reported to it."""
 
     call: int
     verdict: Verdict
--- a/src/citronrack/proof/schema.py
+++ b/src/citronrack/proof/schema.py
@@ -39,7 +39,7 @@
     """The platform's log service.
 
     Attributes:
-        delay_ms: Time for each answer in milliseconds.
+        delay_ms: Time for each response in milliseconds.
         retention: Number of records that each stream retains.
     """
 
--- a/src/citronrack/standins/log_store.py
+++ b/src/citronrack/standins/log_store.py
@@ -19,11 +19,11 @@
 
     Attributes:
         outage: Whether every request fails.
-        lose_answers: Number of following appends that take effect without an answer.
+        lose_answers: Number of following appends that take effect without a response.
         duplicate_appends: Number of following appends that take effect twice.
-        hold_appends: Number of following appends that get no answer and only take effect when
+        hold_appends: Number of following appends that get no response and only take effect when
             `LogStore.release_held` is called.
-        delay_ms: Additional time before each answer; applied by the HTTP service only.
+        delay_ms: Additional time before each response; applied by the HTTP service only.
     """
 
     outage: bool = False
@@ -89,7 +89,7 @@
         """Append one record and return its offset.
 
         Raises:
-            AppendUnknown: When an injected fault leaves the request without an answer.
+            AppendUnknown: When an injected fault leaves the request without a response.
         """
         with self.changed:
             self._appends += 1
@@ -102,7 +102,7 @@
             if self._consume_fault("duplicate_appends"):
                 offset = self._store(name, data)
             if self._consume_fault("lose_answers"):
-                raise AppendUnknown("the answer was lost")
+                raise AppendUnknown("the response was lost")
             return offset
 
     def release_held(self) -> None:
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -45,7 +45,7 @@
         if on_end is not None:
             on_end()
 
-    def answer(
+    def respond(
         self, status: int, body: bytes, *, headers: bytes = b"", length: int | None = None
     ) -> None:
         """Send a complete response; ``length`` overrides the declared content length."""
@@ -74,13 +74,13 @@
 
 @behaviours.register("fail")
 def _fail(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
-    request.answer(int(argument or 500), b"failed\n")
+    request.respond(int(argument or 500), b"failed\n")
     return True
 
 
 @behaviours.register("truncate")
 def _truncate(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
-    request.answer(200, b"only a part", length=int(argument or 1000))
+    request.respond(200, b"only a part", length=int(argument or 1000))
     request.connection.close()
     return True
 
@@ -133,11 +133,11 @@
     """Send a second response that belongs to no request, immediately or after a delay."""
     surplus = b"HTTP/1.1 200 -\r\ncontent-length: 4\r\n\r\nlate"
     if argument:
-        request.answer(200, b"first\n")
+        request.respond(200, b"first\n")
         time.sleep(float(argument) / 1000)
         request.connection.sendall(surplus)
     else:
-        request.answer(200, b"first\n" + surplus, length=len(b"first\n"))
+        request.respond(200, b"first\n" + surplus, length=len(b"first\n"))
     return True
 
 
@@ -145,7 +145,7 @@
 def _spoof(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
     headers = b"x-citronrack-verdict: not-run\r\nx-citronrack-load: 0\r\n"
     headers += b"connection: x-private\r\nx-private: 1\r\n"
-    request.answer(int(argument or 503), b"spoofed\n", headers=headers)
+    request.respond(int(argument or 503), b"spoofed\n", headers=headers)
     return True
 
 
@@ -153,7 +153,7 @@
 def _headers(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
     """Respond with the names of the request's headers."""
     names = ",".join(request.header_names).encode()
-    request.answer(200, b"", headers=b"x-seen: %b\r\n" % names)
+    request.respond(200, b"", headers=b"x-seen: %b\r\n" % names)
     return True
 
 
@@ -209,7 +209,7 @@
                 return False
             self._parser.feed_data(data)
             if self.head_done and "do=early" in self.request.path and not self.complete:
-                self.request.answer(413, b"too large\n", headers=b"connection: close\r\n")
+                self.request.respond(413, b"too large\n", headers=b"connection: close\r\n")
                 return False
         return True
 
@@ -341,7 +341,7 @@
                 if request.request_id:
                     self.executed.append(request.request_id)
         if shed:
-            request.answer(503, b"the target sheds load\n")
+            request.respond(503, b"the target sheds load\n")
             return parser.keep_alive
         request.on_end = self._release_slot
         try:
@@ -357,7 +357,7 @@
     def _run(self, request: StandInRequest) -> None:
         path, _, query = request.path.partition("?")
         if path == "/healthz":
-            request.answer(200 if self.healthy else 503, b"")
+            request.respond(200 if self.healthy else 503, b"")
             return
         if self.delay_s:
             cold = time.monotonic() - self._started < self.cold_s
@@ -368,7 +368,7 @@
                 return
         status = 500 if self.bad else 200
         echo = request.body[:100] if request.body_bytes == len(request.body) else b""
-        request.answer(status, f"{self.service_version} {path}\n".encode() + echo)
+        request.respond(status, f"{self.service_version} {path}\n".encode() + echo)
 
     def _selected_behaviours(self, query: str) -> list[tuple[str, str]]:
         names = []
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -128,7 +128,7 @@
 
 
 class ResponseSwappingTarget(FakeTarget):
-    """Returns the answer of one call to another call (R5)."""
+    """Returns the response of one call to another call (R5)."""
 
     def _finish(self, key: int, generation: int, status: int) -> None:
         others = [other for other in self._running if other != key]
