Give the call recorder and the target stand-in plain local names

The recorder of an attempt was called record and its callbacks did not match the fields of the job that they are passed to; `shed`, `chance` and `_open` of the target stand-in were vague. They are now `recorder`, `on_start`, `on_done`, `rejected`, `probability` and `_connections`.

--- a/src/citronrack/proof/fake_calls.py
+++ b/src/citronrack/proof/fake_calls.py
@@ -179,19 +179,19 @@
     def _connect(self, call: Call, route: Route, version: str, node: SimNode) -> None:
         network, timeline = self._world.network, self._world.timeline
         attempt = call.attempt
-        record = self._recorder(call, route, version)
+        recorder = self._new_recorder(call, route, version)
         if network.is_blocked(call.entry_node.zone, node.zone):
             timeline.after(
                 CONNECT_TIMEOUT_S,
-                lambda: self._finish_attempt(call, attempt, Verdict.NOT_RUN, record, 0),
+                lambda: self._finish_attempt(call, attempt, Verdict.NOT_RUN, recorder, 0),
             )
             return
         timeline.after(
             CALL_TIMEOUT_S,
-            lambda: self._finish_attempt(call, attempt, Verdict.MAY_HAVE_RUN, record, 0),
+            lambda: self._finish_attempt(call, attempt, Verdict.MAY_HAVE_RUN, recorder, 0),
         )
         delay = network.delay_s(call.entry_node.zone, node.zone)
-        timeline.after(delay, lambda: self._deliver(call, attempt, route, version, node, record))
+        timeline.after(delay, lambda: self._deliver(call, attempt, route, version, node, recorder))
 
     def _deliver(
         self,
@@ -200,7 +200,7 @@
         route: Route,
         version: str,
         node: SimNode,
-        record: AttemptRecorder,
+        recorder: AttemptRecorder,
     ) -> None:
         world = self._world
         if node.paused:
@@ -209,21 +209,23 @@
             route.service,
             version,
         ):
-            self._respond(call, attempt, node, Verdict.NOT_RUN, record, 0)
+            self._respond(call, attempt, node, Verdict.NOT_RUN, recorder, 0)
             return
         world.emit(WorkOffered(world.timeline.now, call.number, node.name))
         if not world.rules.admits(node):
-            self._respond(call, attempt, node, Verdict.NOT_RUN, record, 503)
+            self._respond(call, attempt, node, Verdict.NOT_RUN, recorder, 503)
             return
         cold = node.target.cold
 
-        def done(status: int, answer_to: int) -> None:
+        def on_done(status: int, answer_to: int) -> None:
             verdict = world.rules.verdict(status)
-            record.answer_to = answer_to
-            node.post(CallReported(record.make(status, verdict, delivered_here=True, cold=cold)))
-            self._respond(call, attempt, node, verdict, record, status)
+            recorder.answer_to = answer_to
+            node.post(
+                CallReported(recorder.call_record(status, verdict, delivered_here=True, cold=cold))
+            )
+            self._respond(call, attempt, node, verdict, recorder, status)
 
-        def started() -> None:
+        def on_start() -> None:
             world.emit(
                 WorkStarted(
                     world.timeline.now,
@@ -237,7 +239,9 @@
                 )
             )
 
-        node.target.submit(Job(call.number, attempt, route.name, call.idempotent, started, done))
+        node.target.submit(
+            Job(call.number, attempt, route.name, call.idempotent, on_start, on_done)
+        )
 
     def _respond(
         self,
@@ -245,7 +249,7 @@
         attempt: int,
         node: SimNode,
         verdict: Verdict,
-        record: AttemptRecorder,
+        recorder: AttemptRecorder,
         status: int,
     ) -> None:
         network = self._world.network
@@ -253,11 +257,11 @@
             return  # The response is lost; the attempt times out.
         delay = network.delay_s(call.entry_node.zone, node.zone)
         self._world.timeline.after(
-            delay, lambda: self._finish_attempt(call, attempt, verdict, record, status)
+            delay, lambda: self._finish_attempt(call, attempt, verdict, recorder, status)
         )
 
     def _finish_attempt(
-        self, call: Call, attempt: int, verdict: Verdict, record: AttemptRecorder, status: int
+        self, call: Call, attempt: int, verdict: Verdict, recorder: AttemptRecorder, status: int
     ) -> None:
         if call.closed or call.attempt != attempt:
             return  # A late response, or the timeout of an attempt that has ended.
@@ -265,9 +269,9 @@
         call.may_have_run |= verdict is not Verdict.NOT_RUN
         now = self._world.timeline.now
         self._world.emit(AttemptEnded(now, call.number, attempt, verdict))
-        call.entry_node.post(CallReported(record.make(status, verdict)))
+        call.entry_node.post(CallReported(recorder.call_record(status, verdict)))
         if verdict is Verdict.RAN and status < 500:
-            self._world.emit(CallAnswered(now, call.number, record.answer_to, True, status))
+            self._world.emit(CallAnswered(now, call.number, recorder.answer_to, True, status))
             self._finish_call(call)
         elif self._world.rules.allows_retry(call, verdict):
             self._attempt(call)
@@ -285,7 +289,7 @@
     def _finish_call(call: Call) -> None:
         call.entry_node.calls_open -= 1
 
-    def _recorder(self, call: Call, route: Route, version: str) -> AttemptRecorder:
+    def _new_recorder(self, call: Call, route: Route, version: str) -> AttemptRecorder:
         return AttemptRecorder(call, route, version, self._world.timeline, self._world.timeline.now)
 
 
@@ -300,7 +304,7 @@
     started_at: float
     answer_to: int = -1
 
-    def make(
+    def call_record(
         self, status: int, verdict: Verdict, *, delivered_here: bool = False, cold: bool = False
     ) -> CallRecord:
         """Return a call record with the latency up to now."""
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -259,7 +259,7 @@
     uploaded: int = field(default=0, init=False)
     _listener: socket.socket = field(init=False)
     _executor: ThreadPoolExecutor = field(init=False)
-    _open: set[socket.socket] = field(factory=set, init=False)
+    _connections: set[socket.socket] = field(factory=set, init=False)
     _work: threading.Semaphore = field(init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _started: float = field(default=0.0, init=False)
@@ -293,7 +293,7 @@
     def disconnect(self) -> None:
         """Close all connections, as a restart does."""
         with self._lock:
-            connections = list(self._open)
+            connections = list(self._connections)
         for connection in connections:
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
@@ -306,7 +306,7 @@
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self._lock:
-                self._open.add(connection)
+                self._connections.add(connection)
             self._executor.submit(self._serve, connection)
 
     def _serve(self, connection: socket.socket) -> None:
@@ -317,7 +317,7 @@
             pass  # The peer or a behaviour has closed the connection.
         finally:
             with self._lock:
-                self._open.discard(connection)
+                self._connections.discard(connection)
             connection.close()
 
     def _serve_one(self, connection: socket.socket) -> bool:
@@ -332,15 +332,15 @@
         self.uploaded += request.body_bytes
         with self._lock:
             if self.slots is not None and self.running >= self.slots:
-                shed = True
+                rejected = True
             else:
-                shed = False
+                rejected = False
                 self.running += 1
                 self.peak_running = max(self.peak_running, self.running)
                 self.calls += 1
                 if request.request_id:
                     self.executed.append(request.request_id)
-        if shed:
+        if rejected:
             request.respond(503, b"the target sheds load\n")
             return parser.keep_alive
         request.on_end = self._release_slot
@@ -375,8 +375,8 @@
         for parameter in query.split("&"):
             if parameter.startswith("do="):
                 names += parameter.removeprefix("do=").split(",")
-        for name, chance in self.faults.items():
-            if self.random.random() < chance:
+        for name, probability in self.faults.items():
+            if self.random.random() < probability:
                 names.append(name)
         pairs = [name.partition(":") for name in names]
         return [(name, argument) for name, _, argument in pairs if name in behaviours]
