--- a/src/citronrack/cli/client.py
+++ b/src/citronrack/cli/client.py
@@ -17,16 +17,16 @@
 
 
 class ApiUnreachable(CitronrackError):
-    """No node answered."""
+    """The node could not be reached or sent no valid response."""
 
 
 @frozen
 class ApiResponse:
-    """An answer of the API.
+    """Response of the API.
 
     Attributes:
         status: HTTP status.
-        content: Decoded JSON.
+        content: Decoded JSON body.
     """
 
     status: int
@@ -39,7 +39,7 @@
     Args:
         url: Base address, such as ``http://127.0.0.1:7400``.
         token: Bearer token of operators.
-        operator: Name that is kept with what the operator confirms.
+        operator: Name that is recorded with confirmations and cancellations.
     """
 
     def __init__(self, url: str, *, token: str, operator: str = "") -> None:
@@ -51,7 +51,7 @@
         """Send a GET request.
 
         Raises:
-            ApiUnreachable: When no complete answer arrived.
+            ApiUnreachable: When no complete response arrived.
         """
         return self._exchange(path, None)
 
@@ -59,18 +59,18 @@
         """Send a POST request with a JSON body.
 
         Raises:
-            ApiUnreachable: When no complete answer arrived; the request may have taken effect.
+            ApiUnreachable: When no complete response arrived; the request may have taken effect.
         """
         return self._exchange(path, json.dumps(content).encode())
 
     def _exchange(self, path: str, body: bytes | None) -> ApiResponse:
         curl = pycurl.Curl()
-        answer = io.BytesIO()
+        response_body = io.BytesIO()
         curl.setopt(pycurl.URL, self._url + path)
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
         curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-        curl.setopt(pycurl.WRITEDATA, answer)
+        curl.setopt(pycurl.WRITEDATA, response_body)
         headers = [f"Authorization: Bearer {self._token}", f"X-Operator: {self._operator}"]
         if body is not None:
             curl.setopt(pycurl.POST, 1)
@@ -80,10 +80,10 @@
         try:
             curl.perform()
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-            return ApiResponse(status, json.loads(answer.getvalue()))
+            return ApiResponse(status, json.loads(response_body.getvalue()))
         except pycurl.error as error:
             raise ApiUnreachable(f"{self._url}{path}: {error}") from error
         except ValueError as error:
-            raise ApiUnreachable(f"{self._url}{path}: the answer is not JSON") from error
+            raise ApiUnreachable(f"{self._url}{path}: the response is not valid JSON") from error
         finally:
             curl.close()
--- a/src/citronrack/cli/commands/intent_cancel.py
+++ b/src/citronrack/cli/commands/intent_cancel.py
@@ -18,12 +18,12 @@
     help = "Example: <info>citronrack intent cancel lookups-2.0.0-1800000000000</info>"
 
     def run_command(self) -> int:
-        """Send the request and say what became of it."""
-        answer = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
-        if answer.status not in (200, 202):
-            return self.report_refusal(answer)
+        """Send the request and print its result."""
+        response = self.client().post(f"/v1/moves/{self.argument('move')}/cancel", {})
+        if response.status not in (200, 202):
+            return self.report_refusal(response)
         if self.wants_json:
-            self.write_json(answer.content)
+            self.write_json(response.content)
         else:
-            self.line(f"{answer.content['result']} {answer.content['reason']}".strip())
-        return Exit.OK if answer.status == 200 else Exit.UNKNOWN
+            self.line(f"{response.content['result']} {response.content['reason']}".strip())
+        return Exit.OK if response.status == 200 else Exit.UNKNOWN
--- a/src/citronrack/cli/commands/intent_confirm.py
+++ b/src/citronrack/cli/commands/intent_confirm.py
@@ -21,16 +21,16 @@
     help = "Example: <info>citronrack intent confirm plan.json</info>"
 
     def run_command(self) -> int:
-        """Send the plan and say what became of it."""
+        """Send the plan and print the result of its confirmation."""
         path = Path(self.argument("plan"))
         try:
             plan = json.loads(path.read_text(encoding="utf-8"))
         except (OSError, ValueError) as error:
             raise UsageError(f"{path}: {error}") from error
-        answer = self.client().post("/v1/plans/confirm", plan)
-        if answer.status not in (200, 202):
-            return self.report_refusal(answer)
-        result = answer.content
+        response = self.client().post("/v1/plans/confirm", plan)
+        if response.status not in (200, 202):
+            return self.report_refusal(response)
+        result = response.content
         if self.wants_json:
             self.write_json(result)
         elif result["result"] == "accepted":
--- a/src/citronrack/cli/commands/intent_plan.py
+++ b/src/citronrack/cli/commands/intent_plan.py
@@ -13,7 +13,7 @@
 
 
 class IntentPlanCommand(BaseCommand):
-    """Asks for a plan; nothing changes."""
+    """Requests a plan without changing anything."""
 
     name = "intent plan"
     description = "Computes the plan for an intent; nothing changes until it is confirmed"
@@ -26,22 +26,22 @@
     help = "Example: <info>citronrack intent plan examples/move.yaml -o plan.json</info>"
 
     def run_command(self) -> int:
-        """Send the intent and write the plan to a file."""
+        """Send the intent and write the returned plan to a file."""
         path = Path(self.argument("intent"))
         try:
             intent = yaml.safe_load(path.read_text(encoding="utf-8"))
         except (OSError, yaml.YAMLError) as error:
             raise UsageError(f"{path}: {' '.join(str(error).split())}") from error
-        answer = self.client().post("/v1/plans", intent)
-        if answer.status != 200:
-            return self.report_refusal(answer)
-        plan = answer.content
+        response = self.client().post("/v1/plans", intent)
+        if response.status != 200:
+            return self.report_refusal(response)
+        plan = response.content
         out = self.option("out")
         Path(out).write_text(json.dumps(plan, indent=2) + "\n", encoding="utf-8")
         if self.wants_json:
             self.write_json(plan)
             return Exit.OK
-        self.line(f"plan {plan['plan_id']} rests on version {plan['base_version']}")
+        self.line(f"plan {plan['plan_id']} is based on version {plan['base_version']}")
         for line in plan["differences"]:
             self.line(f"  {line}")
         for line in plan["warnings"]:
--- a/src/citronrack/cli/commands/scenario_run.py
+++ b/src/citronrack/cli/commands/scenario_run.py
@@ -15,7 +15,7 @@
 
 
 class ScenarioRunCommand(BaseCommand):
-    """Runs scenario files on simulated time."""
+    """Runs scenario files in simulated time."""
 
     name = "scenario run"
     description = "Runs scenarios and checks expectations and invariants"
@@ -23,13 +23,13 @@
     options = [
         option("seed", None, "Seed of all random numbers", flag=False, default="1"),
         option("checks", None, "Also print the result of each invariant checker"),
-        option("trace", None, "NODE=FILE: record the node; FILE.1, FILE.2, ...", flag=False),
+        option("trace", None, "NODE=FILE: record the node to FILE.1, FILE.2, ...", flag=False),
         FORMAT_OPTION,
     ]
     help = "Example: <info>citronrack scenario run scenarios --seed 7</info>"
 
     def run_command(self) -> int:
-        """Run all scenarios; a broken expectation or invariant makes the exit code 1."""
+        """Run all scenarios; return exit code 1 when an expectation or invariant is violated."""
         from ...proof.runner import RunState, run_files
 
         results = run_files(self.argument("paths"), seed=self._seed(), traces=self._traces())
@@ -49,12 +49,12 @@
             raise UsageError(f"--seed must be a number, not {self.option('seed')!r}") from None
 
     def _traces(self) -> dict[str, str]:
-        named = self.option("trace")
-        if not named:
+        value = self.option("trace")
+        if not value:
             return {}
-        node, separator, path = named.partition("=")
+        node, separator, path = value.partition("=")
         if not separator or not path:
-            raise UsageError(f"--trace must be NODE=FILE, not {named!r}")
+            raise UsageError(f"--trace must be NODE=FILE, not {value!r}")
         return {node: path}
 
     def _print(self, result: ScenarioResult) -> None:
--- a/src/citronrack/cli/queries/status.py
+++ b/src/citronrack/cli/queries/status.py
@@ -9,7 +9,7 @@
 
 
 class StatusCommand(BaseCommand):
-    """Shows which version is in force where."""
+    """Shows which configuration version is in force in each availability zone."""
 
     name = "status"
     description = "Shows which configuration version is in force per availability zone"
@@ -18,13 +18,13 @@
 
     def run_command(self) -> int:
         """Print the status of the node and the mesh."""
-        answer = self.client().get("/v1/status")
-        if answer.status != 200:
-            return self.report_refusal(answer)
+        response = self.client().get("/v1/status")
+        if response.status != 200:
+            return self.report_refusal(response)
         if self.wants_json:
-            self.write_json(answer.content)
+            self.write_json(response.content)
         else:
-            self._write_text(answer.content)
+            self._write_text(response.content)
         return Exit.OK
 
     def _write_text(self, status: dict[str, Any]) -> None:
