Put back the texts of API responses

The reworded messages stand in bodies of responses, so clients see them: restore each one as it was in (401, 400, 404, 409, 410 and the reason of unknown results).

--- a/src/citronrack/api/app.py
+++ b/src/citronrack/api/app.py
@@ -145,13 +145,13 @@
         header = request.headers.get("authorization", "")
         given = header.removeprefix("Bearer ")
         if not hmac.compare_digest(given.encode(), self._token.encode()):
-            raise Unauthorized("a valid bearer token is required")
+            raise Unauthorized("a bearer token is needed")
 
     def _body(self, request: Request) -> Any:
         try:
             return json.loads(request.get_data())
         except ValueError as error:
-            raise PlainFormatError([f"the request body is not valid JSON: {error}"]) from error
+            raise PlainFormatError([f"the body is not JSON: {error}"]) from error
 
     def _operator(self, request: Request) -> str:
         return request.headers.get("x-operator", "unnamed")[:64]
@@ -199,7 +199,7 @@
     def _move(self, _: Request, move_id: str) -> Response:
         found = queries.move(self._gateway, move_id)
         if found is None:
-            return _error(404, "not found", f"unknown move {move_id!r}")
+            return _error(404, "not found", f"move {move_id!r} is not known")
         return _json(to_plain(found))
 
     def _cancel_move(self, request: Request, move_id: str) -> Response:
--- a/src/citronrack/api/commands.py
+++ b/src/citronrack/api/commands.py
@@ -74,7 +74,7 @@
     unknown = CommandResult(
         "unknown",
         plan_id=plan.plan_id,
-        reason="the log did not answer; query the result with GET /v1/plans/" + plan.plan_id,
+        reason="the log did not answer; ask again with GET /v1/plans/" + plan.plan_id,
     )
     offset = _append(gateway, body)
     if offset is None:
@@ -97,7 +97,7 @@
     move = state.config.moves.get(move_id)
     if move is None:
         raise PlanConflict(f"move {move_id!r} is not open")
-    unknown = CommandResult("unknown", reason=f"query the result with GET /v1/moves/{move_id}")
+    unknown = CommandResult("unknown", reason=f"ask again with GET /v1/moves/{move_id}")
     offset = _append(gateway, Cancelled(move_id, move.epoch, operator))
     if offset is None:
         return unknown
@@ -114,14 +114,14 @@
     if plan_digest(plan) != plan.plan_id:
         raise PlanConflict("the plan's content does not match its id")
     if clock.wall_ms() > plan.expires_ms:
-        raise PlanExpired("the plan has expired; request a new one")
+        raise PlanExpired("the plan has expired; ask for a new one")
     state = gateway.state().result(QUERY_TIMEOUT_S)
     known = state.plans.get(plan.plan_id)
     if known is not None and known.accepted:
         raise PlanConflict(f"the plan is already in force since version {known.offset}")
     if state.config.version > plan.base_version:
         raise PlanConflict(
-            f"the plan is based on version {plan.base_version}, "
+            f"the plan rests on version {plan.base_version}, "
             f"but version {state.config.version} is in force"
         )
 
