Restore reasons in the checkers, the trace code and the stand-ins

The reworded comments had lost or changed some reasons: why a future is not recorded, that names come first in generated values, that a mark is reported only the first time, that R5 allows calls without a response, when a target's connection is reset and that its queue is limited, and which node an empty name stands for. 'Target size' in the list of benchmarks read like the size of a target. The constant of the trace's end line is named after it. The page of the scenario language follows one event's description.

--- a/src/citronrack/cli/queries/bench.py
+++ b/src/citronrack/cli/queries/bench.py
@@ -12,7 +12,7 @@
 BENCHES = {
     "balancing": "policies for choosing a target, in one process",
     "calls": "latency added by a node, calls per second, overload; real processes",
-    "directory": "memory and time of a node's directory of other zones, at the target size",
+    "directory": "memory and time of a node's directory of other zones, at the planned size",
     "distribution": "methods of distribution, in one process",
     "log_load": "appends and reads of a herd restart, in one process",
     "moves": "good and bad service versions under all faults, in one process",
--- a/src/citronrack/proof/_mail_codec.py
+++ b/src/citronrack/proof/_mail_codec.py
@@ -30,7 +30,7 @@
 
 
 def _is_plain(kind: type[Any]) -> bool:
-    """Return whether no field holds a future, which cannot be recorded and replayed."""
+    """Return whether no field holds a future, which is useless without the waiting thread."""
     return not any("Future" in str(attribute.type) for attribute in attrs.fields(kind))
 
 
--- a/src/citronrack/proof/_strategies.py
+++ b/src/citronrack/proof/_strategies.py
@@ -23,7 +23,7 @@
 VERSIONS = ("1.0", "2.0")
 ROUTES = ("lookups", "orders")
 
-# Names come from small sets, so that generated messages refer to the same objects.
+# Known names come first, so that generated messages often refer to the same objects.
 _TEXTS = st.one_of(
     st.sampled_from((*NAMES, *ZONES, *SERVICES, *VERSIONS, *ROUTES, *Duty, *MoveResult)),
     st.text(max_size=6),
--- a/src/citronrack/proof/checkers.py
+++ b/src/citronrack/proof/checkers.py
@@ -237,7 +237,7 @@
 
 @CHECKERS.register("R5")
 class ResponseMatching(Checker):
-    """A caller gets exactly one response, which is complete and belongs to its own request."""
+    """A response is complete, belongs to the caller's own request and is delivered only once."""
 
     title = "a caller gets the complete response to its own request"
 
--- a/src/citronrack/proof/events.py
+++ b/src/citronrack/proof/events.py
@@ -317,7 +317,7 @@
 @EVENT_KINDS.register("bad_version")
 @frozen(kw_only=True)
 class BadVersion(TimedEvent):
-    """A service version becomes bad: from the start at 0 s, or while it runs at a later time.
+    """A service version becomes bad; with ``at: 0`` it is bad from the start.
 
     Attributes:
         service: Name of the service.
--- a/src/citronrack/proof/fake_target.py
+++ b/src/citronrack/proof/fake_target.py
@@ -89,7 +89,7 @@
 
 
 class FakeTarget:
-    """Runs up to ``slots`` calls concurrently and queues further calls.
+    """Runs up to ``slots`` calls concurrently and queues a few more, until it is `full`.
 
     Args:
         timeline: Simulated time.
--- a/src/citronrack/proof/fuzz.py
+++ b/src/citronrack/proof/fuzz.py
@@ -284,9 +284,8 @@
         derandomize=number is None,
         database=None,
         suppress_health_check=list(HealthCheck),
-        phases=(
-            Phase.generate,
-        ),  # without shrinking, which takes up to five minutes for a whole run
+        # No shrinking: it takes up to five minutes for a whole run of a core.
+        phases=(Phase.generate,),
     )
 
     @configured
--- a/src/citronrack/proof/observations.py
+++ b/src/citronrack/proof/observations.py
@@ -116,7 +116,7 @@
 
 @frozen
 class MarkSeen(Observation):
-    """A node has received a mark against a service version."""
+    """A node has received a mark against a service version for the first time."""
 
     node: str
     service: str
--- a/src/citronrack/proof/replay.py
+++ b/src/citronrack/proof/replay.py
@@ -135,7 +135,8 @@
 def _check_line(data: bytes, checksum: int, location: str) -> tuple[dict[str, Any], int]:
     if not data.endswith(b"\n"):
         raise TraceError(f"{location}: the line is truncated")
-    # The checksum covers the bytes as written: a changed last digit of a float may parse equal.
+    # The checksum covers the bytes as written, because a float with a changed last digit may be
+    # parsed to the same value.
     head, text = data[:LINE_PREFIX_BYTES], data[LINE_PREFIX_BYTES : -len(LINE_SUFFIX)]
     checksum = zlib.crc32(text, checksum)
     if head != line_prefix(checksum) or not data.endswith(LINE_SUFFIX):
--- a/src/citronrack/proof/trace.py
+++ b/src/citronrack/proof/trace.py
@@ -25,7 +25,7 @@
 
 TRACE_FORMAT = 1
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
-MARKER_RESERVE_BYTES = 256  # room for the end line
+END_LINE_RESERVE_BYTES = 256  # room for the end line
 
 
 class SteppedClock:
@@ -188,7 +188,7 @@
             "decided": decisions.changes(self._previous),
         }
         self._previous = decisions
-        if len(encode_content(content)) + 2 * MARKER_RESERVE_BYTES > self._remaining_bytes:
+        if len(encode_content(content)) + 2 * END_LINE_RESERVE_BYTES > self._remaining_bytes:
             self.close("limit")
         else:
             self._write(content)
--- a/src/citronrack/proof/world.py
+++ b/src/citronrack/proof/world.py
@@ -119,7 +119,11 @@
             raise LookupError(f"unknown node {name!r}; known: {known}") from None
 
     def resolve_node(self, name: str = "") -> SimNode:
-        """Return the named node; for an empty name, the first serving node that does not drain."""
+        """Return the named node.
+
+        An empty name stands for the first node that serves and is not draining, or for the first
+        node when there is none.
+        """
         if name:
             return self.node(name)
         for node in self.nodes.values():
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -40,7 +40,7 @@
     on_end: Callable[[], None] | None = None
 
     def end(self) -> None:
-        """Release the slot; called before the response, after which the next request may follow."""
+        """Release the slot before responding, because the next request may follow immediately."""
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
             on_end()
@@ -232,7 +232,8 @@
         random: Source of random numbers for faults.
         cold_s: Seconds after the start during which each request takes ten times as long.
         healthy: Result of ``/healthz``, regardless of the other state.
-        reset_before_read: Probability that a connection is reset before its next request is read.
+        reset_before_read: Probability that a connection is reset when a request has arrived, before
+            it is read.
         calls: Number of requests that ran.
         running: Number of requests that are running.
         peak_running: Maximum number of requests that ran concurrently.
