--- a/tools/replay_days.py
+++ b/tools/replay_days.py
@@ -1,4 +1,4 @@
-"""Plays each day again that once showed a fault, with the bench of the platform's users.
+"""Replays each day of the bench of the platform's users that showed a fault before.
 
 Reads ``tools/failed_days.txt``; needs the bench, so CI does not run it.
 
@@ -22,13 +22,13 @@
 
 @frozen
 class FailedDay:
-    """A day that showed a fault.
+    """A day of the bench that showed a fault.
 
     Attributes:
         site: Name of the site file without its suffix.
         day: Name of the day.
         seed: Seed of the day, empty for the day's own.
-        cause: What was wrong.
+        cause: Cause of the fault.
     """
 
     site: str
@@ -38,10 +38,10 @@
 
 
 def read_list(text: str) -> Iterator[FailedDay]:
-    """Yield the days of a list: site, day and seed or ``-``, then the cause.
+    """Yield the days of a list; a line has site, day, seed or ``-``, and the cause.
 
     Raises:
-        ValueError: When a line has fewer parts.
+        ValueError: When a line has fewer fields.
     """
     for line in text.splitlines():
         if not line or line.startswith("#"):
@@ -51,14 +51,14 @@
 
 
 def faults_of(entry: str) -> list[str]:
-    """Return what a journal entry says against its days: broken rules and days given up."""
+    """Return the violated rules and the aborted days of a journal entry."""
     days = json.loads(entry)["days"]
     rules = [f"{rule} broken {count} times" for day in days for rule, count in day["rules"].items()]
     return rules + [day["fault"] for day in days if day.get("fault")]
 
 
 def replay(bench: str, sites: Path, failed: FailedDay) -> list[str]:
-    """Play a day and return what is wrong with it."""
+    """Replay a day and return its faults."""
     before = set(JOURNAL.glob("*.json"))
     command = [bench, "run", str(sites / f"{failed.site}.toml"), failed.day]
     command += ["--seed", failed.seed] if failed.seed else []
@@ -70,7 +70,7 @@
 
 
 def main(bench: str, sites: str) -> int:
-    """Play all days; return 1 when one of them is not clean."""
+    """Replay all days; return 1 when one of them has a fault."""
     found = {day: replay(bench, Path(sites), day) for day in read_list(LIST.read_text())}
     for day, faults in found.items():
         print(f"{day.site} {day.day} {day.seed}: {'; '.join(faults) or 'clean'}")
--- a/tools/version_delays.py
+++ b/tools/version_delays.py
@@ -1,10 +1,10 @@
-"""Prints how long after the first node each node had a configuration version, from log lines.
+"""Prints the delay of each node behind the first one per configuration version, from log lines.
 
     python tools/version_delays.py node1.log node2.log ...
     fleetbench run SITE DAY --log all | python tools/version_delays.py
 
-A number before a JSON object is taken as its time; otherwise the time of the line itself counts, by
-the clock of its node.
+A number before a JSON object is used as its time; otherwise the time in the line is used, which is
+that of the node's clock.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from attrs import frozen
 
 MIN_REPORTED_DELAY_S = 0.6
-"""Delays up to this are usual: a read, a push and the delay of the links."""
+"""Shorter delays are normal: a read, a push and the delay of the links."""
 
 
 @frozen
@@ -27,8 +27,8 @@
     Attributes:
         version: The configuration version.
         node: Name of the node.
-        time_s: When, in seconds.
-        source: From where it came.
+        time_s: Time in seconds.
+        source: Source of the version.
     """
 
     version: int
@@ -38,7 +38,7 @@
 
 
 def arrivals(lines: Iterable[str]) -> Iterator[Arrival]:
-    """Yield the arrivals in log lines; other lines are passed over."""
+    """Yield the arrivals in log lines; other lines are skipped."""
     for line in lines:
         prefix, brace, rest = line.partition("{")
         if not brace or '"config_in_force"' not in rest:
@@ -46,7 +46,7 @@
         try:
             fields = json.loads(brace + rest)
         except ValueError:
-            continue  # The line was cut short.
+            continue  # The line is incomplete.
         first = prefix.split()[:1]
         time_s = float(first[0]) if first else float(fields["time"])
         source = str(fields.get("source", ""))
@@ -54,7 +54,7 @@
 
 
 def delays(found: Iterable[Arrival]) -> dict[int, list[Arrival]]:
-    """Return for each version its first arrival and those that came late, by time."""
+    """Return for each version its first arrival and the late ones, in order of time."""
     by_version: dict[int, dict[str, Arrival]] = {}
     for arrival in found:
         by_version.setdefault(arrival.version, {}).setdefault(arrival.node, arrival)
