--- a/tools/version_delays.py
+++ b/tools/version_delays.py
@@ -3,8 +3,8 @@
     python tools/version_delays.py node1.log node2.log ...
     fleetbench run SITE DAY --log all | python tools/version_delays.py
 
-A number before a JSON object is used as its time; otherwise the time in the line is used, which is
-that of the node's clock.
+A number before a JSON object is used as its time; otherwise the time in the line is used, which
+comes from the clock of its node.
 """
 
 from __future__ import annotations
