--- a/src/citronrack/bench/balancing_model.py
+++ b/src/citronrack/bench/balancing_model.py
@@ -183,8 +183,8 @@
         self.at(self.clock.monotonic() + delay, lambda: self._on_target_reached(call))
 
     def _delay(self, call: _Call) -> float:
-        here = self.zones[call.caller] == call.target.availability_zone
-        return 0.0002 if here else self.link_one_way_s
+        is_same_zone = self.zones[call.caller] == call.target.availability_zone
+        return 0.0002 if is_same_zone else self.link_one_way_s
 
     def _on_target_reached(self, call: _Call) -> None:
         now = self.clock.monotonic()
--- a/src/citronrack/bench/log_fleet.py
+++ b/src/citronrack/bench/log_fleet.py
@@ -33,7 +33,7 @@
         steps: The append.
         on_appended: Called with the offset.
         on_unknown: Called when the record may be in the log.
-        on_refused: Called when it is not.
+        on_refused: Called when the record is not in the log.
         wake_at: Time of its next step.
     """
 
@@ -234,7 +234,7 @@
         appends_by_s: Requests to append, by second since the fleet was made.
         reads_by_s: Requests to read, likewise.
         failed_reads: Reads without a response.
-        snapshots_written: Snapshots that were due.
+        snapshots_written: Snapshots that the nodes' schedulers asked to write.
         delayed_end: End of the records stream `ANSWER_DELAY_S` ago.
     """
 
--- a/src/citronrack/bench/moves.py
+++ b/src/citronrack/bench/moves.py
@@ -135,7 +135,11 @@
 
 
 def cases(seeds: int) -> Iterator[Case]:
-    """Yield all runs; a profile on the other's deployment is slow and runs without condition."""
+    """Yield all runs.
+
+    Each profile also runs on the deployment of the other one. This combination is the slowest, so
+    it has neither an outage nor a cut-off zone.
+    """
     for seed in range(1, seeds + 1):
         for version in versions:
             for name in DEPLOYMENTS:
@@ -179,7 +183,7 @@
 
 
 def bad_calls_bound(policy: Policy, sizes: Deployment) -> float:
-    """Return the largest number of calls of the version "bad at once" with all zones isolated.
+    """Return the most calls that the version "bad at once" gets while no zone reaches another.
 
     Each zone needs up to ``K`` failed calls to mark the version, twice the number that raises one
     test value above the threshold when the old version does not fail. Until then, and while two
--- a/src/citronrack/bench/moves_parts.py
+++ b/src/citronrack/bench/moves_parts.py
@@ -76,7 +76,7 @@
 
     Attributes:
         member: Description of the node.
-        core: Its core of moves.
+        core: Core that decides moves.
         facts: Its facts.
         clock: Its clock, with an individual error.
         is_alive: Whether node and target are running.
@@ -125,7 +125,7 @@
 
 
 class Controller(Protocol):
-    """Decides the share of the new version without nodes."""
+    """Decides the share of the new version instead of the nodes."""
 
     def share(self, age_s: float) -> float:
         """Return the share, ``age_s`` seconds after the start of the move."""
--- a/tools/replay_days.py
+++ b/tools/replay_days.py
@@ -1,4 +1,4 @@
-"""Replays each day of the bench of the platform's users that showed a fault before.
+"""Replays each day that showed a fault on fleetbench, the bench of the platform's users.
 
 Reads ``tools/failed_days.txt``; needs the bench, so CI does not run it.
 
--- a/tools/version_delays.py
+++ b/tools/version_delays.py
@@ -17,7 +17,7 @@
 from attrs import frozen
 
 MIN_REPORTED_DELAY_S = 0.6
-"""Shorter delays are normal: a read, a push and the delay of the links."""
+"""Delays up to this are normal: a read, a push and the delay of the links."""
 
 
 @frozen
