Show the limits that targets name, and the calls that they get

Change: the headers of limits and leaving are decoded once in platform/answers.py into TargetNotice; StatementTracker derives the statements in force of a target's process, by the time of naming and not by the order of answers. Events 343 (target_statement), 344 (target_arrivals: calls of the last 4 s, once a second while a limit is named) and 345 (limit_invalid). No decision uses them yet.

--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -12,6 +12,7 @@
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
+from ._arrivals import ArrivalWindow
 from ._connections import Address
 from .admission import Admission, Refused, Slot
 from .context import CallContext, ContextCodec
@@ -27,6 +28,7 @@
     failure_response,
     local_response,
 )
+from .notice import NoticeDecoder, StatementTracker, TargetProcess, no_notice
 from .record import CallRecord
 from .upstream import OutgoingRequest, Upstream
 from .view import ViewHolder
@@ -36,6 +38,9 @@
 
 DEFAULT_CONNECT_TIMEOUT_S = 0.25
 
+MISDIRECTED = 421
+"""Status with which another process than the expected one refuses a request."""
+
 FAILING_TARGET_LOAD = 20
 """Load reported for a target that fails requests. Such a target looks idle, and other nodes would
 prefer it. The value equals four busy slots and a queue of 16 calls."""
@@ -50,12 +55,19 @@
         service_version: Service version that it runs.
         target_id: Id of the target's process, new after each start; empty when it has none.
         refusal: Reason to refuse calls for it, empty while it accepts them.
+        started_ms: Wall time of the process's start, 0 when it is unknown.
     """
 
     service: str
     service_version: str
     target_id: str = ""
     refusal: str = ""
+    started_ms: int = 0
+
+    @property
+    def process(self) -> TargetProcess:
+        """Identifies the process; a restarted target may keep its id."""
+        return self.target_id, self.started_ms
 
 
 def _soft_deadline(route: Route | None, request: Request, now: float) -> float:
@@ -105,6 +117,8 @@
         drainer: Drain state of the node.
         report: Receives a record of each call.
         events: Event log.
+        statements: What the target states in its answers.
+        decode_notice: Decodes the statements in the headers of an answer.
         names: Names of the headers that callers and targets use.
     """
 
@@ -121,8 +135,13 @@
         drainer: Drainer,
         report: Callable[[CallRecord], None],
         events: EventLog,
+        statements: StatementTracker | None = None,
+        decode_notice: NoticeDecoder = no_notice,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
     ) -> None:
+        self._statements = statements if statements is not None else StatementTracker()
+        self._arrivals = ArrivalWindow()
+        self._decode_notice = decode_notice
         self._address = address
         self._identity = identity
         self._health = health
@@ -147,6 +166,7 @@
         route = view.route_of(request.path, request.host)
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
+        self._statements.follow(identity.process)
         idempotent = view.is_idempotent(route, identity.service, request.method)
         call = _InboundCall(request, context, name, idempotent, identity, started)
         reason = self._reason_to_refuse(call)
@@ -237,6 +257,7 @@
 
     def _send(self, call: _InboundCall, *, on_target_done: Callable[[], None]) -> Response:
         request, context = call.request, call.context
+        self._record_arrival()
         service = self._views.current.config.services.get(call.identity.service)
         return self._upstream.send(
             self._address,
@@ -249,7 +270,7 @@
                 deadline=context.deadline,
                 cancelled=request.cancelled,
                 buffer_response=bool(self._names.signature),
-                check_response=self._response_check(request),
+                check_response=self._response_check(call),
                 on_target_done=on_target_done,
             ),
             connect_timeout_s=(
@@ -257,6 +278,18 @@
             ),
         )
 
+    def _record_arrival(self) -> None:
+        """Count a call that is passed to the target, and log the count while there is a limit."""
+        arrivals = self._arrivals.record(time.monotonic())
+        statement = self._statements.current
+        if arrivals is not None and statement.limit_per_s is not None:
+            self._events.write(
+                Event.TARGET_ARRIVALS,
+                target_id=statement.process[0],
+                arrivals=arrivals,
+                limit_per_s=statement.limit_per_s,
+            )
+
     def _headers(self, call: _InboundCall) -> Headers:
         """Return the headers that are added to those of the request."""
         names = self._names
@@ -269,26 +302,44 @@
         return headers
 
     def _response_check(
-        self, request: Request
+        self, call: _InboundCall
     ) -> Callable[[int, Mapping[bytes, bytes]], str] | None:
-        """Return the check that a response is the target's genuine response to the request."""
-        names = self._names
-        if not names.signature:
+        """Return the check that a response is the target's genuine response to the request.
+
+        The check also records what the target states in a response, whether it is genuine or not.
+        """
+        if not self._names.signature:
             return None
-        request_id = request.request_id.encode("latin-1")
+        sent_at = time.monotonic()
 
         def check_response(status: int, fields: Mapping[bytes, bytes]) -> str:
-            # Targets echo the id. A response without it may be a copy of an earlier one.
-            if fields.get(names.request_id, b"") != request_id:
-                return "the answer belongs to another request"
-            if 200 <= status < 300 and names.signature not in fields:
-                return "the answer is not signed by the target"
-            if b"content-encoding" in fields:
-                return "the answer has a content coding"
-            return ""
+            fault = self._fault_of_response(call.request, status, fields)
+            if status != MISDIRECTED:  # Such a response is of another process.
+                self._statements.observe(
+                    call.identity.process,
+                    self._decode_notice(fields),
+                    genuine=not fault,
+                    sent_at=sent_at,
+                    now=time.monotonic(),
+                )
+            return fault
 
         return check_response
 
+    def _fault_of_response(
+        self, request: Request, status: int, fields: Mapping[bytes, bytes]
+    ) -> str:
+        """Return why a response is not the target's genuine one to a request, empty if it is."""
+        names = self._names
+        # Targets echo the id. A response without it may be a copy of an earlier one.
+        if fields.get(names.request_id, b"") != request.request_id.encode("latin-1"):
+            return "the answer belongs to another request"
+        if 200 <= status < 300 and names.signature not in fields:
+            return "the answer is not signed by the target"
+        if b"content-encoding" in fields:
+            return "the answer has a content coding"
+        return ""
+
     def _refuse(self, call: _InboundCall, reason: str, *, reached_target: bool = False) -> Response:
         load = self._admission.load
         if reason == LOST_REQUEST_REASON:
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -21,6 +21,7 @@
 from .headers import DEFAULT_HEADER_NAMES, HeaderNames
 from .health import TargetHealth
 from .limits import MAX_HEAD_BYTES, WireLimits
+from .notice import NoticeDecoder, StatementTracker, TargetProcess, TargetStatement, no_notice
 from .record import CallRecord, ResponseRecord
 from .router import RETRY_STATUSES, LocalDelivery, Router
 from .server import CallServer
@@ -45,6 +46,7 @@
         names: Names of the headers that callers and targets use.
         service: Service of this instance, sent to targets if ``names`` has a header for it.
         retry_statuses: Response statuses after which an idempotent call may go to another target.
+        decode_notice: Decodes what targets state in the headers of their answers.
     """
 
     name: str
@@ -56,6 +58,7 @@
     names: HeaderNames = DEFAULT_HEADER_NAMES
     service: str = ""
     retry_statuses: frozenset[int] = RETRY_STATUSES
+    decode_notice: NoticeDecoder = no_notice
 
 
 @frozen
@@ -182,6 +185,7 @@
     identity: Callable[[], TargetIdentity] | None = None,
     on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudgets | None = None,
+    on_statement: Callable[[TargetStatement], None] = lambda statement: None,
 ) -> CallPath:
     """Return the call path of a node; its listeners are bound and accept once `run` is called."""
     clock = clock if clock is not None else SystemClock()
@@ -192,6 +196,14 @@
     admission = Admission(slots=target.slots, clock=clock, ramp_s=target.ramp_s)
     if target.ramp_s:
         admission.mark_cold()
+
+    def statement_changed(statement: TargetStatement) -> None:
+        events.write(Event.TARGET_STATEMENT, **statement.log_fields)
+        on_statement(statement)
+
+    def limit_invalid(process: TargetProcess) -> None:
+        events.write(Event.LIMIT_INVALID, target_id=process[0])
+
     delivery = TargetDelivery(
         address=target.address,
         identity=identity if identity is not None else lambda: own_identity,
@@ -203,6 +215,8 @@
         drainer=drainer,
         report=report,
         events=events,
+        statements=StatementTracker(on_change=statement_changed, on_invalid=limit_invalid),
+        decode_notice=settings.decode_notice,
         names=settings.names,
     )
     router = make_router(
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -18,6 +18,7 @@
 from ..calls.headers import HeaderNames
 from ..calls.limits import SWITCH_INTERVAL_S, WireLimits
 from ..calls.message import Request, Response
+from ..calls.notice import NoticeDecoder
 from ..calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from ..calls.record import ResponseRecord
 from ..clock import BootClock, Clock, SystemClock
@@ -93,6 +94,7 @@
         operator: Codec of the operator's records.
         make_store: Returns a new connection to the store.
         decode_report: Decodes reports of the target.
+        decode_notice: Decodes what targets state in the headers of their answers.
         is_readiness_request: Returns whether method and path are those of a readiness probe.
         reload: Reads the settings again; returns whether they have changed. Raises `SettingsError`
             if they are invalid; the previous ones stay in use.
@@ -103,6 +105,7 @@
     operator: OperatorTopic
     make_store: Callable[[], KeyedStore]
     decode_report: ReportDecoder
+    decode_notice: NoticeDecoder
     is_readiness_request: Callable[[str, str], bool]
     reload: Callable[[], bool]
 
@@ -363,6 +366,7 @@
             names=adapter.headers,
             service=settings.service,
             retry_statuses=RETRY_STATUSES,
+            decode_notice=adapter.decode_notice,
         ),
         call_address=split_address(settings.addresses.calls),
         deliver_address=split_address(settings.addresses.deliveries),
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -216,6 +216,7 @@
             service_version=view.report.service_version,
             target_id=view.report.target_id,
             refusal=_REFUSALS.get(view.state, ""),
+            started_ms=view.report.started_ms,
         )
 
 
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -14,6 +14,13 @@
     target_load=b"instance-load",
 )
 
+LIMIT_HEADER = b"server-limit"
+"""Calls a second that a target takes from all nodes together, a decimal number. It is in all
+answers of a target while it holds, refusals included."""
+
+LEAVING_HEADER = b"server-leaving"
+"""In all answers of a target that is about to end; the value is ``1``."""
+
 READINESS = ("GET", "/api/readiness")
 REPORT_PREFIX = "/api/Instances.Heartbeat/"
 LEAVE_PREFIX = "/api/Instances.Deregister/"
--- a/src/citronrack/platform/run.py
+++ b/src/citronrack/platform/run.py
@@ -8,6 +8,7 @@
 from ..errors import SettingsError
 from ..hosted.compose import PlatformAdapter, compose
 from ..hosted.settings import HostedSettings
+from .answers import decode_notice
 from .names import HEADERS, is_readiness_request
 from .operator import operator_topic
 from .reports import decode_report
@@ -74,6 +75,7 @@
         operator=operator_topic(),
         make_store=lambda: PlatformStore(lambda: file.settings.addresses.store),
         decode_report=decode_report,
+        decode_notice=decode_notice,
         is_readiness_request=is_readiness_request,
         reload=file.reload,
     )
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -63,6 +63,9 @@
     TARGET_STATE = 340
     TARGET_SILENT = 341
     REPORT_REFUSED = 342
+    TARGET_STATEMENT = 343
+    TARGET_ARRIVALS = 344
+    LIMIT_INVALID = 345
     CALL_ANSWERED = 404
     CALL_DELIVERED = 405
     ROLLOUT_ORDERED = 520
@@ -147,6 +150,15 @@
     Event.TARGET_STATE: EventInfo("info", "The state of the own target has changed."),
     Event.TARGET_SILENT: EventInfo("warning", "The own target has stopped reporting."),
     Event.REPORT_REFUSED: EventInfo("warning", "A status report could not be used."),
+    Event.TARGET_STATEMENT: EventInfo(
+        "info", "The own target states in its answers another `limit_per_s`, or that it leaves."
+    ),
+    Event.TARGET_ARRIVALS: EventInfo(
+        "info", "Calls passed to the own target in the last 4 s, while it names a limit."
+    ),
+    Event.LIMIT_INVALID: EventInfo(
+        "warning", "The own target names a limit that is not a number of calls; it has no effect."
+    ),
     Event.CALL_ANSWERED: EventInfo("info", "A caller has received its answer; see `verdict`."),
     Event.CALL_DELIVERED: EventInfo("info", "The own target has completed a call."),
     Event.ROLLOUT_ORDERED: EventInfo("info", "An operator has ordered a rollout."),
