--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -17,6 +17,7 @@
 from citronrack.calls.health import TargetHealth
 from citronrack.calls.message import Response
 from citronrack.clock import SystemClock
+from citronrack.platform.answers import decode_notice
 from citronrack.platform.names import HEADERS
 from citronrack.telemetry import EventLog
 from citronrack.verdict import Verdict
@@ -44,6 +45,7 @@
         drainer=Drainer(),
         report=lambda record: None,
         events=EventLog(node="n", level="error"),
+        decode_notice=decode_notice,
         names=HEADERS,
     )
 
@@ -61,16 +63,19 @@
     admission: Admission = field(init=False)
 
     def __enter__(self) -> DeliveryFixture:
-        clock = SystemClock()
         self.target = ScriptedServer(self._answer_once)
-        self.admission = Admission(slots=self.slots, clock=clock)
+        self.use_admission(Admission(slots=self.slots, clock=SystemClock()))
+        return self
+
+    def use_admission(self, admission: Admission) -> None:
+        """Deliver through other slots, whose clock may be a manual one."""
+        self.admission = admission
         self.delivery = make_delivery(
             self.target.address,
             identity=lambda: self.identity,
-            admission=self.admission,
+            admission=admission,
             upstream=Upstream(),
         )
-        return self
 
     def __exit__(self, *_: object) -> None:
         self.target.close()
@@ -80,14 +85,18 @@
         connection.sendall(self.answer)
 
     def call(
-        self, *, service: str = "catalogue", cancelled: Callable[[], bool] = lambda: False
+        self,
+        *,
+        service: str = "catalogue",
+        cancelled: Callable[[], bool] = lambda: False,
+        timeout_s: float = 2.0,
     ) -> Response:
         """Return the response to a call that another node forwards."""
         request = Request(
             "POST", b"/x", service=service, request_id="r1", host="h", cancelled=cancelled
         )
         answer = self.delivery.deliver(
-            request, CallContext(SystemClock().monotonic() + 2.0, 1, 1, "k")
+            request, CallContext(SystemClock().monotonic() + timeout_s, 1, 1, "k")
         )
         answer.read()
         return answer
