Pace calls to a target at the rate that it names

Cause: the only bound of a target was its number of slots, a count of calls at once; nothing knew a rate. Change: a token bucket (calls/pacer.py) beside the slots in the admission queue of the node that passes all calls of the target. Waiting calls use the pace in the order of priority, and calls that would be late by it are refused at once. A target that takes next to nothing is asked every 2 s, because only an answer ends a limit. A node that has started again passes two calls at once until the first answer has shown whether there is a limit.

--- a/src/citronrack/calls/_queue.py
+++ b/src/citronrack/calls/_queue.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from .pacer import Pacer
+
 QUEUE_PER_SLOT = 8
 """Queue limit of a route per slot; more calls would wait longer than typical timeouts."""
 
@@ -22,6 +24,13 @@
 MIN_SLOTS_FOR_RESERVE = 3
 COLD_SLOT_FRACTION = 0.3
 
+UNANSWERED_SLOTS = 2
+"""Calls that run at once at a target from which no answer has arrived: it may have a limit, which a
+node that has started again does not know."""
+
+UNANSWERED_S = 1.0
+"""Longest time for which a target without an answer gets fewer calls."""
+
 
 @define(eq=False)
 class SlotRequest:
@@ -88,15 +97,23 @@
     running call. A route whose calls run much longer than those of another active route leaves one
     slot free, so that short calls do not wait for a long one to end.
 
+    A target that names a limit gets its calls at that pace, which waiting calls use in the same
+    order as free slots.
+
     Attributes:
         slots: Number of calls that the target runs at once when it is warm.
         ramp_s: Time over which a cold target gets all of its slots.
         cold_since: Monotonic time at which the target started, None for a warm one.
+        unanswered_since: Monotonic time since which a target without an answer gets calls, None if
+            it has answered.
+        pacer: Limit of the target on the rate of calls.
     """
 
     slots: int
     ramp_s: float = 10.0
     cold_since: float | None = None
+    unanswered_since: float | None = None
+    pacer: Pacer = field(factory=Pacer, init=False)
     running: int = field(default=0, init=False)
     _routes: dict[str, _RouteQueue] = field(factory=dict, init=False)
     _virtual_time: float = field(default=0.0, init=False)
@@ -112,8 +129,19 @@
         """Return whether the target is in its slow start, with fewer calls than slots."""
         return self.cold_since is not None and now - self.cold_since < self.ramp_s
 
+    @property
+    def queued(self) -> int:
+        """Calls that wait."""
+        return self._queued
+
+    def pause_s(self, now: float) -> float:
+        """Return the time until the pace of the target lets a further call start."""
+        return self.pacer.wait_s(now, ahead=self._queued)
+
     def slot_limit(self, now: float) -> int:
         """Return the current limit on slots in use; it grows while the target is cold."""
+        if self.unanswered_since is not None and now - self.unanswered_since < UNANSWERED_S:
+            return min(self.slots, UNANSWERED_SLOTS)
         if self.cold_since is None:
             return self.slots
         if not self.is_cold(now):
@@ -132,7 +160,7 @@
         route.weight = max(weight, 0.01)
         route.priority = call.priority
         route.last_offer_at = now
-        if not route.waiting and self._has_slot(route, now):
+        if not self._must_queue(route) and self._has_slot(route, now):
             self._start(route, call, now)
             return ""
         if route.waiting >= QUEUE_PER_SLOT * self.slots:
@@ -151,6 +179,14 @@
         self._queued += 1
         return ""
 
+    def _must_queue(self, route: _RouteQueue) -> bool:
+        """Return whether a new call lines up although a slot may be free.
+
+        The pace of a target opens between the ends of calls, and calls that wait for it go first.
+        """
+        paced = self.pacer.limit_per_s is not None
+        return bool(self._queued) if paced else bool(route.waiting)
+
     def withdraw(self, call: SlotRequest) -> None:
         """Remove a waiting call."""
         call.withdrawn = True
@@ -198,6 +234,7 @@
 
     def _start(self, route: _RouteQueue, call: SlotRequest, now: float) -> None:
         call.started = now
+        self.pacer.take(now)
         self.running += 1
         route.running += 1
         route.virtual_time = max(route.virtual_time, self._virtual_time)
@@ -206,7 +243,7 @@
 
     def _has_slot(self, route: _RouteQueue, now: float) -> bool:
         limit = self.slot_limit(now)
-        if self.running >= limit:
+        if self.running >= limit or self.pacer.wait_s(now):
             return False
         if limit < MIN_SLOTS_FOR_RESERVE or route.running < limit - 1:
             return True
@@ -230,4 +267,6 @@
         ]
         part = route.weight / sum(r.weight for r in busy)
         own_slots = max(1.0, self.slot_limit(now) * part)
-        return WAIT_MARGIN * ((route.waiting + 1) * route.service_s / own_slots + route.service_s)
+        slot_wait_s = (route.waiting + 1) * route.service_s / own_slots
+        pace_wait_s = self.pacer.wait_s(now, ahead=sum(other.waiting for other in busy))
+        return WAIT_MARGIN * (max(slot_wait_s, pace_wait_s) + route.service_s)
--- a/src/citronrack/calls/admission.py
+++ b/src/citronrack/calls/admission.py
@@ -4,12 +4,13 @@
 
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
 from ..clock import Clock
 from ._queue import AdmissionQueue, SlotRequest
+from .notice import TargetStatement
 
 CANCEL_CHECK_S = 0.1
 """How often a waiting call checks whether it was cancelled."""
@@ -80,10 +81,22 @@
         """Change the number of calls that the target runs at once."""
         with self._lock:
             self._queue.slots = slots
-            started = self._queue.start_waiting(self._clock.monotonic())
-            woken = [self._waiters.pop(call) for call in started]
-        for waiter in woken:
-            waiter.ready.set()
+            woken = self._start_waiting(self._clock.monotonic())
+        _wake(woken)
+
+    @property
+    def pause_s(self) -> float:
+        """Time until the pace of the target lets a further call start, in seconds."""
+        return self._queue.pause_s(self._clock.monotonic())
+
+    def apply(self, statement: TargetStatement) -> None:
+        """Pace calls as the target states in its answers."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._queue.pacer.set_limit(statement.limit_per_s, now)
+            self._queue.unanswered_since = None if statement.answered else now
+            woken = self._start_waiting(now)
+        _wake(woken)
 
     def mark_cold(self) -> None:
         """Begin a slow start, after the target has started."""
@@ -120,6 +133,8 @@
             reason = self._queue.offer(call, weight=weight, now=requested_at)
             if not reason and call.started is None:
                 waiter = self._waiters[call] = _Waiter()
+            woken = self._start_waiting(requested_at)
+        _wake(woken)
         if reason:
             raise Refused(reason)
         if waiter is not None:
@@ -132,9 +147,14 @@
 
     def _wait(self, call: SlotRequest, waiter: _Waiter, cancel_reason: Callable[[], str]) -> None:
         while True:
-            left_s = call.deadline - self._clock.monotonic()
-            if waiter.ready.wait(min(CANCEL_CHECK_S, max(0.0, left_s))):
+            now = self._clock.monotonic()
+            left_s = call.deadline - now
+            pace_s = self._queue.pacer.wait_s(now) or CANCEL_CHECK_S
+            if waiter.ready.wait(max(0.0, min(CANCEL_CHECK_S, left_s, pace_s))):
                 return
+            with self._lock:
+                woken = self._start_waiting(self._clock.monotonic())
+            _wake(woken)
             reason = cancel_reason()
             if not reason and left_s > 0:
                 continue
@@ -149,5 +169,13 @@
         with self._lock:
             started = self._queue.release(call, now=self._clock.monotonic(), ran=ran)
             woken = [self._waiters.pop(other) for other in started]
-        for waiter in woken:
-            waiter.ready.set()
+        _wake(woken)
+
+    def _start_waiting(self, now: float) -> list[_Waiter]:
+        """Start waiting calls; return their waiters, to be woken without the lock."""
+        return [self._waiters.pop(call) for call in self._queue.start_waiting(now)]
+
+
+def _wake(waiters: Iterable[_Waiter]) -> None:
+    for waiter in waiters:
+        waiter.ready.set()
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -166,12 +166,12 @@
         route = view.route_of(request.path, request.host)
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
-        self._statements.follow(identity.process)
         idempotent = view.is_idempotent(route, identity.service, request.method)
         call = _InboundCall(request, context, name, idempotent, identity, started)
         reason = self._reason_to_refuse(call)
         if reason:
             return self._refuse(call, reason)
+        self._statements.follow(identity.process)
         try:
             slot = self._admission.acquire(
                 route=name,
--- /dev/null
+++ b/src/citronrack/calls/pacer.py
@@ -0,0 +1,79 @@
+"""Paces calls to a rate; without threads or a clock."""
+
+from __future__ import annotations
+
+from attrs import define
+
+MIN_RATE_PER_S = 0.5
+"""Lowest pace. A target that takes next to nothing is still asked now and then, because only its
+answers show that its limit has ended."""
+
+BURST_S = 1.0
+"""Time for which an unused rate is kept, so that calls that come in clumps can use it. The platform
+allows a target one and a half times its limit in any 4 s, which is twice this time in excess."""
+
+NO_WAIT = 1e-9
+"""Shortest wait that counts, in seconds; sums of floating-point times are not exact."""
+
+
+@define(eq=False)
+class Pacer:
+    """A token bucket; without a limit it lets all calls through.
+
+    Attributes:
+        limit_per_s: Calls a second, None for no limit.
+    """
+
+    limit_per_s: float | None = None
+    _tokens: float = 0.0
+    _filled_at: float = 0.0
+
+    @property
+    def _rate(self) -> float:
+        return max(self.limit_per_s or 0.0, MIN_RATE_PER_S)
+
+    @property
+    def _depth(self) -> float:
+        return max(1.0, self._rate * BURST_S)
+
+    def set_limit(self, limit_per_s: float | None, now: float) -> None:
+        """Change the limit; a new one begins without unused rate.
+
+        Args:
+            limit_per_s: Calls a second, None for no limit.
+            now: Monotonic time in seconds.
+        """
+        self._fill(now)
+        if self.limit_per_s is None:
+            self._tokens = 0.0
+        self.limit_per_s = limit_per_s
+        self._tokens = min(self._tokens, self._depth)
+        self._filled_at = now
+
+    def wait_s(self, now: float, *, ahead: int = 0) -> float:
+        """Return the time until a call may start.
+
+        Args:
+            now: Monotonic time in seconds.
+            ahead: Number of calls that go first.
+        """
+        if self.limit_per_s is None:
+            return 0.0
+        missing = ahead + 1 - self._available(now)
+        wait_s = missing / self._rate
+        return wait_s if wait_s > NO_WAIT else 0.0
+
+    def take(self, now: float) -> None:
+        """Count a call that starts now."""
+        self._fill(now)
+        if self.limit_per_s is not None:
+            self._tokens -= 1.0
+
+    def _available(self, now: float) -> float:
+        gained = max(0.0, now - self._filled_at) * self._rate
+        return min(self._depth, self._tokens + gained)
+
+    def _fill(self, now: float) -> None:
+        if self.limit_per_s is not None:
+            self._tokens = self._available(now)
+            self._filled_at = max(self._filled_at, now)
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -199,6 +199,7 @@
 
     def statement_changed(statement: TargetStatement) -> None:
         events.write(Event.TARGET_STATEMENT, **statement.log_fields)
+        admission.apply(statement)
         on_statement(statement)
 
     def limit_invalid(process: TargetProcess) -> None:
--- a/tests/hosted/test_delivery.py
+++ b/tests/hosted/test_delivery.py
@@ -16,6 +16,7 @@
 from citronrack.calls.delivery import FAILING_TARGET_LOAD, TargetDelivery, TargetIdentity
 from citronrack.calls.health import TargetHealth
 from citronrack.calls.message import Response
+from citronrack.calls.notice import StatementTracker
 from citronrack.clock import SystemClock
 from citronrack.platform.answers import decode_notice
 from citronrack.platform.names import HEADERS
@@ -45,6 +46,7 @@
         drainer=Drainer(),
         report=lambda record: None,
         events=EventLog(node="n", level="error"),
+        statements=StatementTracker(on_change=admission.apply),
         decode_notice=decode_notice,
         names=HEADERS,
     )
--- a/tests/hosted/test_limits.py
+++ b/tests/hosted/test_limits.py
@@ -25,13 +25,14 @@
 
     def test_a_target_gets_no_more_calls_than_it_names(self) -> None:
         """Guards against a rate at a target that only its slots bound."""
-        answer = http_answer(200, "Instance-Signature: s", "Server-Limit: 2.5")
+        answer = http_answer(200, "Instance-Signature: s", "Server-Limit: 2.5", "Connection: close")
         clock = ManualClock()
         clock.advance(SystemClock().monotonic())
         with DeliveryFixture(answer, slots=8) as fixture:
             fixture.use_admission(Admission(slots=8, clock=clock))
-            first = fixture.call(timeout_s=0.3)
-            statuses = [fixture.call(timeout_s=0.3).status for _ in range(60)]
-            self.assertEqual(first.status, 200)
+            statuses = [fixture.call(timeout_s=0.3).status for _ in range(61)]
+            self.assertEqual(statuses, [200] + [503] * 60)
             self.assertLessEqual(len(fixture.requests), allowed(2.5))
-            self.assertEqual(set(statuses), {200, 503})
+            clock.advance(0.4)
+            last = fixture.call(timeout_s=0.8)
+            self.assertEqual((last.status, last.local_reason), (200, ""))
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -6,12 +6,14 @@
 import unittest
 from typing import Any
 
+from citronrack.calls.notice import TargetNotice
 from citronrack.errors import SettingsError
 from citronrack.hosted.control import ReportInvalid
 from citronrack.hosted.readers import CONFIG_APPLY_S
 from citronrack.hosted.rollout import Phase
 from citronrack.hosted.store import KeyedRecord
 from citronrack.hosted.target import TargetLeave, TargetReport
+from citronrack.platform.answers import decode_notice
 from citronrack.platform.operator import ConfigDecoder, decode_order, status_write
 from citronrack.platform.reports import decode_report
 from citronrack.platform.settings import parse_settings
@@ -213,3 +215,24 @@
         ):
             with self.subTest(new), self.assertRaises(SettingsError):
                 parse_settings(SETTINGS.replace(old, new).encode(), source="test")
+
+
+class AnswerHeaderTest(unittest.TestCase):
+    """What targets state in the heads of their answers."""
+
+    def test_limits(self) -> None:
+        """Guards against a limit that is read from bytes that are no number of calls."""
+        valid = {b"10.4": 10.4, b"0": 0.0, b" 7 ": 7.0, b"9" * 32: 1e32, b"0.0001": 0.0001}
+        for value, limit in valid.items():
+            notice = decode_notice({b"server-limit": value})
+            self.assertEqual((notice.limit_per_s, notice.limit_invalid), (limit, False), value)
+        odd = (b"", b"-1", b"nan", b"inf", b"1e400", b"1e3", b"1_0", b"0x10", b"1,5", b"9" * 400)
+        for value in (*odd, b"1.", b".5", b"\xff", "\u0663".encode()):
+            notice = decode_notice({b"server-limit": value})
+            self.assertEqual((notice.limit_per_s, notice.limit_invalid), (None, True), value)
+        self.assertEqual(decode_notice({}), TargetNotice())
+
+    def test_leaving(self) -> None:
+        """Guards against a target that is taken for leaving by another value."""
+        for value, leaving in ((b"1", True), (b" 1", True), (b"0", False), (b"", False)):
+            self.assertIs(decode_notice({b"server-leaving": value}).leaving, leaving)
