Tell all nodes the limits of targets, and refuse where a call arrives

Callers saw: calls that were forwarded up to three times to be refused at targets whose limit was used up. Cause: only the node beside a target knew its limit. Change: entries carry the limit, rounded to two digits so that small changes need no messages. Answers and refusals between nodes carry the time until the target takes a further call; the balancer adds it to the expected time, leaves out targets that would answer too late, and refuses at once when no target is left. Retry-After is then not before one of them takes a call. Tests of hosted, calls, platform and load pass.

--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import threading
 from collections.abc import Callable, Collection, Sequence
 from random import Random
@@ -32,6 +33,18 @@
 """Receives the name of a target and the seconds of its ejection, 0 when it is restored."""
 
 
+class LimitsUsedUp(Exception):
+    """No target takes a further call in time, because of their limits.
+
+    Args:
+        pause_s: Time until one of them does, in seconds.
+    """
+
+    def __init__(self, pause_s: float) -> None:
+        super().__init__(f"the targets take no further call for {pause_s:.3f} s")
+        self.pause_s = pause_s
+
+
 @define(eq=False)
 class _Pool:
     """Target statistics of one pool, by zone and state."""
@@ -75,6 +88,7 @@
         self._known: dict[str, TargetStats] = {}
         self._pools: dict[tuple[str, str], _Pool] = {}
         self._call_numbers = itertools.count()
+        self._paused_until = 0.0  # No target is paused later than this.
         self._lock = threading.Lock()
 
     def choose(
@@ -84,14 +98,19 @@
         *,
         excluded: Collection[str] = (),
         body_bytes: int = 0,
+        patience_s: float = math.inf,
     ) -> TargetStats | None:
-        """Return the target for a call and count the call as in flight.
+        """Return the target for a call and count the call as in flight, None without a target.
 
         Args:
             key: Service and service version of the pool.
             targets: The pool.
             excluded: Names of targets that the call has already been sent to.
             body_bytes: Length of the request's body.
+            patience_s: Time within which the call has to end.
+
+        Raises:
+            LimitsUsedUp: When the limits of all targets leave no room for the call.
         """
         with self._lock:
             now = self._clock.monotonic()
@@ -103,12 +122,19 @@
             if excluded:
                 local_zone = [stats for stats in local_zone if stats.target.name not in excluded]
                 other_zones = [stats for stats in other_zones if stats.target.name not in excluded]
+            if now < self._paused_until:
+                members = [*local_zone, *other_zones]
+                local_zone = [stats for stats in local_zone if stats.fits(now, patience_s)]
+                other_zones = [stats for stats in other_zones if stats.fits(now, patience_s)]
+                if members and not local_zone and not other_zones:
+                    raise LimitsUsedUp(min(stats.pause_s(now) for stats in members))
             link_s = self._link_rtt_s + body_bytes * CROSS_ZONE_S_PER_BYTE
             chosen = self._choose_by_zone(local_zone, other_zones, now, link_s)
             if chosen is None:
                 chosen = self._choose_ejected(pool, excluded, now)
             if chosen is not None:
-                chosen.record_start()
+                chosen.record_start(now)
+                self._paused_until = max(self._paused_until, chosen.paused_until)
                 if chosen.ejected_until:
                     chosen.probing = True
                     self._classify(pool, now)
@@ -122,6 +148,7 @@
         failed: bool = False,
         unreachable: bool = False,
         load: int | None = None,
+        pause_s: float | None = None,
     ) -> None:
         """Record the result of a call.
 
@@ -131,6 +158,7 @@
             failed: Whether the target failed.
             unreachable: Whether it could not be reached, so that the call was not run.
             load: Load that the response carried.
+            pause_s: Time until the target takes a further call, None without a limit.
         """
         with self._lock:
             now = self._clock.monotonic()
@@ -138,6 +166,8 @@
             stats.record_end(latency_s=latency_s, failed=failed)
             if load is not None:
                 stats.record_load(load, now)
+                stats.record_pause(pause_s, now)
+                self._paused_until = max(self._paused_until, stats.paused_until)
             if unreachable:
                 self._eject(stats, now, unreachable=True)
             elif failed and (was_ejected or stats.failing):
@@ -170,7 +200,8 @@
         local = self._policy(local_zone, self._random, call_number, now) if local_zone else None
         if not other_zones:
             return local
-        if local is not None and local.in_flight + local.load < local.target.slots:
+        has_slot = local is not None and local.in_flight + local.load < local.target.slots
+        if local is not None and has_slot and not local.pause_s(now):
             return local  # A free slot in the local zone is never slower than the link.
         remote = self._policy(other_zones, self._random, call_number, now)
         if local is None:
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -161,6 +161,11 @@
 
     def deliver(self, request: Request, context: CallContext) -> Response:
         """Handle a request; the response's verdict says whether it may have run."""
+        response = self._deliver(request, context)
+        response.pause_s = self._admission.pause_s
+        return response
+
+    def _deliver(self, request: Request, context: CallContext) -> Response:
         view = self._views.current
         identity = self._identity()
         route = view.route_of(request.path, request.host)
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -17,6 +17,9 @@
 AIM = b"x-citronrack-aim"
 """Milliseconds left until the answer is late for the caller; negative if it is late already."""
 
+PAUSE = b"x-citronrack-pause"
+"""Milliseconds until a target that names a limit takes a further call; absent without a limit."""
+
 ARRIVED = b"x-citronrack-arrived"
 """Present in a refusal by the target itself, which means that the call has loaded a target."""
 
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -199,6 +199,8 @@
         length: Number of bytes, None when it is not known in advance.
         reason: Reason phrase.
         load: Calls in flight or waiting at the target's node, None when it was not reported.
+        pause_s: Time until the pace of a target with a limit lets a further call start, in seconds;
+            None when the target has no limit.
         from_node: Whether a node made this response, not the target.
         reached_target: Whether the request reached the target, which may have refused it.
     """
@@ -211,6 +213,7 @@
     length: int | None = 0
     reason: bytes = b""
     load: int | None = None
+    pause_s: float | None = None
     from_node: bool = False
     reached_target: bool = True
     _callbacks: list[Callable[[BodyEnd], None]] = field(factory=list, init=False)
@@ -293,7 +296,9 @@
     )
 
 
-def set_retry_after(response: Response, *, aim_left_s: float, left_s: float, spread: float) -> None:
+def set_retry_after(
+    response: Response, *, aim_left_s: float, left_s: float, spread: float, pause_s: float = 0.0
+) -> None:
     """Tell a refused caller when to come back.
 
     If the caller can still be served in time, it comes back in the middle of that time; a target
@@ -306,11 +311,14 @@
         aim_left_s: Time until the answer is late, in seconds; not positive if it is late already.
         left_s: Time until the caller's deadline, in seconds.
         spread: Place within the spread, 0 to 1.
+        pause_s: Time until a target takes a further call, in seconds; the caller does not come back
+            earlier, unless its deadline is too near.
     """
     factor = 1.0 + RETRY_AFTER_SPREAD * (2.0 * spread - 1.0)
     share_s = RETRY_AFTER_SHARE * left_s
     in_time_s = RETRY_AFTER_AIM_SHARE * aim_left_s
-    seconds = factor * (in_time_s if MIN_RETRY_AFTER_S <= in_time_s < share_s else share_s)
+    base_s = in_time_s if MIN_RETRY_AFTER_S <= in_time_s < share_s else share_s
+    seconds = factor * max(base_s, min(pause_s, share_s))
     response.headers = [header for header in response.headers if header[0] != RETRY_AFTER]
     response.headers.append((RETRY_AFTER, b"%.2f" % max(MIN_RETRY_AFTER_S, seconds)))
 
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -11,7 +11,7 @@
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
-from .balancer import Balancer
+from .balancer import Balancer, LimitsUsedUp
 from .budget import RetryBudgets
 from .context import CallContext, ContextCodec
 from .headers import AIM, CONTEXT, DEFAULT_HEADER_NAMES, SERVICE, HeaderNames, Headers
@@ -41,6 +41,8 @@
 MAX_REROUTES = 2
 """Maximum further targets tried after refusals; under overload each one costs a round trip."""
 
+LIMITS_USED_UP = "the targets take no further call in time"
+
 RETRY_AFTER_SALT = "retry-after"
 """Purpose of the hash that spreads the returns of refused callers."""
 
@@ -62,6 +64,7 @@
         reroutes: Number of attempts that a node refused or that could not connect.
         may_have_run: Whether a previous attempt may have run.
         age_s: How long the caller had been waiting when this call arrived.
+        pause_s: Time until the limits of the targets let a further call start.
     """
 
     request: Request
@@ -79,6 +82,17 @@
     reroutes: int = 0
     may_have_run: bool = False
     age_s: float = 0.0
+    pause_s: float = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """Time within which the call has to end, in seconds.
+
+        Calls of the highest priority have work behind them and wait until their deadline.
+        """
+        left_s = self.context.deadline - time.monotonic()
+        aim_ms = self.aim_ms if self.route.priority else None
+        return left_s if aim_ms is None else min(left_s, aim_ms / 1000)
 
     @property
     def caller_left_s(self) -> float:
@@ -265,12 +279,17 @@
 
     def _attempt(self, call: _Call) -> tuple[Response, PoolTarget | None]:
         """Send the call to one target; the target is None when there is none to choose."""
-        stats = self._balancer.choose(
-            (call.service, call.service_version),
-            call.pool,
-            excluded=call.tried,
-            body_bytes=call.request.body.length or 0,
-        )
+        try:
+            stats = self._balancer.choose(
+                (call.service, call.service_version),
+                call.pool,
+                excluded=call.tried,
+                body_bytes=call.request.body.length or 0,
+                patience_s=call.patience_s,
+            )
+        except LimitsUsedUp as error:
+            call.pause_s = error.pause_s
+            return self._refuse(call.request, 503, LIMITS_USED_UP, call.route.name), None
         if stats is None:
             refusal = self._refuse(call.request, 503, "the route has no target", call.route.name)
             return refusal, None
@@ -366,6 +385,7 @@
                 failed=failed or end is BodyEnd.BROKEN,
                 unreachable=unreachable,
                 load=response.load,
+                pause_s=response.pause_s,
             )
             self._report(
                 CallRecord(
@@ -420,6 +440,7 @@
                 aim_left_s=(call.aim_ms or 0) / 1000,
                 left_s=call.caller_left_s,
                 spread=hash_fraction(call.context.call_key, RETRY_AFTER_SALT),
+                pause_s=call.pause_s,
             )
         return response
 
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 import threading
 import time
@@ -15,7 +16,7 @@
 from ._response import NO_BODY_STATUSES
 from ._sockets import abort, set_receive_timeout, set_timeouts
 from .drain import Drainer
-from .headers import ARRIVED, DEFAULT_HEADER_NAMES, LOAD, VERDICT, HeaderNames, response_head
+from .headers import ARRIVED, DEFAULT_HEADER_NAMES, LOAD, PAUSE, VERDICT, HeaderNames, response_head
 from .limits import READ_BYTES, WireLimits
 from .message import BodyReadError, Request, Response, local_response
 from .request_reader import BadRequest, ConnectionEnded, ReceivedRequest, RequestReader
@@ -284,6 +285,8 @@
         headers = [*response.headers, (VERDICT, response.verdict.value.encode())]
         if self._sends_load and response.load is not None:
             headers.append((LOAD, b"%d" % response.load))
+        if self._sends_load and response.pause_s is not None:
+            headers.append((PAUSE, b"%d" % math.ceil(response.pause_s * 1000)))
         if self._sends_load and response.refused and response.reached_target:
             headers.append((ARRIVED, b"1"))
         if chunked:
--- a/src/citronrack/calls/target_stats.py
+++ b/src/citronrack/calls/target_stats.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from .pacer import MIN_RATE_PER_S
 from .view import PoolTarget
 
 LATENCY_SMOOTHING = 0.2
@@ -40,6 +41,7 @@
         restored_at: Monotonic time of the last restoration.
         ejected_until: Monotonic time until which it gets no calls, 0 for not ejected.
         probing: Whether a call is probing the target after its ejection.
+        paused_until: Monotonic time from which its limit is expected to let a further call start.
     """
 
     target: PoolTarget
@@ -55,6 +57,7 @@
     restored_at: float = 0.0
     ejected_until: float = 0.0
     probing: bool = False
+    paused_until: float = 0.0
 
     @property
     def failing(self) -> bool:
@@ -78,11 +81,24 @@
         # Failures are often fast; without this factor, a failing target would attract calls.
         succeeding = 1.0 - min(self.failure_rate, 0.9)
         latency_s = self.latency_s if self.has_latency else self.assumed_latency_s
-        return latency_s * (1.0 + busy / slots) / succeeding
+        return self.pause_s(now) + latency_s * (1.0 + busy / slots) / succeeding
 
-    def record_start(self) -> None:
+    def pause_s(self, now: float) -> float:
+        """Return the time until the limit of the target lets a further call start."""
+        return max(0.0, self.paused_until - now)
+
+    def fits(self, now: float, patience_s: float) -> bool:
+        """Return whether a call that waits for the limit is expected to end within a time."""
+        pause_s = self.pause_s(now)
+        latency_s = self.latency_s if self.has_latency else self.assumed_latency_s
+        return not pause_s or pause_s + latency_s <= patience_s
+
+    def record_start(self, now: float) -> None:
         """Record that a call was sent."""
         self.in_flight += 1
+        if self.target.limit_per_s is not None:
+            interval_s = 1.0 / max(self.target.limit_per_s, MIN_RATE_PER_S)
+            self.paused_until = max(self.paused_until, now) + interval_s
 
     def record_end(self, *, latency_s: float | None, failed: bool) -> None:
         """Record the end of a call.
@@ -101,6 +117,10 @@
         self.failures = self.failures + 1 if failed else 0
         self.failure_rate += FAILURE_SMOOTHING * (failed - self.failure_rate)
 
+    def record_pause(self, pause_s: float | None, now: float) -> None:
+        """Record the pause that a response stated, None for a target without a limit."""
+        self.paused_until = now + pause_s if pause_s is not None else 0.0
+
     def record_load(self, load: int, now: float) -> None:
         """Record the load that a response carried."""
         self.load, self.load_at = load, now
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -14,7 +14,7 @@
 from ._connections import CANCEL_POLL_S, Address, Connection, ConnectionPool
 from ._response import ResponseReader
 from ._sockets import has_input, set_timeouts
-from .headers import ARRIVED, LOAD, VERDICT, Headers, end_to_end, request_head
+from .headers import ARRIVED, LOAD, PAUSE, VERDICT, Headers, end_to_end, request_head
 from .limits import READ_BYTES, WHOLE_BODY_BYTES
 from .message import Body, BodyReadError, CallerDisconnected, DeadlineExceeded, Response
 
@@ -348,10 +348,12 @@
             reason=reader.reason,
             headers=end_to_end(reader.headers),
             length=reader.declared_length,
-            load=_load(reader.fields.get(LOAD)) if request.to_node else None,
+            load=_number(reader.fields.get(LOAD)) if request.to_node else None,
             from_node=verdict_value is not None and verdict_value != b"ran",
             verdict=_VERDICTS.get(verdict_value or b"", Verdict.RAN),
         )
+        pause_ms = _number(reader.fields.get(PAUSE)) if request.to_node else None
+        response.pause_s = pause_ms / 1000 if pause_ms is not None else None
         response.reached_target = (
             response.verdict is not Verdict.NOT_RUN or ARRIVED in reader.fields
         )
@@ -398,7 +400,7 @@
     return [*framing, (b"content-length", b"%d" % request.body.length)]
 
 
-def _load(value: bytes | None) -> int | None:
+def _number(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() and len(value) < 8 else None
 
 
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -21,6 +21,7 @@
         load: Last reported number of calls in flight or waiting.
         load_age_s: Age of that report when the view was made, in seconds.
         target_id: Id of the target's process; statistics of an earlier process are discarded.
+        limit_per_s: Calls a second that it takes from all nodes together, None without a limit.
     """
 
     name: str
@@ -30,6 +31,7 @@
     load: int = 0
     load_age_s: float = 0.0
     target_id: str = ""
+    limit_per_s: float | None = None
 
 
 @frozen
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -34,7 +34,7 @@
 from .core import HostedCore
 from .dependencies import CoreDependencies, OperatorTopic
 from .entry import NodeEntry
-from .messages import CallReported, ExitRequested, StopRequested
+from .messages import CallReported, ExitRequested, StopRequested, TargetStated
 from .metrics import metrics_handler, register_gauges
 from .publish import PublishTask
 from .readers import ReaderTimings
@@ -385,6 +385,7 @@
         identity=core.identity,
         on_response=on_response,
         budget=budget,
+        on_statement=lambda statement: mailbox.put(TargetStated(statement)),
     )
 
 
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ..calls.delivery import TargetIdentity
+from ..calls.notice import TargetStatement
 from ..config import ActiveConfig
 from ..errors import MessageRejected
 from ..telemetry import Event
@@ -27,6 +28,7 @@
     RecordWritten,
     ReportReceived,
     StopRequested,
+    TargetStated,
 )
 from .readers import ReaderHeartbeat
 from .registration import NODE_PREFIX, Registration, decode_entry
@@ -43,6 +45,9 @@
 from .store import MESH_TOPIC, KeyedRecord
 from .views import build_view
 
+LIMIT_DIGITS = 2
+"""Significant digits of the limits in entries; the node of a target keeps to the exact limit."""
+
 ROLLOUT_RELAYS = 2
 """Relays of each zone for records of rollouts, which are the heartbeats of their holders: the loss
 of two in a row would start a takeover."""
@@ -114,6 +119,7 @@
             gossip=self._gossip,
             clock=dependencies.boot_clock,
         )
+        self._statement = TargetStatement(process=("", 0))
         self._stopping = False
         self._view_outdated = True
         self._outbox: list[Send] = []
@@ -128,6 +134,11 @@
         """Version of the active configuration, -1 before the first one."""
         return self._active.version
 
+    @property
+    def entry(self) -> NodeEntry:
+        """Entry of this node as last announced."""
+        return self._registration.entry
+
     @property
     def ready(self) -> bool:
         """Whether the node accepts new calls."""
@@ -192,6 +203,8 @@
             self._dependencies.events.write(Event.TARGET_SILENT)
             self._update_own_entry()
         self._ask_seeds()
+        if self._announced_limit() != self._registration.entry.limit_per_s:
+            self._update_own_entry()
         if not self._join.holding:
             self._registration.renew()
         self._drop_expired()
@@ -262,6 +275,10 @@
         if self._canary.observe(message.record, version=version, cold=cold):
             self._update_own_entry()
 
+    def _on_target_stated(self, message: TargetStated) -> None:
+        """Remember a statement; a changed limit is announced in the next tick, once for all."""
+        self._statement = message.statement
+
     def _on_stop_requested(self, _: StopRequested) -> None:
         self._stopping = True
         self._update_own_entry()
@@ -280,9 +297,22 @@
     def _update_own_entry(self) -> None:
         """Announce whether the local target takes calls, if that has changed."""
         takes_calls = not self._stopping and not self.identity().refusal
-        if self._registration.update(self._dependencies.target.view, takes_calls=takes_calls):
+        changed = self._registration.update(
+            self._dependencies.target.view,
+            takes_calls=takes_calls,
+            limit_per_s=self._announced_limit(),
+        )
+        if changed:
             self._view_outdated = True
 
+    def _announced_limit(self) -> float | None:
+        """Return the rounded limit of the target, so that small changes need no messages."""
+        stated = self._statement
+        same_process = stated.process == self._dependencies.target.identity.process
+        if not same_process or stated.limit_per_s is None:
+            return None
+        return float(f"{stated.limit_per_s:.{LIMIT_DIGITS}g}")
+
     def _announce(self, entry: NodeEntry) -> None:
         self._outbox += self._gossip.announce(entry)
 
@@ -471,4 +501,5 @@
     LeaveReceived: HostedCore._on_target_leave,
     CallReported: HostedCore._on_call_reported,
     StopRequested: HostedCore._on_stop_requested,
+    TargetStated: HostedCore._on_target_stated,
 }
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -43,6 +43,8 @@
         slots: Calls that the target runs concurrently.
         serving: Whether the target takes calls.
         link_mbps: Bandwidth of the instance's link, in Mbit/s, 0 when it is unknown.
+        limit_per_s: Calls a second that the target takes from all nodes together, None without a
+            limit.
     """
 
     name: str
@@ -57,6 +59,7 @@
     slots: int = 1
     serving: bool = False
     link_mbps: int = 0
+    limit_per_s: float | None = None
 
     @property
     def peer_url(self) -> str:
@@ -73,6 +76,7 @@
             "serving": self.serving,
             "target_id": self.target_id,
             "service_version": self.service_version,
+            "limit_per_s": self.limit_per_s,
         }
 
     @property
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from ..calls import CallRecord
+from ..calls.notice import TargetStatement
 from .store import KeyedPage, KeyedRecord
 from .target import TargetLeave, TargetReport
 
@@ -90,6 +91,17 @@
     record: CallRecord
 
 
+@frozen
+class TargetStated:
+    """The local target has stated something else about itself in an answer.
+
+    Attributes:
+        statement: The statement in force.
+    """
+
+    statement: TargetStatement
+
+
 @frozen
 class StopRequested:
     """The node shuts down; other nodes must stop sending calls to its target."""
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -66,12 +66,15 @@
         """Key of this node's record in the store."""
         return NODE_PREFIX + self._entry.name
 
-    def update(self, view: OwnTargetView, *, takes_calls: bool) -> bool:
+    def update(
+        self, view: OwnTargetView, *, takes_calls: bool, limit_per_s: float | None = None
+    ) -> bool:
         """Announce the state of the target if the entry changes; return whether it does.
 
         Args:
             view: Known state of the target.
             takes_calls: Whether this node routes calls to it.
+            limit_per_s: Calls a second that it takes from all nodes together, None for no limit.
         """
         report = view.report
         entry = evolve(
@@ -81,6 +84,7 @@
             target_id=report.target_id if report else "",
             slots=report.slots if report else 1,
             serving=view.state is TargetState.SERVING and takes_calls,
+            limit_per_s=limit_per_s,
         )
         if entry == self._entry:
             return False
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -89,4 +89,5 @@
         availability_zone=entry.availability_zone,
         slots=entry.slots,
         target_id=entry.target_id,
+        limit_per_s=entry.limit_per_s,
     )
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -5,8 +5,11 @@
 import unittest
 from random import Random
 
+from attrs import evolve
+
 from citronrack.calls import Balancer, CallContext, ContextCodec, PoolTarget, picks_new
 from citronrack.calls._queue import AdmissionQueue, SlotRequest
+from citronrack.calls.balancer import LimitsUsedUp
 from citronrack.calls.policies import policies
 from citronrack.calls.target_stats import TargetStats
 from citronrack.clock import ManualClock
@@ -255,6 +258,34 @@
         clock.advance(1.1)
         self.assertGreater(len({self.choose_name(balancer, targets) for _ in range(50)}), 1)
 
+    def test_targets_whose_limit_is_used_up_are_left_out(self) -> None:
+        """Guards against calls that are forwarded to a target that refuses them."""
+        balancer, clock = self.make("adaptive")
+        targets = tuple(evolve(target, limit_per_s=10.0) for target in pool(2))
+        for target in targets:
+            entry = balancer.choose(("s", "1"), targets, excluded={target.name})
+            assert entry is not None
+            balancer.record_end(entry, load=9, pause_s=0.3 if entry.target.name == "t0" else 0.5)
+        with self.assertRaises(LimitsUsedUp) as raised:
+            balancer.choose(("s", "1"), targets, patience_s=0.2)
+        self.assertAlmostEqual(raised.exception.pause_s, 0.3)
+        entry = balancer.choose(("s", "1"), targets, patience_s=0.4)
+        assert entry is not None
+        self.assertEqual(entry.target.name, "t0")
+        clock.advance(0.6)
+        names = {balancer.choose(("s", "1"), targets, patience_s=0.2) for _ in range(2)}
+        self.assertEqual(len(names), 2)
+
+    def test_end_of_a_limit(self) -> None:
+        """Guards against a target that stays left out although its limit has ended."""
+        balancer, _ = self.make("adaptive")
+        targets = pool(1)
+        for pause_s in (9.0, None):
+            entry = balancer.choose(("s", "1"), targets)
+            assert entry is not None
+            balancer.record_end(entry, load=0, pause_s=pause_s)
+        self.assertIsNotNone(balancer.choose(("s", "1"), targets, patience_s=0.1))
+
     @staticmethod
     def choose_name(balancer: Balancer, targets: tuple[PoolTarget, ...]) -> str:
         """Choose a target for a call that succeeds at once, and return its name."""
--- a/tests/hosted/test_limits.py
+++ b/tests/hosted/test_limits.py
@@ -3,22 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
 from citronrack.calls import Admission
+from citronrack.calls.notice import TargetStatement
 from citronrack.clock import ManualClock, SystemClock
+from citronrack.hosted.messages import TargetStated
+from citronrack.platform.operator import operator_topic
 
+from ..limits import allowed
+from .mesh import SERVICE, Mesh, config_record
 from .test_delivery import DeliveryFixture, http_answer
 
-WINDOW_S = 4.0
-EXCESS = 1.5
-SLACK = 5
-"""The platform allows in any window of 4 s one and a half times the limit and 5 calls."""
-
-
-def allowed(limit_per_s: float) -> float:
-    """Return the number of calls that a target with a limit may get in a window."""
-    return EXCESS * WINDOW_S * limit_per_s + SLACK
-
 
 class LimitedTargetTest(unittest.TestCase):
     """Calls that a node passes to its own target."""
@@ -36,3 +32,53 @@
             clock.advance(0.4)
             last = fixture.call(timeout_s=0.8)
             self.assertEqual((last.status, last.local_reason), (200, ""))
+
+
+class AnnouncedLimitTest(unittest.TestCase):
+    """Limits that nodes tell each other, so that calls are not forwarded to be refused."""
+
+    def setUp(self) -> None:
+        self.mesh = Mesh(3)
+        self.mesh.store.topics[operator_topic().name] = [config_record(1, 0, "a")]
+        self.mesh.read()
+        for name in self.mesh.cores:
+            self.mesh.report(name)
+        self.mesh.run(1.0)
+
+    def state(self, limit_per_s: float | None, *, started_ms: int = 1) -> None:
+        """Let the target of n0 name a limit."""
+        message = TargetStated(TargetStatement(("i-n0", started_ms), limit_per_s))
+        self.mesh.deliver("n0", self.mesh.cores["n0"].handle(message))
+        self.mesh.run(0.5)
+
+    def limits(self) -> set[Any]:
+        """Return the limits of the target of n0 that the nodes route by."""
+        pools = [view.current.pools[SERVICE, ""] for view in self.mesh.views.values()]
+        return {target.limit_per_s for pool in pools for target in pool if target.name == "n0"}
+
+    def test_all_nodes_learn_a_limit_and_its_end(self) -> None:
+        """Guards against nodes that forward more calls than a target takes."""
+        self.assertEqual(self.limits(), {None})
+        self.state(10.4)
+        self.assertEqual(self.limits(), {10.0})
+        self.state(0.0)
+        self.assertEqual(self.limits(), {0.0})
+        self.state(None)
+        self.assertEqual(self.limits(), {None})
+
+    def test_limit_of_an_earlier_process(self) -> None:
+        """Guards against the limit of a process that has ended."""
+        self.state(10.4)
+        self.mesh.report("n0", started_ms=2, sequence=1)
+        self.mesh.run(0.5)
+        self.assertEqual(self.limits(), {None})
+        self.state(5.0)
+        self.assertEqual(self.limits(), {None})
+
+    def test_small_changes_need_no_messages(self) -> None:
+        """Guards against a message to all nodes for each answer of a target."""
+        self.state(10.4)
+        revision = self.mesh.cores["n0"].entry.revision
+        for step in range(5):
+            self.state(10.3 + step / 100)
+        self.assertEqual(self.mesh.cores["n0"].entry.revision, revision)
