Send no calls to a target whose answers say that it leaves

Callers saw: nothing yet; a target that says only in its answers that it leaves got calls until its report, and again after the node beside it had started anew (DRAIN). Cause: reports and notices were the only sources of a leave; the header was passed on unread. Change: OwnTargetTracker stays the one place of the node beside the target: a leave in an answer is applied there like a notice, bound to the process by its id and start. The node that has passed such an answer on remembers the process itself, because the node beside it may start again and take it for a usual one; it sends nothing more until another process has the place. Conclusion: a leave is bound to a process, not to the channel by which it came.

--- a/src/citronrack/calls/balancer.py
+++ b/src/citronrack/calls/balancer.py
@@ -5,12 +5,13 @@
 import itertools
 import math
 import threading
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 
 from attrs import define, field
 
 from ..clock import Clock
+from .notice import TargetProcess
 from .policies import Policy, policies
 from .target_stats import (
     MAX_EJECTED_DIVISOR,
@@ -87,6 +88,7 @@
         self._observer = observer
         self._known: dict[str, TargetStats] = {}
         self._pools: dict[tuple[str, str], _Pool] = {}
+        self._leaving: dict[str, TargetProcess] = {}
         self._call_numbers = itertools.count()
         self._paused_until = 0.0  # No target is paused later than this.
         self._lock = threading.Lock()
@@ -176,6 +178,30 @@
                 # A refusal says nothing about health; the next call probes the target again.
                 self._end_probe(stats, now, healthy=latency_s is not None)
 
+    def record_leaving(self, target: PoolTarget) -> bool:
+        """Record that a target's process is about to end; return whether that is new.
+
+        This node sends it no further calls, whatever other nodes say of it, until another process
+        has taken its place. The node beside it may have started again and know nothing of it.
+        """
+        with self._lock:
+            known = self._leaving.get(target.name)
+            if known is not None and known[1] >= target.started_ms:
+                return False
+            self._leaving[target.name] = target.process
+            for pool in self._pools.values():
+                self._mark_leaving(pool.members)
+                self._classify(pool, self._clock.monotonic())
+            return True
+
+    def _mark_leaving(self, members: Iterable[TargetStats]) -> None:
+        for stats in members:
+            known = self._leaving.get(stats.target.name)
+            # The process is unknown while the node beside it waits for its first report.
+            stats.leaving = known is not None and (
+                stats.target.process == known or not stats.target.target_id
+            )
+
     def expected_latency_s(self, name: str) -> float | None:
         """Return the expected time of a call to a target, None for an unknown target."""
         stats = self._known.get(name)
@@ -232,6 +258,7 @@
                 stats = self._known[target.name] = TargetStats(target)
             stats.target = target
             members.append(stats)
+        self._mark_leaving(members)
         _assume_latency(members)
         pool = self._pools[key] = _Pool(targets, members)
         self._classify(pool, self._clock.monotonic())
@@ -242,11 +269,14 @@
     def _drop_absent(self) -> None:
         present = {stats.target.name for pool in self._pools.values() for stats in pool.members}
         self._known = {name: stats for name, stats in self._known.items() if name in present}
+        self._leaving = {name: known for name, known in self._leaving.items() if name in present}
 
     def _classify(self, pool: _Pool, now: float) -> None:
-        """Divide the pool into targets of the local zone, of other zones, and ejected ones."""
+        """Divide the targets that stay into those of the own zone, of others, and ejected ones."""
         pool.local_zone, pool.other_zones, pool.ejected = [], [], []
         for stats in pool.members:
+            if stats.leaving:
+                continue
             if stats.ejected_until and (stats.probing or now < stats.ejected_until):
                 pool.ejected.append(stats)
             elif stats.target.availability_zone == self._availability_zone:
@@ -297,7 +327,7 @@
 
 def _is_restarted(observed: PoolTarget, target: PoolTarget) -> bool:
     """Return whether ``target`` is another process than the observed one."""
-    return (observed.deliver_address, observed.target_id) != (
+    return (observed.deliver_address, observed.process) != (
         target.deliver_address,
-        target.target_id,
+        target.process,
     )
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -166,6 +166,7 @@
         retry_statuses=settings.retry_statuses,
         local=local,
         on_response=on_response,
+        decode_notice=settings.decode_notice,
     )
 
 
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -25,6 +25,7 @@
     local_response,
     set_retry_after,
 )
+from .notice import NoticeDecoder, no_notice
 from .patience import CallerPatience
 from .record import CallRecord, ResponseRecord
 from .split import hash_fraction, picks_new
@@ -143,6 +144,7 @@
         retry_statuses: Response statuses after which an idempotent call may go to another target.
         local: Delivers to the local target without a connection to this node.
         on_response: Receives a record of each routed call when its response has ended.
+        decode_notice: Decodes what targets state in the headers of their answers.
     """
 
     def __init__(
@@ -161,8 +163,10 @@
         retry_statuses: frozenset[int] = RETRY_STATUSES,
         local: LocalDelivery | None = None,
         on_response: Callable[[ResponseRecord], None] | None = None,
+        decode_notice: NoticeDecoder = no_notice,
     ) -> None:
         self._on_response = on_response
+        self._decode_notice = decode_notice
         self._views = views
         self._upstream = upstream
         self._balancer = balancer
@@ -320,9 +324,22 @@
             call.reroutes += 1
         else:
             call.reached += 1
+        self._record_leaving(call, target, response)
         self._report_attempt(call, stats, response, started, ignore_failure=ignore_failure)
         return response, target
 
+    def _record_leaving(self, call: _Call, target: PoolTarget, response: Response) -> None:
+        """Stop sending calls to a target whose answer says that it is about to end."""
+        if response.from_node or not self._decode_notice(dict(response.headers)).leaving:
+            return
+        if self._balancer.record_leaving(target):
+            self._events.write(
+                Event.TARGET_LEAVES,
+                target=target.name,
+                target_id=target.target_id,
+                request_id=call.request.request_id,
+            )
+
     def _send(self, call: _Call, target: PoolTarget) -> Response:
         request = call.request
         if self._local is not None and target.name == self._own_name:
--- a/src/citronrack/calls/target_stats.py
+++ b/src/citronrack/calls/target_stats.py
@@ -42,6 +42,7 @@
         ejected_until: Monotonic time until which it gets no calls, 0 for not ejected.
         probing: Whether a call is probing the target after its ejection.
         paused_until: Monotonic time from which its limit is expected to let a further call start.
+        leaving: Whether an answer has said that the target's process is about to end.
     """
 
     target: PoolTarget
@@ -58,6 +59,7 @@
     ejected_until: float = 0.0
     probing: bool = False
     paused_until: float = 0.0
+    leaving: bool = False
 
     @property
     def failing(self) -> bool:
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 
 from ..config import ConfigSet, Route
+from .notice import TargetProcess
 
 
 @frozen
@@ -22,6 +23,7 @@
         load_age_s: Age of that report when the view was made, in seconds.
         target_id: Id of the target's process; statistics of an earlier process are discarded.
         limit_per_s: Calls a second that it takes from all nodes together, None without a limit.
+        started_ms: Wall time of the start of the target's process, 0 when it is unknown.
     """
 
     name: str
@@ -32,6 +34,12 @@
     load_age_s: float = 0.0
     target_id: str = ""
     limit_per_s: float | None = None
+    started_ms: int = 0
+
+    @property
+    def process(self) -> TargetProcess:
+        """Identifies the target's process; a restarted target may keep its id."""
+        return self.target_id, self.started_ms
 
 
 @frozen
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -43,6 +43,7 @@
     rollout_write,
 )
 from .store import MESH_TOPIC, KeyedRecord
+from .target import TargetLeave
 from .views import build_view
 
 LIMIT_DIGITS = 2
@@ -264,10 +265,13 @@
         message.answer.set_result("")
 
     def _on_target_leave(self, message: LeaveReceived) -> None:
-        if self._dependencies.target.on_leave(message.leave):
-            self._target_changed()
+        self._apply_leave(message.leave)
         message.answer.set_result("")
 
+    def _apply_leave(self, leave: TargetLeave) -> None:
+        if self._dependencies.target.on_leave(leave):
+            self._target_changed()
+
     def _on_call_reported(self, message: CallReported) -> None:
         target = self._dependencies.target
         cold = self._dependencies.clock.monotonic() < target.view.cold_until
@@ -276,8 +280,10 @@
             self._update_own_entry()
 
     def _on_target_stated(self, message: TargetStated) -> None:
-        """Remember a statement; a changed limit is announced in the next tick, once for all."""
-        self._statement = message.statement
+        """Apply a statement; a changed limit is announced in the next tick, once for all."""
+        statement = self._statement = message.statement
+        if statement.leaving:
+            self._apply_leave(TargetLeave(*statement.process))
 
     def _on_stop_requested(self, _: StopRequested) -> None:
         self._stopping = True
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -45,6 +45,7 @@
         link_mbps: Bandwidth of the instance's link, in Mbit/s, 0 when it is unknown.
         limit_per_s: Calls a second that the target takes from all nodes together, None without a
             limit.
+        target_started_ms: Wall time of the start of the target's process, 0 while it is unknown.
     """
 
     name: str
@@ -60,6 +61,7 @@
     serving: bool = False
     link_mbps: int = 0
     limit_per_s: float | None = None
+    target_started_ms: int = 0
 
     @property
     def peer_url(self) -> str:
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -85,6 +85,7 @@
             slots=report.slots if report else 1,
             serving=view.state is TargetState.SERVING and takes_calls,
             limit_per_s=limit_per_s,
+            target_started_ms=report.started_ms if report else 0,
         )
         if entry == self._entry:
             return False
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -90,4 +90,5 @@
         slots=entry.slots,
         target_id=entry.target_id,
         limit_per_s=entry.limit_per_s,
+        started_ms=entry.target_started_ms,
     )
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -66,6 +66,7 @@
     TARGET_STATEMENT = 343
     TARGET_ARRIVALS = 344
     LIMIT_INVALID = 345
+    TARGET_LEAVES = 346
     CALL_ANSWERED = 404
     CALL_DELIVERED = 405
     ROLLOUT_ORDERED = 520
@@ -159,6 +160,9 @@
     Event.LIMIT_INVALID: EventInfo(
         "warning", "The own target names a limit that is not a number of calls; it has no effect."
     ),
+    Event.TARGET_LEAVES: EventInfo(
+        "info", "An answer says that its target leaves; this node sends no more calls to it."
+    ),
     Event.CALL_ANSWERED: EventInfo("info", "A caller has received its answer; see `verdict`."),
     Event.CALL_DELIVERED: EventInfo("info", "The own target has completed a call."),
     Event.ROLLOUT_ORDERED: EventInfo("info", "An operator has ordered a rollout."),
--- a/tests/calls/test_cores.py
+++ b/tests/calls/test_cores.py
@@ -276,6 +276,27 @@
         names = {balancer.choose(("s", "1"), targets, patience_s=0.2) for _ in range(2)}
         self.assertEqual(len(names), 2)
 
+    def test_leaving_target_gets_no_calls_until_another_process_has_its_place(self) -> None:
+        """Guards against calls to a target that leaves, from a node that was told by an answer.
+
+        The node beside the target may start again meanwhile and take it for a usual one.
+        """
+        balancer, _ = self.make("adaptive")
+        first, other = (
+            evolve(target, target_id="i-1", started_ms=5, slots=6) for target in pool(2)
+        )
+        balancer.choose(("s", "1"), (first, other))
+        self.assertTrue(balancer.record_leaving(first))
+        self.assertFalse(balancer.record_leaving(first))
+        unknown = evolve(first, target_id="", started_ms=0)
+        for entry in (first, unknown, evolve(first, slots=7)):
+            names = {self.choose_name(balancer, (entry, other)) for _ in range(30)}
+            self.assertEqual(names, {other.name})
+            self.assertIsNone(balancer.choose(("s", "2"), (entry,)))
+        restarted = evolve(first, started_ms=6)
+        names = {self.choose_name(balancer, (restarted, other)) for _ in range(30)}
+        self.assertEqual(names, {first.name, other.name})
+
     def test_end_of_a_limit(self) -> None:
         """Guards against a target that stays left out although its limit has ended."""
         balancer, _ = self.make("adaptive")
--- a/tests/hosted/test_limits.py
+++ b/tests/hosted/test_limits.py
@@ -9,6 +9,7 @@
 from citronrack.calls.notice import TargetStatement
 from citronrack.clock import ManualClock, SystemClock
 from citronrack.hosted.messages import TargetStated
+from citronrack.hosted.target import LEAVING
 from citronrack.platform.operator import operator_topic
 
 from ..limits import allowed
@@ -82,3 +83,28 @@
         for step in range(5):
             self.state(10.3 + step / 100)
         self.assertEqual(self.mesh.cores["n0"].entry.revision, revision)
+
+
+class LeavingTargetTest(unittest.TestCase):
+    """Targets whose answers say that they leave."""
+
+    def test_node_refuses_calls_until_the_next_process(self) -> None:
+        """Guards against calls to a target that leaves, also while the store is away."""
+        mesh = Mesh(3)
+        mesh.store.topics[operator_topic().name] = [config_record(1, 0, "a")]
+        mesh.read()
+        for name in mesh.cores:
+            mesh.report(name)
+        mesh.cut = set(mesh.cores)
+        core = mesh.cores["n0"]
+        stated = TargetStated(TargetStatement(("i-n0", 1), leaving=True))
+        mesh.deliver("n0", core.handle(stated))
+        self.assertEqual(core.identity().refusal, LEAVING)
+        self.assertNotIn("n0", mesh.pool("n1"))
+        mesh.report("n0", sequence=5)
+        self.assertEqual(core.identity().refusal, LEAVING)
+        mesh.report("n0", sequence=1, started_ms=2)
+        self.assertEqual(core.identity().refusal, "")
+        mesh.deliver("n0", core.handle(stated))
+        self.assertEqual(core.identity().refusal, "")
+        self.assertIn("n0", mesh.pool("n1"))
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -37,6 +37,7 @@
         work_s: Time that a request takes.
         fail_share: Fraction of the requests that fail.
         draining: Whether its reports have state ``draining``.
+        statements: Headers that are added to its answers.
         executed: Ids and start times of the executed requests, in order.
         callers: Services that have called it.
         most_running: Greatest number of concurrent requests.
@@ -54,6 +55,7 @@
     work_s: float = 0.01
     fail_share: float = 0.0
     draining: bool = False
+    statements: dict[str, str] = field(factory=dict)
     executed: list[tuple[str, float]] = field(factory=list)
     callers: set[str] = field(factory=set)
     most_running: int = 0
@@ -135,6 +137,7 @@
         with self._lock:
             self._running -= 1
         headers = {"Attempt-Id": request_id, "Instance-Signature": f"{self.target_id}.{request_id}"}
+        headers.update(self.statements)
         content = f"{request_id} {len(body)}".encode()
         return Response(content, status=500 if failed else 200, headers=headers)
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -78,6 +78,38 @@
                 set(),
             )
 
+    def test_target_that_leaves_by_its_answers(self) -> None:
+        """Guards against calls to a target whose answers, and nothing else, say that it leaves.
+
+        The node beside it starts again in between and takes it for a usual one.
+        """
+        with Installation(size=2) as mesh:
+            first, second = mesh.instances
+            leaving = second.target
+            assert leaving is not None
+            self.assertTrue(wait_for(lambda: call(first, "/media/x", "a")[0] == 200))
+            leaving.statements["Server-Leaving"] = "1"
+            self.assertEqual(call(first, "/media/x", "b")[0], 200)
+            before = len(leaving.executed)
+            for index in range(10):
+                self.assertEqual(call(first, "/media/x", f"c{index}")[0], 503)
+            entries = self.serving_entries(mesh, first, second)
+            mesh.restart(second, signal.SIGKILL)
+            self.assertTrue(wait_for(lambda: self.serving_entries(mesh, first, second) > entries))
+            for index in range(10):
+                self.assertEqual(call(first, "/media/x", f"d{index}")[0], 503)
+            self.assertEqual(len(leaving.executed), before)
+            leaving.stop()
+            mesh.start_target(second)
+            self.assertTrue(wait_for(lambda: call(first, "/media/x", "e")[0] == 200))
+
+    @staticmethod
+    def serving_entries(mesh: Installation, instance: Instance, peer: Instance) -> int:
+        """Return how often a node has logged that the target of a peer takes calls."""
+        lines = dict(mesh.logs())[instance.name].splitlines()
+        entry = (f'"peer": "{peer.name}"', '"serving": true')
+        return sum(all(part in line for part in entry) for line in lines)
+
     def test_restart_of_all_while_the_store_is_unavailable(self) -> None:
         """Guards against a node that serves without a configuration or never recovers.
 
