--- a/src/citronrack/exchange.py
+++ b/src/citronrack/exchange.py
@@ -18,6 +18,7 @@
     timeout_ms: int,
     max_bytes: int,
     open_socket: Callable[[int, Any], Any] | None = None,
+    on_header: Callable[[bytes], None] | None = None,
 ) -> tuple[int, bytes]:
     """Send a GET or a POST and return the status and the body of the response.
 
@@ -29,6 +30,7 @@
         timeout_ms: Timeout of the whole request.
         max_bytes: Largest response body; a larger one is an error.
         open_socket: Creates the socket of a new connection, None for libcurl's default.
+        on_header: Receives each line of the response's head, None to ignore them.
 
     Raises:
         pycurl.error: When there is no complete response.
@@ -47,6 +49,8 @@
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_timeout_ms)
     curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
     curl.setopt(pycurl.WRITEFUNCTION, collect)
+    if on_header is not None:
+        curl.setopt(pycurl.HEADERFUNCTION, on_header)
     if open_socket is not None:
         curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
     if data is not None:
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -122,6 +122,7 @@
         )
         self._statement = TargetStatement(process=("", 0))
         self._stopping = False
+        self._era = 0
         self._view_outdated = True
         self._outbox: list[Send] = []
 
@@ -229,6 +230,7 @@
     # Messages of other tasks.
 
     def _on_page_read(self, message: PageRead) -> None:
+        self._log_page(message)
         applied = self._replication.apply_page(message, own=self._registration.entry)
         self._on_records(message.topic, applied.changed, STORE)
         if message.topic == MESH_TOPIC:
@@ -241,6 +243,31 @@
                 self._callbacks.read_topics(False)
         self._outbox += applied.sends
 
+    def _log_page(self, message: PageRead) -> None:
+        """Log a return of the store from a copy, and records that are not newer than the known."""
+        known_era, self._era = self._era, max(self._era, message.era)
+        if 0 < known_era < message.era:
+            self._dependencies.events.write(
+                Event.STORE_RETURNED,
+                era=message.era,
+                topic=message.topic,
+                end=message.page.position,
+                position=self.position(message.topic),
+            )
+        replica = self._replicas[message.topic]
+        known = {record.key: replica.record(record.key) for record in message.page.records}
+        for record in message.page.records:
+            other = known[record.key]
+            if other is None or other.offset < record.offset or other.value == record.value:
+                continue
+            self._dependencies.events.write(
+                Event.RECORD_NOT_NEWER,
+                key=record.key,
+                offset=record.offset,
+                known_offset=other.offset,
+                era=message.era,
+            )
+
     def _on_read_failed(self, message: ReadFailed) -> None:
         self._access.on_read_failed(message.topic, message.reason)
 
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -102,7 +102,7 @@
             end = None
             if write.may_replace is not None:
                 page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-                self._post(PageRead(write.topic, page, full=True))
+                self._post(PageRead(write.topic, page, full=True, era=self._store.era))
                 end = page.position
                 current = {record.key: record.value for record in page.records}
                 if not write.may_replace(current.get(write.key)):
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -62,6 +62,10 @@
 class KeyedStore(Protocol):
     """Access to topics that keep the newest record of each key; used by one thread."""
 
+    @property
+    def era(self) -> int:
+        """How often the store had returned from a copy, as its latest answer stated."""
+
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key.
 
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -121,6 +121,7 @@
                 self._topic, self._position, wait_ms=wait_ms, timeout_ms=timeout_ms
             )
         created_at = min(self._clock.monotonic(), started_at + wait_ms / 1000)
-        self._post(PageRead(self._topic, page, full=full, created_at=created_at))
+        era = self._store.era
+        self._post(PageRead(self._topic, page, full=full, created_at=created_at, era=era))
         self._position = page.position
         self._long_poll = True
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -21,6 +21,9 @@
 LEAVING_HEADER = b"server-leaving"
 """In all answers of a target that is about to end; the value is ``1``."""
 
+ERA_HEADER = b"store-era"
+"""In all answers of the store, refusals included: how often it has returned from a copy."""
+
 READINESS = ("GET", "/api/readiness")
 REPORT_PREFIX = "/api/Instances.Heartbeat/"
 LEAVE_PREFIX = "/api/Instances.Deregister/"
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import re
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -14,6 +15,7 @@
 from ..errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
 from ..exchange import exchange
 from ..hosted.store import AppendConflict, KeyedPage, KeyedRecord
+from .names import ERA_HEADER
 
 CONNECT_TIMEOUT_MS = 800
 """Connecting within a region takes milliseconds; a recovered store must be detected quickly."""
@@ -34,6 +36,8 @@
 MAX_BODY_BYTES = 4 * 1024 * PAGE_KB
 """Largest accepted response body; a page of newest records is 1 MB before base64 encoding."""
 
+_ERA = re.compile(rb"\d{1,6}")
+
 _NOT_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 _PARTITION = 0
 """Topics that keep the newest record of each key have one partition."""
@@ -49,6 +53,12 @@
     def __init__(self, address: Callable[[], str]) -> None:
         self._address = address
         self._curl = pycurl.Curl()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """How often the store had returned from a copy, as its latest answer stated."""
+        return self._era
 
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key; see `KeyedStore.newest`."""
@@ -127,6 +137,12 @@
         except pycurl.error as error:
             raise LogUnavailable(f"the store did not answer: {error}") from error
 
+    def _on_header(self, line: bytes) -> None:
+        """Record the era in a line of a response's head; an invalid one has no effect."""
+        name, _, value = line.partition(b":")
+        if name.strip().lower() == ERA_HEADER and _ERA.fullmatch(value.strip()):
+            self._era = int(value)
+
     def _exchange(self, call: str, *, data: bytes | None, timeout_ms: int) -> tuple[int, bytes]:
         return exchange(
             self._curl,
@@ -136,6 +152,7 @@
             timeout_ms=timeout_ms,
             max_bytes=MAX_BODY_BYTES,
             open_socket=_open_socket,
+            on_header=self._on_header,
         )
 
 
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -58,6 +58,8 @@
     TOPIC_CURRENT = 313
     STORE_WRITTEN = 230
     STORE_CONFLICT = 231
+    STORE_RETURNED = 232
+    RECORD_NOT_NEWER = 233
     NODE_ENTRY = 330
     NODE_EXPIRED = 331
     TARGET_STATE = 340
@@ -146,6 +148,12 @@
     ),
     Event.STORE_WRITTEN: EventInfo("info", "A record was written to the platform's store."),
     Event.STORE_CONFLICT: EventInfo("info", "Another record was written first; see `end`."),
+    Event.STORE_RETURNED: EventInfo(
+        "warning", "The store has returned from a copy; what was written lately may be gone."
+    ),
+    Event.RECORD_NOT_NEWER: EventInfo(
+        "warning", "A record of the store differs from the known one and was not taken."
+    ),
     Event.NODE_ENTRY: EventInfo("info", "Another node has published its state."),
     Event.NODE_EXPIRED: EventInfo("warning", "A node has not renewed its entry and is dropped."),
     Event.TARGET_STATE: EventInfo("info", "The state of the own target has changed."),
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -54,6 +54,13 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def copy(self) -> _Topic:
+        return _Topic(self.first, list(self.records), dict(self.newest), dict(self.producers))
+
+
+StoreCopy = dict[str, _Topic]
+"""A copy of all topics."""
+
 
 @define(eq=False)
 class StoreFaults:
@@ -86,6 +93,7 @@
         )
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="store-stand-in")
         self._stopping = False
+        self.era = 1
 
     @property
     def address(self) -> str:
@@ -124,17 +132,31 @@
             stored.first, stored.records = stored.end, []
             self._changed.notify_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all topics."""
+        with self._changed:
+            return {name: topic.copy() for name, topic in self._topics.items()}
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Replace all topics by a copy, which begins the next era."""
+        with self._changed:
+            self._topics = {name: topic.copy() for name, topic in copy.items()}
+            self.era += 1
+            self._changed.notify_all()
+
     def _application(self, environ: Any, start_response: Callable[..., Any]) -> Any:
         request = Request(environ)
         name = request.path.removeprefix("/api/")
         self.calls.append(name)
         faults = self.faults
         if faults.refused & {"*", request.remote_addr or ""}:
-            return Response(status=faults.status)(environ, start_response)
-        if faults.delay_s:
-            threading.Event().wait(faults.delay_s)
-        handler = _HANDLERS.get((request.method, name))
-        response = handler(self, request) if handler is not None else Response(status=404)
+            response = Response(status=faults.status)
+        else:
+            if faults.delay_s:
+                threading.Event().wait(faults.delay_s)
+            handler = _HANDLERS.get((request.method, name))
+            response = handler(self, request) if handler is not None else Response(status=404)
+        response.headers["Store-Era"] = str(self.era)
         return response(environ, start_response)
 
     def _append(self, name: str, contents: list[bytes]) -> int:
@@ -203,11 +225,14 @@
         wait_s = request.args.get("wait_ms", 0, type=int) / 1000
         name = request.args["topic"]
         with self._changed:
-            topic = self._topics.setdefault(name, _Topic())
-            if start < topic.first:
+            topic, era = self._topics.setdefault(name, _Topic()), self.era
+            if not topic.first <= start <= topic.end:
                 return _json({"first": topic.first}, status=410)
-            self._changed.wait_for(lambda: topic.end > start or self._stopping, timeout=wait_s)
-            if start < topic.first:
+            self._changed.wait_for(
+                lambda: topic.end > start or self._stopping or self.era != era, timeout=wait_s
+            )
+            topic = self._topics.setdefault(name, _Topic())
+            if not topic.first <= start <= topic.end:
                 return _json({"first": topic.first}, status=410)
             contents = topic.records[start - topic.first :]
             head = topic.end.to_bytes(8, "big") + topic.first.to_bytes(8, "big")
