Order records by the era of the store and the offset, and keep what a copy lacks

Cause: a position in a log without the log. Offsets were compared in the replica, the watch, heartbeats, exchanges, deltas, ids of orders and conditional appends; after a return from a copy the same numbers are given out again, so newer records looked old, and a reader confirmed an end that it had not read. Change: hosted/position.py joins era and offset into one growing number, which the store's client makes of both; all of the places above compare it unchanged. Pages and heartbeats of an earlier era have no effect, and a read or an append whose position is of another era than the answer fails. Known records stay until the restored topic has newer ones: a configuration is never replaced by an older or invalid one, the same version with other content follows the later era, an order that may be one of the copy counts only after 5 s, when the operator has written the lost ones again. An equal order continues its rollout under the new id. Registrars and holders of rollouts write their records and status again once, spread over 1 s.

--- a/src/citronrack/config/active.py
+++ b/src/citronrack/config/active.py
@@ -24,13 +24,20 @@
         """Version of the set in force, -1 before the first one."""
         return self._current.version
 
-    def swap(self, new: ConfigSet) -> bool:
+    def swap(self, new: ConfigSet, *, replace_equal: bool = False) -> bool:
         """Put ``new`` in force if it is newer than the current set.
 
+        Args:
+            new: The new set.
+            replace_equal: Whether a set of the same version with other content counts as newer.
+
         Returns:
             Whether ``new`` was put in force.
         """
-        if new.version <= self._current.version:
+        same_version = new.version == self._current.version
+        if new.version < self._current.version or (same_version and not replace_equal):
+            return False
+        if new == self._current:
             return False
         self._current = new
         return True
--- a/src/citronrack/hosted/access.py
+++ b/src/citronrack/hosted/access.py
@@ -118,7 +118,7 @@
 
         Args:
             heartbeat: The heartbeat.
-            position: First offset that this node does not cover.
+            position: First position that this node does not cover.
         """
         was_reading = self.reading
         self._role.on_heartbeat(heartbeat, position=position, store_answers=self.available)
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -288,6 +288,7 @@
     core.callbacks.read_nodes = lambda: mesh_watch.set_needed(
         True, position=core.position(MESH_TOPIC)
     )
+    core.callbacks.reread_operator = operator_watch.reread
     core.start()
     register_gauges(metrics, core, call_path, events, transport)
     return HostedNode(
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -30,10 +30,12 @@
     StopRequested,
     TargetStated,
 )
+from .position import era_of, offset_of, position_fields
 from .readers import ReaderHeartbeat
 from .registration import NODE_PREFIX, Registration, decode_entry
 from .replica import TopicReplica
 from .replication import STORE, TopicReplication
+from .restoration import Restoration
 from .rollout import (
     ROLLOUT_PREFIX,
     Phase,
@@ -67,7 +69,10 @@
         self._active = ActiveConfig()
         self._table = NodeTable(own_name=own.name, clock=dependencies.clock)
         self._replicas = {
-            name: TopicReplica(name) for name in (dependencies.operator.name, MESH_TOPIC)
+            dependencies.operator.name: TopicReplica(
+                dependencies.operator.name, clock=dependencies.clock, supersedes=self._supersedes
+            ),
+            MESH_TOPIC: TopicReplica(MESH_TOPIC, clock=dependencies.clock),
         }
         self._fanout = Fanout(own, table=self._table, random=dependencies.random)
         self._join = SeedJoin(
@@ -122,7 +127,9 @@
         )
         self._statement = TargetStatement(process=("", 0))
         self._stopping = False
-        self._era = 0
+        self._restoration = Restoration(
+            clock=dependencies.clock, random=dependencies.random, events=dependencies.events
+        )
         self._view_outdated = True
         self._outbox: list[Send] = []
 
@@ -196,7 +203,7 @@
             self._registration.store()
 
     def position(self, topic: str) -> int:
-        """Return the first offset of a topic that this node lacks; thread-safe."""
+        """Return the first position of a topic that this node lacks; thread-safe."""
         return self._replicas[topic].position
 
     def on_tick(self) -> list[Send]:
@@ -205,6 +212,7 @@
             self._dependencies.events.write(Event.TARGET_SILENT)
             self._update_own_entry()
         self._ask_seeds()
+        self._follow_era()
         if self._announced_limit() != self._registration.entry.limit_per_s:
             self._update_own_entry()
         if not self._join.holding:
@@ -230,8 +238,8 @@
     # Messages of other tasks.
 
     def _on_page_read(self, message: PageRead) -> None:
-        self._log_page(message)
         applied = self._replication.apply_page(message, own=self._registration.entry)
+        self._log_kept_records(message)
         self._on_records(message.topic, applied.changed, STORE)
         if message.topic == MESH_TOPIC:
             if message.full:
@@ -243,30 +251,19 @@
                 self._callbacks.read_topics(False)
         self._outbox += applied.sends
 
-    def _log_page(self, message: PageRead) -> None:
-        """Log a return of the store from a copy, and records that are not newer than the known."""
-        known_era, self._era = self._era, max(self._era, message.era)
-        if 0 < known_era < message.era:
-            self._dependencies.events.write(
-                Event.STORE_RETURNED,
-                era=message.era,
-                topic=message.topic,
-                end=message.page.position,
-                position=self.position(message.topic),
-            )
+    def _log_kept_records(self, message: PageRead) -> None:
+        """Log records of the store that were not taken, because the known ones are newer."""
         replica = self._replicas[message.topic]
-        known = {record.key: replica.record(record.key) for record in message.page.records}
-        for record in message.page.records:
-            other = known[record.key]
-            if other is None or other.offset < record.offset or other.value == record.value:
-                continue
-            self._dependencies.events.write(
-                Event.RECORD_NOT_NEWER,
-                key=record.key,
-                offset=record.offset,
-                known_offset=other.offset,
-                era=message.era,
-            )
+        for record in {record.key: record for record in message.page.records}.values():
+            known = replica.record(record.key)
+            if known is not None and known.value != record.value:
+                self._dependencies.events.write(
+                    Event.RECORD_NOT_NEWER,
+                    key=record.key,
+                    **position_fields(record.position),
+                    known_offset=offset_of(known.position),
+                    known_era=era_of(known.position),
+                )
 
     def _on_read_failed(self, message: ReadFailed) -> None:
         self._access.on_read_failed(message.topic, message.reason)
@@ -349,6 +346,32 @@
     def _announce(self, entry: NodeEntry) -> None:
         self._outbox += self._gossip.announce(entry)
 
+    def _follow_era(self) -> None:
+        """Write again what this node owns after the store has returned from a copy."""
+        operator = self._replicas[self._dependencies.operator.name]
+        newest = max(replica.position for replica in self._replicas.values())
+        if newest and self._restoration.on_era(era_of(newest)):
+            if self._registration.is_registrar and not self._stopping:
+                self._registration.store()
+            self._rollouts.write_again()
+        must_decide = operator.disputed and operator.settled and self._access.reading
+        if must_decide and self._restoration.may_reread(operator.era):
+            self._callbacks.reread_operator()
+
+    def _supersedes(self, known: KeyedRecord, record: KeyedRecord) -> bool | None:
+        """Compare records of the operator across a return of the store from a copy.
+
+        A configuration is only replaced by one that is not older. An order has no version.
+        """
+        operator = self._dependencies.operator
+        config = operator.config(known)
+        if config is not None:
+            new = operator.config(record)
+            return new is not None and new.version >= config.version
+        if operator.order(known) is not None and record.value is not None:
+            return None if operator.order(record) is not None else False
+        return None
+
     def _check_own_record(self) -> None:
         if not self._stopping:
             self._registration.reconcile(self._replicas[MESH_TOPIC].value(self._registration.key))
@@ -423,16 +446,18 @@
             self._check_own_record()  # The store may drop a key without a request.
 
     def _refuse_record(self, record: KeyedRecord) -> None:
-        self._dependencies.events.write(Event.RECORD_REFUSED, key=record.key, offset=record.offset)
+        self._dependencies.events.write(
+            Event.RECORD_REFUSED, key=record.key, **position_fields(record.position)
+        )
 
     def _on_operator_record(self, record: KeyedRecord, source: str) -> None:
         config = self._dependencies.operator.config(record)
-        if config is not None and self._active.swap(config):
+        if config is not None and self._active.swap(config, replace_equal=True):
             self._dependencies.events.write(
                 Event.CONFIG_IN_FORCE,
                 version=config.version,
-                offset=record.offset,
-                position=self.position(self._dependencies.operator.name),
+                **position_fields(record.position),
+                position=offset_of(self.position(self._dependencies.operator.name)),
                 source=source,
             )
             self._view_outdated = True
@@ -441,7 +466,8 @@
             if config is None and record.value is not None:
                 self._refuse_record(record)
             return
-        self._rollouts.on_order(order)
+        settled = self._replicas[self._dependencies.operator.name].settled
+        self._rollouts.on_order(order, written_again=not settled)
         stored = decode_record(self._replicas[MESH_TOPIC].value(ROLLOUT_PREFIX + order.service))
         if stored is not None:
             self._rollouts.on_record(stored)
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -82,11 +82,14 @@
     Attributes:
         read_topics: Called with whether this node has to read the topics for its zone.
         read_nodes: Called when this node's entry has been stored, to read the mesh topic.
+        reread_operator: Called to read the whole operator topic, once a return of the store from a
+            copy has settled.
         set_slots: Called with the number of calls that the local target runs concurrently.
         set_retry_burst: Called with the number of retries that this node may accumulate.
     """
 
     read_topics: Callable[[bool], None] = _ignore
     read_nodes: Callable[[], None] = _nothing
+    reread_operator: Callable[[], None] = _nothing
     set_slots: Callable[[int], None] = _ignore
     set_retry_burst: Callable[[float], None] = _ignore
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -15,6 +15,7 @@
 from .delta import DAMAGED, MIN_DELTA_BYTES, apply_delta, compress, decompress, make_delta
 from .entry import DIGEST_BUCKETS, NodeEntry, NodeTable
 from .fanout import Fanout, send_to
+from .position import era_of
 from .replica import TopicReplica
 from .rollout import RolloutRecord
 from .store import KeyedPage, KeyedRecord
@@ -57,7 +58,7 @@
     """Summary of the sender's state.
 
     Attributes:
-        topics: Pairs of topic and the first offset that the sender does not cover.
+        topics: Pairs of topic and the first position that the sender does not cover.
         digest: Digest of the sender's node entries.
         digests: Digests of the buckets of the sender's node entries; empty from a sender of the
             previous release.
@@ -81,14 +82,14 @@
 
     Attributes:
         topic: Name of the topic.
-        records: Triples of key, compressed value or delta, and offset; an empty value denotes a
+        records: Triples of key, compressed value or delta, and position; an empty value denotes a
             removed key. Values are compressed because a configuration of 70 KB, sent to each node
             of a zone, saturated a link of 14.5 Mbit/s.
-        position: First offset that the message does not cover.
-        bases: For each record the offset of the older record that its delta applies to, `NO_BASE`
+        position: First position that the message does not cover.
+        bases: For each record the position of the older record that its delta applies to, `NO_BASE`
             for a full value; empty if all values are full. Deltas are needed because compressed
             values, sent to 30 nodes at four changes a second, still saturated a link of 10 Mbit/s.
-        start: First offset that the message covers; a receiver whose position is lower has missed
+        start: First position that the message covers; a receiver whose position is lower has missed
             a message.
         age_ms: How long ago the store may have confirmed that the topic ends at ``position``, in
             milliseconds; `NOT_CONFIRMED` if that is unknown.
@@ -219,7 +220,7 @@
         triples, bases = [], []
         for record in page.records:
             encoded, base = _encode_value(record, before.get(record.key))
-            triples.append((record.key, encoded, record.offset))
+            triples.append((record.key, encoded, record.position))
             bases.append(base)
         return TopicRecords(topic, tuple(triples), page.position, tuple(bases), page.start)
 
@@ -247,9 +248,11 @@
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
         sends: list[Send] = []
-        for topic, position in message.topics if message.stale else ():
+        for topic, position in message.topics:
             replica = self._replicas.get(topic)
-            if replica is None or replica.position < position:
+            if replica is not None and era_of(position) > replica.era:
+                return [self.request_records(sender)]  # The store has returned from a copy.
+            if not message.stale or replica is None or replica.position < position:
                 continue
             age_s = self._confirmed_age_s(topic)
             if replica.position > position or age_s is not None:
@@ -274,7 +277,7 @@
         Args:
             to: Address of the receiver.
             replica: The replica.
-            position: First offset that the receiver does not cover.
+            position: First position that the receiver does not cover.
             age_s: Age of the confirmation of the replica's end, None if it is not fresh.
         """
         page = replica.since(position)
@@ -292,7 +295,7 @@
             value = compress(record.value)
             if batch and size + len(value) > MAX_RECORDS_BYTES:
                 flush(min(batch[-1][2] + 1, page.position))
-            batch.append((record.key, value, record.offset))
+            batch.append((record.key, value, record.position))
             size += len(value)
         flush(page.position, NOT_CONFIRMED if age_s is None else round(age_s * 1000))
         return sends
@@ -305,14 +308,14 @@
         if len(bases) != len(message.records):
             raise MessageRejected(DAMAGED)
         records = []
-        for (key, encoded, offset), base in zip(message.records, bases, strict=True):
+        for (key, encoded, position), base in zip(message.records, bases, strict=True):
             known = replica.record(key)
-            if known is not None and known.offset >= offset:
+            if known is not None and known.position >= position:
                 continue
             value = decompress(encoded) if base == NO_BASE else _from_delta(known, base, encoded)
             if base != NO_BASE and value is None:
                 return [self.request_records(sender)]  # The base of the delta is missing here.
-            records.append(KeyedRecord(key, value, offset))
+            records.append(KeyedRecord(key, value, position))
         has_start = message.start != UNKNOWN_START
         start = message.start if has_start else message.position
         changed = replica.apply(KeyedPage(tuple(records), message.position, start=start))
@@ -320,7 +323,8 @@
             self._on_records(message.topic, changed, sender)
         if has_start and replica.position < message.position:
             return [self.request_records(sender)]  # An earlier message was lost.
-        if message.age_ms != NOT_CONFIRMED and replica.position >= message.position:
+        same_era = replica.era == era_of(message.position)
+        if message.age_ms != NOT_CONFIRMED and same_era and replica.position >= message.position:
             self._on_confirmed(message.topic, message.age_ms / 1000)
         return []
 
@@ -335,16 +339,16 @@
 
 
 def _encode_value(record: KeyedRecord, base: KeyedRecord | None) -> tuple[bytes, int]:
-    """Return a compressed value or delta, and the offset of the delta's base or `NO_BASE`."""
+    """Return a compressed value or delta, and the position of the delta's base or `NO_BASE`."""
     full = compress(record.value)
     if len(full) < MIN_DELTA_BYTES or not record.value or base is None or not base.value:
         return full, NO_BASE
     delta = make_delta(base.value, record.value)
-    return (delta, base.offset) if len(delta) < len(full) else (full, NO_BASE)
+    return (delta, base.position) if len(delta) < len(full) else (full, NO_BASE)
 
 
 def _from_delta(known: KeyedRecord | None, base: int, delta: bytes) -> bytes | None:
-    if known is None or known.offset != base or known.value is None:
+    if known is None or known.position != base or known.value is None:
         return None
     return apply_delta(known.value, delta)
 
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -24,14 +24,12 @@
         created_at: Time at which the store may have made the page, by the boot clock; 0 if it is
             not needed. It lies in the past if the store is slow, or if the process was suspended
             while the response waited in the socket.
-        era: How often the store had returned from a copy when it made the page.
     """
 
     topic: str
     page: KeyedPage
     full: bool
     created_at: float = 0.0
-    era: int = 0
 
 
 @frozen
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -13,6 +13,7 @@
 from ..errors import AppendRefused, AppendUnknown, LogUnavailable
 from ..telemetry import Event, EventLog
 from .messages import CoreMessage, PageRead, RecordWritten
+from .position import position_fields
 from .store import BACKOFF_CAP_S, AppendConflict, KeyedRecord, KeyedStore
 from .watch import LONG_READ_TIMEOUT_MS
 
@@ -102,15 +103,18 @@
             end = None
             if write.may_replace is not None:
                 page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-                self._post(PageRead(write.topic, page, full=True, era=self._store.era))
+                self._post(PageRead(write.topic, page, full=True))
                 end = page.position
                 current = {record.key: record.value for record in page.records}
                 if not write.may_replace(current.get(write.key)):
                     return True
-            offset = self._store.put(write.topic, write.key, write.value, expected_end=end)
+            position = self._store.put(write.topic, write.key, write.value, expected_end=end)
         except AppendConflict as conflict:
             self._events.write(
-                Event.STORE_CONFLICT, topic=write.topic, key=write.key, end=conflict.end
+                Event.STORE_CONFLICT,
+                topic=write.topic,
+                key=write.key,
+                **position_fields(conflict.end, "end"),
             )
             return write.once
         except (AppendRefused, AppendUnknown, LogUnavailable) as error:
@@ -118,7 +122,9 @@
             event = Event.APPEND_REFUSED if refused else Event.APPEND_UNKNOWN
             self._events.write(event, topic=write.topic, key=write.key, reason=str(error))
             return write.once
-        self._events.write(Event.STORE_WRITTEN, topic=write.topic, key=write.key, offset=offset)
-        record = KeyedRecord(write.key, write.value, offset)
+        self._events.write(
+            Event.STORE_WRITTEN, topic=write.topic, key=write.key, **position_fields(position)
+        )
+        record = KeyedRecord(write.key, write.value, position)
         self._post(RecordWritten(write.topic, record))
         return True
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -10,6 +10,7 @@
 from ..rendezvous import weight
 from ..transport.messages import message_codec
 from .entry import NodeEntry
+from .position import era_of
 
 RANK_SCOPE = "readers"
 """Rendezvous scope by which nodes are ranked as readers."""
@@ -61,14 +62,14 @@
 @message_codec.register("h-beat")
 @frozen
 class ReaderHeartbeat:
-    """A reader's confirmation of the end offset of the operator topic.
+    """A reader's confirmation of the end of the operator topic.
 
     A reader only sends one after a successful read, so a heartbeat shows that the topic is being
     read and not only that the reader's process is alive.
 
     Attributes:
         name: Name of the reader.
-        position: First offset that the reader does not cover, which was the end of the topic.
+        position: First position that the reader does not cover, which was the end of the topic.
         link_mbps: Bandwidth of the reader's instance, in Mbit/s.
         age_ms: How long ago the store may have confirmed it, in milliseconds.
     """
@@ -150,9 +151,11 @@
 
         Args:
             heartbeat: The heartbeat.
-            position: First offset that this node does not cover.
+            position: First position that this node does not cover.
             store_answers: Whether this node reaches the store itself.
         """
+        if era_of(heartbeat.position) < era_of(position):
+            return  # The store has returned from a copy since the reader's last read.
         better = _rank(heartbeat) < _rank(self.own)
         if better:
             self._better_reader_at = self.clock.monotonic()
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -2,24 +2,42 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from ..clock import Clock
+from .position import era_of, offset_of
 from .store import KeyedPage, KeyedRecord
 
+REWRITE_S = 5.0
+"""Time after a return of the store from a copy in which its writers write again what it has lost.
+Until then, an older value in the copy or a missing key may be a loss and not a decision."""
+
+Supersedes = Callable[[KeyedRecord, KeyedRecord], bool | None]
+"""Returns whether a record replaces a known one of an earlier era by what they contain, None if
+the contents do not say."""
+
 
 class TopicReplica:
     """The newest record of each key of one topic.
 
-    Records are ordered by offset, so pages may come from any source and in any order.
+    Records are ordered by position, so pages may come from any source and in any order. Pages of an
+    earlier era of the store have no effect. When a later era begins, the known records stay in use
+    until the restored topic holds newer ones: a copy that the store returned from may hold less.
 
     Args:
         topic: Name of the topic.
+        clock: Source of time.
+        supersedes: Compares contents across eras; without it, the later era always wins.
     """
 
-    def __init__(self, topic: str) -> None:
+    def __init__(self, topic: str, *, clock: Clock, supersedes: Supersedes | None = None) -> None:
         self._topic = topic
+        self._clock = clock
+        self._supersedes = supersedes
         self._position = 0
         self._records: dict[str, KeyedRecord] = {}
+        self._restored_at: float | None = None
+        self._disputed: set[str] = set()
 
     @property
     def topic(self) -> str:
@@ -28,9 +46,26 @@
 
     @property
     def position(self) -> int:
-        """First offset that the replica does not cover."""
+        """First position that the replica does not cover."""
         return self._position
 
+    @property
+    def era(self) -> int:
+        """Era of the store that the replica follows."""
+        return era_of(self._position)
+
+    @property
+    def settled(self) -> bool:
+        """Whether the store's writers have had time to write again what a return has lost."""
+        if self._restored_at is None:
+            return True
+        return self._clock.monotonic() - self._restored_at >= REWRITE_S
+
+    @property
+    def disputed(self) -> bool:
+        """Whether records are kept that the restored topic lacks or has with another value."""
+        return bool(self._disputed)
+
     def record(self, key: str) -> KeyedRecord | None:
         """Return the newest record of a key, None when there is none."""
         return self._records.get(key)
@@ -45,11 +80,14 @@
         return record.value if record is not None else None
 
     def apply(self, page: KeyedPage) -> list[KeyedRecord]:
-        """Apply records and return those that are newer than the known ones.
+        """Apply records and return those that replace the known ones.
 
         The position only advances over a page that starts at or before it: records between the
         position and a later start may have been lost in transit.
         """
+        if era_of(page.position) < self.era:
+            return []
+        self._follow_era(page)
         changed = self._merge(page.records)
         if page.start <= self._position:
             self._position = max(self._position, page.position)
@@ -59,29 +97,68 @@
         """Apply the newest record of every key; keys that are missing were removed.
 
         Returns:
-            The records that are newer than the known ones, including removals.
+            The records that replace the known ones, including removals.
         """
+        if era_of(page.position) < self.era:
+            return []
+        self._follow_era(page)
         present = {record.key for record in page.records}
-        removed = [
-            KeyedRecord(record.key, None, page.position - 1)
+        missing = [
+            record
             for record in self._records.values()
             if record.key not in present
             and record.value is not None
-            and record.offset < page.position
+            and record.position < page.position
         ]
+        removed = []
+        for record in missing:
+            if era_of(record.position) < era_of(page.position) and self._may_be_lost:
+                self._disputed.add(record.key)
+            else:
+                removed.append(KeyedRecord(record.key, None, page.position - 1))
         return self.apply(KeyedPage((*page.records, *removed), page.position))
 
     def since(self, position: int) -> KeyedPage:
-        """Return the records that a replica lacks which covers all offsets below ``position``."""
-        newer = [record for record in self._records.values() if record.offset >= position]
-        newer.sort(key=lambda record: record.offset)
+        """Return the records that a replica lacks which covers all before ``position``."""
+        newer = [record for record in self._records.values() if record.position >= position]
+        newer.sort(key=lambda record: record.position)
         return KeyedPage(tuple(newer), self._position, start=position)
 
+    @property
+    def _may_be_lost(self) -> bool:
+        """Whether a key that is missing after a return may have been lost with it."""
+        return self._supersedes is not None and not self.settled
+
+    def _follow_era(self, page: KeyedPage) -> None:
+        if self._position and era_of(page.position) > self.era:
+            self._restored_at = self._clock.monotonic()
+            self._disputed.clear()
+
     def _merge(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
         changed = []
         for record in records:
             known = self._records.get(record.key)
-            if known is None or record.offset > known.offset:
-                self._records[record.key] = record
-                changed.append(record)
+            if known is not None and record.position <= known.position:
+                continue
+            if known is not None and self._keeps(known, record):
+                self._disputed.add(record.key)
+                continue
+            self._disputed.discard(record.key)
+            self._records[record.key] = record
+            changed.append(record)
         return changed
+
+    def _keeps(self, known: KeyedRecord, record: KeyedRecord) -> bool:
+        """Return whether a known record of an earlier era stays in place of a newer one.
+
+        Before the time of the copy, both eras have the same records at the same offsets. So a
+        record at a lower offset than the known one may be one that had been replaced or removed.
+        """
+        if self._supersedes is None or known.value == record.value:
+            return False
+        if era_of(record.position) == era_of(known.position):
+            return False
+        supersedes = self._supersedes(known, record)
+        if supersedes is not None:
+            return not supersedes
+        return not self.settled and offset_of(record.position) <= offset_of(known.position)
--- a/src/citronrack/hosted/replication.py
+++ b/src/citronrack/hosted/replication.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from ..clock import Clock
 from ..transport.send import Send
@@ -13,9 +13,10 @@
 from .fanout import Fanout
 from .gossip import GossipCore
 from .messages import PageRead
+from .position import era_of
 from .readers import ReaderHeartbeat
 from .replica import TopicReplica
-from .store import MESH_TOPIC, KeyedRecord
+from .store import MESH_TOPIC, KeyedPage, KeyedRecord
 
 STORE = "store"
 """Source of records that this node read itself; other sources are addresses of nodes."""
@@ -35,7 +36,7 @@
 
 
 class TopicReplication:
-    """Applies pages of the store, and forwards their records and end offsets to the other nodes.
+    """Applies pages of the store, and forwards their records and ends to the other nodes.
 
     Args:
         replicas: Replicas of topics by name.
@@ -72,14 +73,15 @@
         """
         self._access.on_read_succeeded(message.topic)
         replica = self._replicas.get(message.topic)
-        if replica is None:
+        if replica is None or era_of(message.page.position) < replica.era:
             return AppliedPage()
         before, start = replica.records(), replica.position
         changed = replica.replace(message.page) if message.full else replica.apply(message.page)
         sends: list[Send] = []
         # Node entries spread by gossip, so full pages of them are not forwarded.
         if changed and self._access.leading and not (message.full and message.topic == MESH_TOPIC):
-            push = self._gossip.push(message.topic, replica.since(start), before=before)
+            page = _with_records(replica.since(start), changed)
+            push = self._gossip.push(message.topic, page, before=before)
             sends += self._fanout.to_all(push)
         if message.topic == self._operator and message.page.complete:
             sends += self._send_heartbeat(message.created_at, own)
@@ -98,3 +100,10 @@
             return []
         age_s = self._clock.monotonic() - created_at
         return self._fanout.to_all(ReaderHeartbeat.of(own, position, age_s=age_s))
+
+
+def _with_records(page: KeyedPage, changed: Iterable[KeyedRecord]) -> KeyedPage:
+    """Return a page with further records, which may lie before its start."""
+    records = {record.key: record for record in (*changed, *page.records)}
+    ordered = sorted(records.values(), key=lambda record: record.position)
+    return evolve(page, records=tuple(ordered))
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -14,6 +14,7 @@
 from ..telemetry import Event, EventLog
 from ..transport.messages import message_codec
 from .evidence import Evidence, EvidenceAggregator
+from .position import era_of
 from .publish import Write
 from .ramp import COMPLETE_AT, MIN_CALLS, RAMP, TIMEOUT_AT
 from .store import MESH_TOPIC
@@ -47,7 +48,7 @@
     """A rollout that an operator has requested.
 
     Attributes:
-        order_id: Offset of the order in the store; an order with a greater one supersedes it.
+        order_id: Position of the order in the store; an order with a greater one supersedes it.
         service: The service.
         target_version: Version that should receive the service's traffic.
         duration_s: Time within which all traffic should have moved, in seconds.
@@ -58,6 +59,11 @@
     target_version: str
     duration_s: float
 
+    def repeats(self, other: RolloutOrder) -> bool:
+        """Return whether this order asks for the same, in a later era of the store."""
+        later_era = era_of(self.order_id) > era_of(other.order_id)
+        return later_era and evolve(self, order_id=other.order_id) == other
+
 
 @message_codec.register("h-roll")
 @frozen
@@ -177,11 +183,20 @@
         self._write_status = write_status
         self._rollouts: dict[str, _Rollout] = {}
 
-    def on_order(self, order: RolloutOrder) -> None:
-        """Apply an order of an operator; an older one than the known order is ignored."""
+    def on_order(self, order: RolloutOrder, *, written_again: bool = False) -> None:
+        """Apply an order of an operator; an older one than the known order is ignored.
+
+        Args:
+            order: The order.
+            written_again: Whether the store has just returned from a copy, so that an equal order
+                is the known one that the operator has written again.
+        """
         known = self._rollouts.get(order.service)
         if known is not None and known.order.order_id >= order.order_id:
             return
+        if known is not None and written_again and order.repeats(known.order):
+            self._continue(known, order)
+            return
         now = self._clock.monotonic()
         rollout = _Rollout(order, started=now, last_record_at=now)
         self._rollouts[order.service] = rollout
@@ -195,6 +210,30 @@
             order=order.order_id,
         )
 
+    def _continue(self, rollout: _Rollout, order: RolloutOrder) -> None:
+        """Let a rollout go on under the new id of its order; its holder writes it again."""
+        rollout.order = order
+        rollout.evidence = EvidenceAggregator()
+        if rollout.record is not None:
+            rollout.record = evolve(rollout.record, order_id=order.order_id)
+            self._write_again(rollout, rollout.record)
+
+    def write_again(self) -> None:
+        """Write the rollouts that this node holds, and their status, to the store again.
+
+        Both writes depend on the value in the store, so they do nothing if that is up to date.
+        """
+        for rollout in self._rollouts.values():
+            if rollout.record is not None:
+                self._write_again(rollout, rollout.record)
+
+    def _write_again(self, rollout: _Rollout, record: RolloutRecord) -> None:
+        if record.holder != self._own_name:
+            return
+        self._write_record(record)
+        if rollout.status or record.reported:
+            self._write_status(record.service, record.target_version, Phase(record.phase))
+
     def on_record(self, record: RolloutRecord) -> None:
         """Apply a record of the store or of another node."""
         rollout = self._rollouts.get(record.service)
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from ..errors import LogError
+from .position import offset_of
 
 MESH_TOPIC = "keyed.mesh"
 """Topic with the records of nodes and rollouts."""
@@ -16,14 +17,14 @@
 
 
 class AppendConflict(LogError):
-    """The topic does not end at the expected offset; nothing was written.
+    """The topic does not end at the expected position; nothing was written.
 
     Args:
-        end: Offset of the next append.
+        end: Position of the next append.
     """
 
     def __init__(self, end: int) -> None:
-        super().__init__(f"the topic ends at offset {end}")
+        super().__init__(f"the topic ends at offset {offset_of(end)}")
         self.end = end
 
 
@@ -34,23 +35,23 @@
     Attributes:
         key: The key.
         value: Its value, None when the key was removed.
-        offset: Offset in the topic; greater ones are newer.
+        position: Position in the topic; greater ones are newer.
     """
 
     key: str
     value: bytes | None
-    offset: int
+    position: int
 
 
 @frozen
 class KeyedPage:
-    """Records of a topic and the range of offsets that they cover.
+    """Records of a topic and the range of positions that they cover.
 
     Attributes:
-        records: The records, ordered by offset.
-        position: First offset that is not covered; the next read starts there.
+        records: The records, ordered by position.
+        position: First position that is not covered; the next read starts there.
         complete: Whether the topic ended at ``position`` when the store made the page.
-        start: First offset that is covered; records before it may be missing.
+        start: First position that is covered; records before it may be missing.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -62,10 +63,6 @@
 class KeyedStore(Protocol):
     """Access to topics that keep the newest record of each key; used by one thread."""
 
-    @property
-    def era(self) -> int:
-        """How often the store had returned from a copy, as its latest answer stated."""
-
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key.
 
@@ -78,32 +75,33 @@
         """
 
     def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
-        """Return the records from offset ``start`` on.
+        """Return the records from position ``start`` on.
 
         Args:
             topic: Name of the topic.
-            start: First requested offset.
+            start: First requested position.
             wait_ms: How long the store may hold the request while there are no records.
             timeout_ms: Timeout of the request in addition to the wait.
 
         Raises:
             LogUnavailable: If no answer arrived.
-            LogTrimmed: If records from ``start`` on are no longer retained.
+            LogTrimmed: If records from ``start`` on are no longer retained, or the store has
+                returned from a copy since it gave out that position.
         """
 
     def put(
         self, topic: str, key: str, value: bytes | None, *, expected_end: int | None = None
     ) -> int:
-        """Write a record, or remove a key, and return the offset.
+        """Write a record, or remove a key, and return the position.
 
         Args:
             topic: Name of the topic.
             key: The key.
             value: Its value, None to remove the key.
-            expected_end: Write only if the topic ends at this offset.
+            expected_end: Write only if the topic ends at this position.
 
         Raises:
-            AppendConflict: If the topic ends at another offset.
+            AppendConflict: If the topic ends at another position.
             AppendRefused: If the store refused the write; nothing was written.
             AppendUnknown: If no answer arrived; the record may have been written or may still be.
         """
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -69,6 +69,7 @@
         self._backoff = Backoff(random=random, cap_s=BACKOFF_CAP_S)
         self._stopping = threading.Event()
         self._needed = threading.Event()
+        self._reread = threading.Event()
         if needed:
             self._needed.set()
         self._position: int | None = None
@@ -96,13 +97,17 @@
 
         Args:
             needed: Whether the topic has to be read.
-            position: First offset that the node lacks; used when reading starts.
+            position: First position that the node lacks; used when reading starts.
         """
         if needed and not self._needed.is_set() and (position or self._position is not None):
             self._position = max(self._position or 0, position)
             self._long_poll = False
         (self._needed.set if needed else self._needed.clear)()
 
+    def reread(self) -> None:
+        """Read the newest record of every key next, instead of the changes."""
+        self._reread.set()
+
     def stop(self) -> None:
         """Make `run` return after its current read."""
         self._stopping.set()
@@ -110,6 +115,9 @@
 
     def _read_once(self) -> None:
         """Read once; reads after a start or a failure do not wait, to confirm the end early."""
+        if self._reread.is_set():
+            self._reread.clear()
+            self._position = None
         started_at, wait_ms = self._clock.monotonic(), 0
         timeout_ms = read_timeout_ms(self._backoff.failures, self._random)
         full = self._position is None
@@ -121,7 +129,6 @@
                 self._topic, self._position, wait_ms=wait_ms, timeout_ms=timeout_ms
             )
         created_at = min(self._clock.monotonic(), started_at + wait_ms / 1000)
-        era = self._store.era
-        self._post(PageRead(self._topic, page, full=full, created_at=created_at, era=era))
+        self._post(PageRead(self._topic, page, full=full, created_at=created_at))
         self._position = page.position
         self._long_poll = True
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -72,7 +72,7 @@
     try:
         fields = parse_object(record.value)
         return RolloutOrder(
-            order_id=record.offset,
+            order_id=record.position,
             service=require(fields, "service", str),
             target_version=require(fields, "target_version", str),
             duration_s=require_seconds(fields, "duration"),
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -14,6 +14,7 @@
 
 from ..errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
 from ..exchange import exchange
+from ..hosted.position import era_of, offset_of, position_of
 from ..hosted.store import AppendConflict, KeyedPage, KeyedRecord
 from .names import ERA_HEADER
 
@@ -55,11 +56,6 @@
         self._curl = pycurl.Curl()
         self._era = 0
 
-    @property
-    def era(self) -> int:
-        """How often the store had returned from a copy, as its latest answer stated."""
-        return self._era
-
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return the newest record of each key; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
@@ -69,19 +65,21 @@
             query = {"topic": topic, "part": _PARTITION, **after}
             status, body = self._read("log-newest", query, timeout_ms=timeout_ms)
             if status == 404:
-                return KeyedPage((), 0)
+                return KeyedPage((), position_of(self._era, 0))
             if status != 200:
                 raise LogUnavailable(f"the store answered with status {status}")
             page = _parse_object(body)
             try:
-                items = [_newest_record(item) for item in page["items"]]
-                end = int(page["end"])
+                items = [_newest_record(item, self._era) for item in page["items"]]
+                end = position_of(self._era, int(page["end"]))
                 more = bool(page.get("has_more"))
             except (KeyError, TypeError, ValueError) as error:
                 raise LogUnavailable("the store sent a malformed page") from error
             records += items
             # Records may change between pages, so the next read starts at the end of the first one.
             position = end if position is None else position
+            if era_of(end) != era_of(position):
+                raise LogUnavailable("the store returned from a copy while it was read")
             if not more or not items:
                 return KeyedPage(tuple(records), position)
             after = {"after": items[-1].key}
@@ -91,29 +89,29 @@
         query = {
             "topic": topic,
             "part": _PARTITION,
-            "from": start,
+            "from": offset_of(start),
             "max_size": PAGE_KB,
             "wait_ms": wait_ms,
         }
         status, body = self._read("log-read", query, timeout_ms=wait_ms + timeout_ms)
-        if status == 410:
-            raise LogTrimmed(start)
+        if status == 410 or self._era != era_of(start):
+            raise LogTrimmed(offset_of(start))
         if status == 404:
             return KeyedPage((), start, start=start)
         if status != 200:
             raise LogUnavailable(f"the store answered with status {status}")
         records = tuple(_raw_records(body, start))
-        position = records[-1].offset + 1 if records else start
-        end = int.from_bytes(body[:OFFSET_BYTES], "big")
+        position = records[-1].position + 1 if records else start
+        end = position_of(self._era, int.from_bytes(body[:OFFSET_BYTES], "big"))
         return KeyedPage(records, position, complete=position >= end, start=start)
 
     def put(
         self, topic: str, key: str, value: bytes | None, *, expected_end: int | None = None
     ) -> int:
-        """Write a record and return its offset; see `KeyedStore.put`."""
+        """Write a record and return its position; see `KeyedStore.put`."""
         query: dict[str, Any] = {"topic": topic, "part": _PARTITION}
         if expected_end is not None:
-            query["as_of"] = expected_end
+            query["as_of"] = offset_of(expected_end)
         name = key.encode()
         content = bytes([len(name)]) + name + (value or b"")
         data = len(content).to_bytes(LENGTH_BYTES, "big") + content
@@ -125,7 +123,10 @@
             if error.args[0] in _NOT_SENT:
                 raise AppendRefused(f"the store was not reached: {error}") from error
             raise AppendUnknown(f"no answer to the append: {error}") from error
-        return _append_offset(status, body)
+        position = _append_position(status, body, self._era)
+        if expected_end is not None and era_of(expected_end) != self._era:
+            raise AppendUnknown("the store returned from a copy before the append")
+        return position
 
     def close(self) -> None:
         """Close the connection."""
@@ -175,11 +176,11 @@
     return value if isinstance(value, dict) else {}
 
 
-def _newest_record(item: dict[str, Any]) -> KeyedRecord:
+def _newest_record(item: dict[str, Any], era: int) -> KeyedRecord:
     return KeyedRecord(
         key=str(item["key"]),
         value=base64.b64decode(item["value"]),
-        offset=int(item["offset"]),
+        position=position_of(era, int(item["offset"])),
     )
 
 
@@ -187,7 +188,7 @@
     """Decode records, each of which is a length, the key's length, the key and the value."""
     records = []
     index = HEADER_BYTES
-    offset = start
+    position = start
     while index + LENGTH_BYTES <= len(body):
         length = int.from_bytes(body[index : index + LENGTH_BYTES], "big")
         content = body[index + LENGTH_BYTES : index + LENGTH_BYTES + length]
@@ -196,22 +197,22 @@
         key_end = 1 + content[0] if content else 0
         # A foreign record without a key or value does not remove any key that is used here.
         key = content[1:key_end].decode("utf-8", errors="replace")
-        records.append(KeyedRecord(key, content[key_end:] or None, offset))
-        offset += 1
+        records.append(KeyedRecord(key, content[key_end:] or None, position))
+        position += 1
         index += LENGTH_BYTES + length
     return records
 
 
-def _append_offset(status: int, body: bytes) -> int:
-    """Return the offset in the response to an append, or raise the error for its status."""
+def _append_position(status: int, body: bytes, era: int) -> int:
+    """Return the position in the response to an append, or raise the error for its status."""
     if status == 200:
         offset = _parse_object(body).get("offset")
         if not isinstance(offset, int):
             raise AppendUnknown("the store answered an append without an offset")
-        return offset
+        return position_of(era, offset)
     if status == 412:
         end = _parse_object(body).get("end")
-        raise AppendConflict(end if isinstance(end, int) else -1)
+        raise AppendConflict(position_of(era, end if isinstance(end, int) else 0))
     if status in (400, 403, 404, 409, 413, 429, 503, 507):
         raise AppendRefused(f"the store refused an append with status {status}")
     raise AppendUnknown(f"the store answered an append with status {status}")
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -18,6 +18,7 @@
 from citronrack.hosted.fanout import Fanout
 from citronrack.hosted.gossip import GossipCore
 from citronrack.hosted.messages import PageRead, ReadFailed, RecordWritten, ReportReceived
+from citronrack.hosted.position import position_of
 from citronrack.hosted.publish import Write
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
@@ -57,20 +58,34 @@
 
 @define(eq=False)
 class Store:
-    """Topics in memory."""
+    """Topics in memory.
+
+    Attributes:
+        topics: Records by topic.
+        era: How often the store has returned from a copy.
+    """
 
     topics: dict[str, list[KeyedRecord]] = field(factory=dict)
+    era: int = 0
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
         """Append a record."""
         records = self.topics.setdefault(topic, [])
-        records.append(KeyedRecord(key, value, len(records)))
+        records.append(KeyedRecord(key, value, position_of(self.era, len(records))))
 
     def newest(self, topic: str) -> KeyedPage:
         """Return the newest record of each key."""
         records = self.topics.get(topic, [])
         newest = {record.key: record for record in records}
-        return KeyedPage(tuple(newest.values()), len(records))
+        return KeyedPage(tuple(newest.values()), position_of(self.era, len(records)))
+
+    def return_from(self, copy: Store) -> None:
+        """Replace all records by those of a copy, which begins the next era."""
+        self.era += 1
+        self.topics = {}
+        for topic, records in copy.topics.items():
+            for record in records:
+                self.put(topic, record.key, record.value)
 
 
 class Mesh:
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -9,6 +9,7 @@
 
 from citronrack.hosted.core import HostedCore
 from citronrack.hosted.messages import PageRead, ReadFailed
+from citronrack.hosted.position import era_of, offset_of, position_of
 from citronrack.hosted.readers import RANK_SCOPE, ReaderTimings
 from citronrack.hosted.store import BACKOFF_CAP_S, KeyedPage
 from citronrack.hosted.watch import read_timeout_ms
@@ -81,6 +82,10 @@
                 poll.waits = False
             poll.needed = needed
 
+        def reread() -> None:
+            poll.position = position_of(self.store.era + 1, 0)
+
+        core.callbacks.reread_operator = reread
         core.callbacks.read_topics = set_needed
         return core
 
@@ -97,8 +102,8 @@
 
     def change(self, version: int) -> None:
         """Write a configuration as the operator."""
-        records = self.store.topics[TOPIC]
-        records.append(config_record(version, len(records), f"p{version}"))
+        record = config_record(version, 0, f"p{version}")
+        self.store.put(TOPIC, record.key, record.value)
 
     def order(self, version: str) -> None:
         """Write a rollout order as the operator."""
@@ -134,13 +139,16 @@
             if waited_s >= wait_s + poll.limit_ms / 1000:
                 self._fail(name, poll, "timed out")
         else:
-            records = tuple(self.store.topics[TOPIC][poll.position :])
-            if records or waited_s >= wait_s:
-                poll.position += len(records)
+            full = era_of(poll.position) != self.store.era
+            records = tuple(self.store.topics[TOPIC][offset_of(poll.position) :])
+            if full or records or waited_s >= wait_s:
+                page = KeyedPage(records, poll.position + len(records), start=poll.position)
+                if full:
+                    page = self.store.newest(TOPIC)
+                poll.position = page.position
                 poll.started_at, poll.waits, poll.failures = None, True, 0
-                page = KeyedPage(records, poll.position, start=poll.position - len(records))
                 self.deliver(
-                    name, self.cores[name].handle(PageRead(TOPIC, page, full=False, created_at=now))
+                    name, self.cores[name].handle(PageRead(TOPIC, page, full=full, created_at=now))
                 )
 
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
--- a/tests/hosted/test_delta.py
+++ b/tests/hosted/test_delta.py
@@ -63,7 +63,9 @@
 
     def setUp(self) -> None:
         """Create a reader and another node that hold the same record."""
-        self.reader, self.other = TopicReplica(TOPIC), TopicReplica(TOPIC)
+        self.reader, self.other = TopicReplica(TOPIC, clock=ManualClock()), TopicReplica(
+            TOPIC, clock=ManualClock()
+        )
         for replica in (self.reader, self.other):
             replica.apply(KeyedPage((KeyedRecord("config", value(1), 1),), 2))
         self.gossip = make_gossip(self.other, ManualClock())
--- a/tests/hosted/test_late_changes.py
+++ b/tests/hosted/test_late_changes.py
@@ -165,7 +165,7 @@
     def test_lost_first_part_of_an_answer(self) -> None:
         """Guards against a position that covers a lost record of a response of several messages."""
         clock = ManualClock()
-        full, empty = TopicReplica("t"), TopicReplica("t")
+        full, empty = TopicReplica("t", clock=ManualClock()), TopicReplica("t", clock=ManualClock())
         values = {key: Random(key).randbytes(MAX_RECORDS_BYTES * 2 // 3) for key in "abc"}
         records = [KeyedRecord(key, values[key], offset) for offset, key in enumerate(values)]
         full.apply(KeyedPage(tuple(records), len(records)))
--- a/tests/hosted/test_replica.py
+++ b/tests/hosted/test_replica.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from citronrack.clock import ManualClock
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import KeyedPage, KeyedRecord
 
@@ -18,14 +19,14 @@
 
     def test_older_records_do_not_replace_newer_ones(self) -> None:
         """Guards against a late page that replaces a configuration with an older one."""
-        replica = TopicReplica("t")
+        replica = TopicReplica("t", clock=ManualClock())
         replica.apply(page(("a", b"new", 7), position=8))
         self.assertEqual(replica.apply(page(("a", b"old", 3), position=4)), [])
         self.assertEqual((replica.value("a"), replica.position), (b"new", 8))
 
     def test_full_page_removes_missing_keys(self) -> None:
         """Guards against removed keys that remain after the store has dropped its history."""
-        replica = TopicReplica("t")
+        replica = TopicReplica("t", clock=ManualClock())
         replica.apply(page(("a", b"1", 1), ("b", b"2", 2), position=3))
         changed = replica.replace(page(("b", b"2", 2), position=9))
         self.assertEqual([(record.key, record.value) for record in changed], [("a", None)])
@@ -33,14 +34,14 @@
 
     def test_full_page_keeps_newer_records(self) -> None:
         """Guards against a slow read that overwrites records forwarded by another node."""
-        replica = TopicReplica("t")
+        replica = TopicReplica("t", clock=ManualClock())
         replica.apply(page(("a", b"1", 12), position=13))
         replica.replace(page(position=9))
         self.assertEqual(replica.value("a"), b"1")
 
     def test_replicas_converge(self) -> None:
         """Guards against a node without the store that misses a record or a removal."""
-        source, cut = TopicReplica("t"), TopicReplica("t")
+        source, cut = TopicReplica("t", clock=ManualClock()), TopicReplica("t", clock=ManualClock())
         source.apply(page(("a", b"1", 0), ("b", b"2", 1), ("a", None, 2), position=3))
         cut.apply(page(("a", b"1", 0), position=1))
         cut.apply(source.since(cut.position))
@@ -49,7 +50,7 @@
 
     def test_position_stays_before_a_gap(self) -> None:
         """Guards against a replica that advances its position past a lost record."""
-        replica = TopicReplica("t")
+        replica = TopicReplica("t", clock=ManualClock())
         replica.apply(page(("a", b"1", 0), position=1))
         late = KeyedPage((KeyedRecord("b", b"2", 2),), 3, start=2)
         self.assertEqual([record.key for record in replica.apply(late)], ["b"])
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -30,14 +30,12 @@
         takes_s: Durations of the remaining reads.
         requests: Wait and timeout of each read, in milliseconds.
         on_end: Holds the watch to stop with the last read.
-        era: How often the store has returned from a copy.
     """
 
     clock: ManualClock
     takes_s: list[float | None]
     requests: list[tuple[int, int]] = field(factory=list)
     on_end: list[WatchTask] = field(factory=list)
-    era: int = 0
 
     def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
         """Return an empty topic."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from citronrack.clock import SystemClock
 from citronrack.errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
 from citronrack.hosted.messages import PageRead, ReadFailed, RecordWritten
+from citronrack.hosted.position import position_of
 from citronrack.hosted.publish import PublishTask, Write
 from citronrack.hosted.store import AppendConflict
 from citronrack.hosted.watch import WatchTask
@@ -21,6 +22,9 @@
 from .store_standin import StoreStandIn
 
 TOPIC = "keyed.t"
+ERA = 1
+"""Era in which the stand-in begins."""
+
 LIMIT_S = 5.0
 LIMIT_MS = 3_000
 
@@ -53,7 +57,7 @@
         self.standin.put(TOPIC, "k0007", None)
         page = self.store.newest(TOPIC, timeout_ms=LIMIT_MS)
         self.assertEqual(len(page.records), 1_099)
-        self.assertEqual(page.position, 1_204)
+        self.assertEqual(page.position, position_of(ERA, 1_204))
         values = {record.key: record.value for record in page.records}
         self.assertEqual((values["k0000"], values["k0500"]), (b"1100", b"500"))
 
@@ -62,10 +66,11 @@
         self.standin.put(TOPIC, "a", b"1")
         self.standin.put(TOPIC, "b", b"\x00\xff")
         self.standin.put(TOPIC, "a", None)
-        page = self.store.read(TOPIC, 1, wait_ms=0, timeout_ms=LIMIT_MS)
-        found = [(record.key, record.value, record.offset) for record in page.records]
-        self.assertEqual(found, [("b", b"\x00\xff", 1), ("a", None, 2)])
-        self.assertEqual(page.position, 3)
+        start = position_of(ERA, 1)
+        page = self.store.read(TOPIC, start, wait_ms=0, timeout_ms=LIMIT_MS)
+        found = [(record.key, record.value, record.position - start) for record in page.records]
+        self.assertEqual(found, [("b", b"\x00\xff", 0), ("a", None, 1)])
+        self.assertEqual(page.position, position_of(ERA, 3))
 
     def test_dropped_history(self) -> None:
         """Guards against a read that skips records which are no longer retained."""
@@ -73,17 +78,43 @@
         self.standin.put(TOPIC, "a", b"2")
         self.standin.trim(TOPIC)
         with self.assertRaises(LogTrimmed):
-            self.store.read(TOPIC, 1, wait_ms=0, timeout_ms=LIMIT_MS)
-        self.assertEqual(self.store.newest(TOPIC, timeout_ms=LIMIT_MS).position, 2)
+            self.store.read(TOPIC, position_of(ERA, 1), wait_ms=0, timeout_ms=LIMIT_MS)
+        end = self.store.newest(TOPIC, timeout_ms=LIMIT_MS).position
+        self.assertEqual(end, position_of(ERA, 2))
 
     def test_write_under_a_condition(self) -> None:
         """Guards against overwriting a concurrent write."""
-        self.assertEqual(self.store.put(TOPIC, "a", b"1", expected_end=0), 0)
+        begin = position_of(ERA, 0)
+        self.assertEqual(self.store.put(TOPIC, "a", b"1", expected_end=begin), begin)
         with self.assertRaises(AppendConflict) as raised:
-            self.store.put(TOPIC, "a", b"2", expected_end=0)
-        self.assertEqual(raised.exception.end, 1)
+            self.store.put(TOPIC, "a", b"2", expected_end=begin)
+        self.assertEqual(raised.exception.end, begin + 1)
         self.assertEqual(self.standin.value(TOPIC, "a"), b"1")
 
+    def test_return_from_a_copy(self) -> None:
+        """Guards against positions that are taken for those of the log before the return."""
+        first = self.store.put(TOPIC, "a", b"1")
+        copy = self.standin.take_copy()
+        end = self.store.put(TOPIC, "a", b"2") + 1
+        self.standin.return_from(copy)
+        self.standin.put(TOPIC, "a", b"3")
+        for start in (first, end - 1, end):
+            with self.assertRaises(LogTrimmed):
+                self.store.read(TOPIC, start, wait_ms=0, timeout_ms=LIMIT_MS)
+        page = self.store.newest(TOPIC, timeout_ms=LIMIT_MS)
+        self.assertEqual(page.position, position_of(ERA + 1, 2))
+        self.assertGreater(page.records[0].position, end)
+        with self.assertRaises(AppendUnknown):
+            self.store.put(TOPIC, "a", b"4", expected_end=end)
+
+    def test_refusal_of_a_store_that_has_returned(self) -> None:
+        """Guards against learning of a return only when the store serves again."""
+        start = self.store.put(TOPIC, "a", b"1")
+        self.standin.return_from(self.standin.take_copy())
+        self.standin.faults.refused.add("*")
+        with self.assertRaises(LogTrimmed):
+            self.store.read(TOPIC, start, wait_ms=0, timeout_ms=LIMIT_MS)
+
     def test_outcome_of_a_failed_write(self) -> None:
         """Guards against reporting a write as refused that may take effect, and vice versa."""
         self.standin.faults.lose_answers = 1
