Play returns of the store and limits of targets in the soak

Cause: the soak knew neither; a return from a copy and a limit come beside all other faults on the platform. The stand-in writes again at once what the operator had written.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -137,11 +137,20 @@
         with self._changed:
             return {name: topic.copy() for name, topic in self._topics.items()}
 
-    def return_from(self, copy: StoreCopy) -> None:
-        """Replace all topics by a copy, which begins the next era."""
+    def return_from(self, copy: StoreCopy, *, written_again: str = "") -> None:
+        """Replace all topics by a copy, which begins the next era.
+
+        Args:
+            copy: The copy.
+            written_again: Name of a topic whose newest values are written again at once.
+        """
         with self._changed:
+            lost = self._topics.get(written_again, _Topic()).newest
             self._topics = {name: topic.copy() for name, topic in copy.items()}
             self.era += 1
+            for key, (_, value) in sorted(lost.items(), key=lambda item: item[1][0]):
+                name = key.encode()
+                self._append(written_again, [bytes([len(name)]) + name + value])
             self._changed.notify_all()
 
     def _application(self, environ: Any, start_response: Callable[..., Any]) -> Any:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,11 +16,14 @@
 from tests.platform.installation import HOST, Installation, Instance
 from tests.platform.target import TargetStandIn
 
+from ..limits import allowed, most_in_window
 from .proxy import Proxy
 
 CALLERS = 6
 DRAIN_S = 2.0
 RECOVERY_S = 15.0
+STABILITY_S = 3.0
+LIMIT_PER_S = 5.0
 GRACE_SLACK_S = 1.5
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -168,6 +171,26 @@
         for topic in ("keyed.op", "keyed.mesh"):
             mesh.store.trim(topic)
 
+    def _return_store(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
+        copy = mesh.store.take_copy()
+        time.sleep(length_s)
+        mesh.store.return_from(copy, written_again="keyed.op")
+
+    def _limit(self, mesh: Installation, index: int, _: Proxy, length_s: float) -> None:
+        """Let a target name a limit for longer than it has to be kept."""
+        target = mesh.instances[index].target
+        if target is None or target.statements:
+            return
+        target.statements["Server-Limit"] = f"{LIMIT_PER_S}"
+        began = time.monotonic() + STABILITY_S
+        time.sleep(STABILITY_S + 2 * length_s)
+        ended = time.monotonic()
+        del target.statements["Server-Limit"]
+        passed = [at for _, at in target.executed if began <= at < ended]
+        most = most_in_window(sorted(passed))
+        if most > allowed(LIMIT_PER_S):
+            self.findings.append(f"{target.target_id} got {most} calls in a window")
+
     def _lose_store_responses(
         self, mesh: Installation, index: int, _: Proxy, length_s: float
     ) -> None:
@@ -288,6 +311,8 @@
     "store down": Soak._stop_store,
     "store forgets": Soak._trim_store,
     "store loses": Soak._lose_store_responses,
+    "store returns": Soak._return_store,
+    "limit": Soak._limit,
     "configure": Soak._configure,
     "replace target": Soak._replace_target,
 }
