Refuse node entries and rollout records with odd fields

Cause: entries and rollout records were checked for their types only. An entry with a port out of range raised in each rebuild of the routing view, which was then taken for done: the node went on with its old view, also for later changes of the configuration. Numbers beyond 64 bits failed when the next message was encoded, an unknown phase or step in each tick. Change: the fields have validators, which the codec runs for entries of the store and of nodes alike; a record named after another node is refused. The view counts as rebuilt once it is. Each refused record is logged (201) and counted (records_refused). The entry of a test of the core had no valid addresses and got some. Conclusion: one odd entry costs that entry.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -32,7 +32,7 @@
 )
 from .position import era_of, offset_of, position_fields
 from .readers import ReaderHeartbeat
-from .registration import NODE_PREFIX, Registration, decode_entry
+from .registration import NODE_PREFIX, Registration, entry_of
 from .replica import TopicReplica
 from .replication import STORE, TopicReplication
 from .restoration import Restoration
@@ -126,6 +126,7 @@
             clock=dependencies.boot_clock,
         )
         self._statement = TargetStatement(process=("", 0))
+        self._records_refused = 0
         self._stopping = False
         self._restoration = Restoration(
             clock=dependencies.clock, random=dependencies.random, events=dependencies.events
@@ -153,11 +154,21 @@
         """Whether the node accepts new calls."""
         return self._active.version >= 0 and not self._stopping
 
+    @property
+    def entries(self) -> tuple[NodeEntry, ...]:
+        """Entries of all nodes, as last announced."""
+        return self._table.entries()
+
     @property
     def nodes_known(self) -> int:
         """Number of other nodes that have not expired."""
         return len(self._table.others())
 
+    @property
+    def records_refused(self) -> int:
+        """Number of records of the store that could not be used."""
+        return self._records_refused
+
     @property
     def store_answers(self) -> bool:
         """Whether the latest reads of all topics succeeded."""
@@ -437,7 +448,7 @@
                     self._refuse_record(record)
 
     def _on_node_record(self, record: KeyedRecord) -> None:
-        entry = decode_entry(record.value)
+        entry = entry_of(record)
         if entry is not None:
             self._on_entries([entry])
         elif record.value is not None:
@@ -446,6 +457,7 @@
             self._check_own_record()  # The store may drop a key without a request.
 
     def _refuse_record(self, record: KeyedRecord) -> None:
+        self._records_refused += 1
         self._dependencies.events.write(
             Event.RECORD_REFUSED, key=record.key, **position_fields(record.position)
         )
@@ -529,7 +541,6 @@
 
     def _update_view(self) -> None:
         if self._view_outdated:
-            self._view_outdated = False
             share = self._dependencies.retry_slack / (1 + self.nodes_known)
             self._callbacks.set_retry_burst(max(1.0, share))
             self._dependencies.views.current = build_view(
@@ -539,6 +550,7 @@
                 complete=self._access.current,
                 before=self._dependencies.views.current,
             )
+            self._view_outdated = False
 
     def _take_outbox(self) -> list[Send]:
         sends, self._outbox = self._outbox, []
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -8,9 +8,12 @@
 from typing import Any
 
 import xxhash
-from attrs import frozen
+from attrs import field, frozen
+from attrs.validators import optional
 
+from .. import validators
 from ..clock import Clock
+from ..validators import MAX_NUMBER, MAX_SLOTS, MAX_TEXT
 
 RENEW_INTERVAL_S = 60.0
 """Interval at which a node renews its entry, so that entries of terminated nodes can expire."""
@@ -25,10 +28,17 @@
 exchange the versions of few."""
 
 
+_count = validators.between(0, MAX_NUMBER)
+_text = validators.text(MAX_TEXT)
+
+
 @frozen
 class NodeEntry:
     """A node and its target.
 
+    Entries are also read from the store, where another writer may leave odd ones, so their fields
+    are validated.
+
     Attributes:
         name: Name of the node.
         boot: Wall time of the process start, in milliseconds, or one more than the boot of a newer
@@ -48,20 +58,20 @@
         target_started_ms: Wall time of the start of the target's process, 0 while it is unknown.
     """
 
-    name: str
-    boot: int
-    revision: int
-    availability_zone: str
-    peer_address: str
-    deliver_address: str
-    service: str = ""
-    service_version: str = ""
-    target_id: str = ""
-    slots: int = 1
+    name: str = field(validator=validators.name)
+    boot: int = field(validator=_count)
+    revision: int = field(validator=_count)
+    availability_zone: str = field(validator=_text)
+    peer_address: str = field(validator=validators.address)
+    deliver_address: str = field(validator=validators.address)
+    service: str = field(default="", validator=_text)
+    service_version: str = field(default="", validator=_text)
+    target_id: str = field(default="", validator=_text)
+    slots: int = field(default=1, validator=validators.between(1, MAX_SLOTS))
     serving: bool = False
-    link_mbps: int = 0
-    limit_per_s: float | None = None
-    target_started_ms: int = 0
+    link_mbps: int = field(default=0, validator=_count)
+    limit_per_s: float | None = field(default=None, validator=optional(_count))
+    target_started_ms: int = field(default=0, validator=_count)
 
     @property
     def peer_url(self) -> str:
--- a/src/citronrack/hosted/metrics.py
+++ b/src/citronrack/hosted/metrics.py
@@ -36,6 +36,7 @@
     metrics.set_source("config_version", lambda: core.config_version)
     metrics.set_source("config_age_seconds", lambda: core.config_age_s)
     metrics.set_source("nodes_known", lambda: core.nodes_known)
+    metrics.set_source("records_refused", lambda: core.records_refused)
     metrics.set_source("store_answers", lambda: core.store_answers)
     metrics.set_source("log_lines_left_out", lambda: events.dropped)
     metrics.set_source("messages_sent", lambda: transport.messages_sent)
--- a/src/citronrack/hosted/position.py
+++ b/src/citronrack/hosted/position.py
@@ -14,6 +14,10 @@
 
 _OFFSET_MASK = (1 << _OFFSET_BITS) - 1
 
+MAX_OFFSET = _OFFSET_MASK
+MAX_ERA = 999_999
+MAX_POSITION = MAX_ERA << _OFFSET_BITS | _OFFSET_MASK
+
 
 def position_of(era: int, offset: int) -> int:
     """Return the position of an offset in an era of the store."""
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -12,7 +12,7 @@
 from ..rendezvous import weight
 from .entry import RENEW_INTERVAL_S, NodeEntry, NodeTable
 from .publish import Write
-from .store import MESH_TOPIC
+from .store import MESH_TOPIC, KeyedRecord
 from .target import OwnTargetView, TargetState
 
 NODE_PREFIX = "node/"
@@ -145,6 +145,12 @@
         self._announce(entry)
 
 
+def entry_of(record: KeyedRecord) -> NodeEntry | None:
+    """Return the entry of the node that a record is named after, None without a valid one."""
+    entry = decode_entry(record.value)
+    return entry if entry is not None and record.key == NODE_PREFIX + entry.name else None
+
+
 def decode_entry(value: bytes | None) -> NodeEntry | None:
     """Return the entry in a store value, None when it is absent or cannot be decoded."""
     if value is None:
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -7,14 +7,16 @@
 
 from attrs import define, evolve, field, frozen
 
+from .. import validators
 from ..clock import Clock
 from ..codec import decode, encode
 from ..errors import MessageRejected
 from ..rendezvous import weight
 from ..telemetry import Event, EventLog
 from ..transport.messages import message_codec
+from ..validators import MAX_NUMBER
 from .evidence import Evidence, EvidenceAggregator
-from .position import era_of
+from .position import MAX_POSITION, era_of
 from .publish import Write
 from .ramp import COMPLETE_AT, MIN_CALLS, RAMP, TIMEOUT_AT
 from .store import MESH_TOPIC
@@ -84,15 +86,15 @@
         reported: Whether the phase has been reported to the operator.
     """
 
-    order_id: int
+    order_id: int = field(validator=validators.between(0, MAX_POSITION))
     service: str
     target_version: str
-    phase: str
-    share: float
-    step: int
-    elapsed_ms: int
+    phase: str = field(validator=validators.one_of(*Phase))
+    share: float = field(validator=validators.between(0.0, 1.0))
+    step: int = field(validator=validators.between(0, len(RAMP) - 1))
+    elapsed_ms: int = field(validator=validators.between(0, MAX_NUMBER))
     holder: str
-    revision: int
+    revision: int = field(validator=validators.between(0, MAX_NUMBER))
     reason: str = ""
     reported: bool = False
 
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -20,6 +20,7 @@
         "Time since the configuration in force was known to be the newest.",
     ),
     "nodes_known": ("gauge", (), "Other nodes that have not expired."),
+    "records_refused": ("gauge", (), "Records of the store that could not be used."),
     "store_answers": ("gauge", (), "Whether the platform's store could be read lately."),
     "log_lines_left_out": ("gauge", (), "Log lines that exceeded their budget."),
     "messages_sent": ("gauge", (), "Messages sent to other nodes."),
--- a/src/citronrack/validators.py
+++ b/src/citronrack/validators.py
@@ -1,4 +1,4 @@
-"""attrs validators for settings; each error says what was expected."""
+"""attrs validators for settings and messages; each error says what was expected."""
 
 from __future__ import annotations
 
@@ -17,6 +17,13 @@
 MAX_KEY_BYTES = 64
 MIN_TOKEN_LENGTH = 16
 
+MAX_NUMBER = 2**53
+"""Largest count or time in milliseconds that is accepted from others; it is exact as a float, and
+sums of a few of them fit into 64 bits."""
+
+MAX_SLOTS = 100_000
+MAX_TEXT = 256
+
 
 def split_address(text: str) -> tuple[str, int]:
     """Return ``(ip, port)`` of ``ip:port``.
@@ -103,6 +110,16 @@
     return check
 
 
+def text(longest: int) -> Validator:
+    """Return a validator that accepts printable texts of up to ``longest`` characters."""
+
+    def check(_: Any, attribute: Attribute[Any], value: Any) -> None:
+        if len(value) > longest or not value.isprintable():
+            raise ValueError(f"expected up to {longest} printable characters, got {value!r:.80}")
+
+    return check
+
+
 def one_of(*choices: str) -> Validator:
     """Return a validator that accepts one of ``choices``."""
 
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -19,6 +19,8 @@
 
 from .mesh import SERVICE, Mesh, config_record
 
+GOOD_ENTRY = NodeEntry("x", 1, 1, "z", "10.0.0.9:1", "10.0.0.9:2")
+
 
 class HostedCoreTest(unittest.TestCase):
     """Configuration, nodes and the local target."""
@@ -166,7 +168,7 @@
         """Guards against an invalid record that terminates the core."""
         mesh = self.start()
         mesh.store.put(MESH_TOPIC, NODE_PREFIX + "x", b"\xff")
-        mesh.store.put(MESH_TOPIC, "rollout/s", encode(NodeEntry("x", 1, 1, "z", "a", "b")))
+        mesh.store.put(MESH_TOPIC, "rollout/s", encode(GOOD_ENTRY))
         mesh.store.put(operator_topic().name, "rollout/s", b'{"service": 3}')
         mesh.read()
         self.assertEqual(mesh.pool("n0"), {"n0", "n1", "n2"})
