Check every number and name that another writer or a target may have left

Cause: platform/store.py parsed the store's JSON without the guard of platform/fields.py; numbers were converted without a range. An odd item costs that item, is logged (234) and counted, and no key is removed by a page that was read in part. A configuration whose routes name a service that it lacks is refused whole. Conclusion: each decoder that reads what others wrote refuses by entry.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -263,7 +263,12 @@
         self._outbox += applied.sends
 
     def _log_kept_records(self, message: PageRead) -> None:
-        """Log records of the store that were not taken, because the known ones are newer."""
+        """Log records of the store that could not be read, or are not newer than the known ones."""
+        if message.page.unreadable:
+            self._records_refused += message.page.unreadable
+            self._dependencies.events.write(
+                Event.RECORDS_UNREADABLE, topic=message.topic, count=message.page.unreadable
+            )
         replica = self._replicas[message.topic]
         for record in {record.key: record for record in message.page.records}.values():
             known = replica.record(record.key)
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -96,6 +96,8 @@
     def replace(self, page: KeyedPage) -> list[KeyedRecord]:
         """Apply the newest record of every key; keys that are missing were removed.
 
+        Nothing is removed by a page of which a part could not be read.
+
         Returns:
             The records that replace the known ones, including removals.
         """
@@ -107,6 +109,7 @@
             record
             for record in self._records.values()
             if record.key not in present
+            and not page.unreadable
             and record.value is not None
             and record.position < page.position
         ]
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -52,12 +52,14 @@
         position: First position that is not covered; the next read starts there.
         complete: Whether the topic ended at ``position`` when the store made the page.
         start: First position that is covered; records before it may be missing.
+        unreadable: Number of records that the store sent and that could not be read.
     """
 
     records: tuple[KeyedRecord, ...]
     position: int
     complete: bool = True
     start: int = 0
+    unreadable: int = 0
 
 
 class KeyedStore(Protocol):
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -8,8 +8,13 @@
 
 from attrs import frozen
 
+from ..validators import MAX_NUMBER, MAX_TEXT
+
 T = TypeVar("T")
 
+MAX_SECONDS = 1e9
+"""Longest duration that is accepted, about 30 years."""
+
 _UNITS_S = {"ms": 0.001, "s": 1.0}
 
 
@@ -25,7 +30,7 @@
     """
     try:
         value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:  # Nested too deeply, or too many digits.
         raise FieldError("the body is not JSON") from error
     if not isinstance(value, dict):
         raise FieldError("the body is not a JSON object")
@@ -44,20 +49,53 @@
     return value
 
 
-def require_seconds(fields: Mapping[str, Any], name: str) -> float:
+def require_number(
+    fields: Mapping[str, Any], name: str, *, least: int = 0, most: int = MAX_NUMBER
+) -> int:
+    """Return a field that is a whole number within limits.
+
+    Raises:
+        FieldError: If it is missing, of another type or beyond the limits.
+    """
+    value = require(fields, name, int)
+    if not least <= value <= most:
+        raise FieldError(f"field {name!r} is not between {least} and {most}")
+    return value
+
+
+def require_text(fields: Mapping[str, Any], name: str, *, longest: int = MAX_TEXT) -> str:
+    """Return a field that is a short text which can stand in a header.
+
+    Raises:
+        FieldError: If it is missing, of another type, too long or not printable Latin-1.
+    """
+    value = require(fields, name, str)
+    if len(value) > longest or not value.isprintable() or any(char > "\xff" for char in value):
+        raise FieldError(f"field {name!r} is not a printable text of up to {longest} characters")
+    return value
+
+
+def require_seconds(fields: Mapping[str, Any], name: str, *, least: float = 0.0) -> float:
     """Return a duration in seconds; the field is a number with the unit ``ms`` or ``s``.
 
+    Args:
+        fields: The fields.
+        name: Name of the field.
+        least: Shortest duration that is accepted, in seconds.
+
     Raises:
-        FieldError: If it is missing or not a duration.
+        FieldError: If it is missing, beyond the limits or not a duration.
     """
     text = require(fields, name, str)
     for unit, factor in _UNITS_S.items():
         number = text.removesuffix(unit)
         if number != text:
             try:
-                return float(number) * factor
+                seconds = float(number) * factor
             except ValueError:
                 continue
+            if least <= seconds <= MAX_SECONDS:
+                return seconds
     raise FieldError(f"field {name!r} is not a time: {text!r}")
 
 
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -12,7 +12,15 @@
 from ..hosted.publish import Write
 from ..hosted.rollout import Phase, RolloutOrder
 from ..hosted.store import KeyedRecord
-from .fields import FieldError, Table, parse_object, require, require_seconds
+from .fields import (
+    FieldError,
+    T,
+    Table,
+    parse_object,
+    require,
+    require_number,
+    require_seconds,
+)
 from .names import CONFIG_KEY, OPERATOR_TOPIC, ROLLOUT_PREFIX, STATUS_TOPIC
 
 _IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False, "upload": False}
@@ -45,12 +53,15 @@
         try:
             fields = parse_object(record.value)
             services = [_service(row) for row in Table.of(fields, "services").maps()]
-            routes = self._decode_routes(Table.of(fields, "routes"))
-            return ConfigSet(
-                version=require(fields, "version", int),
+            config = ConfigSet(
+                version=require_number(fields, "version"),
                 services={service.name: service for service in services},
-                routes={route.name: route for route in routes},
+                routes={
+                    route.name: route for route in self._decode_routes(Table.of(fields, "routes"))
+                },
             )
+            _check_references(config)
+            return config
         except FieldError:
             return None
 
@@ -105,14 +116,31 @@
     return Service(name=require(row, "name", str))
 
 
+def _optional(row: Mapping[str, Any], name: str, kind: type[T], default: T) -> T:
+    return require(row, name, kind) if name in row else default
+
+
+def _split_part(part: Any) -> SplitPart:
+    if not isinstance(part, dict):
+        raise FieldError("a part of a route is not an object")
+    return SplitPart(require(part, "service", str), require_number(part, "weight"))
+
+
+def _check_references(config: ConfigSet) -> None:
+    """Check that routes only name services of the configuration."""
+    for route in config.routes.values():
+        names = {part.service for part in route.split} or {route.service}
+        if not names <= config.services.keys():
+            raise FieldError(f"route {route.name!r} names a service that is not configured")
+
+
 def _route(row: Mapping[str, Any]) -> Route:
     kind = require(row, "kind", str)
     if kind not in _IDEMPOTENT_BY_KIND:
         raise FieldError(f"the kind {kind!r} of a route is not known")
-    parts = tuple(
-        SplitPart(require(part, "service", str), require(part, "weight", int))
-        for part in row.get("weighted_clusters", ())
-    )
+    parts = tuple(_split_part(part) for part in _optional(row, "weighted_clusters", list, []))
+    if parts and not any(part.weight for part in parts):
+        raise FieldError("the parts of a route have no weight")
     timeout_s = require_seconds(row, "timeout") if "timeout" in row else _DEFAULT_TIMEOUT_S
     latency_s = require_seconds(row, "target_latency") if "target_latency" in row else 0.0
     return Route(
@@ -123,8 +151,8 @@
         service_version="",
         timeout_ms=round(timeout_s * 1000),
         idempotent=_IDEMPOTENT_BY_KIND[kind],
-        max_attempts=row.get("max_attempts", 1),
+        max_attempts=require_number({"max_attempts": 1, **row}, "max_attempts"),
         target_latency_ms=round(latency_s * 1000),
-        priority=row.get("priority", 0),
+        priority=require_number({"priority": 0, **row}, "priority"),
         split=parts,
     )
--- a/src/citronrack/platform/reports.py
+++ b/src/citronrack/platform/reports.py
@@ -7,7 +7,16 @@
 
 from ..hosted.control import ReportInvalid
 from ..hosted.target import TargetLeave, TargetReport
-from .fields import FieldError, parse_object, require, require_seconds
+from ..validators import MAX_SLOTS
+from .fields import (
+    MAX_SECONDS,
+    FieldError,
+    parse_object,
+    require,
+    require_number,
+    require_seconds,
+    require_text,
+)
 from .names import LEAVE_PREFIX, REPORT_PREFIX
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -38,23 +47,20 @@
     state = require(status, "state", str)
     if not target_id or state not in _DRAINING_BY_STATE:
         raise FieldError(f"the state {state!r} of {target_id!r} is not known")
-    slots = require(info, "capacity", int)
-    if slots < 1:
-        raise FieldError("field 'capacity' is not a positive number")
     return TargetReport(
-        target_id=target_id,
-        service=require(info, "service", str),
-        service_version=require(info, "version", str),
-        address=require(fields, "address", str),
-        slots=slots,
+        target_id=require_text({"id": target_id}, "id"),
+        service=require_text(info, "service"),
+        service_version=require_text(info, "version"),
+        address=require_text(fields, "address"),
+        slots=require_number(info, "capacity", least=1, most=MAX_SLOTS),
         draining=_DRAINING_BY_STATE[state],
-        sequence=require(status, "sequence", int),
-        started_ms=require(fields, "born", int),
-        cold_s=require_seconds(status, "cold_remaining"),
+        sequence=require_number(status, "sequence"),
+        started_ms=require_number(fields, "born"),
+        cold_s=max(0.0, require_seconds(status, "cold_remaining", least=-MAX_SECONDS)),
     )
 
 
 def _leave(target_id: str, body: bytes) -> TargetLeave:
     fields = parse_object(body) if body else {}
-    born = fields.get("born")
-    return TargetLeave(target_id, born if isinstance(born, int) else None)
+    started_ms = require_number(fields, "born") if "born" in fields else None
+    return TargetLeave(require_text({"id": target_id}, "id"), started_ms)
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -23,7 +23,7 @@
     """
     try:
         return _settings(tomllib.loads(content.decode()))
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
         raise SettingsError([f"{source}: {error}"]) from error
 
 
--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import re
 import socket
 from collections.abc import Callable
@@ -14,8 +13,9 @@
 
 from ..errors import AppendRefused, AppendUnknown, LogTrimmed, LogUnavailable
 from ..exchange import exchange
-from ..hosted.position import era_of, offset_of, position_of
+from ..hosted.position import MAX_OFFSET, era_of, offset_of, position_of
 from ..hosted.store import AppendConflict, KeyedPage, KeyedRecord
+from .fields import FieldError, parse_object, require, require_number
 from .names import ERA_HEADER
 
 CONNECT_TIMEOUT_MS = 800
@@ -60,6 +60,7 @@
         """Return the newest record of each key; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
         position: int | None = None
+        unreadable = 0
         after: dict[str, str] = {}
         while True:
             query = {"topic": topic, "part": _PARTITION, **after}
@@ -68,20 +69,15 @@
                 return KeyedPage((), position_of(self._era, 0))
             if status != 200:
                 raise LogUnavailable(f"the store answered with status {status}")
-            page = _parse_object(body)
-            try:
-                items = [_newest_record(item, self._era) for item in page["items"]]
-                end = position_of(self._era, int(page["end"]))
-                more = bool(page.get("has_more"))
-            except (KeyError, TypeError, ValueError) as error:
-                raise LogUnavailable("the store sent a malformed page") from error
+            page = decode_newest_page(body, era=self._era)
+            items, end, unreadable = page.records, page.position, unreadable + page.unreadable
             records += items
             # Records may change between pages, so the next read starts at the end of the first one.
             position = end if position is None else position
             if era_of(end) != era_of(position):
                 raise LogUnavailable("the store returned from a copy while it was read")
-            if not more or not items:
-                return KeyedPage(tuple(records), position)
+            if page.complete or not items:
+                return KeyedPage(tuple(records), position, unreadable=unreadable)
             after = {"after": items[-1].key}
 
     def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
@@ -168,20 +164,52 @@
     return connection
 
 
-def _parse_object(body: bytes) -> dict[str, Any]:
+def decode_newest_page(body: bytes, *, era: int) -> KeyedPage:
+    """Return a page of newest records; an item that cannot be read is counted and left out.
+
+    Raises:
+        LogUnavailable: If the body is not a page.
+    """
     try:
-        value = json.loads(body)
-    except ValueError as error:
-        raise LogUnavailable("the store sent a body that is not JSON") from error
-    return value if isinstance(value, dict) else {}
+        fields = parse_object(body)
+        items = require(fields, "items", list)
+        end = require_number(fields, "end", most=MAX_OFFSET)
+    except FieldError as error:
+        raise LogUnavailable(f"the store sent a malformed page: {error}") from error
+    records = [record for item in items if (record := _newest_record(item, era)) is not None]
+    return KeyedPage(
+        tuple(records),
+        position_of(era, end),
+        complete=not fields.get("has_more"),
+        unreadable=len(items) - len(records),
+    )
 
 
-def _newest_record(item: dict[str, Any], era: int) -> KeyedRecord:
-    return KeyedRecord(
-        key=str(item["key"]),
-        value=base64.b64decode(item["value"]),
-        position=position_of(era, int(item["offset"])),
-    )
+def decode_offset(body: bytes) -> int:
+    """Return the offset in the answer to an append.
+
+    Raises:
+        AppendUnknown: If there is none.
+    """
+    try:
+        return require_number(parse_object(body), "offset", most=MAX_OFFSET)
+    except FieldError as error:
+        raise AppendUnknown(f"the store answered an append without an offset: {error}") from error
+
+
+def _newest_record(item: Any, era: int) -> KeyedRecord | None:
+    """Return the record in an item of a page, None if another writer has left an odd one."""
+    try:
+        if not isinstance(item, dict):
+            raise FieldError("an item is not an object")
+        require(item, "key", str).encode()  # Fails for a key that no message could carry.
+        return KeyedRecord(
+            key=require(item, "key", str),
+            value=base64.b64decode(require(item, "value", str), validate=True),
+            position=position_of(era, require_number(item, "offset", most=MAX_OFFSET)),
+        )
+    except ValueError:  # Also raised by the decoder of the value.
+        return None
 
 
 def _raw_records(body: bytes, start: int) -> list[KeyedRecord]:
@@ -206,13 +234,17 @@
 def _append_position(status: int, body: bytes, era: int) -> int:
     """Return the position in the response to an append, or raise the error for its status."""
     if status == 200:
-        offset = _parse_object(body).get("offset")
-        if not isinstance(offset, int):
-            raise AppendUnknown("the store answered an append without an offset")
-        return position_of(era, offset)
+        return position_of(era, decode_offset(body))
     if status == 412:
-        end = _parse_object(body).get("end")
-        raise AppendConflict(position_of(era, end if isinstance(end, int) else 0))
+        raise AppendConflict(position_of(era, _conflicting_end(body)))
     if status in (400, 403, 404, 409, 413, 429, 503, 507):
         raise AppendRefused(f"the store refused an append with status {status}")
     raise AppendUnknown(f"the store answered an append with status {status}")
+
+
+def _conflicting_end(body: bytes) -> int:
+    """Return the end of the topic in the answer to an append under a condition, 0 without one."""
+    try:
+        return require_number(parse_object(body), "end", most=MAX_OFFSET)
+    except FieldError:
+        return 0
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -60,6 +60,7 @@
     STORE_CONFLICT = 231
     STORE_RETURNED = 232
     RECORD_NOT_NEWER = 233
+    RECORDS_UNREADABLE = 234
     NODE_ENTRY = 330
     NODE_EXPIRED = 331
     TARGET_STATE = 340
@@ -154,6 +155,9 @@
     Event.RECORD_NOT_NEWER: EventInfo(
         "warning", "A record of the store differs from the known one and was not taken."
     ),
+    Event.RECORDS_UNREADABLE: EventInfo(
+        "warning", "Records of a page of the store could not be read; the others were."
+    ),
     Event.NODE_ENTRY: EventInfo("info", "Another node has published its state."),
     Event.NODE_EXPIRED: EventInfo("warning", "A node has not renewed its entry and is dropped."),
     Event.TARGET_STATE: EventInfo("info", "The state of the own target has changed."),
--- a/tests/hosted/test_replica.py
+++ b/tests/hosted/test_replica.py
@@ -32,6 +32,13 @@
         self.assertEqual([(record.key, record.value) for record in changed], [("a", None)])
         self.assertIsNone(replica.value("a"))
 
+    def test_page_with_unreadable_records_removes_nothing(self) -> None:
+        """Guards against losing a key because its record could not be read this time."""
+        replica = TopicReplica("t", clock=ManualClock())
+        replica.apply(page(("a", b"1", 1), position=2))
+        replica.replace(KeyedPage((), 9, unreadable=1))
+        self.assertEqual(replica.value("a"), b"1")
+
     def test_full_page_keeps_newer_records(self) -> None:
         """Guards against a slow read that overwrites records forwarded by another node."""
         replica = TopicReplica("t", clock=ManualClock())
