Bound the time of calls that arrive during a planned stop

Cause: in the notice of a stop calls are taken with their whole time, but the node ends at a fixed moment; what had more time left than that was cut, whatever it was. Closing idle connections could also take a second beyond the end. Change: from SIGTERM on, calls get at most the time to the end of the stop, on the node that takes them and on the one beside the target, so the target knows it and the caller gets an answer. The end is a share of the grace time, inside its last sixth, in place of 0.8 s before it. Conclusion: what is taken can end within the grace time, or is told so.

--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -157,7 +157,7 @@
     def handle(self, request: Request) -> Response:
         """Handle a request of another node."""
         context = self._contexts.decode(request.context) or self._contexts.new_context()
-        return self.deliver(request, context)
+        return self.deliver(request, context.with_deadline(self._drainer.latest_end))
 
     def deliver(self, request: Request, context: CallContext) -> Response:
         """Handle a request; the response's verdict says whether it may have run."""
--- a/src/citronrack/calls/drain.py
+++ b/src/citronrack/calls/drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 
@@ -17,12 +18,18 @@
         self._changed = threading.Condition(self._lock)
         self._in_flight = 0
         self._draining = False
+        self._latest_end = math.inf
 
     @property
     def draining(self) -> bool:
         """Whether new calls are refused."""
         return self._draining
 
+    @property
+    def latest_end(self) -> float:
+        """Monotonic time by which new calls must have ended, infinite before a stop."""
+        return self._latest_end
+
     @property
     def in_flight(self) -> int:
         """Calls whose response has not been sent completely."""
@@ -48,6 +55,14 @@
             if self._draining and not self._in_flight:
                 self._changed.notify_all()
 
+    def announce(self, latest_end: float) -> None:
+        """Bound the time of new calls, which are still accepted.
+
+        Args:
+            latest_end: Monotonic time at which the stop ends.
+        """
+        self._latest_end = latest_end
+
     def begin(self) -> None:
         """Begin the drain: new calls are refused from now on."""
         with self._lock:
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import time
 from collections.abc import Callable
 from concurrent.futures import Executor
 from functools import partial
@@ -28,6 +30,12 @@
 from .upstream import Upstream
 from .view import ViewHolder
 
+CLOSE_TIMEOUT_S = 1.0
+"""Longest time for which connections without a call stay open at the end of a stop."""
+
+LAST_ANSWERS_S = 0.15
+"""Time before the end of a stop in which the last answers are written."""
+
 ADDED_HEAD_BYTES = 1024
 """Allowance for headers that a node adds, so that the next node accepts what one node accepted."""
 
@@ -98,16 +106,26 @@
     admission: Admission
     upstream: Upstream
 
+    def begin_stop(self, end: float) -> None:
+        """Announce a stop: calls that arrive from now on end by its end, with an answer.
+
+        Args:
+            end: Monotonic time at which `stop` will return.
+        """
+        self.drainer.announce(end - LAST_ANSWERS_S)
+
     def stop(self, limit_s: float) -> bool:
         """Refuse new calls, wait for calls in flight and close all connections.
 
         Returns:
             Whether all calls had ended within the limit.
         """
+        end = time.monotonic() + limit_s
         self.drainer.begin()
         idle = self.drainer.wait_idle(limit_s)
         for server in (self.deliveries, self.calls):
-            idle = server.stop(0.0 if not idle else 1.0) and idle
+            left_s = max(LAST_ANSWERS_S, end - time.monotonic())
+            idle = server.stop(min(left_s, CLOSE_TIMEOUT_S) if idle else 0.0) and idle
         self.upstream.close()
         return idle
 
@@ -124,6 +142,7 @@
     local: LocalDelivery | None = None,
     on_response: Callable[[ResponseRecord], None] | None = None,
     budget: RetryBudgets | None = None,
+    latest_end: Callable[[], float] = lambda: math.inf,
 ) -> Router:
     """Return a router for a node or for a caller that embeds it.
 
@@ -138,6 +157,7 @@
         local: Delivers to the local target.
         on_response: Receives a record of each routed call when its response has ended.
         budget: Limits retries, the default limits if None.
+        latest_end: Returns the monotonic time by which new calls must have ended.
     """
     clock = clock if clock is not None else SystemClock()
 
@@ -167,6 +187,7 @@
         local=local,
         on_response=on_response,
         decode_notice=settings.decode_notice,
+        latest_end=latest_end,
     )
 
 
@@ -232,6 +253,7 @@
         local=delivery.deliver,
         on_response=on_response,
         budget=budget,
+        latest_end=lambda: drainer.latest_end,
     )
     peer_limits = WireLimits(
         idle_s=limits.idle_s,
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -145,6 +146,7 @@
         local: Delivers to the local target without a connection to this node.
         on_response: Receives a record of each routed call when its response has ended.
         decode_notice: Decodes what targets state in the headers of their answers.
+        latest_end: Returns the monotonic time by which new calls must have ended.
     """
 
     def __init__(
@@ -164,7 +166,9 @@
         local: LocalDelivery | None = None,
         on_response: Callable[[ResponseRecord], None] | None = None,
         decode_notice: NoticeDecoder = no_notice,
+        latest_end: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._latest_end = latest_end
         self._on_response = on_response
         self._decode_notice = decode_notice
         self._views = views
@@ -209,7 +213,8 @@
         timeout_ms = route.timeout_ms
         if request.timeout_ms is not None:
             timeout_ms = min(timeout_ms, request.timeout_ms)
-        context = context.with_deadline(time.monotonic() + timeout_ms / 1000)
+        deadline = min(time.monotonic() + timeout_ms / 1000, self._latest_end())
+        context = context.with_deadline(deadline)
         service_name = _choose_service(route, context.call_key)
         service_version, pool = _choose_version(view, route, service_name, context.call_key)
         if not pool:
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -61,8 +61,9 @@
 """Time after SIGTERM in which calls are still accepted: callers are routed elsewhere after two
 failed readiness probes, a second apart."""
 
-STOP_RESERVE_S = 0.8
-"""Time between the end of the process and SIGKILL."""
+STOP_RESERVE_SHARE = 0.12
+"""Share of the grace time between the end of the last call and SIGKILL. A call that its target is
+still working on in the last sixth of the grace time may be given up."""
 
 RECONNECT_MAX_MS = 300
 """Longest pause between attempts to connect to a node. A node that restarts while the store is
@@ -161,7 +162,9 @@
 
     def stop(self) -> None:
         """Leave the mesh, drain calls, then stop all tasks."""
-        end = time.monotonic() + self._adapter.settings.bounds.grace_s - STOP_RESERVE_S
+        grace_s = self._adapter.settings.bounds.grace_s
+        end = time.monotonic() + (1.0 - STOP_RESERVE_SHARE) * grace_s
+        self._call_path.begin_stop(end)
         self._events.write(Event.NODE_STOPPING)
         self._mailbox.put(StopRequested())
         time.sleep(min(STOP_NOTICE_S, max(0.0, end - time.monotonic())))
