Move the operator's state and the audit of records out of the core

Change: OperatorState (configuration in force, comparison across eras) and RecordAudit (refused, unreadable and kept records). An order that is written again no longer lets a version that failed on this node get calls again.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -7,7 +7,6 @@
 
 from ..calls.delivery import TargetIdentity
 from ..calls.notice import TargetStatement
-from ..config import ActiveConfig
 from ..errors import MessageRejected
 from ..telemetry import Event
 from ..transport.send import Send
@@ -30,8 +29,10 @@
     StopRequested,
     TargetStated,
 )
-from .position import era_of, offset_of, position_fields
+from .operator_state import OperatorState
+from .position import era_of
 from .readers import ReaderHeartbeat
+from .record_audit import RecordAudit
 from .registration import NODE_PREFIX, Registration, entry_of
 from .replica import TopicReplica
 from .replication import STORE, TopicReplication
@@ -40,6 +41,7 @@
     ROLLOUT_PREFIX,
     Phase,
     RolloutCore,
+    RolloutOrder,
     RolloutRecord,
     decode_record,
     rollout_write,
@@ -66,11 +68,14 @@
 
     def __init__(self, dependencies: CoreDependencies, *, own: NodeEntry) -> None:
         self._dependencies = dependencies
-        self._active = ActiveConfig()
+        self._operator = OperatorState(dependencies.operator, events=dependencies.events)
+        self._audit = RecordAudit(dependencies.events)
         self._table = NodeTable(own_name=own.name, clock=dependencies.clock)
         self._replicas = {
             dependencies.operator.name: TopicReplica(
-                dependencies.operator.name, clock=dependencies.clock, supersedes=self._supersedes
+                dependencies.operator.name,
+                clock=dependencies.clock,
+                supersedes=self._operator.supersedes,
             ),
             MESH_TOPIC: TopicReplica(MESH_TOPIC, clock=dependencies.clock),
         }
@@ -126,7 +131,6 @@
             clock=dependencies.boot_clock,
         )
         self._statement = TargetStatement(process=("", 0))
-        self._records_refused = 0
         self._stopping = False
         self._restoration = Restoration(
             clock=dependencies.clock, random=dependencies.random, events=dependencies.events
@@ -142,7 +146,7 @@
     @property
     def config_version(self) -> int:
         """Version of the active configuration, -1 before the first one."""
-        return self._active.version
+        return self._operator.config.version
 
     @property
     def entry(self) -> NodeEntry:
@@ -152,7 +156,7 @@
     @property
     def ready(self) -> bool:
         """Whether the node accepts new calls."""
-        return self._active.version >= 0 and not self._stopping
+        return self._operator.config.version >= 0 and not self._stopping
 
     @property
     def entries(self) -> tuple[NodeEntry, ...]:
@@ -167,7 +171,7 @@
     @property
     def records_refused(self) -> int:
         """Number of records of the store that could not be used."""
-        return self._records_refused
+        return self._audit.refused
 
     @property
     def store_answers(self) -> bool:
@@ -250,7 +254,7 @@
 
     def _on_page_read(self, message: PageRead) -> None:
         applied = self._replication.apply_page(message, own=self._registration.entry)
-        self._log_kept_records(message)
+        self._audit.page_applied(message, self._replicas[message.topic])
         self._on_records(message.topic, applied.changed, STORE)
         if message.topic == MESH_TOPIC:
             if message.full:
@@ -262,25 +266,6 @@
                 self._callbacks.read_topics(False)
         self._outbox += applied.sends
 
-    def _log_kept_records(self, message: PageRead) -> None:
-        """Log records of the store that could not be read, or are not newer than the known ones."""
-        if message.page.unreadable:
-            self._records_refused += message.page.unreadable
-            self._dependencies.events.write(
-                Event.RECORDS_UNREADABLE, topic=message.topic, count=message.page.unreadable
-            )
-        replica = self._replicas[message.topic]
-        for record in {record.key: record for record in message.page.records}.values():
-            known = replica.record(record.key)
-            if known is not None and known.value != record.value:
-                self._dependencies.events.write(
-                    Event.RECORD_NOT_NEWER,
-                    key=record.key,
-                    **position_fields(record.position),
-                    known_offset=offset_of(known.position),
-                    known_era=era_of(known.position),
-                )
-
     def _on_read_failed(self, message: ReadFailed) -> None:
         self._access.on_read_failed(message.topic, message.reason)
 
@@ -374,20 +359,6 @@
         if must_decide and self._restoration.may_reread(operator.era):
             self._callbacks.reread_operator()
 
-    def _supersedes(self, known: KeyedRecord, record: KeyedRecord) -> bool | None:
-        """Compare records of the operator across a return of the store from a copy.
-
-        A configuration is only replaced by one that is not older. An order has no version.
-        """
-        operator = self._dependencies.operator
-        config = operator.config(known)
-        if config is not None:
-            new = operator.config(record)
-            return new is not None and new.version >= config.version
-        if operator.order(known) is not None and record.value is not None:
-            return None if operator.order(record) is not None else False
-        return None
-
     def _check_own_record(self) -> None:
         if not self._stopping:
             self._registration.reconcile(self._replicas[MESH_TOPIC].value(self._registration.key))
@@ -450,46 +421,34 @@
                 if rollout is not None:
                     self._apply_rollout(rollout)
                 elif record.value is not None:
-                    self._refuse_record(record)
+                    self._audit.refuse(record)
 
     def _on_node_record(self, record: KeyedRecord) -> None:
         entry = entry_of(record)
         if entry is not None:
             self._on_entries([entry])
         elif record.value is not None:
-            self._refuse_record(record)
+            self._audit.refuse(record)
         elif record.key == self._registration.key:
             self._check_own_record()  # The store may drop a key without a request.
 
-    def _refuse_record(self, record: KeyedRecord) -> None:
-        self._records_refused += 1
-        self._dependencies.events.write(
-            Event.RECORD_REFUSED, key=record.key, **position_fields(record.position)
-        )
-
     def _on_operator_record(self, record: KeyedRecord, source: str) -> None:
-        config = self._dependencies.operator.config(record)
-        if config is not None and self._active.swap(config, replace_equal=True):
-            self._dependencies.events.write(
-                Event.CONFIG_IN_FORCE,
-                version=config.version,
-                **position_fields(record.position),
-                position=offset_of(self.position(self._dependencies.operator.name)),
-                source=source,
-            )
-            self._view_outdated = True
-        order = self._dependencies.operator.order(record)
-        if order is None:
-            if config is None and record.value is not None:
-                self._refuse_record(record)
+        replica = self._replicas[self._dependencies.operator.name]
+        config = self._operator.apply(record, end=replica.position, source=source)
+        order = self._operator.order(record)
+        self._view_outdated = self._view_outdated or config is not None or order is not None
+        if order is not None:
+            self._on_order(order, written_again=not replica.settled)
+        elif config is None and record.value is not None:
+            self._audit.refuse(record)
+
+    def _on_order(self, order: RolloutOrder, *, written_again: bool) -> None:
+        if not self._rollouts.on_order(order, written_again=written_again):
             return
-        settled = self._replicas[self._dependencies.operator.name].settled
-        self._rollouts.on_order(order, written_again=not settled)
         stored = decode_record(self._replicas[MESH_TOPIC].value(ROLLOUT_PREFIX + order.service))
         if stored is not None:
             self._rollouts.on_record(stored)
         self._canary.reset()
-        self._view_outdated = True
 
     def _apply_rollout(self, rollout: RolloutRecord) -> None:
         self._rollouts.on_record(rollout)
@@ -549,7 +508,7 @@
             share = self._dependencies.retry_slack / (1 + self.nodes_known)
             self._callbacks.set_retry_burst(max(1.0, share))
             self._dependencies.views.current = build_view(
-                self._active.current,
+                self._operator.config,
                 self._table.entries(),
                 self._rollouts.shares(),
                 complete=self._access.current,
--- /dev/null
+++ b/src/citronrack/hosted/operator_state.py
@@ -0,0 +1,71 @@
+"""The configuration in force and the records of the operator that lead to it."""
+
+from __future__ import annotations
+
+from ..config import ActiveConfig, ConfigSet
+from ..telemetry import Event, EventLog
+from .dependencies import OperatorTopic
+from .position import offset_of, position_fields
+from .rollout import RolloutOrder
+from .store import KeyedRecord
+
+
+class OperatorState:
+    """Decodes the operator's records and puts configurations in force.
+
+    Args:
+        topic: Codec of the records.
+        events: Event log.
+    """
+
+    def __init__(self, topic: OperatorTopic, *, events: EventLog) -> None:
+        self._topic = topic
+        self._events = events
+        self._active = ActiveConfig()
+
+    @property
+    def config(self) -> ConfigSet:
+        """The configuration in force; its version is -1 before the first one."""
+        return self._active.current
+
+    def supersedes(self, known: KeyedRecord, record: KeyedRecord) -> bool | None:
+        """Compare two records of a key across a return of the store from a copy.
+
+        A configuration is only replaced by one that is not older. An order has no version, so its
+        content does not say whether it is older; only an invalid one never replaces it.
+
+        Returns:
+            Whether ``record`` replaces ``known``, None if that is unknown.
+        """
+        config = self._topic.config(known)
+        if config is not None:
+            new = self._topic.config(record)
+            return new is not None and new.version >= config.version
+        is_invalid = record.value is not None and self._topic.order(record) is None
+        return False if is_invalid and self._topic.order(known) is not None else None
+
+    def apply(self, record: KeyedRecord, *, end: int, source: str) -> ConfigSet | None:
+        """Put the configuration in a record in force if it is newer.
+
+        Args:
+            record: The record.
+            end: Position up to which the node has the topic.
+            source: Where the record came from.
+
+        Returns:
+            The configuration in the record, None for a record of another kind or an invalid one.
+        """
+        config = self._topic.config(record)
+        if config is not None and self._active.swap(config, replace_equal=True):
+            self._events.write(
+                Event.CONFIG_IN_FORCE,
+                version=config.version,
+                **position_fields(record.position),
+                position=offset_of(end),
+                source=source,
+            )
+        return config
+
+    def order(self, record: KeyedRecord) -> RolloutOrder | None:
+        """Return the order in a record, None for a record of another kind or an invalid one."""
+        return self._topic.order(record)
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -185,20 +185,23 @@
         self._write_status = write_status
         self._rollouts: dict[str, _Rollout] = {}
 
-    def on_order(self, order: RolloutOrder, *, written_again: bool = False) -> None:
+    def on_order(self, order: RolloutOrder, *, written_again: bool = False) -> bool:
         """Apply an order of an operator; an older one than the known order is ignored.
 
         Args:
             order: The order.
             written_again: Whether the store has just returned from a copy, so that an equal order
                 is the known one that the operator has written again.
+
+        Returns:
+            Whether a rollout begins.
         """
         known = self._rollouts.get(order.service)
         if known is not None and known.order.order_id >= order.order_id:
-            return
+            return False
         if known is not None and written_again and order.repeats(known.order):
             self._continue(known, order)
-            return
+            return False
         now = self._clock.monotonic()
         rollout = _Rollout(order, started=now, last_record_at=now)
         self._rollouts[order.service] = rollout
@@ -211,6 +214,7 @@
             duration_s=order.duration_s,
             order=order.order_id,
         )
+        return True
 
     def _continue(self, rollout: _Rollout, order: RolloutOrder) -> None:
         """Let a rollout go on under the new id of its order; its holder writes it again."""
