--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -6,16 +6,16 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, evolve, field
+from attrs import evolve
 
-from ..config import Route
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
+from ._routed_call import RoutedCall, aim_header, choose_service, choose_version
 from .balancer import Balancer, LimitsUsedUp
 from .budget import RetryBudgets
 from .context import CallContext, ContextCodec
-from .headers import AIM, CONTEXT, DEFAULT_HEADER_NAMES, SERVICE, HeaderNames, Headers
+from .headers import CONTEXT, DEFAULT_HEADER_NAMES, SERVICE, HeaderNames
 from .message import (
     BodyEnd,
     CallerDisconnected,
@@ -29,10 +29,10 @@
 from .notice import NoticeDecoder, no_notice
 from .patience import CallerPatience
 from .record import CallRecord, ResponseRecord
-from .split import hash_fraction, picks_new
+from .split import hash_fraction
 from .target_stats import TargetStats
 from .upstream import OutgoingRequest, Upstream
-from .view import PoolTarget, RoutingView, ViewHolder
+from .view import PoolTarget, ViewHolder
 
 RETRY_STATUSES = frozenset({502, 503, 504})
 """Response statuses after which a call may be sent to another target."""
@@ -48,76 +48,10 @@
 RETRY_AFTER_SALT = "retry-after"
 """Purpose of the hash that spreads the returns of refused callers."""
 
-REROUTE_TIME_SHARE = 0.25
-"""Share of a call's time in which it is tried elsewhere after a refusal. A call that waited in vain
-is refused while its caller still has time to come back."""
 
 LocalDelivery = Callable[[Request, CallContext], Response]
 
 
-@define(eq=False)
-class _Call:
-    """State of a call that is being routed.
-
-    Attributes:
-        started: Monotonic time of its arrival.
-        tried: Names of the targets it was sent to, in order.
-        reached: Number of attempts that reached a target.
-        reroutes: Number of attempts that a node refused or that could not connect.
-        may_have_run: Whether a previous attempt may have run.
-        age_s: How long the caller had been waiting when this call arrived.
-        pause_s: Time until the limits of the targets let a further call start.
-    """
-
-    request: Request
-    context: CallContext
-    view: RoutingView
-    route: Route
-    service: str
-    service_version: str
-    pool: tuple[PoolTarget, ...]
-    idempotent: bool
-    connect_timeout_s: float
-    started: float = field(factory=time.monotonic)
-    tried: dict[str, None] = field(factory=dict)
-    reached: int = 0
-    reroutes: int = 0
-    may_have_run: bool = False
-    age_s: float = 0.0
-    pause_s: float = 0.0
-
-    @property
-    def patience_s(self) -> float:
-        """Time within which the call has to end, in seconds.
-
-        Calls of the highest priority have work behind them and wait until their deadline.
-        """
-        left_s = self.context.deadline - time.monotonic()
-        aim_ms = self.aim_ms if self.route.priority else None
-        return left_s if aim_ms is None else min(left_s, aim_ms / 1000)
-
-    @property
-    def caller_left_s(self) -> float:
-        """Time that the caller still waits, in seconds; it may exceed the timeout of the route."""
-        if self.request.timeout_ms is None:
-            return self.context.deadline - time.monotonic()
-        return self.request.timeout_ms / 1000 - (time.monotonic() - self.started)
-
-    @property
-    def has_time_to_reroute(self) -> bool:
-        """Whether a refused call may be tried elsewhere: only in the first part of its time."""
-        now = time.monotonic()
-        return now - self.started <= REROUTE_TIME_SHARE * (self.context.deadline - self.started)
-
-    @property
-    def aim_ms(self) -> int | None:
-        """Time left until the answer is late, None if the route has no target latency."""
-        if not self.route.target_latency_ms:
-            return None
-        waited_s = self.age_s + time.monotonic() - self.started
-        return round(self.route.target_latency_ms - waited_s * 1000)
-
-
 # 404 is final for callers, so only a node that has the newest configuration returns it.
 _NO_ROUTE = {
     True: (404, "no route has a prefix of this path"),
@@ -215,13 +149,13 @@
             timeout_ms = min(timeout_ms, request.timeout_ms)
         deadline = min(time.monotonic() + timeout_ms / 1000, self._latest_end())
         context = context.with_deadline(deadline)
-        service_name = _choose_service(route, context.call_key)
-        service_version, pool = _choose_version(view, route, service_name, context.call_key)
+        service_name = choose_service(route, context.call_key)
+        service_version, pool = choose_version(view, route, service_name, context.call_key)
         if not pool:
             return self._refuse(request, 503, "the route has no target", route.name)
         service = view.config.services[service_name]
         self._budget.record_call(service_name, time.monotonic())
-        call = _Call(
+        call = RoutedCall(
             request=request,
             context=context,
             view=view,
@@ -240,7 +174,7 @@
 
     @staticmethod
     def _report_response(
-        on_response: Callable[[ResponseRecord], None], call: _Call, response: Response
+        on_response: Callable[[ResponseRecord], None], call: RoutedCall, response: Response
     ) -> None:
         """Report the call when its response has ended."""
 
@@ -262,7 +196,7 @@
 
         response.add_done_callback(done)
 
-    def _route(self, call: _Call) -> Response:
+    def _route(self, call: RoutedCall) -> Response:
         while True:
             response, target = self._attempt(call)
             if target is not None:
@@ -286,7 +220,7 @@
                 verdict=response.verdict.value,
             )
 
-    def _attempt(self, call: _Call) -> tuple[Response, PoolTarget | None]:
+    def _attempt(self, call: RoutedCall) -> tuple[Response, PoolTarget | None]:
         """Send the call to one target; the target is None when there is none to choose."""
         try:
             stats = self._balancer.choose(
@@ -333,7 +267,7 @@
         self._report_attempt(call, stats, response, started, ignore_failure=ignore_failure)
         return response, target
 
-    def _record_leaving(self, call: _Call, target: PoolTarget, response: Response) -> None:
+    def _record_leaving(self, call: RoutedCall, target: PoolTarget, response: Response) -> None:
         """Stop sending calls to a target whose answer says that it is about to end."""
         if response.from_node or not self._decode_notice(dict(response.headers)).leaving:
             return
@@ -345,7 +279,7 @@
                 request_id=call.request.request_id,
             )
 
-    def _send(self, call: _Call, target: PoolTarget) -> Response:
+    def _send(self, call: RoutedCall, target: PoolTarget) -> Response:
         request = call.request
         if self._local is not None and target.name == self._own_name:
             headers = [*request.headers, *self._caller_headers]
@@ -363,7 +297,7 @@
                     *self._caller_headers,
                     (SERVICE, call.service.encode("latin-1")),
                     (CONTEXT, self._contexts.encode(call.context)),
-                    *_aim_header(call),
+                    *aim_header(call),
                 ],
                 body=request.body,
                 idempotent=call.idempotent,
@@ -377,7 +311,7 @@
 
     def _report_attempt(
         self,
-        call: _Call,
+        call: RoutedCall,
         stats: TargetStats,
         response: Response,
         started: float,
@@ -424,7 +358,7 @@
 
         response.add_done_callback(done)
 
-    def _may_retry(self, call: _Call, response: Response) -> bool:
+    def _may_retry(self, call: RoutedCall, response: Response) -> bool:
         """Return whether the call is sent to another target.
 
         A call that a node refused has not loaded a target, so only the number of reroutes is
@@ -445,7 +379,7 @@
             return False
         return self._budget.try_withdraw(call.service, time.monotonic())
 
-    def _final_response(self, call: _Call, response: Response) -> Response:
+    def _final_response(self, call: RoutedCall, response: Response) -> Response:
         """Return the response for the caller.
 
         A refusal covers only the last attempt, so it is replaced when an earlier one may have run.
@@ -475,40 +409,3 @@
             config_version=self._views.current.config.version,
         )
         return local_response(status, reason, Verdict.NOT_RUN)
-
-
-def _aim_header(call: _Call) -> Headers:
-    aim_ms = call.aim_ms
-    return [] if aim_ms is None else [(AIM, b"%d" % aim_ms)]
-
-
-def _choose_service(route: Route, call_key: str) -> str:
-    """Return the service that gets the call; it is the same for all retries of a call."""
-    if not route.split:
-        return route.service
-    total = sum(part.weight for part in route.split)
-    point = hash_fraction(call_key, route.name) * total
-    for part in route.split:
-        point -= part.weight
-        if point < 0:
-            return part.service
-    return route.split[-1].service
-
-
-def _choose_version(
-    view: RoutingView, route: Route, service: str, call_key: str
-) -> tuple[str, tuple[PoolTarget, ...]]:
-    """Return the service version that gets the call, and its targets."""
-    share = view.share_of(route, service)
-    if share is None:
-        version = route.service_version
-        return version, view.pools.get((service, version), ())
-    new = picks_new(call_key, share.move_id, share.share)
-    versions = [share.to_version, share.from_version] if new else [share.from_version]
-    if not new and share.share > 0:
-        versions.append(share.to_version)
-    for version in versions:
-        pool = view.pools.get((service, version), ())
-        if pool:
-            return version, pool
-    return versions[0], ()
