Spread full reads when the store returns, so that one node reads for all

Cause: while the store is away each node becomes a reader; after a return from a copy all of them read the whole topic at once, where they had read a few changes before. Change: a reader whose position is void waits up to 0.2 s; most learn meanwhile from another node and stop reading.

--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -22,6 +22,11 @@
 than unavailable. The choice is random so that nodes do not all wait for it at the same time."""
 
 
+FULL_READ_SPREAD_S = 0.2
+"""Time over which readers spread full reads of a topic. Most of them learn meanwhile from another
+node what they lack, and stop reading."""
+
+
 def read_timeout_ms(failures: int, random: Random) -> int:
     """Return the timeout of a read, in addition to its long-poll wait.
 
@@ -82,7 +87,10 @@
             try:
                 self._read_once()
             except LogTrimmed:
-                self._position = None  # The history was dropped, so the newest records are read.
+                # The history was dropped, or the store has returned from a copy, so the newest
+                # records are read. All readers see that at once; the first one reads for all.
+                self._position = None
+                self._stopping.wait(FULL_READ_SPREAD_S * self._random.random())
             except LogUnavailable as error:
                 self._long_poll = False
                 self._post(ReadFailed(self._topic, str(error)))
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import threading
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
 from attrs import define, field
 
 from citronrack.clock import ManualClock
-from citronrack.errors import LogUnavailable
+from citronrack.errors import LogTrimmed, LogUnavailable
 from citronrack.hosted.messages import CoreMessage, PageRead
 from citronrack.hosted.store import KeyedPage
 from citronrack.hosted.watch import (
+    FULL_READ_SPREAD_S,
     LONG_READ_TIMEOUT_MS,
     READ_TIMEOUT_MS,
     WatchTask,
@@ -83,6 +86,45 @@
         wait_ms = round(WAIT_S * 1000)
         self.assertEqual([wait for wait, _ in store.requests], [wait_ms, wait_ms, 0, wait_ms])
 
+    def test_full_read_is_left_to_another_node(self) -> None:
+        """Guards against a full read by each node when the store returns from a copy."""
+        calls: list[str] = []
+        trimmed, done = threading.Event(), threading.Event()
+
+        class ReturnedStore(SlowStore):
+            """A store whose first position is void."""
+
+            def newest(self, topic: str, *, timeout_ms: int) -> KeyedPage:
+                calls.append("newest")
+                return KeyedPage((), 1)
+
+            def read(self, topic: str, start: int, *, wait_ms: int, timeout_ms: int) -> KeyedPage:
+                calls.append(f"read {start}")
+                if start == 1:
+                    watch.set_needed(False, position=1)
+                    trimmed.set()
+                    raise LogTrimmed(start)
+                watch.stop()
+                done.set()
+                return KeyedPage((), start, start=start)
+
+        clock = ManualClock()
+        watch = WatchTask(
+            "t",
+            store=ReturnedStore(clock, []),
+            post=lambda message: None,
+            random=Random(1),
+            clock=clock,
+        )
+        with ThreadPoolExecutor(1) as executor:
+            running = executor.submit(watch.run)
+            self.assertTrue(trimmed.wait(5.0))
+            threading.Event().wait(2 * FULL_READ_SPREAD_S)
+            watch.set_needed(True, position=7)
+            self.assertTrue(done.wait(5.0))
+            running.result(5.0)
+        self.assertEqual(calls, ["newest", "read 1", "read 7"])
+
     def test_slow_store_is_read(self) -> None:
         """Guards against a node whose timeouts are always too short for a slow store."""
         random = Random(1)
