Follow the target's process under the lock of its statements

Cause: a call that was delayed between reading the target's identity and asking for its statements could bring an earlier process back, which forgets the limit of the current one until its next answer. Change: the identity is read again under the lock. Measured: the new test of such a call fails when the process is not read again (None != 7.0) and passes with it; 29 tests of the parts pass. Conclusion: found by reading the change; not seen in a run.

--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -176,7 +176,7 @@
         reason = self._reason_to_refuse(call)
         if reason:
             return self._refuse(call, reason)
-        self._statements.follow(identity.process)
+        self._statements.follow(lambda: self._identity().process)
         try:
             slot = self._admission.acquire(
                 route=name,
--- a/src/citronrack/calls/notice.py
+++ b/src/citronrack/calls/notice.py
@@ -92,11 +92,17 @@
         """The statements in force; an immutable snapshot."""
         return self._statement
 
-    def follow(self, process: TargetProcess) -> None:
-        """Forget the statements of an earlier process; called before each call."""
-        if process == self._statement.process:
+    def follow(self, current: Callable[[], TargetProcess]) -> None:
+        """Forget the statements of an earlier process; called before each call.
+
+        Args:
+            current: Returns the current process. It is asked again under the lock, so that a call
+                which was delayed does not bring an earlier process back.
+        """
+        if current() == self._statement.process:
             return
         with self._lock:
+            process = current()
             if process != self._statement.process:
                 self._replace(TargetStatement(process))
 
--- a/tests/calls/test_statements.py
+++ b/tests/calls/test_statements.py
@@ -17,7 +17,7 @@
         self.changes: list[TargetStatement] = []
         self.invalid: list[object] = []
         self.tracker = StatementTracker(self.changes.append, self.invalid.append)
-        self.tracker.follow(PROCESS)
+        self.tracker.follow(lambda: PROCESS)
 
     def observe(
         self, notice: TargetNotice, *, sent_at: float, now: float, genuine: bool = True
@@ -51,11 +51,20 @@
         """Guards against the limit of a process that ended, also under the same id."""
         self.observe(TargetNotice(5.0, leaving=True), sent_at=1.0, now=2.0)
         later = ("i-1", 2000)
-        self.tracker.follow(later)
+        self.tracker.follow(lambda: later)
         self.assertEqual(self.tracker.current, TargetStatement(later))
         self.observe(TargetNotice(7.0), sent_at=2.0, now=3.0)
         self.assertEqual(self.tracker.current, TargetStatement(later))
 
+    def test_delayed_call_does_not_bring_an_earlier_process_back(self) -> None:
+        """Guards against losing the limit of a process to a call that began before its start."""
+        later = ("i-1", 2000)
+        answers = iter([PROCESS, later])
+        self.tracker.follow(lambda: later)
+        self.tracker.observe(later, TargetNotice(7.0), genuine=True, sent_at=1.0, now=2.0)
+        self.tracker.follow(lambda: next(answers))
+        self.assertEqual(self.tracker.current.limit_per_s, 7.0)
+
     def test_leaving_is_not_taken_back(self) -> None:
         """Guards against a target that leaves and gets calls again by a late answer."""
         self.observe(TargetNotice(leaving=True), sent_at=1.0, now=2.0)
