Register refused records of the log, so that a duplicate stays refused

Callers saw: nothing known. A record of the product's own log that was refused for its offset took effect when it arrived again. Cause: limits were checked before the record was registered under its writer and number. A mark for an epoch that is not past yet is refused; a duplicate behind that epoch was taken for the first arrival. Change: the envelope is checked first, then the record is registered, then its body is checked. Conclusion: once refused, a record is final.

--- a/src/citronrack/log/_limits.py
+++ b/src/citronrack/log/_limits.py
@@ -19,16 +19,20 @@
 _DUTIES = frozenset(duty.value for duty in Duty)
 
 
-def limit_violation(offset: int, envelope: Envelope) -> str:
-    """Return which limit a decoded record violates, empty for none.
+def envelope_violation(envelope: Envelope) -> str:
+    """Return which limit the writer or the sequence number of a record violates, empty for none."""
+    if not 0 < len(envelope.writer) <= MAX_WRITER or envelope.sequence < 1:
+        return "writer or sequence is out of range"
+    return ""
+
+
+def body_violation(offset: int, body: Any) -> str:
+    """Return which limit the body of a record violates, empty for none.
 
     Args:
         offset: Offset of the record.
-        envelope: The record.
+        body: The body.
     """
-    if not 0 < len(envelope.writer) <= MAX_WRITER or envelope.sequence < 1:
-        return "writer or sequence is out of range"
-    body = envelope.body
     for attribute in attrs.fields(type(body)):
         value = getattr(body, attribute.name)
         if isinstance(value, str) and len(value) > MAX_TEXT:
--- a/src/citronrack/log/fold.py
+++ b/src/citronrack/log/fold.py
@@ -12,7 +12,7 @@
 from ..errors import ConfigInvalid, MessageRejected
 from . import marks
 from ._conflicts import move_conflict
-from ._limits import limit_violation
+from ._limits import body_violation, envelope_violation
 from ._snapshot_format import pack_state, unpack_state
 from ._writers import Arrival, classify_arrival
 from .marks import mark_key
@@ -144,12 +144,17 @@
         except MessageRejected as error:
             return FoldResult(offset, accepted=False, reason=error.reason)
         body = envelope.body
-        reason = limit_violation(offset, envelope)
+        reason = envelope_violation(envelope)
         if reason:
             return FoldResult(offset, accepted=False, reason=reason, body=body)
+        # A record is registered even if it is refused: limits depend on the offset, and a refused
+        # record that arrives again must not take effect.
         arrival = classify_arrival(self._state.writers, envelope.writer, envelope.sequence, offset)
         if arrival is Arrival.DUPLICATE:
             return FoldResult(offset, accepted=False, reason="duplicate", body=body)
+        reason = body_violation(offset, body)
+        if reason:
+            return FoldResult(offset, accepted=False, reason=reason, body=body)
         if arrival is Arrival.SUPERSEDED:
             self._store_superseded(offset, body)
             return FoldResult(offset, accepted=False, reason=SUPERSEDED, body=body)
--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -60,6 +60,20 @@
         self.assertEqual(self.apply(Claim(Duty.OUTCOMES, 2, "a", 1000), sequence=1), "duplicate")
         self.assertEqual(self.fold.state.leases["outcomes"].term, 1)
 
+    def test_refused_record_that_arrives_again_stays_refused(self) -> None:
+        """Guards against a record that was refused for its offset and takes effect as a duplicate.
+
+        Its epoch lies after its offset the first time, and before it the second time.
+        """
+        mark = Marked("s", "2", 5, "slow", "", 9, 0, "z")
+        data = encode_record(Envelope("c", 1, 0, mark))
+        first = self.fold.apply(self.fold.next_offset, data)
+        self.assertEqual((first.accepted, bool(first.reason)), (False, True))
+        while self.fold.next_offset <= mark.epoch:
+            self.fold.apply(self.fold.next_offset, b"")
+        again = self.fold.apply(self.fold.next_offset, data)
+        self.assertEqual((again.accepted, again.reason), (False, "duplicate"))
+
     def test_confirming_twice_keeps_the_first_result(self) -> None:
         """Fails if a second confirmation of the same plan reported a refusal of the first."""
         self.apply(confirmed("p1", -1))
