--- a/src/citronrack/proof/_strategies.py
+++ b/src/citronrack/proof/_strategies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import types
+from collections.abc import Callable
 from typing import Any, Union, get_args, get_origin
 
 import attrs
@@ -10,6 +11,9 @@
 
 from ..calls import CallRecord
 from ..config import Change, Route, Service, ServiceVersion
+from ..hosted.entry import NodeEntry
+from ..hosted.ramp import RAMP
+from ..hosted.rollout import Phase, RolloutRecord
 from ..log import Envelope, encode_record
 from ..log.records import Confirmed, Duty, MoveResult, record_codec
 from ..membership import Member
@@ -70,10 +74,50 @@
     )
 
 
+def node_entries() -> st.SearchStrategy[NodeEntry]:
+    """Generate entries of hosted nodes; their fields are validated, so all are valid."""
+    addresses = st.integers(1, 9).map(lambda number: f"127.0.0.{number}:{10_000 + number}")
+    return st.builds(
+        NodeEntry,
+        name=st.sampled_from(NAMES),
+        boot=st.integers(0, 9),
+        revision=st.integers(0, 9),
+        availability_zone=st.sampled_from(ZONES),
+        peer_address=addresses,
+        deliver_address=addresses,
+        service=st.sampled_from(("", *SERVICES)),
+        service_version=st.sampled_from(VERSIONS),
+        target_id=st.sampled_from(("", "i-1", "i-2")),
+        slots=st.integers(1, 9),
+        serving=st.booleans(),
+        link_mbps=st.integers(0, 1000),
+        limit_per_s=st.none() | st.floats(0, 100),
+        target_started_ms=st.integers(0, 9),
+    )
+
+
+def rollout_records() -> st.SearchStrategy[RolloutRecord]:
+    """Generate records of rollouts; their fields are validated, so all are valid."""
+    return st.builds(
+        RolloutRecord,
+        order_id=st.integers(0, 9),
+        service=st.sampled_from(SERVICES),
+        target_version=st.sampled_from(VERSIONS),
+        phase=st.sampled_from([phase.value for phase in Phase]),
+        share=st.floats(0, 1),
+        step=st.integers(0, len(RAMP) - 1),
+        elapsed_ms=st.integers(0, 99_999),
+        holder=st.sampled_from(NAMES),
+        revision=st.integers(0, 9),
+        reason=_TEXTS,
+        reported=st.booleans(),
+    )
+
+
 def of_type(kind: Any) -> st.SearchStrategy[Any]:
     """Generate values of a type annotation that the codec supports."""
-    if kind is Member:
-        return members()
+    if kind in _VALIDATED:
+        return _VALIDATED[kind]()
     if kind in _LEAVES:
         return _LEAVES[kind]
     origin, args = get_origin(kind), get_args(kind)
@@ -91,6 +135,13 @@
     return st.none()
 
 
+_VALIDATED: dict[Any, Callable[[], st.SearchStrategy[Any]]] = {
+    Member: members,
+    NodeEntry: node_entries,
+    RolloutRecord: rollout_records,
+}
+
+
 def messages() -> st.SearchStrategy[Any]:
     """Generate messages of all types that are registered for the transport."""
     kinds = sorted(message_codec._by_tag.items())
