--- a/tests/log/test_fold.py
+++ b/tests/log/test_fold.py
@@ -65,7 +65,8 @@
 
         Its epoch lies after its offset the first time, and before it the second time.
         """
-        mark = Marked("s", "2", 5, "slow", "", 9, 0, "z")
+        self.apply(confirmed("p1", -1))
+        mark = Marked("catalogue", "2.0", 5, "slow", "", 9, 0, "z")
         data = encode_record(Envelope("c", 1, 0, mark))
         first = self.fold.apply(self.fold.next_offset, data)
         self.assertEqual((first.accepted, bool(first.reason)), (False, True))
