--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -9,7 +9,7 @@
 
 import xxhash
 from attrs import field, frozen
-from attrs.validators import optional
+from attrs.validators import min_len, optional
 
 from .. import validators
 from ..clock import Clock
@@ -58,7 +58,7 @@
         target_started_ms: Wall time of the start of the target's process, 0 while it is unknown.
     """
 
-    name: str = field(validator=validators.name)
+    name: str = field(validator=[_text, min_len(1)])
     boot: int = field(validator=_count)
     revision: int = field(validator=_count)
     availability_zone: str = field(validator=_text)
--- a/tests/hosted/test_limits.py
+++ b/tests/hosted/test_limits.py
@@ -10,6 +10,7 @@
 from citronrack.clock import ManualClock, SystemClock
 from citronrack.hosted.messages import TargetStated
 from citronrack.hosted.target import LEAVING
+from citronrack.platform.answers import decode_notice
 from citronrack.platform.operator import operator_topic
 
 from ..limits import allowed
@@ -76,6 +77,15 @@
         self.state(5.0)
         self.assertEqual(self.limits(), {None})
 
+    def test_odd_limits_do_not_stop_the_ticks(self) -> None:
+        """Guards against a node whose target names a limit that no entry can hold."""
+        for value in (b"9" * 32, b"0", b"0." + b"0" * 30 + b"1", b"9007199254740993"):
+            with self.subTest(value=value):
+                self.state(decode_notice({b"server-limit": value}).limit_per_s)
+                (limit,) = self.limits()
+                self.assertEqual(limit, self.mesh.cores["n0"].entry.limit_per_s)
+                self.assertIsNotNone(limit)
+
     def test_small_changes_need_no_messages(self) -> None:
         """Guards against a message to all nodes for each answer of a target."""
         self.state(10.4)
