Do not count on beyond the largest number that messages hold

Cause: a rollout record or an entry of another writer with the greatest valid revision or boot made its successor invalid, which failed in each tick of the node that counted on. Change: both counters stop at that number. A rollout or a node whose record was poisoned this way keeps its last state. Conclusion: found while reading the validators for their own faults.

--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -10,6 +10,7 @@
 from ..codec import decode, encode
 from ..errors import MessageRejected
 from ..rendezvous import weight
+from ..validators import MAX_NUMBER
 from .entry import RENEW_INTERVAL_S, NodeEntry, NodeTable
 from .publish import Write
 from .store import MESH_TOPIC, KeyedRecord
@@ -129,7 +130,7 @@
         A process that started while the wall clock was ahead may have left a greater boot number.
         """
         if other.version > self._entry.version:
-            self._set_entry(evolve(self._entry, boot=other.boot + 1, revision=0))
+            self._set_entry(evolve(self._entry, boot=min(other.boot + 1, MAX_NUMBER), revision=0))
             if self._stored:
                 self.store()
 
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -401,7 +401,7 @@
         return evolve(
             record,
             holder=self._own_name,
-            revision=known.revision + 1 if known is not None else 1,
+            revision=min(known.revision + 1, MAX_NUMBER) if known is not None else 1,
             elapsed_ms=int(rollout.elapsed_s(now) * 1000),
         )
 
--- a/tests/hosted/test_foreign_entries.py
+++ b/tests/hosted/test_foreign_entries.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 import msgpack
+from attrs import evolve
 
 from citronrack.codec import encode
 from citronrack.hosted.entry import NodeEntry
@@ -12,6 +14,7 @@
 from citronrack.hosted.store import MESH_TOPIC
 from citronrack.platform.operator import operator_topic
 from citronrack.telemetry import Event
+from citronrack.validators import MAX_NUMBER
 
 from .mesh import SERVICE, Mesh, config_record
 
@@ -79,6 +82,22 @@
                 self.assertGreater(self.mesh.cores["n0"].records_refused, number)
                 self.assertNotIn("node/n8", {e.name for e in self.mesh.cores["n0"].entries})
 
+    def test_greatest_numbers_that_are_valid(self) -> None:
+        """Guards against a node that counts on from another writer's number and fails in a tick."""
+        operator = operator_topic().name
+        order = {"service": SERVICE, "target_version": "v2", "duration": "60s"}
+        order_id = len(self.mesh.store.topics[operator])
+        self.mesh.store.put(operator, f"rollout/{SERVICE}", json.dumps(order).encode())
+        greatest = RolloutRecord(
+            order_id, SERVICE, "v2", Phase.RUNNING, 0.04, 0, 0, "n7", MAX_NUMBER
+        )
+        self.mesh.store.put(MESH_TOPIC, f"rollout/{SERVICE}", greatest.encode())
+        own = evolve(self.mesh.cores["n0"].entry, boot=MAX_NUMBER, revision=MAX_NUMBER)
+        self.mesh.store.put(MESH_TOPIC, "node/n0", encode(own))
+        self.mesh.read()
+        self.mesh.run_with_reports(8.0)
+        self.check_follows(b"", "node/n8")
+
     def test_odd_records_of_rollouts(self) -> None:
         """Guards against a rollout record that ends or stops every holder."""
         good = RolloutRecord(0, SERVICE, "v2", Phase.RUNNING, 0.04, 0, 0, "n7", 1)
