--- a/tests/node/test_processes.py
+++ b/tests/node/test_processes.py
@@ -82,7 +82,10 @@
         """Return the versions that each process of a node put in force, in order."""
         runs: list[list[int]] = []
         for line in self.fleet.log_text(name).splitlines():
-            entry = json.loads(line)
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                self.fail(f"{name} has written a line that is not JSON: {line!r}")
             if entry["event"] == "node_started":
                 runs.append([])
             elif entry["event"] == "config_in_force":
