--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins import BROKEN, HELD, NOT_RUN, Site, main, new_id  # noqa: E402
+from standins import BROKEN, HELD, NOT_RUN, Site, main, new_id
 
 SERVICE = "catalogue"
 RATE_PER_S = 140.0
--- a/review/standins.py
+++ b/review/standins.py
@@ -334,8 +334,6 @@
 
     def _write_settings(self) -> None:
         ports, site = self.ports, self.site
-        peers = [port for port in sorted(ports.values())]
-        del peers
         seeds = json.dumps([f"{site.network}.{index + 10}:{ports['control']}" for index in (0, 1)])
         parameters = "\n".join(
             f"{name} = {json.dumps(value)}" for name, value in site.parameters.items()
