Show that a request that offers an upgrade loses its body

Cause: the parser ends such a request at its head, and the reader takes it as complete with an empty body.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/standins.py
+++ b/review/standins.py
@@ -214,6 +214,7 @@
         self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.arrived: list[tuple[float, str]] = []
+        self.lengths: dict[str, int] = {}
         self.ended = threading.Event()
         self.reports = threading.Event()
         self._record = record
@@ -305,6 +306,7 @@
             return response(200, {"Instance-Id": self.id})
         with self._lock:
             self.arrived.append((time.monotonic(), attempt))
+            self.lengths[attempt] = length
         self._record(
             f"{self.machine.name} ({self.version}) runs {attempt}: {first}, {length} bytes"
         )
@@ -417,6 +419,7 @@
         method: str = "GET",
         body: bytes = b"",
         chunked: bool = False,
+        headers: dict[str, str] | None = None,
         deadline_ms: int = 2500,
         wait_s: float | None = None,
     ) -> tuple[int, dict[str, str]]:
@@ -424,6 +427,7 @@
         end = time.monotonic() + (deadline_ms / 1000 if wait_s is None else wait_s)
         head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n"
         head += f"Deadline-Ms: {deadline_ms}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
         if chunked:
             head += "Transfer-Encoding: chunked\r\n"
         elif body or method != "GET":
