Send more orders in the case of the empty chunked body

Cause: whether the caller's node or the node beside the worker times out first varies. Change: 100 orders instead of 24.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 from standins import BROKEN, HELD, Site, main, new_id
 
-ORDERS = 24
+ORDERS = 100
 WORK_S = 0.12
 SLOW = 12.0
 
@@ -47,7 +47,7 @@
         senders = [threading.Thread(target=send, args=(new_id(),)) for _ in range(ORDERS)]
         for sender in senders:
             sender.start()
-            time.sleep(0.05)
+            time.sleep(0.08)
         for sender in senders:
             sender.join()
         time.sleep(2.0)
