--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 import threading
 import time
@@ -11,6 +12,7 @@
 
 from standins import BROKEN, HELD, Site, main, new_id
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ORDERS = 100
 WORK_S = 0.12
 SLOW = 12.0
@@ -41,7 +43,7 @@
             answers[attempt], _ = front.request(attempt, "/order/1", method="POST", chunked=True)
             site.record(f"{attempt} is answered {answers[attempt]}")
 
-        if site.trouble:
+        if TROUBLE:
             workers[0].work_s = WORK_S * SLOW
             site.record(f"the worker of {backs[0].name} works {SLOW:g} times as long")
         senders = [threading.Thread(target=send, args=(new_id(),)) for _ in range(ORDERS)]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import sys
 import threading
@@ -12,6 +13,7 @@
 
 from standins import BROKEN, HELD, CannotRun, Site, main, new_id
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE = "catalogue"
 RATE_PER_S = 40.0
 DRAIN_S = 2.0
@@ -52,7 +54,7 @@
         acknowledged = time.monotonic()
         site.record(f"{leaves.name} acknowledges that its worker leaves")
         started = 0.0
-        if site.trouble:
+        if TROUBLE:
             time.sleep(0.2)
             leaves.kill()
             site.record(f"the node on {leaves.name} is killed")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 import sys
 import threading
@@ -13,6 +14,7 @@
 
 from standins import BROKEN, HELD, NOT_RUN, Site, main, new_id
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE = "catalogue"
 RATE_PER_S = 140.0
 WORK_S = 0.065
@@ -84,7 +86,7 @@
             f" and {len(new[1].arrived)} requests"
         )
         time.sleep(NEXT_ORDER_AFTER_S)
-        if site.trouble:
+        if TROUBLE:
             order(site, "v3", 12.0)
             for machine in good:
                 machine.start()
--- a/review/standins.py
+++ b/review/standins.py
@@ -459,7 +459,6 @@
         if not (DEPS / "citronrack").is_dir():
             raise CannotRun("the build of the deploy file is missing")
         self.record = Record(folder)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.seeds = seeds
         self.parameters: dict[str, object] = {
             "seed_lag": "3s",
