Count the last chunk of an empty body as sent

Cause: a withheld body counted as sent with its first byte of content. The last chunk of an empty body has none, yet it completes the request. A streamed body with a declared length of 0 was taken as withheld, too.

Change: every byte of a body is written by one function that first notes that the next node may act on the request, and a body without a byte whose length is declared is never withheld.

--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -26,6 +26,9 @@
 TIMEOUT = b"x-request-timeout-ms"
 REQUEST_ID = b"x-request-id"
 RETRY_AFTER = b"retry-after"
+LAST_CHUNK = b"0\r\n\r\n"
+"""Ends a body with chunked coding."""
+
 _INTERNAL_PREFIX = b"x-citronrack-"
 
 
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -16,7 +16,16 @@
 from ._response import NO_BODY_STATUSES
 from ._sockets import abort, set_receive_timeout, set_timeouts
 from .drain import Drainer
-from .headers import ARRIVED, DEFAULT_HEADER_NAMES, LOAD, PAUSE, VERDICT, HeaderNames, response_head
+from .headers import (
+    ARRIVED,
+    DEFAULT_HEADER_NAMES,
+    LAST_CHUNK,
+    LOAD,
+    PAUSE,
+    VERDICT,
+    HeaderNames,
+    response_head,
+)
 from .limits import READ_BYTES, WireLimits
 from .message import BodyReadError, Request, Response, local_response
 from .request_reader import BadRequest, ConnectionEnded, ReceivedRequest, RequestReader
@@ -276,7 +285,7 @@
             if part:
                 connection.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
         if chunked:
-            connection.sendall(b"0\r\n\r\n")
+            connection.sendall(LAST_CHUNK)
 
     def _render(
         self, response: Response, *, keep: bool, chunked: bool, head_only: bool = False
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -14,7 +14,16 @@
 from ._connections import CANCEL_POLL_S, Address, Connection, ConnectionPool
 from ._response import ResponseReader
 from ._sockets import has_input, set_timeouts
-from .headers import ARRIVED, LOAD, PAUSE, VERDICT, Headers, end_to_end, request_head
+from .headers import (
+    ARRIVED,
+    LAST_CHUNK,
+    LOAD,
+    PAUSE,
+    VERDICT,
+    Headers,
+    end_to_end,
+    request_head,
+)
 from .limits import READ_BYTES, WHOLE_BODY_BYTES
 from .message import Body, BodyReadError, CallerDisconnected, DeadlineExceeded, Response
 
@@ -77,10 +86,12 @@
         """Whether the body is sent only after the node's 100 Continue.
 
         The node sends it when it is about to pass the request to its target. A request whose body
-        was never sent has not run, whatever happens to the connection or the node.
+        was never sent has not run, whatever happens to the connection or the node. A body without
+        a byte whose length is declared ends with the head, so there is nothing to withhold.
         """
-        body = self.body.whole
-        return self.to_node and (body is None or (bool(body) and not self.idempotent))
+        if not self.to_node or self.body.length == 0:
+            return False
+        return self.body.whole is None or not self.idempotent
 
 
 class Upstream:
@@ -275,13 +286,13 @@
                     raise BodyReadError("the body is longer than declared")
                 if time.monotonic() > request.deadline:
                     raise DeadlineExceeded("the deadline has passed", verdict=_verdict(connection))
-                connection.written = True
-                connection.socket.sendall(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+                framed = b"%x\r\n%b\r\n" % (len(part), part) if chunked else part
+                _write_body(connection, framed)
             else:
                 if sent != length:
                     return  # The server responded before the end of the body.
             if chunked:
-                connection.socket.sendall(b"0\r\n\r\n")
+                _write_body(connection, LAST_CHUNK)
             elif sent != length:
                 raise BodyReadError("the body is shorter than declared")
         except BodyReadError as error:
@@ -400,6 +411,12 @@
     return [*framing, (b"content-length", b"%d" % request.body.length)]
 
 
+def _write_body(connection: Connection, data: bytes) -> None:
+    """Write a part of a body or its last chunk, after which the server may act on the request."""
+    connection.written = True
+    connection.socket.sendall(data)
+
+
 def _number(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() and len(value) < 8 else None
 
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import httptools
-from attrs import define, field
+from attrs import define, evolve, field
 
 from citronrack.calls import (
     CallRecord,
@@ -135,6 +135,12 @@
         for holder in self._holders:
             holder.current = view
 
+    def publish_address(self, address: tuple[str, int]) -> None:
+        """Publish a view whose only target is another server than a node of the mesh."""
+        target = PoolTarget("other", address, "a", self.slots)
+        for holder in self._holders:
+            holder.current = evolve(holder.current, pools={("catalogue", "1"): (target,)})
+
     def __enter__(self) -> Mesh:
         return self
 
