Keep an acknowledged leaving beyond the life of its node

Cause: acknowledged leave notices and draining reports were kept in the memory of the process that gave the acknowledgement. The other nodes held an entry that said "not serving", which may have other reasons, and lost it with the first entry of the new process.

Change: a leaving is written to the store before it is acknowledged, stands in the entry that all nodes hold, and is given back by either after a restart.

test_target_that_leaves_by_its_answers waited until the restarted node offered the target again, which was the fault. It now waits until the node has been told, and requires that none of its entries since offers the target.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -18,6 +18,7 @@
 from .fanout import Fanout, Relayed, send_to
 from .gossip import Entries, GossipCore
 from .joining import SeedJoin
+from .leaving import LEFT_PREFIX, LeaveKeeper
 from .messages import (
     CallReported,
     CoreMessage,
@@ -113,6 +114,14 @@
             submit=dependencies.submit,
             announce=self._announce,
         )
+        self._leaving = LeaveKeeper(
+            dependencies.target,
+            name=own.name,
+            clock=dependencies.clock,
+            events=dependencies.events,
+            submit=dependencies.submit,
+            is_informed=lambda: self._replicas[MESH_TOPIC].known,
+        )
         self._callbacks = CoreCallbacks()
         self._access = StoreAccess(
             own,
@@ -185,7 +194,8 @@
 
     def identity(self) -> TargetIdentity:
         """Return the identity of the local target for the call path; thread-safe."""
-        return self._canary.restrict(self._dependencies.target.identity)
+        identity = self._dependencies.target.identity
+        return self._canary.restrict(self._leaving.restrict(identity))
 
     def handle(self, message: CoreMessage) -> list[Send]:
         """Handle a message of another task."""
@@ -237,8 +247,10 @@
             self._view_outdated = True
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
+        self._leaving.on_tick()
         self._send_evidence()
-        self._outbox += self._gossip.on_tick(current=self._access.current, young=self._join.young)
+        current = self._access.current and self._replicas[MESH_TOPIC].known
+        self._outbox += self._gossip.on_tick(current=current, young=self._join.young)
         return self._finish()
 
     def leave(self) -> list[Send]:
@@ -277,6 +289,8 @@
             self._broadcast_rollout(rollout)
         elif message.record.key == self._registration.key:
             self._callbacks.read_nodes()
+        elif message.topic == MESH_TOPIC:
+            self._leaving.on_stored(message.record)
 
     def _on_target_report(self, message: ReportReceived) -> None:
         target = self._dependencies.target
@@ -287,15 +301,20 @@
             return
         if changed:
             self._target_changed()
-        message.answer.set_result("")
+        if message.report.draining:
+            self._leaving.acknowledge(message.answer)
+        else:
+            message.answer.set_result("")
 
     def _on_target_leave(self, message: LeaveReceived) -> None:
         self._apply_leave(message.leave)
-        message.answer.set_result("")
+        self._leaving.acknowledge(message.answer)
 
     def _apply_leave(self, leave: TargetLeave) -> None:
         if self._dependencies.target.on_leave(leave):
             self._target_changed()
+        else:
+            self._update_own_entry()  # It holds notices that precede the first report, too.
 
     def _on_call_reported(self, message: CallReported) -> None:
         target = self._dependencies.target
@@ -332,9 +351,11 @@
             self._dependencies.target.view,
             takes_calls=takes_calls,
             limit_per_s=self._announced_limit(),
+            left=self._dependencies.target.left,
         )
         if changed:
             self._view_outdated = True
+        self._leaving.keep()
 
     def _announced_limit(self) -> float | None:
         """Return the rounded limit of the target, so that small changes need no messages."""
@@ -354,6 +375,7 @@
         if newest and self._restoration.on_era(era_of(newest)):
             if self._registration.is_registrar and not self._stopping:
                 self._registration.store()
+            self._leaving.write_again()
             self._rollouts.write_again()
         must_decide = operator.disputed and operator.settled and self._access.reading
         if must_decide and self._restoration.may_reread(operator.era):
@@ -406,7 +428,8 @@
         for entry in expired:
             self._view_outdated = True
             self._dependencies.events.write(Event.NODE_EXPIRED, peer=entry.name)
-        self._registration.remove_records(expired)
+        if self._registration.remove_records(expired):
+            self._leaving.remove_records(expired)
 
     def _on_records(self, topic: str, records: Iterable[KeyedRecord], source: str) -> None:
         if topic == self._dependencies.operator.name:
@@ -422,6 +445,9 @@
                     self._apply_rollout(rollout)
                 elif record.value is not None:
                     self._audit.refuse(record)
+            elif record.key.startswith(LEFT_PREFIX) and self._leaving.on_record(record):
+                self._target_changed()
+        self._update_own_entry()  # The records may be the first ones that this node has heard.
 
     def _on_node_record(self, record: KeyedRecord) -> None:
         entry = entry_of(record)
@@ -460,14 +486,26 @@
     def _on_entries(self, entries: list[NodeEntry]) -> None:
         for entry in entries:
             if entry.name == self._registration.entry.name:
-                self._refute(entry)
-            elif self._table.put(entry):
+                self._on_own_entry(entry)
+                continue
+            before = self._table.get(entry.name)
+            if self._table.put(entry):
                 self._view_outdated = True
                 self._dependencies.events.write(Event.NODE_ENTRY, **entry.log_fields)
+                self._remind(entry, before)
         if self._table.others() and self._join.on_answer():
             self._announce(self._registration.entry)
 
-    def _refute(self, entry: NodeEntry) -> None:
+    def _remind(self, entry: NodeEntry, before: NodeEntry | None) -> None:
+        """Send a node that has restarted its earlier entry if its target had left."""
+        if before is not None and before.left and not entry.left and entry.boot > before.boot:
+            self._outbox.append(Send(entry.peer_url, Entries((before,))))
+
+    def _on_own_entry(self, entry: NodeEntry) -> None:
+        """Handle an entry of this node, of an earlier start or under the same name."""
+        if entry.left is not None and self._leaving.restore(entry.left, source="node"):
+            self._target_changed()
+        self._update_own_entry()
         if not self._stopping:
             self._registration.refute(entry)
             self._view_outdated = True
--- a/src/citronrack/hosted/entry.py
+++ b/src/citronrack/hosted/entry.py
@@ -14,6 +14,7 @@
 from .. import validators
 from ..clock import Clock
 from ..validators import MAX_NUMBER, MAX_SLOTS, MAX_TEXT
+from .target import TargetLeave
 
 RENEW_INTERVAL_S = 60.0
 """Interval at which a node renews its entry, so that entries of terminated nodes can expire."""
@@ -56,6 +57,8 @@
         limit_per_s: Calls a second that the target takes from all nodes together, None without a
             limit.
         target_started_ms: Wall time of the start of the target's process, 0 while it is unknown.
+        left_target_id: Id of the target whose leaving the node acknowledged last, empty for none.
+        left_started_ms: Wall time of the start of that target's process, 0 if it is unknown.
     """
 
     name: str = field(validator=[_text, min_len(1)])
@@ -72,6 +75,15 @@
     link_mbps: int = field(default=0, validator=_count)
     limit_per_s: float | None = field(default=None, validator=optional(_count))
     target_started_ms: int = field(default=0, validator=_count)
+    left_target_id: str = field(default="", validator=_text)
+    left_started_ms: int = field(default=0, validator=_count)
+
+    @property
+    def left(self) -> TargetLeave | None:
+        """The leaving that the node acknowledged last, None for none."""
+        if not self.left_target_id:
+            return None
+        return TargetLeave(self.left_target_id, self.left_started_ms or None)
 
     @property
     def peer_url(self) -> str:
@@ -142,6 +154,15 @@
         nodes = self._zones.get(availability_zone, {})
         return [entry for entry in nodes.values() if entry.name != self._own_name]
 
+    def get(self, name: str) -> NodeEntry | None:
+        """Return the entry of a node, None when it is not known."""
+        return self._entries.get(name)
+
+    def at(self, peer_url: str) -> NodeEntry | None:
+        """Return the entry of the node that sends messages from an address, None for none."""
+        entries = self._entries.values()
+        return next((entry for entry in entries if entry.peer_url == peer_url), None)
+
     def put(self, entry: NodeEntry) -> bool:
         """Store an entry if it is newer than the known one; return whether it was."""
         known = self._entries.get(entry.name)
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -247,7 +247,7 @@
         )
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
-        sends: list[Send] = []
+        sends = self._remind(sender, message)
         for topic, position in message.topics:
             replica = self._replicas.get(topic)
             if replica is not None and era_of(position) > replica.era:
@@ -255,7 +255,8 @@
             if not message.stale or replica is None or replica.position < position:
                 continue
             age_s = self._confirmed_age_s(topic)
-            if replica.position > position or age_s is not None:
+            starts = not position and replica.known
+            if replica.position > position or age_s is not None or starts:
                 sends += self._record_messages(sender, replica, position, age_s=age_s)
         known = {service: (order_id, revision) for service, order_id, revision in message.rollouts}
         for record in self._rollouts():
@@ -268,6 +269,16 @@
                 sends.append(Send(sender, self._positions(wants_reply=False)))
         return sends
 
+    def _remind(self, sender: str, message: Positions) -> list[Send]:
+        """Return the last entry of a node that has just started, if its target had left.
+
+        The message precedes the records, without which the node takes no calls for its target.
+        """
+        if any(position for _, position in message.topics):
+            return []
+        known = self._table.at(sender)
+        return [Send(sender, Entries((known,)))] if known is not None and known.left else []
+
     @staticmethod
     def _record_messages(
         to: str, replica: TopicReplica, position: int, *, age_s: float | None = None
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -14,7 +14,7 @@
 from .entry import RENEW_INTERVAL_S, NodeEntry, NodeTable
 from .publish import Write
 from .store import MESH_TOPIC, KeyedRecord
-from .target import OwnTargetView, TargetState
+from .target import OwnTargetView, TargetLeave, TargetState
 
 NODE_PREFIX = "node/"
 
@@ -68,7 +68,12 @@
         return NODE_PREFIX + self._entry.name
 
     def update(
-        self, view: OwnTargetView, *, takes_calls: bool, limit_per_s: float | None = None
+        self,
+        view: OwnTargetView,
+        *,
+        takes_calls: bool,
+        limit_per_s: float | None = None,
+        left: TargetLeave | None = None,
     ) -> bool:
         """Announce the state of the target if the entry changes; return whether it does.
 
@@ -76,6 +81,7 @@
             view: Known state of the target.
             takes_calls: Whether this node routes calls to it.
             limit_per_s: Calls a second that it takes from all nodes together, None for no limit.
+            left: The leaving that this node acknowledged last.
         """
         report = view.report
         entry = evolve(
@@ -87,6 +93,8 @@
             serving=view.state is TargetState.SERVING and takes_calls,
             limit_per_s=limit_per_s,
             target_started_ms=report.started_ms if report else 0,
+            left_target_id=left.target_id if left else "",
+            left_started_ms=(left.started_ms or 0) if left else 0,
         )
         if entry == self._entry:
             return False
@@ -134,11 +142,16 @@
             if self._stored:
                 self.store()
 
-    def remove_records(self, expired: list[NodeEntry]) -> None:
-        """Remove the records of expired nodes; only the node with the smallest name does so."""
-        if min(entry.name for entry in self._table.entries()) == self._entry.name:
-            for entry in expired:
-                self._submit(_removal(entry))
+    def remove_records(self, expired: list[NodeEntry]) -> bool:
+        """Remove the records of expired nodes; return whether it falls to this node.
+
+        Only the node with the smallest name does so.
+        """
+        if min(entry.name for entry in self._table.entries()) != self._entry.name:
+            return False
+        for entry in expired:
+            self._submit(_removal(entry))
+        return True
 
     def _set_entry(self, entry: NodeEntry) -> None:
         self._entry = entry
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._supersedes = supersedes
         self._position = 0
+        self._known = False
         self._records: dict[str, KeyedRecord] = {}
         self._restored_at: float | None = None
         self._disputed: set[str] = set()
@@ -49,6 +50,11 @@
         """First position that the replica does not cover."""
         return self._position
 
+    @property
+    def known(self) -> bool:
+        """Whether the replica has held the whole topic as of some time, which may be empty."""
+        return self._known
+
     @property
     def era(self) -> int:
         """Era of the store that the replica follows."""
@@ -90,6 +96,7 @@
         self._follow_era(page)
         changed = self._merge(page.records)
         if page.start <= self._position:
+            self._known = True
             self._position = max(self._position, page.position)
         return changed
 
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import StrEnum
 from typing import Any
 
-from attrs import frozen
+from attrs import field, frozen
+from attrs.validators import optional
 
+from .. import validators
 from ..calls.delivery import TargetIdentity
 from ..clock import Clock
+from ..validators import MAX_NUMBER, MAX_TEXT
 
 MISSED_REPORTS = 4
 """Missed reports after which a target gets no calls; a single report may be seconds late."""
 
+MAX_LEAVE_NOTICES = 8
+"""Leave notices that are kept, so that late reports of earlier starts are recognised."""
+
 NO_TARGET = "the target has not reported yet"
 LEAVING = "the target is leaving"
 SILENT = "the target has stopped reporting"
@@ -63,8 +70,8 @@
         started_ms: Wall time of its start, None when the notice does not contain it.
     """
 
-    target_id: str
-    started_ms: int | None
+    target_id: str = field(validator=validators.text(MAX_TEXT))
+    started_ms: int | None = field(validator=optional(validators.between(0, MAX_NUMBER)))
 
     def matches(self, report: TargetReport) -> bool:
         """Return whether a report is from the start of the target that leaves."""
@@ -121,7 +128,8 @@
         self._clock = clock
         self._view = OwnTargetView()
         self._last_report_at = 0.0
-        self._leave_notice: TargetLeave | None = None
+        self._leave_notices: deque[TargetLeave] = deque(maxlen=MAX_LEAVE_NOTICES)
+        self._left: TargetLeave | None = None
         self._identity = TargetIdentity(service, "", refusal=NO_TARGET)
 
     @property
@@ -134,6 +142,11 @@
         """Identity of the target for the call path; an immutable snapshot."""
         return self._identity
 
+    @property
+    def left(self) -> TargetLeave | None:
+        """The latest leaving that was reported, None if no target has left."""
+        return self._left
+
     def on_report(self, report: TargetReport) -> bool:
         """Apply a report; return whether the state of the target changed.
 
@@ -150,6 +163,8 @@
         leaving = report.draining or self._matches_leave_notice(report)
         if known is not None and self._same_start(report, known) and self._leaving:
             leaving = True
+        if leaving:
+            self._left = TargetLeave(report.target_id, report.started_ms)
         state = TargetState.LEAVING if leaving else TargetState.SERVING
         return self._replace_view(OwnTargetView(state, report, now + report.cold_s))
 
@@ -159,19 +174,37 @@
         The notice also applies to later reports: a node that has just started may receive the
         notice first, and then reports that were sent before it.
         """
-        self._leave_notice = leave
+        if self._view.report is None:
+            self._left = leave
+        return self._apply_notice(leave)
+
+    def restore_leave(self, leave: TargetLeave) -> bool:
+        """Apply a leave notice that an earlier process of this node has acknowledged.
+
+        Returns:
+            Whether the state of the target changed.
+        """
+        if leave in self._leave_notices:
+            return False
+        self._left = self._left or leave
+        return self._apply_notice(leave)
+
+    def _apply_notice(self, leave: TargetLeave) -> bool:
+        self._leave_notices.append(leave)
         known = self._view.report
         if known is None or not self._matches_leave_notice(known):
             return False
+        self._left = TargetLeave(known.target_id, known.started_ms)
         return self._replace_view(OwnTargetView(TargetState.LEAVING, known, self._view.cold_until))
 
     def _matches_leave_notice(self, report: TargetReport) -> bool:
-        """Return whether the latest leave notice is from the same start as a report."""
-        if self._leave_notice is None or not self._leave_notice.matches(report):
-            return False
-        # A later start may reuse the id, so the notice is bound to the time of this start.
-        self._leave_notice = TargetLeave(report.target_id, report.started_ms)
-        return True
+        """Return whether a leave notice is from the same start as a report."""
+        for index, notice in enumerate(self._leave_notices):
+            if notice.matches(report):
+                # A later start may reuse the id, so the notice is bound to the time of this start.
+                self._leave_notices[index] = TargetLeave(report.target_id, report.started_ms)
+                return True
+        return False
 
     def on_tick(self) -> bool:
         """Detect a target that has stopped reporting; return whether the state changed."""
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -70,6 +70,7 @@
     TARGET_ARRIVALS = 344
     LIMIT_INVALID = 345
     TARGET_LEAVES = 346
+    LEAVING_RESTORED = 347
     CALL_ANSWERED = 404
     CALL_DELIVERED = 405
     ROLLOUT_ORDERED = 520
@@ -175,6 +176,9 @@
     Event.TARGET_LEAVES: EventInfo(
         "info", "An answer says that its target leaves; this node sends no more calls to it."
     ),
+    Event.LEAVING_RESTORED: EventInfo(
+        "info", "A leaving that this node acknowledged before its restart was given back to it."
+    ),
     Event.CALL_ANSWERED: EventInfo("info", "A caller has received its answer; see `verdict`."),
     Event.CALL_DELIVERED: EventInfo("info", "The own target has completed a call."),
     Event.ROLLOUT_ORDERED: EventInfo("info", "An operator has ordered a rollout."),
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -12,17 +12,24 @@
 
 from citronrack.calls import ViewHolder
 from citronrack.clock import ManualClock
+from citronrack.hosted.control import ANSWER_TIMEOUT_S
 from citronrack.hosted.core import HostedCore
 from citronrack.hosted.dependencies import CoreDependencies
 from citronrack.hosted.entry import NodeEntry, NodeTable
 from citronrack.hosted.fanout import Fanout
 from citronrack.hosted.gossip import GossipCore
-from citronrack.hosted.messages import PageRead, ReadFailed, RecordWritten, ReportReceived
+from citronrack.hosted.messages import (
+    LeaveReceived,
+    PageRead,
+    ReadFailed,
+    RecordWritten,
+    ReportReceived,
+)
 from citronrack.hosted.position import position_of
 from citronrack.hosted.publish import Write
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
-from citronrack.hosted.target import OwnTargetTracker, TargetReport
+from citronrack.hosted.target import OwnTargetTracker, TargetLeave, TargetReport
 from citronrack.platform.operator import operator_topic
 from citronrack.telemetry import Event, EventLog
 from citronrack.transport.send import Send
@@ -197,6 +204,20 @@
         }
         report = TargetReport(**{**usual, **fields})
         self.deliver(name, self.cores[name].handle(ReportReceived(report, answer)))
+        return self.answer(answer)
+
+    def leave(self, name: str, target_id: str, started_ms: int | None = None) -> str:
+        """Send a leave notice of a node's target; return the error message of the answer."""
+        answer: Future[str] = Future()
+        leave = LeaveReceived(TargetLeave(target_id, started_ms), answer)
+        self.deliver(name, self.cores[name].handle(leave))
+        return self.answer(answer)
+
+    def answer(self, answer: Future[str]) -> str:
+        """Return an answer that may wait for the store; time passes only while it is away."""
+        self._store_writes()
+        if not answer.done():
+            self.run(ANSWER_TIMEOUT_S)
         return answer.result(0)
 
     def deliver(self, sender: str, sends: list[Send]) -> None:
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -7,11 +7,12 @@
 
 from attrs import define, field
 
+from citronrack.hosted.compose import MESH_READ_PAUSE_S
 from citronrack.hosted.core import HostedCore
 from citronrack.hosted.messages import PageRead, ReadFailed
 from citronrack.hosted.position import era_of, offset_of, position_of
 from citronrack.hosted.readers import RANK_SCOPE, ReaderTimings
-from citronrack.hosted.store import BACKOFF_CAP_S, KeyedPage
+from citronrack.hosted.store import BACKOFF_CAP_S, MESH_TOPIC, KeyedPage
 from citronrack.hosted.watch import read_timeout_ms
 from citronrack.platform.operator import operator_topic
 from citronrack.rendezvous import weight
@@ -38,6 +39,7 @@
             connections.
         random: Source of random numbers.
         waits: Whether the store holds the read while there are no new records.
+        mesh_at: Earliest time of the next read of the mesh topic.
     """
 
     needed: bool = True
@@ -49,6 +51,7 @@
     limit_ms: int = 0
     random: Random = field(factory=Random)
     waits: bool = False
+    mesh_at: float = 0.0
 
 
 class PollingMesh(Mesh):
@@ -96,6 +99,7 @@
             self._steps += 1
             for index, name in enumerate(self.cores):
                 self._poll(name, self.polls[name])
+                self._poll_mesh(name, self.polls[name])
                 if (self._steps + index) % round(TICK_S / STEP_S) == 0:
                     self.deliver(name, self.cores[name].on_tick())
             self._store_writes()
@@ -151,6 +155,15 @@
                     name, self.cores[name].handle(PageRead(TOPIC, page, full=full, created_at=now))
                 )
 
+    def _poll_mesh(self, name: str, poll: Poll) -> None:
+        """Read the mesh topic as the watch of a reader does."""
+        now = self.clock.monotonic()
+        if not poll.needed or now < poll.mesh_at or name in self.silent | self.refused:
+            return
+        poll.mesh_at = now + MESH_READ_PAUSE_S
+        page = PageRead(MESH_TOPIC, self.store.newest(MESH_TOPIC), full=True, created_at=now)
+        self.deliver(name, self.cores[name].handle(page))
+
     def _fail(self, name: str, poll: Poll, reason: str) -> None:
         poll.started_at, poll.hangs, poll.waits = None, False, False
         poll.failures += 1
--- a/tests/hosted/test_core.py
+++ b/tests/hosted/test_core.py
@@ -78,8 +78,8 @@
         mesh.deliver(
             "n2", mesh.cores["n2"].handle(LeaveReceived(TargetLeave("i-n2", None), answer))
         )
-        self.assertEqual(answer.result(0), "")
         self.assertEqual(mesh.pool("n0"), {"n0"})
+        self.assertEqual(mesh.answer(answer), "")
 
     def test_leave_during_an_outage_of_the_store(self) -> None:
         """Guards against routing by outdated records of the store while it is unavailable."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import json
 import signal
 import time
 import unittest
@@ -81,7 +82,7 @@
     def test_target_that_leaves_by_its_answers(self) -> None:
         """Guards against calls to a target whose answers, and nothing else, say that it leaves.
 
-        The node beside it starts again in between and takes it for a usual one.
+        The node beside it starts again in between and must not take it for a usual one.
         """
         with Installation(size=2) as mesh:
             first, second = mesh.instances
@@ -93,22 +94,28 @@
             before = len(leaving.executed)
             for index in range(10):
                 self.assertEqual(call(first, "/media/x", f"c{index}")[0], 503)
-            entries = self.serving_entries(mesh, first, second)
             mesh.restart(second, signal.SIGKILL)
-            self.assertTrue(wait_for(lambda: self.serving_entries(mesh, first, second) > entries))
+            restored = '"event": "leaving_restored"'
+            self.assertTrue(wait_for(lambda: restored in dict(mesh.logs())[second.name]))
+            self.assertTrue(wait_for(lambda: len(self.entries(mesh, first, second)) > 1))
             for index in range(10):
                 self.assertEqual(call(first, "/media/x", f"d{index}")[0], 503)
             self.assertEqual(len(leaving.executed), before)
+            restarted = max(self.entries(mesh, first, second))
+            self.assertNotIn(True, self.entries(mesh, first, second)[restarted])
             leaving.stop()
             mesh.start_target(second)
             self.assertTrue(wait_for(lambda: call(first, "/media/x", "e")[0] == 200))
 
     @staticmethod
-    def serving_entries(mesh: Installation, instance: Instance, peer: Instance) -> int:
-        """Return how often a node has logged that the target of a peer takes calls."""
-        lines = dict(mesh.logs())[instance.name].splitlines()
-        entry = (f'"peer": "{peer.name}"', '"serving": true')
-        return sum(all(part in line for part in entry) for line in lines)
+    def entries(mesh: Installation, instance: Instance, peer: Instance) -> dict[int, list[bool]]:
+        """Return by start of a peer whether its entries, as a node logged them, take calls."""
+        entries: dict[int, list[bool]] = {}
+        for line in dict(mesh.logs())[instance.name].splitlines():
+            if '"event": "node_entry"' in line and f'"peer": "{peer.name}"' in line:
+                fields = json.loads(line)
+                entries.setdefault(fields["boot"], []).append(fields["serving"])
+        return entries
 
     def test_restart_of_all_while_the_store_is_unavailable(self) -> None:
         """Guards against a node that serves without a configuration or never recovers.
