--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -38,10 +38,10 @@
 from .replica import TopicReplica
 from .replication import STORE, TopicReplication
 from .restoration import Restoration
-from .rollout import (
+from .rollout import RolloutCore
+from .rollout_record import (
     ROLLOUT_PREFIX,
     Phase,
-    RolloutCore,
     RolloutOrder,
     RolloutRecord,
     decode_record,
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -13,7 +13,7 @@
 from ..telemetry import EventLog
 from .publish import Write
 from .readers import ReaderTimings
-from .rollout import Phase, RolloutOrder
+from .rollout_record import Phase, RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetTracker
 
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -17,7 +17,7 @@
 from .fanout import Fanout, send_to
 from .position import era_of
 from .replica import TopicReplica
-from .rollout import RolloutRecord
+from .rollout_record import RolloutRecord
 from .store import KeyedPage, KeyedRecord
 
 EXCHANGE_INTERVAL_S = 1.0
--- a/src/citronrack/hosted/operator_state.py
+++ b/src/citronrack/hosted/operator_state.py
@@ -6,7 +6,7 @@
 from ..telemetry import Event, EventLog
 from .dependencies import OperatorTopic
 from .position import offset_of, position_fields
-from .rollout import RolloutOrder
+from .rollout_record import RolloutOrder
 from .store import KeyedRecord
 
 
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -10,7 +10,7 @@
 from ..config.model import SplitPart
 from ..hosted.dependencies import OperatorTopic
 from ..hosted.publish import Write
-from ..hosted.rollout import Phase, RolloutOrder
+from ..hosted.rollout_record import Phase, RolloutOrder
 from ..hosted.store import KeyedRecord
 from .fields import (
     FieldError,
--- a/src/citronrack/proof/_strategies.py
+++ b/src/citronrack/proof/_strategies.py
@@ -13,7 +13,7 @@
 from ..config import Change, Route, Service, ServiceVersion
 from ..hosted.entry import NodeEntry
 from ..hosted.ramp import RAMP
-from ..hosted.rollout import Phase, RolloutRecord
+from ..hosted.rollout_record import Phase, RolloutRecord
 from ..log import Envelope, encode_record
 from ..log.records import Confirmed, Duty, MoveResult, record_codec
 from ..membership import Member
--- a/tests/hosted/test_foreign_entries.py
+++ b/tests/hosted/test_foreign_entries.py
@@ -10,7 +10,7 @@
 
 from citronrack.codec import encode
 from citronrack.hosted.entry import NodeEntry
-from citronrack.hosted.rollout import Phase, RolloutRecord
+from citronrack.hosted.rollout_record import Phase, RolloutRecord
 from citronrack.hosted.store import MESH_TOPIC
 from citronrack.platform.operator import operator_topic
 from citronrack.telemetry import Event
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -11,7 +11,8 @@
 from citronrack.calls import CallRecord
 from citronrack.clock import ManualClock
 from citronrack.hosted.evidence import EvidenceCounter
-from citronrack.hosted.rollout import Phase, RolloutCore, RolloutOrder, RolloutRecord
+from citronrack.hosted.rollout import RolloutCore
+from citronrack.hosted.rollout_record import Phase, RolloutOrder, RolloutRecord
 from citronrack.telemetry import EventLog
 from citronrack.verdict import Verdict
 
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -10,7 +10,7 @@
 from citronrack.errors import SettingsError
 from citronrack.hosted.control import ReportInvalid
 from citronrack.hosted.readers import CONFIG_APPLY_S
-from citronrack.hosted.rollout import Phase
+from citronrack.hosted.rollout_record import Phase
 from citronrack.hosted.store import KeyedRecord
 from citronrack.hosted.target import TargetLeave, TargetReport
 from citronrack.platform.answers import decode_notice
