Keep a withdrawn version out of use over later orders

Cause: a rollout knew only the newest order of its service. The next order dropped the decision about the version before, and made it part of the old version for routing and for evidence.

Change: records of rollouts name the versions that get no calls. The first record of an order takes them over from the record that the store holds, in the same conditional write; an order that names a version takes it off.

--- a/src/citronrack/hosted/canary.py
+++ b/src/citronrack/hosted/canary.py
@@ -41,7 +41,7 @@
         """Return the identity, with a refusal if its version gets no calls."""
         if identity.refusal:
             return identity
-        if self._rollouts.is_rolled_back(identity.service, identity.service_version):
+        if self._rollouts.is_withdrawn(identity.service, identity.service_version):
             return evolve(identity, refusal=VERSION_ROLLED_BACK)
         return evolve(identity, refusal=FAILS_HERE) if self._stopped else identity
 
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -474,7 +474,8 @@
         stored = decode_record(self._replicas[MESH_TOPIC].value(ROLLOUT_PREFIX + order.service))
         if stored is not None:
             self._rollouts.on_record(stored)
-        self._canary.reset()
+        if order.target_version == self._dependencies.target.identity.service_version:
+            self._canary.reset()
 
     def _apply_rollout(self, rollout: RolloutRecord) -> None:
         self._rollouts.on_record(rollout)
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -248,6 +248,11 @@
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
         sends = self._remind(sender, message)
+        # Rollouts come first, so that a node that starts knows which versions get no calls.
+        known = {service: (order_id, revision) for service, order_id, revision in message.rollouts}
+        for record in self._rollouts():
+            if (record.order_id, record.revision) > known.get(record.service, (-1, -1)):
+                sends.append(Send(sender, record))
         for topic, position in message.topics:
             replica = self._replicas.get(topic)
             if replica is not None and era_of(position) > replica.era:
@@ -258,10 +263,6 @@
             starts = not position and replica.known
             if replica.position > position or age_s is not None or starts:
                 sends += self._record_messages(sender, replica, position, age_s=age_s)
-        known = {service: (order_id, revision) for service, order_id, revision in message.rollouts}
-        for record in self._rollouts():
-            if (record.order_id, record.revision) > known.get(record.service, (-1, -1)):
-                sends.append(Send(sender, record))
         if message.digest != self._table.digest:
             buckets = self._table.differing_buckets(message.digests)
             sends.append(Send(sender, EntriesRequest(self._table.versions(buckets), buckets)))
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -29,6 +29,8 @@
         may_replace: Returns whether the write may replace the key's current value; None for any
             value. The topic is read first, and the append is conditional on the end that was read,
             so a late write cannot overwrite a newer one.
+        revise: Returns the value to write for the key's current value, None to write ``value``; it
+            is only called together with ``may_replace``.
         once: Whether a failed write is dropped instead of retried; the submitter decides again.
     """
 
@@ -36,6 +38,7 @@
     key: str
     value: bytes | None
     may_replace: Callable[[bytes | None], bool] | None = None
+    revise: Callable[[bytes | None], bytes] | None = None
     once: bool = False
 
 
@@ -99,6 +102,7 @@
 
     def _try(self, write: Write) -> bool:
         """Try a write; return whether it is done and must not be retried."""
+        value = write.value
         try:
             end = None
             if write.may_replace is not None:
@@ -108,7 +112,9 @@
                 current = {record.key: record.value for record in page.records}
                 if not write.may_replace(current.get(write.key)):
                     return True
-            position = self._store.put(write.topic, write.key, write.value, expected_end=end)
+                if write.revise is not None:
+                    value = write.revise(current.get(write.key))
+            position = self._store.put(write.topic, write.key, value, expected_end=end)
         except AppendConflict as conflict:
             self._events.write(
                 Event.STORE_CONFLICT,
@@ -125,6 +131,6 @@
         self._events.write(
             Event.STORE_WRITTEN, topic=write.topic, key=write.key, **position_fields(position)
         )
-        record = KeyedRecord(write.key, write.value, position)
+        record = KeyedRecord(write.key, value, position)
         self._post(RecordWritten(write.topic, record))
         return True
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -12,7 +12,14 @@
 from ..validators import MAX_NUMBER
 from .evidence import Evidence, EvidenceAggregator
 from .ramp import COMPLETE_AT, MIN_CALLS, RAMP, TIMEOUT_AT
-from .rollout_record import Phase, RolloutOrder, RolloutRecord
+from .rollout_record import (
+    FIRST_REVISION,
+    Phase,
+    RolloutOrder,
+    RolloutRecord,
+    VersionShare,
+    withdrawn_by,
+)
 
 HEARTBEAT_INTERVAL_S = 1.0
 """Interval at which the holder of a running rollout broadcasts its record."""
@@ -34,6 +41,7 @@
 
     order: RolloutOrder
     started: float
+    skipped: tuple[str, ...] = ()
     record: RolloutRecord | None = None
     last_record_at: float = 0.0
     stepped_at: float = 0.0
@@ -86,6 +94,7 @@
         self._broadcast_record = broadcast_record
         self._write_status = write_status
         self._rollouts: dict[str, _Rollout] = {}
+        self._newest: dict[str, RolloutRecord] = {}
 
     def on_order(self, order: RolloutOrder, *, written_again: bool = False) -> bool:
         """Apply an order of an operator; an older one than the known order is ignored.
@@ -106,9 +115,11 @@
             return False
         now = self._clock.monotonic()
         rollout = _Rollout(order, started=now, last_record_at=now)
+        if known is not None and known.record is None:
+            rollout.skipped = (*known.skipped, known.order.target_version)
         self._rollouts[order.service] = rollout
-        if known is not None and known.record is not None:
-            self._apply_record(rollout, known.record)
+        if order.service in self._newest:
+            self._apply_record(rollout, self._newest[order.service])
         self._events.write(
             Event.ROLLOUT_ORDERED,
             service=order.service,
@@ -124,6 +135,7 @@
         rollout.evidence = EvidenceAggregator()
         if rollout.record is not None:
             rollout.record = evolve(rollout.record, order_id=order.order_id)
+            self._remember(rollout.record)
             self._write_again(rollout, rollout.record)
 
     def write_again(self) -> None:
@@ -144,6 +156,7 @@
 
     def on_record(self, record: RolloutRecord) -> None:
         """Apply a record of the store or of another node."""
+        self._remember(record)
         rollout = self._rollouts.get(record.service)
         if rollout is not None:
             self._apply_record(rollout, record)
@@ -151,13 +164,14 @@
     def on_evidence(self, evidence: Evidence) -> None:
         """Add the evidence that a node has collected at its target."""
         rollout = self._rollouts.get(evidence.service)
-        if rollout is not None and rollout.order.order_id == evidence.order_id:
+        if rollout is None or rollout.order.order_id != evidence.order_id:
+            return
+        if not self.is_withdrawn(evidence.service, evidence.service_version):
             rollout.evidence.put(evidence)
 
     def records(self) -> tuple[RolloutRecord, ...]:
-        """Return the newest record of each rollout."""
-        rollouts = self._rollouts.values()
-        return tuple(rollout.record for rollout in rollouts if rollout.record is not None)
+        """Return the newest record of each service; it may be of an order before the current."""
+        return tuple(self._newest.values())
 
     def running(self, service: str) -> RolloutOrder | None:
         """Return the order of a service whose rollout is undecided, None for any other."""
@@ -174,26 +188,37 @@
         record = rollout.record if rollout is not None else None
         return record.holder if record is not None else ""
 
-    def shares(self) -> dict[str, tuple[str, float, int]]:
-        """Return target version, share and order id by service."""
+    def shares(self) -> dict[str, VersionShare]:
+        """Return the division of calls by service."""
         return {
-            service: (
+            service: VersionShare(
                 rollout.order.target_version,
                 rollout.record.share if rollout.record is not None else 0.0,
                 rollout.order.order_id,
+                self._withdrawn(rollout),
             )
             for service, rollout in self._rollouts.items()
         }
 
-    def is_rolled_back(self, service: str, version: str) -> bool:
-        """Return whether a version was rolled back and gets no calls."""
+    def is_withdrawn(self, service: str, version: str) -> bool:
+        """Return whether a version was rolled back, by any order so far, and gets no calls."""
         rollout = self._rollouts.get(service)
-        record = rollout.record if rollout is not None else None
-        return (
-            record is not None
-            and record.phase == Phase.ROLLED_BACK
-            and record.target_version == version
-        )
+        return rollout is not None and version in self._withdrawn(rollout)
+
+    def _withdrawn(self, rollout: _Rollout) -> tuple[str, ...]:
+        """Return the versions that get no calls, also before the order has a record."""
+        record = rollout.record
+        if record is None:
+            previous = self._newest.get(rollout.order.service)
+            return withdrawn_by(rollout.order, previous, rollout.skipped)
+        if record.phase == Phase.ROLLED_BACK:
+            return (*record.withdrawn, record.target_version)
+        return record.withdrawn
+
+    def _remember(self, record: RolloutRecord) -> None:
+        known = self._newest.get(record.service)
+        if known is None or (known.order_id, known.revision) < (record.order_id, record.revision):
+            self._newest[record.service] = record
 
     def on_tick(self, *, names: Sequence[str]) -> None:
         """Lead the rollouts that this node holds and take over those whose holder has timed out.
@@ -237,6 +262,7 @@
                 reason=record.reason,
             )
         rollout.record = record
+        self._remember(record)
 
     def _rank_delay_s(self, rollout: _Rollout, names: Sequence[str]) -> float:
         """Return how long this node yields a rollout to better-ranked nodes."""
@@ -259,6 +285,7 @@
             holder=self._own_name,
             revision=0,
             reason="the rollout was ordered",
+            withdrawn=rollout.skipped,
         )
         self._propose(rollout, first, now)
 
@@ -303,7 +330,7 @@
         return evolve(
             record,
             holder=self._own_name,
-            revision=min(known.revision + 1, MAX_NUMBER) if known is not None else 1,
+            revision=(min(known.revision + 1, MAX_NUMBER) if known is not None else FIRST_REVISION),
             elapsed_ms=int(rollout.elapsed_s(now) * 1000),
         )
 
--- a/src/citronrack/hosted/rollout_record.py
+++ b/src/citronrack/hosted/rollout_record.py
@@ -18,6 +18,12 @@
 
 ROLLOUT_PREFIX = "rollout/"
 
+FIRST_REVISION = 1
+"""Revision of the first record of an order."""
+
+MAX_WITHDRAWN = 32
+"""Withdrawn versions that a record names, the latest ones; targets of older ones are long gone."""
+
 
 class Phase(StrEnum):
     """State of a rollout."""
@@ -66,6 +72,9 @@
         revision: Increases with each record of an order.
         reason: Why the phase or share was chosen.
         reported: Whether the phase has been reported to the operator.
+        withdrawn: Earlier versions that get no calls, oldest first: they were rolled back, or a
+            later order replaced theirs before they were completed. An order that names one of them
+            takes it off.
     """
 
     order_id: int = field(validator=validators.between(0, MAX_POSITION))
@@ -79,6 +88,7 @@
     revision: int = field(validator=validators.between(0, MAX_NUMBER))
     reason: str = ""
     reported: bool = False
+    withdrawn: tuple[str, ...] = ()
 
     def encode(self) -> bytes:
         """Return the record as a store value."""
@@ -95,6 +105,56 @@
         return None
 
 
+@frozen
+class VersionShare:
+    """Division of a service's calls between its versions.
+
+    Attributes:
+        target_version: The new version.
+        share: Fraction of calls routed to the new version.
+        order_id: Id of the order.
+        withdrawn: Versions that get no calls.
+    """
+
+    target_version: str
+    share: float
+    order_id: int
+    withdrawn: tuple[str, ...] = ()
+
+
+def withdrawn_by(
+    order: RolloutOrder, previous: RolloutRecord | None, skipped: tuple[str, ...] = ()
+) -> tuple[str, ...]:
+    """Return the versions that get no calls once an order is in force.
+
+    Args:
+        order: The order.
+        previous: Last record of the order before it, None if there was none.
+        skipped: Versions whose orders were replaced before they had a record.
+    """
+    versions = [*skipped]
+    if previous is not None:
+        versions += previous.withdrawn
+        if previous.phase != Phase.COMPLETED:
+            versions.append(previous.target_version)
+    kept = dict.fromkeys(version for version in versions if version != order.target_version)
+    return tuple(kept)[-MAX_WITHDRAWN:]
+
+
+def follow(record: RolloutRecord, previous: RolloutRecord | None) -> RolloutRecord:
+    """Return the first record of an order with the versions that those before it withdrew.
+
+    The store decides which record is the last one of an earlier order, so this is done when the
+    record is written. Other records are returned as they are.
+    """
+    if record.revision > FIRST_REVISION or previous is None:
+        return record
+    if previous.order_id >= record.order_id:
+        return record
+    order = RolloutOrder(record.order_id, record.service, record.target_version, 0.0)
+    return evolve(record, withdrawn=withdrawn_by(order, previous, record.withdrawn))
+
+
 def rollout_write(record: RolloutRecord) -> Write:
     """Return the write of a record; it only replaces an older one."""
 
@@ -105,4 +165,11 @@
         return (known.order_id, known.revision) < (record.order_id, record.revision)
 
     key = ROLLOUT_PREFIX + record.service
-    return Write(MESH_TOPIC, key, record.encode(), may_replace=is_older, once=True)
+    return Write(
+        MESH_TOPIC,
+        key,
+        record.encode(),
+        may_replace=is_older,
+        revise=lambda current: follow(record, decode_record(current)).encode(),
+        once=True,
+    )
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -9,6 +9,7 @@
 from ..config import ConfigSet
 from ..validators import split_address
 from .entry import NodeEntry
+from .rollout_record import VersionShare
 
 ANY_VERSION = ""
 """Version key of the pool with all targets of a service."""
@@ -22,7 +23,7 @@
 def build_view(
     config: ConfigSet,
     entries: Iterable[NodeEntry],
-    rollouts: Mapping[str, tuple[str, float, int]],
+    rollouts: Mapping[str, VersionShare],
     *,
     complete: bool,
     before: RoutingView,
@@ -32,7 +33,7 @@
     Args:
         config: Active configuration; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
-        rollouts: Target version, share and order id by service.
+        rollouts: Division of calls by service.
         complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
     """
@@ -43,22 +44,22 @@
         complete=complete,
         reason="" if ready else "the node holds no configuration yet",
         config=config,
-        pools=_pools(entries, {service: to for service, (to, _, _) in rollouts.items()}),
+        pools=_pools(entries, rollouts),
         index=index,
         service_shares={
             service: RouteShare(
-                move_id=str(order_id),
-                from_version=other_versions(version),
-                to_version=version,
-                share=share,
+                move_id=str(rollout.order_id),
+                from_version=other_versions(rollout.target_version),
+                to_version=rollout.target_version,
+                share=rollout.share,
             )
-            for service, (version, share, order_id) in rollouts.items()
+            for service, rollout in rollouts.items()
         },
     )
 
 
 def _pools(
-    entries: Iterable[NodeEntry], new_versions: Mapping[str, str]
+    entries: Iterable[NodeEntry], rollouts: Mapping[str, VersionShare]
 ) -> dict[tuple[str, str], tuple[PoolTarget, ...]]:
     """Return targets by service and version key; non-serving ones only in pools without others."""
     serving: dict[tuple[str, str], list[PoolTarget]] = defaultdict(list)
@@ -68,18 +69,20 @@
             continue
         pools = serving if entry.serving else not_serving
         target = _target(entry)
-        for pool in _pool_names(entry, new_versions.get(entry.service)):
+        for pool in _pool_names(entry, rollouts.get(entry.service)):
             pools[entry.service, pool].append(target)
     return {key: tuple(serving.get(key) or not_serving[key]) for key in {*serving, *not_serving}}
 
 
-def _pool_names(entry: NodeEntry, new_version: str | None) -> tuple[str, ...]:
-    if new_version is None:
+def _pool_names(entry: NodeEntry, rollout: VersionShare | None) -> tuple[str, ...]:
+    """Return the version keys of the pools of a target; one of a withdrawn version is in none."""
+    if rollout is None:
         return (ANY_VERSION,)
-    version_key = (
-        new_version if entry.service_version == new_version else other_versions(new_version)
-    )
-    return ANY_VERSION, version_key
+    if entry.service_version == rollout.target_version:
+        return ANY_VERSION, rollout.target_version
+    if entry.service_version in rollout.withdrawn:
+        return ()
+    return ANY_VERSION, other_versions(rollout.target_version)
 
 
 def _target(entry: NodeEntry) -> PoolTarget:
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -252,7 +252,10 @@
             records = self.store.newest(write.topic).records
             current = {record.key: record.value for record in records}
             if write.may_replace is None or write.may_replace(current.get(write.key)):
-                self.store.put(write.topic, write.key, write.value)
+                value = write.value
+                if write.may_replace is not None and write.revise is not None:
+                    value = write.revise(current.get(write.key))
+                self.store.put(write.topic, write.key, value)
                 self.puts += 1
                 record = self.store.topics[write.topic][-1]
                 if name in self.cores:
--- a/tests/hosted/polling_mesh.py
+++ b/tests/hosted/polling_mesh.py
@@ -109,9 +109,9 @@
         record = config_record(version, 0, f"p{version}")
         self.store.put(TOPIC, record.key, record.value)
 
-    def order(self, version: str) -> None:
+    def order(self, version: str, *, duration: str = "16s") -> None:
         """Write a rollout order as the operator."""
-        fields = {"service": SERVICE, "target_version": version, "duration": "16s"}
+        fields = {"service": SERVICE, "target_version": version, "duration": duration}
         self.store.put(TOPIC, f"rollout/{SERVICE}", json.dumps(fields).encode())
 
     def readers(self) -> list[str]:
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -12,7 +12,7 @@
 from citronrack.clock import ManualClock
 from citronrack.hosted.evidence import EvidenceCounter
 from citronrack.hosted.rollout import RolloutCore
-from citronrack.hosted.rollout_record import Phase, RolloutOrder, RolloutRecord
+from citronrack.hosted.rollout_record import Phase, RolloutOrder, RolloutRecord, VersionShare
 from citronrack.telemetry import EventLog
 from citronrack.verdict import Verdict
 
@@ -34,6 +34,7 @@
     Attributes:
         outcome: Determines the result of a call.
         dead: Names of nodes that do nothing.
+        nodes: Rollouts, calls counted and service version of each node, by name.
     """
 
     outcome: Outcome
@@ -45,7 +46,7 @@
     bad_answers: list[float] = field(factory=list)
     last_new_call: float = 0.0
     calls: int = 0
-    _nodes: dict[str, tuple[RolloutCore, EvidenceCounter, str]] = field(factory=dict)
+    nodes: dict[str, tuple[RolloutCore, EvidenceCounter, str]] = field(factory=dict)
     _pending: list[RolloutRecord] = field(factory=list)
     _random: Random = field(factory=lambda: Random(7))
 
@@ -63,7 +64,7 @@
                 ),
             )
             version = "v2" if index % 2 else "v1"
-            self._nodes[name] = (core, EvidenceCounter(), version)
+            self.nodes[name] = (core, EvidenceCounter(), version)
             core.on_order(ORDER)
 
     def run(self, seconds: float) -> None:
@@ -78,9 +79,9 @@
         return self.records[-1].phase if self.records else ""
 
     def _tick(self) -> None:
-        live = {name: node for name, node in self._nodes.items() if name not in self.dead}
+        live = {name: node for name, node in self.nodes.items() if name not in self.dead}
         for core, _, _ in live.values():
-            core.on_tick(names=list(self._nodes))
+            core.on_tick(names=list(self.nodes))
         self._store_records()
         self._make_calls()
         for name, (_, counter, _) in live.items():
@@ -94,14 +95,14 @@
             newest = self.records[-1].revision if self.records else 0
             if record.revision == newest + 1 and record.holder not in self.dead:
                 self.records.append(record)
-                for core, _, _ in self._nodes.values():
+                for core, _, _ in self.nodes.values():
                     core.on_record(record)
         self._pending.clear()
 
     def _broadcast(self, record: RolloutRecord) -> None:
         if record.holder not in self.dead:
             self.records.append(record)
-            for core, _, _ in self._nodes.values():
+            for core, _, _ in self.nodes.values():
                 core.on_record(record)
 
     def _make_calls(self) -> None:
@@ -113,7 +114,7 @@
             failed, latency_s = self.outcome(version, route, now, self._random)
             counters = [
                 counter
-                for name, (_, counter, node_version) in self._nodes.items()
+                for name, (_, counter, node_version) in self.nodes.items()
                 if node_version == version and name not in self.dead
             ]
             counter = self._random.choice(counters)
@@ -121,7 +122,7 @@
             if version == "v2" and counter.failing:
                 version = "v1"
                 counter = next(
-                    c for _, c, node_version in self._nodes.values() if node_version == "v1"
+                    c for _, c, node_version in self.nodes.values() if node_version == "v1"
                 )
                 failed, latency_s = self.outcome(version, route, now, self._random)
             self.calls += 1
@@ -218,7 +219,7 @@
         fleet = Fleet(good)
         fleet.dead.update(name for name in ("n1", "n3", "n5"))
         fleet.run(0.1)
-        for core, counter, version in fleet._nodes.values():
+        for core, counter, version in fleet.nodes.values():
             del core, version
             counter.observe = lambda record: None  # type: ignore[method-assign]
         fleet.dead.clear()
@@ -229,8 +230,8 @@
         """Guards against applying a decision about one order to the next one."""
         fleet = Fleet(fails)
         fleet.run(ORDER.duration_s)
-        core, _, _ = fleet._nodes["n0"]
-        self.assertTrue(core.is_rolled_back("s", "v2"))
+        core, _, _ = fleet.nodes["n0"]
+        self.assertTrue(core.is_withdrawn("s", "v2"))
         core.on_order(RolloutOrder(9, "s", "v3", 16.0))
         core.on_record(fleet.records[-1])
-        self.assertEqual(core.shares()["s"], ("v3", 0.0, 9))
+        self.assertEqual(core.shares()["s"], VersionShare("v3", 0.0, 9, ("v2",)))
