Refuse a report that is too large while it is read

A target whose report had no end, in chunks or with a large declared length, filled the memory of its node: the whole body was joined before 64 KB of it were used.

--- a/src/citronrack/hosted/control.py
+++ b/src/citronrack/hosted/control.py
@@ -6,7 +6,7 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 
-from ..calls.message import Request, Response, local_page, local_response
+from ..calls.message import Body, Request, Response, local_page, local_response
 from ..errors import CitronrackError
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
@@ -17,6 +17,7 @@
 """Longest wait for the core; targets time out after a second."""
 
 MAX_BODY_BYTES = 64 * 1024
+TOO_LARGE = f"a report has at most {MAX_BODY_BYTES} bytes"
 
 
 class ReportInvalid(CitronrackError):
@@ -46,9 +47,12 @@
 
     def handle(self, request: Request) -> Response:
         """Handle a request on the control address."""
-        body = b"".join(request.body.chunks())
+        body = _read_limited(request.body)
+        if body is None:
+            self._events.write(Event.REPORT_REFUSED, path=request.path, reason=TOO_LARGE)
+            return local_response(413, TOO_LARGE, Verdict.NOT_RUN)
         try:
-            call = self._decode_report(request.method, request.path, body[:MAX_BODY_BYTES])
+            call = self._decode_report(request.method, request.path, body)
         except ReportInvalid as error:
             self._events.write(Event.REPORT_REFUSED, path=request.path, reason=str(error))
             return local_response(400, str(error), Verdict.NOT_RUN)
@@ -70,6 +74,16 @@
         return local_page(b"application/json", b"{}")
 
 
+def _read_limited(body: Body) -> bytes | None:
+    """Return a body, None if it has more than `MAX_BODY_BYTES`."""
+    content = bytearray()
+    for part in body.chunks():
+        content += part
+        if len(content) > MAX_BODY_BYTES:
+            return None
+    return bytes(content)
+
+
 def readiness_handler(
     is_readiness_request: Callable[[str, str], bool], is_ready: Callable[[], bool]
 ) -> Callable[[Request], Response]:
