Limit what surrounds the body of a request

Trailers and chunk extensions of a request had no limit: the parser collects a trailer as it does a header, so a caller could fill the memory of a node with one of them.

While a body is read, bytes that are no part of it are limited to those of a head, as they are for answers.

--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -140,6 +140,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._current = _IncomingRequest()
         self._ready: deque[_IncomingRequest] = deque()
+        self._bytes_without_body = 0
         self._error: BadRequest | None = None
         self._upgrade = False
 
@@ -178,6 +179,7 @@
         self._ready.append(current)
 
     def on_body(self, data: bytes) -> None:
+        self._bytes_without_body = 0
         self._current.parts.append(data)
 
     def on_message_complete(self) -> None:
@@ -332,6 +334,9 @@
         if not data:
             raise BodyReadError("the caller closed the connection")
         self._feed(data)
+        # The parser buffers trailers without a limit, and the other bytes around a body mean none.
+        if self._bytes_without_body > self._limits.max_head_bytes + READ_BYTES:
+            self._error = self._error or BadRequest(431, "the chunks or trailers are too large")
         if self._error is not None:
             raise BodyReadError(str(self._error)) from self._error
 
@@ -344,6 +349,7 @@
             raise BodyReadError("the connection failed") from error
 
     def _feed(self, data: bytes) -> None:
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
--- a/tests/calls/test_endless_requests.py
+++ b/tests/calls/test_endless_requests.py
@@ -20,6 +20,19 @@
 
 HEAD = b"POST /api/Instances.Heartbeat/i-1 HTTP/1.1\r\nhost: a\r\n"
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+ENDLESS = {
+    "garbage": (b"", b"\x16\x03\x01\x00"),
+    "empty lines": (b"", b"\r\n"),
+    "request line": (b"GET /", b"y"),
+    "header lines": (HEAD, b"x: y\r\n"),
+    "one header": (HEAD + b"x: ", b"y"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"1;", b"y"),
+    "trailers": (CHUNKED + b"1\r\nz\r\n0\r\n", b"x: y\r\n"),
+    "one trailer": (CHUNKED + b"1\r\nz\r\n0\r\nx: ", b"y"),
+}
+"""Start of a request and the bytes that are repeated after it; no part of them is a body."""
+
 ENDLESS_BODIES = {
     "chunks": (CHUNKED, b"4\r\nbody\r\n"),
     "declared length": (HEAD + b"content-length: 99999999999\r\n\r\n", b"body"),
@@ -67,6 +80,20 @@
     def setUp(self) -> None:
         self.errors: list[Exception] = []
 
+    def test_listener_of_callers(self) -> None:
+        """Guards against keeping an endless head, chunk extension or trailer in memory."""
+
+        def consume(request: Request) -> Response:
+            for _ in request.body.chunks():
+                continue
+            return local_page(b"text/plain", b"")
+
+        address = self.serve(consume)
+        for name, (start, repeated) in ENDLESS.items():
+            with self.subTest(name):
+                self.assertLess(send_endless(address, start, repeated), MAX_SENT_BYTES)
+        self.assertEqual(self.errors, [])
+
     def test_listener_of_reports(self) -> None:
         """Guards against a target whose endless report fills the memory of its node."""
         posted: list[CoreMessage] = []
@@ -76,7 +103,7 @@
             events=EventLog(node="n", level="error"),
         )
         address = self.serve(control.handle)
-        for name, (start, repeated) in ENDLESS_BODIES.items():
+        for name, (start, repeated) in {**ENDLESS, **ENDLESS_BODIES}.items():
             with self.subTest(name):
                 self.assertLess(send_endless(address, start, repeated), MAX_SENT_BYTES)
         self.assertEqual((posted, self.errors), ([], []))
