Limit the pages of newest records of a topic

A store that always announces one more page was read forever, with all records kept; test_endless_pages had no end after 50 s. The newest records of a topic have 16 MB at most now.

--- a/src/citronrack/platform/store.py
+++ b/src/citronrack/platform/store.py
@@ -37,6 +37,10 @@
 MAX_BODY_BYTES = 4 * 1024 * PAGE_KB
 """Largest accepted response body; a page of newest records is 1 MB before base64 encoding."""
 
+MAX_TOPIC_BYTES = 16 * 1024 * PAGE_KB
+"""Largest size of the newest records of a topic. The mesh topic has some 150 bytes for a node and
+the operator topic one configuration, so more is a store that has one more page each time."""
+
 _ERA = re.compile(rb"\d{1,6}")
 
 _NOT_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
@@ -60,7 +64,7 @@
         """Return the newest record of each key; see `KeyedStore.newest`."""
         records: list[KeyedRecord] = []
         position: int | None = None
-        unreadable = 0
+        unreadable = size = 0
         after: dict[str, str] = {}
         while True:
             query = {"topic": topic, "part": _PARTITION, **after}
@@ -72,6 +76,9 @@
             page = decode_newest_page(body, era=self._era)
             items, end, unreadable = page.records, page.position, unreadable + page.unreadable
             records += items
+            size += len(body)
+            if size > MAX_TOPIC_BYTES:
+                raise LogUnavailable(f"the newest records have more than {MAX_TOPIC_BYTES} bytes")
             # Records may change between pages, so the next read starts at the end of the first one.
             position = end if position is None else position
             if era_of(end) != era_of(position):
