Send a valid handshake in the test of endless messages

Its length was wrong, so the port closed at the handshake and the listed test passed. With the right one the listed test fails (64 MB taken), and the others pass.

--- a/tests/transport/test_endless.py
+++ b/tests/transport/test_endless.py
@@ -11,7 +11,7 @@
 from citronrack.transport.zmq_transport import ZmqTransport
 
 GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(48)
-READY = b"\x04\x19\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
 """First bytes of a peer and its handshake, as RFC 23 of ZeroMQ defines them."""
 
 LONG_FRAME = b"\x02" + (10**12).to_bytes(8, "big")
