Read the body of a request that offers an upgrade

The parser takes it as complete with its head.

The request is parsed again without the offer, which a server may ignore.

--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -114,6 +114,16 @@
     return kept
 
 
+def without_upgrade(headers: Headers) -> Headers:
+    """Return the headers without an offer of another protocol; names must be in lower case."""
+    connection = [value for name, value in headers if name == b"connection"]
+    tokens = [token.strip() for value in connection for token in value.split(b",")]
+    dropped = {b"upgrade", b"http2-settings", b"connection"}
+    kept = [header for header in headers if header[0] not in dropped]
+    options = [token for token in tokens if token.lower() not in dropped | {b""}]
+    return [*kept, (b"connection", b", ".join(options))] if options else kept
+
+
 def request_head(method: bytes, target: bytes, headers: Headers) -> bytes:
     """Return the encoded request line and headers."""
     fields = b"".join([b"%b: %b\r\n" % header for header in headers])
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -21,6 +21,8 @@
     HeaderNames,
     Headers,
     end_to_end,
+    request_head,
+    without_upgrade,
 )
 from .limits import READ_BYTES, WHOLE_BODY_BYTES, WireLimits
 from .message import Body, BodyReadError, Request, WholeBody
@@ -151,7 +153,6 @@
         self._ready: deque[_IncomingRequest] = deque()
         self._bytes_without_body = 0
         self._error: BadRequest | None = None
-        self._upgrade = False
 
     @staticmethod
     def poll_s(limits: WireLimits) -> float:
@@ -239,7 +240,7 @@
         )
         return ReceivedRequest(
             request=request,
-            keep_alive=incoming.keep_alive and not self._upgrade,
+            keep_alive=incoming.keep_alive,
             chunks_allowed=incoming.version != "1.0",
             incoming=incoming,
         )
@@ -362,16 +363,32 @@
         self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported. The request is handled as plain HTTP, and what follows it
-            # on the connection is not HTTP.
-            self._upgrade = True
-            self._error = BadRequest(400, "no request may follow an upgrade")
+        except httptools.HttpParserUpgrade as upgrade:
+            self._decline_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             self._error = self._error or BadRequest(400, str(error))
             if self._ready and not self._ready[-1].complete:
                 self._ready.pop()
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Parse a request again without its offer of another protocol, which a server may ignore.
+
+        The parser takes a request with an offer as complete with its head, whatever its framing
+        says. The offer concerns this connection only, so the target does not get it either.
+
+        Args:
+            rest: What follows the head.
+        """
+        offered = self._ready.pop()
+        if offered.method == b"CONNECT":
+            # What follows is not HTTP; the method is rejected with the head.
+            self._ready.append(offered)
+            self._error = BadRequest(400, "no request may follow CONNECT")
+            return
+        head = request_head(offered.method, offered.target, without_upgrade(offered.headers))
+        self._parser = httptools.HttpRequestParser(self)
+        self._feed(head.replace(b"HTTP/1.1", b"HTTP/" + offered.version.encode(), 1) + rest)
+
     def _caller_disconnected(self) -> bool:
         return at_end(self._connection)
 
--- a/tests/calls/test_wire.py
+++ b/tests/calls/test_wire.py
@@ -5,6 +5,7 @@
 import contextlib
 import resource
 import threading
+import time
 import unittest
 
 from citronrack.calls.limits import WireLimits
@@ -237,6 +238,34 @@
             grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
             self.assertLess(grown_kb, 30_000)
 
+    def test_offer_of_an_upgrade(self) -> None:
+        """Guards against losing the body of a request whose head offers another protocol."""
+        offers = (
+            "connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\nhttp2-settings: AAMAAABk\r\n",
+            "connection: keep-alive\r\nconnection: upgrade\r\nupgrade: websocket\r\n",
+        )
+        framings = {
+            "length": ("content-length: 5\r\n", b"order"),
+            "chunks": ("transfer-encoding: chunked\r\n", b"5\r\norder\r\n0\r\n\r\n"),
+            "none": ("content-length: 0\r\n", b""),
+        }
+        with Mesh() as mesh:
+            node = mesh.add()
+            for offer in offers:
+                for name, (framing, data) in framings.items():
+                    for late in (False, True):
+                        with self.subTest(name, offer=offer, late=late):
+                            head = f"POST /parts HTTP/1.1\r\nhost: a\r\n{framing}{offer}\r\n"
+                            with Client(node.call_address) as client:
+                                client.send(head.encode() + (b"" if late else data))
+                                if late:
+                                    time.sleep(0.02)
+                                    client.send(data)
+                                reply = client.reply()
+                                self.assertEqual(reply.status, 200)
+                                self.assertEqual(reply.body.partition(b"\n")[2], data and b"order")
+                                self.assertEqual(client.call("/parts").status, 200)
+
     def test_chunked_upload(self) -> None:
         """Guards against a chunked upload that loses its framing between nodes."""
         with Mesh() as mesh:
