Keep the target of a request that is parsed again

A request of HTTP/1.0 that offers an upgrade is parsed again; its version was put in place by replacing the first "HTTP/1.1" of the head, which may stand in the target. request_head takes the version instead. test_offer_of_an_upgrade_in_an_older_version fails before (no answer of the target) and passes now, with the other tests of the wire.

--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -124,10 +124,12 @@
     return [*kept, (b"connection", b", ".join(options))] if options else kept
 
 
-def request_head(method: bytes, target: bytes, headers: Headers) -> bytes:
+def request_head(
+    method: bytes, target: bytes, headers: Headers, *, version: bytes = b"1.1"
+) -> bytes:
     """Return the encoded request line and headers."""
     fields = b"".join([b"%b: %b\r\n" % header for header in headers])
-    return b"%b %b HTTP/1.1\r\n%b\r\n" % (method, target, fields)
+    return b"%b %b HTTP/%b\r\n%b\r\n" % (method, target, version, fields)
 
 
 def response_head(status: int, reason: bytes, headers: Headers) -> bytes:
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -385,9 +385,11 @@
             self._ready.append(offered)
             self._error = BadRequest(400, "no request may follow CONNECT")
             return
-        head = request_head(offered.method, offered.target, without_upgrade(offered.headers))
+        headers = without_upgrade(offered.headers)
+        version = offered.version.encode()
+        head = request_head(offered.method, offered.target, headers, version=version)
         self._parser = httptools.HttpRequestParser(self)
-        self._feed(head.replace(b"HTTP/1.1", b"HTTP/" + offered.version.encode(), 1) + rest)
+        self._feed(head + rest)
 
     def _caller_disconnected(self) -> bool:
         return at_end(self._connection)
--- a/tests/calls/test_wire.py
+++ b/tests/calls/test_wire.py
@@ -266,6 +266,13 @@
                                 self.assertEqual(reply.body.partition(b"\n")[2], data and b"order")
                                 self.assertEqual(client.call("/parts").status, 200)
 
+    def test_offer_of_an_upgrade_in_an_older_version(self) -> None:
+        """Guards against a target that is changed when the request is parsed again."""
+        offer = "connection: upgrade\r\nupgrade: h2c\r\ncontent-length: 5\r\n"
+        with Mesh() as mesh, Client(mesh.add().call_address) as client:
+            client.send(f"POST /parts/HTTP/1.1 HTTP/1.0\r\n{offer}\r\norder".encode())
+            self.assertEqual(client.reply().body, b"1 /parts/HTTP/1.1\norder")
+
     def test_chunked_upload(self) -> None:
         """Guards against a chunked upload that loses its framing between nodes."""
         with Mesh() as mesh:
