--- a/src/citronrack/codec.py
+++ b/src/citronrack/codec.py
@@ -131,6 +131,16 @@
         raise MessageRejected("malformed") from error
 
 
+def decode_stored(data: bytes | None, kind: type[T]) -> T | None:
+    """Return the instance of ``kind`` in a stored value, None when it is absent or malformed."""
+    if data is None:
+        return None
+    try:
+        return decode(data, kind)
+    except MessageRejected:
+        return None
+
+
 def inflate(
     data: bytes, *, limit: int, damaged: str = "damaged", oversized: str = "oversized"
 ) -> bytes:
--- a/src/citronrack/hosted/leaving.py
+++ b/src/citronrack/hosted/leaving.py
@@ -9,8 +9,7 @@
 
 from ..calls.target_identity import TargetIdentity
 from ..clock import Clock
-from ..codec import decode, encode
-from ..errors import MessageRejected
+from ..codec import decode_stored, encode
 from ..telemetry import Event, EventLog
 from .entry import NodeEntry
 from .publish import Write
@@ -155,9 +154,4 @@
 
 def decode_leave(value: bytes | None) -> TargetLeave | None:
     """Return the leaving in a store value, None when it is absent or cannot be decoded."""
-    if value is None:
-        return None
-    try:
-        return decode(value, TargetLeave)
-    except MessageRejected:
-        return None
+    return decode_stored(value, TargetLeave)
--- a/src/citronrack/hosted/registration.py
+++ b/src/citronrack/hosted/registration.py
@@ -7,8 +7,7 @@
 from attrs import evolve
 
 from ..clock import Clock
-from ..codec import decode, encode
-from ..errors import MessageRejected
+from ..codec import decode_stored, encode
 from ..rendezvous import weight
 from ..validators import MAX_NUMBER
 from .entry import RENEW_INTERVAL_S, NodeEntry, NodeTable
@@ -167,12 +166,7 @@
 
 def decode_entry(value: bytes | None) -> NodeEntry | None:
     """Return the entry in a store value, None when it is absent or cannot be decoded."""
-    if value is None:
-        return None
-    try:
-        return decode(value, NodeEntry)
-    except MessageRejected:
-        return None
+    return decode_stored(value, NodeEntry)
 
 
 def _rank(entry: NodeEntry) -> int:
--- a/src/citronrack/hosted/rollout_record.py
+++ b/src/citronrack/hosted/rollout_record.py
@@ -7,8 +7,7 @@
 from attrs import evolve, field, frozen
 
 from .. import validators
-from ..codec import decode, encode
-from ..errors import MessageRejected
+from ..codec import decode_stored, encode
 from ..transport.messages import message_codec
 from ..validators import MAX_NUMBER
 from .position import MAX_POSITION, era_of
@@ -97,12 +96,7 @@
 
 def decode_record(value: bytes | None) -> RolloutRecord | None:
     """Return the record in a store value, None when it is absent or cannot be decoded."""
-    if value is None:
-        return None
-    try:
-        return decode(value, RolloutRecord)
-    except MessageRejected:
-        return None
+    return decode_stored(value, RolloutRecord)
 
 
 @frozen
