--- /dev/null
+++ b/src/citronrack/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: cores without sockets, threads or clocks; the time is passed in."""
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
