--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -81,6 +81,8 @@
     ROLLOUT_ORDERED = 520
     ROLLOUT_STEP = 521
     VERSION_FAILS_HERE = 522
+    ALLOCATORS_CHANGED = 600
+    ALLOCATOR_SILENT = 601
 
 
 @frozen
@@ -206,4 +208,10 @@
     Event.VERSION_FAILS_HERE: EventInfo(
         "warning", "The own target fails with the new version and gets no more calls of it."
     ),
+    Event.ALLOCATORS_CHANGED: EventInfo(
+        "info", "Other nodes of the zone hand out the tokens of workspaces; see `allocators`."
+    ),
+    Event.ALLOCATOR_SILENT: EventInfo(
+        "warning", "A node that hands out tokens does not answer and is not asked for some time."
+    ),
 }
