Wire the exchange of tokens into the core of the hosted node

Cause: nodes have to pledge shares and ask for tokens once the configuration has workspaces with limits. Change: the core passes messages, ticks and the limits of the configuration to the exchange; the tolerated slack comes from the settings.

--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -31,6 +31,7 @@
 from ..transport.loop import CoreTask
 from ..transport.zmq_transport import ZmqTransport
 from ..validators import split_address
+from .allotments import Allotments
 from .control import ControlHandler, ReportDecoder, readiness_handler
 from .core import HostedCore
 from .dependencies import CoreDependencies, OperatorTopic
@@ -247,6 +248,9 @@
         clock=clock,
     )
     timings = ReaderTimings.within(settings.bounds.config_apply_s)
+    allotments = Allotments(
+        slack=settings.bounds.allotment_slack, clock=boot_clock, post=mailbox.put
+    )
     core = HostedCore(
         CoreDependencies(
             clock=clock,
@@ -261,6 +265,8 @@
             boot_clock=boot_clock,
             seeds=tuple(f"tcp://{seed}" for seed in settings.seeds),
             suspects=suspects,
+            allotments=allotments,
+            allotment_slack=settings.bounds.allotment_slack,
         ),
         own=_own_entry(settings, clock),
     )
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -8,10 +8,13 @@
 from ..calls.notice import TargetStatement
 from ..calls.suspicion import TargetEnd
 from ..calls.target_identity import TargetIdentity
+from ..decisions.tokens import Limit
 from ..errors import MessageRejected
 from ..telemetry import Event
 from ..transport.send import Send
 from .access import StoreAccess
+from .allotment_exchange import AllotmentExchange, TokenGrant, TokenRequest
+from .allotments import TokensWanted
 from .canary import LocalCanary
 from .dependencies import CoreCallbacks, CoreDependencies
 from .entry import NodeEntry, NodeTable
@@ -144,6 +147,16 @@
             gossip=self._gossip,
             clock=dependencies.boot_clock,
         )
+        self._allotments = AllotmentExchange(
+            own.name,
+            availability_zone=own.availability_zone,
+            table=self._table,
+            allotments=dependencies.allotments,
+            slack=dependencies.allotment_slack,
+            clock=dependencies.boot_clock,
+            random=dependencies.random,
+            events=dependencies.events,
+        )
         self._statement = TargetStatement(process=("", 0))
         self._stopping = False
         self._restoration = Restoration(
@@ -254,6 +267,7 @@
         self._rollouts.on_tick(names=names)
         self._leaving.on_tick()
         self._outbox += self._suspicions.on_tick()
+        self._outbox += self._allotments.on_tick()
         self._send_evidence()
         current = self._access.current and self._replicas[MESH_TOPIC].known
         self._outbox += self._gossip.on_tick(current=current, young=self._join.young)
@@ -477,11 +491,33 @@
         config = self._operator.apply(record, end=replica.position, source=source)
         order = self._operator.order(record)
         self._view_outdated = self._view_outdated or config is not None or order is not None
+        if config is not None:
+            self._apply_limits()
         if order is not None:
             self._on_order(order, written_again=not replica.settled)
         elif config is None and record.value is not None:
             self._audit.refuse(record)
 
+    def _apply_limits(self) -> None:
+        """Apply the limits of the workspaces of the configuration in force."""
+        workspaces = self._operator.config.workspaces.values()
+        self._allotments.set_limits(
+            {
+                workspace.name: Limit(workspace.rate_per_s, workspace.burst)
+                for workspace in workspaces
+                if workspace.rate_per_s
+            }
+        )
+
+    def _on_tokens_wanted(self, message: TokensWanted) -> None:
+        self._outbox += self._allotments.on_wanted(message)
+
+    def _on_token_request(self, _: str, message: TokenRequest) -> None:
+        self._outbox += self._allotments.on_request(message)
+
+    def _on_token_grant(self, _: str, message: TokenGrant) -> None:
+        self._outbox += self._allotments.on_grant(message)
+
     def _on_order(self, order: RolloutOrder, *, written_again: bool) -> None:
         if not self._rollouts.on_order(order, written_again=written_again):
             return
@@ -583,6 +619,8 @@
     RolloutRecord: HostedCore._on_rollout,
     SuspectsCleared: lambda core, sender, message: core._suspicions.on_cleared(sender, message),
     TargetEnd: lambda core, sender, message: core._suspicions.on_end(sender, message),
+    TokenGrant: HostedCore._on_token_grant,
+    TokenRequest: HostedCore._on_token_request,
 }
 
 _HANDLERS: dict[type[Any], Callable[[HostedCore, Any], None]] = {
@@ -595,4 +633,5 @@
     LocalTargetEnded: HostedCore._on_local_end,
     StopRequested: HostedCore._on_stop_requested,
     TargetStated: HostedCore._on_target_stated,
+    TokensWanted: HostedCore._on_tokens_wanted,
 }
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -12,6 +12,7 @@
 from ..clock import Clock
 from ..config import ConfigSet, KeyDigester
 from ..telemetry import EventLog
+from .allotments import Allotments
 from .publish import Write
 from .readers import ReaderTimings
 from .record_audit import RecordFault
@@ -59,6 +60,8 @@
         boot_clock: Clock that keeps running while the instance is suspended.
         seeds: Addresses of nodes that are asked after the start; they may be stale.
         suspects: Requests that may have ended their targets.
+        allotments: Tokens of workspaces at this node.
+        allotment_slack: Requests in a window that the platform tolerates beyond each limit.
     """
 
     clock: Clock
@@ -75,6 +78,13 @@
     suspects: Suspects = field(
         default=Factory(lambda self: Suspects(self.clock, self.events), takes_self=True)
     )
+    allotments: Allotments = field(
+        default=Factory(
+            lambda self: Allotments(slack=0.0, clock=self.boot_clock, post=lambda mail: None),
+            takes_self=True,
+        )
+    )
+    allotment_slack: float = 0.0
 
 
 def _ignore(_: object) -> None:
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -43,6 +43,7 @@
         report_interval_s: Usual time between status reports of a target, in seconds.
         retry_ratio: Allowed retries of all nodes together, as a fraction of the calls.
         retry_slack: Retries of all nodes together that are allowed beyond that fraction.
+        allotment_slack: Requests of a workspace in a window that are tolerated beyond its limit.
     """
 
     grace_s: float = field(default=6.0, validator=validators.between(0.5, 600))
@@ -50,6 +51,7 @@
     report_interval_s: float = field(default=1.5, validator=validators.between(0.01, 60))
     retry_ratio: float = field(default=0.2, validator=validators.between(0, 1))
     retry_slack: float = field(default=60.0, validator=validators.between(0, 1e6))
+    allotment_slack: float = field(default=0.0, validator=validators.between(0, 1e6))
 
 
 @frozen
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -97,4 +97,5 @@
         report_interval_s=require_seconds(platform, "heartbeat"),
         retry_ratio=float(parameters.get("retry_budget_ratio", 0.0)),
         retry_slack=float(parameters.get("retry_slack", 0.0)),
+        allotment_slack=float(parameters.get("quota_slack", 0.0)),
     )
