Pace cold targets and evacuate zones

Cause: targets crash when they get more than a stated rate while they are cold, and an operator may ask that nothing more is sent to the targets of a zone. Neither was known: cold_start, cold_per_s and evacuate/ZONE were ignored. Change: services state cold_start and cold_per_s; the node beside a cold target paces it at the lower one of that rate and of a limit that it names (calls/pacer.py, hosted/cold.py). Reports are the source of the time; nodes call no health path. The rate is set before a report takes effect and before an evacuation ends. evacuate/ZONE is decoded by the adapter and kept with the operator's records; pools leave the zone out, the node beside its targets refuses (not run), and the asking node leaves out the zone for that call at no cost (x-citronrack-evacuated). A node that has just started takes no calls for its target until it holds the operator's records.

--- a/src/citronrack/calls/_routed_call.py
+++ b/src/citronrack/calls/_routed_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Collection
 
 from attrs import define, field
 
@@ -31,6 +32,7 @@
         age_s: How long the caller had been waiting when this call arrived.
         pause_s: Time until the limits of the targets let a further call start.
         suspect: Whether a target has ended under the request, in this call or an earlier one.
+        evacuated: Zones whose targets have refused the call because they are evacuated.
     """
 
     request: Request
@@ -50,6 +52,15 @@
     age_s: float = 0.0
     pause_s: float = 0.0
     suspect: bool = False
+    evacuated: set[str] = field(factory=set)
+
+    @property
+    def excluded(self) -> Collection[str]:
+        """Names of the targets that are not tried again, nor those of evacuated zones."""
+        if not self.evacuated:
+            return self.tried
+        zones = [target.name for target in self.pool if target.availability_zone in self.evacuated]
+        return {*self.tried, *zones}
 
     @property
     def patience_s(self) -> float:
--- a/src/citronrack/calls/admission.py
+++ b/src/citronrack/calls/admission.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ._queue import AdmissionQueue, SlotRequest
 from .notice import TargetStatement
+from .pacer import COLD_BURST_S
 
 CANCEL_CHECK_S = 0.1
 """How often a waiting call checks whether it was cancelled."""
@@ -98,6 +99,20 @@
             woken = self._start_waiting(now)
         _wake(woken)
 
+    def set_cold_rate(self, rate_per_s: float | None, *, burst_s: float = COLD_BURST_S) -> None:
+        """Pace calls while the target is cold, beside the limit that it names itself.
+
+        Args:
+            rate_per_s: Calls a second, None for a warm target.
+            burst_s: Time for which an unused rate is kept, in seconds.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            running = self._queue.running
+            self._queue.pacer.set_cold_rate(rate_per_s, now, burst_s=burst_s, running=running)
+            woken = self._start_waiting(now)
+        _wake(woken)
+
     def mark_cold(self) -> None:
         """Begin a slow start, after the target has started."""
         with self._lock:
--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -342,6 +342,7 @@
             load = max(load, FAILING_TARGET_LOAD)
         response = local_response(503, reason, Verdict.NOT_RUN, load=load)
         response.reached_target = reached_target
+        response.evacuated = self._identity().evacuated and not reached_target
         self._events.write(
             Event.CALL_REFUSED,
             route=call.route,
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -29,6 +29,9 @@
 ENDED = b"x-citronrack-ended"
 """Present in the answer to a call under which the process of its target has ended."""
 
+EVACUATED = b"x-citronrack-evacuated"
+"""Present in a refusal because the zone of the target is evacuated, with all of its targets."""
+
 TIMEOUT = b"x-request-timeout-ms"
 REQUEST_ID = b"x-request-id"
 RETRY_AFTER = b"retry-after"
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -206,6 +206,7 @@
         from_node: Whether a node made this response, not the target.
         reached_target: Whether the request reached the target, which may have refused it.
         target_ended: Whether the process of the target has ended with the request in hand.
+        evacuated: Whether the node refused because the zone of its target is evacuated.
     """
 
     status: int
@@ -220,6 +221,7 @@
     from_node: bool = False
     reached_target: bool = True
     target_ended: bool = False
+    evacuated: bool = False
     _callbacks: list[Callable[[BodyEnd], None]] = field(factory=list, init=False)
     _ended: bool = field(default=False, init=False)
 
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -238,7 +238,7 @@
             stats = self._balancer.choose(
                 (call.service, call.service_version),
                 call.pool,
-                excluded=call.tried,
+                excluded=call.excluded,
                 body_bytes=call.request.body.length or 0,
                 patience_s=call.patience_s,
             )
@@ -272,7 +272,9 @@
             self._balancer.record_end(stats)
             raise
         call.suspect = call.suspect or response.target_ended
-        if not response.reached_target:
+        if response.evacuated:
+            call.evacuated.add(target.availability_zone)
+        elif not response.reached_target:
             call.reroutes += 1
         else:
             call.reached += 1
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -20,6 +20,7 @@
     ARRIVED,
     DEFAULT_HEADER_NAMES,
     ENDED,
+    EVACUATED,
     LAST_CHUNK,
     LOAD,
     PAUSE,
@@ -301,6 +302,8 @@
             headers.append((ARRIVED, b"1"))
         if self._sends_load and response.target_ended:
             headers.append((ENDED, b"1"))
+        if self._sends_load and response.evacuated:
+            headers.append((EVACUATED, b"1"))
         if chunked:
             headers.append((b"transfer-encoding", b"chunked"))
         elif response.length is not None and response.status != 204:
--- a/src/citronrack/calls/target_identity.py
+++ b/src/citronrack/calls/target_identity.py
@@ -18,6 +18,7 @@
         refusal: Reason to refuse calls for it, empty while it accepts them.
         started_ms: Wall time of the process's start, 0 when it is unknown.
         unproven: Whether its version is being tried out, so that its faults are its own.
+        evacuated: Whether it is refused because nothing more is sent to targets of its zone.
     """
 
     service: str
@@ -26,6 +27,7 @@
     refusal: str = ""
     started_ms: int = 0
     unproven: bool = False
+    evacuated: bool = False
 
     @property
     def process(self) -> TargetProcess:
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -17,6 +17,7 @@
 from .headers import (
     ARRIVED,
     ENDED,
+    EVACUATED,
     LAST_CHUNK,
     LOAD,
     PAUSE,
@@ -367,6 +368,7 @@
         pause_ms = _number(reader.fields.get(PAUSE)) if request.to_node else None
         response.pause_s = pause_ms / 1000 if pause_ms is not None else None
         response.target_ended = request.to_node and ENDED in reader.fields
+        response.evacuated = request.to_node and EVACUATED in reader.fields
         response.reached_target = (
             response.verdict is not Verdict.NOT_RUN or ARRIVED in reader.fields
         )
--- a/src/citronrack/config/model.py
+++ b/src/citronrack/config/model.py
@@ -32,12 +32,16 @@
         versions: Releases by name.
         connect_timeout_ms: Timeout for opening a connection to a target.
         idempotent_methods: Methods that may be retried after a failure.
+        cold_start_s: Time for which a target is cold after its start, in seconds; 0 for none.
+        cold_per_s: Calls a second that a cold target tolerates, 0 if its targets are never cold.
     """
 
     name: str
     versions: dict[str, ServiceVersion] = field(factory=dict)
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     idempotent_methods: tuple[str, ...] = IDEMPOTENT_METHODS
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @frozen
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -246,7 +246,7 @@
         report_interval_s=settings.bounds.report_interval_s,
         clock=clock,
     )
-    timings = ReaderTimings.within(settings.bounds.config_apply_s)
+    timings = ReaderTimings.within(settings.bounds.operator_apply_s)
     core = HostedCore(
         CoreDependencies(
             clock=clock,
@@ -270,6 +270,9 @@
     )
     metrics.set_source("requests_suspected", lambda: len(suspects))
     core.callbacks.set_slots = call_path.admission.resize
+    core.callbacks.set_cold_rate = partial(
+        call_path.admission.set_cold_rate, burst_s=settings.bounds.cold_burst_s
+    )
     core.callbacks.set_retry_burst = budget.set_burst
     transport = ZmqTransport(
         address=f"tcp://{settings.addresses.peers}",
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -13,8 +13,10 @@
 from ..transport.send import Send
 from .access import StoreAccess
 from .canary import LocalCanary
+from .cold import ColdPhase
 from .dependencies import CoreCallbacks, CoreDependencies
 from .entry import NodeEntry, NodeTable
+from .evacuation import EvacuationOrder, LocalEvacuation
 from .evidence import Evidence
 from .fanout import Fanout, Relayed, send_to
 from .gossip import Entries, GossipCore
@@ -128,6 +130,16 @@
             is_informed=lambda: self._replicas[MESH_TOPIC].known,
         )
         self._callbacks = CoreCallbacks()
+        self._evacuation = LocalEvacuation(
+            own.availability_zone, evacuated=lambda: self._operator.evacuated
+        )
+        self._cold = ColdPhase(
+            dependencies.target,
+            config=lambda: self._operator.config,
+            clock=dependencies.clock,
+            events=dependencies.events,
+            set_rate=lambda rate_per_s: self._callbacks.set_cold_rate(rate_per_s),
+        )
         self._access = StoreAccess(
             own,
             clock=dependencies.boot_clock,
@@ -197,10 +209,20 @@
         """Seconds since the active configuration was last confirmed to be the newest."""
         return self._access.age_s
 
+    @property
+    def zones_evacuated(self) -> int:
+        """Number of zones whose evacuation is in force."""
+        return len(self._operator.evacuated)
+
+    @property
+    def target_cold(self) -> bool:
+        """Whether the local target gets fewer calls because it is cold."""
+        return self._cold.rate_per_s is not None
+
     def identity(self) -> TargetIdentity:
         """Return the identity of the local target for the call path; thread-safe."""
         identity = self._dependencies.target.identity
-        return self._canary.restrict(self._leaving.restrict(identity))
+        return self._evacuation.restrict(self._canary.restrict(self._leaving.restrict(identity)))
 
     def handle(self, message: CoreMessage) -> list[Send]:
         """Handle a message of another task."""
@@ -243,8 +265,7 @@
             self._update_own_entry()
         self._ask_seeds()
         self._follow_era()
-        if self._announced_limit() != self._registration.entry.limit_per_s:
-            self._update_own_entry()
+        self._follow_operator()
         if not self._join.holding:
             self._registration.renew()
         self._drop_expired()
@@ -300,11 +321,14 @@
 
     def _on_target_report(self, message: ReportReceived) -> None:
         target = self._dependencies.target
+        self._cold.expect(message.report)
         try:
             changed = target.on_report(message.report)
         except ValueError as error:
             message.answer.set_result(str(error))
             return
+        finally:
+            self._cold.follow()
         if changed:
             self._target_changed()
         if message.report.draining:
@@ -375,9 +399,9 @@
         """Return the rounded limit of the target, so that small changes need no messages."""
         stated = self._statement
         same_process = stated.process == self._dependencies.target.identity.process
-        if not same_process or stated.limit_per_s is None:
-            return None
-        return float(f"{stated.limit_per_s:.{LIMIT_DIGITS}g}")
+        limits = [stated.limit_per_s if same_process else None, self._cold.rate_per_s]
+        limit = min((known for known in limits if known is not None), default=None)
+        return None if limit is None else float(f"{limit:.{LIMIT_DIGITS}g}")
 
     def _announce(self, entry: NodeEntry) -> None:
         self._outbox += self._gossip.announce(entry)
@@ -449,6 +473,7 @@
         if topic == self._dependencies.operator.name:
             for record in records:
                 self._on_operator_record(record, source)
+            self._follow_operator()
             return
         for record in records:
             if record.key.startswith(NODE_PREFIX):
@@ -476,12 +501,28 @@
         replica = self._replicas[self._dependencies.operator.name]
         config = self._operator.apply(record, end=replica.position, source=source)
         order = self._operator.order(record)
+        evacuation = self._operator.evacuation(record)
         self._view_outdated = self._view_outdated or config is not None or order is not None
         if order is not None:
             self._on_order(order, written_again=not replica.settled)
+        elif evacuation is not None:
+            self._on_evacuation(evacuation, record.position, source)
         elif config is None and record.value is not None:
             self._audit.refuse(record)
 
+    def _on_evacuation(self, order: EvacuationOrder, position: int, source: str) -> None:
+        if self._evacuation.is_ended_by(order):
+            self._cold.end_evacuation()
+        self._operator.apply_evacuation(order, position=position, source=source)
+        self._view_outdated = True
+
+    def _follow_operator(self) -> None:
+        """Apply the operator's records to the local target."""
+        self._cold.follow()
+        if self._replicas[self._dependencies.operator.name].known:
+            self._evacuation.inform()
+        self._update_own_entry()
+
     def _on_order(self, order: RolloutOrder, *, written_again: bool) -> None:
         if not self._rollouts.on_order(order, written_again=written_again):
             return
@@ -565,6 +606,7 @@
                 self._operator.config,
                 self._table.entries(),
                 self._rollouts.shares(),
+                evacuated=self._operator.evacuated,
                 complete=self._access.current,
                 before=self._dependencies.views.current,
             )
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -12,6 +12,7 @@
 from ..clock import Clock
 from ..config import ConfigSet
 from ..telemetry import EventLog
+from .evacuation import EvacuationOrder
 from .publish import Write
 from .readers import ReaderTimings
 from .rollout_record import Phase, RolloutOrder
@@ -29,12 +30,15 @@
             that cannot be decoded.
         order: Returns the rollout order in a record, None for a record of another kind.
         status: Returns the write that reports service, version and phase to the operator.
+        evacuation: Returns what a record asks of a zone, None for a record of another kind or one
+            that cannot be decoded.
     """
 
     name: str
     config: Callable[[KeyedRecord], ConfigSet | None]
     order: Callable[[KeyedRecord], RolloutOrder | None]
     status: Callable[[str, str, Phase], Write]
+    evacuation: Callable[[KeyedRecord], EvacuationOrder | None]
 
 
 @frozen
@@ -91,6 +95,8 @@
             copy has settled.
         set_slots: Called with the number of calls that the local target runs concurrently.
         set_retry_burst: Called with the number of retries that this node may accumulate.
+        set_cold_rate: Called with the calls a second that the local target gets because it is cold,
+            None while it is warm.
     """
 
     read_topics: Callable[[bool], None] = _ignore
@@ -98,3 +104,4 @@
     reread_operator: Callable[[], None] = _nothing
     set_slots: Callable[[int], None] = _ignore
     set_retry_burst: Callable[[float], None] = _ignore
+    set_cold_rate: Callable[[float | None], None] = _ignore
--- a/src/citronrack/hosted/metrics.py
+++ b/src/citronrack/hosted/metrics.py
@@ -33,6 +33,8 @@
 ) -> None:
     """Register the gauges with the functions that return their values."""
     metrics.set_source("target_load", lambda: call_path.admission.load)
+    metrics.set_source("target_cold", lambda: core.target_cold)
+    metrics.set_source("zones_evacuated", lambda: core.zones_evacuated)
     metrics.set_source("config_version", lambda: core.config_version)
     metrics.set_source("config_age_seconds", lambda: core.config_age_s)
     metrics.set_source("nodes_known", lambda: core.nodes_known)
--- a/src/citronrack/hosted/operator_state.py
+++ b/src/citronrack/hosted/operator_state.py
@@ -5,6 +5,7 @@
 from ..config import ActiveConfig, ConfigSet
 from ..telemetry import Event, EventLog
 from .dependencies import OperatorTopic
+from .evacuation import EvacuationOrder
 from .position import offset_of, position_fields
 from .rollout_record import RolloutOrder
 from .store import KeyedRecord
@@ -22,17 +23,24 @@
         self._topic = topic
         self._events = events
         self._active = ActiveConfig()
+        self._evacuated: frozenset[str] = frozenset()
 
     @property
     def config(self) -> ConfigSet:
         """The configuration in force; its version is -1 before the first one."""
         return self._active.current
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Zones whose evacuation is in force; an immutable snapshot."""
+        return self._evacuated
+
     def supersedes(self, known: KeyedRecord, record: KeyedRecord) -> bool | None:
         """Compare two records of a key across a return of the store from a copy.
 
-        A configuration is only replaced by one that is not older. An order has no version, so its
-        content does not say whether it is older; only an invalid one never replaces it.
+        A configuration is only replaced by one that is not older. An order of a rollout or of an
+        evacuation has no version, so its content does not say whether it is older; only an invalid
+        one never replaces it.
 
         Returns:
             Whether ``record`` replaces ``known``, None if that is unknown.
@@ -41,8 +49,8 @@
         if config is not None:
             new = self._topic.config(record)
             return new is not None and new.version >= config.version
-        is_invalid = record.value is not None and self._topic.order(record) is None
-        return False if is_invalid and self._topic.order(known) is not None else None
+        is_invalid = record.value is not None and not self._is_order(record)
+        return False if is_invalid and self._is_order(known) else None
 
     def apply(self, record: KeyedRecord, *, end: int, source: str) -> ConfigSet | None:
         """Put the configuration in a record in force if it is newer.
@@ -69,3 +77,25 @@
     def order(self, record: KeyedRecord) -> RolloutOrder | None:
         """Return the order in a record, None for a record of another kind or an invalid one."""
         return self._topic.order(record)
+
+    def evacuation(self, record: KeyedRecord) -> EvacuationOrder | None:
+        """Return what a record asks of a zone, None for another kind or an invalid record."""
+        return self._topic.evacuation(record)
+
+    def apply_evacuation(self, order: EvacuationOrder, *, position: int, source: str) -> None:
+        """Begin or end an evacuation; a repeated order has no effect.
+
+        Args:
+            order: What is asked of the zone.
+            position: Position of its record.
+            source: Where the record came from.
+        """
+        zone = order.availability_zone
+        if order.active == (zone in self._evacuated):
+            return
+        self._evacuated ^= {zone}
+        event = Event.ZONE_EVACUATED if order.active else Event.EVACUATION_ENDED
+        self._events.write(event, zone=zone, **position_fields(position), source=source)
+
+    def _is_order(self, record: KeyedRecord) -> bool:
+        return self._topic.order(record) is not None or self.evacuation(record) is not None
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 from attrs import field, frozen
+from attrs.validators import optional
 
 from .. import validators
+from ..calls.pacer import COLD_BURST_S
 from .readers import CONFIG_APPLY_S
 
+COLD_OVERSHOOT = 1.5
+"""Calls that a cold target may get in any second if the platform states no bound, as a multiple of
+the rate that it tolerates."""
+
 
 @frozen
 class HostedAddresses:
@@ -43,6 +49,10 @@
         report_interval_s: Usual time between status reports of a target, in seconds.
         retry_ratio: Allowed retries of all nodes together, as a fraction of the calls.
         retry_slack: Retries of all nodes together that are allowed beyond that fraction.
+        cold_overshoot: Calls that a cold target may get in any second, as a multiple of the rate
+            that it tolerates.
+        evacuation_s: Time within which an evacuation must be in force, in seconds; None if the
+            platform states none.
     """
 
     grace_s: float = field(default=6.0, validator=validators.between(0.5, 600))
@@ -50,6 +60,23 @@
     report_interval_s: float = field(default=1.5, validator=validators.between(0.01, 60))
     retry_ratio: float = field(default=0.2, validator=validators.between(0, 1))
     retry_slack: float = field(default=60.0, validator=validators.between(0, 1e6))
+    cold_overshoot: float = field(default=COLD_OVERSHOOT, validator=validators.between(1, 1e6))
+    evacuation_s: float | None = field(
+        default=None, validator=optional(validators.between(0.5, 600))
+    )
+
+    @property
+    def operator_apply_s(self) -> float:
+        """Time within which each record of the operator must be in force, in seconds."""
+        return min(self.config_apply_s, self.evacuation_s or self.config_apply_s)
+
+    @property
+    def cold_burst_s(self) -> float:
+        """Time for which an unused rate of a cold target is kept, in seconds.
+
+        It is half of what may be exceeded; the rest covers calls that arrive in clumps.
+        """
+        return min(COLD_BURST_S, (self.cold_overshoot - 1.0) / 2)
 
 
 @frozen
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -25,6 +25,7 @@
     entries: Iterable[NodeEntry],
     rollouts: Mapping[str, VersionShare],
     *,
+    evacuated: frozenset[str] = frozenset(),
     complete: bool,
     before: RoutingView,
 ) -> RoutingView:
@@ -34,6 +35,7 @@
         config: Active configuration; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
         rollouts: Division of calls by service.
+        evacuated: Zones whose targets get no calls.
         complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
     """
@@ -44,7 +46,9 @@
         complete=complete,
         reason="" if ready else "the node holds no configuration yet",
         config=config,
-        pools=_pools(entries, rollouts),
+        pools=_pools(
+            [entry for entry in entries if entry.availability_zone not in evacuated], rollouts
+        ),
         index=index,
         service_shares={
             service: RouteShare(
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -63,6 +63,20 @@
     return value
 
 
+def require_rate(fields: Mapping[str, Any], name: str) -> float:
+    """Return a field that is a number of requests a second, with or without a fraction.
+
+    Raises:
+        FieldError: If it is missing, of another type, negative or beyond any use.
+    """
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise FieldError(f"field {name!r} is missing or not a number")
+    if not 0 <= value <= MAX_NUMBER:  # Also refuses NaN.
+        raise FieldError(f"field {name!r} is not between 0 and {MAX_NUMBER}")
+    return float(value)
+
+
 def require_text(fields: Mapping[str, Any], name: str, *, longest: int = MAX_TEXT) -> str:
     """Return a field that is a short text which can stand in a header.
 
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -32,6 +32,7 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 
 
 def is_readiness_request(method: str, path: str) -> bool:
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -9,6 +9,7 @@
 from ..config import ConfigSet, Route, Service
 from ..config.model import SplitPart
 from ..hosted.dependencies import OperatorTopic
+from ..hosted.evacuation import EvacuationOrder
 from ..hosted.publish import Write
 from ..hosted.rollout_record import Phase, RolloutOrder
 from ..hosted.store import KeyedRecord
@@ -19,9 +20,10 @@
     parse_object,
     require,
     require_number,
+    require_rate,
     require_seconds,
 )
-from .names import CONFIG_KEY, OPERATOR_TOPIC, ROLLOUT_PREFIX, STATUS_TOPIC
+from .names import CONFIG_KEY, EVACUATION_PREFIX, OPERATOR_TOPIC, ROLLOUT_PREFIX, STATUS_TOPIC
 
 _IDEMPOTENT_BY_KIND = {"idempotent": True, "non_idempotent": False, "upload": False}
 
@@ -92,6 +94,20 @@
         return None
 
 
+def decode_evacuation(record: KeyedRecord) -> EvacuationOrder | None:
+    """Return what a record asks of a zone, None for another kind or an invalid record."""
+    zone = record.key.removeprefix(EVACUATION_PREFIX)
+    if not zone or zone == record.key:
+        return None
+    if record.value is None:
+        return EvacuationOrder(zone, active=False)
+    try:
+        parse_object(record.value)
+    except FieldError:
+        return None
+    return EvacuationOrder(zone, active=True)
+
+
 def status_write(service: str, version: str, phase: Phase) -> Write:
     """Return the write that reports the phase of a rollout to the operator."""
     status = {
@@ -108,12 +124,20 @@
 def operator_topic() -> OperatorTopic:
     """Return the codec of the operator's records."""
     return OperatorTopic(
-        name=OPERATOR_TOPIC, config=ConfigDecoder().decode, order=decode_order, status=status_write
+        name=OPERATOR_TOPIC,
+        config=ConfigDecoder().decode,
+        order=decode_order,
+        status=status_write,
+        evacuation=decode_evacuation,
     )
 
 
 def _service(row: Mapping[str, Any]) -> Service:
-    return Service(name=require(row, "name", str))
+    return Service(
+        name=require(row, "name", str),
+        cold_start_s=require_seconds(row, "cold_start") if "cold_start" in row else 0.0,
+        cold_per_s=require_rate(row, "cold_per_s") if "cold_per_s" in row else 0.0,
+    )
 
 
 def _optional(row: Mapping[str, Any], name: str, kind: type[T], default: T) -> T:
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -8,8 +8,8 @@
 
 from ..errors import SettingsError
 from ..hosted.readers import CONFIG_APPLY_S
-from ..hosted.settings import HostedAddresses, HostedBounds, HostedSettings
-from .fields import FieldError, require, require_seconds
+from ..hosted.settings import COLD_OVERSHOOT, HostedAddresses, HostedBounds, HostedSettings
+from .fields import FieldError, T, require, require_seconds
 
 METRICS_PORT = 9464
 """Port of the metrics, as in ``deploy/system.toml``."""
@@ -89,12 +89,15 @@
     parameters = require(constraints, "parameters", dict)
     return HostedBounds(
         grace_s=require_seconds(parameters, "grace"),
-        config_apply_s=(
-            require_seconds(parameters, "config_apply")
-            if "config_apply" in parameters
-            else CONFIG_APPLY_S
-        ),
+        config_apply_s=_seconds(parameters, "config_apply", CONFIG_APPLY_S),
         report_interval_s=require_seconds(platform, "heartbeat"),
         retry_ratio=float(parameters.get("retry_budget_ratio", 0.0)),
         retry_slack=float(parameters.get("retry_slack", 0.0)),
+        cold_overshoot=float(parameters.get("cold_overshoot", COLD_OVERSHOOT)),
+        evacuation_s=_seconds(parameters, "evacuation", None),
     )
+
+
+def _seconds(parameters: Mapping[str, Any], name: str, default: T) -> float | T:
+    """Return a duration in seconds, or the default if it is not stated."""
+    return require_seconds(parameters, name) if name in parameters else default
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -76,6 +76,10 @@
     LIMIT_INVALID = 345
     TARGET_LEAVES = 346
     LEAVING_RESTORED = 347
+    TARGET_COLD = 348
+    TARGET_WARM = 349
+    ZONE_EVACUATED = 350
+    EVACUATION_ENDED = 351
     CALL_ANSWERED = 404
     CALL_DELIVERED = 405
     ROLLOUT_ORDERED = 520
@@ -199,6 +203,16 @@
     Event.LEAVING_RESTORED: EventInfo(
         "info", "A leaving that this node acknowledged before its restart was given back to it."
     ),
+    Event.TARGET_COLD: EventInfo(
+        "info", "The own target is cold for `cold_s` and gets `limit_per_s` calls a second."
+    ),
+    Event.TARGET_WARM: EventInfo("info", "The own target is no longer cold; its rate has ended."),
+    Event.ZONE_EVACUATED: EventInfo(
+        "warning", "An operator has evacuated `zone`; its targets get no more calls."
+    ),
+    Event.EVACUATION_ENDED: EventInfo(
+        "info", "An operator has ended the evacuation of `zone`; its targets get calls again."
+    ),
     Event.CALL_ANSWERED: EventInfo("info", "A caller has received its answer; see `verdict`."),
     Event.CALL_DELIVERED: EventInfo("info", "The own target has completed a call."),
     Event.ROLLOUT_ORDERED: EventInfo("info", "An operator has ordered a rollout."),
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -15,6 +15,8 @@
     "suspects_refused": ("counter", ("standing",), "Calls refused because of ended targets."),
     "requests_suspected": ("gauge", (), "Digests of requests under which targets have ended."),
     "target_load": ("gauge", (), "Calls that run at the own target or wait for it."),
+    "target_cold": ("gauge", (), "Whether the own target gets fewer calls because it is cold."),
+    "zones_evacuated": ("gauge", (), "Zones whose targets get no calls, by an operator's order."),
     "config_version": ("gauge", (), "Version in force, -1 for none."),
     "config_age_seconds": (
         "gauge",
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -23,6 +23,7 @@
 )
 from citronrack.calls.limits import WireLimits
 from citronrack.calls.path import CallPath, OwnTarget, PathSettings, make_call_path
+from citronrack.calls.target_identity import TargetIdentity
 from citronrack.config import ConfigSet, Route, Service, ServiceVersion
 from citronrack.standins.target import TargetStandIn
 from citronrack.telemetry import EventLog
@@ -68,12 +69,17 @@
 
 @define(eq=False)
 class Mesh:
-    """Nodes that route to each other; use it as a context manager."""
+    """Nodes that route to each other; use it as a context manager.
+
+    Attributes:
+        evacuated: Zones whose nodes refuse calls for their targets, unknown to the asking nodes.
+    """
 
     limits: WireLimits = field(factory=WireLimits)
     slots: int = 6
     balancer: str = "round-robin"
     nodes: list[MeshNode] = field(factory=list)
+    evacuated: set[str] = field(factory=set)
     _executor: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(200))
     _holders: list[ViewHolder] = field(factory=list)
 
@@ -85,6 +91,14 @@
         self._holders.append(holder)
         name = f"node-{len(self.nodes)}"
         records: list[CallRecord] = []
+
+        def identity() -> TargetIdentity:
+            evacuated = zone in self.evacuated
+            refusal = "evacuated" if evacuated else ""
+            return TargetIdentity(
+                "catalogue", service_version, refusal=refusal, evacuated=evacuated
+            )
+
         path = make_call_path(
             PathSettings(name=name, availability_zone=zone, key=KEY, balancer=self.balancer),
             call_address=LOCALHOST,
@@ -98,6 +112,7 @@
             executor=self._executor,
             random=Random(len(self.nodes)),
             limits=self.limits,
+            identity=identity,
         )
         node = MeshNode(name, service_version, zone, stand_in, path, records)
         self.nodes.append(node)
--- a/tests/calls/test_faults.py
+++ b/tests/calls/test_faults.py
@@ -155,6 +155,22 @@
             ran = [node.target.calls for node in (first, second, third)]
             self.assertEqual(ran[1:], [0, 0])
 
+    def test_evacuated_zone(self) -> None:
+        """Guards against refusals in a zone that is evacuated which use up the attempts of a call.
+
+        The asking nodes do not know of the evacuation yet.
+        """
+        with Mesh() as mesh:
+            for zone in "aaaaab":
+                mesh.add(zone=zone)
+            for evacuated, status in (("a", 200), ("b", 503)):
+                mesh.evacuated.add(evacuated)
+                for node in mesh.nodes:
+                    reply = call(node.call_address, "/photos", method="POST", body=b"x" * 300_000)
+                    self.assertEqual(reply.status, status)
+                self.assertEqual([node.target.calls for node in mesh.nodes], [0] * 5 + [6])
+            self.assertIn("retry-after", reply.headers)
+
     def test_retries_stay_within_the_budget(self) -> None:
         """Guards against retries that multiply the load when all targets fail."""
         with Mesh() as mesh:
--- a/tests/calls/test_pacer.py
+++ b/tests/calls/test_pacer.py
@@ -77,6 +77,45 @@
         self.assertEqual(pacer.wait_s(1.0), 0.0)
 
 
+class ColdPaceTest(unittest.TestCase):
+    """The rate of a target that is cold, which becomes cold and warm and names limits at random."""
+
+    def test_no_second_exceeds_the_rate(self) -> None:
+        """Guards against bursts at the change to a cold phase and in it; the slack is not used."""
+        for seed in range(20):
+            random, queue = Random(seed), AdmissionQueue(slots=7)
+            now, began, changes_at, ends, arrivals = 10.0, 60.0, 11.0, [10.0], [10.0]
+            while now < 60.0:
+                now += random.uniform(0.0, 0.01 if random.random() < 0.99 else 2.0)
+                if now >= changes_at:
+                    phase = sorted(time for time in arrivals if began <= time < now)
+                    self.assertLessEqual(most_in_window(phase, 1.0), 1.5 * 20.0, seed)
+                    changes_at = now + random.choice((0.05, 0.3, 2.0, 5.0))
+                    queue.pacer.set_limit(random.choice((None, 5.0, 90.0)), now)
+                    queue.pacer.set_cold_rate(None, now)
+                    queue.pacer.set_cold_rate(20.0, now, running=queue.running)
+                    began = now
+                    if random.random() < 0.5:
+                        queue.pacer.set_cold_rate(None, now)
+                        began = 60.0
+                while queue.running < 7 and not queue.pacer.wait_s(now):
+                    queue.offer(SlotRequest("r", now + 9.0), weight=1.0, now=now)
+                    arrivals.append(now + random.uniform(0.0, 0.1))
+                    ends.append(now + random.uniform(0.1, 0.12))
+                queue.running = sum(end > now for end in ends)
+
+    def test_calls_that_run_and_named_limits(self) -> None:
+        """Guards against calls that start warm and arrive cold, and limits that end each other."""
+        pacer = Pacer()
+        pacer.set_cold_rate(10.0, 0.0, running=3)
+        self.assertAlmostEqual(pacer.wait_s(0.0), 0.4)
+        for named, limit in ((50.0, 10.0), (5.0, 5.0), (None, 10.0), (50.0, 10.0)):
+            pacer.set_limit(named, 0.0)
+            self.assertEqual(pacer.limit_per_s, limit)
+        pacer.set_cold_rate(None, 0.0)
+        self.assertEqual(pacer.limit_per_s, 50.0)
+
+
 class PacedQueueTest(unittest.TestCase):
     """Which calls use the pace of a target."""
 
--- a/tests/limits.py
+++ b/tests/limits.py
@@ -14,7 +14,7 @@
     return EXCESS * WINDOW_S * limit_per_s + SLACK
 
 
-def most_in_window(times: list[float]) -> int:
+def most_in_window(times: list[float], window_s: float = WINDOW_S) -> int:
     """Return the greatest number of ascending times within any window."""
-    ends = (bisect_left(times, start + WINDOW_S) for start in times)
+    ends = (bisect_left(times, start + window_s) for start in times)
     return max((end - index for index, end in enumerate(ends)), default=0)
--- a/tests/platform/installation.py
+++ b/tests/platform/installation.py
@@ -83,6 +83,7 @@
         store: The stand-in of the store.
         instances: The instances.
         version: Version of the newest configuration.
+        cold: Time for which targets are cold and the rate that they tolerate then, None for none.
     """
 
     size: int = 4
@@ -92,6 +93,7 @@
     store: StoreStandIn = field(factory=StoreStandIn)
     instances: list[Instance] = field(factory=list)
     version: int = 0
+    cold: tuple[str | None, float | None] = (None, None)
     _folder: tempfile.TemporaryDirectory[str] = field(factory=tempfile.TemporaryDirectory)
 
     def __enter__(self) -> Installation:
@@ -193,8 +195,8 @@
                 ],
             },
             "services": {
-                "columns": ["name", "health_path", "max_connections"],
-                "rows": [[service, "/healthz", 120] for service in self.services],
+                "columns": ["name", "health_path", "max_connections", "cold_start", "cold_per_s"],
+                "rows": [[service, "/healthz", 120, *self.cold] for service in self.services],
             },
             "limits": {},
         }
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -158,6 +158,19 @@
             with self.subTest(record):
                 self.assertIsNone(ConfigDecoder().decode(record))
 
+    def test_cold_targets(self) -> None:
+        """Guards against a rate of cold targets that is lost, or odd and taken."""
+        columns = ["name", "cold_start", "cold_per_s"]
+        for row, stated in ((["s", "4s", 12.5], (4.0, 12.5)), (["s", None, None], (0.0, 0.0))):
+            table = {"columns": columns, "rows": [row, ["t", "1s", 1]]}
+            config = ConfigDecoder().decode(self.config(services=table))
+            assert config is not None
+            service = config.services["s"]
+            self.assertEqual((service.cold_start_s, service.cold_per_s), stated)
+        for odd in (["s", 4, 1], ["s", "4s", "1"], ["s", "4s", -1], ["s", "4s", True]):
+            table = {"columns": columns, "rows": [odd, ["t", "1s", 1]]}
+            self.assertIsNone(ConfigDecoder().decode(self.config(services=table)), odd)
+
     def test_rollout(self) -> None:
         """Guards against a lost order and against a status that the operator cannot read."""
         value = json.dumps({"service": "s", "target_version": "v2", "duration": "12s"}).encode()
@@ -202,6 +215,13 @@
             settings = parse_settings(text.encode(), source="node.toml")
             self.assertEqual(settings.bounds.config_apply_s, expected_s)
 
+    def test_bounds_of_cold_targets_and_evacuations(self) -> None:
+        """Guards against changes at platforms that state no such bounds, and bounds not kept."""
+        stated = SETTINGS + 'cold_overshoot = 1.2\nevacuation = "1500ms"\n'
+        for text, expected in ((SETTINGS, (CONFIG_APPLY_S, 0.25)), (stated, (1.5, 0.1))):
+            bounds = parse_settings(text.encode(), source="test").bounds
+            self.assertEqual((bounds.operator_apply_s, round(bounds.cold_burst_s, 3)), expected)
+
     def test_damaged_settings(self) -> None:
         """Guards against a node that starts with incomplete or invalid settings."""
         for old, new in (
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ..limits import most_in_window
 from .installation import HOST, READINESS, Installation, Instance, get_status
 
 
@@ -37,6 +38,11 @@
     return condition()
 
 
+def logged(mesh: Installation, instance: Instance, event: str) -> bool:
+    """Return whether the node of an instance has written an event."""
+    return f'"event": "{event}"' in dict(mesh.logs())[instance.name]
+
+
 def ignores_hangup(pid: int) -> bool:
     """Return whether a process ignores SIGHUP, as a node does until its handler is installed."""
     lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
@@ -79,6 +85,25 @@
                 set(),
             )
 
+    def test_evacuated_zone_whose_targets_are_cold_at_its_end(self) -> None:
+        """Guards against processes that miss an evacuation, or the pace of its cold targets."""
+        with Installation(size=4, services=("catalogue",), cold=("60s", 5.0)) as mesh:
+            mesh.store.put("keyed.op", "evacuate/zone-0", b"{}")
+            for instance in mesh.instances:
+                self.assertTrue(wait_for(lambda i=instance: logged(mesh, i, "zone_evacuated")))
+                self.assertTrue(wait_for(lambda i=instance: call(i, "/catalogue/x", "a")[0] == 200))
+            targets = [instance.target for instance in mesh.instances[0::2] if instance.target]
+            self.assertEqual([target.executed for target in targets], [[], []])
+            mesh.store.put("keyed.op", "evacuate/zone-0", None)
+            for instance in mesh.instances[0::2]:
+                self.assertTrue(wait_for(lambda i=instance: logged(mesh, i, "target_cold")))
+            for index in range(40):
+                call(mesh.instances[index % 2], "/catalogue/x", f"c{index}")
+            for target in targets:
+                times = [started for _, started in target.executed]
+                self.assertGreater(len(times), 0)
+                self.assertLessEqual(most_in_window(times, 1.0), 1.5 * 5.0 + 8)
+
     def test_target_that_leaves_by_its_answers(self) -> None:
         """Guards against calls to a target whose answers, and nothing else, say that it leaves.
 
