Fail answers with a status that HTTP does not have

Cause: the parser accepts every number of three digits, so 000, 099, 600 and 999 of a target or of another node were passed on, the first two as "HTTP/1.1 0" and "HTTP/1.1 99". Change: a status outside of 100 to 599 breaks the answer as malformed bytes do, on both hops; the reason names it.

--- a/src/citronrack/calls/_response.py
+++ b/src/citronrack/calls/_response.py
@@ -9,6 +9,9 @@
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
+STATUSES = range(100, 600)
+"""Statuses that HTTP has (RFC 9110, 15); the parser accepts all numbers of three digits."""
+
 
 class ResponseReader:
     """Parses one response; its ``on_`` methods are callbacks of httptools.
@@ -31,6 +34,7 @@
         self.complete = False
         self.reusable = False
         self.broken = False
+        self.fault = "the answer is malformed"
         self.parts: list[bytes] = []
         self.fields: dict[bytes, bytes] = {}
 
@@ -54,6 +58,11 @@
         if self._done_parsing:
             return
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            self.fault = f"the answer has the status {status:03}, which HTTP does not have"
+            self._done_parsing = True
+            self._break()
+            return
         if 100 <= status < 200:
             self._interim = True
             self.continued = self.continued or status == 100
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -264,7 +264,7 @@
             before = len(reader.parts)
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
             held += sum(map(len, reader.parts[before:]))
 
     @staticmethod
@@ -316,7 +316,7 @@
         while not done():
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
             if reader.complete and not done():
                 raise _call_failed(connection, "the answer is incomplete")
 
@@ -392,7 +392,7 @@
                 return
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
 
     def _release(self, connection: Connection, reader: ResponseReader) -> None:
         if reader.complete and reader.reusable and connection.sent_all:
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -21,6 +21,7 @@
     RoutingView,
     ViewHolder,
 )
+from citronrack.calls.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from citronrack.calls.limits import WireLimits
 from citronrack.calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from citronrack.calls.target_identity import TargetIdentity
@@ -73,6 +74,8 @@
 
     Attributes:
         evacuated: Zones whose nodes refuse calls for their targets, unknown to the asking nodes.
+        names: Names of the headers that callers and targets use.
+        target_id: Id of all targets; nodes forget the failures of a target with another one.
     """
 
     limits: WireLimits = field(factory=WireLimits)
@@ -80,11 +83,20 @@
     balancer: str = "round-robin"
     nodes: list[MeshNode] = field(factory=list)
     evacuated: set[str] = field(factory=set)
+    names: HeaderNames = DEFAULT_HEADER_NAMES
+    target_id: str = ""
     _executor: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(200))
     _holders: list[ViewHolder] = field(factory=list)
 
-    def add(self, *, service_version: str = "1", zone: str = "a", **target: Any) -> MeshNode:
-        """Start a node with a stand-in target."""
+    def add(
+        self,
+        *,
+        service_version: str = "1",
+        zone: str = "a",
+        address: tuple[str, int] | None = None,
+        **target: Any,
+    ) -> MeshNode:
+        """Start a node with a stand-in target, or with another server at an address."""
         stand_in = TargetStandIn(service_version=service_version, **target)
         stand_in.start()
         holder = ViewHolder()
@@ -96,15 +108,25 @@
             evacuated = zone in self.evacuated
             refusal = "evacuated" if evacuated else ""
             return TargetIdentity(
-                "catalogue", service_version, refusal=refusal, evacuated=evacuated
+                "catalogue", service_version, self.target_id, refusal, evacuated=evacuated
             )
 
         path = make_call_path(
-            PathSettings(name=name, availability_zone=zone, key=KEY, balancer=self.balancer),
+            PathSettings(
+                name=name,
+                availability_zone=zone,
+                key=KEY,
+                balancer=self.balancer,
+                names=self.names,
+            ),
             call_address=LOCALHOST,
             deliver_address=LOCALHOST,
             target=OwnTarget(
-                (stand_in.host, stand_in.port), "catalogue", service_version, self.slots, ramp_s=0.0
+                address or (stand_in.host, stand_in.port),
+                "catalogue",
+                service_version,
+                self.slots,
+                ramp_s=0.0,
             ),
             views=holder,
             events=EventLog(node=name, level="error"),
