Do not take an answer that a reset cuts short for whole

Cause: the kernel reports a reset once. If a write of an upload gets the report, the next reads return what had arrived and then the usual end of the connection, which completes an answer without a length. Change: a connection remembers that a write has failed; its end then completes no answer. Answers with a length or in chunks are read as before.

--- a/src/citronrack/calls/_connections.py
+++ b/src/citronrack/calls/_connections.py
@@ -52,6 +52,8 @@
         written: Whether the server may act on the written part of the current request.
         written_at: Monotonic time at which the first bytes of the request were written.
         sent_all: Whether the whole request was written.
+        write_failed: Whether a write of the current request has failed. The kernel reports a reset
+            once, so the next read shows the usual end of a connection.
     """
 
     socket: socket.socket
@@ -62,6 +64,7 @@
     receive_s: float = CANCEL_POLL_S
     written: bool = False
     sent_all: bool = False
+    write_failed: bool = False
 
     def limit_receive(self, seconds: float) -> None:
         """Set the receive timeout; makes a system call only when it changes."""
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -220,6 +220,7 @@
             data += body
         connection.written = False
         connection.sent_all = False
+        connection.write_failed = False
         try:
             sent = connection.socket.send(data)
         except OSError:
@@ -301,8 +302,9 @@
             raise CallerDisconnected(
                 f"the upload was cut short: {error}", verdict=_verdict(connection)
             ) from error
-        except OSError:
+        except OSError as error:
             # The server may have responded and closed; a response, if any, is read next.
+            connection.write_failed = not isinstance(error, BlockingIOError)
             return
         connection.sent_all = True
 
@@ -344,7 +346,8 @@
             reader.feed(data)
             return
         self._record_loss(connection, reader)
-        reader.end()
+        if not connection.write_failed:  # Otherwise a reset may have cut the answer short.
+            reader.end()
         if not reader.complete:
             raise _call_failed(connection, "the connection ended before the answer was complete")
 
--- a/tests/calls/test_odd_answers.py
+++ b/tests/calls/test_odd_answers.py
@@ -9,6 +9,8 @@
 from itertools import product
 
 from citronrack.calls._sockets import abort
+from citronrack.calls.headers import DEFAULT_HEADER_NAMES, LAST_CHUNK
+from citronrack.platform.names import HEADERS
 
 from .support import Client, Mesh, Reply, ScriptedServer
 from .test_withheld import receive_head
@@ -71,3 +73,36 @@
                         reply = self.reply(mesh, method, path, headers=length)
                         self.assertEqual((reply.status, reply.verdict), (502, "may-have-run"))
                 self.assertEqual(self.reply(mesh, "GET", "/parts/status/599").status, 599)
+
+    def test_early_answer_without_a_length_that_is_reset(self) -> None:
+        """Guards against a whole answer at the caller, when a target resets it during an upload.
+
+        A write that fails takes the report of the reset away from the next read. This happened with
+        long uploads, for which the node waits within a write.
+        """
+        for names in (DEFAULT_HEADER_NAMES, HEADERS):
+            with Mesh(names=names) as mesh:
+                for _ in range(2):
+                    mesh.add(address=self.target.address)
+                cases = [
+                    *product((1_000, 300_000), (0, 0.5, 1)),
+                    (8_000_000, 0),
+                ]
+                for (size, moment), only, chunked in product(cases, TARGETS, (True, False)):
+                    with self.subTest(only=only, size=size, chunked=chunked, moment=moment):
+                        mesh.publish(only=(only,))
+                        after = max(0, round(moment * size) - 1)
+                        reply = self.upload(mesh, after, size, chunked=chunked)
+                        framed = {"content-length", "transfer-encoding"} & reply.headers.keys()
+                        whole = reply.complete or not framed
+                        self.assertFalse(reply.status == 200 and whole, reply.headers)
+
+    def upload(self, mesh: Mesh, after: int, size: int, *, chunked: bool) -> Reply:
+        """Return the reply to an upload in ten parts that is answered after some of its bytes."""
+        path, part = f"/photos/{'late' if size > 300_000 else 'early'}/{after}", b"x" * (size // 10)
+        if not chunked:
+            length = f"content-length: {size}\r\n"
+            return self.reply(mesh, "PUT", path, *[part] * 10, headers=length)
+        chunks = [b"%x\r\n%b\r\n" % (len(part), part)] * 10
+        coding = "transfer-encoding: chunked\r\n"
+        return self.reply(mesh, "PUT", path, *chunks, LAST_CHUNK, headers=coding)
