Count calls after an evacuation as calls of a cold target

Cause: evidence of rollouts sets calls of cold targets apart by the reports alone, while a target is also taken for cold after an evacuation of its zone. Change: the pace of a cold target counts as well.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -348,7 +348,8 @@
 
     def _on_call_reported(self, message: CallReported) -> None:
         target = self._dependencies.target
-        cold = self._dependencies.clock.monotonic() < target.view.cold_until
+        reported = self._dependencies.clock.monotonic() < target.view.cold_until
+        cold = reported or self.target_cold
         version = target.identity.service_version
         if self._canary.observe(message.record, version=version, cold=cold):
             self._update_own_entry()
