Ask callers for the key of a workspace

Cause: configurations may have workspaces; requests of callers need a key unless their route is public, and targets get the name of the workspace in place of the key. Change: calls/authentication.py finds the workspace of each request, by a digest of its key and a comparison in constant time, and keeps nothing between requests. Answers are 401 from a node that has the newest configuration, 503 from one whose configuration may be old (calls/confirmation.py says so; the hosted node does not set it yet). `Authorization` is taken out by the router and again by the node beside the target, `Tenant` is reserved for nodes. Request.workspace goes from node to node in `Tenant`; the node beside the target has call.urgency (workspace before route) and passes a number made of it to the present queue. call_answered has the workspace; the metrics are workspace_calls_total and keys_refused_total. Dumps of requests show header names without values.

--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -9,13 +9,16 @@
 from attrs import frozen
 
 from ..config import Route
+from ..decisions.room import Urgency
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
+from ..validators import MAX_NUMBER
 from ..verdict import Verdict
 from ._arrivals import ArrivalWindow
 from ._connections import Address
 from ._in_hand import RequestsInHand
 from .admission import Admission, Refused, Slot
+from .authentication import without_credentials
 from .context import CallContext, ContextCodec
 from .drain import Drainer
 from .headers import CONTEXT, DEFAULT_HEADER_NAMES, HeaderNames, Headers
@@ -34,7 +37,7 @@
 from .suspects import Suspects
 from .target_identity import TargetIdentity
 from .upstream import OutgoingRequest, Upstream
-from .view import ViewHolder
+from .view import RoutingView, ViewHolder
 
 SUSPECT_RUNS = "targets have ended under this request, and it cannot run alone now"
 
@@ -63,6 +66,20 @@
     return now + aim_ms / 1000
 
 
+def _urgency(view: RoutingView, route: Route | None, workspace: str) -> Urgency:
+    """Return the urgency of a call; a workspace that is not configured here has no priority."""
+    known = view.config.workspaces.get(workspace)
+    return Urgency(
+        workspace=(known.priority or 0) if known is not None else 0,
+        route=route.priority if route is not None else 0,
+    )
+
+
+def _rank(urgency: Urgency) -> int:
+    """Return an urgency as one number; the lower one goes first."""
+    return urgency.workspace * (MAX_NUMBER + 1) + urgency.route
+
+
 @frozen
 class _InboundCall:
     """A call for the local target, from another node or from this one.
@@ -74,6 +91,7 @@
         idempotent: Whether it may run more than once.
         identity: Identity of the target when the call arrived.
         started: Monotonic time of the arrival.
+        urgency: Rank of the call under overload.
     """
 
     request: Request
@@ -82,6 +100,7 @@
     idempotent: bool
     identity: TargetIdentity
     started: float
+    urgency: Urgency
 
 
 class TargetDelivery:
@@ -156,7 +175,8 @@
         name = route.name if route is not None else UNROUTED
         started = time.monotonic()
         idempotent = view.is_idempotent(route, identity.service, request.method)
-        call = _InboundCall(request, context, name, idempotent, identity, started)
+        urgency = _urgency(view, route, request.workspace)
+        call = _InboundCall(request, context, name, idempotent, identity, started, urgency)
         reason = self._reason_to_refuse(call)
         if reason:
             return self._refuse(call, reason)
@@ -166,7 +186,7 @@
                 route=name,
                 deadline=context.deadline,
                 weight=route.weight if route is not None else 1,
-                priority=route.priority if route is not None else 0,
+                priority=_rank(urgency),
                 soft_deadline=_soft_deadline(route, request, started),
                 cancel_reason=lambda: self._reason_to_withdraw(call),
             )
@@ -260,7 +280,10 @@
             OutgoingRequest(
                 method=request.method,
                 target=request.target,
-                headers=[*request.headers, *self._headers(call)],
+                headers=[
+                    *without_credentials(request.headers, self._names, self._views.current),
+                    *self._headers(call),
+                ],
                 body=request.body,
                 idempotent=call.idempotent,
                 deadline=context.deadline,
--- a/src/citronrack/calls/headers.py
+++ b/src/citronrack/calls/headers.py
@@ -53,6 +53,9 @@
         signature: Proof that the target made the response; a success without it is not genuine.
         not_run: Present when the target states that it did not run the request.
         target_load: ``running,waiting,slots`` of the target.
+        credentials: Scheme and key of the caller's workspace, separated by a space.
+        key_scheme: The scheme, compared without regard to case.
+        workspace: Name of the caller's workspace; only nodes set it.
     """
 
     timeout: bytes = TIMEOUT
@@ -62,12 +65,15 @@
     signature: bytes = b""
     not_run: bytes = b""
     target_load: bytes = b""
+    credentials: bytes = b""
+    key_scheme: bytes = b""
+    workspace: bytes = b""
     reserved: frozenset[bytes] = field(init=False)
     """Headers that only the node may set; they are dropped from requests of callers."""
 
     @reserved.default
     def _reserved(self) -> frozenset[bytes]:
-        names = {self.caller_service, self.expected_target}
+        names = {self.caller_service, self.expected_target, self.workspace}
         if self.expected_target:
             names.add(self.timeout)
         return frozenset(names - {b""})
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -146,6 +146,11 @@
     return False
 
 
+def names_of(headers: Headers) -> str:
+    """Return the names of headers for a dump; a value may be a key."""
+    return repr([name for name, _ in headers])
+
+
 @define(eq=False)
 class Request:
     """A request of a caller.
@@ -163,11 +168,13 @@
         cancelled: Returns whether the caller has disconnected; called a few times a second.
         aim_ms: Time left until the answer is late, as the asking node states it, None if unknown.
         suspect: Whether a target has ended under the request, as the asking node states it.
+        credentials: All values of the header with the key, as the caller sent them.
+        workspace: Name of the workspace of the caller, empty for none or before it is known.
     """
 
     method: str
     target: bytes
-    headers: Headers = field(factory=list)
+    headers: Headers = field(factory=list, repr=names_of)
     body: Body = field(factory=WholeBody)
     context: bytes | None = None
     service: str = ""
@@ -177,6 +184,8 @@
     cancelled: Callable[[], bool] = _never
     aim_ms: int | None = None
     suspect: bool = False
+    credentials: tuple[bytes, ...] = field(default=(), repr=False)
+    workspace: str = ""
 
     @property
     def path(self) -> str:
--- a/src/citronrack/calls/path.py
+++ b/src/citronrack/calls/path.py
@@ -15,6 +15,7 @@
 from ..telemetry import Event, EventLog
 from ._connections import Address
 from .admission import Admission
+from .authentication import Authenticator
 from .balancer import Balancer
 from .budget import RetryBudgets
 from .context import ContextCodec
@@ -146,6 +147,7 @@
     budget: RetryBudgets | None = None,
     latest_end: Callable[[], float] = lambda: math.inf,
     suspects: Suspects | None = None,
+    authenticator: Authenticator | None = None,
 ) -> Router:
     """Return a router for a node or for a caller that embeds it.
 
@@ -162,6 +164,7 @@
         budget: Limits retries, the default limits if None.
         latest_end: Returns the monotonic time by which new calls must have ended.
         suspects: Requests that may have ended their targets, none known if None.
+        authenticator: Finds the workspaces of callers, one without limits if None.
     """
     clock = clock if clock is not None else SystemClock()
 
@@ -193,6 +196,7 @@
         decode_notice=settings.decode_notice,
         latest_end=latest_end,
         suspects=suspects if suspects is not None else Suspects(clock, events),
+        authenticator=authenticator,
     )
 
 
@@ -214,6 +218,7 @@
     budget: RetryBudgets | None = None,
     on_statement: Callable[[TargetStatement], None] = lambda statement: None,
     suspects: Suspects | None = None,
+    authenticator: Authenticator | None = None,
 ) -> CallPath:
     """Return the call path of a node; its listeners are bound and accept once `run` is called."""
     clock = clock if clock is not None else SystemClock()
@@ -263,6 +268,7 @@
         budget=budget,
         latest_end=lambda: drainer.latest_end,
         suspects=suspects,
+        authenticator=authenticator,
     )
     peer_limits = WireLimits(
         idle_s=limits.idle_s,
--- a/src/citronrack/calls/record.py
+++ b/src/citronrack/calls/record.py
@@ -22,6 +22,7 @@
         targets: Names of the nodes that were tried, in order.
         config_version: Version of the configuration that was used.
         reason: The node's reason, empty for a response of a target.
+        workspace: Name of the caller's workspace, empty for none.
     """
 
     request_id: str
@@ -34,6 +35,7 @@
     targets: tuple[str, ...]
     config_version: int
     reason: str = ""
+    workspace: str = ""
 
 
 @frozen
--- a/src/citronrack/calls/request_reader.py
+++ b/src/citronrack/calls/request_reader.py
@@ -25,7 +25,7 @@
     without_upgrade,
 )
 from .limits import READ_BYTES, WHOLE_BODY_BYTES, WireLimits
-from .message import Body, BodyReadError, Request, WholeBody
+from .message import Body, BodyReadError, Request, WholeBody, names_of
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_TIMEOUT_DIGITS = 9
@@ -56,7 +56,7 @@
     target: bytes = b""
     method: bytes = b""
     version: str = "1.1"
-    headers: Headers = field(factory=list)
+    headers: Headers = field(factory=list, repr=names_of)
     size: int = 0
     head_done: bool = False
     complete: bool = False
@@ -237,6 +237,8 @@
             cancelled=self._caller_disconnected,
             aim_ms=_aim_ms(fields.get(AIM)),
             suspect=SUSPECT in fields,
+            credentials=self._credentials(incoming.headers),
+            workspace=self._workspace(fields),
         )
         return ReceivedRequest(
             request=request,
@@ -284,6 +286,14 @@
             raise BodyReadError("the body stalled")
         return other.fileno() not in readable
 
+    def _credentials(self, headers: Headers) -> tuple[bytes, ...]:
+        return tuple(value for name, value in headers if name == self._names.credentials)
+
+    def _workspace(self, fields: dict[bytes, bytes]) -> str:
+        """Return the workspace that another node states, empty for a caller's request."""
+        name = self._names.workspace
+        return "" if name in self._dropped_headers else fields.get(name, b"").decode("latin-1")
+
     def _read_whole(self, incoming: _IncomingRequest) -> None:
         try:
             while not incoming.complete:
--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -4,7 +4,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import evolve
 
@@ -13,6 +13,7 @@
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
 from ._routed_call import RoutedCall, call_headers, choose_service, choose_version
+from .authentication import Authenticator, Refusal
 from .balancer import Balancer, LimitsUsedUp
 from .budget import RetryBudgets
 from .context import CallContext, ContextCodec
@@ -87,6 +88,7 @@
         decode_notice: Decodes what targets state in the headers of their answers.
         latest_end: Returns the monotonic time by which new calls must have ended.
         suspects: Requests that may have ended their targets.
+        authenticator: Finds the workspaces of callers.
     """
 
     def __init__(
@@ -108,7 +110,9 @@
         decode_notice: NoticeDecoder = no_notice,
         latest_end: Callable[[], float] = lambda: math.inf,
         suspects: Suspects,
+        authenticator: Authenticator | None = None,
     ) -> None:
+        self._authenticator = authenticator if authenticator is not None else Authenticator(names)
         self._suspects = suspects
         self._latest_end = latest_end
         self._on_response = on_response
@@ -148,7 +152,11 @@
             return self._refuse(request, 503, view.reason)
         route = view.route_of(request.path, request.host)
         if route is None:
-            return self._refuse(request, *_NO_ROUTE[view.complete])
+            return self._refuse(request, *_NO_ROUTE[view.is_newest])
+        caller = self._authenticator.identify(request, route, view)
+        if isinstance(caller, Refusal):
+            return self._refuse(request, caller.status, caller.reason, route.name, caller.headers)
+        request = self._authenticator.forwarded(request, caller, view)
         context = self._contexts.decode_nested(request.context) or self._contexts.new_context()
         if context.too_deep:
             return self._refuse(request, 508, "the call is nested too deeply", route.name)
@@ -203,6 +211,7 @@
                     targets=tuple(call.tried),
                     config_version=call.view.config.version,
                     reason=response.local_reason,
+                    workspace=call.request.workspace,
                 )
             )
 
@@ -431,7 +440,14 @@
         )
         return response
 
-    def _refuse(self, request: Request, status: int, reason: str, route: str = "") -> Response:
+    def _refuse(
+        self,
+        request: Request,
+        status: int,
+        reason: str,
+        route: str = "",
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> Response:
         self._events.write(
             Event.CALL_REFUSED,
             route=route,
@@ -439,4 +455,6 @@
             reason=reason,
             config_version=self._views.current.config.version,
         )
-        return local_response(status, reason, Verdict.NOT_RUN)
+        response = local_response(status, reason, Verdict.NOT_RUN)
+        response.headers += headers
+        return response
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 
-from attrs import define
+from attrs import define, field
 
 from ..errors import CallFailed
 from ..verdict import Verdict
@@ -26,7 +26,14 @@
     request_head,
 )
 from .limits import READ_BYTES, WHOLE_BODY_BYTES
-from .message import Body, BodyReadError, CallerDisconnected, DeadlineExceeded, Response
+from .message import (
+    Body,
+    BodyReadError,
+    CallerDisconnected,
+    DeadlineExceeded,
+    Response,
+    names_of,
+)
 
 SEND_TIMEOUT_S = 10.0
 UNACKNOWLEDGED_MS = 1_000
@@ -72,7 +79,7 @@
 
     method: str
     target: bytes
-    headers: Headers
+    headers: Headers = field(repr=names_of)
     body: Body
     idempotent: bool
     deadline: float
--- a/src/citronrack/calls/view.py
+++ b/src/citronrack/calls/view.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Iterable, Mapping
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
-from ..config import ConfigSet, Route
+from ..config import ConfigSet, KeyIndex, Route
+from .confirmation import Confirmation
 from .notice import TargetProcess
 
 
@@ -115,6 +116,8 @@
         index: Index of the routes.
         service_shares: Division of calls by service, for services whose routes all move together.
         complete: Whether ``config`` was known to be the newest when the view was made.
+        keys: Index of the keys in ``config``.
+        confirmation: How recently ``config`` was known to be the newest.
     """
 
     ready: bool = False
@@ -125,6 +128,15 @@
     index: RouteIndex = field(factory=RouteIndex)
     service_shares: Mapping[str, RouteShare] = field(factory=dict)
     complete: bool = True
+    keys: KeyIndex = field(
+        default=Factory(lambda self: KeyIndex(self.config.workspaces.values()), takes_self=True)
+    )
+    confirmation: Confirmation = field(factory=Confirmation)
+
+    @property
+    def is_newest(self) -> bool:
+        """Whether what ``config`` lacks cannot be in a newer one on which callers may rely."""
+        return self.complete and self.confirmation.is_recent
 
     def route_of(self, path: str, host: str = "") -> Route | None:
         """Return the route with the longest prefix of ``path``, None when there is none.
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -14,6 +14,7 @@
 from attrs import frozen
 
 from ..calls import CallRecord, CallServer, ViewHolder
+from ..calls.authentication import Authenticator
 from ..calls.budget import RetryBudgets
 from ..calls.headers import HeaderNames
 from ..calls.limits import SWITCH_INTERVAL_S, WireLimits
@@ -364,6 +365,7 @@
 
     def on_response(record: ResponseRecord) -> None:
         metrics.count("calls", record.route, str(record.status), record.verdict.value)
+        metrics.count("workspace_calls", record.workspace, record.verdict.value)
         metrics.observe("call_seconds", record.seconds, record.route)
         events.write(
             Event.CALL_ANSWERED,
@@ -376,6 +378,7 @@
             targets=record.targets,
             config_version=record.config_version,
             reason=record.reason,
+            workspace=record.workspace,
         )
 
     return make_call_path(
@@ -409,6 +412,11 @@
         budget=budget,
         on_statement=lambda statement: mailbox.put(TargetStated(statement)),
         suspects=suspects,
+        authenticator=Authenticator(
+            adapter.headers,
+            digester=adapter.operator.digester,
+            count_refusal=lambda reason: metrics.count("keys_refused", reason),
+        ),
     )
 
 
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
-from ..config import ConfigSet
+from ..config import ConfigSet, KeyIndex
 from ..validators import split_address
 from .entry import NodeEntry
 from .rollout_record import VersionShare
@@ -38,7 +38,9 @@
         before: The view that this one replaces.
     """
     ready = config.version >= 0
-    index = before.index if config is before.config else RouteIndex(config.routes.values())
+    unchanged = config is before.config
+    index = before.index if unchanged else RouteIndex(config.routes.values())
+    keys = before.keys if unchanged else KeyIndex(config.workspaces.values())
     return RoutingView(
         ready=ready,
         complete=complete,
@@ -46,6 +48,7 @@
         config=config,
         pools=_pools(entries, rollouts),
         index=index,
+        keys=keys,
         service_shares={
             service: RouteShare(
                 move_id=str(rollout.order_id),
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -12,6 +12,9 @@
     signature=b"instance-signature",
     not_run=b"not-executed",
     target_load=b"instance-load",
+    credentials=b"authorization",
+    key_scheme=b"Token",
+    workspace=b"tenant",
 )
 
 LIMIT_HEADER = b"server-limit"
--- a/src/citronrack/standins/target.py
+++ b/src/citronrack/standins/target.py
@@ -36,7 +36,7 @@
     request_id: str = ""
     body_bytes: int = 0
     body: bytes = b""
-    header_names: list[str] = field(factory=list)
+    headers: list[tuple[str, str]] = field(factory=list)
     on_end: Callable[[], None] | None = None
 
     def end(self) -> None:
@@ -151,9 +151,11 @@
 
 @behaviours.register("headers")
 def _headers(target: TargetStandIn, request: StandInRequest, argument: str) -> bool:
-    """Respond with the names of the request's headers."""
-    names = ",".join(request.header_names).encode()
-    request.respond(200, b"", headers=b"x-seen: %b\r\n" % names)
+    """Respond with the names of the request's headers, and the values of one of them."""
+    names = ",".join(name for name, _ in request.headers)
+    values = "|".join(value for name, value in request.headers if name == argument)
+    fields = f"x-seen: {names}\r\nx-values: {values}\r\n"
+    request.respond(200, b"", headers=fields.encode("latin-1"))
     return True
 
 
@@ -184,7 +186,7 @@
         self.request.path += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.request.header_names.append(name.decode("latin-1").lower())
+        self.request.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
         if name.lower() == b"x-request-id":
             self.request.request_id = value.decode("latin-1")
 
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -8,6 +8,8 @@
 
 EXPOSED_METRICS: dict[str, tuple[str, tuple[str, ...], str]] = {
     "calls": ("counter", ("route", "status", "verdict"), "Answers to callers."),
+    "workspace_calls": ("counter", ("workspace", "verdict"), "Answers to callers by workspace."),
+    "keys_refused": ("counter", ("reason",), "Requests refused because of their key."),
     "attempts": ("counter", ("route", "status", "verdict"), "Attempts at a target."),
     "call_seconds": ("histogram", ("route",), "Time from the request to the end of its answer."),
     "delivery_seconds": ("histogram", ("route",), "Time that the own target took."),
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -21,6 +21,8 @@
     RoutingView,
     ViewHolder,
 )
+from citronrack.calls.authentication import Authenticator
+from citronrack.calls.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from citronrack.calls.limits import WireLimits
 from citronrack.calls.path import CallPath, OwnTarget, PathSettings, make_call_path
 from citronrack.config import ConfigSet, Route, Service, ServiceVersion
@@ -73,6 +75,9 @@
     limits: WireLimits = field(factory=WireLimits)
     slots: int = 6
     balancer: str = "round-robin"
+    names: HeaderNames = DEFAULT_HEADER_NAMES
+    authenticator: Authenticator | None = None
+    events: EventLog | None = None
     nodes: list[MeshNode] = field(factory=list)
     _executor: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(200))
     _holders: list[ViewHolder] = field(factory=list)
@@ -86,18 +91,25 @@
         name = f"node-{len(self.nodes)}"
         records: list[CallRecord] = []
         path = make_call_path(
-            PathSettings(name=name, availability_zone=zone, key=KEY, balancer=self.balancer),
+            PathSettings(
+                name=name,
+                availability_zone=zone,
+                key=KEY,
+                balancer=self.balancer,
+                names=self.names,
+            ),
             call_address=LOCALHOST,
             deliver_address=LOCALHOST,
             target=OwnTarget(
                 (stand_in.host, stand_in.port), "catalogue", service_version, self.slots, ramp_s=0.0
             ),
             views=holder,
-            events=EventLog(node=name, level="error"),
+            events=self.events or EventLog(node=name, level="error"),
             report=records.append,
             executor=self._executor,
             random=Random(len(self.nodes)),
             limits=self.limits,
+            authenticator=self.authenticator,
         )
         node = MeshNode(name, service_version, zone, stand_in, path, records)
         self.nodes.append(node)
