--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -10,11 +10,12 @@
 from ..calls import ViewHolder
 from ..calls.suspects import Suspects
 from ..clock import Clock
-from ..config import ConfigSet
+from ..config import ConfigSet, KeyDigester
 from ..telemetry import EventLog
 from .evacuation import EvacuationOrder
 from .publish import Write
 from .readers import ReaderTimings
+from .record_audit import RecordFault
 from .rollout_record import Phase, RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetTracker
@@ -32,6 +33,8 @@
         status: Returns the write that reports service, version and phase to the operator.
         evacuation: Returns what a record asks of a zone, None for a record of another kind or one
             that cannot be decoded.
+        fault: Returns why a record is refused, None if it is valid or the reason is not known.
+        digester: Computes the digests of the keys in decoded configurations.
     """
 
     name: str
@@ -39,6 +42,8 @@
     order: Callable[[KeyedRecord], RolloutOrder | None]
     status: Callable[[str, str, Phase], Write]
     evacuation: Callable[[KeyedRecord], EvacuationOrder | None]
+    fault: Callable[[KeyedRecord], RecordFault | None] = lambda record: None
+    digester: KeyDigester = field(factory=KeyDigester)
 
 
 @frozen
--- a/src/citronrack/platform/fields.py
+++ b/src/citronrack/platform/fields.py
@@ -64,7 +64,7 @@
 
 
 def require_rate(fields: Mapping[str, Any], name: str) -> float:
-    """Return a field that is a number of requests a second, with or without a fraction.
+    """Return a field that is a rate or another amount, with or without a fraction.
 
     Raises:
         FieldError: If it is missing, of another type, negative or beyond any use.
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -21,6 +21,7 @@
     RoutingView,
     ViewHolder,
 )
+from citronrack.calls.authentication import Authenticator
 from citronrack.calls.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from citronrack.calls.limits import WireLimits
 from citronrack.calls.path import CallPath, OwnTarget, PathSettings, make_call_path
@@ -81,9 +82,11 @@
     limits: WireLimits = field(factory=WireLimits)
     slots: int = 6
     balancer: str = "round-robin"
+    names: HeaderNames = DEFAULT_HEADER_NAMES
+    authenticator: Authenticator | None = None
+    events: EventLog | None = None
     nodes: list[MeshNode] = field(factory=list)
     evacuated: set[str] = field(factory=set)
-    names: HeaderNames = DEFAULT_HEADER_NAMES
     target_id: str = ""
     _executor: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(200))
     _holders: list[ViewHolder] = field(factory=list)
@@ -129,12 +132,13 @@
                 ramp_s=0.0,
             ),
             views=holder,
-            events=EventLog(node=name, level="error"),
+            events=self.events or EventLog(node=name, level="error"),
             report=records.append,
             executor=self._executor,
             random=Random(len(self.nodes)),
             limits=self.limits,
             identity=identity,
+            authenticator=self.authenticator,
         )
         node = MeshNode(name, service_version, zone, stand_in, path, records)
         self.nodes.append(node)
