Refuse requests beyond the limit of their workspace

Cause: workspaces have a limit on requests over all nodes; the nodes already exchange tokens. Change: the router takes a token for each request with a workspace: 429 with the time of the next token beyond the limit, 503 if no node says whether there is room. A request that did not run returns its token.

--- a/src/citronrack/calls/router.py
+++ b/src/citronrack/calls/router.py
@@ -4,15 +4,17 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import evolve
 
 from ..config import Route
+from ..decisions.allotment import Admission, AdmissionStatus
 from ..errors import CallFailed
 from ..telemetry import Event, EventLog
 from ..verdict import Verdict
 from ._routed_call import RoutedCall, call_headers, choose_service, choose_version
+from .authentication import Authenticator, Refusal
 from .balancer import Balancer, LimitsUsedUp
 from .budget import RetryBudgets
 from .context import CallContext, ContextCodec
@@ -36,6 +38,7 @@
 from .target_stats import TargetStats
 from .upstream import OutgoingRequest, Upstream
 from .view import PoolTarget, ViewHolder
+from .workspace_limits import REFUSALS, NoLimits, WorkspaceLimits, state_retry_after
 
 RETRY_STATUSES = frozenset({502, 503, 504})
 """Response statuses after which a call may be sent to another target."""
@@ -87,6 +90,8 @@
         decode_notice: Decodes what targets state in the headers of their answers.
         latest_end: Returns the monotonic time by which new calls must have ended.
         suspects: Requests that may have ended their targets.
+        authenticator: Finds the workspaces of callers.
+        limits: Limits of the workspaces.
     """
 
     def __init__(
@@ -108,7 +113,11 @@
         decode_notice: NoticeDecoder = no_notice,
         latest_end: Callable[[], float] = lambda: math.inf,
         suspects: Suspects,
+        authenticator: Authenticator | None = None,
+        limits: WorkspaceLimits | None = None,
     ) -> None:
+        self._limits = limits if limits is not None else NoLimits()
+        self._authenticator = authenticator if authenticator is not None else Authenticator(names)
         self._suspects = suspects
         self._latest_end = latest_end
         self._on_response = on_response
@@ -148,7 +157,11 @@
             return self._refuse(request, 503, view.reason)
         route = view.route_of(request.path, request.host)
         if route is None:
-            return self._refuse(request, *_NO_ROUTE[view.complete])
+            return self._refuse(request, *_NO_ROUTE[view.is_newest])
+        caller = self._authenticator.identify(request, route, view)
+        if isinstance(caller, Refusal):
+            return self._refuse(request, caller.status, caller.reason, route.name, caller.headers)
+        request = self._authenticator.forwarded(request, caller, view)
         context = self._contexts.decode_nested(request.context) or self._contexts.new_context()
         if context.too_deep:
             return self._refuse(request, 508, "the call is nested too deeply", route.name)
@@ -164,6 +177,10 @@
         standing = self._suspects.standing(request)
         if standing >= Standing.HELD:
             return self._refuse_suspect(request, route, context)
+        if request.workspace:
+            admission = self._limits.admit(request.workspace)
+            if admission is not AdmissionStatus.ADMITTED:
+                return self._refuse_beyond_limit(request, route, context, admission)
         service = view.config.services[service_name]
         self._budget.record_call(service_name, time.monotonic())
         call = RoutedCall(
@@ -180,6 +197,8 @@
             suspect=standing is not Standing.CLEAR,
         )
         response = self._route(call)
+        if request.workspace and response.verdict is Verdict.NOT_RUN:
+            self._limits.refund(request.workspace)
         if self._on_response is not None:
             self._report_response(self._on_response, call, response)
         return response
@@ -203,6 +222,7 @@
                     targets=tuple(call.tried),
                     config_version=call.view.config.version,
                     reason=response.local_reason,
+                    workspace=call.request.workspace,
                 )
             )
 
@@ -238,7 +258,7 @@
             stats = self._balancer.choose(
                 (call.service, call.service_version),
                 call.pool,
-                excluded=call.tried,
+                excluded=call.excluded,
                 body_bytes=call.request.body.length or 0,
                 patience_s=call.patience_s,
             )
@@ -272,7 +292,9 @@
             self._balancer.record_end(stats)
             raise
         call.suspect = call.suspect or response.target_ended
-        if not response.reached_target:
+        if response.evacuated:
+            call.evacuated.add(target.availability_zone)
+        elif not response.reached_target:
             call.reroutes += 1
         else:
             call.reached += 1
@@ -419,19 +441,42 @@
             )
         return response
 
-    def _refuse_suspect(self, request: Request, route: Route, context: CallContext) -> Response:
-        """Refuse a request under which targets have ended, and say when to come back."""
-        response = self._refuse(request, 503, TARGETS_ENDED, route.name)
+    def _refuse_beyond_limit(
+        self, request: Request, route: Route, context: CallContext, admission: Admission
+    ) -> Response:
+        """Refuse a request that the limit of its workspace leaves no room for."""
+        status, reason = REFUSALS[type(admission)]
+        response = self._refuse(request, status, reason, route.name)
+        if status == 503:
+            self._spread_return(response, context)
+        state_retry_after(response, admission)
+        return response
+
+    @staticmethod
+    def _spread_return(response: Response, context: CallContext, *, pause_s: float = 0.0) -> None:
+        """Let a caller that is not served for reasons of its own come back within its time."""
         set_retry_after(
             response,
             aim_left_s=0.0,
             left_s=context.deadline - time.monotonic(),
             spread=hash_fraction(context.call_key, RETRY_AFTER_SALT),
-            pause_s=HOLD_S,
+            pause_s=pause_s,
         )
+
+    def _refuse_suspect(self, request: Request, route: Route, context: CallContext) -> Response:
+        """Refuse a request under which targets have ended, and say when to come back."""
+        response = self._refuse(request, 503, TARGETS_ENDED, route.name)
+        self._spread_return(response, context, pause_s=HOLD_S)
         return response
 
-    def _refuse(self, request: Request, status: int, reason: str, route: str = "") -> Response:
+    def _refuse(
+        self,
+        request: Request,
+        status: int,
+        reason: str,
+        route: str = "",
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> Response:
         self._events.write(
             Event.CALL_REFUSED,
             route=route,
@@ -439,4 +484,6 @@
             reason=reason,
             config_version=self._views.current.config.version,
         )
-        return local_response(status, reason, Verdict.NOT_RUN)
+        response = local_response(status, reason, Verdict.NOT_RUN)
+        response.headers += headers
+        return response
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 
-from attrs import define
+from attrs import define, field
 
 from ..errors import CallFailed
 from ..verdict import Verdict
@@ -17,6 +17,7 @@
 from .headers import (
     ARRIVED,
     ENDED,
+    EVACUATED,
     LAST_CHUNK,
     LOAD,
     PAUSE,
@@ -26,7 +27,14 @@
     request_head,
 )
 from .limits import READ_BYTES, WHOLE_BODY_BYTES
-from .message import Body, BodyReadError, CallerDisconnected, DeadlineExceeded, Response
+from .message import (
+    Body,
+    BodyReadError,
+    CallerDisconnected,
+    DeadlineExceeded,
+    Response,
+    names_of,
+)
 
 SEND_TIMEOUT_S = 10.0
 UNACKNOWLEDGED_MS = 1_000
@@ -72,7 +80,7 @@
 
     method: str
     target: bytes
-    headers: Headers
+    headers: Headers = field(repr=names_of)
     body: Body
     idempotent: bool
     deadline: float
@@ -219,6 +227,7 @@
             data += body
         connection.written = False
         connection.sent_all = False
+        connection.write_failed = False
         try:
             sent = connection.socket.send(data)
         except OSError:
@@ -263,7 +272,7 @@
             before = len(reader.parts)
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
             held += sum(map(len, reader.parts[before:]))
 
     @staticmethod
@@ -300,8 +309,9 @@
             raise CallerDisconnected(
                 f"the upload was cut short: {error}", verdict=_verdict(connection)
             ) from error
-        except OSError:
+        except OSError as error:
             # The server may have responded and closed; a response, if any, is read next.
+            connection.write_failed = not isinstance(error, BlockingIOError)
             return
         connection.sent_all = True
 
@@ -315,7 +325,7 @@
         while not done():
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
             if reader.complete and not done():
                 raise _call_failed(connection, "the answer is incomplete")
 
@@ -343,7 +353,8 @@
             reader.feed(data)
             return
         self._record_loss(connection, reader)
-        reader.end()
+        if not connection.write_failed:  # Otherwise a reset may have cut the answer short.
+            reader.end()
         if not reader.complete:
             raise _call_failed(connection, "the connection ended before the answer was complete")
 
@@ -367,6 +378,7 @@
         pause_ms = _number(reader.fields.get(PAUSE)) if request.to_node else None
         response.pause_s = pause_ms / 1000 if pause_ms is not None else None
         response.target_ended = request.to_node and ENDED in reader.fields
+        response.evacuated = request.to_node and EVACUATED in reader.fields
         response.reached_target = (
             response.verdict is not Verdict.NOT_RUN or ARRIVED in reader.fields
         )
@@ -390,7 +402,7 @@
                 return
             self._receive(connection, request, reader)
             if reader.broken:
-                raise _call_failed(connection, "the answer is malformed")
+                raise _call_failed(connection, reader.fault)
 
     def _release(self, connection: Connection, reader: ResponseReader) -> None:
         if reader.complete and reader.reusable and connection.sent_all:
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -14,6 +14,7 @@
 from attrs import frozen
 
 from ..calls import CallRecord, CallServer, ViewHolder
+from ..calls.authentication import Authenticator
 from ..calls.budget import RetryBudgets
 from ..calls.headers import HeaderNames
 from ..calls.limits import SWITCH_INTERVAL_S, WireLimits
@@ -247,7 +248,7 @@
         report_interval_s=settings.bounds.report_interval_s,
         clock=clock,
     )
-    timings = ReaderTimings.within(settings.bounds.config_apply_s)
+    timings = ReaderTimings.within(settings.bounds.operator_apply_s)
     allotments = Allotments(
         slack=settings.bounds.allotment_slack, clock=boot_clock, post=mailbox.put
     )
@@ -272,10 +273,13 @@
     )
     budget = RetryBudgets(ratio=RETRY_SHARE * settings.bounds.retry_ratio)
     call_path = _call_path(
-        adapter, core, views, mailbox, executor, events, metrics, budget, suspects
+        adapter, core, views, mailbox, executor, events, metrics, budget, suspects, allotments
     )
     metrics.set_source("requests_suspected", lambda: len(suspects))
     core.callbacks.set_slots = call_path.admission.resize
+    core.callbacks.set_cold_rate = partial(
+        call_path.admission.set_cold_rate, burst_s=settings.bounds.cold_burst_s
+    )
     core.callbacks.set_retry_burst = budget.set_burst
     transport = ZmqTransport(
         address=f"tcp://{settings.addresses.peers}",
@@ -358,6 +362,7 @@
     metrics: Exposition,
     budget: RetryBudgets,
     suspects: Suspects,
+    allotments: Allotments,
 ) -> CallPath:
     settings = adapter.settings
 
@@ -370,6 +375,7 @@
 
     def on_response(record: ResponseRecord) -> None:
         metrics.count("calls", record.route, str(record.status), record.verdict.value)
+        metrics.count("workspace_calls", record.workspace, record.verdict.value)
         metrics.observe("call_seconds", record.seconds, record.route)
         events.write(
             Event.CALL_ANSWERED,
@@ -382,6 +388,7 @@
             targets=record.targets,
             config_version=record.config_version,
             reason=record.reason,
+            workspace=record.workspace,
         )
 
     return make_call_path(
@@ -415,6 +422,12 @@
         budget=budget,
         on_statement=lambda statement: mailbox.put(TargetStated(statement)),
         suspects=suspects,
+        authenticator=Authenticator(
+            adapter.headers,
+            digester=adapter.operator.digester,
+            count_refusal=lambda reason: metrics.count("keys_refused", reason),
+        ),
+        limits_of_workspaces=allotments,
     )
 
 
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -13,6 +13,7 @@
 from ..config import ConfigSet, KeyDigester
 from ..telemetry import EventLog
 from .allotments import Allotments
+from .evacuation import EvacuationOrder
 from .publish import Write
 from .readers import ReaderTimings
 from .record_audit import RecordFault
@@ -31,6 +32,8 @@
             that cannot be decoded.
         order: Returns the rollout order in a record, None for a record of another kind.
         status: Returns the write that reports service, version and phase to the operator.
+        evacuation: Returns what a record asks of a zone, None for a record of another kind or one
+            that cannot be decoded.
         fault: Returns why a record is refused, None if it is valid or the reason is not known.
         digester: Computes the digests of the keys in decoded configurations.
     """
@@ -39,6 +42,7 @@
     config: Callable[[KeyedRecord], ConfigSet | None]
     order: Callable[[KeyedRecord], RolloutOrder | None]
     status: Callable[[str, str, Phase], Write]
+    evacuation: Callable[[KeyedRecord], EvacuationOrder | None]
     fault: Callable[[KeyedRecord], RecordFault | None] = lambda record: None
     digester: KeyDigester = field(factory=KeyDigester)
 
@@ -106,6 +110,8 @@
             copy has settled.
         set_slots: Called with the number of calls that the local target runs concurrently.
         set_retry_burst: Called with the number of retries that this node may accumulate.
+        set_cold_rate: Called with the calls a second that the local target gets because it is cold,
+            None while it is warm.
     """
 
     read_topics: Callable[[bool], None] = _ignore
@@ -113,3 +119,4 @@
     reread_operator: Callable[[], None] = _nothing
     set_slots: Callable[[int], None] = _ignore
     set_retry_burst: Callable[[float], None] = _ignore
+    set_cold_rate: Callable[[float | None], None] = _ignore
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
-from ..config import ConfigSet
+from ..config import ConfigSet, KeyIndex
 from ..validators import split_address
 from .entry import NodeEntry
 from .rollout_record import VersionShare
@@ -25,6 +25,7 @@
     entries: Iterable[NodeEntry],
     rollouts: Mapping[str, VersionShare],
     *,
+    evacuated: frozenset[str] = frozenset(),
     complete: bool,
     before: RoutingView,
 ) -> RoutingView:
@@ -34,18 +35,24 @@
         config: Active configuration; a version of -1 means that there is none yet.
         entries: Entries of all nodes.
         rollouts: Division of calls by service.
+        evacuated: Zones whose targets get no calls.
         complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
     """
     ready = config.version >= 0
-    index = before.index if config is before.config else RouteIndex(config.routes.values())
+    unchanged = config is before.config
+    index = before.index if unchanged else RouteIndex(config.routes.values())
+    keys = before.keys if unchanged else KeyIndex(config.workspaces.values())
     return RoutingView(
         ready=ready,
         complete=complete,
         reason="" if ready else "the node holds no configuration yet",
         config=config,
-        pools=_pools(entries, rollouts),
+        pools=_pools(
+            [entry for entry in entries if entry.availability_zone not in evacuated], rollouts
+        ),
         index=index,
+        keys=keys,
         service_shares={
             service: RouteShare(
                 move_id=str(rollout.order_id),
--- a/src/citronrack/platform/names.py
+++ b/src/citronrack/platform/names.py
@@ -12,6 +12,9 @@
     signature=b"instance-signature",
     not_run=b"not-executed",
     target_load=b"instance-load",
+    credentials=b"authorization",
+    key_scheme=b"Token",
+    workspace=b"tenant",
 )
 
 LIMIT_HEADER = b"server-limit"
@@ -32,6 +35,7 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 
 
 def is_readiness_request(method: str, path: str) -> bool:
--- a/src/citronrack/platform/tenants.py
+++ b/src/citronrack/platform/tenants.py
@@ -6,8 +6,7 @@
 from typing import Any
 
 from ..config import KeyDigester, Workspace
-from ..validators import MAX_NUMBER
-from .fields import FieldError, require, require_number, require_text
+from .fields import FieldError, require, require_number, require_rate, require_text
 from .rows import RowError
 
 TABLE = "tenants"
@@ -33,8 +32,8 @@
         return Workspace(
             name=_name(row),
             key_digests=frozenset(self._digester.digest(_key(key)) for key in keys),
-            rate_per_s=_amount(row, "rate_per_s"),
-            burst=_amount(row, "burst"),
+            rate_per_s=require_rate({"rate_per_s": 0, **row}, "rate_per_s"),
+            burst=require_rate({"burst": 0, **row}, "burst"),
             priority=require_number(row, "priority") if "priority" in row else None,
         )
 
@@ -64,12 +63,3 @@
     if not isinstance(key, str) or not key or not key.isprintable() or " " in key:
         raise FieldError("a key is not a text without spaces")
     return key.encode()
-
-
-def _amount(row: Mapping[str, Any], name: str) -> float:
-    value = row.get(name, 0)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise FieldError(f"field {name!r} is not a number")
-    if not 0 <= value <= MAX_NUMBER:  # Also false for NaN.
-        raise FieldError(f"field {name!r} is not between 0 and {MAX_NUMBER}")
-    return float(value)
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -8,6 +8,8 @@
 
 EXPOSED_METRICS: dict[str, tuple[str, tuple[str, ...], str]] = {
     "calls": ("counter", ("route", "status", "verdict"), "Answers to callers."),
+    "workspace_calls": ("counter", ("workspace", "verdict"), "Answers to callers by workspace."),
+    "keys_refused": ("counter", ("reason",), "Requests refused because of their key."),
     "attempts": ("counter", ("route", "status", "verdict"), "Attempts at a target."),
     "call_seconds": ("histogram", ("route",), "Time from the request to the end of its answer."),
     "delivery_seconds": ("histogram", ("route",), "Time that the own target took."),
@@ -15,6 +17,8 @@
     "suspects_refused": ("counter", ("standing",), "Calls refused because of ended targets."),
     "requests_suspected": ("gauge", (), "Digests of requests under which targets have ended."),
     "target_load": ("gauge", (), "Calls that run at the own target or wait for it."),
+    "target_cold": ("gauge", (), "Whether the own target gets fewer calls because it is cold."),
+    "zones_evacuated": ("gauge", (), "Zones whose targets get no calls, by an operator's order."),
     "config_version": ("gauge", (), "Version in force, -1 for none."),
     "config_age_seconds": (
         "gauge",
--- a/tests/calls/support.py
+++ b/tests/calls/support.py
@@ -21,8 +21,12 @@
     RoutingView,
     ViewHolder,
 )
+from citronrack.calls.authentication import Authenticator
+from citronrack.calls.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from citronrack.calls.limits import WireLimits
 from citronrack.calls.path import CallPath, OwnTarget, PathSettings, make_call_path
+from citronrack.calls.target_identity import TargetIdentity
+from citronrack.calls.workspace_limits import WorkspaceLimits
 from citronrack.config import ConfigSet, Route, Service, ServiceVersion
 from citronrack.standins.target import TargetStandIn
 from citronrack.telemetry import EventLog
@@ -68,36 +72,76 @@
 
 @define(eq=False)
 class Mesh:
-    """Nodes that route to each other; use it as a context manager."""
+    """Nodes that route to each other; use it as a context manager.
+
+    Attributes:
+        evacuated: Zones whose nodes refuse calls for their targets, unknown to the asking nodes.
+        names: Names of the headers that callers and targets use.
+        target_id: Id of all targets; nodes forget the failures of a target with another one.
+    """
 
     limits: WireLimits = field(factory=WireLimits)
     slots: int = 6
     balancer: str = "round-robin"
+    names: HeaderNames = DEFAULT_HEADER_NAMES
+    authenticator: Authenticator | None = None
+    limits_of_workspaces: WorkspaceLimits | None = None
+    events: EventLog | None = None
     nodes: list[MeshNode] = field(factory=list)
+    evacuated: set[str] = field(factory=set)
+    target_id: str = ""
     _executor: ThreadPoolExecutor = field(factory=lambda: ThreadPoolExecutor(200))
     _holders: list[ViewHolder] = field(factory=list)
 
-    def add(self, *, service_version: str = "1", zone: str = "a", **target: Any) -> MeshNode:
-        """Start a node with a stand-in target."""
+    def add(
+        self,
+        *,
+        service_version: str = "1",
+        zone: str = "a",
+        address: tuple[str, int] | None = None,
+        **target: Any,
+    ) -> MeshNode:
+        """Start a node with a stand-in target, or with another server at an address."""
         stand_in = TargetStandIn(service_version=service_version, **target)
         stand_in.start()
         holder = ViewHolder()
         self._holders.append(holder)
         name = f"node-{len(self.nodes)}"
         records: list[CallRecord] = []
+
+        def identity() -> TargetIdentity:
+            evacuated = zone in self.evacuated
+            refusal = "evacuated" if evacuated else ""
+            return TargetIdentity(
+                "catalogue", service_version, self.target_id, refusal, evacuated=evacuated
+            )
+
         path = make_call_path(
-            PathSettings(name=name, availability_zone=zone, key=KEY, balancer=self.balancer),
+            PathSettings(
+                name=name,
+                availability_zone=zone,
+                key=KEY,
+                balancer=self.balancer,
+                names=self.names,
+            ),
             call_address=LOCALHOST,
             deliver_address=LOCALHOST,
             target=OwnTarget(
-                (stand_in.host, stand_in.port), "catalogue", service_version, self.slots, ramp_s=0.0
+                address or (stand_in.host, stand_in.port),
+                "catalogue",
+                service_version,
+                self.slots,
+                ramp_s=0.0,
             ),
             views=holder,
-            events=EventLog(node=name, level="error"),
+            events=self.events or EventLog(node=name, level="error"),
             report=records.append,
             executor=self._executor,
             random=Random(len(self.nodes)),
             limits=self.limits,
+            identity=identity,
+            authenticator=self.authenticator,
+            limits_of_workspaces=self.limits_of_workspaces,
         )
         node = MeshNode(name, service_version, zone, stand_in, path, records)
         self.nodes.append(node)
