Count the nodes that share the limits by their pledges

Change: an allocator counts the nodes that have pledged within 6 s and tells the allocators of other zones; a zone that cannot be heard keeps its last count.

--- a/src/citronrack/decisions/allocator.py
+++ b/src/citronrack/decisions/allocator.py
@@ -56,19 +56,6 @@
     spacing_s: float = 0.0
 
 
-@frozen
-class _Pledge:
-    """The share of one node.
-
-    Attributes:
-        nodes: Number of nodes that share the limits, as that node counts them.
-        until: Time at which the pledge lapses.
-    """
-
-    nodes: int
-    until: float
-
-
 @define(eq=False)
 class _Pool:
     """Tokens of one workspace."""
@@ -91,7 +78,8 @@
         self._slack = slack
         self._limits: Mapping[str, Limit] = {}
         self._pools: dict[str, _Pool] = {}
-        self._pledges: list[dict[str, _Pledge]] = [{} for _ in range(SHARDS)]
+        self._pledges: list[dict[str, float]] = [{} for _ in range(SHARDS)]  # node: lapse
+        self._nodes = 0
 
     def set_limits(self, limits: Mapping[str, Limit], now: float) -> None:
         """Apply the limits of the workspaces; one that is new begins with an empty bucket."""
@@ -111,40 +99,38 @@
             pools[workspace] = pool
         self._pools = pools
 
-    def pledge(
-        self, node: str, shards: Collection[int], *, nodes: int, until: float, now: float
-    ) -> None:
+    def set_nodes(self, nodes: int, now: float) -> None:
+        """Set the number of nodes that share the limits, 0 while it is unknown."""
+        if nodes != self._nodes:
+            for shard in range(SHARDS):
+                self._fill_shard(shard, now)
+            self._nodes = nodes
+
+    def pledge(self, node: str, shards: Collection[int], *, until: float, now: float) -> None:
         """Record which shards a node has pledged to this allocator; the others are withdrawn.
 
         Args:
             node: Name of the node.
             shards: The shards.
-            nodes: Number of nodes that share the limits.
             until: Time at which the pledge lapses.
             now: Time in seconds.
         """
         for shard, pledges in enumerate(self._pledges):
             pledged = shard in shards and until > now
-            if pledged and node in pledges and pledges[node].nodes == nodes:
-                pledges[node] = _Pledge(nodes, until)
-            elif pledged or node in pledges:
+            if pledged != (node in pledges):
                 # The refill up to now is by the shares that were pledged until now.
                 self._fill_shard(shard, now)
+            if pledged:
+                pledges[node] = until
+            else:
                 pledges.pop(node, None)
-                if pledged:
-                    pledges[node] = _Pledge(nodes, until)
 
     def share(self, shard: int, now: float) -> float:
-        """Return the part of the limits that is pledged for a shard, 0 to 1.
-
-        A node that has just started may know few others and overestimate its share, so the largest
-        count of nodes among the pledges holds for all of them.
-        """
+        """Return the part of the limits that is pledged for a shard, 0 to 1."""
         pledges = self._pledges[shard]
-        for node in [node for node, pledge in pledges.items() if pledge.until <= now]:
+        for node in [node for node, until in pledges.items() if until <= now]:
             del pledges[node]
-        most = max((pledge.nodes for pledge in pledges.values()), default=1)
-        return min(1.0, len(pledges) / max(1, most))
+        return min(1.0, len(pledges) / self._nodes) if self._nodes else 0.0
 
     def grant(self, workspace: str, count: int, now: float, *, surplus_only: bool = False) -> Grant:
         """Take tokens of a workspace.
--- a/src/citronrack/decisions/allotment.py
+++ b/src/citronrack/decisions/allotment.py
@@ -13,6 +13,7 @@
 from attrs import define, field, frozen
 
 from .allocator import MAX_PAUSE_S, SHARDS, Grant, shard_of
+from .members import MEMBER_S
 from .tokens import Allowance, Demand, Limit, Stock, TokenBucket
 
 PLEDGE_S = 2.0
@@ -100,16 +101,7 @@
         self._free_at = [now + PLEDGE_S] * SHARDS
         self._allocators: list[str] = [""] * SHARDS
         self._nodes = 0
-
-    @property
-    def limits(self) -> Mapping[str, Limit]:
-        """Limits of the workspaces that have one."""
-        return self._limits
-
-    @property
-    def nodes(self) -> int:
-        """Number of nodes that share the limits, 0 if it is unknown or this node has no share."""
-        return self._nodes
+        self._counted_until = 0.0
 
     def set_limits(self, limits: Mapping[str, Limit]) -> None:
         """Apply the limits of the workspaces; one whose limit has changed loses its stock."""
@@ -124,9 +116,9 @@
             accounts[workspace] = known
         self._limits, self._accounts = dict(limits), accounts
 
-    def set_nodes(self, nodes: int) -> None:
-        """Set the number of nodes that share the limits, 0 if this node has no share."""
-        self._nodes = nodes
+    def set_nodes(self, nodes: int, now: float) -> None:
+        """Set the number of nodes that share the limits, as an allocator has stated it."""
+        self._nodes, self._counted_until = nodes, now + MEMBER_S
 
     def admit(self, workspace: str, now: float, *, counted: bool = True) -> Admission:
         """Take a token for a request.
@@ -195,8 +187,6 @@
             shards: The shards.
             now: Time at which the pledge is sent, in seconds.
         """
-        if not self._nodes:
-            return ()
         pledged = tuple(
             shard
             for shard in shards
@@ -211,8 +201,11 @@
         return pledged
 
     def _take_own(self, workspace: str, account: _Account, now: float) -> int:
-        """Take a token of this node's own share, which refills once no pledge is in force."""
-        share = 1.0 / self._nodes if self._nodes else 0.0
+        """Take a token of this node's own share, which refills once no pledge is in force.
+
+        A node that has heard no allocator for some time is no longer counted and has no share.
+        """
+        share = 1.0 / self._nodes if self._nodes and now < self._counted_until else 0.0
         account.own.fill(
             now,
             rate_per_s=share * account.allowance.rate_per_s,
--- a/src/citronrack/hosted/allotment_exchange.py
+++ b/src/citronrack/hosted/allotment_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 from heapq import nsmallest
 from random import Random
@@ -13,6 +13,7 @@
 from ..clock import Clock
 from ..decisions.allocator import SHARDS, Allocator, Grant, shard_of
 from ..decisions.allotment import PLEDGE_S
+from ..decisions.members import ZoneMembers
 from ..decisions.tokens import Limit
 from ..rendezvous import weight
 from ..telemetry import Event, EventLog
@@ -20,10 +21,14 @@
 from ..transport.send import Send
 from .allotments import Allotments, TokensWanted
 from .entry import NodeEntry, NodeTable
+from .fanout import send_to
 
 PLEDGE_INTERVAL_S = 0.5
 """Time between pledges of a node to an allocator."""
 
+REPORT_INTERVAL_S = 2.0
+"""Time between reports of an unchanged number of nodes, a third of the time for which it counts."""
+
 NODES_PER_ALLOCATOR = 8
 """Nodes of a zone for each allocator, which bounds the messages of an allocator."""
 
@@ -56,19 +61,18 @@
         number: Number of the request.
         issuer: Process of the receiver whose challenge is echoed, 0 for none.
         challenge: The receiver's latest challenge.
+        pledges: Whether the request pledges shards, and withdraws those that are not named.
         shards: Shards whose share is pledged to the receiver.
-        nodes: Number of nodes that share the limits, as the sender counts them; 0 if the request
-            says nothing of shares, otherwise shards that are not named are withdrawn.
         items: Pairs of workspace and number of tokens.
-        surplus_only: Whether the sender is of another zone, and pledges nothing.
+        surplus_only: Whether the sender is of another zone.
     """
 
     node: str
     number: int
     issuer: int = 0
     challenge: int = 0
+    pledges: bool = False
     shards: tuple[int, ...] = ()
-    nodes: int = 0
     items: tuple[tuple[str, int], ...] = ()
     surplus_only: bool = False
 
@@ -83,6 +87,7 @@
         number: Number of the request.
         issuer: Process of the sender.
         challenge: Time of the sender's steady clock in milliseconds, echoed by the next pledge.
+        nodes: Number of nodes that share the limits, 0 while the sender does not know it.
         items: Workspace, number of tokens, milliseconds until a further token (0 if all were
             granted) and microseconds between further ones.
     """
@@ -91,9 +96,24 @@
     number: int
     issuer: int
     challenge: int
+    nodes: int = 0
     items: tuple[tuple[str, int, int, int], ...] = ()
 
 
+@message_codec.register("h-tkm")
+@frozen
+class MemberCount:
+    """Tells other allocators how many nodes have pledged to one lately.
+
+    Attributes:
+        node: Name of the sender.
+        count: Number of nodes of its zone.
+    """
+
+    node: str
+    count: int
+
+
 @define(eq=False)
 class _Peer:
     """What this node knows of an allocator.
@@ -174,6 +194,9 @@
         self._questions: dict[int, _Question] = {}
         self._number = 0
         self._next_pool_check_at = 0.0
+        self._next_report_at = 0.0
+        self._reported: MemberCount | None = None
+        self._members = ZoneMembers(availability_zone, name)
         self._limits: Mapping[str, Limit] = {}
         self._assigned: tuple[str, ...] = ()
 
@@ -182,16 +205,17 @@
         now = self._clock.monotonic()
         self._limits = limits
         self._allocator.set_limits(limits, now)
-        self._allotments.update(limits, nodes=self._count_shares(now))
+        self._allotments.set_limits(limits)
 
     def on_tick(self) -> list[Send]:
         """Pledge this node's share, and ask for tokens that are expected to be needed."""
         now = self._clock.monotonic()
         if not self._limits:
             return []
-        self._allotments.update(self._limits, nodes=self._count_shares(now))
         self._drop_questions(now)
-        return [*self._pledge(now), *self._ask_for_pools(now)]
+        pledges = self._pledge(now)
+        self._allocator.set_nodes(self._count_nodes(now), now)
+        return [*pledges, *self._report_members(now), *self._ask_for_pools(now)]
 
     def on_wanted(self, message: TokensWanted) -> list[Send]:
         """Ask for a token for which a request waits."""
@@ -213,9 +237,8 @@
         if sender is None:
             return []
         now = self._clock.monotonic()
-        if message.nodes and message.issuer == self._issuer:
-            until = message.challenge / 1000 + PLEDGE_S
-            self._record_pledge(message, until, now)
+        if message.pledges and message.issuer == self._issuer:
+            self._record_pledge(message, message.challenge / 1000 + PLEDGE_S, now)
         grant = self._answer(message, now)
         return [Send(sender.peer_url, grant), *self._ask_for_pools(now)]
 
@@ -235,18 +258,42 @@
             sends += self._pledge(now)
         return sends
 
+    def on_member_count(self, message: MemberCount) -> None:
+        """Record how many nodes another allocator has seen."""
+        sender = self._table.get(message.node)
+        if sender is not None:
+            now = self._clock.monotonic()
+            zone = sender.availability_zone
+            self._members.report(zone, message.node, message.count, now)
+            self._allocator.set_nodes(self._count_nodes(now), now)
+
     # Shares.
 
-    def _count_shares(self, now: float) -> int:
-        """Return the number of nodes that share the limits, 0 if this node has no share."""
-        own = self._table.get(self._name)
-        if own is None or not _has_share(own) or now < self._starts_at:
+    def _count_nodes(self, now: float) -> int:
+        """Return the number of nodes that share the limits, 0 shortly after the start."""
+        if now < self._starts_at:
             return 0
-        return sum(_has_share(entry) for entry in self._table.entries())
+        known = Counter(
+            entry.availability_zone for entry in self._table.entries() if _has_share(entry)
+        )
+        return self._members.total(known, now)
+
+    def _report_members(self, now: float) -> list[Send]:
+        """Return the count of this allocator for those of other zones, if it is due."""
+        if self._name not in self._assigned:
+            return []
+        count = MemberCount(self._name, self._members.own_count(now))
+        if now < self._next_report_at and count == self._reported:
+            return []
+        self._next_report_at, self._reported = now + REPORT_INTERVAL_S, count
+        others = [zone for zone in self._table.zones() if zone != self._zone]
+        return [send for zone in others for send in send_to(count, self._candidates(zone, now))]
 
     def _pledge(self, now: float) -> list[Send]:
         """Return the pledges that are due, with the tokens to ask for in advance."""
-        nodes = self._count_shares(now)
+        own = self._table.get(self._name)
+        if own is None or now < self._starts_at:
+            return []
         zone = self._candidates(self._zone, now)
         shards_of: dict[str, list[int]] = defaultdict(list)
         for shard in range(SHARDS):
@@ -267,16 +314,15 @@
             if due:
                 self._peers[entry.name].next_pledge_at = now + PLEDGE_INTERVAL_S
             if due or wanted:
-                pledged = self._allotments.pledge(entry.name, shards, now) if due else ()
+                pledges = due and _has_share(own)
+                pledged = self._allotments.pledge(entry.name, shards, now) if pledges else ()
                 question = _Question(now, frozenset(wanted))
-                sends += self._ask(
-                    entry, wanted, now, question, shards=pledged, nodes=nodes if due else 0
-                )
+                sends += self._ask(entry, wanted, now, question, shards=pledged, pledges=pledges)
         return sends
 
     def _record_pledge(self, message: TokenRequest, until: float, now: float) -> None:
-        shards = frozenset(message.shards)
-        self._allocator.pledge(message.node, shards, nodes=message.nodes, until=until, now=now)
+        self._allocator.pledge(message.node, frozenset(message.shards), until=until, now=now)
+        self._members.see(message.node, now)
 
     def _candidates(self, availability_zone: str, now: float) -> list[NodeEntry]:
         """Return the allocators of a zone, without those that do not answer."""
@@ -314,7 +360,7 @@
         question: _Question,
         *,
         shards: tuple[int, ...] = (),
-        nodes: int = 0,
+        pledges: bool = False,
     ) -> list[Send]:
         """Return the request to an allocator; one to this node itself is answered at once."""
         self._number += 1
@@ -324,13 +370,13 @@
             self._number,
             peer.issuer,
             peer.challenge,
+            pledges,
             shards,
-            nodes,
             tuple(wanted.items()),
             question.surplus,
         )
         if allocator.name == self._name:
-            if nodes:
+            if pledges:
                 self._record_pledge(request, now + PLEDGE_S, now)
             return self._apply(self._answer(request, now), question, now)
         self._questions[self._number] = question
@@ -409,10 +455,19 @@
             spacing_us = round(grant.spacing_s * 1_000_000)
             items.append((workspace, grant.tokens, pause_ms, spacing_us))
         challenge = int(now * 1000)
-        return TokenGrant(self._name, message.number, self._issuer, challenge, tuple(items))
+        return TokenGrant(
+            self._name,
+            message.number,
+            self._issuer,
+            challenge,
+            self._count_nodes(now),
+            tuple(items),
+        )
 
     def _apply(self, message: TokenGrant, question: _Question, now: float) -> list[Send]:
         """Add tokens, and ask further for requests that still wait."""
+        if message.nodes and not question.surplus:
+            self._allotments.set_nodes(message.nodes, now)
         sends: list[Send] = []
         for workspace, tokens, pause_ms, spacing_us in message.items:
             if question.for_pool:
--- a/src/citronrack/hosted/allotments.py
+++ b/src/citronrack/hosted/allotments.py
@@ -107,11 +107,15 @@
 
     # Called by the core.
 
-    def update(self, limits: Mapping[str, Limit], *, nodes: int) -> None:
-        """Apply the limits, and the number of nodes that share them (0 while it is unknown)."""
+    def set_limits(self, limits: Mapping[str, Limit]) -> None:
+        """Apply the limits of the workspaces."""
         with self._lock:
             self._node.set_limits(limits)
-            self._node.set_nodes(nodes)
+
+    def set_nodes(self, nodes: int, now: float) -> None:
+        """Set the number of nodes that share the limits, as an allocator has stated it."""
+        with self._lock:
+            self._node.set_nodes(nodes, now)
 
     def pledge(self, allocator: str, shards: Iterable[int], now: float) -> tuple[int, ...]:
         """Pledge shards to an allocator; return those for which that is possible now."""
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -13,7 +13,7 @@
 from ..telemetry import Event
 from ..transport.send import Send
 from .access import StoreAccess
-from .allotment_exchange import AllotmentExchange, TokenGrant, TokenRequest
+from .allotment_exchange import AllotmentExchange, MemberCount, TokenGrant, TokenRequest
 from .allotments import TokensWanted
 from .canary import LocalCanary
 from .cold import ColdPhase
@@ -544,6 +544,9 @@
     def _on_token_request(self, _: str, message: TokenRequest) -> None:
         self._outbox += self._allotments.on_request(message)
 
+    def _on_member_count(self, _: str, message: MemberCount) -> None:
+        self._allotments.on_member_count(message)
+
     def _on_token_grant(self, _: str, message: TokenGrant) -> None:
         self._outbox += self._allotments.on_grant(message)
 
@@ -662,6 +665,7 @@
     RolloutRecord: HostedCore._on_rollout,
     SuspectsCleared: lambda core, sender, message: core._suspicions.on_cleared(sender, message),
     TargetEnd: lambda core, sender, message: core._suspicions.on_end(sender, message),
+    MemberCount: HostedCore._on_member_count,
     TokenGrant: HostedCore._on_token_grant,
     TokenRequest: HostedCore._on_token_request,
 }
--- a/tests/hosted/allotment_fleet.py
+++ b/tests/hosted/allotment_fleet.py
@@ -14,7 +14,12 @@
 from citronrack.clock import ManualClock
 from citronrack.decisions.allotment import Admission, AdmissionStatus
 from citronrack.decisions.tokens import Limit
-from citronrack.hosted.allotment_exchange import AllotmentExchange, TokenRequest
+from citronrack.hosted.allotment_exchange import (
+    AllotmentExchange,
+    MemberCount,
+    TokenGrant,
+    TokenRequest,
+)
 from citronrack.hosted.allotments import (
     FIRST_ANSWER_S,
     LAST_ANSWER_S,
@@ -202,7 +207,11 @@
     def _arrive(self, sender: FleetNode, receiver: FleetNode, message: Any) -> None:
         current = self.nodes[receiver.entry.name] is receiver and receiver.alive
         if current and not self.cut(sender, receiver):
-            exchange = receiver.exchange
-            asks = isinstance(message, TokenRequest)
-            handler = exchange.on_request if asks else exchange.on_grant
-            self._deliver(receiver, handler(message))
+            self._deliver(receiver, _HANDLERS[type(message)](receiver.exchange, message) or [])
+
+
+_HANDLERS: dict[type[Any], Callable[[AllotmentExchange, Any], list[Send] | None]] = {
+    MemberCount: AllotmentExchange.on_member_count,
+    TokenGrant: AllotmentExchange.on_grant,
+    TokenRequest: AllotmentExchange.on_request,
+}
--- a/tests/hosted/test_allotments.py
+++ b/tests/hosted/test_allotments.py
@@ -106,6 +106,17 @@
         self.assert_served()
         self.assert_limits_hold()
 
+    def test_nodes_gone_for_good(self) -> None:
+        """Guards against shares of nodes that are gone, whose entries last for minutes."""
+        gone = [name for name in self.names if name.endswith(("1", "3", "5"))]
+        self.fleet.at(8.0, lambda: [self.fleet.stop(name) for name in gone] and None)
+        left = [name for name in self.names if name not in gone]
+        self.fleet.run(16.0)
+        self.fleet.load(self.rates, left, start=16.0, end=20.0)
+        self.fleet.run(21.0)
+        self.assert_served()
+        self.assert_limits_hold()
+
     def test_zone_that_is_cut_off(self) -> None:
         """Guards against a zone that counts alone, and one that serves nothing when cut off."""
         self.fleet.cut = lambda one, other: (
