Keep withdrawn keys out of use

Cause: looking for ways in which a withdrawn key is taken again showed five, each with a test that fails without its change (tests/hosted/test_withdrawn_keys.py): - A node that starts reads a copy of the store that lacks the withdrawal before another node answers. - A node that has read the copy, or a late append of an older version, is at the position of the others, so nothing ever gives it the newer version. - A late append of an older version, a refused version or a removal replaced the newest usable record in the replicas, so nodes that start took the older version, or none. - Heartbeats that waited in the socket of a node that stood still, or on a cut link, looked fresh. - A confirmation of a newer version counted for requests that were routed by the older view. Change: replicas order records with a version by it before their position; nodes tell their version in Positions and give the newer record to the other; hosted/trust.py accepts no key after a start before another node has told its version (1 s without an answer), and keeps the age of what is certain, from reads, answers that repeat the time of their question, and heartbeats converted by bounds on the reader's clock (hosted/clock_bounds.py). With `revoke_fail_closed` a node accepts no key above `revoke`. 401 and 404 need a configuration that was certainly the newest within `config_apply`. Refused versions that are not taken are told in record_refused by the nodes that read. Messages of the previous release are read as before.

--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -50,6 +50,7 @@
 from .signals import SignalInbox
 from .store import MESH_TOPIC, KeyedStore
 from .target import OwnTargetTracker
+from .trust import ConfigTrust
 from .watch import WatchTask
 
 FIXED_THREADS = 12  # core, watches, writer, event log, five listeners, two spare
@@ -262,6 +263,11 @@
             boot_clock=boot_clock,
             seeds=tuple(f"tcp://{seed}" for seed in settings.seeds),
             suspects=suspects,
+            trust=ConfigTrust(
+                boot_clock,
+                newest_s=settings.bounds.config_apply_s,
+                revoke_s=settings.bounds.unconfirmed_s,
+            ),
         ),
         own=_own_entry(settings, clock),
     )
@@ -415,6 +421,7 @@
         authenticator=Authenticator(
             adapter.headers,
             digester=adapter.operator.digester,
+            revoke_s=settings.bounds.unconfirmed_s,
             count_refusal=lambda reason: metrics.count("keys_refused", reason),
         ),
     )
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -80,6 +80,7 @@
                 dependencies.operator.name,
                 clock=dependencies.clock,
                 supersedes=self._operator.supersedes,
+                version_of=self._operator.version_of,
             ),
             MESH_TOPIC: TopicReplica(MESH_TOPIC, clock=dependencies.clock),
         }
@@ -100,6 +101,8 @@
             confirmed_age_s=self._confirmed_age_s,
             on_confirmed=self._on_confirmed,
             for_new_node=self._suspicions.for_new_node,
+            trust=dependencies.trust,
+            versioned=dependencies.operator.name,
         )
         self._rollouts = RolloutCore(
             own_name=own.name,
@@ -197,6 +200,11 @@
         """Seconds since the active configuration was last confirmed to be the newest."""
         return self._access.age_s
 
+    @property
+    def config_certain_age_s(self) -> float:
+        """Seconds since the active configuration was the newest for certain."""
+        return self._dependencies.trust.age_s
+
     def identity(self) -> TargetIdentity:
         """Return the identity of the local target for the call path; thread-safe."""
         identity = self._dependencies.target.identity
@@ -250,12 +258,15 @@
         self._drop_expired()
         if self._access.on_tick(self._table.others(), hold=self._join.holding):
             self._view_outdated = True
+        trust = self._dependencies.trust
+        trust.on_tick()
         names = [entry.name for entry in self._table.entries()]
         self._rollouts.on_tick(names=names)
         self._leaving.on_tick()
         self._outbox += self._suspicions.on_tick()
         self._send_evidence()
         current = self._access.current and self._replicas[MESH_TOPIC].known
+        current = current and not trust.needs_answer
         self._outbox += self._gossip.on_tick(current=current, young=self._join.young)
         return self._finish()
 
@@ -274,6 +285,8 @@
         applied = self._replication.apply_page(message, own=self._registration.entry)
         self._audit.page_applied(message, self._replicas[message.topic])
         self._on_records(message.topic, applied.changed, STORE)
+        if applied.confirmed:
+            self._dependencies.trust.on_read(message.certain_at)
         if message.topic == MESH_TOPIC:
             if message.full:
                 self._check_own_record()
@@ -401,6 +414,8 @@
 
     def _on_heartbeat(self, sender: str, heartbeat: ReaderHeartbeat) -> None:
         self._outbox += self._replication.on_heartbeat(sender, heartbeat)
+        covered = self._replication.covers(heartbeat)
+        self._dependencies.trust.on_heartbeat(heartbeat, covered=covered)
 
     def _on_gossip(self, sender: str, message: Any) -> None:
         try:
@@ -474,7 +489,10 @@
 
     def _on_operator_record(self, record: KeyedRecord, source: str) -> None:
         replica = self._replicas[self._dependencies.operator.name]
+        before = self._operator.config
         config = self._operator.apply(record, end=replica.position, source=source)
+        if self._operator.config is not before:
+            self._dependencies.trust.on_config(self._operator.config.version)
         order = self._operator.order(record)
         self._view_outdated = self._view_outdated or config is not None or order is not None
         if order is not None:
@@ -567,6 +585,7 @@
                 self._rollouts.shares(),
                 complete=self._access.current,
                 before=self._dependencies.views.current,
+                confirmation=self._dependencies.trust.confirmation,
             )
             self._view_outdated = False
 
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -18,6 +18,7 @@
 from .rollout_record import Phase, RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetTracker
+from .trust import ConfigTrust
 
 
 @frozen
@@ -59,6 +60,7 @@
         boot_clock: Clock that keeps running while the instance is suspended.
         seeds: Addresses of nodes that are asked after the start; they may be stale.
         suspects: Requests that may have ended their targets.
+        trust: Tracks how recently the configuration was known to be the newest.
     """
 
     clock: Clock
@@ -75,6 +77,9 @@
     suspects: Suspects = field(
         default=Factory(lambda self: Suspects(self.clock, self.events), takes_self=True)
     )
+    trust: ConfigTrust = field(
+        default=Factory(lambda self: ConfigTrust(self.boot_clock), takes_self=True)
+    )
 
 
 def _ignore(_: object) -> None:
--- a/src/citronrack/hosted/gossip.py
+++ b/src/citronrack/hosted/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
@@ -19,6 +20,7 @@
 from .replica import TopicReplica
 from .rollout_record import RolloutRecord
 from .store import KeyedPage, KeyedRecord
+from .trust import ConfigTrust
 
 EXCHANGE_INTERVAL_S = 1.0
 """Time between exchanges of a node whose replicas are fresh."""
@@ -41,6 +43,9 @@
 NOT_CONFIRMED = -1
 """Age of records from a sender whose replica is not fresh."""
 
+MAX_CERTAIN_S = 600.0
+"""Age from which what is certain of a topic is not told any more."""
+
 MAX_RECORDS_BYTES = 200 * 1024
 """Limit of the records in one message; the transport accepts 256 KB."""
 
@@ -48,6 +53,12 @@
 NO_BASE = -1
 """Base of a record that is sent as a full value and not as a delta."""
 
+UNKNOWN_VERSION = -2
+"""Version of a sender of the previous release, which does not send it."""
+
+NOT_ASKED = -1
+"""Time of a question that was not asked, or not by a node of this release."""
+
 UNKNOWN_START = -1
 """Start of records from a sender of the previous release, which does not send it."""
 
@@ -65,6 +76,9 @@
         stale: Whether the sender's replicas are stale, so that it needs the receiver's records.
         rollouts: Service, order id and revision of the rollouts that the sender knows.
         wants_reply: Whether the receiver replies with its own summary if the digests differ.
+        version: Version of the configuration in force.
+        checked: Whether the sender has compared that version with another node's since its start.
+        asked_ms: Time of sending by the sender's clock, which an answer repeats.
     """
 
     topics: tuple[tuple[str, int], ...]
@@ -73,6 +87,9 @@
     wants_reply: bool
     rollouts: tuple[tuple[str, int, int], ...] = ()
     digests: tuple[int, ...] = ()
+    version: int = UNKNOWN_VERSION
+    checked: bool = True
+    asked_ms: int = NOT_ASKED
 
 
 @message_codec.register("h-rec")
@@ -93,6 +110,8 @@
             a message.
         age_ms: How long ago the store may have confirmed that the topic ends at ``position``, in
             milliseconds; `NOT_CONFIRMED` if that is unknown.
+        asked_ms: Time of the question by the receiver's clock; `NOT_ASKED` without one.
+        certain_ms: How long ago the topic certainly ended at ``position``, in milliseconds.
     """
 
     topic: str
@@ -101,6 +120,8 @@
     bases: tuple[int, ...] = ()
     start: int = UNKNOWN_START
     age_ms: int = NOT_CONFIRMED
+    asked_ms: int = NOT_ASKED
+    certain_ms: int = NOT_CONFIRMED
 
 
 @message_codec.register("h-ask")
@@ -146,6 +167,8 @@
         on_confirmed: Called with a topic and an age when another node confirms the end of this
             node's replica.
         for_new_node: Returns further messages for a node that has just started.
+        trust: Tracks how recently the configuration was known to be the newest.
+        versioned: Topic with the configuration, empty for none.
     """
 
     def __init__(
@@ -162,7 +185,11 @@
         confirmed_age_s: Callable[[str], float | None] = lambda topic: None,
         on_confirmed: Callable[[str, float], None] = lambda topic, age_s: None,
         for_new_node: Callable[[], list[Any]] = list,
+        trust: ConfigTrust | None = None,
+        versioned: str = "",
     ) -> None:
+        self._trust = trust if trust is not None else ConfigTrust(clock)
+        self._versioned = versioned
         self._fanout = fanout
         self._confirmed_age_s = confirmed_age_s
         self._on_confirmed = on_confirmed
@@ -246,11 +273,19 @@
             (record.service, record.order_id, record.revision) for record in self._rollouts()
         )
         return Positions(
-            topics, self._table.digest, self._stale, wants_reply, rollouts, self._table.digests
+            topics,
+            self._table.digest,
+            self._stale,
+            wants_reply,
+            rollouts,
+            self._table.digests,
+            version=self._trust.version,
+            checked=self._trust.checked,
+            asked_ms=self._trust.now_ms(),
         )
 
     def _on_positions(self, sender: str, message: Positions) -> list[Send]:
-        sends = self._remind(sender, message)
+        sends = self._remind(sender, message) + self._compare_versions(sender, message)
         # Rollouts come first, so that a node that starts knows which versions get no calls.
         known = {service: (order_id, revision) for service, order_id, revision in message.rollouts}
         for record in self._rollouts():
@@ -259,13 +294,19 @@
         for topic, position in message.topics:
             replica = self._replicas.get(topic)
             if replica is not None and era_of(position) > replica.era:
-                return [self.request_records(sender)]  # The store has returned from a copy.
+                # The store has returned from a copy.
+                return [*sends, self.request_records(sender)]
             if not message.stale or replica is None or replica.position < position:
                 continue
             age_s = self._confirmed_age_s(topic)
             starts = not position and replica.known
-            if replica.position > position or age_s is not None or starts:
+            certain_ms = self._certain_ms(topic, message)
+            if replica.position > position or age_s is not None or starts or certain_ms >= 0:
                 sends += self._record_messages(sender, replica, position, age_s=age_s)
+                last = evolve(sends[-1].message, asked_ms=message.asked_ms, certain_ms=certain_ms)
+                sends[-1] = Send(sender, last)
+        if not message.checked and message.wants_reply and message.digest == self._table.digest:
+            sends.append(Send(sender, self._positions(wants_reply=False)))
         if message.digest != self._table.digest:
             buckets = self._table.differing_buckets(message.digests)
             sends.append(Send(sender, EntriesRequest(self._table.versions(buckets), buckets)))
@@ -273,6 +314,38 @@
                 sends.append(Send(sender, self._positions(wants_reply=False)))
         return sends
 
+    def _certain_ms(self, topic: str, message: Positions) -> int:
+        """Return the age of what is certain of a topic, `NOT_CONFIRMED` if nothing is."""
+        if topic != self._versioned or message.asked_ms == NOT_ASKED:
+            return NOT_CONFIRMED
+        age_s = self._trust.age_s
+        return math.ceil(age_s * 1000) if age_s < MAX_CERTAIN_S else NOT_CONFIRMED
+
+    def _compare_versions(self, sender: str, message: Positions) -> list[Send]:
+        """Return messages that give the newer configuration to the node that lacks it.
+
+        Positions do not show that: a node that has read a copy of the store, or a late append, is
+        at the same position with an older version.
+        """
+        replica = self._replicas.get(self._versioned)
+        if message.version == UNKNOWN_VERSION or replica is None:
+            return []
+        self._trust.on_peer(message.version, checked=message.checked)
+        position = dict(message.topics).get(self._versioned, 0)
+        if message.version > self._trust.version:
+            asks = message.wants_reply and position <= replica.position
+            return [self.request_records(sender)] if asks else []
+        if message.version == self._trust.version:
+            return []
+        records = [
+            (record.key, compress(record.value), record.position)
+            for record in replica.overtaken(position)
+        ]
+        if not records:
+            return []
+        covers_nothing = TopicRecords(replica.topic, tuple(records), position, start=position)
+        return [Send(sender, covers_nothing)]
+
     def _remind(self, sender: str, message: Positions) -> list[Send]:
         """Return what a node that has just started must know before it takes calls.
 
@@ -329,7 +402,7 @@
         records = []
         for (key, encoded, position), base in zip(message.records, bases, strict=True):
             known = replica.record(key)
-            if known is not None and known.position >= position:
+            if known is not None and self._is_not_newer(message.topic, known, position, base):
                 continue
             value = decompress(encoded) if base == NO_BASE else _from_delta(known, base, encoded)
             if base != NO_BASE and value is None:
@@ -345,8 +418,17 @@
         same_era = replica.era == era_of(message.position)
         if message.age_ms != NOT_CONFIRMED and same_era and replica.position >= message.position:
             self._on_confirmed(message.topic, message.age_ms / 1000)
+        certain = message.certain_ms != NOT_CONFIRMED and message.topic == self._versioned
+        if certain and same_era and replica.position >= message.position:
+            self._trust.on_answer(message.asked_ms, message.certain_ms)
         return []
 
+    def _is_not_newer(self, topic: str, known: KeyedRecord, position: int, base: int) -> bool:
+        """Return whether a record is not worth decoding; only a version counts more than order."""
+        if topic == self._versioned and base == NO_BASE:
+            return known.position == position
+        return known.position >= position
+
     def _on_entries_request(self, sender: str, message: EntriesRequest) -> list[Send]:
         buckets = message.buckets or range(DIGEST_BUCKETS)
         newer = self._table.newer_than(message.versions, buckets)
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -25,12 +25,20 @@
         created_at: Time at which the store may have made the page, by the boot clock; 0 if it is
             not needed. It lies in the past if the store is slow, or if the process was suspended
             while the response waited in the socket.
+        confirmed_at: Time by the boot clock at which the topic certainly ended with the page, None
+            if that is ``created_at``.
     """
 
     topic: str
     page: KeyedPage
     full: bool
     created_at: float = 0.0
+    confirmed_at: float | None = None
+
+    @property
+    def certain_at(self) -> float:
+        """Time at which the topic certainly ended with the page."""
+        return self.created_at if self.confirmed_at is None else self.confirmed_at
 
 
 @frozen
--- a/src/citronrack/hosted/metrics.py
+++ b/src/citronrack/hosted/metrics.py
@@ -35,6 +35,7 @@
     metrics.set_source("target_load", lambda: call_path.admission.load)
     metrics.set_source("config_version", lambda: core.config_version)
     metrics.set_source("config_age_seconds", lambda: core.config_age_s)
+    metrics.set_source("config_certain_age_seconds", lambda: core.config_certain_age_s)
     metrics.set_source("nodes_known", lambda: core.nodes_known)
     metrics.set_source("records_refused", lambda: core.records_refused)
     metrics.set_source("store_answers", lambda: core.store_answers)
--- a/src/citronrack/hosted/operator_state.py
+++ b/src/citronrack/hosted/operator_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ..config import ActiveConfig, ConfigSet
 from ..telemetry import Event, EventLog
 from .dependencies import OperatorTopic
@@ -22,25 +24,29 @@
         self._topic = topic
         self._events = events
         self._active = ActiveConfig()
+        self._decoded: deque[tuple[KeyedRecord, ConfigSet]] = deque(maxlen=2)
 
     @property
     def config(self) -> ConfigSet:
         """The configuration in force; its version is -1 before the first one."""
         return self._active.current
 
+    def version_of(self, record: KeyedRecord) -> int | None:
+        """Return the version of a configuration, None for an invalid one or another record."""
+        config = self._decode(record)
+        return config.version if config is not None else None
+
     def supersedes(self, known: KeyedRecord, record: KeyedRecord) -> bool | None:
-        """Compare two records of a key across a return of the store from a copy.
+        """Compare two records of a key, with one version or none, across a return of the store.
 
-        A configuration is only replaced by one that is not older. An order has no version, so its
+        Of two configurations of one version the later one counts. An order has no version, so its
         content does not say whether it is older; only an invalid one never replaces it.
 
         Returns:
             Whether ``record`` replaces ``known``, None if that is unknown.
         """
-        config = self._topic.config(known)
-        if config is not None:
-            new = self._topic.config(record)
-            return new is not None and new.version >= config.version
+        if self._decode(known) is not None:
+            return True
         is_invalid = record.value is not None and self._topic.order(record) is None
         return False if is_invalid and self._topic.order(known) is not None else None
 
@@ -55,7 +61,7 @@
         Returns:
             The configuration in the record, None for a record of another kind or an invalid one.
         """
-        config = self._topic.config(record)
+        config = self._decode(record)
         if config is not None and self._active.swap(config, replace_equal=True):
             self._events.write(
                 Event.CONFIG_IN_FORCE,
@@ -69,3 +75,16 @@
     def order(self, record: KeyedRecord) -> RolloutOrder | None:
         """Return the order in a record, None for a record of another kind or an invalid one."""
         return self._topic.order(record)
+
+    def _decode(self, record: KeyedRecord) -> ConfigSet | None:
+        """Return the configuration in a record, None for none; the last two are remembered.
+
+        A replica compares a new record with the known one before it is put in force.
+        """
+        for known, decoded in self._decoded:
+            if known is record:
+                return decoded
+        config = self._topic.config(record)
+        if config is not None:
+            self._decoded.append((record, config))
+        return config
--- a/src/citronrack/hosted/readers.py
+++ b/src/citronrack/hosted/readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import floor
 
 from attrs import define, field, frozen
 
@@ -12,6 +13,9 @@
 from .entry import NodeEntry
 from .position import era_of
 
+NOT_STATED = -1
+"""Time in a message of the previous release, which does not state it."""
+
 RANK_SCOPE = "readers"
 """Rendezvous scope by which nodes are ranked as readers."""
 
@@ -72,17 +76,48 @@
         position: First position that the reader does not cover, which was the end of the topic.
         link_mbps: Bandwidth of the reader's instance, in Mbit/s.
         age_ms: How long ago the store may have confirmed it, in milliseconds.
+        boot: Start of the reader's process, as in its entry.
+        sent_ms: Time of sending by the reader's clock, in milliseconds; `NOT_STATED` from a reader
+            of the previous release.
+        confirmed_ms: Time by the same clock at which the topic certainly ended there.
     """
 
     name: str
     position: int
     link_mbps: int = 0
     age_ms: int = 0
+    boot: int = 0
+    sent_ms: int = NOT_STATED
+    confirmed_ms: int = 0
 
     @classmethod
-    def of(cls, entry: NodeEntry, position: int, *, age_s: float) -> ReaderHeartbeat:
-        """Return the heartbeat of a reader."""
-        return cls(entry.name, position, entry.link_mbps, round(age_s * 1000))
+    def of(
+        cls,
+        entry: NodeEntry,
+        position: int,
+        *,
+        created_at: float = 0.0,
+        confirmed_at: float = 0.0,
+        now: float = 0.0,
+    ) -> ReaderHeartbeat:
+        """Return the heartbeat of a reader.
+
+        Args:
+            entry: Entry of the reader.
+            position: First position that it does not cover.
+            created_at: Time at which the store may have made the page that showed the end.
+            confirmed_at: Time at which the topic certainly ended there.
+            now: Time of sending.
+        """
+        return cls(
+            entry.name,
+            position,
+            entry.link_mbps,
+            age_ms=round((now - created_at) * 1000),
+            boot=entry.boot,
+            sent_ms=floor(now * 1000),
+            confirmed_ms=floor(confirmed_at * 1000),
+        )
 
 
 @define(eq=False)
--- a/src/citronrack/hosted/record_audit.py
+++ b/src/citronrack/hosted/record_audit.py
@@ -73,7 +73,11 @@
             )
         for record in {record.key: record for record in message.page.records}.values():
             known = replica.record(record.key)
-            if known is not None and known.value != record.value:
+            if known is None or known.value == record.value:
+                continue
+            if self._fault_of(record) is not None:
+                self.refuse(record)
+            else:
                 self._events.write(
                     Event.RECORD_NOT_NEWER,
                     key=record.key,
--- a/src/citronrack/hosted/replica.py
+++ b/src/citronrack/hosted/replica.py
@@ -17,6 +17,9 @@
 the contents do not say."""
 
 
+VersionOf = Callable[[KeyedRecord], int | None]
+
+
 class TopicReplica:
     """The newest record of each key of one topic.
 
@@ -24,16 +27,28 @@
     earlier era of the store have no effect. When a later era begins, the known records stay in use
     until the restored topic holds newer ones: a copy that the store returned from may hold less.
 
+    Records with a version are ordered by it before their position, so that no late append, copy of
+    the store or message brings an older version back, and none that cannot be used replaces one.
+
     Args:
         topic: Name of the topic.
         clock: Source of time.
         supersedes: Compares contents across eras; without it, the later era always wins.
+        version_of: Returns the version in a record, None if it has none or cannot be used.
     """
 
-    def __init__(self, topic: str, *, clock: Clock, supersedes: Supersedes | None = None) -> None:
+    def __init__(
+        self,
+        topic: str,
+        *,
+        clock: Clock,
+        supersedes: Supersedes | None = None,
+        version_of: VersionOf = lambda record: None,
+    ) -> None:
         self._topic = topic
         self._clock = clock
         self._supersedes = supersedes
+        self._version_of = version_of
         self._position = 0
         self._known = False
         self._records: dict[str, KeyedRecord] = {}
@@ -128,6 +143,18 @@
                 removed.append(KeyedRecord(record.key, None, page.position - 1))
         return self.apply(KeyedPage((*page.records, *removed), page.position))
 
+    def overtaken(self, position: int) -> tuple[KeyedRecord, ...]:
+        """Return the records with a version that lie before a position.
+
+        A node that covers this position may lack them: it may hold an older version instead, which
+        was written later.
+        """
+        return tuple(
+            record
+            for record in self._records.values()
+            if record.position < position and self._version_of(record) is not None
+        )
+
     def since(self, position: int) -> KeyedPage:
         """Return the records that a replica lacks which covers all before ``position``."""
         newer = [record for record in self._records.values() if record.position >= position]
@@ -148,16 +175,22 @@
         changed = []
         for record in records:
             known = self._records.get(record.key)
-            if known is not None and record.position <= known.position:
-                continue
-            if known is not None and self._keeps(known, record):
-                self._disputed.add(record.key)
+            if known is not None and not self._replaces(known, record):
+                if record.position > known.position:
+                    self._disputed.add(record.key)
                 continue
             self._disputed.discard(record.key)
             self._records[record.key] = record
             changed.append(record)
         return changed
 
+    def _replaces(self, known: KeyedRecord, record: KeyedRecord) -> bool:
+        if known.value != record.value:
+            old, new = self._version_of(known), self._version_of(record)
+            if old != new:
+                return new is not None and (old is None or new > old)
+        return record.position > known.position and not self._keeps(known, record)
+
     def _keeps(self, known: KeyedRecord, record: KeyedRecord) -> bool:
         """Return whether a known record of an earlier era stays in place of a newer one.
 
--- a/src/citronrack/hosted/replication.py
+++ b/src/citronrack/hosted/replication.py
@@ -29,10 +29,12 @@
     Attributes:
         changed: Records that are newer than those of the replica.
         sends: Messages to other nodes.
+        confirmed: Whether the page showed the end of the operator topic.
     """
 
     changed: tuple[KeyedRecord, ...] = ()
     sends: tuple[Send, ...] = ()
+    confirmed: bool = False
 
 
 class TopicReplication:
@@ -83,9 +85,10 @@
             page = _with_records(replica.since(start), changed)
             push = self._gossip.push(message.topic, page, before=before)
             sends += self._fanout.to_all(push)
-        if message.topic == self._operator and message.page.complete:
-            sends += self._send_heartbeat(message.created_at, own)
-        return AppliedPage(tuple(changed), tuple(sends))
+        confirmed = message.topic == self._operator and message.page.complete
+        if confirmed:
+            sends += self._send_heartbeat(message, own)
+        return AppliedPage(tuple(changed), tuple(sends), confirmed)
 
     def on_heartbeat(self, sender: str, heartbeat: ReaderHeartbeat) -> list[Send]:
         """Handle a reader's heartbeat; request the records that this node lacks."""
@@ -93,13 +96,24 @@
         self._access.on_heartbeat(heartbeat, position=position)
         return [self._gossip.request_records(sender)] if heartbeat.position > position else []
 
-    def _send_heartbeat(self, created_at: float, own: NodeEntry) -> list[Send]:
-        """Send the end of the operator topic as of a time of the boot clock."""
+    def covers(self, heartbeat: ReaderHeartbeat) -> bool:
+        """Return whether this node has all records up to the end that a reader states."""
         position = self._replicas[self._operator].position
-        if not self._access.on_end_confirmed(created_at) or not position:
+        return heartbeat.position <= position and era_of(heartbeat.position) == era_of(position)
+
+    def _send_heartbeat(self, message: PageRead, own: NodeEntry) -> list[Send]:
+        """Send the end of the operator topic as of a page of the store."""
+        position = self._replicas[self._operator].position
+        if not self._access.on_end_confirmed(message.created_at) or not position:
             return []
-        age_s = self._clock.monotonic() - created_at
-        return self._fanout.to_all(ReaderHeartbeat.of(own, position, age_s=age_s))
+        heartbeat = ReaderHeartbeat.of(
+            own,
+            position,
+            created_at=message.created_at,
+            confirmed_at=message.certain_at,
+            now=self._clock.monotonic(),
+        )
+        return self._fanout.to_all(heartbeat)
 
 
 def _with_records(page: KeyedPage, changed: Iterable[KeyedRecord]) -> KeyedPage:
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -43,6 +43,10 @@
         report_interval_s: Usual time between status reports of a target, in seconds.
         retry_ratio: Allowed retries of all nodes together, as a fraction of the calls.
         retry_slack: Retries of all nodes together that are allowed beyond that fraction.
+        revoke_s: Time within which a withdrawn key is out of use at a node that is cut off, if
+            `revoke_fail_closed` is set, in seconds.
+        revoke_fail_closed: Whether a node without a confirmation of its configuration accepts no
+            key after that time.
     """
 
     grace_s: float = field(default=6.0, validator=validators.between(0.5, 600))
@@ -50,6 +54,13 @@
     report_interval_s: float = field(default=1.5, validator=validators.between(0.01, 60))
     retry_ratio: float = field(default=0.2, validator=validators.between(0, 1))
     retry_slack: float = field(default=60.0, validator=validators.between(0, 1e6))
+    revoke_s: float = field(default=5.0, validator=validators.between(0.1, 600))
+    revoke_fail_closed: bool = False
+
+    @property
+    def unconfirmed_s(self) -> float | None:
+        """Longest time without a confirmation in which keys are accepted, None for no limit."""
+        return self.revoke_s if self.revoke_fail_closed else None
 
 
 @frozen
--- a/src/citronrack/hosted/views.py
+++ b/src/citronrack/hosted/views.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from ..calls import PoolTarget, RouteIndex, RouteShare, RoutingView
+from ..calls.confirmation import Confirmation
 from ..config import ConfigSet, KeyIndex
 from ..validators import split_address
 from .entry import NodeEntry
@@ -27,6 +28,7 @@
     *,
     complete: bool,
     before: RoutingView,
+    confirmation: Confirmation,
 ) -> RoutingView:
     """Return the view by which calls are routed.
 
@@ -36,6 +38,7 @@
         rollouts: Division of calls by service.
         complete: Whether the configuration is confirmed to be the newest.
         before: The view that this one replaces.
+        confirmation: How recently the configuration was known to be the newest.
     """
     ready = config.version >= 0
     unchanged = config is before.config
@@ -49,6 +52,7 @@
         pools=_pools(entries, rollouts),
         index=index,
         keys=keys,
+        confirmation=confirmation,
         service_shares={
             service: RouteShare(
                 move_id=str(rollout.order_id),
--- a/src/citronrack/hosted/watch.py
+++ b/src/citronrack/hosted/watch.py
@@ -22,6 +22,13 @@
 than unavailable. The choice is random so that nodes do not all wait for it at the same time."""
 
 
+PROMPT_S = 0.25
+"""Delay of an answer after a long poll up to which the store made it at the end of the wait. A
+later one may have been made at any time after the request."""
+
+EARLY_S = 0.02
+"""How much earlier than asked a store may end a long poll, for the resolution of its timer."""
+
 FULL_READ_SPREAD_S = 0.2
 """Time over which readers spread full reads of a topic. Most of them learn meanwhile from another
 node what they lack, and stop reading."""
@@ -136,7 +143,19 @@
             page = self._store.read(
                 self._topic, self._position, wait_ms=wait_ms, timeout_ms=timeout_ms
             )
-        created_at = min(self._clock.monotonic(), started_at + wait_ms / 1000)
-        self._post(PageRead(self._topic, page, full=full, created_at=created_at))
+        now = self._clock.monotonic()
+        created_at = min(now, started_at + wait_ms / 1000)
+        # The store holds a read without records for the whole wait, and not one with records.
+        late_s = now - started_at - wait_ms / 1000
+        waited = not page.records and -EARLY_S <= late_s <= PROMPT_S
+        self._post(
+            PageRead(
+                self._topic,
+                page,
+                full=full,
+                created_at=created_at,
+                confirmed_at=created_at if waited else started_at,
+            )
+        )
         self._position = page.position
         self._long_poll = True
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -15,6 +15,10 @@
 """Port of the metrics, as in ``deploy/system.toml``."""
 
 
+REVOKE = "5s"
+"""Time within which a withdrawn key is out of use if the platform states none."""
+
+
 def parse_settings(content: bytes, *, source: str) -> HostedSettings:
     """Return the validated settings in the content of a file.
 
@@ -97,4 +101,8 @@
         report_interval_s=require_seconds(platform, "heartbeat"),
         retry_ratio=float(parameters.get("retry_budget_ratio", 0.0)),
         retry_slack=float(parameters.get("retry_slack", 0.0)),
+        revoke_s=require_seconds({"revoke": REVOKE, **parameters}, "revoke"),
+        revoke_fail_closed=require(
+            {"revoke_fail_closed": False, **parameters}, "revoke_fail_closed", bool
+        ),
     )
--- a/src/citronrack/telemetry/exposition.py
+++ b/src/citronrack/telemetry/exposition.py
@@ -23,6 +23,12 @@
         (),
         "Time since the configuration in force was known to be the newest.",
     ),
+    "config_certain_age_seconds": (
+        "gauge",
+        (),
+        "Time since the configuration in force was the newest for certain; no key is accepted"
+        " above `revoke` if `revoke_fail_closed` is set.",
+    ),
     "nodes_known": ("gauge", (), "Other nodes that have not expired."),
     "records_refused": ("gauge", (), "Records of the store that could not be used."),
     "store_answers": ("gauge", (), "Whether the platform's store could be read lately."),
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -27,9 +27,11 @@
 )
 from citronrack.hosted.position import position_of
 from citronrack.hosted.publish import Write
+from citronrack.hosted.readers import CONFIG_APPLY_S
 from citronrack.hosted.replica import TopicReplica
 from citronrack.hosted.store import MESH_TOPIC, KeyedPage, KeyedRecord
 from citronrack.hosted.target import OwnTargetTracker, TargetLeave, TargetReport
+from citronrack.hosted.trust import ConfigTrust
 from citronrack.platform.operator import operator_topic
 from citronrack.telemetry import Event, EventLog
 from citronrack.transport.send import Send
@@ -105,8 +107,11 @@
         puts: Number of records that the nodes have written.
         sequence: Sequence number of the latest reports.
         sent: Class, sender and receiver of each message.
+        revoke_s: Time without a confirmation after which new nodes accept no key.
     """
 
+    revoke_s: float | None = None
+
     def __init__(self, size: int, *, zones: tuple[str, ...] = ("z",)) -> None:
         self.zones = zones
         self.clock = ManualClock()
@@ -147,6 +152,7 @@
                 target=target,
                 operator=operator_topic(),
                 submit=lambda write, n=name: self._writes.append((n, write)),
+                trust=ConfigTrust(self.clock, newest_s=CONFIG_APPLY_S, revoke_s=self.revoke_s),
                 seeds=tuple(f"tcp://10.0.0.{int(seed[1:]) + 1}:7000" for seed in seeds),
             ),
             own=NodeEntry(name, boot, 0, self.zone_of(name), f"{address}:7000", f"{address}:8000"),
--- a/tests/hosted/test_watch.py
+++ b/tests/hosted/test_watch.py
@@ -79,6 +79,9 @@
         _, pages = self.run_watch(WAIT_S, 5.0 + WAIT_S, 0.3)
         created_at = [round(page.created_at, 3) for page in pages]
         self.assertEqual(created_at, [0.0, WAIT_S, 2 * WAIT_S, 5.0 + 2 * WAIT_S + 0.3])
+        # Only the first answer certainly waited; the others may be as old as their requests.
+        certain_at = [round(page.certain_at, 3) for page in pages]
+        self.assertEqual(certain_at, [0.0, WAIT_S, WAIT_S, 5.0 + 2 * WAIT_S])
 
     def test_read_after_a_failure_does_not_wait(self) -> None:
         """Guards against a full long poll before the topic is confirmed after an outage."""
--- a/tests/platform/installation.py
+++ b/tests/platform/installation.py
@@ -83,6 +83,8 @@
         store: The stand-in of the store.
         instances: The instances.
         version: Version of the newest configuration.
+        parameters: Further lines of the platform's parameters in the settings.
+        tenants: Keys by workspace in the configurations that are written from now on.
     """
 
     size: int = 4
@@ -92,6 +94,8 @@
     store: StoreStandIn = field(factory=StoreStandIn)
     instances: list[Instance] = field(factory=list)
     version: int = 0
+    parameters: str = ""
+    tenants: dict[str, list[str]] = field(factory=dict)
     _folder: tempfile.TemporaryDirectory[str] = field(factory=tempfile.TemporaryDirectory)
 
     def __enter__(self) -> Installation:
@@ -198,6 +202,9 @@
             },
             "limits": {},
         }
+        if self.tenants:
+            rows = [[name, keys] for name, keys in self.tenants.items()]
+            config["tenants"] = {"columns": ["name", "api_keys"], "rows": rows}
         self.store.put("keyed.op", "config", json.dumps(config).encode())
         return self.version
 
@@ -237,6 +244,7 @@
 grace = "{GRACE_S}s"
 retry_budget_ratio = 0.2
 retry_slack = 60
+{self.parameters}
 """)
         return Instance(
             name, zone, host, service, calls, deliveries, ready, control, peers, app, settings
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -62,6 +62,8 @@
     statements: dict[str, str] = field(factory=dict)
     executed: list[tuple[str, float]] = field(factory=list)
     callers: set[str] = field(factory=set)
+    tenants: set[str] = field(factory=set)
+    keys: set[str] = field(factory=set)
     most_running: int = 0
     acknowledged_leave_at: float = 0.0
     deadly: str = ""
@@ -154,6 +156,8 @@
             self.most_running = max(self.most_running, self._running)
             self.executed.append((request_id, time.monotonic()))
             self.callers.add(request.headers.get("Caller-Service", ""))
+            self.tenants.add(request.headers.get("Tenant", ""))
+            self.keys.add(request.headers.get("Authorization", ""))
             failed = self._random.random() < self.fail_share
         try:
             body = request.get_data()
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -202,6 +202,20 @@
             settings = parse_settings(text.encode(), source="node.toml")
             self.assertEqual(settings.bounds.config_apply_s, expected_s)
 
+    def test_time_of_withdrawn_keys(self) -> None:
+        """Guards against a node that accepts keys for longer than the platform allows."""
+        stated = 'revoke = "3s"\nrevoke_fail_closed = true\n'
+        for text, expected_s in (
+            ("", None),
+            (stated, 3.0),
+            (stated.replace("true", "false"), None),
+        ):
+            settings = parse_settings((SETTINGS + text).encode(), source="node.toml")
+            self.assertEqual(settings.bounds.unconfirmed_s, expected_s)
+        for text in ("revoke_fail_closed = 1\n", "revoke = 3\n"):
+            with self.assertRaises(SettingsError):
+                parse_settings((SETTINGS + text).encode(), source="node.toml")
+
     def test_damaged_settings(self) -> None:
         """Guards against a node that starts with incomplete or invalid settings."""
         for old, new in (
