Remember rows of routes as text, and only those of workspaces by digest

Cause: a keyed digest of each row made the decoding of a change of one of 500 routes slower. Change: only the table with keys uses digests; the others are remembered by their text, as before.

--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -62,9 +62,10 @@
 
     def __init__(self, digester: KeyDigester | None = None) -> None:
         digester = digester if digester is not None else KeyDigester()
-        self._services = RowDecoder("services", _service, digester)
-        self._routes = RowDecoder("routes", _route, digester)
-        self._workspaces = RowDecoder(TABLE, WorkspaceDecoder(digester).decode, digester)
+        workspaces = WorkspaceDecoder(digester)
+        self._services = RowDecoder("services", _service)
+        self._routes = RowDecoder("routes", _route)
+        self._workspaces = RowDecoder(TABLE, workspaces.decode, mark=workspaces.mark)
 
     def decode(self, record: KeyedRecord) -> ConfigSet | None:
         """Return the configuration in a record, None for another kind or an invalid record."""
--- a/src/citronrack/platform/rows.py
+++ b/src/citronrack/platform/rows.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from typing import Any, Generic, Protocol, TypeVar
 
-from ..config import KeyDigester
 from .fields import FieldError, Table
 
 
@@ -40,23 +39,27 @@
     """Decodes one table and reuses the entries of rows that the previous version has in common.
 
     A change affects a few of several hundred rows, and decoding all of them took most of the time
-    that a node spends on a change. Rows are remembered by digests, because a row of a workspace
-    contains its keys.
+    that a node spends on a change.
 
     Args:
         table: Name of the table.
         decode: Decodes one row, given as a map by column name.
-        digester: Computes the digests.
+        mark: Returns by what a row is remembered, given as text. A row with keys must not be
+            remembered as it is.
     """
 
     def __init__(
-        self, table: str, decode: Callable[[Mapping[str, Any]], E], digester: KeyDigester
+        self,
+        table: str,
+        decode: Callable[[Mapping[str, Any]], E],
+        *,
+        mark: Callable[[str], Hashable] = str,
     ) -> None:
         self._table = table
         self._decode = decode
-        self._digester = digester
+        self._mark = mark
         self._columns: list[str] = []
-        self._known: dict[bytes, E] = {}
+        self._known: dict[Hashable, E] = {}
 
     def decode(self, fields: Mapping[str, Any]) -> dict[str, E]:
         """Return the entries of the table by name.
@@ -70,26 +73,18 @@
             raise RowError(self._table, TABLE_FAULT, str(error)) from error
         if table.columns != self._columns:
             self._columns, self._known = table.columns, {}
-        known: dict[bytes, E] = {}
-        entries = []
+        known: dict[Hashable, E] = {}
+        entries: dict[str, E] = {}
         for number, row in enumerate(table.rows, start=1):
             try:
-                digest = self._digester.digest(repr(row).encode("utf-8", "backslashreplace"))
-                entry = self._known.get(digest) or self._decode(table.as_map(row))
+                mark = self._mark(repr(row))
+                entry = self._known.get(mark) or self._decode(table.as_map(row))
             except (FieldError, RecursionError) as error:
                 reason = str(error) if isinstance(error, FieldError) else "nested too deeply"
                 raise RowError(self._table, number, reason) from error
-            known[digest] = entry
-            entries.append(entry)
-        self._known = known
-        return self._by_name(entries)
-
-    def _by_name(self, entries: Iterable[E]) -> dict[str, E]:
-        rows: dict[str, int] = {}
-        by_name = {}
-        for number, entry in enumerate(entries, start=1):
-            first = rows.setdefault(entry.name, number)
-            if first != number:
+            if entry.name in entries:
+                first = list(entries).index(entry.name) + 1
                 raise RowError(self._table, number, f"row {first} has the same name")
-            by_name[entry.name] = entry
-        return by_name
+            known[mark] = entries[entry.name] = entry
+        self._known = known
+        return entries
--- a/src/citronrack/platform/tenants.py
+++ b/src/citronrack/platform/tenants.py
@@ -23,6 +23,10 @@
     def __init__(self, digester: KeyDigester) -> None:
         self._digester = digester
 
+    def mark(self, row: str) -> bytes:
+        """Return the digest of a row in text form, which contains keys."""
+        return self._digester.digest(row.encode("utf-8", "backslashreplace"))
+
     def decode(self, row: Mapping[str, Any]) -> Workspace:
         """Return the workspace of a row.
 
