--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -51,6 +51,7 @@
 from .signals import SignalInbox
 from .store import MESH_TOPIC, KeyedStore
 from .target import OwnTargetTracker
+from .trust import ConfigTrust
 from .watch import WatchTask
 
 FIXED_THREADS = 12  # core, watches, writer, event log, five listeners, two spare
@@ -268,6 +269,11 @@
             suspects=suspects,
             allotments=allotments,
             allotment_slack=settings.bounds.allotment_slack,
+            trust=ConfigTrust(
+                boot_clock,
+                newest_s=settings.bounds.config_apply_s,
+                revoke_s=settings.bounds.unconfirmed_s,
+            ),
         ),
         own=_own_entry(settings, clock),
     )
@@ -425,6 +431,7 @@
         authenticator=Authenticator(
             adapter.headers,
             digester=adapter.operator.digester,
+            revoke_s=settings.bounds.unconfirmed_s,
             count_refusal=lambda reason: metrics.count("keys_refused", reason),
         ),
         limits_of_workspaces=allotments,
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -20,6 +20,7 @@
 from .rollout_record import Phase, RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetTracker
+from .trust import ConfigTrust
 
 
 @frozen
@@ -66,6 +67,7 @@
         suspects: Requests that may have ended their targets.
         allotments: Tokens of workspaces at this node.
         allotment_slack: Requests in a window that the platform tolerates beyond each limit.
+        trust: Tracks how recently the configuration was known to be the newest.
     """
 
     clock: Clock
@@ -89,6 +91,9 @@
         )
     )
     allotment_slack: float = 0.0
+    trust: ConfigTrust = field(
+        default=Factory(lambda self: ConfigTrust(self.boot_clock), takes_self=True)
+    )
 
 
 def _ignore(_: object) -> None:
--- a/src/citronrack/hosted/settings.py
+++ b/src/citronrack/hosted/settings.py
@@ -54,6 +54,10 @@
             that it tolerates.
         evacuation_s: Time within which an evacuation must be in force, in seconds; None if the
             platform states none.
+        revoke_s: Time within which a withdrawn key is out of use at a node that is cut off, if
+            `revoke_fail_closed` is set, in seconds.
+        revoke_fail_closed: Whether a node without a confirmation of its configuration accepts no
+            key after that time.
     """
 
     grace_s: float = field(default=6.0, validator=validators.between(0.5, 600))
@@ -66,6 +70,8 @@
     evacuation_s: float | None = field(
         default=None, validator=optional(validators.between(0.5, 600))
     )
+    revoke_s: float = field(default=5.0, validator=validators.between(0.1, 600))
+    revoke_fail_closed: bool = False
 
     @property
     def operator_apply_s(self) -> float:
@@ -80,6 +86,11 @@
         """
         return min(COLD_BURST_S, (self.cold_overshoot - 1.0) / 2)
 
+    @property
+    def unconfirmed_s(self) -> float | None:
+        """Longest time without a confirmation in which keys are accepted, None for no limit."""
+        return self.revoke_s if self.revoke_fail_closed else None
+
 
 @frozen
 class HostedSettings:
--- a/src/citronrack/platform/settings.py
+++ b/src/citronrack/platform/settings.py
@@ -15,6 +15,10 @@
 """Port of the metrics, as in ``deploy/system.toml``."""
 
 
+REVOKE = "5s"
+"""Time within which a withdrawn key is out of use if the platform states none."""
+
+
 def parse_settings(content: bytes, *, source: str) -> HostedSettings:
     """Return the validated settings in the content of a file.
 
@@ -96,6 +100,10 @@
         allotment_slack=float(parameters.get("quota_slack", 0.0)),
         cold_overshoot=float(parameters.get("cold_overshoot", COLD_OVERSHOOT)),
         evacuation_s=_seconds(parameters, "evacuation", None),
+        revoke_s=require_seconds({"revoke": REVOKE, **parameters}, "revoke"),
+        revoke_fail_closed=require(
+            {"revoke_fail_closed": False, **parameters}, "revoke_fail_closed", bool
+        ),
     )
 
 
--- a/tests/platform/installation.py
+++ b/tests/platform/installation.py
@@ -84,6 +84,8 @@
         instances: The instances.
         version: Version of the newest configuration.
         cold: Time for which targets are cold and the rate that they tolerate then, None for none.
+        parameters: Further lines of the platform's parameters in the settings.
+        tenants: Keys by workspace in the configurations that are written from now on.
     """
 
     size: int = 4
@@ -94,6 +96,8 @@
     instances: list[Instance] = field(factory=list)
     version: int = 0
     cold: tuple[str | None, float | None] = (None, None)
+    parameters: str = ""
+    tenants: dict[str, list[str]] = field(factory=dict)
     _folder: tempfile.TemporaryDirectory[str] = field(factory=tempfile.TemporaryDirectory)
 
     def __enter__(self) -> Installation:
@@ -200,6 +204,9 @@
             },
             "limits": {},
         }
+        if self.tenants:
+            rows = [[name, keys] for name, keys in self.tenants.items()]
+            config["tenants"] = {"columns": ["name", "api_keys"], "rows": rows}
         self.store.put("keyed.op", "config", json.dumps(config).encode())
         return self.version
 
@@ -239,6 +246,7 @@
 grace = "{GRACE_S}s"
 retry_budget_ratio = 0.2
 retry_slack = 60
+{self.parameters}
 """)
         return Instance(
             name, zone, host, service, calls, deliveries, ready, control, peers, app, settings
