Choose an allocator again only once it answers

Cause: an allocator that was gone was chosen again every 2 s, and each change of the allocator costs two seconds of the shares; a request whose first other zone did not answer got 503 after 50 ms. Change: allocators that are down are asked every 2 s and chosen after an answer; an overdue request asks all zones that were not asked yet.

--- a/src/citronrack/hosted/allotment_exchange.py
+++ b/src/citronrack/hosted/allotment_exchange.py
@@ -8,7 +8,7 @@
 from heapq import nsmallest
 from random import Random
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from ..clock import Clock
 from ..decisions.allocator import SHARDS, Allocator, Grant, shard_of
@@ -35,8 +35,8 @@
 SILENT_AFTER_S = 1.1
 """Time without an answer after which an allocator counts as down: two pledges were lost."""
 
-AVOID_S = 2.0
-"""Time for which an allocator that is down is not chosen. It is tried again then."""
+PROBE_INTERVAL_S = 2.0
+"""Time between questions to an allocator that is down, which is chosen again once it answers."""
 
 POOL_CHECK_S = 0.1
 """Shortest time between looks for workspaces that need tokens of other zones."""
@@ -122,14 +122,16 @@
         issuer: Its process, 0 before its first answer.
         challenge: Its latest challenge.
         unanswered_since: Time of the first request without an answer, None for none.
-        avoided_until: Time until which it is not chosen.
+        is_down: Whether it has not answered for some time, so that it is not chosen.
+        next_probe_at: Time of the next question to it while it is down.
         next_pledge_at: Time of the next pledge.
     """
 
     issuer: int = 0
     challenge: int = 0
     unanswered_since: float | None = None
-    avoided_until: float = 0.0
+    is_down: bool = False
+    next_probe_at: float = 0.0
     next_pledge_at: float = 0.0
 
 
@@ -144,6 +146,7 @@
         for_pool: Whether the tokens are for this node's own pools, as an allocator.
         zones: Zones that are asked next for requests that still wait.
         shortage: Answer of the own zone's allocator if it had no further token.
+        allocator: Name of the allocator that was asked.
     """
 
     asked_at: float
@@ -152,6 +155,7 @@
     for_pool: bool = False
     zones: tuple[str, ...] = ()
     shortage: Grant | None = None
+    allocator: str = ""
 
 
 class AllotmentExchange:
@@ -215,7 +219,12 @@
         self._drop_questions(now)
         pledges = self._pledge(now)
         self._allocator.set_nodes(self._count_nodes(now), now)
-        return [*pledges, *self._report_members(now), *self._ask_for_pools(now)]
+        return [
+            *pledges,
+            *self._probe(now),
+            *self._report_members(now),
+            *self._ask_for_pools(now),
+        ]
 
     def on_wanted(self, message: TokensWanted) -> list[Send]:
         """Ask for a token for which a request waits."""
@@ -248,7 +257,7 @@
         peer = self._peers[message.node]
         restarted = peer.issuer != message.issuer
         peer.issuer, peer.challenge = message.issuer, message.challenge
-        peer.unanswered_since, peer.avoided_until = None, 0.0
+        peer.unanswered_since, peer.is_down = None, False
         question = self._questions.pop(message.number, None)
         if question is None:
             return []  # It is too late, and its tokens have lapsed.
@@ -320,6 +329,18 @@
                 sends += self._ask(entry, wanted, now, question, shards=pledged, pledges=pledges)
         return sends
 
+    def _probe(self, now: float) -> list[Send]:
+        """Return questions to allocators that are down."""
+        sends: list[Send] = []
+        for name, peer in self._peers.items():
+            entry = self._table.get(name)
+            if entry is None or not peer.is_down or now < peer.next_probe_at:
+                continue
+            peer.next_probe_at = now + PROBE_INTERVAL_S
+            sends += self._ask(entry, {}, now, _Question(now, frozenset(), surplus=True))
+            peer.unanswered_since = None
+        return sends
+
     def _record_pledge(self, message: TokenRequest, until: float, now: float) -> None:
         self._allocator.pledge(message.node, frozenset(message.shards), until=until, now=now)
         self._members.see(message.node, now)
@@ -334,7 +355,7 @@
             entry
             for entry in entries
             if _has_share(entry)
-            and (entry.name not in self._peers or self._peers[entry.name].avoided_until <= now)
+            and (entry.name not in self._peers or not self._peers[entry.name].is_down)
         ]
         count = -(-len(usable) // NODES_PER_ALLOCATOR)
         return nsmallest(count, usable, key=lambda entry: weight(_ALLOCATORS_SCOPE, entry.name))
@@ -379,7 +400,7 @@
             if pledges:
                 self._record_pledge(request, now + PLEDGE_S, now)
             return self._apply(self._answer(request, now), question, now)
-        self._questions[self._number] = question
+        self._questions[self._number] = evolve(question, allocator=allocator.name)
         if peer.unanswered_since is None:
             peer.unanswered_since = now
         return [Send(allocator.peer_url, request)]
@@ -410,14 +431,15 @@
         return []
 
     def _ask_all_zones(self, workspace: str, now: float) -> list[Send]:
-        """Return requests to all other zones, whose allocators may be down as well."""
-        if self._is_asked(workspace, surplus=True):
-            return []
+        """Return requests to all other zones that were not asked; any allocator may be down."""
         question = _Question(now, frozenset({workspace}), surplus=True)
+        asked = {
+            known.allocator for known in self._questions.values() if workspace in known.workspaces
+        }
         sends: list[Send] = []
         for zone in self._other_zones():
             allocator = self._allocator_of(shard_of(workspace), self._candidates(zone, now))
-            if allocator is not None:
+            if allocator is not None and allocator.name not in asked:
                 sends += self._ask(allocator, {workspace: 1}, now, question)
         return sends
 
@@ -511,7 +533,8 @@
         for name, peer in self._peers.items():
             since = peer.unanswered_since
             if since is not None and now - since > SILENT_AFTER_S:
-                peer.unanswered_since, peer.avoided_until = None, now + AVOID_S
+                peer.unanswered_since, peer.is_down = None, True
+                peer.next_probe_at = now + PROBE_INTERVAL_S
                 self._events.write(Event.ALLOCATOR_SILENT, peer=name)
 
 
