Add a case: a former leader writes its status over a completed roll-out

Cause: a status that the store refused stays queued, and is written without regard to the order or the revision of what is stored.

--- a/review/parts2.py
+++ b/review/parts2.py
@@ -17,6 +17,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -47,6 +48,14 @@
             self._file.flush()
 
 
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, *_: object) -> None:
+        return
+
+
 class Store:
     """The platform's store: topics whose names begin with ``keyed.``, one partition each."""
 
@@ -69,14 +78,7 @@
             def log_message(self, *_: object) -> None:
                 return
 
-        class Server(ThreadingHTTPServer):
-            daemon_threads = True
-            request_queue_size = 128
-
-            def handle_error(self, *_: object) -> None:
-                return
-
-        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server = _Server(("127.0.0.1", 0), Handler)
         threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
 
     @property
@@ -166,6 +168,50 @@
         return json.dumps({"items": items, "has_more": False, "end": end}).encode()
 
 
+class Gate:
+    """The address of the store for one machine, which the store may turn away.
+
+    Attributes:
+        refused: Whether the calls of the machine are answered with 503.
+    """
+
+    def __init__(self, store: Store, on_append: Callable[[Gate, str, str, bytes], None]) -> None:
+        self.refused = False
+        gate = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                self._serve(b"")
+
+            def do_POST(self) -> None:
+                self._serve(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+
+            def _serve(self, body: bytes) -> None:
+                if gate.refused:
+                    self.send_response(503)
+                    self.send_header("Content-Length", "0")
+                    self.end_headers()
+                    return
+                store.serve(self, body)
+                if "/log-append" in self.path:
+                    topic = parse_qs(urlsplit(self.path).query)["topic"][0]
+                    key, value = body[5 : 5 + body[4]].decode(), body[5 + body[4] :]
+                    on_append(gate, topic, key, value)
+
+            def log_message(self, *_: object) -> None:
+                return
+
+        self.server = _Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """The address for the settings of the machine."""
+        return f"127.0.0.1:{self.server.server_address[1]}"
+
+
 class Reader:
     """Reads HTTP messages from a blocking socket."""
 
@@ -243,9 +289,10 @@
         record: Record,
         born_ms: int | None = None,
         capacity: int = 8,
+        version: str = "v1",
     ) -> None:
         self.id, self.node, self.work_s, self.record = worker_id, node, work_s, record
-        self.capacity = capacity
+        self.capacity, self.version = capacity, version
         self.born_ms = born_ms if born_ms is not None else time.time_ns() // 1_000_000
         self.state = "ready"
         self.sequence = 0
@@ -273,7 +320,7 @@
     def report(self) -> int:
         """Send a status report; return the status of the answer, 0 for none."""
         self.sequence += 1
-        info = {"service": self.node.service, "version": "v1", "zone": self.node.zone}
+        info = {"service": self.node.service, "version": self.version, "zone": self.node.zone}
         body = {
             "address": f"{self.node.host}:{self.node.app}",
             "born": self.born_ms,
@@ -525,7 +572,7 @@
         }
         self.store.put("keyed.op", "config", json.dumps(config).encode())
 
-    def add_worker(self, node: Node, worker_id: str, work_s: float, **fields: int) -> Worker:
+    def add_worker(self, node: Node, worker_id: str, work_s: float, **fields: object) -> Worker:
         """Start a worker beside a node."""
         worker = Worker(worker_id, node=node, work_s=work_s, record=self.record, **fields)
         self.workers.append(worker)
