Let the requesters of a case leave only when their bytes have arrived

Cause: of an upload of 200 KB, 4 KB had not reached the node's machine, so neither had the close. An error of a script ended with 1, as if the rule was broken.

Change: uploads of 90 KB, a check that all is acknowledged, a worker that stops at its deadline, and exit code 2 after an error.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -20,7 +20,9 @@
 REQUESTERS = 10  # At each of two nodes, in each round.
 LEAVING = 3  # 0.3 of them
 ROUNDS = 3
-UPLOAD_BYTES = 200_000
+UPLOAD_BYTES = 90_000
+"""Body of an upload; the node's machine takes it whole, and so the close behind it."""
+
 LATE_S = 0.5
 UPLOAD, BEHIND, PLAIN = "upload", "lookup with one behind it", "lookup"
 
@@ -44,7 +46,8 @@
 
     def run(self) -> None:
         """Send, and leave early or wait for the answers."""
-        with socket.create_connection((self.node.host, self.node.calls), timeout=1.0) as connection:
+        address = self.node.host, self.node.calls
+        with socket.create_connection(address, timeout=1.0) as connection:
             connection.settimeout(DEADLINE_MS / 1000 + 2.5)
             if self.kind == UPLOAD:
                 self._send(connection, "POST /photo/up", f"Content-Length: {UPLOAD_BYTES}\r\n")
@@ -57,6 +60,9 @@
                 self._send(connection, "GET /look/up")
             if self.leaves:
                 time.sleep(began + GIVE_UP_S - parts.now())
+                left = parts.unacknowledged(connection)
+                if left:
+                    raise RuntimeError(f"{left} bytes have not reached the node's machine")
             else:
                 self._read(connection)
         if self.leaves:
@@ -92,6 +98,9 @@
         thread.start()
     for thread in threads:
         thread.join()
+    for requester in requesters:
+        if requester.leaves and not all(request.left_at for request in requester.sent):
+            raise RuntimeError(f"requester {requester.name} has not left as it should")
     time.sleep(1.5 * WORK_S)
     return [request for requester in requesters for request in requester.sent]
 
@@ -162,4 +171,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    parts.run_case(main)
--- a/review/parts2.py
+++ b/review/parts2.py
@@ -7,14 +7,17 @@
 
 import base64
 import contextlib
+import fcntl
 import json
 import os
 import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
+import termios
 import threading
 import time
 from collections.abc import Callable
@@ -375,9 +378,10 @@
         self.runs.append(run)
         self.record(f"worker {self.id} runs {attempt}")
         end = run.began + self.work_s
+        limit = run.began + int(headers.get("deadline-ms", 30_000)) / 1000
         poller = select.poll()
         poller.register(connection, select.POLLIN | select.POLLHUP | select.POLLERR)
-        while (left := end - now()) > 0:
+        while (left := min(end, limit) - now()) > 0:
             if poller.poll(min(left, 0.05) * 1000) and closed(connection):
                 run.ended, run.end = now(), "dropped"
                 self.record(f"worker {self.id} drops {attempt}, its connection has closed")
@@ -386,12 +390,13 @@
                 run.ended, run.end = now(), "crashed"
                 return False
         content = f"{self.id} {attempt} {len(body)}".encode()
-        lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {attempt}"]
+        first = "HTTP/1.1 200 OK" if end <= limit else "HTTP/1.1 504 Gateway Timeout"
+        lines = [first, f"Attempt-Id: {attempt}"]
         lines += [f"Instance-Signature: {self.id}.{attempt}"]
         lines += [f"Content-Length: {len(content)}", "", ""]
         connection.sendall("\r\n".join(lines).encode() + content)
         run.ended, run.end = now(), "answered"
-        self.record(f"worker {self.id} answers {attempt} with 200")
+        self.record(f"worker {self.id} answers {attempt}: {first}")
         return True
 
 
@@ -533,9 +538,13 @@
         ]
 
     def __enter__(self) -> Mesh:
-        for node in self.nodes:
-            node.write_settings([])
-            node.start()
+        try:
+            for node in self.nodes:
+                node.write_settings([])
+                node.start()
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -613,6 +622,23 @@
         return 0
 
 
+def unacknowledged(connection: socket.socket) -> int:
+    """Return how many bytes the kernel of the peer has not taken yet."""
+    return int(struct.unpack("i", fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4)))[0])
+
+
+def run_case(main: Callable[[], int]) -> None:
+    """Exit with the code of a case, and with 2 if it could not run or was ended."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(2))
+    try:
+        code = main()
+    except Exception as error:
+        print(f"could not run: {error!r}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
+
+
 def trouble() -> bool:
     """Return whether the disruption is to be made."""
     return os.environ.get("TROUBLE", "1") != "0"
