--- a/review/parts2.py
+++ b/review/parts2.py
@@ -396,7 +396,8 @@
         lines += [f"Content-Length: {len(content)}", "", ""]
         connection.sendall("\r\n".join(lines).encode() + content)
         run.ended, run.end = now(), "answered"
-        self.record(f"worker {self.id} answers {attempt}: {first}")
+        if end > limit:
+            self.record(f"worker {self.id} answers {attempt} with 504 at its deadline")
         return True
 
 
@@ -435,17 +436,42 @@
     return int(answer[0].split(" ")[1]) if answer else 0
 
 
+def _host(index: int) -> str:
+    high, low = divmod(os.getpid() % 50_000, 250)
+    return f"127.{high + 1}.{low}.{index + 1}"
+
+
+def free_ports(machines: int) -> list[int]:
+    """Return six ports that are free on all machines; ports are the same on all of them."""
+    found: list[int] = []
+    while len(found) < 6:
+        with socket.create_server((_host(0), 0)) as first:
+            port = first.getsockname()[1]
+            try:
+                for index in range(1, machines):
+                    socket.create_server((_host(index), port)).close()
+            except OSError:
+                continue
+            if port not in found:
+                found.append(port)
+    return found
+
+
 class Node:
     """A machine with a node process."""
 
-    def __init__(self, index: int, *, zone: str, service: str, folder: Path, store: Store) -> None:
-        high, low = divmod(os.getpid() % 50_000, 250)
-        self.host = f"127.{high + 1}.{low}.{index + 1}"
+    def __init__(
+        self,
+        index: int,
+        *,
+        zone: str,
+        service: str,
+        folder: Path,
+        store: Store,
+        ports: list[int],
+    ) -> None:
+        self.host = _host(index)
         self.name, self.zone, self.service = f"sidecar-{zone}-{index + 1}", zone, service
-        sockets = [socket.create_server((self.host, 0)) for _ in range(6)]
-        ports = [listener.getsockname()[1] for listener in sockets]
-        for listener in sockets:
-            listener.close()
         self.calls, self.inbound, self.ready, self.control, self.peers, self.app = ports
         self.settings = folder / f"{self.name}.toml"
         self.log = folder / f"{self.name}.log"
@@ -526,22 +552,34 @@
 class Mesh:
     """A small deployment; use it as a context manager."""
 
-    def __init__(self, services: list[str], record: Record, *, zones: int = 2) -> None:
+    def __init__(
+        self, services: list[str], record: Record, *, zones: int = 2, late: range = range(0)
+    ) -> None:
         self.record = record
         self._folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.workers: list[Worker] = []
         folder = Path(self._folder.name)
+        ports = free_ports(len(services))
+        self.late = set(late)
         self.nodes = [
-            Node(index, zone=f"zone-{index % zones}", service=name, folder=folder, store=self.store)
+            Node(
+                index,
+                zone=f"zone-{index % zones}",
+                service=name,
+                folder=folder,
+                store=self.store,
+                ports=ports,
+            )
             for index, name in enumerate(services)
         ]
 
     def __enter__(self) -> Mesh:
         try:
-            for node in self.nodes:
-                node.write_settings([])
-                node.start()
+            for index, node in enumerate(self.nodes):
+                node.write_settings(self.seeds if index in self.late else [])
+                if index not in self.late:
+                    node.start()
         except BaseException:
             self.__exit__()
             raise
@@ -581,6 +619,11 @@
         }
         self.store.put("keyed.op", "config", json.dumps(config).encode())
 
+    @property
+    def seeds(self) -> list[str]:
+        """Addresses for machines that are added later."""
+        return [f"{node.host}:{node.control}" for node in self.nodes[:3]]
+
     def add_worker(self, node: Node, worker_id: str, work_s: float, **fields: object) -> Worker:
         """Start a worker beside a node."""
         worker = Worker(worker_id, node=node, work_s=work_s, record=self.record, **fields)
@@ -590,7 +633,7 @@
     def wait_ready(self) -> None:
         """Wait until all nodes are ready, or fail with exit code 2."""
         end = now() + START_LIMIT_S
-        while not all(node.is_ready() for node in self.nodes):
+        while not all(node.is_ready() for node in self.nodes if node.process is not None):
             if now() > end:
                 self.record("could not run: a node is not ready")
                 sys.exit(2)
@@ -607,8 +650,15 @@
     return f"{head}Deadline-Ms: {deadline_ms}\r\n\r\n".encode()
 
 
-def call(node: Node, path: str, attempt: str, deadline_ms: int) -> int:
+def call(
+    node: Node, path: str, attempt: str, deadline_ms: int, record: Record | None = None
+) -> int:
     """Send one request on a new connection; return the status, 0 without a whole answer."""
+    if record is not None:
+        record(f"{node.name} is sent {attempt}")
+        status = call(node, path, attempt, deadline_ms)
+        record(f"{attempt} is answered {status}")
+        return status
     try:
         with socket.create_connection((node.host, node.calls), timeout=1.0) as connection:
             connection.settimeout(deadline_ms / 1000 + 1.0)
