End a script of the review at once, whatever its threads do

Cause: after SIGTERM a script ended its nodes, but waited for its requesters for ever.

Change: run_case leaves with os._exit once the mesh has ended.

--- a/review/parts2.py
+++ b/review/parts2.py
@@ -686,7 +686,10 @@
     except Exception as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         code = 2
-    sys.exit(code)
+    except SystemExit as ended:
+        code = ended.code if isinstance(ended.code, int) else 2
+    sys.stderr.flush()
+    os._exit(code)  # Threads of requesters must not keep a case that has failed.
 
 
 def trouble() -> bool:
