Store the leadership of a rollout, and derive its status from the store

What callers saw: the leader of a rollout was cut off for 12 s, another node completed the rollout, and the old targets stopped.

Cause: a leader raised the revision of its record in memory with each heartbeat, also while it reached nobody, and the record with the most revisions won in the store and on each node; no phase was final.

Change: a step, a decision and a heartbeat each are an append under a condition and count once stored; takeovers and decisions begin a term that the previous release cannot count up to; decisions are final. A leader that the store turns away, or that hears nobody, is replaced. The status is derived from the stored record when it is written, and any node writes it until one has heard that the store shows it.

Why this works: the store's condition is the one order of all writers; what a node counts up by itself takes no part in it.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -32,10 +32,12 @@
     LocalTargetEnded,
     PageRead,
     ReadFailed,
+    RecordKept,
     RecordWritten,
     ReportReceived,
     StopRequested,
     TargetStated,
+    WriteFailed,
 )
 from .operator_state import OperatorState
 from .position import era_of
@@ -111,11 +113,12 @@
         )
         self._rollouts = RolloutCore(
             own_name=own.name,
-            clock=dependencies.clock,
+            clock=dependencies.boot_clock,
+            random=dependencies.random,
             events=dependencies.events,
-            write_record=lambda record: dependencies.submit(rollout_write(record)),
+            write_record=lambda proposal: dependencies.submit(rollout_write(proposal)),
             broadcast_record=self._broadcast_rollout,
-            write_status=lambda *status: dependencies.submit(dependencies.operator.status(*status)),
+            write_status=lambda service: dependencies.submit(dependencies.operator.status(service)),
         )
         self._canary = LocalCanary(
             self._rollouts, clock=dependencies.clock, events=dependencies.events
@@ -172,6 +175,7 @@
             random=dependencies.random,
             events=dependencies.events,
         )
+        self._heard_at = dependencies.boot_clock.monotonic()
         self._statement = TargetStatement(process=("", 0))
         self._stopping = False
         self._restoration = Restoration(
@@ -253,6 +257,7 @@
 
     def on_message(self, sender: str, message: Any) -> list[Send]:
         """Handle a message of another node."""
+        self._heard_at = self._dependencies.boot_clock.monotonic()
         handler = _MESSAGES.get(type(message))
         if handler is not None:
             handler(self, sender, message)
@@ -295,7 +300,8 @@
         trust = self._dependencies.trust
         trust.on_tick()
         names = [entry.name for entry in self._table.entries()]
-        self._rollouts.on_tick(names=names)
+        silence_s = self._dependencies.boot_clock.monotonic() - self._heard_at
+        self._rollouts.on_tick(names=names, silence_s=silence_s)
         self._leaving.on_tick()
         self._outbox += self._suspicions.on_tick()
         self._outbox += self._allotments.on_tick()
@@ -325,7 +331,7 @@
         if message.topic == MESH_TOPIC:
             if message.full:
                 self._check_own_record()
-                if applied.changed:
+                if applied.changed and not message.for_write:
                     self._announce(self._registration.entry)
                     self._outbox += self._gossip.join()
             if not self._access.reading:
@@ -337,6 +343,9 @@
 
     def _on_record_written(self, message: RecordWritten) -> None:
         """Handle a record of this node once it is stored."""
+        if message.source is not None:
+            self._rollouts.on_status(decode_record(message.source))
+            return
         rollout = decode_record(message.record.value) if message.topic == MESH_TOPIC else None
         if rollout is not None and message.record.key.startswith(ROLLOUT_PREFIX):
             self._apply_rollout(rollout)
@@ -346,6 +355,17 @@
         elif message.topic == MESH_TOPIC:
             self._leaving.on_stored(message.record)
 
+    def _on_record_kept(self, message: RecordKept) -> None:
+        if message.source is not None:
+            self._rollouts.on_status(decode_record(message.source))
+        else:
+            self._on_write_failed(WriteFailed(message.topic, message.key))
+
+    def _on_write_failed(self, message: WriteFailed) -> None:
+        """Let the rollouts decide again on a record that was not stored."""
+        if message.topic == MESH_TOPIC and message.key.startswith(ROLLOUT_PREFIX):
+            self._rollouts.on_write_failed(message.key.removeprefix(ROLLOUT_PREFIX))
+
     def _on_target_report(self, message: ReportReceived) -> None:
         target = self._dependencies.target
         self._cold.expect(message.report)
@@ -692,7 +712,9 @@
 _HANDLERS: dict[type[Any], Callable[[HostedCore, Any], None]] = {
     PageRead: HostedCore._on_page_read,
     ReadFailed: HostedCore._on_read_failed,
+    RecordKept: HostedCore._on_record_kept,
     RecordWritten: HostedCore._on_record_written,
+    WriteFailed: HostedCore._on_write_failed,
     ReportReceived: HostedCore._on_target_report,
     LeaveReceived: HostedCore._on_target_leave,
     CallReported: HostedCore._on_call_reported,
--- a/src/citronrack/hosted/dependencies.py
+++ b/src/citronrack/hosted/dependencies.py
@@ -17,7 +17,7 @@
 from .publish import Write
 from .readers import ReaderTimings
 from .record_audit import RecordFault
-from .rollout_record import Phase, RolloutOrder
+from .rollout_record import RolloutOrder
 from .store import KeyedRecord
 from .target import OwnTargetTracker
 from .trust import ConfigTrust
@@ -32,7 +32,8 @@
         config: Returns the configuration in a record, None for a record of another kind or one
             that cannot be decoded.
         order: Returns the rollout order in a record, None for a record of another kind.
-        status: Returns the write that reports service, version and phase to the operator.
+        status: Returns the write that reports the stored phase of a service's rollout to the
+            operator.
         evacuation: Returns what a record asks of a zone, None for a record of another kind or one
             that cannot be decoded.
         fault: Returns why a record is refused, None if it is valid or the reason is not known.
@@ -42,7 +43,7 @@
     name: str
     config: Callable[[KeyedRecord], ConfigSet | None]
     order: Callable[[KeyedRecord], RolloutOrder | None]
-    status: Callable[[str, str, Phase], Write]
+    status: Callable[[str], Write]
     evacuation: Callable[[KeyedRecord], EvacuationOrder | None]
     fault: Callable[[KeyedRecord], RecordFault | None] = lambda record: None
     digester: KeyDigester = field(factory=KeyDigester)
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -16,7 +16,7 @@
 
 @frozen
 class PageRead:
-    """A watch has read a page.
+    """A page of the store was read.
 
     Attributes:
         topic: Name of the topic.
@@ -27,6 +27,7 @@
             while the response waited in the socket.
         confirmed_at: Time by the boot clock at which the topic certainly ended with the page, None
             if that is ``created_at``.
+        for_write: Whether the page was read to decide on a write, not by a watch.
     """
 
     topic: str
@@ -34,6 +35,7 @@
     full: bool
     created_at: float = 0.0
     confirmed_at: float | None = None
+    for_write: bool = False
 
     @property
     def certain_at(self) -> float:
@@ -48,10 +50,40 @@
     Attributes:
         topic: Name of the topic.
         record: The record.
+        source: Value of the record from which it was derived, None for any other write.
     """
 
     topic: str
     record: KeyedRecord
+    source: bytes | None = None
+
+
+@frozen
+class RecordKept:
+    """A write left a record in the store as it was.
+
+    Attributes:
+        topic: Name of the topic.
+        key: Key of the record.
+        source: Value of the record from which the write was derived, None for any other write.
+    """
+
+    topic: str
+    key: str
+    source: bytes | None = None
+
+
+@frozen
+class WriteFailed:
+    """A write that is not retried failed, or the store did not answer.
+
+    Attributes:
+        topic: Name of the topic.
+        key: Key of the record.
+    """
+
+    topic: str
+    key: str
 
 
 @frozen
--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -12,12 +12,29 @@
 from ..backoff import Backoff
 from ..errors import AppendRefused, AppendUnknown, LogUnavailable
 from ..telemetry import Event, EventLog
-from .messages import CoreMessage, PageRead, RecordWritten
+from .messages import CoreMessage, PageRead, RecordKept, RecordWritten, WriteFailed
 from .position import position_fields
 from .store import BACKOFF_CAP_S, AppendConflict, KeyedRecord, KeyedStore
 from .watch import LONG_READ_TIMEOUT_MS
 
 
+@frozen
+class _Intent:
+    """What a write comes to, given the records in the store.
+
+    Attributes:
+        value: The value to write.
+        end: End of the topic on which the append is conditional, None for any.
+        unneeded: Whether the record stays as it is.
+        source: Value of the record from which the value was derived.
+    """
+
+    value: bytes | None
+    end: int | None = None
+    unneeded: bool = False
+    source: bytes | None = None
+
+
 @frozen
 class Write:
     """A record to write.
@@ -32,6 +49,10 @@
         revise: Returns the value to write for the key's current value, None to write ``value``; it
             is only called together with ``may_replace``.
         once: Whether a failed write is dropped instead of retried; the submitter decides again.
+        source: Topic and key of the record from which the value is derived, None for ``value``.
+            It is read after the end of the written topic, and the append is conditional on that
+            end, so of two writers none replaces what was derived from a later record.
+        derive: Returns the value for the source record's value, None to write nothing.
     """
 
     topic: str
@@ -40,6 +61,8 @@
     may_replace: Callable[[bytes | None], bool] | None = None
     revise: Callable[[bytes | None], bytes] | None = None
     once: bool = False
+    source: tuple[str, str] | None = None
+    derive: Callable[[bytes | None], bytes | None] = lambda source: None
 
 
 class PublishTask:
@@ -102,19 +125,14 @@
 
     def _try(self, write: Write) -> bool:
         """Try a write; return whether it is done and must not be retried."""
-        value = write.value
         try:
-            end = None
-            if write.may_replace is not None:
-                page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-                self._post(PageRead(write.topic, page, full=True))
-                end = page.position
-                current = {record.key: record.value for record in page.records}
-                if not write.may_replace(current.get(write.key)):
-                    return True
-                if write.revise is not None:
-                    value = write.revise(current.get(write.key))
-            position = self._store.put(write.topic, write.key, value, expected_end=end)
+            intent = self._resolve(write)
+            if intent.unneeded:
+                self._post(RecordKept(write.topic, write.key, intent.source))
+                return True
+            position = self._store.put(
+                write.topic, write.key, intent.value, expected_end=intent.end
+            )
         except AppendConflict as conflict:
             self._events.write(
                 Event.STORE_CONFLICT,
@@ -122,15 +140,44 @@
                 key=write.key,
                 **position_fields(conflict.end, "end"),
             )
-            return write.once
+            return self._give_up(write)
         except (AppendRefused, AppendUnknown, LogUnavailable) as error:
             refused = isinstance(error, AppendRefused)
             event = Event.APPEND_REFUSED if refused else Event.APPEND_UNKNOWN
             self._events.write(event, topic=write.topic, key=write.key, reason=str(error))
-            return write.once
+            return self._give_up(write)
         self._events.write(
             Event.STORE_WRITTEN, topic=write.topic, key=write.key, **position_fields(position)
         )
-        record = KeyedRecord(write.key, value, position)
-        self._post(RecordWritten(write.topic, record))
+        record = KeyedRecord(write.key, intent.value, position)
+        self._post(RecordWritten(write.topic, record, intent.source))
         return True
+
+    def _resolve(self, write: Write) -> _Intent:
+        """Read the records on which a write depends, and return what to write."""
+        if write.source is not None:
+            return self._derive(write, *write.source)
+        if write.may_replace is None:
+            return _Intent(write.value)
+        page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
+        self._post(PageRead(write.topic, page, full=True, for_write=True))
+        current = page.value(write.key)
+        if not write.may_replace(current):
+            return _Intent(write.value, unneeded=True)
+        value = write.revise(current) if write.revise is not None else write.value
+        return _Intent(value, page.position)
+
+    def _derive(self, write: Write, topic: str, key: str) -> _Intent:
+        page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
+        source_page = self._store.newest(topic, timeout_ms=LONG_READ_TIMEOUT_MS)
+        self._post(PageRead(topic, source_page, full=True, for_write=True))
+        source = source_page.value(key)
+        value = write.derive(source)
+        unneeded = value is None or value == page.value(write.key)
+        return _Intent(value, page.position, unneeded, source)
+
+    def _give_up(self, write: Write) -> bool:
+        """Return whether a failed write is dropped; its submitter is told so."""
+        if write.once:
+            self._post(WriteFailed(write.topic, write.key))
+        return write.once
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from random import Random
 
 from attrs import define, evolve, field
 
@@ -11,18 +12,22 @@
 from ..telemetry import Event, EventLog
 from ..validators import MAX_NUMBER
 from .evidence import Evidence, EvidenceAggregator
+from .position import era_of
 from .ramp import COMPLETE_AT, MIN_CALLS, RAMP, TIMEOUT_AT
+from .replica import REWRITE_S
 from .rollout_record import (
     FIRST_REVISION,
     Phase,
+    Proposal,
     RolloutOrder,
     RolloutRecord,
     VersionShare,
+    next_term,
     withdrawn_by,
 )
 
 HEARTBEAT_INTERVAL_S = 1.0
-"""Interval at which the holder of a running rollout broadcasts its record."""
+"""Interval at which the holder of a running rollout stores its record again and broadcasts it."""
 
 TAKEOVER_TIMEOUT_S = 2.5
 """Time without a record after which another node takes over a rollout; over two heartbeat
@@ -34,19 +39,58 @@
 SETTLE_S = 0.6
 """Delay between the decision and the final status, in which all nodes read the decision."""
 
+ISOLATED_AFTER_S = 3.0
+"""Time without a message of any node after which a node counts as isolated; a few intervals of the
+exchange between nodes."""
+
+ISOLATED_DELAY_S = 2.0
+"""How long an isolated node yields a rollout to nodes that hear each other. The best-ranked ones
+take it over meanwhile if they reach the store; if none does, this node goes on alone."""
+
+WRITE_TIMEOUT_S = 7.0
+"""Time after which a record counts as not stored if nothing was heard of its write: the timeouts of
+a read and of an append, and a second in the queue."""
+
+RETRY_PAUSE_S = 1.0
+"""Mean pause after a failed write, unless it is the first one of a holder; a store that is back
+must be used again within two seconds."""
+
+STATUS_RETRY_S = 2.0
+"""Pause before the final status is submitted again, if the store lacked the decision."""
+
 
 @define(eq=False)
 class _Rollout:
-    """This node's state of one service's rollout."""
+    """This node's state of one service's rollout.
+
+    Attributes:
+        order: The order.
+        order_ids: Its ids, those that it had before a return of the store included.
+        started: Time of the order.
+        skipped: Versions of earlier orders that never had a record.
+        record: Newest stored record of the order, None before the first one.
+        last_record_at: When ``record`` became known, or the order if there is none.
+        stepped_at: When the share or phase changed last.
+        propose_at: Earliest time of the next proposal.
+        alone: Whether this node leads although it is isolated, since no other has taken over.
+        status_submitted: Whether this node has submitted the status of the running rollout.
+        status_at: Earliest time to submit the final status.
+        confirmed: Whether the operator's status is known to show the decision.
+        evidence: Calls to both versions.
+    """
 
     order: RolloutOrder
+    order_ids: frozenset[int]
     started: float
     skipped: tuple[str, ...] = ()
     record: RolloutRecord | None = None
     last_record_at: float = 0.0
     stepped_at: float = 0.0
-    written: RolloutRecord | None = None
-    status: str = ""
+    propose_at: float = 0.0
+    alone: bool = False
+    status_submitted: bool = False
+    status_at: float = 0.0
+    confirmed: bool = False
     evidence: EvidenceAggregator = field(factory=EvidenceAggregator)
 
     def elapsed_s(self, now: float) -> float:
@@ -54,27 +98,33 @@
         return now - self.started
 
 
-WriteRecord = Callable[[RolloutRecord], None]
-"""Writes a record to the store, or only broadcasts it to the other nodes."""
+WriteRecord = Callable[[Proposal], None]
 
-WriteStatus = Callable[[str, str, Phase], None]
-"""Called with service, version and phase."""
+BroadcastRecord = Callable[[RolloutRecord], None]
+
+WriteStatus = Callable[[str], None]
+"""Called with the service."""
 
 
 class RolloutCore:
     """Follows all rollouts and leads those that this node holds.
 
     Every node applies the share in the newest record. The node that wrote the record leads the
-    rollout: it collects evidence, raises the share, and ends the rollout. A step takes effect once
-    it is stored, and it only replaces an older record, so two concurrent holders are harmless.
+    rollout: it collects evidence, raises the share, and ends the rollout.
+
+    Everything that a holder does takes effect once the store has taken it, and the store takes only
+    a record that follows the one there. So several nodes may believe that they hold a rollout, but
+    one of them at most can change anything. Heartbeats are stored, too: a holder that the store
+    turns away falls silent and is replaced, and one that was cut off has counted up nothing.
 
     Args:
         own_name: Name of this node.
-        clock: Source of time.
+        clock: Clock that keeps running while the instance is suspended.
+        random: Source of random numbers.
         events: Event log.
-        write_record: Writes a record to the store if it is newer than the one there.
-        broadcast_record: Sends a record to all nodes; it serves as the holder's heartbeat.
-        write_status: Reports the phase of a rollout to the operator.
+        write_record: Writes a record to the store if it follows the one there.
+        broadcast_record: Sends a stored record to all nodes; it serves as the holder's heartbeat.
+        write_status: Reports the stored phase of a rollout to the operator.
     """
 
     def __init__(
@@ -82,13 +132,15 @@
         *,
         own_name: str,
         clock: Clock,
+        random: Random,
         events: EventLog,
         write_record: WriteRecord,
-        broadcast_record: WriteRecord,
+        broadcast_record: BroadcastRecord,
         write_status: WriteStatus,
     ) -> None:
         self._own_name = own_name
         self._clock = clock
+        self._random = random
         self._events = events
         self._write_record = write_record
         self._broadcast_record = broadcast_record
@@ -114,7 +166,7 @@
             self._continue(known, order)
             return False
         now = self._clock.monotonic()
-        rollout = _Rollout(order, started=now, last_record_at=now)
+        rollout = _Rollout(order, frozenset({order.order_id}), started=now, last_record_at=now)
         if known is not None and known.record is None:
             rollout.skipped = (*known.skipped, known.order.target_version)
         self._rollouts[order.service] = rollout
@@ -132,6 +184,7 @@
     def _continue(self, rollout: _Rollout, order: RolloutOrder) -> None:
         """Let a rollout go on under the new id of its order; its holder writes it again."""
         rollout.order = order
+        rollout.order_ids |= {order.order_id}
         rollout.evidence = EvidenceAggregator()
         if rollout.record is not None:
             rollout.record = evolve(rollout.record, order_id=order.order_id)
@@ -139,20 +192,54 @@
             self._write_again(rollout, rollout.record)
 
     def write_again(self) -> None:
-        """Write the rollouts that this node holds, and their status, to the store again.
+        """Write the rollouts to the store again after its return from a copy.
 
-        Both writes depend on the value in the store, so they do nothing if that is up to date.
+        Their holders write those that are running, and any node the decisions. All writes depend on
+        what the store has, so they do nothing if that is up to date.
         """
         for rollout in self._rollouts.values():
             if rollout.record is not None:
                 self._write_again(rollout, rollout.record)
 
     def _write_again(self, rollout: _Rollout, record: RolloutRecord) -> None:
-        if record.holder != self._own_name:
+        if record.decided:
+            rollout.confirmed = False
+            rollout.status_at = self._clock.monotonic() + SETTLE_S
+        elif record.holder == self._own_name:
+            self._write_record(Proposal(record, record, rollout.order_ids))
+            self._write_status(record.service)
+
+    def on_write_failed(self, service: str) -> None:
+        """Handle a record that the store has not taken; this node decides again what to write."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
             return
-        self._write_record(record)
-        if rollout.status or record.reported:
-            self._write_status(record.service, record.target_version, Phase(record.phase))
+        now = self._clock.monotonic()
+        leads = self.holder(service) == self._own_name
+        at_once = leads and now - rollout.last_record_at < TAKEOVER_TIMEOUT_S
+        pause_s = 0.0 if at_once else RETRY_PAUSE_S * self._random.uniform(0.5, 1.5)
+        rollout.propose_at = now + pause_s
+
+    def on_status(self, source: RolloutRecord | None) -> None:
+        """Handle that the operator's status shows what the store says of a rollout.
+
+        Args:
+            source: The stored record, None if the store has none that can be decoded.
+        """
+        rollout = self._rollouts.get(source.service) if source is not None else None
+        record = rollout.record if rollout is not None else None
+        if source is None or rollout is None or record is None or not record.decided:
+            return
+        if source.order_id == record.order_id and source.decided:
+            rollout.confirmed = True
+            self._announce_confirmed(rollout, record)
+
+    def _announce_confirmed(self, rollout: _Rollout, record: RolloutRecord) -> None:
+        """Tell the other nodes that the operator's status shows a decision."""
+        revision = min(record.revision + 1, MAX_NUMBER)
+        confirmed = evolve(record, reported=True, confirmed=True, revision=revision)
+        self._apply_record(rollout, confirmed)
+        self._broadcast_record(confirmed)
 
     def on_record(self, record: RolloutRecord) -> None:
         """Apply a record of the store or of another node."""
@@ -179,8 +266,7 @@
         if rollout is None:
             return None
         record = rollout.record
-        decided = record is not None and record.phase != Phase.RUNNING
-        return None if decided else rollout.order
+        return None if record is not None and record.decided else rollout.order
 
     def holder(self, service: str) -> str:
         """Return the name of the node that leads a service's rollout, empty for none."""
@@ -216,39 +302,48 @@
         return record.withdrawn
 
     def _remember(self, record: RolloutRecord) -> None:
-        known = self._newest.get(record.service)
-        if known is None or (known.order_id, known.revision) < (record.order_id, record.revision):
+        if record.supersedes(self._newest.get(record.service)):
             self._newest[record.service] = record
 
-    def on_tick(self, *, names: Sequence[str]) -> None:
+    def on_tick(self, *, names: Sequence[str], silence_s: float = 0.0) -> None:
         """Lead the rollouts that this node holds and take over those whose holder has timed out.
 
         Args:
             names: Names of all known nodes; they are ranked for the takeover.
+            silence_s: Time since any other node was heard.
         """
         now = self._clock.monotonic()
         for rollout in self._rollouts.values():
             record = rollout.record
+            if record is not None and record.decided:
+                self._report_status(rollout, record, now, names)
+                continue
+            isolated = silence_s > ISOLATED_AFTER_S and self._has_rivals(record, names)
+            rollout.alone = rollout.alone and isolated
+            yield_s = ISOLATED_DELAY_S if isolated and not rollout.alone else 0.0
             if record is None:
-                self._begin(rollout, now, names)
-            elif record.phase != Phase.RUNNING:
-                self._report_status(rollout, now, names)
+                self._begin(rollout, now, names, yield_s)
             elif record.holder == self._own_name:
-                self._lead(rollout, record, now)
-            elif now - rollout.last_record_at > TAKEOVER_TIMEOUT_S + self._rank_delay_s(
-                rollout, names
-            ):
-                self._propose(rollout, evolve(record, reason="the holder is silent"), now)
+                self._lead(rollout, record, now, yield_s)
+            else:
+                self._take_over(rollout, record, now, yield_s + self._rank_delay_s(rollout, names))
+
+    def _has_rivals(self, record: RolloutRecord | None, names: Sequence[str]) -> bool:
+        """Return whether other nodes may take a rollout over from its holder."""
+        holder = record.holder if record is not None else ""
+        return any(name not in (self._own_name, holder) for name in names)
 
     def _apply_record(self, rollout: _Rollout, record: RolloutRecord) -> None:
-        """Apply a record if it belongs to the current order and has a greater revision."""
+        """Apply a record if it belongs to the current order and supersedes the known one."""
         known = rollout.record
-        if record.order_id != rollout.order.order_id:
-            return
-        if known is not None and record.revision <= known.revision:
+        if record.order_id in rollout.order_ids:
+            record = evolve(record, order_id=rollout.order.order_id)
+        if record.order_id != rollout.order.order_id or not record.supersedes(known):
             return
         now = self._clock.monotonic()
         rollout.last_record_at = now
+        rollout.propose_at = 0.0
+        rollout.confirmed = rollout.confirmed or record.confirmed
         rollout.started = min(rollout.started, now - record.elapsed_ms / 1000)
         if known is None or (known.share, known.phase) != (record.share, record.phase):
             rollout.stepped_at = now
@@ -270,9 +365,12 @@
         own = weight(scope, self._own_name)
         return RANK_DELAY_S * sum(weight(scope, name) < own for name in names)
 
-    def _begin(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
-        if rollout.elapsed_s(now) < self._rank_delay_s(rollout, names):
+    def _begin(self, rollout: _Rollout, now: float, names: Sequence[str], yield_s: float) -> None:
+        if self._may_be_written_again(rollout.order):
+            yield_s += REWRITE_S
+        if rollout.elapsed_s(now) < self._rank_delay_s(rollout, names) + yield_s:
             return
+        rollout.alone = yield_s > 0.0
         order = rollout.order
         first = RolloutRecord(
             order_id=order.order_id,
@@ -283,16 +381,57 @@
             step=0,
             elapsed_ms=0,
             holder=self._own_name,
-            revision=0,
+            revision=FIRST_REVISION,
             reason="the rollout was ordered",
             withdrawn=rollout.skipped,
         )
         self._propose(rollout, first, now)
 
-    def _lead(self, rollout: _Rollout, record: RolloutRecord, now: float) -> None:
-        if rollout.status != Phase.RUNNING:
-            rollout.status = Phase.RUNNING
-            self._write_status(record.service, record.target_version, Phase.RUNNING)
+    def _may_be_written_again(self, order: RolloutOrder) -> bool:
+        """Return whether an order may be one from before a return of the store.
+
+        A node that started after the return cannot know; the others write its record again.
+        """
+        known = self._newest.get(order.service)
+        return (
+            known is not None
+            and known.target_version == order.target_version
+            and era_of(known.order_id) < era_of(order.order_id)
+        )
+
+    def _take_over(
+        self, rollout: _Rollout, record: RolloutRecord, now: float, yield_s: float
+    ) -> None:
+        """Lead a rollout whose holder has been silent.
+
+        The write has no effect if the holder has stored a later record meanwhile, which this node
+        then follows.
+        """
+        if now - rollout.last_record_at <= TAKEOVER_TIMEOUT_S + yield_s:
+            return
+        taken = evolve(record, revision=next_term(record.revision), reason="the holder is silent")
+        self._propose(rollout, taken, now)
+
+    def _lead(self, rollout: _Rollout, record: RolloutRecord, now: float, yield_s: float) -> None:
+        """Step, decide or store the record again.
+
+        Args:
+            rollout: The rollout.
+            record: Its record, which this node has written.
+            now: The time.
+            yield_s: How long this node lets others take over, 0 if it hears other nodes.
+        """
+        silent_s = now - rollout.last_record_at
+        renewed = evolve(record, revision=record.revision + 1)
+        if silent_s > TAKEOVER_TIMEOUT_S or yield_s:
+            # Another node may lead by now; only the store knows.
+            if not yield_s or silent_s > TAKEOVER_TIMEOUT_S + yield_s:
+                rollout.alone = yield_s > 0.0
+                self._propose(rollout, renewed, now)
+            return
+        if not rollout.status_submitted:
+            rollout.status_submitted = True
+            self._write_status(record.service)
         rollout.evidence.sample(now)
         fault = rollout.evidence.fault(record.target_version)
         if fault:
@@ -308,44 +447,49 @@
         elif elapsed_share >= TIMEOUT_AT:
             self._decide(rollout, record, Phase.ROLLED_BACK, "the time is up", now)
         elif next_step is not None and elapsed_share >= next_step.at and enough_calls:
-            stepped = evolve(record, share=next_step.share, step=record.step + 1)
+            stepped = evolve(renewed, share=next_step.share, step=record.step + 1)
             self._propose(rollout, evolve(stepped, reason="the step before is clear"), now)
-        elif now - rollout.last_record_at >= HEARTBEAT_INTERVAL_S:
-            heartbeat = self._next_record(rollout, record, now)
-            self._apply_record(rollout, heartbeat)
-            self._broadcast_record(heartbeat)
+        elif silent_s >= HEARTBEAT_INTERVAL_S:
+            self._propose(rollout, renewed, now)
 
     def _decide(
         self, rollout: _Rollout, record: RolloutRecord, phase: Phase, reason: str, now: float
     ) -> None:
         share = 1.0 if phase is Phase.COMPLETED else 0.0
-        self._propose(rollout, evolve(record, phase=phase, share=share, reason=reason), now)
+        decision = evolve(
+            record, revision=next_term(record.revision), phase=phase, share=share, reason=reason
+        )
+        self._propose(rollout, decision, now)
 
     def _propose(self, rollout: _Rollout, record: RolloutRecord, now: float) -> None:
-        self._write_record(self._next_record(rollout, record, now))
-
-    def _next_record(self, rollout: _Rollout, record: RolloutRecord, now: float) -> RolloutRecord:
-        """Return a record with this node as holder and the next revision."""
-        known = rollout.record
-        return evolve(
+        """Write a record with this node as holder, unless it waits for the store's answer."""
+        if now < rollout.propose_at:
+            return
+        rollout.propose_at = now + WRITE_TIMEOUT_S
+        proposed = evolve(
             record,
             holder=self._own_name,
-            revision=(min(known.revision + 1, MAX_NUMBER) if known is not None else FIRST_REVISION),
+            revision=min(record.revision, MAX_NUMBER),
             elapsed_ms=int(rollout.elapsed_s(now) * 1000),
         )
+        self._write_record(Proposal(proposed, rollout.record, rollout.order_ids))
 
-    def _report_status(self, rollout: _Rollout, now: float, names: Sequence[str]) -> None:
-        """Write the final status once all nodes have had time to read the decision."""
-        record = rollout.record
-        if record is None or record.reported or rollout.status == record.phase:
+    def _report_status(
+        self, rollout: _Rollout, record: RolloutRecord, now: float, names: Sequence[str]
+    ) -> None:
+        """Write the final status until the store has taken it.
+
+        The holder does so once all nodes have had time to read the decision, any other node if it
+        does not hear that the holder has done it.
+        """
+        if rollout.confirmed or now < rollout.status_at:
             return
         delay = SETTLE_S
         if record.holder != self._own_name:
             delay += TAKEOVER_TIMEOUT_S + self._rank_delay_s(rollout, names)
         if now - rollout.stepped_at < delay:
             return
-        rollout.status = record.phase
-        self._write_status(record.service, record.target_version, Phase(record.phase))
-        reported = evolve(self._next_record(rollout, record, now), reported=True)
-        self._apply_record(rollout, reported)
-        self._broadcast_record(reported)
+        rollout.status_at = now + STATUS_RETRY_S
+        # Has no effect unless the store has lost the decision.
+        self._write_record(Proposal(record, record, rollout.order_ids))
+        self._write_status(record.service)
--- a/src/citronrack/hosted/rollout_record.py
+++ b/src/citronrack/hosted/rollout_record.py
@@ -20,6 +20,10 @@
 FIRST_REVISION = 1
 """Revision of the first record of an order."""
 
+TERM_REVISIONS = 2**20
+"""Revisions of a term. Holders of the previous release count a revision for each heartbeat, one a
+second, so one that was cut off for days does not reach the next term."""
+
 MAX_WITHDRAWN = 32
 """Withdrawn versions that a record names, the latest ones; targets of older ones are long gone."""
 
@@ -68,12 +72,15 @@
         step: Index into the ramp.
         elapsed_ms: Time between the order and the writing of the record.
         holder: Name of the node that wrote the record.
-        revision: Increases with each record of an order.
+        revision: Increases with each record of an order. A takeover and a decision begin a new
+            term, see `next_term`.
         reason: Why the phase or share was chosen.
-        reported: Whether the phase has been reported to the operator.
+        reported: Whether the phase counts as reported to the operator for nodes of the previous
+            release, which set it before the status was stored.
         withdrawn: Earlier versions that get no calls, oldest first: they were rolled back, or a
             later order replaced theirs before they were completed. An order that names one of them
             takes it off.
+        confirmed: Whether the operator's status is known to show the decision.
     """
 
     order_id: int = field(validator=validators.between(0, MAX_POSITION))
@@ -88,12 +95,44 @@
     reason: str = ""
     reported: bool = False
     withdrawn: tuple[str, ...] = ()
+    confirmed: bool = False
+
+    @property
+    def decided(self) -> bool:
+        """Whether the rollout has ended; the phase of its order never changes from then on."""
+        return self.phase != Phase.RUNNING
+
+    def supersedes(self, known: RolloutRecord | None) -> bool:
+        """Return whether this record replaces a known one of the same service."""
+        if known is None or self.order_id != known.order_id:
+            return known is None or self.order_id > known.order_id
+        if known.decided:
+            return self.phase == known.phase and self.revision > known.revision
+        return self.decided or self.revision > known.revision
+
+    def may_precede(self, known: RolloutRecord) -> bool:
+        """Return whether a node that knows ``known`` as the newest record of an order may write the
+        next one over this record.
+
+        After a return of the store, two holders may have written records of one revision.
+        """
+        if known.decided or self.revision < known.revision:
+            return True
+        return (self.revision, self.holder) == (known.revision, known.holder)
 
     def encode(self) -> bytes:
         """Return the record as a store value."""
         return encode(self)
 
 
+def next_term(revision: int) -> int:
+    """Return the first revision of the next term.
+
+    It is greater than all that a holder of the current term may still count up by itself.
+    """
+    return min((revision // TERM_REVISIONS + 1) * TERM_REVISIONS, MAX_NUMBER)
+
+
 def decode_record(value: bytes | None) -> RolloutRecord | None:
     """Return the record in a store value, None when it is absent or cannot be decoded."""
     return decode_stored(value, RolloutRecord)
@@ -149,21 +188,44 @@
     return evolve(record, withdrawn=withdrawn_by(order, previous, record.withdrawn))
 
 
-def rollout_write(record: RolloutRecord) -> Write:
-    """Return the write of a record; it only replaces an older one."""
+@frozen
+class Proposal:
+    """A record to store, and what has to be stored for that.
+
+    Attributes:
+        record: The record.
+        base: The record that it follows, None for the first one of an order; the record itself to
+            write a decision again that the store may have lost.
+        order_ids: All ids of the order: it gets another one when the operator writes it again after
+            a return of the store from a copy.
+    """
+
+    record: RolloutRecord
+    base: RolloutRecord | None
+    order_ids: frozenset[int]
+
+    def may_replace(self, stored: RolloutRecord | None) -> bool:
+        """Return whether the record may replace the stored one.
+
+        A decision stays as it is; only the id of its order may change.
+        """
+        record = self.record
+        if stored is None or stored.order_id not in self.order_ids:
+            return stored is None or stored.order_id < record.order_id
+        if stored.decided:
+            return stored.order_id < record.order_id and stored.phase == record.phase
+        return self.base is not None and stored.may_precede(self.base)
 
-    def is_older(current: bytes | None) -> bool:
-        known = decode_record(current)
-        if known is None:
-            return True
-        return (known.order_id, known.revision) < (record.order_id, record.revision)
 
+def rollout_write(proposal: Proposal) -> Write:
+    """Return the write of a proposal."""
+    record = proposal.record
     key = ROLLOUT_PREFIX + record.service
     return Write(
         MESH_TOPIC,
         key,
         record.encode(),
-        may_replace=is_older,
+        may_replace=lambda current: proposal.may_replace(decode_record(current)),
         revise=lambda current: follow(record, decode_record(current)).encode(),
         once=True,
     )
--- a/src/citronrack/hosted/store.py
+++ b/src/citronrack/hosted/store.py
@@ -66,6 +66,11 @@
     start: int = 0
     unreadable: int = 0
 
+    def value(self, key: str) -> bytes | None:
+        """Return the newest value of a key in the page, None when there is none."""
+        values = [record.value for record in self.records if record.key == key]
+        return values[-1] if values else None
+
 
 class KeyedStore(Protocol):
     """Access to topics that keep the newest record of each key; used by one thread."""
--- a/src/citronrack/platform/operator.py
+++ b/src/citronrack/platform/operator.py
@@ -14,8 +14,9 @@
 from ..hosted.evacuation import EvacuationOrder
 from ..hosted.publish import Write
 from ..hosted.record_audit import RecordFault
-from ..hosted.rollout_record import Phase, RolloutOrder
-from ..hosted.store import KeyedRecord
+from ..hosted.rollout_record import ROLLOUT_PREFIX as STORED_PREFIX
+from ..hosted.rollout_record import Phase, RolloutOrder, decode_record
+from ..hosted.store import MESH_TOPIC, KeyedRecord
 from .fields import (
     FieldError,
     T,
@@ -133,16 +134,26 @@
     return EvacuationOrder(zone, active=True)
 
 
-def status_write(service: str, version: str, phase: Phase) -> Write:
-    """Return the write that reports the phase of a rollout to the operator."""
-    status = {
-        "service": service,
-        "state": _STATE_OF_PHASE[phase],
-        "target_version": version,
-    }
-    value = json.dumps(status).encode()
+def status_write(service: str) -> Write:
+    """Return the write that reports the stored phase of a rollout to the operator."""
+
+    def derive(source: bytes | None) -> bytes | None:
+        record = decode_record(source)
+        if record is None:
+            return None
+        status = {
+            "service": service,
+            "state": _STATE_OF_PHASE[Phase(record.phase)],
+            "target_version": record.target_version,
+        }
+        return json.dumps(status).encode()
+
     return Write(
-        STATUS_TOPIC, ROLLOUT_PREFIX + service, value, may_replace=lambda current: current != value
+        STATUS_TOPIC,
+        ROLLOUT_PREFIX + service,
+        None,
+        source=(MESH_TOPIC, STORED_PREFIX + service),
+        derive=derive,
     )
 
 
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -22,8 +22,10 @@
     LeaveReceived,
     PageRead,
     ReadFailed,
+    RecordKept,
     RecordWritten,
     ReportReceived,
+    WriteFailed,
 )
 from citronrack.hosted.position import position_of
 from citronrack.hosted.publish import Write
@@ -252,22 +254,40 @@
         """Execute pending writes of the nodes that reach the store."""
         waiting = []
         for name, write in self._writes:
-            if name in self.cut:
+            if name not in self.cut:
+                self._store_write(name, write)
+            elif write.once and name in self.cores:
+                self.deliver(name, self.cores[name].handle(WriteFailed(write.topic, write.key)))
+            else:
                 waiting.append((name, write))
-                continue
-            records = self.store.newest(write.topic).records
-            current = {record.key: record.value for record in records}
-            if write.may_replace is None or write.may_replace(current.get(write.key)):
-                value = write.value
-                if write.may_replace is not None and write.revise is not None:
-                    value = write.revise(current.get(write.key))
-                self.store.put(write.topic, write.key, value)
-                self.puts += 1
-                record = self.store.topics[write.topic][-1]
-                if name in self.cores:
-                    self.cores[name].handle(RecordWritten(write.topic, record))
         self._writes = waiting
 
+    def _store_write(self, name: str, write: Write) -> None:
+        """Execute a write like `PublishTask`."""
+        value, source = write.value, None
+        current = self.store.newest(write.topic).value(write.key)
+        unneeded = write.may_replace is not None and not write.may_replace(current)
+        if write.source is not None:
+            source = self.store.newest(write.source[0]).value(write.source[1])
+            value = write.derive(source)
+            unneeded = value in (None, current)
+        elif not unneeded and write.may_replace is not None and write.revise is not None:
+            value = write.revise(current)
+        if not unneeded:
+            self.store.put(write.topic, write.key, value)
+            self.puts += 1
+        if name not in self.cores:
+            return
+        core = self.cores[name]
+        if write.may_replace is not None or write.source is not None:
+            topic = write.source[0] if write.source is not None else write.topic
+            page = PageRead(topic, self.store.newest(topic), full=True, for_write=True)
+            self.deliver(name, core.handle(page))
+        message: Any = RecordKept(write.topic, write.key, source)
+        if not unneeded:
+            message = RecordWritten(write.topic, self.store.topics[write.topic][-1], source)
+        self.deliver(name, core.handle(message))
+
 
 def make_gossip(replica: TopicReplica, clock: ManualClock) -> GossipCore:
     """Return the gossip of a node that knows no other nodes."""
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -12,7 +12,13 @@
 from citronrack.clock import ManualClock
 from citronrack.hosted.evidence import EvidenceCounter
 from citronrack.hosted.rollout import RolloutCore
-from citronrack.hosted.rollout_record import Phase, RolloutOrder, RolloutRecord, VersionShare
+from citronrack.hosted.rollout_record import (
+    Phase,
+    Proposal,
+    RolloutOrder,
+    RolloutRecord,
+    VersionShare,
+)
 from citronrack.telemetry import EventLog
 from citronrack.verdict import Verdict
 
@@ -47,7 +53,7 @@
     last_new_call: float = 0.0
     calls: int = 0
     nodes: dict[str, tuple[RolloutCore, EvidenceCounter, str]] = field(factory=dict)
-    _pending: list[RolloutRecord] = field(factory=list)
+    _pending: list[Proposal] = field(factory=list)
     _random: Random = field(factory=lambda: Random(7))
 
     def __attrs_post_init__(self) -> None:
@@ -56,12 +62,11 @@
             core = RolloutCore(
                 own_name=name,
                 clock=self.clock,
+                random=Random(name),
                 events=EventLog(node=name, level="error"),
                 write_record=self._pending.append,
                 broadcast_record=self._broadcast,
-                write_status=lambda _, version, phase, n=name: self.statuses.append(
-                    (n, phase, self.clock.monotonic())
-                ),
+                write_status=lambda _, n=name: self._write_status(n),
             )
             version = "v2" if index % 2 else "v1"
             self.nodes[name] = (core, EvidenceCounter(), version)
@@ -90,21 +95,30 @@
                 core.on_evidence(evidence)
 
     def _store_records(self) -> None:
-        """Store the first write of each revision, like a conditional append."""
-        for record in self._pending:
-            newest = self.records[-1].revision if self.records else 0
-            if record.revision == newest + 1 and record.holder not in self.dead:
+        """Store the first write that follows the stored record, like a conditional append."""
+        for proposal in self._pending:
+            record = proposal.record
+            if record.holder in self.dead:
+                continue
+            if proposal.may_replace(self.records[-1] if self.records else None):
                 self.records.append(record)
                 for core, _, _ in self.nodes.values():
                     core.on_record(record)
+            else:
+                self.nodes[record.holder][0].on_write_failed(record.service)
         self._pending.clear()
 
     def _broadcast(self, record: RolloutRecord) -> None:
         if record.holder not in self.dead:
-            self.records.append(record)
             for core, _, _ in self.nodes.values():
                 core.on_record(record)
 
+    def _write_status(self, name: str) -> None:
+        if name not in self.dead and self.records:
+            stored = self.records[-1]
+            self.statuses.append((name, Phase(stored.phase), self.clock.monotonic()))
+            self.nodes[name][0].on_status(stored)
+
     def _make_calls(self) -> None:
         now = self.clock.monotonic()
         share = self.records[-1].share if self.records else 0.0
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -10,7 +10,7 @@
 from citronrack.errors import SettingsError
 from citronrack.hosted.control import ReportInvalid
 from citronrack.hosted.readers import CONFIG_APPLY_S
-from citronrack.hosted.rollout_record import Phase
+from citronrack.hosted.rollout_record import Phase, RolloutRecord
 from citronrack.hosted.store import KeyedRecord
 from citronrack.hosted.target import TargetLeave, TargetReport
 from citronrack.platform.answers import decode_notice
@@ -178,11 +178,18 @@
         assert order is not None
         self.assertEqual((order.order_id, order.duration_s), (9, 12.0))
         self.assertIsNone(decode_order(KeyedRecord("rollout/s", b"[]", 9)))
-        states = {phase: json.loads(status_write("s", "v2", phase).value or b"") for phase in Phase}
+        write = status_write("s")
+        states = {}
+        for phase in Phase:
+            stored = RolloutRecord(9, "s", "v2", phase, 0.2, 1, 0, "n", 1).encode()
+            status = json.loads(write.derive(stored) or b"")
+            self.assertEqual((status["service"], status["target_version"]), ("s", "v2"))
+            states[phase.value] = status["state"]
         self.assertEqual(
-            {phase.value: status["state"] for phase, status in states.items()},
+            states,
             {"running": "in_progress", "completed": "completed", "rolled-back": "rolled_back"},
         )
+        self.assertEqual([write.derive(None), write.derive(b"?")], [None, None])
 
 
 class SettingsTest(unittest.TestCase):
