Count the calls of a step from what was known when it began

Cause: a leader compared the calls to the new version with a sample from before its step, and samples are kept for 6 s. A leader that had heard nothing for longer, as after a cut, compared with nothing: all calls since the order counted as calls of its step, so it could step or complete a rollout without news.

Change: the totals at the beginning of a step are kept, whatever the window holds.

--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -143,6 +143,7 @@
 
     _latest: dict[tuple[str, str], Evidence] = field(factory=dict)
     _samples: deque[tuple[float, _TotalsByRoute]] = field(factory=deque)
+    _at_step: _TotalsByRoute = field(factory=dict)
 
     def put(self, evidence: Evidence) -> None:
         """Store the newest evidence of a node."""
@@ -154,12 +155,14 @@
         while len(self._samples) > 1 and now - self._samples[0][0] > 2 * WINDOW_S:
             self._samples.popleft()
 
-    def calls_since(self, version: str, since: float) -> int:
-        """Return the calls to a version since a time at most two windows ago."""
-        if not self._samples:
-            return 0
-        before = next((totals for at, totals in reversed(self._samples) if at <= since), {})
-        return _call_count(self._samples[-1][1], version) - _call_count(before, version)
+    def begin_step(self) -> None:
+        """Let `calls_since_step` count from now on."""
+        self._at_step = self._current_totals()
+
+    def calls_since_step(self, version: str) -> int:
+        """Return the calls to a version that were heard of since the step began."""
+        before = _call_count(self._at_step, version)
+        return _call_count(self._current_totals(), version) - before
 
     def fault(self, version: str) -> str:
         """Return why a version is bad, empty if no regression is found."""
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -347,6 +347,7 @@
         rollout.started = min(rollout.started, now - record.elapsed_ms / 1000)
         if known is None or (known.share, known.phase) != (record.share, record.phase):
             rollout.stepped_at = now
+            rollout.evidence.begin_step()
             self._events.write(
                 Event.ROLLOUT_STEP,
                 service=record.service,
@@ -439,9 +440,7 @@
             return
         elapsed_share = rollout.elapsed_s(now) / max(rollout.order.duration_s, 0.001)
         next_step = RAMP[record.step + 1] if record.step + 1 < len(RAMP) else None
-        enough_calls = (
-            rollout.evidence.calls_since(record.target_version, rollout.stepped_at) >= MIN_CALLS
-        )
+        enough_calls = rollout.evidence.calls_since_step(record.target_version) >= MIN_CALLS
         if next_step is None and elapsed_share >= COMPLETE_AT and enough_calls:
             self._decide(rollout, record, Phase.COMPLETED, "no fault was seen", now)
         elif elapsed_share >= TIMEOUT_AT:
--- a/tests/hosted/test_rollout.py
+++ b/tests/hosted/test_rollout.py
@@ -10,7 +10,7 @@
 
 from citronrack.calls import CallRecord
 from citronrack.clock import ManualClock
-from citronrack.hosted.evidence import EvidenceCounter
+from citronrack.hosted.evidence import Evidence, EvidenceAggregator, EvidenceCounter
 from citronrack.hosted.rollout import RolloutCore
 from citronrack.hosted.rollout_record import (
     Phase,
@@ -189,6 +189,25 @@
     return 4 < now < 8 and random.random() < 0.2, 0.1
 
 
+class EvidenceTest(unittest.TestCase):
+    """What a holder knows of the calls."""
+
+    def test_calls_of_an_earlier_step(self) -> None:
+        """Guards against a leader without news that takes earlier calls for those of its step.
+
+        After two windows it compared with nothing, so that all calls counted.
+        """
+        evidence = EvidenceAggregator()
+        evidence.put(Evidence(5, "s", "n1", "v2", (("look", 40, 0, 0, 0),)))
+        evidence.sample(0.0)
+        evidence.begin_step()
+        for second in range(1, 20):
+            evidence.sample(float(second))
+            self.assertEqual(evidence.calls_since_step("v2"), 0)
+        evidence.put(Evidence(5, "s", "n1", "v2", (("look", 52, 0, 0, 0),)))
+        self.assertEqual(evidence.calls_since_step("v2"), 12)
+
+
 class RolloutTest(unittest.TestCase):
     """From the order to the status."""
 
