Compare versions by zone and time, and leave out failures of their dependencies

What operators saw: a good version was taken back while a machine was frozen or cut off, and its order missed.

Cause: a fault that strikes both versions counted against the new one. Its targets start later and have other shares of their calls in each zone; a new holder judged by a part of the evidence; nodes of the new version have few calls to learn by which targets of another service do not answer; and a route that always fails was compared with nothing once the new version had all calls.

Change: nodes count by time slice and zone, the failures to expect are the old version's rate in each of them, and a failure that follows from a failed call to another service is left out. A holder judges after 1 s, when it has the evidence of all. What a decision rests on is logged (version_judged).

--- a/src/citronrack/hosted/canary.py
+++ b/src/citronrack/hosted/canary.py
@@ -65,7 +65,8 @@
         if order is None or not record.delivered_here:
             return False
         self._counter.begin(order.order_id, version)
-        self._counter.observe(record, cold=cold)
+        elapsed_s = self._rollouts.elapsed_s(record.service)
+        self._counter.observe(record, elapsed_s=elapsed_s, cold=cold)
         candidate = record.service_version == order.target_version
         if not candidate or self._stopped or not self._counter.failing:
             return False
@@ -77,6 +78,15 @@
         )
         return True
 
+    def on_dependency_failed(self, service: str) -> None:
+        """Handle that a call to another service has failed, which the local target may need.
+
+        Args:
+            service: Service of the local target.
+        """
+        if self._rollouts.running(service) is not None:
+            self._counter.on_dependency_failed(self._rollouts.elapsed_s(service))
+
     def evidence(self, own: NodeEntry) -> tuple[str, Evidence] | None:
         """Return the holder of the rollout and the evidence for it, None when none is due."""
         now = self._clock.monotonic()
@@ -86,5 +96,7 @@
         self._next_evidence_at = now + EVIDENCE_INTERVAL_S
         self._counter.begin(order.order_id, own.service_version)
         node = f"{own.name}/{own.boot}"
-        evidence = self._counter.evidence(service=own.service, node=node)
+        evidence = self._counter.evidence(
+            service=own.service, node=node, availability_zone=own.availability_zone
+        )
         return self._rollouts.holder(own.service), evidence
--- a/src/citronrack/hosted/compose.py
+++ b/src/citronrack/hosted/compose.py
@@ -39,6 +39,7 @@
 from .entry import NodeEntry
 from .messages import (
     CallReported,
+    DependencyFailed,
     ExitRequested,
     LocalTargetEnded,
     StopRequested,
@@ -380,6 +381,8 @@
             mailbox.put(CallReported(record), wake=False)
 
     def on_response(record: ResponseRecord) -> None:
+        if record.status >= 500 and record.service != settings.service:
+            mailbox.put(DependencyFailed(), wake=False)
         metrics.count("calls", record.route, str(record.status), record.verdict.value)
         metrics.count("workspace_calls", record.workspace, record.verdict.value)
         metrics.observe("call_seconds", record.seconds, record.route)
--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -28,6 +28,7 @@
 from .messages import (
     CallReported,
     CoreMessage,
+    DependencyFailed,
     LeaveReceived,
     LocalTargetEnded,
     PageRead,
@@ -401,6 +402,9 @@
         if self._canary.observe(message.record, version=version, cold=cold):
             self._update_own_entry()
 
+    def _on_dependency_failed(self, _: DependencyFailed) -> None:
+        self._canary.on_dependency_failed(self._registration.entry.service)
+
     def _on_target_stated(self, message: TargetStated) -> None:
         """Apply a statement; a changed limit is announced in the next tick, once for all."""
         statement = self._statement = message.statement
@@ -718,6 +722,7 @@
     ReportReceived: HostedCore._on_target_report,
     LeaveReceived: HostedCore._on_target_leave,
     CallReported: HostedCore._on_call_reported,
+    DependencyFailed: HostedCore._on_dependency_failed,
     LocalTargetEnded: HostedCore._on_local_end,
     StopRequested: HostedCore._on_stop_requested,
     TargetStated: HostedCore._on_target_stated,
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -3,35 +3,40 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Mapping
+from typing import Any, TypeVar
 
-from attrs import define, field, frozen
+from attrs import astuple, define, field, frozen
 
 from ..calls import CallRecord
 from ..transport.messages import message_codec
+from .comparison import CallTotals, Stratum, find_regression
 
-WINDOW_S = 3.0
-"""Length of the recent window that is compared, so that earlier calls do not mask a late fault."""
+SLICE_S = 1.0
+"""Length of the time slices in which calls are counted. Only calls of one slice are compared, and
+the evidence of two nodes may differ by half a second."""
 
-MIN_FAILURES = 4
-"""Fewest failures for which a version is considered bad; single failures occur on all targets."""
+WINDOW_SLICES = 3
+"""Complete slices of the recent window that is compared besides the whole time, so that earlier
+calls do not mask a late fault."""
 
-FAILURE_RATE_FLOOR = 0.12
-"""Failure rate up to which a version is never considered bad."""
+SENT_SLICES = 4
+"""Slices that a node sends again, so that a lost message or a new holder loses no calls of the
+recent window."""
 
-FAILURE_FACTOR = 3.0
-"""Ratio of the new to the old failure rate above which the new version is considered bad."""
+MAX_SLICES = 64
+"""Slices that a holder keeps."""
 
-MIN_SLOW_CALLS = 10
-"""Fewest calls to each version for which latencies are compared."""
-
-SLOW_FACTOR = 2.5
-"""Ratio of the new to the old mean latency above which the new version is considered bad. Single
-targets differ by up to three times in speed, but the means cover several targets."""
+DEPENDENCY_S = 0.3
+"""Longest time between a failed call to another service and a failure of the local target that is
+taken for its consequence. Either may be seen first: a target that gives its call up fails at once,
+and its node notices a closed connection within a quarter of a second."""
 
 LOCAL_CALLS = 20
 """Number of recent calls by which a node judges its local target."""
 
+MAX_REMEMBERED = 100
+"""Failures that a node remembers for that time; more than a target has in it."""
+
 LOCAL_FAILURES = 5
 """Failures among `LOCAL_CALLS` after which a node stops routing calls to a new version."""
 
@@ -47,6 +52,8 @@
         node: Name and boot number of the node.
         service_version: Version of the target.
         routes: Route, calls, failures, timed calls, and their total latency in ms.
+        availability_zone: Zone of the node, empty from a node of the previous release.
+        slices: Number of a recent time slice, and then the same as in ``routes`` for its calls.
     """
 
     order_id: int
@@ -54,44 +61,12 @@
     node: str
     service_version: str
     routes: tuple[tuple[str, int, int, int, int], ...]
+    availability_zone: str = ""
+    slices: tuple[tuple[int, str, int, int, int, int], ...] = ()
 
 
-@define
-class CallTotals:
-    """Totals over calls.
-
-    Attributes:
-        calls: Calls that ran.
-        failures: Calls that failed.
-        timed: Calls whose latency is included.
-        latency_ms: Sum of these latencies.
-    """
-
-    calls: int = 0
-    failures: int = 0
-    timed: int = 0
-    latency_ms: int = 0
-
-    def add(self, other: CallTotals, sign: int = 1) -> None:
-        """Add other totals, or subtract them with a ``sign`` of -1."""
-        self.calls += sign * other.calls
-        self.failures += sign * other.failures
-        self.timed += sign * other.timed
-        self.latency_ms += sign * other.latency_ms
-
-    @property
-    def failure_rate(self) -> float:
-        """Fraction of calls that failed."""
-        return self.failures / self.calls if self.calls else 0.0
-
-    @property
-    def mean_ms(self) -> float:
-        """Mean latency."""
-        return self.latency_ms / self.timed if self.timed else 0.0
-
-
-_TotalsByRoute = dict[tuple[str, str], CallTotals]
-"""Totals by service version and route."""
+_Row = tuple[int, str, int, int, int, int]
+"""Number of a time slice, route, calls, failures, timed calls, and their total latency in ms."""
 
 
 class EvidenceCounter:
@@ -100,6 +75,11 @@
     def __init__(self) -> None:
         self._order_id = -1
         self._totals: dict[str, CallTotals] = {}
+        self._slices: dict[tuple[int, str], CallTotals] = {}
+        self._dependency_failures: deque[tuple[float]] = deque(maxlen=MAX_REMEMBERED)
+        self._failures: deque[tuple[float, tuple[int, str], CallTotals]] = deque(
+            maxlen=MAX_REMEMBERED
+        )
         self._recent: deque[bool] = deque(maxlen=LOCAL_CALLS)
         self._version = ""
 
@@ -112,29 +92,77 @@
         """Reset the counts if the order or the version of the target has changed."""
         if (order_id, version) != (self._order_id, self._version):
             self._order_id, self._version = order_id, version
-            self._totals = {}
+            self._totals, self._slices = {}, {}
+            self._dependency_failures.clear()
+            self._failures.clear()
             self._recent.clear()
 
-    def observe(self, record: CallRecord, *, cold: bool = False) -> None:
-        """Count a call at the local target; the latency of a cold target is ignored."""
+    def observe(self, record: CallRecord, *, elapsed_s: float, cold: bool = False) -> None:
+        """Count a call at the local target, unless it failed for a call that the target made.
+
+        Args:
+            record: The call.
+            elapsed_s: Time since the order.
+            cold: Whether the target has just started, so that the latency is ignored.
+        """
         if record.refused or record.service_version != self._version:
             return
         failed = record.status >= 500
-        total = self._totals.setdefault(record.route, CallTotals())
-        total.calls += 1
-        total.failures += failed
-        self._recent.append(failed)
+        if failed and _take_recent(self._dependency_failures, elapsed_s):
+            return
+        call = CallTotals(1, int(failed))
         if not cold:
-            total.timed += 1
-            total.latency_ms += int(record.latency_s * 1000)
+            call.timed, call.latency_ms = 1, int(record.latency_s * 1000)
+        key = (int(elapsed_s / SLICE_S), record.route)
+        self._count(key, call)
+        self._recent.append(failed)
+        if failed:
+            self._failures.append((elapsed_s, key, call))
+
+    def on_dependency_failed(self, elapsed_s: float) -> None:
+        """Excuse one failure of a moment ago or the next one, which most likely follows from it.
+
+        Args:
+            elapsed_s: Time since the order.
+        """
+        excused = _take_recent(self._failures, elapsed_s)
+        if excused is None:
+            self._dependency_failures.append((elapsed_s,))
+            return
+        _, key, call = excused
+        self._count(key, call, sign=-1)
+        if True in self._recent:
+            self._recent.remove(True)
+
+    def _count(self, key: tuple[int, str], call: CallTotals, sign: int = 1) -> None:
+        """Add a call of a time slice and route, or take it back with a ``sign`` of -1."""
+        self._totals.setdefault(key[1], CallTotals()).add(call, sign)
+        self._slices.setdefault(key, CallTotals()).add(call, sign)
 
-    def evidence(self, *, service: str, node: str) -> Evidence:
+    def evidence(self, *, service: str, node: str, availability_zone: str = "") -> Evidence:
         """Return the counts."""
-        routes = tuple(
-            (route, total.calls, total.failures, total.timed, total.latency_ms)
-            for route, total in self._totals.items()
+        newest = max((number for number, _ in self._slices), default=0)
+        for key in [key for key in self._slices if key[0] <= newest - SENT_SLICES]:
+            del self._slices[key]
+        return Evidence(
+            self._order_id,
+            service,
+            node,
+            self._version,
+            tuple((route, *astuple(total)) for route, total in self._totals.items()),
+            availability_zone,
+            tuple((*key, *astuple(total)) for key, total in self._slices.items()),
         )
-        return Evidence(self._order_id, service, node, self._version, routes)
+
+
+_Timed = TypeVar("_Timed", bound=tuple[Any, ...])
+
+
+def _take_recent(entries: deque[_Timed], now: float) -> _Timed | None:
+    """Remove and return the oldest entry that begins with a recent time, None without one."""
+    while entries and now - entries[0][0] > DEPENDENCY_S:
+        entries.popleft()
+    return entries.popleft() if entries else None
 
 
 @define(eq=False)
@@ -142,99 +170,64 @@
     """Aggregates the evidence of all nodes at the holder of a rollout."""
 
     _latest: dict[tuple[str, str], Evidence] = field(factory=dict)
-    _samples: deque[tuple[float, _TotalsByRoute]] = field(factory=deque)
-    _at_step: _TotalsByRoute = field(factory=dict)
+    _strata: dict[Stratum, CallTotals] = field(factory=dict)
+    _at_step: dict[str, int] = field(factory=dict)
 
     def put(self, evidence: Evidence) -> None:
         """Store the newest evidence of a node."""
+        known = self._latest.get((evidence.node, evidence.service_version))
+        # The slices that both contain are replaced, earlier ones stay.
+        again = {row[:2] for row in _rows(evidence)}
+        if known is not None:
+            for row in _rows(known):
+                if row[:2] in again:
+                    self._count(known, row, sign=-1)
+        for row in _rows(evidence):
+            self._count(evidence, row)
         self._latest[evidence.node, evidence.service_version] = evidence
+        newest = max((key.slice_ for key in self._strata), default=0)
+        if newest >= MAX_SLICES:
+            for key in [key for key in self._strata if key.slice_ <= newest - MAX_SLICES]:
+                del self._strata[key]
 
-    def sample(self, now: float) -> None:
-        """Record the totals at a time, for comparisons over `WINDOW_S`."""
-        self._samples.append((now, self._current_totals()))
-        while len(self._samples) > 1 and now - self._samples[0][0] > 2 * WINDOW_S:
-            self._samples.popleft()
+    def _count(self, evidence: Evidence, row: _Row, sign: int = 1) -> None:
+        slice_, route, *counts = row
+        zone = evidence.availability_zone
+        key = Stratum(evidence.service_version, route, zone, slice_)
+        self._strata.setdefault(key, CallTotals()).add(CallTotals(*counts), sign)
 
     def begin_step(self) -> None:
         """Let `calls_since_step` count from now on."""
-        self._at_step = self._current_totals()
+        versions = {version for _, version in self._latest}
+        self._at_step = {version: self._calls_to(version) for version in versions}
 
     def calls_since_step(self, version: str) -> int:
         """Return the calls to a version that were heard of since the step began."""
-        before = _call_count(self._at_step, version)
-        return _call_count(self._current_totals(), version) - before
+        return self._calls_to(version) - self._at_step.get(version, 0)
 
     def fault(self, version: str) -> str:
         """Return why a version is bad, empty if no regression is found."""
-        if not self._samples:
-            return ""
-        now, totals = self._samples[-1]
-        window_start = next((old for at, old in self._samples if now - at <= WINDOW_S), {})
-        return _compare(totals, version) or _compare(_difference(totals, window_start), version)
-
-    def _current_totals(self) -> _TotalsByRoute:
-        totals: _TotalsByRoute = {}
-        for evidence in self._latest.values():
-            for route, calls, failures, timed, latency_ms in evidence.routes:
-                total = totals.setdefault((evidence.service_version, route), CallTotals())
-                total.add(CallTotals(calls, failures, timed, latency_ms))
-        return totals
-
-
-def _call_count(totals: Mapping[tuple[str, str], CallTotals], version: str) -> int:
-    return sum(total.calls for (key_version, _), total in totals.items() if key_version == version)
-
-
-def _difference(totals: _TotalsByRoute, before: _TotalsByRoute) -> _TotalsByRoute:
-    result: _TotalsByRoute = {}
-    for key, total in totals.items():
-        change = CallTotals()
-        change.add(total)
-        if key in before:
-            change.add(before[key], sign=-1)
-        result[key] = change
-    return result
-
-
-def _compare(totals: _TotalsByRoute, version: str) -> str:
-    """Return how ``version`` regressed from the others, on one route or in total."""
-    routes = {route for key_version, route in totals if key_version == version}
-    new_all, old_all = CallTotals(), CallTotals()
-    for route in sorted(routes):
-        new = totals[version, route]
-        old = _baseline(totals, version, route)
-        new_all.add(new)
-        old_all.add(old)
-        reason = _find_regression(new, old)
-        if reason:
-            return f"route {route}: {reason}"
-    return _compare_failures(new_all, old_all)
-
-
-def _baseline(totals: _TotalsByRoute, version: str, route: str) -> CallTotals:
-    old = CallTotals()
-    for (key_version, key_route), total in totals.items():
-        if key_version != version and key_route == route:
-            old.add(total)
-    return old
-
-
-def _find_regression(new: CallTotals, old: CallTotals) -> str:
-    return _compare_failures(new, old) or _compare_latencies(new, old)
-
-
-def _compare_failures(new: CallTotals, old: CallTotals) -> str:
-    limit = max(FAILURE_RATE_FLOOR, FAILURE_FACTOR * old.failure_rate)
-    if new.failures >= MIN_FAILURES and new.failure_rate > limit:
-        return (
-            f"{new.failures} of {new.calls} calls failed,"
-            f" {old.failures} of {old.calls} of the old version"
+        newest = max((key.slice_ for key in self._strata), default=0)
+        recent = newest - WINDOW_SLICES
+        return find_regression(self._strata, version) or find_regression(
+            self._strata, version, since=recent
         )
-    return ""
+
+    def summary(self) -> list[str]:
+        """Return the calls of each version, route, zone and time slice for the log."""
+        return [
+            f"{key.slice_} {key.service_version} {key.route} {key.availability_zone}:"
+            f" {total.calls} calls, {total.failures} failed, {total.latency_ms} ms in {total.timed}"
+            for key, total in self._strata.items()
+        ]
+
+    def _calls_to(self, version: str) -> int:
+        evidences = (known for known in self._latest.values() if known.service_version == version)
+        return sum(calls for known in evidences for _, calls, *_ in known.routes)
 
 
-def _compare_latencies(new: CallTotals, old: CallTotals) -> str:
-    enough = min(new.timed, old.timed) >= MIN_SLOW_CALLS
-    if enough and new.mean_ms > SLOW_FACTOR * old.mean_ms:
-        return f"calls take {new.mean_ms:.0f} ms, {old.mean_ms:.0f} ms on the old version"
-    return ""
+def _rows(evidence: Evidence) -> list[_Row]:
+    """Return the rows of an evidence by time slice; the previous release counts one slice only."""
+    if evidence.slices or evidence.availability_zone:
+        return list(evidence.slices)
+    return [(0, *row) for row in evidence.routes]
--- a/src/citronrack/hosted/messages.py
+++ b/src/citronrack/hosted/messages.py
@@ -132,6 +132,11 @@
     record: CallRecord
 
 
+@frozen
+class DependencyFailed:
+    """A call from this instance to another service has failed; the local target may need it."""
+
+
 @frozen
 class TargetStated:
     """The local target has stated something else about itself in an answer.
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -39,6 +39,9 @@
 SETTLE_S = 0.6
 """Delay between the decision and the final status, in which all nodes read the decision."""
 
+EVIDENCE_SETTLE_S = 1.0
+"""Time after which a new holder has the evidence of all nodes: two intervals of its sending."""
+
 ISOLATED_AFTER_S = 3.0
 """Time without a message of any node after which a node counts as isolated; a few intervals of the
 exchange between nodes."""
@@ -71,6 +74,7 @@
         record: Newest stored record of the order, None before the first one.
         last_record_at: When ``record`` became known, or the order if there is none.
         stepped_at: When the share or phase changed last.
+        held_since: When this node became the holder.
         propose_at: Earliest time of the next proposal.
         alone: Whether this node leads although it is isolated, since no other has taken over.
         status_submitted: Whether this node has submitted the status of the running rollout.
@@ -86,6 +90,7 @@
     record: RolloutRecord | None = None
     last_record_at: float = 0.0
     stepped_at: float = 0.0
+    held_since: float = 0.0
     propose_at: float = 0.0
     alone: bool = False
     status_submitted: bool = False
@@ -268,6 +273,11 @@
         record = rollout.record
         return None if record is not None and record.decided else rollout.order
 
+    def elapsed_s(self, service: str) -> float:
+        """Return the time since a service's order, 0 without one."""
+        rollout = self._rollouts.get(service)
+        return rollout.elapsed_s(self._clock.monotonic()) if rollout is not None else 0.0
+
     def holder(self, service: str) -> str:
         """Return the name of the node that leads a service's rollout, empty for none."""
         rollout = self._rollouts.get(service)
@@ -345,6 +355,8 @@
         rollout.propose_at = 0.0
         rollout.confirmed = rollout.confirmed or record.confirmed
         rollout.started = min(rollout.started, now - record.elapsed_ms / 1000)
+        if known is None or known.holder != record.holder:
+            rollout.held_since = now
         if known is None or (known.share, known.phase) != (record.share, record.phase):
             rollout.stepped_at = now
             rollout.evidence.begin_step()
@@ -433,8 +445,9 @@
         if not rollout.status_submitted:
             rollout.status_submitted = True
             self._write_status(record.service)
-        rollout.evidence.sample(now)
-        fault = rollout.evidence.fault(record.target_version)
+        # After a takeover the evidence of a part of the nodes would mislead.
+        heard_all = now - rollout.held_since >= EVIDENCE_SETTLE_S
+        fault = rollout.evidence.fault(record.target_version) if heard_all else ""
         if fault:
             self._decide(rollout, record, Phase.ROLLED_BACK, fault, now)
             return
@@ -454,6 +467,15 @@
     def _decide(
         self, rollout: _Rollout, record: RolloutRecord, phase: Phase, reason: str, now: float
     ) -> None:
+        if now >= rollout.propose_at:
+            self._events.write(
+                Event.VERSION_JUDGED,
+                service=record.service,
+                target_version=record.target_version,
+                phase=phase,
+                reason=reason,
+                evidence=rollout.evidence.summary(),
+            )
         share = 1.0 if phase is Phase.COMPLETED else 0.0
         decision = evolve(
             record, revision=next_term(record.revision), phase=phase, share=share, reason=reason
--- a/src/citronrack/telemetry/events.py
+++ b/src/citronrack/telemetry/events.py
@@ -85,6 +85,7 @@
     ROLLOUT_ORDERED = 520
     ROLLOUT_STEP = 521
     VERSION_FAILS_HERE = 522
+    VERSION_JUDGED = 523
     ALLOCATORS_CHANGED = 600
     ALLOCATOR_SILENT = 601
 
@@ -224,6 +225,9 @@
     Event.VERSION_FAILS_HERE: EventInfo(
         "warning", "The own target fails with the new version and gets no more calls of it."
     ),
+    Event.VERSION_JUDGED: EventInfo(
+        "info", "The holder of a rollout has judged the new version by the calls in `evidence`."
+    ),
     Event.ALLOCATORS_CHANGED: EventInfo(
         "info", "Other nodes of the zone hand out the tokens of workspaces; see `allocators`."
     ),
--- a/tests/hosted/test_rollout_machine.py
+++ b/tests/hosted/test_rollout_machine.py
@@ -10,10 +10,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from citronrack.hosted.evidence import Evidence
 from citronrack.hosted.rollout_record import Phase
 from citronrack.platform.operator import status_write
 
-from .rollout_world import DURATION_S, NODES, SERVICE, RolloutWorld
+from .rollout_world import DURATION_S, NODES, SERVICE, TICK_S, RolloutWorld
 
 EXAMPLES = int(os.environ.get("CITRONRACK_ROLLOUT_EXAMPLES", "60"))
 """Histories to explore; CI uses the default, longer runs by hand set the variable."""
@@ -215,6 +216,23 @@
         self.world.run(DURATION_S)
         self.assertEqual(self.phase(), Phase.COMPLETED)
 
+    def test_new_holder_waits_for_the_evidence_of_all(self) -> None:
+        """Guards against a verdict on a part of the evidence, right after a takeover."""
+        self.world.run(1.0)
+        former = self.world.holder()
+        self.world.kill(former)
+        while self.world.holder() == former:
+            self.world.run(TICK_S)
+        node = self.world.nodes[self.world.holder()]
+        order_id = self.world.order.order_id
+        partial = Evidence(order_id, SERVICE, "n9", "v1", (), "z", ((9, "r", 20, 10, 0, 0),))
+        node.core.on_evidence(partial)
+        self.world.run(TICK_S)
+        rest = Evidence(order_id, SERVICE, "n8", "v0", (), "z", ((9, "r", 20, 10, 0, 0),))
+        node.core.on_evidence(rest)
+        self.world.run(DURATION_S)
+        self.assertEqual(self.phase(), Phase.COMPLETED)
+
     def phase(self) -> str:
         """Return the phase in the store."""
         assert self.world.latest is not None
