Acknowledge only a leaving that was applied

Cause: a report with an earlier start time, as after a step of the clock, was ignored as a late one and acknowledged all the same.

Change: a leaving that is not applied is not acknowledged, and a process with an earlier start time is the one that runs once it has reported over 0.3 of an interval while the known one was silent.

Evidence: test_start_with_an_earlier_time_leaves and test_start_with_an_earlier_time fail before.

--- a/src/citronrack/hosted/core.py
+++ b/src/citronrack/hosted/core.py
@@ -59,7 +59,7 @@
 )
 from .store import MESH_TOPIC, KeyedRecord
 from .suspicions import DeadlyRequests, SuspectsCleared, SuspicionExchange
-from .target import TargetLeave
+from .target import TargetLeave, TargetState
 from .views import build_view
 
 LIMIT_DIGITS = 2
@@ -379,10 +379,13 @@
             self._cold.follow()
         if changed:
             self._target_changed()
-        if message.report.draining:
+        if not message.report.draining:
+            message.answer.set_result("")
+        elif target.view.state is TargetState.LEAVING:
             self._leaving.acknowledge(message.answer)
         else:
-            message.answer.set_result("")
+            # What was not applied is not acknowledged; a target that lives reports it again.
+            message.answer.set_result("the report is of an earlier start of the target")
 
     def _on_target_leave(self, message: LeaveReceived) -> None:
         self._apply_leave(message.leave)
--- a/src/citronrack/hosted/target.py
+++ b/src/citronrack/hosted/target.py
@@ -15,6 +15,10 @@
 from ..clock import Clock
 from ..validators import MAX_NUMBER, MAX_TEXT
 
+ALIVE_AFTER_REPORTS = 0.3
+"""Fraction of the report interval over which a process with an earlier start time must report while
+the known one is silent; reports that were held up arrive closer to each other."""
+
 MISSED_REPORTS = 4
 """Missed reports after which a target gets no calls; a single report may be seconds late."""
 
@@ -130,6 +134,8 @@
         self._report_timeout_s = MISSED_REPORTS * report_interval_s
         self._clock = clock
         self._view = OwnTargetView()
+        self._alive_after_s = ALIVE_AFTER_REPORTS * report_interval_s
+        self._earlier_start: tuple[float, TargetReport] | None = None
         self._last_report_at = 0.0
         self._leave_notices: deque[TargetLeave] = deque(maxlen=MAX_LEAVE_NOTICES)
         self._left: TargetLeave | None = None
@@ -163,6 +169,7 @@
         if known is not None and not self._is_newer(report, known, now):
             return False
         self._last_report_at = now
+        self._earlier_start = None
         leaving = report.draining or self._matches_leave_notice(report)
         if known is not None and self._same_start(report, known) and self._leaving:
             leaving = True
@@ -242,9 +249,21 @@
             # The wall clock may jump back between two starts, so a new start with an earlier time
             # is accepted once the known one has timed out.
             timed_out = now - self._last_report_at > self._report_timeout_s
-            return report.started_ms > known.started_ms or timed_out
+            return report.started_ms > known.started_ms or timed_out or self._is_alive(report, now)
         return report.target_id != known.target_id and self._leaving
 
+    def _is_alive(self, report: TargetReport, now: float) -> bool:
+        """Return whether a report with an earlier start time is of the process that runs now.
+
+        Reports of a former process that were held up arrive together, or between those of the
+        known one. A process that started after the wall clock was set back goes on reporting.
+        """
+        since, candidate = self._earlier_start or (now, report)
+        if not self._same_start(report, candidate) or report.sequence < candidate.sequence:
+            since, candidate = now, report
+        self._earlier_start = since, candidate
+        return now - since >= self._alive_after_s
+
     def _replace_view(self, view: OwnTargetView) -> bool:
         before = self._view
         self._view = view
--- a/tests/hosted/test_leaving.py
+++ b/tests/hosted/test_leaving.py
@@ -58,6 +58,16 @@
             if name != LEAVES:
                 self.assertNotIn(LEAVES, self.mesh.pool(name))
 
+    def test_start_with_an_earlier_time_leaves(self) -> None:
+        """Guards against a leaving that is acknowledged and not applied, after a clock step."""
+        earlier = {"started_ms": STARTED_MS - 400, "draining": True}
+        self.assertNotEqual(self.mesh.report(LEAVES, **earlier, sequence=2), "")
+        self.assertIn(LEAVES, self.mesh.pool("n0"))
+        self.mesh.run(0.75)
+        self.assertEqual(self.mesh.report(LEAVES, **earlier, sequence=3), "")
+        self.mesh.run(1.0)
+        self.assert_refused()
+
     def test_restart_of_the_node(self) -> None:
         """Guards against a late report that undoes an acknowledged leaving after a restart."""
         for draining in (False, True):
--- a/tests/hosted/test_target.py
+++ b/tests/hosted/test_target.py
@@ -58,6 +58,26 @@
         self.assertIs(self.target.view.state, TargetState.LEAVING)
         self.assertTrue(self.target.identity.refusal)
 
+    def test_start_with_an_earlier_time(self) -> None:
+        """Guards against a process that is ignored because the wall clock was set back."""
+        self.target.on_report(report(sequence=7))
+        earlier = {"started_ms": 600}
+        self.assertFalse(self.target.on_report(report(**earlier)))
+        self.clock.advance(0.6)
+        self.assertTrue(self.target.on_report(report(**earlier, sequence=2, draining=True)))
+        self.assertIs(self.target.view.state, TargetState.LEAVING)
+
+    def test_late_reports_of_a_former_process(self) -> None:
+        """Guards against a process that has ended and whose reports were held up."""
+        former = {"started_ms": 600, "target_id": "i-0"}
+        self.target.on_report(report())
+        for sequence in range(2, 6):
+            for late in (5, 6, 7):
+                self.assertFalse(self.target.on_report(report(**former, sequence=late)))
+            self.clock.advance(1.5)
+            self.target.on_report(report(sequence=sequence))
+        self.assertEqual(self.target.identity.target_id, "i-1")
+
     def test_leave_without_a_draining_report(self) -> None:
         """Guards against calls to a target that only sends a leave notice."""
         self.target.on_report(report())
