Let the step of a rollout go before its revision, and judge before a new holder steps

Cause: after a return of the store two chains of records may count up the same revisions, from the copy and from what nodes knew; one with an earlier step could win, so that the share of a version went back (found by the state machine, in 1 of 1,500 histories). A new holder that did not judge yet could step.

Change: records of an order are compared by decision, step and revision; a new holder neither steps nor decides before it has the evidence of all; the counts behind a verdict are logged once for each record.

--- a/src/citronrack/calls/delivery.py
+++ b/src/citronrack/calls/delivery.py
@@ -24,6 +24,7 @@
 from .headers import CONTEXT, DEFAULT_HEADER_NAMES, HeaderNames, Headers
 from .health import LOST_REQUEST_REASON, TargetHealth
 from .message import (
+    CALLER_GONE,
     BodyEnd,
     CallerDisconnected,
     DeadlineExceeded,
@@ -217,7 +218,7 @@
     def _reason_to_withdraw(self, call: _InboundCall) -> str:
         """Return the reason to refuse a queued call, empty for none."""
         if call.request.cancelled():
-            return "the caller has gone away"
+            return CALLER_GONE
         now = self._identity()
         if now.target_id != call.identity.target_id:
             return "the target was replaced"
--- a/src/citronrack/calls/message.py
+++ b/src/citronrack/calls/message.py
@@ -352,6 +352,10 @@
 }
 
 
+CALLER_GONE = "the caller has gone away"
+"""Reason of refusals and failures because the caller has closed its connection."""
+
+
 def failure_response(error: CallFailed, *, load: int | None = None) -> Response:
     """Return the response to a failed call; only 503 means that the call was not run."""
     status = _FAILURE_STATUS[error.verdict, isinstance(error, DeadlineExceeded)]
--- a/src/citronrack/calls/server.py
+++ b/src/citronrack/calls/server.py
@@ -29,7 +29,7 @@
     response_head,
 )
 from .limits import READ_BYTES, WireLimits
-from .message import BodyReadError, Request, Response, local_response
+from .message import CALLER_GONE, BodyReadError, Request, Response, local_response
 from .request_reader import BadRequest, ConnectionEnded, ReceivedRequest, RequestReader
 
 BACKLOG = 128
@@ -41,8 +41,6 @@
 """Time for which keep-alive connections stay open during drain, so that requests that callers have
 just sent get a refusal instead of a closed connection."""
 
-CALLER_GONE = "the caller has gone away"
-
 Handler = Callable[[Request], Response]
 
 
--- a/src/citronrack/calls/upstream.py
+++ b/src/citronrack/calls/upstream.py
@@ -28,6 +28,7 @@
 )
 from .limits import READ_BYTES, WHOLE_BODY_BYTES
 from .message import (
+    CALLER_GONE,
     Body,
     BodyReadError,
     CallerDisconnected,
@@ -343,9 +344,7 @@
                 break
             except BlockingIOError:
                 if request.cancelled():
-                    raise CallerDisconnected(
-                        "the caller has gone away", verdict=_verdict(connection)
-                    ) from None
+                    raise CallerDisconnected(CALLER_GONE, verdict=_verdict(connection)) from None
             except OSError as error:
                 self._record_loss(connection, reader)
                 raise _call_failed(connection, f"the connection broke: {error}") from error
--- a/src/citronrack/hosted/comparison.py
+++ b/src/citronrack/hosted/comparison.py
@@ -36,13 +36,13 @@
         service_version: Version that handled the calls.
         route: Name of their route.
         availability_zone: Zone of the targets, empty if their nodes do not state it.
-        slice_: Number of the time slice since the order in which the calls ended.
+        time_slice: Number of the time slice since the order in which the calls ended.
     """
 
     service_version: str
     route: str
     availability_zone: str
-    slice_: int
+    time_slice: int
 
 
 @define
@@ -180,16 +180,16 @@
         if key.route != route:
             continue
         if key.service_version == version:
-            if key.slice_ >= since:
-                new[key.slice_, key.availability_zone] = total
+            if key.time_slice >= since:
+                new[key.time_slice, key.availability_zone] = total
                 comparison.new.add(total)
         else:
-            old[key.slice_, key.availability_zone].add(total)
-            everywhere[key.slice_].add(total)
+            old[key.time_slice, key.availability_zone].add(total)
+            everywhere[key.time_slice].add(total)
             comparison.old.add(total)
-    for (slice_, zone), total in new.items():
-        rates = everywhere[slice_] if everywhere[slice_].calls else comparison.old
+    for (time_slice, zone), total in new.items():
+        rates = everywhere[time_slice] if everywhere[time_slice].calls else comparison.old
         comparison.expect(
-            total, old[slice_, zone], failure_rate=rates.failure_rate, mean_ms=rates.mean_ms
+            total, old[time_slice, zone], failure_rate=rates.failure_rate, mean_ms=rates.mean_ms
         )
     return comparison
--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -185,15 +185,15 @@
         for row in _rows(evidence):
             self._count(evidence, row)
         self._latest[evidence.node, evidence.service_version] = evidence
-        newest = max((key.slice_ for key in self._strata), default=0)
+        newest = max((key.time_slice for key in self._strata), default=0)
         if newest >= MAX_SLICES:
-            for key in [key for key in self._strata if key.slice_ <= newest - MAX_SLICES]:
+            for key in [key for key in self._strata if key.time_slice <= newest - MAX_SLICES]:
                 del self._strata[key]
 
     def _count(self, evidence: Evidence, row: _Row, sign: int = 1) -> None:
-        slice_, route, *counts = row
+        number, route, *counts = row
         zone = evidence.availability_zone
-        key = Stratum(evidence.service_version, route, zone, slice_)
+        key = Stratum(evidence.service_version, route, zone, number)
         self._strata.setdefault(key, CallTotals()).add(CallTotals(*counts), sign)
 
     def begin_step(self) -> None:
@@ -207,7 +207,7 @@
 
     def fault(self, version: str) -> str:
         """Return why a version is bad, empty if no regression is found."""
-        newest = max((key.slice_ for key in self._strata), default=0)
+        newest = max((key.time_slice for key in self._strata), default=0)
         recent = newest - WINDOW_SLICES
         return find_regression(self._strata, version) or find_regression(
             self._strata, version, since=recent
@@ -216,7 +216,7 @@
     def summary(self) -> list[str]:
         """Return the calls of each version, route, zone and time slice for the log."""
         return [
-            f"{key.slice_} {key.service_version} {key.route} {key.availability_zone}:"
+            f"{key.time_slice} {key.service_version} {key.route} {key.availability_zone}:"
             f" {total.calls} calls, {total.failures} failed, {total.latency_ms} ms in {total.timed}"
             for key, total in self._strata.items()
         ]
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -74,7 +74,8 @@
         record: Newest stored record of the order, None before the first one.
         last_record_at: When ``record`` became known, or the order if there is none.
         stepped_at: When the share or phase changed last.
-        held_since: When this node became the holder.
+        held_since: When the holder of the record took it over.
+        judged: Revision that was judged, and the verdict; each is logged once.
         propose_at: Earliest time of the next proposal.
         alone: Whether this node leads although it is isolated, since no other has taken over.
         status_submitted: Whether this node has submitted the status of the running rollout.
@@ -91,6 +92,7 @@
     last_record_at: float = 0.0
     stepped_at: float = 0.0
     held_since: float = 0.0
+    judged: tuple[int, str] = (0, "")
     propose_at: float = 0.0
     alone: bool = False
     status_submitted: bool = False
@@ -379,9 +381,10 @@
         return RANK_DELAY_S * sum(weight(scope, name) < own for name in names)
 
     def _begin(self, rollout: _Rollout, now: float, names: Sequence[str], yield_s: float) -> None:
+        wait_s = self._rank_delay_s(rollout, names) + yield_s
         if self._may_be_written_again(rollout.order):
-            yield_s += REWRITE_S
-        if rollout.elapsed_s(now) < self._rank_delay_s(rollout, names) + yield_s:
+            wait_s += REWRITE_S
+        if rollout.elapsed_s(now) < wait_s:
             return
         rollout.alone = yield_s > 0.0
         order = rollout.order
@@ -445,9 +448,9 @@
         if not rollout.status_submitted:
             rollout.status_submitted = True
             self._write_status(record.service)
-        # After a takeover the evidence of a part of the nodes would mislead.
-        heard_all = now - rollout.held_since >= EVIDENCE_SETTLE_S
-        fault = rollout.evidence.fault(record.target_version) if heard_all else ""
+        if now - rollout.held_since < EVIDENCE_SETTLE_S:
+            return  # After a takeover the evidence of a part of the nodes would mislead.
+        fault = rollout.evidence.fault(record.target_version)
         if fault:
             self._decide(rollout, record, Phase.ROLLED_BACK, fault, now)
             return
@@ -467,7 +470,8 @@
     def _decide(
         self, rollout: _Rollout, record: RolloutRecord, phase: Phase, reason: str, now: float
     ) -> None:
-        if now >= rollout.propose_at:
+        if rollout.judged != (record.revision, phase):
+            rollout.judged = (record.revision, phase)
             self._events.write(
                 Event.VERSION_JUDGED,
                 service=record.service,
--- a/src/citronrack/hosted/rollout_record.py
+++ b/src/citronrack/hosted/rollout_record.py
@@ -102,13 +102,22 @@
         """Whether the rollout has ended; the phase of its order never changes from then on."""
         return self.phase != Phase.RUNNING
 
+    @property
+    def _progress(self) -> tuple[bool, int, int]:
+        """How far the rollout has come; it grows with each record of an order.
+
+        After a return of the store, nodes that knew a later step and others may count up the same
+        revisions, so the step goes first.
+        """
+        return self.decided, self.step, self.revision
+
     def supersedes(self, known: RolloutRecord | None) -> bool:
         """Return whether this record replaces a known one of the same service."""
         if known is None or self.order_id != known.order_id:
             return known is None or self.order_id > known.order_id
         if known.decided:
             return self.phase == known.phase and self.revision > known.revision
-        return self.decided or self.revision > known.revision
+        return self._progress > known._progress
 
     def may_precede(self, known: RolloutRecord) -> bool:
         """Return whether a node that knows ``known`` as the newest record of an order may write the
@@ -116,9 +125,9 @@
 
         After a return of the store, two holders may have written records of one revision.
         """
-        if known.decided or self.revision < known.revision:
+        if known.decided or self._progress < known._progress:
             return True
-        return (self.revision, self.holder) == (known.revision, known.holder)
+        return (self._progress, self.holder) == (known._progress, known.holder)
 
     def encode(self) -> bytes:
         """Return the record as a store value."""
