--- a/tests/hosted/rollout_world.py
+++ b/tests/hosted/rollout_world.py
@@ -54,12 +54,17 @@
     """One process.
 
     Attributes:
+        name: Name of its node.
         core: Its rollouts.
         frozen: Whether it neither runs nor receives.
         refused: Whether the store turns it away.
         slow: Whether its appends wait until `RolloutWorld.finish_appends`.
         loses: Whether the answer to its next append is lost.
-        alive: Whether the process runs.
+        alive: Whether the process has not ended.
+        heard_at: When another node was heard last.
+        queue: Writes that were submitted, by topic and key.
+        pending: Writes that have read the store and not yet appended.
+        inbox: Records that arrived while it was frozen.
         decided: Phase that it holds for final, by order.
         shares: Greatest share that it applied, by order.
     """
@@ -89,6 +94,8 @@
 
     Attributes:
         breaches: What should never have happened, in order.
+        order: The operator's latest order.
+        stored: Records of rollouts in the store's log, in order.
         cuts: Pairs of sender and receiver between which messages are lost.
         bad: Whether the new version fails.
         new_targets: Names of the nodes whose targets run the new version.
