Count only the rows of evidence that have changed

Cause: a holder took back and counted again all rows of a node with each message, though one or two of four slices change. Change: equal rows are passed over; the sums are the same.

--- a/src/citronrack/hosted/evidence.py
+++ b/src/citronrack/hosted/evidence.py
@@ -176,13 +176,14 @@
     def put(self, evidence: Evidence) -> None:
         """Store the newest evidence of a node."""
         known = self._latest.get((evidence.node, evidence.service_version))
-        # The slices that both contain are replaced, earlier ones stay.
-        again = {row[:2] for row in _rows(evidence)}
-        if known is not None:
-            for row in _rows(known):
-                if row[:2] in again:
-                    self._count(known, row, sign=-1)
+        # Rows that both contain are replaced if they differ, earlier ones stay.
+        before = {row[:2]: row for row in _rows(known)} if known is not None else {}
         for row in _rows(evidence):
+            earlier = before.get(row[:2])
+            if earlier == row:
+                continue
+            if earlier is not None:
+                self._count(evidence, earlier, sign=-1)
             self._count(evidence, row)
         self._latest[evidence.node, evidence.service_version] = evidence
         newest = max((key.time_slice for key in self._strata), default=0)
