Let a write itself say what it comes to

Cause: what a conditional or derived write comes to stood three times, in PublishTask and in two models of it in the tests, and a record's order was checked twice in a row. Change: Write.resolve decides, and the three call it; PublishTask._derive is gone; RolloutCore asks for the ids of the order once. No behaviour and no assertion changed.

--- a/src/citronrack/hosted/publish.py
+++ b/src/citronrack/hosted/publish.py
@@ -64,6 +64,24 @@
     source: tuple[str, str] | None = None
     derive: Callable[[bytes | None], bytes | None] = lambda source: None
 
+    def resolve(
+        self, current: bytes | None, source: bytes | None = None
+    ) -> tuple[bool, bytes | None]:
+        """Return whether a record has to be written, and its value.
+
+        Args:
+            current: The key's current value.
+            source: Value of the source record, if the write has one.
+        """
+        if self.source is not None:
+            value = self.derive(source)
+            return value not in (None, current), value
+        if self.may_replace is None:
+            return True, self.value
+        if not self.may_replace(current):
+            return False, self.value
+        return True, self.revise(current) if self.revise is not None else self.value
+
 
 class PublishTask:
     """Writes the newest value of each key, one write at a time.
@@ -155,26 +173,17 @@
 
     def _resolve(self, write: Write) -> _Intent:
         """Read the records on which a write depends, and return what to write."""
-        if write.source is not None:
-            return self._derive(write, *write.source)
-        if write.may_replace is None:
+        if write.source is None and write.may_replace is None:
             return _Intent(write.value)
         page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-        self._post(PageRead(write.topic, page, full=True, for_write=True))
-        current = page.value(write.key)
-        if not write.may_replace(current):
-            return _Intent(write.value, unneeded=True)
-        value = write.revise(current) if write.revise is not None else write.value
-        return _Intent(value, page.position)
-
-    def _derive(self, write: Write, topic: str, key: str) -> _Intent:
-        page = self._store.newest(write.topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-        source_page = self._store.newest(topic, timeout_ms=LONG_READ_TIMEOUT_MS)
-        self._post(PageRead(topic, source_page, full=True, for_write=True))
-        source = source_page.value(key)
-        value = write.derive(source)
-        unneeded = value is None or value == page.value(write.key)
-        return _Intent(value, page.position, unneeded, source)
+        known, topic, source = page, write.topic, None
+        if write.source is not None:
+            topic, key = write.source
+            known = self._store.newest(topic, timeout_ms=LONG_READ_TIMEOUT_MS)
+            source = known.value(key)
+        self._post(PageRead(topic, known, full=True, for_write=True))
+        needed, value = write.resolve(page.value(write.key), source)
+        return _Intent(value, page.position, not needed, source)
 
     def _give_up(self, write: Write) -> bool:
         """Return whether a failed write is dropped; its submitter is told so."""
--- a/src/citronrack/hosted/rollout.py
+++ b/src/citronrack/hosted/rollout.py
@@ -348,9 +348,10 @@
     def _apply_record(self, rollout: _Rollout, record: RolloutRecord) -> None:
         """Apply a record if it belongs to the current order and supersedes the known one."""
         known = rollout.record
-        if record.order_id in rollout.order_ids:
-            record = evolve(record, order_id=rollout.order.order_id)
-        if record.order_id != rollout.order.order_id or not record.supersedes(known):
+        if record.order_id not in rollout.order_ids:
+            return
+        record = evolve(record, order_id=rollout.order.order_id)
+        if not record.supersedes(known):
             return
         now = self._clock.monotonic()
         rollout.last_record_at = now
--- a/tests/hosted/mesh.py
+++ b/tests/hosted/mesh.py
@@ -264,16 +264,11 @@
 
     def _store_write(self, name: str, write: Write) -> None:
         """Execute a write like `PublishTask`."""
-        value, source = write.value, None
-        current = self.store.newest(write.topic).value(write.key)
-        unneeded = write.may_replace is not None and not write.may_replace(current)
+        source = None
         if write.source is not None:
             source = self.store.newest(write.source[0]).value(write.source[1])
-            value = write.derive(source)
-            unneeded = value in (None, current)
-        elif not unneeded and write.may_replace is not None and write.revise is not None:
-            value = write.revise(current)
-        if not unneeded:
+        needed, value = write.resolve(self.store.newest(write.topic).value(write.key), source)
+        if needed:
             self.store.put(write.topic, write.key, value)
             self.puts += 1
         if name not in self.cores:
@@ -284,7 +279,7 @@
             page = PageRead(topic, self.store.newest(topic), full=True, for_write=True)
             self.deliver(name, core.handle(page))
         message: Any = RecordKept(write.topic, write.key, source)
-        if not unneeded:
+        if needed:
             message = RecordWritten(write.topic, self.store.topics[write.topic][-1], source)
         self.deliver(name, core.handle(message))
 
--- a/tests/hosted/rollout_world.py
+++ b/tests/hosted/rollout_world.py
@@ -322,18 +322,14 @@
                 self._fail(node, write)
                 continue
             page = self.store.newest(write.topic)
-            current, value, source = page.value(write.key), write.value, None
-            unneeded = write.may_replace is not None and not write.may_replace(current)
+            source = None
             if write.source is not None:
                 source = self.store.newest(write.source[0]).value(write.source[1])
-                value = write.derive(source)
-                unneeded = value in (None, current)
-            elif not unneeded and write.revise is not None:
-                value = write.revise(current)
+            needed, value = write.resolve(page.value(write.key), source)
             stored = decode_record(self.store.newest(MESH_TOPIC).value(KEY))
             if stored is not None:
                 node.core.on_record(stored)
-            if unneeded:
+            if not needed:
                 self._answer(node, write, source)
                 continue
             node.pending.append(Pending(write, value, page.position, source))
