Judge the script of case 11 by the second half of its rule only

Cause: at its load the first bad answer comes at about the 295th request of the new version, of 312 that the first half allows, so a version that is taken back at once could still fail the script.

Change: the share is recorded and not judged; the nodes of the old workers go on.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-import signal
 import socket
 import sys
 import threading
@@ -31,6 +30,7 @@
 """Requests a second from which on a worker of the bad version fails a part of them."""
 
 CANARY_SHARE, CANARY_SLACK, ROLLBACK_S, IN_TOUCH_S = 0.1, 50, 5.0, 3.0
+BAD_ANSWERS = 50
 KEY = "rollout/look"
 
 
@@ -100,10 +100,8 @@
                 self.states.append(state)
                 self.record(f"the operator reads {state}")
                 if state == "completed":
-                    self.callers_at = list(self.mesh.nodes[3:])
                     for worker in self.mesh.workers[:3]:
                         worker.crash()
-                        worker.node.signal(signal.SIGTERM)
 
     def play(self) -> bool:
         """Order the roll-out; return whether the rule held."""
@@ -131,28 +129,27 @@
         return self.judge(new, ordered_at)
 
     def judge(self, new: list[Version2], ordered_at: float) -> bool:
-        """Return whether the bad version got no more requests than the rule allows."""
+        """Return whether the bad version got no request too late after its 50th bad answer.
+
+        The share is only recorded: with these steps it is nearly used up before a worker fails.
+        """
         ok = sum(status == 200 for status in self.statuses.values())
         self.record(f"{len(self.sent)} requests were sent, {ok} answered 200")
         if ok < len(self.sent) / 2 or not self.states:
             raise RuntimeError("the mesh did not serve, or the order was not taken")
         bad = sorted(at for worker in new for at in worker.bad)
         self.record(f"read: {self.states}; {len(bad)} bad answers of v2")
-        if not bad:
-            return True  # A good version.
         v2 = [run for worker in new for run in worker.runs]
-        everywhere = self.mesh.runs()
         end = ordered_at + ORDER_S
         exposed = sum(ordered_at <= self.sent[run.attempt] <= end for run in v2)
-        allowed = CANARY_SLACK + CANARY_SHARE * sum(
-            ordered_at <= self.sent[run.attempt] <= end for run in everywhere
-        )
-        late = []
-        if len(bad) >= 50:
-            late = [run for run in v2 if self.sent[run.attempt] > bad[49] + ROLLBACK_S]
+        reached = sum(ordered_at <= self.sent[run.attempt] <= end for run in self.mesh.runs())
+        allowed = CANARY_SLACK + CANARY_SHARE * reached
         self.record(f"v2 got {exposed} requests in the time of its order, allowed {allowed:.0f}")
+        if len(bad) < BAD_ANSWERS:
+            return True
+        late = [run for run in v2 if self.sent[run.attempt] > bad[BAD_ANSWERS - 1] + ROLLBACK_S]
         self.record(f"v2 got {len(late)} requests sent over 5 s after its 50th bad answer")
-        return exposed <= allowed and not late
+        return not late
 
 
 def main() -> int:
